--- /dev/null
+++ b/packages/decisions/src/ebonyhaven_decisions/_outcomes.py
@@ -0,0 +1,57 @@
+"""Tagged outcomes of a request that did not complete."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+class OutcomeTag(enum.StrEnum):
+    """What is known about the execution of a request."""
+
+    NOT_RUN = "not_run"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Outcome:
+    """Final answer for a request that did not complete.
+
+    Parameters
+    ----------
+    tag : OutcomeTag
+        ``NOT_RUN`` is proved: no engine and no service ran the request.
+        ``FAILED`` means that it ran, ``UNKNOWN`` that it may have run.
+    step : str
+        Step of request processing at which the error arose.
+    peer : str
+        Name of the process that was being talked to, or ``"self"``.
+    reason : str
+        One sentence for the caller.
+    status : int
+        HTTP status code.
+    retry_after_s : float or None
+        Seconds after which a retry may succeed, when that is known.
+    """
+
+    tag: OutcomeTag
+    step: str
+    peer: str
+    reason: str
+    status: int = 503
+    retry_after_s: float | None = None
+
+
+class RequestFailure(Exception):
+    """Raised when a request ends with an outcome other than completion.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        What is told to the caller.
+    """
+
+    def __init__(self, outcome: Outcome):
+        super().__init__(f"{outcome.tag} at {outcome.step}: {outcome.reason}")
+        self.outcome = outcome
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/__init__.py
@@ -0,0 +1,1 @@
+"""The node that every instance runs."""
--- /dev/null
+++ b/packages/operator/src/ebonyhaven_operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/platform/src/ebonyhaven_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's table, object and instance services."""
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what surrounds the node, for tests and measurements."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools that run from a checkout."""
