--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/cluster/_platform.py
@@ -0,0 +1,148 @@
+"""Blocking calls to the stand-in platform."""
+
+from __future__ import annotations
+
+import json
+import time
+import urllib.error
+import urllib.parse
+import urllib.request
+import uuid
+from typing import Any
+
+from ebonyhaven_standins.cluster._exceptions import ProcessError
+
+CALL_TIMEOUT_S = 10.0
+RETRY_PAUSE_S = 0.05
+_ATTEMPTS = 20
+CURRENT_ROW = "configuration/current"
+
+
+class PlatformCaller:
+    """Calls the platform with the standard library's blocking client.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` of the platform.
+    """
+
+    __slots__ = ("_address",)
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+
+    def call(self, method: str, path: str, body: object = None) -> Any:
+        """Make one call and return the decoded answer.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method.
+        path : str
+            Path and query.
+        body : object
+            JSON value to send, or None.
+
+        Returns
+        -------
+        object
+            JSON value, or None for an empty answer.
+
+        Raises
+        ------
+        urllib.error.HTTPError
+            For a status of 400 or more.
+        OSError
+            If the platform cannot be reached.
+        """
+        data = None if body is None else json.dumps(body).encode()
+        request = urllib.request.Request(
+            f"http://{self._address}{path}", data=data, method=method
+        )
+        request.add_header("Content-Type", "application/json")
+        with urllib.request.urlopen(request, timeout=CALL_TIMEOUT_S) as answer:
+            content = answer.read()
+        return json.loads(content) if content else None
+
+    def set_faults(self, **faults: object) -> None:
+        """Set faults of the platform, such as ``outage=True``."""
+        self.call("POST", "/faults", faults)
+
+    def register(self, name: str, entry: dict[str, object]) -> None:
+        """Put an entry into the platform's list of instances.
+
+        Parameters
+        ----------
+        name : str
+            Name of the instance or backend server.
+        entry : dict
+            Fields of the entry as in docs/PROTOCOLS.md.
+        """
+        self.call("PUT", f"/instances/{name}", {"name": name, **entry})
+
+    def read_row(self, key: str) -> dict[str, Any] | None:
+        """Return a row with its value and version, or None if absent."""
+        query = urllib.parse.urlencode({"key": key})
+        rows = self.call("GET", f"/table/rows?{query}")["rows"]
+        return rows[0] if rows else None
+
+    def write_declaration(
+        self, declaration: dict[str, Any], *, author: str = "cluster"
+    ) -> int:
+        """Make a declaration the current one.
+
+        Parameters
+        ----------
+        declaration : dict
+            The whole declaration.
+        author : str
+            Name kept with the change.
+
+        Returns
+        -------
+        int
+            Version of the accepted configuration.
+
+        Raises
+        ------
+        ProcessError
+            If other writers won every attempt.
+        """
+        change_id = uuid.uuid4().hex
+        for _ in range(_ATTEMPTS):
+            row = self.read_row(CURRENT_ROW)
+            if row is not None and row["value"]["change_id"] == change_id:
+                return row["value"]["version"]
+            version = 1 + (row["value"]["version"] if row else 0)
+            content = {
+                "version": version,
+                "change_id": change_id,
+                "author": author,
+                "accepted_at": time.time(),
+                "declaration": declaration,
+            }
+            if self._swap(content, row["version"] if row else 0):
+                return version
+            time.sleep(RETRY_PAUSE_S)
+        raise ProcessError(
+            step="declare", peer="platform", reason="lost every race to write"
+        )
+
+    def _swap(self, content: dict[str, Any], row_version: int) -> bool:
+        history_row = f"configuration/history/{content['version']:08d}"
+        transaction = {
+            "transaction_id": uuid.uuid4().hex,
+            "conditions": [{"key": CURRENT_ROW, "version": row_version}],
+            "writes": [
+                {"key": CURRENT_ROW, "value": content},
+                {"key": history_row, "value": content},
+            ],
+        }
+        try:
+            self.call("POST", "/table/transact", transaction)
+        except urllib.error.HTTPError as error:
+            if error.code not in {409, 429}:
+                raise
+            return False
+        return True
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/cluster/_processes.py
@@ -0,0 +1,154 @@
+"""One child process with its log file."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import signal
+import subprocess
+import time
+
+from ebonyhaven_standins.cluster._exceptions import ProcessError
+
+READY_LINE = "ready"
+READY_DEADLINE_S = 60.0
+STOP_DEADLINE_S = 30.0
+_POLL_S = 0.01
+_TAIL_LINES = 40
+
+
+class ChildProcess:
+    """A child process whose output goes to a file.
+
+    Parameters
+    ----------
+    name : str
+        Name used in logs and errors.
+    command : list of str
+        Program and arguments.
+    log_path : pathlib.Path
+        File that receives standard output and standard error.
+    """
+
+    __slots__ = ("_child", "_paused", "command", "log_path", "name", "started_at")
+
+    def __init__(
+        self, *, name: str, command: list[str], log_path: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.command = command
+        self.log_path = log_path
+        self._paused = False
+        self.started_at = time.time()
+        environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
+        with log_path.open("wb") as log:
+            self._child = subprocess.Popen(
+                command,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env=environment,
+            )
+
+    @property
+    def process_id(self) -> int:
+        """Identifier of the process."""
+        return self._child.pid
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended; a paused process runs."""
+        return self._child.poll() is None
+
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code, negative signal number, or None while it runs."""
+        return self._child.poll()
+
+    def read_tail(self, lines: int = _TAIL_LINES) -> str:
+        """Return the last lines of the log.
+
+        Parameters
+        ----------
+        lines : int
+            Largest number of lines.
+
+        Returns
+        -------
+        str
+        """
+        text = self.log_path.read_text(errors="replace")
+        return "\n".join(text.splitlines()[-lines:])
+
+    def is_ready(self) -> bool:
+        """Return whether the process has printed the line ``ready``."""
+        text = self.log_path.read_text(errors="replace")
+        return READY_LINE in text.splitlines()
+
+    def wait_until_ready(self, deadline_s: float = READY_DEADLINE_S) -> None:
+        """Block until the process has printed the line ``ready``.
+
+        Parameters
+        ----------
+        deadline_s : float
+            Longest wait in seconds.
+
+        Raises
+        ------
+        ProcessError
+            If the process ended or the wait passed the deadline.
+        """
+        end = time.monotonic() + deadline_s
+        while not self.is_ready():
+            if not self.running:
+                reason = f"ended with {self.exit_code}\n{self.read_tail()}"
+                raise ProcessError(step="start", peer=self.name, reason=reason)
+            if time.monotonic() > end:
+                reason = f"not ready after {deadline_s} s\n{self.read_tail()}"
+                raise ProcessError(step="start", peer=self.name, reason=reason)
+            time.sleep(_POLL_S)
+
+    def kill(self) -> None:
+        """Kill the process at once and wait for its end."""
+        if self.running:
+            self._child.kill()
+        self._child.wait(STOP_DEADLINE_S)
+
+    def pause(self) -> None:
+        """Stop the process until `resume`."""
+        self._child.send_signal(signal.SIGSTOP)
+        self._paused = True
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self._child.send_signal(signal.SIGCONT)
+        self._paused = False
+
+    def terminate(self) -> None:
+        """Ask the process to shut down; does not wait for it."""
+        if self.running:
+            self._child.terminate()
+
+    def wait(self, deadline_s: float = STOP_DEADLINE_S) -> int:
+        """Block until the process has ended.
+
+        Parameters
+        ----------
+        deadline_s : float
+            Longest wait in seconds.
+
+        Returns
+        -------
+        int
+            Exit code, or negative signal number.
+
+        Raises
+        ------
+        ProcessError
+            If it still runs at the deadline.
+        """
+        try:
+            return self._child.wait(deadline_s)
+        except subprocess.TimeoutExpired as error:
+            reason = f"still runs after {deadline_s} s\n{self.read_tail()}"
+            raise ProcessError(step="stop", peer=self.name, reason=reason) from error
--- /dev/null
+++ b/tests/standins/test_cluster.py
@@ -0,0 +1,58 @@
+"""Tests of the processes that other tests are built on."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+import tempfile
+
+from ebonyhaven_standins.cluster import (
+    ChildProcess,
+    ProcessError,
+    allocate_address,
+    derive_block,
+)
+
+
+def start_script(folder, script):
+    return ChildProcess(
+        name="child",
+        command=[sys.executable, "-c", script],
+        log_path=pathlib.Path(folder) / "child.log",
+    )
+
+
+def test_blocks_of_neighbouring_processes_differ():
+    blocks = {derive_block(number) for number in range(1000, 60_000)}
+    assert len(blocks) == 59_000
+
+
+def test_addresses_are_not_handed_out_twice():
+    addresses = [allocate_address() for _ in range(1000)]
+    assert len(set(addresses)) == len(addresses)
+
+
+def test_ready_line_then_pause_resume_and_terminate():
+    script = "import time; print('ready', flush=True); time.sleep(600)"
+    with tempfile.TemporaryDirectory() as folder:
+        child = start_script(folder, script)
+        child.wait_until_ready()
+        child.pause()
+        assert child.running
+        child.resume()
+        child.terminate()
+        assert child.wait() == -15
+        assert not child.running
+
+
+def test_a_child_that_ends_early_shows_its_log():
+    with tempfile.TemporaryDirectory() as folder:
+        child = start_script(folder, "raise SystemExit('no such model')")
+        try:
+            child.wait_until_ready()
+        except ProcessError as error:
+            assert error.step == "start"
+            assert error.peer == "child"
+            assert "no such model" in error.reason
+        else:
+            raise AssertionError("the wait should have failed")
