--- /dev/null
+++ b/packages/platform/src/ebonyhaven_platform/_resolution.py
@@ -0,0 +1,150 @@
+"""Writes whose lost confirmation is resolved by reading back.
+
+An unconfirmed transaction may have been applied, may never be applied, or may
+still be on its way. Repeating it settles the matter: it carries a condition on
+the row that it writes, so at most one of its copies commits, and whichever
+commits keeps the others out.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Any, NamedTuple
+
+from twisted.internet import task
+from twisted.internet.defer import Deferred
+
+from ebonyhaven_platform._rows import Row, Transaction
+from ebonyhaven_platform._table import TableClient
+from ebonyhaven_platform.exceptions import Conflict, Throttled, Unavailable, Unconfirmed
+
+FIRST_DELAY_S = 0.05
+LONGEST_DELAY_S = 2.0
+DELAY_GROWTH = 2.0
+
+
+class RetryLimit(NamedTuple):
+    """How long a write is tried.
+
+    Parameters
+    ----------
+    deadline : float
+        Time in seconds of the clock after which no new attempt starts.
+    rng : random.Random
+        Source of the jitter between attempts.
+    """
+
+    deadline: float
+    rng: random.Random
+
+
+class WriteResult(NamedTuple):
+    """A write that is known to have taken effect.
+
+    Parameters
+    ----------
+    version : int
+        Version of the written marker row.
+    confirmed_by_read : bool
+        True if the answer was lost and the row was read back instead.
+    """
+
+    version: int
+    confirmed_by_read: bool
+
+
+def resolve_write(
+    table: TableClient,
+    transaction: Transaction,
+    *,
+    marker: str,
+    clock: Any,
+    limit: RetryLimit,
+) -> Deferred[WriteResult]:
+    """Apply a transaction and find out whether it took effect.
+
+    Parameters
+    ----------
+    table : TableClient
+        The table to write to.
+    transaction : Transaction
+        It must hold a condition on ``marker`` and a write to it whose value no
+        other writer uses.
+    marker : str
+        Key of the row that proves the write, and that nobody overwrites while
+        the write is being resolved.
+    clock : IReactorTime
+        Source of time and delayed calls.
+    limit : RetryLimit
+        When to give up.
+
+    Returns
+    -------
+    Deferred of WriteResult
+
+    Raises
+    ------
+    Conflict
+        Another write won; this one did not and will not take effect.
+    Unavailable
+        No attempt was ever unconfirmed: nothing was written.
+    Unconfirmed
+        The deadline passed before the matter could be settled.
+    """
+    resolution = _Resolution(table, transaction, marker, clock, limit)
+    return Deferred.fromCoroutine(resolution.run())
+
+
+class _Resolution:
+    """One write being tried until it is settled."""
+
+    def __init__(
+        self,
+        table: TableClient,
+        transaction: Transaction,
+        marker: str,
+        clock: Any,
+        limit: RetryLimit,
+    ):
+        self._table = table
+        self._transaction = transaction
+        self._marker = marker
+        self._clock = clock
+        self._limit = limit
+        self._value = {item.key: item.value for item in transaction.writes}[marker]
+        self._doubt: Unconfirmed | None = None
+
+    async def run(self) -> WriteResult:
+        delay_s = FIRST_DELAY_S
+        while True:
+            wait_s = delay_s
+            try:
+                return WriteResult(await self._table.transact(self._transaction), False)
+            except Conflict as conflict:
+                return self._settle(conflict)
+            except Unconfirmed as error:
+                self._doubt = error
+                failure: Exception = error
+            except Throttled as error:
+                wait_s = max(delay_s, error.retry_after_s)
+                failure = error
+            except Unavailable as error:
+                failure = error
+            wait_s *= self._limit.rng.uniform(0.5, 1.5)
+            if self._clock.seconds() + wait_s > self._limit.deadline:
+                raise self._doubt or failure
+            await task.deferLater(self._clock, wait_s)
+            delay_s = min(LONGEST_DELAY_S, delay_s * DELAY_GROWTH)
+
+    def _settle(self, conflict: Conflict) -> WriteResult:
+        for row in conflict.rows:
+            if self._is_own(row):
+                return WriteResult(row.version, True)
+        raise conflict
+
+    def _is_own(self, row: Row) -> bool:
+        return (
+            self._doubt is not None
+            and row.key == self._marker
+            and row.value == self._value
+        )
--- /dev/null
+++ b/packages/platform/src/ebonyhaven_platform/_table.py
@@ -0,0 +1,138 @@
+"""Client of the platform's transactional table."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Coroutine, Sequence
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from ebonyhaven_platform._rows import Row, RowSet, Transaction
+from ebonyhaven_platform._transport import PlatformTransport
+from ebonyhaven_platform.exceptions import Conflict
+
+TRANSACT_STEP = "table.transact"
+
+
+def _parse_rows(rows: list[dict[str, Any]]) -> tuple[Row, ...]:
+    return tuple(Row(row["key"], row["value"], row["version"]) for row in rows)
+
+
+def _start(coroutine: Coroutine) -> Deferred:
+    return Deferred.fromCoroutine(coroutine)
+
+
+class TableClient:
+    """Reads and writes rows of the platform's table.
+
+    Parameters
+    ----------
+    transport : PlatformTransport
+        Connections to the platform.
+    """
+
+    __slots__ = ("_transport",)
+
+    def __init__(self, transport: PlatformTransport):
+        self._transport = transport
+
+    @property
+    def peer(self) -> str:
+        """Address of the platform."""
+        return self._transport.address
+
+    def transact(self, transaction: Transaction) -> Deferred[int]:
+        """Apply a transaction once.
+
+        Parameters
+        ----------
+        transaction : Transaction
+            Conditions and writes.
+
+        Returns
+        -------
+        Deferred of int
+            Version of the table after the commit.
+
+        Raises
+        ------
+        Conflict
+            A condition did not hold; nothing was written.
+        Throttled, Unavailable
+            Nothing was written.
+        Unconfirmed
+            The writes may have taken effect; see ``resolve_write``.
+        """
+        return _start(self._transact(transaction))
+
+    def read_rows(self, keys: Sequence[str]) -> Deferred[RowSet]:
+        """Read named rows; absent ones are left out.
+
+        Raises
+        ------
+        Throttled, Unavailable
+            The rows could not be read.
+        """
+        query = [("key", key) for key in keys]
+        return _start(self._read("rows", query, field="rows"))
+
+    def read_range(self, prefix: str) -> Deferred[RowSet]:
+        """Read all rows whose key starts with ``prefix``.
+
+        Raises
+        ------
+        Throttled, Unavailable
+            The rows could not be read.
+        """
+        return _start(self._read("range", [("prefix", prefix)], field="rows"))
+
+    def read_changes(self, since: int, *, prefix: str = "") -> Deferred[RowSet]:
+        """Read the latest state of each row changed after a version.
+
+        Parameters
+        ----------
+        since : int
+            Version of the table that is known already.
+        prefix : str
+            Only rows whose key starts with this are returned.
+
+        Returns
+        -------
+        Deferred of RowSet
+            Deleted rows have the value None.
+
+        Raises
+        ------
+        Throttled, Unavailable
+            The rows could not be read.
+        """
+        query = [("since", str(since)), ("prefix", prefix)]
+        return _start(self._read("changes", query, field="changes"))
+
+    async def _transact(self, transaction: Transaction) -> int:
+        body = {
+            "transaction_id": transaction.transaction_id,
+            "conditions": [item._asdict() for item in transaction.conditions],
+            "writes": [item._asdict() for item in transaction.writes],
+        }
+        answer = await self._transport.exchange(
+            "POST",
+            "/table/transact",
+            step=TRANSACT_STEP,
+            body=json.dumps(body).encode(),
+            accepted=frozenset({200, 409}),
+        )
+        if answer.status == 409:
+            rows = _parse_rows(answer.decode()["conflicts"])
+            raise Conflict(step=TRANSACT_STEP, peer=self.peer, rows=rows)
+        return answer.decode()["version"]
+
+    async def _read(
+        self, name: str, query: Sequence[tuple[str, str]], *, field: str
+    ) -> RowSet:
+        answer = await self._transport.exchange(
+            "GET", f"/table/{name}", step=f"table.{name}", query=query
+        )
+        body = answer.decode()
+        return RowSet(_parse_rows(body[field]), body["version"])
--- /dev/null
+++ b/packages/platform/src/ebonyhaven_platform/_transport.py
@@ -0,0 +1,166 @@
+"""HTTP exchanges with the platform and the mapping of their failures."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+from urllib.parse import urlencode
+
+import treq
+from twisted.internet.defer import Deferred
+from twisted.internet.error import (
+    ConnectError,
+    ConnectingCancelledError,
+    ConnectionRefusedError,
+)
+from twisted.web.client import Agent, HTTPConnectionPool, RequestNotSent
+
+from ebonyhaven_platform.exceptions import (
+    PlatformError,
+    Rejected,
+    Throttled,
+    Unavailable,
+    Unconfirmed,
+)
+
+DEFAULT_TIMEOUT_S = 2.0
+DEFAULT_RETRY_AFTER_S = 0.5
+MAX_CONNECTIONS = 8
+PROOF_OF_NOT_SENT = (
+    ConnectError,
+    ConnectingCancelledError,
+    ConnectionRefusedError,
+    RequestNotSent,
+)
+
+
+class Answer(NamedTuple):
+    """Status and body of an answer."""
+
+    status: int
+    body: bytes
+
+    def decode(self) -> Any:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+class PlatformTransport:
+    """Connections to one platform address.
+
+    Parameters
+    ----------
+    reactor : IReactorCore
+        Reactor that owns the connections.
+    address : str
+        ``IP:PORT`` of the platform.
+    timeout_s : float
+        Longest duration of one exchange, connecting and body included.
+    """
+
+    __slots__ = ("_agent", "_pool", "_reactor", "_timeout_s", "address")
+
+    def __init__(
+        self, reactor: Any, address: str, *, timeout_s: float = DEFAULT_TIMEOUT_S
+    ):
+        self.address = address
+        self._reactor = reactor
+        self._timeout_s = timeout_s
+        self._pool = HTTPConnectionPool(reactor)
+        self._pool.maxPersistentPerHost = MAX_CONNECTIONS
+        # A retry on a fresh connection would hide that a write may have landed.
+        self._pool.retryAutomatically = False
+        self._agent = Agent(reactor, connectTimeout=timeout_s, pool=self._pool)
+
+    def exchange(
+        self,
+        method: str,
+        path: str,
+        *,
+        step: str,
+        query: Sequence[tuple[str, str]] = (),
+        body: bytes | None = None,
+        accepted: frozenset[int] = frozenset({200}),
+    ) -> Deferred[Answer]:
+        """Send one request and return its answer.
+
+        Parameters
+        ----------
+        method, path : str
+            HTTP method and path.
+        step : str
+            Name of the operation for errors.
+        query : sequence of (str, str)
+            Query arguments.
+        body : bytes or None
+            Body of the request.
+        accepted : frozenset of int
+            Statuses that are returned rather than raised.
+
+        Returns
+        -------
+        Deferred of Answer
+
+        Raises
+        ------
+        Throttled, Unavailable
+            The operation was not done.
+        Unconfirmed
+            A write may have taken effect.
+        Rejected
+            The platform calls the request malformed.
+        """
+        url = f"http://{self.address}{path}"
+        if query:
+            url = f"{url}?{urlencode(query)}"
+        exchange = Deferred.fromCoroutine(
+            self._exchange(method, url, step=step, body=body, accepted=accepted)
+        )
+        return exchange.addTimeout(self._timeout_s, self._reactor)
+
+    def close(self) -> Deferred[None]:
+        """Close all idle connections."""
+        return self._pool.closeCachedConnections()
+
+    async def _exchange(
+        self,
+        method: str,
+        url: str,
+        *,
+        step: str,
+        body: bytes | None,
+        accepted: frozenset[int],
+    ) -> Answer:
+        try:
+            response = await treq.request(
+                method, url, data=body, agent=self._agent, reactor=self._reactor
+            )
+            answer = Answer(response.code, await treq.content(response))
+        except Exception as error:
+            raise self._map_failure(method, step, error) from error
+        if answer.status in accepted:
+            return answer
+        raise self._map_status(step, answer.status, response.headers)
+
+    def _map_failure(self, method: str, step: str, error: Exception) -> PlatformError:
+        reason = f"{type(error).__name__} {error}".strip()
+        not_done = method == "GET" or isinstance(error, PROOF_OF_NOT_SENT)
+        kind = Unavailable if not_done else Unconfirmed
+        return kind(step=step, peer=self.address, reason=reason)
+
+    def _map_status(self, step: str, status: int, headers: Any) -> PlatformError:
+        reason = f"status {status}"
+        if status == 429:
+            values = headers.getRawHeaders("Retry-After") or [DEFAULT_RETRY_AFTER_S]
+            return Throttled(
+                step=step,
+                peer=self.address,
+                reason=reason,
+                retry_after_s=float(values[0]),
+            )
+        if 400 <= status < 500:
+            return Rejected(step=step, peer=self.address, reason=reason)
+        if status == 503:
+            return Unavailable(step=step, peer=self.address, reason=reason)
+        return Unconfirmed(step=step, peer=self.address, reason=reason)
--- /dev/null
+++ b/tests/reactor_thread.py
@@ -0,0 +1,39 @@
+"""Runs coroutines of tests on one reactor that lives in a thread."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.threads import blockingCallFromThread
+
+DEADLINE_S = 60.0
+_start_lock = threading.Lock()
+
+
+def _ensure_running() -> None:
+    with _start_lock:
+        if reactor.running:
+            return
+        started = threading.Event()
+        reactor.callWhenRunning(started.set)
+        threading.Thread(
+            target=reactor.run, kwargs={"installSignalHandlers": False}, daemon=True
+        ).start()
+        started.wait(DEADLINE_S)
+
+
+def run_in_reactor(
+    function: Callable[..., Coroutine], *arguments: Any, deadline_s: float = DEADLINE_S
+) -> Any:
+    """Run a coroutine function on the reactor and return its result."""
+    _ensure_running()
+
+    def start() -> Deferred:
+        running = Deferred.fromCoroutine(function(*arguments))
+        return running.addTimeout(deadline_s, reactor)
+
+    return blockingCallFromThread(reactor, start)
