Record what callers see and check it against execution logs

Change: a caller that keeps the entry list, reconnects elsewhere and writes a history, and a checker of that history against the engines' logs and a timeline; each kind of violation has a test that feeds it in. Engines of a cluster get seeds of their own, since equal seeds would let two engines name two runs alike and hide a mix. The cluster module is split in three.

--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/caller/__init__.py
@@ -0,0 +1,43 @@
+"""A caller that behaves well, with a history of what it saw."""
+
+from __future__ import annotations
+
+from ebonyhaven_standins.caller._caller import Caller, CallerLimits, CompletionRequest
+from ebonyhaven_standins.caller._events import (
+    EventId,
+    EventParser,
+    ServerSentEvent,
+    TokenEvent,
+    parse_event_id,
+    read_token,
+)
+from ebonyhaven_standins.caller._history import (
+    COMPLETED,
+    GAVE_UP,
+    ConnectionRecord,
+    HistoryWriter,
+    ReceivedToken,
+    RequestRecord,
+    derive_prompt_origin,
+    read_history,
+)
+
+__all__ = [
+    "COMPLETED",
+    "GAVE_UP",
+    "Caller",
+    "CallerLimits",
+    "CompletionRequest",
+    "ConnectionRecord",
+    "EventId",
+    "EventParser",
+    "HistoryWriter",
+    "ReceivedToken",
+    "RequestRecord",
+    "ServerSentEvent",
+    "TokenEvent",
+    "derive_prompt_origin",
+    "parse_event_id",
+    "read_history",
+    "read_token",
+]
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/caller/_history.py
@@ -0,0 +1,105 @@
+"""What a caller saw, one JSON object a request."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import pathlib
+from typing import NamedTuple, TypedDict
+
+COMPLETED = "completed"
+GAVE_UP = "gave_up"
+PROMPT_DIGITS = 6
+
+
+def derive_prompt_origin(prompt: str) -> str:
+    """Return the digits by which engines name a prompt in their tokens."""
+    return hashlib.sha256(prompt.encode()).hexdigest()[:PROMPT_DIGITS]
+
+
+class ReceivedToken(NamedTuple):
+    """One token event at the caller; ``time`` in seconds since the epoch."""
+
+    time: float
+    connection: int
+    offset: int
+    generation: str
+    server: str
+    text: str
+
+
+class ConnectionRecord(TypedDict):
+    """One connection that a request used.
+
+    ``outcome`` is the tag with which the connection ended: ``completed``, an
+    outcome of the answer, ``refused`` (no connection), ``silent`` or ``cut``.
+    """
+
+    address: str
+    sent_at: float
+    last_event_id: str | None
+    answered_at: float | None
+    status: int | None
+    ended_at: float | None
+    outcome: str
+    step: str
+    peer: str
+    reason: str
+
+
+class RequestRecord(TypedDict):
+    """One request from its first connection to its outcome."""
+
+    workspace: str
+    request_class: str
+    key: str
+    prompt_origin: str
+    prompt_characters: int
+    max_tokens: int
+    repeatable: bool
+    started_at: float
+    finished_at: float | None
+    finish_offset: int | None
+    outcome: str
+    connections: list[ConnectionRecord]
+    tokens: list[ReceivedToken]
+
+
+class HistoryWriter:
+    """Appends finished requests to a file of JSON lines.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        File to append to.
+    """
+
+    __slots__ = ("_file",)
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._file = path.open("a")
+
+    def write(self, record: RequestRecord) -> None:
+        """Append one record."""
+        self._file.write(json.dumps(record) + "\n")
+        self._file.flush()
+
+    def close(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+
+def read_history(path: pathlib.Path) -> list[RequestRecord]:
+    """Return the records of a file.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        File that a `HistoryWriter` wrote.
+    """
+    records = []
+    for line in path.read_text().splitlines():
+        record: RequestRecord = json.loads(line)
+        record["tokens"] = [ReceivedToken(*token) for token in record["tokens"]]
+        records.append(record)
+    return records
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/checker/_runs.py
@@ -0,0 +1,80 @@
+"""Checks of what ran: proved refusals, single runs and leaving servers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from ebonyhaven_standins.caller import RequestRecord
+from ebonyhaven_standins.checker._logs import (
+    Evidence,
+    LogLine,
+    TimelineEvent,
+    TimelineKind,
+)
+from ebonyhaven_standins.checker._violations import Violation, ViolationKind
+
+LEAVING_LIMIT_S = 5.0
+_WORK_EVENTS = frozenset({"start", "continue"})
+
+
+def check_runs(evidence: Evidence) -> Iterator[Violation]:
+    """Yield the violations in what backend servers ran."""
+    lines = evidence.group_lines()
+    for origin, records in evidence.group_records().items():
+        starts = [line for line in lines.get(origin, []) if line.event == "start"]
+        yield from _check_refusals(records, starts)
+        yield from _check_single_run(records, starts)
+    for event in evidence.timeline:
+        if event.kind is TimelineKind.SERVER_LEAVING:
+            yield from _check_leaving(event, evidence)
+
+
+def _check_refusals(
+    records: list[RequestRecord], starts: list[LogLine]
+) -> Iterator[Violation]:
+    connections = [item for record in records for item in record["connections"]]
+    for refusal in connections:
+        refused_at = refusal["ended_at"]
+        if refusal["outcome"] != "not_run" or refused_at is None:
+            continue
+        for start in starts:
+            asked_again = any(
+                refused_at < item["sent_at"] <= start.time for item in connections
+            )
+            if start.time <= refused_at or not asked_again:
+                yield Violation(
+                    ViolationKind.FALSE_NOT_RUN,
+                    records[0]["key"],
+                    f"run {start.run_id} started on {start.server} "
+                    f"{start.time - refused_at:+.3f} s from the refusal",
+                )
+
+
+def _check_single_run(
+    records: list[RequestRecord], starts: list[LogLine]
+) -> Iterator[Violation]:
+    if any(record["repeatable"] for record in records) or len(starts) <= 1:
+        return
+    servers = ", ".join(f"{line.server} at {line.time:.3f}" for line in starts)
+    yield Violation(
+        ViolationKind.SECOND_RUN, records[0]["key"], servers, len(starts) - 1
+    )
+
+
+def _check_leaving(event: TimelineEvent, evidence: Evidence) -> Iterator[Violation]:
+    back = [
+        other.time
+        for other in evidence.timeline
+        if other.kind is TimelineKind.SERVER_LIVE
+        and other.name == event.name
+        and other.time > event.time
+    ]
+    end = min(back, default=float("inf"))
+    for line in evidence.lines:
+        late = event.time + LEAVING_LIMIT_S < line.time < end
+        if late and line.server == event.name and line.event in _WORK_EVENTS:
+            yield Violation(
+                ViolationKind.WORK_AFTER_LEAVING,
+                event.name,
+                f"run {line.run_id} {line.time - event.time:.3f} s after it left",
+            )
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/checker/_violations.py
@@ -0,0 +1,31 @@
+"""Violations that the checks find."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+
+class ViolationKind(enum.StrEnum):
+    """Which of the promises was broken."""
+
+    MISSING_TOKEN = "missing_token"
+    REPEATED_TOKEN = "repeated_token"
+    MIXED_ANSWER = "mixed_answer"
+    FOREIGN_ANSWER = "foreign_answer"
+    FALSE_NOT_RUN = "false_not_run"
+    SECOND_RUN = "second_run"
+    WORK_AFTER_LEAVING = "work_after_leaving"
+    CUT_BY_SHUTDOWN = "cut_by_shutdown"
+    CONFIGURATION_REVERTED = "configuration_reverted"
+    CONFIGURATION_LATE = "configuration_late"
+    UNTAGGED_ERROR = "untagged_error"
+
+
+class Violation(NamedTuple):
+    """One broken promise; ``count`` is the number of tokens or runs."""
+
+    kind: ViolationKind
+    subject: str
+    detail: str
+    count: int = 1
--- a/packages/standins/src/ebonyhaven_standins/cluster/__init__.py
+++ b/packages/standins/src/ebonyhaven_standins/cluster/__init__.py
@@ -13,8 +13,10 @@
     SERVICE_POOL,
     Cluster,
     find_binary,
+    mix_seed,
 )
 from ebonyhaven_standins.cluster._exceptions import ProcessError
+from ebonyhaven_standins.cluster._fault_proxy import FaultProxyCaller
 from ebonyhaven_standins.cluster._platform import PlatformCaller
 from ebonyhaven_standins.cluster._processes import ChildProcess
 
@@ -28,9 +30,11 @@
     "SERVICE_POOL",
     "ChildProcess",
     "Cluster",
+    "FaultProxyCaller",
     "PlatformCaller",
     "ProcessError",
     "allocate_address",
     "derive_block",
     "find_binary",
+    "mix_seed",
 ]
--- a/packages/standins/src/ebonyhaven_standins/cluster/_cluster.py
+++ b/packages/standins/src/ebonyhaven_standins/cluster/_cluster.py
@@ -2,19 +2,16 @@
 
 from __future__ import annotations
 
-import contextlib
 import json
 import pathlib
 import sys
-import tempfile
-import threading
-import urllib.request
-from types import TracebackType
+import zlib
 from typing import Any
 
 from ebonyhaven_standins.cluster._addresses import allocate_address
-from ebonyhaven_standins.cluster._platform import CALL_TIMEOUT_S, PlatformCaller
-from ebonyhaven_standins.cluster._processes import READY_DEADLINE_S, ChildProcess
+from ebonyhaven_standins.cluster._fault_proxy import FaultProxyCaller
+from ebonyhaven_standins.cluster._platform import PlatformCaller
+from ebonyhaven_standins.cluster._process_set import ProcessSet
 
 PLATFORM = "platform"
 FAULT_PROXY = "fault_proxy"
@@ -25,6 +22,23 @@
 SERVICE_POOL = "windows"
 
 
+def mix_seed(name: str, seed: int) -> int:
+    """Return a seed that differs between the processes of one cluster.
+
+    Parameters
+    ----------
+    name : str
+        Name of the process.
+    seed : int
+        Seed of the cluster.
+
+    Returns
+    -------
+    int
+    """
+    return zlib.crc32(f"{seed} {name}".encode())
+
+
 def find_binary(name: str) -> str:
     """Return the path of a binary beside the running interpreter.
 
@@ -40,13 +54,12 @@
     return str(pathlib.Path(sys.executable).parent / name)
 
 
-class Cluster:
+class Cluster(ProcessSet):
     """Starts, steers and stops the processes of one deployment.
 
-    A context manager: leaving it kills every process and removes the folder.
     All methods block for as long as the process needs, so code that runs on a
     reactor calls the starting ones before its streams or in a thread; `kill`,
-    `pause`, `resume` and `terminate` take microseconds.
+    `pause`, `resume` and `terminate` return within milliseconds.
 
     Parameters
     ----------
@@ -55,38 +68,10 @@
     """
 
     def __init__(self, *, keep_folder: pathlib.Path | None = None) -> None:
-        self._stack = contextlib.ExitStack()
-        self._children: dict[str, ChildProcess] = {}
-        self._lock = threading.Lock()
+        super().__init__(keep_folder=keep_folder)
         self._execution_logs: dict[str, pathlib.Path] = {}
         self.addresses: dict[str, str] = {}
         self.control_addresses: dict[str, str] = {}
-        if keep_folder is None:
-            keep_folder = pathlib.Path(
-                self._stack.enter_context(
-                    tempfile.TemporaryDirectory(prefix="ebonyhaven-")
-                )
-            )
-        self.folder = keep_folder
-        self.folder.mkdir(parents=True, exist_ok=True)
-        self._stack.callback(self._kill_all)
-
-    def __enter__(self) -> Cluster:
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        if error is not None:
-            print(self.describe_failure(), file=sys.stderr)
-        self.close()
-
-    def close(self) -> None:
-        """Kill every process and remove the temporary folder."""
-        self._stack.close()
 
     # Starting
 
@@ -149,7 +134,8 @@
         time_scale : float
             Factor on the engine's times; below one is faster.
         seed : int
-            Seed of the engine's random source.
+            Mixed with the name into the seed of the engine's random source, so
+            that two engines never name two runs alike.
         registered_address : str or None
             ``IP:PORT`` that the platform's list shows, such as a link of the
             fault proxy; its own address otherwise.
@@ -162,7 +148,13 @@
         log_path = self._execution_log_of(name)
         command = _module("engine", "--name", name, "--address", address)
         command += ["--model", model, "--log", str(log_path)]
-        command += ["--time-scale", str(time_scale), "--seed", str(seed), *options]
+        command += [
+            "--time-scale",
+            str(time_scale),
+            "--seed",
+            str(mix_seed(name, seed)),
+        ]
+        command += options
         if checks_fence:
             command.append("--checks-fence")
         self._launch(name, command, wait=wait)
@@ -269,26 +261,6 @@
         command = [find_binary("ebonyhaven"), "serve", "--settings", str(path)]
         return self._launch(name, command, wait=wait)
 
-    def wait_until_ready(
-        self, *names: str, deadline_s: float = READY_DEADLINE_S
-    ) -> None:
-        """Block until the named processes, or all, are ready.
-
-        Parameters
-        ----------
-        *names : str
-            Processes to wait for.
-        deadline_s : float
-            Longest wait for each in seconds.
-
-        Raises
-        ------
-        ProcessError
-            If one ended or was not ready in time.
-        """
-        for name in names or tuple(self._children):
-            self._children[name].wait_until_ready(deadline_s)
-
     # The platform's list, the configuration and links
 
     def register_server(
@@ -329,30 +301,18 @@
         """Make a declaration the current one and return its version."""
         return self.platform.write_declaration(declaration)
 
+    @property
+    def fault_proxy(self) -> FaultProxyCaller:
+        """Blocking caller of the fault proxy."""
+        return FaultProxyCaller(self.addresses[FAULT_PROXY])
+
     def add_link(
         self, name: str, *, target: str, side_a: str = "", side_b: str = ""
     ) -> str:
-        """Add a link to the fault proxy and return where it listens.
-
-        Parameters
-        ----------
-        name : str
-            Name of the link.
-        target : str
-            ``IP:PORT`` that it forwards to.
-        side_a, side_b : str
-            Names of the sides of a partition that it crosses.
-        """
-        listen = allocate_address()
-        body = {
-            "name": name,
-            "listen": listen,
-            "target": target,
-            "side_a": side_a,
-            "side_b": side_b,
-        }
-        self._call_fault_proxy("/links", body)
-        return listen
+        """Add a link to the fault proxy; see `FaultProxyCaller.add_link`."""
+        return self.fault_proxy.add_link(
+            name, target=target, side_a=side_a, side_b=side_b
+        )
 
     def set_fault(
         self,
@@ -362,72 +322,14 @@
         sides: tuple[str, str] | None = None,
         delay_ms: float = 0.0,
     ) -> None:
-        """Set a fault on a link or on all links between two sides.
-
-        Parameters
-        ----------
-        kind : str
-            One of the kinds of docs/PROTOCOLS.md.
-        link : str or None
-            Name of the link.
-        sides : tuple of str or None
-            Names of the two sides, in place of a link.
-        delay_ms : float
-            Delay in milliseconds for ``delay``.
-        """
-        body: dict[str, object] = {"kind": kind, "delay_ms": delay_ms}
-        if link is not None:
-            body["link"] = link
-        if sides is not None:
-            body["side_a"], body["side_b"] = sides
-        self._call_fault_proxy("/faults", body)
-
-    # Steering
-
-    def child(self, name: str) -> ChildProcess:
-        """Return a process by its name."""
-        return self._children[name]
-
-    def kill(self, name: str) -> None:
-        """Kill a process at once."""
-        self._children[name].kill()
-
-    def pause(self, name: str) -> None:
-        """Stop a process until `resume`."""
-        self._children[name].pause()
-
-    def resume(self, name: str) -> None:
-        """Let a paused process go on."""
-        self._children[name].resume()
-
-    def terminate(self, name: str) -> None:
-        """Ask a process to shut down; does not wait for it."""
-        self._children[name].terminate()
-
-    def restart(self, name: str, *, wait: bool = True) -> None:
-        """Start a process again with its command, after killing it if it runs."""
-        old = self._children[name]
-        old.kill()
-        self._launch(name, old.command, wait=wait)
-
-    # Reading
+        """Set a fault; see `FaultProxyCaller.set_fault`."""
+        self.fault_proxy.set_fault(kind, link=link, sides=sides, delay_ms=delay_ms)
 
     @property
     def execution_logs(self) -> dict[str, pathlib.Path]:
         """Paths of the execution logs by name of the backend server."""
         return dict(self._execution_logs)
 
-    def describe_failure(self) -> str:
-        """Return the ends of all logs, for a failing test."""
-        parts = []
-        for name, child in self._children.items():
-            if child.log_path.exists():
-                parts.append(f"--- {name} (exit {child.exit_code})")
-                parts.append(child.read_tail())
-        return "\n".join(parts)
-
-    # Details
-
     def _address_of(self, name: str) -> str:
         return self.addresses.setdefault(name, allocate_address())
 
@@ -436,28 +338,9 @@
         return self._execution_logs.setdefault(name, path)
 
     def _launch(self, name: str, command: list[str], *, wait: bool) -> str:
-        with self._lock:
-            count = sum(1 for _ in self.folder.glob(f"{name}.*.log"))
-            log_path = self.folder / f"{name}.{count}.log"
-            child = ChildProcess(name=name, command=command, log_path=log_path)
-            self._children[name] = child
-        if wait:
-            child.wait_until_ready()
+        self.launch(name, command, wait=wait)
         return self.addresses[name]
 
-    def _call_fault_proxy(self, path: str, body: dict[str, object]) -> None:
-        request = urllib.request.Request(
-            f"http://{self.addresses[FAULT_PROXY]}{path}",
-            data=json.dumps(body).encode(),
-            headers={"Content-Type": "application/json"},
-            method="POST",
-        )
-        urllib.request.urlopen(request, timeout=CALL_TIMEOUT_S).close()
-
-    def _kill_all(self) -> None:
-        for child in self._children.values():
-            child.kill()
-
 
 def _module(name: str, *options: str) -> list[str]:
     return [sys.executable, "-m", f"ebonyhaven_standins.{name}", *options]
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/cluster/_fault_proxy.py
@@ -0,0 +1,86 @@
+"""Blocking calls to the fault proxy."""
+
+from __future__ import annotations
+
+import json
+import urllib.request
+
+from ebonyhaven_standins.cluster._addresses import allocate_address
+from ebonyhaven_standins.cluster._platform import CALL_TIMEOUT_S
+
+
+class FaultProxyCaller:
+    """Adds links to the fault proxy and sets their faults.
+
+    Parameters
+    ----------
+    address : str
+        Control ``IP:PORT`` of the fault proxy.
+    """
+
+    __slots__ = ("_address",)
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+
+    def add_link(
+        self, name: str, *, target: str, side_a: str = "", side_b: str = ""
+    ) -> str:
+        """Add a link to the fault proxy and return where it listens.
+
+        Parameters
+        ----------
+        name : str
+            Name of the link.
+        target : str
+            ``IP:PORT`` that it forwards to.
+        side_a, side_b : str
+            Names of the sides of a partition that it crosses.
+        """
+        listen = allocate_address()
+        body = {
+            "name": name,
+            "listen": listen,
+            "target": target,
+            "side_a": side_a,
+            "side_b": side_b,
+        }
+        self._call("/links", body)
+        return listen
+
+    def set_fault(
+        self,
+        kind: str,
+        *,
+        link: str | None = None,
+        sides: tuple[str, str] | None = None,
+        delay_ms: float = 0.0,
+    ) -> None:
+        """Set a fault on a link or on all links between two sides.
+
+        Parameters
+        ----------
+        kind : str
+            One of the kinds of docs/PROTOCOLS.md.
+        link : str or None
+            Name of the link.
+        sides : tuple of str or None
+            Names of the two sides, in place of a link.
+        delay_ms : float
+            Delay in milliseconds for ``delay``.
+        """
+        body: dict[str, object] = {"kind": kind, "delay_ms": delay_ms}
+        if link is not None:
+            body["link"] = link
+        if sides is not None:
+            body["side_a"], body["side_b"] = sides
+        self._call("/faults", body)
+
+    def _call(self, path: str, body: dict[str, object]) -> None:
+        request = urllib.request.Request(
+            f"http://{self._address}{path}",
+            data=json.dumps(body).encode(),
+            headers={"Content-Type": "application/json"},
+            method="POST",
+        )
+        urllib.request.urlopen(request, timeout=CALL_TIMEOUT_S).close()
--- /dev/null
+++ b/tests/standins/test_caller.py
@@ -0,0 +1,49 @@
+"""Tests of the caller stand-in's parts that need no sockets."""
+
+from __future__ import annotations
+
+import pathlib
+import tempfile
+
+from ebonyhaven_standins.caller import (
+    EventParser,
+    HistoryWriter,
+    parse_event_id,
+    read_history,
+    read_token,
+)
+
+from tests.standins.test_checker import make_record
+
+STREAM = (
+    b": keep-alive\n\n"
+    b"id: 17-9f3a61c2-s-07\r\n"
+    b'data: {"choices":[{"index":0,"text":"ab:17 ","finish_reason":null}]}\r\n\r\n'
+    b"event: error\ndata: {}\n\n"
+    b"data: [DONE]\n\n"
+)
+
+
+def test_events_are_the_same_however_the_stream_is_cut():
+    whole = EventParser().feed(STREAM)
+    assert [event.kind for event in whole] == ["message", "error", "message"]
+    for size in (1, 3, 7):
+        parser = EventParser()
+        chunks = [STREAM[i : i + size] for i in range(0, len(STREAM), size)]
+        assert [event for chunk in chunks for event in parser.feed(chunk)] == whole
+
+
+def test_a_token_carries_offset_generation_and_server():
+    token = read_token(EventParser().feed(STREAM)[0])
+    assert token.event_id == (17, "9f3a61c2", "s-07")
+    assert token.text == "ab:17 "
+    assert parse_event_id("3-aa-s1").server == "s1"
+
+
+def test_a_history_reads_back_as_it_was_written():
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "history.jsonl"
+        writer = HistoryWriter(path)
+        writer.write(make_record())
+        writer.close()
+        assert read_history(path) == [make_record()]
