Decide queueing, admission and routing from the targets of classes

Cause: the node has no scheduling policy yet; a request would go to any server in order of arrival. Change: policies derived from class targets, a fair queue by service consumed, admission by forecast, load-aware routing with few choices, adaptive limits and a retry budget, each behind an abstract class with the two baselines beside it.

--- a/packages/decisions/src/ebonyhaven_decisions/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/__init__.py
@@ -6,8 +6,16 @@
 
 from __future__ import annotations
 
+from ebonyhaven_decisions._assembly import Scheduling, build_scheduler
 from ebonyhaven_decisions._contacts import Contacts
 from ebonyhaven_decisions._detection import Detector, Findings
+from ebonyhaven_decisions._dispatching import Dispatcher, FailureKind
+from ebonyhaven_decisions._limits import ConcurrencyLimit, RetryBudget
+from ebonyhaven_decisions._load_digests import (
+    LoadEntry,
+    build_load_digest,
+    merge_load_digest,
+)
 from ebonyhaven_decisions._loads import LoadTable
 from ebonyhaven_decisions._members import (
     MemberRecord,
@@ -29,14 +37,51 @@
     TableRequest,
 )
 from ebonyhaven_decisions._outcomes import Outcome, OutcomeTag, RequestFailure
+from ebonyhaven_decisions._policies import ClassPolicy, ClassTargets, derive_policies
+from ebonyhaven_decisions._queueing import FairQueue, FifoQueue, LaneKey, WorkQueue
 from ebonyhaven_decisions._rings import Rings
+from ebonyhaven_decisions._routing import (
+    LeastConnectionsRouter,
+    LoadAwareRouter,
+    Place,
+    Room,
+    RoundRobinRouter,
+    Router,
+    has_room,
+)
+from ebonyhaven_decisions._scheduler import Decisions, Scheduler
+from ebonyhaven_decisions._server_table import ServerTable
+from ebonyhaven_decisions._servers import ServerEntry, ServerReport, ServerState
+from ebonyhaven_decisions._usage import UsageEntry, UsageLedger
+from ebonyhaven_decisions._work import (
+    Choice,
+    Dispatch,
+    Refusal,
+    RefusalReason,
+    WorkItem,
+    compute_cost,
+)
 
 __all__ = [
+    "Choice",
+    "ClassPolicy",
+    "ClassTargets",
+    "ConcurrencyLimit",
     "Contacts",
+    "Decisions",
     "Detector",
+    "Dispatch",
+    "Dispatcher",
     "Envelope",
+    "FailureKind",
+    "FairQueue",
+    "FifoQueue",
     "Findings",
     "Heartbeat",
+    "LaneKey",
+    "LeastConnectionsRouter",
+    "LoadAwareRouter",
+    "LoadEntry",
     "LoadReport",
     "LoadTable",
     "MemberRecord",
@@ -47,14 +92,37 @@
     "MembershipMessage",
     "Outcome",
     "OutcomeTag",
+    "Place",
     "Probe",
     "ProbeAnswer",
     "Query",
     "QueryAnswer",
+    "Refusal",
+    "RefusalReason",
     "RequestFailure",
+    "RetryBudget",
     "Rings",
+    "Room",
+    "RoundRobinRouter",
+    "Router",
+    "Scheduler",
+    "Scheduling",
+    "ServerEntry",
+    "ServerReport",
+    "ServerState",
+    "ServerTable",
     "TICK_S",
     "TableAnswer",
     "TableRequest",
+    "UsageEntry",
+    "UsageLedger",
+    "WorkItem",
+    "WorkQueue",
+    "build_load_digest",
+    "build_scheduler",
+    "compute_cost",
+    "derive_policies",
+    "has_room",
+    "merge_load_digest",
     "merge_records",
 ]
--- /dev/null
+++ b/packages/decisions/src/ebonyhaven_decisions/_dispatching.py
@@ -0,0 +1,303 @@
+"""Running requests of an instance: dispatch, progress, end and failure."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Mapping, Set
+
+from ebonyhaven_decisions._flights import DEMAND_SPREAD, Flight, FlightTable
+from ebonyhaven_decisions._policies import ClassPolicy
+from ebonyhaven_decisions._routing import Room, Router
+from ebonyhaven_decisions._server_table import ServerTable
+from ebonyhaven_decisions._servers import ServerReport
+from ebonyhaven_decisions._usage import UsageLedger
+from ebonyhaven_decisions._work import Choice, Dispatch, WorkItem, compute_cost
+
+YIELD_SHARE = 0.125
+SLOT_COUNT_PERIOD_S = 1.0
+MIN_RESERVED_SHARE = 1e-6
+DEFAULT_GAP_LIMIT_MS = 1000.0
+
+
+class FailureKind(enum.Enum):
+    """Why a request left its backend server without an end."""
+
+    LOST = "lost"
+    FULL = "full"
+    LEAVING = "leaving"
+    MODEL_MISSING = "model_missing"
+    REFUSED = "refused"
+
+
+class Dispatcher:
+    """Sends requests to servers and follows them until they end.
+
+    Parameters
+    ----------
+    policies : mapping of str to ClassPolicy
+    router : Router
+    ledger : UsageLedger
+    has_limits : bool
+        Whether requests wait at the instance rather than in the servers.
+    """
+
+    __slots__ = (
+        "_has_limits",
+        "_slots",
+        "flights",
+        "ledger",
+        "losses",
+        "policies",
+        "router",
+        "table",
+    )
+
+    def __init__(
+        self,
+        policies: Mapping[str, ClassPolicy],
+        *,
+        router: Router,
+        ledger: UsageLedger,
+        has_limits: bool = True,
+    ) -> None:
+        self.policies = policies
+        self.router = router
+        self.ledger = ledger
+        self.table = ServerTable()
+        self.flights = FlightTable()
+        self.losses = 0
+        self._has_limits = has_limits
+        self._slots: dict[str, tuple[float, float]] = {}
+
+    def choose(
+        self, item: WorkItem, *, excluded: Set[str], yields: bool, now: float
+    ) -> Choice | None:
+        """Choose a server with room for a request that has not run.
+
+        Parameters
+        ----------
+        item : WorkItem
+        excluded : set of str
+            Servers that must not be chosen.
+        yields : bool
+            Whether room is left to another instance.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        Choice or None
+        """
+        room = self._compute_room(item, yields, now)
+        return self.router.choose(
+            item, self.table, room=room, excluded=excluded, now=now
+        )
+
+    def dispatch(self, item: WorkItem, choice: Choice, now: float) -> Dispatch:
+        """Count a request as running on the chosen server.
+
+        Parameters
+        ----------
+        item : WorkItem
+        choice : Choice
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        Dispatch
+        """
+        self.record_end(item.item_id, now, is_whole=False)
+        prefill = max(item.prompt_tokens - choice.cached_tokens, 0)
+        cost = compute_cost(prefill, self.flights.estimate_output(item))
+        flight = Flight(
+            item=item,
+            choice=choice,
+            dispatched_at=now,
+            prefill_tokens=prefill,
+            charged=cost,
+        )
+        self.flights.add(flight, now)
+        self.ledger.charge((item.class_name, item.workspace), cost, now)
+        self.router.record_dispatch(item, choice.server, now)
+        policy = self.policies.get(item.class_name)
+        priority = policy.engine_priority if policy and self._has_limits else 0
+        return Dispatch(item=item, choice=choice, engine_priority=priority)
+
+    def route_resume(
+        self, item: WorkItem, excluded: Set[str], now: float
+    ) -> Dispatch | None:
+        """Choose a server at once for a stream that lost its own.
+
+        Room kept for resumes is used first; when there is none, the stream waits
+        in the queue of the least loaded server.
+
+        Parameters
+        ----------
+        item : WorkItem
+        excluded : set of str
+            Servers that must not be chosen.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        Dispatch or None
+            None when no usable server is known.
+        """
+        for room in (
+            Room(may_exceed_limit=True, resume_slots=0),
+            Room(is_unbounded=True),
+        ):
+            choice = self.router.choose(
+                item, self.table, room=room, excluded=excluded, now=now
+            )
+            if choice is not None:
+                return self.dispatch(item, choice, now)
+        return None
+
+    def record_first_token(self, item_id: str, now: float) -> None:
+        """Learn from the time to the first token of a request."""
+        flight = self.flights.get(item_id)
+        if flight is None or flight.has_first_token:
+            return
+        flight.has_first_token = True
+        flight.server.record_prefilled(flight.prefill_tokens)
+        flight.server.record_first_token(
+            predicted_s=flight.choice.predicted_first_token_s,
+            observed_s=now - flight.dispatched_at,
+            now=now,
+        )
+
+    def record_tokens(self, item_id: str, count: int, now: float) -> None:
+        """Count decoded tokens; those beyond the estimate are charged at once."""
+        flight = self.flights.get(item_id)
+        if flight is None:
+            return
+        flight.decoded += count
+        used = compute_cost(flight.prefill_tokens, flight.decoded)
+        if used > flight.charged:
+            self._charge(flight, used, now)
+
+    def record_end(self, item_id: str, now: float, *, is_whole: bool = True) -> None:
+        """Free the slot of a request and correct its charge to what it used.
+
+        Parameters
+        ----------
+        item_id : str
+        now : float
+            Seconds.
+        is_whole : bool
+            Whether the output ended by itself.
+        """
+        flight = self.flights.pop(item_id, now)
+        if flight is None:
+            return
+        used = compute_cost(flight.prefill_tokens, flight.decoded)
+        self._charge(flight, used, now)
+        if is_whole:
+            self.flights.record_output(flight)
+
+    def record_failure(self, item_id: str, kind: FailureKind, now: float) -> None:
+        """Free the slot of a request whose server failed or refused it.
+
+        Parameters
+        ----------
+        item_id : str
+        kind : FailureKind
+        now : float
+            Seconds.
+        """
+        flight = self.flights.get(item_id)
+        if flight is None:
+            return
+        self.record_end(item_id, now, is_whole=False)
+        server = flight.server
+        if kind is FailureKind.LOST:
+            server.record_failure(now)
+            self.losses += 1
+        elif kind is FailureKind.FULL:
+            server.record_full(now)
+        elif kind is FailureKind.LEAVING:
+            server.reports_leaving = True
+        elif kind is FailureKind.MODEL_MISSING:
+            server.missing_models |= {flight.item.model}
+
+    def record_report(self, server: str, report: ServerReport) -> None:
+        """Take over a load report of a server.
+
+        Parameters
+        ----------
+        server : str
+        report : ServerReport
+        """
+        state = self.table.get(server)
+        if state is not None:
+            state.record_report(report, self.read_gap_limit_ms())
+
+    def list_not_more_urgent(self, policy: ClassPolicy) -> list[str]:
+        """Return the classes whose freed slots a class may take."""
+        return [
+            name for name, other in self.policies.items() if other.rank >= policy.rank
+        ]
+
+    def read_gap_limit_ms(self) -> float:
+        """Return the gap that a batch may reach for all classes, milliseconds."""
+        limits = [policy.gap_limit_ms for policy in self.policies.values()]
+        return min(limits, default=DEFAULT_GAP_LIMIT_MS)
+
+    def estimate_share_ends_per_s(
+        self, model: str, mean_cost: float, now: float
+    ) -> float:
+        """Return the ends a second on an equal share of all slots.
+
+        Parameters
+        ----------
+        model : str
+        mean_cost : float
+            Service of a typical request, decode tokens.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        float
+        """
+        slots = self._count_slots(model, now) / self.ledger.instances
+        return slots * 1000.0 / self.flights.pace_ms / max(mean_cost, 1.0)
+
+    def _charge(self, flight: Flight, used: float, now: float) -> None:
+        key = (flight.item.class_name, flight.item.workspace)
+        self.ledger.charge(key, used - flight.charged, now)
+        flight.charged = used
+
+    def _compute_room(self, item: WorkItem, yields: bool, now: float) -> Room:
+        if not self._has_limits:
+            return Room(is_unbounded=True)
+        policy = self.policies[item.class_name]
+        share = self._compute_reserved_share(policy, item.model, now)
+        return Room(
+            reserved_share=share + (YIELD_SHARE if yields else 0.0),
+            may_exceed_limit=policy.reserved_share > 0.0 and not yields,
+        )
+
+    def _compute_reserved_share(
+        self, policy: ClassPolicy, model: str, now: float
+    ) -> float:
+        share = 0.0
+        slots = self._count_slots(model, now)
+        for name, other in self.policies.items():
+            if other.rank >= policy.rank:
+                continue
+            demand = self.flights.read_demand(name, now) * self.ledger.instances
+            needed = (demand + DEMAND_SPREAD * demand**0.5) / slots
+            share += min(max(needed, MIN_RESERVED_SHARE), other.reserved_share)
+        return share
+
+    def _count_slots(self, model: str, now: float) -> float:
+        counted_at, slots = self._slots.get(model, (float("-inf"), 1.0))
+        if now - counted_at >= SLOT_COUNT_PERIOD_S:
+            servers = self.table.list_for(model)
+            slots = max(sum(server.capacity for server in servers), 1.0)
+            self._slots[model] = (now, slots)
+        return slots
