Add the engine, service and fault proxy stand-ins

Cause: the request path needs real processes to talk to, and failures that tests can provoke at will. Change: an engine with continuous batching, prefix cache, attach, continuation, cancel, fences and a crash mark; a plain service; a TCP proxy on Twisted's port forwarding. Ruled out: registering the two transports of a forwarded connection as producers of each other, as the base class does: a lost client then closes the target past a one-way loss (the test of one-way loss failed so).

--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/engine/_http.py
@@ -0,0 +1,177 @@
+"""HTTP interface of the engine stand-in."""
+
+from __future__ import annotations
+
+from klein import Klein
+from twisted.internet import defer
+from twisted.web import http
+
+from ebonyhaven_standins._serving import answer_json, query_int, read_json
+from ebonyhaven_standins.engine._engine import Engine, RefusedError, Start
+from ebonyhaven_standins.engine._load import LoadSampler
+from ebonyhaven_standins.engine._orders import StaleFenceError
+from ebonyhaven_standins.engine._runs import Run
+
+
+class StreamReader:
+    """Writes the output of a run to one HTTP response.
+
+    Parameters
+    ----------
+    request : twisted.web.http.Request
+    """
+
+    __slots__ = ("_is_open", "_request", "done")
+
+    def __init__(self, request: http.Request):
+        self._request = request
+        self._is_open = True
+        self.done: defer.Deferred[None] = defer.Deferred(_ignore_cancel)
+
+    def write(self, data: bytes) -> None:
+        """Send bytes of the stream.
+
+        Parameters
+        ----------
+        data : bytes
+        """
+        if self._is_open:
+            self._request.write(data)
+
+    def end(self) -> None:
+        """End the response."""
+        if self._is_open:
+            self._is_open = False
+            self.done.callback(None)
+
+    def abandon(self) -> None:
+        """Stop writing, because the connection is lost."""
+        self._is_open = False
+
+
+class EngineInterface:
+    """Routes of one engine.
+
+    Parameters
+    ----------
+    engine : Engine
+    load : LoadSampler
+    """
+
+    app = Klein()
+
+    def __init__(self, engine: Engine, load: LoadSampler):
+        self._engine = engine
+        self._load = load
+
+    @app.handle_errors(RefusedError)
+    def refuse(self, request, failure):
+        """Answer a refused call."""
+        refused = failure.value
+        body = {"error": refused.error}
+        if refused.generation is not None:
+            body["generation"] = refused.generation
+        self._add_load_headers(request)
+        return answer_json(request, body, refused.status)
+
+    @app.handle_errors(ValueError, KeyError, TypeError)
+    def reject(self, request, failure):
+        """Answer a malformed call."""
+        body = {"error": "malformed", "reason": failure.getErrorMessage()}
+        return answer_json(request, body, http.BAD_REQUEST)
+
+    @app.route("/v1/completions", methods=["POST"])
+    def start_run(self, request):
+        """Start, continue or attach to a run."""
+        run, offset = self._engine.start(Start.from_body(read_json(request)))
+        return self._stream(request, run, offset)
+
+    @app.route("/v1/runs/<run_id>", methods=["GET"])
+    def attach_run(self, request, run_id):
+        """Attach to a run at an offset."""
+        generation = request.args.get(b"generation", [b""])[0].decode()
+        fence = query_int(request, b"fence", 0)
+        offset = query_int(request, b"from", 0)
+        run = self._engine.find(run_id, generation, fence)
+        return self._stream(request, run, offset)
+
+    @app.route("/v1/runs/<run_id>", methods=["DELETE"])
+    def cancel_run(self, request, run_id):
+        """Cancel a run."""
+        attempt = query_int(request, b"attempt", -1)
+        cancelled = self._engine.cancel(run_id, attempt if attempt >= 0 else None)
+        return self._answer(request, {"cancelled": cancelled})
+
+    @app.route("/v1/load", methods=["GET"])
+    def report_load(self, request):
+        """Answer the lagging load report."""
+        return self._answer(request, self._load.report())
+
+    @app.route("/v1/state", methods=["GET"])
+    def read_state(self, request):
+        """Answer the state that orders change."""
+        return self._answer(request, self._engine.state.describe())
+
+    @app.route("/v1/orders", methods=["POST"])
+    def take_order(self, request):
+        """Take an order."""
+        order = read_json(request)
+        try:
+            self._engine.state.take_order(order)
+        except StaleFenceError:
+            raise RefusedError(409, "stale_fence") from None
+        return self._answer(request, {"order_id": order["order_id"], "accepted": True})
+
+    @app.route("/v1/cache-events", methods=["GET"])
+    def list_cache_events(self, request):
+        """Answer the published cache events."""
+        since = query_int(request, b"since", 0)
+        events, following = self._engine.feed.list_since(since)
+        body = {
+            "events": [
+                {"sequence": event.sequence, "kind": event.kind, "prefix": event.prefix}
+                for event in events
+            ],
+            "next": following,
+        }
+        return self._answer(request, body)
+
+    @app.route("/health", methods=["GET"])
+    def report_health(self, request):
+        """Answer that the process serves."""
+        return self._answer(request, {"server": self._engine.settings.name})
+
+    def _answer(self, request: http.Request, body: object) -> bytes:
+        self._add_load_headers(request)
+        return answer_json(request, body)
+
+    def _stream(self, request: http.Request, run: Run, offset: int) -> defer.Deferred:
+        self._add_load_headers(request)
+        request.setHeader("Content-Type", "text/event-stream")
+        # An empty write sends the headers before prefill ends.
+        request.write(b"")
+        reader = StreamReader(request)
+        lost = request.notifyFinish()
+        lost.addErrback(lambda _: self._drop(run, reader))
+        run.attach(reader, offset)
+        return reader.done
+
+    def _drop(self, run: Run, reader: StreamReader) -> None:
+        reader.abandon()
+        self._engine.detach(run, reader)
+
+    def _add_load_headers(self, request: http.Request) -> None:
+        scheduler = self._engine.scheduler
+        headers = {
+            "Engine-Running": str(scheduler.running),
+            "Engine-Waiting": str(scheduler.waiting),
+            "Engine-Capacity": str(self._engine.settings.capacity),
+            "Engine-Pace-Ms": f"{scheduler.pace_ms:.2f}",
+            "Engine-Leaving": "1" if self._engine.state.leaving else "0",
+        }
+        for name, value in headers.items():
+            request.setHeader(name, value)
+
+
+def _ignore_cancel(_done: defer.Deferred) -> None:
+    """Leave the cancellation of a lost response to the deferred itself."""
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/fault_proxy/__init__.py
@@ -0,0 +1,17 @@
+"""Fault-injecting TCP proxy on Twisted's port forwarding."""
+
+from __future__ import annotations
+
+from ebonyhaven_standins.fault_proxy._faults import FaultKind, LinkFaults
+from ebonyhaven_standins.fault_proxy._forwarding import LinkFactory
+from ebonyhaven_standins.fault_proxy._http import ProxyInterface
+from ebonyhaven_standins.fault_proxy._links import Link, LinkTable
+
+__all__ = [
+    "FaultKind",
+    "Link",
+    "LinkFactory",
+    "LinkFaults",
+    "LinkTable",
+    "ProxyInterface",
+]
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/fault_proxy/_links.py
@@ -0,0 +1,146 @@
+"""Named links of the proxy and the faults set on them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from twisted.internet import defer, reactor
+
+from ebonyhaven_standins.fault_proxy._faults import FaultKind, LinkFaults
+from ebonyhaven_standins.fault_proxy._forwarding import LinkFactory
+
+
+class Link:
+    """One listening address that forwards to a target.
+
+    Parameters
+    ----------
+    name : str
+    listen : str
+        ``IP:PORT`` to listen on.
+    target : str
+        ``IP:PORT`` to forward to.
+    sides : frozenset of str
+        Names of the two sides.
+    """
+
+    def __init__(self, *, name: str, listen: str, target: str, sides: frozenset[str]):
+        self.name = name
+        self.sides = sides
+        self._listen = listen
+        self._faults = LinkFaults()
+        host, _, port = target.rpartition(":")
+        self._factory = LinkFactory(host, int(port), self._faults)
+        self._port = None
+        self.start_listening()
+
+    @property
+    def open_count(self) -> int:
+        """Number of open connections."""
+        return len(self._factory.open)
+
+    def start_listening(self) -> None:
+        """Accept new connections."""
+        if self._port is None:
+            host, _, port = self._listen.rpartition(":")
+            self._port = reactor.listenTCP(int(port), self._factory, interface=host)
+
+    def stop_listening(self) -> defer.Deferred:
+        """Refuse new connections.
+
+        Returns
+        -------
+        twisted.internet.defer.Deferred
+        """
+        port, self._port = self._port, None
+        return defer.succeed(None) if port is None else port.stopListening()
+
+    async def set_fault(self, kind: FaultKind, delay_ms: float) -> None:
+        """Set or clear a fault.
+
+        Parameters
+        ----------
+        kind : FaultKind
+        delay_ms : float
+            For ``FaultKind.DELAY``.
+        """
+        faults = self._faults
+        match kind:
+            case FaultKind.NONE:
+                self._clear()
+            case FaultKind.DELAY:
+                faults.delay_s = delay_ms / 1000.0
+            case FaultKind.LOSE_TO_TARGET:
+                faults.loses_to_target = True
+            case FaultKind.LOSE_TO_CLIENT:
+                faults.loses_to_client = True
+            case FaultKind.PARTITION:
+                faults.loses_to_target = faults.loses_to_client = True
+            case FaultKind.RESET:
+                self._each_open(lambda connection: connection.reset())
+            case FaultKind.SILENCE_OPEN:
+                self._each_open(lambda connection: connection.silence())
+            case FaultKind.REFUSE:
+                await self.stop_listening()
+
+    def _clear(self) -> None:
+        self._faults.delay_s = 0.0
+        self._faults.loses_to_target = self._faults.loses_to_client = False
+        self._each_open(lambda connection: connection.release())
+        for connection in list(self._factory.draining):
+            connection.release()
+        self.start_listening()
+
+    def _each_open(self, act) -> None:
+        for connection in list(self._factory.open):
+            act(connection)
+
+
+class LinkTable:
+    """All links of one proxy process."""
+
+    def __init__(self) -> None:
+        self._links: dict[str, Link] = {}
+
+    def add(self, link: Link) -> None:
+        """Add a link under its name.
+
+        Parameters
+        ----------
+        link : Link
+        """
+        self._links[link.name] = link
+
+    def list_all(self) -> list[Link]:
+        """Return all links.
+
+        Returns
+        -------
+        list of Link
+        """
+        return list(self._links.values())
+
+    def select(self, target: str | Iterable[str]) -> list[Link]:
+        """Return the link of a name, or all links between two sides.
+
+        Parameters
+        ----------
+        target : str or iterable of str
+            Name of a link, or the names of two sides.
+
+        Returns
+        -------
+        list of Link
+
+        Raises
+        ------
+        KeyError
+            If no link matches.
+        """
+        if isinstance(target, str):
+            return [self._links[target]]
+        sides = frozenset(target)
+        links = [link for link in self._links.values() if link.sides == sides]
+        if not links:
+            raise KeyError(f"no link between {sorted(sides)}")
+        return links
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/service/__main__.py
@@ -0,0 +1,39 @@
+"""Command line of the plain service stand-in.
+
+The signal SIGUSR1 makes the service leave: it refuses new calls.
+"""
+
+from __future__ import annotations
+
+import signal
+from typing import Annotated
+
+import typer
+
+from ebonyhaven_standins._execution_log import ExecutionLog
+from ebonyhaven_standins._serving import serve_app
+from ebonyhaven_standins.service import ServiceInterface, ServiceSettings
+
+
+def main(
+    *,
+    name: Annotated[str, typer.Option()],
+    address: Annotated[str, typer.Option()],
+    log: Annotated[str, typer.Option(help="File of the execution log.")],
+    delay_ms: float = 0.0,
+) -> None:
+    """Run one plain service until it is killed."""
+    from twisted.internet import reactor
+
+    settings = ServiceSettings(name=name, delay_ms=delay_ms)
+    service = ServiceInterface(settings, ExecutionLog(log, name), reactor)
+    signal.signal(signal.SIGUSR1, lambda *_: _leave(service))
+    serve_app(service.app, address)
+
+
+def _leave(service: ServiceInterface) -> None:
+    service.leaving = True
+
+
+if __name__ == "__main__":
+    typer.run(main)
