Check that an answer follows one line of continuations

Cause: two continuations of one generation on different engines carry the same origin and generation, so an answer that leaves one and later returns to it passed the checker although sampling would have made the two differ. Change: at each change of backend server in an answer, the caller must hold the tokens from which that server computed the next one, by its execution log.

--- a/packages/standins/src/ebonyhaven_standins/checker/_report.py
+++ b/packages/standins/src/ebonyhaven_standins/checker/_report.py
@@ -6,6 +6,7 @@
 
 from ebonyhaven_standins.caller import COMPLETED
 from ebonyhaven_standins.checker._answers import check_answers
+from ebonyhaven_standins.checker._branches import check_branches
 from ebonyhaven_standins.checker._control import check_control
 from ebonyhaven_standins.checker._logs import Evidence
 from ebonyhaven_standins.checker._measures import (
@@ -89,6 +90,7 @@
     """
     violations = [
         *check_answers(evidence),
+        *check_branches(evidence),
         *check_runs(evidence),
         *check_control(evidence),
     ]
--- a/tests/standins/test_checker.py
+++ b/tests/standins/test_checker.py
@@ -132,6 +132,28 @@
     assert ViolationKind.MIXED_ANSWER in kinds_of(report)
 
 
+def make_switched_record():
+    """Tokens 0 to 1 of s1, 2 to 3 of s2, then 4 to 5 of s1."""
+    servers = ("s1", "s1", "s2", "s2", "s1", "s1")
+    tokens = [make_token(offset, server=name) for offset, name in enumerate(servers)]
+    return make_record(tokens=tokens)
+
+
+def test_a_return_to_a_branch_that_was_left_is_found():
+    lines = [*make_lines(), make_line("continue", at=11.5, server="s2", offset=2)]
+    report = run_check(make_switched_record(), sorted(lines))
+    assert kinds_of(report) == [ViolationKind.MIXED_ANSWER]
+
+
+def test_a_return_by_a_new_continuation_passes():
+    lines = [
+        *make_lines(),
+        make_line("continue", at=11.5, server="s2", offset=2),
+        make_line("continue", at=13.5, offset=4),
+    ]
+    assert run_check(make_switched_record(), sorted(lines)).holds
+
+
 def test_a_foreign_answer_is_found():
     tokens = [make_token(offset, origin="000000ffffff") for offset in range(LENGTH)]
     report = run_check(make_record(tokens=tokens))
