--- a/packages/standins/src/ebonyhaven_standins/caller/_caller.py
+++ b/packages/standins/src/ebonyhaven_standins/caller/_caller.py
@@ -84,7 +84,7 @@
     """
 
     connect_s: float = 0.5
-    answer_s: float = 5.0
+    answer_s: float = 1.5
     silence_s: float = 1.5
     patience_s: float = 60.0
     first_pause_s: float = 0.02
@@ -130,6 +130,7 @@
         self._history = history
         self._generator = generator
         self._sends_received = sends_received
+        self.open_records: list[RequestRecord] = []
 
     def complete(self, request: CompletionRequest) -> defer.Deferred[RequestRecord]:
         """Send a request and follow it to its outcome.
@@ -149,6 +150,7 @@
 
     async def _complete(self, request: CompletionRequest) -> RequestRecord:
         record = _begin_record(request)
+        self.open_records.append(record)
         deadline = self._reactor.seconds() + self._limits.patience_s
         pause_s = self._limits.first_pause_s
         while True:
@@ -205,6 +207,8 @@
             "Ebonyhaven-Repeatable": "yes" if request.repeatable else "no",
             "Idempotency-Key": request.key,
         }
+        first = len(record["connections"]) == 1
+        headers["Ebonyhaven-First-Submission"] = "yes" if first else "no"
         last_event_id = record["connections"][-1]["last_event_id"]
         if last_event_id is not None:
             headers["Last-Event-ID"] = last_event_id
@@ -238,6 +242,7 @@
     def _end_record(self, record: RequestRecord, outcome: str) -> RequestRecord:
         record["finished_at"] = time.time()
         record["outcome"] = outcome
+        self.open_records.remove(record)
         self._history.write(record)
         return record
 
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/demo/_workload.py
@@ -0,0 +1,78 @@
+"""Requests of the demo: long analyses, quick look-ups, signed decisions."""
+
+from __future__ import annotations
+
+import random
+
+from ebonyhaven_standins.caller import CompletionRequest
+from ebonyhaven_standins.demo._texts import (
+    CASTING_NOTES,
+    DOSSIER_PAGES,
+    write_analysis,
+    write_look_up,
+)
+from ebonyhaven_standins.scenario import ANALYSIS, LOOK_UP, Arrival
+
+LARGE_WORKSPACE = "studio-dunaj"
+SMALL_WORKSPACES = ("studio-hron", "studio-vah", "licences")
+ARRIVAL_SPAN_S = 14.0
+ANALYSES = 20
+DECISIONS = 6
+LOOK_UP_COUNT = 60
+ANALYSIS_TOKENS = (200, 360)
+LOOK_UP_TOKENS = (8, 24)
+
+
+def make_arrivals(seed: int) -> list[Arrival]:
+    """Return the requests of the demo in order of time.
+
+    Two in three analyses and look-ups come from the large workspace; decisions
+    are not repeatable.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all choices.
+    """
+    generator = random.Random(seed)
+    arrivals = [_make_analysis(generator) for _ in range(ANALYSES)]
+    arrivals += [_make_decision(generator) for _ in range(DECISIONS)]
+    arrivals += [_make_look_up(generator) for _ in range(LOOK_UP_COUNT)]
+    return sorted(arrivals, key=lambda arrival: arrival.at_s)
+
+
+def _choose_workspace(generator: random.Random) -> str:
+    if generator.random() < 2 / 3:
+        return LARGE_WORKSPACE
+    return generator.choice(SMALL_WORKSPACES)
+
+
+def _make_analysis(generator: random.Random) -> Arrival:
+    request = CompletionRequest(
+        workspace=_choose_workspace(generator),
+        request_class=ANALYSIS,
+        prompt=write_analysis(generator, CASTING_NOTES),
+        max_tokens=generator.randint(*ANALYSIS_TOKENS),
+    )
+    return Arrival(generator.uniform(0, ARRIVAL_SPAN_S), request)
+
+
+def _make_decision(generator: random.Random) -> Arrival:
+    request = CompletionRequest(
+        workspace="licences",
+        request_class=ANALYSIS,
+        prompt=write_analysis(generator, DOSSIER_PAGES),
+        max_tokens=generator.randint(*ANALYSIS_TOKENS),
+        repeatable=False,
+    )
+    return Arrival(generator.uniform(0, ARRIVAL_SPAN_S), request)
+
+
+def _make_look_up(generator: random.Random) -> Arrival:
+    request = CompletionRequest(
+        workspace=_choose_workspace(generator),
+        request_class=LOOK_UP,
+        prompt=write_look_up(generator),
+        max_tokens=generator.randint(*LOOK_UP_TOKENS),
+    )
+    return Arrival(generator.uniform(0, ARRIVAL_SPAN_S), request)
