Set servers apart for urgent classes and bound the cost of decisions

Change: routing looks at a few servers only and remembers a lane without room until something changes; whole servers, sized by the recent demand of urgent classes, take no less urgent work.

--- a/packages/decisions/src/ebonyhaven_decisions/_dispatching.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_dispatching.py
@@ -3,19 +3,25 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Mapping, Set
+from collections import deque
+from collections.abc import Iterable, Mapping, Set
 
-from ebonyhaven_decisions._flights import DEMAND_SPREAD, Flight, FlightTable
+from ebonyhaven_decisions._flights import Flight, FlightTable
 from ebonyhaven_decisions._policies import ClassPolicy
+from ebonyhaven_decisions._reservations import Reservation, Reservations
 from ebonyhaven_decisions._routing import Room, Router
 from ebonyhaven_decisions._server_table import ServerTable
-from ebonyhaven_decisions._servers import ServerReport
+from ebonyhaven_decisions._servers import (
+    ServerEntry,
+    ServerReport,
+    ServerState,
+)
 from ebonyhaven_decisions._usage import UsageLedger
 from ebonyhaven_decisions._work import Choice, Dispatch, WorkItem, compute_cost
 
 YIELD_SHARE = 0.125
+MAX_FREED = 4
 SLOT_COUNT_PERIOD_S = 1.0
-MIN_RESERVED_SHARE = 1e-6
 DEFAULT_GAP_LIMIT_MS = 1000.0
 
 
@@ -42,8 +48,11 @@
     """
 
     __slots__ = (
+        "_freed",
         "_has_limits",
+        "_reservations",
         "_slots",
+        "changes",
         "flights",
         "ledger",
         "losses",
@@ -66,9 +75,17 @@
         self.table = ServerTable()
         self.flights = FlightTable()
         self.losses = 0
+        self.changes = 0
         self._has_limits = has_limits
+        self._reservations = Reservations(self.table, self.flights)
+        self._freed: deque[ServerState] = deque(maxlen=MAX_FREED)
         self._slots: dict[str, tuple[float, float]] = {}
 
+    def replace_servers(self, entries: Iterable[ServerEntry]) -> None:
+        """Take over the list of servers; see `ServerTable.replace`."""
+        self.changes += 1
+        self.table.replace(entries)
+
     def choose(
         self, item: WorkItem, *, excluded: Set[str], yields: bool, now: float
     ) -> Choice | None:
@@ -193,6 +210,9 @@
         flight = self.flights.pop(item_id, now)
         if flight is None:
             return
+        self.changes += 1
+        if flight.server not in self._freed:
+            self._freed.append(flight.server)
         used = compute_cost(flight.prefill_tokens, flight.decoded)
         self._charge(flight, used, now)
         if is_whole:
@@ -233,6 +253,7 @@
         """
         state = self.table.get(server)
         if state is not None:
+            self.changes += 1
             state.record_report(report, self.read_gap_limit_ms())
 
     def list_not_more_urgent(self, policy: ClassPolicy) -> list[str]:
@@ -246,6 +267,28 @@
         limits = [policy.gap_limit_ms for policy in self.policies.values()]
         return min(limits, default=DEFAULT_GAP_LIMIT_MS)
 
+    def read_reservation(self, model: str, rank: int, now: float) -> Reservation:
+        """Return what classes more urgent than a rank have reserved.
+
+        Parameters
+        ----------
+        model : str
+        rank : int
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        Reservation
+        """
+        return self._reservations.read(
+            self.policies,
+            model=model,
+            rank=rank,
+            instances=self.ledger.instances,
+            now=now,
+        )
+
     def estimate_share_ends_per_s(
         self, model: str, mean_cost: float, now: float
     ) -> float:
@@ -275,25 +318,17 @@
         if not self._has_limits:
             return Room(is_unbounded=True)
         policy = self.policies[item.class_name]
-        share = self._compute_reserved_share(policy, item.model, now)
+        is_urgent = policy.reserved_share > 0.0
+        kept_from = self.read_reservation(item.model, policy.rank, now)
+        kept_for = self.read_reservation(item.model, policy.rank + 1, now)
         return Room(
-            reserved_share=share + (YIELD_SHARE if yields else 0.0),
-            may_exceed_limit=policy.reserved_share > 0.0 and not yields,
+            reserved_share=kept_from.share + (YIELD_SHARE if yields else 0.0),
+            may_exceed_limit=is_urgent and not yields,
+            avoided=kept_from.names,
+            preferred=kept_for.servers if is_urgent else (),
+            freed=tuple(self._freed),
         )
 
-    def _compute_reserved_share(
-        self, policy: ClassPolicy, model: str, now: float
-    ) -> float:
-        share = 0.0
-        slots = self._count_slots(model, now)
-        for name, other in self.policies.items():
-            if other.rank >= policy.rank:
-                continue
-            demand = self.flights.read_demand(name, now) * self.ledger.instances
-            needed = (demand + DEMAND_SPREAD * demand**0.5) / slots
-            share += min(max(needed, MIN_RESERVED_SHARE), other.reserved_share)
-        return share
-
     def _count_slots(self, model: str, now: float) -> float:
         counted_at, slots = self._slots.get(model, (float("-inf"), 1.0))
         if now - counted_at >= SLOT_COUNT_PERIOD_S:
--- a/packages/decisions/src/ebonyhaven_decisions/_flights.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_flights.py
@@ -11,8 +11,7 @@
 from ebonyhaven_decisions._work import Choice, WorkItem
 
 SMOOTHING = 0.1
-PEAK_DECAY_S = 20.0
-DEMAND_SPREAD = 2.0
+DEMAND_DECAY_S = 20.0
 
 
 @attrs.define(slots=True, kw_only=True)
@@ -47,11 +46,24 @@
 
 @attrs.define(slots=True)
 class _ClassTotals:
-    count: int = 0
+    running: int = 0
     output_share: float = 1.0
     mean_cost: float = 0.0
-    peak: float = 0.0
-    peak_at: float = -math.inf
+    demand: float = 0.0
+    counted_at: float = -math.inf
+
+    def count(self, change: int, now: float) -> None:
+        """Change the number of running requests and its average."""
+        self.demand = self.read_demand(now)
+        self.counted_at = now
+        self.running += change
+
+    def read_demand(self, now: float) -> float:
+        """Return the number of running requests averaged over a while."""
+        if self.counted_at == -math.inf:
+            return 0.0
+        weight = math.exp((self.counted_at - now) / DEMAND_DECAY_S)
+        return self.running + weight * (self.demand - self.running)
 
 
 class FlightTable:
@@ -86,9 +98,7 @@
         self._flights[flight.item.item_id] = flight
         flight.server.record_dispatch(flight.prefill_tokens, now)
         totals = self._read(flight.item.class_name)
-        totals.count += 1
-        demand = max(totals.count, self.read_demand(flight.item.class_name, now))
-        totals.peak, totals.peak_at = demand, now
+        totals.count(1, now)
         if totals.mean_cost <= 0.0:
             totals.mean_cost = flight.charged
         totals.mean_cost += SMOOTHING * (flight.charged - totals.mean_cost)
@@ -113,7 +123,7 @@
         flight.server.record_end(now)
         if not flight.has_first_token:
             flight.server.record_prefilled(flight.prefill_tokens)
-        self._read(flight.item.class_name).count -= 1
+        self._read(flight.item.class_name).count(-1, now)
         return flight
 
     def record_output(self, flight: Flight) -> None:
@@ -141,11 +151,11 @@
         ends = 0.0
         for name in class_names:
             totals = self._read(name)
-            ends += totals.count / max(totals.mean_cost, 1.0)
+            ends += totals.running / max(totals.mean_cost, 1.0)
         return ends * 1000.0 / self.pace_ms
 
     def read_demand(self, class_name: str, now: float) -> float:
-        """Return the recent peak of running requests of a class; it fades.
+        """Return the running requests of a class, averaged over a while.
 
         Parameters
         ----------
@@ -153,10 +163,7 @@
         now : float
             Seconds.
         """
-        totals = self._read(class_name)
-        if totals.peak <= 0.0:
-            return 0.0
-        return totals.peak * math.exp((totals.peak_at - now) / PEAK_DECAY_S)
+        return self._read(class_name).read_demand(now)
 
     def _read(self, class_name: str) -> _ClassTotals:
         totals = self._classes.get(class_name)
--- a/packages/decisions/src/ebonyhaven_decisions/_queueing.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_queueing.py
@@ -209,14 +209,15 @@
         scale = self._ledger.inflate(1.0, now)
         key = (item.class_name, item.workspace)
         finish = self._ledger.read(key) / scale + own + cost
-        others = [name for name in lane.queues if name != item.workspace]
-        step = -(-len(others) // MAX_SAMPLED_WORKSPACES) or 1
-        sampled = others[::step]
+        step = -(-len(lane.queues) // MAX_SAMPLED_WORKSPACES) or 1
+        sampled = list(itertools.islice(lane.queues, None, None, step))
         ahead = 0.0
         for name in sampled:
+            if name == item.workspace:
+                continue
             usage = self._ledger.read((item.class_name, name)) / scale
             ahead += min(max(finish - usage, 0.0), lane.costs[name])
-        return own + (ahead * len(others) / len(sampled) if sampled else 0.0)
+        return own + (ahead * len(lane.queues) / len(sampled) if sampled else 0.0)
 
     def must_yield(self, lane: LaneKey, now: float) -> bool:
         """Return whether another instance goes first; see `WorkQueue`."""
--- a/packages/decisions/src/ebonyhaven_decisions/_routing.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_routing.py
@@ -6,7 +6,7 @@
 import math
 import random
 from collections import OrderedDict
-from collections.abc import Set
+from collections.abc import Sequence, Set
 from typing import NamedTuple
 
 import attrs
@@ -15,9 +15,11 @@
 from ebonyhaven_decisions._servers import ServerState
 from ebonyhaven_decisions._work import Choice, WorkItem
 
-SAMPLED_SERVERS = 4
+SAMPLED_SERVERS = 3
+MAX_HOLDERS = 2
 PLACED_SERVERS = 2
-MAX_SAMPLE_TRIES = 16
+MAX_SEARCHED = 32
+MAX_SAMPLED = 12
 MAX_PREFIXES = 16384
 MAX_PREFIX_SERVERS = 4
 PREFIX_MEMORY_S = 300.0
@@ -41,12 +43,21 @@
         Slots under the capacity that are kept for resumed streams.
     is_unbounded : bool
         Whether the request may wait in the queue of a full server.
+    avoided : set of str
+        Names of servers that are kept for more urgent classes.
+    preferred : sequence of ServerState
+        Servers that are kept for the class of the request.
+    freed : sequence of ServerState
+        Servers that a request of this instance left a moment ago.
     """
 
     reserved_share: float = 0.0
     may_exceed_limit: bool = False
     resume_slots: int = RESUME_SLOTS
     is_unbounded: bool = False
+    avoided: Set[str] = frozenset()
+    preferred: Sequence[ServerState] = ()
+    freed: Sequence[ServerState] = ()
 
 
 class Place(NamedTuple):
@@ -251,14 +262,13 @@
         query = _Query(item, table, room, excluded, now)
         cached = self._prefixes.find_cached(item, now)
         candidates = self._collect(query, cached)
-        best: Choice | None = None
+        best: ServerState | None = None
         best_score = math.inf
         for server in candidates.values():
-            choice = _predict(item, server, cached.get(server.name, 0))
-            score = self._score(choice, now)
+            score = self._score(item, server, cached.get(server.name, 0), now)
             if score < best_score:
-                best, best_score = choice, score
-        return best
+                best, best_score = server, score
+        return _predict(item, best, cached.get(best.name, 0)) if best else None
 
     def record_dispatch(self, item: WorkItem, server: ServerState, now: float) -> None:
         """Expect the prefixes of a request in the cache of its server."""
@@ -274,35 +284,50 @@
         self._prefixes.forget(server, digest)
 
     def _collect(self, query: _Query, cached: dict[str, int]) -> dict[str, ServerState]:
-        servers = query.table.list_for(query.item.model)
         found: dict[str, ServerState] = {}
-        for name in cached:
+        holders = sorted(cached, key=cached.__getitem__, reverse=True)
+        for name in holders[:MAX_HOLDERS]:
             query.add(query.table.get(name), found)
         if query.item.prefix_digests:
-            first = query.item.prefix_digests[0]
-            for server in query.table.list_near(
-                query.item.model, first, PLACED_SERVERS
-            ):
+            digest = query.item.prefix_digests[0]
+            model = query.item.model
+            for server in query.table.list_near(model, digest, PLACED_SERVERS):
+                query.add(server, found)
+        if query.room.preferred:
+            self._sample(query, query.room.preferred, found)
+        if not query.room.preferred or len(found) < SAMPLED_SERVERS:
+            self._sample(query, query.table.list_for(query.item.model), found)
+        if not found:
+            for server in query.room.freed:
                 query.add(server, found)
-        wanted = min(len(found) + SAMPLED_SERVERS, len(servers))
-        start = self._random.randrange(len(servers)) if servers else 0
-        if len(servers) > MAX_SAMPLE_TRIES:
-            for _ in range(MAX_SAMPLE_TRIES):
-                if len(found) >= wanted:
-                    return found
-                query.add(servers[int(self._random.random() * len(servers))], found)
-            if found:
-                return found
-        for step in range(len(servers)):
-            if len(found) >= wanted:
-                break
-            query.add(servers[(start + step) % len(servers)], found)
         return found
 
-    def _score(self, choice: Choice, now: float) -> float:
-        server = choice.server
+    def _sample(
+        self,
+        query: _Query,
+        servers: Sequence[ServerState],
+        found: dict[str, ServerState],
+    ) -> None:
+        """Add a few servers at random; short lists are searched to the end."""
+        count = len(servers)
+        wanted = min(len(found) + SAMPLED_SERVERS, count)
+        is_short = count <= MAX_SEARCHED
+        position = 0
+        for step in range(count if is_short else MAX_SAMPLED):
+            if len(found) >= wanted:
+                return
+            if is_short and step:
+                position = (position + 1) % count
+            else:
+                position = int(self._random.random() * count)
+            query.add(servers[position], found)
+
+    def _score(
+        self, item: WorkItem, server: ServerState, cached_tokens: int, now: float
+    ) -> float:
+        delay = server.predict_first_token_s(item.prompt_tokens, cached_tokens)
         load = server.estimate_load(now) / max(server.limit.slots, 1.0)
-        delay = choice.predicted_first_token_s + LOAD_DELAY_S * load
+        delay += LOAD_DELAY_S * load
         if server.entry.region != self._place.region:
             return delay + REMOTE_REGION_DELAY_S
         if server.entry.data_centre != self._place.data_centre:
@@ -319,12 +344,15 @@
     now: float
 
     def add(self, server: ServerState | None, found: dict[str, ServerState]) -> None:
-        if server is None or server.name in found or server.name in self.excluded:
+        if server is None or not server.is_usable(self.now):
+            return
+        if not has_room(server, self.room, self.now):
             return
-        if not server.serves(self.item.model) or not server.is_usable(self.now):
+        name = server.name
+        if name in self.excluded or name in self.room.avoided:
             return
-        if has_room(server, self.room, self.now):
-            found[server.name] = server
+        if server.serves(self.item.model):
+            found[name] = server
 
 
 def _predict(item: WorkItem, server: ServerState, cached_tokens: int) -> Choice:
--- a/packages/decisions/src/ebonyhaven_decisions/_scheduler.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_scheduler.py
@@ -30,6 +30,7 @@
 )
 
 MAX_RECHECKED = 256
+RETRY_LANE_S = 0.1
 NO_SERVER_RETRY_S = 1.0
 FRESH_EXCLUDED: frozenset[str] = frozenset()
 
@@ -49,6 +50,11 @@
     refusals: list[Refusal]
 
 
+class _Block(NamedTuple):
+    changes: int
+    since: float
+
+
 class Scheduler:
     """Decides when and where the requests of an instance run.
 
@@ -82,6 +88,7 @@
         self._queued: dict[str, WorkItem] = {}
         self._fresh: dict[str, WorkItem] = {}
         self._excluded: dict[str, Set[str]] = {}
+        self._blocked: dict[LaneKey, _Block] = {}
         self._checked_losses = 0
         self._must_recheck = False
 
@@ -96,6 +103,7 @@
         policies : mapping of str to ClassPolicy
         """
         self.dispatcher.policies = policies
+        self.dispatcher.changes += 1
         self._queue.replace_policies(policies)
         self._must_recheck = True
 
@@ -214,6 +222,8 @@
     def _drain_lane(
         self, lane: LaneKey, dispatches: list[Dispatch], now: float
     ) -> None:
+        if self._is_blocked(lane, now):
+            return
         while (item := self._queue.peek(lane)) is not None:
             yields = self._queue.must_yield(lane, now)
             excluded = self._excluded.get(item.item_id, FRESH_EXCLUDED)
@@ -221,10 +231,21 @@
                 item, excluded=excluded, yields=yields, now=now
             )
             if choice is None:
+                if not excluded and not yields:
+                    self._blocked[lane] = _Block(self.dispatcher.changes, now)
                 return
             self._dequeue(item.item_id)
             dispatches.append(self.dispatcher.dispatch(item, choice, now))
 
+    def _is_blocked(self, lane: LaneKey, now: float) -> bool:
+        block = self._blocked.pop(lane, None)
+        if block is None or block.changes != self.dispatcher.changes:
+            return False
+        if now - block.since >= RETRY_LANE_S:
+            return False
+        self._blocked[lane] = block
+        return True
+
     def _collect_expired(self, now: float) -> list[Refusal]:
         refusals = []
         while self.read_next_timeout() <= now:
--- a/packages/decisions/src/ebonyhaven_decisions/_server_table.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_server_table.py
@@ -20,11 +20,12 @@
 class ServerTable:
     """The backend servers that an instance knows, indexed by model."""
 
-    __slots__ = ("_by_model", "_rings", "_servers")
+    __slots__ = ("_by_model", "_ordered", "_rings", "_servers")
 
     def __init__(self) -> None:
         self._servers: dict[str, ServerState] = {}
         self._by_model: dict[str, list[ServerState]] = {}
+        self._ordered: dict[str, list[ServerState]] = {}
         self._rings: dict[str, list[_RingPoint]] = {}
 
     def __len__(self) -> int:
@@ -58,6 +59,10 @@
         """Return the servers listed for a model; the list is not to be changed."""
         return self._by_model.get(model, [])
 
+    def list_ordered(self, model: str) -> list[ServerState]:
+        """Return the servers of a model in an order that all instances share."""
+        return self._ordered.get(model, [])
+
     def list_near(self, model: str, digest: str, count: int) -> list[ServerState]:
         """Return the servers that a digest is placed on, equal on all instances.
 
@@ -92,6 +97,10 @@
         for state in self._servers.values():
             for model in state.entry.models:
                 self._by_model.setdefault(model, []).append(state)
+        self._ordered = {
+            model: sorted(states, key=lambda state: _hash_point(state.name))
+            for model, states in self._by_model.items()
+        }
         self._rings = {
             model: _build_ring(states) for model, states in self._by_model.items()
         }
--- a/packages/decisions/src/ebonyhaven_decisions/_servers.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_servers.py
@@ -163,7 +163,7 @@
         float
         """
         age = now - self.reported_at
-        weight = math.exp(-age / REPORT_DECAY_S) if age < math.inf else 0.0
+        weight = REPORT_DECAY_S / (REPORT_DECAY_S + age) if age > 0.0 else 1.0
         others = self._others_average + weight * (self._others - self._others_average)
         return self.own_in_flight + others
 
