Keep the last slot of a server for workspaces that were served less

Cause: a small workspace behind a large one waits for a slot that its own instance frees, since all slots are held by the large one. Change: the slot kept for resumed streams also serves workspaces whose consumption is under half of the mean; a server without reports is tried again after a while; errors of several requests at one moment pause a server once.

--- a/packages/decisions/src/ebonyhaven_decisions/_dispatching.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_dispatching.py
@@ -9,7 +9,7 @@
 from ebonyhaven_decisions._flights import Flight, FlightTable
 from ebonyhaven_decisions._policies import ClassPolicy
 from ebonyhaven_decisions._reservations import Reservation, Reservations
-from ebonyhaven_decisions._routing import Room, Router
+from ebonyhaven_decisions._routing import SPARE_SLOTS, Room, Router
 from ebonyhaven_decisions._server_table import ServerTable
 from ebonyhaven_decisions._servers import (
     ServerEntry,
@@ -21,6 +21,7 @@
 
 YIELD_SHARE = 0.125
 MAX_FREED = 4
+UNDERSERVED_SHARE = 0.5
 SLOT_COUNT_PERIOD_S = 1.0
 DEFAULT_GAP_LIMIT_MS = 1000.0
 
@@ -163,7 +164,7 @@
             None when no usable server is known.
         """
         for room in (
-            Room(may_exceed_limit=True, resume_slots=0),
+            Room(may_exceed_limit=True, spare_slots=0),
             Room(is_unbounded=True),
         ):
             choice = self.router.choose(
@@ -243,6 +244,22 @@
         elif kind is FailureKind.MODEL_MISSING:
             server.missing_models |= {flight.item.model}
 
+    def record_unreachable(self, server: str, now: float) -> None:
+        """Keep new work off a server that could not be reached.
+
+        Parameters
+        ----------
+        server : str
+        now : float
+            Seconds.
+        """
+        state = self.table.get(server)
+        if state is None:
+            return
+        if not state.is_suspect(now):
+            self.losses += 1
+        state.record_failure(now)
+
     def record_report(self, server: str, report: ServerReport) -> None:
         """Take over a load report of a server.
 
@@ -324,11 +341,17 @@
         return Room(
             reserved_share=kept_from.share + (YIELD_SHARE if yields else 0.0),
             may_exceed_limit=is_urgent and not yields,
+            spare_slots=0 if self._is_underserved(item, now) else SPARE_SLOTS,
             avoided=kept_from.names,
             preferred=kept_for.servers if is_urgent else (),
             freed=tuple(self._freed),
         )
 
+    def _is_underserved(self, item: WorkItem, now: float) -> bool:
+        key = (item.class_name, item.workspace)
+        mean = self.ledger.read_mean(item.class_name, now)
+        return self.ledger.read(key) <= UNDERSERVED_SHARE * mean
+
     def _count_slots(self, model: str, now: float) -> float:
         counted_at, slots = self._slots.get(model, (float("-inf"), 1.0))
         if now - counted_at >= SLOT_COUNT_PERIOD_S:
--- a/packages/decisions/src/ebonyhaven_decisions/_load_digests.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_load_digests.py
@@ -9,7 +9,7 @@
 from ebonyhaven_decisions._server_table import ServerTable
 from ebonyhaven_decisions._servers import ServerReport, ServerState
 
-MAX_LOAD_ENTRIES = 24
+MAX_LOAD_ENTRIES = 16
 MAX_REPORT_AGE_S = 5.0
 
 
--- a/packages/decisions/src/ebonyhaven_decisions/_routing.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_routing.py
@@ -26,7 +26,7 @@
 REMOTE_CENTRE_DELAY_S = 0.003
 REMOTE_REGION_DELAY_S = 0.1
 LOAD_DELAY_S = 0.05
-RESUME_SLOTS = 1
+SPARE_SLOTS = 1
 
 
 class Room(NamedTuple):
@@ -39,8 +39,9 @@
     may_exceed_limit : bool
         Whether the request may use slots between the limit and the capacity, as
         an urgent request and a resumed stream do.
-    resume_slots : int
-        Slots under the capacity that are kept for resumed streams.
+    spare_slots : int
+        Slots that are kept for resumed streams and for workspaces that were
+        served less than others.
     is_unbounded : bool
         Whether the request may wait in the queue of a full server.
     avoided : set of str
@@ -53,7 +54,7 @@
 
     reserved_share: float = 0.0
     may_exceed_limit: bool = False
-    resume_slots: int = RESUME_SLOTS
+    spare_slots: int = SPARE_SLOTS
     is_unbounded: bool = False
     avoided: Set[str] = frozenset()
     preferred: Sequence[ServerState] = ()
@@ -84,10 +85,11 @@
     """
     if room.is_unbounded:
         return True
-    top = server.capacity - room.resume_slots
+    top = float(server.capacity)
     if not room.may_exceed_limit:
         kept = math.ceil(server.capacity * room.reserved_share)
-        top = min(server.limit.slots, top - kept)
+        top = min(server.limit.slots, top) - kept
+    top -= room.spare_slots
     return server.estimate_load(now) + 1.0 <= max(top, 1.0)
 
 
--- a/packages/decisions/src/ebonyhaven_decisions/_servers.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_servers.py
@@ -14,6 +14,7 @@
 DEFAULT_PACE_MS = 30.0
 DEFAULT_PREFILL_TOKENS_PER_S = 4000.0
 REPORT_DECAY_S = 2.0
+FORGET_AFTER_S = 5.0
 AVERAGE_SMOOTHING = 0.2
 MAX_OWN_HISTORY = 128
 SUSPECT_MIN_S = 1.0
@@ -151,7 +152,8 @@
 
         Own requests count from the moment of their dispatch; those of other
         instances come from the last report, which fades into their average as
-        it ages.
+        it ages; the average fades once there was no report for a while, so that
+        a server which looked full is tried again.
 
         Parameters
         ----------
@@ -164,7 +166,10 @@
         """
         age = now - self.reported_at
         weight = REPORT_DECAY_S / (REPORT_DECAY_S + age) if age > 0.0 else 1.0
-        others = self._others_average + weight * (self._others - self._others_average)
+        average = self._others_average
+        if age > FORGET_AFTER_S:
+            average *= FORGET_AFTER_S / age
+        others = average + weight * (self._others - average)
         return self.own_in_flight + others
 
     def predict_first_token_s(self, prompt_tokens: int, cached_tokens: int) -> float:
@@ -280,16 +285,20 @@
     def record_failure(self, now: float) -> None:
         """Send it no work for a while after an error, longer each time.
 
+        Errors of several requests at one time count once.
+
         Parameters
         ----------
         now : float
             Seconds.
         """
+        self.failed_at = now
+        if self.is_suspect(now):
+            return
         pause = min(SUSPECT_MIN_S * 2**self.failures, SUSPECT_MAX_S)
         self.failures += 1
-        self.failed_at = now
         self.is_on_probation = True
-        self.suspect_until = max(self.suspect_until, now + pause)
+        self.suspect_until = now + pause
 
     def record_hearsay(self, now: float, failed_at: float) -> None:
         """Keep work away for a moment after an error at another instance.
--- a/packages/decisions/src/ebonyhaven_decisions/_usage.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_usage.py
@@ -16,10 +16,11 @@
 
 USAGE_DECAY_S = 20.0
 REBASE_AFTER_S = 40 * USAGE_DECAY_S
-MAX_DIGEST_ENTRIES = 24
+MAX_DIGEST_ENTRIES = 16
 MAX_PEERS = 32
 PEER_TIMEOUT_S = 15.0
 MIN_USAGE_TOKENS = 1.0
+MEAN_PERIOD_S = 0.25
 
 
 class UsageEntry(NamedTuple):
@@ -63,6 +64,7 @@
         "_by_class",
         "_epoch",
         "_local",
+        "_means",
         "_peers",
         "_remote",
         "instances",
@@ -73,6 +75,7 @@
         self._epoch = now
         self._local: dict[Key, float] = {}
         self._by_class: dict[str, float] = {}
+        self._means: dict[str, tuple[float, float]] = {}
         self._remote: dict[Key, float] = {}
         self._peers: dict[str, _Peer] = {}
         self.instances = 1
@@ -123,6 +126,31 @@
         """Return tokens consumed now as a value at the common epoch."""
         return tokens * self._inflate(now)
 
+    def read_mean(self, class_name: str, now: float) -> float:
+        """Return the mean consumption of the active workspaces of a class.
+
+        Parameters
+        ----------
+        class_name : str
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        float
+            At the common epoch; recomputed every `MEAN_PERIOD_S`.
+        """
+        computed_at, mean = self._means.get(class_name, (-math.inf, 0.0))
+        if now - computed_at < MEAN_PERIOD_S:
+            return mean
+        least = MIN_USAGE_TOKENS * self._inflate(now)
+        keys = {key for key in self._local if key[0] == class_name}
+        keys.update(key for key in self._remote if key[0] == class_name)
+        values = [usage for key in keys if (usage := self.read(key)) >= least]
+        mean = sum(values) / len(values) if values else 0.0
+        self._means[class_name] = (now, mean)
+        return mean
+
     def sum_class(self, class_name: str) -> float:
         """Return the consumption of a class here, at the common epoch."""
         return self._by_class.get(class_name, 0.0)
@@ -233,6 +261,7 @@
         scale = 1.0 / self._inflate(now)
         self._epoch = now
         self.rebases += 1
+        self._means.clear()
         self._by_class = {key: value * scale for key, value in self._by_class.items()}
         self._local = {key: value * scale for key, value in self._local.items()}
         for peer in self._peers.values():
--- a/tests/decisions/test_scheduler.py
+++ b/tests/decisions/test_scheduler.py
@@ -25,6 +25,8 @@
     report_idle,
 )
 
+ONE_CLASS = derive_policies({"analysis": TARGETS["analysis"]})
+
 
 def fill(scheduler, count, now=0.0, **options):
     for index in range(count):
@@ -76,6 +78,14 @@
     assert refusals[0].retry_after_s > 0.0
 
 
+def test_last_slots_go_to_a_workspace_that_was_served_less():
+    scheduler = build_fair_scheduler(servers=2, capacity=4, policies=ONE_CLASS)
+    assert len(fill(scheduler, 20, workspace="large").dispatches) == 2 * 3
+    scheduler.submit(build_item("small", workspace="small", arrival=1.0), 1.0)
+    dispatched = scheduler.next_dispatches(1.0).dispatches
+    assert [each.item.workspace for each in dispatched] == ["small"]
+
+
 def test_large_backlog_does_not_refuse_a_small_workspace():
     scheduler = build_fair_scheduler(servers=2, capacity=8)
     fill(scheduler, 400, workspace="large", max_tokens=400)
