--- a/packages/decisions/src/ebonyhaven_decisions/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/__init__.py
@@ -6,26 +6,107 @@
 
 from __future__ import annotations
 
-from ebonyhaven_decisions._assembly import Scheduling, build_scheduler
-from ebonyhaven_decisions._contacts import Contacts
-from ebonyhaven_decisions._detection import Detector, Findings
-from ebonyhaven_decisions._dispatching import Dispatcher, FailureKind
-from ebonyhaven_decisions._entries import EntryCandidate, EntryList, choose_entries
-from ebonyhaven_decisions._gossip import GossipEntry, GossipTable
-from ebonyhaven_decisions._limits import ConcurrencyLimit, RetryBudget
+from ebonyhaven_decisions import (
+    exceptions,
+)
+from ebonyhaven_decisions._assembly import (
+    Scheduling,
+    build_scheduler,
+)
+from ebonyhaven_decisions._claims import (
+    Claimant,
+    ClaimRow,
+    ClaimVerdict,
+    judge_claim,
+    may_dispatch,
+    raise_epoch,
+)
+from ebonyhaven_decisions._configuration import (
+    CURRENT_KEY,
+    HISTORY_PREFIX,
+    MAX_ENTRY_BYTES,
+    Acceptance,
+    ConfigurationEntry,
+    ConfigurationView,
+    CurrentEntry,
+    PeerReport,
+    RowCondition,
+    RowWrite,
+    count_needed_reports,
+    name_change_key,
+    name_history_key,
+    observe_peer,
+    observe_table,
+    parse_entry,
+    propose_entry,
+)
+from ebonyhaven_decisions._contacts import (
+    Contacts,
+)
+from ebonyhaven_decisions._crashes import (
+    CrashEvidence,
+    CrashLedger,
+    CrashVerdict,
+)
+from ebonyhaven_decisions._declaration_checks import (
+    DeclarationError,
+    DeclarationProblem,
+    parse_declaration,
+)
+from ebonyhaven_decisions._declarations import (
+    Declaration,
+    DeclarationChange,
+    Model,
+    Pool,
+    PoolKind,
+    RequestClass,
+    Workspace,
+    diff,
+)
+from ebonyhaven_decisions._detection import (
+    Detector,
+    Findings,
+)
+from ebonyhaven_decisions._dispatching import (
+    Dispatcher,
+    FailureKind,
+)
+from ebonyhaven_decisions._entries import (
+    EntryCandidate,
+    EntryList,
+    choose_entries,
+)
+from ebonyhaven_decisions._event_ids import (
+    EventId,
+    parse_event_id,
+)
+from ebonyhaven_decisions._gossip import (
+    GossipEntry,
+    GossipTable,
+)
+from ebonyhaven_decisions._limits import (
+    ConcurrencyLimit,
+    RetryBudget,
+)
 from ebonyhaven_decisions._load_digests import (
     LoadEntry,
     build_load_digest,
     merge_load_digest,
 )
-from ebonyhaven_decisions._loads import LoadTable
+from ebonyhaven_decisions._loads import (
+    LoadTable,
+)
 from ebonyhaven_decisions._members import (
     MemberRecord,
     MemberState,
     MemberTable,
     merge_records,
 )
-from ebonyhaven_decisions._membership import TICK_S, Membership, MembershipCounts
+from ebonyhaven_decisions._membership import (
+    TICK_S,
+    Membership,
+    MembershipCounts,
+)
 from ebonyhaven_decisions._membership_messages import (
     Envelope,
     Heartbeat,
@@ -38,10 +119,26 @@
     TableAnswer,
     TableRequest,
 )
-from ebonyhaven_decisions._outcomes import Outcome, OutcomeTag, RequestFailure
-from ebonyhaven_decisions._policies import ClassPolicy, ClassTargets, derive_policies
-from ebonyhaven_decisions._queueing import FairQueue, FifoQueue, LaneKey, WorkQueue
-from ebonyhaven_decisions._rings import Rings
+from ebonyhaven_decisions._outcomes import (
+    Outcome,
+    OutcomeTag,
+    RequestFailure,
+    qualify_outcome,
+)
+from ebonyhaven_decisions._policies import (
+    ClassPolicy,
+    ClassTargets,
+    derive_policies,
+)
+from ebonyhaven_decisions._queueing import (
+    FairQueue,
+    FifoQueue,
+    LaneKey,
+    WorkQueue,
+)
+from ebonyhaven_decisions._rings import (
+    Rings,
+)
 from ebonyhaven_decisions._routing import (
     LeastConnectionsRouter,
     LoadAwareRouter,
@@ -51,10 +148,27 @@
     Router,
     has_room,
 )
-from ebonyhaven_decisions._scheduler import Decisions, Scheduler
-from ebonyhaven_decisions._server_table import ServerTable
-from ebonyhaven_decisions._servers import ServerEntry, ServerReport, ServerState
-from ebonyhaven_decisions._usage import UsageEntry, UsageLedger
+from ebonyhaven_decisions._scheduler import (
+    Decisions,
+    Scheduler,
+)
+from ebonyhaven_decisions._server_table import (
+    ServerTable,
+)
+from ebonyhaven_decisions._servers import (
+    ServerEntry,
+    ServerReport,
+    ServerState,
+)
+from ebonyhaven_decisions._suspicion import (
+    ResumePlan,
+    StreamPace,
+    plan_resume,
+)
+from ebonyhaven_decisions._usage import (
+    UsageEntry,
+    UsageLedger,
+)
 from ebonyhaven_decisions._work import (
     Choice,
     Dispatch,
@@ -65,24 +179,41 @@
 )
 
 __all__ = [
+    "Acceptance",
+    "CURRENT_KEY",
     "Choice",
+    "ClaimRow",
+    "ClaimVerdict",
+    "Claimant",
     "ClassPolicy",
     "ClassTargets",
     "ConcurrencyLimit",
+    "ConfigurationEntry",
+    "ConfigurationView",
     "Contacts",
+    "CrashEvidence",
+    "CrashLedger",
+    "CrashVerdict",
+    "CurrentEntry",
     "Decisions",
+    "Declaration",
+    "DeclarationChange",
+    "DeclarationError",
+    "DeclarationProblem",
     "Detector",
     "Dispatch",
     "Dispatcher",
     "EntryCandidate",
     "EntryList",
     "Envelope",
+    "EventId",
     "FailureKind",
     "FairQueue",
     "FifoQueue",
     "Findings",
     "GossipEntry",
     "GossipTable",
+    "HISTORY_PREFIX",
     "Heartbeat",
     "LaneKey",
     "LeastConnectionsRouter",
@@ -90,33 +221,43 @@
     "LoadEntry",
     "LoadReport",
     "LoadTable",
+    "MAX_ENTRY_BYTES",
     "MemberRecord",
     "MemberState",
     "MemberTable",
     "Membership",
     "MembershipCounts",
     "MembershipMessage",
+    "Model",
     "Outcome",
     "OutcomeTag",
+    "PeerReport",
     "Place",
+    "Pool",
+    "PoolKind",
     "Probe",
     "ProbeAnswer",
     "Query",
     "QueryAnswer",
     "Refusal",
     "RefusalReason",
+    "RequestClass",
     "RequestFailure",
+    "ResumePlan",
     "RetryBudget",
     "Rings",
     "Room",
     "RoundRobinRouter",
     "Router",
+    "RowCondition",
+    "RowWrite",
     "Scheduler",
     "Scheduling",
     "ServerEntry",
     "ServerReport",
     "ServerState",
     "ServerTable",
+    "StreamPace",
     "TICK_S",
     "TableAnswer",
     "TableRequest",
@@ -124,12 +265,29 @@
     "UsageLedger",
     "WorkItem",
     "WorkQueue",
+    "Workspace",
     "build_load_digest",
     "build_scheduler",
     "choose_entries",
     "compute_cost",
+    "count_needed_reports",
     "derive_policies",
+    "diff",
+    "exceptions",
     "has_room",
+    "judge_claim",
+    "may_dispatch",
     "merge_load_digest",
     "merge_records",
+    "name_change_key",
+    "name_history_key",
+    "observe_peer",
+    "observe_table",
+    "parse_declaration",
+    "parse_entry",
+    "parse_event_id",
+    "plan_resume",
+    "propose_entry",
+    "qualify_outcome",
+    "raise_epoch",
 ]
--- /dev/null
+++ b/packages/decisions/src/ebonyhaven_decisions/_crashes.py
@@ -0,0 +1,154 @@
+"""Requests that make engines crash: who is to blame, and when to stop.
+
+An engine that dies takes its whole batch with it, so one death alone blames
+nobody. Evidence is kept per request content, so it outlives a resubmission
+under a new idempotency key. A death is *strong* evidence when the attempt had
+made little progress: a content that crashes engines does so again soon after it
+is continued, while an innocent neighbour makes progress on its next engine.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+STRONG_PROGRESS_TOKENS = 32
+MAX_DEATHS = 2
+MAX_WEAK_DEATHS = 4
+EVIDENCE_TTL_S = 600.0
+MAX_CONTENTS = 4096
+
+
+class CrashVerdict(enum.Enum):
+    """What may be done with a request content."""
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    STOPPED = "stopped"
+
+
+class CrashEvidence(NamedTuple):
+    """One engine death seen by a run of a content.
+
+    Parameters
+    ----------
+    server : str
+        Backend server that died.
+    at : float
+        Time of the death, seconds on the reader's clock.
+    strong : bool
+        Whether the attempt had made little progress.
+    """
+
+    server: str
+    at: float
+    strong: bool
+
+
+class CrashLedger:
+    """Evidence against request contents, bounded in size and age."""
+
+    __slots__ = ("_evidence",)
+
+    def __init__(self) -> None:
+        self._evidence: dict[str, dict[str, CrashEvidence]] = {}
+
+    def record_death(
+        self, content: str, *, server: str, progress_tokens: int, now: float
+    ) -> None:
+        """Add the death of an engine that was running a content.
+
+        Parameters
+        ----------
+        content : str
+            Digest of the request content.
+        server : str
+            Backend server that died.
+        progress_tokens : int
+            Tokens that the attempt had produced on that server.
+        now : float
+            Present time, seconds.
+        """
+        strong = progress_tokens < STRONG_PROGRESS_TOKENS
+        self._add(content, CrashEvidence(server, now, strong))
+
+    def judge(self, content: str, *, now: float) -> CrashVerdict:
+        """Decide whether a content may run again.
+
+        Parameters
+        ----------
+        content : str
+            Digest of the request content.
+        now : float
+            Present time, seconds.
+
+        Returns
+        -------
+        CrashVerdict
+        """
+        evidence = [
+            item
+            for item in self._evidence.get(content, {}).values()
+            if now - item.at < EVIDENCE_TTL_S
+        ]
+        if not evidence:
+            return CrashVerdict.CLEAR
+        last = max(evidence, key=lambda item: item.at)
+        if len(evidence) >= MAX_DEATHS and last.strong:
+            return CrashVerdict.STOPPED
+        if len(evidence) >= MAX_WEAK_DEATHS:
+            return CrashVerdict.STOPPED
+        return CrashVerdict.SUSPECT
+
+    def export(self, *, now: float, limit: int) -> list[tuple[str, CrashEvidence]]:
+        """Return the newest evidence for other instances.
+
+        Parameters
+        ----------
+        now : float
+            Present time, seconds; ``at`` in the result is an age instead.
+        limit : int
+            Largest number of entries.
+
+        Returns
+        -------
+        list of (str, CrashEvidence)
+            Content digest and evidence, ``at`` being its age in seconds.
+        """
+        entries = [
+            (content, item._replace(at=now - item.at))
+            for content, items in self._evidence.items()
+            for item in items.values()
+            if now - item.at < EVIDENCE_TTL_S
+        ]
+        entries.sort(key=lambda entry: entry[1].at)
+        return entries[:limit]
+
+    def merge(
+        self, entries: Iterable[tuple[str, CrashEvidence]], *, now: float
+    ) -> None:
+        """Take evidence of another instance into account.
+
+        Parameters
+        ----------
+        entries : iterable of (str, CrashEvidence)
+            As returned by `export` of another instance.
+        now : float
+            Present time, seconds.
+        """
+        for content, item in entries:
+            self._add(content, item._replace(at=now - item.at))
+
+    def view(self) -> Mapping[str, Mapping[str, CrashEvidence]]:
+        """Return all evidence by content and backend server."""
+        return self._evidence
+
+    def _add(self, content: str, item: CrashEvidence) -> None:
+        """Keep the first report of each death, and drop the oldest content."""
+        items = self._evidence.setdefault(content, {})
+        known = items.get(item.server)
+        if known is None or item.at - known.at > EVIDENCE_TTL_S:
+            items[item.server] = item
+        if len(self._evidence) > MAX_CONTENTS:
+            self._evidence.pop(next(iter(self._evidence)))
--- a/packages/decisions/src/ebonyhaven_decisions/_outcomes.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_outcomes.py
@@ -43,6 +43,35 @@
     retry_after_s: float | None = None
 
 
+STEPS_BEFORE_ACCEPTANCE = frozenset({"identify", "validate", "deduplicate"})
+
+
+def qualify_outcome(outcome: Outcome, *, first_submission: bool) -> Outcome:
+    """Return what may be told truthfully of a request that was resubmitted.
+
+    This instance knows that it did not run the request. Where an earlier
+    submission of the same key may have run elsewhere, that does not prove that
+    the request has not run.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        What this instance knows.
+    first_submission : bool
+        Whether no earlier submission of the key can have run.
+
+    Returns
+    -------
+    Outcome
+    """
+    if outcome.tag is not OutcomeTag.NOT_RUN or first_submission:
+        return outcome
+    if outcome.step in STEPS_BEFORE_ACCEPTANCE:
+        return outcome
+    reason = f"{outcome.reason}; an earlier submission of this key may have run"
+    return dataclasses.replace(outcome, tag=OutcomeTag.UNKNOWN, reason=reason)
+
+
 class RequestFailure(Exception):
     """Raised when a request ends with an outcome other than completion.
 
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -0,0 +1,189 @@
+"""Composition root: builds the parts of a node and wires them."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import time
+
+import structlog
+from ebonyhaven_decisions import Claimant, CrashLedger
+from ebonyhaven_platform import InstanceListClient, PlatformTransport, TableClient
+from prometheus_client import CollectorRegistry
+from twisted.internet import task
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.interfaces import IReactorCore
+from twisted.web.server import Site
+
+from ebonyhaven_node._claims import ClaimController
+from ebonyhaven_node._configured import ConfigurationInForce
+from ebonyhaven_node._drivers import DriverParts
+from ebonyhaven_node._engines import EngineClient
+from ebonyhaven_node._entries import Entry, EntryList
+from ebonyhaven_node._exchanges import build_chain
+from ebonyhaven_node._filters import (
+    AccountFilter,
+    AttachFilter,
+    IdentifyFilter,
+    RelayFilter,
+    ValidateFilter,
+)
+from ebonyhaven_node._metrics import RelayMetrics
+from ebonyhaven_node._orphans import OrphanController
+from ebonyhaven_node._pollers import ConfigurationPoller
+from ebonyhaven_node._runs import RunRegistry
+from ebonyhaven_node._scheduling import LeastInFlightScheduling
+from ebonyhaven_node._servers import BackendServerController, BackendServers
+from ebonyhaven_node._services import ServiceRelay
+from ebonyhaven_node._settings import Settings
+from ebonyhaven_node._web import CallerInterface, InstanceState
+
+ENTRY_KEEP_S = 5.0
+DRAIN_CHECK_S = 0.1
+LEAVING_NOTICE_S = 1.0
+
+_log = structlog.get_logger()
+
+
+class Node:
+    """One node process with all its parts.
+
+    Parameters
+    ----------
+    settings : Settings
+    reactor : IReactorCore
+    """
+
+    def __init__(self, settings: Settings, reactor: IReactorCore):
+        self._settings = settings
+        self._reactor = reactor
+        self._stack = contextlib.ExitStack()
+        self._rng = random.Random(settings.seed or None)
+        self._registry = CollectorRegistry()
+        self._runs = RunRegistry()
+        self._configuration = ConfigurationInForce()
+        self._servers = BackendServers()
+        self._state = InstanceState(
+            instance=settings.instance, incarnation=time.time_ns() // 1_000_000
+        )
+
+    def start(self) -> None:
+        """Start the controllers and listen for callers."""
+        transport = PlatformTransport(self._reactor, self._settings.platform_address)
+        self._stack.callback(transport.close)
+        self._start_controllers(transport)
+        interface = self._build_interface(TableClient(transport))
+        host, port = self._settings.caller_address.split(":")
+        listener = self._reactor.listenTCP(
+            int(port), Site(interface.app.resource()), interface=host, backlog=256
+        )
+        self._stack.callback(listener.stopListening)
+        _log.info("node_started", instance=self._settings.instance)
+
+    async def leave(self) -> None:
+        """Refuse new work, let running streams end, and close everything."""
+        if self._state.leaving:
+            return
+        self._state.leaving = True
+        _log.info("node_leaving", open_runs=len(self._runs.active()))
+        await task.deferLater(self._reactor, LEAVING_NOTICE_S)
+        while any(run.sinks for run in self._runs.active()):
+            await task.deferLater(self._reactor, DRAIN_CHECK_S)
+        self._stack.close()
+        _log.info("node_stopped")
+
+    def _start_controllers(self, transport: PlatformTransport) -> None:
+        poller = ConfigurationPoller(
+            table=TableClient(transport),
+            configuration=self._configuration,
+            reactor=self._reactor,
+            rng=self._rng,
+        )
+        servers = BackendServerController(
+            servers=self._servers,
+            client=InstanceListClient(transport),
+            reactor=self._reactor,
+            rng=self._rng,
+        )
+        for controller in (poller, servers):
+            self._stack.callback(controller.stop)
+            ensureDeferred(controller.run())
+
+    def _build_interface(self, table: TableClient) -> CallerInterface:
+        metrics = RelayMetrics(self._registry)
+        scheduling = LeastInFlightScheduling(
+            servers=self._servers, reactor=self._reactor
+        )
+        chain = build_chain(
+            [
+                AccountFilter(metrics),
+                IdentifyFilter(self._configuration),
+                ValidateFilter(),
+                AttachFilter(
+                    registry=self._runs,
+                    parts=self._build_driver_parts(table, metrics, scheduling),
+                    status=self._state,
+                    rng=self._rng,
+                ),
+                RelayFilter(metrics=metrics, reactor=self._reactor),
+            ]
+        )
+        services = ServiceRelay(
+            configuration=self._configuration,
+            servers=self._servers,
+            scheduling=scheduling,
+            reactor=self._reactor,
+        )
+        return CallerInterface(
+            chain=chain,
+            services=services,
+            entries=self._list_entries,
+            state=self._state,
+            configuration=self._configuration,
+            registry=self._registry,
+        )
+
+    def _build_driver_parts(
+        self,
+        table: TableClient,
+        metrics: RelayMetrics,
+        scheduling: LeastInFlightScheduling,
+    ) -> DriverParts:
+        engines = EngineClient(self._reactor)
+        claimant = Claimant(
+            instance=self._state.instance, incarnation=self._state.incarnation
+        )
+        return DriverParts(
+            engines=engines,
+            servers=self._servers,
+            scheduling=scheduling,
+            claims=ClaimController(
+                table=table, claimant=claimant, reactor=self._reactor
+            ),
+            orphans=OrphanController(
+                engines=engines,
+                reactor=self._reactor,
+                rng=self._rng,
+                registry=self._registry,
+            ),
+            crashes=CrashLedger(),
+            metrics=metrics,
+            reactor=self._reactor,
+            rng=self._rng,
+            continue_runs=self._settings.resume == "continue",
+        )
+
+    def _list_entries(self) -> EntryList:
+        own = Entry(
+            instance=self._settings.instance,
+            address=self._settings.caller_address,
+            data_centre=self._settings.data_centre,
+            load=0.0,
+        )
+        others = [
+            Entry(item.name, item.address, item.data_centre, 0.0)
+            for item in self._servers.instances
+            if item.name != own.instance and item.state == "live"
+        ]
+        entries = others if self._state.leaving else [own, *others]
+        return EntryList(entries=tuple(entries), keep_s=ENTRY_KEEP_S)
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/_filters.py
@@ -0,0 +1,305 @@
+"""Filters of the request path, outermost first."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import random
+import secrets
+from typing import Protocol
+
+from ebonyhaven_decisions import (
+    Declaration,
+    Outcome,
+    OutcomeTag,
+    Pool,
+    PoolKind,
+    RequestClass,
+    RequestFailure,
+)
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.interfaces import IReactorTime
+
+from ebonyhaven_node._configured import ConfigurationInForce
+from ebonyhaven_node._drivers import (
+    DriverParts,
+    RunDriver,
+    RunTargets,
+    make_generation,
+)
+from ebonyhaven_node._exchanges import Exchange, Filter, Proceed
+from ebonyhaven_node._metrics import RelayMetrics
+from ebonyhaven_node._requests import (
+    GenerationRequest,
+    is_first_submission,
+    parse_generation_request,
+    parse_key,
+    parse_position,
+    parse_repeatable,
+    refuse,
+)
+from ebonyhaven_node._runs import Run, RunRegistry
+from ebonyhaven_node._sinks import CallerStream, write_outcome
+
+GENERATED_KEY_BYTES = 16
+URGENT_FIRST_TOKEN_MS = 2000.0
+
+
+class InstanceStatus(Protocol):
+    """Whether this instance takes new work."""
+
+    leaving: bool
+
+
+class AccountFilter(Filter):
+    """Counts requests by their end and answers those that fail.
+
+    Parameters
+    ----------
+    metrics : RelayMetrics
+    """
+
+    def __init__(self, metrics: RelayMetrics):
+        self._metrics = metrics
+
+    async def handle(self, exchange: Exchange, proceed: Proceed) -> None:
+        """See `Filter.handle`."""
+        try:
+            await proceed(exchange)
+        except RequestFailure as failure:
+            outcome = failure.outcome
+            self._metrics.requests.labels(str(outcome.tag), outcome.step).inc()
+            write_outcome(exchange.http_request, outcome)
+
+
+class IdentifyFilter(Filter):
+    """Finds out which workspace a request comes from.
+
+    Parameters
+    ----------
+    configuration : ConfigurationInForce
+    """
+
+    def __init__(self, configuration: ConfigurationInForce):
+        self._configuration = configuration
+
+    async def handle(self, exchange: Exchange, proceed: Proceed) -> None:
+        """See `Filter.handle`."""
+        declaration = self._configuration.require()
+        name = exchange.read_header("Ebonyhaven-Workspace")
+        if name is None:
+            raise refuse("Ebonyhaven-Workspace is missing", step="identify")
+        workspace = declaration.workspaces.get(name)
+        if workspace is None:
+            raise refuse(f"unknown workspace {name!r}", status=403, step="identify")
+        if workspace.key_sha256:
+            self._check_key(exchange, workspace.key_sha256)
+        exchange.workspace = name
+        exchange.declaration = declaration
+        await proceed(exchange)
+
+    def _check_key(self, exchange: Exchange, expected: str) -> None:
+        header = exchange.read_header("Authorization") or ""
+        key = header.removeprefix("Bearer ").encode()
+        if not hmac.compare_digest(hashlib.sha256(key).hexdigest(), expected):
+            raise refuse("wrong workspace key", status=401, step="identify")
+
+
+class ValidateFilter(Filter):
+    """Checks headers and body against the declaration."""
+
+    async def handle(self, exchange: Exchange, proceed: Proceed) -> None:
+        """See `Filter.handle`."""
+        request_class = self._find_class(exchange)
+        generated = secrets.token_hex(GENERATED_KEY_BYTES)
+        key = parse_key(exchange.read_header("Idempotency-Key"), generated=generated)
+        request = parse_generation_request(
+            exchange.body,
+            workspace=exchange.workspace,
+            class_name=request_class.name,
+            key=key,
+            repeatable=parse_repeatable(exchange.read_header("Ebonyhaven-Repeatable")),
+            first_submission=is_first_submission(
+                exchange.read_header("Ebonyhaven-First-Submission"),
+                has_key=exchange.read_header("Idempotency-Key") is not None,
+            ),
+            last_event=parse_position(exchange.read_header("Last-Event-ID")),
+        )
+        if request.model not in exchange.declaration.models:
+            raise refuse(f"unknown model {request.model!r}", status=404)
+        if request.first_offset > request.max_tokens + 1:
+            raise refuse("Last-Event-ID lies beyond max_tokens")
+        exchange.request_class = request_class
+        exchange.request = request
+        await proceed(exchange)
+
+    def _find_class(self, exchange: Exchange) -> RequestClass:
+        name = exchange.read_header("Ebonyhaven-Class")
+        if name is None:
+            if exchange.declaration.default_class is None:
+                raise refuse("Ebonyhaven-Class is missing and there is no default")
+            return exchange.declaration.default_class
+        found = exchange.declaration.classes.get(name)
+        if found is None:
+            raise refuse(f"unknown class {name!r}")
+        return found
+
+
+class AttachFilter(Filter):
+    """Gives a request its run: the one it has already, or a new one.
+
+    Parameters
+    ----------
+    registry : RunRegistry
+    parts : DriverParts
+    status : InstanceStatus
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        *,
+        registry: RunRegistry,
+        parts: DriverParts,
+        status: InstanceStatus,
+        rng: random.Random,
+    ):
+        self._registry = registry
+        self._parts = parts
+        self._status = status
+        self._rng = rng
+
+    async def handle(self, exchange: Exchange, proceed: Proceed) -> None:
+        """See `Filter.handle`."""
+        known = self._find_known(exchange.request)
+        exchange.run = known or self._begin(exchange)
+        await proceed(exchange)
+
+    def _find_known(self, request: GenerationRequest) -> Run | None:
+        run = self._registry.find(request.run_id)
+        if run is None:
+            return None
+        if run.request.digest != request.digest:
+            reason = "the idempotency key was used with a different body"
+            raise refuse(reason, status=409, step="deduplicate")
+        if request.last_event is not None and not run.holds(request.last_event):
+            return None
+        if run.outcome is None:
+            return run
+        if request.repeatable or run.outcome.tag is OutcomeTag.NOT_RUN:
+            return None
+        return run
+
+    def _begin(self, exchange: Exchange) -> Run:
+        request = exchange.request
+        if self._status.leaving and request.last_event is None:
+            raise _describe_leaving()
+        position = request.last_event
+        generation = (
+            make_generation(self._rng) if position is None else position.generation
+        )
+        run = Run(request=request, generation=generation)
+        self._take_over_texts(run)
+        driver = RunDriver(
+            run=run,
+            targets=derive_targets(exchange.declaration, exchange.request_class, run),
+            parts=self._parts,
+        )
+        self._registry.add(run)
+        if position is None:
+            ensureDeferred(driver.drive_fresh())
+        else:
+            server = self._parts.servers.find(position.server)
+            ensureDeferred(driver.drive_attached(server))
+        return run
+
+    def _take_over_texts(self, run: Run) -> None:
+        """Use the tokens of a run that was stopped when its caller had gone."""
+        position = run.request.last_event
+        known = self._registry.find(run.request.run_id)
+        if known is None or position is None or not known.abandoned:
+            return
+        if known.holds(position):
+            run.texts = known.texts[:]
+            run.segments = known.segments[:]
+
+
+class RelayFilter(Filter):
+    """Relays the run to the caller.
+
+    Parameters
+    ----------
+    metrics : RelayMetrics
+    reactor : IReactorTime
+    """
+
+    def __init__(self, *, metrics: RelayMetrics, reactor: IReactorTime):
+        self._metrics = metrics
+        self._reactor = reactor
+
+    async def handle(self, exchange: Exchange, proceed: Proceed) -> None:
+        """See `Filter.handle`."""
+        stream = CallerStream(
+            http_request=exchange.http_request,
+            run=exchange.run,
+            request=exchange.request,
+            resume_target_s=exchange.request_class.resume_ms / 1000,
+            reactor=self._reactor,
+            metrics=self._metrics,
+        )
+        stream.open()
+        await proceed(exchange)
+
+
+def derive_targets(
+    declaration: Declaration, request_class: RequestClass, run: Run
+) -> RunTargets:
+    """Return what the declaration asks for a run.
+
+    Parameters
+    ----------
+    declaration : Declaration
+    request_class : RequestClass
+    run : Run
+
+    Returns
+    -------
+    RunTargets
+
+    Raises
+    ------
+    RequestFailure
+        If no pool serves the model.
+    """
+    pools = frozenset(
+        pool.name
+        for pool in declaration.pools.values()
+        if _serves_model(pool, run.request.model)
+    )
+    if not pools:
+        raise refuse(f"no pool serves model {run.request.model!r}", status=404)
+    return RunTargets(
+        first_token_s=request_class.first_token_ms / 1000,
+        gap_s=request_class.gap_ms / 1000,
+        resume_s=request_class.resume_ms / 1000,
+        may_wait_s=request_class.may_wait_ms / 1000,
+        pools=pools,
+        priority=0 if request_class.first_token_ms <= URGENT_FIRST_TOKEN_MS else 1,
+    )
+
+
+def _serves_model(pool: Pool, model: str) -> bool:
+    return pool.kind is PoolKind.ENGINE and model in pool.models
+
+
+def _describe_leaving() -> RequestFailure:
+    return RequestFailure(
+        Outcome(
+            tag=OutcomeTag.NOT_RUN,
+            step="admit",
+            peer="self",
+            reason="this instance is leaving; ask for entries and use another",
+            status=503,
+            retry_after_s=0.0,
+        )
+    )
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/_servers.py
@@ -0,0 +1,216 @@
+"""What an instance knows of the backend servers, and the controller behind it."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+
+import attrs
+import structlog
+from ebonyhaven_platform import InstanceListClient, ListedProcess, PlatformError
+from twisted.internet import task
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+
+LIST_PERIOD_S = 1.5
+LIST_JITTER = 0.3
+FIRST_BACKOFF_S = 0.5
+LONGEST_BACKOFF_S = 8.0
+DEFAULT_CAPACITY = 16
+DEFAULT_PACE_S = 0.03
+DEFAULT_PREFILL_TOKENS_PER_S = 4000.0
+
+_log = structlog.get_logger()
+
+
+@attrs.define(slots=True, kw_only=True, eq=False)
+class BackendServer:
+    """State of one backend server as seen from here.
+
+    Parameters
+    ----------
+    name, address, pool, data_centre : str
+        From the platform's list.
+    identity : str
+        Changes when the process is replaced.
+    leaving : bool
+        Whether it must get no new work.
+    capacity : int
+        Sequences that it runs at once.
+    running, waiting : int
+        Load that it last reported.
+    pace_s : float
+        Gap between tokens that it last reported, seconds.
+    in_flight : int
+        Streams of this instance on it.
+    down_until : float
+        Time until which it gets no new work after a failed connection, seconds.
+    backoff_s : float
+        Length of the next such pause.
+    """
+
+    name: str
+    address: str
+    pool: str
+    data_centre: str
+    identity: str = ""
+    leaving: bool = False
+    capacity: int = DEFAULT_CAPACITY
+    running: int = 0
+    waiting: int = 0
+    pace_s: float = DEFAULT_PACE_S
+    in_flight: int = 0
+    down_until: float = 0.0
+    backoff_s: float = FIRST_BACKOFF_S
+
+    def record_unreachable(self, now: float) -> None:
+        """Keep new work away for a while that doubles with each failure.
+
+        Parameters
+        ----------
+        now : float
+            Present time, seconds.
+        """
+        self.down_until = now + self.backoff_s
+        self.backoff_s = min(LONGEST_BACKOFF_S, 2 * self.backoff_s)
+
+    def record_answer(self) -> None:
+        """Take note that the server answers."""
+        self.down_until = 0.0
+        self.backoff_s = FIRST_BACKOFF_S
+
+    def accepts_work(self, now: float) -> bool:
+        """Tell whether new work may be sent.
+
+        Parameters
+        ----------
+        now : float
+            Present time, seconds.
+
+        Returns
+        -------
+        bool
+        """
+        return not self.leaving and now >= self.down_until
+
+
+class BackendServers:
+    """All backend servers that this instance knows, by name."""
+
+    __slots__ = ("_observers", "_servers", "instances")
+
+    def __init__(self) -> None:
+        self.instances: tuple[ListedProcess, ...] = ()
+        self._servers: dict[str, BackendServer] = {}
+        self._observers: list[Callable[[], None]] = []
+
+    def find(self, name: str) -> BackendServer | None:
+        """Return the server of a name, or None."""
+        return self._servers.get(name)
+
+    def in_pools(self, pools: Iterable[str]) -> list[BackendServer]:
+        """Return the servers of the given pools."""
+        wanted = frozenset(pools)
+        return [item for item in self._servers.values() if item.pool in wanted]
+
+    def observe(self, observer: Callable[[], None]) -> None:
+        """Call ``observer`` after each change of the list."""
+        self._observers.append(observer)
+
+    def merge_list(self, processes: Iterable[ListedProcess]) -> None:
+        """Take over the platform's list.
+
+        A server that has left the list is kept as leaving, so that its running
+        streams can still be attached to.
+
+        Parameters
+        ----------
+        processes : iterable of ListedProcess
+            Entries of backend servers.
+        """
+        listed = {item.name: item for item in processes}
+        for name, item in listed.items():
+            self._merge_entry(name, item)
+        for name, server in self._servers.items():
+            if name not in listed:
+                server.leaving = True
+        for observer in self._observers:
+            observer()
+
+    def _merge_entry(self, name: str, item: ListedProcess) -> None:
+        server = self._servers.get(name)
+        replaced = server is not None and server.identity != item.identity
+        if server is None or replaced or server.address != item.address:
+            server = BackendServer(
+                name=name,
+                address=item.address,
+                pool=item.pool,
+                data_centre=item.data_centre,
+                identity=item.identity,
+            )
+            self._servers[name] = server
+        if item.state == "leaving" or server.leaving:
+            server.leaving = item.state == "leaving"
+
+
+class BackendServerController:
+    """Keeps the backend servers up to date from the platform's list.
+
+    Parameters
+    ----------
+    servers : BackendServers
+        What is kept up to date.
+    client : InstanceListClient
+        Reads the list.
+    reactor : IReactorTime
+        Source of delayed calls.
+    rng : random.Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        servers: BackendServers,
+        client: InstanceListClient,
+        reactor: IReactorTime,
+        rng: random.Random,
+    ):
+        self._servers = servers
+        self._client = client
+        self._reactor = reactor
+        self._rng = rng
+        self._reachable = True
+        self._stopped = False
+        self._waiting: Deferred | None = None
+
+    async def run(self) -> None:
+        """Read the list again and again until `stop` is called."""
+        while not self._stopped:
+            await self._read_once()
+            period_s = LIST_PERIOD_S * self._rng.uniform(1 - LIST_JITTER, 1)
+            self._waiting = task.deferLater(self._reactor, period_s)
+            self._waiting.addErrback(lambda _: None)
+            await self._waiting
+
+    def stop(self) -> None:
+        """End `run`."""
+        self._stopped = True
+        if self._waiting is not None:
+            self._waiting.cancel()
+
+    async def _read_once(self) -> None:
+        try:
+            listed = await self._client.read()
+        except PlatformError as error:
+            self._note_reachable(False, reason=error.reason)
+            return
+        self._note_reachable(True)
+        self._servers.instances = listed.instances
+        self._servers.merge_list(listed.backend_servers)
+
+    def _note_reachable(self, reachable: bool, *, reason: str = "") -> None:
+        if reachable == self._reachable:
+            return
+        self._reachable = reachable
+        _log.info("instance_list_reachable", reachable=reachable, reason=reason)
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/_service.py
@@ -0,0 +1,52 @@
+"""Running a node under Twisted's reactor."""
+
+from __future__ import annotations
+
+import signal
+
+import structlog
+from twisted.internet import reactor
+from twisted.internet.defer import ensureDeferred
+
+from ebonyhaven_node._composition import Node
+from ebonyhaven_node._settings import Settings
+
+EXIT_START_FAILED = 3
+
+_log = structlog.get_logger()
+
+
+def run_node(settings: Settings) -> int:
+    """Run a node; SIGTERM and SIGINT let it leave gracefully.
+
+    Parameters
+    ----------
+    settings : Settings
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    failures: list[int] = []
+    node = Node(settings, reactor)
+
+    def stop(*_: object) -> None:
+        leaving = ensureDeferred(node.leave())
+        leaving.addBoth(lambda _: reactor.stop())
+
+    def start() -> None:
+        try:
+            node.start()
+        except Exception:
+            _log.exception("node_start_failed", instance=settings.instance)
+            failures.append(EXIT_START_FAILED)
+            reactor.stop()
+            return
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: reactor.callFromThread(stop))
+        print("ready", flush=True)
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+    return failures[0] if failures else 0
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/_services.py
@@ -0,0 +1,183 @@
+"""Calls to plain services, which are never sent twice once they may have run."""
+
+from __future__ import annotations
+
+import time
+
+import treq
+from ebonyhaven_decisions import Outcome, OutcomeTag, PoolKind, RequestFailure
+from ebonyhaven_platform import make_agent
+from twisted.internet import error
+from twisted.internet.interfaces import IReactorTime
+from twisted.web.http import Request
+
+from ebonyhaven_node._configured import ConfigurationInForce
+from ebonyhaven_node._engines import CONNECT_TIMEOUT_S
+from ebonyhaven_node._requests import MAX_BODY_BYTES, parse_repeatable, refuse
+from ebonyhaven_node._scheduling import Scheduling
+from ebonyhaven_node._servers import BackendServer, BackendServers
+from ebonyhaven_node._sinks import write_outcome
+
+CALL_TIMEOUT_S = 30.0
+MAX_TRIES = 3
+RETRY_AFTER_S = 1.0
+SAFE_METHODS = frozenset({b"GET", b"HEAD"})
+FORWARDED_HEADERS = ("Content-Type", "Accept", "Idempotency-Key")
+RETURNED_HEADERS = ("Content-Type",)
+_NOT_SENT = (
+    error.ConnectError,
+    error.ConnectingCancelledError,
+    error.ConnectionRefusedError,
+    error.TimeoutError,
+)
+
+
+class ServiceRelay:
+    """Relays calls to plain services.
+
+    Parameters
+    ----------
+    configuration : ConfigurationInForce
+    servers : BackendServers
+    scheduling : Scheduling
+    reactor : IReactorTime
+    """
+
+    def __init__(
+        self,
+        *,
+        configuration: ConfigurationInForce,
+        servers: BackendServers,
+        scheduling: Scheduling,
+        reactor: IReactorTime,
+    ):
+        self._configuration = configuration
+        self._servers = servers
+        self._scheduling = scheduling
+        self._reactor = reactor
+        agent = make_agent(reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
+        self._client = treq.client.HTTPClient(agent)
+
+    async def relay(self, http_request: Request, service: str, path: str) -> None:
+        """Relay one call and write its answer.
+
+        Parameters
+        ----------
+        http_request : Request
+        service : str
+            Name of the service.
+        path : str
+            Path at the service, without its first slash.
+        """
+        try:
+            await self._relay(http_request, service, path)
+        except RequestFailure as failure:
+            write_outcome(http_request, failure.outcome)
+
+    async def _relay(self, http_request: Request, service: str, path: str) -> None:
+        body = http_request.content.read(MAX_BODY_BYTES + 1)
+        if len(body) > MAX_BODY_BYTES:
+            raise refuse(f"more than {MAX_BODY_BYTES} bytes of body", status=413)
+        repeatable = self._is_repeatable(http_request)
+        tried: set[str] = set()
+        last = Outcome(
+            tag=OutcomeTag.NOT_RUN,
+            step="route",
+            peer="self",
+            reason=f"no backend server of service {service!r} can be reached",
+            retry_after_s=RETRY_AFTER_S,
+        )
+        for _ in range(MAX_TRIES):
+            server = self._choose(service, tried)
+            if server is None:
+                break
+            tried.add(server.name)
+            outcome = await self._call(http_request, server, path, body)
+            if outcome is None:
+                return
+            if outcome.tag is OutcomeTag.UNKNOWN and not repeatable:
+                raise RequestFailure(outcome)
+            if last.tag is OutcomeTag.NOT_RUN:
+                last = outcome
+        raise RequestFailure(last)
+
+    def _is_repeatable(self, http_request: Request) -> bool:
+        header = http_request.getHeader("Ebonyhaven-Repeatable")
+        if header is None:
+            return http_request.method in SAFE_METHODS
+        return parse_repeatable(header)
+
+    def _choose(self, service: str, tried: set[str]) -> BackendServer | None:
+        declaration = self._configuration.require()
+        pools = [
+            pool.name
+            for pool in declaration.pools.values()
+            if pool.kind is PoolKind.SERVICE and pool.service == service
+        ]
+        if not pools:
+            raise refuse(f"unknown service {service!r}", status=404)
+        now = time.monotonic()
+        suitable = [
+            server
+            for server in self._servers.in_pools(pools)
+            if server.name not in tried and server.accepts_work(now)
+        ]
+        return min(suitable, key=lambda item: item.in_flight, default=None)
+
+    async def _call(
+        self, http_request: Request, server: BackendServer, path: str, body: bytes
+    ) -> Outcome | None:
+        """Call one server; return None once its answer has been written."""
+        slot = self._scheduling.adopt(server)
+        try:
+            return await self._send(http_request, server, path, body)
+        finally:
+            slot.release()
+
+    async def _send(
+        self, http_request: Request, server: BackendServer, path: str, body: bytes
+    ) -> Outcome | None:
+        query = http_request.uri.partition(b"?")[2].decode("latin-1")
+        suffix = f"?{query}" if query else ""
+        call = self._client.request(
+            http_request.method.decode(),
+            f"http://{server.address}/{path}{suffix}",
+            headers=_select_headers(http_request),
+            data=body or None,
+        )
+        call.addTimeout(CALL_TIMEOUT_S, self._reactor)
+        try:
+            response = await call
+            content = await treq.content(response)
+        except _NOT_SENT as problem:
+            server.record_unreachable(time.monotonic())
+            return _describe(OutcomeTag.NOT_RUN, "connect", server, problem)
+        except Exception as problem:
+            server.record_unreachable(time.monotonic())
+            return _describe(OutcomeTag.UNKNOWN, "send", server, problem)
+        server.record_answer()
+        http_request.setResponseCode(response.code)
+        for name in RETURNED_HEADERS:
+            for value in response.headers.getRawHeaders(name, []):
+                http_request.setHeader(name, value)
+        http_request.write(content)
+        http_request.finish()
+        return None
+
+
+def _select_headers(http_request: Request) -> dict[str, str]:
+    found = {name: http_request.getHeader(name) for name in FORWARDED_HEADERS}
+    return {name: value for name, value in found.items() if value is not None}
+
+
+def _describe(
+    tag: OutcomeTag, step: str, server: BackendServer, problem: Exception
+) -> Outcome:
+    return Outcome(
+        tag=tag,
+        step=step,
+        peer=server.name,
+        reason=f"{type(problem).__name__}: {problem}",
+        status=502,
+        retry_after_s=RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/_settings.py
@@ -0,0 +1,140 @@
+"""Settings of a node, read from JSON and checked."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import re
+from typing import Any
+
+import attrs
+
+from ebonyhaven_node.exceptions import SettingsError
+
+_ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+RESUME_MODES = ("continue", "restart")
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class Settings:
+    """Settings of one node.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance.
+    data_centre, region : str
+        Where the instance stands.
+    caller_address : str
+        ``IP:PORT`` that callers connect to.
+    control_address : str
+        ``IP:PORT`` that other instances connect to.
+    platform_address : str
+        ``IP:PORT`` of the platform's services.
+    seed : int
+        Seed of the node's random source; 0 takes one from the system.
+    resume : str
+        ``continue``, or ``restart`` for the baseline of measurements.
+    """
+
+    instance: str
+    data_centre: str
+    region: str
+    caller_address: str
+    control_address: str
+    platform_address: str
+    seed: int = 0
+    resume: str = "continue"
+
+
+def _check_name(key: str, value: Any) -> None:
+    if not isinstance(value, str) or not _NAME.fullmatch(value):
+        raise SettingsError(key, "a name of letters, digits, '.', '_', '-'", value)
+
+
+def _check_address(key: str, value: Any) -> None:
+    if not isinstance(value, str) or not _ADDRESS.fullmatch(value):
+        raise SettingsError(key, "an address IP:PORT", value)
+    host, port = value.split(":")
+    if any(int(part) > 255 for part in host.split(".")) or int(port) > 65535:
+        raise SettingsError(key, "an address IP:PORT", value)
+
+
+def _check_integer(key: str, value: Any) -> None:
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise SettingsError(key, "a whole number", value)
+
+
+def _check_resume(key: str, value: Any) -> None:
+    if value not in RESUME_MODES:
+        raise SettingsError(key, f"one of {', '.join(RESUME_MODES)}", value)
+
+
+_CHECKS = {
+    "instance": _check_name,
+    "data_centre": _check_name,
+    "region": _check_name,
+    "caller_address": _check_address,
+    "control_address": _check_address,
+    "platform_address": _check_address,
+    "seed": _check_integer,
+    "resume": _check_resume,
+}
+
+
+def parse_settings(data: Any) -> Settings:
+    """Check decoded settings.
+
+    Parameters
+    ----------
+    data : object
+        Decoded JSON.
+
+    Returns
+    -------
+    Settings
+
+    Raises
+    ------
+    SettingsError
+        For an unknown, missing or wrong key.
+    """
+    if not isinstance(data, dict):
+        raise SettingsError("settings", "an object", data)
+    for key in data:
+        if key not in _CHECKS:
+            raise SettingsError(key, f"one of {', '.join(_CHECKS)}", data[key])
+    for field in attrs.fields(Settings):
+        if field.name in data:
+            _CHECKS[field.name](field.name, data[field.name])
+        elif field.default is attrs.NOTHING:
+            raise SettingsError(field.name, "a value", None)
+    return Settings(**data)
+
+
+def read_settings(path: pathlib.Path) -> Settings:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+
+    Returns
+    -------
+    Settings
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read, is not JSON, or holds wrong settings.
+    """
+    try:
+        text = path.read_text()
+    except OSError as error:
+        raise SettingsError(str(path), "a readable file", error.strerror) from error
+    try:
+        data = json.loads(text)
+    except ValueError as error:
+        raise SettingsError(str(path), "JSON", str(error)) from error
+    return parse_settings(data)
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/_web.py
@@ -0,0 +1,116 @@
+"""HTTP interface towards callers."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+
+import attrs
+from ebonyhaven_decisions import RequestFailure
+from klein import Klein
+from prometheus_client import CollectorRegistry, generate_latest
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.web.http import Request
+
+from ebonyhaven_node._configured import ConfigurationInForce
+from ebonyhaven_node._entries import EntryList
+from ebonyhaven_node._exchanges import Exchange, Proceed
+from ebonyhaven_node._requests import MAX_BODY_BYTES, decode_body
+from ebonyhaven_node._services import ServiceRelay
+from ebonyhaven_node._sinks import write_outcome
+
+
+@attrs.define(slots=True, kw_only=True)
+class InstanceState:
+    """What this instance is and whether it takes new work.
+
+    Parameters
+    ----------
+    instance : str
+    incarnation : int
+    leaving : bool
+    """
+
+    instance: str
+    incarnation: int
+    leaving: bool = False
+
+
+class CallerInterface:
+    """Routes of the caller interface.
+
+    Parameters
+    ----------
+    chain : callable
+        The filter chain.
+    services : ServiceRelay
+    entries : callable
+        Returns the entry list to answer with.
+    state : InstanceState
+    configuration : ConfigurationInForce
+    registry : CollectorRegistry
+    """
+
+    app = Klein()
+
+    def __init__(
+        self,
+        *,
+        chain: Proceed,
+        services: ServiceRelay,
+        entries: Callable[[], EntryList],
+        state: InstanceState,
+        configuration: ConfigurationInForce,
+        registry: CollectorRegistry,
+    ):
+        self._chain = chain
+        self._services = services
+        self._entries = entries
+        self._state = state
+        self._configuration = configuration
+        self._registry = registry
+
+    @app.route("/v1/completions", methods=["POST"])
+    def complete(self, request: Request) -> object:
+        """Handle a request for a generation."""
+        try:
+            body = decode_body(request.content.read(MAX_BODY_BYTES + 1))
+        except RequestFailure as failure:
+            write_outcome(request, failure.outcome)
+            return Deferred()
+        ensureDeferred(self._chain(Exchange(http_request=request, body=body)))
+        return Deferred()
+
+    @app.route("/services/<service>/", defaults={"path": ""})
+    @app.route("/services/<service>/<path:path>")
+    def call_service(self, request: Request, service: str, path: str) -> object:
+        """Relay a call to a plain service."""
+        ensureDeferred(self._services.relay(request, service, path))
+        return Deferred()
+
+    @app.route("/v1/entries", methods=["GET"])
+    def list_entries(self, request: Request) -> bytes:
+        """Tell which addresses to use, best first, and for how long."""
+        return _write_json(request, self._entries().describe())
+
+    @app.route("/health", methods=["GET"])
+    def report_health(self, request: Request) -> bytes:
+        """Tell whether this instance takes new work."""
+        health = {
+            "status": "leaving" if self._state.leaving else "live",
+            "instance": self._state.instance,
+            "incarnation": self._state.incarnation,
+            "configuration_version": self._configuration.version,
+        }
+        return _write_json(request, health)
+
+    @app.route("/metrics", methods=["GET"])
+    def report_metrics(self, request: Request) -> Deferred | bytes:
+        """Write all metrics as Prometheus text."""
+        request.setHeader("Content-Type", "text/plain; version=0.0.4")
+        return generate_latest(self._registry)
+
+
+def _write_json(request: Request, value: dict) -> bytes:
+    request.setHeader("Content-Type", "application/json")
+    return json.dumps(value).encode()
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/commands.py
@@ -0,0 +1,84 @@
+"""Command line of the node."""
+
+from __future__ import annotations
+
+import importlib.metadata
+import logging
+import pathlib
+import sys
+from typing import Annotated
+
+import structlog
+import typer
+from twisted.internet import epollreactor
+
+from ebonyhaven_node._settings import Settings, read_settings
+from ebonyhaven_node.exceptions import SettingsError
+
+EXIT_BAD_SETTINGS = 2
+
+app = typer.Typer(add_completion=False, rich_markup_mode=None)
+SettingsPath = Annotated[pathlib.Path, typer.Option("--settings", help="JSON file.")]
+
+
+def _load(path: pathlib.Path) -> Settings:
+    try:
+        return read_settings(path)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        raise typer.Exit(EXIT_BAD_SETTINGS) from error
+
+
+def _print_version(wanted: bool) -> None:
+    if wanted:
+        print(importlib.metadata.version("ebonyhaven-node"))
+        raise typer.Exit
+
+
+@app.callback()
+def describe(
+    version: Annotated[
+        bool, typer.Option("--version", callback=_print_version, is_eager=True)
+    ] = False,
+) -> None:
+    """Serve long generations on engines that fail."""
+
+
+@app.command("check-settings")
+def check_settings(path: Annotated[pathlib.Path, typer.Argument()]) -> None:
+    """Check a settings file; exit code 2 if it cannot be used."""
+    _load(path)
+    print("settings are valid")
+
+
+@app.command()
+def serve(settings: SettingsPath) -> None:
+    """Run a node until it is told to stop."""
+    loaded = _load(settings)
+    _configure_logs()
+    epollreactor.install()
+    from ebonyhaven_node._service import run_node
+
+    raise typer.Exit(run_node(loaded))
+
+
+def _configure_logs() -> None:
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/exceptions.py
@@ -0,0 +1,62 @@
+"""Errors of the node that are not outcomes of a request."""
+
+from __future__ import annotations
+
+
+class NodeError(Exception):
+    """Base class of the errors of this package."""
+
+
+class SettingsError(NodeError):
+    """Raised for settings that cannot be used.
+
+    Parameters
+    ----------
+    key : str
+        Key at fault.
+    expected : str
+        What the key must hold.
+    value : object
+        What it holds.
+    """
+
+    def __init__(self, key: str, expected: str, value: object):
+        super().__init__(f"{key}: expected {expected}, got {value!r}")
+        self.key = key
+
+
+class EngineRefusal(NodeError):
+    """Raised when an engine proves that it did not run a request.
+
+    Parameters
+    ----------
+    peer : str
+        Name of the backend server.
+    status : int
+        HTTP status, or 0 when no connection could be made.
+    reason : str
+        Tag from the engine's answer.
+    """
+
+    def __init__(self, *, peer: str, status: int, reason: str):
+        super().__init__(f"{peer} refused with {status} {reason}")
+        self.peer = peer
+        self.status = status
+        self.reason = reason
+
+
+class EngineLost(NodeError):
+    """Raised when an engine may have run a request but does not answer.
+
+    Parameters
+    ----------
+    peer : str
+        Name of the backend server.
+    step : str
+        Step at which contact was lost.
+    """
+
+    def __init__(self, *, peer: str, step: str):
+        super().__init__(f"contact to {peer} lost at {step}")
+        self.peer = peer
+        self.step = step
--- a/packages/platform/src/ebonyhaven_platform/__init__.py
+++ b/packages/platform/src/ebonyhaven_platform/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ebonyhaven_platform._agents import make_agent
 from ebonyhaven_platform._instances import (
     InstanceList,
     InstanceListClient,
@@ -42,5 +43,6 @@
     "WeightClient",
     "Write",
     "WriteResult",
+    "make_agent",
     "resolve_write",
 ]
--- a/packages/platform/src/ebonyhaven_platform/_transport.py
+++ b/packages/platform/src/ebonyhaven_platform/_transport.py
@@ -14,8 +14,9 @@
     ConnectingCancelledError,
     ConnectionRefusedError,
 )
-from twisted.web.client import Agent, HTTPConnectionPool, RequestNotSent
+from twisted.web.client import HTTPConnectionPool, RequestNotSent
 
+from ebonyhaven_platform._agents import make_agent
 from ebonyhaven_platform.exceptions import (
     PlatformError,
     Rejected,
@@ -71,7 +72,7 @@
         self._pool.maxPersistentPerHost = MAX_CONNECTIONS
         # A retry on a fresh connection would hide that a write may have landed.
         self._pool.retryAutomatically = False
-        self._agent = Agent(reactor, connectTimeout=timeout_s, pool=self._pool)
+        self._agent = make_agent(reactor, connect_timeout_s=timeout_s, pool=self._pool)
 
     def exchange(
         self,
--- a/packages/standins/src/ebonyhaven_standins/engine/_engine.py
+++ b/packages/standins/src/ebonyhaven_standins/engine/_engine.py
@@ -188,6 +188,20 @@
         write_progress(self._log, "attach", run)
         return run
 
+    def is_attended(self, run_id: str) -> bool:
+        """Tell whether somebody is attached to a run.
+
+        Parameters
+        ----------
+        run_id : str
+
+        Returns
+        -------
+        bool
+        """
+        run = self._runs.get(run_id)
+        return run is not None and run.is_attended
+
     def cancel(self, run_id: str, attempt: int | None) -> bool:
         """Cancel a run and forget it.
 
--- a/packages/standins/src/ebonyhaven_standins/engine/_http.py
+++ b/packages/standins/src/ebonyhaven_standins/engine/_http.py
@@ -99,8 +99,10 @@
     def cancel_run(self, request, run_id):
         """Cancel a run."""
         attempt = query_int(request, b"attempt", -1)
+        if query_int(request, b"if_detached", 0) and self._engine.is_attended(run_id):
+            return self._answer(request, {"cancelled": False, "attended": True})
         cancelled = self._engine.cancel(run_id, attempt if attempt >= 0 else None)
-        return self._answer(request, {"cancelled": cancelled})
+        return self._answer(request, {"cancelled": cancelled, "attended": False})
 
     @app.route("/v1/load", methods=["GET"])
     def report_load(self, request):
