Schedule the requests of a node by the decision package

Cause: the thin step took the server with the fewest own streams in order of arrival; a long analysis could go before a look-up, nothing was refused in time and the engine's priority was guessed from the first-token target. Change: the scheduler decides admission, order and server; load headers, answers and failed connections of engines reach it; refusals carry its retry time; a caller that leaves while its request waits takes it out of the queue; the setting 'scheduling' selects the policy or a baseline. A class without may_wait_ms can not wait (it was 30 s), 0 is accepted, and the claim of a request may take until its first token is due.

--- a/packages/decisions/src/ebonyhaven_decisions/_declaration_checks.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_declaration_checks.py
@@ -132,6 +132,9 @@
     def take_number(self, name: str, default: Any = REQUIRED) -> float:
         return self.take(name, "a number above 0", _is_positive, default)
 
+    def take_duration(self, name: str, default: Any = REQUIRED) -> float:
+        return self.take(name, "a number of at least 0", _is_duration, default)
+
     def take_count(self, name: str, default: Any = REQUIRED) -> int:
         return self.take(name, "a whole number of at least 0", _is_count, default)
 
@@ -165,6 +168,10 @@
             self._problems.append(DeclarationProblem(self.join(name), "unknown key"))
 
 
+def _is_duration(value: Any) -> bool:
+    return value == 0 and not isinstance(value, bool) or _is_positive(value)
+
+
 def _is_positive(value: Any) -> bool:
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
     return is_number and 0 < value < float("inf")
@@ -202,7 +209,7 @@
         first_token_ms=section.take_number("first_token_ms"),
         gap_ms=section.take_number("gap_ms"),
         resume_ms=section.take_number("resume_ms"),
-        may_wait_ms=section.take_number("may_wait_ms", DEFAULT_MAY_WAIT_MS),
+        may_wait_ms=section.take_duration("may_wait_ms", DEFAULT_MAY_WAIT_MS),
         default=section.take_flag("default", False),
     )
 
--- a/packages/decisions/src/ebonyhaven_decisions/_declarations.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_declarations.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-DEFAULT_MAY_WAIT_MS = 30_000.0
+DEFAULT_MAY_WAIT_MS = 0.0
 DEFAULT_LONGEST_PAUSE_MS = 60_000.0
 DEFAULT_MINIMUM_SERVERS = 1
 
--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -7,7 +7,13 @@
 import time
 
 import structlog
-from ebonyhaven_decisions import Claimant, CrashLedger
+from ebonyhaven_decisions import (
+    Claimant,
+    CrashLedger,
+    Place,
+    Scheduling,
+    build_scheduler,
+)
 from ebonyhaven_platform import InstanceListClient, PlatformTransport, TableClient
 from prometheus_client import CollectorRegistry
 from twisted.internet import task
@@ -30,9 +36,9 @@
 )
 from ebonyhaven_node._metrics import RelayMetrics
 from ebonyhaven_node._orphans import OrphanController
+from ebonyhaven_node._policy_scheduling import PolicyScheduling
 from ebonyhaven_node._pollers import ConfigurationPoller
 from ebonyhaven_node._runs import RunRegistry
-from ebonyhaven_node._scheduling import LeastInFlightScheduling
 from ebonyhaven_node._servers import BackendServerController, BackendServers
 from ebonyhaven_node._services import ServiceRelay
 from ebonyhaven_node._settings import Settings
@@ -111,9 +117,7 @@
 
     def _build_interface(self, table: TableClient) -> CallerInterface:
         metrics = RelayMetrics(self._registry)
-        scheduling = LeastInFlightScheduling(
-            servers=self._servers, reactor=self._reactor
-        )
+        scheduling = self._build_scheduling()
         chain = build_chain(
             [
                 AccountFilter(metrics),
@@ -143,11 +147,26 @@
             registry=self._registry,
         )
 
+    def _build_scheduling(self) -> PolicyScheduling:
+        scheduler = build_scheduler(
+            Scheduling(self._settings.scheduling),
+            {},
+            place=Place(self._settings.data_centre, self._settings.region),
+            random_source=self._rng,
+            now=time.monotonic(),
+        )
+        return PolicyScheduling(
+            scheduler=scheduler,
+            servers=self._servers,
+            configuration=self._configuration,
+            reactor=self._reactor,
+        )
+
     def _build_driver_parts(
         self,
         table: TableClient,
         metrics: RelayMetrics,
-        scheduling: LeastInFlightScheduling,
+        scheduling: PolicyScheduling,
     ) -> DriverParts:
         engines = EngineClient(self._reactor)
         claimant = Claimant(
--- a/packages/node/src/ebonyhaven_node/_drivers.py
+++ b/packages/node/src/ebonyhaven_node/_drivers.py
@@ -25,7 +25,12 @@
     plan_resume,
 )
 from twisted.internet import task
-from twisted.internet.defer import DeferredQueue, ensureDeferred
+from twisted.internet.defer import (
+    CancelledError,
+    Deferred,
+    DeferredQueue,
+    ensureDeferred,
+)
 from twisted.internet.interfaces import IReactorTime
 from twisted.python.failure import Failure
 
@@ -170,6 +175,7 @@
         self._suspected_since: float | None = None
         self._watch = None
         self._detach_timer = None
+        self._acquiring: Deferred[Slot] | None = None
         self._lifecycle = start_lifecycle(StateObserver(self._note_state))
         run.on_detached = self._handle_detached
         run.on_attached = self._handle_attached
@@ -209,8 +215,10 @@
         self._record_arrival()
         texts = [token.text for token in fresh if token.finish_reason is None]
         if texts:
+            candidate.slot.record_tokens(len(texts))
             self._run.append(texts, server=stream.server.name)
         if fresh[-1].finish_reason is not None:
+            candidate.slot.record_completion()
             self._finish(fresh[-1].finish_reason)
 
     def receive_loss(self, stream: EngineStream, reason: str) -> None:
@@ -378,6 +386,8 @@
             ) from failure
 
     def _give_up_on(self, slot: Slot, error: EngineRefusal | EngineLost) -> None:
+        if isinstance(error, EngineRefusal):
+            slot.record_refusal(error.reason)
         slot.release()
         if isinstance(error, EngineLost):
             self._parts.orphans.add(slot.server, self._request.run_id, self._attempt)
@@ -425,16 +435,24 @@
 
     async def _open_fresh(self) -> None:
         self._check_content(OutcomeTag.NOT_RUN)
-        await self._start(self._accepted_at + self._targets.may_wait_s)
+        await self._start(self._find_start_deadline())
         self._watch_silence()
 
+    def _find_start_deadline(self) -> float:
+        targets = self._targets
+        return self._accepted_at + targets.may_wait_s + targets.first_token_s
+
     async def _start(
         self, deadline: float, *, excluded: set[str] | None = None, resume: bool = False
     ) -> None:
         """Start the run on the first server that accepts it."""
         excluded = set() if excluded is None else excluded
+        retry = False
         while True:
-            slot = await self._acquire_start(excluded, deadline, resume=resume)
+            slot = await self._acquire_start(
+                excluded, deadline, resume=resume, retry=retry
+            )
+            retry = True
             self._lifecycle.dispatch()
             if not self._request.repeatable:
                 dispatchable = await self._claim_start(slot, deadline)
@@ -443,7 +461,8 @@
             try:
                 await self._open_stream(slot)
                 return
-            except EngineRefusal:
+            except EngineRefusal as refusal:
+                slot.record_refusal(refusal.reason)
                 slot.release()
                 await self._withdraw_claim()
             except EngineLost:
@@ -461,7 +480,7 @@
                 await task.deferLater(self._parts.reactor, RETRY_DELAY_S)
 
     async def _acquire_start(
-        self, excluded: set[str], deadline: float, *, resume: bool
+        self, excluded: set[str], deadline: float, *, resume: bool, retry: bool
     ) -> Slot:
         wish = SlotWish(
             request=self._request,
@@ -469,8 +488,17 @@
             deadline=deadline,
             excluded=frozenset(excluded),
             resume=resume,
+            retry=retry,
+            arrival=self._accepted_at,
         )
-        return await self._parts.scheduling.acquire(wish)
+        self._acquiring = ensureDeferred(self._parts.scheduling.acquire(wish))
+        try:
+            return await self._acquiring
+        except CancelledError as error:
+            reason = "the caller has gone"
+            raise self._failure(OutcomeTag.NOT_RUN, "queue", reason) from error
+        finally:
+            self._acquiring = None
 
     async def _claim_start(self, slot: Slot, deadline: float) -> bool:
         """Claim the fresh start; attach where another instance has claimed it."""
@@ -560,7 +588,7 @@
 
     async def _open_claimed(self) -> None:
         """Attach to the run of the claim that stands, if there is one."""
-        deadline = self._accepted_at + self._targets.may_wait_s
+        deadline = self._find_start_deadline()
         try:
             claim = await self._parts.claims.read(
                 self._request.run_id, deadline=deadline
@@ -593,26 +621,20 @@
         """Attach to a run that must not be started again, or say ``unknown``."""
         deadline = time.monotonic() + self._targets.first_token_s
         offset = len(self._run.texts)
-        retry_after_s: float | None = RETRY_AFTER_S
         while server is not None:
             try:
                 await self._attach(server, offset=offset, timeout_s=self._accept_s())
                 return
-            except EngineRefusal as refusal:
-                if refusal.reason == CONNECTION_REFUSED:
-                    retry_after_s = None
+            except (EngineRefusal, EngineLost):
+                if time.monotonic() > deadline:
                     break
-            except EngineLost:
-                pass
-            if time.monotonic() > deadline:
-                break
             await task.deferLater(self._parts.reactor, ATTACH_RETRY_DELAY_S)
         raise self._failure(
             OutcomeTag.UNKNOWN,
             "attach",
             "the request may have run, and its run cannot be attached to",
             peer="unknown" if server is None else server.name,
-            retry_after_s=retry_after_s,
+            retry_after_s=RETRY_AFTER_S,
         )
 
     async def _attach(
@@ -649,7 +671,7 @@
             model=request.model,
             prompt=request.prompt,
             max_tokens=request.max_tokens,
-            priority=self._targets.priority,
+            priority=slot.priority,
             digest=request.digest,
         )
         if request.adapter is not None:
@@ -817,9 +839,16 @@
     def _handle_detached(self) -> None:
         if self._request.repeatable and self._detach_timer is None:
             self._detach_timer = self._parts.reactor.callLater(
-                DETACH_GRACE_S, self._signals.put, Signal.ABANDONED
+                DETACH_GRACE_S, self._announce_abandoned
             )
 
+    def _announce_abandoned(self) -> None:
+        """Wake the driver, or end its wait for room."""
+        if self._acquiring is not None:
+            self._acquiring.cancel()
+        else:
+            self._signals.put(Signal.ABANDONED)
+
     def _handle_attached(self) -> None:
         if self._detach_timer is not None and self._detach_timer.active():
             self._detach_timer.cancel()
--- a/packages/node/src/ebonyhaven_node/_engines.py
+++ b/packages/node/src/ebonyhaven_node/_engines.py
@@ -4,7 +4,7 @@
 
 import json
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import Any, Protocol, TypedDict
 from urllib.parse import urlencode
 
@@ -18,7 +18,7 @@
 from twisted.web.http import PotentialDataLoss
 
 from ebonyhaven_node._events import EventParser, Token
-from ebonyhaven_node._servers import BackendServer
+from ebonyhaven_node._servers import BackendServer, ReportedLoad
 from ebonyhaven_node.exceptions import EngineLost, EngineRefusal
 
 CONNECT_TIMEOUT_S = 0.5
@@ -305,24 +305,23 @@
         return str(body.get("error", "unnamed"))
 
     def _record_load(self, server: BackendServer, headers: Any) -> None:
-        _take_header(headers, "Engine-Running", int, server, "running")
-        _take_header(headers, "Engine-Waiting", int, server, "waiting")
-        _take_header(headers, "Engine-Capacity", int, server, "capacity")
-        pace = headers.getRawHeaders("Engine-Pace-Ms")
-        if pace:
-            server.pace_s = float(pace[0]) / 1000
-        leaving = headers.getRawHeaders("Engine-Leaving")
-        if leaving and leaving[0] == "1":
-            server.leaving = True
-
-
-def _take_header(
-    headers: Any,
-    name: str,
-    convert: Callable[[str], Any],
-    server: BackendServer,
-    attribute: str,
-) -> None:
-    values = headers.getRawHeaders(name)
-    if values:
-        setattr(server, attribute, convert(values[0]))
+        if not headers.hasHeader("Engine-Running"):
+            return
+        server.record_load(
+            ReportedLoad(
+                running=int(_read_header(headers, "Engine-Running", "0")),
+                waiting=int(_read_header(headers, "Engine-Waiting", "0")),
+                capacity=int(
+                    _read_header(headers, "Engine-Capacity", str(server.capacity))
+                ),
+                pace_s=float(
+                    _read_header(headers, "Engine-Pace-Ms", str(server.pace_s * 1000))
+                )
+                / 1000,
+                leaving=_read_header(headers, "Engine-Leaving", "0") == "1",
+            )
+        )
+
+
+def _read_header(headers: Any, name: str, default: str) -> str:
+    return headers.getRawHeaders(name, [default])[0]
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/_policy_scheduling.py
@@ -0,0 +1,381 @@
+"""Scheduling by the decision package: admission, fair queue and routing."""
+
+from __future__ import annotations
+
+import hashlib
+import itertools
+import time
+
+import attrs
+from ebonyhaven_decisions import (
+    ClassTargets,
+    Declaration,
+    Dispatch,
+    FailureKind,
+    Outcome,
+    OutcomeTag,
+    Pool,
+    PoolKind,
+    Refusal,
+    RequestFailure,
+    Scheduler,
+    ServerEntry,
+    ServerReport,
+    WorkItem,
+    derive_policies,
+)
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
+
+from ebonyhaven_node._configured import ConfigurationInForce
+from ebonyhaven_node._requests import CHARACTERS_PER_TOKEN, GenerationRequest
+from ebonyhaven_node._scheduling import Scheduling, Slot, SlotWish
+from ebonyhaven_node._servers import (
+    BackendServer,
+    BackendServers,
+    ReportedLoad,
+    ServerListener,
+)
+
+RECHECK_PERIOD_S = 0.05
+PREFIX_BLOCK_CHARACTERS = 64
+MAX_PREFIXES = 10
+REFUSED_STATUS = 503
+MODEL_MISSING = "model_not_loaded"
+ENGINE_FULL = "full"
+_REFUSALS = {
+    MODEL_MISSING: FailureKind.MODEL_MISSING,
+    ENGINE_FULL: FailureKind.FULL,
+    "leaving": FailureKind.LEAVING,
+}
+
+
+@attrs.define(slots=True, kw_only=True, eq=False)
+class PolicySlot(Slot):
+    """Room for one stream, counted by the scheduler.
+
+    Parameters
+    ----------
+    item_id : str
+        Name of the request at the scheduler; empty for an adopted stream.
+    scheduling : PolicyScheduling
+    """
+
+    item_id: str
+    scheduling: PolicyScheduling
+    is_whole: bool = False
+
+    def release(self) -> None:
+        """See `Slot.release`."""
+        if self.held:
+            self.held = False
+            self.server.in_flight -= 1
+            self.scheduling.end(self)
+
+    def record_tokens(self, count: int) -> None:
+        """See `Slot.record_tokens`."""
+        if self.held and self.item_id:
+            self.scheduling.record_tokens(self.item_id, count)
+
+    def record_completion(self) -> None:
+        """See `Slot.record_completion`."""
+        self.is_whole = True
+
+    def record_refusal(self, reason: str) -> None:
+        """See `Slot.record_refusal`."""
+        kind = _REFUSALS.get(reason)
+        if self.held and kind is not None:
+            self.scheduling.record_failure(self.item_id, kind)
+
+
+@attrs.frozen(slots=True, eq=False)
+class _Waiter:
+    wish: SlotWish
+    item: WorkItem
+    granted: Deferred
+
+
+class PolicyScheduling(Scheduling, ServerListener):
+    """Asks a `Scheduler` which request runs where, and when.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+    servers : BackendServers
+    configuration : ConfigurationInForce
+    reactor : IReactorTime
+    """
+
+    def __init__(
+        self,
+        *,
+        scheduler: Scheduler,
+        servers: BackendServers,
+        configuration: ConfigurationInForce,
+        reactor: IReactorTime,
+    ):
+        self.scheduler = scheduler
+        self._servers = servers
+        self._configuration = configuration
+        self._reactor = reactor
+        self._waiters: dict[str, _Waiter] = {}
+        self._resumes: dict[str, _Waiter] = {}
+        self._numbers = itertools.count()
+        self._is_pumping = False
+        self._must_pump = False
+        self._recheck: IDelayedCall | None = None
+        servers.observe(self._take_servers)
+        servers.listener = self
+        configuration.observe(self._take_declaration)
+
+    # -- Scheduling --------------------------------------------------------
+
+    async def acquire(self, wish: SlotWish) -> Slot:
+        """See `Scheduling.acquire`."""
+        item = self._describe(wish)
+        waiter = _Waiter(wish, item, Deferred(lambda _: self._forget(item.item_id)))
+        if wish.resume:
+            self._resumes[item.item_id] = waiter
+        else:
+            self._waiters[item.item_id] = waiter
+            self._submit(waiter)
+        self.pump()
+        return await waiter.granted
+
+    def adopt(self, server: BackendServer) -> Slot:
+        """See `Scheduling.adopt`."""
+        server.in_flight += 1
+        state = self.scheduler.dispatcher.table.get(server.name)
+        if state is not None:
+            state.record_dispatch(0, time.monotonic())
+        return PolicySlot(server=server, item_id="", scheduling=self)
+
+    # -- ServerListener ----------------------------------------------------
+
+    def record_load(self, server: BackendServer, load: ReportedLoad) -> None:
+        """See `ServerListener.record_load`."""
+        report = ServerReport(
+            running=load.running,
+            waiting=load.waiting,
+            measured_at=time.monotonic() - load.age_s,
+            capacity=load.capacity,
+            pace_ms=load.pace_s * 1000.0,
+            prefill_tokens_per_s=load.prefill_tokens_per_s,
+            is_leaving=load.leaving,
+        )
+        self.scheduler.dispatcher.record_report(server.name, report)
+
+    def record_answer(self, server: BackendServer) -> None:
+        """See `ServerListener.record_answer`."""
+        state = self.scheduler.dispatcher.table.get(server.name)
+        if state is not None:
+            state.record_success(time.monotonic())
+
+    def record_unreachable(self, server: BackendServer) -> None:
+        """See `ServerListener.record_unreachable`."""
+        self.scheduler.dispatcher.record_unreachable(server.name, time.monotonic())
+
+    # -- slots -------------------------------------------------------------
+
+    def record_tokens(self, item_id: str, count: int) -> None:
+        """Count tokens that arrived for a request."""
+        dispatcher = self.scheduler.dispatcher
+        now = time.monotonic()
+        dispatcher.record_first_token(item_id, now)
+        dispatcher.record_tokens(item_id, count, now)
+
+    def record_failure(self, item_id: str, kind: FailureKind) -> None:
+        """Note why a server did not run a request."""
+        self.scheduler.dispatcher.record_failure(item_id, kind, time.monotonic())
+
+    def end(self, slot: PolicySlot) -> None:
+        """Take back the room of a slot."""
+        dispatcher = self.scheduler.dispatcher
+        now = time.monotonic()
+        if slot.item_id:
+            dispatcher.record_end(slot.item_id, now, is_whole=slot.is_whole)
+        elif (state := dispatcher.table.get(slot.server.name)) is not None:
+            state.record_end(now)
+        self.pump()
+
+    # -- queue -------------------------------------------------------------
+
+    def pump(self) -> None:
+        """Carry out the decisions that are due."""
+        if self._is_pumping:
+            self._must_pump = True
+            return
+        self._is_pumping = True
+        try:
+            self._must_pump = True
+            while self._must_pump:
+                self._must_pump = False
+                self._carry_out()
+        finally:
+            self._is_pumping = False
+        self._schedule_recheck()
+
+    def _carry_out(self) -> None:
+        now = time.monotonic()
+        self._try_resumes(now)
+        decisions = self.scheduler.next_dispatches(now)
+        for dispatch in decisions.dispatches:
+            self._grant(self._waiters.pop(dispatch.item.item_id, None), dispatch)
+        for refusal in decisions.refusals:
+            self._refuse(refusal)
+
+    def _submit(self, waiter: _Waiter) -> None:
+        now = time.monotonic()
+        if waiter.wish.retry:
+            refusal = self.scheduler.requeue(waiter.item, waiter.wish.excluded, now)
+        else:
+            refusal = self.scheduler.submit(waiter.item, now)
+        if refusal is not None:
+            self._refuse(refusal)
+
+    def _try_resumes(self, now: float) -> None:
+        for item_id, waiter in list(self._resumes.items()):
+            dispatch = self.scheduler.dispatcher.route_resume(
+                waiter.item, waiter.wish.excluded, now
+            )
+            if dispatch is not None:
+                del self._resumes[item_id]
+                self._grant(waiter, dispatch)
+            elif now >= waiter.wish.deadline:
+                del self._resumes[item_id]
+                waiter.granted.errback(_describe_unavailable())
+
+    def _grant(self, waiter: _Waiter | None, dispatch: Dispatch) -> None:
+        server = self._servers.find(dispatch.choice.server.name)
+        if waiter is None or server is None:
+            self.scheduler.cancel(dispatch.item.item_id, time.monotonic())
+            return
+        server.in_flight += 1
+        slot = PolicySlot(server=server, item_id=dispatch.item.item_id, scheduling=self)
+        slot.priority = dispatch.engine_priority
+        waiter.granted.callback(slot)
+
+    def _refuse(self, refusal: Refusal) -> None:
+        waiter = self._waiters.pop(refusal.item.item_id, None)
+        if waiter is not None:
+            waiter.granted.errback(_describe_refusal(refusal))
+
+    def _forget(self, item_id: str) -> None:
+        self._waiters.pop(item_id, None)
+        self._resumes.pop(item_id, None)
+        self.scheduler.cancel(item_id, time.monotonic())
+
+    def _schedule_recheck(self) -> None:
+        if not self._waiters and not self._resumes:
+            return
+        if self._recheck is None or not self._recheck.active():
+            self._recheck = self._reactor.callLater(RECHECK_PERIOD_S, self.pump)
+
+    # -- what the scheduler knows ------------------------------------------
+
+    def _describe(self, wish: SlotWish) -> WorkItem:
+        request = wish.request
+        digests, tokens = hash_prefixes(request)
+        return WorkItem(
+            item_id=f"{request.run_id}/{next(self._numbers)}",
+            workspace=request.workspace,
+            class_name=request.class_name,
+            model=request.model,
+            prompt_tokens=request.prompt_tokens,
+            max_tokens=request.max_tokens,
+            prefix_digests=digests,
+            prefix_tokens=tokens,
+            arrival=wish.arrival,
+        )
+
+    def _take_declaration(self, declaration: Declaration) -> None:
+        targets = {
+            name: ClassTargets(
+                first_token_ms=each.first_token_ms,
+                gap_ms=each.gap_ms,
+                resume_ms=each.resume_ms,
+                may_wait_ms=each.may_wait_ms,
+            )
+            for name, each in declaration.classes.items()
+        }
+        self.scheduler.replace_policies(derive_policies(targets))
+        self._take_servers()
+        self.pump()
+
+    def _take_servers(self) -> None:
+        declaration = self._configuration.declaration
+        if declaration is None:
+            return
+        entries = [
+            ServerEntry(
+                name=server.name,
+                address=server.address,
+                data_centre=server.data_centre,
+                region=server.region,
+                models=_list_models(declaration.pools[server.pool]),
+                is_leaving=server.leaving,
+            )
+            for server in self._servers.in_pools(declaration.pools)
+        ]
+        self.scheduler.dispatcher.replace_servers(entries)
+
+
+def _list_models(pool: Pool) -> frozenset[str]:
+    if pool.kind is PoolKind.SERVICE:
+        return frozenset({f"service/{pool.service}"})
+    return frozenset(pool.models)
+
+
+def hash_prefixes(
+    request: GenerationRequest,
+) -> tuple[tuple[str, ...], tuple[int, ...]]:
+    """Return digests of prefixes of the prompt that double in length.
+
+    Parameters
+    ----------
+    request : GenerationRequest
+
+    Returns
+    -------
+    tuple of tuples
+        Digests as engines name them, and the tokens that each prefix has.
+    """
+    digests: list[str] = []
+    tokens: list[int] = []
+    hashed = hashlib.sha256()
+    done = 0
+    for power in range(MAX_PREFIXES):
+        length = PREFIX_BLOCK_CHARACTERS << power
+        if length > len(request.prompt):
+            break
+        hashed.update(request.prompt[done:length].encode())
+        done = length
+        digests.append(hashed.hexdigest()[:16])
+        tokens.append(length // CHARACTERS_PER_TOKEN)
+    return tuple(digests), tuple(tokens)
+
+
+def _describe_refusal(refusal: Refusal) -> RequestFailure:
+    return RequestFailure(
+        Outcome(
+            tag=OutcomeTag.NOT_RUN,
+            step="admit",
+            peer="self",
+            reason=str(refusal.reason),
+            status=REFUSED_STATUS,
+            retry_after_s=round(refusal.retry_after_s, 2),
+        )
+    )
+
+
+def _describe_unavailable() -> RequestFailure:
+    return RequestFailure(
+        Outcome(
+            tag=OutcomeTag.NOT_RUN,
+            step="route",
+            peer="self",
+            reason="no backend server could take the request in time",
+            status=REFUSED_STATUS,
+            retry_after_s=1.0,
+        )
+    )
--- a/packages/node/src/ebonyhaven_node/_settings.py
+++ b/packages/node/src/ebonyhaven_node/_settings.py
@@ -8,12 +8,14 @@
 from typing import Any
 
 import attrs
+from ebonyhaven_decisions import Scheduling
 
 from ebonyhaven_node.exceptions import SettingsError
 
 _ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 RESUME_MODES = ("continue", "restart")
+SCHEDULINGS = tuple(each.value for each in Scheduling)
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -36,6 +38,9 @@
         Seed of the node's random source; 0 takes one from the system.
     resume : str
         ``continue``, or ``restart`` for the baseline of measurements.
+    scheduling : str
+        ``fair``; ``round_robin`` and ``least_connections`` are baselines of
+        measurements.
     """
 
     instance: str
@@ -46,6 +51,7 @@
     platform_address: str
     seed: int = 0
     resume: str = "continue"
+    scheduling: str = "fair"
 
 
 def _check_name(key: str, value: Any) -> None:
@@ -71,6 +77,11 @@
         raise SettingsError(key, f"one of {', '.join(RESUME_MODES)}", value)
 
 
+def _check_scheduling(key: str, value: Any) -> None:
+    if value not in SCHEDULINGS:
+        raise SettingsError(key, f"one of {', '.join(SCHEDULINGS)}", value)
+
+
 _CHECKS = {
     "instance": _check_name,
     "data_centre": _check_name,
@@ -80,6 +91,7 @@
     "platform_address": _check_address,
     "seed": _check_integer,
     "resume": _check_resume,
+    "scheduling": _check_scheduling,
 }
 
 
--- a/packages/standins/src/ebonyhaven_standins/scenario/_deployments.py
+++ b/packages/standins/src/ebonyhaven_standins/scenario/_deployments.py
@@ -61,6 +61,8 @@
         Names of the workspaces.
     seed : int
         Seed of all processes.
+    node_settings : mapping of str to object
+        Further settings of the instances.
     """
 
     region: str
@@ -69,6 +71,7 @@
     workspaces: Sequence[str]
     services: Sequence[ServerPlan] = ()
     seed: int = 1
+    node_settings: Mapping[str, Any] = attrs.Factory(dict)
 
     def make_declaration(self) -> dict[str, Any]:
         """Return the declaration with one class of each workload."""
@@ -145,6 +148,7 @@
             region=deployment.region,
             seed=deployment.seed,
             wait=False,
+            **deployment.node_settings,
         )
     cluster.wait_until_ready()
     return version
--- /dev/null
+++ b/tests/node/test_policy_scheduling.py
@@ -0,0 +1,179 @@
+from __future__ import annotations
+
+import random
+
+from ebonyhaven_decisions import (
+    OutcomeTag,
+    Place,
+    RequestFailure,
+    Scheduling,
+    build_scheduler,
+    parse_declaration,
+)
+from ebonyhaven_node._configured import ConfigurationInForce
+from ebonyhaven_node._policy_scheduling import PolicyScheduling, hash_prefixes
+from ebonyhaven_node._requests import GenerationRequest
+from ebonyhaven_node._scheduling import SlotWish
+from ebonyhaven_node._servers import BackendServers, ReportedLoad
+from ebonyhaven_platform import ListedProcess
+from ebonyhaven_standins.engine import hash_prefixes as hash_engine_prefixes
+from twisted.internet import task
+from twisted.internet.defer import CancelledError, ensureDeferred
+
+DECLARATION = {
+    "classes": {
+        "look-up": {
+            "first_token_ms": 500,
+            "gap_ms": 62,
+            "resume_ms": 1000,
+            "may_wait_ms": 0,
+        },
+        "analysis": {
+            "first_token_ms": 8000,
+            "gap_ms": 100,
+            "resume_ms": 2000,
+            "may_wait_ms": 60000,
+            "default": True,
+        },
+    },
+    "models": {"dossier": {"adapters": [], "versions": ["1"]}},
+    "pools": {
+        "drafting": {"kind": "engine", "models": ["dossier"], "checks_fence": True}
+    },
+    "workspaces": {"studio-a": {}},
+}
+
+
+def build_scheduling(servers=1, capacity=2):
+    configuration = ConfigurationInForce()
+    known = BackendServers()
+    scheduling = PolicyScheduling(
+        scheduler=build_scheduler(
+            Scheduling.FAIR,
+            {},
+            place=Place("dc-a", "r1"),
+            random_source=random.Random(1),
+            now=0.0,
+        ),
+        servers=known,
+        configuration=configuration,
+        reactor=task.Clock(),
+    )
+    configuration.replace(parse_declaration(DECLARATION), 1)
+    known.merge_list(
+        ListedProcess(
+            name=f"s{index}",
+            kind="backend_server",
+            address=f"127.0.0.1:{9000 + index}",
+            pool="drafting",
+            data_centre="dc-a",
+            region="r1",
+            identity="1",
+        )
+        for index in range(servers)
+    )
+    for index in range(servers):
+        known.find(f"s{index}").record_load(ReportedLoad(0, 0, capacity, 0.03))
+    return scheduling, known
+
+
+def make_wish(class_name="analysis", **options):
+    request = GenerationRequest(
+        workspace="studio-a",
+        class_name=class_name,
+        key="k",
+        repeatable=True,
+        first_submission=True,
+        model="dossier",
+        prompt="x" * 300,
+        adapter=None,
+        max_tokens=100,
+        last_event=None,
+        received=None,
+    )
+    return SlotWish(
+        request=request, pools=frozenset({"drafting"}), deadline=0.0, **options
+    )
+
+
+def acquire(scheduling, *args, **options):
+    granted = ensureDeferred(scheduling.acquire(make_wish(*args, **options)))
+    results = []
+    granted.addBoth(results.append)
+    return granted, results
+
+
+def test_slot_is_counted_until_it_is_released():
+    scheduling, known = build_scheduling()
+    _, results = acquire(scheduling)
+    slot = results[0]
+    assert known.find("s0").in_flight == 1
+    slot.record_tokens(3)
+    slot.release()
+    slot.release()
+    assert known.find("s0").in_flight == 0
+    assert len(scheduling.scheduler.dispatcher.flights) == 0
+
+
+def test_waiting_request_gets_the_slot_that_is_released():
+    scheduling, _ = build_scheduling(capacity=2)
+    _, first = acquire(scheduling)
+    _, second = acquire(scheduling)
+    assert second == []
+    first[0].release()
+    assert second[0].held
+    assert second[0].priority == 1
+
+
+def test_request_without_server_is_refused_at_once_with_a_retry_time():
+    scheduling, _ = build_scheduling(servers=0)
+    _, results = acquire(scheduling, "look-up")
+    outcome = results[0].value.outcome
+    assert results[0].check(RequestFailure)
+    assert outcome.tag is OutcomeTag.NOT_RUN
+    assert outcome.retry_after_s > 0.0
+
+
+def test_cancelled_wait_leaves_no_request_behind():
+    scheduling, known = build_scheduling(capacity=2)
+    _, first = acquire(scheduling)
+    granted, second = acquire(scheduling)
+    granted.cancel()
+    assert second[0].check(CancelledError)
+    assert len(scheduling.scheduler) == 0
+    first[0].release()
+    assert known.find("s0").in_flight == 0
+
+
+def test_unreachable_server_gets_no_work_until_it_answers():
+    scheduling, known = build_scheduling(servers=2)
+    known.find("s0").record_unreachable(0.0)
+    _, results = acquire(scheduling)
+    assert results[0].server.name == "s1"
+    known.find("s0").record_answer()
+    _, results = acquire(scheduling)
+    assert results[0].server.name == "s0"
+
+
+def test_resume_is_not_queued_behind_new_requests():
+    scheduling, _ = build_scheduling(capacity=2)
+    acquire(scheduling)
+    _, waiting = acquire(scheduling)
+    _, resumed = acquire(scheduling, resume=True)
+    assert waiting == []
+    assert resumed[0].server.name == "s0"
+
+
+def test_retries_beyond_the_budget_are_refused():
+    scheduling, _ = build_scheduling(capacity=16)
+    outcomes = [acquire(scheduling, retry=True)[1][0] for _ in range(4)]
+    assert hasattr(outcomes[0], "release")
+    assert outcomes[-1].check(RequestFailure)
+
+
+def test_prefixes_are_named_as_engines_name_them():
+    request = make_wish().request
+    digests, tokens = hash_prefixes(request)
+    assert tokens == (16, 32, 64)
+    named = hash_engine_prefixes(request.prompt)
+    assert list(digests) == [named[0], named[1], named[3]]
