--- a/packages/node/src/ebonyhaven_node/_drivers.py
+++ b/packages/node/src/ebonyhaven_node/_drivers.py
@@ -621,20 +621,26 @@
         """Attach to a run that must not be started again, or say ``unknown``."""
         deadline = time.monotonic() + self._targets.first_token_s
         offset = len(self._run.texts)
+        retry_after_s: float | None = RETRY_AFTER_S
         while server is not None:
             try:
                 await self._attach(server, offset=offset, timeout_s=self._accept_s())
                 return
-            except (EngineRefusal, EngineLost):
-                if time.monotonic() > deadline:
+            except EngineRefusal as refusal:
+                if refusal.reason == CONNECTION_REFUSED:
+                    retry_after_s = None
                     break
+            except EngineLost:
+                pass
+            if time.monotonic() > deadline:
+                break
             await task.deferLater(self._parts.reactor, ATTACH_RETRY_DELAY_S)
         raise self._failure(
             OutcomeTag.UNKNOWN,
             "attach",
             "the request may have run, and its run cannot be attached to",
             peer="unknown" if server is None else server.name,
-            retry_after_s=RETRY_AFTER_S,
+            retry_after_s=retry_after_s,
         )
 
     async def _attach(
--- a/packages/standins/src/ebonyhaven_standins/caller/_caller.py
+++ b/packages/standins/src/ebonyhaven_standins/caller/_caller.py
@@ -207,7 +207,8 @@
             "Ebonyhaven-Repeatable": "yes" if request.repeatable else "no",
             "Idempotency-Key": request.key,
         }
-        first = len(record["connections"]) == 1
+        earlier = record["connections"][:-1]
+        first = all(connection["outcome"] == "not_run" for connection in earlier)
         headers["Ebonyhaven-First-Submission"] = "yes" if first else "no"
         last_event_id = record["connections"][-1]["last_event_id"]
         if last_event_id is not None:
