--- a/packages/standins/src/ebonyhaven_standins/cluster/__init__.py
+++ b/packages/standins/src/ebonyhaven_standins/cluster/__init__.py
@@ -18,6 +18,7 @@
 from ebonyhaven_standins.cluster._exceptions import ProcessError
 from ebonyhaven_standins.cluster._fault_proxy import FaultProxyCaller
 from ebonyhaven_standins.cluster._platform import PlatformCaller
+from ebonyhaven_standins.cluster._process_set import ProcessSet
 from ebonyhaven_standins.cluster._processes import ChildProcess
 
 __all__ = [
@@ -33,6 +34,7 @@
     "FaultProxyCaller",
     "PlatformCaller",
     "ProcessError",
+    "ProcessSet",
     "allocate_address",
     "derive_block",
     "find_binary",
