Answer entry lists from the membership

The composition root starts the membership before the other controllers. Entry lists no longer come from the platform's lagging list: only live instances are offered, near and idle ones first, in weighted random order. Load is the share of a core that the process uses, since all requests share one thread. Settings gain seeds, for a start while the platform is out, and two switches for development.

--- a/packages/decisions/src/ebonyhaven_decisions/_entries.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_entries.py
@@ -5,7 +5,7 @@
 import math
 import random
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from ebonyhaven_decisions._loads import OVERLOAD_TENTHS
 
@@ -40,8 +40,8 @@
         """Whether it is to be offered only after all others."""
         return self.load * 10 >= OVERLOAD_TENTHS
 
-    def to_json(self) -> dict[str, object]:
-        """Return the entry as callers get it."""
+    def describe(self) -> dict[str, Any]:
+        """Return the entry as JSON values."""
         return {
             "instance": self.name,
             "address": self.address,
@@ -64,6 +64,11 @@
     entries: tuple[EntryCandidate, ...]
     keep_s: float
 
+    def describe(self) -> dict[str, Any]:
+        """Return the answer as JSON values."""
+        entries = [entry.describe() for entry in self.entries]
+        return {"entries": entries, "keep_s": self.keep_s}
+
 
 def _rank_distance(candidate: EntryCandidate, data_centre: str, region: str) -> int:
     if candidate.data_centre == data_centre:
--- a/packages/node/src/ebonyhaven_node/_channels.py
+++ b/packages/node/src/ebonyhaven_node/_channels.py
@@ -29,6 +29,7 @@
 IDLE_S = 10.0
 MAX_MESSAGE_BYTES = 1 << 20
 MAX_MESSAGES_PER_WAKEUP = 64
+DIRECTIONS = ("sent", "received")
 
 _log = structlog.get_logger()
 
@@ -62,6 +63,26 @@
             ["reason"],
             registry=registry,
         )
+        self._bound_messages = {
+            (direction, kind): self.messages.labels(direction, kind.name.lower())
+            for direction in DIRECTIONS
+            for kind in Kind
+        }
+        self._bound_bytes = {each: self.bytes.labels(each) for each in DIRECTIONS}
+
+    def count_message(self, direction: str, kind: Kind, size: int) -> None:
+        """Count one message.
+
+        Parameters
+        ----------
+        direction : str
+            ``"sent"`` or ``"received"``.
+        kind : Kind
+        size : int
+            Bytes with the length header.
+        """
+        self._bound_messages[direction, kind].inc()
+        self._bound_bytes[direction].inc(size)
 
 
 @attrs.define(slots=True)
@@ -194,7 +215,7 @@
         except pynng.NNGException:
             self._metrics.dropped.labels("queue_full").inc()
             return False
-        self._count("sent", frame.kind, len(data))
+        self._metrics.count_message("sent", frame.kind, len(data) + NNG_HEADER_BYTES)
         return True
 
     def close_idle(self) -> None:
@@ -245,7 +266,8 @@
         except FrameError:
             self._metrics.dropped.labels("malformed").inc()
             return
-        self._count("received", frame.kind, len(data))
+        size = len(data) + NNG_HEADER_BYTES
+        self._metrics.count_message("received", frame.kind, size)
         handler = self._handlers.get(frame.kind)
         if handler is None:
             self._metrics.dropped.labels("no_handler").inc()
@@ -254,8 +276,4 @@
             handler(frame)
         except Exception:  # the reactor would stop reading from this socket
             self._metrics.dropped.labels("handler_failed").inc()
-            _log.exception("message not handled", step="receive", peer=frame.sender)
-
-    def _count(self, direction: str, kind: Kind, size: int) -> None:
-        self._metrics.messages.labels(direction, kind.name.lower()).inc()
-        self._metrics.bytes.labels(direction).inc(size + NNG_HEADER_BYTES)
+            _log.exception("message_not_handled", step="receive", peer=frame.sender)
--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -21,11 +21,11 @@
 from twisted.internet.interfaces import IReactorCore
 from twisted.web.server import Site
 
+from ebonyhaven_node._channels import ChannelMetrics, ChannelOptions, Channels
 from ebonyhaven_node._claims import ClaimController
 from ebonyhaven_node._configured import ConfigurationInForce
 from ebonyhaven_node._drivers import DriverParts
 from ebonyhaven_node._engines import EngineClient
-from ebonyhaven_node._entries import Entry, EntryList
 from ebonyhaven_node._exchanges import build_chain
 from ebonyhaven_node._filters import (
     AccountFilter,
@@ -34,17 +34,18 @@
     RelayFilter,
     ValidateFilter,
 )
+from ebonyhaven_node._membership import MembershipController, make_own_record
 from ebonyhaven_node._metrics import RelayMetrics
 from ebonyhaven_node._orphans import OrphanController
 from ebonyhaven_node._policy_scheduling import PolicyScheduling
 from ebonyhaven_node._pollers import ConfigurationPoller
+from ebonyhaven_node._processor_load import ProcessorLoad
 from ebonyhaven_node._runs import RunRegistry
 from ebonyhaven_node._servers import BackendServerController, BackendServers
 from ebonyhaven_node._services import ServiceRelay
 from ebonyhaven_node._settings import Settings
 from ebonyhaven_node._web import CallerInterface, InstanceState
 
-ENTRY_KEEP_S = 5.0
 DRAIN_CHECK_S = 0.1
 LEAVING_NOTICE_S = 1.0
 
@@ -75,6 +76,7 @@
 
     def start(self) -> None:
         """Start the controllers and listen for callers."""
+        self._membership = self._build_membership()
         transport = PlatformTransport(self._reactor, self._settings.platform_address)
         self._stack.callback(transport.close)
         self._start_controllers(transport)
@@ -91,13 +93,46 @@
         if self._state.leaving:
             return
         self._state.leaving = True
+        self._membership.leave()
         _log.info("node_leaving", open_runs=len(self._runs.active()))
         await task.deferLater(self._reactor, LEAVING_NOTICE_S)
         while any(run.sinks for run in self._runs.active()):
             await task.deferLater(self._reactor, DRAIN_CHECK_S)
+        await self._membership.depart()
         self._stack.close()
         _log.info("node_stopped")
 
+    def _build_membership(self) -> MembershipController:
+        settings = self._settings
+        channels = Channels(
+            reactor=self._reactor,
+            address=settings.control_address,
+            metrics=ChannelMetrics(self._registry),
+            rng=self._rng,
+            options=ChannelOptions(
+                loss=settings.control_loss, routes=settings.control_routes
+            ),
+        )
+        self._stack.callback(channels.close)
+        membership = MembershipController(
+            own=make_own_record(
+                name=settings.instance,
+                control_address=settings.control_address,
+                caller_address=settings.caller_address,
+                data_centre=settings.data_centre,
+                region=settings.region,
+            ),
+            channels=channels,
+            reactor=self._reactor,
+            rng=self._rng,
+            registry=self._registry,
+        )
+        self._stack.callback(membership.stop)
+        membership.set_load_source(ProcessorLoad().read)
+        membership.set_seeds(settings.control_seeds)
+        membership.start()
+        return membership
+
     def _start_controllers(self, transport: PlatformTransport) -> None:
         poller = ConfigurationPoller(
             table=TableClient(transport),
@@ -111,6 +146,9 @@
             reactor=self._reactor,
             rng=self._rng,
         )
+        self._servers.observe(
+            lambda: self._membership.merge_list(self._servers.instances)
+        )
         for controller in (poller, servers):
             self._stack.callback(controller.stop)
             ensureDeferred(controller.run())
@@ -141,7 +179,7 @@
         return CallerInterface(
             chain=chain,
             services=services,
-            entries=self._list_entries,
+            entries=self._membership.choose_entries,
             state=self._state,
             configuration=self._configuration,
             registry=self._registry,
@@ -191,18 +229,3 @@
             rng=self._rng,
             continue_runs=self._settings.resume == "continue",
         )
-
-    def _list_entries(self) -> EntryList:
-        own = Entry(
-            instance=self._settings.instance,
-            address=self._settings.caller_address,
-            data_centre=self._settings.data_centre,
-            load=0.0,
-        )
-        others = [
-            Entry(item.name, item.address, item.data_centre, 0.0)
-            for item in self._servers.instances
-            if item.name != own.instance and item.state == "live"
-        ]
-        entries = others if self._state.leaving else [own, *others]
-        return EntryList(entries=tuple(entries), keep_s=ENTRY_KEEP_S)
--- a/packages/node/src/ebonyhaven_node/_membership.py
+++ b/packages/node/src/ebonyhaven_node/_membership.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import structlog
@@ -120,6 +120,7 @@
         self._observers: list[Callable[[MemberRecord], None]] = []
         self._load_source: Callable[[], float] = lambda: 0.0
         self._listed_leaving: frozenset[str] = frozenset()
+        self._seeds: dict[str, str] = {}
         self._changed_at = clock()
         self._flushed_at = clock()
         self._flush_call: Any = None
@@ -173,6 +174,17 @@
         self._send_all(self._membership.depart(self._clock()))
         return task.deferLater(self._reactor, DEPARTURE_S, lambda: None)
 
+    def set_seeds(self, addresses: Mapping[str, str]) -> None:
+        """Set instances to contact besides those on the platform's list.
+
+        Parameters
+        ----------
+        addresses : mapping of str to str
+            Control addresses by name.
+        """
+        self._seeds = dict(addresses)
+        self._membership.set_listed(self._seeds)
+
     def merge_list(self, instances: Iterable[ListedProcess]) -> None:
         """Take in the instances on the platform's lagging list.
 
@@ -184,9 +196,10 @@
         self._listed_leaving = frozenset(
             item.name for item in listed if item.state == "leaving"
         )
-        self._membership.set_listed(
-            {item.name: item.control_address for item in listed if item.control_address}
-        )
+        addresses = {
+            item.name: item.control_address for item in listed if item.control_address
+        }
+        self._membership.set_listed(self._seeds | addresses)
 
     def add_digest(self, digest: Digest) -> None:
         """Let a kind of state ride on the heartbeats.
@@ -311,7 +324,7 @@
         for record in self._membership.take_changes():
             self._changed_at = now
             _log.info(
-                "instance changed",
+                "instance_changed",
                 peer=record.name,
                 state=record.state.name.lower(),
                 incarnation=record.incarnation,
@@ -320,7 +333,7 @@
                 observer(record)
         if self._membership.superseded and not self._superseded:
             self._superseded = True
-            _log.error("another process runs under the name of this instance")
+            _log.error("instance_superseded")
         if self._membership.has_news:
             self._schedule_flush()
 
--- a/packages/node/src/ebonyhaven_node/_settings.py
+++ b/packages/node/src/ebonyhaven_node/_settings.py
@@ -41,6 +41,13 @@
     scheduling : str
         ``fair``; ``round_robin`` and ``least_connections`` are baselines of
         measurements.
+    control_seeds : dict of str to str
+        Control addresses of some instances by name, for a start while the
+        platform's list is out.
+    control_loss : float
+        Share of the messages to other instances that is dropped; for development.
+    control_routes : dict of str to str
+        Address to connect to in place of a control address; for development.
     """
 
     instance: str
@@ -52,6 +59,9 @@
     seed: int = 0
     resume: str = "continue"
     scheduling: str = "fair"
+    control_seeds: dict[str, str] = attrs.field(factory=dict)
+    control_loss: float = 0.0
+    control_routes: dict[str, str] = attrs.field(factory=dict)
 
 
 def _check_name(key: str, value: Any) -> None:
@@ -82,6 +92,28 @@
         raise SettingsError(key, f"one of {', '.join(SCHEDULINGS)}", value)
 
 
+def _check_seeds(key: str, value: Any) -> None:
+    if not isinstance(value, dict):
+        raise SettingsError(key, "an object of names and addresses", value)
+    for name, address in value.items():
+        _check_name(f"{key} key", name)
+        _check_address(f"{key}.{name}", address)
+
+
+def _check_routes(key: str, value: Any) -> None:
+    if not isinstance(value, dict):
+        raise SettingsError(key, "an object of addresses", value)
+    for address, route in value.items():
+        _check_address(f"{key} key", address)
+        _check_address(f"{key}.{address}", route)
+
+
+def _check_share(key: str, value: Any) -> None:
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not number or not 0 <= value <= 1:
+        raise SettingsError(key, "a number between 0 and 1", value)
+
+
 _CHECKS = {
     "instance": _check_name,
     "data_centre": _check_name,
@@ -92,6 +124,9 @@
     "seed": _check_integer,
     "resume": _check_resume,
     "scheduling": _check_scheduling,
+    "control_seeds": _check_seeds,
+    "control_loss": _check_share,
+    "control_routes": _check_routes,
 }
 
 
--- a/packages/node/src/ebonyhaven_node/_web.py
+++ b/packages/node/src/ebonyhaven_node/_web.py
@@ -6,14 +6,13 @@
 from collections.abc import Callable
 
 import attrs
-from ebonyhaven_decisions import RequestFailure
+from ebonyhaven_decisions import EntryList, RequestFailure
 from klein import Klein
 from prometheus_client import CollectorRegistry, generate_latest
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.web.http import Request
 
 from ebonyhaven_node._configured import ConfigurationInForce
-from ebonyhaven_node._entries import EntryList
 from ebonyhaven_node._exchanges import Exchange, Proceed
 from ebonyhaven_node._requests import MAX_BODY_BYTES, decode_body
 from ebonyhaven_node._services import ServiceRelay
--- a/packages/standins/src/ebonyhaven_standins/control_node.py
+++ b/packages/standins/src/ebonyhaven_standins/control_node.py
@@ -14,6 +14,7 @@
 import sys
 
 import attrs
+import structlog
 from ebonyhaven_node import (
     ChannelMetrics,
     ChannelOptions,
@@ -21,7 +22,6 @@
     MembershipController,
     make_own_record,
 )
-from ebonyhaven_platform import ListedProcess
 from klein import Klein
 from prometheus_client import CollectorRegistry, generate_latest
 from twisted.internet import reactor
@@ -102,20 +102,13 @@
         )
         self.stack.callback(self.membership.stop)
         self.membership.set_load_source(lambda: settings.load)
-        self.membership.merge_list(
-            ListedProcess(
-                name=name, kind="instance", address="", control_address=address
-            )
-            for name, address in settings.seeds.items()
-        )
+        self.membership.set_seeds(settings.seeds)
         self.membership.start()
 
     @app.route("/v1/entries")
     def get_entries(self, request: IRequest) -> str:
         """Answer which instances to use."""
-        answer = self.membership.choose_entries()
-        entries = [entry.to_json() for entry in answer.entries]
-        return json.dumps({"entries": entries, "keep_s": answer.keep_s})
+        return json.dumps(self.membership.choose_entries().describe())
 
     @app.route("/members")
     def get_members(self, request: IRequest) -> str:
@@ -140,6 +133,17 @@
         return "{}"
 
 
+def _configure_logs() -> None:
+    structlog.configure(
+        processors=[
+            structlog.processors.TimeStamper(fmt=None),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+
+
 def main(arguments: list[str]) -> None:
     """Run until the process is told to stop.
 
@@ -150,6 +154,7 @@
     """
     path = pathlib.Path(arguments[arguments.index(SETTINGS_OPTION) + 1])
     settings = ControlNodeSettings(**json.loads(path.read_text()))
+    _configure_logs()
     node = ControlNode(settings)
     host, port = settings.caller_address.split(":")
     reactor.listenTCP(int(port), Site(node.app.resource()), interface=host)
--- a/tests/integration/test_membership.py
+++ b/tests/integration/test_membership.py
@@ -1,15 +1,25 @@
 from __future__ import annotations
 
-from tests.control_nodes import ControlNodes, wait_until
+import time
 
+from ebonyhaven_standins.control_nodes import ControlNodes
+
+DEADLINE_S = 40.0
 OUT_OF_LISTS_S = 3.0
 COUNT = 6
 
 
+def wait_until(condition) -> float:
+    started = time.monotonic()
+    while not condition():
+        assert time.monotonic() - started < DEADLINE_S, "not reached in time"
+        time.sleep(0.02)
+    return time.monotonic() - started
+
+
 def start_settled(count: int = COUNT) -> ControlNodes:
     nodes = ControlNodes(count)
-    everybody = set(nodes.names)
-    wait_until(lambda: all(nodes.live(name) == everybody for name in nodes.names))
+    wait_until(nodes.agree)
     return nodes
 
 
@@ -17,33 +27,32 @@
     with start_settled() as nodes:
         others = [name for name in nodes.names if name != "n1"]
         nodes.child("n1").kill()
-        took_s = wait_until(lambda: all("n1" not in nodes.live(n) for n in others))
+        took_s = wait_until(lambda: all("n1" not in nodes.list_live(n) for n in others))
         assert took_s <= OUT_OF_LISTS_S, took_s
-        assert all("n1" not in nodes.offered(name) for name in others)
+        assert all("n1" not in nodes.list_offered(name) for name in others)
         nodes.start("n1", wait=True)
-        everybody = set(nodes.names)
-        wait_until(lambda: all(nodes.live(name) == everybody for name in nodes.names))
+        wait_until(nodes.agree)
 
 
 def test_paused_instance_is_offered_again_after_it_goes_on():
     with start_settled() as nodes:
         others = [name for name in nodes.names if name != "n1"]
         nodes.child("n1").pause()
-        wait_until(lambda: all("n1" not in nodes.live(n) for n in others))
+        wait_until(lambda: all("n1" not in nodes.list_live(n) for n in others))
         nodes.child("n1").resume()
-        wait_until(lambda: all("n1" in nodes.live(name) for name in others))
-        wait_until(lambda: nodes.live("n1") == set(nodes.names))
+        wait_until(lambda: all("n1" in nodes.list_live(name) for name in others))
+        wait_until(lambda: nodes.list_live("n1") == set(nodes.names))
 
 
 def test_leaving_instance_is_offered_by_nobody():
     with start_settled(3) as nodes:
         nodes.call("n1", "/leave", method="POST")
-        wait_until(lambda: all("n1" not in nodes.live(n) for n in nodes.names))
-        assert all("n1" not in nodes.offered(name) for name in ("n0", "n2"))
+        wait_until(lambda: all("n1" not in nodes.list_live(n) for n in nodes.names))
+        assert all("n1" not in nodes.list_offered(name) for name in ("n0", "n2"))
 
 
 def test_survivor_of_two_offers_only_itself():
     with start_settled(2) as nodes:
         nodes.child("n1").kill()
-        took_s = wait_until(lambda: nodes.offered("n0") == {"n0"})
+        took_s = wait_until(lambda: nodes.list_offered("n0") == {"n0"})
         assert took_s <= OUT_OF_LISTS_S, took_s
