Fit slopes of control state and membership traffic

Part of the slope tool: bytes per peer, backend server and workspace, and membership messages of up to 390 instances on a virtual clock.

--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/slopes/_membership.py
@@ -0,0 +1,178 @@
+"""Membership at the size of the target, on a virtual clock.
+
+Only the decision objects run: each message is encoded as on the wire and given
+to the receiver's object, so sizes and processor time are those of the node's own
+code and no process or socket takes part.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import time
+from typing import Any, NamedTuple
+
+from ebonyhaven_decisions import (
+    TICK_S,
+    Envelope,
+    Heartbeat,
+    Membership,
+    MemberState,
+)
+from ebonyhaven_standins.slopes._fits import Point
+from ebonyhaven_standins.slopes._memory import make_member
+from ebonyhaven_standins.slopes._rows import Measurement, make_measurement
+
+INSTANCE_COUNTS = (9, 50, 150, 390)
+SETTLING_S = 10.0
+WINDOW_S = 10.0
+DELAY_S = 0.002
+
+
+class Traffic(NamedTuple):
+    """What all instances of a group spent in some seconds."""
+
+    messages: int
+    bytes: int
+    processor_s: float
+
+
+class Group:
+    """Membership views of many instances that exchange messages in memory.
+
+    Parameters
+    ----------
+    count : int
+        Number of instances.
+    seed : int
+    """
+
+    def __init__(self, count: int, *, seed: int = 1) -> None:
+        rng = random.Random(seed)
+        self.now = 1000.0
+        self.stopped: set[str] = set()
+        self.cut: set[frozenset[str]] = set()
+        self.messages = self.bytes = 0
+        self.processor_s = 0.0
+        self._events: list[tuple[float, int, str, Any]] = []
+        self._sequence = 0
+        members = [make_member(number) for number in range(count)]
+        listed = {member.name: member.control_address for member in members}
+        self.members = {member.name: member for member in members}
+        self.views: dict[str, Membership] = {}
+        for member in members:
+            view = Membership(own=member, rng=random.Random(rng.random()), now=self.now)
+            view.set_listed(listed)
+            # Views start settled: a start of all at once is not what is measured.
+            for other in members:
+                view.table.merge(other, self.now)
+            self.views[member.name] = view
+            self._schedule(self.now + rng.random() * TICK_S, member.name, None)
+
+    def run(self, seconds: float) -> Traffic:
+        """Let virtual time pass and return what it cost.
+
+        Parameters
+        ----------
+        seconds : float
+
+        Returns
+        -------
+        Traffic
+        """
+        before = (self.messages, self.bytes, self.processor_s)
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            self.now, _, name, delivery = heapq.heappop(self._events)
+            self._handle(name, delivery)
+        self.now = end
+        return Traffic(
+            self.messages - before[0],
+            self.bytes - before[1],
+            self.processor_s - before[2],
+        )
+
+    def count_views(self, subjects: set[str], state: MemberState) -> int:
+        """Return how many running views hold any subject in another state."""
+        return sum(
+            any(
+                (record := view.table.get(subject)) is not None
+                and record.state is not state
+                for subject in subjects
+            )
+            for name, view in self.views.items()
+            if name not in self.stopped
+        )
+
+    def _handle(self, name: str, delivery: Any) -> None:
+        if delivery is None:
+            self._schedule(self.now + TICK_S, name, None)
+        if name in self.stopped:
+            return
+        view = self.views[name]
+        started = time.thread_time()
+        if delivery is None:
+            envelopes = view.tick(self.now)
+        else:
+            envelopes = view.receive(*delivery, self.now)
+        if view.has_news:
+            envelopes = envelopes + view.flush(self.now)
+        self.processor_s += time.thread_time() - started
+        for envelope in envelopes:
+            self._send(view, envelope)
+
+    def _send(self, view: Membership, envelope: Envelope) -> None:
+        target = envelope.name or self._find(envelope.address)
+        self.messages += 1
+        self.bytes += measure_envelope(view, envelope)
+        regions = frozenset({view.own.region, self.members[target].region})
+        if regions in self.cut:
+            return
+        delivery = (view.own.name, view.own.incarnation, envelope.message)
+        self._schedule(self.now + DELAY_S, target, delivery)
+
+    def _find(self, address: str) -> str:
+        return next(
+            name
+            for name, member in self.members.items()
+            if member.control_address == address
+        )
+
+    def _schedule(self, at: float, name: str, delivery: Any) -> None:
+        self._sequence += 1
+        heapq.heappush(self._events, (at, self._sequence, name, delivery))
+
+
+def measure_envelope(view: Membership, envelope: Envelope) -> int:
+    """Return the bytes of a message on the wire."""
+    from ebonyhaven_node._frames import NNG_HEADER_BYTES, Frame, encode_frame
+    from ebonyhaven_node._membership_codec import (
+        KINDS,
+        encode_heartbeat,
+        encode_message,
+    )
+
+    message = envelope.message
+    if isinstance(message, Heartbeat):
+        payload = encode_heartbeat(message, {})
+    else:
+        payload = encode_message(message)
+    kind = KINDS[type(message)]
+    frame = Frame(kind, view.own.name, view.own.incarnation, payload)
+    return len(encode_frame(frame)) + NNG_HEADER_BYTES
+
+
+def measure_membership() -> list[Measurement]:
+    """Measure messages, bytes and processor time of settled instances."""
+    points: dict[str, list[Point]] = {"messages": [], "bytes": [], "cpu": []}
+    for count in INSTANCE_COUNTS:
+        group = Group(count)
+        group.run(SETTLING_S)
+        traffic = group.run(WINDOW_S)
+        share = 1.0 / (count * WINDOW_S)
+        points["messages"].append(Point(count, traffic.messages * share))
+        points["bytes"].append(Point(count, traffic.bytes * share))
+        points["cpu"].append(Point(count, traffic.processor_s * 1e6 * share))
+    return [
+        make_measurement(f"membership_{key}", values) for key, values in points.items()
+    ]
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/slopes/_memory.py
@@ -0,0 +1,158 @@
+"""Bytes of control state, counted by the interpreter's allocator."""
+
+from __future__ import annotations
+
+import gc
+import random
+import tracemalloc
+from collections.abc import Callable, Iterable
+
+from ebonyhaven_decisions import (
+    MemberRecord,
+    Membership,
+    MemberState,
+    ServerEntry,
+    ServerReport,
+    ServerTable,
+    UsageLedger,
+)
+from ebonyhaven_standins.slopes._fits import Point
+from ebonyhaven_standins.slopes._rows import Measurement, make_measurement
+from prometheus_client import CollectorRegistry
+
+PEER_COUNTS = (50, 100, 200, 390)
+SERVER_COUNTS = (100, 200, 400, 730)
+WORKSPACE_COUNTS = (100, 230, 460, 920)
+MODELS = 10
+CLASSES = ("look-up", "analysis")
+NOW_S = 1000.0
+
+
+def count_bytes(build: Callable[[int], object], counts: Iterable[int]) -> list[Point]:
+    """Return the traced bytes of what a function builds at each count.
+
+    Parameters
+    ----------
+    build : callable
+        Builds and returns the state for a count.
+    counts : iterable of int
+
+    Returns
+    -------
+    list of Point
+    """
+    build(1)
+    points = []
+    for count in counts:
+        gc.collect()
+        tracemalloc.start()
+        before = tracemalloc.get_traced_memory()[0]
+        kept = build(count)
+        gc.collect()
+        points.append(Point(count, tracemalloc.get_traced_memory()[0] - before))
+        tracemalloc.stop()
+        del kept
+    return points
+
+
+def make_member(number: int) -> MemberRecord:
+    """Return the record of an instance in one of seven data centres."""
+    return MemberRecord(
+        incarnation=1_796_330_000_000 + number,
+        state=MemberState.LIVE,
+        name=f"instance-{number:04d}",
+        control_address=f"10.1.{number // 250}.{number % 250}:8201",
+        caller_address=f"10.1.{number // 250}.{number % 250}:8101",
+        data_centre=f"data-centre-{number % 7}",
+        region=f"region-{number % 7 // 4}",
+    )
+
+
+def make_server(number: int) -> ServerEntry:
+    """Return the entry of a backend server that serves one of ten models."""
+    return ServerEntry(
+        name=f"server-{number:04d}",
+        address=f"10.2.{number // 250}.{number % 250}:9000",
+        data_centre=f"data-centre-{number % 7}",
+        region=f"region-{number % 7 // 4}",
+        models=frozenset({f"model-{number % MODELS}"}),
+    )
+
+
+def build_membership(count: int) -> Membership:
+    """Return a view that knows and has heard from other instances."""
+    view = Membership(own=make_member(0), rng=random.Random(1), now=NOW_S)
+    members = [make_member(number) for number in range(1, count + 1)]
+    view.set_listed({member.name: member.control_address for member in members})
+    for member in members:
+        view.table.merge(member, NOW_S)
+    view.tick(NOW_S + 1.0)
+    return view
+
+
+def build_server_table(count: int) -> ServerTable:
+    """Return a table of backend servers that have all reported."""
+    table = ServerTable()
+    table.replace([make_server(number) for number in range(count)])
+    for state in table:
+        report = ServerReport(running=4, waiting=1, measured_at=NOW_S, capacity=16)
+        state.record_report(report, 62.0)
+        for _ in range(16):
+            state.record_dispatch(100, NOW_S)
+    return table
+
+
+def build_workspaces(count: int) -> list[object]:
+    """Return declared workspaces with their use of each class."""
+    from ebonyhaven_decisions import Workspace
+
+    ledger = UsageLedger(NOW_S)
+    declared = {}
+    for number in range(count):
+        name = f"workspace-{number:04d}"
+        declared[name] = Workspace(name=name, key_sha256=f"{number:064x}")
+        for class_name in CLASSES:
+            ledger.charge((class_name, name), 100.0, NOW_S)
+    return [ledger, declared]
+
+
+def build_metrics(count: int) -> object:
+    """Return the node's relay metrics with observations of each workspace."""
+    from ebonyhaven_node._metrics import RelayMetrics
+
+    metrics = RelayMetrics(CollectorRegistry())
+    observe_workspaces(metrics, count)
+    return metrics
+
+
+def observe_workspaces(metrics: object, count: int) -> None:
+    """Observe one first token, gap and resume of each workspace and class."""
+    for number in range(count):
+        for class_name in CLASSES:
+            labels = {"workspace": f"workspace-{number:04d}", "class_name": class_name}
+            metrics.observe_first_token(0.3, **labels)
+            metrics.observe_gap(0.03, **labels)
+            metrics.observe_resume(0.5, **labels)
+
+
+def measure_peer_state() -> Measurement:
+    """Measure the bytes of a peer in the membership view."""
+    return make_measurement("peer_state", count_bytes(build_membership, PEER_COUNTS))
+
+
+def measure_server_state() -> Measurement:
+    """Measure the bytes of a backend server in the server table."""
+    points = count_bytes(build_server_table, SERVER_COUNTS)
+    return make_measurement("server_state", points)
+
+
+def measure_workspace_state() -> Measurement:
+    """Measure the bytes of a workspace in declaration and ledger."""
+    points = count_bytes(build_workspaces, WORKSPACE_COUNTS)
+    return make_measurement("workspace_state", points)
+
+
+def measure_workspace_metrics() -> Measurement:
+    """Measure the bytes of a workspace in the relay metrics."""
+    points = count_bytes(build_metrics, WORKSPACE_COUNTS)
+    return make_measurement("workspace_metrics", points)
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/slopes/_rows.py
@@ -0,0 +1,212 @@
+"""The rows that are measured, their units and what a row's points are."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from ebonyhaven_standins.slopes._fits import Fit, Point, average, fit_line
+
+
+class Reading(enum.Enum):
+    """Which part of a fit is the row's value."""
+
+    SLOPE = "slope"
+    INTERCEPT = "intercept"
+    MEAN = "mean"
+    LAST = "last point"
+
+
+class Row(NamedTuple):
+    """A measured quantity.
+
+    ``size_unit`` says what the sizes of the points count.
+    """
+
+    key: str
+    name: str
+    unit: str
+    size_unit: str
+    reading: Reading
+
+
+class Measurement(NamedTuple):
+    """Points of a row and their fit."""
+
+    row: Row
+    points: list[Point]
+    fit: Fit
+
+    @property
+    def value(self) -> float:
+        """The row's value in its unit."""
+        if self.row.reading is Reading.SLOPE:
+            return self.fit.slope
+        if self.row.reading is Reading.LAST:
+            return self.points[-1].value
+        return self.fit.intercept
+
+
+def _row(key: str, name: str, unit: str, size_unit: str, reading: Reading) -> Row:
+    return Row(key, name, unit, size_unit, reading)
+
+
+ROWS = (
+    _row(
+        "bare_interpreter",
+        "resident memory of a bare interpreter",
+        "MB",
+        "run",
+        Reading.MEAN,
+    ),
+    _row(
+        "libraries",
+        "resident memory with the node's modules and libraries imported",
+        "MB",
+        "run",
+        Reading.MEAN,
+    ),
+    _row(
+        "node_at_rest",
+        "resident memory of a node at rest",
+        "MB",
+        "run",
+        Reading.MEAN,
+    ),
+    _row("peer_state", "control state of a peer", "bytes", "instances", Reading.SLOPE),
+    _row(
+        "server_state",
+        "control state of a backend server",
+        "bytes",
+        "backend servers",
+        Reading.SLOPE,
+    ),
+    _row(
+        "workspace_state",
+        "control state of a workspace",
+        "bytes",
+        "workspaces",
+        Reading.SLOPE,
+    ),
+    _row(
+        "workspace_metrics",
+        "metrics of a workspace",
+        "bytes",
+        "workspaces",
+        Reading.SLOPE,
+    ),
+    _row(
+        "stream_memory",
+        "resident memory of an open stream",
+        "bytes",
+        "streams",
+        Reading.SLOPE,
+    ),
+    _row("key_memory", "a finished run that is kept", "bytes", "keys", Reading.SLOPE),
+    _row("token_memory", "a kept token of a run", "bytes", "tokens", Reading.SLOPE),
+    _row(
+        "token_cpu",
+        "processor time of a relayed token",
+        "µs",
+        "tokens",
+        Reading.SLOPE,
+    ),
+    _row(
+        "request_cpu",
+        "processor time of a request without its tokens",
+        "µs",
+        "requests",
+        Reading.SLOPE,
+    ),
+    _row(
+        "message_cpu",
+        "processor time of a control message, both ends",
+        "µs",
+        "messages",
+        Reading.SLOPE,
+    ),
+    _row(
+        "routing_cpu",
+        "processor time of a routing decision",
+        "µs",
+        "decisions",
+        Reading.SLOPE,
+    ),
+    _row(
+        "scrape_cpu",
+        "processor time of a metrics scrape, for a workspace",
+        "µs",
+        "workspaces",
+        Reading.SLOPE,
+    ),
+    _row(
+        "membership_messages",
+        "membership messages a node sends in a second",
+        "messages/s",
+        "instances",
+        Reading.LAST,
+    ),
+    _row(
+        "membership_bytes",
+        "membership bytes a node sends in a second",
+        "bytes/s",
+        "instances",
+        Reading.LAST,
+    ),
+    _row(
+        "membership_cpu",
+        "processor time of membership decisions in a second",
+        "µs",
+        "instances",
+        Reading.LAST,
+    ),
+    _row(
+        "rest_bytes",
+        "control bytes a node at rest sends in a second",
+        "bytes/s",
+        "instances",
+        Reading.LAST,
+    ),
+    _row(
+        "rest_cpu",
+        "processor time of a node at rest",
+        "% of a core",
+        "instances",
+        Reading.LAST,
+    ),
+    _row(
+        "rest_reads",
+        "table reads of a node at rest",
+        "reads/s",
+        "instances",
+        Reading.SLOPE,
+    ),
+    _row(
+        "rest_writes",
+        "table writes of a node at rest",
+        "writes/s",
+        "instances",
+        Reading.SLOPE,
+    ),
+)
+ROWS_BY_KEY = {row.key: row for row in ROWS}
+
+
+def make_measurement(key: str, points: Sequence[Point]) -> Measurement:
+    """Return a measurement with the fit that its row asks for.
+
+    Parameters
+    ----------
+    key : str
+        Key of the row.
+    points : sequence of Point
+        Measured points in order of size.
+
+    Returns
+    -------
+    Measurement
+    """
+    row = ROWS_BY_KEY[key]
+    fit = average(points) if row.reading is Reading.MEAN else fit_line(points)
+    return Measurement(row, list(points), fit)
