Read engines' tokens without a JSON parser and bind histograms once a run

Cause: a profile of a node that relays 3,700 tokens/s showed 8% of its time in the JSON decoder and 5% in looking up histogram children by label.

Change: events without escapes are read by their fixed prefix and suffix, others as before; each run binds its histograms when it starts.

What remains is mostly Twisted's HTTP client and its event loop.

--- a/packages/node/src/ebonyhaven_node/_drivers.py
+++ b/packages/node/src/ebonyhaven_node/_drivers.py
@@ -43,7 +43,7 @@
 )
 from ebonyhaven_node._events import Token
 from ebonyhaven_node._lifecycles import RunState, StateObserver, start_lifecycle
-from ebonyhaven_node._metrics import RelayMetrics
+from ebonyhaven_node._metrics import RelayMetrics, observe
 from ebonyhaven_node._orphans import OrphanController
 from ebonyhaven_node._runs import Run
 from ebonyhaven_node._scheduling import Scheduling, Slot, SlotWish
@@ -168,6 +168,9 @@
         self._attempt_start = 0
         self._claim: Claim | None = None
         self._pace = StreamPace()
+        self._metrics = parts.metrics.bind(
+            workspace=run.request.workspace, class_name=run.request.class_name
+        )
         self._accepted_at = time.monotonic()
         self._last_token_at = time.monotonic()
         self._idle_probes = 0
@@ -795,20 +798,15 @@
 
     def _record_arrival(self) -> None:
         now = time.monotonic()
-        labels = {
-            "workspace": self._request.workspace,
-            "class_name": self._request.class_name,
-        }
-        metrics = self._parts.metrics
         if not self._run.texts:
-            metrics.observe_first_token(now - self._accepted_at, **labels)
+            observe(self._metrics.first_token, now - self._accepted_at)
         else:
             gap_s = now - self._last_token_at
-            metrics.observe_gap(gap_s, **labels)
+            observe(self._metrics.gap, gap_s)
             if self._suspected_since is None:
                 self._pace.record_gap(gap_s)
         if self._suspected_since is not None:
-            metrics.observe_resume(now - self._suspected_since, **labels)
+            observe(self._metrics.resume, now - self._suspected_since)
             self._suspected_since = None
             self._lifecycle.stream()
         self._awaits_prefill = False
--- a/packages/node/src/ebonyhaven_node/_events.py
+++ b/packages/node/src/ebonyhaven_node/_events.py
@@ -11,6 +11,9 @@
 DONE = b"data: [DONE]\n\n"
 MAX_EVENT_BYTES = 64 * 1024
 _SEPARATOR = b"\n\n"
+# An event without spaces and escapes, as most are, is read without a JSON parser.
+_COMPACT_TEXT = b'"choices":[{"index":0,"text":"'
+_COMPACT_END = b'","finish_reason":null}]}'
 
 
 class Token(NamedTuple):
@@ -78,8 +81,13 @@
             return None
         if not head.startswith(b"id: "):
             return None
+        offset = int(head[4:])
+        if rest.endswith(_COMPACT_END):
+            _, _, literal = rest[: -len(_COMPACT_END)].partition(_COMPACT_TEXT)
+            if literal and b"\\" not in literal:
+                return Token(offset, literal.decode(), None)
         choice = json.loads(rest.removeprefix(b"data: "))["choices"][0]
-        return Token(int(head[4:]), choice["text"], choice["finish_reason"])
+        return Token(offset, choice["text"], choice["finish_reason"])
 
 
 class EventWriter:
--- a/packages/node/src/ebonyhaven_node/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/_metrics.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 FIRST_TOKEN_BUCKETS_S = (0.1, 0.25, 0.5, 1.0, 1.3, 2.5, 5.0, 15.0, 60.0)
@@ -13,6 +15,27 @@
 RESUME_BUCKETS_S = (0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0)
 
 
+class RunMetrics(NamedTuple):
+    """Histograms that one run is observed in, by workspace and by class."""
+
+    first_token: tuple[Histogram, Histogram]
+    gap: tuple[Histogram, Histogram]
+    resume: tuple[Histogram, Histogram]
+
+
+def observe(histograms: tuple[Histogram, Histogram], seconds: float) -> None:
+    """Record one duration.
+
+    Parameters
+    ----------
+    histograms : tuple of Histogram
+    seconds : float
+    """
+    by_workspace, by_class = histograms
+    by_workspace.observe(seconds)
+    by_class.observe(seconds)
+
+
 class RelayMetrics:
     """Metrics of the request path.
 
@@ -61,21 +84,24 @@
             registry, "resume", "Time from a loss to the next token.", RESUME_BUCKETS_S
         )
 
-    def observe_first_token(
-        self, seconds: float, *, workspace: str, class_name: str
-    ) -> None:
-        """Record the time to a first token."""
-        self._observe(self._first_token, seconds, workspace, class_name)
+    def bind(self, *, workspace: str, class_name: str) -> RunMetrics:
+        """Return the histograms of one run.
 
-    def observe_gap(self, seconds: float, *, workspace: str, class_name: str) -> None:
-        """Record a gap between tokens."""
-        self._observe(self._gap, seconds, workspace, class_name)
+        Parameters
+        ----------
+        workspace, class_name : str
 
-    def observe_resume(
-        self, seconds: float, *, workspace: str, class_name: str
-    ) -> None:
-        """Record the time from the last token before a loss to the next."""
-        self._observe(self._resume, seconds, workspace, class_name)
+        Returns
+        -------
+        RunMetrics
+        """
+        names = {"workspace": workspace, "class": class_name}
+        return RunMetrics(
+            *(
+                tuple(family[label].labels(name) for label, name in names.items())
+                for family in (self._first_token, self._gap, self._resume)
+            )
+        )
 
     def _build(
         self,
@@ -94,13 +120,3 @@
             )
             for label in ("workspace", "class")
         }
-
-    def _observe(
-        self,
-        histograms: dict[str, Histogram],
-        seconds: float,
-        workspace: str,
-        class_name: str,
-    ) -> None:
-        histograms["workspace"].labels(workspace).observe(seconds)
-        histograms["class"].labels(class_name).observe(seconds)
