Tell callers the position before the first token

Cause: a caller whose instance died during prefill held no position, so a request that may be repeated was started again while its first run went on for up to 60 s with nobody attached.

Change: once an engine accepts a run, an event with an id and no data is sent whose offset is -1. Event stream clients remember it and return it; the run is attached to, and is started again only if its engine is gone.

--- a/packages/decisions/src/ebonyhaven_decisions/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/__init__.py
@@ -77,6 +77,7 @@
     choose_entries,
 )
 from ebonyhaven_decisions._event_ids import (
+    BEFORE_FIRST,
     EventId,
     parse_event_id,
 )
@@ -194,6 +195,7 @@
 )
 
 __all__ = [
+    "BEFORE_FIRST",
     "Acceptance",
     "CURRENT_KEY",
     "Choice",
--- a/packages/decisions/src/ebonyhaven_decisions/_event_ids.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_event_ids.py
@@ -13,7 +13,8 @@
 
 MAX_EVENT_ID_LENGTH = 96
 MAX_OFFSET = 2**31
-_PATTERN = re.compile(r"(\d{1,10})-([0-9a-f]{8})-([A-Za-z0-9][A-Za-z0-9._-]{0,63})")
+BEFORE_FIRST = -1
+_PATTERN = re.compile(r"(-1|\d{1,10})-([0-9a-f]{8})-([A-Za-z0-9][A-Za-z0-9._-]{0,63})")
 
 
 class EventId(NamedTuple):
@@ -22,7 +23,8 @@
     Parameters
     ----------
     offset : int
-        Number of the token, counted from 0.
+        Number of the token, counted from 0; `BEFORE_FIRST` for the position
+        before the first token of a run that an engine has accepted.
     generation : str
         Eight hexadecimal digits, kept by every continuation of a run.
     server : str
--- a/packages/node/src/ebonyhaven_node/_drivers.py
+++ b/packages/node/src/ebonyhaven_node/_drivers.py
@@ -576,7 +576,7 @@
         self, excluded: set[str], tag: OutcomeTag, error: NodeError
     ) -> None:
         """Continue from the tokens at hand, or tell that there are none."""
-        if not self._run.texts:
+        if not self._run.texts and self._request.first_offset > 0:
             reason = f"{error}, and the tokens received were not sent along"
             raise self._failure(
                 tag,
@@ -704,6 +704,8 @@
 
     def _add(self, candidate: Candidate) -> None:
         self._candidates.append(candidate)
+        if not self._run.texts:
+            self._run.announce(candidate.stream.server.name)
         if self._primary_server is None or len(self._candidates) == 1:
             self._set_primary(candidate)
         self._lifecycle.stream()
--- a/packages/node/src/ebonyhaven_node/_events.py
+++ b/packages/node/src/ebonyhaven_node/_events.py
@@ -5,7 +5,7 @@
 import json
 from typing import Any, NamedTuple
 
-from ebonyhaven_decisions import Outcome
+from ebonyhaven_decisions import BEFORE_FIRST, EventId, Outcome
 
 KEEP_ALIVE = b": keep-alive\n\n"
 DONE = b"data: [DONE]\n\n"
@@ -132,6 +132,22 @@
             for number, text in enumerate(texts, offset)
         ).encode()
 
+    def write_acceptance(self, *, generation: str, server: str) -> bytes:
+        """Return the event that tells the position before the first token.
+
+        It holds an id and no data, so clients remember it and show nothing.
+
+        Parameters
+        ----------
+        generation, server : str
+            Parts of the event id.
+
+        Returns
+        -------
+        bytes
+        """
+        return f"id: {EventId(BEFORE_FIRST, generation, server)}\n\n".encode()
+
     def write_end(
         self, *, offset: int, generation: str, server: str, finish_reason: str
     ) -> bytes:
--- a/packages/node/src/ebonyhaven_node/_runs.py
+++ b/packages/node/src/ebonyhaven_node/_runs.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 import attrs
-from ebonyhaven_decisions import EventId, Outcome
+from ebonyhaven_decisions import BEFORE_FIRST, EventId, Outcome
 
 from ebonyhaven_node._requests import GenerationRequest
 
@@ -37,6 +37,8 @@
         Every token so far, from offset 0.
     segments : list of (int, str)
         Offset of the first token of each backend server, and its name.
+    accepted_by : str
+        Backend server that has the run while no token has come yet.
     finish_reason : str or None
         Set once the generation is complete.
     outcome : Outcome or None
@@ -57,6 +59,7 @@
     generation: str
     texts: list[str] = attrs.field(factory=list)
     segments: list[tuple[int, str]] = attrs.field(factory=list)
+    accepted_by: str = ""
     finish_reason: str | None = None
     outcome: Outcome | None = None
     sinks: set[Sink] = attrs.field(factory=set)
@@ -75,6 +78,16 @@
         """Name of the backend server that made the last token."""
         return self.segments[-1][1] if self.segments else ""
 
+    def announce(self, server: str) -> None:
+        """Tell the callers which backend server has accepted the run.
+
+        Parameters
+        ----------
+        server : str
+        """
+        self.accepted_by = server
+        self._notify()
+
     def append(self, texts: list[str], *, server: str) -> None:
         """Add tokens and pass them on.
 
@@ -129,6 +142,8 @@
         """
         if position.generation != self.generation:
             return False
+        if position.offset == BEFORE_FIRST:
+            return True
         made_by = [name for first, name in self.segments if first <= position.offset]
         return bool(made_by) and made_by[-1] == position.server
 
--- a/packages/node/src/ebonyhaven_node/_sinks.py
+++ b/packages/node/src/ebonyhaven_node/_sinks.py
@@ -81,6 +81,7 @@
         self._keep_alive_s = KEEP_ALIVE_SHARE * resume_target_s
         self._reactor = reactor
         self._metrics = metrics
+        self._announced = ""
         self._paused = False
         self._closed = False
         self._started = False
@@ -99,6 +100,8 @@
         """See `Sink.take_output`; writes nothing while the caller is slow."""
         if self._closed or self._paused:
             return
+        if self._run.accepted_by != self._announced and not self._run.texts:
+            self._write_acceptance()
         while not self._paused and self._offset < len(self._run.texts):
             self._write_tokens()
         if self._run.ended and not self._paused and not self._closed:
@@ -127,6 +130,14 @@
         self._metrics.tokens_relayed.inc(len(texts))
         self._write(events)
 
+    def _write_acceptance(self) -> None:
+        self._announced = self._run.accepted_by
+        self._write(
+            self._writer.write_acceptance(
+                generation=self._run.generation, server=self._announced
+            )
+        )
+
     def _write(self, events: bytes) -> None:
         if not self._started:
             self._started = True
--- a/packages/standins/src/ebonyhaven_standins/caller/_caller.py
+++ b/packages/standins/src/ebonyhaven_standins/caller/_caller.py
@@ -238,7 +238,9 @@
             reactor=self._reactor, silence_s=self._limits.silence_s, on_token=take
         )
         response.deliverBody(reader)
-        return await reader.end
+        end = await reader.end
+        record["position"] = reader.last_event_id or record["position"]
+        return end
 
     def _end_record(self, record: RequestRecord, outcome: str) -> RequestRecord:
         record["finished_at"] = time.time()
@@ -268,12 +270,13 @@
         "finish_offset": None,
         "outcome": "",
         "connections": [],
+        "position": None,
         "tokens": [],
     }
 
 
 def _begin_connection(address: str, record: RequestRecord) -> ConnectionRecord:
-    last_event_id = None
+    last_event_id = record["position"]
     if record["tokens"]:
         token = record["tokens"][-1]
         last_event_id = f"{token.offset}-{token.generation}-{token.server}"
--- a/packages/standins/src/ebonyhaven_standins/caller/_connection.py
+++ b/packages/standins/src/ebonyhaven_standins/caller/_connection.py
@@ -90,6 +90,11 @@
         self._finished = False
         self.end: defer.Deferred[ConnectionEnd] = defer.Deferred()
 
+    @property
+    def last_event_id(self) -> str | None:
+        """Id of the last event received, also of one without data."""
+        return self._parser.last_event_id
+
     def connectionMade(self) -> None:  # noqa: N802 name set by Twisted
         """Start to watch for silence."""
         self._timer = self._reactor.callLater(self._silence_s, self._give_up)
--- a/packages/standins/src/ebonyhaven_standins/caller/_events.py
+++ b/packages/standins/src/ebonyhaven_standins/caller/_events.py
@@ -65,9 +65,10 @@
     feed, with or without a carriage return before it.
     """
 
-    __slots__ = ("_data", "_event_id", "_kind", "_rest")
+    __slots__ = ("_data", "_event_id", "_kind", "_rest", "last_event_id")
 
     def __init__(self) -> None:
+        self.last_event_id: str | None = None
         self._rest = b""
         self._clear()
 
@@ -108,6 +109,8 @@
 
     def _end_event(self) -> ServerSentEvent | None:
         event = None
+        if self._event_id:
+            self.last_event_id = self._event_id
         if self._data:
             event = ServerSentEvent(self._event_id, self._kind, "\n".join(self._data))
         self._clear()
--- a/packages/standins/src/ebonyhaven_standins/caller/_history.py
+++ b/packages/standins/src/ebonyhaven_standins/caller/_history.py
@@ -62,6 +62,7 @@
     finish_offset: int | None
     outcome: str
     connections: list[ConnectionRecord]
+    position: str | None
     tokens: list[ReceivedToken]
 
 
--- a/tests/decisions/test_event_ids.py
+++ b/tests/decisions/test_event_ids.py
@@ -8,7 +8,7 @@
 
 
 @given(
-    offset=st.integers(0, 2**31),
+    offset=st.integers(-1, 2**31),
     generation=st.text("0123456789abcdef", min_size=8, max_size=8),
     server=st.from_regex(r"[A-Za-z0-9][A-Za-z0-9._-]{0,40}", fullmatch=True),
 )
@@ -26,7 +26,7 @@
     assert parse_event_id(str(parsed)) == parsed
 
 
-@params("", "17", "-1-00000000-s", "1-0000000g-s", "1-00000000-", "1-00000000-s\n")
+@params("", "17", "-2-00000000-s", "1-0000000g-s", "1-00000000-", "1-00000000-s\n")
 def test_malformed_id_is_named(text):
     try:
         parse_event_id(text)
