Measure membership with whole nodes as well

The scenario starts whole nodes beside a platform by default; the control part alone stays as the other choice, to tell the cost of the rest apart.

--- a/packages/standins/src/ebonyhaven_standins/bench/membership.py
+++ b/packages/standins/src/ebonyhaven_standins/bench/membership.py
@@ -1,29 +1,28 @@
 """Cost and speed of membership against the count of instances.
 
 Run by ``python -m ebonyhaven_standins.bench.membership [--sizes 3,6,12]
-[--quiet-s 30] [--kills 5] [--faults-s 60] [--output FILE]``.
+[--processes node|control] [--quiet-s 30] [--kills 5] [--faults-s 60] [--output FILE]``.
 """
 
 from __future__ import annotations
 
 import argparse
+import datetime
 import json
 import os
 import pathlib
 import random
-import re
 import statistics
 import time
 from collections.abc import Iterable
 from typing import NamedTuple, TypedDict
 
 from ebonyhaven_standins.bench._fits import Fit, fit_line
-from ebonyhaven_standins.control_nodes import ControlNodes
+from ebonyhaven_standins.bench._node_sets import ControlNodeSet, FullNodeSet, NodeSet
 
 SIZES = (3, 6, 12, 24, 48)
 TARGET_SIZE = 390
 SETTLE_S = 12.0
-AGREE_DEADLINE_S = 60.0
 DETECTION_WAIT_S = 4.0
 REJOIN_WAIT_S = 8.0
 PAUSE_S = 5.0
@@ -31,8 +30,8 @@
 LOSS = 0.01
 MAX_BYTES_PER_S = 2048.0
 MAX_CPU_SHARE = 0.014
+NODE_SETS = {"control": ControlNodeSet, "node": FullNodeSet}
 DOWN_STATES = frozenset({"suspect", "dead"})
-_SAMPLE = re.compile(r"^(\w+)(?:\{([^}]*)\})? ([0-9.e+-]+)$", re.MULTILINE)
 
 
 class Usage(NamedTuple):
@@ -109,12 +108,12 @@
     at: float
 
 
-def read_usage(nodes: ControlNodes, name: str) -> Usage:
+def read_usage(nodes: NodeSet, name: str) -> Usage:
     """Return the counters of a process.
 
     Parameters
     ----------
-    nodes : ControlNodes
+    nodes : NodeSet
     name : str
 
     Returns
@@ -125,32 +124,26 @@
     fields = pathlib.Path(f"/proc/{process_id}/stat").read_text().rsplit(")", 1)[1]
     ticks = sum(int(value) for value in fields.split()[11:13])
     pages = int(pathlib.Path(f"/proc/{process_id}/statm").read_text().split()[1])
-    text = nodes.call(name, "/metrics").decode()
+    samples = nodes.read_metrics(name)
+    messages = "ebonyhaven_control_messages_total"
+    size = "ebonyhaven_control_bytes_total"
+    sent, received = 'direction="sent"', 'direction="received"'
     return Usage(
         cpu_s=ticks / os.sysconf("SC_CLK_TCK"),
         resident_mb=pages * os.sysconf("SC_PAGE_SIZE") / 1e6,
-        sent_messages=_sum_samples(text, "messages", "sent"),
-        received_messages=_sum_samples(text, "messages", "received"),
-        sent_bytes=_sum_samples(text, "bytes", "sent"),
-        received_bytes=_sum_samples(text, "bytes", "received"),
+        sent_messages=samples.sum(messages, sent),
+        received_messages=samples.sum(messages, received),
+        sent_bytes=samples.sum(size, sent),
+        received_bytes=samples.sum(size, received),
     )
 
 
-def _sum_samples(text: str, name: str, direction: str) -> float:
-    wanted = f"ebonyhaven_control_{name}_total"
-    return sum(
-        float(value)
-        for sample, labels, value in _SAMPLE.findall(text)
-        if sample == wanted and f'direction="{direction}"' in labels
-    )
-
-
-def read_changes(nodes: ControlNodes, names: Iterable[str]) -> list[Change]:
+def read_changes(nodes: NodeSet, names: Iterable[str]) -> list[Change]:
     """Return the changes that processes logged.
 
     Parameters
     ----------
-    nodes : ControlNodes
+    nodes : NodeSet
     names : iterable of str
 
     Returns
@@ -163,17 +156,24 @@
             if '"instance_changed"' in line:
                 entry = json.loads(line)
                 changes.append(
-                    Change(name, entry["peer"], entry["state"], entry["timestamp"])
+                    Change(name, entry["peer"], entry["state"], _read_time(entry))
                 )
     return changes
 
 
-def measure_quiet(nodes: ControlNodes, seconds: float) -> QuietCost:
+def _read_time(entry: dict[str, str | float]) -> float:
+    timestamp = entry["timestamp"]
+    if isinstance(timestamp, str):
+        return datetime.datetime.fromisoformat(timestamp).timestamp()
+    return timestamp
+
+
+def measure_quiet(nodes: NodeSet, seconds: float) -> QuietCost:
     """Measure the cost while nothing happens.
 
     Parameters
     ----------
-    nodes : ControlNodes
+    nodes : NodeSet
     seconds : float
         Length of the measurement.
 
@@ -202,12 +202,12 @@
     )
 
 
-def measure_detection(nodes: ControlNodes, kills: int, rng: random.Random) -> Detection:
+def measure_detection(nodes: NodeSet, kills: int, rng: random.Random) -> Detection:
     """Kill instances one by one and measure when the others stop offering them.
 
     Parameters
     ----------
-    nodes : ControlNodes
+    nodes : NodeSet
     kills : int
     rng : random.Random
 
@@ -226,8 +226,8 @@
         first = _find_first_down(read_changes(nodes, others), victim, killed_at)
         delays += first.values()
         missed += len(others) - len(first)
-        nodes.start(victim, wait=True)
-        wait_for_agreement(nodes)
+        nodes.restart(victim)
+        nodes.wait_for_agreement()
         time.sleep(rng.uniform(1.0, 2.0))
     delays.sort()
     return Detection(
@@ -252,13 +252,13 @@
 
 
 def measure_false_suspicions(
-    nodes: ControlNodes, seconds: float, rng: random.Random
+    nodes: NodeSet, seconds: float, rng: random.Random
 ) -> FalseSuspicions:
     """Pause instances at random and count changes about those that ran.
 
     Parameters
     ----------
-    nodes : ControlNodes
+    nodes : NodeSet
         Processes that lose messages.
     seconds : float
     rng : random.Random
@@ -287,7 +287,7 @@
         pauses=len(pauses),
         wrong_suspect=sum(change.state == "suspect" for change in wrong),
         wrong_dead=sum(change.state == "dead" for change in wrong),
-        not_returned=sum(count - len(nodes.list_live(name)) for name in nodes.names),
+        not_returned=sum(count - nodes.count_live(name) for name in nodes.names),
     )
 
 
@@ -305,25 +305,6 @@
     )
 
 
-def wait_for_agreement(nodes: ControlNodes) -> None:
-    """Block until each instance regards all as live.
-
-    Parameters
-    ----------
-    nodes : ControlNodes
-
-    Raises
-    ------
-    TimeoutError
-        If that takes longer than ``AGREE_DEADLINE_S``.
-    """
-    deadline = time.monotonic() + AGREE_DEADLINE_S
-    while not nodes.agree():
-        if time.monotonic() > deadline:
-            raise TimeoutError("the instances do not agree")
-        time.sleep(0.2)
-
-
 def fit_costs(costs: list[QuietCost]) -> dict[str, list[Fit]]:
     """Fit each cost against the size and its logarithm.
 
@@ -352,13 +333,21 @@
 
 
 def run_sizes(
-    sizes: Iterable[int], *, quiet_s: float, kills: int, faults_s: float, seed: int
+    sizes: Iterable[int],
+    *,
+    node_set: type[NodeSet],
+    quiet_s: float,
+    kills: int,
+    faults_s: float,
+    seed: int,
 ) -> dict[str, object]:
     """Measure all sizes.
 
     Parameters
     ----------
     sizes : iterable of int
+    node_set : type of NodeSet
+        What is started.
     quiet_s : float
     kills : int
         Kills at each size; 0 skips that part.
@@ -376,8 +365,8 @@
     detections: list[Detection] = []
     suspicions: list[FalseSuspicions] = []
     for size in sizes:
-        with ControlNodes(size) as nodes:
-            wait_for_agreement(nodes)
+        with node_set(size) as nodes:
+            nodes.wait_for_agreement()
             time.sleep(SETTLE_S)
             costs.append(measure_quiet(nodes, quiet_s))
             print(json.dumps(costs[-1]), flush=True)
@@ -385,12 +374,13 @@
                 detections.append(measure_detection(nodes, kills, rng))
                 print(json.dumps(detections[-1]), flush=True)
         if faults_s:
-            with ControlNodes(size, loss=LOSS) as nodes:
-                wait_for_agreement(nodes)
+            with node_set(size, loss=LOSS) as nodes:
+                nodes.wait_for_agreement()
                 suspicions.append(measure_false_suspicions(nodes, faults_s, rng))
                 print(json.dumps(suspicions[-1]), flush=True)
     return {
         "scenario": "membership",
+        "processes": node_set.__name__,
         "costs": costs,
         "fits": fit_costs(costs) if len(costs) > 1 else {},
         "detection": detections,
@@ -402,6 +392,7 @@
     """Run the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--sizes", default=",".join(map(str, SIZES)))
+    parser.add_argument("--processes", choices=sorted(NODE_SETS), default="node")
     parser.add_argument("--quiet-s", type=float, default=30.0)
     parser.add_argument("--kills", type=int, default=5)
     parser.add_argument("--faults-s", type=float, default=60.0)
@@ -410,6 +401,7 @@
     options = parser.parse_args()
     result = run_sizes(
         map(int, options.sizes.split(",")),
+        node_set=NODE_SETS[options.processes],
         quiet_s=options.quiet_s,
         kills=options.kills,
         faults_s=options.faults_s,
