Share the evidence against request contents between instances

Cause: two deaths seen by two instances were counted apart, so a content could kill one engine for each instance that it was sent to.

Change: evidence goes out as gossip entries on heartbeats, keyed by content and process of the backend server, so one death seen twice counts once.

Before: the test of two instances finds 'suspect' on both; after: 'stopped' on the one that has heard of both deaths, within the 64 bytes of a heartbeat.

--- a/packages/decisions/src/ebonyhaven_decisions/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/__init__.py
@@ -44,6 +44,7 @@
     Contacts,
 )
 from ebonyhaven_decisions._crashes import (
+    EVIDENCE_TTL_S,
     CrashEvidence,
     CrashLedger,
     CrashVerdict,
@@ -195,6 +196,7 @@
 )
 
 __all__ = [
+    "EVIDENCE_TTL_S",
     "BEFORE_FIRST",
     "Acceptance",
     "CURRENT_KEY",
--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -24,6 +24,7 @@
 from ebonyhaven_node._channels import ChannelMetrics, ChannelOptions, Channels
 from ebonyhaven_node._claims import ClaimController
 from ebonyhaven_node._configured import ConfigurationInForce
+from ebonyhaven_node._crash_reports import CrashReports
 from ebonyhaven_node._drivers import DriverParts
 from ebonyhaven_node._engines import EngineClient
 from ebonyhaven_node._exchanges import build_chain
@@ -207,6 +208,8 @@
         scheduling: PolicyScheduling,
     ) -> DriverParts:
         engines = EngineClient(self._reactor)
+        crashes = CrashReports(CrashLedger())
+        self._membership.add_digest(crashes.make_digest())
         claimant = Claimant(
             instance=self._state.instance, incarnation=self._state.incarnation
         )
@@ -223,7 +226,7 @@
                 rng=self._rng,
                 registry=self._registry,
             ),
-            crashes=CrashLedger(),
+            crashes=crashes,
             metrics=metrics,
             reactor=self._reactor,
             rng=self._rng,
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/_crash_reports.py
@@ -0,0 +1,93 @@
+"""Evidence against request contents, shared between instances."""
+
+from __future__ import annotations
+
+import hashlib
+import time
+
+from ebonyhaven_decisions import (
+    EVIDENCE_TTL_S,
+    CrashEvidence,
+    CrashLedger,
+    CrashVerdict,
+    GossipEntry,
+    GossipTable,
+)
+
+from ebonyhaven_node._digests import Digest, TableDigest
+from ebonyhaven_node._servers import BackendServer
+
+DIGEST_CODE = "x"
+PROCESS_DIGITS = 8
+
+
+class CrashReports:
+    """Records engine deaths by request content and tells other instances.
+
+    Parameters
+    ----------
+    ledger : CrashLedger
+    """
+
+    def __init__(self, ledger: CrashLedger):
+        self._ledger = ledger
+        self._table = GossipTable(lifetime_s=EVIDENCE_TTL_S)
+
+    def record_death(
+        self, content: str, *, server: BackendServer, progress_tokens: int
+    ) -> None:
+        """Record the death of an engine that was running a content.
+
+        Parameters
+        ----------
+        content : str
+            Digest of the request content.
+        server : BackendServer
+            The engine that died.
+        progress_tokens : int
+            Tokens that the attempt had produced on it.
+        """
+        process = _name_process(server)
+        now = time.monotonic()
+        self._ledger.record_death(
+            content, server=process, progress_tokens=progress_tokens, now=now
+        )
+        evidence = self._ledger.view()[content][process]
+        entry = GossipEntry(
+            f"{content}{process}", int(time.time()), int(evidence.strong)
+        )
+        self._table.merge(entry, now)
+
+    def judge(self, content: str) -> CrashVerdict:
+        """Decide whether a content may run again.
+
+        Parameters
+        ----------
+        content : str
+
+        Returns
+        -------
+        CrashVerdict
+        """
+        return self._ledger.judge(content, now=time.monotonic())
+
+    def make_digest(self) -> Digest:
+        """Return the digest that passes the evidence on."""
+        return TableDigest(
+            code=DIGEST_CODE,
+            table=self._table,
+            clock=time.monotonic,
+            on_merge=self._receive,
+        )
+
+    def _receive(self, entry: GossipEntry) -> None:
+        content, process = entry.key[:-PROCESS_DIGITS], entry.key[-PROCESS_DIGITS:]
+        age_s = max(0.0, time.time() - entry.version)
+        evidence = CrashEvidence(process, age_s, bool(entry.value))
+        self._ledger.merge([(content, evidence)], now=time.monotonic())
+
+
+def _name_process(server: BackendServer) -> str:
+    """Return a short name that differs for a replaced process."""
+    identity = f"{server.name}/{server.identity}".encode()
+    return hashlib.sha256(identity).hexdigest()[:PROCESS_DIGITS]
--- a/packages/node/src/ebonyhaven_node/_drivers.py
+++ b/packages/node/src/ebonyhaven_node/_drivers.py
@@ -15,7 +15,6 @@
 import attrs
 import structlog
 from ebonyhaven_decisions import (
-    CrashLedger,
     CrashVerdict,
     Outcome,
     OutcomeTag,
@@ -35,6 +34,7 @@
 from twisted.python.failure import Failure
 
 from ebonyhaven_node._claims import Claim, ClaimController, ClaimTimeout
+from ebonyhaven_node._crash_reports import CrashReports
 from ebonyhaven_node._engines import (
     CONNECTION_REFUSED,
     EngineClient,
@@ -100,7 +100,7 @@
     scheduling : Scheduling
     claims : ClaimController
     orphans : OrphanController
-    crashes : CrashLedger
+    crashes : CrashReports
     metrics : RelayMetrics
     reactor : IReactorTime
     rng : random.Random
@@ -113,7 +113,7 @@
     scheduling: Scheduling
     claims: ClaimController
     orphans: OrphanController
-    crashes: CrashLedger
+    crashes: CrashReports
     metrics: RelayMetrics
     reactor: IReactorTime
     rng: random.Random
@@ -323,9 +323,8 @@
     def _record_death(self, server: BackendServer) -> None:
         self._parts.crashes.record_death(
             self._request.content,
-            server=f"{server.name}/{server.identity}",
+            server=server,
             progress_tokens=len(self._run.texts) - self._attempt_start,
-            now=time.monotonic(),
         )
 
     # -- continuing elsewhere ----------------------------------------------
@@ -861,7 +860,7 @@
         self._detach_timer = None
 
     def _check_content(self, tag: OutcomeTag) -> None:
-        verdict = self._parts.crashes.judge(self._request.content, now=time.monotonic())
+        verdict = self._parts.crashes.judge(self._request.content)
         if verdict is CrashVerdict.STOPPED:
             reason = "backend servers crashed each time they ran this content"
             raise self._failure(tag, "crash_check", reason, status=422)
