Add ebonyhavenctl

Cause: operators had no tool; a write whose answer is lost must be told truthfully and a lost race must name its winner.

Change: each accepted change writes a row of its change id in the same transaction as the current row and the history row. That row is never written again, so a repeated write finds out whether it was accepted, also after later changes. A change based on an old version is a conflict and never retried.

Conclusion: a lost confirmation is settled; a lost race names its winner.

--- /dev/null
+++ b/packages/operator/src/ebonyhaven_operator/_changes.py
@@ -0,0 +1,214 @@
+"""Acceptance of a declaration."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Any, NamedTuple
+
+import attrs
+from ebonyhaven_decisions import (
+    CURRENT_KEY,
+    MAX_ENTRY_BYTES,
+    Acceptance,
+    ConfigurationEntry,
+    CurrentEntry,
+    Declaration,
+    DeclarationError,
+    name_change_key,
+    name_history_key,
+    parse_declaration,
+    parse_entry,
+    propose_entry,
+)
+from ebonyhaven_platform import (
+    Condition,
+    Conflict,
+    RetryLimit,
+    RowSet,
+    TableClient,
+    Transaction,
+    Unavailable,
+    Unconfirmed,
+    Write,
+    resolve_write,
+)
+
+from ebonyhaven_operator._reading import find_current, read_patiently
+from ebonyhaven_operator.exceptions import (
+    EXIT_INVALID,
+    EXIT_UNAVAILABLE,
+    EXIT_UNCONFIRMED,
+    CommandError,
+    report_conflict,
+)
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class Change:
+    """A change as an operator wants it.
+
+    Parameters
+    ----------
+    declaration : Declaration
+        Checked declaration.
+    change_id : str
+        Name of the change; applying it again is safe.
+    author : str
+        Who makes it.
+    base_version : int or None
+        Version that the change was made against; None for the current one.
+    """
+
+    declaration: Declaration
+    change_id: str
+    author: str
+    base_version: int | None
+
+
+class Accepted(NamedTuple):
+    """A change that is the configuration of a version.
+
+    Parameters
+    ----------
+    version : int
+        Version that holds the change.
+    outcome : str
+        ``"accepted"``; ``"accepted_before"`` if an earlier run of the same
+        change was; ``"unchanged"`` if the declaration was current already.
+    """
+
+    version: int
+    outcome: str
+
+
+async def apply_change(
+    table: TableClient, change: Change, *, clock: Any, limit: RetryLimit
+) -> Accepted:
+    """Accept a change or tell truthfully why not.
+
+    Parameters
+    ----------
+    table : TableClient
+        The platform's table.
+    change : Change
+        What to accept.
+    clock : IReactorTime
+        Source of time and delayed calls.
+    limit : RetryLimit
+        How long to try.
+
+    Returns
+    -------
+    Accepted
+
+    Raises
+    ------
+    CommandError
+        For a conflict, an outage, or a write that could not be settled.
+    """
+    change_key = name_change_key(change.change_id)
+    rows = await read_patiently(table, [CURRENT_KEY, change_key], clock, limit)
+    current = find_current(rows)
+    earlier = rows.find(change_key)
+    if earlier.value is not None:
+        version = earlier.value["version"]
+        return await _confirm_earlier(table, change, version, clock, limit)
+    base_version = change.base_version
+    if base_version is not None and base_version != current.version:
+        raise report_conflict(base_version, current.entry)
+    if current.entry is not None and _holds(current.entry, change.declaration):
+        return Accepted(current.version, "unchanged")
+    return await _accept(table, change, current, clock, limit)
+
+
+async def _accept(
+    table: TableClient,
+    change: Change,
+    current: CurrentEntry,
+    clock: Any,
+    limit: RetryLimit,
+) -> Accepted:
+    acceptance = propose_entry(
+        current,
+        change_id=change.change_id,
+        author=change.author,
+        now=time.time(),
+        declaration=change.declaration.serialize(),
+    )
+    _check_size(acceptance.entry)
+    change_key = name_change_key(change.change_id)
+    try:
+        await resolve_write(
+            table,
+            _make_transaction(change, acceptance),
+            marker=change_key,
+            clock=clock,
+            limit=limit,
+        )
+    except Conflict as conflict:
+        rows = RowSet(conflict.rows, 0)
+        earlier = rows.find(change_key).value
+        if earlier is not None:
+            version = earlier["version"]
+            return await _confirm_earlier(table, change, version, clock, limit)
+        raise report_conflict(current.version, find_current(rows).entry) from conflict
+    except Unavailable as error:
+        message = f"not accepted, nothing was written: {error}"
+        raise CommandError(
+            "unavailable", message, exit_code=EXIT_UNAVAILABLE
+        ) from error
+    except Unconfirmed as error:
+        raise _report_doubt(change, error) from error
+    return Accepted(acceptance.entry.version, "accepted")
+
+
+async def _confirm_earlier(
+    table: TableClient, change: Change, version: int, clock: Any, limit: RetryLimit
+) -> Accepted:
+    key = name_history_key(version)
+    rows = await read_patiently(table, [key], clock, limit)
+    if _holds(parse_entry(rows.find(key).value), change.declaration):
+        return Accepted(version, "accepted_before")
+    message = (
+        f"not accepted: change {change.change_id} was accepted as version {version} "
+        f"with another declaration; use a new change id"
+    )
+    raise CommandError(
+        "change_id_used", message, exit_code=EXIT_INVALID, version=version
+    )
+
+
+def _holds(entry: ConfigurationEntry, declaration: Declaration) -> bool:
+    try:
+        return parse_declaration(entry.declaration) == declaration
+    except DeclarationError:
+        return False
+
+
+def _check_size(entry: ConfigurationEntry) -> None:
+    size = len(json.dumps(entry.serialize()))
+    if size > MAX_ENTRY_BYTES:
+        message = f"declaration: {size} bytes, expected at most {MAX_ENTRY_BYTES}"
+        raise CommandError("invalid", message, exit_code=EXIT_INVALID)
+
+
+def _make_transaction(change: Change, acceptance: Acceptance) -> Transaction:
+    return Transaction(
+        change.change_id,
+        tuple(Condition(*item) for item in acceptance.conditions),
+        tuple(Write(*item) for item in acceptance.writes),
+    )
+
+
+def _report_doubt(change: Change, error: Unconfirmed) -> CommandError:
+    message = (
+        f"unknown whether the change was accepted ({error}); run the command again "
+        f"with --change-id {change.change_id} to settle it"
+    )
+    return CommandError(
+        "unconfirmed",
+        message,
+        exit_code=EXIT_UNCONFIRMED,
+        change_id=change.change_id,
+    )
--- /dev/null
+++ b/packages/operator/src/ebonyhaven_operator/commands.py
@@ -0,0 +1,253 @@
+"""Command line ``ebonyhavenctl``.
+
+Exit codes: 0 done; 1 ``diff`` found differences, or ``status`` an instance that
+runs another version; 2 invalid declaration or command line; 3 conflict, another
+change won; 4 the platform is unavailable and nothing was changed; 5 unconfirmed,
+repeat with the printed change id.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import getpass
+import json
+import pathlib
+import sys
+import uuid
+from collections.abc import Iterator
+from typing import Annotated, Any
+
+import typer
+from ebonyhaven_decisions import (
+    CURRENT_KEY,
+    Declaration,
+    DeclarationError,
+    diff,
+    parse_declaration,
+)
+
+from ebonyhaven_operator._changes import Accepted, Change, apply_change
+from ebonyhaven_operator._reading import (
+    StatusReport,
+    find_current,
+    read_history,
+    read_patiently,
+    read_status,
+)
+from ebonyhaven_operator._session import Session, run_session
+from ebonyhaven_operator.exceptions import (
+    EXIT_DIFFERENT,
+    EXIT_INVALID,
+    CommandError,
+)
+
+DEFAULT_TIMEOUT_S = 20.0
+DEFAULT_HISTORY_LENGTH = 20
+EMPTY_DECLARATION = Declaration(classes={}, models={}, pools={}, workspaces={})
+
+app = typer.Typer(
+    add_completion=False,
+    rich_markup_mode=None,
+    pretty_exceptions_enable=False,
+    help="Operate ebonyhaven.",
+    epilog=(
+        "Exit codes: 0 done; 1 differences (diff, status); 2 invalid; 3 conflict; "
+        "4 platform unavailable, nothing changed; 5 unconfirmed, repeat with the "
+        "printed change id."
+    ),
+)
+
+FileArgument = Annotated[pathlib.Path, typer.Argument(help="Declaration as JSON.")]
+PlatformOption = Annotated[
+    str,
+    typer.Option(
+        "--platform", envvar="EBONYHAVEN_PLATFORM", help="IP:PORT of the platform."
+    ),
+]
+JsonOption = Annotated[bool, typer.Option("--json", help="Print one JSON object.")]
+TimeoutOption = Annotated[
+    float, typer.Option("--timeout", help="Seconds to keep trying.")
+]
+
+
+@app.command()
+def apply(
+    file: FileArgument,
+    *,
+    platform: PlatformOption,
+    as_json: JsonOption = False,
+    base: Annotated[
+        int | None, typer.Option(help="Version that the file was diffed against.")
+    ] = None,
+    change_id: Annotated[
+        str, typer.Option(help="Name of the change; repeating it is safe.")
+    ] = "",
+    author: Annotated[str, typer.Option(help="Who makes the change.")] = "",
+    timeout: TimeoutOption = DEFAULT_TIMEOUT_S,
+) -> None:
+    """Make a declaration the configuration of all instances."""
+
+    async def run(session: Session) -> Accepted:
+        return await apply_change(
+            session.table, change, clock=session.reactor, limit=session.limit
+        )
+
+    with _reporting(as_json):
+        change = Change(
+            declaration=_read_declaration(file),
+            change_id=change_id or uuid.uuid4().hex,
+            author=author or getpass.getuser(),
+            base_version=base,
+        )
+        accepted = run_session(platform, timeout, run)
+        text = f"{accepted.outcome}: version {accepted.version}"
+        details = {"version": accepted.version, "change_id": change.change_id}
+        _print_result(as_json, text, outcome=accepted.outcome, **details)
+
+
+@app.command("diff")
+def show_differences(
+    file: FileArgument,
+    platform: PlatformOption,
+    as_json: JsonOption = False,
+    timeout: TimeoutOption = DEFAULT_TIMEOUT_S,
+) -> None:
+    """Show what applying a declaration would change; exit code 1 if anything."""
+    with _reporting(as_json):
+        wanted = _read_declaration(file)
+        current = run_session(platform, timeout, _read_current)
+        before = EMPTY_DECLARATION
+        if current.entry is not None:
+            before = parse_declaration(current.entry.declaration)
+        changes = diff(before, wanted)
+        lines = [f"against version {current.version}", *map(str, changes)]
+        _print_result(
+            as_json,
+            "\n".join(lines),
+            base_version=current.version,
+            changes=[change._asdict() for change in changes],
+        )
+        if changes:
+            raise typer.Exit(EXIT_DIFFERENT)
+
+
+@app.command()
+def show(
+    platform: PlatformOption,
+    as_json: JsonOption = False,
+    timeout: TimeoutOption = DEFAULT_TIMEOUT_S,
+) -> None:
+    """Show the current configuration."""
+    with _reporting(as_json):
+        current = run_session(platform, timeout, _read_current)
+        entry = current.entry.serialize() if current.entry else {"version": 0}
+        _print_result(as_json, json.dumps(entry, indent=2), **entry)
+
+
+@app.command()
+def history(
+    platform: PlatformOption,
+    as_json: JsonOption = False,
+    length: Annotated[
+        int, typer.Option(help="Most versions to show.", min=1)
+    ] = DEFAULT_HISTORY_LENGTH,
+    timeout: TimeoutOption = DEFAULT_TIMEOUT_S,
+) -> None:
+    """Show the latest accepted versions, newest first."""
+
+    async def run(session: Session) -> list:
+        return await read_history(session.table, length, session.reactor, session.limit)
+
+    with _reporting(as_json):
+        entries = run_session(platform, timeout, run)
+        lines = [
+            f"{entry.version}  {entry.accepted_at:.0f}  {entry.author}  "
+            f"{entry.change_id}"
+            for entry in entries
+        ]
+        summaries = [
+            {
+                "version": entry.version,
+                "accepted_at": entry.accepted_at,
+                "author": entry.author,
+                "change_id": entry.change_id,
+            }
+            for entry in entries
+        ]
+        _print_result(as_json, "\n".join(lines), versions=summaries)
+
+
+@app.command()
+def status(platform: PlatformOption, as_json: JsonOption = False) -> None:
+    """Show which instances run which version; exit code 1 if they differ."""
+
+    async def run(session: Session) -> StatusReport:
+        return await read_status(session.table, session.instances, session.reactor)
+
+    with _reporting(as_json):
+        report = run_session(platform, DEFAULT_TIMEOUT_S, run)
+        _print_result(
+            as_json,
+            _describe_status(report),
+            version=report.version,
+            shares={str(version): share for version, share in report.shares.items()},
+            instances=[item._asdict() for item in report.instances],
+        )
+        if not report.is_uniform:
+            raise typer.Exit(EXIT_DIFFERENT)
+
+
+def _describe_status(report: StatusReport) -> str:
+    in_table = "unknown" if report.version is None else report.version
+    lines = [f"version in the table: {in_table}"]
+    for version, share in report.shares.items():
+        lines.append(f"version {version}: {share:.1%} of the answering instances")
+    for item in report.instances:
+        version = "-" if item.version is None else item.version
+        lines.append(f"{item.instance}  {item.address}  {item.status}  {version}")
+    return "\n".join(lines)
+
+
+async def _read_current(session: Session) -> Any:
+    rows = await read_patiently(
+        session.table, [CURRENT_KEY], session.reactor, session.limit
+    )
+    return find_current(rows)
+
+
+def _read_declaration(path: pathlib.Path) -> Declaration:
+    try:
+        return parse_declaration(json.loads(path.read_text()))
+    except DeclarationError as error:
+        message = "\n".join(str(problem) for problem in error.problems)
+        raise CommandError("invalid", message, exit_code=EXIT_INVALID) from error
+    except (OSError, ValueError) as error:
+        message = f"{path}: {error}"
+        raise CommandError("invalid", message, exit_code=EXIT_INVALID) from error
+
+
+@contextlib.contextmanager
+def _reporting(as_json: bool) -> Iterator[None]:
+    """Print a command's error and end the process with its exit code."""
+    try:
+        yield
+    except CommandError as error:
+        if as_json:
+            body = {"outcome": error.outcome, "reason": str(error), **error.details}
+            print(json.dumps(body))
+        else:
+            print(error, file=sys.stderr)
+        raise typer.Exit(error.exit_code) from error
+
+
+def _print_result(as_json: bool, text: str, **details: Any) -> None:
+    print(json.dumps(details) if as_json else text)
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/operator/src/ebonyhaven_operator/exceptions.py
@@ -0,0 +1,67 @@
+"""Errors of the operators' tool and their exit codes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ebonyhaven_decisions import ConfigurationEntry
+
+EXIT_DONE = 0
+EXIT_DIFFERENT = 1
+EXIT_INVALID = 2
+EXIT_CONFLICT = 3
+EXIT_UNAVAILABLE = 4
+EXIT_UNCONFIRMED = 5
+
+
+class CommandError(Exception):
+    """A command did not do what was asked.
+
+    Parameters
+    ----------
+    outcome : str
+        Short name of the outcome for programs.
+    message : str
+        What is told to the operator.
+    exit_code : int
+        Exit code of the process.
+    **details : object
+        Further JSON values for programs.
+    """
+
+    def __init__(self, outcome: str, message: str, *, exit_code: int, **details: Any):
+        super().__init__(message)
+        self.outcome = outcome
+        self.exit_code = exit_code
+        self.details = details
+
+
+def report_conflict(
+    base_version: int, winner: ConfigurationEntry | None
+) -> CommandError:
+    """Return the error for a change that lost against another one.
+
+    Parameters
+    ----------
+    base_version : int
+        Version that the change was based on.
+    winner : ConfigurationEntry or None
+        Configuration that is current instead; None if there is none at all.
+    """
+    version = winner.version if winner else 0
+    author = winner.author if winner else ""
+    change_id = winner.change_id if winner else ""
+    message = (
+        f"not accepted: based on version {base_version}, but version {version} "
+        f"by {author or 'nobody'} (change {change_id or 'none'}) is current; "
+        f"diff against it and apply again"
+    )
+    return CommandError(
+        "conflict",
+        message,
+        exit_code=EXIT_CONFLICT,
+        base_version=base_version,
+        winner_version=version,
+        winner_author=author,
+        winner_change_id=change_id,
+    )
