Spread configurations between instances

Cause: an instance knew configurations from the table alone, so a change accepted right before an outage stayed with those that had read it, and an instance that started during one had none.

Change: the version in force rides on heartbeats; whoever hears of a higher one asks for it. An instance that starts without the table needs answers to its own questions from more than half of the listed instances. The period of the table reads grows with the number of instances to 100 reads/s for all together. The controllers of leases and orders are wired too; a leaving node releases its leases.

--- a/packages/decisions/src/ebonyhaven_decisions/_configuration.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_configuration.py
@@ -274,7 +274,8 @@
     report : PeerReport
         What the peer told.
     listed_instances : int
-        Number of instances that are listed, this one included.
+        Number of instances that are listed, this one included; 0 if the list
+        was never read, in which case no instance starts from its peers.
     """
     highest = max(view.highest_version, report.version, report.highest_version)
     known = attrs.evolve(view, highest_version=highest)
@@ -304,7 +305,7 @@
     if report.answers == view.incarnation:
         reports[report.peer] = report.version
     known = attrs.evolve(view, reports=reports, candidate=candidate)
-    if len(reports) < count_needed_reports(listed_instances):
+    if not listed_instances or len(reports) < count_needed_reports(listed_instances):
         return known
     if candidate is None or candidate.version < known.highest_version:
         return known
--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -24,6 +24,7 @@
 from ebonyhaven_node._channels import ChannelMetrics, ChannelOptions, Channels
 from ebonyhaven_node._claims import ClaimController
 from ebonyhaven_node._configured import ConfigurationInForce
+from ebonyhaven_node._control_plane import ControlParts, start_control_plane
 from ebonyhaven_node._crash_reports import CrashReports
 from ebonyhaven_node._drivers import DriverParts
 from ebonyhaven_node._engines import EngineClient
@@ -35,11 +36,11 @@
     RelayFilter,
     ValidateFilter,
 )
+from ebonyhaven_node._leases import LeaseOwner
 from ebonyhaven_node._membership import MembershipController, make_own_record
 from ebonyhaven_node._metrics import RelayMetrics
 from ebonyhaven_node._orphans import OrphanController
 from ebonyhaven_node._policy_scheduling import PolicyScheduling
-from ebonyhaven_node._pollers import ConfigurationPoller
 from ebonyhaven_node._processor_load import ProcessorLoad
 from ebonyhaven_node._runs import RunRegistry
 from ebonyhaven_node._servers import BackendServerController, BackendServers
@@ -77,6 +78,7 @@
 
     def start(self) -> None:
         """Start the controllers and listen for callers."""
+        self._channels = self._build_channels()
         self._membership = self._build_membership()
         transport = PlatformTransport(self._reactor, self._settings.platform_address)
         self._stack.callback(transport.close)
@@ -99,22 +101,27 @@
         await task.deferLater(self._reactor, LEAVING_NOTICE_S)
         while any(run.sinks for run in self._runs.active()):
             await task.deferLater(self._reactor, DRAIN_CHECK_S)
+        await self._pools.release()
         await self._membership.depart()
         self._stack.close()
         _log.info("node_stopped")
 
-    def _build_membership(self) -> MembershipController:
-        settings = self._settings
+    def _build_channels(self) -> Channels:
         channels = Channels(
             reactor=self._reactor,
-            address=settings.control_address,
+            address=self._settings.control_address,
             metrics=ChannelMetrics(self._registry),
             rng=self._rng,
             options=ChannelOptions(
-                loss=settings.control_loss, routes=settings.control_routes
+                loss=self._settings.control_loss,
+                routes=self._settings.control_routes,
             ),
         )
         self._stack.callback(channels.close)
+        return channels
+
+    def _build_membership(self) -> MembershipController:
+        settings = self._settings
         membership = MembershipController(
             own=make_own_record(
                 name=settings.instance,
@@ -123,7 +130,7 @@
                 data_centre=settings.data_centre,
                 region=settings.region,
             ),
-            channels=channels,
+            channels=self._channels,
             reactor=self._reactor,
             rng=self._rng,
             registry=self._registry,
@@ -135,12 +142,6 @@
         return membership
 
     def _start_controllers(self, transport: PlatformTransport) -> None:
-        poller = ConfigurationPoller(
-            table=TableClient(transport),
-            configuration=self._configuration,
-            reactor=self._reactor,
-            rng=self._rng,
-        )
         servers = BackendServerController(
             servers=self._servers,
             client=InstanceListClient(transport),
@@ -150,9 +151,22 @@
         self._servers.observe(
             lambda: self._membership.merge_list(self._servers.instances)
         )
-        for controller in (poller, servers):
-            self._stack.callback(controller.stop)
-            ensureDeferred(controller.run())
+        self._stack.callback(servers.stop)
+        ensureDeferred(servers.run())
+        self._pools = start_control_plane(
+            ControlParts(
+                owner=LeaseOwner(self._state.instance, self._state.incarnation),
+                transport=transport,
+                membership=self._membership,
+                channels=self._channels,
+                servers=self._servers,
+                configuration=self._configuration,
+                reactor=self._reactor,
+                rng=self._rng,
+                registry=self._registry,
+            ),
+            self._stack,
+        )
 
     def _build_interface(self, table: TableClient) -> CallerInterface:
         metrics = RelayMetrics(self._registry)
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/_configuration.py
@@ -0,0 +1,345 @@
+"""Controller that learns configurations from the table and from peers.
+
+A cheap read of changes tells most instances of a new version; an instance that
+has one lets its neighbours know with the next heartbeats, and they ask for the
+content. So a version spreads with the table down, and also to instances that
+cannot reach it. What may come into force is decided in
+``ebonyhaven_decisions``; this module only carries it out.
+"""
+
+from __future__ import annotations
+
+import abc
+import random
+from collections.abc import Callable
+
+import attrs
+import structlog
+from ebonyhaven_decisions import (
+    CURRENT_KEY,
+    ConfigurationEntry,
+    ConfigurationView,
+    DeclarationError,
+    PeerReport,
+    observe_peer,
+    observe_table,
+    parse_declaration,
+    parse_entry,
+)
+from ebonyhaven_platform import PlatformError, RowSet, TableClient
+from prometheus_client import CollectorRegistry, Counter, Gauge
+from twisted.internet import task
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.interfaces import IReactorTime
+
+from ebonyhaven_node._configured import ConfigurationInForce
+
+SHORTEST_PERIOD_S = 1.0
+READS_PER_S = 100.0
+JITTER = 0.3
+ASK_PERIOD_S = 0.3
+ASK_BATCH = 8
+
+_log = structlog.get_logger()
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class ConfigurationMessage:
+    """What one instance tells another about its configuration.
+
+    Parameters
+    ----------
+    version : int
+        Version in force at the sender, 0 while it is starting.
+    highest_version : int
+        Highest version that it has heard of.
+    answers : int
+        Incarnation of the instance whose question this answers.
+    entry : ConfigurationEntry or None
+        Content of ``version`` where the receiver lacks it.
+    """
+
+    version: int
+    highest_version: int
+    answers: int
+    entry: ConfigurationEntry | None
+
+
+class ConfigurationPeers(abc.ABC):
+    """Carries messages about configurations between instances."""
+
+    @abc.abstractmethod
+    def list_names(self) -> list[str]:
+        """Return the names of the other instances that may be asked."""
+
+    @abc.abstractmethod
+    def count_listed(self) -> int:
+        """Return how many instances are listed, this one included.
+
+        0 stands for a list that was never read.
+        """
+
+    @abc.abstractmethod
+    def announce(self) -> None:
+        """Let the neighbours know soon that a new version is in force."""
+
+    @abc.abstractmethod
+    def ask(self, name: str, held_version: int, incarnation: int) -> None:
+        """Ask an instance what it runs, and for content above a version.
+
+        The answer repeats ``incarnation``.
+        """
+
+    @abc.abstractmethod
+    def answer(self, name: str, message: ConfigurationMessage) -> None:
+        """Answer a question."""
+
+
+class ConfigurationMetrics:
+    """Metrics of the configuration of an instance.
+
+    Parameters
+    ----------
+    registry : CollectorRegistry
+    """
+
+    def __init__(self, registry: CollectorRegistry):
+        self.version = Gauge(
+            "ebonyhaven_configuration_version",
+            "Version of the configuration in force.",
+            registry=registry,
+        )
+        self.reads = Counter(
+            "ebonyhaven_configuration_reads",
+            "Reads of the platform's table for new configurations.",
+            ["result"],
+            registry=registry,
+        )
+        self.accepted = Counter(
+            "ebonyhaven_configuration_changes",
+            "Configurations that came into force, by where they were learned.",
+            ["source"],
+            registry=registry,
+        )
+
+
+class ConfigurationController:
+    """Keeps the newest accepted configuration in force.
+
+    Parameters
+    ----------
+    table : TableClient
+    configuration : ConfigurationInForce
+        What the rest of the node reads.
+    incarnation : int
+        Incarnation of this instance.
+    reactor : IReactorTime
+    rng : random.Random
+    metrics : ConfigurationMetrics
+    """
+
+    def __init__(
+        self,
+        *,
+        table: TableClient,
+        configuration: ConfigurationInForce,
+        incarnation: int,
+        reactor: IReactorTime,
+        rng: random.Random,
+        metrics: ConfigurationMetrics,
+    ):
+        self._table = table
+        self._configuration = configuration
+        self._reactor = reactor
+        self._rng = rng
+        self._metrics = metrics
+        self._view = ConfigurationView(incarnation=incarnation)
+        self._peers: ConfigurationPeers | None = None
+        self._table_version = 0
+        self._table_failed = False
+        self._unasked: list[str] = []
+        self._refused_version = 0
+        self._stopped = False
+        self._waits: dict[str, Deferred] = {}
+
+    @property
+    def version(self) -> int:
+        """Version in force, 0 while starting."""
+        return self._view.version
+
+    def connect(self, peers: ConfigurationPeers) -> None:
+        """Begin to exchange configurations with other instances.
+
+        Parameters
+        ----------
+        peers : ConfigurationPeers
+        """
+        self._peers = peers
+        Deferred.fromCoroutine(self._repeat("ask", self._ask_peers, self._ask_period))
+
+    async def run(self) -> None:
+        """Read the table again and again until `stop` is called."""
+        await self._repeat("read", self._read_table, self._read_period)
+
+    def stop(self) -> None:
+        """End all activity."""
+        self._stopped = True
+        for waiting in list(self._waits.values()):
+            waiting.cancel()
+
+    def receive_version(self, name: str, version: int) -> None:
+        """Take in the version that a neighbour's heartbeat tells.
+
+        Parameters
+        ----------
+        name : str
+            Name of the neighbour.
+        version : int
+            Version in force there.
+        """
+        known = self._view.highest_version
+        report = PeerReport(name, version, version, None)
+        self._observe_report(report)
+        if self._peers is not None and version > max(known, self.version):
+            self._ask(name)
+
+    def receive_question(self, name: str, incarnation: int, held_version: int) -> None:
+        """Answer what is in force here.
+
+        Parameters
+        ----------
+        name : str
+            Name of the instance that asks.
+        incarnation : int
+            What the answer must repeat.
+        held_version : int
+            Highest version whose content it has.
+        """
+        if self._peers is None:
+            return
+        entry = self._view.entry
+        sent = entry if entry is not None and entry.version > held_version else None
+        message = ConfigurationMessage(
+            version=self.version,
+            highest_version=self._view.highest_version,
+            answers=incarnation,
+            entry=sent,
+        )
+        self._peers.answer(name, message)
+
+    def receive_answer(self, name: str, message: ConfigurationMessage) -> None:
+        """Take in the answer to a question.
+
+        Parameters
+        ----------
+        name : str
+            Name of the instance that answers.
+        message : ConfigurationMessage
+        """
+        report = PeerReport(
+            name,
+            message.version,
+            message.highest_version,
+            message.entry,
+            message.answers,
+        )
+        self._observe_report(report)
+
+    async def _repeat(
+        self,
+        name: str,
+        function: Callable[[], object],
+        find_period: Callable[[], float],
+    ) -> None:
+        while not self._stopped:
+            pending = function()
+            if pending is not None:
+                await pending
+            period_s = find_period() * self._rng.uniform(1 - JITTER, 1)
+            self._waits[name] = task.deferLater(self._reactor, period_s)
+            try:
+                await self._waits[name]
+            except CancelledError:
+                return
+
+    def _read_period(self) -> float:
+        listed = self._peers.count_listed() if self._peers is not None else 1
+        return max(SHORTEST_PERIOD_S, listed / READS_PER_S)
+
+    def _ask_period(self) -> float:
+        return ASK_PERIOD_S
+
+    async def _read_table(self) -> None:
+        try:
+            changes = await self._table.read_changes(
+                self._table_version, prefix=CURRENT_KEY
+            )
+        except PlatformError:
+            self._table_failed = True
+            self._metrics.reads.labels("failed").inc()
+            return
+        self._table_failed = False
+        self._metrics.reads.labels("done").inc()
+        self._take_changes(changes)
+
+    def _take_changes(self, changes: RowSet) -> None:
+        row = changes.find(CURRENT_KEY)
+        if row.value is not None:
+            entry = parse_entry(row.value)
+            if not self._is_usable(entry):
+                return
+            self._apply(observe_table(self._view, entry), "table")
+            if self.version < entry.version:
+                return  # the next read asks for this change again
+        self._table_version = changes.version
+
+    def _ask_peers(self) -> None:
+        is_starting = self._view.entry is None and self._table_failed
+        if not is_starting and not self._view.wanted_version:
+            self._unasked = []
+            return
+        if not self._unasked:
+            self._unasked = self._peers.list_names()
+            self._rng.shuffle(self._unasked)
+        batch, self._unasked = self._unasked[:ASK_BATCH], self._unasked[ASK_BATCH:]
+        for name in batch:
+            self._ask(name)
+
+    def _ask(self, name: str) -> None:
+        candidate = self._view.candidate
+        held_version = max(self.version, candidate.version if candidate else 0)
+        self._peers.ask(name, held_version, self._view.incarnation)
+
+    def _observe_report(self, report: PeerReport) -> None:
+        if report.entry is not None and not self._is_usable(report.entry):
+            report = report._replace(entry=None)
+        listed = self._peers.count_listed() if self._peers is not None else 0
+        view = observe_peer(self._view, report, listed_instances=listed)
+        self._apply(view, "peer")
+
+    def _is_usable(self, entry: ConfigurationEntry) -> bool:
+        if entry.version <= self.version:
+            return True
+        try:
+            parse_declaration(entry.declaration)
+        except DeclarationError as error:
+            if entry.version > self._refused_version:
+                self._refused_version = entry.version
+                _log.error(
+                    "configuration_refused", version=entry.version, error=str(error)
+                )
+            return False
+        return True
+
+    def _apply(self, view: ConfigurationView, source: str) -> None:
+        before = self._view
+        self._view = view
+        if view.entry is None or view.version == before.version:
+            return
+        declaration = parse_declaration(view.entry.declaration)
+        self._configuration.replace(declaration, view.version)
+        self._metrics.version.set(view.version)
+        self._metrics.accepted.labels(source).inc()
+        _log.info("configuration_in_force", version=view.version, source=source)
+        if self._peers is not None:
+            self._peers.announce()
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/_control_plane.py
@@ -0,0 +1,134 @@
+"""Builds the controllers of configuration, leases and orders of a node."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+
+import attrs
+from ebonyhaven_decisions import MemberState
+from ebonyhaven_platform import PlatformTransport, TableClient, WeightClient
+from prometheus_client import CollectorRegistry
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.interfaces import IReactorTime
+
+from ebonyhaven_node._channels import Channels
+from ebonyhaven_node._configuration import (
+    ConfigurationController,
+    ConfigurationMetrics,
+)
+from ebonyhaven_node._configuration_peers import MembershipPeers
+from ebonyhaven_node._configured import ConfigurationInForce
+from ebonyhaven_node._leases import LeaseController, LeaseMetrics, LeaseOwner
+from ebonyhaven_node._membership import MembershipController
+from ebonyhaven_node._orders import OrderMetrics, OrderParts
+from ebonyhaven_node._pool_controllers import MemberCandidacy, PoolControllers
+from ebonyhaven_node._servers import BackendServers
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class ControlParts:
+    """What the controllers are built from.
+
+    Parameters
+    ----------
+    owner : LeaseOwner
+        This instance.
+    transport : PlatformTransport
+    membership : MembershipController
+    channels : Channels
+    servers : BackendServers
+    configuration : ConfigurationInForce
+    reactor : IReactorTime
+    rng : random.Random
+    registry : CollectorRegistry
+    """
+
+    owner: LeaseOwner
+    transport: PlatformTransport
+    membership: MembershipController
+    channels: Channels
+    servers: BackendServers
+    configuration: ConfigurationInForce
+    reactor: IReactorTime
+    rng: random.Random
+    registry: CollectorRegistry
+
+
+def start_control_plane(
+    parts: ControlParts, stack: contextlib.ExitStack
+) -> PoolControllers:
+    """Start the controllers; closing the stack stops them.
+
+    Parameters
+    ----------
+    parts : ControlParts
+    stack : contextlib.ExitStack
+
+    Returns
+    -------
+    PoolControllers
+        To release the leases that are held when the node leaves.
+    """
+    pools = _build_pool_controllers(parts)
+    stack.callback(pools.stop)
+    parts.configuration.observe(pools.update)
+    configuration = _build_configuration(parts)
+    stack.callback(configuration.stop)
+    ensureDeferred(configuration.run())
+    return pools
+
+
+def _build_configuration(parts: ControlParts) -> ConfigurationController:
+    controller = ConfigurationController(
+        table=TableClient(parts.transport),
+        configuration=parts.configuration,
+        incarnation=parts.owner.incarnation,
+        reactor=parts.reactor,
+        rng=parts.rng,
+        metrics=ConfigurationMetrics(parts.registry),
+    )
+    peers = MembershipPeers(
+        controller=controller,
+        membership=parts.membership,
+        channels=parts.channels,
+        servers=parts.servers,
+    )
+    controller.connect(peers)
+    return controller
+
+
+def _build_pool_controllers(parts: ControlParts) -> PoolControllers:
+    metrics = LeaseMetrics(parts.registry)
+    candidacy = MemberCandidacy(
+        parts.owner.name, lambda: _list_live_names(parts.membership)
+    )
+
+    def make_lease(lease: str) -> LeaseController:
+        return LeaseController(
+            lease=lease,
+            owner=parts.owner,
+            table=TableClient(parts.transport),
+            reactor=parts.reactor,
+            rng=parts.rng,
+            candidacy=candidacy,
+            metrics=metrics,
+        )
+
+    return PoolControllers(
+        make_lease=make_lease,
+        declaration=lambda: parts.configuration.declaration,
+        parts=OrderParts(
+            servers=parts.servers,
+            weights=WeightClient(parts.transport),
+            reactor=parts.reactor,
+            rng=parts.rng,
+            metrics=OrderMetrics(parts.registry),
+        ),
+    )
+
+
+def _list_live_names(membership: MembershipController) -> list[str]:
+    return [
+        record.name for record in membership.members if record.state == MemberState.LIVE
+    ]
--- a/packages/standins/src/ebonyhaven_standins/cluster/_platform.py
+++ b/packages/standins/src/ebonyhaven_standins/cluster/_platform.py
@@ -81,6 +81,10 @@
         """
         self.call("PUT", f"/instances/{name}", {"name": name, **entry})
 
+    def unregister(self, name: str) -> None:
+        """Remove an entry from the platform's list of instances."""
+        self.call("DELETE", f"/instances/{name}")
+
     def read_row(self, key: str) -> dict[str, Any] | None:
         """Return a row with its value and version, or None if absent."""
         query = urllib.parse.urlencode({"key": key})
--- a/packages/standins/src/ebonyhaven_standins/platform.py
+++ b/packages/standins/src/ebonyhaven_standins/platform.py
@@ -203,10 +203,16 @@
 
     @app.route("/instances/<name>", methods=["PUT"])
     def put_instance(self, request: IRequest, name: str) -> bytes:
-        """Register or change an entry; the body ``null`` removes it."""
+        """Register or change an entry."""
         self._list.put(self._clock.seconds(), name, json.load(request.content))
         return self._answer(request, {})
 
+    @app.route("/instances/<name>", methods=["DELETE"])
+    def delete_instance(self, request: IRequest, name: str) -> bytes:
+        """Remove an entry."""
+        self._list.put(self._clock.seconds(), name, None)
+        return self._answer(request, {})
+
     @app.route("/faults", methods=["POST"])
     def set_faults(self, request: IRequest) -> bytes:
         """Change the named faults, keep the others."""
