Split the driver of runs by job

Change: candidates, silence, the claim of a run, and the opening of streams are modules of their own; RunClaim decides by judge_claim. The unused way to begin from a claim is gone. Behaviour and tests are as before.

--- a/packages/node/src/ebonyhaven_node/_claims.py
+++ b/packages/node/src/ebonyhaven_node/_claims.py
@@ -96,7 +96,7 @@
         self, *, table: TableClient, claimant: Claimant, reactor: IReactorTime
     ):
         self._table = table
-        self._claimant = claimant
+        self.claimant = claimant
         self._reactor = reactor
         self._pending: list[_Pending] = []
         self._writing = False
@@ -129,8 +129,8 @@
             If the table did not settle it in time.
         """
         row = ClaimRow(
-            owner=self._claimant.instance,
-            incarnation=self._claimant.incarnation,
+            owner=self.claimant.instance,
+            incarnation=self.claimant.incarnation,
             generation=generation,
             server=server,
             epoch=1,
@@ -163,7 +163,7 @@
         ------
         ClaimTimeout
         """
-        row = raise_epoch(claim.row, claimant=self._claimant, server=server)
+        row = raise_epoch(claim.row, claimant=self.claimant, server=server)
         return await self._write(name_row(run_id), row, claim.version, deadline)
 
     async def read(self, run_id: str, *, deadline: float) -> Claim | None:
--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -26,7 +26,6 @@
 from ebonyhaven_node._configured import ConfigurationInForce
 from ebonyhaven_node._control_plane import ControlParts, start_control_plane
 from ebonyhaven_node._crash_reports import CrashReports
-from ebonyhaven_node._drivers import DriverParts
 from ebonyhaven_node._engines import EngineClient
 from ebonyhaven_node._exchanges import build_chain
 from ebonyhaven_node._filters import (
@@ -42,6 +41,7 @@
 from ebonyhaven_node._orphans import OrphanController
 from ebonyhaven_node._policy_scheduling import PolicyScheduling
 from ebonyhaven_node._processor_load import ProcessorLoad
+from ebonyhaven_node._run_parts import DriverParts
 from ebonyhaven_node._runs import RunRegistry
 from ebonyhaven_node._servers import BackendServerController, BackendServers
 from ebonyhaven_node._services import ServiceRelay
--- a/packages/node/src/ebonyhaven_node/_filters.py
+++ b/packages/node/src/ebonyhaven_node/_filters.py
@@ -21,12 +21,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ebonyhaven_node._configured import ConfigurationInForce
-from ebonyhaven_node._drivers import (
-    DriverParts,
-    RunDriver,
-    RunTargets,
-    make_generation,
-)
+from ebonyhaven_node._drivers import RunDriver
 from ebonyhaven_node._exchanges import Exchange, Filter, Proceed
 from ebonyhaven_node._metrics import RelayMetrics
 from ebonyhaven_node._requests import (
@@ -38,6 +33,7 @@
     parse_repeatable,
     refuse,
 )
+from ebonyhaven_node._run_parts import DriverParts, RunTargets, make_generation
 from ebonyhaven_node._runs import Run, RunRegistry
 from ebonyhaven_node._sinks import CallerStream, write_outcome
 
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/_run_parts.py
@@ -0,0 +1,122 @@
+"""What the drivers of runs share: targets, parts of the node, failures."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+from ebonyhaven_decisions import Outcome, OutcomeTag, RequestFailure
+from twisted.internet.interfaces import IReactorTime
+
+from ebonyhaven_node._claims import ClaimController
+from ebonyhaven_node._crash_reports import CrashReports
+from ebonyhaven_node._engines import EngineClient
+from ebonyhaven_node._metrics import RelayMetrics
+from ebonyhaven_node._orphans import OrphanController
+from ebonyhaven_node._scheduling import Scheduling
+from ebonyhaven_node._servers import BackendServers
+
+GENERATION_DIGITS = 8
+RETRY_AFTER_S = 1.0
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class RunTargets:
+    """What the declaration asks for a request.
+
+    Parameters
+    ----------
+    first_token_s, gap_s, resume_s : float
+        Targets of the class, seconds.
+    may_wait_s : float
+        Time that a request may wait for room, seconds.
+    pools : frozenset of str
+        Pools that serve the model.
+    priority : int
+        Priority at the engine; 0 is served first.
+    """
+
+    first_token_s: float
+    gap_s: float
+    resume_s: float
+    may_wait_s: float
+    pools: frozenset[str]
+    priority: int
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class DriverParts:
+    """Parts of the node that drivers use.
+
+    Parameters
+    ----------
+    engines : EngineClient
+    servers : BackendServers
+    scheduling : Scheduling
+    claims : ClaimController
+    orphans : OrphanController
+    crashes : CrashReports
+    metrics : RelayMetrics
+    reactor : IReactorTime
+    rng : random.Random
+    continue_runs : bool
+        False for the baseline, which gives a run up when its engine dies.
+    """
+
+    engines: EngineClient
+    servers: BackendServers
+    scheduling: Scheduling
+    claims: ClaimController
+    orphans: OrphanController
+    crashes: CrashReports
+    metrics: RelayMetrics
+    reactor: IReactorTime
+    rng: random.Random
+    continue_runs: bool = True
+
+
+def make_failure(
+    tag: OutcomeTag,
+    step: str,
+    reason: str,
+    *,
+    peer: str = "self",
+    status: int = 503,
+    retry_after_s: float | None = None,
+) -> RequestFailure:
+    """Return the failure that ends a run.
+
+    Parameters
+    ----------
+    tag, step, reason, peer, status, retry_after_s
+        See `Outcome`.
+
+    Returns
+    -------
+    RequestFailure
+    """
+    return RequestFailure(
+        Outcome(
+            tag=tag,
+            step=step,
+            peer=peer,
+            reason=reason,
+            status=status,
+            retry_after_s=retry_after_s,
+        )
+    )
+
+
+def make_generation(rng: random.Random) -> str:
+    """Return an identity for a new generation.
+
+    Parameters
+    ----------
+    rng : random.Random
+
+    Returns
+    -------
+    str
+        Eight hexadecimal digits.
+    """
+    return f"{rng.getrandbits(4 * GENERATION_DIGITS):0{GENERATION_DIGITS}x}"
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/_stream_opener.py
@@ -0,0 +1,295 @@
+"""Opening engine streams for one run: starting, claiming, attaching."""
+
+from __future__ import annotations
+
+import time
+
+import attrs
+from ebonyhaven_decisions import OutcomeTag, RequestFailure
+from twisted.internet import task
+from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
+
+from ebonyhaven_node._candidates import Candidate, CandidateSet
+from ebonyhaven_node._engines import CONNECTION_REFUSED, StartBody, StreamReceiver
+from ebonyhaven_node._lifecycles import RunLifecycle
+from ebonyhaven_node._run_claims import RunClaim
+from ebonyhaven_node._run_parts import (
+    RETRY_AFTER_S,
+    DriverParts,
+    RunTargets,
+    make_failure,
+    make_generation,
+)
+from ebonyhaven_node._runs import Run
+from ebonyhaven_node._scheduling import Slot, SlotWish
+from ebonyhaven_node._servers import BackendServer
+from ebonyhaven_node._silence import SilenceWatch
+from ebonyhaven_node.exceptions import EngineLost, EngineRefusal
+
+ACCEPT_TIMEOUT_SHARE = 0.25
+MIN_ACCEPT_TIMEOUT_S = 0.25
+RETRY_DELAY_S = 0.05
+ATTACH_RETRY_DELAY_S = 0.1
+
+
+@attrs.define(slots=True, kw_only=True, eq=False)
+class StreamOpener:
+    """Opens the engine streams of one run.
+
+    Parameters
+    ----------
+    run : Run
+    targets : RunTargets
+    parts : DriverParts
+    candidates : CandidateSet
+        Receives the streams that were opened.
+    claim : RunClaim
+    silence : SilenceWatch
+    lifecycle : RunLifecycle
+    receiver : StreamReceiver
+        Receives the tokens of the streams.
+    """
+
+    _run: Run
+    _targets: RunTargets
+    _parts: DriverParts
+    _candidates: CandidateSet
+    _claim: RunClaim
+    _silence: SilenceWatch
+    _lifecycle: RunLifecycle
+    _receiver: StreamReceiver
+    _attempt: int = attrs.field(default=0, init=False)
+    _acquiring: Deferred[Slot] | None = attrs.field(default=None, init=False)
+
+    def cancel_acquisition(self) -> bool:
+        """End the wait for room; tell whether there was one."""
+        if self._acquiring is None:
+            return False
+        self._acquiring.cancel()
+        return True
+
+    async def start(
+        self, deadline: float, *, excluded: set[str] | None = None, resume: bool = False
+    ) -> None:
+        """Start the run on the first server that accepts it.
+
+        Parameters
+        ----------
+        deadline : float
+            Monotonic time after which to give up, seconds.
+        excluded : set of str, optional
+            Backend servers that must not be chosen; failed ones are added.
+        resume : bool
+            Whether a run that was lost starts again.
+
+        Raises
+        ------
+        RequestFailure
+        """
+        excluded = set() if excluded is None else excluded
+        retry = False
+        while True:
+            slot = await self._acquire_start(
+                excluded, deadline, resume=resume, retry=retry
+            )
+            retry = True
+            self._lifecycle.dispatch()
+            if await self._start_on(slot, deadline):
+                return
+            self._run.generation = make_generation(self._parts.rng)
+            excluded.add(slot.server.name)
+            if len(excluded) >= len(self._parts.servers.in_pools(self._targets.pools)):
+                excluded.clear()
+                await task.deferLater(self._parts.reactor, RETRY_DELAY_S)
+
+    async def _start_on(self, slot: Slot, deadline: float) -> bool:
+        """Try one server; tell whether the run is under way."""
+        if self._claim.needed and not await self._claim_start(slot, deadline):
+            return True
+        try:
+            await self.open_stream(slot)
+        except EngineRefusal as refusal:
+            slot.record_refusal(refusal.reason)
+            slot.release()
+            await self._claim.withdraw()
+            return False
+        except EngineLost:
+            slot.release()
+            return await self._handle_lost_start(slot.server)
+        return True
+
+    async def _handle_lost_start(self, server: BackendServer) -> bool:
+        """Deal with a start that may have arrived; tell if it is settled."""
+        if self._claim.needed:
+            await self.chase(server)
+            return True
+        self.cancel_last_attempt(server)
+        return False
+
+    async def _claim_start(self, slot: Slot, deadline: float) -> bool:
+        """Claim the fresh start; attach where another instance has claimed it."""
+        try:
+            dispatch = await self._claim.insert(
+                generation=self._run.generation,
+                server=slot.server.name,
+                deadline=deadline,
+            )
+        except RequestFailure:
+            slot.release()
+            raise
+        if not dispatch:
+            slot.release()
+            self._run.generation = self._claim.generation
+            await self.chase(self._parts.servers.find(self._claim.server))
+        return dispatch
+
+    async def _acquire_start(
+        self, excluded: set[str], deadline: float, *, resume: bool, retry: bool
+    ) -> Slot:
+        wish = SlotWish(
+            request=self._run.request,
+            pools=self._targets.pools,
+            deadline=deadline,
+            excluded=frozenset(excluded),
+            resume=resume,
+            retry=retry,
+            arrival=self._silence.accepted_at,
+        )
+        self._acquiring = ensureDeferred(self._parts.scheduling.acquire(wish))
+        try:
+            return await self._acquiring
+        except CancelledError as error:
+            reason = "the caller has gone"
+            raise make_failure(OutcomeTag.NOT_RUN, "queue", reason) from error
+        finally:
+            self._acquiring = None
+
+    async def chase(self, server: BackendServer | None) -> None:
+        """Attach to a run that must not be started again, or say ``unknown``.
+
+        Parameters
+        ----------
+        server : BackendServer or None
+            Where the run is thought to be.
+
+        Raises
+        ------
+        RequestFailure
+        """
+        deadline = time.monotonic() + self._targets.first_token_s
+        retry_after_s: float | None = RETRY_AFTER_S
+        while server is not None:
+            try:
+                await self.attach(server, timeout_s=self.accept_s)
+                return
+            except EngineRefusal as refusal:
+                if refusal.reason == CONNECTION_REFUSED:
+                    retry_after_s = None
+                    break
+            except EngineLost:
+                pass
+            if time.monotonic() > deadline:
+                break
+            await task.deferLater(self._parts.reactor, ATTACH_RETRY_DELAY_S)
+        raise make_failure(
+            OutcomeTag.UNKNOWN,
+            "attach",
+            "the request may have run, and its run cannot be attached to",
+            peer="unknown" if server is None else server.name,
+            retry_after_s=retry_after_s,
+        )
+
+    async def attach(self, server: BackendServer, *, timeout_s: float) -> None:
+        """Attach at the next token that is due.
+
+        Parameters
+        ----------
+        server : BackendServer
+        timeout_s : float
+            Time that the engine has to answer, seconds.
+
+        Raises
+        ------
+        EngineRefusal, EngineLost
+        """
+        slot = self._parts.scheduling.adopt(server)
+        try:
+            stream = await self._parts.engines.attach(
+                server,
+                self._run.request.run_id,
+                offset=len(self._run.texts),
+                generation=self._run.generation,
+                fence=self._claim.fence,
+                receiver=self._receiver,
+                timeout_s=timeout_s,
+            )
+        except Exception:
+            slot.release()
+            raise
+        self._add(Candidate(stream=stream, slot=slot, attempt=self._attempt))
+
+    async def open_stream(
+        self, slot: Slot, *, continue_from: list[str] | None = None
+    ) -> Candidate:
+        """Start the run on a server, or continue it there.
+
+        Parameters
+        ----------
+        slot : Slot
+        continue_from : list of str, optional
+            Tokens to continue from.
+
+        Returns
+        -------
+        Candidate
+
+        Raises
+        ------
+        EngineRefusal, EngineLost
+        """
+        self._attempt += 1
+        self._silence.record_dispatch()
+        body = self._make_body(slot, continue_from)
+        stream = await self._parts.engines.start(
+            slot.server, body, receiver=self._receiver, timeout_s=self.accept_s
+        )
+        candidate = Candidate(stream=stream, slot=slot, attempt=body["attempt"])
+        self._add(candidate)
+        return candidate
+
+    def cancel_last_attempt(self, server: BackendServer) -> None:
+        """Cancel an attempt that may have arrived.
+
+        Parameters
+        ----------
+        server : BackendServer
+        """
+        self._parts.orphans.add(server, self._run.request.run_id, self._attempt)
+
+    def _make_body(self, slot: Slot, continue_from: list[str] | None) -> StartBody:
+        request = self._run.request
+        body = StartBody(
+            run_id=request.run_id,
+            generation=self._run.generation,
+            attempt=self._attempt,
+            fence=self._claim.fence,
+            model=request.model,
+            prompt=request.prompt,
+            max_tokens=request.max_tokens,
+            priority=slot.priority,
+            digest=request.digest,
+        )
+        if request.adapter is not None:
+            body["adapter"] = request.adapter
+        if continue_from:
+            body["continue_from"] = continue_from
+        return body
+
+    def _add(self, candidate: Candidate) -> None:
+        self._candidates.add(candidate)
+        self._lifecycle.stream()
+
+    @property
+    def accept_s(self) -> float:
+        """Time that an engine has to accept a run, seconds."""
+        return max(MIN_ACCEPT_TIMEOUT_S, ACCEPT_TIMEOUT_SHARE * self._targets.resume_s)
