--- /dev/null
+++ b/tests/node/test_leases.py
@@ -0,0 +1,135 @@
+from __future__ import annotations
+
+import random
+
+from ebonyhaven_decisions import LeaseTerms
+from ebonyhaven_node._guarded_body import GuardedBody, GuardError
+from ebonyhaven_node._leases import (
+    Candidacy,
+    LeaseController,
+    LeaseMetrics,
+    LeaseOwner,
+)
+from ebonyhaven_node._pool_controllers import CANDIDATES, choose_candidates
+from ebonyhaven_platform import PlatformTransport, TableClient
+from prometheus_client import CollectorRegistry
+from twisted.internet import reactor, task
+from twisted.internet.defer import Deferred
+
+from tests.platform_client.platform_process import run_platform, set_faults
+from tests.reactor_thread import run_in_reactor
+
+TERMS = LeaseTerms(duration_s=600.0, renew_after_s=0.01, margin_s=1.0)
+LOST_ANSWERS = 3
+
+
+class EveryoneContends(Candidacy):
+    def is_candidate(self, lease: str) -> bool:
+        return True
+
+
+class Contender:
+    """One instance with its lease controller and metrics."""
+
+    def __init__(self, name: str, transport: PlatformTransport):
+        self.registry = CollectorRegistry()
+        self.lease = LeaseController(
+            lease="orders",
+            owner=LeaseOwner(name, 1),
+            table=TableClient(transport),
+            reactor=reactor,
+            rng=random.Random(name),
+            candidacy=EveryoneContends(),
+            metrics=LeaseMetrics(self.registry),
+            terms=TERMS,
+        )
+
+    def count_writes(self, result: str) -> float:
+        labels = {"action": "renew", "result": result}
+        return self.registry.get_sample_value("ebonyhaven_lease_writes_total", labels)
+
+
+async def wait_until(condition) -> None:
+    while not condition():
+        await task.deferLater(reactor, 0.02)
+
+
+async def contend(address: str, check) -> None:
+    transport = PlatformTransport(reactor, address, timeout_s=20.0)
+    contenders = [Contender(name, transport) for name in ("a", "b")]
+    for contender in contenders:
+        Deferred.fromCoroutine(contender.lease.run())
+    try:
+        await check(contenders)
+    finally:
+        for contender in contenders:
+            contender.lease.stop()
+        await transport.close()
+
+
+def find_holder(contenders: list[Contender]) -> Contender:
+    (holder,) = [item for item in contenders if item.lease.is_held()]
+    return holder
+
+
+def test_holder_keeps_its_lease_through_lost_confirmations():
+    async def check(contenders: list[Contender]) -> None:
+        await wait_until(lambda: any(item.lease.is_held() for item in contenders))
+        holder = find_holder(contenders)
+        set_faults(address, lose_answers=LOST_ANSWERS)
+        await wait_until(lambda: holder.count_writes("unconfirmed") == LOST_ANSWERS)
+        done = holder.count_writes("done") or 0
+        await wait_until(lambda: (holder.count_writes("done") or 0) > done)
+        assert find_holder(contenders) is holder
+        assert holder.lease.fence == 1
+        assert not holder.count_writes("conflict")
+
+    with run_platform() as address:
+        run_in_reactor(contend, address, check)
+
+
+def test_lost_confirmation_of_an_acquisition_is_read_back():
+    async def check(contenders: list[Contender]) -> None:
+        await wait_until(lambda: any(item.lease.is_held() for item in contenders))
+        assert find_holder(contenders).lease.fence == 1
+
+    with run_platform() as address:
+        set_faults(address, lose_answers=1)
+        run_in_reactor(contend, address, check)
+
+
+def test_released_lease_is_taken_with_a_higher_fence():
+    async def check(contenders: list[Contender]) -> None:
+        await wait_until(lambda: any(item.lease.is_held() for item in contenders))
+        holder = find_holder(contenders)
+        (other,) = [item for item in contenders if item is not holder]
+        await holder.lease.release()
+        assert not holder.lease.is_held()
+        await wait_until(other.lease.is_held)
+        assert other.lease.fence == 2
+
+    with run_platform() as address:
+        run_in_reactor(contend, address, check)
+
+
+def test_body_is_withheld_once_the_lease_has_ended():
+    written: list[bytes] = []
+
+    class Consumer:
+        write = staticmethod(written.append)
+
+    failures: list = []
+    withheld = GuardedBody(b"order", lambda: False).startProducing(Consumer())
+    withheld.addErrback(failures.append)
+    assert failures[0].check(GuardError)
+    assert written == []
+    GuardedBody(b"order", lambda: True).startProducing(Consumer())
+    assert written == [b"order"]
+
+
+def test_few_instances_contend_and_differ_between_leases():
+    instances = [f"n{number}" for number in range(390)]
+    chosen = [tuple(choose_candidates(f"l{n}", instances)) for n in range(10)]
+    assert all(len(names) == CANDIDATES for names in chosen)
+    assert len(set(chosen)) == len(chosen)
+    assert choose_candidates("l0", reversed(instances)) == list(chosen[0])
