Keep long declarations deflated in their row

Cause: 920 workspaces with a key digest each and 10 models are 91,870 bytes as JSON; a row takes 64 KiB. Change: a declaration above 60 KiB is kept deflated, in the table and between instances.

--- a/packages/decisions/src/ebonyhaven_decisions/_configuration.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_configuration.py
@@ -13,6 +13,9 @@
 
 from __future__ import annotations
 
+import base64
+import json
+import zlib
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
@@ -22,6 +25,7 @@
 HISTORY_PREFIX = "configuration/history/"
 CHANGE_PREFIX = "configuration/changes/"
 MAX_ENTRY_BYTES = 60 * 1024
+DEFLATE_LEVEL = 9
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -49,14 +53,21 @@
     declaration: Mapping[str, Any]
 
     def serialize(self) -> dict[str, Any]:
-        """Return the entry as the JSON value of a row."""
-        return {
+        """Return the entry as the JSON value of a row.
+
+        A declaration that is too long for a row is deflated.
+        """
+        text = json.dumps(self.declaration, separators=(",", ":"))
+        entry: dict[str, Any] = {
             "version": self.version,
             "change_id": self.change_id,
             "author": self.author,
             "accepted_at": self.accepted_at,
-            "declaration": dict(self.declaration),
         }
+        if len(text) <= MAX_ENTRY_BYTES:
+            return {**entry, "declaration": dict(self.declaration)}
+        deflated = base64.b64encode(zlib.compress(text.encode(), DEFLATE_LEVEL))
+        return {**entry, "declaration_deflated": deflated.decode()}
 
 
 def parse_entry(value: Mapping[str, Any]) -> ConfigurationEntry:
@@ -67,12 +78,17 @@
     KeyError
         If a field is missing.
     """
+    deflated = value.get("declaration_deflated")
+    if deflated is None:
+        declaration = value["declaration"]
+    else:
+        declaration = json.loads(zlib.decompress(base64.b64decode(deflated)))
     return ConfigurationEntry(
         version=value["version"],
         change_id=value["change_id"],
         author=value["author"],
         accepted_at=value["accepted_at"],
-        declaration=value["declaration"],
+        declaration=declaration,
     )
 
 
--- a/packages/operator/src/ebonyhaven_operator/commands.py
+++ b/packages/operator/src/ebonyhaven_operator/commands.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterator
 from typing import Annotated, Any
 
+import attrs
 import typer
 from ebonyhaven_decisions import (
     CURRENT_KEY,
@@ -140,7 +141,9 @@
     """Show the current configuration."""
     with _reporting(as_json):
         current = run_session(platform, timeout, _read_current)
-        entry = current.entry.serialize() if current.entry else {"version": 0}
+        entry = {"version": 0}
+        if current.entry is not None:
+            entry = attrs.asdict(current.entry)
         _print_result(as_json, json.dumps(entry, indent=2), **entry)
 
 
