Survive malformed rows in the control part

Cause: reading the code: a malformed configuration row, lease row or state of a server raised in an endless task and ended it without a word. Change: such values are refused and logged once; the error that ends a controller is logged.

--- a/packages/decisions/src/ebonyhaven_decisions/_configuration.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_configuration.py
@@ -75,21 +75,26 @@
 
     Raises
     ------
-    KeyError
-        If a field is missing.
+    ValueError
+        If the value is no entry.
     """
+    try:
+        return ConfigurationEntry(
+            version=int(value["version"]),
+            change_id=str(value["change_id"]),
+            author=str(value["author"]),
+            accepted_at=float(value["accepted_at"]),
+            declaration=_read_declaration(value),
+        )
+    except (KeyError, TypeError, zlib.error) as error:
+        raise ValueError(f"no configuration entry: {error!r}") from error
+
+
+def _read_declaration(value: Mapping[str, Any]) -> Mapping[str, Any]:
     deflated = value.get("declaration_deflated")
     if deflated is None:
-        declaration = value["declaration"]
-    else:
-        declaration = json.loads(zlib.decompress(base64.b64decode(deflated)))
-    return ConfigurationEntry(
-        version=value["version"],
-        change_id=value["change_id"],
-        author=value["author"],
-        accepted_at=value["accepted_at"],
-        declaration=declaration,
-    )
+        return value["declaration"]
+    return json.loads(zlib.decompress(base64.b64decode(deflated)))
 
 
 def name_history_key(version: int) -> str:
--- a/packages/decisions/src/ebonyhaven_decisions/_leases.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_leases.py
@@ -76,10 +76,22 @@
 
 
 def parse_lease_row(value: Mapping[str, Any]) -> LeaseRow:
-    """Return the lease that a row's JSON value holds."""
-    return LeaseRow(
-        value["holder"], value["incarnation"], value["fence"], value["expires_at_ms"]
-    )
+    """Return the lease that a row's JSON value holds.
+
+    Raises
+    ------
+    ValueError
+        If the value is no lease.
+    """
+    try:
+        return LeaseRow(
+            str(value["holder"]),
+            int(value["incarnation"]),
+            int(value["fence"]),
+            float(value["expires_at_ms"]),
+        )
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"no lease: {error!r}") from error
 
 
 class LeaseAction(enum.Enum):
--- a/packages/node/src/ebonyhaven_node/_configuration.py
+++ b/packages/node/src/ebonyhaven_node/_configuration.py
@@ -33,6 +33,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ebonyhaven_node._configured import ConfigurationInForce
+from ebonyhaven_node._controllers import start_controller
 
 SHORTEST_PERIOD_S = 1.0
 READS_PER_S = 100.0
@@ -175,7 +176,8 @@
         peers : ConfigurationPeers
         """
         self._peers = peers
-        Deferred.fromCoroutine(self._repeat("ask", self._ask_peers, self._ask_period))
+        asking = self._repeat("ask", self._ask_peers, self._ask_period)
+        start_controller("configuration of peers", asking)
 
     async def run(self) -> None:
         """Read the table again and again until `stop` is called."""
@@ -284,14 +286,19 @@
 
     def _take_changes(self, changes: RowSet) -> None:
         row = changes.find(CURRENT_KEY)
-        if row.value is not None:
+        if row.value is None:
+            self._table_version = changes.version
+            return
+        try:
             entry = parse_entry(row.value)
-            if not self._is_usable(entry):
-                return
-            self._apply(observe_table(self._view, entry), "table")
-            if self.version < entry.version:
-                return  # the next read asks for this change again
-        self._table_version = changes.version
+        except ValueError as error:
+            self._refuse(row.version, str(error))
+            return
+        if not self._is_usable(entry):
+            return
+        self._apply(observe_table(self._view, entry), "table")
+        if self.version >= entry.version:  # else the next read asks for it again
+            self._table_version = changes.version
 
     def _ask_peers(self) -> None:
         is_starting = self._view.entry is None and self._table_failed
@@ -323,14 +330,15 @@
         try:
             parse_declaration(entry.declaration)
         except DeclarationError as error:
-            if entry.version > self._refused_version:
-                self._refused_version = entry.version
-                _log.error(
-                    "configuration_refused", version=entry.version, error=str(error)
-                )
+            self._refuse(entry.version, str(error))
             return False
         return True
 
+    def _refuse(self, version: int, reason: str) -> None:
+        if version != self._refused_version:
+            self._refused_version = version
+            _log.error("configuration_refused", version=version, error=reason)
+
     def _apply(self, view: ConfigurationView, source: str) -> None:
         before = self._view
         self._view = view
--- a/packages/node/src/ebonyhaven_node/_control_plane.py
+++ b/packages/node/src/ebonyhaven_node/_control_plane.py
@@ -9,7 +9,6 @@
 from ebonyhaven_decisions import MemberState
 from ebonyhaven_platform import PlatformTransport, TableClient, WeightClient
 from prometheus_client import CollectorRegistry
-from twisted.internet.defer import ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
 from ebonyhaven_node._channels import Channels
@@ -19,6 +18,7 @@
 )
 from ebonyhaven_node._configuration_peers import MembershipPeers
 from ebonyhaven_node._configured import ConfigurationInForce
+from ebonyhaven_node._controllers import start_controller
 from ebonyhaven_node._leases import LeaseController, LeaseMetrics, LeaseOwner
 from ebonyhaven_node._membership import MembershipController
 from ebonyhaven_node._orders import OrderMetrics, OrderParts
@@ -75,7 +75,7 @@
     parts.configuration.observe(pools.update)
     configuration = _build_configuration(parts)
     stack.callback(configuration.stop)
-    ensureDeferred(configuration.run())
+    start_controller("configuration", configuration.run())
     return pools
 
 
--- a/packages/node/src/ebonyhaven_node/_leases.py
+++ b/packages/node/src/ebonyhaven_node/_leases.py
@@ -175,8 +175,8 @@
     async def run(self) -> None:
         """Keep the lease as long as `stop` is not called."""
         while not self._stopped:
-            # A lease that can not be renewed lapses by itself.
-            with contextlib.suppress(PlatformError):
+            # A lease that can not be read or renewed lapses by itself.
+            with contextlib.suppress(PlatformError, ValueError):
                 await self._step()
             self._update_lifecycle()
             period_s = STEP_S * self._rng.uniform(1 - JITTER, 1)
@@ -196,7 +196,7 @@
         """End `run` and let another instance take the lease at once."""
         self.stop()
         if self.is_held():
-            with contextlib.suppress(PlatformError):
+            with contextlib.suppress(PlatformError, ValueError):
                 await self._write_row("release")
 
     async def _step(self) -> None:
--- a/packages/node/src/ebonyhaven_node/_orders.py
+++ b/packages/node/src/ebonyhaven_node/_orders.py
@@ -14,7 +14,7 @@
 import random
 import uuid
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import attrs
 import structlog
@@ -76,10 +76,23 @@
 
 
 class ReadBack(NamedTuple):
-    """A backend server and what it said of its state."""
+    """A backend server and what it said of its state.
+
+    Parameters
+    ----------
+    server : BackendServer
+    models : frozenset of str
+        Models that it has loaded.
+    parts : frozenset of str
+        Adapters and versions that it has loaded.
+    leaving : bool
+        Whether it takes no new work.
+    """
 
     server: BackendServer
-    state: dict[str, Any]
+    models: frozenset[str]
+    parts: frozenset[str]
+    leaving: bool
 
 
 class PendingOrder(NamedTuple):
@@ -207,22 +220,28 @@
                 reactor=self._parts.reactor,
                 persistent=False,
             )
-            return ReadBack(server, await treq.json_content(response))
+            state = await treq.json_content(response)
+            return ReadBack(
+                server=server,
+                models=frozenset(state["models"]),
+                parts=frozenset(state["versions"]) | frozenset(state["adapters"]),
+                leaving=bool(state["leaving"]),
+            )
         except Exception:  # a server that cannot be read back gets no orders
             return None
 
     def _describe(self, item: ReadBack, declaration: Declaration) -> PlacedServer:
-        server, state = item
+        server = item.server
         gaps = [each.gap_ms for each in declaration.classes.values()]
         strictest_s = min(gaps, default=float("inf")) / 1000
         return PlacedServer(
             name=server.name,
             data_centre=server.data_centre,
-            models=frozenset(state["models"]),
-            parts=frozenset(state["versions"]) | frozenset(state["adapters"]),
+            models=item.models,
+            parts=item.parts,
             load=(server.running + server.waiting) / max(1, server.capacity),
             pace=server.pace_s / strictest_s,
-            leaving=bool(state["leaving"]),
+            leaving=item.leaving,
         )
 
     def _settle_pending(self, placed: list[PlacedServer], now: float) -> None:
--- a/packages/node/src/ebonyhaven_node/_pool_controllers.py
+++ b/packages/node/src/ebonyhaven_node/_pool_controllers.py
@@ -9,6 +9,7 @@
 from ebonyhaven_decisions import Declaration, PoolKind
 from twisted.internet.defer import Deferred, gatherResults
 
+from ebonyhaven_node._controllers import start_controller
 from ebonyhaven_node._leases import Candidacy, LeaseController
 from ebonyhaven_node._orders import OrderController, OrderParts
 
@@ -128,6 +129,6 @@
         orders = OrderController(
             pool=name, lease=lease, declaration=self._declaration, parts=self._parts
         )
-        Deferred.fromCoroutine(lease.run())
-        Deferred.fromCoroutine(orders.run())
+        start_controller(lease.lease, lease.run())
+        start_controller(f"orders of {name}", orders.run())
         return _PoolControllers(lease, orders)
