Read the platform's list in turn and pass on what changed

Cause: each instance read the whole list every 1.5 s. At 390 instances and 730 servers the list is 219 KB of JSON, so that alone was about 173 KB a second and node, against 2 KB for all control.

Up to nine instances still all read. Beyond, two read it every 3 s, by turns of a minute; changed entries ride on heartbeats, eight times each, in a room of their own that is empty while nothing changes. The others read it once in two seconds times the count of instances, stand in when no read was heard of for 25 s, and fetch the entries of a neighbour when theirs differ from the last read. A new instance gets them from a neighbour when the list is out.

Worked out for the target: 219 KB x 2 readers / 2.55 s / 390 is 0.44 KB a second and node on average, and 0.33 KB for the seldom reads; a reader on duty has 86 KB a second for its minute.

Also: entries of digests expire now; nothing had called that.

--- a/packages/decisions/src/ebonyhaven_decisions/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/__init__.py
@@ -105,6 +105,13 @@
     ConcurrencyLimit,
     RetryBudget,
 )
+from ebonyhaven_decisions._listing import Listing
+from ebonyhaven_decisions._listing_duty import (
+    READ_INTERVAL_S,
+    ListingDuty,
+    everybody_reads,
+    list_readers,
+)
 from ebonyhaven_decisions._load_digests import (
     LoadEntry,
     build_load_digest,
@@ -207,9 +214,8 @@
 )
 
 __all__ = [
-    "EVIDENCE_TTL_S",
-    "BEFORE_FIRST",
     "Acceptance",
+    "BEFORE_FIRST",
     "CURRENT_KEY",
     "Choice",
     "ClaimRow",
@@ -233,6 +239,7 @@
     "Detector",
     "Dispatch",
     "Dispatcher",
+    "EVIDENCE_TTL_S",
     "EntryCandidate",
     "EntryList",
     "Envelope",
@@ -252,6 +259,8 @@
     "LeaseTerms",
     "LeaseView",
     "LeastConnectionsRouter",
+    "Listing",
+    "ListingDuty",
     "LoadAwareRouter",
     "LoadEntry",
     "LoadReport",
@@ -280,6 +289,7 @@
     "ProbeAnswer",
     "Query",
     "QueryAnswer",
+    "READ_INTERVAL_S",
     "Refusal",
     "RefusalReason",
     "RequestClass",
@@ -318,12 +328,14 @@
     "diff",
     "draft_release",
     "draft_row",
+    "everybody_reads",
     "exceptions",
     "has_room",
     "is_done",
     "is_held",
     "judge_claim",
     "list_orders",
+    "list_readers",
     "may_dispatch",
     "may_order",
     "merge_load_digest",
--- a/packages/decisions/src/ebonyhaven_decisions/_gossip.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_gossip.py
@@ -109,6 +109,16 @@
         self._fresh[entry.key] = self._transmissions
         return True
 
+    def remove(self, key: str) -> None:
+        """Drop the entry of a key.
+
+        Parameters
+        ----------
+        key : str
+        """
+        del self._held[key]
+        self._fresh.pop(key, None)
+
     def collect(self, budget_bytes: int) -> list[GossipEntry]:
         """Return the entries for one message.
 
@@ -151,8 +161,7 @@
         oldest = now - self._lifetime_s
         expired = [key for key, held in self._held.items() if held.merged_at < oldest]
         for key in expired:
-            del self._held[key]
-            self._fresh.pop(key, None)
+            self.remove(key)
         return expired
 
     def _mark_sent(self, key: str) -> None:
--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -36,6 +36,7 @@
     ValidateFilter,
 )
 from ebonyhaven_node._leases import LeaseOwner
+from ebonyhaven_node._listing import ListingController
 from ebonyhaven_node._membership import MembershipController, make_own_record
 from ebonyhaven_node._metrics import RelayMetrics
 from ebonyhaven_node._orphans import OrphanController
@@ -43,7 +44,7 @@
 from ebonyhaven_node._processor_load import ProcessorLoad
 from ebonyhaven_node._run_parts import DriverParts
 from ebonyhaven_node._runs import RunRegistry
-from ebonyhaven_node._servers import BackendServerController, BackendServers
+from ebonyhaven_node._servers import BackendServers
 from ebonyhaven_node._services import ServiceRelay
 from ebonyhaven_node._settings import Settings
 from ebonyhaven_node._web import CallerInterface, InstanceState
@@ -142,17 +143,17 @@
         return membership
 
     def _start_controllers(self, transport: PlatformTransport) -> None:
-        servers = BackendServerController(
+        listing = ListingController(
+            name=self._settings.instance,
             servers=self._servers,
+            membership=self._membership,
+            channels=self._channels,
             client=InstanceListClient(transport),
             reactor=self._reactor,
             rng=self._rng,
         )
-        self._servers.observe(
-            lambda: self._membership.merge_list(self._servers.instances)
-        )
-        self._stack.callback(servers.stop)
-        ensureDeferred(servers.run())
+        self._stack.callback(listing.stop)
+        ensureDeferred(listing.run())
         self._pools = start_control_plane(
             ControlParts(
                 owner=LeaseOwner(self._state.instance, self._state.incarnation),
--- a/packages/node/src/ebonyhaven_node/_digests.py
+++ b/packages/node/src/ebonyhaven_node/_digests.py
@@ -10,6 +10,7 @@
 from ebonyhaven_decisions import GossipEntry, GossipTable
 
 HEARTBEAT_DIGEST_BYTES = 64
+COLLECTIONS_A_EXPIRY = 100
 _KEY_BYTES = 5
 
 
@@ -23,10 +24,13 @@
     first : bool
         Whether it has a place in each heartbeat before the others, which take
         turns in the room that is left.
+    own_budget_bytes : int
+        Room beside the shared one, for news that are rare; 0 for none.
     """
 
     code: str
     first: bool = False
+    own_budget_bytes: int = 0
 
     @abc.abstractmethod
     def collect(self, budget_bytes: int) -> Any:
@@ -96,6 +100,9 @@
         Returns the present time in seconds.
     on_merge : callable or None
         Called with each `GossipEntry` that was new.
+    merge : callable or None
+        Takes in a `GossipEntry` in place of the table and returns whether it
+        was new.
     """
 
     def __init__(
@@ -105,24 +112,32 @@
         table: GossipTable,
         clock: Callable[[], float],
         on_merge: Callable[[GossipEntry], None] | None = None,
+        merge: Callable[[GossipEntry], bool] | None = None,
     ):
         self.code = code
         self.table = table
         self._clock = clock
         self._on_merge = on_merge
+        self._merge = merge or self._merge_into_table
+        self._collections = 0
 
     def collect(self, budget_bytes: int) -> list[GossipEntry]:
         """See `Digest.collect`."""
+        self._collections += 1
+        if self._collections % COLLECTIONS_A_EXPIRY == 0:
+            self.table.expire(self._clock())
         return self.table.collect(budget_bytes)
 
     def merge(self, sender: str, payload: Any) -> None:
         """See `Digest.merge`."""
-        now = self._clock()
         for key, version, value in payload:
             entry = GossipEntry(str(key), int(version), value)
-            if self.table.merge(entry, now) and self._on_merge is not None:
+            if self._merge(entry) and self._on_merge is not None:
                 self._on_merge(entry)
 
+    def _merge_into_table(self, entry: GossipEntry) -> bool:
+        return self.table.merge(entry, self._clock())
+
 
 class DigestSet:
     """Shares the room of a heartbeat between the digests.
@@ -161,18 +176,26 @@
         payloads: dict[str, Any] = {}
         budget_bytes = self._budget_bytes
         for digest in self._first + self._in_turn:
-            payload = digest.collect(budget_bytes - _KEY_BYTES)
-            if not payload:
-                continue
-            size = len(json.dumps(payload, separators=(",", ":"))) + _KEY_BYTES
-            if size > budget_bytes:
-                self._on_fault("digest_too_long")
-                continue
-            budget_bytes -= size
-            payloads[digest.code] = payload
+            own_bytes = digest.own_budget_bytes
+            used_bytes = self._collect_one(digest, own_bytes or budget_bytes, payloads)
+            if not own_bytes:
+                budget_bytes -= used_bytes
         self._in_turn = self._in_turn[1:] + self._in_turn[:1]
         return payloads
 
+    def _collect_one(
+        self, digest: Digest, budget_bytes: int, payloads: dict[str, Any]
+    ) -> int:
+        payload = digest.collect(budget_bytes - _KEY_BYTES)
+        if not payload:
+            return 0
+        size = len(json.dumps(payload, separators=(",", ":"))) + _KEY_BYTES
+        if size > budget_bytes:
+            self._on_fault("digest_too_long")
+            return 0
+        payloads[digest.code] = payload
+        return size
+
     def merge(self, sender: str, payloads: dict[str, Any]) -> None:
         """Hand payloads to their digests; unknown codes are ignored.
 
--- a/packages/node/src/ebonyhaven_node/_frames.py
+++ b/packages/node/src/ebonyhaven_node/_frames.py
@@ -21,6 +21,8 @@
     TABLE = "t"
     CONFIGURATION = "c"
     CONFIGURATION_REQUEST = "d"
+    LISTING_REQUEST = "e"
+    LISTING = "l"
 
 
 class Frame(NamedTuple):
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/_listing.py
@@ -0,0 +1,215 @@
+"""Controller of the platform's list: reads it in turn and passes it on."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import structlog
+from ebonyhaven_decisions import (
+    READ_INTERVAL_S,
+    GossipEntry,
+    Listing,
+    ListingDuty,
+    MemberState,
+    everybody_reads,
+)
+from ebonyhaven_platform import InstanceListClient, ListedProcess, PlatformError
+from twisted.internet import task
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+
+from ebonyhaven_node._channels import Channels
+from ebonyhaven_node._digests import TableDigest
+from ebonyhaven_node._frames import Frame, Kind
+from ebonyhaven_node._membership import MembershipController
+from ebonyhaven_node._servers import BackendServers
+
+JITTER = 0.3
+DIGEST_CODE = "i"
+DIGEST_BYTES = 600
+MAX_ENTRIES_A_MESSAGE = 200
+INCONSISTENT_ROUNDS = 10
+
+_log = structlog.get_logger()
+_FIELDS = tuple(field.name for field in attrs.fields(ListedProcess))
+
+
+def _encode_process(process: ListedProcess) -> list[str]:
+    return [getattr(process, name) for name in _FIELDS if name != "name"]
+
+
+def _decode_process(name: str, values: list[str]) -> ListedProcess:
+    texts = dict(zip(_FIELDS[1:], map(str, values), strict=True))
+    return ListedProcess(name=name, **texts)
+
+
+class ListingController:
+    """Keeps backend servers and the membership's seeds up to date.
+
+    A few instances read the list often and pass on what changed; the others
+    read it seldom. An instance that knows nothing asks another one for its
+    whole list, so that it starts while the platform is out.
+
+    Parameters
+    ----------
+    name : str
+        Name of this instance.
+    servers : BackendServers
+    membership : MembershipController
+    channels : Channels
+    client : InstanceListClient
+    reactor : IReactorTime
+    rng : random.Random
+    clock, wall_clock : callable
+        Return seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        servers: BackendServers,
+        membership: MembershipController,
+        channels: Channels,
+        client: InstanceListClient,
+        reactor: IReactorTime,
+        rng: random.Random,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+    ):
+        self._servers = servers
+        self._membership = membership
+        self._client = client
+        self._reactor = reactor
+        self._rng = rng
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._duty = ListingDuty(name=name, rng=rng)
+        self._listing = Listing()
+        self._inconsistent_rounds = 0
+        self._reachable = True
+        self._stopped = False
+        self._apply_call: Any = None
+        self._waiting: Deferred | None = None
+        digest = TableDigest(
+            code=DIGEST_CODE,
+            table=self._listing.table,
+            clock=clock,
+            merge=self._merge_entry,
+        )
+        digest.own_budget_bytes = DIGEST_BYTES
+        membership.add_digest(digest)
+        channels.subscribe(Kind.LISTING_REQUEST, self._answer_request)
+        channels.subscribe(Kind.LISTING, self._receive_listing)
+
+    async def run(self) -> None:
+        """Read the list when it is due, until `stop` is called."""
+        while not self._stopped:
+            if self._is_due():
+                await self._read_once()
+            if self._is_incomplete():
+                self._ask_neighbour()
+            period_s = READ_INTERVAL_S * self._rng.uniform(1 - JITTER, 1)
+            self._waiting = task.deferLater(self._reactor, period_s)
+            self._waiting.addErrback(lambda _: None)
+            await self._waiting
+
+    def stop(self) -> None:
+        """End `run`."""
+        self._stopped = True
+        if self._waiting is not None:
+            self._waiting.cancel()
+        if self._apply_call is not None and self._apply_call.active():
+            self._apply_call.cancel()
+
+    def _is_incomplete(self) -> bool:
+        if not self._listing:
+            return True
+        if self._listing.is_consistent():
+            self._inconsistent_rounds = 0
+            return False
+        self._inconsistent_rounds += 1
+        return self._inconsistent_rounds % INCONSISTENT_ROUNDS == 0
+
+    def _list_live(self) -> list[str]:
+        return [
+            record.name
+            for record in self._membership.members
+            if record.state <= MemberState.LEAVING
+        ]
+
+    def _is_due(self) -> bool:
+        if not self._listing:
+            return True
+        wall_s = self._wall_clock()
+        return self._duty.is_due(
+            self._list_live(),
+            now=self._clock(),
+            wall_s=wall_s,
+            age_s=self._listing.compute_age(wall_s),
+        )
+
+    async def _read_once(self) -> None:
+        started_at = self._clock()
+        try:
+            listed = await self._client.read()
+        except PlatformError as error:
+            self._note_reachable(False, reason=error.reason)
+            return
+        self._note_reachable(True)
+        changed = self._listing.merge_read(
+            {item.name: _encode_process(item) for item in listed.processes},
+            started_at=started_at,
+            now=self._clock(),
+            wall_s=self._wall_clock(),
+            shared=not everybody_reads(len(self._list_live())),
+        )
+        if changed:
+            self._membership.hasten()
+        self._apply()
+
+    def _merge_entry(self, entry: GossipEntry) -> bool:
+        if entry.value is not None and entry.key:
+            _decode_process(entry.key, entry.value)
+        changed = self._listing.merge_entry(entry, self._clock())
+        if changed and (self._apply_call is None or not self._apply_call.active()):
+            self._apply_call = self._reactor.callLater(0, self._apply)
+        return changed
+
+    def _apply(self) -> None:
+        processes = [
+            _decode_process(name, value)
+            for name, value in self._listing.values().items()
+        ]
+        instances = tuple(item for item in processes if item.kind == "instance")
+        self._servers.instances = instances
+        self._membership.merge_list(instances)
+        self._servers.merge_list(
+            item for item in processes if item.kind == "backend_server"
+        )
+
+    def _ask_neighbour(self) -> None:
+        neighbours = self._membership.neighbours
+        if neighbours:
+            name = self._rng.choice(neighbours)
+            self._membership.send(name, Kind.LISTING_REQUEST, None)
+
+    def _answer_request(self, frame: Frame) -> None:
+        entries = self._listing.entries()
+        for first in range(0, len(entries), MAX_ENTRIES_A_MESSAGE):
+            part = entries[first : first + MAX_ENTRIES_A_MESSAGE]
+            self._membership.send(frame.sender, Kind.LISTING, part)
+
+    def _receive_listing(self, frame: Frame) -> None:
+        for key, version, value in frame.payload:
+            self._merge_entry(GossipEntry(str(key), int(version), value))
+
+    def _note_reachable(self, reachable: bool, *, reason: str = "") -> None:
+        if reachable == self._reachable:
+            return
+        self._reachable = reachable
+        _log.info("instance_list_reachable", reachable=reachable, reason=reason)
--- a/packages/node/src/ebonyhaven_node/_servers.py
+++ b/packages/node/src/ebonyhaven_node/_servers.py
@@ -3,19 +3,13 @@
 from __future__ import annotations
 
 import abc
-import random
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import attrs
 import structlog
-from ebonyhaven_platform import InstanceListClient, ListedProcess, PlatformError
-from twisted.internet import task
-from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IReactorTime
+from ebonyhaven_platform import ListedProcess
 
-LIST_PERIOD_S = 1.5
-LIST_JITTER = 0.3
 FIRST_BACKOFF_S = 0.5
 LONGEST_BACKOFF_S = 8.0
 DEFAULT_CAPACITY = 16
@@ -223,66 +217,3 @@
             self._servers[name] = server
         if item.state == "leaving" or server.leaving:
             server.leaving = item.state == "leaving"
-
-
-class BackendServerController:
-    """Keeps the backend servers up to date from the platform's list.
-
-    Parameters
-    ----------
-    servers : BackendServers
-        What is kept up to date.
-    client : InstanceListClient
-        Reads the list.
-    reactor : IReactorTime
-        Source of delayed calls.
-    rng : random.Random
-        Source of jitter.
-    """
-
-    def __init__(
-        self,
-        *,
-        servers: BackendServers,
-        client: InstanceListClient,
-        reactor: IReactorTime,
-        rng: random.Random,
-    ):
-        self._servers = servers
-        self._client = client
-        self._reactor = reactor
-        self._rng = rng
-        self._reachable = True
-        self._stopped = False
-        self._waiting: Deferred | None = None
-
-    async def run(self) -> None:
-        """Read the list again and again until `stop` is called."""
-        while not self._stopped:
-            await self._read_once()
-            period_s = LIST_PERIOD_S * self._rng.uniform(1 - LIST_JITTER, 1)
-            self._waiting = task.deferLater(self._reactor, period_s)
-            self._waiting.addErrback(lambda _: None)
-            await self._waiting
-
-    def stop(self) -> None:
-        """End `run`."""
-        self._stopped = True
-        if self._waiting is not None:
-            self._waiting.cancel()
-
-    async def _read_once(self) -> None:
-        try:
-            listed = await self._client.read()
-        except PlatformError as error:
-            self._note_reachable(False, reason=error.reason)
-            return
-        self._note_reachable(True)
-        self._servers.instances = listed.instances
-        self._servers.merge_list(listed.backend_servers)
-
-    def _note_reachable(self, reachable: bool, *, reason: str = "") -> None:
-        if reachable == self._reachable:
-            return
-        self._reachable = reachable
-        _log.info("instance_list_reachable", reachable=reachable, reason=reason)
--- /dev/null
+++ b/tests/decisions/test_listing.py
@@ -0,0 +1,111 @@
+from __future__ import annotations
+
+import random
+
+from ebonyhaven_decisions import GossipEntry, Listing, ListingDuty, list_readers
+
+WALL_S = 1_000_000.0
+NAMES = [f"n{index}" for index in range(40)]
+
+
+def read(listing: Listing, values, *, now, started_at=None, shared=True) -> bool:
+    return listing.merge_read(
+        values,
+        started_at=now if started_at is None else started_at,
+        now=now,
+        wall_s=WALL_S + now,
+        shared=shared,
+    )
+
+
+def pass_on(source: Listing, target: Listing, now: float) -> bool:
+    changes = [target.merge_entry(e, now) for e in source.table.collect(10_000)]
+    return any(changes)
+
+
+def test_change_reaches_an_instance_that_does_not_read():
+    reader, other = Listing(), Listing()
+    assert read(reader, {"s1": ["live"], "s2": ["live"]}, now=0.0)
+    assert pass_on(reader, other, 0.1)
+    assert read(reader, {"s1": ["leaving"]}, now=3.0)
+    assert pass_on(reader, other, 3.1)
+    assert other.values() == {"s1": ["leaving"]} == reader.values()
+    assert other.is_consistent()
+    assert other.compute_age(WALL_S + 3.0) == 0.0
+
+
+def test_unchanged_list_is_not_told_again():
+    reader = Listing()
+    read(reader, {"s1": ["live"]}, now=0.0)
+    while reader.table.collect(1000):
+        pass
+    assert not read(reader, {"s1": ["live"]}, now=3.0)
+    assert reader.table.collect(1000) == []
+
+
+def test_read_that_began_before_news_arrived_does_not_undo_them():
+    listing = Listing()
+    read(listing, {"s1": ["live"]}, now=0.0)
+    news = GossipEntry("s1", int((WALL_S + 5) * 1000), ["leaving"])
+    listing.merge_entry(news, 5.0)
+    assert not read(listing, {"s1": ["live"]}, now=5.1, started_at=4.9)
+    assert listing.values() == {"s1": ["leaving"]}
+
+
+def test_own_read_wins_over_news_of_a_fast_clock():
+    listing = Listing()
+    news = GossipEntry("s1", int((WALL_S + 900) * 1000), ["live"])
+    listing.merge_entry(news, 0.0)
+    assert read(listing, {"s1": ["leaving"]}, now=3.0)
+    assert listing.table.get("s1").version > news.version
+
+
+def test_missed_news_make_the_entries_inconsistent():
+    reader, other = Listing(), Listing()
+    read(reader, {"s1": ["live"]}, now=0.0)
+    pass_on(reader, other, 0.1)
+    read(reader, {"s1": ["leaving"]}, now=12.0)
+    other.merge_entry(reader.table.get(""), 12.1)
+    assert not other.is_consistent()
+    for entry in reader.entries():
+        other.merge_entry(entry, 12.2)
+    assert other.is_consistent()
+
+
+def test_process_that_is_gone_for_long_is_forgotten():
+    listing = Listing()
+    read(listing, {"s1": ["live"]}, now=0.0)
+    read(listing, {}, now=3.0)
+    assert listing.values() == {}
+    read(listing, {}, now=4000.0)
+    assert len(listing) == 0
+
+
+def count_reads(names, *, seconds: int, age_s: float = 1.0, down=()) -> float:
+    duties = [ListingDuty(name=name, rng=random.Random(name)) for name in names]
+    live = [name for name in names if name not in down]
+    reads = 0
+    for step in range(int(seconds / 1.5)):
+        now = step * 1.5
+        for name, duty in zip(names, duties, strict=True):
+            due = duty.is_due(live, now=now, wall_s=WALL_S + now, age_s=age_s)
+            reads += due and name in live
+    return reads / seconds
+
+
+def test_few_instances_all_read_and_many_read_no_more_in_all():
+    assert count_reads(NAMES[:9], seconds=150) == 9 / 1.5
+    assert count_reads(NAMES, seconds=240) <= 2.0
+    assert count_reads([f"m{i}" for i in range(100)], seconds=120) <= 3.0
+
+
+def test_others_stand_in_when_the_readers_cannot_read():
+    normal = count_reads(NAMES, seconds=150)
+    assert count_reads(NAMES, seconds=150, age_s=60.0) >= normal + 1.0
+
+
+def test_dead_reader_is_replaced():
+    readers = list_readers(NAMES, WALL_S)
+    assert len(readers) == 2
+    rest = [name for name in NAMES if name not in readers]
+    assert len(list_readers(rest, WALL_S)) == 2
