Split the records of a member view from the protocol around them

Records, their merge and the defence of the own one are a class of their own now; samples of a scrape are shared by bench and tests.

--- a/packages/decisions/src/ebonyhaven_decisions/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/__init__.py
@@ -120,6 +120,7 @@
 from ebonyhaven_decisions._loads import (
     LoadTable,
 )
+from ebonyhaven_decisions._member_view import MembershipCounts
 from ebonyhaven_decisions._members import (
     MemberRecord,
     MemberState,
@@ -129,7 +130,6 @@
 from ebonyhaven_decisions._membership import (
     TICK_S,
     Membership,
-    MembershipCounts,
 )
 from ebonyhaven_decisions._membership_messages import (
     Envelope,
--- a/packages/decisions/src/ebonyhaven_decisions/_membership.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_membership.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 from collections.abc import Mapping
 
-from ebonyhaven_decisions._announcements import Announcements
 from ebonyhaven_decisions._contacts import Contacts
-from ebonyhaven_decisions._detection import CONFIRMATION_S, SILENCE_S, Detector
+from ebonyhaven_decisions._detection import CONFIRMATION_S, SILENCE_S
 from ebonyhaven_decisions._isolation import Isolation
-from ebonyhaven_decisions._loads import LoadTable
-from ebonyhaven_decisions._members import MemberRecord, MemberState, MemberTable
+from ebonyhaven_decisions._member_view import MemberView
+from ebonyhaven_decisions._members import MemberRecord, MemberState
 from ebonyhaven_decisions._membership_messages import (
     Envelope,
     Heartbeat,
@@ -27,29 +25,11 @@
 
 TICK_S = 0.25
 EXPIRY_TICKS = 4
-SUSPICION_S = 5.0
-FORGET_S = 3600.0
 PAUSE_S = SILENCE_S + CONFIRMATION_S
 MAX_HELPERS = 3
 
 
-@dataclasses.dataclass(slots=True)
-class MembershipCounts:
-    """Counts of events since the start.
-
-    ``suspicions`` counts those that this instance raised itself.
-    """
-
-    silences: int = 0
-    suspicions: int = 0
-    deaths: int = 0
-    refutations: int = 0
-    indirect_signs: int = 0
-    pauses: int = 0
-    table_requests: int = 0
-
-
-class Membership:
+class Membership(MemberView):
     """View of one instance on all instances.
 
     Each call returns the messages to send. ``tick`` has to be called every
@@ -65,23 +45,13 @@
     """
 
     def __init__(self, *, own: MemberRecord, rng: random.Random, now: float):
-        self.own = own
-        self.table = MemberTable()
-        self.loads = LoadTable()
-        self.counts = MembershipCounts()
-        self.superseded = False
+        super().__init__(own=own, now=now)
         self.contacts = Contacts(name=own.name, rng=rng)
-        self._changes: list[MemberRecord] = []
-        self._detector = Detector()
         self._isolation = Isolation(rng=rng)
         self._reconciliation = Reconciliation()
-        self._announcements = Announcements(
-            name=own.name, table=self.table, loads=self.loads
-        )
         self._askers: dict[str, dict[str, str]] = {}
         self._ticks = 0
         self._ticked_at = now
-        self.table.merge(own, now)
         self._arrange(now)
 
     @property
@@ -113,11 +83,6 @@
         """
         return self._detector.is_isolated(now)
 
-    def take_changes(self) -> list[MemberRecord]:
-        """Return the records that changed since the last call."""
-        changes, self._changes = self._changes, []
-        return changes
-
     def set_listed(self, addresses: Mapping[str, str]) -> None:
         """Set the instances that the platform lists.
 
@@ -128,20 +93,6 @@
         """
         self.contacts.set_listed(addresses)
 
-    def set_load(self, tenths: int, now: float) -> None:
-        """Set the load of this instance.
-
-        Parameters
-        ----------
-        tenths : int
-            0 (idle) to 10 (full).
-        now : float
-            Present time in seconds.
-        """
-        own = self.own
-        if self.loads.report_own(own.name, own.incarnation, tenths, now):
-            self._announcements.add_load(own.name)
-
     def leave(self, now: float) -> None:
         """Announce that this instance takes no new callers.
 
@@ -186,7 +137,8 @@
         self._ticks += 1
         envelopes += self._check_silence(now)
         if self._ticks % EXPIRY_TICKS == 0:
-            self._expire(now)
+            for name in self._expire(now):
+                self._forget(name)
         self._arrange(now)
         envelopes += self._announcements.make_turn(self._ticks, self.own.state)
         envelopes += self.contacts.choose(
@@ -278,32 +230,6 @@
         for record in records:
             self._take_record(record, sender, now)
 
-    def _take_record(self, record: MemberRecord, informant: str, now: float) -> None:
-        if record.name == self.own.name:
-            self._defend(record, now)
-        elif self.table.merge(record, now):
-            if record.state == MemberState.DEAD:
-                self._detector.drop(record.name)
-                self.loads.forget(record.name)
-            self._changes.append(record)
-            self._announcements.add_record(record.name, informant=informant)
-
-    def _defend(self, record: MemberRecord, now: float) -> None:
-        if record <= self.own or self.own.state == MemberState.DEAD:
-            return
-        another = record.control_address != self.own.control_address
-        present = record.state < MemberState.SUSPECT
-        if another and present and record.incarnation > self.own.incarnation:
-            self.superseded = True
-            return
-        self.counts.refutations += 1
-        self._replace_own(now, incarnation=record.incarnation + 1)
-
-    def _replace_own(self, now: float, **changes: int) -> None:
-        self.own = self.own._replace(**changes)
-        self.table.merge(self.own, now)
-        self._announcements.add_record(self.own.name)
-
     def _give_notice(self, name: str, incarnation: int, now: float) -> list[Envelope]:
         """Tell a sender that is suspect, dead or outdated, so that it refutes."""
         known = self.table.get(name)
@@ -396,15 +322,6 @@
         self.counts.suspicions += 1
         self._take_record(record._replace(state=MemberState.SUSPECT), "", now)
 
-    def _expire(self, now: float) -> None:
-        for record in list(self.table):
-            age_s = now - self.table.changed_at(record.name)
-            if record.state == MemberState.SUSPECT and age_s >= SUSPICION_S:
-                self.counts.deaths += 1
-                self._take_record(record._replace(state=MemberState.DEAD), "", now)
-            elif record.state == MemberState.DEAD and age_s >= FORGET_S:
-                self._forget(record.name)
-
     def _forget(self, name: str) -> None:
         if name != self.own.name and not self.contacts.is_listed(name):
             self.table.forget(name)
--- a/packages/standins/src/ebonyhaven_standins/bench/_node_sets.py
+++ b/packages/standins/src/ebonyhaven_standins/bench/_node_sets.py
@@ -4,7 +4,6 @@
 
 import abc
 import contextlib
-import re
 import time
 import urllib.request
 from types import TracebackType
@@ -12,41 +11,11 @@
 
 from ebonyhaven_standins.cluster import ChildProcess, Cluster
 from ebonyhaven_standins.control_nodes import DATA_CENTRES, ControlNodes
+from ebonyhaven_standins.metric_samples import MetricSamples
 
 CALL_TIMEOUT_S = 40.0
 AGREE_DEADLINE_S = 60.0
 AGREE_POLL_S = 0.2
-_SAMPLE = re.compile(r"^(\w+)(?:\{([^}]*)\})? ([0-9.e+-]+)$", re.MULTILINE)
-
-
-class MetricSamples:
-    """Samples of a scrape.
-
-    Parameters
-    ----------
-    text : str
-        Prometheus text.
-    """
-
-    __slots__ = ("_samples",)
-
-    def __init__(self, text: str):
-        self._samples = _SAMPLE.findall(text)
-
-    def sum(self, name: str, label: str = "") -> float:
-        """Return the sum of the samples of a name that carry a label.
-
-        Parameters
-        ----------
-        name : str
-        label : str
-            Such as ``direction="sent"``.
-        """
-        return sum(
-            float(value)
-            for sample, labels, value in self._samples
-            if sample == name and label in labels
-        )
 
 
 class NodeSet(abc.ABC):
--- a/tests/integration/test_partitions.py
+++ b/tests/integration/test_partitions.py
@@ -3,8 +3,8 @@
 import time
 import urllib.request
 
-from ebonyhaven_standins.bench._node_sets import MetricSamples
 from ebonyhaven_standins.cluster import Cluster, allocate_address
+from ebonyhaven_standins.metric_samples import MetricSamples
 
 from tests.integration.test_entries import (
     DEADLINE_S,
