Share consumption and load between instances and keep slots with their owner

Cause, seen with 6 instances before 20 engines at twice the capacity: each instance sized the servers set apart for look-ups by its own demand only (2 of them instead of 4); slots stayed free because an instance left two to any workspace elsewhere that was 256 tokens behind, and one a server to resumes; a workspace that had its share was told a wait at the speed of all. Change: bounded digests of consumption and of server load go to one random instance each half second; loads that were not heard of are read; an instance may refill the slot that its own request left, others keep one free; a workspace yields when it is 15% ahead; urgent demand is averaged over 3 and 20 s, whichever is more; the wait of a workspace with its share is forecast from its own speed; engines serve a workspace that was served less first.

--- a/packages/decisions/src/ebonyhaven_decisions/_dispatching.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_dispatching.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import enum
+import itertools
 from collections import deque
 from collections.abc import Iterable, Mapping, Set
+from typing import NamedTuple
 
 from ebonyhaven_decisions._flights import Flight, FlightTable
 from ebonyhaven_decisions._policies import ClassPolicy
@@ -19,8 +21,10 @@
 from ebonyhaven_decisions._usage import UsageLedger
 from ebonyhaven_decisions._work import Choice, Dispatch, WorkItem, compute_cost
 
-YIELD_SHARE = 0.125
+YIELD_SHARE = 0.0625
 MAX_FREED = 4
+MAX_FREED_KEPT = 32
+FREED_S = 1.0
 UNDERSERVED_SHARE = 0.5
 SLOT_COUNT_PERIOD_S = 1.0
 DEFAULT_GAP_LIMIT_MS = 1000.0
@@ -36,6 +40,11 @@
     REFUSED = "refused"
 
 
+class _Freed(NamedTuple):
+    at: float
+    server: ServerState
+
+
 class Dispatcher:
     """Sends requests to servers and follows them until they end.
 
@@ -79,7 +88,7 @@
         self.changes = 0
         self._has_limits = has_limits
         self._reservations = Reservations(self.table, self.flights)
-        self._freed: deque[ServerState] = deque(maxlen=MAX_FREED)
+        self._freed: deque[_Freed] = deque(maxlen=MAX_FREED_KEPT)
         self._slots: dict[str, tuple[float, float]] = {}
 
     def replace_servers(self, entries: Iterable[ServerEntry]) -> None:
@@ -136,10 +145,14 @@
             charged=cost,
         )
         self.flights.add(flight, now)
+        self._take_freed(choice.server)
+        policy = self.policies.get(item.class_name)
+        priority = 0
+        if policy is not None and self._has_limits:
+            is_behind = self.is_underserved(item, now)
+            priority = 2 * policy.engine_priority + (0 if is_behind else 1)
         self.ledger.charge((item.class_name, item.workspace), cost, now)
         self.router.record_dispatch(item, choice.server, now)
-        policy = self.policies.get(item.class_name)
-        priority = policy.engine_priority if policy and self._has_limits else 0
         return Dispatch(item=item, choice=choice, engine_priority=priority)
 
     def route_resume(
@@ -212,8 +225,7 @@
         if flight is None:
             return
         self.changes += 1
-        if flight.server not in self._freed:
-            self._freed.append(flight.server)
+        self._freed.append(_Freed(now, flight.server))
         used = compute_cost(flight.prefill_tokens, flight.decoded)
         self._charge(flight, used, now)
         if is_whole:
@@ -306,6 +318,19 @@
             now=now,
         )
 
+    def is_underserved(self, item: WorkItem, now: float) -> bool:
+        """Return whether the workspace of a request consumed far less than others.
+
+        Parameters
+        ----------
+        item : WorkItem
+        now : float
+            Seconds.
+        """
+        key = (item.class_name, item.workspace)
+        mean = self.ledger.read_mean(item.class_name, now)
+        return self.ledger.read(key) < UNDERSERVED_SHARE * mean
+
     def estimate_share_ends_per_s(
         self, model: str, mean_cost: float, now: float
     ) -> float:
@@ -336,21 +361,30 @@
             return Room(is_unbounded=True)
         policy = self.policies[item.class_name]
         is_urgent = policy.reserved_share > 0.0
+        is_behind = self.is_underserved(item, now)
         kept_from = self.read_reservation(item.model, policy.rank, now)
         kept_for = self.read_reservation(item.model, policy.rank + 1, now)
         return Room(
             reserved_share=kept_from.share + (YIELD_SHARE if yields else 0.0),
             may_exceed_limit=is_urgent and not yields,
-            spare_slots=0 if self._is_underserved(item, now) else SPARE_SLOTS,
-            avoided=kept_from.names,
+            spare_slots=0 if is_behind else SPARE_SLOTS,
+            avoided=frozenset() if is_behind else kept_from.names,
             preferred=kept_for.servers if is_urgent else (),
-            freed=tuple(self._freed),
+            freed=() if yields else self._list_freed(now),
+            capped=kept_from.names,
         )
 
-    def _is_underserved(self, item: WorkItem, now: float) -> bool:
-        key = (item.class_name, item.workspace)
-        mean = self.ledger.read_mean(item.class_name, now)
-        return self.ledger.read(key) <= UNDERSERVED_SHARE * mean
+    def _list_freed(self, now: float) -> tuple[ServerState, ...]:
+        while self._freed and now - self._freed[0].at > FREED_S:
+            self._freed.popleft()
+        servers = dict.fromkeys(freed.server for freed in reversed(self._freed))
+        return tuple(itertools.islice(servers, MAX_FREED))
+
+    def _take_freed(self, server: ServerState) -> None:
+        for freed in self._freed:
+            if freed.server is server:
+                self._freed.remove(freed)
+                return
 
     def _count_slots(self, model: str, now: float) -> float:
         counted_at, slots = self._slots.get(model, (float("-inf"), 1.0))
--- a/packages/decisions/src/ebonyhaven_decisions/_flights.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_flights.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Iterable, Iterator
 
 import attrs
@@ -12,6 +13,7 @@
 
 SMOOTHING = 0.1
 DEMAND_DECAY_S = 20.0
+RECENT_DECAY_S = 3.0
 
 
 @attrs.define(slots=True, kw_only=True)
@@ -49,31 +51,40 @@
     running: int = 0
     output_share: float = 1.0
     mean_cost: float = 0.0
+    recent: float = 0.0
     demand: float = 0.0
     counted_at: float = -math.inf
 
     def count(self, change: int, now: float) -> None:
         """Change the number of running requests and its average."""
-        self.demand = self.read_demand(now)
+        self.recent = self._average(self.recent, RECENT_DECAY_S, now)
+        self.demand = self._average(self.demand, DEMAND_DECAY_S, now)
         self.counted_at = now
         self.running += change
 
     def read_demand(self, now: float) -> float:
-        """Return the number of running requests averaged over a while."""
+        """Return the running requests averaged over a while; quick to rise."""
+        return max(
+            self._average(self.recent, RECENT_DECAY_S, now),
+            self._average(self.demand, DEMAND_DECAY_S, now),
+        )
+
+    def _average(self, value: float, decay_s: float, now: float) -> float:
         if self.counted_at == -math.inf:
             return 0.0
-        weight = math.exp((self.counted_at - now) / DEMAND_DECAY_S)
-        return self.running + weight * (self.demand - self.running)
+        weight = math.exp((self.counted_at - now) / decay_s)
+        return self.running + weight * (value - self.running)
 
 
 class FlightTable:
     """Running requests of this instance and the averages learned from them."""
 
-    __slots__ = ("_classes", "_flights", "pace_ms")
+    __slots__ = ("_classes", "_flights", "_workspaces", "pace_ms")
 
     def __init__(self) -> None:
         self._flights: dict[str, Flight] = {}
         self._classes: dict[str, _ClassTotals] = {}
+        self._workspaces: Counter[tuple[str, str]] = Counter()
         self.pace_ms = DEFAULT_PACE_MS
 
     def __len__(self) -> int:
@@ -99,6 +110,7 @@
         flight.server.record_dispatch(flight.prefill_tokens, now)
         totals = self._read(flight.item.class_name)
         totals.count(1, now)
+        self._workspaces[flight.item.class_name, flight.item.workspace] += 1
         if totals.mean_cost <= 0.0:
             totals.mean_cost = flight.charged
         totals.mean_cost += SMOOTHING * (flight.charged - totals.mean_cost)
@@ -124,6 +136,10 @@
         if not flight.has_first_token:
             flight.server.record_prefilled(flight.prefill_tokens)
         self._read(flight.item.class_name).count(-1, now)
+        key = (flight.item.class_name, flight.item.workspace)
+        self._workspaces[key] -= 1
+        if not self._workspaces[key]:
+            del self._workspaces[key]
         return flight
 
     def record_output(self, flight: Flight) -> None:
@@ -154,6 +170,12 @@
             ends += totals.running / max(totals.mean_cost, 1.0)
         return ends * 1000.0 / self.pace_ms
 
+    def estimate_workspace_ends_per_s(self, class_name: str, workspace: str) -> float:
+        """Return how many running requests of a workspace end in a second."""
+        count = self._workspaces[class_name, workspace]
+        mean_cost = max(self._read(class_name).mean_cost, 1.0)
+        return count * 1000.0 / self.pace_ms / mean_cost
+
     def read_demand(self, class_name: str, now: float) -> float:
         """Return the running requests of a class, averaged over a while.
 
--- a/packages/decisions/src/ebonyhaven_decisions/_queueing.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_queueing.py
@@ -17,6 +17,7 @@
 
 MAX_SAMPLED_WORKSPACES = 32
 YIELD_AHEAD_TOKENS = 256.0
+YIELD_AHEAD_SHARE = 0.15
 OVER_SHARE_SLACK = 1.1
 
 
@@ -89,6 +90,20 @@
         """
         return
 
+    def read_backlog(self, item: WorkItem) -> float:
+        """Return the service that waits in the lane of a request for its workspace.
+
+        Parameters
+        ----------
+        item : WorkItem
+
+        Returns
+        -------
+        float
+            Decode tokens.
+        """
+        return 0.0
+
     def must_yield(self, lane: LaneKey, now: float) -> bool:
         """Return whether a workspace at another instance is entitled to go first.
 
@@ -219,6 +234,11 @@
             ahead += min(max(finish - usage, 0.0), lane.costs[name])
         return own + (ahead * len(lane.queues) / len(sampled) if sampled else 0.0)
 
+    def read_backlog(self, item: WorkItem) -> float:
+        """Return the backlog of a workspace; see `WorkQueue.read_backlog`."""
+        lane = self._lanes.get(LaneKey(item.class_name, item.model))
+        return lane.costs.get(item.workspace, 0.0) if lane else 0.0
+
     def must_yield(self, lane: LaneKey, now: float) -> bool:
         """Return whether another instance goes first; see `WorkQueue`."""
         state = self._lanes.get(lane)
@@ -229,7 +249,8 @@
             return False
         allowed = self._ledger.inflate(YIELD_AHEAD_TOKENS, now)
         usage = self._ledger.read((lane.class_name, workspace))
-        return self._ledger.find_least_remote(lane.class_name) + allowed < usage
+        least = self._ledger.find_least_remote(lane.class_name)
+        return least * (1.0 + YIELD_AHEAD_SHARE) + allowed < usage
 
     def sum_queued(self) -> dict[tuple[str, str], float]:
         """Return the queued service by class and workspace, decode tokens."""
--- a/packages/decisions/src/ebonyhaven_decisions/_reservations.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_reservations.py
@@ -14,7 +14,7 @@
 
 DEMAND_SPREAD = 2.0
 MIN_DEMAND = 0.05
-QUIET_FILL = 0.5
+QUIET_FILL = 0.65
 MIN_SERVERS_TO_SET_APART = 8
 MIN_RESERVED_SHARE = 1e-6
 CACHE_S = 0.25
--- a/packages/decisions/src/ebonyhaven_decisions/_routing.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_routing.py
@@ -27,6 +27,7 @@
 REMOTE_REGION_DELAY_S = 0.1
 LOAD_DELAY_S = 0.05
 SPARE_SLOTS = 1
+CAPPED_FILL = 0.4
 
 
 class Room(NamedTuple):
@@ -49,7 +50,10 @@
     preferred : sequence of ServerState
         Servers that are kept for the class of the request.
     freed : sequence of ServerState
-        Servers that a request of this instance left a moment ago.
+        Servers with a slot that a request of this instance left a moment ago; the
+        spare slots do not apply, as no other instance counts on that slot.
+    capped : set of str
+        Names of servers that the request may fill to `CAPPED_FILL` only.
     """
 
     reserved_share: float = 0.0
@@ -59,6 +63,7 @@
     avoided: Set[str] = frozenset()
     preferred: Sequence[ServerState] = ()
     freed: Sequence[ServerState] = ()
+    capped: Set[str] = frozenset()
 
 
 class Place(NamedTuple):
@@ -89,7 +94,10 @@
     if not room.may_exceed_limit:
         kept = math.ceil(server.capacity * room.reserved_share)
         top = min(server.limit.slots, top) - kept
-    top -= room.spare_slots
+    if room.capped and server.name in room.capped:
+        top = min(top, server.capacity * CAPPED_FILL)
+    if server not in room.freed:
+        top -= room.spare_slots
     return server.estimate_load(now) + 1.0 <= max(top, 1.0)
 
 
@@ -287,6 +295,8 @@
 
     def _collect(self, query: _Query, cached: dict[str, int]) -> dict[str, ServerState]:
         found: dict[str, ServerState] = {}
+        for server in query.room.freed:
+            query.add(server, found)
         holders = sorted(cached, key=cached.__getitem__, reverse=True)
         for name in holders[:MAX_HOLDERS]:
             query.add(query.table.get(name), found)
@@ -299,9 +309,6 @@
             self._sample(query, query.room.preferred, found)
         if not query.room.preferred or len(found) < SAMPLED_SERVERS:
             self._sample(query, query.table.list_for(query.item.model), found)
-        if not found:
-            for server in query.room.freed:
-                query.add(server, found)
         return found
 
     def _sample(
--- a/packages/decisions/src/ebonyhaven_decisions/_scheduler.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_scheduler.py
@@ -32,6 +32,7 @@
 MAX_RECHECKED = 256
 RETRY_LANE_S = 0.1
 NO_SERVER_RETRY_S = 1.0
+MIN_FLIGHTS_FOR_RATE = 4
 FRESH_EXCLUDED: frozenset[str] = frozenset()
 
 
@@ -307,9 +308,15 @@
         policy = self.dispatcher.policies.get(item.class_name)
         names = self.dispatcher.list_not_more_urgent(policy) if policy else []
         mean_cost = flights.read_mean_cost(item.class_name) or cost
-        share = self.dispatcher.estimate_share_ends_per_s(item.model, mean_cost, now)
+        ends_per_s = flights.sum_ends_per_s(names)
+        if len(flights) < MIN_FLIGHTS_FOR_RATE:
+            ends_per_s = max(
+                ends_per_s,
+                self.dispatcher.estimate_share_ends_per_s(item.model, mean_cost, now),
+            )
+        ahead = max(ahead, self._estimate_own_ahead(item, cost, ends_per_s, now))
         rate = ServiceRate(
-            ends_per_s=max(flights.sum_ends_per_s(names), share),
+            ends_per_s=ends_per_s,
             mean_cost=mean_cost,
             pace_ms=flights.pace_ms,
             prefill_tokens_per_s=DEFAULT_PREFILL_TOKENS_PER_S,
@@ -321,6 +328,24 @@
             rate=rate,
         )
 
+    def _estimate_own_ahead(
+        self, item: WorkItem, cost: float, ends_per_s: float, now: float
+    ) -> float:
+        """Return the service ahead at the speed of the workspace alone.
+
+        Those who were served less go first, now and when they arrive later, so
+        one that was not is served at its own present speed.
+        """
+        if self.dispatcher.is_underserved(item, now):
+            return 0.0
+        own_ends_per_s = self.dispatcher.flights.estimate_workspace_ends_per_s(
+            item.class_name, item.workspace
+        )
+        if own_ends_per_s <= 0.0:
+            return 0.0
+        backlog = max(self._queue.read_backlog(item) - cost, 0.0)
+        return backlog * ends_per_s / own_ends_per_s
+
     def _estimate_cost(self, item: WorkItem) -> float:
         output = self.dispatcher.flights.estimate_output(item)
         return compute_cost(item.prompt_tokens, output)
--- a/packages/decisions/src/ebonyhaven_decisions/_servers.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_servers.py
@@ -103,6 +103,7 @@
     own_in_flight: int = 0
     own_prefill_tokens: int = 0
     reported_at: float = -math.inf
+    asked_at: float = -math.inf
     missing_models: frozenset[str] = frozenset()
     correction: float = 1.0
     _others: float = 0.0
@@ -202,6 +203,7 @@
             return
         self.reports_leaving = report.is_leaving
         self.reported_at = report.measured_at
+        self.asked_at = max(self.asked_at, report.measured_at)
         self.reported_sequences = report.running + report.waiting
         self._record_speed(report)
         own = self._count_own_at(report.measured_at)
--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -37,6 +37,7 @@
 )
 from ebonyhaven_node._leases import LeaseOwner
 from ebonyhaven_node._listing import ListingController
+from ebonyhaven_node._load_poller import LoadPoller
 from ebonyhaven_node._membership import MembershipController, make_own_record
 from ebonyhaven_node._metrics import RelayMetrics
 from ebonyhaven_node._orphans import OrphanController
@@ -47,6 +48,7 @@
 from ebonyhaven_node._servers import BackendServers
 from ebonyhaven_node._services import ServiceRelay
 from ebonyhaven_node._settings import Settings
+from ebonyhaven_node._sharing import SchedulingDigests
 from ebonyhaven_node._web import CallerInterface, InstanceState
 
 DRAIN_CHECK_S = 0.1
@@ -209,12 +211,34 @@
             random_source=self._rng,
             now=time.monotonic(),
         )
-        return PolicyScheduling(
+        scheduling = PolicyScheduling(
             scheduler=scheduler,
             servers=self._servers,
             configuration=self._configuration,
             reactor=self._reactor,
         )
+        self._start_load_exchange(scheduling)
+        return scheduling
+
+    def _start_load_exchange(self, scheduling: PolicyScheduling) -> None:
+        digests = SchedulingDigests(
+            membership=self._membership,
+            channels=self._channels,
+            scheduler=scheduling.scheduler,
+            reactor=self._reactor,
+            rng=self._rng,
+            on_news=scheduling.pump,
+        )
+        poller = LoadPoller(
+            servers=self._servers,
+            table=scheduling.scheduler.dispatcher.table,
+            reactor=self._reactor,
+            rng=self._rng,
+        )
+        self._stack.callback(digests.stop)
+        self._stack.callback(poller.stop)
+        digests.start()
+        ensureDeferred(poller.run())
 
     def _build_driver_parts(
         self,
--- a/packages/node/src/ebonyhaven_node/_frames.py
+++ b/packages/node/src/ebonyhaven_node/_frames.py
@@ -23,6 +23,8 @@
     CONFIGURATION_REQUEST = "d"
     LISTING_REQUEST = "e"
     LISTING = "l"
+    USAGE = "u"
+    LOAD_DIGEST = "o"
 
 
 class Frame(NamedTuple):
