--- a/packages/standins/src/ebonyhaven_standins/bench/_load_measures.py
+++ b/packages/standins/src/ebonyhaven_standins/bench/_load_measures.py
@@ -6,9 +6,8 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
-from ebonyhaven_standins.bench._open_loop import LoadRecord
+from ebonyhaven_standins.bench._open_loop import COMPLETED, LoadRecord
 
-COMPLETED = "completed"
 TARGET_SHARE = 0.95
 RECOVERY_STEP_S = 1.0
 
