Continue a run from the tokens given, not from an engine's older branch

Cause: a continuation sent to an engine that still knew the run, from before a partition, was attached to that engine's own branch at the offset, so the answer joined two diverged outputs of one generation. Ruled out: cancelling before each continuation (a further round trip, and another instance may slip between); attempt numbers (each instance counts its own). Change: the engine lets a continuation take the place of a known run, and refuses it with 409 run_attended while somebody reads that run. Left: two callers of one key that hold different branches and reconnect to one engine are not told apart.

--- a/packages/standins/src/ebonyhaven_standins/engine/_engine.py
+++ b/packages/standins/src/ebonyhaven_standins/engine/_engine.py
@@ -149,6 +149,9 @@
         run = self._runs.get(start.run_id)
         if run is not None:
             self._check_same(run, start)
+        if run is not None and start.continue_from:
+            self._make_way(run, start)
+        elif run is not None:
             run.attempt = max(run.attempt, start.attempt)
             write_progress(self._log, "attach", run)
             return run, offset
@@ -253,6 +256,14 @@
             self._log_refusal(start, start.run_id, "digest_mismatch")
             raise RefusedError(409, "digest_mismatch")
 
+    def _make_way(self, run: Run, start: Start) -> None:
+        """Give up a known run, whose tokens may differ from those of the start."""
+        if run.is_attended:
+            self._log_refusal(start, start.run_id, "run_attended")
+            raise RefusedError(409, "run_attended")
+        self._check_admissible(start)
+        self.cancel(run.run_id, None)
+
     def _check_admissible(self, start: Start) -> None:
         refusal = None
         if self.state.leaving:
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -108,6 +108,20 @@
     assert len(bench.records("attach")) == 1
 
 
+def test_continuation_takes_the_place_of_a_known_run_once_nobody_reads_it():
+    bench = Bench()
+    run, reader = bench.start(max_tokens=40)
+    bench.advance(0.2)
+    given = [f"{run.origin}:{number} " for number in range(20)]
+    assert bench.refusal(continue_from=given) == (409, "run_attended")
+    bench.engine.detach(run, reader)
+    _, second = bench.start(max_tokens=40, continue_from=given)
+    bench.advance(1.5)
+    assert len(second.texts()) == 20
+    assert bench.records("continue")[0]["offset"] == 20
+    assert len(bench.records("cancel")) == 1
+
+
 def test_attach_ahead_of_the_output_sends_nothing_twice():
     bench = Bench()
     run, _ = bench.start(max_tokens=10)
