Say unknown where an attempt may have run before the refusal

Cause: when an engine was lost before the first token and the retry was refused (the retry budget is spent), the caller heard not_run although the execution log showed a start 18 ms earlier. Found by the integration test of reused connections. Change: the driver remembers whether an attempt may have run and turns a later not_run into unknown, with its retry time kept.

--- a/packages/node/src/ebonyhaven_node/_drivers.py
+++ b/packages/node/src/ebonyhaven_node/_drivers.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import enum
 import time
 from collections.abc import Coroutine, Sequence
@@ -150,7 +151,7 @@
             await opening
             await self._follow()
         except RequestFailure as failure:
-            self._fail(failure.outcome)
+            self._fail(self._judge_outcome(failure.outcome))
         except Exception:
             _log.exception("run_driver_error", run_id=self._request.run_id)
             failure = make_failure(OutcomeTag.UNKNOWN, "drive", "internal error")
@@ -159,6 +160,16 @@
             self._parts.metrics.open_runs.dec()
             self._close()
 
+    def _judge_outcome(self, outcome: Outcome) -> Outcome:
+        """Return ``unknown`` for a refusal that follows an attempt that may have run.
+
+        What refuses a further attempt, such as the queue, does not know of earlier
+        ones.
+        """
+        if outcome.tag is OutcomeTag.NOT_RUN and self._opener.may_have_run:
+            return dataclasses.replace(outcome, tag=OutcomeTag.UNKNOWN)
+        return outcome
+
     async def _follow(self) -> None:
         self._silence.arm()
         while not self._run.ended:
@@ -325,6 +336,7 @@
     async def _open_attached(self, server: BackendServer | None) -> None:
         """Attach where the caller's position says; else continue from its texts."""
         self._lifecycle.dispatch()
+        self._opener.may_have_run = True
         received = self._request.received
         if received and not self._run.texts:
             self._run.append(list(received), server=self._request.last_event.server)
--- a/packages/node/src/ebonyhaven_node/_stream_opener.py
+++ b/packages/node/src/ebonyhaven_node/_stream_opener.py
@@ -48,6 +48,8 @@
     lifecycle : RunLifecycle
     receiver : StreamReceiver
         Receives the tokens of the streams.
+    may_have_run : bool
+        Whether an attempt has reached, or may have reached, an engine.
     """
 
     _run: Run
@@ -58,6 +60,7 @@
     _silence: SilenceWatch
     _lifecycle: RunLifecycle
     _receiver: StreamReceiver
+    may_have_run: bool = attrs.field(default=False, init=False)
     _attempt: int = attrs.field(default=0, init=False)
     _acquiring: Deferred[Slot] | None = attrs.field(default=None, init=False)
 
@@ -250,9 +253,14 @@
         self._attempt += 1
         self._silence.record_dispatch()
         body = self._make_body(slot, continue_from)
-        stream = await self._parts.engines.start(
-            slot.server, body, receiver=self._receiver, timeout_s=self.accept_s
-        )
+        try:
+            stream = await self._parts.engines.start(
+                slot.server, body, receiver=self._receiver, timeout_s=self.accept_s
+            )
+        except EngineLost:
+            self.may_have_run = True
+            raise
+        self.may_have_run = True
         candidate = Candidate(stream=stream, slot=slot, attempt=body["attempt"])
         self._add(candidate)
         return candidate
