--- a/tests/standins/test_fault_proxy.py
+++ b/tests/standins/test_fault_proxy.py
@@ -10,10 +10,17 @@
 import sys
 import tempfile
 
+from ebonyhaven_standins.cluster import derive_block
+
 DEADLINE_S = 30.0
 SHORT_WAIT_S = 0.3
-HOST = f"127.{1 + os.getpid() // 254 % 254}.{1 + os.getpid() % 254}.254"
 CONTROL_PORT, TARGET_PORT, LINK_PORT, ENGINE_PORT = 31001, 31002, 31003, 31004
+# Past the hosts that a cluster of the same process uses first.
+HOST_NUMBER = 254
+
+
+def find_host():
+    return f"{derive_block(os.getpid())}.{HOST_NUMBER}"
 
 
 def launch(module, *options):
@@ -33,7 +40,9 @@
 
 
 def call(port, path, body):
-    with contextlib.closing(http.client.HTTPConnection(HOST, port)) as connection:
+    with contextlib.closing(
+        http.client.HTTPConnection(find_host(), port)
+    ) as connection:
         connection.request("POST", path, json.dumps(body))
         answer = connection.getresponse()
         return answer.status, answer.read()
@@ -46,7 +55,7 @@
 
 def connect(listener):
     """Return both ends of one connection through the link."""
-    client = socket.create_connection((HOST, LINK_PORT), timeout=DEADLINE_S)
+    client = socket.create_connection((find_host(), LINK_PORT), timeout=DEADLINE_S)
     target, _ = listener.accept()
     target.settimeout(DEADLINE_S)
     return client, target
@@ -66,14 +75,14 @@
 @contextlib.contextmanager
 def proxied_listener():
     with contextlib.ExitStack() as stack:
-        proxy = launch("fault_proxy", "--control", f"{HOST}:{CONTROL_PORT}")
+        proxy = launch("fault_proxy", "--control", f"{find_host()}:{CONTROL_PORT}")
         stack.callback(stop, proxy)
-        listener = stack.enter_context(socket.create_server((HOST, TARGET_PORT)))
+        listener = stack.enter_context(socket.create_server((find_host(), TARGET_PORT)))
         listener.settimeout(DEADLINE_S)
         link = {
             "name": "link",
-            "listen": f"{HOST}:{LINK_PORT}",
-            "target": f"{HOST}:{TARGET_PORT}",
+            "listen": f"{find_host()}:{LINK_PORT}",
+            "target": f"{find_host()}:{TARGET_PORT}",
             "side_a": "a",
             "side_b": "b",
         }
@@ -139,7 +148,9 @@
     with proxied_listener() as (stack, listener):
         set_fault("refuse")
         with contextlib.suppress(ConnectionRefusedError):
-            socket.create_connection((HOST, LINK_PORT), timeout=DEADLINE_S).close()
+            socket.create_connection(
+                (find_host(), LINK_PORT), timeout=DEADLINE_S
+            ).close()
             raise AssertionError("the connection was accepted")
         set_fault("none")
         for end in connect(listener):
@@ -150,11 +161,11 @@
     with contextlib.ExitStack() as stack:
         folder = stack.enter_context(tempfile.TemporaryDirectory())
         log = pathlib.Path(folder) / "log"
-        options = ("--address", f"{HOST}:{ENGINE_PORT}", "--log", str(log))
+        options = ("--address", f"{find_host()}:{ENGINE_PORT}", "--log", str(log))
         engine = launch("engine", "--name", "s1", "--model", "m", *options)
         stack.callback(stop, engine)
         start = {"run_id": "r1", "generation": "g", "model": "m", "prompt": "p"}
-        cut = http.client.HTTPConnection(HOST, ENGINE_PORT)
+        cut = http.client.HTTPConnection(find_host(), ENGINE_PORT)
         cut.request("POST", "/v1/completions", json.dumps({**start, "max_tokens": 20}))
         assert cut.getresponse().getheader("Engine-Running") == "1"
         cut.close()
--- a/tools/test_run.py
+++ b/tools/test_run.py
@@ -14,6 +14,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 ENTRY_PREFIX = "test: "
+PARALLEL = ("--plugin", "nose2.plugins.mp", "-N", "4")
 
 
 def read_known_red(path: pathlib.Path) -> frozenset[str]:
@@ -76,7 +77,7 @@
     """
     recorder = OutcomeRecorder()
     nose2.discover(
-        argv=["nose2", "--top-level-directory", str(ROOT), *arguments],
+        argv=["nose2", "--top-level-directory", str(ROOT), *PARALLEL, *arguments],
         exit=False,
         extraHooks=[("testOutcome", recorder)],
     )
