Tell neighbours from the request that crashes engines by the first death

Change: where some content had no token yet at a death, that death does not count against contents that had. Contents that crash engines after some tokens are still stopped after two.

--- a/packages/decisions/src/ebonyhaven_decisions/_crashes.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_crashes.py
@@ -4,7 +4,10 @@
 nobody. Evidence is kept per request content, so it outlives a resubmission
 under a new idempotency key. A death is *strong* evidence when the attempt had
 made little progress: a content that crashes engines does so again soon after it
-is continued, while an innocent neighbour makes progress on its next engine.
+is continued, while an innocent neighbour makes progress on its next engine. A
+neighbour that follows the guilty content to its next engine dies there early as
+well; it is told apart by the death before: where some content had no token yet, that
+death does not count against contents that had.
 """
 
 from __future__ import annotations
@@ -18,6 +21,7 @@
 MAX_WEAK_DEATHS = 4
 EVIDENCE_TTL_S = 600.0
 MAX_CONTENTS = 4096
+SAME_DEATH_S = 30.0
 
 
 class CrashVerdict(enum.Enum):
@@ -39,19 +43,23 @@
         Time of the death, seconds on the reader's clock.
     strong : bool
         Whether the attempt had made little progress.
+    idle : bool
+        Whether the attempt had made no token.
     """
 
     server: str
     at: float
     strong: bool
+    idle: bool = False
 
 
 class CrashLedger:
     """Evidence against request contents, bounded in size and age."""
 
-    __slots__ = ("_evidence",)
+    __slots__ = ("_evidence", "_idle_deaths")
 
     def __init__(self) -> None:
+        self._idle_deaths: dict[str, float] = {}
         self._evidence: dict[str, dict[str, CrashEvidence]] = {}
 
     def record_death(
@@ -71,7 +79,7 @@
             Present time, seconds.
         """
         strong = progress_tokens < STRONG_PROGRESS_TOKENS
-        self._add(content, CrashEvidence(server, now, strong))
+        self._add(content, CrashEvidence(server, now, strong, progress_tokens == 0))
 
     def judge(self, content: str, *, now: float) -> CrashVerdict:
         """Decide whether a content may run again.
@@ -95,7 +103,8 @@
         if not evidence:
             return CrashVerdict.CLEAR
         last = max(evidence, key=lambda item: item.at)
-        if len(evidence) >= MAX_DEATHS and last.strong:
+        counted = [item for item in evidence if self._counts(item)]
+        if len(counted) >= MAX_DEATHS and last.strong:
             return CrashVerdict.STOPPED
         if len(evidence) >= MAX_WEAK_DEATHS:
             return CrashVerdict.STOPPED
@@ -144,8 +153,20 @@
         """Return all evidence by content and backend server."""
         return self._evidence
 
+    def _counts(self, item: CrashEvidence) -> bool:
+        """Tell whether no other content is likelier to have caused a death."""
+        if item.idle:
+            return True
+        idle_at = self._idle_deaths.get(item.server)
+        return idle_at is None or abs(item.at - idle_at) > SAME_DEATH_S
+
     def _add(self, content: str, item: CrashEvidence) -> None:
         """Keep the first report of each death, and drop the oldest content."""
+        if item.idle:
+            self._idle_deaths.pop(item.server, None)
+            self._idle_deaths[item.server] = item.at
+        if len(self._idle_deaths) > MAX_CONTENTS:
+            self._idle_deaths.pop(next(iter(self._idle_deaths)))
         items = self._evidence.setdefault(content, {})
         known = items.get(item.server)
         if known is None or item.at - known.at > EVIDENCE_TTL_S:
--- a/packages/node/src/ebonyhaven_node/_crash_reports.py
+++ b/packages/node/src/ebonyhaven_node/_crash_reports.py
@@ -54,7 +54,7 @@
         )
         evidence = self._ledger.view()[content][process]
         entry = GossipEntry(
-            f"{content}{process}", int(time.time()), int(evidence.strong)
+            f"{content}{process}", int(time.time()), evidence.strong + evidence.idle
         )
         self._table.merge(entry, now)
 
@@ -83,7 +83,9 @@
     def _receive(self, entry: GossipEntry) -> None:
         content, process = entry.key[:-PROCESS_DIGITS], entry.key[-PROCESS_DIGITS:]
         age_s = max(0.0, time.time() - entry.version)
-        evidence = CrashEvidence(process, age_s, bool(entry.value))
+        evidence = CrashEvidence(
+            process, age_s, strong=entry.value > 0, idle=entry.value > 1
+        )
         self._ledger.merge([(content, evidence)], now=time.monotonic())
 
 
--- a/tests/decisions/test_crashes.py
+++ b/tests/decisions/test_crashes.py
@@ -24,6 +24,24 @@
     assert ledger.judge("neighbour", now=61.0) is CrashVerdict.SUSPECT
 
 
+def test_neighbour_that_follows_the_guilty_content_is_not_blamed():
+    ledger = CrashLedger()
+    record(ledger, "guilty", "s1")
+    record(ledger, "neighbour", "s1", progress=20)
+    record(ledger, "neighbour", "s2", progress=1, now=0.2)
+    assert ledger.judge("neighbour", now=0.2) is CrashVerdict.SUSPECT
+    record(ledger, "guilty", "s2", now=0.2)
+    assert ledger.judge("guilty", now=0.2) is CrashVerdict.STOPPED
+
+
+def test_content_that_crashes_engines_after_some_tokens_is_stopped_after_two():
+    ledger = CrashLedger()
+    record(ledger, "guilty", "s1", progress=100)
+    record(ledger, "neighbour", "s1", progress=50)
+    record(ledger, "guilty", "s2", now=1.0)
+    assert ledger.judge("guilty", now=1.0) is CrashVerdict.STOPPED
+
+
 def test_one_death_reported_twice_counts_once():
     ledger = CrashLedger()
     record(ledger, "content", "s1")
--- a/tests/integration/test_losses.py
+++ b/tests/integration/test_losses.py
@@ -4,7 +4,7 @@
 
 import time
 
-from tests.integration.trials import deploy, make_prompt, wait_until
+from tests.integration.trials import deploy, describe_end, make_prompt, wait_until
 
 PAUSE_S = 4.0
 
@@ -113,9 +113,9 @@
         trial.finish_completed()
 
 
-def test_a_request_that_crashes_engines_stops_after_two_and_spares_its_neighbours():
+def check_crashing_request(neighbours_at):
     with deploy(engines=4) as trial:
-        neighbours = [trial.send(max_tokens=250) for _ in range(4)]
+        neighbours = [trial.send(max_tokens=250, at=neighbours_at) for _ in range(4)]
         for stream in neighbours:
             stream.wait_for_tokens(20)
         poison = f"{make_prompt()} [[crash]]"
@@ -128,12 +128,21 @@
         assert len(trial.lines("start")) == begun
         assert len(trial.lines("crash")) <= 2
         for stream in neighbours:
-            assert stream.result()["outcome"] == "completed"
+            record = stream.result()
+            assert record["outcome"] == "completed", describe_end(record)
         # Both requests have one content, so the checker cannot tell their runs
         # apart; that the second did not run is checked above.
         trial.finish(apart_from=again)
 
 
+def test_a_request_that_crashes_engines_stops_after_two_and_spares_its_neighbours():
+    check_crashing_request("n1")
+
+
+def test_a_request_that_crashes_engines_spares_neighbours_at_another_instance():
+    check_crashing_request("n2")
+
+
 def test_a_crashing_request_under_a_new_key_is_stopped_at_another_instance():
     with deploy(engines=4) as trial:
         poison = f"{make_prompt()} [[crash]]"
