Offer only itself after a pause until the view caught up

Cause: an instance that had been paused answered callers from the view of before its pause until its next tick and the table that it then fetches, so it could offer instances that had died meanwhile. It now counts as outdated from the end of the pause until a table arrives, for 2 s at most, and asks two neighbours in place of one.

tests.decisions.test_membership 15 pass, with one for the pause; membership and entries with real processes 7 pass.

--- a/packages/decisions/src/ebonyhaven_decisions/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/__init__.py
@@ -172,6 +172,7 @@
     WorkQueue,
 )
 from ebonyhaven_decisions._rings import (
+    NEIGHBOURS,
     Rings,
 )
 from ebonyhaven_decisions._routing import (
@@ -273,6 +274,7 @@
     "MembershipCounts",
     "MembershipMessage",
     "Model",
+    "NEIGHBOURS",
     "Order",
     "OrderKind",
     "OrderTarget",
--- a/packages/decisions/src/ebonyhaven_decisions/_membership.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_membership.py
@@ -26,6 +26,8 @@
 TICK_S = 0.25
 EXPIRY_TICKS = 4
 PAUSE_S = SILENCE_S + CONFIRMATION_S
+CATCH_UP_S = 2.0
+MAX_CATCH_UP_REQUESTS = 2
 MAX_HELPERS = 3
 
 
@@ -52,6 +54,7 @@
         self._askers: dict[str, dict[str, str]] = {}
         self._ticks = 0
         self._ticked_at = now
+        self._catch_up_until = now
         self._arrange(now)
 
     @property
@@ -83,6 +86,20 @@
         """
         return self._detector.is_isolated(now)
 
+    def is_outdated(self, now: float) -> bool:
+        """Return whether this process was paused and has not caught up yet.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        bool
+        """
+        return now - self._ticked_at >= PAUSE_S or now < self._catch_up_until
+
     def set_listed(self, addresses: Mapping[str, str]) -> None:
         """Set the instances that the platform lists.
 
@@ -215,6 +232,7 @@
                 return [_address(record, TableAnswer(tuple(self.table)))]
             case TableAnswer():
                 self.contacts.joined = True
+                self._end_catch_up(message, now)
         return []
 
     def _take_records(
@@ -337,9 +355,14 @@
         self._detector.pardon(now)
         if not self.superseded:
             self._replace_own(now, incarnation=self.own.incarnation + 1)
-        records = map(self.table.get, self.targets[:1])
+        self._catch_up_until = now + CATCH_UP_S
+        records = map(self.table.get, self.targets[:MAX_CATCH_UP_REQUESTS])
         return [_address(record, TableRequest(self.own)) for record in records]
 
+    def _end_catch_up(self, answer: TableAnswer, now: float) -> None:
+        if len(answer.records) > 1:  # a single record is a notice
+            self._catch_up_until = now
+
     def _arrange(self, now: float) -> None:
         if self._announcements.arrange():
             self._detector.set_expected(self._announcements.sources(), now)
--- a/packages/node/src/ebonyhaven_node/_membership.py
+++ b/packages/node/src/ebonyhaven_node/_membership.py
@@ -124,6 +124,7 @@
         self._changed_at = clock()
         self._flushed_at = clock()
         self._flush_call: Any = None
+        self._flush_everyone = False
         self._tick_call: Any = None
         self._ticks = 0
         self._superseded = False
@@ -259,17 +260,19 @@
         """Return the instances that a caller should use."""
         now = self._clock()
         unsettled = now - self._changed_at < SETTLED_S
-        isolated = self._membership.is_isolated(now)
+        unsettled |= self._membership.is_isolated(now)
+        unsettled |= self._membership.is_outdated(now)
         return choose_entries(
             self._list_candidates(),
             data_centre=self.own.data_centre,
             region=self.own.region,
             rng=self._rng,
-            settled=not (unsettled or isolated),
+            settled=not unsettled,
         )
 
     def _list_candidates(self) -> list[EntryCandidate]:
         excluded = self._membership.unheard | self._listed_leaving
+        outdated = self._membership.is_outdated(self._clock())
         return [
             EntryCandidate(
                 name=record.name,
@@ -279,7 +282,9 @@
                 load=self._find_load(record.name),
             )
             for record in self._membership.table
-            if record.state == MemberState.LIVE and record.name not in excluded
+            if record.state == MemberState.LIVE
+            and record.name not in excluded
+            and (record.name == self.own.name or not outdated)
         ]
 
     def _find_load(self, name: str) -> float:
@@ -338,14 +343,16 @@
             self._schedule_flush()
 
     def _schedule_flush(self, *, everyone: bool = False) -> None:
+        self._flush_everyone |= everyone
         if self._flush_call is not None and self._flush_call.active():
             return
         earliest_s = self._flushed_at + FLUSH_INTERVAL_S - self._clock()
         delay_s = max(FLUSH_DELAY_S, earliest_s)
-        self._flush_call = self._reactor.callLater(delay_s, self._flush, everyone)
+        self._flush_call = self._reactor.callLater(delay_s, self._flush)
 
-    def _flush(self, everyone: bool) -> None:
+    def _flush(self) -> None:
         now = self._clock()
+        everyone, self._flush_everyone = self._flush_everyone, False
         self._flushed_at = now
         self._send_all(self._membership.flush(now, everyone=everyone))
         if self._membership.has_news:
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -90,6 +90,21 @@
     pump.run_until(pump.is_settled, 5.0)
 
 
+def test_view_counts_as_outdated_from_the_end_of_a_pause_until_it_caught_up():
+    pump = settle(9)
+    view = pump.views["n1"]
+    assert not view.is_outdated(pump.now)
+    pump.stopped.add("n1")
+    pump.run(10.0)
+    pump.stopped.add("n2")
+    pump.run(10.0)
+    assert view.is_outdated(pump.now)
+    assert view.table.get("n2").state == MemberState.LIVE
+    pump.stopped.discard("n1")
+    pump.run_until(lambda: not view.is_outdated(pump.now), 5.0)
+    assert view.table.get("n2").state in DOWN
+
+
 def test_one_way_cut_between_two_instances_raises_no_suspicion():
     pump = settle(9)
     watcher = pump.views["n1"].targets[0]
