Let claims survive a slow table and wait without room in an outage

Cause: with 3 s a write, each claim timed out at 2 s, was repeated, timed out reading back, and would have been too old to be dispatched. In an outage the waiting claims held their slots, so requests that need no table waited too.

Change: claims have connections of their own that wait 10 s; the age of a claim is bounded by its request's deadline, and a pause of the process is noticed by its late ticks instead; an insert that was certainly not written is given back, its room is released, and it is tried again once a probe of the table succeeds.

--- a/packages/decisions/src/ebonyhaven_decisions/_claims.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_claims.py
@@ -2,10 +2,11 @@
 
 A claim is a row of the platform's table. It is inserted, and its insertion
 confirmed, before the request is dispatched. Only the instance incarnation that
-inserted a claim ever dispatches its fresh start, and only within a short window
-after the write was sent. There is no takeover of a fresh start: another
-instance attaches to the run or answers ``unknown``. A takeover exists for
-continuations alone; it raises the epoch of the row, which serves as fence.
+inserted a claim ever dispatches its fresh start, only while the request may wait
+to be started, and not after a pause of its process.
+There is no takeover of a fresh start: another instance attaches to the run or
+answers ``unknown``. A takeover exists for continuations alone; it raises the
+epoch of the row, which serves as fence.
 """
 
 from __future__ import annotations
@@ -15,8 +16,6 @@
 
 import attrs
 
-DISPATCH_WINDOW_S = 2.0
-
 
 class ClaimRow(TypedDict):
     """Value of the row ``claims/RUN_ID``.
@@ -94,22 +93,29 @@
     return ClaimVerdict.ATTACH
 
 
-def may_dispatch(*, write_sent_at: float, now: float) -> bool:
+def may_dispatch(
+    *, write_sent_at: float, deadline: float, woke_at: float, now: float
+) -> bool:
     """Tell whether a confirmed claim still allows the fresh start.
 
     Parameters
     ----------
     write_sent_at : float
         Monotonic time at which the claim's write was sent, seconds.
+    deadline : float
+        Monotonic time until which the request may wait to be started, seconds.
+    woke_at : float
+        Monotonic time at which this process last woke from a pause, seconds.
     now : float
         Monotonic time immediately before the dispatch, seconds.
 
     Returns
     -------
     bool
-        False after a pause of the process between claim and dispatch.
+        False after a pause between claim and dispatch, when a caller may have
+        been told of the request elsewhere, and once the request is out of time.
     """
-    return now - write_sent_at <= DISPATCH_WINDOW_S
+    return now <= deadline and woke_at < write_sent_at
 
 
 def raise_epoch(row: ClaimRow, *, claimant: Claimant, server: str) -> ClaimRow:
--- a/packages/node/src/ebonyhaven_node/_claims.py
+++ b/packages/node/src/ebonyhaven_node/_claims.py
@@ -21,14 +21,17 @@
     Unconfirmed,
     Write,
 )
-from twisted.internet import task
+from twisted.internet import defer, task
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
+from ebonyhaven_node._pauses import PauseDetector
+
 GROUP_DELAY_S = 0.01
 MAX_GROUP = 64
 RETRY_DELAY_S = 0.1
 READ_RETRY_DELAY_S = 0.2
+PROBE_PERIOD_S = 0.5
 ERASE_DELAY_S = 2.0
 ERASE_TRIES = 30
 
@@ -47,6 +50,10 @@
     """
 
 
+class ClaimUnavailable(Exception):
+    """Raised when a claim was not written because the table is out."""
+
+
 @attrs.frozen(slots=True, kw_only=True)
 class Claim:
     """A claim as it stands in the table.
@@ -78,6 +85,7 @@
     deadline: float
     settled: Deferred
     sent_at: float | None = None
+    doubtful: bool = False
 
 
 class ClaimController:
@@ -88,18 +96,50 @@
     table : TableClient
     claimant : Claimant
         This process.
+    pauses : PauseDetector
+        Tells when this process last woke from a pause.
     reactor : IReactorTime
         Source of delayed calls.
     """
 
     def __init__(
-        self, *, table: TableClient, claimant: Claimant, reactor: IReactorTime
+        self,
+        *,
+        table: TableClient,
+        claimant: Claimant,
+        pauses: PauseDetector,
+        reactor: IReactorTime,
     ):
         self._table = table
         self.claimant = claimant
+        self.pauses = pauses
         self._reactor = reactor
         self._pending: list[_Pending] = []
         self._writing = False
+        self._available = True
+        self._waiting: list[Deferred] = []
+
+    async def wait_available(self, deadline: float) -> None:
+        """Wait until the table takes writes, as far as is known.
+
+        Parameters
+        ----------
+        deadline : float
+            Monotonic time after which to give up, seconds.
+
+        Raises
+        ------
+        ClaimTimeout
+        """
+        while not self._available:
+            remaining_s = deadline - time.monotonic()
+            if remaining_s <= 0:
+                raise ClaimTimeout("the table was out")
+            waiter = Deferred()
+            self._waiting.append(waiter)
+            waiter.addTimeout(remaining_s, self._reactor)
+            waiter.addErrback(lambda failure: failure.trap(defer.TimeoutError))
+            await waiter
 
     async def insert(
         self,
@@ -127,6 +167,8 @@
         ------
         ClaimTimeout
             If the table did not settle it in time.
+        ClaimUnavailable
+            If the table is out; nothing was written.
         """
         row = ClaimRow(
             owner=self.claimant.instance,
@@ -274,12 +316,47 @@
             return 0.0
         except Throttled as error:
             return error.retry_after_s
-        except (Unavailable, Unconfirmed):
+        except Unavailable as error:
+            self._note_unavailable()
+            self._settle_unwritten(group, error)
+            return RETRY_DELAY_S
+        except Unconfirmed:
+            self._note_unavailable()
+            for item in group:
+                item.doubtful = True
             return RETRY_DELAY_S
         for item in group:
             self._settle(item, Row(item.key, item.value, version), own=True)
         return 0.0
 
+    def _settle_unwritten(self, group: Sequence[_Pending], error: Unavailable) -> None:
+        """Give inserts back that were certainly not written."""
+        for item in group:
+            if item.version == 0 and not item.doubtful:
+                item.settled.errback(ClaimUnavailable(error.reason))
+
+    def _note_unavailable(self) -> None:
+        if self._available:
+            self._available = False
+            _log.info("claims_available", available=False)
+            ensureDeferred(self._probe())
+
+    async def _probe(self) -> None:
+        """Read a row until the table answers, then let requests go on."""
+        while True:
+            await task.deferLater(self._reactor, PROBE_PERIOD_S)
+            try:
+                await self._table.read_rows([name_row("probe")])
+                break
+            except PlatformError:
+                continue
+        self._available = True
+        _log.info("claims_available", available=True)
+        waiting, self._waiting = self._waiting, []
+        for waiter in waiting:
+            if not waiter.called:
+                waiter.callback(None)
+
     def _settle_conflict(self, group: Sequence[_Pending], conflict: Conflict) -> None:
         """Settle the rows that changed; the others are tried again."""
         changed = {row.key: row for row in conflict.rows}
--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -41,6 +41,7 @@
 from ebonyhaven_node._membership import MembershipController, make_own_record
 from ebonyhaven_node._metrics import RelayMetrics
 from ebonyhaven_node._orphans import OrphanController
+from ebonyhaven_node._pauses import PauseDetector
 from ebonyhaven_node._policy_scheduling import PolicyScheduling
 from ebonyhaven_node._processor_load import ProcessorLoad
 from ebonyhaven_node._run_parts import DriverParts
@@ -51,6 +52,7 @@
 from ebonyhaven_node._sharing import SchedulingDigests
 from ebonyhaven_node._web import CallerInterface, InstanceState
 
+CLAIM_TIMEOUT_S = 10.0  # a slow table still confirms claims
 DRAIN_CHECK_S = 0.1
 LEAVING_NOTICE_S = 1.0
 
@@ -86,7 +88,13 @@
         transport = PlatformTransport(self._reactor, self._settings.platform_address)
         self._stack.callback(transport.close)
         self._start_controllers(transport)
-        interface = self._build_interface(TableClient(transport))
+        claims_transport = PlatformTransport(
+            self._reactor,
+            self._settings.platform_address,
+            timeout_s=CLAIM_TIMEOUT_S,
+        )
+        self._stack.callback(claims_transport.close)
+        interface = self._build_interface(TableClient(claims_transport))
         host, port = self._settings.caller_address.split(":")
         listener = self._reactor.listenTCP(
             int(port), Site(interface.app.resource()), interface=host, backlog=256
@@ -240,6 +248,12 @@
         digests.start()
         ensureDeferred(poller.run())
 
+    def _start_pause_detector(self) -> PauseDetector:
+        detector = PauseDetector(self._reactor)
+        detector.start()
+        self._stack.callback(detector.stop)
+        return detector
+
     def _build_driver_parts(
         self,
         table: TableClient,
@@ -257,7 +271,10 @@
             servers=self._servers,
             scheduling=scheduling,
             claims=ClaimController(
-                table=table, claimant=claimant, reactor=self._reactor
+                table=table,
+                claimant=claimant,
+                pauses=self._start_pause_detector(),
+                reactor=self._reactor,
             ),
             orphans=OrphanController(
                 engines=engines,
--- a/packages/node/src/ebonyhaven_node/_run_claims.py
+++ b/packages/node/src/ebonyhaven_node/_run_claims.py
@@ -4,7 +4,13 @@
 
 import time
 
-from ebonyhaven_decisions import ClaimVerdict, OutcomeTag, judge_claim, may_dispatch
+from ebonyhaven_decisions import (
+    ClaimVerdict,
+    OutcomeTag,
+    RequestFailure,
+    judge_claim,
+    may_dispatch,
+)
 
 from ebonyhaven_node._claims import Claim, ClaimController, ClaimTimeout
 from ebonyhaven_node._requests import GenerationRequest
@@ -49,6 +55,24 @@
         """Generation in the claim."""
         return "" if self._claim is None else self._claim.row["generation"]
 
+    async def wait_available(self, deadline: float) -> None:
+        """Wait until a claim can be written.
+
+        Parameters
+        ----------
+        deadline : float
+            Monotonic time after which to give up, seconds.
+
+        Raises
+        ------
+        RequestFailure
+            Nothing was dispatched and nothing will be.
+        """
+        try:
+            await self._claims.wait_available(deadline)
+        except ClaimTimeout as error:
+            raise _describe_unrecorded(error) from error
+
     async def insert(self, *, generation: str, server: str, deadline: float) -> bool:
         """Claim the fresh start.
 
@@ -69,6 +93,8 @@
         ------
         RequestFailure
             Nothing was dispatched and nothing will be.
+        ClaimUnavailable
+            The table is out; the claim may be tried again later.
         """
         try:
             self._claim = await self._claims.insert(
@@ -79,13 +105,7 @@
                 deadline=deadline,
             )
         except ClaimTimeout as error:
-            raise make_failure(
-                OutcomeTag.NOT_RUN,
-                "claim",
-                f"the request could not be recorded in time: {error}",
-                peer="platform",
-                retry_after_s=RETRY_AFTER_S,
-            ) from error
+            raise _describe_unrecorded(error) from error
         verdict = judge_claim(
             self._claim.row,
             claimant=self._claims.claimant,
@@ -97,7 +117,7 @@
             raise make_failure(OutcomeTag.NOT_RUN, "deduplicate", reason, status=409)
         if verdict is ClaimVerdict.ATTACH:
             return False
-        await self._confirm(self._claim)
+        await self._confirm(self._claim, deadline)
         return True
 
     async def move(self, *, server: str, deadline: float) -> bool:
@@ -141,9 +161,13 @@
         if claim is not None:
             await self._claims.withdraw(self._request.run_id, claim)
 
-    async def _confirm(self, claim: Claim) -> None:
-        now = time.monotonic()
-        if may_dispatch(write_sent_at=claim.write_sent_at, now=now):
+    async def _confirm(self, claim: Claim, deadline: float) -> None:
+        if may_dispatch(
+            write_sent_at=claim.write_sent_at,
+            deadline=deadline,
+            woke_at=self._claims.pauses.find_wake(),
+            now=time.monotonic(),
+        ):
             return
         await self.withdraw()
         raise make_failure(
@@ -162,3 +186,13 @@
                 OutcomeTag.UNKNOWN, "claim", "the claim is gone", peer="platform"
             )
         return claim
+
+
+def _describe_unrecorded(error: ClaimTimeout) -> RequestFailure:
+    return make_failure(
+        OutcomeTag.NOT_RUN,
+        "claim",
+        f"the request could not be recorded in time: {error}",
+        peer="platform",
+        retry_after_s=RETRY_AFTER_S,
+    )
--- a/packages/node/src/ebonyhaven_node/_stream_opener.py
+++ b/packages/node/src/ebonyhaven_node/_stream_opener.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 
 from ebonyhaven_node._candidates import Candidate, CandidateSet
+from ebonyhaven_node._claims import ClaimUnavailable
 from ebonyhaven_node._engines import CONNECTION_REFUSED, StartBody, StreamReceiver
 from ebonyhaven_node._lifecycles import RunLifecycle
 from ebonyhaven_node._run_claims import RunClaim
@@ -92,13 +93,19 @@
         excluded = set() if excluded is None else excluded
         retry = False
         while True:
+            if self._claim.needed:
+                await self._claim.wait_available(deadline)
             slot = await self._acquire_start(
                 excluded, deadline, resume=resume, retry=retry
             )
             retry = True
             self._lifecycle.dispatch()
-            if await self._start_on(slot, deadline):
-                return
+            try:
+                if await self._start_on(slot, deadline):
+                    return
+            except ClaimUnavailable:
+                slot.release()
+                continue
             self._run.generation = make_generation(self._parts.rng)
             excluded.add(slot.server.name)
             if len(excluded) >= len(self._parts.servers.in_pools(self._targets.pools)):
