Count the listed instances only once the whole list is known

Cause: reading the code: entries of the platform's list now also come one by one from other instances. An instance that starts while the table is out counted those it had as all of them, so that a few reports made a majority. Change: the list says whether it is whole (read by this instance, or equal to the last known read); before that no instance starts from its peers. Conclusion: the majority is one of the whole list.

--- a/packages/decisions/src/ebonyhaven_decisions/_configuration.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_configuration.py
@@ -296,7 +296,7 @@
         What the peer told.
     listed_instances : int
         Number of instances that are listed, this one included; 0 if the list
-        was never read, in which case no instance starts from its peers.
+        is not known whole, in which case no instance starts from its peers.
     """
     highest = max(view.highest_version, report.version, report.highest_version)
     known = attrs.evolve(view, highest_version=highest)
--- a/packages/decisions/src/ebonyhaven_decisions/_listing.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_listing.py
@@ -22,7 +22,7 @@
     an older view cannot bring it back.
     """
 
-    __slots__ = ("_digest", "_merged_at", "table")
+    __slots__ = ("_digest", "_merged_at", "_was_read", "table")
 
     def __init__(self) -> None:
         self.table = GossipTable(
@@ -30,6 +30,7 @@
         )
         self._merged_at: dict[str, float] = {}
         self._digest = 0
+        self._was_read = False
 
     def __len__(self) -> int:
         return len(self._merged_at)
@@ -66,6 +67,15 @@
         entry = self.table.get(FRESHNESS_KEY)
         return entry is None or entry.value == self._digest
 
+    def is_whole(self) -> bool:
+        """Return whether this is a whole list and not just the entries that changed.
+
+        That is so after an own read, and when the entries passed on by others
+        equal those of the last known read.
+        """
+        has_read = self.table.get(FRESHNESS_KEY) is not None
+        return self._was_read or (has_read and self.is_consistent())
+
     def merge_entry(self, entry: GossipEntry, now: float) -> bool:
         """Take in an entry of another instance.
 
@@ -119,6 +129,7 @@
             Whether the listed processes changed.
         """
         version = int(wall_s * 1000)
+        self._was_read = True
         changed = False
         for name in self._merged_at.keys() | values.keys():
             if self._merged_at.get(name, float("-inf")) > started_at:
--- a/packages/node/src/ebonyhaven_node/_configuration.py
+++ b/packages/node/src/ebonyhaven_node/_configuration.py
@@ -77,7 +77,7 @@
     def count_listed(self) -> int:
         """Return how many instances are listed, this one included.
 
-        0 stands for a list that was never read.
+        0 stands for a list of which only parts are known.
         """
 
     @abc.abstractmethod
--- a/packages/node/src/ebonyhaven_node/_configuration_peers.py
+++ b/packages/node/src/ebonyhaven_node/_configuration_peers.py
@@ -78,8 +78,10 @@
 
     def count_listed(self) -> int:
         """See `ConfigurationPeers.count_listed`."""
+        if not self._servers.has_whole_list:
+            return 0
         listed = {item.name for item in self._servers.instances}
-        return len(listed | {self._membership.own.name}) if listed else 0
+        return len(listed | {self._membership.own.name})
 
     def announce(self) -> None:
         """See `ConfigurationPeers.announce`."""
--- a/packages/node/src/ebonyhaven_node/_listing.py
+++ b/packages/node/src/ebonyhaven_node/_listing.py
@@ -176,6 +176,7 @@
         if entry.value is not None and entry.key:
             _decode_process(entry.key, entry.value)
         changed = self._listing.merge_entry(entry, self._clock())
+        self._servers.has_whole_list = self._listing.is_whole()
         if changed and (self._apply_call is None or not self._apply_call.active()):
             self._apply_call = self._reactor.callLater(0, self._apply)
         return changed
@@ -187,6 +188,7 @@
         ]
         instances = tuple(item for item in processes if item.kind == "instance")
         self._servers.instances = instances
+        self._servers.has_whole_list = self._listing.is_whole()
         self._membership.merge_list(instances)
         self._servers.merge_list(
             item for item in processes if item.kind == "backend_server"
--- a/packages/node/src/ebonyhaven_node/_servers.py
+++ b/packages/node/src/ebonyhaven_node/_servers.py
@@ -160,10 +160,17 @@
 class BackendServers:
     """All backend servers that this instance knows, by name."""
 
-    __slots__ = ("_observers", "_servers", "instances", "listener")
+    __slots__ = (
+        "_observers",
+        "_servers",
+        "has_whole_list",
+        "instances",
+        "listener",
+    )
 
     def __init__(self) -> None:
         self.instances: tuple[ListedProcess, ...] = ()
+        self.has_whole_list = False
         self._servers: dict[str, BackendServer] = {}
         self._observers: list[Callable[[], None]] = []
         self.listener: ServerListener | None = None
--- a/tests/decisions/test_listing.py
+++ b/tests/decisions/test_listing.py
@@ -34,6 +34,20 @@
     assert other.compute_age(WALL_S + 3.0) == 0.0
 
 
+def test_entries_that_trickle_in_are_not_taken_for_the_whole_list():
+    reader, other = Listing(), Listing()
+    assert not other.is_whole()
+    read(reader, {"s1": ["live"], "s2": ["live"]}, now=0.0)
+    assert reader.is_whole()
+    passed_on = {entry.key: entry for entry in reader.table.entries()}
+    other.merge_entry(passed_on["s1"], 0.1)
+    assert not other.is_whole()
+    other.merge_entry(passed_on[""], 0.2)
+    assert not other.is_whole()
+    other.merge_entry(passed_on["s2"], 0.3)
+    assert other.is_whole()
+
+
 def test_unchanged_list_is_not_told_again():
     reader = Listing()
     read(reader, {"s1": ["live"]}, now=0.0)
