Measure the time until a configuration is in force everywhere

Cause: the bound of 9 s and the target of 3 s were not measured. Change: a bench of three series, from before the write until the last instance logs the version, and the load of the control part on the table. Not measured: an outage that begins before any instance has read the change; it then comes into force after the outage.

--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/bench/configuration.py
@@ -0,0 +1,266 @@
+"""Time from the acceptance of a configuration until it is in force everywhere.
+
+Run by ``python -m ebonyhaven_standins.bench.configuration [--instances 6]
+[--changes 10] [--output FILE]``. Three series: nothing fails; the table goes out
+as soon as one instance has the change; half of the instances can not reach the
+table. Then the load of the control part on the table, by the count of instances.
+"""
+
+from __future__ import annotations
+
+import argparse
+import datetime
+import enum
+import json
+import pathlib
+import statistics
+import time
+from typing import Any, TypedDict
+
+from ebonyhaven_standins.cluster import Cluster
+
+DEFAULT_INSTANCES = 6
+DEFAULT_CHANGES = 10
+DEADLINE_S = 60.0
+PAUSE_S = 0.01
+SETTLE_S = 2.0
+LOAD_S = 20.0
+IN_FORCE_TARGET_S = 3.0
+IN_FORCE_BOUND_S = 9.0
+TABLE_LINK = "table"
+EVENT = '"configuration_in_force"'
+
+
+class Condition(enum.StrEnum):
+    """What fails while a change spreads."""
+
+    NONE = "none"
+    OUTAGE = "outage"
+    PARTITION = "partition"
+
+
+class InForceTimes(TypedDict):
+    """Times of one series of changes.
+
+    Parameters
+    ----------
+    condition : str
+    instances, changes : int
+    p50_s, p95_s, max_s : float
+        From before the write is sent until the last instance runs the version.
+    reverted : int
+        Instances whose log shows a version after a higher one.
+    """
+
+    condition: str
+    instances: int
+    changes: int
+    p50_s: float
+    p95_s: float
+    max_s: float
+    reverted: int
+
+
+class TableLoad(TypedDict):
+    """Reads and writes of the table a second while nothing happens."""
+
+    instances: int
+    seconds: float
+    reads_per_s: float
+    writes_per_s: float
+
+
+def measure_table_load(*, instances: int, seconds: float) -> TableLoad:
+    """Count the operations of the table while nothing happens.
+
+    Parameters
+    ----------
+    instances : int
+        Number of node processes.
+    seconds : float
+        Length of the measurement.
+
+    Returns
+    -------
+    TableLoad
+    """
+    names = [f"n{number}" for number in range(instances)]
+    with Cluster() as cluster:
+        _start(cluster, names)
+        before = cluster.platform.call("GET", "/counts")
+        started = time.monotonic()
+        time.sleep(seconds)
+        after = cluster.platform.call("GET", "/counts")
+        took_s = time.monotonic() - started
+    return TableLoad(
+        instances=instances,
+        seconds=seconds,
+        reads_per_s=round((after["reads"] - before["reads"]) / took_s, 2),
+        writes_per_s=round((after["writes"] - before["writes"]) / took_s, 2),
+    )
+
+
+def measure(condition: Condition, *, instances: int, changes: int) -> InForceTimes:
+    """Make changes one after another and measure each.
+
+    Parameters
+    ----------
+    condition : Condition
+    instances : int
+        Number of node processes.
+    changes : int
+        Number of changes.
+
+    Returns
+    -------
+    InForceTimes
+    """
+    names = [f"n{number}" for number in range(instances)]
+    with Cluster() as cluster:
+        _start(cluster, names)
+        if condition is Condition.PARTITION:
+            cluster.set_fault("partition", link=TABLE_LINK)
+        times = []
+        for number in range(changes):
+            times.append(_measure_change(cluster, names, condition, number))
+        reverted = sum(_has_reverted(cluster, name) for name in names)
+    return InForceTimes(
+        condition=str(condition),
+        instances=instances,
+        changes=changes,
+        p50_s=round(statistics.median(times), 3),
+        p95_s=round(_find_quantile(times, 0.95), 3),
+        max_s=round(max(times), 3),
+        reverted=reverted,
+    )
+
+
+def _start(cluster: Cluster, names: list[str]) -> None:
+    cluster.start_platform()
+    cluster.start_fault_proxy()
+    link = cluster.add_link(TABLE_LINK, target=cluster.addresses["platform"])
+    version = cluster.declare(_make_declaration("first"))
+    for number, name in enumerate(names):
+        address = link if number % 2 else None
+        cluster.start_node(name, platform_address=address, wait=False)
+    cluster.wait_until_ready()
+    _wait_for_all(cluster, names, version)
+    time.sleep(SETTLE_S)
+
+
+def _measure_change(
+    cluster: Cluster, names: list[str], condition: Condition, number: int
+) -> float:
+    began = time.time()
+    version = cluster.declare(_make_declaration(f"change-{number}"))
+    if condition is Condition.OUTAGE:
+        _wait_for_any(cluster, names, version)
+        cluster.platform.set_faults(outage=True)
+    in_force = _wait_for_all(cluster, names, version)
+    if condition is Condition.OUTAGE:
+        cluster.platform.set_faults(outage=False)
+    time.sleep(SETTLE_S)
+    return in_force - began
+
+
+def _make_declaration(workspace: str) -> dict[str, Any]:
+    return {
+        "classes": {
+            "look-up": {"first_token_ms": 500, "gap_ms": 62, "resume_ms": 1000}
+        },
+        "models": {"dossier": {}},
+        "pools": {
+            "drafting": {"kind": "engine", "models": ["dossier"], "checks_fence": True}
+        },
+        "workspaces": {workspace: {}},
+    }
+
+
+def _read_versions(cluster: Cluster, name: str) -> list[tuple[int, float]]:
+    """Return the versions that an instance logged with their times."""
+    versions = []
+    for line in cluster.child(name).log_path.read_text().splitlines():
+        if EVENT in line and line.endswith("}"):
+            entry = json.loads(line)
+            at = datetime.datetime.fromisoformat(entry["timestamp"])
+            versions.append((entry["version"], at.timestamp()))
+    return versions
+
+
+def _wait_for_all(cluster: Cluster, names: list[str], version: int) -> float:
+    """Return when the last instance had a version in force."""
+    times = [_wait_for_any(cluster, [name], version) for name in names]
+    return max(times)
+
+
+def _wait_for_any(cluster: Cluster, names: list[str], version: int) -> float:
+    """Return when any of the instances had a version in force."""
+    deadline = time.monotonic() + DEADLINE_S
+    while time.monotonic() < deadline:
+        for name in names:
+            for logged, at in _read_versions(cluster, name):
+                if logged >= version:
+                    return at
+        time.sleep(PAUSE_S)
+    raise TimeoutError(f"version {version} is not in force on {names}")
+
+
+def _has_reverted(cluster: Cluster, name: str) -> bool:
+    versions = [version for version, _ in _read_versions(cluster, name)]
+    return versions != sorted(set(versions))
+
+
+def _find_quantile(values: list[float], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def measure_all(*, instances: int, changes: int) -> dict[str, Any]:
+    """Measure all series.
+
+    Parameters
+    ----------
+    instances, changes : int
+
+    Returns
+    -------
+    dict
+        ``broken`` counts series that missed the bound or reverted.
+    """
+    series = [
+        measure(condition, instances=instances, changes=changes)
+        for condition in Condition
+    ]
+    broken = sum(
+        each["max_s"] > IN_FORCE_BOUND_S or each["reverted"] > 0 for each in series
+    )
+    loads = [
+        measure_table_load(instances=count, seconds=LOAD_S)
+        for count in (instances // 3, instances, 2 * instances)
+    ]
+    return {
+        "series": series,
+        "table_load": loads,
+        "target_s": IN_FORCE_TARGET_S,
+        "bound_s": IN_FORCE_BOUND_S,
+        "broken": broken,
+    }
+
+
+def main() -> None:
+    """Run the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--instances", type=int, default=DEFAULT_INSTANCES)
+    parser.add_argument("--changes", type=int, default=DEFAULT_CHANGES)
+    parser.add_argument("--output", type=pathlib.Path)
+    options = parser.parse_args()
+    figures = measure_all(instances=options.instances, changes=options.changes)
+    text = json.dumps(figures, indent=2)
+    print(text)
+    if options.output is not None:
+        options.output.write_text(f"{text}\n")
+    raise SystemExit(1 if figures["broken"] else 0)
+
+
+if __name__ == "__main__":
+    main()
