Split the configuration modules by job

Change: entries, view, exchange and metrics in modules of their own; the tests use the cluster. No rule changed.

--- a/packages/decisions/src/ebonyhaven_decisions/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/__init__.py
@@ -22,21 +22,23 @@
     raise_epoch,
 )
 from ebonyhaven_decisions._configuration import (
+    ConfigurationView,
+    PeerReport,
+    count_needed_reports,
+    observe_peer,
+    observe_table,
+)
+from ebonyhaven_decisions._configuration_entries import (
     CURRENT_KEY,
     HISTORY_PREFIX,
     MAX_ENTRY_BYTES,
     Acceptance,
     ConfigurationEntry,
-    ConfigurationView,
     CurrentEntry,
-    PeerReport,
     RowCondition,
     RowWrite,
-    count_needed_reports,
     name_change_key,
     name_history_key,
-    observe_peer,
-    observe_table,
     parse_entry,
     propose_entry,
 )
--- a/packages/node/src/ebonyhaven_node/_configuration.py
+++ b/packages/node/src/ebonyhaven_node/_configuration.py
@@ -9,11 +9,9 @@
 
 from __future__ import annotations
 
-import abc
 import random
 from collections.abc import Callable
 
-import attrs
 import structlog
 from ebonyhaven_decisions import (
     CURRENT_KEY,
@@ -27,11 +25,15 @@
     parse_entry,
 )
 from ebonyhaven_platform import PlatformError, RowSet, TableClient
-from prometheus_client import CollectorRegistry, Counter, Gauge
 from twisted.internet import task
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.interfaces import IReactorTime
 
+from ebonyhaven_node._configuration_exchange import (
+    ConfigurationMessage,
+    ConfigurationPeers,
+)
+from ebonyhaven_node._configuration_metrics import ConfigurationMetrics
 from ebonyhaven_node._configured import ConfigurationInForce
 from ebonyhaven_node._controllers import start_controller
 
@@ -44,86 +46,6 @@
 _log = structlog.get_logger()
 
 
-@attrs.frozen(slots=True, kw_only=True)
-class ConfigurationMessage:
-    """What one instance tells another about its configuration.
-
-    Parameters
-    ----------
-    version : int
-        Version in force at the sender, 0 while it is starting.
-    highest_version : int
-        Highest version that it has heard of.
-    answers : int
-        Incarnation of the instance whose question this answers.
-    entry : ConfigurationEntry or None
-        Content of ``version`` where the receiver lacks it.
-    """
-
-    version: int
-    highest_version: int
-    answers: int
-    entry: ConfigurationEntry | None
-
-
-class ConfigurationPeers(abc.ABC):
-    """Carries messages about configurations between instances."""
-
-    @abc.abstractmethod
-    def list_names(self) -> list[str]:
-        """Return the names of the other instances that may be asked."""
-
-    @abc.abstractmethod
-    def count_listed(self) -> int:
-        """Return how many instances are listed, this one included.
-
-        0 stands for a list of which only parts are known.
-        """
-
-    @abc.abstractmethod
-    def announce(self) -> None:
-        """Let the neighbours know soon that a new version is in force."""
-
-    @abc.abstractmethod
-    def ask(self, name: str, held_version: int, incarnation: int) -> None:
-        """Ask an instance what it runs, and for content above a version.
-
-        The answer repeats ``incarnation``.
-        """
-
-    @abc.abstractmethod
-    def answer(self, name: str, message: ConfigurationMessage) -> None:
-        """Answer a question."""
-
-
-class ConfigurationMetrics:
-    """Metrics of the configuration of an instance.
-
-    Parameters
-    ----------
-    registry : CollectorRegistry
-    """
-
-    def __init__(self, registry: CollectorRegistry):
-        self.version = Gauge(
-            "ebonyhaven_configuration_version",
-            "Version of the configuration in force.",
-            registry=registry,
-        )
-        self.reads = Counter(
-            "ebonyhaven_configuration_reads",
-            "Reads of the platform's table for new configurations.",
-            ["result"],
-            registry=registry,
-        )
-        self.accepted = Counter(
-            "ebonyhaven_configuration_changes",
-            "Configurations that came into force, by where they were learned.",
-            ["source"],
-            registry=registry,
-        )
-
-
 class ConfigurationController:
     """Keeps the newest accepted configuration in force.
 
--- a/packages/node/src/ebonyhaven_node/_configuration_peers.py
+++ b/packages/node/src/ebonyhaven_node/_configuration_peers.py
@@ -7,8 +7,8 @@
 from ebonyhaven_decisions import parse_entry
 
 from ebonyhaven_node._channels import Channels
-from ebonyhaven_node._configuration import (
-    ConfigurationController,
+from ebonyhaven_node._configuration import ConfigurationController
+from ebonyhaven_node._configuration_exchange import (
     ConfigurationMessage,
     ConfigurationPeers,
 )
--- a/packages/node/src/ebonyhaven_node/_control_plane.py
+++ b/packages/node/src/ebonyhaven_node/_control_plane.py
@@ -12,10 +12,8 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ebonyhaven_node._channels import Channels
-from ebonyhaven_node._configuration import (
-    ConfigurationController,
-    ConfigurationMetrics,
-)
+from ebonyhaven_node._configuration import ConfigurationController
+from ebonyhaven_node._configuration_metrics import ConfigurationMetrics
 from ebonyhaven_node._configuration_peers import MembershipPeers
 from ebonyhaven_node._configured import ConfigurationInForce
 from ebonyhaven_node._controllers import start_controller
--- a/tests/node/test_configuration.py
+++ b/tests/node/test_configuration.py
@@ -7,10 +7,12 @@
     ASK_BATCH,
     SHORTEST_PERIOD_S,
     ConfigurationController,
+)
+from ebonyhaven_node._configuration_exchange import (
     ConfigurationMessage,
-    ConfigurationMetrics,
     ConfigurationPeers,
 )
+from ebonyhaven_node._configuration_metrics import ConfigurationMetrics
 from ebonyhaven_node._configured import ConfigurationInForce
 from ebonyhaven_platform import Row, RowSet, Unavailable
 from prometheus_client import CollectorRegistry
--- a/tests/platform_client/test_clients.py
+++ b/tests/platform_client/test_clients.py
@@ -22,9 +22,10 @@
     WriteResult,
     resolve_write,
 )
+from ebonyhaven_standins.cluster import PlatformCaller
 from twisted.internet import reactor, task
 
-from tests.platform_client.platform_process import run_platform, send_json, set_faults
+from tests.platform_client.platform_process import run_platform, set_faults
 from tests.reactor_thread import run_in_reactor
 
 SHORT_TIMEOUT_S = 0.3
@@ -265,7 +266,7 @@
         async with open_transport(address) as transport:
             client = InstanceListClient(transport)
             set_faults(address, list_lag_ms=600_000)
-            send_json("PUT", address, "/instances/n1", entry)
+            PlatformCaller(address).register("n1", entry)
             assert (await client.read()).processes == ()
             set_faults(address, list_lag_ms=0)
             listed = await client.read()
