Count a connection that is given up as refused in the caller

Cause: a landing failed on a machine with a load average of 17: the caller's limit for an answer ended an attempt that was still connecting, and Twisted's ConnectingCancelledError, which is no ConnectError, ended the request's record. Change: it is a transport error like the others. Figures: the new test, with a listener whose queue is full, fails without it. Conclusion: the caller goes on to its next attempt.

--- a/packages/standins/src/ebonyhaven_standins/caller/_entries.py
+++ b/packages/standins/src/ebonyhaven_standins/caller/_entries.py
@@ -12,6 +12,7 @@
 AVOID_FAILED_S = 5.0
 TRANSPORT_ERRORS = (
     error.ConnectError,
+    error.ConnectingCancelledError,
     error.ConnectionClosed,
     error.TimeoutError,
     defer.CancelledError,
--- /dev/null
+++ b/tests/standins/test_caller_connections.py
@@ -0,0 +1,75 @@
+"""Tests of the caller stand-in with sockets that never become connections."""
+
+from __future__ import annotations
+
+import contextlib
+import pathlib
+import random
+import socket
+import tempfile
+from collections.abc import Iterator
+
+from ebonyhaven_standins.caller import (
+    Caller,
+    CallerLimits,
+    CompletionRequest,
+    HistoryWriter,
+)
+from ebonyhaven_standins.cluster import allocate_address
+from twisted.internet import reactor
+
+from tests.reactor_thread import run_in_reactor
+
+FILLERS = 4
+LIMITS = CallerLimits(connect_s=30.0, answer_s=0.3, patience_s=0.5)
+REQUEST = CompletionRequest(
+    workspace="studio-a", request_class="look-up", prompt="p", max_tokens=1
+)
+
+
+class OneAddress:
+    def __init__(self, address: str):
+        self._address = address
+
+    async def choose(self) -> str:
+        return self._address
+
+    def mark_failed(self, address: str) -> None:
+        """Keep the address all the same."""
+
+
+@contextlib.contextmanager
+def listen_without_accepting() -> Iterator[str]:
+    """Yield an address whose queue of connections is full."""
+    address = allocate_address()
+    host, _, port = address.rpartition(":")
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind((host, int(port)))
+        listener.listen(0)
+        for _ in range(FILLERS):
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex((host, int(port)))
+        yield address
+
+
+def test_connection_that_is_given_up_counts_as_refused():
+    async def complete(address: str, path: pathlib.Path):
+        history = HistoryWriter(path)
+        caller = Caller(
+            reactor=reactor,
+            known_addresses=[address],
+            history=history,
+            generator=random.Random(1),
+            limits=LIMITS,
+        )
+        caller.entries = OneAddress(address)
+        record = await caller.complete(REQUEST)
+        history.close()
+        return record
+
+    with listen_without_accepting() as address, tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "history.jsonl"
+        record = run_in_reactor(complete, address, path)
+    assert {item["outcome"] for item in record["connections"]} == {"refused"}
