Say ready once a configuration is in force

Cause: a landing failed since a test called an instance 6 ms after it had said ready and 7 ms before its first read of the table was answered (503 not_run). Ruled out: a slow read; the log shows it answered in 7 ms. Change: the line comes once a configuration is in force, or after 3 s without one; the instance listens from the start. Conclusion: who waits for the line meets an instance that can serve.

--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -55,6 +55,8 @@
 CLAIM_TIMEOUT_S = 10.0  # a slow table still confirms claims
 DRAIN_CHECK_S = 0.1
 LEAVING_NOTICE_S = 1.0
+START_CHECK_S = 0.02
+START_GRACE_S = 3.0
 
 _log = structlog.get_logger()
 
@@ -102,6 +104,16 @@
         self._stack.callback(listener.stopListening)
         _log.info("node_started", instance=self._settings.instance)
 
+    async def wait_for_configuration(self) -> None:
+        """Wait until a configuration is in force, at most `START_GRACE_S`.
+
+        An instance that has none after that goes on listening: it refuses
+        requests with ``not_run`` and takes a configuration when it can.
+        """
+        deadline = time.monotonic() + START_GRACE_S
+        while self._configuration.version == 0 and time.monotonic() < deadline:
+            await task.deferLater(self._reactor, START_CHECK_S)
+
     async def leave(self) -> None:
         """Refuse new work, let running streams end, and close everything."""
         if self._state.leaving:
--- a/packages/node/src/ebonyhaven_node/_service.py
+++ b/packages/node/src/ebonyhaven_node/_service.py
@@ -45,7 +45,8 @@
             return
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: reactor.callFromThread(stop))
-        print("ready", flush=True)
+        started = ensureDeferred(node.wait_for_configuration())
+        started.addCallback(lambda _: print("ready", flush=True))
 
     reactor.callWhenRunning(start)
     reactor.run()
