Count deaths of engines behind a middlebox, and let a live probe give way

Change: a connection closed during the probe counts as a death, a timeout does not; the two missing transitions are there. Before: the new test failed; after: it passes.

--- a/packages/node/src/ebonyhaven_node/_drivers.py
+++ b/packages/node/src/ebonyhaven_node/_drivers.py
@@ -224,7 +224,10 @@
             if refusal.status == 404 or refusal.reason == CONNECTION_REFUSED:
                 self._record_death(server)
             return False
-        except EngineLost:
+        except EngineLost as lost:
+            # A middlebox before a dead engine accepts the connection and closes it.
+            if lost.closed:
+                self._record_death(server)
             return False
         return True
 
--- a/packages/node/src/ebonyhaven_node/_engines.py
+++ b/packages/node/src/ebonyhaven_node/_engines.py
@@ -276,7 +276,8 @@
             ) from problem
         except Exception as problem:
             server.record_unreachable(time.monotonic())
-            raise EngineLost(peer=server.name, step=step) from problem
+            closed = _is_closed(problem)
+            raise EngineLost(peer=server.name, step=step, closed=closed) from problem
         server.record_answer()
         self._record_load(server, response.headers)
         return response
@@ -323,5 +324,17 @@
         )
 
 
+def _is_closed(problem: Exception) -> bool:
+    """Tell whether a connection was closed before its answer."""
+    if not isinstance(problem, ResponseFailed):
+        return False
+    return any(
+        reason.check(
+            error.ConnectionLost, error.ConnectionDone, error.ConnectionAborted
+        )
+        for reason in problem.reasons
+    )
+
+
 def _read_header(headers: Any, name: str, default: str) -> str:
     return headers.getRawHeaders(name, [default])[0]
--- a/packages/node/src/ebonyhaven_node/_lifecycles.py
+++ b/packages/node/src/ebonyhaven_node/_lifecycles.py
@@ -80,14 +80,15 @@
     waiting, dispatching = RunState.WAITING, RunState.DISPATCHING
     streaming, suspected = RunState.STREAMING, RunState.SUSPECTED
     continuing = RunState.CONTINUING
-    connect(waiting, RunLifecycle.dispatch, dispatching)
-    connect(dispatching, RunLifecycle.dispatch, dispatching)
-    connect(suspected, RunLifecycle.dispatch, dispatching)
+    # A probe that finds the run alive brings it back to streaming; it may still be
+    # started again or continued elsewhere when no token follows.
+    for origin in (waiting, dispatching, streaming, suspected):
+        connect(origin, RunLifecycle.dispatch, dispatching)
     for origin in (dispatching, streaming, suspected, continuing):
         connect(origin, RunLifecycle.stream, streaming)
     for origin in (dispatching, streaming, suspected, continuing):
         connect(origin, RunLifecycle.suspect, suspected)
-    for origin in (waiting, suspected, continuing):
+    for origin in (waiting, streaming, suspected, continuing):
         connect(origin, RunLifecycle.continue_elsewhere, continuing)
     for origin in (streaming, suspected, continuing):
         connect(origin, RunLifecycle.complete, RunState.COMPLETED)
--- a/packages/node/src/ebonyhaven_node/exceptions.py
+++ b/packages/node/src/ebonyhaven_node/exceptions.py
@@ -54,9 +54,12 @@
         Name of the backend server.
     step : str
         Step at which contact was lost.
+    closed : bool
+        Whether the connection was closed, rather than silent.
     """
 
-    def __init__(self, *, peer: str, step: str):
+    def __init__(self, *, peer: str, step: str, closed: bool = False):
         super().__init__(f"contact to {peer} lost at {step}")
         self.peer = peer
         self.step = step
+        self.closed = closed
--- a/tests/integration/test_losses.py
+++ b/tests/integration/test_losses.py
@@ -139,6 +139,14 @@
     check_crashing_request("n1")
 
 
+def test_a_request_that_crashes_engines_behind_a_proxy_stops_after_two():
+    with deploy(engines=4, instances=1, link_engines=True) as trial:
+        guilty = trial.send(f"{make_prompt()} [[crash]]", patience_s=20.0)
+        assert guilty.result()["outcome"] == "failed", describe_end(guilty.result())
+        assert len(trial.lines("crash")) <= 2
+        trial.finish()
+
+
 def test_a_request_that_crashes_engines_spares_neighbours_at_another_instance():
     check_crashing_request("n2")
 
