--- a/packages/standins/src/ebonyhaven_standins/scenario/_deployments.py
+++ b/packages/standins/src/ebonyhaven_standins/scenario/_deployments.py
@@ -10,6 +10,7 @@
 from ebonyhaven_standins.cluster import (
     DEFAULT_MODEL,
     ENGINE_POOL,
+    PLATFORM,
     SERVICE_POOL,
     Cluster,
 )
@@ -59,10 +60,13 @@
         Plain services.
     workspaces : sequence of str
         Names of the workspaces.
+    behind_proxy : bool
+        Whether instances reach engines by links named ``link-NAME`` of the fault
+        proxy, and the platform by links named ``platform-NAME``.
+    node_settings : mapping
+        Further settings of all instances.
     seed : int
         Seed of all processes.
-    node_settings : mapping of str to object
-        Further settings of the instances.
     """
 
     region: str
@@ -70,8 +74,9 @@
     engines: Sequence[ServerPlan]
     workspaces: Sequence[str]
     services: Sequence[ServerPlan] = ()
-    seed: int = 1
+    behind_proxy: bool = False
     node_settings: Mapping[str, Any] = attrs.Factory(dict)
+    seed: int = 1
 
     def make_declaration(self) -> dict[str, Any]:
         """Return the declaration with one class of each workload."""
@@ -120,19 +125,13 @@
     int
         Version of the configuration.
     """
-    cluster.start_platform()
+    cluster.start_platform(wait=False)
+    if deployment.behind_proxy:
+        cluster.start_fault_proxy(wait=False)
+    cluster.wait_until_ready()
     version = cluster.declare(deployment.make_declaration())
     for plan in deployment.engines:
-        cluster.start_engine(
-            plan.name,
-            *plan.options,
-            data_centre=plan.data_centre,
-            region=deployment.region,
-            checks_fence=plan.checks_fence,
-            time_scale=plan.time_scale,
-            seed=deployment.seed,
-            wait=False,
-        )
+        _start_engine(cluster, deployment, plan)
     for plan in deployment.services:
         cluster.start_service(
             plan.name,
@@ -142,13 +141,45 @@
             wait=False,
         )
     for name, data_centre in deployment.instances.items():
-        cluster.start_node(
-            name,
-            data_centre=data_centre,
-            region=deployment.region,
-            seed=deployment.seed,
-            wait=False,
-            **deployment.node_settings,
-        )
+        _start_instance(cluster, deployment, name, data_centre)
     cluster.wait_until_ready()
     return version
+
+
+def _start_engine(cluster: Cluster, deployment: Deployment, plan: ServerPlan) -> None:
+    target = cluster.start_engine(
+        plan.name,
+        *plan.options,
+        checks_fence=plan.checks_fence,
+        time_scale=plan.time_scale,
+        seed=deployment.seed,
+        register=False,
+        wait=False,
+    )
+    address = target
+    if deployment.behind_proxy:
+        address = cluster.add_link(f"link-{plan.name}", target=target)
+    cluster.register_server(
+        plan.name,
+        data_centre=plan.data_centre,
+        region=deployment.region,
+        address=address,
+    )
+
+
+def _start_instance(
+    cluster: Cluster, deployment: Deployment, name: str, data_centre: str
+) -> None:
+    platform_address = None
+    if deployment.behind_proxy:
+        target = cluster.addresses[PLATFORM]
+        platform_address = cluster.add_link(f"platform-{name}", target=target)
+    cluster.start_node(
+        name,
+        data_centre=data_centre,
+        region=deployment.region,
+        platform_address=platform_address,
+        seed=deployment.seed,
+        wait=False,
+        **deployment.node_settings,
+    )
--- a/packages/standins/src/ebonyhaven_standins/scenario/_runner.py
+++ b/packages/standins/src/ebonyhaven_standins/scenario/_runner.py
@@ -199,7 +199,7 @@
 
     async def _follow(self) -> None:
         ends = [
-            task.deferLater(self._reactor, arrival.at_s, self._send, arrival.request)
+            task.deferLater(self._reactor, arrival.at_s, self.send, arrival.request)
             for arrival in self._scenario.arrivals
         ]
         ends += [
@@ -208,9 +208,23 @@
         ]
         await defer.gatherResults(ends, consumeErrors=True)
 
-    def _send(self, request: CompletionRequest) -> defer.Deferred[None]:
+    def send(self, request: CompletionRequest) -> defer.Deferred[RequestRecord]:
+        """Send one request from its workspace's caller and keep its record.
+
+        Parameters
+        ----------
+        request : CompletionRequest
+
+        Returns
+        -------
+        Deferred of RequestRecord
+        """
         completing = self._callers[request.workspace].complete(request)
-        return completing.addCallback(self._records.append)
+        return completing.addCallback(self._keep)
+
+    def _keep(self, record: RequestRecord) -> RequestRecord:
+        self._records.append(record)
+        return record
 
     def _report(self, started_at: float) -> None:
         records = self.open_records()
