Give a process that starts late its time to take up the configuration

Change: the limit counts from the acceptance or from the first sample of the process, whichever is later; a process that stays behind is still found (new test).

--- a/packages/standins/src/ebonyhaven_standins/checker/_control.py
+++ b/packages/standins/src/ebonyhaven_standins/checker/_control.py
@@ -65,7 +65,8 @@
 def _check_arrival(
     name: str, samples: list[TimelineEvent], accepted: TimelineEvent
 ) -> Iterator[Violation]:
-    limit = accepted.time + CONFIGURATION_LIMIT_S
+    # A process that started later has the same time from its first sample on.
+    limit = max(accepted.time, samples[0].time) + CONFIGURATION_LIMIT_S
     for sample in samples:
         if sample.time > limit and sample.version < accepted.version:
             yield Violation(
--- a/tests/standins/test_checker.py
+++ b/tests/standins/test_checker.py
@@ -247,6 +247,13 @@
     assert kinds_of(report) == [ViolationKind.CONFIGURATION_LATE]
 
 
+def test_a_process_that_starts_after_a_change_has_as_long_from_its_start():
+    accepted = TimelineEvent(-90.0, TimelineKind.CONFIGURATION_ACCEPTED, "", 2)
+    assert run_check(timeline=[accepted, *make_samples(0, 2)]).holds
+    report = run_check(timeline=[accepted, *make_samples(0, 0, 0)])
+    assert kinds_of(report) == [ViolationKind.CONFIGURATION_LATE]
+
+
 def test_an_error_without_an_outcome_is_found():
     connection = make_connection(outcome="untagged", status=500)
     report = run_check(make_record(connections=[connection]))
