Write the capacity page from measured slopes, and run the commands of the pages

Change: make slopes measures each row in a process of its own, writes bench/results/slopes.json and prints both tables; docs/CAPACITY.md holds them, and a test keeps page, tool and points the same.

--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/slopes/_capacity.py
@@ -0,0 +1,373 @@
+"""Each role at the size of the target, worked out from the measured rows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from ebonyhaven_standins.slopes import _target as target
+from ebonyhaven_standins.slopes._rows import Measurement
+from ebonyhaven_standins.slopes._tables import format_figure, render_table
+
+CAPACITY_HEADER = (
+    "role",
+    "line",
+    "worked out as",
+    "value",
+    "unit",
+    "limit",
+    "margin",
+    "fits",
+)
+
+Values = Mapping[str, float]
+
+
+class Line(NamedTuple):
+    """One line of the capacity table.
+
+    ``limit`` is None where nobody has set one; a line fits if its value is not
+    above the limit.
+    """
+
+    role: str
+    name: str
+    formula: str
+    unit: str
+    compute: Callable[[Values], float]
+    limit: float | None = None
+
+    def fits(self, values: Values) -> bool:
+        """Return whether the line keeps its limit."""
+        return self.limit is None or self.compute(values) <= self.limit
+
+
+def _control_state_mb(values: Values) -> float:
+    return (
+        target.INSTANCES * values["peer_state"]
+        + target.SERVERS * values["server_state"]
+        + target.WORKSPACES * (values["workspace_state"] + values["workspace_metrics"])
+        + target.LIST_ENTRIES * values["list_state"]
+    ) / 1e6
+
+
+def _duty_list_cpu(values: Values) -> float:
+    a_read_us = target.LIST_ENTRIES * values["list_cpu"]
+    return a_read_us / target.LIST_READER_PERIOD_S / 1e4
+
+
+def _scrape_cpu(values: Values) -> float:
+    return target.WORKSPACES * values["scrape_cpu"] / target.SCRAPE_PERIOD_S / 1e4
+
+
+def _control_cpu(values: Values) -> float:
+    return values["rest_cpu"] + values["membership_cpu"] / 1e4 + _scrape_cpu(values)
+
+
+def _heartbeat_bytes(values: Values) -> float:
+    digests = values["membership_messages"] * target.HEARTBEAT_DIGEST_BYTES
+    return values["membership_bytes"] + digests
+
+
+def _duty_list_bytes(values: Values) -> float:
+    a_read = target.LIST_ENTRIES * values["list_bytes"]
+    return a_read / target.LIST_READER_PERIOD_S
+
+
+def _mean_list_bytes(values: Values) -> float:
+    on_duty = _duty_list_bytes(values) * target.LIST_READERS / target.INSTANCES
+    a_read = target.LIST_ENTRIES * values["list_bytes"]
+    return on_duty + a_read / target.LIST_REPAIR_PERIOD_S
+
+
+def _configuration_bytes(values: Values) -> float:
+    return values["declaration_bytes"] * target.CHANGES_A_DAY / target.DAY_S
+
+
+def _table_reads(values: Values) -> float:
+    configuration = target.CONFIGURATION_READS_PER_S * values["rest_reads"]
+    return configuration + target.MODELS * values["pool_reads"]
+
+
+def _claim_writes(_: Values) -> float:
+    return target.REQUESTS_PER_S * target.NOT_REPEATABLE_SHARE
+
+
+LINES = (
+    Line(
+        "entry and routing",
+        "backend servers",
+        "730 × backend server",
+        "MB",
+        lambda v: target.SERVERS * v["server_state"] / 1e6,
+        target.CONTROL_MEMORY_MB,
+    ),
+    Line(
+        "entry and routing",
+        "workspaces, with metrics",
+        "920 × (state + metrics)",
+        "MB",
+        lambda v: (
+            target.WORKSPACES * (v["workspace_state"] + v["workspace_metrics"]) / 1e6
+        ),
+        target.CONTROL_MEMORY_MB,
+    ),
+    Line(
+        "entry and routing",
+        "routing decisions",
+        "18.2 requests/s × decision",
+        "% of a core",
+        lambda v: target.REQUESTS_A_NODE * v["routing_cpu"] / 1e4,
+        target.CORE_PERCENT,
+    ),
+    Line(
+        "entry and routing",
+        "stall of one metrics scrape",
+        "920 × scrape of a workspace",
+        "ms",
+        lambda v: target.WORKSPACES * v["scrape_cpu"] / 1e3,
+        1e3 * target.GAP_S,
+    ),
+    Line(
+        "relaying",
+        "tokens",
+        "3,846 tokens/s × token",
+        "% of a core",
+        lambda v: target.TOKENS_A_NODE * v["token_cpu"] / 1e4,
+        target.CORE_PERCENT,
+    ),
+    Line(
+        "relaying",
+        "tokens and requests",
+        "tokens + 18.2 requests/s × request",
+        "% of a core",
+        lambda v: (
+            (
+                target.TOKENS_A_NODE * v["token_cpu"]
+                + target.REQUESTS_A_NODE * v["request_cpu"]
+            )
+            / 1e4
+        ),
+        target.CORE_PERCENT,
+    ),
+    Line(
+        "relaying",
+        "open streams",
+        "238 × (stream + held tokens × token)",
+        "MB",
+        lambda v: (
+            target.STREAMS_A_NODE
+            * (v["stream_memory"] + target.HELD_TOKENS * v["token_memory"])
+            / 1e6
+        ),
+    ),
+    Line(
+        "relaying",
+        "kept answers",
+        "512 × (run + 211 × token)",
+        "MB",
+        lambda v: (
+            target.KEPT_RUNS
+            * (v["key_memory"] + target.MEAN_TOKENS * v["token_memory"])
+            / 1e6
+        ),
+    ),
+    Line(
+        "membership",
+        "peers",
+        "390 × peer",
+        "MB",
+        lambda v: target.INSTANCES * v["peer_state"] / 1e6,
+        target.CONTROL_MEMORY_MB,
+    ),
+    Line(
+        "membership",
+        "decisions",
+        "at 390",
+        "% of a core",
+        lambda v: v["membership_cpu"] / 1e4,
+        target.CONTROL_CPU_PERCENT,
+    ),
+    Line(
+        "membership",
+        "messages with full digests",
+        "at 390 + messages × 64",
+        "bytes/s",
+        _heartbeat_bytes,
+        target.CONTROL_BYTES_PER_S,
+    ),
+    Line(
+        "membership",
+        "a lost data centre is off all entry lists",
+        "at 56 of 390",
+        "s",
+        lambda v: v["loss_seconds"],
+    ),
+    Line(
+        "membership",
+        "busiest quarter second of that loss",
+        "at 56 of 390",
+        "bytes/s",
+        lambda v: v["loss_bytes"],
+        target.CONTROL_BYTES_PER_S,
+    ),
+    Line(
+        "configuration",
+        "row of the configuration",
+        "at 920",
+        "bytes",
+        lambda v: v["declaration_bytes"],
+        target.TABLE_VALUE_BYTES,
+    ),
+    Line(
+        "configuration",
+        "changes received",
+        "520 a day × row",
+        "bytes/s",
+        _configuration_bytes,
+        target.CONTROL_BYTES_PER_S,
+    ),
+    Line(
+        "platform client",
+        "list received, on average",
+        "1,120 entries, 2 readers each 2.6 s, all each 780 s",
+        "bytes/s",
+        _mean_list_bytes,
+        target.CONTROL_BYTES_PER_S,
+    ),
+    Line(
+        "platform client",
+        "list received, a reader in its minute",
+        "1,120 entries every 2.6 s",
+        "bytes/s",
+        _duty_list_bytes,
+        target.CONTROL_BYTES_PER_S,
+    ),
+    Line(
+        "platform client",
+        "list read, a reader in its minute",
+        "1,120 entries every 2.6 s",
+        "% of a core",
+        _duty_list_cpu,
+        target.CONTROL_CPU_PERCENT,
+    ),
+    Line(
+        "platform client",
+        "state of the list",
+        "1,120 × entry",
+        "MB",
+        lambda v: target.LIST_ENTRIES * v["list_state"] / 1e6,
+        target.CONTROL_MEMORY_MB,
+    ),
+    Line(
+        "lease holder and placement",
+        "table reads",
+        "10 pools",
+        "reads/s",
+        lambda v: target.MODELS * v["pool_reads"],
+        target.TABLE_READS_PER_S,
+    ),
+    Line(
+        "lease holder and placement",
+        "table writes",
+        "10 pools",
+        "writes/s",
+        lambda v: target.MODELS * v["pool_writes"],
+        target.TABLE_WRITES_PER_S,
+    ),
+    Line(
+        "table",
+        "reads of all nodes",
+        "100 × reads at rest + 10 pools",
+        "reads/s",
+        _table_reads,
+        target.TABLE_READS_PER_S,
+    ),
+    Line(
+        "table",
+        "claims, one request in ten not repeatable",
+        "710 requests/s, one write each",
+        "writes/s",
+        _claim_writes,
+        target.TABLE_WRITES_PER_S,
+    ),
+    Line(
+        "list of instances",
+        "bytes served to all nodes",
+        "390 × list received on average",
+        "MB/s",
+        lambda v: target.INSTANCES * _mean_list_bytes(v) / 1e6,
+    ),
+    Line(
+        "a node, control",
+        "processor time",
+        "rest + membership at 390 + a scrape every 15 s",
+        "% of a core",
+        _control_cpu,
+        target.CONTROL_CPU_PERCENT,
+    ),
+    Line(
+        "a node, control",
+        "state alone",
+        "peers + backend servers + workspaces + list",
+        "MB",
+        _control_state_mb,
+        target.CONTROL_MEMORY_MB,
+    ),
+    Line(
+        "a node, control",
+        "state and a node at rest above its libraries",
+        "state + (at rest − libraries)",
+        "MB",
+        lambda v: _control_state_mb(v) + v["node_at_rest"] - v["libraries"],
+        target.CONTROL_MEMORY_MB,
+    ),
+    Line(
+        "a node, control",
+        "state and the whole process at rest",
+        "state + at rest",
+        "MB",
+        lambda v: _control_state_mb(v) + v["node_at_rest"],
+        target.CONTROL_MEMORY_MB,
+    ),
+    Line(
+        "a node, control",
+        "bytes sent and received, on average",
+        "2 × messages with full digests + list + changes",
+        "bytes/s",
+        lambda v: (
+            2 * _heartbeat_bytes(v) + _mean_list_bytes(v) + _configuration_bytes(v)
+        ),
+        target.CONTROL_BYTES_PER_S,
+    ),
+)
+
+
+def read_values(measurements: Mapping[str, Measurement]) -> dict[str, float]:
+    """Return the value of each row."""
+    return {key: item.value for key, item in measurements.items()}
+
+
+def render_capacity(measurements: Mapping[str, Measurement]) -> str:
+    """Return the capacity table."""
+    values = read_values(measurements)
+    return render_table(CAPACITY_HEADER, [_render(line, values) for line in LINES])
+
+
+def _render(line: Line, values: Values) -> tuple[str, ...]:
+    value = line.compute(values)
+    limit, margin, verdict = "", "", ""
+    if line.limit is not None:
+        limit = format_figure(line.limit)
+        margin = f"{format_figure(float(f'{line.limit / value:.2g}'))}×"
+        verdict = "yes" if line.fits(values) else "**no**"
+    return (
+        line.role,
+        line.name,
+        line.formula,
+        format_figure(value),
+        line.unit,
+        limit,
+        margin,
+        verdict,
+    )
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/slopes/_keeping.py
@@ -0,0 +1,57 @@
+"""Bytes of finished runs that a node keeps for resubmissions."""
+
+from __future__ import annotations
+
+import functools
+
+from ebonyhaven_standins.slopes._fits import Point
+from ebonyhaven_standins.slopes._memory import count_bytes
+from ebonyhaven_standins.slopes._rows import Measurement, make_measurement
+
+KEY_COUNTS = (50, 100, 200, 400)
+TOKEN_COUNTS = (1000, 2000, 4000, 8000)
+PROMPT_CHARACTERS = 400
+TOKENS_A_RUN = 0
+
+
+def _build_run(number: int, tokens: int) -> object:
+    from ebonyhaven_node._requests import GenerationRequest
+    from ebonyhaven_node._runs import Run
+
+    request = GenerationRequest(
+        workspace="studio-a",
+        class_name="analysis",
+        key=f"key-{number:032d}",
+        repeatable=True,
+        first_submission=False,
+        model="dossier",
+        prompt=f"File {number}. ".ljust(PROMPT_CHARACTERS, "x"),
+        adapter=None,
+        max_tokens=tokens,
+        last_event=None,
+        received=None,
+    )
+    run = Run(request=request, generation=f"{number:08x}")
+    run.append([f"0123456789ab:{offset} " for offset in range(tokens)], server="s1")
+    run.complete("length")
+    return run
+
+
+def build_registry(count: int) -> object:
+    """Return a registry of finished runs without tokens."""
+    from ebonyhaven_node._runs import RunRegistry
+
+    registry = RunRegistry()
+    for number in range(count):
+        registry.add(_build_run(number, TOKENS_A_RUN))
+    return registry
+
+
+def measure_kept_runs() -> list[Measurement]:
+    """Measure the bytes of a kept run without its tokens, and of a token."""
+    keys: list[Point] = count_bytes(build_registry, KEY_COUNTS)
+    tokens = count_bytes(functools.partial(_build_run, 1), TOKEN_COUNTS)
+    return [
+        make_measurement("key_memory", keys),
+        make_measurement("token_memory", tokens),
+    ]
--- a/packages/standins/src/ebonyhaven_standins/slopes/_membership.py
+++ b/packages/standins/src/ebonyhaven_standins/slopes/_membership.py
@@ -10,6 +10,7 @@
 import heapq
 import random
 import time
+from collections.abc import Container
 from typing import Any, NamedTuple
 
 from ebonyhaven_decisions import (
@@ -19,6 +20,7 @@
     Membership,
     MemberState,
 )
+
 from ebonyhaven_standins.slopes._fits import Point
 from ebonyhaven_standins.slopes._memory import make_member
 from ebonyhaven_standins.slopes._rows import Measurement, make_measurement
@@ -27,6 +29,8 @@
 SETTLING_S = 10.0
 WINDOW_S = 10.0
 DELAY_S = 0.002
+TICK = "tick"
+FLUSH = "flush"
 
 
 class Traffic(NamedTuple):
@@ -56,6 +60,8 @@
         self.processor_s = 0.0
         self._events: list[tuple[float, int, str, Any]] = []
         self._sequence = 0
+        self._flush_at: dict[str, float] = {}
+        self._flushed_at: dict[str, float] = {}
         members = [make_member(number) for number in range(count)]
         listed = {member.name: member.control_address for member in members}
         self.members = {member.name: member for member in members}
@@ -67,7 +73,7 @@
             for other in members:
                 view.table.merge(other, self.now)
             self.views[member.name] = view
-            self._schedule(self.now + rng.random() * TICK_S, member.name, None)
+            self._schedule(self.now + rng.random() * TICK_S, member.name, TICK)
 
     def run(self, seconds: float) -> Traffic:
         """Let virtual time pass and return what it cost.
@@ -92,35 +98,48 @@
             self.processor_s - before[2],
         )
 
-    def count_views(self, subjects: set[str], state: MemberState) -> int:
-        """Return how many running views hold any subject in another state."""
+    def count_views(self, subjects: set[str], states: Container[MemberState]) -> int:
+        """Return how many running views hold a subject in none of some states."""
         return sum(
             any(
                 (record := view.table.get(subject)) is not None
-                and record.state is not state
+                and record.state not in states
                 for subject in subjects
             )
             for name, view in self.views.items()
             if name not in self.stopped
         )
 
-    def _handle(self, name: str, delivery: Any) -> None:
-        if delivery is None:
-            self._schedule(self.now + TICK_S, name, None)
+    def _handle(self, name: str, event: Any) -> None:
+        if event == TICK:
+            self._schedule(self.now + TICK_S, name, TICK)
         if name in self.stopped:
             return
         view = self.views[name]
         started = time.thread_time()
-        if delivery is None:
+        if event == TICK:
             envelopes = view.tick(self.now)
+        elif event == FLUSH:
+            self._flush_at.pop(name)
+            self._flushed_at[name] = self.now
+            envelopes = view.flush(self.now)
         else:
-            envelopes = view.receive(*delivery, self.now)
-        if view.has_news:
-            envelopes = envelopes + view.flush(self.now)
+            envelopes = view.receive(*event, self.now)
         self.processor_s += time.thread_time() - started
+        if view.has_news:
+            self._schedule_flush(name)
         for envelope in envelopes:
             self._send(view, envelope)
 
+    def _schedule_flush(self, name: str) -> None:
+        from ebonyhaven_node._membership import FLUSH_DELAY_S, FLUSH_INTERVAL_S
+
+        if name in self._flush_at:
+            return
+        earliest = self._flushed_at.get(name, 0.0) + FLUSH_INTERVAL_S
+        self._flush_at[name] = max(self.now + FLUSH_DELAY_S, earliest)
+        self._schedule(self._flush_at[name], name, FLUSH)
+
     def _send(self, view: Membership, envelope: Envelope) -> None:
         target = envelope.name or self._find(envelope.address)
         self.messages += 1
--- a/packages/standins/src/ebonyhaven_standins/slopes/_memory.py
+++ b/packages/standins/src/ebonyhaven_standins/slopes/_memory.py
@@ -15,10 +15,12 @@
     ServerReport,
     ServerTable,
     UsageLedger,
+    Workspace,
 )
+from prometheus_client import CollectorRegistry
+
 from ebonyhaven_standins.slopes._fits import Point
 from ebonyhaven_standins.slopes._rows import Measurement, make_measurement
-from prometheus_client import CollectorRegistry
 
 PEER_COUNTS = (50, 100, 200, 390)
 SERVER_COUNTS = (100, 200, 400, 730)
@@ -104,8 +106,6 @@
 
 def build_workspaces(count: int) -> list[object]:
     """Return declared workspaces with their use of each class."""
-    from ebonyhaven_decisions import Workspace
-
     ledger = UsageLedger(NOW_S)
     declared = {}
     for number in range(count):
@@ -127,32 +127,35 @@
 
 def observe_workspaces(metrics: object, count: int) -> None:
     """Observe one first token, gap and resume of each workspace and class."""
+    from ebonyhaven_node._metrics import observe
+
     for number in range(count):
         for class_name in CLASSES:
-            labels = {"workspace": f"workspace-{number:04d}", "class_name": class_name}
-            metrics.observe_first_token(0.3, **labels)
-            metrics.observe_gap(0.03, **labels)
-            metrics.observe_resume(0.5, **labels)
+            name = f"workspace-{number:04d}"
+            histograms = metrics.bind(workspace=name, class_name=class_name)
+            observe(histograms.first_token, 0.3)
+            observe(histograms.gap, 0.03)
+            observe(histograms.resume, 0.5)
 
 
-def measure_peer_state() -> Measurement:
+def measure_peer_state() -> list[Measurement]:
     """Measure the bytes of a peer in the membership view."""
-    return make_measurement("peer_state", count_bytes(build_membership, PEER_COUNTS))
+    return [make_measurement("peer_state", count_bytes(build_membership, PEER_COUNTS))]
 
 
-def measure_server_state() -> Measurement:
+def measure_server_state() -> list[Measurement]:
     """Measure the bytes of a backend server in the server table."""
     points = count_bytes(build_server_table, SERVER_COUNTS)
-    return make_measurement("server_state", points)
+    return [make_measurement("server_state", points)]
 
 
-def measure_workspace_state() -> Measurement:
+def measure_workspace_state() -> list[Measurement]:
     """Measure the bytes of a workspace in declaration and ledger."""
     points = count_bytes(build_workspaces, WORKSPACE_COUNTS)
-    return make_measurement("workspace_state", points)
+    return [make_measurement("workspace_state", points)]
 
 
-def measure_workspace_metrics() -> Measurement:
+def measure_workspace_metrics() -> list[Measurement]:
     """Measure the bytes of a workspace in the relay metrics."""
     points = count_bytes(build_metrics, WORKSPACE_COUNTS)
-    return make_measurement("workspace_metrics", points)
+    return [make_measurement("workspace_metrics", points)]
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/slopes/_relaying.py
@@ -0,0 +1,135 @@
+"""Processor time and memory of a node that relays streams."""
+
+from __future__ import annotations
+
+import pathlib
+import random
+from typing import Any
+
+from twisted.internet import defer, task
+
+from ebonyhaven_standins.caller import Caller, CompletionRequest, HistoryWriter
+from ebonyhaven_standins.cluster import Cluster
+from ebonyhaven_standins.scenario import (
+    ANALYSIS,
+    Deployment,
+    ServerPlan,
+    start_deployment,
+)
+from ebonyhaven_standins.slopes._fits import Point
+from ebonyhaven_standins.slopes._resident import read_processor_s, read_resident_bytes
+from ebonyhaven_standins.slopes._rows import Measurement, make_measurement
+
+STREAMS = 48
+ENGINES = 4
+TOKEN_COUNTS = (25, 50, 100, 200)
+REPETITIONS = 2
+OPEN_STREAMS = (0, 32, 64, 96, 128)
+OPENING_DEADLINE_S = 30.0
+PROMPT_CHARACTERS = 400
+SLOW_STEP_MS = 50
+_NODE = "n1"
+
+
+def _make_deployment(engines: int, *options: str) -> Deployment:
+    return Deployment(
+        region="r1",
+        instances={_NODE: "dc-a"},
+        engines=[
+            ServerPlan(name=f"s{number}", data_centre="dc-a", options=options)
+            for number in range(engines)
+        ],
+        workspaces=["studio-a"],
+    )
+
+
+def _make_request(number: int, tokens: int) -> CompletionRequest:
+    prompt = f"File {number} of {tokens}. ".ljust(PROMPT_CHARACTERS, "x")
+    return CompletionRequest(
+        workspace="studio-a",
+        request_class=ANALYSIS,
+        prompt=prompt,
+        max_tokens=tokens,
+    )
+
+
+def _make_caller(reactor: Any, cluster: Cluster) -> Caller:
+    return Caller(
+        reactor=reactor,
+        known_addresses=[cluster.addresses[_NODE]],
+        history=HistoryWriter(pathlib.Path("/dev/null")),
+        generator=random.Random(1),
+    )
+
+
+def measure_relaying() -> list[Measurement]:
+    """Measure processor time by the length of answers, at the engines' pace."""
+    points: list[Point] = []
+
+    async def run(reactor: Any) -> None:
+        with Cluster() as cluster:
+            start_deployment(cluster, _make_deployment(ENGINES))
+            await _run_batch(reactor, cluster, TOKEN_COUNTS[0])
+            for tokens in TOKEN_COUNTS * REPETITIONS:
+                used_s = await _run_batch(reactor, cluster, tokens)
+                points.append(Point(tokens, 1e6 * used_s / STREAMS))
+
+    _react(run)
+    points.sort()
+    request_points = list(points)
+    return [
+        make_measurement("token_cpu", points),
+        make_measurement("request_cpu", request_points),
+    ]
+
+
+async def _run_batch(reactor: Any, cluster: Cluster, tokens: int) -> float:
+    process_id = cluster.child(_NODE).process_id
+    caller = _make_caller(reactor, cluster)
+    before = read_processor_s(process_id)
+    number = random.getrandbits(32)
+    requests = [_make_request(number + i, tokens) for i in range(STREAMS)]
+    records = await defer.gatherResults([caller.complete(item) for item in requests])
+    used_s = read_processor_s(process_id) - before
+    if any(record["outcome"] != "completed" for record in records):
+        raise RuntimeError("a request of the measurement did not complete")
+    return used_s
+
+
+def measure_streams() -> list[Measurement]:
+    """Measure resident memory by the number of open streams."""
+    points: list[Point] = []
+    options = ("--capacity", "64", "--step-ms", str(SLOW_STEP_MS))
+    options += ("--full-step-ms", str(SLOW_STEP_MS))
+
+    async def run(reactor: Any) -> None:
+        with Cluster() as cluster:
+            start_deployment(cluster, _make_deployment(ENGINES, *options))
+            process_id = cluster.child(_NODE).process_id
+            caller = _make_caller(reactor, cluster)
+            opened = 0
+            for count in OPEN_STREAMS:
+                for number in range(opened, count):
+                    caller.complete(_make_request(number, 10_000))
+                opened = count
+                await _wait_for_streams(reactor, caller, count)
+                points.append(Point(count, read_resident_bytes(process_id)))
+
+    _react(run)
+    return [make_measurement("stream_memory", points)]
+
+
+async def _wait_for_streams(reactor: Any, caller: Caller, count: int) -> None:
+    deadline = reactor.seconds() + OPENING_DEADLINE_S
+    while sum(bool(record["tokens"]) for record in caller.open_records) < count:
+        if reactor.seconds() > deadline:
+            raise RuntimeError(f"{count} streams did not open in time")
+        await task.deferLater(reactor, 0.1)
+
+
+def _react(run: Any) -> None:
+    try:
+        task.react(lambda reactor: defer.Deferred.fromCoroutine(run(reactor)))
+    except SystemExit as error:
+        if error.code:
+            raise
--- a/packages/standins/src/ebonyhaven_standins/slopes/_resident.py
+++ b/packages/standins/src/ebonyhaven_standins/slopes/_resident.py
@@ -32,18 +32,18 @@
     return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
 
 
-def measure_bare_interpreter() -> Measurement:
+def measure_bare_interpreter() -> list[Measurement]:
     """Measure an interpreter that has imported nothing but ``os``."""
-    return make_measurement("bare_interpreter", _measure_script(""))
+    return [make_measurement("bare_interpreter", _measure_script(""))]
 
 
-def measure_libraries() -> Measurement:
+def measure_libraries() -> list[Measurement]:
     """Measure an interpreter with all modules that a serving node imports."""
     script = (
         "from twisted.internet import epollreactor; epollreactor.install(); "
         "import ebonyhaven_node._composition, pynng, prometheus_client, structlog; "
     )
-    return make_measurement("libraries", _measure_script(script))
+    return [make_measurement("libraries", _measure_script(script))]
 
 
 def _measure_script(script: str) -> list[Point]:
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/slopes/_running.py
@@ -0,0 +1,168 @@
+"""Takes each measurement in a process of its own and collects the results."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import platform
+import subprocess
+import sys
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from ebonyhaven_standins.slopes import (
+    _keeping,
+    _losses,
+    _membership,
+    _memory,
+    _platform_reads,
+    _processor,
+    _relaying,
+    _resident,
+    _rest,
+)
+from ebonyhaven_standins.slopes._capacity import render_capacity
+from ebonyhaven_standins.slopes._fits import Point
+from ebonyhaven_standins.slopes._rows import ROWS, Measurement, make_measurement
+from ebonyhaven_standins.slopes._tables import render_slopes, replace_tables
+
+
+class Measure(NamedTuple):
+    """A function that measures rows, and the keys of these rows."""
+
+    take: Callable[[], list[Measurement]]
+    keys: tuple[str, ...]
+
+
+MEASURES: Mapping[str, Measure] = {
+    "bare_interpreter": Measure(
+        _resident.measure_bare_interpreter, ("bare_interpreter",)
+    ),
+    "libraries": Measure(_resident.measure_libraries, ("libraries",)),
+    "rest": Measure(
+        _rest.measure_rest,
+        (
+            "node_at_rest",
+            "rest_bytes",
+            "rest_cpu",
+            "rest_reads",
+            "pool_reads",
+            "pool_writes",
+        ),
+    ),
+    "peer_state": Measure(_memory.measure_peer_state, ("peer_state",)),
+    "server_state": Measure(_memory.measure_server_state, ("server_state",)),
+    "workspace_state": Measure(_memory.measure_workspace_state, ("workspace_state",)),
+    "workspace_metrics": Measure(
+        _memory.measure_workspace_metrics, ("workspace_metrics",)
+    ),
+    "streams": Measure(_relaying.measure_streams, ("stream_memory",)),
+    "kept_runs": Measure(_keeping.measure_kept_runs, ("key_memory", "token_memory")),
+    "relaying": Measure(_relaying.measure_relaying, ("token_cpu", "request_cpu")),
+    "messages": Measure(_processor.measure_messages, ("message_cpu",)),
+    "routing": Measure(_processor.measure_routing, ("routing_cpu",)),
+    "scrape": Measure(_processor.measure_scrape, ("scrape_cpu",)),
+    "membership": Measure(
+        _membership.measure_membership,
+        ("membership_messages", "membership_bytes", "membership_cpu"),
+    ),
+    "list": Measure(
+        _platform_reads.measure_list, ("list_bytes", "list_cpu", "list_state")
+    ),
+    "declaration": Measure(_platform_reads.measure_declaration, ("declaration_bytes",)),
+    "losses": Measure(
+        _losses.measure_losses, ("loss_seconds", "loss_messages", "loss_bytes")
+    ),
+    "split": Measure(_losses.measure_split, ("heal_seconds",)),
+}
+_MARK = "points: "
+
+
+def print_measurement(name: str) -> None:
+    """Take one measurement and print its points as JSON.
+
+    Parameters
+    ----------
+    name : str
+        Key of `MEASURES`.
+    """
+    points = {item.row.key: item.points for item in MEASURES[name].take()}
+    print(_MARK + json.dumps(points), flush=True)
+
+
+def run_all(*, output: pathlib.Path, page: pathlib.Path | None, again: bool) -> None:
+    """Take all measurements, print the tables and write the points.
+
+    Parameters
+    ----------
+    output : pathlib.Path
+        JSON file of the points, written after each measurement.
+    page : pathlib.Path or None
+        Page whose tables are replaced.
+    again : bool
+        Whether to measure what the file holds already.
+    """
+    points = read_points(output) if output.exists() and not again else {}
+    for name, measure in MEASURES.items():
+        if all(key in points for key in measure.keys):
+            continue
+        print(f"measuring {name}", file=sys.stderr, flush=True)
+        points |= _measure_apart(name)
+        write_points(output, points)
+    measurements = make_measurements(points)
+    tables = {
+        "slopes": render_slopes(measurements),
+        "capacity": render_capacity(measurements),
+    }
+    for table in tables.values():
+        print(table)
+    if page is not None:
+        page.write_text(replace_tables(page.read_text(), tables))
+
+
+def make_measurements(
+    points: Mapping[str, list[Point]],
+) -> dict[str, Measurement]:
+    """Return the measurements of all rows in their order."""
+    return {row.key: make_measurement(row.key, points[row.key]) for row in ROWS}
+
+
+def write_points(path: pathlib.Path, points: Mapping[str, list[Point]]) -> None:
+    """Write points, values and units as JSON.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+    points : mapping of str to list of Point
+        Points by key of their row; rows may be missing.
+    """
+    measured = [
+        make_measurement(row.key, points[row.key]) for row in ROWS if row.key in points
+    ]
+    rows = {
+        item.row.key: {
+            "unit": item.row.unit,
+            "size_unit": item.row.size_unit,
+            "points": item.points,
+            "value": item.value,
+            "error_percent": item.fit.error_percent,
+        }
+        for item in measured
+    }
+    content = {"python": platform.python_version(), "rows": rows}
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(json.dumps(content, indent=1) + "\n")
+
+
+def read_points(path: pathlib.Path) -> dict[str, list[Point]]:
+    """Return the points that `write_points` wrote."""
+    rows = json.loads(path.read_text())["rows"]
+    return {key: [Point(*pair) for pair in row["points"]] for key, row in rows.items()}
+
+
+def _measure_apart(name: str) -> dict[str, list[Point]]:
+    command = [sys.executable, "-m", "ebonyhaven_standins.slopes", "--measure", name]
+    result = subprocess.run(command, check=True, stdout=subprocess.PIPE, text=True)
+    lines = [line for line in result.stdout.splitlines() if line.startswith(_MARK)]
+    found = json.loads(lines[-1].removeprefix(_MARK))
+    return {key: [Point(*pair) for pair in pairs] for key, pairs in found.items()}
--- /dev/null
+++ b/tests/docs/test_capacity.py
@@ -0,0 +1,61 @@
+"""The capacity page, the tool behind it and the points agree."""
+
+from __future__ import annotations
+
+import re
+
+from ebonyhaven_standins.slopes import (
+    LINES,
+    ROWS,
+    make_measurements,
+    read_points,
+    render_capacity,
+    render_slopes,
+)
+
+from tools.doc_blocks import ROOT
+
+PAGE = ROOT / "docs" / "CAPACITY.md"
+POINTS = ROOT / "bench" / "results" / "slopes.json"
+
+
+def read_table(name):
+    text = PAGE.read_text()
+    found = re.search(
+        rf"<!-- {name}:begin -->\n(.*?)<!-- {name}:end -->", text, re.DOTALL
+    )
+    return found[1].strip()
+
+
+def split_rows(table):
+    return [
+        [cell.strip() for cell in line.strip("|").split("|")]
+        for line in table.splitlines()[2:]
+    ]
+
+
+def test_the_page_has_the_rows_and_units_of_the_tool():
+    rows = split_rows(read_table("slopes"))
+    shown = [(row[0], row[2], row[3]) for row in rows]
+    assert shown == [(row.name, row.unit, row.size_unit) for row in ROWS]
+
+
+def test_the_page_has_the_lines_and_units_of_the_tool():
+    rows = split_rows(read_table("capacity"))
+    shown = [(row[0], row[1], row[4]) for row in rows]
+    assert shown == [(line.role, line.name, line.unit) for line in LINES]
+
+
+def test_the_figures_of_the_page_come_from_the_points():
+    measurements = make_measurements(read_points(POINTS))
+    assert read_table("slopes") == render_slopes(measurements)
+    assert read_table("capacity") == render_capacity(measurements)
+
+
+def test_lines_that_miss_their_limit_are_marked_and_explained():
+    misses = [row for row in split_rows(read_table("capacity")) if "no" in row[7]]
+    values = {
+        key: item.value for key, item in make_measurements(read_points(POINTS)).items()
+    }
+    assert len(misses) == sum(not line.fits(values) for line in LINES)
+    assert not misses or "## What does not fit yet" in PAGE.read_text()
--- /dev/null
+++ b/tests/docs/test_commands.py
@@ -0,0 +1,138 @@
+"""Runs the commands and examples of the pages as they stand there."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import re
+import subprocess
+import sys
+import tempfile
+
+from ebonyhaven_decisions import parse_declaration
+from ebonyhaven_standins.cluster import Cluster
+from ebonyhaven_standins.scenario import Deployment, ServerPlan, start_deployment
+
+from tools.doc_blocks import ROOT, read_blocks
+
+DEADLINE_S = 120.0
+LINK = re.compile(r"\]\((?!https?:)([^)#]+)")
+DOCUMENTED_PLATFORM = "10.0.0.5:7000"
+
+
+LINKED_PAGES = (
+    "CONTRIBUTING.md",
+    "README.md",
+    "docs/CALLERS.md",
+    "docs/CAPACITY.md",
+    "docs/GLOSSARY.md",
+    "docs/LAYOUT.md",
+    "docs/OPERATORS.md",
+)
+
+
+def make_deployment():
+    return Deployment(
+        region="r1",
+        instances={"n1": "dc-a", "n2": "dc-b"},
+        engines=[ServerPlan(name="s1", data_centre="dc-a")],
+        workspaces=["studio-a"],
+    )
+
+
+def make_environment(**variables):
+    binaries = pathlib.Path(sys.executable).parent
+    path = f"{binaries}:{os.environ['PATH']}"
+    return {**os.environ, "PATH": path, **variables}
+
+
+def run_script(text, folder, **variables):
+    return subprocess.run(
+        ["bash", "-e", "-o", "pipefail", "-c", text],
+        cwd=folder,
+        env=make_environment(**variables),
+        capture_output=True,
+        text=True,
+        timeout=DEADLINE_S,
+        check=False,
+    )
+
+
+def check_run(result):
+    assert result.returncode == 0, f"{result.stdout}\n{result.stderr}"
+    return result.stdout
+
+
+def read_shell_blocks(page):
+    return [block.text for block in read_blocks(page) if block.language == "sh"]
+
+
+def read_offsets(stream):
+    return [int(offset) for offset in re.findall(r"^id: (\d+)-", stream, re.MULTILINE)]
+
+
+def test_commands_of_the_callers_page():
+    entries, completion, reconnect = read_shell_blocks("docs/CALLERS.md")
+    with Cluster() as cluster, tempfile.TemporaryDirectory() as folder:
+        start_deployment(cluster, make_deployment())
+        variables = {"ENTRY": cluster.addresses["n1"], "WORKSPACE": "studio-a"}
+        listed = json.loads(check_run(run_script(entries, folder, **variables)))
+        assert {entry["instance"] for entry in listed["entries"]} <= {"n1", "n2"}
+        assert listed["keep_s"] > 0
+        stream = check_run(run_script(completion, folder, **variables))
+        assert read_offsets(stream) == list(range(9))
+        assert stream.rstrip().endswith("data: [DONE]")
+        held = re.findall(r"^id: (2-\S+)", stream, re.MULTILINE)[0]
+        variables["ENTRY"] = cluster.addresses["n2"]
+        rest = check_run(run_script(reconnect, folder, LAST_EVENT_ID=held, **variables))
+        assert read_offsets(rest) == list(range(3, 9))
+
+
+def test_the_example_client_of_the_callers_page():
+    (client,) = [b for b in read_blocks("docs/CALLERS.md") if b.language == "python"]
+    with Cluster() as cluster, tempfile.TemporaryDirectory() as folder:
+        start_deployment(cluster, make_deployment())
+        known = ",".join(cluster.addresses[name] for name in ("n1", "n2"))
+        path = pathlib.Path(folder) / "client.py"
+        path.write_text(client.text)
+        output = check_run(
+            run_script("python client.py", folder, ENTRIES=known, WORKSPACE="studio-a")
+        )
+        offsets = [text.partition(":")[2] for text in output.split()]
+        assert offsets == [str(number) for number in range(8)]
+
+
+def test_declarations_and_commands_of_the_operators_page():
+    blocks = read_blocks("docs/OPERATORS.md")
+    files = {block.name: block.text for block in blocks if block.name}
+    assert set(files) == {"n1.json", "casting.json", "market.json"}
+    for name in ("casting.json", "market.json"):
+        parse_declaration(json.loads(files[name]))
+    settings, cycle = read_shell_blocks("docs/OPERATORS.md")
+    with Cluster() as cluster, tempfile.TemporaryDirectory() as folder:
+        cluster.start_platform()
+        for name, text in files.items():
+            (pathlib.Path(folder) / name).write_text(text)
+        check_run(run_script(settings, folder))
+        assert DOCUMENTED_PLATFORM in cycle
+        script = cycle.replace(DOCUMENTED_PLATFORM, cluster.addresses["platform"])
+        check_run(run_script(script, folder))
+        row = cluster.platform.read_row("configuration/current")
+        assert row["value"]["version"] == 2
+        assert row["value"]["change_id"] == "ticket-812"
+
+
+def test_make_targets_of_the_pages_exist():
+    makefile = (ROOT / "Makefile").read_text()
+    for page in ("README.md", "CONTRIBUTING.md"):
+        for block in read_shell_blocks(page):
+            for target in re.findall(r"^make ([\w-]+)", block, re.MULTILINE):
+                assert re.search(rf"^{target}:", makefile, re.MULTILINE), target
+
+
+def test_links_between_the_pages_lead_somewhere():
+    for page in LINKED_PAGES:
+        for target in LINK.findall((ROOT / page).read_text()):
+            path = (ROOT / page).parent / target
+            assert path.exists(), f"{page} links to {target}"
--- /dev/null
+++ b/tests/standins/test_slopes.py
@@ -0,0 +1,83 @@
+"""Tests of the lines through measured points and of the tables."""
+
+from __future__ import annotations
+
+from ebonyhaven_standins.slopes import (
+    MEASURES,
+    ROWS,
+    Point,
+    _keeping,
+    _losses,
+    _membership,
+    _memory,
+    _platform_reads,
+    average,
+    fit_line,
+    format_figure,
+    replace_tables,
+)
+
+
+def test_a_line_is_found_with_its_error():
+    fit = fit_line([Point(x, 5.0 + 2.0 * x) for x in (1, 2, 4, 8)])
+    assert abs(fit.slope - 2.0) < 1e-9
+    assert abs(fit.intercept - 5.0) < 1e-9
+    assert fit.error_percent < 1e-6
+    noisy = fit_line([Point(1, 1.0), Point(2, 3.0), Point(3, 2.0), Point(4, 4.0)])
+    assert noisy.error_percent > 10.0
+
+
+def test_repeated_values_give_mean_and_half_range():
+    fit = average([Point(0, 9.0), Point(1, 11.0)])
+    assert fit.intercept == 10.0
+    assert fit.error_percent == 10.0
+
+
+def test_figures_keep_three_digits():
+    figures = [0.0, 0.01234, 12.345, 1234.5, 45_678.0]
+    assert [format_figure(f) for f in figures] == [
+        "0",
+        "0.0123",
+        "12.3",
+        "1,230",
+        "45,700",
+    ]
+
+
+def test_only_the_text_between_the_marks_is_replaced():
+    page = "a\n<!-- t:begin -->\nold\n<!-- t:end -->\nb\n"
+    assert (
+        replace_tables(page, {"t": "new"})
+        == "a\n<!-- t:begin -->\nnew\n<!-- t:end -->\nb\n"
+    )
+
+
+def test_every_row_is_measured_once():
+    measured = [key for measure in MEASURES.values() for key in measure.keys]
+    assert sorted(measured) == sorted(row.key for row in ROWS)
+
+
+def test_the_state_that_is_counted_can_be_built():
+    builders = (
+        _memory.build_membership,
+        _memory.build_server_table,
+        _memory.build_workspaces,
+        _memory.build_metrics,
+        _platform_reads.build_listing,
+        _keeping.build_registry,
+    )
+    for build in builders:
+        points = _memory.count_bytes(build, (2, 8))
+        assert points[1].value > points[0].value > 0, build
+
+
+def test_a_small_group_learns_of_a_loss():
+    group = _membership.Group(9)
+    group.run(2.0)
+    name = next(iter(group.members))
+    group.stopped.add(name)
+    for _ in range(20):
+        group.run(1.0)
+        if not group.count_views({name}, _losses.GONE):
+            return
+    raise AssertionError("the loss was not noticed")
