--- a/packages/standins/src/ebonyhaven_standins/caller/__init__.py
+++ b/packages/standins/src/ebonyhaven_standins/caller/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ebonyhaven_standins.caller._caller import Caller, CallerLimits, CompletionRequest
+from ebonyhaven_standins.caller._entries import EntryList
 from ebonyhaven_standins.caller._events import (
     EventId,
     EventParser,
@@ -29,6 +30,7 @@
     "CallerLimits",
     "CompletionRequest",
     "ConnectionRecord",
+    "EntryList",
     "EventId",
     "EventParser",
     "HistoryWriter",
--- a/tests/standins/test_caller.py
+++ b/tests/standins/test_caller.py
@@ -6,12 +6,14 @@
 import tempfile
 
 from ebonyhaven_standins.caller import (
+    EntryList,
     EventParser,
     HistoryWriter,
     parse_event_id,
     read_history,
     read_token,
 )
+from twisted.internet import defer, error, task
 
 from tests.standins.test_checker import make_record
 
@@ -47,3 +49,30 @@
         writer.write(make_record())
         writer.close()
         assert read_history(path) == [make_record()]
+
+
+class FakeAnswer:
+    code = 200
+
+    async def json(self):
+        return {"entries": [{"address": "127.0.0.3:1"}], "keep_s": 5.0}
+
+
+class FakeHttp:
+    """Cancels the connection to one address, as a timeout does; answers others."""
+
+    async def get(self, url, timeout):
+        if "127.0.0.1" in url:
+            raise error.ConnectingCancelledError("127.0.0.1:1")
+        return FakeAnswer()
+
+
+def test_an_entry_that_does_not_accept_connections_is_passed_over():
+    entries = EntryList(
+        reactor=task.Clock(),
+        http=FakeHttp(),
+        known_addresses=["127.0.0.1:1", "127.0.0.2:1"],
+    )
+    results = []
+    defer.Deferred.fromCoroutine(entries.choose()).addBoth(results.append)
+    assert results == ["127.0.0.3:1"]
