Count tokens, not positions, in the load generator

Cause: a node now tells a position before the first token; the load generator took its id for a token and saw first tokens after 22 ms where a step takes 40 ms.

--- a/packages/standins/src/ebonyhaven_standins/bench/_open_loop.py
+++ b/packages/standins/src/ebonyhaven_standins/bench/_open_loop.py
@@ -26,7 +26,9 @@
 TAIL_BYTES = 1024
 LAG_PERIOD_S = 0.05
 COMPLETED = "completed"
-TOKEN_MARK = b"id: "
+ID_MARK = b"id: "
+TEXT_MARK = b'"text":"'
+EMPTY_TEXT_MARK = b'"text":""'
 END_MARK = b"[DONE]"
 ERROR_MARK = b"event: error"
 _LOST = (error.ConnectError, error.ConnectionLost, error.TimeoutError)
@@ -87,7 +89,8 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self._silence.reset(SILENCE_S)
-        count = data.count(TOKEN_MARK)
+        # The event of a position and the last event carry no token.
+        count = data.count(TEXT_MARK) - data.count(EMPTY_TEXT_MARK)
         if count:
             self._note(count)
             if not self._record["server"]:
@@ -101,7 +104,7 @@
             return
         if ERROR_MARK in self._tail:
             event = self._tail.partition(ERROR_MARK)[2].partition(b"data:")[2]
-            self.done.callback(_read_refusal(event.partition(b"\n")[0]))
+            self.done.callback(read_refusal(event.partition(b"\n")[0]))
         else:
             self.done.callback((COMPLETED if END_MARK in self._tail else "cut", None))
 
@@ -174,7 +177,7 @@
         try:
             response = await self._post(address, request, key)
             if response.code != 200:
-                return _read_refusal(await treq.content(response))
+                return read_refusal(await treq.content(response))
         except (*_LOST, ResponseNeverReceived) as problem:
             return f"lost: {type(problem).__name__}", None
         counter = _TokenCounter(self._reactor, record, self._started_at)
@@ -210,7 +213,7 @@
 
 
 def _find_server(data: bytes) -> str:
-    event_id = data.partition(TOKEN_MARK)[2].partition(b"\n")[0]
+    event_id = data.partition(ID_MARK)[2].partition(b"\n")[0]
     return event_id.decode().partition("-")[2].partition("-")[2]
 
 
@@ -231,7 +234,20 @@
     }
 
 
-def _read_refusal(content: bytes) -> tuple[str, float | None]:
+def read_refusal(content: bytes) -> tuple[str, float | None]:
+    """Return the outcome of a request that failed.
+
+    Parameters
+    ----------
+    content : bytes
+        Body of an answer, or data of an error event.
+
+    Returns
+    -------
+    tuple of str and float or None
+        ``refused`` for a request that did not run, with the seconds after which
+        it may be sent again.
+    """
     try:
         outcome = json.loads(content)["error"]
     except (ValueError, KeyError, TypeError):
