Refuse new requests on an overloaded instance, and prove refusals end to end

Cause: an instance near a full core went on accepting; entry lists already show it. Change: at 95% of a core new requests hear not_run with a retry time, streams are still resumed. Tests through real processes: a caller that leaves has its run cancelled at the engine within 1 s, a look-up without room hears not_run with a retry time and did not run, a tighter target refuses what waits within 9 s.

--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -79,6 +79,7 @@
         self._runs = RunRegistry()
         self._configuration = ConfigurationInForce()
         self._servers = BackendServers()
+        self._own_load = ProcessorLoad()
         self._state = InstanceState(
             instance=settings.instance, incarnation=time.time_ns() // 1_000_000
         )
@@ -159,7 +160,7 @@
             registry=self._registry,
         )
         self._stack.callback(membership.stop)
-        membership.set_load_source(ProcessorLoad().read)
+        membership.set_load_source(self._own_load.read)
         membership.set_seeds(settings.control_seeds)
         membership.start()
         return membership
@@ -236,6 +237,7 @@
             servers=self._servers,
             configuration=self._configuration,
             reactor=self._reactor,
+            read_own_load=self._own_load.read,
         )
         self._start_load_exchange(scheduling)
         return scheduling
--- a/packages/node/src/ebonyhaven_node/_policy_scheduling.py
+++ b/packages/node/src/ebonyhaven_node/_policy_scheduling.py
@@ -5,6 +5,7 @@
 import hashlib
 import itertools
 import time
+from collections.abc import Callable
 
 import attrs
 from ebonyhaven_decisions import (
@@ -41,6 +42,8 @@
 PREFIX_BLOCK_CHARACTERS = 64
 MAX_PREFIXES = 10
 REFUSED_STATUS = 503
+OVERLOAD_SHARE = 0.95
+OVERLOAD_RETRY_S = 0.5
 MODEL_MISSING = "model_not_loaded"
 ENGINE_FULL = "full"
 _REFUSALS = {
@@ -104,6 +107,8 @@
     servers : BackendServers
     configuration : ConfigurationInForce
     reactor : IReactorTime
+    read_own_load : callable
+        Returns the share of this instance's capacity in use, 0 to 1.
     """
 
     def __init__(
@@ -113,8 +118,10 @@
         servers: BackendServers,
         configuration: ConfigurationInForce,
         reactor: IReactorTime,
+        read_own_load: Callable[[], float] = lambda: 0.0,
     ):
         self.scheduler = scheduler
+        self._read_own_load = read_own_load
         self._servers = servers
         self._configuration = configuration
         self._reactor = reactor
@@ -132,6 +139,8 @@
 
     async def acquire(self, wish: SlotWish) -> Slot:
         """See `Scheduling.acquire`."""
+        if not wish.resume and self._read_own_load() >= OVERLOAD_SHARE:
+            raise _describe_overload()
         item = self._describe(wish)
         waiter = _Waiter(wish, item, Deferred(lambda _: self._forget(item.item_id)))
         if wish.resume:
@@ -368,6 +377,19 @@
     )
 
 
+def _describe_overload() -> RequestFailure:
+    return RequestFailure(
+        Outcome(
+            tag=OutcomeTag.NOT_RUN,
+            step="admit",
+            peer="self",
+            reason="this instance is overloaded; ask for entries and use another",
+            status=REFUSED_STATUS,
+            retry_after_s=OVERLOAD_RETRY_S,
+        )
+    )
+
+
 def _describe_unavailable() -> RequestFailure:
     return RequestFailure(
         Outcome(
--- /dev/null
+++ b/tests/integration/test_scheduling.py
@@ -0,0 +1,129 @@
+from __future__ import annotations
+
+import http.client
+import json
+import time
+
+from ebonyhaven_standins.cluster import Cluster
+from ebonyhaven_standins.scenario import Deployment, ServerPlan, start_deployment
+
+DEADLINE_S = 30.0
+CANCEL_TARGET_S = 1.0
+IN_FORCE_TARGET_S = 9.0
+LOOK_UP = "look-up"
+ANALYSIS = "analysis"
+
+
+def start(cluster, *engine_options):
+    deployment = Deployment(
+        region="r1",
+        instances={"n1": "dc-a"},
+        engines=[ServerPlan(name="s1", data_centre="dc-a", options=engine_options)],
+        workspaces=("studio-a", "studio-b"),
+    )
+    version = start_deployment(cluster, deployment)
+    wait_for(lambda: read_health(cluster)["configuration_version"] >= version)
+    wait_for(lambda: try_look_up(cluster))
+    return deployment
+
+
+def wait_for(condition):
+    started = time.monotonic()
+    while not (found := condition()):
+        assert time.monotonic() - started < DEADLINE_S, "not reached in time"
+        time.sleep(0.02)
+    return found
+
+
+def connect(cluster):
+    host, port = cluster.addresses["n1"].split(":")
+    return http.client.HTTPConnection(host, int(port), timeout=DEADLINE_S)
+
+
+def read_health(cluster):
+    connection = connect(cluster)
+    connection.request("GET", "/health")
+    return json.loads(connection.getresponse().read())
+
+
+def send(cluster, class_name, *, key, max_tokens, workspace="studio-a"):
+    """Return the connection and its answer once its head has come."""
+    connection = connect(cluster)
+    body = {"model": "dossier", "prompt": key, "max_tokens": max_tokens, "stream": True}
+    headers = {
+        "Content-Type": "application/json",
+        "Ebonyhaven-Workspace": workspace,
+        "Ebonyhaven-Class": class_name,
+        "Idempotency-Key": key,
+        "Ebonyhaven-First-Submission": "yes",
+    }
+    connection.request("POST", "/v1/completions", json.dumps(body), headers)
+    return connection, connection.getresponse()
+
+
+def try_look_up(cluster):
+    connection, answer = send(
+        cluster, LOOK_UP, key=f"warm-{time.monotonic()}", max_tokens=1
+    )
+    answer.read()
+    connection.close()
+    return answer.status == 200
+
+
+def read_outcome(answer):
+    """Return the outcome, whether it is the body or an event after the head."""
+    content = answer.read().decode()
+    if answer.status == 200:
+        content = content.partition("event: error")[2].partition("data: ")[2]
+    return json.loads(content)["error"]
+
+
+def read_runs_of_warm_up(cluster):
+    return {line["run_id"] for line in read_log(cluster, "finish")}
+
+
+def read_log(cluster, event):
+    lines = cluster.execution_logs["s1"].read_text().splitlines()
+    return [line for line in map(json.loads, lines) if line["event"] == event]
+
+
+def test_caller_that_leaves_has_its_run_cancelled_at_the_engine():
+    with Cluster() as cluster:
+        start(cluster)
+        connection, answer = send(cluster, ANALYSIS, key="left", max_tokens=5000)
+        answer.readline()
+        answer.close()
+        connection.close()
+        left_at = time.time()
+        cancelled = wait_for(lambda: read_log(cluster, "cancel"))[0]
+        assert cancelled["time"] - left_at <= CANCEL_TARGET_S
+
+
+def test_look_up_without_room_hears_not_run_with_a_retry_time():
+    with Cluster() as cluster:
+        start(cluster, "--capacity", "1")
+        held, _ = send(cluster, LOOK_UP, key="held", max_tokens=5000)
+        late, answer = send(cluster, LOOK_UP, key="late", max_tokens=5)
+        outcome = read_outcome(answer)
+        assert outcome["outcome"] == "not_run"
+        assert outcome["retry_after_s"] > 0.0
+        started = {line["run_id"] for line in read_log(cluster, "start")}
+        held.close()
+        late.close()
+        assert len(started - read_runs_of_warm_up(cluster)) == 1
+
+
+def test_tighter_target_refuses_what_waits_within_seconds():
+    with Cluster() as cluster:
+        deployment = start(cluster, "--capacity", "1")
+        held, _ = send(cluster, ANALYSIS, key="held", max_tokens=5000)
+        waits, answer = send(cluster, ANALYSIS, key="waits", max_tokens=10)
+        declaration = deployment.make_declaration()
+        declaration["classes"][ANALYSIS] |= {"first_token_ms": 600, "may_wait_ms": 0}
+        cluster.declare(declaration)
+        declared_at = time.monotonic()
+        outcome = read_outcome(answer)
+        assert outcome["outcome"] == "not_run"
+        assert time.monotonic() - declared_at <= IN_FORCE_TARGET_S
+        held.close()
+        waits.close()
--- a/tests/node/test_policy_scheduling.py
+++ b/tests/node/test_policy_scheduling.py
@@ -44,7 +44,7 @@
 }
 
 
-def build_scheduling(servers=1, capacity=2):
+def build_scheduling(servers=1, capacity=2, own_load=0.0):
     configuration = ConfigurationInForce()
     known = BackendServers()
     scheduling = PolicyScheduling(
@@ -58,6 +58,7 @@
         servers=known,
         configuration=configuration,
         reactor=task.Clock(),
+        read_own_load=lambda: own_load,
     )
     configuration.replace(parse_declaration(DECLARATION), 1)
     known.merge_list(
@@ -134,6 +135,15 @@
     assert outcome.retry_after_s > 0.0
 
 
+def test_overloaded_instance_refuses_new_requests_and_resumes_streams():
+    scheduling, _ = build_scheduling(own_load=0.99)
+    _, results = acquire(scheduling)
+    assert results[0].value.outcome.tag is OutcomeTag.NOT_RUN
+    assert results[0].value.outcome.retry_after_s > 0.0
+    _, resumed = acquire(scheduling, resume=True)
+    assert resumed[0].held
+
+
 def test_cancelled_wait_leaves_no_request_behind():
     scheduling, known = build_scheduling(capacity=2)
     _, first = acquire(scheduling)
