Stop a crashing content after two engines, and wait for evidence about neighbours

A death during the start of a run (before the answer's head) was not counted, so the content went on to a third and fourth engine; an attach that met a dying process was broken instead of refused; a caller that reconnected before its first token, with the generation of before a restart, got a second driver beside the first; and a neighbour at another instance was stopped before the evidence had come.

Change: a lost start asks the engine again and counts a refusal as its death; a broken attach is tried again; a content under suspicion waits for the fate of its last engine; a caller without a token joins the run whatever its generation; and a content that had tokens at a death is undecided for 1.5 s.

--- a/packages/decisions/src/ebonyhaven_decisions/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/__init__.py
@@ -47,6 +47,7 @@
 )
 from ebonyhaven_decisions._crashes import (
     EVIDENCE_TTL_S,
+    EVIDENCE_WAIT_S,
     CrashEvidence,
     CrashLedger,
     CrashVerdict,
@@ -243,6 +244,7 @@
     "Dispatch",
     "Dispatcher",
     "EVIDENCE_TTL_S",
+    "EVIDENCE_WAIT_S",
     "EntryCandidate",
     "EntryList",
     "Envelope",
--- a/packages/decisions/src/ebonyhaven_decisions/_crashes.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_crashes.py
@@ -20,15 +20,21 @@
 MAX_DEATHS = 2
 MAX_WEAK_DEATHS = 4
 EVIDENCE_TTL_S = 600.0
+EVIDENCE_WAIT_S = 1.5
 MAX_CONTENTS = 4096
 SAME_DEATH_S = 30.0
 
 
 class CrashVerdict(enum.Enum):
-    """What may be done with a request content."""
+    """What may be done with a request content.
+
+    ``UNDECIDED`` lasts for `EVIDENCE_WAIT_S` after a death at which the content had
+    tokens: another instance may be about to tell of one that had none.
+    """
 
     CLEAR = "clear"
     SUSPECT = "suspect"
+    UNDECIDED = "undecided"
     STOPPED = "stopped"
 
 
@@ -105,7 +111,10 @@
         last = max(evidence, key=lambda item: item.at)
         counted = [item for item in evidence if self._counts(item)]
         if len(counted) >= MAX_DEATHS and last.strong:
-            return CrashVerdict.STOPPED
+            certain = all(item.idle for item in counted)
+            if certain or now - last.at >= EVIDENCE_WAIT_S:
+                return CrashVerdict.STOPPED
+            return CrashVerdict.UNDECIDED
         if len(evidence) >= MAX_WEAK_DEATHS:
             return CrashVerdict.STOPPED
         return CrashVerdict.SUSPECT
--- a/packages/node/src/ebonyhaven_node/_drivers.py
+++ b/packages/node/src/ebonyhaven_node/_drivers.py
@@ -13,7 +13,7 @@
 from collections.abc import Coroutine, Sequence
 
 import structlog
-from ebonyhaven_decisions import CrashVerdict, Outcome, OutcomeTag, RequestFailure
+from ebonyhaven_decisions import Outcome, OutcomeTag, RequestFailure
 from twisted.internet.defer import (
     DeferredQueue,
     ensureDeferred,
@@ -21,6 +21,7 @@
 from twisted.python.failure import Failure
 
 from ebonyhaven_node._candidates import CandidateSet
+from ebonyhaven_node._content_guard import ContentGuard
 from ebonyhaven_node._engines import CONNECTION_REFUSED, EngineStream
 from ebonyhaven_node._events import Token
 from ebonyhaven_node._lifecycles import RunState, StateObserver, start_lifecycle
@@ -82,6 +83,9 @@
             on_silence=lambda: self._signals.put(Signal.SILENCE),
         )
         self._detach_timer = None
+        self._guard = ContentGuard(
+            content=run.request.content, crashes=parts.crashes, reactor=parts.reactor
+        )
         self._lifecycle = start_lifecycle(StateObserver(self._note_state))
         self._opener = StreamOpener(
             run=run,
@@ -89,6 +93,7 @@
             parts=parts,
             candidates=self._candidates,
             claim=self._claim,
+            guard=self._guard,
             silence=self._silence,
             lifecycle=self._lifecycle,
             receiver=self,
@@ -219,7 +224,7 @@
         """Attach again on a new connection; tell whether the run is there."""
         self._silence.record_probe()
         try:
-            await self._opener.attach(server, timeout_s=timeout_s)
+            await self._opener.attach_again(server, timeout_s=timeout_s)
         except EngineRefusal as refusal:
             if refusal.status == 404 or refusal.reason == CONNECTION_REFUSED:
                 self._record_death(server)
@@ -232,11 +237,8 @@
         return True
 
     def _record_death(self, server: BackendServer) -> None:
-        self._parts.crashes.record_death(
-            self._request.content,
-            server=server,
-            progress_tokens=len(self._run.texts) - self._candidates.primary_since,
-        )
+        progress = len(self._run.texts) - self._candidates.primary_since
+        self._guard.record_death(server, progress_tokens=progress)
 
     # -- continuing elsewhere ----------------------------------------------
 
@@ -252,7 +254,7 @@
         """
         deadline = time.monotonic() + RESUME_DEADLINE_S
         while not self._has_moved(length):
-            self._check_content(OutcomeTag.FAILED)
+            await self._guard.check(OutcomeTag.FAILED)
             if not self._run.texts:
                 await self._restart(excluded, deadline)
                 return
@@ -279,8 +281,7 @@
             return False
         except EngineLost:
             slot.release()
-            self._opener.cancel_last_attempt(slot.server)
-            return False
+            return await self._opener.settle_lost_attempt(slot.server)
         if self._has_moved(length):
             self._candidates.drop(opened)
             self._candidates.cancel(opened)
@@ -329,7 +330,7 @@
     # -- starting ----------------------------------------------------------
 
     async def _open_fresh(self) -> None:
-        self._check_content(OutcomeTag.NOT_RUN)
+        await self._guard.check(OutcomeTag.NOT_RUN)
         targets = self._targets
         wait_s = targets.may_wait_s + targets.first_token_s
         await self._opener.start(self._silence.accepted_at + wait_s)
@@ -347,6 +348,9 @@
         try:
             await self._attach_known(server)
         except EngineRefusal as error:
+            if error.reason == CONNECTION_REFUSED:
+                progress = self._request.first_offset
+                self._guard.record_death(server, progress_tokens=progress)
             await self._resume_from_texts(excluded, OutcomeTag.FAILED, error)
         except EngineLost as error:
             await self._resume_from_texts(excluded, OutcomeTag.UNKNOWN, error)
@@ -415,12 +419,6 @@
             self._detach_timer.cancel()
         self._detach_timer = None
 
-    def _check_content(self, tag: OutcomeTag) -> None:
-        verdict = self._parts.crashes.judge(self._request.content)
-        if verdict is CrashVerdict.STOPPED:
-            reason = "backend servers crashed each time they ran this content"
-            raise make_failure(tag, "crash_check", reason, status=422)
-
     def _fail_at_server(
         self, tag: OutcomeTag, step: str, reason: str
     ) -> RequestFailure:
--- a/packages/node/src/ebonyhaven_node/_runs.py
+++ b/packages/node/src/ebonyhaven_node/_runs.py
@@ -138,12 +138,13 @@
         -------
         bool
             False for another generation, and for a token that was made by a
-            backend server which this run did not take it from.
+            backend server which this run did not take it from. A caller that
+            holds no token yet can be given any generation.
         """
-        if position.generation != self.generation:
-            return False
         if position.offset == BEFORE_FIRST:
             return True
+        if position.generation != self.generation:
+            return False
         made_by = [name for first, name in self.segments if first <= position.offset]
         return bool(made_by) and made_by[-1] == position.server
 
--- a/packages/node/src/ebonyhaven_node/_stream_opener.py
+++ b/packages/node/src/ebonyhaven_node/_stream_opener.py
@@ -11,6 +11,7 @@
 
 from ebonyhaven_node._candidates import Candidate, CandidateSet
 from ebonyhaven_node._claims import ClaimUnavailable
+from ebonyhaven_node._content_guard import ContentGuard
 from ebonyhaven_node._engines import CONNECTION_REFUSED, StartBody, StreamReceiver
 from ebonyhaven_node._lifecycles import RunLifecycle
 from ebonyhaven_node._run_claims import RunClaim
@@ -31,6 +32,7 @@
 MIN_ACCEPT_TIMEOUT_S = 0.25
 RETRY_DELAY_S = 0.05
 ATTACH_RETRY_DELAY_S = 0.1
+SUSPECT_WAIT_S = 5.0
 
 
 @attrs.define(slots=True, kw_only=True, eq=False)
@@ -45,6 +47,7 @@
     candidates : CandidateSet
         Receives the streams that were opened.
     claim : RunClaim
+    guard : ContentGuard
     silence : SilenceWatch
     lifecycle : RunLifecycle
     receiver : StreamReceiver
@@ -58,6 +61,7 @@
     _parts: DriverParts
     _candidates: CandidateSet
     _claim: RunClaim
+    _guard: ContentGuard
     _silence: SilenceWatch
     _lifecycle: RunLifecycle
     _receiver: StreamReceiver
@@ -106,6 +110,8 @@
             except ClaimUnavailable:
                 slot.release()
                 continue
+            ran = self.may_have_run
+            await self._guard.check(OutcomeTag.FAILED if ran else OutcomeTag.NOT_RUN)
             self._run.generation = make_generation(self._parts.rng)
             excluded.add(slot.server.name)
             if len(excluded) >= len(self._parts.servers.in_pools(self._targets.pools)):
@@ -125,16 +131,36 @@
             return False
         except EngineLost:
             slot.release()
-            return await self._handle_lost_start(slot.server)
+            if self._claim.needed:
+                await self.chase(slot.server)
+                return True
+            return await self.settle_lost_attempt(slot.server)
         return True
 
-    async def _handle_lost_start(self, server: BackendServer) -> bool:
-        """Deal with a start that may have arrived; tell if it is settled."""
-        if self._claim.needed:
-            await self.chase(server)
-            return True
-        self.cancel_last_attempt(server)
-        return False
+    async def settle_lost_attempt(self, server: BackendServer) -> bool:
+        """Find out about an attempt that an engine did not answer.
+
+        Parameters
+        ----------
+        server : BackendServer
+
+        Returns
+        -------
+        bool
+            Whether the run was found there.
+        """
+        try:
+            await self.attach_again(server, timeout_s=self.accept_s)
+        except EngineRefusal as refusal:
+            if refusal.reason == CONNECTION_REFUSED:
+                self._guard.record_death(server, progress_tokens=0)
+            return False
+        except EngineLost as lost:
+            if lost.closed:
+                self._guard.record_death(server, progress_tokens=0)
+            self.cancel_last_attempt(server)
+            return False
+        return True
 
     async def _claim_start(self, slot: Slot, deadline: float) -> bool:
         """Claim the fresh start; attach where another instance has claimed it."""
@@ -238,6 +264,36 @@
             raise
         self._add(Candidate(stream=stream, slot=slot, attempt=self._attempt))
 
+    async def attach_again(self, server: BackendServer, *, timeout_s: float) -> None:
+        """Attach to a server that was lost, to learn whether it is dead.
+
+        A process that dies may still take a connection and break it; it is asked
+        again then, and refuses. A content under suspicion is not sent on while the
+        fate of its last engine is open: that engine is asked for a while.
+
+        Parameters
+        ----------
+        server : BackendServer
+        timeout_s : float
+            Time that the engine has to answer, seconds.
+
+        Raises
+        ------
+        EngineRefusal, EngineLost
+        """
+        deadline = time.monotonic() + SUSPECT_WAIT_S
+        was_closed = False
+        while True:
+            try:
+                await self.attach(server, timeout_s=timeout_s)
+                return
+            except EngineLost as lost:
+                asks_again = not was_closed if lost.closed else self._guard.is_suspect()
+                if not asks_again or time.monotonic() > deadline:
+                    raise
+                was_closed = was_closed or lost.closed
+            await task.deferLater(self._parts.reactor, ATTACH_RETRY_DELAY_S)
+
     async def open_stream(
         self, slot: Slot, *, continue_from: list[str] | None = None
     ) -> Candidate:
--- a/packages/standins/src/ebonyhaven_standins/cluster/_fault_proxy.py
+++ b/packages/standins/src/ebonyhaven_standins/cluster/_fault_proxy.py
@@ -48,6 +48,19 @@
         self._call("/links", body)
         return listen
 
+    def count_open(self, link: str) -> int:
+        """Return how many connections are open on a link.
+
+        Parameters
+        ----------
+        link : str
+            Name of the link.
+        """
+        url = f"http://{self._address}/links"
+        with urllib.request.urlopen(url, timeout=CALL_TIMEOUT_S) as answer:
+            links = json.loads(answer.read())["links"]
+        return sum(item["open"] for item in links if item["name"] == link)
+
     def set_fault(
         self,
         kind: str,
--- a/tests/integration/test_partitions.py
+++ b/tests/integration/test_partitions.py
@@ -79,6 +79,7 @@
     with Cluster() as cluster:
         start_behind_proxy(cluster)
         suspicions = read_event(cluster, "n2", "suspicions")
+        wait_until(lambda: cluster.fault_proxy.count_open("n1>n2") >= 1)
         cluster.set_fault("silence_open", link="n1>n2")
         wait_until(lambda: read_event(cluster, "n2", "silences") >= 1)
 
--- /dev/null
+++ b/tests/node/test_runs.py
@@ -0,0 +1,45 @@
+from __future__ import annotations
+
+from ebonyhaven_decisions import BEFORE_FIRST, EventId
+from ebonyhaven_node._requests import GenerationRequest
+from ebonyhaven_node._runs import Run
+
+GENERATION, OTHER = "0" * 8, "1" * 8
+
+
+def make_run(texts=(), server="s1"):
+    request = GenerationRequest(
+        workspace="w",
+        class_name="c",
+        key="k",
+        repeatable=True,
+        first_submission=True,
+        model="m",
+        prompt="p",
+        adapter=None,
+        max_tokens=10,
+        last_event=None,
+        received=None,
+    )
+    run = Run(request=request, generation=GENERATION)
+    if texts:
+        run.append(list(texts), server=server)
+    return run
+
+
+def test_position_counts_only_where_the_token_came_from_the_same_server():
+    run = make_run("abc")
+    run.append(["d"], server="s2")
+    assert run.holds(EventId(2, GENERATION, "s1"))
+    assert run.holds(EventId(3, GENERATION, "s2"))
+    assert not run.holds(EventId(3, GENERATION, "s1"))
+    assert not run.holds(EventId(1, GENERATION, "s2"))
+
+
+def test_position_of_another_generation_is_not_held():
+    assert not make_run("abc").holds(EventId(1, OTHER, "s1"))
+
+
+def test_caller_without_a_token_joins_a_run_that_was_started_again():
+    assert make_run().holds(EventId(BEFORE_FIRST, OTHER, "s9"))
+    assert make_run("abc").holds(EventId(BEFORE_FIRST, OTHER, "s9"))
