--- a/packages/standins/src/ebonyhaven_standins/bench/_loss_measures.py
+++ b/packages/standins/src/ebonyhaven_standins/bench/_loss_measures.py
@@ -7,7 +7,7 @@
 
 from ebonyhaven_decisions import StreamPace, plan_resume
 
-from ebonyhaven_standins.caller import ReceivedToken, RequestRecord
+from ebonyhaven_standins.caller import COMPLETED, ReceivedToken, RequestRecord
 from ebonyhaven_standins.checker import LogLine, summarize_latencies
 
 # Tokens that were on their way at the loss arrive within this time after it.
@@ -125,8 +125,9 @@
 
 
 def _is_hit(record: RequestRecord, last: ReceivedToken, loss: LossEvent) -> bool:
-    finished = record["finished_at"]
-    if finished is not None and finished <= loss.time + IN_FLIGHT_S:
+    if record["outcome"] == COMPLETED and record["finished_at"] <= (
+        loss.time + IN_FLIGHT_S
+    ):
         return False
     address = record["connections"][last.connection]["address"]
     return last.server == loss.engine or address == loss.address
