--- a/packages/node/src/ebonyhaven_node/__init__.py
+++ b/packages/node/src/ebonyhaven_node/__init__.py
@@ -3,7 +3,8 @@
 from ebonyhaven_node._channels import ChannelMetrics, ChannelOptions, Channels
 from ebonyhaven_node._digests import Digest, DigestSet, TableDigest, fit_entries
 from ebonyhaven_node._frames import Frame, FrameError, Kind
-from ebonyhaven_node._membership import MembershipController, make_own_record
+from ebonyhaven_node._membership import MembershipController
+from ebonyhaven_node._own_record import make_own_record
 
 __all__ = [
     "ChannelMetrics",
--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -38,9 +38,10 @@
 from ebonyhaven_node._leases import LeaseOwner
 from ebonyhaven_node._listing import ListingController
 from ebonyhaven_node._load_poller import LoadPoller
-from ebonyhaven_node._membership import MembershipController, make_own_record
+from ebonyhaven_node._membership import MembershipController
 from ebonyhaven_node._metrics import RelayMetrics
 from ebonyhaven_node._orphans import OrphanController
+from ebonyhaven_node._own_record import make_own_record
 from ebonyhaven_node._pauses import PauseDetector
 from ebonyhaven_node._policy_scheduling import PolicyScheduling
 from ebonyhaven_node._processor_load import ProcessorLoad
--- a/packages/node/src/ebonyhaven_node/_membership.py
+++ b/packages/node/src/ebonyhaven_node/_membership.py
@@ -10,15 +10,12 @@
 import structlog
 from ebonyhaven_decisions import (
     TICK_S,
-    EntryCandidate,
     EntryList,
     Envelope,
     Heartbeat,
     MemberRecord,
     Membership,
     MembershipMessage,
-    MemberState,
-    choose_entries,
 )
 from ebonyhaven_platform import ListedProcess
 from prometheus_client import CollectorRegistry
@@ -28,6 +25,7 @@
 
 from ebonyhaven_node._channels import Channels
 from ebonyhaven_node._digests import Digest, DigestSet
+from ebonyhaven_node._entry_lists import EntryLists
 from ebonyhaven_node._frames import Frame, FrameError, Kind
 from ebonyhaven_node._membership_codec import (
     KINDS,
@@ -42,47 +40,10 @@
 FLUSH_INTERVAL_S = 0.1
 IDLE_CHECK_TICKS = 20
 DEPARTURE_S = 0.2
-SETTLED_S = 10.0
-EPOCH_S = 1_735_689_600  # 2025-01-01, keeps incarnations short
 
 _log = structlog.get_logger()
 
 
-def make_own_record(
-    *,
-    name: str,
-    control_address: str,
-    caller_address: str,
-    data_centre: str,
-    region: str,
-) -> MemberRecord:
-    """Return the first record of this instance.
-
-    Parameters
-    ----------
-    name : str
-        Name of the instance.
-    control_address, caller_address : str
-        ``IP:PORT``.
-    data_centre, region : str
-
-    Returns
-    -------
-    MemberRecord
-        Its incarnation comes from the clock; one that is too low is raised as
-        soon as another instance objects.
-    """
-    return MemberRecord(
-        incarnation=max(0, int(time.time()) - EPOCH_S),
-        state=MemberState.LIVE,
-        name=name,
-        control_address=control_address,
-        caller_address=caller_address,
-        data_centre=data_centre,
-        region=region,
-    )
-
-
 class MembershipController:
     """Keeps the view on the other instances and passes digests between them.
 
@@ -119,9 +80,8 @@
         self._digests = DigestSet(on_fault=self._metrics.count_fault)
         self._observers: list[Callable[[MemberRecord], None]] = []
         self._load_source: Callable[[], float] = lambda: 0.0
-        self._listed_leaving: frozenset[str] = frozenset()
+        self._entries = EntryLists(membership=self._membership, rng=rng, clock=clock)
         self._seeds: dict[str, str] = {}
-        self._changed_at = clock()
         self._flushed_at = clock()
         self._flush_call: Any = None
         self._flush_everyone = False
@@ -148,9 +108,8 @@
 
     def start(self) -> None:
         """Begin to send heartbeats."""
-        self._tick_call = self._reactor.callLater(
-            TICK_S * self._rng.random(), self._tick
-        )
+        delay_s = TICK_S * self._rng.random()
+        self._tick_call = self._reactor.callLater(delay_s, self._tick)
 
     def stop(self) -> None:
         """Stop all timers."""
@@ -194,7 +153,7 @@
         instances : iterable of ListedProcess
         """
         listed = list(instances)
-        self._listed_leaving = frozenset(
+        self._entries.set_leaving(
             item.name for item in listed if item.state == "leaving"
         )
         addresses = {
@@ -258,40 +217,7 @@
 
     def choose_entries(self) -> EntryList:
         """Return the instances that a caller should use."""
-        now = self._clock()
-        unsettled = now - self._changed_at < SETTLED_S
-        unsettled |= self._membership.is_isolated(now)
-        unsettled |= self._membership.is_outdated(now)
-        return choose_entries(
-            self._list_candidates(),
-            data_centre=self.own.data_centre,
-            region=self.own.region,
-            rng=self._rng,
-            settled=not unsettled,
-        )
-
-    def _list_candidates(self) -> list[EntryCandidate]:
-        excluded = self._membership.unheard | self._listed_leaving
-        outdated = self._membership.is_outdated(self._clock())
-        return [
-            EntryCandidate(
-                name=record.name,
-                address=record.caller_address,
-                data_centre=record.data_centre,
-                region=record.region,
-                load=self._find_load(record.name),
-            )
-            for record in self._membership.table
-            if record.state == MemberState.LIVE
-            and record.name not in excluded
-            and (record.name == self.own.name or not outdated)
-        ]
-
-    def _find_load(self, name: str) -> float:
-        if name == self.own.name:
-            return self._load_source()
-        report = self._membership.loads.get(name)
-        return report.tenths / 10 if report else 0.0
+        return self._entries.choose(load=self._load_source())
 
     def _tick(self) -> None:
         self._tick_call = self._reactor.callLater(TICK_S, self._tick)
@@ -327,7 +253,7 @@
 
     def _handle_changes(self, now: float) -> None:
         for record in self._membership.take_changes():
-            self._changed_at = now
+            self._entries.note_change()
             _log.info(
                 "instance_changed",
                 peer=record.name,
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/bench/_membership_measures.py
@@ -0,0 +1,292 @@
+"""Measurements on a set of instances: quiet cost, detection, wrong suspicions."""
+
+from __future__ import annotations
+
+import datetime
+import json
+import os
+import pathlib
+import random
+import statistics
+import time
+from collections.abc import Iterable
+from typing import NamedTuple, TypedDict
+
+from ebonyhaven_standins.bench._node_sets import NodeSet
+
+DETECTION_WAIT_S = 4.0
+REJOIN_WAIT_S = 8.0
+PAUSE_S = 5.0
+PAUSE_INTERVAL_S = 7.0
+DOWN_STATES = frozenset({"suspect", "dead"})
+
+
+class Usage(NamedTuple):
+    """Counters of one process at one time.
+
+    Parameters
+    ----------
+    cpu_s : float
+    resident_mb : float
+    sent_messages, received_messages, sent_bytes, received_bytes : float
+    """
+
+    cpu_s: float
+    resident_mb: float
+    sent_messages: float
+    received_messages: float
+    sent_bytes: float
+    received_bytes: float
+
+
+class QuietCost(TypedDict):
+    """Cost of a process while nothing happens; means over all processes."""
+
+    size: int
+    cpu_share: float
+    cpu_share_max: float
+    resident_mb: float
+    sent_messages_per_s: float
+    received_messages_per_s: float
+    sent_bytes_per_s: float
+    received_bytes_per_s: float
+
+
+class Detection(TypedDict):
+    """Time from a kill until the other instances stop offering the victim."""
+
+    size: int
+    observations: int
+    missed: int
+    p50_s: float
+    p95_s: float
+    max_s: float
+
+
+class FalseSuspicions(TypedDict):
+    """Changes seen under loss and pauses.
+
+    ``wrong_suspect`` and ``wrong_dead`` count changes about an instance that
+    was not paused, as any instance logged them; ``not_returned`` counts pairs
+    that still disagreed at the end.
+    """
+
+    size: int
+    seconds: float
+    pauses: int
+    wrong_suspect: int
+    wrong_dead: int
+    not_returned: int
+
+
+class Change(NamedTuple):
+    """One logged change of the state of an instance.
+
+    Parameters
+    ----------
+    observer, subject, state : str
+    at : float
+        Wall clock in seconds.
+    """
+
+    observer: str
+    subject: str
+    state: str
+    at: float
+
+
+def read_usage(nodes: NodeSet, name: str) -> Usage:
+    """Return the counters of a process.
+
+    Parameters
+    ----------
+    nodes : NodeSet
+    name : str
+
+    Returns
+    -------
+    Usage
+    """
+    process_id = nodes.child(name).process_id
+    fields = pathlib.Path(f"/proc/{process_id}/stat").read_text().rsplit(")", 1)[1]
+    ticks = sum(int(value) for value in fields.split()[11:13])
+    pages = int(pathlib.Path(f"/proc/{process_id}/statm").read_text().split()[1])
+    samples = nodes.read_metrics(name)
+    messages = "ebonyhaven_control_messages_total"
+    size = "ebonyhaven_control_bytes_total"
+    sent, received = 'direction="sent"', 'direction="received"'
+    return Usage(
+        cpu_s=ticks / os.sysconf("SC_CLK_TCK"),
+        resident_mb=pages * os.sysconf("SC_PAGE_SIZE") / 1e6,
+        sent_messages=samples.sum(messages, sent),
+        received_messages=samples.sum(messages, received),
+        sent_bytes=samples.sum(size, sent),
+        received_bytes=samples.sum(size, received),
+    )
+
+
+def read_changes(nodes: NodeSet, names: Iterable[str]) -> list[Change]:
+    """Return the changes that processes logged.
+
+    Parameters
+    ----------
+    nodes : NodeSet
+    names : iterable of str
+
+    Returns
+    -------
+    list of Change
+    """
+    changes = []
+    for name in names:
+        for line in nodes.child(name).log_path.read_text().splitlines():
+            if '"instance_changed"' in line:
+                entry = json.loads(line)
+                changes.append(
+                    Change(name, entry["peer"], entry["state"], _read_time(entry))
+                )
+    return changes
+
+
+def _read_time(entry: dict[str, str | float]) -> float:
+    timestamp = entry["timestamp"]
+    if isinstance(timestamp, str):
+        return datetime.datetime.fromisoformat(timestamp).timestamp()
+    return timestamp
+
+
+def measure_quiet(nodes: NodeSet, seconds: float) -> QuietCost:
+    """Measure the cost while nothing happens.
+
+    Parameters
+    ----------
+    nodes : NodeSet
+    seconds : float
+        Length of the measurement.
+
+    Returns
+    -------
+    QuietCost
+    """
+    started = time.monotonic()
+    before = [read_usage(nodes, name) for name in nodes.names]
+    time.sleep(seconds)
+    after = [read_usage(nodes, name) for name in nodes.names]
+    took_s = time.monotonic() - started
+    rates = [
+        Usage(*((b - a) / took_s for a, b in zip(first, last, strict=True)))
+        for first, last in zip(before, after, strict=True)
+    ]
+    return QuietCost(
+        size=len(nodes.names),
+        cpu_share=statistics.fmean(rate.cpu_s for rate in rates),
+        cpu_share_max=max(rate.cpu_s for rate in rates),
+        resident_mb=statistics.fmean(usage.resident_mb for usage in after),
+        sent_messages_per_s=statistics.fmean(r.sent_messages for r in rates),
+        received_messages_per_s=statistics.fmean(r.received_messages for r in rates),
+        sent_bytes_per_s=statistics.fmean(r.sent_bytes for r in rates),
+        received_bytes_per_s=statistics.fmean(r.received_bytes for r in rates),
+    )
+
+
+def measure_detection(nodes: NodeSet, kills: int, rng: random.Random) -> Detection:
+    """Kill instances one by one and measure when the others stop offering them.
+
+    Parameters
+    ----------
+    nodes : NodeSet
+    kills : int
+    rng : random.Random
+
+    Returns
+    -------
+    Detection
+    """
+    delays: list[float] = []
+    missed = 0
+    for _ in range(kills):
+        victim = rng.choice(nodes.names)
+        others = [name for name in nodes.names if name != victim]
+        killed_at = time.time()
+        nodes.child(victim).kill()
+        time.sleep(DETECTION_WAIT_S)
+        first = _find_first_down(read_changes(nodes, others), victim, killed_at)
+        delays += first.values()
+        missed += len(others) - len(first)
+        nodes.restart(victim)
+        nodes.wait_for_agreement()
+        time.sleep(rng.uniform(1.0, 2.0))
+    delays.sort()
+    return Detection(
+        size=len(nodes.names),
+        observations=len(delays),
+        missed=missed,
+        p50_s=statistics.median(delays),
+        p95_s=delays[int(0.95 * (len(delays) - 1))],
+        max_s=delays[-1],
+    )
+
+
+def _find_first_down(
+    changes: list[Change], victim: str, killed_at: float
+) -> dict[str, float]:
+    first: dict[str, float] = {}
+    for change in changes:
+        down = change.subject == victim and change.state in DOWN_STATES
+        if down and change.at >= killed_at:
+            first.setdefault(change.observer, change.at - killed_at)
+    return first
+
+
+def measure_false_suspicions(
+    nodes: NodeSet, seconds: float, rng: random.Random
+) -> FalseSuspicions:
+    """Pause instances at random and count changes about those that ran.
+
+    Parameters
+    ----------
+    nodes : NodeSet
+        Processes that lose messages.
+    seconds : float
+    rng : random.Random
+
+    Returns
+    -------
+    FalseSuspicions
+    """
+    started_at = time.time()
+    pauses: list[tuple[str, float, float]] = []
+    while time.time() - started_at < seconds:
+        victim = rng.choice(nodes.names)
+        paused_at = time.time()
+        nodes.child(victim).pause()
+        time.sleep(PAUSE_S)
+        nodes.child(victim).resume()
+        pauses.append((victim, paused_at, time.time()))
+        time.sleep(PAUSE_INTERVAL_S - PAUSE_S)
+    time.sleep(REJOIN_WAIT_S)
+    changes = [c for c in read_changes(nodes, nodes.names) if c.at >= started_at]
+    wrong = [change for change in changes if not _is_explained(change, pauses)]
+    count = len(nodes.names)
+    return FalseSuspicions(
+        size=count,
+        seconds=time.time() - started_at,
+        pauses=len(pauses),
+        wrong_suspect=sum(change.state == "suspect" for change in wrong),
+        wrong_dead=sum(change.state == "dead" for change in wrong),
+        not_returned=sum(count - nodes.count_live(name) for name in nodes.names),
+    )
+
+
+def _is_explained(change: Change, pauses: list[tuple[str, float, float]]) -> bool:
+    """Return whether a change is no suspicion or is about a paused instance.
+
+    An observer that was paused itself learns old news when it goes on.
+    """
+    if change.state not in DOWN_STATES:
+        return True
+    grace_s = PAUSE_INTERVAL_S - PAUSE_S
+    return any(
+        name == change.subject and paused_at <= change.at <= resumed_at + grace_s
+        for name, paused_at, resumed_at in pauses
+    )
