Pass on entries of the platform's list only when they are new

Every node reads the list when it starts and gave each entry a version of its own, so equal entries replaced each other and were sent eight times again. An entry with a known value is not passed on now.

A node whose entries differ from the last read reads for itself, and asks a neighbour only if it cannot.

--- a/packages/decisions/src/ebonyhaven_decisions/_listing.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_listing.py
@@ -91,6 +91,9 @@
             Whether the listed processes changed.
         """
         known = self.table.get(entry.key)
+        repeated = known is not None and known.value == entry.value
+        if repeated and entry.key != FRESHNESS_KEY:
+            return False  # several readers saw it; telling it again is of no use
         if not self.table.merge(entry, now):
             return False
         if entry.key == FRESHNESS_KEY:
--- a/packages/node/src/ebonyhaven_node/_listing.py
+++ b/packages/node/src/ebonyhaven_node/_listing.py
@@ -109,9 +109,10 @@
     async def run(self) -> None:
         """Read the list when it is due, until `stop` is called."""
         while not self._stopped:
-            if self._is_due():
+            incomplete = self._is_incomplete()
+            if incomplete or self._is_due():
                 await self._read_once()
-            if self._is_incomplete():
+            if incomplete and not self._reachable:
                 self._ask_neighbour()
             period_s = READ_INTERVAL_S * self._rng.uniform(1 - JITTER, 1)
             self._waiting = task.deferLater(self._reactor, period_s)
@@ -143,8 +144,6 @@
         ]
 
     def _is_due(self) -> bool:
-        if not self._listing:
-            return True
         wall_s = self._wall_clock()
         return self._duty.is_due(
             self._list_live(),
--- a/tests/decisions/test_listing.py
+++ b/tests/decisions/test_listing.py
@@ -57,6 +57,20 @@
     assert reader.table.collect(1000) == []
 
 
+def test_entry_that_several_readers_saw_is_not_told_again():
+    first, second = Listing(), Listing()
+    read(first, {"s1": ["live"]}, now=0.0, shared=False)
+    read(second, {"s1": ["live"]}, now=1.0, shared=False)
+    while second.table.collect(1000):
+        pass
+    assert not pass_on(first, second, 1.1)
+    assert second.table.collect(1000) == []
+    read(first, {"s1": ["live"]}, now=2.0, shared=False)
+    later = GossipEntry("s1", int((WALL_S + 2) * 1000), ["live"])
+    assert not second.merge_entry(later, 2.0)
+    assert second.table.collect(1000) == []
+
+
 def test_read_that_began_before_news_arrived_does_not_undo_them():
     listing = Listing()
     read(listing, {"s1": ["live"]}, now=0.0)
