Count a reset while connecting as a refusal

A trace showed why: a forwarder before a dead engine, and a process that is dying, can reset a connection while it is being made. That was taken for an unreachable server, which proves that nothing was sent but not that the engine is dead, so its death was not counted.

Change: ECONNRESET while connecting is a refusal.

--- a/packages/node/src/ebonyhaven_node/_engines.py
+++ b/packages/node/src/ebonyhaven_node/_engines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import time
 from collections.abc import Sequence
@@ -268,7 +269,7 @@
             response = await answer
         except _NOT_SENT as problem:
             server.record_unreachable(time.monotonic())
-            refused = isinstance(problem, error.ConnectionRefusedError)
+            refused = _is_refused(problem)
             raise EngineRefusal(
                 peer=server.name,
                 status=0,
@@ -324,6 +325,17 @@
         )
 
 
+def _is_refused(problem: Exception) -> bool:
+    """Tell whether the other side, or what stands before it, turned us away.
+
+    A process that is dying, or a forwarder before a dead one, may reset a
+    connection while it is being made.
+    """
+    if isinstance(problem, error.ConnectionRefusedError):
+        return True
+    return getattr(problem, "osError", None) == errno.ECONNRESET
+
+
 def _is_closed(problem: Exception) -> bool:
     """Tell whether a connection was closed before its answer."""
     if not isinstance(problem, ResponseFailed):
