Render metrics in a thread

Cause: a scrape of 920 workspaces was rendered on the reactor's thread in one piece and stalled every stream.

Change: the text is rendered in a thread of the reactor's pool.

--- a/packages/node/src/ebonyhaven_node/_web.py
+++ b/packages/node/src/ebonyhaven_node/_web.py
@@ -10,6 +10,7 @@
 from klein import Klein
 from prometheus_client import CollectorRegistry, generate_latest
 from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.threads import deferToThread
 from twisted.web.http import Request
 
 from ebonyhaven_node._configured import ConfigurationInForce
@@ -104,10 +105,10 @@
         return _write_json(request, health)
 
     @app.route("/metrics", methods=["GET"])
-    def report_metrics(self, request: Request) -> Deferred | bytes:
-        """Write all metrics as Prometheus text."""
+    def report_metrics(self, request: Request) -> Deferred[bytes]:
+        """Write all metrics as Prometheus text, rendered beside the streams."""
         request.setHeader("Content-Type", "text/plain; version=0.0.4")
-        return generate_latest(self._registry)
+        return deferToThread(generate_latest, self._registry)
 
 
 def _write_json(request: Request, value: dict) -> bytes:
