--- a/tests/node/test_policy_scheduling.py
+++ b/tests/node/test_policy_scheduling.py
@@ -123,7 +123,7 @@
     assert second == []
     first[0].release()
     assert second[0].held
-    assert second[0].priority in (2, 3)
+    assert second[0].priority == 2
 
 
 def test_request_without_server_is_refused_at_once_with_a_retry_time():
