--- a/packages/node/src/ebonyhaven_node/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/_metrics.py
@@ -65,12 +65,6 @@
             ["cause"],
             registry=registry,
         )
-        self.resumptions = Counter(
-            "ebonyhaven_resumptions",
-            "Streams that went on after a suspicion, by means.",
-            ["means"],
-            registry=registry,
-        )
         self.open_runs = Gauge(
             "ebonyhaven_open_runs", "Runs that have not ended.", registry=registry
         )
