--- a/packages/node/src/ebonyhaven_node/_filters.py
+++ b/packages/node/src/ebonyhaven_node/_filters.py
@@ -38,7 +38,6 @@
 from ebonyhaven_node._sinks import CallerStream, write_outcome
 
 GENERATED_KEY_BYTES = 16
-URGENT_FIRST_TOKEN_MS = 2000.0
 
 
 class InstanceStatus(Protocol):
@@ -276,11 +275,9 @@
         raise refuse(f"no pool serves model {run.request.model!r}", status=404)
     return RunTargets(
         first_token_s=request_class.first_token_ms / 1000,
-        gap_s=request_class.gap_ms / 1000,
         resume_s=request_class.resume_ms / 1000,
         may_wait_s=request_class.may_wait_ms / 1000,
         pools=pools,
-        priority=0 if request_class.first_token_ms <= URGENT_FIRST_TOKEN_MS else 1,
     )
 
 
--- a/packages/node/src/ebonyhaven_node/_run_parts.py
+++ b/packages/node/src/ebonyhaven_node/_run_parts.py
@@ -26,22 +26,18 @@
 
     Parameters
     ----------
-    first_token_s, gap_s, resume_s : float
+    first_token_s, resume_s : float
         Targets of the class, seconds.
     may_wait_s : float
         Time that a request may wait for room, seconds.
     pools : frozenset of str
         Pools that serve the model.
-    priority : int
-        Priority at the engine; 0 is served first.
     """
 
     first_token_s: float
-    gap_s: float
     resume_s: float
     may_wait_s: float
     pools: frozenset[str]
-    priority: int
 
 
 @attrs.frozen(slots=True, kw_only=True)
