Give the node's scheduling the clock that its scheduler was built with

Cause: the scheduler of a test was built at 0.0 and the node read time.monotonic() on its own, so usage of a moment ago looked as old as the machine's uptime. A workspace alone in its class then counted as behind its own decayed mean, and the asserted priority 2 was that artefact: below 700 s of uptime the node gives 3, above it 2, above 20,000 s it refuses. Change: the clock is a parameter; the test runs at 1 s, 100 s and 10^6 s and asserts the one priority that the rule gives, 3 (only consumer, not behind). Other defaults of 0.0 that meet the clock were read: the contact times of the membership (0.0 means at once, at any clock) and the down time of a backend server (0.0 is never in the future); both hold at any clock.

--- a/packages/node/src/ebonyhaven_node/_policy_scheduling.py
+++ b/packages/node/src/ebonyhaven_node/_policy_scheduling.py
@@ -109,6 +109,8 @@
     reactor : IReactorTime
     read_own_load : callable
         Returns the share of this instance's capacity in use, 0 to 1.
+    clock : callable
+        Returns seconds; the scheduler was built with the same clock.
     """
 
     def __init__(
@@ -119,7 +121,9 @@
         configuration: ConfigurationInForce,
         reactor: IReactorTime,
         read_own_load: Callable[[], float] = lambda: 0.0,
+        clock: Callable[[], float] = time.monotonic,
     ):
+        self._clock = clock
         self.scheduler = scheduler
         self._read_own_load = read_own_load
         self._servers = servers
@@ -156,7 +160,7 @@
         server.in_flight += 1
         state = self.scheduler.dispatcher.table.get(server.name)
         if state is not None:
-            state.record_dispatch(0, time.monotonic())
+            state.record_dispatch(0, self._clock())
         return PolicySlot(server=server, item_id="", scheduling=self)
 
     # -- ServerListener ----------------------------------------------------
@@ -166,7 +170,7 @@
         report = ServerReport(
             running=load.running,
             waiting=load.waiting,
-            measured_at=time.monotonic() - load.age_s,
+            measured_at=self._clock() - load.age_s,
             capacity=load.capacity,
             pace_ms=load.pace_s * 1000.0,
             prefill_tokens_per_s=load.prefill_tokens_per_s,
@@ -178,29 +182,29 @@
         """See `ServerListener.record_answer`."""
         state = self.scheduler.dispatcher.table.get(server.name)
         if state is not None:
-            state.record_success(time.monotonic())
+            state.record_success(self._clock())
 
     def record_unreachable(self, server: BackendServer) -> None:
         """See `ServerListener.record_unreachable`."""
-        self.scheduler.dispatcher.record_unreachable(server.name, time.monotonic())
+        self.scheduler.dispatcher.record_unreachable(server.name, self._clock())
 
     # -- slots -------------------------------------------------------------
 
     def record_tokens(self, item_id: str, count: int) -> None:
         """Count tokens that arrived for a request."""
         dispatcher = self.scheduler.dispatcher
-        now = time.monotonic()
+        now = self._clock()
         dispatcher.record_first_token(item_id, now)
         dispatcher.record_tokens(item_id, count, now)
 
     def record_failure(self, item_id: str, kind: FailureKind) -> None:
         """Note why a server did not run a request."""
-        self.scheduler.dispatcher.record_failure(item_id, kind, time.monotonic())
+        self.scheduler.dispatcher.record_failure(item_id, kind, self._clock())
 
     def end(self, slot: PolicySlot) -> None:
         """Take back the room of a slot."""
         dispatcher = self.scheduler.dispatcher
-        now = time.monotonic()
+        now = self._clock()
         if slot.item_id:
             dispatcher.record_end(slot.item_id, now, is_whole=slot.is_whole)
         elif (state := dispatcher.table.get(slot.server.name)) is not None:
@@ -225,7 +229,7 @@
         self._schedule_recheck()
 
     def _carry_out(self) -> None:
-        now = time.monotonic()
+        now = self._clock()
         self._try_resumes(now)
         decisions = self.scheduler.next_dispatches(now)
         for dispatch in decisions.dispatches:
@@ -234,7 +238,7 @@
             self._refuse(refusal)
 
     def _submit(self, waiter: _Waiter) -> None:
-        now = time.monotonic()
+        now = self._clock()
         if waiter.wish.retry:
             refusal = self.scheduler.requeue(waiter.item, waiter.wish.excluded, now)
         else:
@@ -257,7 +261,7 @@
     def _grant(self, waiter: _Waiter | None, dispatch: Dispatch) -> None:
         server = self._servers.find(dispatch.choice.server.name)
         if waiter is None or server is None:
-            self.scheduler.cancel(dispatch.item.item_id, time.monotonic())
+            self.scheduler.cancel(dispatch.item.item_id, self._clock())
             return
         server.in_flight += 1
         slot = PolicySlot(server=server, item_id=dispatch.item.item_id, scheduling=self)
@@ -272,7 +276,7 @@
     def _forget(self, item_id: str) -> None:
         self._waiters.pop(item_id, None)
         self._resumes.pop(item_id, None)
-        self.scheduler.cancel(item_id, time.monotonic())
+        self.scheduler.cancel(item_id, self._clock())
 
     def _schedule_recheck(self) -> None:
         if not self._waiters and not self._resumes:
--- a/tests/node/test_policy_scheduling.py
+++ b/tests/node/test_policy_scheduling.py
@@ -20,6 +20,10 @@
 from twisted.internet import task
 from twisted.internet.defer import CancelledError, ensureDeferred
 
+NOW = 100.0
+LOWER_ENGINE_PRIORITY = 3  # the class is second, its only workspace is not behind
+CLOCKS = (1.0, 100.0, 1e6)  # a machine that just started, and one long up
+
 DECLARATION = {
     "classes": {
         "look-up": {
@@ -44,7 +48,7 @@
 }
 
 
-def build_scheduling(servers=1, capacity=2, own_load=0.0):
+def build_scheduling(servers=1, capacity=2, own_load=0.0, now=NOW):
     configuration = ConfigurationInForce()
     known = BackendServers()
     scheduling = PolicyScheduling(
@@ -53,12 +57,13 @@
             {},
             place=Place("dc-a", "r1"),
             random_source=random.Random(1),
-            now=0.0,
+            now=now,
         ),
         servers=known,
         configuration=configuration,
         reactor=task.Clock(),
         read_own_load=lambda: own_load,
+        clock=lambda: now,
     )
     configuration.replace(parse_declaration(DECLARATION), 1)
     known.merge_list(
@@ -78,7 +83,7 @@
     return scheduling, known
 
 
-def make_wish(class_name="analysis", **options):
+def make_wish(class_name="analysis", now=NOW, **options):
     request = GenerationRequest(
         workspace="studio-a",
         class_name=class_name,
@@ -93,7 +98,11 @@
         received=None,
     )
     return SlotWish(
-        request=request, pools=frozenset({"drafting"}), deadline=0.0, **options
+        request=request,
+        pools=frozenset({"drafting"}),
+        deadline=now,
+        arrival=now,
+        **options,
     )
 
 
@@ -117,13 +126,14 @@
 
 
 def test_waiting_request_gets_the_slot_that_is_released():
-    scheduling, _ = build_scheduling(capacity=2)
-    _, first = acquire(scheduling)
-    _, second = acquire(scheduling)
-    assert second == []
-    first[0].release()
-    assert second[0].held
-    assert second[0].priority == 2
+    for now in CLOCKS:
+        scheduling, _ = build_scheduling(capacity=2, now=now)
+        _, first = acquire(scheduling, now=now)
+        _, second = acquire(scheduling, now=now)
+        assert second == []
+        first[0].release()
+        assert second[0].held
+        assert second[0].priority == LOWER_ENGINE_PRIORITY
 
 
 def test_request_without_server_is_refused_at_once_with_a_retry_time():
@@ -157,7 +167,7 @@
 
 def test_unreachable_server_gets_no_work_until_it_answers():
     scheduling, known = build_scheduling(servers=2)
-    known.find("s0").record_unreachable(0.0)
+    known.find("s0").record_unreachable(NOW)
     _, results = acquire(scheduling)
     assert results[0].server.name == "s1"
     known.find("s0").record_answer()
