--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := decisions platform node operator standins
+PACKAGES := decisions store node operator standins
 STAMP := $(VENV)/.installed
-MANIFESTS := constraints.txt requirements.txt $(wildcard packages/*/pyproject.toml)
+MANIFESTS := constraints.txt requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 
 .PHONY: setup format lint check demo test bench bench-full slopes
 
@@ -14,7 +14,7 @@
 	$(BIN)/pip install --quiet --constraint constraints.txt setuptools
 	$(BIN)/pip install --quiet --no-build-isolation --constraint constraints.txt \
 	  --requirement requirements.txt \
-	  $(foreach name,$(PACKAGES),--editable packages/$(name))
+	  $(foreach name,$(PACKAGES),--editable packages/$(name)) --editable platform
 	touch $(STAMP)
 
 format: setup
--- /dev/null
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -0,0 +1,61 @@
+"""Rules for forwarding requests and streams to backend servers, without I/O."""
+
+from ebonyhaven_decisions.forwarding._backends import (
+    Backend,
+    BackendDirectory,
+    BackendEntry,
+    BackendState,
+)
+from ebonyhaven_decisions.forwarding._budget import RepeatBudget
+from ebonyhaven_decisions.forwarding._pace import (
+    PrefillRate,
+    limit_first_event,
+    limit_gap,
+)
+from ebonyhaven_decisions.forwarding._placement import (
+    EngineUse,
+    Need,
+    PeerUse,
+    choose_copy_holder,
+    choose_engine,
+    has_room,
+)
+from ebonyhaven_decisions.forwarding._routes import (
+    CallerLimits,
+    EngineTraits,
+    RequestKind,
+    Route,
+    RoutingConfiguration,
+    Service,
+    ServiceShare,
+    Workspace,
+    group_routes,
+)
+from ebonyhaven_decisions.forwarding._selection import choose_backend
+
+__all__ = [
+    "Backend",
+    "BackendDirectory",
+    "BackendEntry",
+    "BackendState",
+    "CallerLimits",
+    "EngineTraits",
+    "EngineUse",
+    "Need",
+    "PeerUse",
+    "PrefillRate",
+    "RepeatBudget",
+    "RequestKind",
+    "Route",
+    "RoutingConfiguration",
+    "Service",
+    "ServiceShare",
+    "Workspace",
+    "choose_backend",
+    "choose_copy_holder",
+    "choose_engine",
+    "group_routes",
+    "has_room",
+    "limit_first_event",
+    "limit_gap",
+]
--- /dev/null
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_placement.py
@@ -0,0 +1,221 @@
+"""Placement of generations and of the copies of their memory.
+
+Answers two load patterns: a burst, where prompts that are read at the same time
+on one engine delay each other, and the loss of a whole data centre, where all its
+runs go on at once on the engines that hold their copies.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from ebonyhaven_decisions.forwarding._backends import Backend
+
+MEMORY_SHARE = 0.92  # the rest is left to the growth of runs whose end is unknown
+PREFILL_WEIGHT = 3.0  # a prompt that is being read delays all neighbours
+COPY_WEIGHT = 0.6  # a copy takes room and no time
+SLOWNESS_WEIGHT = 1.0
+JITTER = 0.15  # in units of one run
+TYPICAL_RUN_TOKENS = 8000.0
+
+
+class EngineUse(NamedTuple):
+    """What the requests of one instance occupy on an engine.
+
+    Parameters
+    ----------
+    run_tokens, copy_tokens, prefill_tokens : int
+    """
+
+    run_tokens: int = 0
+    copy_tokens: int = 0
+    prefill_tokens: int = 0
+
+
+class Need(NamedTuple):
+    """What a generation needs on an engine.
+
+    Parameters
+    ----------
+    prompt_tokens, output_tokens : int
+        The output at most.
+    """
+
+    prompt_tokens: int
+    output_tokens: int
+
+    @property
+    def tokens(self) -> int:
+        """Memory at its end."""
+        return self.prompt_tokens + self.output_tokens
+
+
+class PeerUse:
+    """What the other instances say they occupy on engines.
+
+    Parameters
+    ----------
+    life_s : float
+        Age at which a statement is dropped, seconds.
+    """
+
+    __slots__ = ("_life_s", "_statements")
+
+    def __init__(self, life_s: float):
+        self._life_s = life_s
+        self._statements: dict[str, tuple[float, Mapping[str, EngineUse]]] = {}
+
+    def record(self, peer: str, uses: Mapping[str, EngineUse], now: float) -> None:
+        """Replace what a peer said before.
+
+        Parameters
+        ----------
+        peer : str
+        uses : mapping of str to EngineUse
+            By server id.
+        now : float
+            Seconds.
+        """
+        self._statements[peer] = (now, uses)
+
+    def sum_up(self, now: float) -> dict[str, EngineUse]:
+        """Return what all peers occupy.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        dict of str to EngineUse
+            By server id.
+        """
+        total: dict[str, EngineUse] = {}
+        for peer, (said_at, uses) in list(self._statements.items()):
+            if now - said_at > self._life_s:
+                del self._statements[peer]
+                continue
+            for server_id, use in uses.items():
+                known = total.get(server_id, EngineUse())
+                total[server_id] = EngineUse(
+                    *(a + b for a, b in zip(known, use, strict=True))
+                )
+        return total
+
+
+def _estimate_use(backend: Backend, peers: Mapping[str, EngineUse]) -> EngineUse:
+    other = peers.get(backend.server_id, EngineUse())
+    return EngineUse(
+        backend.run_tokens + other.run_tokens,
+        backend.copy_tokens + other.copy_tokens,
+        backend.prefill_tokens + other.prefill_tokens,
+    )
+
+
+def has_room(
+    backend: Backend, need: Need, memory_tokens: int, peers: Mapping[str, EngineUse]
+) -> bool:
+    """Tell whether a generation fits beside what an engine has.
+
+    Parameters
+    ----------
+    backend : Backend
+    need : Need
+    memory_tokens : int
+        Memory of the engine.
+    peers : mapping of str to EngineUse
+        What other instances occupy.
+    """
+    use = _estimate_use(backend, peers)
+    taken = use.run_tokens + use.copy_tokens
+    return taken + need.tokens <= MEMORY_SHARE * memory_tokens
+
+
+def _estimate_cost(use: EngineUse, backend: Backend, rng: random.Random) -> float:
+    busy = use.run_tokens + COPY_WEIGHT * use.copy_tokens
+    busy += PREFILL_WEIGHT * use.prefill_tokens
+    cost = busy / TYPICAL_RUN_TOKENS + SLOWNESS_WEIGHT * backend.failure_share
+    return cost + JITTER * rng.random()
+
+
+def choose_engine(
+    candidates: Sequence[Backend],
+    *,
+    need: Need,
+    memory_tokens: int,
+    peers: Mapping[str, EngineUse],
+    rng: random.Random,
+) -> Backend | None:
+    """Return the engine on which a generation delays others least.
+
+    Parameters
+    ----------
+    candidates : sequence of Backend
+        Usable engines.
+    need : Need
+    memory_tokens : int
+        Memory of one engine.
+    peers : mapping of str to EngineUse
+        What other instances occupy, by server id.
+    rng : random.Random
+
+    Returns
+    -------
+    Backend or None
+        None when no engine has room.
+    """
+    fitting = [
+        each for each in candidates if has_room(each, need, memory_tokens, peers)
+    ]
+    if not fitting:
+        return None
+    return min(
+        fitting, key=lambda each: _estimate_cost(_estimate_use(each, peers), each, rng)
+    )
+
+
+def choose_copy_holder(
+    candidates: Sequence[Backend],
+    *,
+    source: Backend,
+    need: Need,
+    memory_tokens: int,
+    peers: Mapping[str, EngineUse],
+    rng: random.Random,
+) -> Backend | None:
+    """Return the engine that is to hold the copy of a run.
+
+    It is in another data centre than the run where there is one, as the engines
+    of a data centre tend to fail together.
+
+    Parameters
+    ----------
+    candidates : sequence of Backend
+        Usable engines.
+    source : Backend
+        Engine of the run.
+    need : Need
+    memory_tokens : int
+        Memory of one engine.
+    peers : mapping of str to EngineUse
+        What other instances occupy, by server id.
+    rng : random.Random
+
+    Returns
+    -------
+    Backend or None
+    """
+    others = [each for each in candidates if each.key != source.key]
+    elsewhere = [
+        each for each in others if each.entry.data_centre != source.entry.data_centre
+    ]
+    return choose_engine(
+        elsewhere or others,
+        need=need,
+        memory_tokens=memory_tokens,
+        peers=peers,
+        rng=rng,
+    )
--- a/packages/node/src/ebonyhaven_node/_claims.py
+++ b/packages/node/src/ebonyhaven_node/_claims.py
@@ -9,7 +9,7 @@
 import attrs
 import structlog
 from ebonyhaven_decisions import Claimant, ClaimRow, raise_epoch
-from ebonyhaven_platform import (
+from ebonyhaven_store import (
     Condition,
     Conflict,
     PlatformError,
--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -14,7 +14,7 @@
     Scheduling,
     build_scheduler,
 )
-from ebonyhaven_platform import InstanceListClient, PlatformTransport, TableClient
+from ebonyhaven_store import InstanceListClient, PlatformTransport, TableClient
 from prometheus_client import CollectorRegistry
 from twisted.internet import task
 from twisted.internet.defer import ensureDeferred
@@ -27,7 +27,7 @@
 from ebonyhaven_node._control_plane import ControlParts, start_control_plane
 from ebonyhaven_node._crash_reports import CrashReports
 from ebonyhaven_node._engines import EngineClient
-from ebonyhaven_node._exchanges import build_chain
+from ebonyhaven_node._filter_chain import build_chain
 from ebonyhaven_node._filters import (
     AccountFilter,
     AttachFilter,
--- a/packages/node/src/ebonyhaven_node/_configuration.py
+++ b/packages/node/src/ebonyhaven_node/_configuration.py
@@ -24,7 +24,7 @@
     parse_declaration,
     parse_entry,
 )
-from ebonyhaven_platform import PlatformError, RowSet, TableClient
+from ebonyhaven_store import PlatformError, RowSet, TableClient
 from twisted.internet import task
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.interfaces import IReactorTime
--- a/packages/node/src/ebonyhaven_node/_control_plane.py
+++ b/packages/node/src/ebonyhaven_node/_control_plane.py
@@ -7,7 +7,7 @@
 
 import attrs
 from ebonyhaven_decisions import MemberState
-from ebonyhaven_platform import PlatformTransport, TableClient, WeightClient
+from ebonyhaven_store import PlatformTransport, TableClient, WeightClient
 from prometheus_client import CollectorRegistry
 from twisted.internet.interfaces import IReactorTime
 
--- a/packages/node/src/ebonyhaven_node/_engines.py
+++ b/packages/node/src/ebonyhaven_node/_engines.py
@@ -10,7 +10,7 @@
 from urllib.parse import urlencode
 
 import treq
-from ebonyhaven_platform import make_agent
+from ebonyhaven_store import make_agent
 from twisted.internet import defer, error
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.protocol import Protocol as TwistedProtocol
--- a/packages/node/src/ebonyhaven_node/_exchanges.py
+++ b/packages/node/src/ebonyhaven_node/_exchanges.py
@@ -1,9 +1,7 @@
-"""One caller's request on its way through the filters, and the filter chain."""
+"""One caller's request on its way through the filters."""
 
 from __future__ import annotations
 
-import abc
-from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 import attrs
@@ -55,53 +53,3 @@
         str or None
         """
         return self.http_request.getHeader(name)
-
-
-Proceed = Callable[[Exchange], Awaitable[None]]
-
-
-class Filter(abc.ABC):
-    """One step in the handling of a request."""
-
-    @abc.abstractmethod
-    async def handle(self, exchange: Exchange, proceed: Proceed) -> None:
-        """Do this step, then usually the rest of the chain.
-
-        Parameters
-        ----------
-        exchange : Exchange
-        proceed : callable
-            Runs the rest of the chain.
-
-        Raises
-        ------
-        RequestFailure
-        """
-
-
-async def _finish(exchange: Exchange) -> None:
-    """End of a chain."""
-
-
-def build_chain(filters: Sequence[Filter]) -> Proceed:
-    """Join filters into one callable; the first is the outermost.
-
-    Parameters
-    ----------
-    filters : sequence of Filter
-
-    Returns
-    -------
-    callable
-    """
-    proceed: Proceed = _finish
-    for step in reversed(filters):
-        proceed = _join(step, proceed)
-    return proceed
-
-
-def _join(step: Filter, rest: Proceed) -> Proceed:
-    async def handle(exchange: Exchange) -> None:
-        await step.handle(exchange, rest)
-
-    return handle
--- a/packages/node/src/ebonyhaven_node/_filters.py
+++ b/packages/node/src/ebonyhaven_node/_filters.py
@@ -22,7 +22,8 @@
 
 from ebonyhaven_node._configured import ConfigurationInForce
 from ebonyhaven_node._drivers import RunDriver
-from ebonyhaven_node._exchanges import Exchange, Filter, Proceed
+from ebonyhaven_node._exchanges import Exchange
+from ebonyhaven_node._filter_chain import Filter, Proceed
 from ebonyhaven_node._metrics import RelayMetrics
 from ebonyhaven_node._requests import (
     GenerationRequest,
@@ -46,7 +47,7 @@
     leaving: bool
 
 
-class AccountFilter(Filter):
+class AccountFilter(Filter[Exchange]):
     """Counts requests by their end and answers those that fail.
 
     Parameters
@@ -57,7 +58,7 @@
     def __init__(self, metrics: RelayMetrics):
         self._metrics = metrics
 
-    async def handle(self, exchange: Exchange, proceed: Proceed) -> None:
+    async def handle(self, exchange: Exchange, proceed: Proceed[Exchange]) -> None:
         """See `Filter.handle`."""
         try:
             await proceed(exchange)
@@ -67,7 +68,7 @@
             write_outcome(exchange.http_request, outcome)
 
 
-class IdentifyFilter(Filter):
+class IdentifyFilter(Filter[Exchange]):
     """Finds out which workspace a request comes from.
 
     Parameters
@@ -78,7 +79,7 @@
     def __init__(self, configuration: ConfigurationInForce):
         self._configuration = configuration
 
-    async def handle(self, exchange: Exchange, proceed: Proceed) -> None:
+    async def handle(self, exchange: Exchange, proceed: Proceed[Exchange]) -> None:
         """See `Filter.handle`."""
         declaration = self._configuration.require()
         name = exchange.read_header("Ebonyhaven-Workspace")
@@ -100,10 +101,10 @@
             raise refuse("wrong workspace key", status=401, step="identify")
 
 
-class ValidateFilter(Filter):
+class ValidateFilter(Filter[Exchange]):
     """Checks headers and body against the declaration."""
 
-    async def handle(self, exchange: Exchange, proceed: Proceed) -> None:
+    async def handle(self, exchange: Exchange, proceed: Proceed[Exchange]) -> None:
         """See `Filter.handle`."""
         request_class = self._find_class(exchange)
         generated = secrets.token_hex(GENERATED_KEY_BYTES)
@@ -140,7 +141,7 @@
         return found
 
 
-class AttachFilter(Filter):
+class AttachFilter(Filter[Exchange]):
     """Gives a request its run: the one it has already, or a new one.
 
     Parameters
@@ -164,7 +165,7 @@
         self._status = status
         self._rng = rng
 
-    async def handle(self, exchange: Exchange, proceed: Proceed) -> None:
+    async def handle(self, exchange: Exchange, proceed: Proceed[Exchange]) -> None:
         """See `Filter.handle`."""
         known = self._find_known(exchange.request)
         exchange.run = known or self._begin(exchange)
@@ -219,7 +220,7 @@
             run.segments = known.segments[:]
 
 
-class RelayFilter(Filter):
+class RelayFilter(Filter[Exchange]):
     """Relays the run to the caller.
 
     Parameters
@@ -232,7 +233,7 @@
         self._metrics = metrics
         self._reactor = reactor
 
-    async def handle(self, exchange: Exchange, proceed: Proceed) -> None:
+    async def handle(self, exchange: Exchange, proceed: Proceed[Exchange]) -> None:
         """See `Filter.handle`."""
         stream = CallerStream(
             http_request=exchange.http_request,
--- a/packages/node/src/ebonyhaven_node/_frames.py
+++ b/packages/node/src/ebonyhaven_node/_frames.py
@@ -25,6 +25,9 @@
     LISTING = "l"
     USAGE = "u"
     LOAD_DIGEST = "o"
+    ENGINE_USE = "g"
+    STATE_REQUEST = "w"
+    STATE = "x"
 
 
 class Frame(NamedTuple):
--- a/packages/node/src/ebonyhaven_node/_leases.py
+++ b/packages/node/src/ebonyhaven_node/_leases.py
@@ -26,7 +26,7 @@
     observe_lease,
     parse_lease_row,
 )
-from ebonyhaven_platform import (
+from ebonyhaven_store import (
     Condition,
     Conflict,
     PlatformError,
--- a/packages/node/src/ebonyhaven_node/_listing.py
+++ b/packages/node/src/ebonyhaven_node/_listing.py
@@ -17,7 +17,7 @@
     MemberState,
     everybody_reads,
 )
-from ebonyhaven_platform import InstanceListClient, ListedProcess, PlatformError
+from ebonyhaven_store import InstanceListClient, ListedProcess, PlatformError
 from twisted.internet import task
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
--- a/packages/node/src/ebonyhaven_node/_membership.py
+++ b/packages/node/src/ebonyhaven_node/_membership.py
@@ -5,7 +5,7 @@
 import random
 import time
 from collections.abc import Callable, Iterable, Mapping
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 from ebonyhaven_decisions import (
@@ -17,7 +17,6 @@
     Membership,
     MembershipMessage,
 )
-from ebonyhaven_platform import ListedProcess
 from prometheus_client import CollectorRegistry
 from twisted.internet import task
 from twisted.internet.defer import Deferred
@@ -36,6 +35,9 @@
 )
 from ebonyhaven_node._membership_metrics import MembershipMetrics
 
+if TYPE_CHECKING:
+    from ebonyhaven_store import ListedProcess
+
 FLUSH_DELAY_S = 0.03
 FLUSH_INTERVAL_S = 0.1
 IDLE_CHECK_TICKS = 20
--- a/packages/node/src/ebonyhaven_node/_orders.py
+++ b/packages/node/src/ebonyhaven_node/_orders.py
@@ -32,7 +32,7 @@
     list_orders,
     update_placement,
 )
-from ebonyhaven_platform import PlatformError, WeightClient
+from ebonyhaven_store import PlatformError, WeightClient
 from prometheus_client import CollectorRegistry, Counter
 from twisted.internet import task
 from twisted.internet.defer import (
--- a/packages/node/src/ebonyhaven_node/_servers.py
+++ b/packages/node/src/ebonyhaven_node/_servers.py
@@ -8,7 +8,7 @@
 
 import attrs
 import structlog
-from ebonyhaven_platform import ListedProcess
+from ebonyhaven_store import ListedProcess
 
 FIRST_BACKOFF_S = 0.5
 LONGEST_BACKOFF_S = 8.0
--- a/packages/node/src/ebonyhaven_node/_services.py
+++ b/packages/node/src/ebonyhaven_node/_services.py
@@ -6,7 +6,7 @@
 
 import treq
 from ebonyhaven_decisions import Outcome, OutcomeTag, PoolKind, RequestFailure
-from ebonyhaven_platform import make_agent
+from ebonyhaven_store import make_agent
 from twisted.internet import error
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.http import Request
--- a/packages/node/src/ebonyhaven_node/_web.py
+++ b/packages/node/src/ebonyhaven_node/_web.py
@@ -14,7 +14,8 @@
 from twisted.web.http import Request
 
 from ebonyhaven_node._configured import ConfigurationInForce
-from ebonyhaven_node._exchanges import Exchange, Proceed
+from ebonyhaven_node._exchanges import Exchange
+from ebonyhaven_node._filter_chain import Proceed
 from ebonyhaven_node._requests import MAX_BODY_BYTES, decode_body
 from ebonyhaven_node._services import ServiceRelay
 from ebonyhaven_node._sinks import write_outcome
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -0,0 +1,159 @@
+"""One attempt of a request at one backend server."""
+
+from __future__ import annotations
+
+import time
+
+from ebonyhaven_decisions.forwarding import Backend
+
+from ebonyhaven_node.forwarding._http_client import (
+    HttpConnection,
+    OutgoingRequest,
+    PendingConnection,
+    RequestBytes,
+)
+from ebonyhaven_node.forwarding._inbox import Inbox
+from ebonyhaven_node.forwarding._messages import (
+    AnswerData,
+    AnswerEnded,
+    AnswerHead,
+    AnswerStarted,
+    AttemptFailed,
+    AttemptPlan,
+    ForwardRequest,
+    Headers,
+)
+from ebonyhaven_node.forwarding._parts import RelayParts
+
+
+class Attempt(OutgoingRequest):
+    """Sends a request to a backend server and reports what comes back.
+
+    Parameters
+    ----------
+    request : ForwardRequest
+    backend : Backend
+    plan : AttemptPlan
+    inbox : Inbox
+        Gets `AnswerStarted`, `AnswerData`, and then either `AnswerEnded` or
+        `AttemptFailed`.
+    parts : RelayParts
+    may_reuse : bool
+        Whether a connection may be used that the server may be closing.
+
+    Attributes
+    ----------
+    was_sent : bool
+        Whether the server may have the request.
+    sent_at : float
+        Seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        request: ForwardRequest,
+        backend: Backend,
+        plan: AttemptPlan,
+        inbox: Inbox,
+        parts: RelayParts,
+        may_reuse: bool = True,
+    ):
+        self.backend = backend
+        self.head: AnswerHead | None = None
+        self.was_sent = False
+        self.is_over = False
+        self.sent_at = 0.0
+        self.plan = plan
+        self._request = request
+        self._inbox = inbox
+        self._parts = parts
+        self._may_reuse = may_reuse
+        self._connection: HttpConnection | None = None
+        self._pending: PendingConnection | None = None
+
+    def start(self) -> None:
+        """Send the request, on a new connection if need be."""
+        self.backend.in_flight += 1
+        self.sent_at = time.monotonic()
+        address = self.backend.entry.address
+        connection = self._parts.pool.take_idle(address) if self._may_reuse else None
+        if connection is not None:
+            self._send(connection)
+            return
+        self._pending = self._parts.pool.connect(
+            address, on_made=self._send, on_failed=self._fail_to_connect
+        )
+
+    def cancel(self) -> None:
+        """Stop; the server sees its connection closed."""
+        if self.is_over:
+            return
+        self._finish()
+        if self._pending is not None:
+            self._pending.cancel()
+        if self._connection is not None:
+            self._connection.abort()
+
+    def accept_head(self, status: int, headers: Headers) -> bool:
+        """See `OutgoingRequest.accept_head`."""
+        head = self._parts.dialect.read_head(status, headers)
+        if head.request_id is not None and head.request_id != self._request.request_id:
+            return False
+        now = self._parts.clock()
+        self.backend.record_heard(now)
+        if head.load is not None:
+            self.backend.record_load(head.load, now)
+        self.head = head
+        self._inbox.put(AnswerStarted(self, head))
+        return True
+
+    def take_data(self, data: bytes) -> None:
+        """See `OutgoingRequest.take_data`."""
+        self.backend.heard_at = self._parts.clock()
+        if not self.is_over:
+            self._inbox.put(AnswerData(self, data))
+
+    def end(self) -> None:
+        """See `OutgoingRequest.end`."""
+        if not self.is_over:
+            self._finish()
+            self._inbox.put(AnswerEnded(self))
+
+    def fail(self, reason: str, *, is_reset: bool) -> None:
+        """See `OutgoingRequest.fail`."""
+        if self.is_over:
+            return
+        self._finish()
+        self._inbox.put(AttemptFailed(self, True, is_reset, reason))
+
+    def _send(self, connection: HttpConnection) -> None:
+        self._pending = None
+        if self.is_over:
+            connection.abort()
+            return
+        self._connection = connection
+        self.was_sent = True
+        self.sent_at = self._parts.clock()
+        headers = self._parts.dialect.write_headers(
+            self._request, self.backend.server_id, self.plan
+        )
+        sent = RequestBytes(
+            method=self._request.method,
+            target=self._request.target,
+            headers=headers,
+            body=self._request.body,
+        )
+        connection.send(sent, self)
+
+    def _fail_to_connect(self, reason: str) -> None:
+        if self.is_over:
+            return
+        self._finish()
+        self._parts.count_unreachable(self.backend)
+        self._inbox.put(AttemptFailed(self, False, True, reason))
+
+    def _finish(self) -> None:
+        self.is_over = True
+        self.backend.in_flight -= 1
+        self._parts.waiters.wake()
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -0,0 +1,271 @@
+"""Filters of the forwarding path, outermost first."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+import time
+from collections.abc import Callable
+
+import attrs
+import structlog
+from ebonyhaven_decisions import CrashVerdict, RequestFailure
+from ebonyhaven_decisions.forwarding import (
+    RequestKind,
+    Route,
+    RoutingConfiguration,
+    Workspace,
+)
+
+from ebonyhaven_node._filter_chain import Filter, Proceed
+from ebonyhaven_node.forwarding._calls import CallRelay
+from ebonyhaven_node.forwarding._http_server import Exchange
+from ebonyhaven_node.forwarding._messages import ForwardRequest
+from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
+from ebonyhaven_node.forwarding._outcomes import (
+    LEAVING_RETRY_S,
+    NOT_READY_RETRY_S,
+    refuse,
+)
+from ebonyhaven_node.forwarding._parts import RelayParts
+from ebonyhaven_node.forwarding._state import ForwardingState
+from ebonyhaven_node.forwarding._streams import StreamRelay
+from ebonyhaven_node.forwarding.interfaces import CallerDialect
+
+_log = structlog.get_logger()
+
+
+@attrs.define(slots=True, eq=False)
+class Work:
+    """A request with what the filters found out about it.
+
+    Parameters
+    ----------
+    exchange : Exchange
+    request : ForwardRequest or None
+        Set by decoding.
+    configuration : RoutingConfiguration or None
+        The version under which the request is handled, from start to end.
+    route : Route or None
+    workspace : Workspace or None
+    """
+
+    exchange: Exchange
+    request: ForwardRequest | None = None
+    configuration: RoutingConfiguration | None = None
+    route: Route | None = None
+    workspace: Workspace | None = None
+
+
+class ReportFilter(Filter[Work]):
+    """Counts and logs how requests end, and answers those that fail.
+
+    Parameters
+    ----------
+    dialect : CallerDialect
+    metrics : ForwardingMetrics
+    """
+
+    def __init__(self, dialect: CallerDialect, metrics: ForwardingMetrics):
+        self._dialect = dialect
+        self._metrics = metrics
+
+    async def handle(self, work: Work, proceed: Proceed[Work]) -> None:
+        """See `Filter.handle`."""
+        try:
+            await proceed(work)
+        except RequestFailure as failure:
+            self._answer(work, failure)
+            return
+        self._count(work, "answered", "relay")
+
+    def _answer(self, work: Work, failure: RequestFailure) -> None:
+        outcome = failure.outcome
+        self._count(work, outcome.tag.value, outcome.step)
+        _log.warning(
+            "request_failed",
+            request=work.request.request_id if work.request else None,
+            route=work.route.name if work.route else None,
+            outcome=outcome.tag.value,
+            step=outcome.step,
+            peer=outcome.peer,
+            reason=outcome.reason,
+            status=outcome.status,
+            configuration=work.configuration.version if work.configuration else None,
+            waited_s=round(time.monotonic() - work.exchange.arrived_at, 3),
+        )
+        if work.exchange.is_started:
+            work.exchange.abort()
+            return
+        headers, body = self._dialect.describe_outcome(outcome)
+        work.exchange.respond(outcome.status, headers, body)
+
+    def _count(self, work: Work, outcome: str, step: str) -> None:
+        kind = work.route.kind.value if work.route else "none"
+        self._metrics.requests.labels(kind, outcome, step).inc()
+
+
+class DecodeFilter(Filter[Work]):
+    """Decodes the request.
+
+    Parameters
+    ----------
+    dialect : CallerDialect
+    """
+
+    def __init__(self, dialect: CallerDialect):
+        self._dialect = dialect
+
+    async def handle(self, work: Work, proceed: Proceed[Work]) -> None:
+        """See `Filter.handle`."""
+        work.request = self._dialect.read_request(work.exchange)
+        await proceed(work)
+
+
+class RouteFilter(Filter[Work]):
+    """Finds the route in the configuration in force.
+
+    Parameters
+    ----------
+    state : ForwardingState
+    """
+
+    def __init__(self, state: ForwardingState):
+        self._state = state
+
+    async def handle(self, work: Work, proceed: Proceed[Work]) -> None:
+        """See `Filter.handle`."""
+        if not self._state.is_complete:
+            raise refuse(
+                "no configuration is in force yet",
+                step="configuration",
+                retry_after_s=NOT_READY_RETRY_S,
+            )
+        work.configuration = self._state.configuration
+        request = work.request
+        work.route = work.configuration.find_route(request.host, request.path)
+        if work.route is None:
+            raise refuse("no route matches", step="route", status=404)
+        await proceed(work)
+
+
+class IdentifyFilter(Filter[Work]):
+    """Finds out whose request it is."""
+
+    async def handle(self, work: Work, proceed: Proceed[Work]) -> None:
+        """See `Filter.handle`."""
+        key = work.request.api_key
+        work.workspace = work.configuration.workspaces.get(key) if key else None
+        is_open = work.route.is_anonymous or not work.configuration.requires_keys
+        if work.workspace is None and not is_open:
+            raise refuse("unknown key", step="identify", status=401)
+        await proceed(work)
+
+
+class AdmitFilter(Filter[Work]):
+    """Refuses streams that would not end before this instance does.
+
+    Parameters
+    ----------
+    takes_streams : callable
+        Returns whether this instance still takes them.
+    """
+
+    def __init__(self, takes_streams: Callable[[], bool]):
+        self._takes_streams = takes_streams
+
+    async def handle(self, work: Work, proceed: Proceed[Work]) -> None:
+        """See `Filter.handle`."""
+        if work.route.kind is RequestKind.STREAM and not self._takes_streams():
+            raise refuse(
+                "this instance is leaving; use another",
+                step="admit",
+                retry_after_s=LEAVING_RETRY_S,
+            )
+        await proceed(work)
+
+
+class RelayFilter(Filter[Work]):
+    """Sends the request to backend servers and relays the answer.
+
+    Parameters
+    ----------
+    parts : RelayParts
+    rng : random.Random
+    """
+
+    def __init__(self, parts: RelayParts, rng: random.Random):
+        self._parts = parts
+        self._rng = rng
+
+    async def handle(self, work: Work, proceed: Proceed[Work]) -> None:
+        """See `Filter.handle`."""
+        route = work.route
+        active = self._parts.metrics.active.labels(route.kind.value)
+        with active.track_inprogress():
+            await self._build_relay(work).run()
+        await proceed(work)
+
+    def _build_relay(self, work: Work) -> CallRelay | StreamRelay:
+        route = work.route
+        service = self._choose_service(route)
+        workspace = work.workspace
+        shared = {
+            "request": work.request,
+            "route": route,
+            "service": service,
+            "workspace": workspace.name if workspace else None,
+            "exchange": work.exchange,
+            "parts": self._parts,
+        }
+        if route.kind is not RequestKind.STREAM:
+            return CallRelay(**shared)
+        known = work.configuration.services.get(service)
+        return StreamRelay(
+            engine=known.engine if known else None,
+            urgency=_rank(route, workspace),
+            **shared,
+        )
+
+    def _choose_service(self, route: Route) -> str:
+        names = [share.service for share in route.shares]
+        weights = [share.weight for share in route.shares]
+        if sum(weights) <= 0:
+            return names[0]
+        return self._rng.choices(names, weights)[0]
+
+
+def _rank(route: Route, workspace: Workspace | None) -> int:
+    if workspace is not None and workspace.priority is not None:
+        return workspace.priority
+    return route.priority
+
+
+def hash_content(request: ForwardRequest) -> str:
+    """Return a digest of what a server sees, the same for each repeat by a caller.
+
+    Parameters
+    ----------
+    request : ForwardRequest
+
+    Returns
+    -------
+    str
+    """
+    hashed = hashlib.sha256(request.target)
+    hashed.update((request.api_key or "").encode())
+    hashed.update(request.body)
+    return hashed.hexdigest()[:16]
+
+
+__all__ = [
+    "AdmitFilter",
+    "CrashVerdict",
+    "DecodeFilter",
+    "IdentifyFilter",
+    "RelayFilter",
+    "ReportFilter",
+    "RouteFilter",
+    "Work",
+    "hash_content",
+]
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -0,0 +1,282 @@
+"""Composition of the forwarding path of one instance."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import time
+from collections.abc import Callable, Mapping
+
+import attrs
+import structlog
+from ebonyhaven_decisions.forwarding import PeerUse, PrefillRate, RepeatBudget
+from prometheus_client import CollectorRegistry, generate_latest
+from twisted.internet import task
+from twisted.internet.defer import CancelledError, ensureDeferred
+from twisted.internet.interfaces import IReactorCore
+
+from ebonyhaven_node._channels import ChannelMetrics, Channels
+from ebonyhaven_node._filter_chain import build_chain
+from ebonyhaven_node._membership import MembershipController
+from ebonyhaven_node._own_record import make_own_record
+from ebonyhaven_node._processor_load import ProcessorLoad
+from ebonyhaven_node.forwarding._filters import (
+    AdmitFilter,
+    DecodeFilter,
+    IdentifyFilter,
+    RelayFilter,
+    ReportFilter,
+    RouteFilter,
+    Work,
+)
+from ebonyhaven_node.forwarding._http_client import SWEEP_INTERVAL_S, ConnectionPool
+from ebonyhaven_node.forwarding._http_server import CallerServer, Exchange
+from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
+from ebonyhaven_node.forwarding._parts import RelayParts, Suspicions, Waiters
+from ebonyhaven_node.forwarding._sharing import REFRESH_S, StateSharing, UseSharing
+from ebonyhaven_node.forwarding._state import ForwardingState
+from ebonyhaven_node.forwarding.interfaces import (
+    BackendDialect,
+    CallerDialect,
+    StateSource,
+)
+
+BACKLOG = 512  # connections that wait to be accepted in a burst
+STREAM_ADMISSION_SHARE = 0.25  # of the grace: a stream that starts later is cut
+STOP_MARGIN_S = 0.6  # before the end of the grace, to close by ourselves
+DRAIN_CHECK_S = 0.05
+
+_log = structlog.get_logger()
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class GatewaySettings:
+    """What a deployment decides about an instance.
+
+    Parameters
+    ----------
+    instance, data_centre, region : str
+    caller_address, control_address : str
+        ``IP:PORT``.
+    seeds : mapping of str to str
+        Control addresses of other instances by name.
+    grace_s : float
+        Time from the request to stop until the process is killed.
+    repeat_ratio, repeat_window_s, repeat_slack : float
+        Bound on repeats, see `RepeatBudget`.
+    """
+
+    instance: str
+    data_centre: str
+    region: str
+    caller_address: str
+    control_address: str
+    seeds: Mapping[str, str]
+    grace_s: float
+    repeat_ratio: float
+    repeat_window_s: float
+    repeat_slack: float
+
+
+class Gateway:
+    """Forwards the requests of callers to backend servers.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+    reactor : IReactorCore
+    caller_dialect : CallerDialect
+    backend_dialect : BackendDialect
+    build_source : callable
+        Returns the `StateSource` for a `ForwardingState` and `ConnectionPool`.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        reactor: IReactorCore,
+        caller_dialect: CallerDialect,
+        backend_dialect: BackendDialect,
+        build_source: Callable[[ForwardingState, ConnectionPool], StateSource],
+    ):
+        self.registry = CollectorRegistry()
+        self.state = ForwardingState()
+        self._settings = settings
+        self._reactor = reactor
+        self._stack = contextlib.ExitStack()
+        self._rng = random.Random()
+        self._load = ProcessorLoad()
+        self._leaving_since: float | None = None
+        self._active = 0
+        self.pool = ConnectionPool(reactor)
+        self.source = build_source(self.state, self.pool)
+        self._metrics = ForwardingMetrics(self.registry)
+        self._peers = PeerUse(life_s=3 * REFRESH_S)
+        self._waiters = Waiters()
+        self._budget = RepeatBudget(
+            ratio=settings.repeat_ratio,
+            window_s=settings.repeat_window_s,
+            slack=settings.repeat_slack,
+        )
+        self._sharing: UseSharing | None = None
+        self._chain = self._build_chain(caller_dialect, backend_dialect)
+        self.server = CallerServer(
+            reactor=reactor,
+            handle=self._handle,
+            limits=lambda: self.state.limits,
+            is_closing=lambda: self.is_leaving,
+        )
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this instance was asked to stop."""
+        return self._leaving_since is not None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should use this instance."""
+        return self.state.is_complete and not self.is_leaving
+
+    def start(self) -> None:
+        """Listen for callers and follow the source."""
+        self._start_sharing()
+        host, _, port = self._settings.caller_address.rpartition(":")
+        listener = self._reactor.listenTCP(
+            int(port), self.server, interface=host, backlog=BACKLOG
+        )
+        self._stack.callback(listener.stopListening)
+        sweep = task.LoopingCall(self.pool.sweep)
+        sweep.clock = self._reactor
+        sweep.start(SWEEP_INTERVAL_S, now=False)
+        self._stack.callback(sweep.stop)
+        self._stack.callback(self.pool.close)
+        self.state.observe(self._waiters.wake)
+        self.source.start()
+        self._stack.callback(self.source.stop)
+        _log.info("instance_started", instance=self._settings.instance)
+
+    def choose_entries(self):
+        """Return the instances that a caller should use."""
+        return self.membership.choose_entries()
+
+    def render_metrics(self) -> bytes:
+        """Return all metrics as text."""
+        return generate_latest(self.registry)
+
+    async def leave(self) -> None:
+        """Take no new callers, let running requests end, and close everything."""
+        if self.is_leaving:
+            return
+        self._leaving_since = time.monotonic()
+        self.membership.leave()
+        _log.info("instance_leaving", active=self._active)
+        stop_at = self._leaving_since + self._settings.grace_s - STOP_MARGIN_S
+        while time.monotonic() < stop_at and not self._is_drained():
+            await task.deferLater(self._reactor, DRAIN_CHECK_S)
+        _log.info("instance_stopped", active=self._active)
+        await self.membership.depart()
+        self.server.close_all()
+        self._stack.close()
+
+    def _is_drained(self) -> bool:
+        """Tell whether no caller can have a connection or an old entry list."""
+        return False
+
+    def _takes_streams(self) -> bool:
+        if self._leaving_since is None:
+            return True
+        elapsed_s = time.monotonic() - self._leaving_since
+        return elapsed_s < STREAM_ADMISSION_SHARE * self._settings.grace_s
+
+    def _start_sharing(self) -> None:
+        settings = self._settings
+        channels = Channels(
+            reactor=self._reactor,
+            address=settings.control_address,
+            metrics=ChannelMetrics(self.registry),
+            rng=self._rng,
+        )
+        self._stack.callback(channels.close)
+        self.membership = MembershipController(
+            own=make_own_record(
+                name=settings.instance,
+                control_address=settings.control_address,
+                caller_address=settings.caller_address,
+                data_centre=settings.data_centre,
+                region=settings.region,
+            ),
+            channels=channels,
+            reactor=self._reactor,
+            rng=self._rng,
+            registry=self.registry,
+        )
+        self._stack.callback(self.membership.stop)
+        self.membership.set_load_source(self._load.read)
+        self.membership.set_seeds(settings.seeds)
+        StateSharing(source=self.source, membership=self.membership, channels=channels)
+        self._sharing = UseSharing(
+            state=self.state,
+            peers=self._peers,
+            budget=self._budget,
+            membership=self.membership,
+            channels=channels,
+            reactor=self._reactor,
+            rng=self._rng,
+            on_news=self._waiters.wake,
+        )
+        self._stack.callback(self._sharing.stop)
+        self.membership.start()
+
+    def _build_chain(
+        self, caller_dialect: CallerDialect, backend_dialect: BackendDialect
+    ):
+        parts = RelayParts(
+            state=self.state,
+            pool=self.pool,
+            dialect=backend_dialect,
+            budget=self._budget,
+            peers=self._peers,
+            prefill=PrefillRate(),
+            suspicions=Suspicions(),
+            waiters=self._waiters,
+            metrics=self._metrics,
+            data_centre=self._settings.data_centre,
+            reactor=self._reactor,
+            rng=self._rng,
+            on_use=self._note_use,
+        )
+        return build_chain(
+            [
+                ReportFilter(caller_dialect, self._metrics),
+                DecodeFilter(caller_dialect),
+                RouteFilter(self.state),
+                IdentifyFilter(),
+                AdmitFilter(self._takes_streams),
+                RelayFilter(parts, self._rng),
+            ]
+        )
+
+    def _note_use(self) -> None:
+        if self._sharing is not None:
+            self._sharing.note_change()
+
+    def _handle(self, exchange: Exchange) -> None:
+        self._active += 1
+        running = ensureDeferred(self._chain(Work(exchange)))
+        exchange.on_gone = running.cancel
+        running.addBoth(self._finish, exchange)
+
+    def _finish(self, result: object, exchange: Exchange) -> None:
+        self._active -= 1
+        check = getattr(result, "check", None)
+        if check is None:
+            return
+        if check(CancelledError):
+            _log.info("caller_left", target=exchange.head.target.decode("latin-1"))
+            return
+        _log.error("request_crashed", error=result.getTraceback())
+        if exchange.is_started:
+            exchange.abort()
+        else:
+            exchange.respond(500, (), b"{}")
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
@@ -0,0 +1,367 @@
+"""Connections of callers: reads whole requests, writes answers and streams."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import h11
+import structlog
+from ebonyhaven_decisions.forwarding import CallerLimits
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
+
+from ebonyhaven_node.forwarding._messages import Headers, RequestHead
+
+REJECT_LINGER_S = 0.5  # an answer to a bad request is read before the close
+DEFAULT_ERROR_STATUS = 400
+UNREAD_LIMIT_BYTES = 256 * 1024  # behind a request that is still being answered
+
+_log = structlog.get_logger()
+
+
+class Exchange:
+    """One request of a caller and the answer to it.
+
+    Parameters
+    ----------
+    connection : CallerConnection
+    head : RequestHead
+    body : bytes
+    arrived_at : float
+        When its head was whole, seconds.
+
+    Attributes
+    ----------
+    on_gone : callable or None
+        Called when the caller leaves before the answer is whole.
+    """
+
+    __slots__ = (
+        "_connection",
+        "arrived_at",
+        "body",
+        "head",
+        "is_done",
+        "is_started",
+        "on_gone",
+    )
+
+    def __init__(
+        self,
+        connection: CallerConnection,
+        head: RequestHead,
+        body: bytes,
+        arrived_at: float,
+    ):
+        self._connection = connection
+        self.head = head
+        self.body = body
+        self.arrived_at = arrived_at
+        self.is_started = False
+        self.is_done = False
+        self.on_gone: Callable[[], None] | None = None
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer.
+
+        Parameters
+        ----------
+        status : int
+        headers : tuple of (bytes, bytes)
+            Without any framing.
+        body : bytes
+        """
+        if self.is_done:
+            return
+        self.is_done = self.is_started = True
+        length = (b"content-length", str(len(body)).encode())
+        self._connection.write_answer(status, (*headers, length), body)
+
+    def start_stream(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer whose body follows in parts.
+
+        Parameters
+        ----------
+        status : int
+        headers : tuple of (bytes, bytes)
+            Without any framing.
+        """
+        if self.is_done:
+            return
+        self.is_started = True
+        framing = (b"transfer-encoding", b"chunked")
+        self._connection.write_head(status, (*headers, framing))
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body.
+
+        Parameters
+        ----------
+        data : bytes
+        """
+        if not self.is_done:
+            self._connection.write_data(data)
+
+    def finish(self) -> None:
+        """End a stream as complete."""
+        if self.is_done:
+            return
+        self.is_done = True
+        self._connection.finish()
+
+    def abort(self) -> None:
+        """Close the connection so that the answer does not look complete."""
+        if self.is_done:
+            return
+        self.is_done = True
+        self._connection.abort()
+
+    def leave(self) -> None:
+        """Take note that the caller closed the connection."""
+        if self.is_done:
+            return
+        self.is_done = True
+        if self.on_gone is not None:
+            self.on_gone()
+
+
+class CallerConnection(Protocol):
+    """One connection of a caller.
+
+    Parameters
+    ----------
+    server : CallerServer
+    """
+
+    def __init__(self, server: CallerServer):
+        self._server = server
+        self._codec = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits().header_bytes
+        )
+        self._exchange: Exchange | None = None
+        self._head: RequestHead | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._arrived_at = 0.0
+        self._timer = None
+        self._is_rejected = False
+
+    def connectionMade(self) -> None:  # noqa: N802 the name Twisted calls
+        """Wait for the first request."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.setTcpKeepAlive(True)
+        self._server.connections.add(self)
+        self._set_timer(self._server.limits().idle_timeout_s)
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802 the same
+        """Tell the exchange that its caller is gone."""
+        self._server.connections.discard(self)
+        self._clear_timer()
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            exchange.leave()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 the same
+        """Decode what arrived."""
+        if self._is_rejected:
+            return
+        try:
+            self._codec.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            self._reject(error)
+            return
+        if self._exchange is None:
+            if self._head is None:
+                self._set_timer(self._server.limits().header_timeout_s)
+            self._advance()
+        elif len(self._codec.trailing_data[0]) > UNREAD_LIMIT_BYTES:
+            self.transport.abortConnection()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is under way."""
+        if self._exchange is None and self._head is None:
+            self.transport.loseConnection()
+
+    def write_answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer and get ready for the next request."""
+        self.write_head(status, headers)
+        if body and self._head_allows_body():
+            self.write_data(body)
+        self.finish()
+
+    def write_head(self, status: int, headers: Headers) -> None:
+        """Send status and headers."""
+        if self._server.is_closing():
+            headers = (*headers, (b"connection", b"close"))
+        reason = _REASONS.get(status, b"Status")
+        self._write(h11.Response(status_code=status, headers=headers, reason=reason))
+
+    def write_data(self, data: bytes) -> None:
+        """Send a part of a body."""
+        self._write(h11.Data(data=data))
+
+    def finish(self) -> None:
+        """End the answer and get ready for the next request."""
+        self._write(h11.EndOfMessage())
+        self._exchange = None
+        self._head = None
+        done = self._codec.our_state is h11.DONE and self._codec.their_state is h11.DONE
+        if not done:
+            self.transport.loseConnection()
+            return
+        self._codec.start_next_cycle()
+        self._set_timer(self._server.limits().idle_timeout_s)
+        self._advance()
+
+    def abort(self) -> None:
+        """Close the connection without ending the answer."""
+        self._exchange = None
+        self.transport.abortConnection()
+
+    def _head_allows_body(self) -> bool:
+        return self._head is None or self._head.method != b"HEAD"
+
+    def _write(self, event: object) -> None:
+        data = self._codec.send(event)
+        if data:
+            self.transport.write(data)
+
+    def _advance(self) -> None:
+        try:
+            while self._exchange is None:
+                event = self._codec.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    self._ask_for_body()
+                    return
+                self._handle(event)
+        except h11.RemoteProtocolError as error:
+            self._reject(error)
+
+    def _ask_for_body(self) -> None:
+        if self._head is not None and self._codec.they_are_waiting_for_100_continue:
+            self._write(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _handle(self, event: object) -> None:
+        if isinstance(event, h11.Request):
+            self._take_head(event)
+        elif isinstance(event, h11.Data):
+            self._take_body(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._dispatch()
+        elif isinstance(event, h11.ConnectionClosed):
+            self.transport.loseConnection()
+            raise h11.RemoteProtocolError("connection closed")
+
+    def _take_head(self, event: h11.Request) -> None:
+        headers = tuple((bytes(name), bytes(value)) for name, value in event.headers)
+        self._head = RequestHead(bytes(event.method), bytes(event.target), headers)
+        self._arrived_at = time.monotonic()
+        self._body, self._body_bytes = [], 0
+        self._set_timer(self._server.limits().idle_timeout_s)
+        names = [name for name, _ in headers]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            raise h11.RemoteProtocolError("two framings of one body")
+
+    def _take_body(self, data: bytes) -> None:
+        self._body_bytes += len(data)
+        if self._body_bytes > self._server.limits().body_bytes:
+            raise h11.RemoteProtocolError("body too large", error_status_hint=413)
+        self._body.append(data)
+
+    def _dispatch(self) -> None:
+        self._clear_timer()
+        body = b"".join(self._body)
+        self._body = []
+        self._exchange = Exchange(self, self._head, body, self._arrived_at)
+        self._server.handle(self._exchange)
+
+    def _reject(self, error: h11.RemoteProtocolError) -> None:
+        """Answer what is no request, and close."""
+        self._clear_timer()
+        self._is_rejected = True
+        status = error.error_status_hint or DEFAULT_ERROR_STATUS
+        _log.info("request_malformed", reason=str(error), status=status)
+        if self._codec.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            body = f'{{"error":"{status}"}}'.encode()
+            headers = (
+                (b"content-length", str(len(body)).encode()),
+                (b"connection", b"close"),
+            )
+            self.write_head(status, headers)
+            self.write_data(body)
+            self._write(h11.EndOfMessage())
+        self._server.reactor.callLater(REJECT_LINGER_S, self.transport.loseConnection)
+
+    def _set_timer(self, delay_s: float) -> None:
+        self._clear_timer()
+        self._timer = self._server.reactor.callLater(delay_s, self._expire)
+
+    def _clear_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _expire(self) -> None:
+        self.transport.loseConnection()
+
+
+_REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+class CallerServer(Factory):
+    """Accepts connections of callers.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+    handle : callable
+        Called with each `Exchange`.
+    limits : callable
+        Returns the `CallerLimits` in force.
+    is_closing : callable
+        Returns whether connections are to be closed after their answers.
+    """
+
+    noisy = False
+
+    def __init__(
+        self,
+        *,
+        reactor: IReactorTime,
+        handle: Callable[[Exchange], None],
+        limits: Callable[[], CallerLimits] = CallerLimits,
+        is_closing: Callable[[], bool] = lambda: False,
+    ):
+        self.reactor = reactor
+        self.handle = handle
+        self.limits = limits
+        self.is_closing = is_closing
+        self.connections: set[CallerConnection] = set()
+
+    def buildProtocol(self, address: object) -> CallerConnection:  # noqa: N802 the same
+        """Return the protocol of a new connection."""
+        return CallerConnection(self)
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    def close_all(self) -> None:
+        """Close all connections at once."""
+        for connection in list(self.connections):
+            connection.transport.abortConnection()
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_messages.py
@@ -0,0 +1,192 @@
+"""Messages that the parts of the forwarding path exchange."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import attrs
+
+if TYPE_CHECKING:
+    from ebonyhaven_node.forwarding._attempts import Attempt
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class RequestHead(NamedTuple):
+    """Start line and headers of a caller's request.
+
+    Parameters
+    ----------
+    method, target : bytes
+        As the caller sent them.
+    headers : tuple of (bytes, bytes)
+        Names in lower case.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+
+
+class PromptSize(NamedTuple):
+    """Size of a generation as its caller states it.
+
+    Parameters
+    ----------
+    prompt_tokens, output_tokens : int
+        The output at most.
+    """
+
+    prompt_tokens: int
+    output_tokens: int
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class ForwardRequest:
+    """A caller's request, decoded.
+
+    Parameters
+    ----------
+    request_id : str
+        Chosen by the caller, new for each of its attempts.
+    method, target : bytes
+        Passed on unchanged.
+    host, path : str
+        Select the route.
+    headers : tuple of (bytes, bytes)
+        Those that are passed on unchanged.
+    body : bytes
+    wait_s : float or None
+        How long the caller waits, from its arrival.
+    api_key : str or None
+    last_event_id : str or None
+        Last event of the stream that the caller holds.
+    size : PromptSize or None
+        Set for generations.
+    arrived_at : float
+        Seconds.
+    """
+
+    request_id: str
+    method: bytes
+    target: bytes
+    host: str
+    path: str
+    headers: Headers
+    body: bytes
+    wait_s: float | None
+    api_key: str | None
+    last_event_id: str | None
+    size: PromptSize | None
+    arrived_at: float
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class AttemptPlan:
+    """How a request is sent to one backend server.
+
+    Parameters
+    ----------
+    remaining_s : float
+        Time that the server may take.
+    workspace : str or None
+        Name that the server is told.
+    urgency : int or None
+        Rank within the engine, 0 is the most urgent; None for the default.
+    copy_to : str or None
+        Address of the engine that is to hold a copy of the run's memory.
+    copy_at : str or None
+        Address of the engine whose copy the run goes on from.
+    last_event_id : str or None
+        Last event that the caller holds.
+    """
+
+    remaining_s: float
+    workspace: str | None = None
+    urgency: int | None = None
+    copy_to: str | None = None
+    copy_at: str | None = None
+    last_event_id: str | None = None
+
+
+class AnswerHead(NamedTuple):
+    """Status and headers of a backend server's answer, decoded.
+
+    Parameters
+    ----------
+    status : int
+    headers : tuple of (bytes, bytes)
+        Those that are passed on to the caller.
+    request_id : str or None
+        Request that it answers.
+    has_proof : bool
+        Whether it carries the server's proof of origin.
+    not_run : bool
+        Whether it proves that the request was not run.
+    is_other_process : bool
+        Whether another process than the addressed one answered.
+    load : int or None
+        Requests that the server has, running and waiting.
+    """
+
+    status: int
+    headers: Headers
+    request_id: str | None
+    has_proof: bool
+    not_run: bool
+    is_other_process: bool
+    load: int | None
+
+
+class AnswerStarted(NamedTuple):
+    """The head of an answer arrived."""
+
+    attempt: Attempt
+    head: AnswerHead
+
+
+class AnswerData(NamedTuple):
+    """A part of an answer's body arrived."""
+
+    attempt: Attempt
+    data: bytes
+
+
+class AnswerEnded(NamedTuple):
+    """An answer arrived whole."""
+
+    attempt: Attempt
+
+
+class AttemptFailed(NamedTuple):
+    """An attempt ended without a whole answer.
+
+    Parameters
+    ----------
+    attempt : Attempt
+    was_sent : bool
+        Whether the server may have run the request.
+    is_reset : bool
+        Whether the connection ended, rather than the answer being malformed.
+    reason : str
+    """
+
+    attempt: Attempt
+    was_sent: bool
+    is_reset: bool
+    reason: str
+
+
+class BackendsChanged(NamedTuple):
+    """Room or servers may have become available."""
+
+
+class BackendSuspected(NamedTuple):
+    """Another stream found a backend server silent.
+
+    Parameters
+    ----------
+    server_key : tuple of (str, int)
+    """
+
+    server_key: tuple[str, int]
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -0,0 +1,71 @@
+"""Counters and histograms of the forwarding path."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.5, 10.0, 25.0)
+PAUSE_BUCKETS_S = (0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1.0, 2.0, 5.0)
+
+
+class ForwardingMetrics:
+    """Metrics of requests, attempts and resumes.
+
+    Labels are kinds and outcomes, never names of callers, routes or servers, so
+    that their number stays the same at any size.
+
+    Parameters
+    ----------
+    registry : CollectorRegistry
+    """
+
+    def __init__(self, registry: CollectorRegistry):
+        self.registry = registry
+        self.requests = Counter(
+            "ebonyhaven_forwarded_requests",
+            "Requests by kind, outcome and the step that decided it.",
+            ["kind", "outcome", "step"],
+            registry=registry,
+        )
+        self.attempts = Counter(
+            "ebonyhaven_forward_attempts",
+            "Attempts at backend servers by their end.",
+            ["kind", "end"],
+            registry=registry,
+        )
+        self.resumes = Counter(
+            "ebonyhaven_stream_resumes",
+            "Streams that went on at another server, by what they went on from.",
+            ["source"],
+            registry=registry,
+        )
+        self.resume_pause = Histogram(
+            "ebonyhaven_stream_resume_pause_seconds",
+            "Pause of a stream that went on at another server.",
+            buckets=PAUSE_BUCKETS_S,
+            registry=registry,
+        )
+        self.first_event = Histogram(
+            "ebonyhaven_stream_first_event_seconds",
+            "Time from a request to its first event.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.latency = Histogram(
+            "ebonyhaven_forwarded_latency_seconds",
+            "Time from a request to its whole answer, for short requests.",
+            ["kind"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.budget_refusals = Counter(
+            "ebonyhaven_repeat_budget_refusals",
+            "Repeats that the budget did not allow.",
+            registry=registry,
+        )
+        self.active = Gauge(
+            "ebonyhaven_forwarded_active",
+            "Requests that are being handled, by kind.",
+            ["kind"],
+            registry=registry,
+        )
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_sharing.py
@@ -0,0 +1,197 @@
+"""What instances that forward requests tell each other."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+from ebonyhaven_decisions import MemberState
+from ebonyhaven_decisions.forwarding import EngineUse, PeerUse, RepeatBudget
+from twisted.internet.interfaces import IReactorTime
+
+from ebonyhaven_node._channels import Channels
+from ebonyhaven_node._digests import Digest
+from ebonyhaven_node._frames import Frame, Kind
+from ebonyhaven_node._membership import MembershipController
+from ebonyhaven_node.forwarding._state import ForwardingState
+from ebonyhaven_node.forwarding.interfaces import StateSource
+
+SEND_DELAY_S = 0.05  # changes that come together go out together
+REFRESH_S = 1.0  # statements are dropped after three times this
+MAX_RECEIVERS = 16  # bounds the traffic where there are many instances
+ASK_INTERVAL_S = 0.4  # between two questions for a newer state
+
+_log = structlog.get_logger()
+
+
+class UseSharing:
+    """Tells other instances what this one occupies on engines.
+
+    Parameters
+    ----------
+    state : ForwardingState
+    peers : PeerUse
+        Takes what others tell.
+    budget : RepeatBudget
+        Is told how many instances there are.
+    membership : MembershipController
+    channels : Channels
+    reactor : IReactorTime
+    rng : random.Random
+    on_news : callable
+        Called when others told something.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: ForwardingState,
+        peers: PeerUse,
+        budget: RepeatBudget,
+        membership: MembershipController,
+        channels: Channels,
+        reactor: IReactorTime,
+        rng: random.Random,
+        on_news: Callable[[], None],
+    ):
+        self._state = state
+        self._peers = peers
+        self._budget = budget
+        self._membership = membership
+        self._reactor = reactor
+        self._rng = rng
+        self._on_news = on_news
+        self._timer: Any = None
+        self._told_any = False
+        channels.subscribe(Kind.ENGINE_USE, self._receive)
+
+    def note_change(self) -> None:
+        """Tell the others soon."""
+        if self._timer is None or not self._timer.active():
+            self._timer = self._reactor.callLater(SEND_DELAY_S, self._send)
+        elif self._timer.getTime() - self._reactor.seconds() > SEND_DELAY_S:
+            self._timer.reset(SEND_DELAY_S)
+
+    def stop(self) -> None:
+        """Tell nothing more."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def _send(self) -> None:
+        peers = [
+            record.name
+            for record in self._membership.members
+            if record.state in (MemberState.LIVE, MemberState.LEAVING)
+            and record.name != self._membership.own.name
+        ]
+        self._budget.instances = 1 + len(peers)
+        uses = {
+            each.server_id: [each.run_tokens, each.copy_tokens, each.prefill_tokens]
+            for each in self._state.backends
+            if each.run_tokens or each.copy_tokens
+        }
+        if uses or self._told_any:
+            chosen = self._rng.sample(peers, min(MAX_RECEIVERS, len(peers)))
+            for name in chosen:
+                self._membership.send(name, Kind.ENGINE_USE, uses)
+        self._told_any = bool(uses)
+        if uses:
+            self._timer = self._reactor.callLater(REFRESH_S, self._send)
+
+    def _receive(self, frame: Frame) -> None:
+        try:
+            uses = {
+                str(name): EngineUse(*(int(value) for value in values))
+                for name, values in frame.payload.items()
+            }
+        except (AttributeError, TypeError, ValueError) as error:
+            _log.warning("engine_use_malformed", peer=frame.sender, reason=str(error))
+            return
+        self._peers.record(frame.sender, uses, time.monotonic())
+        self._on_news()
+
+
+class StateDigest(Digest):
+    """Tells with each heartbeat which versions this instance holds.
+
+    Parameters
+    ----------
+    source : StateSource
+    on_versions : callable
+        Called with the name of a peer and its versions.
+    """
+
+    code = "v"
+    first = True
+
+    def __init__(
+        self,
+        source: StateSource,
+        on_versions: Callable[[str, tuple[int, int]], None],
+    ):
+        self._source = source
+        self._on_versions = on_versions
+
+    def collect(self, budget_bytes: int) -> list[int]:
+        """See `Digest.collect`."""
+        return list(self._source.read_version())
+
+    def merge(self, sender: str, payload: Any) -> None:
+        """See `Digest.merge`."""
+        configuration, servers = payload
+        self._on_versions(sender, (int(configuration), int(servers)))
+
+
+class StateSharing:
+    """Gets configuration and server list from peers while the store is away.
+
+    Parameters
+    ----------
+    source : StateSource
+    membership : MembershipController
+    channels : Channels
+    clock : callable
+        Returns seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        source: StateSource,
+        membership: MembershipController,
+        channels: Channels,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self._source = source
+        self._membership = membership
+        self._clock = clock
+        self._asked_at = -ASK_INTERVAL_S
+        membership.add_digest(StateDigest(source, self._compare))
+        channels.subscribe(Kind.STATE_REQUEST, self._answer)
+        channels.subscribe(Kind.STATE, self._take)
+
+    def _compare(self, sender: str, versions: tuple[int, int]) -> None:
+        own = self._source.read_version()
+        is_newer = versions[0] > own[0] or versions[1] > own[1]
+        now = self._clock()
+        if not is_newer or not self._source.is_behind():
+            return
+        if now - self._asked_at < ASK_INTERVAL_S:
+            return
+        self._asked_at = now
+        self._membership.send(sender, Kind.STATE_REQUEST, list(own))
+
+    def _answer(self, frame: Frame) -> None:
+        self._membership.send(frame.sender, Kind.STATE, self._source.export())
+
+    def _take(self, frame: Frame) -> None:
+        try:
+            self._source.merge(frame.payload)
+        except (KeyError, TypeError, ValueError) as error:
+            _log.warning("peer_state_malformed", peer=frame.sender, reason=str(error))
+            return
+        versions = self._source.read_version()
+        _log.info("peer_state_taken", peer=frame.sender, versions=list(versions))
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -0,0 +1,134 @@
+"""Configuration and backend servers that the forwarding path works with."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Mapping
+
+import structlog
+from ebonyhaven_decisions.forwarding import (
+    Backend,
+    BackendDirectory,
+    BackendEntry,
+    CallerLimits,
+    RoutingConfiguration,
+)
+
+_log = structlog.get_logger()
+
+
+class ForwardingState:
+    """Configuration in force, backend servers and who wants to hear of changes.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic):
+        self._clock = clock
+        self.configuration: RoutingConfiguration | None = None
+        self.backends = BackendDirectory()
+        self.has_list = False
+        self._on_change: list[Callable[[], None]] = []
+        self._on_gone: list[Callable[[Backend], None]] = []
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether requests can be served."""
+        return self.configuration is not None and self.has_list
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Bounds on callers."""
+        if self.configuration is None:
+            return CallerLimits()
+        return self.configuration.limits
+
+    def observe(self, observer: Callable[[], None]) -> None:
+        """Call ``observer`` after each change of servers or configuration."""
+        self._on_change.append(observer)
+
+    def observe_gone(self, observer: Callable[[Backend], None]) -> None:
+        """Call ``observer`` with each process that is replaced or gone."""
+        self._on_gone.append(observer)
+
+    def take_configuration(self, configuration: RoutingConfiguration) -> None:
+        """Put a configuration in force, unless a later one is.
+
+        Parameters
+        ----------
+        configuration : RoutingConfiguration
+        """
+        known = self.configuration
+        if known is not None and configuration.version <= known.version:
+            return
+        self.configuration = configuration
+        _log.info(
+            "configuration_in_force",
+            version=configuration.version,
+            before=known.version if known else None,
+            routes=sum(len(each) for each in configuration.routes.values()),
+        )
+        self._tell()
+
+    def put_backend(self, entry: BackendEntry) -> None:
+        """Take over the entry of a backend server.
+
+        Parameters
+        ----------
+        entry : BackendEntry
+        """
+        known = self.backends.find(entry.server_id)
+        backend = self.backends.put(entry)
+        if known is backend and known.entry == entry:
+            return
+        if known is not None and known is not backend:
+            self._tell_gone(known)
+        _log.info(
+            "backend_listed",
+            server=entry.server_id,
+            address=entry.address,
+            service=entry.service,
+            state=entry.state.value,
+            started_ms=entry.started_ms,
+        )
+        self._tell()
+
+    def remove_backend(self, server_id: str) -> None:
+        """Take note that an entry is gone.
+
+        Parameters
+        ----------
+        server_id : str
+        """
+        known = self.backends.find(server_id)
+        if known is None:
+            return
+        self.backends.remove(server_id, self._clock())
+        _log.info("backend_unlisted", server=server_id)
+        self._tell()
+
+    def replace_backends(self, entries: Mapping[str, BackendEntry]) -> None:
+        """Take over the whole list.
+
+        Parameters
+        ----------
+        entries : mapping of str to BackendEntry
+        """
+        gone = [each for each in self.backends if each.server_id not in entries]
+        for backend in gone:
+            self.remove_backend(backend.server_id)
+        for entry in entries.values():
+            self.put_backend(entry)
+        self.has_list = True
+        self._tell()
+
+    def _tell(self) -> None:
+        for observer in self._on_change:
+            observer()
+
+    def _tell_gone(self, backend: Backend) -> None:
+        for observer in self._on_gone:
+            observer(backend)
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -0,0 +1,143 @@
+"""What a deployment supplies to the forwarding core."""
+
+from __future__ import annotations
+
+import abc
+
+from ebonyhaven_decisions import Outcome
+
+from ebonyhaven_node.forwarding._http_server import Exchange
+from ebonyhaven_node.forwarding._messages import (
+    AnswerHead,
+    AttemptPlan,
+    ForwardRequest,
+    Headers,
+)
+
+
+class CallerDialect(abc.ABC):
+    """How callers speak to an instance."""
+
+    @abc.abstractmethod
+    def read_request(self, exchange: Exchange) -> ForwardRequest:
+        """Decode a request.
+
+        Parameters
+        ----------
+        exchange : Exchange
+
+        Returns
+        -------
+        ForwardRequest
+
+        Raises
+        ------
+        RequestFailure
+            If a field is missing or malformed.
+        """
+
+    @abc.abstractmethod
+    def describe_outcome(self, outcome: Outcome) -> tuple[Headers, bytes]:
+        """Return headers and body of an answer of this instance's own.
+
+        Parameters
+        ----------
+        outcome : Outcome
+
+        Returns
+        -------
+        tuple of (Headers, bytes)
+        """
+
+
+class BackendDialect(abc.ABC):
+    """How an instance speaks to backend servers."""
+
+    @abc.abstractmethod
+    def write_headers(
+        self, request: ForwardRequest, server_id: str, plan: AttemptPlan
+    ) -> Headers:
+        """Return the headers of a request for one server.
+
+        Parameters
+        ----------
+        request : ForwardRequest
+        server_id : str
+            The only server that may run it.
+        plan : AttemptPlan
+
+        Returns
+        -------
+        Headers
+        """
+
+    @abc.abstractmethod
+    def read_head(self, status: int, headers: Headers) -> AnswerHead:
+        """Decode the head of an answer.
+
+        Parameters
+        ----------
+        status : int
+        headers : Headers
+
+        Returns
+        -------
+        AnswerHead
+        """
+
+    @abc.abstractmethod
+    def read_event_id(self, block: bytes) -> str | None:
+        """Return the id of one event of a stream.
+
+        Parameters
+        ----------
+        block : bytes
+            The whole event.
+
+        Returns
+        -------
+        str or None
+        """
+
+
+class StateSource(abc.ABC):
+    """Where configuration and list of backend servers come from.
+
+    It calls the `ForwardingState` that it was built with whenever it learns
+    something, and never goes backward.
+    """
+
+    @abc.abstractmethod
+    def start(self) -> None:
+        """Begin to follow the source."""
+
+    @abc.abstractmethod
+    def stop(self) -> None:
+        """Stop following it."""
+
+    @abc.abstractmethod
+    def read_version(self) -> tuple[int, int]:
+        """Return the versions held: configuration and server list, 0 for none."""
+
+    @abc.abstractmethod
+    def is_behind(self) -> bool:
+        """Tell whether the source has not answered for a while."""
+
+    @abc.abstractmethod
+    def export(self) -> object:
+        """Return all that is held as a JSON value, for another instance."""
+
+    @abc.abstractmethod
+    def merge(self, payload: object) -> None:
+        """Take over what is newer in the export of another instance.
+
+        Parameters
+        ----------
+        payload : object
+            JSON value.
+
+        Raises
+        ------
+        TypeError, ValueError, KeyError
+            If it is malformed.
+        """
--- a/packages/operator/src/ebonyhaven_operator/_changes.py
+++ b/packages/operator/src/ebonyhaven_operator/_changes.py
@@ -21,7 +21,7 @@
     parse_entry,
     propose_entry,
 )
-from ebonyhaven_platform import (
+from ebonyhaven_store import (
     Condition,
     Conflict,
     RetryLimit,
--- a/packages/operator/src/ebonyhaven_operator/_reading.py
+++ b/packages/operator/src/ebonyhaven_operator/_reading.py
@@ -14,7 +14,7 @@
     name_history_key,
     parse_entry,
 )
-from ebonyhaven_platform import (
+from ebonyhaven_store import (
     InstanceListClient,
     ListedProcess,
     PlatformError,
--- a/packages/operator/src/ebonyhaven_operator/_session.py
+++ b/packages/operator/src/ebonyhaven_operator/_session.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import attrs
-from ebonyhaven_platform import (
+from ebonyhaven_store import (
     InstanceListClient,
     PlatformError,
     PlatformTransport,
--- a/packages/standins/src/ebonyhaven_standins/slopes/_platform_reads.py
+++ b/packages/standins/src/ebonyhaven_standins/slopes/_platform_reads.py
@@ -49,7 +49,7 @@
 def _read_list(content: bytes, listing: Listing, servers: Any) -> None:
     """Do what a node does with an answer of the list."""
     from ebonyhaven_node._listing import _decode_process, _encode_process
-    from ebonyhaven_platform._instances import _parse_entry
+    from ebonyhaven_store._instances import _parse_entry
 
     processes = [_parse_entry(entry) for entry in json.loads(content)["instances"]]
     listing.merge_read(
--- a/packages/platform/src/ebonyhaven_platform/__init__.py
+++ b/packages/store/src/ebonyhaven_store/__init__.py
@@ -2,18 +2,18 @@
 
 from __future__ import annotations
 
-from ebonyhaven_platform._agents import make_agent
-from ebonyhaven_platform._instances import (
+from ebonyhaven_store._agents import make_agent
+from ebonyhaven_store._instances import (
     InstanceList,
     InstanceListClient,
     ListedProcess,
 )
-from ebonyhaven_platform._objects import ObjectClient, WeightClient
-from ebonyhaven_platform._resolution import RetryLimit, WriteResult, resolve_write
-from ebonyhaven_platform._rows import Condition, Row, RowSet, Transaction, Write
-from ebonyhaven_platform._table import TableClient
-from ebonyhaven_platform._transport import PlatformTransport
-from ebonyhaven_platform.exceptions import (
+from ebonyhaven_store._objects import ObjectClient, WeightClient
+from ebonyhaven_store._resolution import RetryLimit, WriteResult, resolve_write
+from ebonyhaven_store._rows import Condition, Row, RowSet, Transaction, Write
+from ebonyhaven_store._table import TableClient
+from ebonyhaven_store._transport import PlatformTransport
+from ebonyhaven_store.exceptions import (
     Conflict,
     PlatformError,
     Rejected,
--- a/packages/platform/src/ebonyhaven_platform/_instances.py
+++ b/packages/store/src/ebonyhaven_store/_instances.py
@@ -7,7 +7,7 @@
 import attrs
 from twisted.internet.defer import Deferred
 
-from ebonyhaven_platform._transport import PlatformTransport
+from ebonyhaven_store._transport import PlatformTransport
 
 
 @attrs.frozen(slots=True, kw_only=True)
--- a/packages/platform/src/ebonyhaven_platform/_objects.py
+++ b/packages/store/src/ebonyhaven_store/_objects.py
@@ -6,7 +6,7 @@
 
 from twisted.internet.defer import Deferred
 
-from ebonyhaven_platform._transport import PlatformTransport
+from ebonyhaven_store._transport import PlatformTransport
 
 
 class ObjectClient:
--- a/packages/platform/src/ebonyhaven_platform/_resolution.py
+++ b/packages/store/src/ebonyhaven_store/_resolution.py
@@ -14,9 +14,9 @@
 from twisted.internet import task
 from twisted.internet.defer import Deferred
 
-from ebonyhaven_platform._rows import Row, Transaction
-from ebonyhaven_platform._table import TableClient
-from ebonyhaven_platform.exceptions import Conflict, Throttled, Unavailable, Unconfirmed
+from ebonyhaven_store._rows import Row, Transaction
+from ebonyhaven_store._table import TableClient
+from ebonyhaven_store.exceptions import Conflict, Throttled, Unavailable, Unconfirmed
 
 FIRST_DELAY_S = 0.05
 LONGEST_DELAY_S = 2.0
--- a/packages/platform/src/ebonyhaven_platform/_table.py
+++ b/packages/store/src/ebonyhaven_store/_table.py
@@ -8,9 +8,9 @@
 
 from twisted.internet.defer import Deferred
 
-from ebonyhaven_platform._rows import Row, RowSet, Transaction
-from ebonyhaven_platform._transport import PlatformTransport
-from ebonyhaven_platform.exceptions import Conflict
+from ebonyhaven_store._rows import Row, RowSet, Transaction
+from ebonyhaven_store._transport import PlatformTransport
+from ebonyhaven_store.exceptions import Conflict
 
 TRANSACT_STEP = "table.transact"
 
--- a/packages/platform/src/ebonyhaven_platform/_transport.py
+++ b/packages/store/src/ebonyhaven_store/_transport.py
@@ -16,8 +16,8 @@
 )
 from twisted.web.client import HTTPConnectionPool, RequestNotSent
 
-from ebonyhaven_platform._agents import make_agent
-from ebonyhaven_platform.exceptions import (
+from ebonyhaven_store._agents import make_agent
+from ebonyhaven_store.exceptions import (
     PlatformError,
     Rejected,
     Throttled,
--- a/packages/platform/src/ebonyhaven_platform/exceptions.py
+++ b/packages/store/src/ebonyhaven_store/exceptions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhaven_platform._rows import Row
+from ebonyhaven_store._rows import Row
 
 
 class PlatformError(Exception):
--- a/tests/node/test_claims.py
+++ b/tests/node/test_claims.py
@@ -5,7 +5,7 @@
 from ebonyhaven_decisions import Claimant
 from ebonyhaven_node._claims import ClaimController, ClaimUnavailable, name_row
 from ebonyhaven_node._pauses import PauseDetector
-from ebonyhaven_platform import Conflict, Row, RowSet, Unavailable, Unconfirmed
+from ebonyhaven_store import Conflict, Row, RowSet, Unavailable, Unconfirmed
 from twisted.internet.defer import ensureDeferred, fail, succeed
 from twisted.internet.task import Clock
 
--- a/tests/node/test_configuration.py
+++ b/tests/node/test_configuration.py
@@ -14,7 +14,7 @@
 )
 from ebonyhaven_node._configuration_metrics import ConfigurationMetrics
 from ebonyhaven_node._configured import ConfigurationInForce
-from ebonyhaven_platform import Row, RowSet, Unavailable
+from ebonyhaven_store import Row, RowSet, Unavailable
 from prometheus_client import CollectorRegistry
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import Clock
--- a/tests/node/test_leases.py
+++ b/tests/node/test_leases.py
@@ -11,13 +11,13 @@
     LeaseOwner,
 )
 from ebonyhaven_node._pool_controllers import CANDIDATES, choose_candidates
-from ebonyhaven_platform import PlatformTransport, TableClient
+from ebonyhaven_store import PlatformTransport, TableClient
 from prometheus_client import CollectorRegistry
 from twisted.internet import reactor, task
 from twisted.internet.defer import Deferred
 
-from tests.platform_client.platform_process import run_platform, set_faults
 from tests.reactor_thread import run_in_reactor
+from tests.store_client.platform_process import run_platform, set_faults
 
 TERMS = LeaseTerms(duration_s=600.0, renew_after_s=0.01, margin_s=1.0)
 LOST_ANSWERS = 3
--- a/tests/node/test_policy_scheduling.py
+++ b/tests/node/test_policy_scheduling.py
@@ -15,8 +15,8 @@
 from ebonyhaven_node._requests import GenerationRequest
 from ebonyhaven_node._scheduling import SlotWish
 from ebonyhaven_node._servers import BackendServers, ReportedLoad
-from ebonyhaven_platform import ListedProcess
 from ebonyhaven_standins.engine import hash_prefixes as hash_engine_prefixes
+from ebonyhaven_store import ListedProcess
 from twisted.internet import task
 from twisted.internet.defer import CancelledError, ensureDeferred
 
--- a/tests/platform_client/test_clients.py
+++ b/tests/store_client/test_clients.py
@@ -4,7 +4,8 @@
 import random
 from collections.abc import Awaitable
 
-from ebonyhaven_platform import (
+from ebonyhaven_standins.cluster import PlatformCaller
+from ebonyhaven_store import (
     Condition,
     Conflict,
     InstanceListClient,
@@ -22,11 +23,10 @@
     WriteResult,
     resolve_write,
 )
-from ebonyhaven_standins.cluster import PlatformCaller
 from twisted.internet import reactor, task
 
-from tests.platform_client.platform_process import run_platform, set_faults
 from tests.reactor_thread import run_in_reactor
+from tests.store_client.platform_process import run_platform, set_faults
 
 SHORT_TIMEOUT_S = 0.3
 
