Prefer engines by the prompt instead of by the instance

Cause: a request that comes back at another instance after the loss of its own was read anew on some other engine. Change: rendezvous hashing of the prompt's own part picks two engines that it tries first wherever it arrives.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -21,7 +21,7 @@
     choose_copy_holder,
     choose_engine,
     has_room,
-    prefers,
+    rank_engines,
 )
 from ebonyhaven_decisions.forwarding._routes import (
     CallerLimits,
@@ -63,5 +63,5 @@
     "has_room",
     "limit_first_event",
     "limit_gap",
-    "prefers",
+    "rank_engines",
 ]
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_placement.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_placement.py
@@ -9,7 +9,7 @@
 
 import random
 import zlib
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 from ebonyhaven_decisions.forwarding._backends import Backend
@@ -20,7 +20,8 @@
 SLOWNESS_WEIGHT = 1.0
 JITTER = 0.15  # in units of one run
 TYPICAL_RUN_TOKENS = 8000.0
-AWAY_COST = 0.6  # in runs; keeps instances from choosing the same idle engine at once
+PREFERRED_ENGINES = 2  # one of them is usually not reading another prompt
+AWAY_COST = 0.6  # in runs, for the other engines
 
 
 class EngineUse(NamedTuple):
@@ -136,31 +137,30 @@
     return taken + need.tokens <= MEMORY_SHARE * memory_tokens
 
 
-def prefers(instance: str, instances: Sequence[str], server_id: str) -> bool:
-    """Tell whether an engine is among those that an instance tries first.
+def rank_engines(prompt_id: str, candidates: Sequence[Backend]) -> frozenset[str]:
+    """Return the engines that a prompt goes to first, wherever it arrives.
 
-    Requests that arrive at several instances within the time that a message takes
-    would otherwise meet on the engine that looked idle to all of them.
+    A request that comes back at another instance, after the loss of its own, then
+    meets the engine that still keeps its prompt; and requests that arrive at
+    several instances at once do not all choose the engine that looked idle.
 
     Parameters
     ----------
-    instance : str
-    instances : sequence of str
-        Names of all instances, this one too.
-    server_id : str
+    prompt_id : str
+        Identifies the part of the prompt that no other request shares.
+    candidates : sequence of Backend
 
     Returns
     -------
-    bool
-        For each engine true on one instance, by rendezvous hashing.
+    frozenset of str
+        Server ids, chosen by rendezvous hashing.
     """
-    others = [name for name in instances if name != instance]
-    own = _weigh(instance, server_id)
-    return all(_weigh(name, server_id) <= own for name in others)
 
+    def weigh(backend: Backend) -> int:
+        return zlib.crc32(f"{prompt_id}/{backend.server_id}".encode())
 
-def _weigh(instance: str, server_id: str) -> int:
-    return zlib.crc32(f"{instance}/{server_id}".encode())
+    ordered = sorted(candidates, key=weigh, reverse=True)
+    return frozenset(each.server_id for each in ordered[:PREFERRED_ENGINES])
 
 
 def _estimate_cost(use: EngineUse, backend: Backend, rng: random.Random) -> float:
@@ -177,7 +177,7 @@
     memory_tokens: int,
     peers: Mapping[str, EngineUse],
     rng: random.Random,
-    prefers_engine: Callable[[str], bool] = lambda _: True,
+    prompt_id: str = "",
 ) -> Backend | None:
     """Return the engine on which a generation delays others least.
 
@@ -191,8 +191,8 @@
     peers : mapping of str to EngineUse
         What other instances occupy, by server id.
     rng : random.Random
-    prefers_engine : callable
-        Tells for a server id whether this instance tries it first.
+    prompt_id : str
+        See `rank_engines`; empty for none.
 
     Returns
     -------
@@ -204,10 +204,11 @@
     ]
     if not fitting:
         return None
+    preferred = rank_engines(prompt_id, fitting) if prompt_id else frozenset()
 
     def estimate(backend: Backend) -> float:
         cost = _estimate_cost(_estimate_use(backend, peers), backend, rng)
-        return cost + (0.0 if prefers_engine(backend.server_id) else AWAY_COST)
+        return cost + (0.0 if backend.server_id in preferred else AWAY_COST)
 
     return min(fitting, key=estimate)
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -9,13 +9,11 @@
 
 import attrs
 import structlog
-from ebonyhaven_decisions import MemberState
 from ebonyhaven_decisions.forwarding import (
     Backend,
     PeerUse,
     PrefillRate,
     RepeatBudget,
-    prefers,
 )
 from prometheus_client import CollectorRegistry, generate_latest
 from twisted.internet import task
@@ -256,7 +254,6 @@
             rng=self._rng,
             on_use=self._note_use,
             on_loss=self._note_loss,
-            prefers_engine=self._prefers_engine,
         )
         return build_chain(
             [
@@ -277,14 +274,6 @@
         if self._sharing is not None:
             self._sharing.note_loss(backend)
 
-    def _prefers_engine(self, server_id: str) -> bool:
-        names = [
-            record.name
-            for record in self.membership.members
-            if record.state == MemberState.LIVE
-        ]
-        return prefers(self._settings.instance, names, server_id)
-
     def _handle(self, exchange: Exchange) -> None:
         self._active += 1
         running = ensureDeferred(self._chain(Work(exchange)))
--- a/packages/node/src/ebonyhaven_node/forwarding/_messages.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_messages.py
@@ -63,6 +63,8 @@
         Last event of the stream that the caller holds.
     size : PromptSize or None
         Set for generations.
+    prompt_id : str or None
+        Identifies the part of the prompt that no other request shares.
     arrived_at : float
         Seconds.
     """
@@ -78,6 +80,7 @@
     api_key: str | None
     last_event_id: str | None
     size: PromptSize | None
+    prompt_id: str | None
     arrived_at: float
 
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_parts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_parts.py
@@ -105,8 +105,6 @@
         Called when what this instance occupies on engines changed.
     on_loss : callable
         Called with each server that this instance found lost or silent.
-    prefers_engine : callable
-        Tells for a server id whether this instance tries it first.
     """
 
     state: ForwardingState
@@ -124,7 +122,6 @@
     clock: Callable[[], float] = time.monotonic
     on_use: Callable[[], None] = lambda: None
     on_loss: Callable[[Backend], None] = lambda _: None
-    prefers_engine: Callable[[str], bool] = lambda _: True
 
     def count_unreachable(self, backend: Backend, *, is_hearsay: bool = False) -> None:
         """Keep new work away from a server, and tell the streams near it.
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -229,7 +229,7 @@
                 memory_tokens=self._engine.memory_tokens,
                 peers=self._parts.peers.sum_up(now),
                 rng=self._parts.rng,
-                prefers_engine=self._parts.prefers_engine,
+                prompt_id=self._request.prompt_id or "",
             )
         return None if chosen is None else (chosen, False)
 
