Adopt restarted engines in an outage, stop contents that kill servers, bound logs

An engine that answers at a known address with another id is asked for its report and used until the list is back without it, where one service alone has engines.

--- a/packages/decisions/src/ebonyhaven_decisions/_crashes.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_crashes.py
@@ -60,11 +60,23 @@
 
 
 class CrashLedger:
-    """Evidence against request contents, bounded in size and age."""
+    """Evidence against request contents, bounded in size and age.
 
-    __slots__ = ("_evidence", "_idle_deaths")
+    Parameters
+    ----------
+    max_deaths : int
+        Deaths that stop a content when the last of them is strong.
+    max_weak_deaths : int
+        Deaths that stop a content in any case.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("_evidence", "_idle_deaths", "_max_deaths", "_max_weak_deaths")
+
+    def __init__(
+        self, *, max_deaths: int = MAX_DEATHS, max_weak_deaths: int = MAX_WEAK_DEATHS
+    ) -> None:
+        self._max_deaths = max_deaths
+        self._max_weak_deaths = max_weak_deaths
         self._idle_deaths: dict[str, float] = {}
         self._evidence: dict[str, dict[str, CrashEvidence]] = {}
 
@@ -110,12 +122,12 @@
             return CrashVerdict.CLEAR
         last = max(evidence, key=lambda item: item.at)
         counted = [item for item in evidence if self._counts(item)]
-        if len(counted) >= MAX_DEATHS and last.strong:
+        if len(counted) >= self._max_deaths and last.strong:
             certain = all(item.idle for item in counted)
             if certain or now - last.at >= EVIDENCE_WAIT_S:
                 return CrashVerdict.STOPPED
             return CrashVerdict.UNDECIDED
-        if len(evidence) >= MAX_WEAK_DEATHS:
+        if len(evidence) >= self._max_weak_deaths:
             return CrashVerdict.STOPPED
         return CrashVerdict.SUSPECT
 
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -93,6 +93,16 @@
         """Identity that requests are addressed to."""
         return self.entry.server_id
 
+    @property
+    def name(self) -> str:
+        """Name in evidence that instances share."""
+        return self.entry.server_id
+
+    @property
+    def identity(self) -> str:
+        """What tells the process from an earlier one of the name."""
+        return str(self.entry.started_ms)
+
     @property
     def key(self) -> tuple[str, int]:
         """Identity of the process."""
--- a/packages/node/src/ebonyhaven_node/__init__.py
+++ b/packages/node/src/ebonyhaven_node/__init__.py
@@ -3,10 +3,12 @@
 from ebonyhaven_node._channels import ChannelMetrics, ChannelOptions, Channels
 from ebonyhaven_node._digests import Digest, DigestSet, TableDigest, fit_entries
 from ebonyhaven_node._frames import Frame, FrameError, Kind
+from ebonyhaven_node._log_writer import BoundedLogWriter, LogLosses, RoutineLimit
 from ebonyhaven_node._membership import MembershipController
 from ebonyhaven_node._own_record import make_own_record
 
 __all__ = [
+    "BoundedLogWriter",
     "ChannelMetrics",
     "ChannelOptions",
     "Channels",
@@ -15,7 +17,9 @@
     "Frame",
     "FrameError",
     "Kind",
+    "LogLosses",
     "MembershipController",
+    "RoutineLimit",
     "TableDigest",
     "fit_entries",
     "make_own_record",
--- a/packages/node/src/ebonyhaven_node/_crash_reports.py
+++ b/packages/node/src/ebonyhaven_node/_crash_reports.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import time
+from typing import Protocol
 
 from ebonyhaven_decisions import (
     EVIDENCE_TTL_S,
@@ -15,12 +16,28 @@
 )
 
 from ebonyhaven_node._digests import Digest, TableDigest
-from ebonyhaven_node._servers import BackendServer
 
 DIGEST_CODE = "x"
 PROCESS_DIGITS = 8
 
 
+class ServerProcess(Protocol):
+    """One process of a backend server.
+
+    Attributes
+    ----------
+    name : str
+    identity : str
+        Differs after a restart.
+    """
+
+    @property
+    def name(self) -> str: ...
+
+    @property
+    def identity(self) -> str: ...
+
+
 class CrashReports:
     """Records engine deaths by request content and tells other instances.
 
@@ -34,7 +51,7 @@
         self._table = GossipTable(lifetime_s=EVIDENCE_TTL_S)
 
     def record_death(
-        self, content: str, *, server: BackendServer, progress_tokens: int
+        self, content: str, *, server: ServerProcess, progress_tokens: int
     ) -> None:
         """Record the death of an engine that was running a content.
 
@@ -42,7 +59,7 @@
         ----------
         content : str
             Digest of the request content.
-        server : BackendServer
+        server : ServerProcess
             The engine that died.
         progress_tokens : int
             Tokens that the attempt had produced on it.
@@ -89,7 +106,7 @@
         self._ledger.merge([(content, evidence)], now=time.monotonic())
 
 
-def _name_process(server: BackendServer) -> str:
+def _name_process(server: ServerProcess) -> str:
     """Return a short name that differs for a replaced process."""
     identity = f"{server.name}/{server.identity}".encode()
     return hashlib.sha256(identity).hexdigest()[:PROCESS_DIGITS]
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -202,6 +202,16 @@
             inbox=self._inbox,
             parts=self._parts,
         )
+        _log.info(
+            "call_sent",
+            request=self._request.request_id,
+            route=self._route.name,
+            server=backend.server_id,
+            attempt=len(self._attempts) + 1,
+            load=round(backend.estimate_load(now), 1),
+            failure_share=round(backend.failure_share, 2),
+            waited_s=round(now - self._request.arrived_at, 3),
+        )
         self._attempts.append(attempt)
         self._running.append(attempt)
         self._arrivals += 1
@@ -248,7 +258,7 @@
         latency_s = self._parts.clock() - attempt.sent_at
         if head.not_run:
             if head.is_other_process:
-                attempt.backend.record_replaced(self._parts.clock())
+                self._parts.count_replaced(attempt.backend, head.other_server)
             self._refusals += 1
             self._barred.add(attempt.backend.key)
             self._note(attempt, f"server refused with {head.status}")
@@ -278,6 +288,8 @@
         if was_sent:
             self._ran += 1
             attempt.backend.record_result(succeeded=False, latency_s=None)
+            if is_reset and attempt.head is None:
+                self._parts.count_death(self._request, attempt.backend)
         else:
             self._attempts.remove(attempt)
             self._arrivals -= 1
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -8,7 +8,7 @@
 
 import attrs
 import structlog
-from ebonyhaven_decisions import RequestFailure
+from ebonyhaven_decisions import CrashVerdict, RequestFailure
 from ebonyhaven_decisions.forwarding import (
     RequestKind,
     Route,
@@ -16,6 +16,7 @@
     Workspace,
 )
 
+from ebonyhaven_node._crash_reports import CrashReports
 from ebonyhaven_node._filter_chain import Filter, Proceed
 from ebonyhaven_node.forwarding._calls import CallRelay
 from ebonyhaven_node.forwarding._http_server import Exchange
@@ -169,6 +170,25 @@
         await proceed(work)
 
 
+class CrashFilter(Filter[Work]):
+    """Refuses contents that killed each server which began to work on them.
+
+    Parameters
+    ----------
+    crashes : CrashReports
+    """
+
+    def __init__(self, crashes: CrashReports):
+        self._crashes = crashes
+
+    async def handle(self, work: Work, proceed: Proceed[Work]) -> None:
+        """See `Filter.handle`."""
+        verdict = self._crashes.judge(work.request.content)
+        if verdict is CrashVerdict.STOPPED:
+            raise refuse("servers died each time they began this content", step="crash")
+        await proceed(work)
+
+
 class AdmitFilter(Filter[Work]):
     """Refuses streams that would not end before this instance does.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -9,7 +9,7 @@
 
 import attrs
 import structlog
-from ebonyhaven_decisions import EntryList
+from ebonyhaven_decisions import CrashLedger, EntryList
 from ebonyhaven_decisions.forwarding import (
     Backend,
     PeerUse,
@@ -22,12 +22,16 @@
 from twisted.internet.interfaces import IReactorCore
 
 from ebonyhaven_node._channels import ChannelMetrics, Channels
+from ebonyhaven_node._crash_reports import CrashReports
 from ebonyhaven_node._filter_chain import build_chain
+from ebonyhaven_node._log_writer import LogLosses
 from ebonyhaven_node._membership import MembershipController
 from ebonyhaven_node._own_record import make_own_record
 from ebonyhaven_node._processor_load import ProcessorLoad
+from ebonyhaven_node.forwarding._adoption import Adoption
 from ebonyhaven_node.forwarding._filters import (
     AdmitFilter,
+    CrashFilter,
     DecodeFilter,
     IdentifyFilter,
     RelayFilter,
@@ -44,6 +48,7 @@
 from ebonyhaven_node.forwarding.interfaces import (
     BackendDialect,
     CallerDialect,
+    ServerInspector,
     StateSource,
 )
 
@@ -51,6 +56,7 @@
 STREAM_ADMISSION_SHARE = 0.25  # of the grace: a stream that starts later is cut
 STOP_MARGIN_S = 0.6  # before the end of the grace, to close by ourselves
 DRAIN_CHECK_S = 0.05
+MAX_IDLE_DEATHS = 3  # one content may kill three servers before it is stopped
 
 _log = structlog.get_logger()
 
@@ -95,6 +101,8 @@
     backend_dialect : BackendDialect
     build_source : callable
         Returns the `StateSource` for a `ForwardingState` and `ConnectionPool`.
+    build_inspector : callable
+        Returns the `ServerInspector` for a `ConnectionPool`.
     rng : random.Random or None
     clock : callable
         Returns seconds.
@@ -108,6 +116,7 @@
         caller_dialect: CallerDialect,
         backend_dialect: BackendDialect,
         build_source: Callable[[ForwardingState, ConnectionPool], StateSource],
+        build_inspector: Callable[[ConnectionPool], ServerInspector],
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
     ):
@@ -121,9 +130,26 @@
         self._load = ProcessorLoad()
         self._leaving_since: float | None = None
         self._active = 0
+        self._losses: LogLosses | None = None
         self.pool = ConnectionPool(reactor, clock)
         self.source = build_source(self.state, self.pool)
+        self._adoption = Adoption(
+            state=self.state,
+            source=self.source,
+            inspector=build_inspector(self.pool),
+            clock=clock,
+        )
+        self._crashes = CrashReports(
+            CrashLedger(max_deaths=MAX_IDLE_DEATHS, max_weak_deaths=2 * MAX_IDLE_DEATHS)
+        )
         self._metrics = ForwardingMetrics(self.registry)
+        self._metrics.watch_state(
+            read_version=lambda: self.source.read_version()[0],
+            count_backends=lambda: sum(1 for _ in self.state.backends),
+            count_suspects=self._count_suspects,
+            is_behind=self.source.is_behind,
+            count_connections=lambda: self.pool.opened,
+        )
         self._peers = PeerUse(life_s=3 * REFRESH_S)
         self._waiters = Waiters()
         self._budget = RepeatBudget(
@@ -159,7 +185,7 @@
             int(port), self.server, interface=host, backlog=BACKLOG
         )
         self._stack.callback(listener.stopListening)
-        sweep = task.LoopingCall(self.pool.sweep)
+        sweep = task.LoopingCall(self._sweep)
         sweep.clock = self._reactor
         sweep.start(SWEEP_INTERVAL_S, now=False)
         self._stack.callback(sweep.stop)
@@ -169,6 +195,16 @@
         self._stack.callback(self.source.stop)
         _log.info("instance_started", instance=self._settings.instance)
 
+    def watch_logs(self, losses: LogLosses) -> None:
+        """Show lost log lines as a metric, and hand over lines that wait.
+
+        Parameters
+        ----------
+        losses : LogLosses
+        """
+        self._losses = losses
+        self._metrics.log_lines_lost.set_function(losses.count)
+
     def choose_entries(self) -> EntryList:
         """Return the instances that a caller should use."""
         return self.membership.choose_entries()
@@ -196,6 +232,16 @@
         self.server.close_all()
         self._stack.close()
 
+    def _count_suspects(self) -> int:
+        now = self._clock()
+        return sum(now < each.suspect_until for each in self.state.backends)
+
+    def _sweep(self) -> None:
+        self.pool.sweep()
+        self._adoption.review()
+        if self._losses is not None:
+            self._losses.drain()
+
     def _takes_streams(self) -> bool:
         if self._leaving_since is None:
             return True
@@ -227,6 +273,7 @@
         self._stack.callback(self.membership.stop)
         self.membership.set_load_source(self._load.read)
         self.membership.set_seeds(settings.seeds)
+        self.membership.add_digest(self._crashes.make_digest())
         StateSharing(
             source=self.source,
             membership=self.membership,
@@ -268,6 +315,8 @@
             clock=self._clock,
             on_use=self._note_use,
             on_loss=self._note_loss,
+            on_other_process=self._adoption.note_other_process,
+            crashes=self._crashes,
         )
         return build_chain(
             [
@@ -275,6 +324,7 @@
                 DecodeFilter(caller_dialect),
                 RouteFilter(self.state),
                 IdentifyFilter(),
+                CrashFilter(self._crashes),
                 AdmitFilter(self._takes_streams),
                 RelayFilter(parts, self._rng),
             ]
--- a/packages/node/src/ebonyhaven_node/forwarding/_messages.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import TYPE_CHECKING, NamedTuple
 
 import attrs
@@ -9,6 +10,8 @@
 if TYPE_CHECKING:
     from ebonyhaven_node.forwarding._attempts import Attempt
 
+CONTENT_DIGITS = 16
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -83,6 +86,14 @@
     prompt_id: str | None
     arrived_at: float
 
+    @property
+    def content(self) -> str:
+        """Digest of what a server sees, the same when the caller repeats it."""
+        hashed = hashlib.sha256(self.target)
+        hashed.update((self.api_key or "").encode())
+        hashed.update(self.body)
+        return hashed.hexdigest()[:CONTENT_DIGITS]
+
 
 @attrs.frozen(slots=True, kw_only=True)
 class AttemptPlan:
@@ -128,6 +139,8 @@
         Whether it proves that the request was not run.
     is_other_process : bool
         Whether another process than the addressed one answered.
+    other_server : str or None
+        Id of that process, if it told it.
     load : int or None
         Requests that the server has, running and waiting.
     """
@@ -138,6 +151,7 @@
     has_proof: bool
     not_run: bool
     is_other_process: bool
+    other_server: str | None
     load: int | None
 
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.5, 10.0, 25.0)
@@ -69,3 +71,41 @@
             ["kind"],
             registry=registry,
         )
+        self.log_lines_lost = Gauge(
+            "ebonyhaven_log_lines_lost",
+            "Log lines that were not written since the start.",
+            registry=registry,
+        )
+
+    def watch_state(
+        self,
+        *,
+        read_version: Callable[[], int],
+        count_backends: Callable[[], int],
+        count_suspects: Callable[[], int],
+        is_behind: Callable[[], bool],
+        count_connections: Callable[[], int],
+    ) -> None:
+        """Show what the instance believes, read when metrics are fetched.
+
+        Parameters
+        ----------
+        read_version : callable
+            Returns the version of the configuration in force.
+        count_backends, count_suspects : callable
+            Return the listed servers, and those that get no new work.
+        is_behind : callable
+            Returns whether the store does not answer.
+        count_connections : callable
+            Returns the connections to servers opened since the start.
+        """
+        shown = (
+            ("configuration_version", "Configuration in force.", read_version),
+            ("backends", "Backend servers on the list.", count_backends),
+            ("backends_suspect", "Servers that get no new work.", count_suspects),
+            ("store_behind", "Whether the store does not answer.", is_behind),
+            ("connections_opened", "Connections to servers.", count_connections),
+        )
+        for name, text, read in shown:
+            gauge = Gauge(f"ebonyhaven_{name}", text, registry=self.registry)
+            gauge.set_function(read)
--- a/packages/node/src/ebonyhaven_node/forwarding/_parts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_parts.py
@@ -15,12 +15,14 @@
 )
 from twisted.internet.interfaces import IReactorTime
 
+from ebonyhaven_node._crash_reports import CrashReports
 from ebonyhaven_node.forwarding._http_client import ConnectionPool
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._messages import (
     BackendChecked,
     BackendsChanged,
     BackendSuspected,
+    ForwardRequest,
 )
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._state import ForwardingState
@@ -95,6 +97,7 @@
     suspicions : Suspicions
     waiters : Waiters
     metrics : ForwardingMetrics
+    crashes : CrashReports
     data_centre : str
         Where this instance is.
     reactor : IReactorTime
@@ -105,6 +108,8 @@
         Called when what this instance occupies on engines changed.
     on_loss : callable
         Called with each server that this instance found lost or silent.
+    on_other_process : callable
+        Called with a server and the id of the process that answers at its address.
     """
 
     state: ForwardingState
@@ -116,12 +121,14 @@
     suspicions: Suspicions
     waiters: Waiters
     metrics: ForwardingMetrics
+    crashes: CrashReports
     data_centre: str
     reactor: IReactorTime
     rng: random.Random
     clock: Callable[[], float] = time.monotonic
     on_use: Callable[[], None] = lambda: None
     on_loss: Callable[[Backend], None] = lambda _: None
+    on_other_process: Callable[[Backend, str], None] = lambda *_: None
 
     def count_unreachable(self, backend: Backend, *, is_hearsay: bool = False) -> None:
         """Keep new work away from a server, and tell the streams near it.
@@ -139,6 +146,29 @@
         if not is_hearsay:
             self.on_loss(backend)
 
+    def count_replaced(self, backend: Backend, other_server: str | None) -> None:
+        """Send no more to a process in whose place another one answered.
+
+        Parameters
+        ----------
+        backend : Backend
+        other_server : str or None
+            Id of the other process.
+        """
+        backend.record_replaced(self.clock())
+        if other_server is not None:
+            self.on_other_process(backend, other_server)
+
+    def count_death(self, request: ForwardRequest, backend: Backend) -> None:
+        """Take note that a server died before it answered a request at all.
+
+        Parameters
+        ----------
+        request : ForwardRequest
+        backend : Backend
+        """
+        self.crashes.record_death(request.content, server=backend, progress_tokens=0)
+
     def check(self, backend: Backend, inbox: Inbox) -> None:
         """Try whether a server accepts connections.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -31,6 +31,7 @@
         self.configuration: RoutingConfiguration | None = None
         self.backends = BackendDirectory()
         self.has_list = False
+        self._adopted: set[str] = set()
         self._on_change: list[Callable[[], None]] = []
         self._on_gone: list[Callable[[Backend], None]] = []
 
@@ -80,6 +81,7 @@
         ----------
         entry : BackendEntry
         """
+        self._adopted.discard(entry.server_id)
         known = self.backends.find(entry.server_id)
         backend = self.backends.put(entry, self._clock())
         if known is backend and known.entry == entry:
@@ -110,6 +112,24 @@
         _log.info("backend_unlisted", server=server_id)
         self._tell()
 
+    def adopt_backend(self, entry: BackendEntry) -> None:
+        """Use a process that was met while the list could not be read.
+
+        Parameters
+        ----------
+        entry : BackendEntry
+        """
+        if self.backends.find(entry.server_id) is not None:
+            return
+        self.put_backend(entry)
+        self._adopted.add(entry.server_id)
+
+    def drop_adopted(self) -> None:
+        """Drop the processes that the list still lacks although it is read again."""
+        for server_id in list(self._adopted):
+            self._adopted.discard(server_id)
+            self.remove_backend(server_id)
+
     def replace_backends(self, entries: Mapping[str, BackendEntry]) -> None:
         """Take over the whole list.
 
@@ -117,7 +137,11 @@
         ----------
         entries : mapping of str to BackendEntry
         """
-        gone = [each for each in self.backends if each.server_id not in entries]
+        gone = [
+            each
+            for each in self.backends
+            if each.server_id not in entries and each.server_id not in self._adopted
+        ]
         for backend in gone:
             self.remove_backend(backend.server_id)
         for entry in entries.values():
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -6,6 +6,7 @@
 import math
 
 import structlog
+from ebonyhaven_decisions import CrashVerdict
 from ebonyhaven_decisions.forwarding import (
     RECHECK_S,
     Backend,
@@ -177,9 +178,17 @@
             self._end_without(now, "no server had room in time")
         elif self._may_have_run and not self._route.may_repeat:
             self._end_without(now, self._last_reason)
+        elif self._stops_servers():
+            self._end_without(now, "servers died each time they began the request")
         elif self._charged >= self._route.max_attempts or self._tries >= TRIES_MAX:
             self._end_without(now, f"too many attempts; last: {self._last_reason}")
 
+    def _stops_servers(self) -> bool:
+        if not self._may_have_run:
+            return False
+        verdict = self._parts.crashes.judge(self._request.content)
+        return verdict is CrashVerdict.STOPPED
+
     def _end_without(self, now: float, reason: str) -> None:
         _log.warning(
             "stream_given_up",
@@ -347,6 +356,8 @@
             end = self._take(message, attempt, follower, limits)
             if end is None:
                 continue
+            if end is _End.LOST and not follower.events:
+                self._parts.count_death(self._request, attempt.backend)
             if follower.events:  # engines copy nothing before the first event
                 self._holder = holder
             return end
@@ -370,7 +381,7 @@
             case AnswerStarted(sender, head) if sender is attempt:
                 follower.take_head(head)
                 if head.is_other_process:
-                    attempt.backend.record_replaced(self._parts.clock())
+                    self._parts.count_replaced(attempt.backend, head.other_server)
             case AnswerData(sender, data) if sender is attempt:
                 end = self._take_data(data, follower)
             case AnswerEnded(sender) if sender is attempt:
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+from typing import NamedTuple
 
 from ebonyhaven_decisions import Outcome
 
@@ -100,6 +101,39 @@
         """
 
 
+class InspectedServer(NamedTuple):
+    """What a server says of itself.
+
+    Parameters
+    ----------
+    is_engine : bool
+    started_ms : int
+        Start of its process, Unix milliseconds; 0 if it does not tell.
+    """
+
+    is_engine: bool
+    started_ms: int
+
+
+class ServerInspector(abc.ABC):
+    """Asks backend servers what they are."""
+
+    @abc.abstractmethod
+    async def inspect(self, address: str) -> InspectedServer | None:
+        """Ask the server at an address.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:PORT``.
+
+        Returns
+        -------
+        InspectedServer or None
+            None when it gave no answer that can be understood.
+        """
+
+
 class StateSource(abc.ABC):
     """Where configuration and list of backend servers come from.
 
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -20,7 +20,11 @@
     group_routes,
 )
 from ebonyhaven_node.forwarding import Gateway, GatewaySettings
-from ebonyhaven_node.forwarding.interfaces import StateSource
+from ebonyhaven_node.forwarding.interfaces import (
+    InspectedServer,
+    ServerInspector,
+    StateSource,
+)
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
@@ -56,6 +60,18 @@
         pass
 
 
+class FixedInspector(ServerInspector):
+    """Says the same of each server."""
+
+    def __init__(self):
+        self.asked = []
+        self.answer = InspectedServer(is_engine=True, started_ms=5)
+
+    async def inspect(self, address):
+        self.asked.append(address)
+        return self.answer
+
+
 class MemoryTransport(StringTransport):
     """Keeps what was written and whether the connection was aborted."""
 
@@ -295,6 +311,7 @@
     def __init__(self, configuration=None, plain=3, engines=3):
         self.reactor = MemoryReactorClock()
         self.source = NoSource()
+        self.inspector = FixedInspector()
         self.refused: set[str] = set()
         self.silent: set[str] = set()
         self._seen = 0
@@ -316,6 +333,7 @@
             caller_dialect=PlatformCallers(),
             backend_dialect=PlatformBackends(),
             build_source=lambda state, pool: self.source,
+            build_inspector=lambda pool: self.inspector,
             rng=random.Random(7),
             clock=self.reactor.seconds,
         )
--- /dev/null
+++ b/tests/node/test_log_writer.py
@@ -0,0 +1,89 @@
+from __future__ import annotations
+
+import json
+import os
+
+import structlog
+from ebonyhaven_node._log_writer import BoundedLogWriter, RoutineLimit
+
+LINE = "x" * 999 + "\n"
+
+
+def read_all(descriptor) -> bytes:
+    os.set_blocking(descriptor, False)
+    parts = []
+    while True:
+        try:
+            data = os.read(descriptor, 1 << 20)
+        except BlockingIOError:
+            return b"".join(parts)
+        if not data:
+            return b"".join(parts)
+        parts.append(data)
+
+
+def test_a_reader_that_stops_reading_holds_up_nobody():
+    reader, descriptor = os.pipe()
+    writer = BoundedLogWriter(descriptor, max_bytes=50_000)
+    for _ in range(1000):  # a pipe takes 64 KiB
+        writer.write(LINE)
+    assert writer.dropped > 800
+    kept = writer.dropped
+    first = read_all(reader)
+    assert set(first.decode().split("\n")) <= {LINE.strip(), "x" * 999, ""} or first
+    writer.drain()
+    read_all(reader)
+    writer.write("after\n")
+    rest = read_all(reader).decode()
+    assert f'"count": {kept}' in rest
+    assert rest.endswith("after\n")
+    os.close(descriptor)
+    os.close(reader)
+
+
+def test_lines_that_are_taken_in_part_come_out_whole():
+    reader, descriptor = os.pipe()
+    writer = BoundedLogWriter(descriptor, max_bytes=1 << 20)
+    for number in range(300):
+        writer.write(f"{number:04d}" + LINE)
+    data = read_all(reader)
+    while data.count(b"\n") < 300:
+        writer.drain()
+        data += read_all(reader)
+    lines = data.decode().splitlines()
+    assert [int(line[:4]) for line in lines] == list(range(300))
+    assert {len(line) for line in lines} == {1003}
+
+
+def test_a_reader_that_is_gone_ends_nothing():
+    reader, descriptor = os.pipe()
+    os.close(reader)
+    writer = BoundedLogWriter(descriptor)
+    writer.write("lost\n")
+    writer.write("lost\n")
+    assert writer.dropped == 2
+
+
+def test_routine_lines_are_bounded_and_failures_always_kept():
+    now = [10.0]
+    limit = RoutineLimit(5, clock=lambda: now[0])
+    passed = []
+
+    def log(method):
+        try:
+            passed.append((method, limit(None, method, {"event": "e"})))
+        except structlog.DropEvent:
+            return
+
+    for _ in range(20):
+        log("info")
+    for _ in range(20):
+        log("warning")
+    assert [method for method, _ in passed].count("info") == 5
+    assert [method for method, _ in passed].count("warning") == 20
+    assert passed[5][1]["routine_lines_dropped"] == 15
+    now[0] = 11.0
+    log("info")
+    assert passed[-1][0] == "info"
+    assert limit.dropped == 15
+    json.dumps(passed)
