--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_routes.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_routes.py
@@ -87,11 +87,17 @@
         Tokens that the memory of one engine holds.
     copies_runs : bool
         Whether an engine sends the memory of a run to another one as it grows.
+    moves_runs : bool
+        Whether an engine copies the memory of a run when asked.
+    copy_life_s : float
+        How long a copy stays without news of its run.
     """
 
     slots: int
     memory_tokens: int
     copies_runs: bool
+    moves_runs: bool = False
+    copy_life_s: float = 4.0
 
 
 class Service(NamedTuple):
--- a/packages/node/src/ebonyhaven_node/forwarding/__init__.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/__init__.py
@@ -14,6 +14,7 @@
 from ebonyhaven_node.forwarding._messages import (
     AnswerHead,
     AttemptPlan,
+    CopyPlace,
     ForwardRequest,
     Headers,
     PromptSize,
@@ -27,6 +28,7 @@
     "AttemptPlan",
     "CallerServer",
     "ConnectionPool",
+    "CopyPlace",
     "Exchange",
     "ForwardRequest",
     "ForwardingState",
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_followers.py
@@ -0,0 +1,109 @@
+"""Progress and silence of one attempt at a stream."""
+
+from __future__ import annotations
+
+import math
+
+from ebonyhaven_decisions.forwarding import (
+    RECHECK_S,
+    EngineUse,
+    Route,
+    SilenceLimits,
+    limit_first_event,
+    limit_gap,
+)
+
+from ebonyhaven_node.forwarding._attempts import Attempt
+from ebonyhaven_node.forwarding._events import EventSplitter
+from ebonyhaven_node.forwarding._messages import AnswerHead
+from ebonyhaven_node.forwarding._parts import SILENT_SERVER_S, RelayParts
+from ebonyhaven_node.forwarding._usage import EngineClaim
+
+
+class Follower:
+    """What one attempt at a stream has shown so far.
+
+    Parameters
+    ----------
+    attempt : Attempt
+    route : Route
+    parts : RelayParts
+    claim : EngineClaim
+    """
+
+    __slots__ = (
+        "_attempt",
+        "_claim",
+        "_parts",
+        "_route",
+        "checked_at",
+        "error_body",
+        "events",
+        "head",
+        "heard_at",
+        "longest_gap_s",
+        "resume_source",
+        "splitter",
+        "started_at",
+    )
+
+    def __init__(
+        self, attempt: Attempt, route: Route, parts: RelayParts, claim: EngineClaim
+    ):
+        self._attempt = attempt
+        self._route = route
+        self._parts = parts
+        self._claim = claim
+        self.head: AnswerHead | None = None
+        self.heard_at = self.started_at = parts.clock()
+        self.checked_at = -math.inf
+        self.longest_gap_s = 0.0
+        self.events = 0
+        self.resume_source: str | None = None
+        self.splitter = EventSplitter()
+        self.error_body: list[bytes] = []
+
+    def take_head(self, head: AnswerHead) -> None:
+        """Take note of the head of the answer."""
+        self.head = head
+        self.heard_at = self._parts.clock()
+
+    def record_events(self, now: float, count: int) -> None:
+        """Take note of events that arrived."""
+        if self.events == 0:
+            tokens = self._claim.prefill_tokens
+            if tokens and self._attempt.backend.prefill_tokens == tokens:
+                self._parts.prefill.record(tokens, now - self.started_at)
+            self._claim.end_prefill()
+        else:
+            self.longest_gap_s = max(self.longest_gap_s, now - self.heard_at)
+        self.events += count
+        self.heard_at = now
+
+    def read_limits(self, has_copy: bool) -> SilenceLimits:
+        """Return how long the server may be silent now."""
+        if self.events:
+            return limit_gap(
+                target_gap_s=self._route.target_gap_s,
+                longest_gap_s=self.longest_gap_s,
+                has_copy=has_copy,
+            )
+        backend = self._attempt.backend
+        peers = self._parts.peers.sum_up(self._parts.clock())
+        others = peers.get(backend.server_id, EngineUse()).prefill_tokens
+        estimate_s = self._parts.prefill.estimate_s(backend.prefill_tokens + others)
+        target_s = self._route.target_latency_s or 1.0
+        return limit_first_event(target_latency_s=target_s, estimate_s=estimate_s)
+
+    def read_wait(self, limits: SilenceLimits, now: float) -> float:
+        """Return the time until something is due if nothing arrives, seconds."""
+        check_at = max(self.heard_at + limits.check_s, self.checked_at + RECHECK_S)
+        give_up_at = self.heard_at + limits.give_up_s
+        return max(0.001, min(check_at, give_up_at) - now)
+
+    def is_doubtful(self) -> bool:
+        """Tell whether the server said nothing to anybody for a while."""
+        now = self._parts.clock()
+        backend = self._attempt.backend
+        heard_at = max(backend.heard_at, self.started_at)
+        return now - heard_at > SILENT_SERVER_S
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -48,6 +48,7 @@
 from ebonyhaven_node.forwarding.interfaces import (
     BackendDialect,
     CallerDialect,
+    RunCopier,
     ServerInspector,
     StateSource,
 )
@@ -103,6 +104,8 @@
         Returns the `StateSource` for a `ForwardingState` and `ConnectionPool`.
     build_inspector : callable
         Returns the `ServerInspector` for a `ConnectionPool`.
+    build_copier : callable
+        Returns the `RunCopier` for a `ConnectionPool`.
     rng : random.Random or None
     clock : callable
         Returns seconds.
@@ -117,6 +120,7 @@
         backend_dialect: BackendDialect,
         build_source: Callable[[ForwardingState, ConnectionPool], StateSource],
         build_inspector: Callable[[ConnectionPool], ServerInspector],
+        build_copier: Callable[[ConnectionPool], RunCopier],
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
     ):
@@ -158,6 +162,7 @@
             slack=settings.repeat_slack,
         )
         self._sharing: UseSharing | None = None
+        self._copier = build_copier(self.pool)
         self._chain = self._build_chain(caller_dialect, backend_dialect)
         self.server = CallerServer(
             reactor=reactor,
@@ -303,6 +308,7 @@
             state=self.state,
             pool=self.pool,
             dialect=backend_dialect,
+            copier=self._copier,
             budget=self._budget,
             peers=self._peers,
             prefill=PrefillRate(),
--- a/packages/node/src/ebonyhaven_node/forwarding/_messages.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_messages.py
@@ -8,6 +8,8 @@
 import attrs
 
 if TYPE_CHECKING:
+    from ebonyhaven_decisions.forwarding import Backend
+
     from ebonyhaven_node.forwarding._attempts import Attempt
 
 CONTENT_DIGITS = 16
@@ -31,6 +33,22 @@
     headers: Headers
 
 
+class CopyPlace(NamedTuple):
+    """How the holder of a copy finds it.
+
+    Parameters
+    ----------
+    address : str
+        Of the holder for a copy that grew with its run, of the run's engine for
+        one that was asked for.
+    handle : str or None
+        Name of a copy that was asked for; None for one that has the request's id.
+    """
+
+    address: str
+    handle: str | None
+
+
 class PromptSize(NamedTuple):
     """Size of a generation as its caller states it.
 
@@ -109,8 +127,8 @@
         Rank within the engine, 0 is the most urgent; None for the default.
     copy_to : str or None
         Address of the engine that is to hold a copy of the run's memory.
-    copy_at : str or None
-        Address of the engine whose copy the run goes on from.
+    copy : CopyPlace or None
+        Copy that the run goes on from.
     last_event_id : str or None
         Last event that the caller holds.
     """
@@ -119,7 +137,7 @@
     workspace: str | None = None
     urgency: int | None = None
     copy_to: str | None = None
-    copy_at: str | None = None
+    copy: CopyPlace | None = None
     last_event_id: str | None = None
 
 
@@ -204,9 +222,11 @@
     Parameters
     ----------
     server_key : tuple of (str, int)
+    data_centre : str
     """
 
     server_key: tuple[str, int]
+    data_centre: str
 
 
 class BackendChecked(NamedTuple):
@@ -220,3 +240,17 @@
 
     server_key: tuple[str, int]
     is_alive: bool
+
+
+class CopyMade(NamedTuple):
+    """An engine was asked for a copy of a run.
+
+    Parameters
+    ----------
+    holder : Backend
+    handle : str or None
+        Name of the copy; None if there is none.
+    """
+
+    holder: Backend
+    handle: str | None
--- a/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -60,6 +60,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self.copies = Counter(
+            "ebonyhaven_run_copies",
+            "Copies of runs that were asked for after the loss of one, by result.",
+            ["result"],
+            registry=registry,
+        )
         self.budget_refusals = Counter(
             "ebonyhaven_repeat_budget_refusals",
             "Repeats that the budget did not allow.",
--- a/packages/node/src/ebonyhaven_node/forwarding/_parts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_parts.py
@@ -26,35 +26,33 @@
 )
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._state import ForwardingState
-from ebonyhaven_node.forwarding.interfaces import BackendDialect
+from ebonyhaven_node.forwarding.interfaces import BackendDialect, RunCopier
 
 SILENT_SERVER_S = 0.2  # a working engine is heard more often than this
 CHECK_TIMEOUT_S = 0.15  # a live server accepts within a few milliseconds
 
 
 class Suspicions:
-    """Tells the streams of a data centre that a server there is lost or silent."""
+    """Tells all streams that a server is lost or silent."""
 
     __slots__ = ("_inboxes",)
 
     def __init__(self) -> None:
-        self._inboxes: dict[str, set[Inbox]] = {}
+        self._inboxes: dict[Inbox, None] = {}
 
-    def join(self, data_centre: str, inbox: Inbox) -> None:
-        """Tell ``inbox`` of suspicions in a data centre."""
-        self._inboxes.setdefault(data_centre, set()).add(inbox)
+    def join(self, inbox: Inbox) -> None:
+        """Tell ``inbox`` of suspicions."""
+        self._inboxes[inbox] = None
 
-    def leave(self, data_centre: str, inbox: Inbox) -> None:
+    def leave(self, inbox: Inbox) -> None:
         """Stop telling ``inbox``."""
-        inboxes = self._inboxes.get(data_centre, set())
-        inboxes.discard(inbox)
-        if not inboxes:
-            self._inboxes.pop(data_centre, None)
+        self._inboxes.pop(inbox, None)
 
     def tell(self, backend: Backend) -> None:
-        """Tell all streams in the data centre of a server."""
-        for inbox in list(self._inboxes.get(backend.entry.data_centre, ())):
-            inbox.put(BackendSuspected(backend.key))
+        """Tell all streams of a server."""
+        suspicion = BackendSuspected(backend.key, backend.entry.data_centre)
+        for inbox in list(self._inboxes):
+            inbox.put(suspicion)
 
 
 class Waiters:
@@ -91,6 +89,7 @@
     state : ForwardingState
     pool : ConnectionPool
     dialect : BackendDialect
+    copier : RunCopier
     budget : RepeatBudget
     peers : PeerUse
     prefill : PrefillRate
@@ -115,6 +114,7 @@
     state: ForwardingState
     pool: ConnectionPool
     dialect: BackendDialect
+    copier: RunCopier
     budget: RepeatBudget
     peers: PeerUse
     prefill: PrefillRate
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
@@ -0,0 +1,132 @@
+"""Servers and copy holders for one stream."""
+
+from __future__ import annotations
+
+from ebonyhaven_decisions.forwarding import (
+    Backend,
+    EngineTraits,
+    Need,
+    choose_backend,
+    choose_copy_holder,
+    choose_engine,
+)
+
+from ebonyhaven_node.forwarding._parts import RelayParts
+
+AVOID_S = 2.0  # a server that lost a stream is chosen last for this time
+MIN_CONNECTIONS = 2.0  # to each server, however many instances share its bound
+
+
+class StreamServers:
+    """Chooses the servers of one stream and remembers those that lost it.
+
+    Parameters
+    ----------
+    service : str
+    engine : EngineTraits or None
+        None for a service without model engines.
+    need : Need
+    parts : RelayParts
+    """
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        engine: EngineTraits | None,
+        need: Need,
+        parts: RelayParts,
+    ):
+        self._service = service
+        self._engine = engine
+        self._need = need
+        self._parts = parts
+        self._avoided: dict[tuple[str, int], float] = {}
+
+    def avoid(self, backend: Backend, now: float) -> None:
+        """Choose a server last for a while.
+
+        Parameters
+        ----------
+        backend : Backend
+        now : float
+            Seconds.
+        """
+        self._avoided[backend.key] = now + AVOID_S
+
+    def choose(self, prompt_id: str, now: float) -> Backend | None:
+        """Return the server to send the request to, if one has room.
+
+        Parameters
+        ----------
+        prompt_id : str
+            Identifies the request's own part of its prompt.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        Backend or None
+        """
+        usable = self._list_usable(now) or self._parts.state.backends.list_usable(
+            self._service, now
+        )
+        usable = [each for each in usable if self._has_connections(each)]
+        usable = self._parts.state.backends.prefer_undoubted(usable, now)
+        if self._engine is None:
+            return choose_backend(
+                usable,
+                data_centre=self._parts.data_centre,
+                now=now,
+                rng=self._parts.rng,
+            )
+        return choose_engine(
+            usable,
+            need=self._need,
+            memory_tokens=self._engine.memory_tokens,
+            peers=self._parts.peers.sum_up(now),
+            rng=self._parts.rng,
+            prompt_id=prompt_id,
+        )
+
+    def choose_holder(self, source: Backend, now: float) -> Backend | None:
+        """Return the server that is to hold the copy of a run.
+
+        Parameters
+        ----------
+        source : Backend
+            Server of the run.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        Backend or None
+        """
+        if self._engine is None or not self._engine.copies_runs:
+            return None
+        if not self._need.prompt_tokens:
+            return None
+        directory = self._parts.state.backends
+        return choose_copy_holder(
+            directory.prefer_undoubted(self._list_usable(now), now),
+            source=source,
+            need=self._need,
+            memory_tokens=self._engine.memory_tokens,
+            peers=self._parts.peers.sum_up(now),
+            rng=self._parts.rng,
+        )
+
+    def _list_usable(self, now: float) -> list[Backend]:
+        avoided = [key for key, until in self._avoided.items() if now < until]
+        directory = self._parts.state.backends
+        return directory.list_usable(self._service, now, avoided)
+
+    def _has_connections(self, backend: Backend) -> bool:
+        configuration = self._parts.state.configuration
+        service = configuration.services.get(self._service) if configuration else None
+        if service is None:
+            return True
+        share = service.max_connections / max(1, self._parts.budget.instances)
+        open_count = self._parts.pool.count_open(backend.entry.address)
+        return open_count < max(MIN_CONNECTIONS, share)
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-import math
+from typing import NamedTuple
 
 import structlog
 from ebonyhaven_decisions import CrashVerdict
@@ -15,15 +15,10 @@
     Need,
     Route,
     SilenceLimits,
-    choose_backend,
-    choose_copy_holder,
-    choose_engine,
-    limit_first_event,
-    limit_gap,
 )
 
 from ebonyhaven_node.forwarding._attempts import Attempt
-from ebonyhaven_node.forwarding._events import EventSplitter
+from ebonyhaven_node.forwarding._followers import Follower
 from ebonyhaven_node.forwarding._http_server import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._messages import (
@@ -36,14 +31,16 @@
     BackendChecked,
     BackendsChanged,
     BackendSuspected,
+    CopyPlace,
     ForwardRequest,
 )
 from ebonyhaven_node.forwarding._outcomes import NO_SERVER_RETRY_S, give_up, refuse
 from ebonyhaven_node.forwarding._parts import SILENT_SERVER_S, RelayParts
+from ebonyhaven_node.forwarding._run_copies import RunCopy
+from ebonyhaven_node.forwarding._stream_servers import StreamServers
 from ebonyhaven_node.forwarding._usage import EngineClaim
 
 WAIT_STEP_S = 0.1  # how often a waiting stream looks for room without being woken
-AVOID_S = 2.0  # a server that lost a stream is chosen last for this time
 TRIES_MAX = 40  # servers that vanish do not count against the route's attempts
 RESUME_URGENCY = 2  # before new requests, as a caller is in the middle of its answer
 LATE_URGENCY = 7  # a stream that is late already yields to those on time
@@ -64,6 +61,13 @@
     ERROR = "error"
 
 
+class _Target(NamedTuple):
+    """Where an attempt goes, and the copy that it goes on from."""
+
+    backend: Backend
+    copy: CopyPlace | None
+
+
 class StreamRelay:
     """Passes on the events of one generation, whatever happens to its engine.
 
@@ -118,8 +122,10 @@
         self._tries = 0
         self._charged = 0
         self._may_have_run = False
-        self._avoided: dict[tuple[str, int], float] = {}
-        self._holder: Backend | None = None
+        self._servers = StreamServers(
+            service=service, engine=engine, need=self._need, parts=parts
+        )
+        self._copy: RunCopy | None = None
         self._failed: tuple[AnswerHead, bytes] | None = None
         self._last_reason = "no server was tried"
         self._last_peer = "self"
@@ -134,18 +140,17 @@
         """
         self._parts.budget.record_request(self._service, self._parts.clock())
         while not self._exchange.is_done:
-            plan = await self._find_server()
-            if plan is None or self._exchange.is_done:
+            target = await self._find_server()
+            if target is None or self._exchange.is_done:
                 return
-            backend, is_from_copy = plan
-            end = await self._try_server(backend, is_from_copy)
+            end = await self._try_server(target)
             if end is _End.DONE or self._exchange.is_done:
                 return
-            self._note_end(backend, end, is_from_copy)
+            self._note_end(target, end)
 
     # -- choosing ----------------------------------------------------------
 
-    async def _find_server(self) -> tuple[Backend, bool] | None:
+    async def _find_server(self) -> _Target | None:
         """Wait for a server with room and return it; None when given up."""
         self._parts.waiters.join(self._inbox)
         try:
@@ -212,71 +217,22 @@
             reason, step="stream", peer=self._last_peer, status=504 if is_late else 502
         )
 
-    def _choose(self, now: float) -> tuple[Backend, bool] | None:
-        holder = self._holder
-        if holder is not None and self._is_copy_usable(holder, now):
-            return holder, True
-        self._holder = None
-        avoided = [key for key, until in self._avoided.items() if now < until]
-        directory = self._parts.state.backends
-        usable = directory.list_usable(self._service, now, avoided)
-        if not usable:
-            usable = directory.list_usable(self._service, now)
-        usable = [each for each in usable if self._has_connections(each)]
-        usable = directory.prefer_undoubted(usable, now)
-        if self._engine is None:
-            chosen = choose_backend(
-                usable,
-                data_centre=self._parts.data_centre,
-                now=now,
-                rng=self._parts.rng,
-            )
-        else:
-            chosen = choose_engine(
-                usable,
-                need=self._need,
-                memory_tokens=self._engine.memory_tokens,
-                peers=self._parts.peers.sum_up(now),
-                rng=self._parts.rng,
-                prompt_id=self._request.prompt_id or "",
-            )
-        return None if chosen is None else (chosen, False)
-
-    def _has_connections(self, backend: Backend) -> bool:
-        configuration = self._parts.state.configuration
-        service = configuration.services.get(self._service) if configuration else None
-        if service is None:
-            return True
-        share = service.max_connections / max(1, self._parts.budget.instances)
-        return self._parts.pool.count_open(backend.entry.address) < max(2.0, share)
-
-    def _is_copy_usable(self, holder: Backend, now: float) -> bool:
-        return self._parts.state.backends.find(
-            holder.server_id
-        ) is holder and holder.is_usable_for_copy(now)
-
-    def _choose_holder(self, backend: Backend, now: float) -> Backend | None:
-        if self._engine is None or not self._engine.copies_runs:
-            return None
-        if not self._route.may_repeat or not self._need.prompt_tokens:
-            return None
-        avoided = [key for key, until in self._avoided.items() if now < until]
-        directory = self._parts.state.backends
-        usable = directory.list_usable(self._service, now, avoided)
-        return choose_copy_holder(
-            directory.prefer_undoubted(usable, now),
-            source=backend,
-            need=self._need,
-            memory_tokens=self._engine.memory_tokens,
-            peers=self._parts.peers.sum_up(now),
-            rng=self._parts.rng,
-        )
+    def _choose(self, now: float) -> _Target | None:
+        copy = self._copy
+        if copy is not None and copy.is_usable(now):
+            return _Target(copy.holder, copy.place)
+        self._copy = None
+        backend = self._servers.choose(self._request.prompt_id or "", now)
+        return None if backend is None else _Target(backend, None)
 
     # -- one attempt -------------------------------------------------------
 
-    async def _try_server(self, backend: Backend, is_from_copy: bool) -> _End:
+    async def _try_server(self, target: _Target) -> _End:
         now = self._parts.clock()
-        holder = self._choose_holder(backend, now)
+        backend = target.backend
+        holder = None
+        if self._route.may_repeat:
+            holder = self._servers.choose_holder(backend, now)
         self._attempts += 1
         self._tries += 1
         attempt = Attempt(
@@ -285,30 +241,40 @@
             plan=AttemptPlan(
                 remaining_s=self._deadline - now,
                 workspace=self._workspace,
-                urgency=self._rank(is_from_copy),
+                urgency=self._rank(target.copy is not None),
                 copy_to=holder.entry.address if holder else None,
-                copy_at=backend.entry.address if is_from_copy else None,
+                copy=target.copy,
                 last_event_id=self._position,
             ),
             inbox=self._inbox,
             parts=self._parts,
         )
-        prefill = 0 if is_from_copy else self._need.prompt_tokens
+        prefill = 0 if target.copy else self._need.prompt_tokens
         claim = EngineClaim(backend, holder, self._need, prefill, self._parts.on_use)
-        self._log_sent(backend, holder, is_from_copy, now)
-        self._parts.suspicions.join(backend.entry.data_centre, self._inbox)
+        copy = RunCopy(
+            request_id=self._request.request_id,
+            source=backend,
+            holder=holder,
+            engine=self._engine if self._route.may_repeat else None,
+            claim=claim,
+            servers=self._servers,
+            inbox=self._inbox,
+            parts=self._parts,
+        )
+        self._log_sent(target, holder, now)
+        self._parts.suspicions.join(self._inbox)
         attempt.start()
         try:
-            return await self._follow(attempt, claim, holder, is_from_copy)
+            return await self._follow(attempt, claim, copy, target)
         finally:
+            copy.close()
             claim.release()
             self._parts.waiters.wake()
-            self._parts.suspicions.leave(backend.entry.data_centre, self._inbox)
+            self._parts.suspicions.leave(self._inbox)
             attempt.cancel()
 
-    def _log_sent(
-        self, backend: Backend, holder: Backend | None, is_from_copy: bool, now: float
-    ) -> None:
+    def _log_sent(self, target: _Target, holder: Backend | None, now: float) -> None:
+        backend = target.backend
         peers = self._parts.peers.sum_up(now).get(backend.server_id, EngineUse())
         _log.info(
             "stream_sent",
@@ -316,7 +282,7 @@
             route=self._route.name,
             server=backend.server_id,
             data_centre=backend.entry.data_centre,
-            from_copy=is_from_copy,
+            from_copy=target.copy is not None,
             copy_to=holder.server_id if holder else None,
             position=self._position,
             attempt=self._attempts,
@@ -335,38 +301,35 @@
         return None if rank == NEW_URGENCY else rank
 
     async def _follow(
-        self,
-        attempt: Attempt,
-        claim: EngineClaim,
-        holder: Backend | None,
-        is_from_copy: bool,
+        self, attempt: Attempt, claim: EngineClaim, copy: RunCopy, target: _Target
     ) -> _End:
-        follower = _Follower(attempt, self._route, self._parts, claim)
-        follower.started_at = self._parts.clock()
+        follower = Follower(attempt, self._route, self._parts, claim)
         if self._delivered:
-            follower.resume_source = "copy" if is_from_copy else "prompt"
+            follower.resume_source = "copy" if target.copy else "prompt"
         while True:
             now = self._parts.clock()
-            has_copy = holder is not None and self._is_copy_usable(holder, now)
-            limits = follower.read_limits(has_copy)
+            if follower.events:
+                copy.review(now)
+            limits = follower.read_limits(copy.is_usable(now))
             wait_s = min(follower.read_wait(limits, now), self._deadline - now)
             message = await self._inbox.get(wait_s)
             if self._exchange.is_done:
                 return _End.DONE
+            copy.take(message)
             end = self._take(message, attempt, follower, limits)
             if end is None:
                 continue
             if end is _End.LOST and not follower.events:
                 self._parts.count_death(self._request, attempt.backend)
             if follower.events:  # engines copy nothing before the first event
-                self._holder = holder
+                self._copy = copy
             return end
 
     def _take(
         self,
         message: object,
         attempt: Attempt,
-        follower: _Follower,
+        follower: Follower,
         limits: SilenceLimits,
     ) -> _End | None:
         """Handle one message; return how the attempt ended, if it did."""
@@ -374,8 +337,8 @@
         match message:
             case None:
                 end = self._handle_silence(attempt, follower, limits)
-            case BackendSuspected(server_key):
-                end = self._handle_suspicion(server_key, attempt, follower)
+            case BackendSuspected():
+                end = self._handle_suspicion(message, attempt, follower)
             case BackendChecked(server_key, False) if server_key == attempt.backend.key:
                 end = self._handle_dead(attempt, follower)
             case AnswerStarted(sender, head) if sender is attempt:
@@ -391,26 +354,27 @@
         return end
 
     def _handle_suspicion(
-        self, server_key: tuple[str, int], attempt: Attempt, follower: _Follower
+        self, suspicion: BackendSuspected, attempt: Attempt, follower: Follower
     ) -> _End | None:
         """Leave a server that another stream found lost; check those near it."""
         if not attempt.was_sent or not follower.is_doubtful():
             return None
-        if server_key == attempt.backend.key:
+        if suspicion.server_key == attempt.backend.key:
             self._last_reason = "the server was found silent by another stream"
             return _End.SILENT
-        if not follower.events:
+        is_near = suspicion.data_centre == attempt.backend.entry.data_centre
+        if is_near and not follower.events:
             self._check(attempt, follower)
         return None
 
-    def _handle_dead(self, attempt: Attempt, follower: _Follower) -> _End | None:
+    def _handle_dead(self, attempt: Attempt, follower: Follower) -> _End | None:
         if not follower.is_doubtful():
             return None
         self._last_reason = "the server accepts no connection"
         self._parts.count_unreachable(attempt.backend)
         return _End.SILENT
 
-    def _check(self, attempt: Attempt, follower: _Follower) -> None:
+    def _check(self, attempt: Attempt, follower: Follower) -> None:
         now = self._parts.clock()
         if now - follower.checked_at >= RECHECK_S:
             follower.checked_at = now
@@ -423,7 +387,7 @@
         return _End.LOST if message.is_reset else _End.ERROR
 
     def _handle_silence(
-        self, attempt: Attempt, follower: _Follower, limits: SilenceLimits
+        self, attempt: Attempt, follower: Follower, limits: SilenceLimits
     ) -> _End | None:
         now = self._parts.clock()
         backend = attempt.backend
@@ -436,7 +400,7 @@
             self._parts.count_unreachable(backend)
         return _End.SILENT if attempt.was_sent else _End.UNREACHABLE
 
-    def _take_data(self, data: bytes, follower: _Follower) -> _End | None:
+    def _take_data(self, data: bytes, follower: Follower) -> _End | None:
         head = follower.head
         if head.status != 200 or not head.has_proof or head.request_id is None:
             follower.error_body.append(data)
@@ -464,9 +428,7 @@
         self._position = event_id
         return True
 
-    def _deliver(
-        self, data: bytes, count: int, follower: _Follower, now: float
-    ) -> None:
+    def _deliver(self, data: bytes, count: int, follower: Follower, now: float) -> None:
         if not self._exchange.is_started:
             head = follower.head
             self._exchange.start_stream(head.status, head.headers)
@@ -479,7 +441,7 @@
         self._delivered += count
         self._delivered_at = now
 
-    def _note_pause(self, pause_s: float, follower: _Follower) -> None:
+    def _note_pause(self, pause_s: float, follower: Follower) -> None:
         target_s = self._route.target_gap_s
         if target_s and pause_s > target_s:
             self._is_late = True
@@ -496,7 +458,7 @@
         )
         follower.resume_source = None
 
-    def _take_end(self, follower: _Follower) -> _End:
+    def _take_end(self, follower: Follower) -> _End:
         head = follower.head
         if head.not_run:
             self._last_reason = f"server refused with {head.status}"
@@ -520,11 +482,13 @@
 
     # -- after an attempt --------------------------------------------------
 
-    def _note_end(self, backend: Backend, end: _End, is_from_copy: bool) -> None:
+    def _note_end(self, target: _Target, end: _End) -> None:
         now = self._parts.clock()
+        backend = target.backend
         kind = self._route.kind.value
         self._parts.metrics.attempts.labels(kind, end.value).inc()
         self._last_peer = backend.server_id
+        copy = self._copy
         _log.info(
             "stream_attempt_ended",
             request=self._request.request_id,
@@ -533,14 +497,15 @@
             reason=self._last_reason,
             delivered=self._delivered,
             position=self._position,
-            from_copy=is_from_copy,
-            copy_at=self._holder.server_id if self._holder else None,
+            from_copy=target.copy is not None,
+            copy_at=copy.holder.server_id if copy and copy.holder else None,
+            copy_usable=copy is not None and copy.is_usable(now),
         )
-        if is_from_copy and end is _End.NOT_RUN:
-            self._holder = None
+        if target.copy is not None and end is _End.NOT_RUN:
+            self._copy = None
             self._parts.metrics.resumes.labels("copy_gone").inc()
             return
-        self._avoided[backend.key] = now + AVOID_S
+        self._servers.avoid(backend, now)
         if end is _End.UNREACHABLE:
             self._attempts -= 1
             if self._attempts:
@@ -558,84 +523,3 @@
     if event_id.isdigit() and position.isdigit():
         return int(event_id) > int(position)
     return event_id != position
-
-
-class _Follower:
-    """What one attempt has shown so far."""
-
-    __slots__ = (
-        "_attempt",
-        "_claim",
-        "_parts",
-        "_route",
-        "checked_at",
-        "error_body",
-        "events",
-        "head",
-        "heard_at",
-        "longest_gap_s",
-        "resume_source",
-        "splitter",
-        "started_at",
-    )
-
-    def __init__(
-        self, attempt: Attempt, route: Route, parts: RelayParts, claim: EngineClaim
-    ):
-        self._attempt = attempt
-        self._route = route
-        self._parts = parts
-        self._claim = claim
-        self.head: AnswerHead | None = None
-        self.heard_at = self.started_at = parts.clock()
-        self.checked_at = -math.inf
-        self.longest_gap_s = 0.0
-        self.events = 0
-        self.resume_source: str | None = None
-        self.splitter = EventSplitter()
-        self.error_body: list[bytes] = []
-
-    def take_head(self, head: AnswerHead) -> None:
-        """Take note of the head of the answer."""
-        self.head = head
-        self.heard_at = self._parts.clock()
-
-    def record_events(self, now: float, count: int) -> None:
-        """Take note of events that arrived."""
-        if self.events == 0:
-            tokens = self._claim.prefill_tokens
-            if tokens and self._attempt.backend.prefill_tokens == tokens:
-                self._parts.prefill.record(tokens, now - self.started_at)
-            self._claim.end_prefill()
-        else:
-            self.longest_gap_s = max(self.longest_gap_s, now - self.heard_at)
-        self.events += count
-        self.heard_at = now
-
-    def read_limits(self, has_copy: bool) -> SilenceLimits:
-        """Return how long the server may be silent now."""
-        if self.events:
-            return limit_gap(
-                target_gap_s=self._route.target_gap_s,
-                longest_gap_s=self.longest_gap_s,
-                has_copy=has_copy,
-            )
-        backend = self._attempt.backend
-        peers = self._parts.peers.sum_up(self._parts.clock())
-        others = peers.get(backend.server_id, EngineUse()).prefill_tokens
-        estimate_s = self._parts.prefill.estimate_s(backend.prefill_tokens + others)
-        target_s = self._route.target_latency_s or 1.0
-        return limit_first_event(target_latency_s=target_s, estimate_s=estimate_s)
-
-    def read_wait(self, limits: SilenceLimits, now: float) -> float:
-        """Return the time until something is due if nothing arrives, seconds."""
-        check_at = max(self.heard_at + limits.check_s, self.checked_at + RECHECK_S)
-        give_up_at = self.heard_at + limits.give_up_s
-        return max(0.001, min(check_at, give_up_at) - now)
-
-    def is_doubtful(self) -> bool:
-        """Tell whether the server said nothing to anybody for a while."""
-        now = self._parts.clock()
-        backend = self._attempt.backend
-        heard_at = max(backend.heard_at, self.started_at)
-        return now - heard_at > SILENT_SERVER_S
--- a/packages/node/src/ebonyhaven_node/forwarding/_usage.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_usage.py
@@ -51,6 +51,21 @@
             self.prefill_tokens = 0
             self._on_change()
 
+    def replace_holder(self, holder: Backend) -> None:
+        """Count the copy on another engine.
+
+        Parameters
+        ----------
+        holder : Backend
+        """
+        if self._backend is None:
+            return
+        if self._holder is not None:
+            self._holder.copy_tokens -= self._need.tokens
+        self._holder = holder
+        holder.copy_tokens += self._need.tokens
+        self._on_change()
+
     def release(self) -> None:
         """Count nothing any more."""
         if self._backend is None:
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -134,6 +134,28 @@
         """
 
 
+class RunCopier(abc.ABC):
+    """Asks engines to copy the memory of a run to another engine."""
+
+    @abc.abstractmethod
+    async def copy_run(
+        self, *, source: str, request_id: str, target: str
+    ) -> str | None:
+        """Ask the engine of a run for a copy; the run goes on meanwhile.
+
+        Parameters
+        ----------
+        source, target : str
+            Addresses of the run's engine and of the copy's.
+        request_id : str
+
+        Returns
+        -------
+        str or None
+            Name of the copy, None if there is none.
+        """
+
+
 class StateSource(abc.ABC):
     """Where configuration and list of backend servers come from.
 
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -22,6 +22,7 @@
 from ebonyhaven_node.forwarding import Gateway, GatewaySettings
 from ebonyhaven_node.forwarding.interfaces import (
     InspectedServer,
+    RunCopier,
     ServerInspector,
     StateSource,
 )
@@ -72,6 +73,18 @@
         return self.answer
 
 
+class FakeCopier(RunCopier):
+    """Makes each copy at once, or none."""
+
+    def __init__(self):
+        self.asked = []
+        self.handle = "h-1"
+
+    async def copy_run(self, *, source, request_id, target):
+        self.asked.append((source, request_id, target))
+        return self.handle
+
+
 class MemoryTransport(StringTransport):
     """Keeps what was written and whether the connection was aborted."""
 
@@ -281,7 +294,9 @@
         routes=group_routes(routes),
         services={
             "plain": Service("plain", 100, None),
-            "engines": Service("engines", 100, EngineTraits(64, 88000, True)),
+            "engines": Service(
+                "engines", 100, EngineTraits(64, 88000, True, True, 4.0)
+            ),
         },
         workspaces={KEY: Workspace("studio-a", None)},
         requires_keys=True,
@@ -312,6 +327,7 @@
         self.reactor = MemoryReactorClock()
         self.source = NoSource()
         self.inspector = FixedInspector()
+        self.copier = FakeCopier()
         self.refused: set[str] = set()
         self.silent: set[str] = set()
         self._seen = 0
@@ -334,6 +350,7 @@
             backend_dialect=PlatformBackends(),
             build_source=lambda state, pool: self.source,
             build_inspector=lambda pool: self.inspector,
+            build_copier=lambda pool: self.copier,
             rng=random.Random(7),
             clock=self.reactor.seconds,
         )
