Keep copies out of their run's data centre, spread prompts wider, free copies

Change: a copy lies rather in a doubted data centre than beside its run; an engine outside the prompt's first two has to be two runs emptier; copies that were asked for are freed at a run's end.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_placement.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_placement.py
@@ -9,7 +9,7 @@
 
 import random
 import zlib
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 from ebonyhaven_decisions.forwarding._backends import Backend
@@ -21,7 +21,7 @@
 JITTER = 0.15  # in units of one run
 TYPICAL_RUN_TOKENS = 8000.0
 PREFERRED_ENGINES = 2  # one of them is usually not reading another prompt
-AWAY_COST = 0.6  # in runs, for the other engines
+AWAY_COST = 2.0  # in runs, for the others: less than a prompt being read costs
 
 
 class EngineUse(NamedTuple):
@@ -221,11 +221,13 @@
     memory_tokens: int,
     peers: Mapping[str, EngineUse],
     rng: random.Random,
+    is_doubted: Callable[[str], bool] = lambda _: False,
 ) -> Backend | None:
     """Return the engine that is to hold the copy of a run.
 
     It is in another data centre than the run where there is one, as the engines
-    of a data centre tend to fail together.
+    of a data centre tend to fail together; rather in one with a fresh loss, whose
+    engines are about to be back, than in the run's own.
 
     Parameters
     ----------
@@ -239,19 +241,21 @@
     peers : mapping of str to EngineUse
         What other instances occupy, by server id.
     rng : random.Random
+    is_doubted : callable
+        Tells for a data centre whether it had a fresh loss.
 
     Returns
     -------
     Backend or None
     """
     others = [each for each in candidates if each.key != source.key]
-    elsewhere = [
-        each for each in others if each.entry.data_centre != source.entry.data_centre
-    ]
-    return choose_engine(
-        elsewhere or others,
-        need=need,
-        memory_tokens=memory_tokens,
-        peers=peers,
-        rng=rng,
-    )
+    home = source.entry.data_centre
+    elsewhere = [each for each in others if each.entry.data_centre != home]
+    calm = [each for each in elsewhere if not is_doubted(each.entry.data_centre)]
+    for group in (calm, elsewhere, others):
+        chosen = choose_engine(
+            group, need=need, memory_tokens=memory_tokens, peers=peers, rng=rng
+        )
+        if chosen is not None:
+            return chosen
+    return None
--- a/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
@@ -138,10 +138,27 @@
                 if self._is_made and server_key == self.holder.key:
                     self._lose("its holder accepts no connection")
 
-    def close(self) -> None:
-        """Ask for nothing more."""
+    def close(self, *, is_needed: bool) -> None:
+        """Ask for nothing more.
+
+        Parameters
+        ----------
+        is_needed : bool
+            Whether the run may still go on from the copy.
+        """
         if self._asking is not None:
             self._asking.cancel()
+        if self._handle is not None and not is_needed:
+            dropping = ensureDeferred(
+                self._parts.copier.drop_copy(
+                    source=self._source.entry.address, handle=self._handle
+                )
+            )
+            dropping.addErrback(self._note_undropped)
+
+    def _note_undropped(self, failure) -> None:
+        """Log that a copy was not freed; it expires by itself."""
+        _log.info("run_copy_kept", request=self._request_id, error=str(failure.value))
 
     def _check_holder(self, suspicion: BackendSuspected) -> None:
         if suspicion.server_key == self.holder.key:
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
@@ -109,12 +109,13 @@
             return None
         directory = self._parts.state.backends
         return choose_copy_holder(
-            directory.prefer_undoubted(self._list_usable(now), now),
+            self._list_usable(now),
             source=source,
             need=self._need,
             memory_tokens=self._engine.memory_tokens,
             peers=self._parts.peers.sum_up(now),
             rng=self._parts.rng,
+            is_doubted=lambda data_centre: directory.is_doubted(data_centre, now),
         )
 
     def _list_usable(self, now: float) -> list[Backend]:
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -267,7 +267,7 @@
         try:
             return await self._follow(attempt, claim, copy, target)
         finally:
-            copy.close()
+            copy.close(is_needed=not self._exchange.is_done)
             claim.release()
             self._parts.waiters.wake()
             self._parts.suspicions.leave(self._inbox)
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -155,6 +155,18 @@
             Name of the copy, None if there is none.
         """
 
+    @abc.abstractmethod
+    async def drop_copy(self, *, source: str, handle: str) -> None:
+        """Free a copy that is not needed any more.
+
+        Parameters
+        ----------
+        source : str
+            Address of the run's engine.
+        handle : str
+            Name of the copy.
+        """
+
 
 class StateSource(abc.ABC):
     """Where configuration and list of backend servers come from.
--- a/tests/decisions/test_forwarding.py
+++ b/tests/decisions/test_forwarding.py
@@ -150,6 +150,33 @@
     assert number >= 20
 
 
+def test_copy_lies_rather_in_a_doubted_data_centre_than_beside_its_run():
+    # With two data centres in doubt, copies once lay in the third, beside their runs.
+    directory = build(6)
+    holder = choose_copy_holder(
+        directory.list_usable("engines", 10.0),
+        source=directory.find("s0"),
+        need=NEED,
+        memory_tokens=MEMORY,
+        peers={},
+        rng=random.Random(1),
+        is_doubted=lambda data_centre: data_centre != "dc-a",
+    )
+    assert holder.entry.data_centre != "dc-a"
+
+
+def test_resumes_that_come_at_once_do_not_all_choose_the_idlest_engine():
+    # After the loss of a data centre four prompts once met on the engine with least.
+    directory = build(6)
+    for number in range(1, 6):
+        directory.find(f"s{number}").run_tokens = 12000
+    chosen = {
+        place(directory, seed=number, prompt_id=f"p{number}").server_id
+        for number in range(6)
+    }
+    assert len(chosen) >= 3
+
+
 def test_data_centre_with_a_fresh_loss_is_chosen_last():
     directory = build(6)
     directory.record_unreachable(directory.find("s0"), 10.0)
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -78,12 +78,16 @@
 
     def __init__(self):
         self.asked = []
+        self.dropped = []
         self.handle = "h-1"
 
     async def copy_run(self, *, source, request_id, target):
         self.asked.append((source, request_id, target))
         return self.handle
 
+    async def drop_copy(self, *, source, handle):
+        self.dropped.append((source, handle))
+
 
 class MemoryTransport(StringTransport):
     """Keeps what was written and whether the connection was aborted."""
--- a/tests/forwarding/test_run_copies.py
+++ b/tests/forwarding/test_run_copies.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from tests.forwarding.harness import (
+    STREAM_END,
     World,
     chunk,
     event,
@@ -96,3 +97,17 @@
     assert holder.copy_tokens == 0
     caller.leave()
     assert all(each.copy_tokens == 0 for each in world.state.backends)
+
+
+def test_copy_is_freed_at_the_end_and_kept_while_the_run_may_need_it():
+    world, caller, server, holder = start()
+    world.gateway._parts.count_unreachable(holder)
+    go_on(world, server, 2, 3)
+    server.reset()
+    world.advance(0.01)
+    assert world.copier.dropped == []
+    world, caller, server, holder = start()
+    world.gateway._parts.count_unreachable(holder)
+    go_on(world, server, 2, 3)
+    server.receive(STREAM_END)
+    assert world.copier.dropped == [(server.address, "h-1")]
