Let short requests try a doubtful server before they are refused

Change: servers under suspicion are tried last instead of never; a request waits for 0.3 of its route's timeout. Test: the only server under suspicion.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -400,6 +400,33 @@
             and each.is_last_resort(now)
         ]
 
+    def list_doubtful(
+        self, service: str, excluded: Iterable[tuple[str, int]] = ()
+    ) -> list[Backend]:
+        """Return the listed servers of a service, also those under suspicion.
+
+        A short request rather tries one of these than being refused, as a
+        connection that is not made proves that nothing ran.
+
+        Parameters
+        ----------
+        service : str
+        excluded : iterable of (str, int)
+            Keys of processes that must not be chosen.
+
+        Returns
+        -------
+        list of Backend
+        """
+        barred = frozenset(excluded)
+        return [
+            each
+            for each in self._by_id.values()
+            if each.entry.service == service
+            and each.key not in barred
+            and each.entry.state is BackendState.READY
+        ]
+
     def _has_entries(self, service: str) -> bool:
         return any(each.entry.service == service for each in self._by_id.values())
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -27,7 +27,7 @@
 
 HEDGE_SHARE = 0.5  # of the target latency: a second try still has the other half
 REFUSALS_MAX = 4  # servers that may refuse before the caller is told to come back
-WAIT_SHARE = 0.5  # of the target latency that a request waits for a usable server
+WAIT_SHARE = 0.3  # of the route's timeout that a request waits for a usable server
 PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
@@ -86,9 +86,7 @@
             wait_s = min(wait_s, request.wait_s)
         self._deadline = request.arrived_at + wait_s
         self._barred: set[tuple[str, int]] = set()
-        self._wait_until = request.arrived_at + WAIT_SHARE * max(
-            route.target_latency_s, 0.2
-        )
+        self._wait_until = request.arrived_at + WAIT_SHARE * wait_s
 
     async def run(self) -> None:
         """Answer the caller.
@@ -220,9 +218,11 @@
 
     def _choose(self, now: float) -> Backend | None:
         directory = self._parts.state.backends
-        usable = directory.list_usable(self._service, now, self._barred)
-        if not usable and self._barred:
-            usable = directory.list_usable(self._service, now)
+        usable = (
+            directory.list_usable(self._service, now, self._barred)
+            or directory.list_doubtful(self._service, self._barred)
+            or directory.list_usable(self._service, now)
+        )
         return choose_backend(
             directory.prefer_undoubted(usable, now),
             data_centre=self._parts.data_centre,
--- a/tests/forwarding/test_calls.py
+++ b/tests/forwarding/test_calls.py
@@ -257,3 +257,15 @@
         if each.has_request():
             request, _ = each.read_request()
             assert headers_of(request)["x-expect-instance"] != replaced
+
+
+def test_only_server_serves_on_while_it_is_under_suspicion():
+    # With one server left, requests were once refused for the whole suspicion.
+    world = World(plain=1)
+    backend = world.state.backends.find("p-0")
+    world.gateway._parts.count_unreachable(backend)
+    for number in range(3):
+        caller = world.open_caller()
+        caller.request("/once/x", request_id=f"r{number}")
+        world.advance(0.01)
+    assert world.count_waiting() == 3
