Use a copy once, and pass on no failure of a stream that reads as a promise

Found by reading: a stream whose copy holder died asked the same holder again; a failure of a server with status 408, 421, 429 or 503 without its proof that nothing ran was passed on for streams, though callers read these as not run.

--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -22,13 +22,17 @@
     AttemptPlan,
     ForwardRequest,
 )
-from ebonyhaven_node.forwarding._outcomes import NO_SERVER_RETRY_S, give_up, refuse
+from ebonyhaven_node.forwarding._outcomes import (
+    NO_SERVER_RETRY_S,
+    PROMISING_STATUSES,
+    give_up,
+    refuse,
+)
 from ebonyhaven_node.forwarding._parts import RelayParts
 
 HEDGE_SHARE = 0.5  # of the target latency: a second try still has the other half
 REFUSALS_MAX = 4  # servers that may refuse before the caller is told to come back
 WAIT_SHARE = 0.3  # of the route's timeout that a request waits for a usable server
-PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 _log = structlog.get_logger()
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -34,7 +34,12 @@
     CopyPlace,
     ForwardRequest,
 )
-from ebonyhaven_node.forwarding._outcomes import NO_SERVER_RETRY_S, give_up, refuse
+from ebonyhaven_node.forwarding._outcomes import (
+    NO_SERVER_RETRY_S,
+    PROMISING_STATUSES,
+    give_up,
+    refuse,
+)
 from ebonyhaven_node.forwarding._parts import SILENT_SERVER_S, RelayParts
 from ebonyhaven_node.forwarding._run_copies import RunCopy
 from ebonyhaven_node.forwarding._stream_servers import StreamServers
@@ -206,7 +211,7 @@
         if self._exchange.is_started:
             self._exchange.abort()
             return
-        if self._failed is not None:
+        if self._failed is not None:  # the server's own failure says more
             head, body = self._failed
             self._exchange.respond(head.status, head.headers, body)
             return
@@ -230,6 +235,7 @@
     async def _try_server(self, target: _Target) -> _End:
         now = self._parts.clock()
         backend = target.backend
+        self._copy = None  # a copy serves once
         holder = None
         if self._route.may_repeat:
             holder = self._servers.choose_holder(backend, now)
@@ -479,7 +485,8 @@
         if head.status != 200 or not head.has_proof or head.request_id is None:
             body = b"".join(follower.error_body)
             self._last_reason = f"server answered with {head.status}"
-            if head.has_proof and not self._exchange.is_started:
+            may_pass_on = head.has_proof and head.status not in PROMISING_STATUSES
+            if may_pass_on and not self._exchange.is_started:
                 self._failed = (head, body)
                 if head.status < 500:
                     self._exchange.respond(head.status, head.headers, body)
@@ -515,7 +522,6 @@
             copy_usable=copy is not None and copy.is_usable(now),
         )
         if target.copy is not None and end is _End.NOT_RUN:
-            self._copy = None
             self._parts.metrics.resumes.labels("copy_gone").inc()
             return
         self._servers.avoid(backend, now)
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -281,3 +281,24 @@
     for each in world.state.backends:
         assert (each.in_flight, each.run_tokens, each.copy_tokens) == (0, 0, 0)
         assert each.prefill_tokens == 0
+
+
+def test_copy_whose_holder_died_is_not_tried_again():
+    world, _ = start(engines=6)
+    server, _ = open_stream(world, 1)
+    server.reset()
+    world.advance(0.01)
+    second, _, _ = world.take_request()
+    second.reset()
+    world.advance(0.01)
+    third, head, _ = world.take_request()
+    assert third.address != second.address
+    assert "kv-from" not in headers_of(head)
+
+
+def test_status_that_reads_as_a_promise_is_not_passed_on_after_a_run():
+    world, caller = start("/fixed/x")
+    server, _, _ = world.take_request()
+    server.receive(answer("r1", b"busy", 429))
+    world.advance(0.01)
+    assert caller.read_answer()[0] == 502
