Count a death against a content only if its server is gone alone; add an experiment

Cause: the new experiment sent requests with one content, and after a loss of a data centre all were refused: three losses before a first event stopped the content for all callers, whoever caused them. Change: a server has to be still gone half a second later, and no other one of its data centre with it; resets by servers that live and losses of whole data centres are no evidence; short requests give none. New: python -m ebonyhaven_standins.resuming plays streams through losses of data centres with the node's own forwarding code and simulated engines on one clock.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -329,6 +329,24 @@
         backend.record_unreachable(now)
         self._doubted[backend.entry.data_centre] = now
 
+    def count_suspects(self, data_centre: str, now: float) -> int:
+        """Return the servers of a data centre that get no new work.
+
+        Parameters
+        ----------
+        data_centre : str
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        int
+        """
+        return sum(
+            now < each.suspect_until and each.entry.data_centre == data_centre
+            for each in self._by_id.values()
+        )
+
     def is_doubted(self, data_centre: str, now: float) -> bool:
         """Tell whether a server of a data centre was lost a moment ago.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -243,9 +243,9 @@
             case AnswerEnded(attempt):
                 self._running.remove(attempt)
                 self._end_attempt(attempt)
-            case AttemptFailed(attempt, was_sent, is_reset, reason):
+            case AttemptFailed(attempt, was_sent, _, reason):
                 self._running.remove(attempt)
-                self._fail_attempt(attempt, was_sent, is_reset, reason)
+                self._fail_attempt(attempt, was_sent, reason)
 
     def _collect(self, attempt: Attempt, data: bytes) -> None:
         answer = self._answers[attempt]
@@ -254,7 +254,7 @@
         if answer.size > MAX_ANSWER_BYTES:
             attempt.cancel()
             self._running.remove(attempt)
-            self._fail_attempt(attempt, True, False, "answer too long")
+            self._fail_attempt(attempt, True, "answer too long")
 
     def _end_attempt(self, attempt: Attempt) -> None:
         answer = self._answers.pop(attempt)
@@ -282,9 +282,7 @@
         if head.has_proof and head.request_id is not None:
             self._failed_answer = (head, body)
 
-    def _fail_attempt(
-        self, attempt: Attempt, was_sent: bool, is_reset: bool, reason: str
-    ) -> None:
+    def _fail_attempt(self, attempt: Attempt, was_sent: bool, reason: str) -> None:
         self._answers.pop(attempt, None)
         self._barred.add(attempt.backend.key)
         self._note(attempt, reason)
@@ -292,8 +290,6 @@
         if was_sent:
             self._ran += 1
             attempt.backend.record_result(succeeded=False, latency_s=None)
-            if is_reset and attempt.head is None:
-                self._parts.count_death(self._request, attempt.backend)
         else:
             self._attempts.remove(attempt)
             self._arrivals -= 1
--- a/packages/node/src/ebonyhaven_node/forwarding/_parts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_parts.py
@@ -29,6 +29,8 @@
 from ebonyhaven_node.forwarding.interfaces import BackendDialect, RunCopier
 
 SILENT_SERVER_S = 0.2  # a working engine is heard more often than this
+DEATH_CONFIRMATION_S = 0.5  # shorter than a restart takes
+NEIGHBOURS_TOLD_S = 0.2  # losses are told within some ten milliseconds
 CHECK_TIMEOUT_S = 0.15  # a live server accepts within a few milliseconds
 
 
@@ -160,14 +162,39 @@
             self.on_other_process(backend, other_server)
 
     def count_death(self, request: ForwardRequest, backend: Backend) -> None:
-        """Take note that a server died before it answered a request at all.
+        """Take note that a server was lost before the first event of a stream.
+
+        It is evidence against the content of the request only if the server is
+        still gone a moment later, and no other one of its data centre with it.
 
         Parameters
         ----------
         request : ForwardRequest
         backend : Backend
         """
-        self.crashes.record_death(request.content, server=backend, progress_tokens=0)
+
+        def take_check(is_alive: bool) -> None:
+            if is_alive:
+                return
+            self.count_unreachable(backend)
+            self.reactor.callLater(
+                NEIGHBOURS_TOLD_S, self._judge_death, request.content, backend
+            )
+
+        self.reactor.callLater(
+            DEATH_CONFIRMATION_S,
+            self.pool.try_connect,
+            backend.entry.address,
+            on_result=take_check,
+            timeout_s=CHECK_TIMEOUT_S,
+        )
+
+    def _judge_death(self, content: str, backend: Backend) -> None:
+        lost = self.state.backends.count_suspects(
+            backend.entry.data_centre, self.clock()
+        )
+        if lost <= 1:
+            self.crashes.record_death(content, server=backend, progress_tokens=0)
 
     def check(self, backend: Backend, inbox: Inbox) -> None:
         """Try whether a server accepts connections.
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_dialect.py
@@ -0,0 +1,87 @@
+"""The simplest wire between callers, node and simulated engines."""
+
+from __future__ import annotations
+
+from ebonyhaven_decisions import Outcome
+from ebonyhaven_node.forwarding import (
+    AnswerHead,
+    AttemptPlan,
+    Exchange,
+    ForwardRequest,
+    Headers,
+    PromptSize,
+)
+from ebonyhaven_node.forwarding.interfaces import BackendDialect, CallerDialect
+
+HOST = "engines.example"
+KEY = "key"
+
+
+class PlainCallers(CallerDialect):
+    """Requests with an id and two sizes."""
+
+    def read_request(self, exchange: Exchange) -> ForwardRequest:
+        """See `CallerDialect.read_request`."""
+        found = {name.decode(): value.decode() for name, value in exchange.head.headers}
+        prompt, _, output = found["size"].partition("/")
+        return ForwardRequest(
+            request_id=found["id"],
+            method=exchange.head.method,
+            target=exchange.head.target,
+            host=HOST,
+            path=exchange.head.target.decode(),
+            headers=(),
+            body=exchange.body,
+            wait_s=None,
+            api_key=KEY,
+            last_event_id=None,
+            size=PromptSize(int(prompt), int(output)),
+            prompt_id=found["id"],
+            arrived_at=exchange.arrived_at,
+        )
+
+    def describe_outcome(self, outcome: Outcome) -> tuple[Headers, bytes]:
+        """See `CallerDialect.describe_outcome`."""
+        return (), outcome.reason.encode()
+
+
+class PlainBackends(BackendDialect):
+    """What engines are told and tell."""
+
+    def write_headers(
+        self, request: ForwardRequest, server_id: str, plan: AttemptPlan
+    ) -> Headers:
+        """See `BackendDialect.write_headers`."""
+        size = f"{request.size.prompt_tokens}/{request.size.output_tokens}"
+        fields = {
+            "host": HOST,
+            "id": request.request_id,
+            "size": size,
+            "server": server_id,
+            "after": plan.last_event_id,
+            "copy-to": plan.copy_to,
+            "copy": f"{plan.copy.handle or request.request_id}" if plan.copy else None,
+        }
+        return tuple(
+            (name.encode(), value.encode())
+            for name, value in fields.items()
+            if value is not None
+        )
+
+    def read_head(self, status: int, headers: Headers) -> AnswerHead:
+        """See `BackendDialect.read_head`."""
+        found = dict(headers)
+        return AnswerHead(
+            status=status,
+            headers=(),
+            request_id=found[b"id"].decode(),
+            has_proof=status == 200,
+            not_run=b"not-run" in found,
+            is_other_process=b"other" in found,
+            other_server=None,
+            load=None,
+        )
+
+    def read_event_id(self, block: bytes) -> str | None:
+        """See `BackendDialect.read_event_id`."""
+        return block.partition(b"\n")[0].removeprefix(b"id: ").decode()
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_experiment.py
@@ -0,0 +1,361 @@
+"""Streams at several loads while whole data centres of engines crash in turn."""
+
+from __future__ import annotations
+
+import enum
+import random
+import statistics
+from typing import NamedTuple
+
+import h11
+from ebonyhaven_decisions.forwarding import (
+    BackendEntry,
+    CallerLimits,
+    EngineTraits,
+    RequestKind,
+    Route,
+    RoutingConfiguration,
+    Service,
+    ServiceShare,
+    Workspace,
+    group_routes,
+)
+from ebonyhaven_node.forwarding import Gateway, GatewaySettings
+from ebonyhaven_node.forwarding.interfaces import (
+    InspectedServer,
+    ServerInspector,
+    StateSource,
+)
+from twisted.internet.error import ConnectionRefusedError as Refused
+from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
+
+from ebonyhaven_standins.memory_connections import MemoryTransport, ServerSide
+from ebonyhaven_standins.resuming._dialect import (
+    HOST,
+    KEY,
+    PlainBackends,
+    PlainCallers,
+)
+from ebonyhaven_standins.resuming._engines import Fleet
+
+TARGET_LATENCY_S = 4.5
+TARGET_GAP_S = 0.7
+TIMEOUT_S = 25.0
+MEMORY_TOKENS = 88_000
+PROMPT_TOKENS = 8000
+PROMPT_SPREAD = 0.3
+OUTPUT_TOKENS = 780
+LENGTH_S = 40.0
+FIRST_CRASH_S = 4.0
+CRASH_INTERVAL_S = 6.5
+DOWN_S = 1.2
+STEP_S = 0.005
+DATA_CENTRES = 3
+ENGINES = 6
+PATH = "/stream/"
+
+
+class Way(enum.Enum):
+    """How a stream that lost its engine goes on."""
+
+    COPY = "copy"
+    PROMPT = "prompt"
+    RESTART = "restart"
+
+
+class Outcome(NamedTuple):
+    """What one run of the experiment showed.
+
+    Parameters
+    ----------
+    way : str
+    per_s : float
+        Streams that arrive in a second.
+    streams : int
+    in_time : float
+        Share that was whole, with its first event and all pauses on time.
+    whole : float
+        Share that was whole.
+    pause_p50_s, pause_p95_s, pause_max_s : float
+        Longest pauses of the streams that were interrupted by a crash.
+    moved_tokens, read_again_tokens : int
+        Memory copied between engines, prompt tokens read again.
+    """
+
+    way: str
+    per_s: float
+    streams: int
+    in_time: float
+    whole: float
+    pause_p50_s: float
+    pause_p95_s: float
+    pause_max_s: float
+    moved_tokens: int
+    read_again_tokens: int
+
+
+class _FixedState(StateSource):
+    """Configuration and servers are put in place by the experiment."""
+
+    def start(self) -> None:
+        """See `StateSource.start`."""
+
+    def stop(self) -> None:
+        """See `StateSource.stop`."""
+
+    def read_version(self) -> tuple[int, int]:
+        """See `StateSource.read_version`."""
+        return (1, 1)
+
+    def is_behind(self) -> bool:
+        """See `StateSource.is_behind`."""
+        return False
+
+    def export(self) -> object:
+        """See `StateSource.export`."""
+        return None
+
+    def merge(self, payload: object) -> None:
+        """See `StateSource.merge`."""
+
+
+class _NoInspector(ServerInspector):
+    """Knows nothing of any server."""
+
+    async def inspect(self, address: str) -> InspectedServer | None:
+        """See `ServerInspector.inspect`."""
+        return None
+
+
+class _Stream:
+    """One caller's stream as it arrives."""
+
+    def __init__(self, gateway: Gateway, request_id: str, prompt: int, now: float):
+        self.request_id = request_id
+        self.asked_at = now
+        self.first_s: float | None = None
+        self.longest_s = 0.0
+        self.is_whole = False
+        self.restarts = 0
+        self._is_refused = False
+        self._prompt = prompt
+        self._gateway = gateway
+        self._last_at = now
+        self._send()
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether callers got what the targets say."""
+        return (
+            self.is_whole
+            and not self.restarts
+            and self.first_s <= TARGET_LATENCY_S
+            and self.longest_s <= TARGET_GAP_S
+        )
+
+    def look(self, now: float) -> None:
+        """Take note of what arrived since the last look."""
+        if self.is_whole or self._is_refused:
+            return
+        self._read(now)
+        if self._transport.aborted and not self.is_whole:
+            self.restarts += 1
+            self._send()
+
+    def _send(self) -> None:
+        self._codec = h11.Connection(h11.CLIENT)
+        self._codec.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+        self._codec.send(h11.EndOfMessage())
+        self._read_bytes = 0
+        self._transport = MemoryTransport()
+        protocol = self._gateway.server.buildProtocol(None)
+        protocol.makeConnection(self._transport)
+        attempt = f"{self.request_id}.{self.restarts}"
+        head = (
+            f"POST {PATH} HTTP/1.1\r\nhost: {HOST}\r\nid: {attempt}\r\n"
+            f"size: {self._prompt}/{OUTPUT_TOKENS}\r\n"
+            f"content-length: {len(attempt)}\r\n\r\n{attempt}"
+        )
+        protocol.dataReceived(head.encode())
+
+    def _read(self, now: float) -> None:
+        data = self._transport.value()[self._read_bytes :]
+        if not data:
+            return
+        self._read_bytes += len(data)
+        self._codec.receive_data(data)
+        while True:
+            event = self._codec.next_event()
+            if isinstance(event, h11.Response):
+                self._is_refused = event.status_code != 200
+            elif isinstance(event, h11.Data) and not self._is_refused:
+                self._take_event(now)
+            elif isinstance(event, h11.EndOfMessage):
+                self.is_whole = not self._is_refused
+                return
+            elif event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+
+    def _take_event(self, now: float) -> None:
+        if self.first_s is None:
+            self.first_s = now - self.asked_at
+        else:
+            self.longest_s = max(self.longest_s, now - self._last_at)
+        self._last_at = now
+
+
+class _Experiment:
+    """One run: a node in memory between callers and simulated engines."""
+
+    def __init__(self, way: Way, per_s: float, seed: int):
+        self._way = way
+        self._per_s = per_s
+        self._rng = random.Random(seed)
+        self._reactor = MemoryReactorClock()
+        self._reactor.advance(100.0)
+        self._fleet = Fleet(
+            clock=self._reactor,
+            data_centres=DATA_CENTRES,
+            engines=ENGINES,
+            on_listed=self._take_entry,
+        )
+        self._gateway = self._build_gateway(seed)
+        entries = {each.name: each.describe() for each in self._fleet.engines}
+        self._gateway.state.take_configuration(_make_configuration(way))
+        self._gateway.state.replace_backends(entries)
+        self._seen = 0
+        self._streams: list[_Stream] = []
+
+    def run(self) -> Outcome:
+        """Play it and return what it showed."""
+        start = self._reactor.seconds()
+        crash_at = start + FIRST_CRASH_S
+        next_at = start + self._rng.expovariate(self._per_s)
+        crashes = 0
+        while self._reactor.seconds() < start + LENGTH_S + TIMEOUT_S:
+            now = self._reactor.seconds()
+            if now >= next_at and now < start + LENGTH_S:
+                self._ask(now)
+                next_at += self._rng.expovariate(self._per_s)
+            if now >= crash_at and now < start + LENGTH_S:
+                zone = f"dc-{crashes % DATA_CENTRES}"
+                self._fleet.crash_data_centre(zone, DOWN_S)
+                crashes += 1
+                crash_at += CRASH_INTERVAL_S
+            self._step()
+        return self._summarize()
+
+    def _take_entry(self, entry: BackendEntry) -> None:
+        self._gateway.state.put_backend(entry)
+
+    def _ask(self, now: float) -> None:
+        spread = self._rng.uniform(1 - PROMPT_SPREAD, 1 + PROMPT_SPREAD)
+        name = f"r{len(self._streams)}"
+        prompt = int(PROMPT_TOKENS * spread)
+        self._streams.append(_Stream(self._gateway, name, prompt, now))
+
+    def _step(self) -> None:
+        self._accept()
+        for engine in self._fleet.engines:
+            engine.take_requests()
+        self._reactor.advance(STEP_S)
+        now = self._reactor.seconds()
+        for stream in self._streams:
+            stream.look(now)
+
+    def _accept(self) -> None:
+        while self._seen < len(self._reactor.tcpClients):
+            host, port, factory, _, _ = self._reactor.tcpClients[self._seen]
+            self._seen += 1
+            engine = self._fleet.by_address[f"{host}:{port}"]
+            if engine.is_down:
+                factory.clientConnectionFailed(None, Failure(Refused()))
+            else:
+                protocol = factory.buildProtocol(None)
+                engine.accept(ServerSide(engine.address, protocol))
+
+    def _build_gateway(self, seed: int) -> Gateway:
+        return Gateway(
+            settings=GatewaySettings(
+                instance="n1",
+                data_centre="dc-0",
+                region="r1",
+                caller_address="10.1.0.1:80",
+                control_address="10.1.0.1:81",
+                seeds={},
+                grace_s=8.0,
+                repeat_ratio=0.8,
+                repeat_window_s=10.0,
+                repeat_slack=150.0,
+            ),
+            reactor=self._reactor,
+            caller_dialect=PlainCallers(),
+            backend_dialect=PlainBackends(),
+            build_source=lambda state, pool: _FixedState(),
+            build_inspector=lambda pool: _NoInspector(),
+            build_copier=lambda pool: self._fleet,
+            rng=random.Random(seed),
+            clock=self._reactor.seconds,
+        )
+
+    def _summarize(self) -> Outcome:
+        streams = self._streams
+        pauses = [each.longest_s for each in streams if each.longest_s > 0.2] or [0.0]
+        pauses.sort()
+        return Outcome(
+            way=self._way.value,
+            per_s=self._per_s,
+            streams=len(streams),
+            in_time=round(statistics.mean(each.is_in_time for each in streams), 3),
+            whole=round(statistics.mean(each.is_whole for each in streams), 3),
+            pause_p50_s=round(pauses[len(pauses) // 2], 3),
+            pause_p95_s=round(pauses[int(0.95 * (len(pauses) - 1))], 3),
+            pause_max_s=round(pauses[-1], 3),
+            moved_tokens=self._fleet.moved_tokens,
+            read_again_tokens=self._fleet.read_again_tokens,
+        )
+
+
+def _make_configuration(way: Way) -> RoutingConfiguration:
+    has_copies = way is Way.COPY
+    route = Route(
+        name="stream",
+        host=HOST,
+        path_prefix=PATH,
+        kind=RequestKind.STREAM,
+        timeout_s=TIMEOUT_S,
+        target_latency_s=TARGET_LATENCY_S,
+        target_gap_s=TARGET_GAP_S,
+        priority=1,
+        shares=(ServiceShare("engines", 1.0),),
+        max_attempts=5,
+        is_anonymous=False,
+        is_resumable=way is not Way.RESTART,
+    )
+    traits = EngineTraits(64, MEMORY_TOKENS, has_copies, has_copies, 4.0)
+    return RoutingConfiguration(
+        version=1,
+        routes=group_routes([route]),
+        services={"engines": Service("engines", 400, traits)},
+        workspaces={KEY: Workspace("studio-a", None)},
+        requires_keys=True,
+        limits=CallerLimits(),
+    )
+
+
+def play(way: Way, per_s: float, *, seed: int = 1) -> Outcome:
+    """Play the experiment once.
+
+    Parameters
+    ----------
+    way : Way
+    per_s : float
+        Streams that arrive in a second.
+    seed : int
+
+    Returns
+    -------
+    Outcome
+    """
+    return _Experiment(way, per_s, seed).run()
