--- a/packages/standins/src/ebonyhaven_standins/resuming/__main__.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/__main__.py
@@ -12,6 +12,7 @@
 
 LOADS_PER_S = (2.0, 5.0, 8.0, 12.0)
 RESULTS = pathlib.Path("bench/results/resuming.json")
+PLOT = pathlib.Path("bench/results/resuming.png")
 
 
 def main() -> None:
@@ -28,6 +29,34 @@
     RESULTS.parent.mkdir(parents=True, exist_ok=True)
     document = [outcome._asdict() for outcome in outcomes]
     RESULTS.write_text(json.dumps(document, indent=1) + "\n")
+    draw(outcomes, PLOT)
+
+
+def draw(outcomes: list[Outcome], path: pathlib.Path) -> None:
+    """Draw the share of streams in time over the load, a line for each way.
+
+    Parameters
+    ----------
+    outcomes : list of Outcome
+    path : pathlib.Path
+        Where the picture goes.
+    """
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(6, 4))
+    for way in Way:
+        own = [each for each in outcomes if each.way == way.value]
+        loads = [each.per_s for each in own]
+        axes.plot(loads, [each.in_time for each in own], marker="o", label=way.value)
+    axes.set_xlabel("streams a second")
+    axes.set_ylabel("share in time")
+    axes.set_ylim(0.0, 1.05)
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path, dpi=100)
 
 
 if __name__ == "__main__":
