Split the long modules of the forwarding path by job

Directory from backend, connection pool from connection, one attempt and the progress of a stream from its relay.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -2,11 +2,11 @@
 
 from ebonyhaven_decisions.forwarding._backends import (
     Backend,
-    BackendDirectory,
     BackendEntry,
     BackendState,
 )
 from ebonyhaven_decisions.forwarding._budget import RepeatBudget
+from ebonyhaven_decisions.forwarding._directory import BackendDirectory
 from ebonyhaven_decisions.forwarding._pace import (
     RECHECK_S,
     PrefillRate,
--- a/packages/node/src/ebonyhaven_node/forwarding/__init__.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/__init__.py
@@ -4,12 +4,9 @@
 backend servers and a source of configuration and servers, see `interfaces`.
 """
 
+from ebonyhaven_node.forwarding._connection_pool import ConnectionPool
 from ebonyhaven_node.forwarding._gateway import Gateway, GatewaySettings
-from ebonyhaven_node.forwarding._http_client import (
-    ConnectionPool,
-    OutgoingRequest,
-    RequestBytes,
-)
+from ebonyhaven_node.forwarding._http_client import OutgoingRequest, RequestBytes
 from ebonyhaven_node.forwarding._http_server import CallerServer, Exchange
 from ebonyhaven_node.forwarding._messages import (
     AnswerHead,
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -4,10 +4,10 @@
 
 from ebonyhaven_decisions.forwarding import Backend
 
+from ebonyhaven_node.forwarding._connection_pool import PendingConnection
 from ebonyhaven_node.forwarding._http_client import (
     HttpConnection,
     OutgoingRequest,
-    PendingConnection,
     RequestBytes,
 )
 from ebonyhaven_node.forwarding._inbox import Inbox
--- a/packages/node/src/ebonyhaven_node/forwarding/_followers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_followers.py
@@ -42,7 +42,6 @@
         "head",
         "heard_at",
         "longest_gap_s",
-        "resume_source",
         "splitter",
         "started_at",
     )
@@ -59,7 +58,6 @@
         self.checked_at = -math.inf
         self.longest_gap_s = 0.0
         self.events = 0
-        self.resume_source: str | None = None
         self.splitter = EventSplitter()
         self.error_body: list[bytes] = []
 
@@ -68,6 +66,11 @@
         self.head = head
         self.heard_at = self._parts.clock()
 
+    def is_stream(self) -> bool:
+        """Tell whether the answer is the server's own stream."""
+        head = self.head
+        return head.status == 200 and head.has_proof and head.request_id is not None
+
     def record_events(self, now: float, count: int) -> None:
         """Take note of events that arrived."""
         if self.events == 0:
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -29,6 +29,10 @@
 from ebonyhaven_node._own_record import make_own_record
 from ebonyhaven_node._processor_load import ProcessorLoad
 from ebonyhaven_node.forwarding._adoption import Adoption
+from ebonyhaven_node.forwarding._connection_pool import (
+    SWEEP_INTERVAL_S,
+    ConnectionPool,
+)
 from ebonyhaven_node.forwarding._filters import (
     AdmitFilter,
     CrashFilter,
@@ -39,7 +43,6 @@
     RouteFilter,
     Work,
 )
-from ebonyhaven_node.forwarding._http_client import SWEEP_INTERVAL_S, ConnectionPool
 from ebonyhaven_node.forwarding._http_server import CallerServer, Exchange
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._parts import RelayParts, Suspicions, Waiters
--- a/packages/node/src/ebonyhaven_node/forwarding/_parts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_parts.py
@@ -16,7 +16,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ebonyhaven_node._crash_reports import CrashReports
-from ebonyhaven_node.forwarding._http_client import ConnectionPool
+from ebonyhaven_node.forwarding._connection_pool import ConnectionPool
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._messages import (
     BackendChecked,
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -2,19 +2,16 @@
 
 from __future__ import annotations
 
-import enum
 from typing import NamedTuple
 
 import structlog
 from ebonyhaven_decisions import CrashVerdict
 from ebonyhaven_decisions.forwarding import (
-    RECHECK_S,
     Backend,
     EngineTraits,
     EngineUse,
     Need,
     Route,
-    SilenceLimits,
 )
 
 from ebonyhaven_node.forwarding._attempts import Attempt
@@ -22,26 +19,21 @@
 from ebonyhaven_node.forwarding._http_server import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._messages import (
-    AnswerData,
-    AnswerEnded,
     AnswerHead,
-    AnswerStarted,
-    AttemptFailed,
     AttemptPlan,
-    BackendChecked,
     BackendsChanged,
-    BackendSuspected,
     CopyPlace,
     ForwardRequest,
 )
-from ebonyhaven_node.forwarding._outcomes import (
-    NO_SERVER_RETRY_S,
-    PROMISING_STATUSES,
-    give_up,
-    refuse,
-)
-from ebonyhaven_node.forwarding._parts import SILENT_SERVER_S, RelayParts
+from ebonyhaven_node.forwarding._outcomes import NO_SERVER_RETRY_S, give_up, refuse
+from ebonyhaven_node.forwarding._parts import RelayParts
+from ebonyhaven_node.forwarding._progress import StreamProgress
 from ebonyhaven_node.forwarding._run_copies import RunCopy
+from ebonyhaven_node.forwarding._stream_attempts import (
+    AttemptResult,
+    End,
+    StreamAttempt,
+)
 from ebonyhaven_node.forwarding._stream_servers import StreamServers
 from ebonyhaven_node.forwarding._usage import EngineClaim
 
@@ -55,17 +47,6 @@
 _log = structlog.get_logger()
 
 
-class _End(enum.Enum):
-    """How an attempt ended."""
-
-    DONE = "done"
-    NOT_RUN = "not_run"
-    UNREACHABLE = "unreachable"
-    LOST = "lost"
-    SILENT = "silent"
-    ERROR = "error"
-
-
 class _Target(NamedTuple):
     """Where an attempt goes, and the copy that it goes on from."""
 
@@ -119,10 +100,9 @@
             wait_s = min(wait_s, request.wait_s)
         self._deadline = request.arrived_at + wait_s
         self._last_start = request.arrived_at + LAST_START_SHARE * wait_s
-        self._position = request.last_event_id
-        self._delivered = 0
-        self._delivered_at = 0.0
-        self._is_late = False
+        self._progress = StreamProgress(
+            request=request, route=route, exchange=exchange, parts=parts
+        )
         self._attempts = 0
         self._tries = 0
         self._charged = 0
@@ -148,10 +128,10 @@
             target = await self._find_server()
             if target is None or self._exchange.is_done:
                 return
-            end = await self._try_server(target)
-            if end is _End.DONE or self._exchange.is_done:
+            result = await self._try_server(target)
+            if result.end is End.DONE or self._exchange.is_done:
                 return
-            self._note_end(target, end)
+            self._note_result(target, result)
 
     # -- choosing ----------------------------------------------------------
 
@@ -204,7 +184,7 @@
             "stream_given_up",
             request=self._request.request_id,
             reason=reason,
-            delivered=self._delivered,
+            delivered=self._progress.delivered,
             attempts=self._attempts,
             waited_s=round(now - self._request.arrived_at, 3),
         )
@@ -232,7 +212,7 @@
 
     # -- one attempt -------------------------------------------------------
 
-    async def _try_server(self, target: _Target) -> _End:
+    async def _try_server(self, target: _Target) -> AttemptResult:
         now = self._parts.clock()
         backend = target.backend
         self._copy = None  # a copy serves once
@@ -250,7 +230,7 @@
                 urgency=self._rank(target.copy is not None),
                 copy_to=holder.entry.address if holder else None,
                 copy=target.copy,
-                last_event_id=self._position,
+                last_event_id=self._progress.position,
             ),
             inbox=self._inbox,
             parts=self._parts,
@@ -268,10 +248,33 @@
             parts=self._parts,
         )
         self._log_sent(target, holder, now)
+        return await self._run_attempt(attempt, claim, copy, target)
+
+    async def _run_attempt(
+        self, attempt: Attempt, claim: EngineClaim, copy: RunCopy, target: _Target
+    ) -> AttemptResult:
         self._parts.suspicions.join(self._inbox)
+        if self._progress.delivered:
+            self._progress.resume_source = "copy" if target.copy else "prompt"
         attempt.start()
+        follower = Follower(attempt, self._route, self._parts, claim)
+        following = StreamAttempt(
+            attempt=attempt,
+            follower=follower,
+            copy=copy,
+            progress=self._progress,
+            exchange=self._exchange,
+            inbox=self._inbox,
+            parts=self._parts,
+            deadline=self._deadline,
+        )
         try:
-            return await self._follow(attempt, claim, copy, target)
+            result = await following.follow()
+            if follower.events:  # engines copy nothing before the first event
+                self._copy = copy
+            elif result.end is End.LOST:
+                self._parts.count_death(self._request, attempt.backend)
+            return result
         finally:
             copy.close(is_needed=not self._exchange.is_done)
             claim.release()
@@ -290,7 +293,7 @@
             data_centre=backend.entry.data_centre,
             from_copy=target.copy is not None,
             copy_to=holder.server_id if holder else None,
-            position=self._position,
+            position=self._progress.position,
             attempt=self._attempts,
             tokens=self._need.tokens,
             own_use=[backend.run_tokens, backend.copy_tokens, backend.prefill_tokens],
@@ -299,246 +302,50 @@
         )
 
     def _rank(self, is_from_copy: bool) -> int | None:
-        if self._is_late:
+        if self._progress.is_late:
             return LATE_URGENCY
-        if is_from_copy or self._delivered:
+        if is_from_copy or self._progress.delivered:
             return RESUME_URGENCY
         rank = NEW_URGENCY - 1 + min(2, self._urgency)
         return None if rank == NEW_URGENCY else rank
 
-    async def _follow(
-        self, attempt: Attempt, claim: EngineClaim, copy: RunCopy, target: _Target
-    ) -> _End:
-        follower = Follower(attempt, self._route, self._parts, claim)
-        if self._delivered:
-            follower.resume_source = "copy" if target.copy else "prompt"
-        while True:
-            now = self._parts.clock()
-            if follower.events:
-                copy.review(now)
-            limits = follower.read_limits(copy.is_usable(now))
-            wait_s = min(follower.read_wait(limits, now), self._deadline - now)
-            message = await self._inbox.get(wait_s)
-            if self._exchange.is_done:
-                return _End.DONE
-            copy.take(message)
-            end = self._take(message, attempt, follower, limits)
-            if end is None:
-                continue
-            if end is _End.LOST and not follower.events:
-                self._parts.count_death(self._request, attempt.backend)
-            if follower.events:  # engines copy nothing before the first event
-                self._copy = copy
-            return end
-
-    def _take(
-        self,
-        message: object,
-        attempt: Attempt,
-        follower: Follower,
-        limits: SilenceLimits,
-    ) -> _End | None:
-        """Handle one message; return how the attempt ended, if it did."""
-        end = None
-        match message:
-            case None:
-                end = self._handle_silence(attempt, follower, limits)
-            case BackendSuspected():
-                end = self._handle_suspicion(message, attempt, follower)
-            case BackendChecked(server_key, False) if server_key == attempt.backend.key:
-                end = self._handle_dead(attempt, follower)
-            case AnswerStarted(sender, head) if sender is attempt:
-                follower.take_head(head)
-                if head.is_other_process:
-                    self._parts.count_replaced(attempt.backend, head.other_server)
-            case AnswerData(sender, data) if sender is attempt:
-                end = self._take_data(data, follower)
-            case AnswerEnded(sender) if sender is attempt:
-                end = self._take_end(follower)
-            case AttemptFailed(sender) if sender is attempt:
-                end = self._take_failure(message)
-        return end
-
-    def _handle_suspicion(
-        self, suspicion: BackendSuspected, attempt: Attempt, follower: Follower
-    ) -> _End | None:
-        """Leave a server that another stream found lost; check those near it."""
-        if not attempt.was_sent or not follower.is_doubtful():
-            return None
-        if suspicion.server_key == attempt.backend.key:
-            self._last_reason = "the server was found silent by another stream"
-            return _End.SILENT
-        is_near = suspicion.data_centre == attempt.backend.entry.data_centre
-        if is_near and not follower.events:
-            self._check(attempt, follower)
-        return None
-
-    def _handle_dead(self, attempt: Attempt, follower: Follower) -> _End | None:
-        if not follower.is_doubtful():
-            return None
-        self._last_reason = "the server accepts no connection"
-        self._parts.count_unreachable(attempt.backend)
-        return _End.SILENT
-
-    def _check(self, attempt: Attempt, follower: Follower) -> None:
-        now = self._parts.clock()
-        if now - follower.checked_at >= RECHECK_S:
-            follower.checked_at = now
-            self._parts.check(attempt.backend, self._inbox)
-
-    def _take_failure(self, message: AttemptFailed) -> _End:
-        self._last_reason = message.reason
-        if not message.was_sent:
-            return _End.UNREACHABLE
-        return _End.LOST if message.is_reset else _End.ERROR
-
-    def _handle_silence(
-        self, attempt: Attempt, follower: Follower, limits: SilenceLimits
-    ) -> _End | None:
-        now = self._parts.clock()
-        backend = attempt.backend
-        silent_s = now - follower.heard_at
-        if now < self._deadline and silent_s < limits.give_up_s:
-            self._check(attempt, follower)
-            return None
-        self._last_reason = f"silent for {silent_s:.2f} s"
-        if now - backend.heard_at > SILENT_SERVER_S and follower.events:
-            self._parts.count_unreachable(backend)
-        return _End.SILENT if attempt.was_sent else _End.UNREACHABLE
-
-    def _take_data(self, data: bytes, follower: Follower) -> _End | None:
-        head = follower.head
-        if head.status != 200 or not head.has_proof or head.request_id is None:
-            follower.error_body.append(data)
-            return None
-        try:
-            blocks = follower.splitter.feed(data)
-        except ValueError as error:
-            self._last_reason = str(error)
-            return _End.ERROR
-        now = self._parts.clock()
-        out = [block for block in blocks if self._is_next(block)]
-        if blocks:
-            follower.record_events(now, len(blocks))
-        if out:
-            self._deliver(b"".join(out), len(out), follower, now)
-        return None
-
-    def _is_next(self, block: bytes) -> bool:
-        """Tell whether an event comes after what the caller has."""
-        event_id = self._parts.dialect.read_event_id(block)
-        if event_id is None:
-            return True
-        if self._position is not None and not _is_after(event_id, self._position):
-            return False
-        self._position = event_id
-        return True
-
-    def _deliver(self, data: bytes, count: int, follower: Follower, now: float) -> None:
-        if not self._exchange.is_started:
-            head = follower.head
-            self._exchange.start_stream(head.status, head.headers)
-            elapsed_s = now - self._request.arrived_at
-            self._parts.metrics.first_event.observe(elapsed_s)
-            if elapsed_s > self._route.target_latency_s:
-                self._note_late("first_event", elapsed_s)
-        else:
-            self._note_pause(now - self._delivered_at, follower)
-        self._exchange.write(data)
-        self._delivered += count
-        self._delivered_at = now
-
-    def _note_late(self, what: str, seconds: float) -> None:
-        if self._is_late:
-            return
-        self._is_late = True
-        _log.warning(
-            "stream_late",
-            request=self._request.request_id,
-            what=what,
-            seconds=round(seconds, 3),
-            position=self._position,
-        )
-
-    def _note_pause(self, pause_s: float, follower: Follower) -> None:
-        target_s = self._route.target_gap_s
-        if target_s and pause_s > target_s:
-            self._note_late("pause", pause_s)
-        if follower.resume_source is None:
-            return
-        self._parts.metrics.resumes.labels(follower.resume_source).inc()
-        self._parts.metrics.resume_pause.observe(pause_s)
-        _log.info(
-            "stream_resumed",
-            request=self._request.request_id,
-            source=follower.resume_source,
-            pause_s=round(pause_s, 3),
-            position=self._position,
-        )
-        follower.resume_source = None
-
-    def _take_end(self, follower: Follower) -> _End:
-        head = follower.head
-        if head.not_run:
-            self._last_reason = f"server refused with {head.status}"
-            return _End.NOT_RUN
-        if head.status != 200 or not head.has_proof or head.request_id is None:
-            body = b"".join(follower.error_body)
-            self._last_reason = f"server answered with {head.status}"
-            may_pass_on = head.has_proof and head.status not in PROMISING_STATUSES
-            if may_pass_on and not self._exchange.is_started:
-                self._failed = (head, body)
-                if head.status < 500:
-                    self._exchange.respond(head.status, head.headers, body)
-                    return _End.DONE
-            return _End.ERROR
-        if not self._exchange.is_started:
-            self._exchange.start_stream(head.status, head.headers)
-        rest = follower.splitter.take_rest()
-        if rest:
-            self._exchange.write(rest)
-        self._exchange.finish()
-        return _End.DONE
-
     # -- after an attempt --------------------------------------------------
 
-    def _note_end(self, target: _Target, end: _End) -> None:
+    def _note_result(self, target: _Target, result: AttemptResult) -> None:
         now = self._parts.clock()
         backend = target.backend
-        kind = self._route.kind.value
-        self._parts.metrics.attempts.labels(kind, end.value).inc()
+        end = result.end
+        self._parts.metrics.attempts.labels(self._route.kind.value, end.value).inc()
+        self._last_reason = result.reason
         self._last_peer = backend.server_id
-        copy = self._copy
-        _log.info(
-            "stream_attempt_ended",
-            request=self._request.request_id,
-            server=backend.server_id,
-            end=end.value,
-            reason=self._last_reason,
-            delivered=self._delivered,
-            position=self._position,
-            from_copy=target.copy is not None,
-            copy_at=copy.holder.server_id if copy and copy.holder else None,
-            copy_usable=copy is not None and copy.is_usable(now),
-        )
-        if target.copy is not None and end is _End.NOT_RUN:
+        self._failed = result.failure or self._failed
+        self._log_ended(target, result, now)
+        if target.copy is not None and end is End.NOT_RUN:
             self._parts.metrics.resumes.labels("copy_gone").inc()
             return
         self._servers.avoid(backend, now)
-        if end is _End.UNREACHABLE:
+        if end is End.UNREACHABLE:
             self._attempts -= 1
             if self._attempts:
                 self._parts.budget.give_back(self._service, now)
-        if end in (_End.NOT_RUN, _End.UNREACHABLE):
+        if end in (End.NOT_RUN, End.UNREACHABLE):
             return
         self._may_have_run = True
         backend.record_result(succeeded=False, latency_s=None)
-        if end in (_End.SILENT, _End.ERROR):
+        if end in (End.SILENT, End.ERROR):
             self._charged += 1
 
-
-def _is_after(event_id: str, position: str) -> bool:
-    """Compare event ids, as numbers where they are."""
-    if event_id.isdigit() and position.isdigit():
-        return int(event_id) > int(position)
-    return event_id != position
+    def _log_ended(self, target: _Target, result: AttemptResult, now: float) -> None:
+        copy = self._copy
+        _log.info(
+            "stream_attempt_ended",
+            request=self._request.request_id,
+            server=target.backend.server_id,
+            end=result.end.value,
+            reason=result.reason,
+            delivered=self._progress.delivered,
+            position=self._progress.position,
+            from_copy=target.copy is not None,
+            copy_at=copy.holder.server_id if copy and copy.holder else None,
+            copy_usable=copy is not None and copy.is_usable(now),
+        )
