Take no request that cannot end before a leaving instance does

Change: a leaving instance refuses short requests, as not run and to be sent elsewhere at once, when their route's timeout reaches past its end. Test: fails before.

--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -190,20 +190,20 @@
 
 
 class AdmitFilter(Filter[Work]):
-    """Refuses streams that would not end before this instance does.
+    """Refuses requests that would not end before this instance does.
 
     Parameters
     ----------
-    takes_streams : callable
-        Returns whether this instance still takes them.
+    takes : callable
+        Returns for a `Route` whether this instance still takes its requests.
     """
 
-    def __init__(self, takes_streams: Callable[[], bool]):
-        self._takes_streams = takes_streams
+    def __init__(self, takes: Callable[[Route], bool]):
+        self._takes = takes
 
     async def handle(self, work: Work, proceed: Proceed[Work]) -> None:
         """See `Filter.handle`."""
-        if work.route.kind is RequestKind.STREAM and not self._takes_streams():
+        if not self._takes(work.route):
             raise refuse(
                 "this instance is leaving; use another",
                 step="admit",
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -15,6 +15,8 @@
     PeerUse,
     PrefillRate,
     RepeatBudget,
+    RequestKind,
+    Route,
 )
 from prometheus_client import CollectorRegistry, generate_latest
 from twisted.internet import task
@@ -232,8 +234,7 @@
         self._leaving_since = self._clock()
         self.membership.leave()
         _log.info("instance_leaving", active=self._active)
-        stop_at = self._leaving_since + self._settings.grace_s - STOP_MARGIN_S
-        while self._clock() < stop_at:
+        while self._clock() < self._stop_at():
             await task.deferLater(self._reactor, DRAIN_CHECK_S)
         _log.info("instance_stopped", active=self._active)
         await self.membership.depart()
@@ -250,11 +251,18 @@
         if self._losses is not None:
             self._losses.drain()
 
-    def _takes_streams(self) -> bool:
+    def _takes(self, route: Route) -> bool:
+        """Tell whether a request that comes now ends before this instance does."""
         if self._leaving_since is None:
             return True
-        elapsed_s = self._clock() - self._leaving_since
-        return elapsed_s < STREAM_ADMISSION_SHARE * self._settings.grace_s
+        now = self._clock()
+        if route.kind is RequestKind.STREAM:
+            share_s = STREAM_ADMISSION_SHARE * self._settings.grace_s
+            return now < self._leaving_since + share_s
+        return now + route.timeout_s < self._stop_at()
+
+    def _stop_at(self) -> float:
+        return self._leaving_since + self._settings.grace_s - STOP_MARGIN_S
 
     def _start_sharing(self) -> None:
         settings = self._settings
@@ -334,7 +342,7 @@
                 RouteFilter(self.state),
                 IdentifyFilter(),
                 CrashFilter(self._crashes),
-                AdmitFilter(self._takes_streams),
+                AdmitFilter(self._takes),
                 RelayFilter(parts, self._rng),
             ]
         )
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -118,3 +118,16 @@
     status, headers, _, _ = ask(world, "/stream/x", request_id="r2").read_answer()
     assert status == 503
     assert float(headers["retry-after"]) == 0
+
+
+def test_leaving_instance_takes_short_requests_only_while_they_can_end():
+    # A request that came 7.65 s after the signal was cut when the process ended.
+    world = World()
+    world.gateway._leaving_since = world.reactor.seconds()
+    world.advance(6.5)
+    ask(world)  # its route takes 0.8 s at most; the instance ends 7.4 s after
+    assert world.count_waiting() == 1
+    world.advance(0.2)
+    status, headers, _, _ = ask(world, request_id="r2").read_answer()
+    assert status == 503
+    assert float(headers["retry-after"]) == 0
