--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator
 
 from ebonyhaven_decisions.forwarding._backends import (
     REMOVED_USABLE_S,
@@ -83,22 +83,6 @@
             if now - (each.removed_at or now) >= REMOVED_USABLE_S:
                 del self._leftover[name]
 
-    def replace_all(self, entries: Mapping[str, BackendEntry], now: float) -> None:
-        """Take over a whole list.
-
-        Parameters
-        ----------
-        entries : mapping of str to BackendEntry
-            By server id.
-        now : float
-            Seconds.
-        """
-        for server_id in list(self._by_id):
-            if server_id not in entries:
-                self.remove(server_id, now)
-        for entry in entries.values():
-            self.put(entry, now)
-
     def _doubt_predecessors(self, entry: BackendEntry, now: float) -> None:
         """Keep work away from older entries that name the same address."""
         for each in self._by_id.values():
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -36,8 +36,6 @@
         Gets `AnswerStarted`, `AnswerData`, and then either `AnswerEnded` or
         `AttemptFailed`.
     parts : RelayParts
-    may_reuse : bool
-        Whether a connection may be used that the server may be closing.
 
     Attributes
     ----------
@@ -55,7 +53,6 @@
         plan: AttemptPlan,
         inbox: Inbox,
         parts: RelayParts,
-        may_reuse: bool = True,
     ):
         self.backend = backend
         self.head: AnswerHead | None = None
@@ -66,7 +63,6 @@
         self._request = request
         self._inbox = inbox
         self._parts = parts
-        self._may_reuse = may_reuse
         self._connection: HttpConnection | None = None
         self._pending: PendingConnection | None = None
 
@@ -75,7 +71,7 @@
         self.backend.in_flight += 1
         self.sent_at = self._parts.clock()
         address = self.backend.entry.address
-        connection = self._parts.pool.take_idle(address) if self._may_reuse else None
+        connection = self._parts.pool.take_idle(address)
         if connection is not None:
             self._send(connection)
             return
--- a/packages/node/src/ebonyhaven_node/forwarding/_connection_pool.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_connection_pool.py
@@ -105,16 +105,6 @@
         """
         return self._open.get(address, 0)
 
-    def has_idle(self, address: str) -> bool:
-        """Tell whether a connection can be used at once.
-
-        Parameters
-        ----------
-        address : str
-        """
-        now = self._clock()
-        return any(each.is_fresh(now) for each in self._idle.get(address, ()))
-
     def take_idle(self, address: str) -> HttpConnection | None:
         """Return a connection that can be used at once.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -7,7 +7,6 @@
 
 import structlog
 from ebonyhaven_decisions.forwarding import (
-    Backend,
     BackendDirectory,
     BackendEntry,
     CallerLimits,
@@ -33,7 +32,6 @@
         self.has_list = False
         self._adopted: set[str] = set()
         self._on_change: list[Callable[[], None]] = []
-        self._on_gone: list[Callable[[Backend], None]] = []
 
     @property
     def is_complete(self) -> bool:
@@ -51,10 +49,6 @@
         """Call ``observer`` after each change of servers or configuration."""
         self._on_change.append(observer)
 
-    def observe_gone(self, observer: Callable[[Backend], None]) -> None:
-        """Call ``observer`` with each process that is replaced or gone."""
-        self._on_gone.append(observer)
-
     def take_configuration(self, configuration: RoutingConfiguration) -> None:
         """Put a configuration in force, unless a later one is.
 
@@ -86,8 +80,6 @@
         backend = self.backends.put(entry, self._clock())
         if known is backend and known.entry == entry:
             return
-        if known is not None and known is not backend:
-            self._tell_gone(known)
         _log.info(
             "backend_listed",
             server=entry.server_id,
@@ -152,7 +144,3 @@
     def _tell(self) -> None:
         for observer in self._on_change:
             observer()
-
-    def _tell_gone(self, backend: Backend) -> None:
-        for observer in self._on_gone:
-            observer(backend)
--- a/tests/decisions/test_forwarding.py
+++ b/tests/decisions/test_forwarding.py
@@ -240,7 +240,8 @@
 
 def test_entries_that_lapse_all_at_once_serve_on_for_a_moment():
     directory = build(2)
-    directory.replace_all({}, 10.0)
+    directory.remove("s0", 10.0)
+    directory.remove("s1", 10.0)
     assert len(directory.list_usable("engines", 10.5)) == 2
     assert directory.list_usable("engines", 12.0) == []
 
