Type the counts of the repeat budget, share the in-memory settings, mend a check

Read as a newcomer: the budget kept its counts in bare lists read by index; the experiment and the test harness each wrote out the same settings; one assertion of the log writer's test could not fail ('or first') and now asks for the first line itself. Behaviour unchanged.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_budget.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_budget.py
@@ -4,10 +4,27 @@
 
 from collections import deque
 
+import attrs
+
 BUCKETS = 20
 SAFETY = 0.85  # of the allowance: windows slide, and counts here go by steps
 
 
+@attrs.define(slots=True)
+class _Bucket:
+    """Counts of one step of the window.
+
+    Parameters
+    ----------
+    number : float
+        Steps since the start of the clock.
+    """
+
+    number: float
+    requests: int = 0
+    repeats: int = 0
+
+
 class RepeatBudget:
     """Share of this instance in what all instances may repeat.
 
@@ -31,7 +48,7 @@
         self._ratio = ratio
         self._window_s = window_s
         self._slack = slack
-        self._counts: dict[str, deque[list[float]]] = {}
+        self._counts: dict[str, deque[_Bucket]] = {}
         self.instances = 1
 
     def record_request(self, service: str, now: float) -> None:
@@ -43,7 +60,7 @@
         now : float
             Seconds.
         """
-        self._bucket(service, now)[1] += 1
+        self._bucket(service, now).requests += 1
 
     def take_repeat(self, service: str, now: float) -> bool:
         """Spend one repeat.
@@ -61,12 +78,12 @@
         """
         bucket = self._bucket(service, now)
         counts = self._counts[service]
-        requests = sum(each[1] for each in counts)
-        repeats = sum(each[2] for each in counts)
+        requests = sum(each.requests for each in counts)
+        repeats = sum(each.repeats for each in counts)
         allowed = self._ratio * requests + self._slack / max(1, self.instances)
         if repeats + 1 > SAFETY * allowed:
             return False
-        bucket[2] += 1
+        bucket.repeats += 1
         return True
 
     def give_back(self, service: str, now: float) -> None:
@@ -78,15 +95,14 @@
         now : float
             Seconds.
         """
-        bucket = self._bucket(service, now)
-        bucket[2] -= 1
+        self._bucket(service, now).repeats -= 1
 
-    def _bucket(self, service: str, now: float) -> list[float]:
+    def _bucket(self, service: str, now: float) -> _Bucket:
         width_s = self._window_s / BUCKETS
         number = now // width_s
         counts = self._counts.setdefault(service, deque())
-        while counts and counts[0][0] <= number - BUCKETS:
+        while counts and counts[0].number <= number - BUCKETS:
             counts.popleft()
-        if not counts or counts[-1][0] != number:
-            counts.append([number, 0.0, 0.0])
+        if not counts or counts[-1].number != number:
+            counts.append(_Bucket(number))
         return counts[-1]
--- a/packages/standins/src/ebonyhaven_standins/memory_connections.py
+++ b/packages/standins/src/ebonyhaven_standins/memory_connections.py
@@ -3,12 +3,38 @@
 from __future__ import annotations
 
 import h11
+from ebonyhaven_node.forwarding import GatewaySettings
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.protocol import Protocol
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
 
+def make_settings(data_centre: str) -> GatewaySettings:
+    """Return the settings of an instance that lives in memory.
+
+    Parameters
+    ----------
+    data_centre : str
+
+    Returns
+    -------
+    GatewaySettings
+    """
+    return GatewaySettings(
+        instance="n1",
+        data_centre=data_centre,
+        region="r1",
+        caller_address="10.1.0.1:80",
+        control_address="10.1.0.1:81",
+        seeds={},
+        grace_s=8.0,
+        repeat_ratio=0.8,
+        repeat_window_s=10.0,
+        repeat_slack=150.0,
+    )
+
+
 class _Socket:
     """Takes options and forgets them."""
 
--- a/packages/standins/src/ebonyhaven_standins/resuming/_experiment.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_experiment.py
@@ -20,7 +20,7 @@
     Workspace,
     group_routes,
 )
-from ebonyhaven_node.forwarding import Gateway, GatewaySettings
+from ebonyhaven_node.forwarding import Gateway
 from ebonyhaven_node.forwarding.interfaces import (
     InspectedServer,
     ServerInspector,
@@ -30,7 +30,11 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
-from ebonyhaven_standins.memory_connections import MemoryTransport, ServerSide
+from ebonyhaven_standins.memory_connections import (
+    MemoryTransport,
+    ServerSide,
+    make_settings,
+)
 from ebonyhaven_standins.resuming._dialect import (
     HOST,
     KEY,
@@ -289,18 +293,7 @@
 
     def _build_gateway(self, seed: int) -> Gateway:
         return Gateway(
-            settings=GatewaySettings(
-                instance="n1",
-                data_centre="dc-0",
-                region="r1",
-                caller_address="10.1.0.1:80",
-                control_address="10.1.0.1:81",
-                seeds={},
-                grace_s=8.0,
-                repeat_ratio=0.8,
-                repeat_window_s=10.0,
-                repeat_slack=150.0,
-            ),
+            settings=make_settings("dc-0"),
             reactor=self._reactor,
             caller_dialect=PlainCallers(),
             backend_dialect=PlainBackends(),
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -19,14 +19,18 @@
     Workspace,
     group_routes,
 )
-from ebonyhaven_node.forwarding import Gateway, GatewaySettings
+from ebonyhaven_node.forwarding import Gateway
 from ebonyhaven_node.forwarding.interfaces import (
     InspectedServer,
     RunCopier,
     ServerInspector,
     StateSource,
 )
-from ebonyhaven_standins.memory_connections import MemoryTransport, ServerSide
+from ebonyhaven_standins.memory_connections import (
+    MemoryTransport,
+    ServerSide,
+    make_settings,
+)
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
@@ -267,18 +271,7 @@
         self._seen = 0
         self.connections: list[ServerSide] = []
         self.gateway = Gateway(
-            settings=GatewaySettings(
-                instance="n1",
-                data_centre="dc-a",
-                region="r1",
-                caller_address="10.1.0.1:80",
-                control_address="10.1.0.1:81",
-                seeds={},
-                grace_s=8.0,
-                repeat_ratio=0.8,
-                repeat_window_s=10.0,
-                repeat_slack=150.0,
-            ),
+            settings=make_settings("dc-a"),
             reactor=self.reactor,
             caller_dialect=PlatformCallers(),
             backend_dialect=PlatformBackends(),
--- a/tests/forwarding/test_calls.py
+++ b/tests/forwarding/test_calls.py
@@ -136,7 +136,7 @@
         server.receive(answer(f"r{number}"))
         assert caller.read_answer()[0] == 200
     now = world.reactor.seconds()
-    assert sum(each[2] for each in budget._counts["plain"]) == 0
+    assert sum(each.repeats for each in budget._counts["plain"]) == 0
     assert budget.take_repeat("plain", now)
 
 
--- a/tests/node/test_log_writer.py
+++ b/tests/node/test_log_writer.py
@@ -30,7 +30,7 @@
     assert writer.dropped > 800
     kept = writer.dropped
     first = read_all(reader)
-    assert set(first.decode().split("\n")) <= {LINE.strip(), "x" * 999, ""} or first
+    assert first.startswith(LINE.encode())
     writer.drain()
     read_all(reader)
     writer.write("after\n")
