Let callers that lost their instance go on from the copy of their run

Cause: an instance that dies cuts its streams, and their callers come back at other instances within 0.1 s with the last event that they have. The copies of their runs were still on engines, but only the dead instance knew where, so each prompt was read again: late by more than the allowed pause, and the prompts together delayed the new streams (up to three attempts of 2.7 s each).

Ruled out: refusing the callers (the engines had room), another placement of the prompts (reading one takes 1.3 s alone, the allowed pause is 0.7 s), keeping the places in the platform's store (a call for each run; four other instances answer in a millisecond and do not depend on the store).

Change: the place of a run's copy is told to four instances chosen by a hash of the run's content; the instance that a caller comes back to asks the same four. An engine that has no such copy refuses with proof, and the prompt is read.

A loss of all instances at once still loses the knowledge.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -34,6 +34,11 @@
     Workspace,
     group_routes,
 )
+from ebonyhaven_decisions.forwarding._run_places import (
+    RunPlace,
+    RunPlaces,
+    choose_keepers,
+)
 from ebonyhaven_decisions.forwarding._selection import choose_backend
 
 __all__ = [
@@ -52,6 +57,8 @@
     "RequestKind",
     "Route",
     "RoutingConfiguration",
+    "RunPlace",
+    "RunPlaces",
     "Service",
     "ServiceShare",
     "SilenceLimits",
@@ -59,6 +66,7 @@
     "choose_backend",
     "choose_copy_holder",
     "choose_engine",
+    "choose_keepers",
     "group_routes",
     "has_room",
     "limit_first_event",
--- a/packages/node/src/ebonyhaven_node/_frames.py
+++ b/packages/node/src/ebonyhaven_node/_frames.py
@@ -28,6 +28,9 @@
     ENGINE_USE = "g"
     STATE_REQUEST = "w"
     STATE = "x"
+    RUN_PLACE = "k"
+    RUN_PLACE_REQUEST = "m"
+    RUN_PLACE_ANSWER = "n"
 
 
 class Frame(NamedTuple):
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -48,6 +48,7 @@
 from ebonyhaven_node.forwarding._http_server import CallerServer, Exchange
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._parts import RelayParts, Suspicions, Waiters
+from ebonyhaven_node.forwarding._run_registry import RunRegistry
 from ebonyhaven_node.forwarding._sharing import REFRESH_S, StateSharing, UseSharing
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding.interfaces import (
@@ -167,6 +168,7 @@
             slack=settings.repeat_slack,
         )
         self._sharing: UseSharing | None = None
+        self._runs = RunRegistry(reactor, clock)
         self._copier = build_copier(self.pool)
         self._chain = self._build_chain(caller_dialect, backend_dialect)
         self.server = CallerServer(
@@ -310,6 +312,7 @@
             ),
         )
         self._stack.callback(self._sharing.stop)
+        self._runs.connect(self.membership, channels)
         self.membership.start()
 
     def _build_chain(
@@ -334,6 +337,7 @@
             on_loss=self._note_loss,
             on_other_process=self._adoption.note_other_process,
             crashes=self._crashes,
+            runs=self._runs,
         )
         return build_chain(
             [
--- a/packages/node/src/ebonyhaven_node/forwarding/_messages.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_messages.py
@@ -112,6 +112,17 @@
         hashed.update(self.body)
         return hashed.hexdigest()[:CONTENT_DIGITS]
 
+    @property
+    def run_key(self) -> str | None:
+        """Digest by which a generation is known when its caller comes back.
+
+        None for requests that are no generation of their own.
+        """
+        if self.prompt_id is None or self.size is None:
+            return None
+        told = f"{self.content} {self.host} {self.prompt_id} {tuple(self.size)}"
+        return hashlib.sha256(told.encode()).hexdigest()[:CONTENT_DIGITS]
+
 
 @attrs.frozen(slots=True, kw_only=True)
 class AttemptPlan:
--- a/packages/node/src/ebonyhaven_node/forwarding/_parts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_parts.py
@@ -25,6 +25,7 @@
     ForwardRequest,
 )
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
+from ebonyhaven_node.forwarding._run_registry import RunRegistry
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding.interfaces import BackendDialect, RunCopier
 
@@ -99,6 +100,7 @@
     waiters : Waiters
     metrics : ForwardingMetrics
     crashes : CrashReports
+    runs : RunRegistry
     data_centre : str
         Where this instance is.
     reactor : IReactorTime
@@ -124,6 +126,7 @@
     waiters: Waiters
     metrics: ForwardingMetrics
     crashes: CrashReports
+    runs: RunRegistry
     data_centre: str
     reactor: IReactorTime
     rng: random.Random
--- a/packages/node/src/ebonyhaven_node/forwarding/_progress.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_progress.py
@@ -30,6 +30,8 @@
         Events delivered by this instance.
     is_late : bool
         Whether the stream missed a target.
+    is_complete : bool
+        Whether the end of the stream was passed on.
     resume_source : str or None
         Set while a resumed stream waits for its next event: what it goes on from.
     """
@@ -50,6 +52,7 @@
         self.position = request.last_event_id
         self.delivered = 0
         self.is_late = False
+        self.is_complete = False
         self.resume_source: str | None = None
 
     def pick_new(self, blocks: list[bytes]) -> list[bytes]:
@@ -101,6 +104,7 @@
         if rest:
             self._exchange.write(rest)
         self._exchange.finish()
+        self.is_complete = True
 
     def _advance(self, block: bytes) -> bool:
         event_id = self._parts.dialect.read_event_id(block)
--- a/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
@@ -9,7 +9,12 @@
 import math
 
 import structlog
-from ebonyhaven_decisions.forwarding import RECHECK_S, Backend, EngineTraits
+from ebonyhaven_decisions.forwarding import (
+    RECHECK_S,
+    Backend,
+    EngineTraits,
+    RunPlace,
+)
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 
 from ebonyhaven_node.forwarding._inbox import Inbox
@@ -39,6 +44,8 @@
     Parameters
     ----------
     request_id : str
+    run_key : str or None
+        See `ForwardRequest.run_key`; None if nobody is told of the copy.
     source : Backend
         Engine of the run.
     holder : Backend or None
@@ -57,6 +64,7 @@
         self,
         *,
         request_id: str,
+        run_key: str | None,
         source: Backend,
         holder: Backend | None,
         engine: EngineTraits | None,
@@ -67,6 +75,8 @@
     ):
         self.holder = holder
         self._request_id = request_id
+        self._run_key = run_key
+        self._told: RunPlace | None = None
         self._source = source
         self._engine = engine
         self._claim = claim
@@ -107,6 +117,10 @@
         now : float
             Seconds.
         """
+        self._renew(now)
+        self._tell(self._describe_place() if self.is_usable(now) else None)
+
+    def _renew(self, now: float) -> None:
         if self._engine is None or not self._engine.moves_runs:
             return
         if self._is_made and not self.is_usable(now):
@@ -138,14 +152,18 @@
                 if self._is_made and server_key == self.holder.key:
                     self._lose("its holder accepts no connection")
 
-    def close(self, *, is_needed: bool) -> None:
+    def close(self, *, is_needed: bool, is_complete: bool) -> None:
         """Ask for nothing more.
 
         Parameters
         ----------
         is_needed : bool
             Whether the run may still go on from the copy.
+        is_complete : bool
+            Whether the caller has the whole stream, so that it does not come back.
         """
+        if is_complete or (self._handle is not None and not is_needed):
+            self._tell(None)
         if self._asking is not None:
             self._asking.cancel()
         if self._handle is not None and not is_needed:
@@ -156,6 +174,15 @@
             )
             dropping.addErrback(self._note_undropped)
 
+    def _describe_place(self) -> RunPlace:
+        address, handle = self.place
+        return RunPlace(self.holder.server_id, address, handle or self._request_id)
+
+    def _tell(self, place: RunPlace | None) -> None:
+        if self._run_key is not None and place != self._told:
+            self._told = place
+            self._parts.runs.tell(self._run_key, place)
+
     def _note_undropped(self, failure) -> None:
         """Log that a copy was not freed; it expires by itself."""
         _log.info("run_copy_kept", request=self._request_id, error=str(failure.value))
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -12,6 +12,7 @@
     EngineUse,
     Need,
     Route,
+    RunPlace,
 )
 
 from ebonyhaven_node.forwarding._attempts import Attempt
@@ -111,6 +112,7 @@
             service=service, engine=engine, need=self._need, parts=parts
         )
         self._copy: RunCopy | None = None
+        self._earlier: RunPlace | None = None
         self._failed: tuple[AnswerHead, bytes] | None = None
         self._last_reason = "no server was tried"
         self._last_peer = "self"
@@ -124,6 +126,7 @@
             When nothing was delivered and nothing more can be tried.
         """
         self._parts.budget.record_request(self._service, self._parts.clock())
+        await self._find_earlier_run()
         while not self._exchange.is_done:
             target = await self._find_server()
             if target is None or self._exchange.is_done:
@@ -135,6 +138,24 @@
 
     # -- choosing ----------------------------------------------------------
 
+    async def _find_earlier_run(self) -> None:
+        """Look for the copy of a run that the caller lost with its instance."""
+        run_key = self._request.run_key
+        if self._request.last_event_id is None or run_key is None:
+            return
+        if not self._route.may_repeat:
+            return
+        earlier = self._earlier = await self._parts.runs.find(run_key)
+        source = "caller_prompt" if earlier is None else "caller_copy"
+        self._parts.metrics.resumes.labels(source).inc()
+        _log.info(
+            "caller_came_back",
+            request=self._request.request_id,
+            position=self._request.last_event_id,
+            copy_at=earlier.holder_id if earlier else None,
+            copy=earlier.handle if earlier else None,
+        )
+
     async def _find_server(self) -> _Target | None:
         """Wait for a server with room and return it; None when given up."""
         self._parts.waiters.join(self._inbox)
@@ -207,6 +228,11 @@
         if copy is not None and copy.is_usable(now):
             return _Target(copy.holder, copy.place)
         self._copy = None
+        earlier, self._earlier = self._earlier, None
+        if earlier is not None:
+            holder = self._parts.state.backends.find(earlier.holder_id)
+            if holder is not None and holder.is_usable_for_copy(now):
+                return _Target(holder, CopyPlace(earlier.address, earlier.handle))
         backend = self._servers.choose(self._request.prompt_id or "", now)
         return None if backend is None else _Target(backend, None)
 
@@ -239,6 +265,7 @@
         claim = EngineClaim(backend, holder, self._need, prefill, self._parts.on_use)
         copy = RunCopy(
             request_id=self._request.request_id,
+            run_key=self._request.run_key if self._route.may_repeat else None,
             source=backend,
             holder=holder,
             engine=self._engine if self._route.may_repeat else None,
@@ -276,7 +303,10 @@
                 self._parts.count_death(self._request, attempt.backend)
             return result
         finally:
-            copy.close(is_needed=not self._exchange.is_done)
+            copy.close(
+                is_needed=not self._exchange.is_done,
+                is_complete=self._progress.is_complete,
+            )
             claim.release()
             self._parts.waiters.wake()
             self._parts.suspicions.leave(self._inbox)
--- /dev/null
+++ b/tests/forwarding/test_run_registry.py
@@ -0,0 +1,172 @@
+from __future__ import annotations
+
+from ebonyhaven_decisions import MemberState
+from ebonyhaven_decisions.forwarding import RunPlace, choose_keepers
+from ebonyhaven_node import Frame, Kind
+from ebonyhaven_node.forwarding._run_registry import ANSWER_TIMEOUT_S, RunRegistry
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import Clock
+
+from tests.forwarding.harness import (
+    STREAM_END,
+    World,
+    chunk,
+    event,
+    headers_of,
+    stream_head,
+)
+from tests.forwarding.test_sharing import FakeChannels, FakeMembership, make_record
+
+PLACE = RunPlace("e-1", "10.0.0.1:9001", "r1")
+OTHERS = ("n2", "n3", "n4", "n5", "n6")
+
+
+class Network:
+    """Hands messages from one registry to the others at once."""
+
+    def __init__(self):
+        self.channels: dict[str, FakeChannels] = {}
+
+    def join(self, registry, name, others) -> FakeMembership:
+        membership = NetworkMembership(self, name, others)
+        self.channels[name] = FakeChannels()
+        registry.connect(membership, self.channels[name])
+        return membership
+
+
+class NetworkMembership(FakeMembership):
+    def __init__(self, network, name, others):
+        super().__init__(*others)
+        self.own = make_record(name)
+        self.members = [self.own, *map(make_record, others)]
+        self.network = network
+
+    def send(self, name, kind, payload):
+        super().send(name, kind, payload)
+        channels = self.network.channels.get(name)
+        if channels is not None:
+            channels.handlers[kind](Frame(kind, self.own.name, 1, payload))
+
+
+def build(*names):
+    """Return connected registries by name, and their clock."""
+    clock, network = Clock(), Network()
+    registries = {name: RunRegistry(clock, clock.seconds) for name in names}
+    for name, registry in registries.items():
+        network.join(registry, name, [each for each in names if each != name])
+    return registries, network, clock
+
+
+def ask(registry, key):
+    found = []
+    ensureDeferred(registry.find(key)).addCallback(found.append)
+    return found
+
+
+def test_every_instance_learns_where_the_copy_of_a_lost_instances_run_is():
+    registries, network, _ = build("n1", *OTHERS)
+    registries["n1"].tell("abc", PLACE)
+    del network.channels["n1"]
+    assert [ask(registries[name], "abc") for name in OTHERS] == [[PLACE]] * 5
+
+
+def test_what_was_taken_back_is_found_nowhere():
+    registries, _, clock = build("n1", *OTHERS)
+    registries["n1"].tell("abc", PLACE)
+    registries["n1"].tell("abc", None)
+    answers = [ask(registry, "abc") for registry in registries.values()]
+    clock.advance(ANSWER_TIMEOUT_S)
+    assert answers == [[None]] * 6
+
+
+def test_a_question_without_an_answer_holds_a_caller_up_for_a_moment_only():
+    registries, network, clock = build("n1", *OTHERS)
+    network.channels.clear()
+    found = ask(registries["n1"], "abc")
+    assert found == []
+    clock.advance(ANSWER_TIMEOUT_S)
+    assert found == [None]
+    assert clock.getDelayedCalls() == []
+
+
+def test_instances_that_are_known_to_be_dead_are_neither_told_nor_asked():
+    clock = Clock()
+    registry, network = RunRegistry(clock, clock.seconds), Network()
+    membership = network.join(registry, "n1", OTHERS)
+    keepers = [name for name in choose_keepers("abc", ("n1", *OTHERS)) if name != "n1"]
+    membership.members = [
+        each._replace(state=MemberState.DEAD) if each.name == keepers[0] else each
+        for each in membership.members
+    ]
+    registry.tell("abc", PLACE)
+    told = {name for name, _, _ in membership.sent}
+    assert keepers[0] not in told
+    assert len(told) >= len(keepers) - 1
+
+
+def test_an_instance_alone_knows_its_own_copies():
+    clock = Clock()
+    registry = RunRegistry(clock, clock.seconds)
+    registry.tell("abc", PLACE)
+    assert ask(registry, "abc") == [PLACE]
+    assert ask(registry, "other") == [None]
+
+
+def test_malformed_news_are_not_taken_over():
+    registries, network, _ = build("n1", "n2")
+    receive = network.channels["n2"].handlers[Kind.RUN_PLACE]
+    for payload in ("nonsense", ["abc"], ["abc", ["e-1"]], 7):
+        receive(Frame(Kind.RUN_PLACE, "n1", 1, payload))
+    answer = network.channels["n2"].handlers[Kind.RUN_PLACE_REQUEST]
+    answer(Frame(Kind.RUN_PLACE_REQUEST, "n1", 1, ["abc"]))
+    assert len(registries["n2"]._places) == 0
+
+
+STREAMS = 12
+
+
+def size_of(number) -> dict[str, str]:
+    prompt = f"aa:200,b{number:x}:7800"
+    return {"X_Token_Count": "8000,700", "X_Prompt_Prefix": prompt}
+
+
+def open_streams(world, count) -> dict[str, str]:
+    """Give callers a stream with two events each; return the copies' places."""
+    places = {}
+    for number in range(count):
+        request_id = f"first-{number}"
+        world.open_caller().request(f"/stream/{number}", request_id, **size_of(number))
+        server, head, _ = world.take_request()
+        server.receive(stream_head(request_id) + chunk(event(1)) + chunk(event(2)))
+        world.advance(0.0)
+        places[str(number)] = f"{headers_of(head)['x-kv-backup']}/{request_id}"
+    return places
+
+
+def test_all_callers_of_a_lost_instance_go_on_from_copies_at_once():
+    # Load: an instance is lost, and all callers of its streams come back elsewhere
+    # within a tenth of a second. Prompts that are read again together made them,
+    # and the new streams beside them, late by seconds.
+    lost, left, network = World(engines=9), World(engines=9), Network()
+    network.join(lost.gateway._runs, "n1", ["n2"])
+    network.join(left.gateway._runs, "n2", ["n1"])
+    places = open_streams(lost, STREAMS)
+    del network.channels["n1"]
+    callers = []
+    for number in range(STREAMS):
+        caller = left.open_caller()
+        headers = {**size_of(number), "Last_Event_Id": "2"}
+        caller.request(f"/stream/{number}", f"second-{number}", **headers)
+        callers.append(caller)
+    left.advance(0.01)
+    waiting = [each for each in left.connections if each.has_request()]
+    assert len(waiting) == STREAMS
+    for server in waiting:
+        head, _ = server.read_request()
+        sent = headers_of(head)
+        number = head.target.decode().rpartition("/")[2]
+        assert sent["kv-from"] == places[number]
+        assert sent["kv-from"].startswith(server.address)
+        request_id = sent["x-attempt-id"]
+        server.receive(stream_head(request_id) + chunk(event(3)) + STREAM_END)
+    assert [each.read_answer()[2] for each in callers] == [event(3)] * STREAMS
