Wait for a prompt that was read last of several on its engine

Cause: the time allowed for a first event followed the prompts that an engine still had to read at that moment, counted from the sending of the request.

Ruled out: longer limits (a slow or silent server would be left later), no limit (servers that accept connections and answer nothing).

Change: the longest estimate since the sending counts.

--- a/packages/node/src/ebonyhaven_node/forwarding/_followers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_followers.py
@@ -34,6 +34,7 @@
     __slots__ = (
         "_attempt",
         "_claim",
+        "_longest_estimate_s",
         "_parts",
         "_route",
         "checked_at",
@@ -57,6 +58,7 @@
         self.heard_at = self.started_at = parts.clock()
         self.checked_at = -math.inf
         self.longest_gap_s = 0.0
+        self._longest_estimate_s = 0.0
         self.events = 0
         self.splitter = EventSplitter()
         self.error_body: list[bytes] = []
@@ -91,12 +93,22 @@
                 longest_gap_s=self.longest_gap_s,
                 has_copy=has_copy,
             )
+        target_s = self._route.target_latency_s or 1.0
+        return limit_first_event(
+            target_latency_s=target_s, estimate_s=self._estimate_first_event()
+        )
+
+    def _estimate_first_event(self) -> float:
+        """Return how long reading the prompts on the engine takes, seconds.
+
+        Those that were read meanwhile still count, as this one waited for them.
+        """
         backend = self._attempt.backend
         peers = self._parts.peers.sum_up(self._parts.clock())
         others = peers.get(backend.server_id, EngineUse()).prefill_tokens
         estimate_s = self._parts.prefill.estimate_s(backend.prefill_tokens + others)
-        target_s = self._route.target_latency_s or 1.0
-        return limit_first_event(target_latency_s=target_s, estimate_s=estimate_s)
+        self._longest_estimate_s = max(self._longest_estimate_s, estimate_s)
+        return self._longest_estimate_s
 
     def read_wait(self, limits: SilenceLimits, now: float) -> float:
         """Return the time until something is due if nothing arrives, seconds."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -37,7 +37,7 @@
         )
         self.resumes = Counter(
             "ebonyhaven_stream_resumes",
-            "Streams that went on, here or by their callers, by what they went on from.",
+            "Streams that went on, here or by callers, by what they went on from.",
             ["source"],
             registry=registry,
         )
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -126,6 +126,26 @@
     assert read_body(caller) == event(1)
 
 
+def test_prompt_that_was_read_last_of_several_is_waited_for():
+    # Load: prompts that arrive together on one engine. The last one was left just
+    # before its turn, as the estimate counted only what was still to be read.
+    world, _ = start(engines=1)
+    servers = [world.take_request()[0]]
+    for number in (2, 3):
+        world.open_caller().request("/stream/x", f"r{number}", **SIZE)
+        servers.append(world.take_request()[0])
+    for number, server in enumerate(servers[:2], 1):
+        world.advance(1.3)
+        server.receive(stream_head(f"r{number}") + chunk(event(1)))
+    for number in range(2, 8):
+        world.advance(0.15)
+        for server in servers[:2]:
+            server.receive(chunk(event(number)))
+        world.gateway._parts.suspicions.tell(world.state.backends.find("p-0"))
+    assert not servers[2].is_closed
+    assert world.count_waiting() == 0
+
+
 def test_server_that_accepts_no_connection_is_left_before_its_first_event():
     world, _ = start()
     first, _, _ = world.take_request()
