Refuse generations at once that cannot end within their caller's time

Change: instances learn how long answers take and how many events they have. A stream that has delivered nothing and could not be whole in time, even if as short as six tenths of the usual, is refused at once, without a time to come back.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -9,8 +9,10 @@
 from ebonyhaven_decisions.forwarding._directory import BackendDirectory
 from ebonyhaven_decisions.forwarding._pace import (
     RECHECK_S,
+    GenerationPace,
     PrefillRate,
     SilenceLimits,
+    can_end_in_time,
     limit_first_event,
     limit_gap,
 )
@@ -50,6 +52,7 @@
     "CallerLimits",
     "EngineTraits",
     "EngineUse",
+    "GenerationPace",
     "Need",
     "PeerUse",
     "PrefillRate",
@@ -63,6 +66,7 @@
     "ServiceShare",
     "SilenceLimits",
     "Workspace",
+    "can_end_in_time",
     "choose_backend",
     "choose_copy_holder",
     "choose_engine",
--- a/packages/node/src/ebonyhaven_node/forwarding/_followers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_followers.py
@@ -40,6 +40,7 @@
         "checked_at",
         "error_body",
         "events",
+        "first_at",
         "head",
         "heard_at",
         "longest_gap_s",
@@ -60,6 +61,7 @@
         self.longest_gap_s = 0.0
         self._longest_estimate_s = 0.0
         self.events = 0
+        self.first_at = self.started_at
         self.splitter = EventSplitter()
         self.error_body: list[bytes] = []
 
@@ -76,6 +78,7 @@
     def record_events(self, now: float, count: int) -> None:
         """Take note of events that arrived."""
         if self.events == 0:
+            self.first_at = now
             tokens = self._claim.prefill_tokens
             if tokens and self._attempt.backend.prefill_tokens == tokens:
                 self._parts.prefill.record(tokens, now - self.started_at)
@@ -85,6 +88,13 @@
         self.events += count
         self.heard_at = now
 
+    def record_whole_answer(self) -> None:
+        """Take note of how long an answer took from its first event to its end."""
+        elapsed_s = self._parts.clock() - self.first_at
+        self._parts.generation.record(
+            self._claim.need.output_tokens, self.events, elapsed_s
+        )
+
     def read_limits(self, has_copy: bool) -> SilenceLimits:
         """Return how long the server may be silent now."""
         if self.events:
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -12,6 +12,7 @@
 from ebonyhaven_decisions import CrashLedger, EntryList
 from ebonyhaven_decisions.forwarding import (
     Backend,
+    GenerationPace,
     PeerUse,
     PrefillRate,
     RepeatBudget,
@@ -326,6 +327,7 @@
             budget=self._budget,
             peers=self._peers,
             prefill=PrefillRate(),
+            generation=GenerationPace(),
             suspicions=Suspicions(),
             waiters=self._waiters,
             metrics=self._metrics,
--- a/packages/node/src/ebonyhaven_node/forwarding/_parts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_parts.py
@@ -9,6 +9,7 @@
 import attrs
 from ebonyhaven_decisions.forwarding import (
     Backend,
+    GenerationPace,
     PeerUse,
     PrefillRate,
     RepeatBudget,
@@ -96,6 +97,7 @@
     budget : RepeatBudget
     peers : PeerUse
     prefill : PrefillRate
+    generation : GenerationPace
     suspicions : Suspicions
     waiters : Waiters
     metrics : ForwardingMetrics
@@ -122,6 +124,7 @@
     budget: RepeatBudget
     peers: PeerUse
     prefill: PrefillRate
+    generation: GenerationPace
     suspicions: Suspicions
     waiters: Waiters
     metrics: ForwardingMetrics
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -203,6 +203,8 @@
         if not self._follower.is_stream():
             return self._take_error(head)
         self._progress.finish(head, self._follower.splitter.take_rest())
+        if self._attempt.plan.last_event_id is None:
+            self._follower.record_whole_answer()
         return AttemptResult(End.DONE, "complete")
 
     def _take_error(self, head: AnswerHead) -> AttemptResult:
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -13,6 +13,7 @@
     Need,
     Route,
     RunPlace,
+    can_end_in_time,
 )
 
 from ebonyhaven_node.forwarding._attempts import Attempt
@@ -44,6 +45,7 @@
 LATE_URGENCY = 7  # a stream that is late already yields to those on time
 NEW_URGENCY = 5  # what engines assume by themselves
 LAST_START_SHARE = 0.75  # of the caller's time: a later start would not finish
+TOO_LATE = "too little time is left for a whole answer"
 
 _log = structlog.get_logger()
 
@@ -187,6 +189,8 @@
             self._end_without(now, "the time of the request is over")
         elif not self._may_have_run and now >= self._last_start:
             self._end_without(now, "no server had room in time")
+        elif not self._progress.delivered and not self._can_end_in_time(now):
+            self._end_without(now, TOO_LATE)
         elif self._may_have_run and not self._route.may_repeat:
             self._end_without(now, self._last_reason)
         elif self._stops_servers():
@@ -194,6 +198,21 @@
         elif self._charged >= self._route.max_attempts or self._tries >= TRIES_MAX:
             self._end_without(now, f"too many attempts; last: {self._last_reason}")
 
+    def _can_end_in_time(self, now: float) -> bool:
+        size = self._request.size
+        if size is None:
+            return True
+        position = self._progress.position or ""
+        events_done = int(position) if position.isdigit() else 0
+        tokens = 0 if self._earlier is not None else size.prompt_tokens
+        return can_end_in_time(
+            left_s=self._deadline - now,
+            prefill_s=self._parts.prefill.estimate_s(tokens),
+            generation_s=self._parts.generation.estimate_s(
+                size.output_tokens, events_done
+            ),
+        )
+
     def _stops_servers(self) -> bool:
         if not self._may_have_run:
             return False
@@ -217,7 +236,8 @@
             self._exchange.respond(head.status, head.headers, body)
             return
         if not self._may_have_run:
-            raise refuse(reason, step="route", retry_after_s=NO_SERVER_RETRY_S)
+            retry_after_s = None if reason is TOO_LATE else NO_SERVER_RETRY_S
+            raise refuse(reason, step="route", retry_after_s=retry_after_s)
         is_late = now >= self._deadline
         raise give_up(
             reason, step="stream", peer=self._last_peer, status=504 if is_late else 502
--- a/tests/decisions/test_forwarding.py
+++ b/tests/decisions/test_forwarding.py
@@ -8,9 +8,11 @@
     BackendEntry,
     BackendState,
     EngineUse,
+    GenerationPace,
     Need,
     PrefillRate,
     RepeatBudget,
+    can_end_in_time,
     choose_backend,
     choose_copy_holder,
     choose_engine,
@@ -326,3 +328,27 @@
     assert 3900 < rate.tokens_per_s < 4200
     rate.record(0, 1.0)
     assert 1.8 < rate.estimate_s(8000) < 2.1
+
+
+def test_pace_of_generations_follows_what_was_seen():
+    pace = GenerationPace()
+    for _ in range(60):
+        pace.record(1000, 120, 8.0)
+    assert 7.9 < pace.estimate_s(1000, 0) < 8.1
+    assert 3.9 < pace.estimate_s(1000, 60) < 4.1
+    assert pace.estimate_s(1000, 130) == 0.0
+    assert 3.9 < pace.estimate_s(500, 0) < 4.1
+
+
+def test_pace_says_nothing_of_a_rest_that_it_cannot_know():
+    pace = GenerationPace()
+    assert pace.estimate_s(1000, 50) == 0.0
+    pace.record(0, 5, 1.0)
+    pace.record(5, 5, 0.0)
+    assert pace == GenerationPace()
+
+
+def test_answers_shorter_than_usual_are_not_ruled_out():
+    assert can_end_in_time(left_s=6.0, prefill_s=1.0, generation_s=8.0)
+    assert not can_end_in_time(left_s=5.7, prefill_s=1.0, generation_s=8.0)
+    assert can_end_in_time(left_s=0.5, prefill_s=0.0, generation_s=0.0)
