Write the log of the own interface to standard output, bounded like the adapter's

Cause: 'ebonyhaven serve' wrote its log to standard error with a blocking writer, and lines that it could not write were not counted; the set-up of the log stood in two places. A reader that stopped reading held up all streams.

Ruled out: a thread for writing (the bounded writer needs none).

Change: one function sets the log up for both programs; the node shows lost lines as a metric and hands over waiting lines twice a second. The exchange of copies' places is renamed, as the node has another registry of runs.

--- a/packages/node/src/ebonyhaven_node/__init__.py
+++ b/packages/node/src/ebonyhaven_node/__init__.py
@@ -3,12 +3,11 @@
 from ebonyhaven_node._channels import ChannelMetrics, ChannelOptions, Channels
 from ebonyhaven_node._digests import Digest, DigestSet, TableDigest, fit_entries
 from ebonyhaven_node._frames import Frame, FrameError, Kind
-from ebonyhaven_node._log_writer import BoundedLogWriter, LogLosses, RoutineLimit
+from ebonyhaven_node._log_writer import LogLosses, configure_logs
 from ebonyhaven_node._membership import MembershipController
 from ebonyhaven_node._own_record import make_own_record
 
 __all__ = [
-    "BoundedLogWriter",
     "ChannelMetrics",
     "ChannelOptions",
     "Channels",
@@ -19,8 +18,8 @@
     "Kind",
     "LogLosses",
     "MembershipController",
-    "RoutineLimit",
     "TableDigest",
+    "configure_logs",
     "fit_entries",
     "make_own_record",
 ]
--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -38,6 +38,7 @@
 from ebonyhaven_node._leases import LeaseOwner
 from ebonyhaven_node._listing import ListingController
 from ebonyhaven_node._load_poller import LoadPoller
+from ebonyhaven_node._log_writer import DRAIN_INTERVAL_S, LogLosses
 from ebonyhaven_node._membership import MembershipController
 from ebonyhaven_node._metrics import RelayMetrics
 from ebonyhaven_node._orphans import OrphanController
@@ -106,6 +107,19 @@
         self._stack.callback(listener.stopListening)
         _log.info("node_started", instance=self._settings.instance)
 
+    def watch_logs(self, losses: LogLosses) -> None:
+        """Show lost log lines as a metric, and hand over lines that wait.
+
+        Parameters
+        ----------
+        losses : LogLosses
+        """
+        losses.show(self._registry)
+        draining = task.LoopingCall(losses.drain)
+        draining.clock = self._reactor
+        draining.start(DRAIN_INTERVAL_S)
+        self._stack.callback(draining.stop)
+
     async def wait_for_configuration(self) -> None:
         """Wait until a configuration is in force, at most `START_GRACE_S`.
 
--- a/packages/node/src/ebonyhaven_node/_log_writer.py
+++ b/packages/node/src/ebonyhaven_node/_log_writer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import time
 from collections import deque
@@ -9,9 +10,11 @@
 from typing import Any
 
 import structlog
+from prometheus_client import CollectorRegistry, Gauge
 
 MAX_BUFFER_BYTES = 256 * 1024  # a second or so of lines at the highest rate
 ROUTINE_LINES_PER_S = 400  # per process; a busy instance needs about a tenth
+DRAIN_INTERVAL_S = 0.5  # lines that wait also leave with the next line
 ROUTINE_LEVELS = frozenset({"debug", "info"})
 
 
@@ -148,3 +151,47 @@
     def drain(self) -> None:
         """Hand over what waits for the reader."""
         self._writer.drain()
+
+    def show(self, registry: CollectorRegistry) -> None:
+        """Show the count as a metric.
+
+        Parameters
+        ----------
+        registry : CollectorRegistry
+        """
+        lost = Gauge(
+            "ebonyhaven_log_lines_lost",
+            "Log lines that were not written since the start.",
+            registry=registry,
+        )
+        lost.set_function(self.count)
+
+
+def configure_logs(descriptor: int) -> LogLosses:
+    """Let structlog write JSON lines to a descriptor, bounded and without waiting.
+
+    Parameters
+    ----------
+    descriptor : int
+        It is made non-blocking.
+
+    Returns
+    -------
+    LogLosses
+        To be drained now and then.
+    """
+    writer = BoundedLogWriter(descriptor)
+    limit = RoutineLimit()
+    structlog.configure(
+        processors=[
+            limit,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.WriteLoggerFactory(file=writer),
+        cache_logger_on_first_use=True,
+    )
+    return LogLosses(writer, limit)
--- a/packages/node/src/ebonyhaven_node/commands.py
+++ b/packages/node/src/ebonyhaven_node/commands.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import importlib.metadata
-import logging
 import pathlib
 import sys
 from typing import Annotated
 
-import structlog
 import typer
 from twisted.internet import epollreactor
 
+from ebonyhaven_node._log_writer import configure_logs
 from ebonyhaven_node._settings import Settings, read_settings
 from ebonyhaven_node.exceptions import SettingsError
 
@@ -55,24 +54,11 @@
 def serve(settings: SettingsPath) -> None:
     """Run a node until it is told to stop."""
     loaded = _load(settings)
-    _configure_logs()
+    losses = configure_logs(sys.stdout.fileno())
     epollreactor.install()
     from ebonyhaven_node._service import run_node
 
-    raise typer.Exit(run_node(loaded))
-
-
-def _configure_logs() -> None:
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso"),
-            structlog.processors.format_exc_info,
-            structlog.processors.JSONRenderer(),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
-    )
+    raise typer.Exit(run_node(loaded, losses))
 
 
 def main() -> None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -36,6 +36,7 @@
     SWEEP_INTERVAL_S,
     ConnectionPool,
 )
+from ebonyhaven_node.forwarding._copy_exchange import CopyExchange
 from ebonyhaven_node.forwarding._filters import (
     AdmitFilter,
     CrashFilter,
@@ -49,7 +50,6 @@
 from ebonyhaven_node.forwarding._http_server import CallerServer, Exchange
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._parts import RelayParts, Suspicions, Waiters
-from ebonyhaven_node.forwarding._run_registry import RunRegistry
 from ebonyhaven_node.forwarding._sharing import REFRESH_S, StateSharing, UseSharing
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding.interfaces import (
@@ -169,7 +169,7 @@
             slack=settings.repeat_slack,
         )
         self._sharing: UseSharing | None = None
-        self._runs = RunRegistry(reactor, clock)
+        self._copies = CopyExchange(reactor, clock)
         self._copier = build_copier(self.pool)
         self._chain = self._build_chain(caller_dialect, backend_dialect)
         self.server = CallerServer(
@@ -216,7 +216,7 @@
         losses : LogLosses
         """
         self._losses = losses
-        self._metrics.log_lines_lost.set_function(losses.count)
+        losses.show(self.registry)
 
     def choose_entries(self) -> EntryList:
         """Return the instances that a caller should use."""
@@ -313,7 +313,7 @@
             ),
         )
         self._stack.callback(self._sharing.stop)
-        self._runs.connect(self.membership, channels)
+        self._copies.connect(self.membership, channels)
         self.membership.start()
 
     def _build_chain(
@@ -339,7 +339,7 @@
             on_loss=self._note_loss,
             on_other_process=self._adoption.note_other_process,
             crashes=self._crashes,
-            runs=self._runs,
+            copies=self._copies,
         )
         return build_chain(
             [
--- a/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -77,11 +77,6 @@
             ["kind"],
             registry=registry,
         )
-        self.log_lines_lost = Gauge(
-            "ebonyhaven_log_lines_lost",
-            "Log lines that were not written since the start.",
-            registry=registry,
-        )
 
     def watch_state(
         self,
--- a/packages/node/src/ebonyhaven_node/forwarding/_parts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_parts.py
@@ -18,6 +18,7 @@
 
 from ebonyhaven_node._crash_reports import CrashReports
 from ebonyhaven_node.forwarding._connection_pool import ConnectionPool
+from ebonyhaven_node.forwarding._copy_exchange import CopyExchange
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._messages import (
     BackendChecked,
@@ -26,7 +27,6 @@
     ForwardRequest,
 )
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
-from ebonyhaven_node.forwarding._run_registry import RunRegistry
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding.interfaces import BackendDialect, RunCopier
 
@@ -102,7 +102,7 @@
     waiters : Waiters
     metrics : ForwardingMetrics
     crashes : CrashReports
-    runs : RunRegistry
+    copies : CopyExchange
     data_centre : str
         Where this instance is.
     reactor : IReactorTime
@@ -129,7 +129,7 @@
     waiters: Waiters
     metrics: ForwardingMetrics
     crashes: CrashReports
-    runs: RunRegistry
+    copies: CopyExchange
     data_centre: str
     reactor: IReactorTime
     rng: random.Random
--- a/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
@@ -181,7 +181,7 @@
     def _tell(self, place: RunPlace | None) -> None:
         if self._run_key is not None and place != self._told:
             self._told = place
-            self._parts.runs.tell(self._run_key, place)
+            self._parts.copies.tell(self._run_key, place)
 
     def _note_undropped(self, failure) -> None:
         """Log that a copy was not freed; it expires by itself."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -147,7 +147,7 @@
             return
         if not self._route.may_repeat:
             return
-        earlier = self._earlier = await self._parts.runs.find(run_key)
+        earlier = self._earlier = await self._parts.copies.find(run_key)
         source = "caller_prompt" if earlier is None else "caller_copy"
         self._parts.metrics.resumes.labels(source).inc()
         _log.info(
--- a/tests/forwarding/test_run_registry.py
+++ b/tests/forwarding/test_copy_exchange.py
@@ -3,7 +3,7 @@
 from ebonyhaven_decisions import MemberState
 from ebonyhaven_decisions.forwarding import RunPlace, choose_keepers
 from ebonyhaven_node import Frame, Kind
-from ebonyhaven_node.forwarding._run_registry import ANSWER_TIMEOUT_S, RunRegistry
+from ebonyhaven_node.forwarding._copy_exchange import ANSWER_TIMEOUT_S, CopyExchange
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock
 
@@ -51,7 +51,7 @@
 def build(*names):
     """Return connected registries by name, and their clock."""
     clock, network = Clock(), Network()
-    registries = {name: RunRegistry(clock, clock.seconds) for name in names}
+    registries = {name: CopyExchange(clock, clock.seconds) for name in names}
     for name, registry in registries.items():
         network.join(registry, name, [each for each in names if each != name])
     return registries, network, clock
@@ -91,7 +91,7 @@
 
 def test_instances_that_are_known_to_be_dead_are_neither_told_nor_asked():
     clock = Clock()
-    registry, network = RunRegistry(clock, clock.seconds), Network()
+    registry, network = CopyExchange(clock, clock.seconds), Network()
     membership = network.join(registry, "n1", OTHERS)
     keepers = [name for name in choose_keepers("abc", ("n1", *OTHERS)) if name != "n1"]
     membership.members = [
@@ -106,7 +106,7 @@
 
 def test_an_instance_alone_knows_its_own_copies():
     clock = Clock()
-    registry = RunRegistry(clock, clock.seconds)
+    registry = CopyExchange(clock, clock.seconds)
     registry.tell("abc", PLACE)
     assert ask(registry, "abc") == [PLACE]
     assert ask(registry, "other") == [None]
@@ -148,8 +148,8 @@
     # within a tenth of a second. Prompts that are read again together made them,
     # and the new streams beside them, late by seconds.
     lost, left, network = World(engines=9), World(engines=9), Network()
-    network.join(lost.gateway._runs, "n1", ["n2"])
-    network.join(left.gateway._runs, "n2", ["n1"])
+    network.join(lost.gateway._copies, "n1", ["n2"])
+    network.join(left.gateway._copies, "n2", ["n1"])
     places = open_streams(lost, STREAMS)
     del network.channels["n1"]
     callers = []
