One module for the failures that an instance tells callers itself

Change: make_failure, refuse and give_up stand once, in _failures; reject in _requests is for requests that are wrong in themselves. Claims as they stand in the table have a module of their own. No behaviour changes.

--- a/packages/node/src/ebonyhaven_node/_claims.py
+++ b/packages/node/src/ebonyhaven_node/_claims.py
@@ -25,6 +25,13 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
+from ebonyhaven_node._claim_records import (
+    Claim,
+    ClaimTimeout,
+    ClaimUnavailable,
+    make_claim,
+    name_row,
+)
 from ebonyhaven_node._pauses import PauseDetector
 
 GROUP_DELAY_S = 0.01
@@ -38,43 +45,6 @@
 _log = structlog.get_logger()
 
 
-def name_row(run_id: str) -> str:
-    """Return the key of the row that holds a run's claim."""
-    return f"claims/{run_id}"
-
-
-class ClaimTimeout(Exception):
-    """Raised when a claim could not be settled in time.
-
-    A row may stand in the table all the same; nobody will dispatch for it.
-    """
-
-
-class ClaimUnavailable(Exception):
-    """Raised when a claim was not written because the table is out."""
-
-
-@attrs.frozen(slots=True, kw_only=True)
-class Claim:
-    """A claim as it stands in the table.
-
-    Parameters
-    ----------
-    row : ClaimRow
-    version : int
-        Version of the row.
-    own : bool
-        Whether this very attempt wrote it.
-    write_sent_at : float
-        Monotonic time at which the write was first sent, seconds.
-    """
-
-    row: ClaimRow
-    version: int
-    own: bool
-    write_sent_at: float
-
-
 @attrs.define(slots=True, kw_only=True, eq=False)
 class _Pending:
     """One row waiting to be written."""
@@ -236,7 +206,7 @@
                 continue
             if found.value is None:
                 return None
-            return _make_claim(found, own=False)
+            return make_claim(found, own=False)
 
     async def withdraw(self, run_id: str, claim: Claim) -> None:
         """Delete an own claim for which nothing was dispatched.
@@ -370,7 +340,7 @@
         if row.value is None:
             item.settled.errback(ClaimTimeout("the claim was withdrawn"))
             return
-        claim = _make_claim(row, own=own, write_sent_at=item.sent_at)
+        claim = make_claim(row, own=own, write_sent_at=item.sent_at)
         item.settled.callback(claim)
 
     def _drop_expired(self, items: Sequence[_Pending]) -> list[_Pending]:
@@ -396,9 +366,3 @@
             if row.value == item.value:
                 await self._delete(item.key, row.version)
             return
-
-
-def _make_claim(row: Row, *, own: bool, write_sent_at: float | None = None) -> Claim:
-    sent_at = time.monotonic() if write_sent_at is None else write_sent_at
-    value = ClaimRow(**row.value)
-    return Claim(row=value, version=row.version, own=own, write_sent_at=sent_at)
--- a/packages/node/src/ebonyhaven_node/_configured.py
+++ b/packages/node/src/ebonyhaven_node/_configured.py
@@ -4,7 +4,9 @@
 
 from collections.abc import Callable
 
-from ebonyhaven_decisions import Declaration, Outcome, OutcomeTag, RequestFailure
+from ebonyhaven_decisions import Declaration
+
+from ebonyhaven_node._failures import refuse
 
 RETRY_AFTER_S = 1.0
 
@@ -54,13 +56,8 @@
         """
         if self.declaration is not None:
             return self.declaration
-        raise RequestFailure(
-            Outcome(
-                tag=OutcomeTag.NOT_RUN,
-                step="identify",
-                peer="self",
-                reason="this instance has no configuration yet",
-                status=503,
-                retry_after_s=RETRY_AFTER_S,
-            )
+        raise refuse(
+            "this instance has no configuration yet",
+            step="identify",
+            retry_after_s=RETRY_AFTER_S,
         )
--- a/packages/node/src/ebonyhaven_node/_content_guard.py
+++ b/packages/node/src/ebonyhaven_node/_content_guard.py
@@ -7,7 +7,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ebonyhaven_node._crash_reports import CrashReports
-from ebonyhaven_node._run_parts import make_failure
+from ebonyhaven_node._failures import make_failure
 from ebonyhaven_node._servers import BackendServer
 
 EVIDENCE_CHECK_S = 0.1
--- a/packages/node/src/ebonyhaven_node/_drivers.py
+++ b/packages/node/src/ebonyhaven_node/_drivers.py
@@ -24,13 +24,13 @@
 from ebonyhaven_node._content_guard import ContentGuard
 from ebonyhaven_node._engines import CONNECTION_REFUSED, EngineStream
 from ebonyhaven_node._events import Token
+from ebonyhaven_node._failures import make_failure
 from ebonyhaven_node._lifecycles import RunState, StateObserver, start_lifecycle
 from ebonyhaven_node._run_claims import RunClaim
 from ebonyhaven_node._run_parts import (
     RETRY_AFTER_S,
     DriverParts,
     RunTargets,
-    make_failure,
     make_generation,
 )
 from ebonyhaven_node._runs import Run
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/_failures.py
@@ -0,0 +1,87 @@
+"""Failures that an instance tells callers itself."""
+
+from __future__ import annotations
+
+from ebonyhaven_decisions import Outcome, OutcomeTag, RequestFailure
+
+
+def make_failure(
+    tag: OutcomeTag,
+    step: str,
+    reason: str,
+    *,
+    peer: str = "self",
+    status: int = 503,
+    retry_after_s: float | None = None,
+) -> RequestFailure:
+    """Return the failure that ends a run.
+
+    Parameters
+    ----------
+    tag, step, reason, peer, status, retry_after_s
+        See `Outcome`.
+
+    Returns
+    -------
+    RequestFailure
+    """
+    return RequestFailure(
+        Outcome(
+            tag=tag,
+            step=step,
+            peer=peer,
+            reason=reason,
+            status=status,
+            retry_after_s=retry_after_s,
+        )
+    )
+
+
+def refuse(
+    reason: str,
+    *,
+    step: str,
+    status: int = 503,
+    peer: str = "self",
+    retry_after_s: float | None = None,
+) -> RequestFailure:
+    """Return the failure of a request that was not run and never will be.
+
+    Parameters
+    ----------
+    reason : str
+    step : str
+    status : int
+    peer : str
+    retry_after_s : float or None
+        When coming back may help, seconds.
+
+    Returns
+    -------
+    RequestFailure
+    """
+    return make_failure(
+        OutcomeTag.NOT_RUN,
+        step,
+        reason,
+        peer=peer,
+        status=status,
+        retry_after_s=retry_after_s,
+    )
+
+
+def give_up(reason: str, *, step: str, peer: str, status: int = 502) -> RequestFailure:
+    """Return the failure of a request that may have run.
+
+    Parameters
+    ----------
+    reason : str
+    step : str
+    peer : str
+    status : int
+
+    Returns
+    -------
+    RequestFailure
+    """
+    return make_failure(OutcomeTag.UNKNOWN, step, reason, peer=peer, status=status)
--- a/packages/node/src/ebonyhaven_node/_filters.py
+++ b/packages/node/src/ebonyhaven_node/_filters.py
@@ -10,7 +10,6 @@
 
 from ebonyhaven_decisions import (
     Declaration,
-    Outcome,
     OutcomeTag,
     Pool,
     PoolKind,
@@ -23,6 +22,7 @@
 from ebonyhaven_node._configured import ConfigurationInForce
 from ebonyhaven_node._drivers import RunDriver
 from ebonyhaven_node._exchanges import Exchange
+from ebonyhaven_node._failures import refuse
 from ebonyhaven_node._filter_chain import Filter, Proceed
 from ebonyhaven_node._metrics import RelayMetrics
 from ebonyhaven_node._requests import (
@@ -32,7 +32,7 @@
     parse_key,
     parse_position,
     parse_repeatable,
-    refuse,
+    reject,
 )
 from ebonyhaven_node._run_parts import DriverParts, RunTargets, make_generation
 from ebonyhaven_node._runs import Run, RunRegistry
@@ -84,10 +84,10 @@
         declaration = self._configuration.require()
         name = exchange.read_header("Ebonyhaven-Workspace")
         if name is None:
-            raise refuse("Ebonyhaven-Workspace is missing", step="identify")
+            raise reject("Ebonyhaven-Workspace is missing", step="identify")
         workspace = declaration.workspaces.get(name)
         if workspace is None:
-            raise refuse(f"unknown workspace {name!r}", status=403, step="identify")
+            raise reject(f"unknown workspace {name!r}", status=403, step="identify")
         if workspace.key_sha256:
             self._check_key(exchange, workspace.key_sha256)
         exchange.workspace = name
@@ -98,7 +98,7 @@
         header = exchange.read_header("Authorization") or ""
         key = header.removeprefix("Bearer ").encode()
         if not hmac.compare_digest(hashlib.sha256(key).hexdigest(), expected):
-            raise refuse("wrong workspace key", status=401, step="identify")
+            raise reject("wrong workspace key", status=401, step="identify")
 
 
 class ValidateFilter(Filter[Exchange]):
@@ -122,9 +122,9 @@
             last_event=parse_position(exchange.read_header("Last-Event-ID")),
         )
         if request.model not in exchange.declaration.models:
-            raise refuse(f"unknown model {request.model!r}", status=404)
+            raise reject(f"unknown model {request.model!r}", status=404)
         if request.first_offset > request.max_tokens + 1:
-            raise refuse("Last-Event-ID lies beyond max_tokens")
+            raise reject("Last-Event-ID lies beyond max_tokens")
         exchange.request_class = request_class
         exchange.request = request
         await proceed(exchange)
@@ -133,11 +133,11 @@
         name = exchange.read_header("Ebonyhaven-Class")
         if name is None:
             if exchange.declaration.default_class is None:
-                raise refuse("Ebonyhaven-Class is missing and there is no default")
+                raise reject("Ebonyhaven-Class is missing and there is no default")
             return exchange.declaration.default_class
         found = exchange.declaration.classes.get(name)
         if found is None:
-            raise refuse(f"unknown class {name!r}")
+            raise reject(f"unknown class {name!r}")
         return found
 
 
@@ -177,7 +177,7 @@
             return None
         if run.request.digest != request.digest:
             reason = "the idempotency key was used with a different body"
-            raise refuse(reason, status=409, step="deduplicate")
+            raise reject(reason, status=409, step="deduplicate")
         if request.last_event is not None and not run.holds(request.last_event):
             return None
         if run.outcome is None:
@@ -273,7 +273,7 @@
         if _serves_model(pool, run.request.model)
     )
     if not pools:
-        raise refuse(f"no pool serves model {run.request.model!r}", status=404)
+        raise reject(f"no pool serves model {run.request.model!r}", status=404)
     return RunTargets(
         first_token_s=request_class.first_token_ms / 1000,
         resume_s=request_class.resume_ms / 1000,
@@ -287,13 +287,8 @@
 
 
 def _describe_leaving() -> RequestFailure:
-    return RequestFailure(
-        Outcome(
-            tag=OutcomeTag.NOT_RUN,
-            step="admit",
-            peer="self",
-            reason="this instance is leaving; ask for entries and use another",
-            status=503,
-            retry_after_s=0.0,
-        )
+    return refuse(
+        "this instance is leaving; ask for entries and use another",
+        step="admit",
+        retry_after_s=0.0,
     )
--- a/packages/node/src/ebonyhaven_node/_policy_scheduling.py
+++ b/packages/node/src/ebonyhaven_node/_policy_scheduling.py
@@ -13,8 +13,6 @@
     Declaration,
     Dispatch,
     FailureKind,
-    Outcome,
-    OutcomeTag,
     Pool,
     PoolKind,
     Refusal,
@@ -29,6 +27,7 @@
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 from ebonyhaven_node._configured import ConfigurationInForce
+from ebonyhaven_node._failures import refuse
 from ebonyhaven_node._requests import CHARACTERS_PER_TOKEN, GenerationRequest
 from ebonyhaven_node._scheduling import Scheduling, Slot, SlotWish
 from ebonyhaven_node._servers import (
@@ -41,9 +40,9 @@
 RECHECK_PERIOD_S = 0.05
 PREFIX_BLOCK_CHARACTERS = 64
 MAX_PREFIXES = 10
-REFUSED_STATUS = 503
 OVERLOAD_SHARE = 0.95
 OVERLOAD_RETRY_S = 0.5
+NO_SERVER_RETRY_S = 1.0
 MODEL_MISSING = "model_not_loaded"
 ENGINE_FULL = "full"
 _REFUSALS = {
@@ -369,39 +368,21 @@
 
 
 def _describe_refusal(refusal: Refusal) -> RequestFailure:
-    return RequestFailure(
-        Outcome(
-            tag=OutcomeTag.NOT_RUN,
-            step="admit",
-            peer="self",
-            reason=str(refusal.reason),
-            status=REFUSED_STATUS,
-            retry_after_s=round(refusal.retry_after_s, 2),
-        )
-    )
+    retry_after_s = round(refusal.retry_after_s, 2)
+    return refuse(str(refusal.reason), step="admit", retry_after_s=retry_after_s)
 
 
 def _describe_overload() -> RequestFailure:
-    return RequestFailure(
-        Outcome(
-            tag=OutcomeTag.NOT_RUN,
-            step="admit",
-            peer="self",
-            reason="this instance is overloaded; ask for entries and use another",
-            status=REFUSED_STATUS,
-            retry_after_s=OVERLOAD_RETRY_S,
-        )
+    return refuse(
+        "this instance is overloaded; ask for entries and use another",
+        step="admit",
+        retry_after_s=OVERLOAD_RETRY_S,
     )
 
 
 def _describe_unavailable() -> RequestFailure:
-    return RequestFailure(
-        Outcome(
-            tag=OutcomeTag.NOT_RUN,
-            step="route",
-            peer="self",
-            reason="no backend server could take the request in time",
-            status=REFUSED_STATUS,
-            retry_after_s=1.0,
-        )
+    return refuse(
+        "no backend server could take the request in time",
+        step="route",
+        retry_after_s=NO_SERVER_RETRY_S,
     )
--- a/packages/node/src/ebonyhaven_node/_requests.py
+++ b/packages/node/src/ebonyhaven_node/_requests.py
@@ -10,13 +10,13 @@
 import attrs
 from ebonyhaven_decisions import (
     EventId,
-    Outcome,
-    OutcomeTag,
     RequestFailure,
     parse_event_id,
 )
 from ebonyhaven_decisions.exceptions import MalformedEventId
 
+from ebonyhaven_node._failures import refuse
+
 MAX_BODY_BYTES = 2 * 1024 * 1024
 MAX_TOKENS = 32768
 CHARACTERS_PER_TOKEN = 4
@@ -91,7 +91,7 @@
         return 0 if self.last_event is None else self.last_event.offset + 1
 
 
-def refuse(reason: str, *, status: int = 400, step: str = "validate") -> RequestFailure:
+def reject(reason: str, *, status: int = 400, step: str = "validate") -> RequestFailure:
     """Return the failure for a request that is wrong in itself.
 
     Parameters
@@ -107,15 +107,7 @@
     -------
     RequestFailure
     """
-    return RequestFailure(
-        Outcome(
-            tag=OutcomeTag.NOT_RUN,
-            step=step,
-            peer="self",
-            reason=reason,
-            status=status,
-        )
-    )
+    return refuse(reason, step=step, status=status)
 
 
 def decode_body(content: bytes) -> dict[str, Any]:
@@ -136,13 +128,13 @@
     """
     if len(content) > MAX_BODY_BYTES:
         limit = f"at most {MAX_BODY_BYTES} are accepted"
-        raise refuse(f"the body has {len(content)} bytes, {limit}", status=413)
+        raise reject(f"the body has {len(content)} bytes, {limit}", status=413)
     try:
         body = json.loads(content)
     except ValueError as error:
-        raise refuse(f"the body is not JSON: {error}") from error
+        raise reject(f"the body is not JSON: {error}") from error
     if not isinstance(body, dict):
-        raise refuse("the body must be a JSON object")
+        raise reject("the body must be a JSON object")
     return body
 
 
@@ -167,7 +159,7 @@
     if text is None:
         return generated
     if not _KEY.fullmatch(text):
-        raise refuse("Idempotency-Key must be 1 to 128 printable characters")
+        raise reject("Idempotency-Key must be 1 to 128 printable characters")
     return text
 
 
@@ -190,7 +182,7 @@
         return True
     if text == "no":
         return False
-    raise refuse(f"Ebonyhaven-Repeatable must be yes or no, got {text!r}")
+    raise reject(f"Ebonyhaven-Repeatable must be yes or no, got {text!r}")
 
 
 def is_first_submission(text: str | None, *, has_key: bool) -> bool:
@@ -212,7 +204,7 @@
     RequestFailure
     """
     if text not in (None, "yes", "no"):
-        raise refuse(f"Ebonyhaven-First-Submission must be yes or no, got {text!r}")
+        raise reject(f"Ebonyhaven-First-Submission must be yes or no, got {text!r}")
     return text == "yes" or not has_key
 
 
@@ -236,7 +228,7 @@
     try:
         return parse_event_id(text)
     except MalformedEventId as error:
-        raise refuse(f"Last-Event-ID: {error}") from error
+        raise reject(f"Last-Event-ID: {error}") from error
 
 
 def parse_generation_request(
@@ -268,7 +260,7 @@
         Naming the field that is wrong.
     """
     if body.get("stream") is not True:
-        raise refuse("stream must be true")
+        raise reject("stream must be true")
     return GenerationRequest(
         workspace=workspace,
         class_name=class_name,
@@ -287,23 +279,23 @@
 def _parse_name(body: dict[str, Any], field: str) -> str:
     value = body.get(field)
     if not isinstance(value, str) or not _NAME.fullmatch(value):
-        raise refuse(f"{field} must be a name, got {value!r}")
+        raise reject(f"{field} must be a name, got {value!r}")
     return value
 
 
 def _parse_prompt(body: dict[str, Any]) -> str:
     prompt = body.get("prompt")
     if not isinstance(prompt, str) or not prompt:
-        raise refuse("prompt must be a string that is not empty")
+        raise reject("prompt must be a string that is not empty")
     return prompt
 
 
 def _parse_max_tokens(body: dict[str, Any]) -> int:
     value = body.get("max_tokens", 16)
     if not isinstance(value, int) or isinstance(value, bool):
-        raise refuse(f"max_tokens must be a whole number, got {value!r}")
+        raise reject(f"max_tokens must be a whole number, got {value!r}")
     if not 1 <= value <= MAX_TOKENS:
-        raise refuse(f"max_tokens must be from 1 to {MAX_TOKENS}, got {value}")
+        raise reject(f"max_tokens must be from 1 to {MAX_TOKENS}, got {value}")
     return value
 
 
@@ -314,12 +306,12 @@
     if received is None:
         return None
     if not isinstance(received, list):
-        raise refuse("received must be a list of strings, one a token")
+        raise reject("received must be a list of strings, one a token")
     if not all(isinstance(text, str) for text in received):
-        raise refuse("received must be a list of strings, one a token")
+        raise reject("received must be a list of strings, one a token")
     expected = 0 if last_event is None else last_event.offset + 1
     if len(received) != expected:
-        raise refuse(
+        raise reject(
             f"received holds {len(received)} tokens, Last-Event-ID says {expected}"
         )
     return tuple(received)
--- a/packages/node/src/ebonyhaven_node/_run_claims.py
+++ b/packages/node/src/ebonyhaven_node/_run_claims.py
@@ -12,9 +12,11 @@
     may_dispatch,
 )
 
-from ebonyhaven_node._claims import Claim, ClaimController, ClaimTimeout
+from ebonyhaven_node._claim_records import Claim, ClaimTimeout
+from ebonyhaven_node._claims import ClaimController
+from ebonyhaven_node._failures import make_failure
 from ebonyhaven_node._requests import GenerationRequest
-from ebonyhaven_node._run_parts import RETRY_AFTER_S, make_failure
+from ebonyhaven_node._run_parts import RETRY_AFTER_S
 
 FIRST_EPOCH = 1
 
--- a/packages/node/src/ebonyhaven_node/_run_parts.py
+++ b/packages/node/src/ebonyhaven_node/_run_parts.py
@@ -5,7 +5,6 @@
 import random
 
 import attrs
-from ebonyhaven_decisions import Outcome, OutcomeTag, RequestFailure
 from twisted.internet.interfaces import IReactorTime
 
 from ebonyhaven_node._claims import ClaimController
@@ -71,38 +70,6 @@
     continue_runs: bool = True
 
 
-def make_failure(
-    tag: OutcomeTag,
-    step: str,
-    reason: str,
-    *,
-    peer: str = "self",
-    status: int = 503,
-    retry_after_s: float | None = None,
-) -> RequestFailure:
-    """Return the failure that ends a run.
-
-    Parameters
-    ----------
-    tag, step, reason, peer, status, retry_after_s
-        See `Outcome`.
-
-    Returns
-    -------
-    RequestFailure
-    """
-    return RequestFailure(
-        Outcome(
-            tag=tag,
-            step=step,
-            peer=peer,
-            reason=reason,
-            status=status,
-            retry_after_s=retry_after_s,
-        )
-    )
-
-
 def make_generation(rng: random.Random) -> str:
     """Return an identity for a new generation.
 
--- a/packages/node/src/ebonyhaven_node/_stream_opener.py
+++ b/packages/node/src/ebonyhaven_node/_stream_opener.py
@@ -10,16 +10,16 @@
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 
 from ebonyhaven_node._candidates import Candidate, CandidateSet
-from ebonyhaven_node._claims import ClaimUnavailable
+from ebonyhaven_node._claim_records import ClaimUnavailable
 from ebonyhaven_node._content_guard import ContentGuard
 from ebonyhaven_node._engines import CONNECTION_REFUSED, StartBody, StreamReceiver
+from ebonyhaven_node._failures import make_failure
 from ebonyhaven_node._lifecycles import RunLifecycle
 from ebonyhaven_node._run_claims import RunClaim
 from ebonyhaven_node._run_parts import (
     RETRY_AFTER_S,
     DriverParts,
     RunTargets,
-    make_failure,
     make_generation,
 )
 from ebonyhaven_node._runs import Run
--- a/packages/node/src/ebonyhaven_node/forwarding/__init__.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/__init__.py
@@ -4,6 +4,7 @@
 backend servers and a source of configuration and servers, see `interfaces`.
 """
 
+from ebonyhaven_node._failures import refuse
 from ebonyhaven_node.forwarding._connection_pool import ConnectionPool
 from ebonyhaven_node.forwarding._gateway import Gateway, GatewaySettings
 from ebonyhaven_node.forwarding._http_client import OutgoingRequest, RequestBytes
@@ -17,7 +18,6 @@
     PromptSize,
     RequestHead,
 )
-from ebonyhaven_node.forwarding._outcomes import refuse
 from ebonyhaven_node.forwarding._state import ForwardingState
 
 __all__ = [
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -10,6 +10,7 @@
     choose_backend,
 )
 
+from ebonyhaven_node._failures import give_up, refuse
 from ebonyhaven_node.forwarding._attempts import Attempt
 from ebonyhaven_node.forwarding._http_server import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
@@ -25,8 +26,6 @@
 from ebonyhaven_node.forwarding._outcomes import (
     NO_SERVER_RETRY_S,
     PROMISING_STATUSES,
-    give_up,
-    refuse,
 )
 from ebonyhaven_node.forwarding._parts import RelayParts
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -17,6 +17,7 @@
 )
 
 from ebonyhaven_node._crash_reports import CrashReports
+from ebonyhaven_node._failures import refuse
 from ebonyhaven_node._filter_chain import Filter, Proceed
 from ebonyhaven_node.forwarding._calls import CallRelay
 from ebonyhaven_node.forwarding._http_server import Exchange
@@ -25,7 +26,6 @@
 from ebonyhaven_node.forwarding._outcomes import (
     LEAVING_RETRY_S,
     NOT_READY_RETRY_S,
-    refuse,
 )
 from ebonyhaven_node.forwarding._parts import RelayParts
 from ebonyhaven_node.forwarding._state import ForwardingState
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -16,6 +16,7 @@
     can_end_in_time,
 )
 
+from ebonyhaven_node._failures import give_up, refuse
 from ebonyhaven_node.forwarding._attempts import Attempt
 from ebonyhaven_node.forwarding._followers import Follower
 from ebonyhaven_node.forwarding._http_server import Exchange
@@ -27,7 +28,7 @@
     CopyPlace,
     ForwardRequest,
 )
-from ebonyhaven_node.forwarding._outcomes import NO_SERVER_RETRY_S, give_up, refuse
+from ebonyhaven_node.forwarding._outcomes import NO_SERVER_RETRY_S
 from ebonyhaven_node.forwarding._parts import RelayParts
 from ebonyhaven_node.forwarding._progress import StreamProgress
 from ebonyhaven_node.forwarding._run_copies import RunCopy
--- a/tests/node/test_claims.py
+++ b/tests/node/test_claims.py
@@ -3,7 +3,8 @@
 import time
 
 from ebonyhaven_decisions import Claimant
-from ebonyhaven_node._claims import ClaimController, ClaimUnavailable, name_row
+from ebonyhaven_node._claim_records import ClaimUnavailable, name_row
+from ebonyhaven_node._claims import ClaimController
 from ebonyhaven_node._pauses import PauseDetector
 from ebonyhaven_store import Conflict, Row, RowSet, Unavailable, Unconfirmed
 from twisted.internet.defer import ensureDeferred, fail, succeed
