Let late prompts yield to those that can still be on time

Cause: with more prompts than engines can read, each stream took its turn in the order of arrival. The queue on the engines grew beyond the target for a first event, and from then on nearly every stream was late, though most of them could have been on time.

Change: a prompt goes behind others only if its stream is on time then; a late one waits for an engine that reads none.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -22,7 +22,9 @@
     PeerUse,
     choose_copy_holder,
     choose_engine,
+    count_prompt_tokens,
     has_room,
+    is_prompt_admitted,
     rank_engines,
 )
 from ebonyhaven_decisions.forwarding._routes import (
@@ -71,8 +73,10 @@
     "choose_copy_holder",
     "choose_engine",
     "choose_keepers",
+    "count_prompt_tokens",
     "group_routes",
     "has_room",
+    "is_prompt_admitted",
     "limit_first_event",
     "limit_gap",
     "rank_engines",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_placement.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_placement.py
@@ -137,6 +137,39 @@
     return taken + need.tokens <= MEMORY_SHARE * memory_tokens
 
 
+def count_prompt_tokens(backend: Backend, peers: Mapping[str, EngineUse]) -> int:
+    """Return the tokens of prompts that an engine still has to read.
+
+    Parameters
+    ----------
+    backend : Backend
+    peers : mapping of str to EngineUse
+        What other instances occupy.
+    """
+    return _estimate_use(backend, peers).prefill_tokens
+
+
+def is_prompt_admitted(*, waited_s: float, queue_s: float, target_s: float) -> bool:
+    """Tell whether a prompt may go to an engine now.
+
+    Answers the load pattern of more prompts than engines can read: served in the
+    order of their arrival, all of them come late. A stream that is late already, or
+    would be behind the prompts on its engine, therefore waits for an engine that
+    reads none, and those that can still be on time go first.
+
+    Parameters
+    ----------
+    waited_s : float
+        Time since the request arrived, or since the last event of its stream.
+    queue_s : float
+        Time to read the prompts on the engine, this one too; 0 for an engine that
+        reads none.
+    target_s : float
+        Time within which its next event is on time.
+    """
+    return queue_s == 0.0 or waited_s + queue_s <= target_s
+
+
 def rank_engines(prompt_id: str, candidates: Sequence[Backend]) -> frozenset[str]:
     """Return the engines that a prompt goes to first, wherever it arrives.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_progress.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_progress.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import structlog
 from ebonyhaven_decisions.forwarding import Route
 
@@ -55,6 +57,26 @@
         self.is_complete = False
         self.resume_source: str | None = None
 
+    def read_wait(self, now: float) -> tuple[float, float]:
+        """Return how long the caller has waited for its next event, and may on time.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        tuple of float
+            Both in seconds; the second is infinite without a target.
+        """
+        if self.delivered:
+            waited_s, target_s = now - self._delivered_at, self._route.target_gap_s
+        else:
+            waited_s = now - self._request.arrived_at
+            target_s = self._route.target_latency_s
+        return waited_s, target_s or math.inf
+
     def pick_new(self, blocks: list[bytes]) -> list[bytes]:
         """Return the events that come after what the caller has.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from ebonyhaven_decisions.forwarding import (
     Backend,
     EngineTraits,
+    EngineUse,
     Need,
     choose_backend,
     choose_copy_holder,
     choose_engine,
+    count_prompt_tokens,
+    is_prompt_admitted,
 )
 
 from ebonyhaven_node.forwarding._parts import RelayParts
@@ -54,7 +59,9 @@
         """
         self._avoided[backend.key] = now + AVOID_S
 
-    def choose(self, prompt_id: str, now: float) -> Backend | None:
+    def choose(
+        self, prompt_id: str, now: float, *, waited_s: float, target_s: float
+    ) -> Backend | None:
         """Return the server to send the request to, if one has room.
 
         Parameters
@@ -63,6 +70,8 @@
             Identifies the request's own part of its prompt.
         now : float
             Seconds.
+        waited_s, target_s : float
+            See `is_prompt_admitted`.
 
         Returns
         -------
@@ -80,15 +89,34 @@
                 now=now,
                 rng=self._parts.rng,
             )
+        peers = self._parts.peers.sum_up(now)
+        admitting = [
+            each
+            for each in usable
+            if is_prompt_admitted(
+                waited_s=waited_s,
+                queue_s=self._estimate_queue(each, peers),
+                target_s=target_s,
+            )
+        ]
         return choose_engine(
-            usable,
+            admitting,
             need=self._need,
             memory_tokens=self._engine.memory_tokens,
-            peers=self._parts.peers.sum_up(now),
+            peers=peers,
             rng=self._parts.rng,
             prompt_id=prompt_id,
         )
 
+    def _estimate_queue(
+        self, backend: Backend, peers: Mapping[str, EngineUse]
+    ) -> float:
+        """Return the time to read the prompts on an engine with this one, seconds."""
+        tokens = count_prompt_tokens(backend, peers)
+        if not tokens:
+            return 0.0
+        return self._parts.prefill.estimate_s(tokens + self._need.prompt_tokens)
+
     def choose_holder(self, source: Backend, now: float) -> Backend | None:
         """Return the server that is to hold the copy of a run.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -254,7 +254,10 @@
             holder = self._parts.state.backends.find(earlier.holder_id)
             if holder is not None and holder.is_usable_for_copy(now):
                 return _Target(holder, CopyPlace(earlier.address, earlier.handle))
-        backend = self._servers.choose(self._request.prompt_id or "", now)
+        waited_s, target_s = self._progress.read_wait(now)
+        backend = self._servers.choose(
+            self._request.prompt_id or "", now, waited_s=waited_s, target_s=target_s
+        )
         return None if backend is None else _Target(backend, None)
 
     # -- one attempt -------------------------------------------------------
--- a/tests/decisions/test_forwarding.py
+++ b/tests/decisions/test_forwarding.py
@@ -16,6 +16,8 @@
     choose_backend,
     choose_copy_holder,
     choose_engine,
+    count_prompt_tokens,
+    is_prompt_admitted,
     limit_first_event,
     limit_gap,
     rank_engines,
@@ -352,3 +354,20 @@
     assert can_end_in_time(left_s=6.0, prefill_s=1.0, generation_s=8.0)
     assert not can_end_in_time(left_s=5.7, prefill_s=1.0, generation_s=8.0)
     assert can_end_in_time(left_s=0.5, prefill_s=0.0, generation_s=0.0)
+
+
+def test_prompt_that_can_be_on_time_goes_behind_others():
+    assert is_prompt_admitted(waited_s=1.0, queue_s=3.0, target_s=4.5)
+    assert not is_prompt_admitted(waited_s=1.0, queue_s=3.6, target_s=4.5)
+
+
+def test_late_prompt_goes_only_where_none_is_read():
+    assert is_prompt_admitted(waited_s=9.0, queue_s=0.0, target_s=4.5)
+    assert not is_prompt_admitted(waited_s=9.0, queue_s=0.1, target_s=4.5)
+
+
+def test_prompts_of_all_instances_are_counted():
+    backend = build(1).find("s0")
+    backend.prefill_tokens = 5000
+    peers = {"s0": EngineUse(9000, 0, 8000)}
+    assert count_prompt_tokens(backend, peers) == 13000
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -414,3 +414,26 @@
     world, caller = start(X_Deadline_Ms="2000")
     assert caller.read_answer()[0] == 503
     assert world.count_waiting() == 0
+
+
+def test_late_prompt_yields_to_one_that_can_be_on_time():
+    # Load: more prompts than engines can read. In the order of their arrival each
+    # of them waited for all before it, and in the end none was on time.
+    world, _ = start(engines=1)
+    servers = [world.take_request()[0]]
+    for number in range(2, 6):
+        world.open_caller().request("/stream/x", f"r{number}", **SIZE)
+        if number < 5:
+            servers.append(world.take_request()[0])
+    assert world.count_waiting() == 0  # five prompts take longer than 4.5 s
+    for number, server in enumerate(servers[:3], 1):
+        world.advance(1.0)
+        server.receive(stream_head(f"r{number}") + chunk(event(1)))
+    world.open_caller().request("/stream/x", "newcomer", **SIZE)
+    newcomer, head, _ = world.take_request()
+    assert headers_of(head)["x-attempt-id"] == "newcomer"
+    servers[3].receive(stream_head("r4") + chunk(event(1)))
+    newcomer.receive(stream_head("newcomer") + chunk(event(1)))
+    world.advance(0.15)
+    _, head, _ = world.take_request()
+    assert headers_of(head)["x-attempt-id"] == "r5"
