--- a/packages/node/src/ebonyhaven_node/forwarding/_parts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_parts.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 import random
 import time
 from collections.abc import Callable
 
 import attrs
+import structlog
 from ebonyhaven_decisions.forwarding import (
     Backend,
     GenerationPace,
@@ -35,6 +37,8 @@
 NEIGHBOURS_TOLD_S = 0.2  # losses are told within some ten milliseconds
 CHECK_TIMEOUT_S = 0.15  # a live server accepts within a few milliseconds
 
+_log = structlog.get_logger()
+
 
 class Suspicions:
     """Tells all streams that a server is lost or silent."""
@@ -148,12 +152,25 @@
             Whether another instance found out; it is not told on then.
         """
         now = self.clock()
+        if now >= backend.suspect_until:
+            self._log_suspected(backend, now, is_hearsay)
         self.state.backends.record_unreachable(backend, now)
         self.pool.close_idle(backend.entry.address)
         self.suspicions.tell(backend)
         if not is_hearsay:
             self.on_loss(backend)
 
+    def _log_suspected(self, backend: Backend, now: float, is_hearsay: bool) -> None:
+        is_heard = math.isfinite(backend.heard_at)
+        _log.info(
+            "backend_suspected",
+            server=backend.server_id,
+            data_centre=backend.entry.data_centre,
+            found_by="another instance" if is_hearsay else "this instance",
+            silent_s=round(now - backend.heard_at, 3) if is_heard else None,
+            failures=backend.failures + 1,
+        )
+
     def count_replaced(self, backend: Backend, other_server: str | None) -> None:
         """Send no more to a process in whose place another one answered.
 
--- a/packages/operator/src/ebonyhaven_operator/_explanation.py
+++ b/packages/operator/src/ebonyhaven_operator/_explanation.py
@@ -9,6 +9,7 @@
 BELIEFS = frozenset(
     {
         "backend_listed",
+        "backend_suspected",
         "backend_unlisted",
         "configuration_in_force",
         "instance_changed",
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from structlog.testing import capture_logs
+
 from tests.forwarding.harness import (
     STREAM_END,
     World,
@@ -437,3 +439,19 @@
     world.advance(0.15)
     _, head, _ = world.take_request()
     assert headers_of(head)["x-attempt-id"] == "r5"
+
+
+def test_server_that_gets_no_new_work_is_told_of_once():
+    world, _ = start()
+    server, sent = open_stream(world, 1)
+    world.refused.add(server.address)
+    with capture_logs() as lines:
+        server.reset()
+        for _ in range(3):
+            lost = world.state.backends.find(sent["x-expect-instance"])
+            world.gateway._parts.count_unreachable(lost)
+    told = [line for line in lines if line["event"] == "backend_suspected"]
+    assert len(told) == 1
+    assert told[0]["server"] == sent["x-expect-instance"]
+    assert told[0]["found_by"] == "this instance"
+    assert told[0]["silent_s"] is not None
