--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -12,12 +12,12 @@
     EngineUse,
     Need,
     Route,
-    RunPlace,
     can_end_in_time,
 )
 
 from ebonyhaven_node._failures import give_up, refuse
 from ebonyhaven_node.forwarding._attempts import Attempt
+from ebonyhaven_node.forwarding._earlier_runs import EarlierRun
 from ebonyhaven_node.forwarding._followers import Follower
 from ebonyhaven_node.forwarding._http_server import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
@@ -115,7 +115,7 @@
             service=service, engine=engine, need=self._need, parts=parts
         )
         self._copy: RunCopy | None = None
-        self._earlier: RunPlace | None = None
+        self._earlier = EarlierRun(request=request, route=route, parts=parts)
         self._failed: tuple[AnswerHead, bytes] | None = None
         self._last_reason = "no server was tried"
         self._last_peer = "self"
@@ -129,7 +129,7 @@
             When nothing was delivered and nothing more can be tried.
         """
         self._parts.budget.record_request(self._service, self._parts.clock())
-        await self._find_earlier_run()
+        await self._earlier.look()
         while not self._exchange.is_done:
             target = await self._find_server()
             if target is None or self._exchange.is_done:
@@ -141,24 +141,6 @@
 
     # -- choosing ----------------------------------------------------------
 
-    async def _find_earlier_run(self) -> None:
-        """Look for the copy of a run that the caller lost with its instance."""
-        run_key = self._request.run_key
-        if self._request.last_event_id is None or run_key is None:
-            return
-        if not self._route.may_repeat:
-            return
-        earlier = self._earlier = await self._parts.copies.find(run_key)
-        source = "caller_prompt" if earlier is None else "caller_copy"
-        self._parts.metrics.resumes.labels(source).inc()
-        _log.info(
-            "caller_came_back",
-            request=self._request.request_id,
-            position=self._request.last_event_id,
-            copy_at=earlier.holder_id if earlier else None,
-            copy=earlier.handle if earlier else None,
-        )
-
     async def _find_server(self) -> _Target | None:
         """Wait for a server with room and return it; None when given up."""
         self._parts.waiters.join(self._inbox)
@@ -205,7 +187,7 @@
             return True
         position = self._progress.position or ""
         events_done = int(position) if position.isdigit() else 0
-        tokens = 0 if self._earlier is not None else size.prompt_tokens
+        tokens = 0 if self._earlier.has_copy else size.prompt_tokens
         return can_end_in_time(
             left_s=self._deadline - now,
             prefill_s=self._parts.prefill.estimate_s(tokens),
@@ -237,7 +219,7 @@
             self._exchange.respond(head.status, head.headers, body)
             return
         if not self._may_have_run:
-            retry_after_s = None if reason is TOO_LATE else NO_SERVER_RETRY_S
+            retry_after_s = None if reason == TOO_LATE else NO_SERVER_RETRY_S
             raise refuse(reason, step="route", retry_after_s=retry_after_s)
         is_late = now >= self._deadline
         raise give_up(
@@ -249,11 +231,9 @@
         if copy is not None and copy.is_usable(now):
             return _Target(copy.holder, copy.place)
         self._copy = None
-        earlier, self._earlier = self._earlier, None
+        earlier = self._earlier.take_copy(now)
         if earlier is not None:
-            holder = self._parts.state.backends.find(earlier.holder_id)
-            if holder is not None and holder.is_usable_for_copy(now):
-                return _Target(holder, CopyPlace(earlier.address, earlier.handle))
+            return _Target(*earlier)
         waited_s, target_s = self._progress.read_wait(now)
         backend = self._servers.choose(
             self._request.prompt_id or "", now, waited_s=waited_s, target_s=target_s
