Learn how long answers take by route, and rule out nothing without evidence

On a deployment whose callers allow for many more output tokens than answers have (4,000 for 300, five seconds), every request would be refused at once, and with no answers nothing would ever correct the estimate.

Ruled out: a smaller share of the default (any default is wrong somewhere).

Change: for each route the usual times to the first event and from there to the end, learned from whole answers only. Those came within their time, so a request with six tenths of its route's time left is never ruled out.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -9,10 +9,9 @@
 from ebonyhaven_decisions.forwarding._directory import BackendDirectory
 from ebonyhaven_decisions.forwarding._pace import (
     RECHECK_S,
-    GenerationPace,
+    AnswerTimes,
     PrefillRate,
     SilenceLimits,
-    can_end_in_time,
     limit_first_event,
     limit_gap,
 )
@@ -47,6 +46,7 @@
 
 __all__ = [
     "RECHECK_S",
+    "AnswerTimes",
     "Backend",
     "BackendDirectory",
     "BackendEntry",
@@ -54,7 +54,6 @@
     "CallerLimits",
     "EngineTraits",
     "EngineUse",
-    "GenerationPace",
     "Need",
     "PeerUse",
     "PrefillRate",
@@ -68,7 +67,6 @@
     "ServiceShare",
     "SilenceLimits",
     "Workspace",
-    "can_end_in_time",
     "choose_backend",
     "choose_copy_holder",
     "choose_engine",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_pace.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_pace.py
@@ -16,9 +16,8 @@
 RECHECK_S = 0.5  # between two checks of a server that accepts connections
 DEFAULT_GAP_S = 1.0  # for routes without a target for pauses
 DEFAULT_TOKENS_PER_S = 8000.0
-DEFAULT_OUTPUT_TOKENS_PER_S = 250.0  # of one stream, on an engine with few of them
 SMOOTHING = 0.1
-SHORT_ANSWER_SHARE = 0.6  # of the usual length; few answers are shorter
+SHORT_ANSWER_SHARE = 0.6  # of the usual time; few answers take less
 
 
 @attrs.define(slots=True)
@@ -61,81 +60,69 @@
 
 
 @attrs.define(slots=True)
-class GenerationPace:
-    """How long answers take once they have begun, from own observations.
+class AnswerTimes:
+    """How long whole answers of one route take, from own observations.
+
+    All are 0 until the first one, so that nothing is ruled out without evidence.
 
     Parameters
     ----------
-    tokens_per_s : float
-        Output tokens that a caller allows for, to the time that its answer took.
-    events_per_token : float
-        Events of an answer to the output tokens allowed for; 0 while unknown.
+    first_event_s : float
+        From the sending of a request to its first event.
+    rest_s : float
+        From the first event to the end.
+    events : float
     """
 
-    tokens_per_s: float = DEFAULT_OUTPUT_TOKENS_PER_S
-    events_per_token: float = 0.0
+    first_event_s: float = 0.0
+    rest_s: float = 0.0
+    events: float = 0.0
 
-    def record(self, output_tokens: int, events: int, elapsed_s: float) -> None:
+    def record(self, *, first_event_s: float, rest_s: float, events: int) -> None:
         """Take in a whole answer.
 
         Parameters
         ----------
-        output_tokens : int
-            Output tokens that the caller allowed for.
+        first_event_s, rest_s : float
         events : int
-        elapsed_s : float
-            From the first event to the end.
         """
-        if output_tokens <= 0 or elapsed_s <= 0.0:
-            return
-        self.tokens_per_s += SMOOTHING * (output_tokens / elapsed_s - self.tokens_per_s)
-        share = events / output_tokens
-        known = self.events_per_token or share
-        self.events_per_token = known + SMOOTHING * (share - known)
+        weight = SMOOTHING if self.events else 1.0
+        self.first_event_s += weight * (first_event_s - self.first_event_s)
+        self.rest_s += weight * (rest_s - self.rest_s)
+        self.events += weight * (events - self.events)
+
+    def can_end_in_time(
+        self, *, left_s: float, events_done: int, has_copy: bool
+    ) -> bool:
+        """Tell whether an answer that starts now may be whole before its caller leaves.
 
-    def estimate_s(self, output_tokens: int, events_done: int) -> float:
-        """Return the time to the end of an answer.
+        Answers the load pattern of callers that come back late: those whose
+        connection fell silent wait for many seconds, return together, and their
+        prompts would be read for answers that nobody waits for.
+
+        As only answers within their time are taken in, a request that has
+        `SHORT_ANSWER_SHARE` of the time of its route left is never ruled out.
 
         Parameters
         ----------
-        output_tokens : int
-            Output tokens that the caller allows for.
+        left_s : float
+            Time that the caller has left.
         events_done : int
             Events that the caller has already.
+        has_copy : bool
+            Whether the prompt need not be read.
 
         Returns
         -------
-        float
-            Seconds; 0 where it is not known how much is left.
+        bool
         """
-        whole_s = output_tokens / max(1.0, self.tokens_per_s)
-        if not events_done:
-            return whole_s
-        events = output_tokens * self.events_per_token
-        return whole_s * (1.0 - events_done / events) if events > events_done else 0.0
-
-
-def can_end_in_time(*, left_s: float, prefill_s: float, generation_s: float) -> bool:
-    """Tell whether an answer that starts now may be whole before its caller leaves.
-
-    Answers the load pattern of callers that come back late: those whose connection
-    fell silent wait for many seconds, return together, and their prompts would be
-    read for answers that nobody waits for.
-
-    Parameters
-    ----------
-    left_s : float
-        Time that the caller has left.
-    prefill_s : float
-        Time to read the prompt, 0 with a copy of the run.
-    generation_s : float
-        Time that the rest of the answer usually takes.
-
-    Returns
-    -------
-    bool
-    """
-    return left_s >= prefill_s + SHORT_ANSWER_SHARE * generation_s
+        if not self.events:
+            return True
+        left_share = max(0.0, 1.0 - events_done / self.events)
+        usual_s = left_share * self.rest_s
+        if not has_copy:
+            usual_s += self.first_event_s
+        return left_s >= SHORT_ANSWER_SHARE * usual_s
 
 
 class SilenceLimits(NamedTuple):
--- a/packages/node/src/ebonyhaven_node/forwarding/_followers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_followers.py
@@ -89,10 +89,11 @@
         self.heard_at = now
 
     def record_whole_answer(self) -> None:
-        """Take note of how long an answer took from its first event to its end."""
-        elapsed_s = self._parts.clock() - self.first_at
-        self._parts.generation.record(
-            self._claim.need.output_tokens, self.events, elapsed_s
+        """Take note of how long an answer took that this server gave alone."""
+        self._parts.read_answer_times(self._route.name).record(
+            first_event_s=self.first_at - self.started_at,
+            rest_s=self._parts.clock() - self.first_at,
+            events=self.events,
         )
 
     def read_limits(self, has_copy: bool) -> SilenceLimits:
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -12,7 +12,6 @@
 from ebonyhaven_decisions import CrashLedger, EntryList
 from ebonyhaven_decisions.forwarding import (
     Backend,
-    GenerationPace,
     PeerUse,
     PrefillRate,
     RepeatBudget,
@@ -327,7 +326,7 @@
             budget=self._budget,
             peers=self._peers,
             prefill=PrefillRate(),
-            generation=GenerationPace(),
+            answer_times={},
             suspicions=Suspicions(),
             waiters=self._waiters,
             metrics=self._metrics,
--- a/packages/node/src/ebonyhaven_node/forwarding/_parts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_parts.py
@@ -10,8 +10,8 @@
 import attrs
 import structlog
 from ebonyhaven_decisions.forwarding import (
+    AnswerTimes,
     Backend,
-    GenerationPace,
     PeerUse,
     PrefillRate,
     RepeatBudget,
@@ -101,7 +101,8 @@
     budget : RepeatBudget
     peers : PeerUse
     prefill : PrefillRate
-    generation : GenerationPace
+    answer_times : dict of str to AnswerTimes
+        By route, as many as routes have answered streams.
     suspicions : Suspicions
     waiters : Waiters
     metrics : ForwardingMetrics
@@ -128,7 +129,7 @@
     budget: RepeatBudget
     peers: PeerUse
     prefill: PrefillRate
-    generation: GenerationPace
+    answer_times: dict[str, AnswerTimes]
     suspicions: Suspicions
     waiters: Waiters
     metrics: ForwardingMetrics
@@ -142,6 +143,19 @@
     on_loss: Callable[[Backend], None] = lambda _: None
     on_other_process: Callable[[Backend, str], None] = lambda *_: None
 
+    def read_answer_times(self, route_name: str) -> AnswerTimes:
+        """Return what is known of the answers of a route.
+
+        Parameters
+        ----------
+        route_name : str
+
+        Returns
+        -------
+        AnswerTimes
+        """
+        return self.answer_times.setdefault(route_name, AnswerTimes())
+
     def count_unreachable(self, backend: Backend, *, is_hearsay: bool = False) -> None:
         """Keep new work away from a server, and tell the streams near it.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -12,7 +12,6 @@
     EngineUse,
     Need,
     Route,
-    can_end_in_time,
 )
 
 from ebonyhaven_node._failures import give_up, refuse
@@ -182,18 +181,11 @@
             self._end_without(now, f"too many attempts; last: {self._last_reason}")
 
     def _can_end_in_time(self, now: float) -> bool:
-        size = self._request.size
-        if size is None:
-            return True
         position = self._progress.position or ""
-        events_done = int(position) if position.isdigit() else 0
-        tokens = 0 if self._earlier.has_copy else size.prompt_tokens
-        return can_end_in_time(
+        return self._parts.read_answer_times(self._route.name).can_end_in_time(
             left_s=self._deadline - now,
-            prefill_s=self._parts.prefill.estimate_s(tokens),
-            generation_s=self._parts.generation.estimate_s(
-                size.output_tokens, events_done
-            ),
+            events_done=int(position) if position.isdigit() else 0,
+            has_copy=self._earlier.has_copy,
         )
 
     def _stops_servers(self) -> bool:
--- a/packages/node/src/ebonyhaven_node/forwarding/_usage.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_usage.py
@@ -28,7 +28,7 @@
         Tokens that are still counted as to be read.
     """
 
-    __slots__ = ("_backend", "_holder", "_on_change", "need", "prefill_tokens")
+    __slots__ = ("_backend", "_holder", "_need", "_on_change", "prefill_tokens")
 
     def __init__(
         self,
@@ -40,7 +40,7 @@
     ):
         self._backend: Backend | None = backend
         self._holder = holder
-        self.need = need
+        self._need = need
         self._on_change = on_change
         self.prefill_tokens = prefill_tokens
         backend.run_tokens += need.tokens
@@ -66,9 +66,9 @@
         if self._backend is None:
             return
         if self._holder is not None:
-            self._holder.copy_tokens -= self.need.tokens
+            self._holder.copy_tokens -= self._need.tokens
         self._holder = holder
-        holder.copy_tokens += self.need.tokens
+        holder.copy_tokens += self._need.tokens
         self._on_change()
 
     def release(self) -> None:
@@ -76,8 +76,8 @@
         if self._backend is None:
             return
         self.end_prefill()
-        self._backend.run_tokens -= self.need.tokens
+        self._backend.run_tokens -= self._need.tokens
         if self._holder is not None:
-            self._holder.copy_tokens -= self.need.tokens
+            self._holder.copy_tokens -= self._need.tokens
         self._backend = None
         self._on_change()
