--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -12,29 +12,7 @@
     refusal,
     stream_head,
 )
-
-SIZE = {"X_Token_Count": "8000,700", "X_Prompt_Prefix": "aa:200,bb:7800"}
-
-
-def start(path="/stream/x", engines=3, **options):
-    world = World(engines=engines)
-    caller = world.open_caller()
-    caller.request(path, **{**SIZE, **options})
-    return world, caller
-
-
-def read_body(caller) -> bytes:
-    return caller.read_answer()[2]
-
-
-def open_stream(world, *numbers):
-    """Let the server that has the request send its head and some events."""
-    server, head, _ = world.take_request()
-    server.receive(stream_head("r1"))
-    for number in numbers:
-        server.receive(chunk(event(number)))
-    world.advance(0.0)
-    return server, headers_of(head)
+from tests.forwarding.streaming import SIZE, open_stream, read_body, start
 
 
 def test_events_pass_as_they_arrive_and_the_end_is_the_servers_end():
@@ -128,26 +106,6 @@
     assert read_body(caller) == event(1)
 
 
-def test_prompt_that_was_read_last_of_several_is_waited_for():
-    # Load: prompts that arrive together on one engine. The last one was left just
-    # before its turn, as the estimate counted only what was still to be read.
-    world, _ = start(engines=1)
-    servers = [world.take_request()[0]]
-    for number in (2, 3):
-        world.open_caller().request("/stream/x", f"r{number}", **SIZE)
-        servers.append(world.take_request()[0])
-    for number, server in enumerate(servers[:2], 1):
-        world.advance(1.3)
-        server.receive(stream_head(f"r{number}") + chunk(event(1)))
-    for number in range(2, 8):
-        world.advance(0.15)
-        for server in servers[:2]:
-            server.receive(chunk(event(number)))
-        world.gateway._parts.suspicions.tell(world.state.backends.find("p-0"))
-    assert not servers[2].is_closed
-    assert world.count_waiting() == 0
-
-
 def test_server_that_accepts_no_connection_is_left_before_its_first_event():
     world, _ = start()
     first, _, _ = world.take_request()
@@ -251,59 +209,6 @@
     assert read_body(caller) == event(8)
 
 
-def come_back(world, position="2", **options):
-    """Let a caller ask again for a stream that it lost, with a new id."""
-    caller = world.open_caller()
-    headers = {**SIZE, "Last_Event_Id": position, **options}
-    caller.request("/stream/x", "r2", **headers)
-    world.advance(0.01)
-    return caller
-
-
-def test_caller_that_comes_back_gets_the_rest_from_the_copy_of_its_run():
-    world, caller = start()
-    _, sent = open_stream(world, 1, 2)
-    caller.leave()
-    again = come_back(world)
-    holder, head, _ = world.take_request()
-    assert holder.address == sent["x-kv-backup"]
-    assert headers_of(head)["kv-from"] == f"{holder.address}/r1"
-    assert headers_of(head)["last-event-id"] == "2"
-    holder.receive(stream_head("r2") + chunk(event(2)) + chunk(event(3)) + STREAM_END)
-    assert again.read_answer()[2:] == (event(3), True)
-
-
-def test_caller_that_comes_back_reads_its_prompt_again_if_the_copy_is_gone():
-    world, caller = start()
-    open_stream(world, 1, 2)
-    caller.leave()
-    come_back(world)
-    holder, _, _ = world.take_request()
-    holder.receive(refusal("r2"))
-    world.advance(0.01)
-    _, head, _ = world.take_request()
-    assert "kv-from" not in headers_of(head)
-    assert headers_of(head)["last-event-id"] == "2"
-
-
-def test_another_prompt_does_not_go_on_from_the_copy():
-    world, caller = start()
-    open_stream(world, 1, 2)
-    caller.leave()
-    come_back(world, X_Prompt_Prefix="aa:200,cc:7800")
-    _, head, _ = world.take_request()
-    assert "kv-from" not in headers_of(head)
-
-
-def test_copy_of_a_complete_run_is_not_gone_on_from():
-    world, _ = start()
-    server, _ = open_stream(world, 1, 2)
-    server.receive(STREAM_END)
-    come_back(world)
-    _, head, _ = world.take_request()
-    assert "kv-from" not in headers_of(head)
-
-
 def test_a_stream_waits_for_room_and_takes_it_when_it_comes():
     world, _ = start(engines=1, X_Token_Count="60000,700")
     first, _, _ = world.take_request()
@@ -377,82 +282,6 @@
     assert caller.read_answer()[0] == 502
 
 
-def start_with_answer():
-    """Return a world whose instance has seen an answer of 100 events in 5 s."""
-    world, _ = start()
-    server, _, _ = world.take_request()
-    world.advance(1.0)
-    server.receive(stream_head("r1"))
-    for number in range(1, 101):
-        server.receive(chunk(event(number)))
-        world.advance(0.04)
-    server.receive(STREAM_END)
-    return world
-
-
-def return_late(world, count, wait_ms, position):
-    """Let callers ask for the rest of their streams with little time left."""
-    callers = []
-    for number in range(count):
-        caller = world.open_caller()
-        headers = {**SIZE, "Last_Event_Id": position, "X_Deadline_Ms": wait_ms}
-        caller.request("/stream/x", f"late-{number}", **headers)
-        callers.append(caller)
-    world.advance(0.01)
-    return callers
-
-
-def test_callers_that_return_too_late_are_refused_at_once_and_no_prompt_is_read():
-    # Load: instances lost without a sound. Their callers notice after many seconds,
-    # return together, and their prompts filled the engines for answers that could
-    # not end in time.
-    world = start_with_answer()
-    callers = return_late(world, 20, "900", "5")
-    assert [each.read_answer()[0] for each in callers] == [503] * 20
-    assert all("retry-after" not in each.read_answer()[1] for each in callers)
-    assert world.count_waiting() == 0
-
-
-def test_caller_that_lacks_only_the_last_events_is_served():
-    world = start_with_answer()
-    callers = return_late(world, 1, "900", "95")
-    assert callers[0].received == b""
-    assert world.count_waiting() == 1
-
-
-def test_stream_that_cannot_end_in_time_is_refused_only_on_evidence():
-    world, _ = start(X_Deadline_Ms="2000")
-    assert world.count_waiting() == 1
-    world = start_with_answer()
-    caller = world.open_caller()
-    caller.request("/stream/x", "r2", **{**SIZE, "X_Deadline_Ms": "2000"})
-    assert caller.read_answer()[0] == 503
-    assert world.count_waiting() == 0
-
-
-def test_late_prompt_yields_to_one_that_can_be_on_time():
-    # Load: more prompts than engines can read. In the order of their arrival each
-    # of them waited for all before it, and in the end none was on time.
-    world, _ = start(engines=1)
-    servers = [world.take_request()[0]]
-    for number in range(2, 6):
-        world.open_caller().request("/stream/x", f"r{number}", **SIZE)
-        if number < 5:
-            servers.append(world.take_request()[0])
-    assert world.count_waiting() == 0  # five prompts take longer than 4.5 s
-    for number, server in enumerate(servers[:3], 1):
-        world.advance(1.0)
-        server.receive(stream_head(f"r{number}") + chunk(event(1)))
-    world.open_caller().request("/stream/x", "newcomer", **SIZE)
-    newcomer, head, _ = world.take_request()
-    assert headers_of(head)["x-attempt-id"] == "newcomer"
-    servers[3].receive(stream_head("r4") + chunk(event(1)))
-    newcomer.receive(stream_head("newcomer") + chunk(event(1)))
-    world.advance(0.15)
-    _, head, _ = world.take_request()
-    assert headers_of(head)["x-attempt-id"] == "r5"
-
-
 def test_server_that_gets_no_new_work_is_told_of_once():
     world, _ = start()
     server, sent = open_stream(world, 1)
