--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -4,12 +4,15 @@
     Backend,
     BackendEntry,
     BackendState,
+    ServerListVersion,
 )
 from ebonyhaven_decisions.forwarding._budget import ServiceRetryBudget
+from ebonyhaven_decisions.forwarding._change_feed import ChangeFeed, choose_reader
 from ebonyhaven_decisions.forwarding._copy_index import (
     RunCopyIndex,
     RunCopyLocation,
     choose_index_instances,
+    choose_recorder,
 )
 from ebonyhaven_decisions.forwarding._directory import BackendDirectory
 from ebonyhaven_decisions.forwarding._placement import (
@@ -18,11 +21,13 @@
     TokenDemand,
     choose_copy_holder,
     choose_engine,
+    choose_memory_share,
     count_queued_prefill_tokens,
     fits_in_memory,
     is_prompt_admitted,
     select_preferred_engines,
 )
+from ebonyhaven_decisions.forwarding._restored_list import merge_restored_list
 from ebonyhaven_decisions.forwarding._routes import (
     EngineTraits,
     RequestKind,
@@ -35,6 +40,7 @@
     group_routes,
 )
 from ebonyhaven_decisions.forwarding._selection import choose_backend
+from ebonyhaven_decisions.forwarding._startup import StateWaitLimits
 from ebonyhaven_decisions.forwarding._stream_timing import (
     SERVER_PROBE_INTERVAL_S,
     PrefillRate,
@@ -50,6 +56,7 @@
     "BackendDirectory",
     "BackendEntry",
     "BackendState",
+    "ChangeFeed",
     "RequestLimits",
     "EngineTraits",
     "EngineUse",
@@ -60,10 +67,12 @@
     "RoutingConfiguration",
     "RunCopyIndex",
     "RunCopyLocation",
+    "ServerListVersion",
     "Service",
     "ServiceRetryBudget",
     "ServiceShare",
     "SilenceLimits",
+    "StateWaitLimits",
     "StreamDurations",
     "TokenDemand",
     "Workspace",
@@ -71,11 +80,15 @@
     "choose_copy_holder",
     "choose_engine",
     "choose_index_instances",
+    "choose_memory_share",
+    "choose_reader",
+    "choose_recorder",
     "compute_first_event_limits",
     "compute_gap_limits",
     "count_queued_prefill_tokens",
     "fits_in_memory",
     "group_routes",
     "is_prompt_admitted",
+    "merge_restored_list",
     "select_preferred_engines",
 ]
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -12,12 +12,16 @@
 SUSPECT_MAX_S = 3.0  # limits the time until a recovered server is sent requests
 REPLACED_SUSPECT_S = 10.0  # exceeds the time for which a dead process stays listed
 REMOVED_USABLE_S = 1.5  # shorter than the drain time of a leaving server
+SLOW_S = 2.0  # for which a server that paused its streams gets few new ones
 LOAD_REPORT_TTL_S = 1.0  # older reports do not reflect the current load
 RESULT_SMOOTHING_FACTOR = 0.2
+# After a refusal, a full server is left alone for a time that doubles with each one.
+REFUSAL_REST_MIN_S = 0.03  # about the time of a short request
+REFUSAL_REST_MAX_S = 0.5
 DEFAULT_LATENCY_S = 0.05
 
 
-class BackendState(enum.Enum):
+class BackendState(enum.StrEnum):
     """State that a backend server publishes in its entry."""
 
     READY = "ready"
@@ -50,6 +54,21 @@
     state: BackendState
 
 
+class ServerListVersion(NamedTuple):
+    """Version of the platform's server list; later versions compare greater.
+
+    Parameters
+    ----------
+    era : int
+        Number of times that the store was restored from an older copy.
+    version : int
+        Version of the newest entry; counts anew from an older one in each era.
+    """
+
+    era: int
+    version: int
+
+
 @attrs.define(slots=True, eq=False)
 class Backend:
     """One process of a backend server, with its load and failures.
@@ -82,6 +101,12 @@
         Running and queued requests of other instances in the last load report.
     reported_at : float
         Time of the last load report, seconds.
+    refusals : int
+        Requests that the server refused because it was full, since it last ran one.
+    resting_until : float
+        Time before which the full server is left alone, seconds.
+    slow_until : float
+        Time before which other servers are preferred, seconds.
     removed_at : float or None
         Time at which the entry was removed, seconds; None while it is listed.
     """
@@ -99,6 +124,9 @@
     latency_s: float = DEFAULT_LATENCY_S
     reported_load: int = 0
     reported_at: float = -math.inf
+    refusals: int = 0
+    resting_until: float = -math.inf
+    slow_until: float = -math.inf
     removed_at: float | None = None
 
     @property
@@ -124,7 +152,8 @@
     def is_usable(self, now: float) -> bool:
         """Return whether new requests may be sent to the server.
 
-        After a failure, one request at a time is sent until the server responds.
+        After a failure, one request at a time is sent until the server responds, and
+        after a refusal until it runs one.
 
         Parameters
         ----------
@@ -133,10 +162,25 @@
         """
         if self.removed_at is not None or self.entry.state is not BackendState.READY:
             return False
-        if now < self.suspect_until:
+        if now < self.suspect_until or not self.accepts(now):
             return False
         return self.failures == 0 or self.in_flight == 0
 
+    def accepts(self, now: float) -> bool:
+        """Return whether the server is expected to have room for a request.
+
+        Designed for many instances that share a server with few slots: if each sent
+        its rejected requests again at once, most arrivals would be rejected ones.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        if self.refusals == 0:
+            return True
+        return now >= self.resting_until and self.in_flight == 0
+
     def can_resume_from_copy(self, now: float) -> bool:
         """Return whether a run may resume from a copy on this server.
 
@@ -178,6 +222,16 @@
         until = now + min(delay_s, SUSPECT_MAX_S)
         self.suspect_until = max(self.suspect_until, until)
 
+    def record_slow(self, now: float) -> None:
+        """Record that the server is alive but paused a stream.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        self.slow_until = now + SLOW_S
+
     def record_replaced(self, now: float) -> None:
         """Suspect the server because another process responds at its address.
 
@@ -188,6 +242,21 @@
         """
         self.suspect_until = max(self.suspect_until, now + REPLACED_SUSPECT_S)
 
+    def record_refused(self, now: float, jitter: float) -> None:
+        """Record that the server refused a request because it was full.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        jitter : float
+            Random number from 0 to 1, so that the instances return at different times.
+        """
+        rest_s = REFUSAL_REST_MIN_S * 2 ** min(self.refusals, 8)
+        self.refusals += 1
+        until = now + min(rest_s, REFUSAL_REST_MAX_S) * (0.5 + jitter)
+        self.resting_until = max(self.resting_until, until)
+
     def record_received(self, now: float) -> None:
         """Record that response bytes arrived and clear the suspicion.
 
@@ -210,6 +279,7 @@
             Seconds from sending the request to the complete response; None if
             unknown.
         """
+        self.refusals = 0
         failed = 0.0 if succeeded else 1.0
         self.failure_share += RESULT_SMOOTHING_FACTOR * (failed - self.failure_share)
         if succeeded and latency_s is not None:  # fast failures would lower the average
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_budget.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
 import attrs
@@ -41,6 +42,9 @@
         Length of the window, seconds.
     slack : float
         Additional retries per window, for all instances together.
+    started_at : float
+        Start of this instance, seconds. Its share of the slack grows over the first
+        window, because its predecessor may have used it.
 
     Attributes
     ----------
@@ -48,12 +52,20 @@
         Instances that share the fixed allowance.
     """
 
-    __slots__ = ("_counts", "_ratio", "_slack", "_window_s", "instances")
+    __slots__ = ("_counts", "_ratio", "_slack", "_started_at", "_window_s", "instances")
 
-    def __init__(self, *, ratio: float, window_s: float, slack: float):
+    def __init__(
+        self,
+        *,
+        ratio: float,
+        window_s: float,
+        slack: float,
+        started_at: float = -math.inf,
+    ):
         self._ratio = ratio
         self._window_s = window_s
         self._slack = slack
+        self._started_at = started_at
         self._counts: dict[str, deque[_Bucket]] = {}
         self.instances = 1
 
@@ -86,7 +98,9 @@
         counts = self._counts[service]
         requests = sum(each.requests for each in counts)
         retries = sum(each.retries for each in counts)
-        allowed = self._ratio * requests + self._slack / max(1, self.instances)
+        slack = self._slack / max(1, self.instances)
+        slack *= min(1.0, (now - self._started_at) / self._window_s)
+        allowed = self._ratio * requests + slack
         if retries + 1 > USABLE_ALLOWANCE_SHARE * allowed:
             return False
         bucket.retries += 1
--- /dev/null
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_change_feed.py
@@ -0,0 +1,94 @@
+"""Which instances read the server list, and when the others read it themselves.
+
+Designed for many instances and a list that changes several times a second: if each
+instance polled the store, its calls would grow with instances times changes. One
+instance of a group reads, and passes the changes on to the others.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from collections.abc import Iterable
+
+import attrs
+
+# Lapses of a reader are bridged well within the time in which a leaving server has to
+# be avoided (two seconds), including one slow read.
+MIN_FEED_TIMEOUT_S = 0.6
+MAX_FEED_TIMEOUT_S = 1.0
+FEED_TIMEOUT_INTERVALS = 3.0  # of the average interval between changes
+SMOOTHING_FACTOR = 0.2
+
+
+def choose_reader(instances: Iterable[str]) -> str | None:
+    """Return the instance that reads the server list for a group.
+
+    Parameters
+    ----------
+    instances : iterable of str
+        Names of the live instances of the group.
+
+    Returns
+    -------
+    str or None
+        By rendezvous hashing, the same on every instance with the same view.
+    """
+
+    def compute_weight(name: str) -> bytes:
+        return hashlib.blake2b(f"reader {name}".encode(), digest_size=8).digest()
+
+    return max(instances, key=compute_weight, default=None)
+
+
+@attrs.define(slots=True)
+class ChangeFeed:
+    """Changes that another instance passes on, and their interval.
+
+    A feed that stops tells nothing about its reason: the reader may be lost, cut off
+    from the store, or there may be no changes. In each case, this instance polls the
+    store until the feed continues.
+
+    Attributes
+    ----------
+    advanced_at : float
+        Time of the last change that was passed on, seconds.
+    interval_s : float
+        Moving average of the time between two changes.
+    """
+
+    advanced_at: float = -math.inf
+    interval_s: float = 0.0
+
+    def record_advance(self, now: float) -> None:
+        """Record that the reader passed on a newer version of the list.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        elapsed_s = min(MAX_FEED_TIMEOUT_S, now - self.advanced_at)
+        self.interval_s += SMOOTHING_FACTOR * (elapsed_s - self.interval_s)
+        self.advanced_at = now
+
+    def reset(self) -> None:
+        """Record that a change was missed; the store has to be read."""
+        self.advanced_at = -math.inf
+
+    def compute_pause_s(self, now: float) -> float:
+        """Return the time until this instance has to poll the store itself.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        float
+            0 if a poll is due.
+        """
+        timeout_s = FEED_TIMEOUT_INTERVALS * self.interval_s
+        timeout_s = min(MAX_FEED_TIMEOUT_S, max(MIN_FEED_TIMEOUT_S, timeout_s))
+        return max(0.0, self.advanced_at + timeout_s - now)
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_copy_index.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_copy_index.py
@@ -3,16 +3,22 @@
 Designed for the loss of an instance: all callers of its streams retry at other
 instances within a tenth of a second. Prefilling their prompts again would delay each
 of these streams, and the new ones, beyond the allowed gap.
+
+Also designed for the loss of all instances at once: one replica of each entry, its
+recorder, writes its entries to the platform's store in batches.
 """
 
 from __future__ import annotations
 
 import hashlib
+import math
+import zlib
 from collections import OrderedDict
 from collections.abc import Iterable
 from typing import NamedTuple
 
 INDEX_REPLICAS = 3  # instances per entry; each costs one message per run
+INSTANCES_PER_RECORDER = 16  # bounds the writes to the store in a large deployment
 MAX_INDEX_ENTRIES = 4096  # a few hundred bytes each
 
 
@@ -85,6 +91,32 @@
         set_at, location = self._entries.get(key, (now, None))
         return location if now - set_at <= self._ttl_s else None
 
+    def list_newest(
+        self, count: int, *, max_age_s: float, now: float
+    ) -> dict[str, RunCopyLocation]:
+        """Return the newest entries.
+
+        Parameters
+        ----------
+        count : int
+            Maximum number of entries.
+        max_age_s : float
+            Maximum age of an entry, seconds.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        dict of str to RunCopyLocation
+            By key of the run.
+        """
+        newest: dict[str, RunCopyLocation] = {}
+        for key, (set_at, location) in reversed(self._entries.items()):
+            if len(newest) == count or now - set_at > max_age_s:
+                break
+            newest[key] = location
+        return newest
+
     def _evict(self, now: float) -> None:
         while self._entries:
             set_at, _ = next(iter(self._entries.values()))
@@ -93,6 +125,32 @@
             self._entries.popitem(last=False)
 
 
+def choose_recorder(key: str, instances: Iterable[str]) -> str | None:
+    """Return the instance that writes the entry of a run to the store.
+
+    Few instances write, each for many runs, because the store limits its callers in
+    writes per second rather than in bytes.
+
+    Parameters
+    ----------
+    key : str
+        Identifies the run, see `choose_index_instances`.
+    instances : iterable of str
+        Names of all instances.
+
+    Returns
+    -------
+    str or None
+        The same on every instance; None without instances.
+    """
+    names = list(instances)
+    recorders = math.ceil(len(names) / INSTANCES_PER_RECORDER)
+    if not recorders:
+        return None
+    shard = zlib.crc32(key.encode()) % recorders
+    return max(names, key=lambda name: _compute_weight(f"recorder-{shard}", name))
+
+
 def choose_index_instances(key: str, instances: Iterable[str]) -> list[str]:
     """Return the instances that store the entry of a run, the same on every instance.
 
@@ -107,10 +165,17 @@
     Returns
     -------
     list of str
-        At most `INDEX_REPLICAS`, by rendezvous hashing.
+        At most `INDEX_REPLICAS`: the recorder, then others by rendezvous hashing.
     """
-
-    def compute_weight(name: str) -> bytes:
-        return hashlib.blake2b(f"{key} {name}".encode(), digest_size=8).digest()
-
-    return sorted(instances, key=compute_weight, reverse=True)[:INDEX_REPLICAS]
+    names = list(instances)
+    recorder = choose_recorder(key, names)
+    ordered = sorted(
+        names,
+        key=lambda name: (name == recorder, _compute_weight(key, name)),
+        reverse=True,
+    )
+    return ordered[:INDEX_REPLICAS]
+
+
+def _compute_weight(key: str, name: str) -> bytes:
+    return hashlib.blake2b(f"{key} {name}".encode(), digest_size=8).digest()
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -195,17 +195,41 @@
             and each.is_usable_after_removal(now)
         ]
 
+    def find_rest_end(self, service: str, now: float) -> float:
+        """Return when the next full server of a service may be tried again.
+
+        Parameters
+        ----------
+        service : str
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        float
+            Seconds; infinite if no server is resting.
+        """
+        ends = [
+            each.resting_until
+            for each in self._by_id.values()
+            if each.entry.service == service and each.resting_until > now
+        ]
+        return min(ends, default=math.inf)
+
     def list_ready(
-        self, service: str, excluded: Iterable[tuple[str, int]] = ()
+        self, service: str, now: float, excluded: Iterable[tuple[str, int]] = ()
     ) -> list[Backend]:
         """Return the listed, ready servers of a service, including suspect ones.
 
         A short request tries a suspect server rather than being rejected, because a
-        failed connection attempt proves that the request was not run.
+        failed connection attempt proves that the request was not run. Servers that
+        are full are left out.
 
         Parameters
         ----------
         service : str
+        now : float
+            Seconds.
         excluded : iterable of (str, int)
             Keys of processes to leave out.
 
@@ -220,6 +244,7 @@
             if each.entry.service == service
             and each.key not in excluded_keys
             and each.entry.state is BackendState.READY
+            and each.accepts(now)
         ]
 
     def _has_entries(self, service: str) -> bool:
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_placement.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_placement.py
@@ -15,12 +15,17 @@
 from ebonyhaven_decisions.forwarding._backends import Backend
 
 USABLE_MEMORY_SHARE = 0.92  # leaves memory for runs of unknown output length
+# The rest is left to prompts that can still meet their target, on any instance.
+LATE_MEMORY_SHARE = 0.7
+COPY_MEMORY_SHARE = 0.65
 PREFILL_WEIGHT = 3.0  # a prefill delays all other runs on the engine
-COPY_WEIGHT = 0.6  # a copy occupies memory but no compute time
+COPY_WEIGHT = 0.2  # a copy occupies memory but no compute time
 FAILURE_COST_RUNS = 1.0
+SLOW_COST_RUNS = 4.0  # the cost of a prefill in progress
 JITTER_RUNS = 0.15
 TYPICAL_RUN_TOKENS = 8000.0
-PREFERRED_ENGINE_COUNT = 2  # usually, at least one of them has no prefill in progress
+MIN_PREFERRED_ENGINES = 2  # usually, at least one has no prefill in progress
+PREFERRED_ENGINE_SHARE = 0.25  # prompts that arrive together choose different engines
 NON_PREFERRED_COST_RUNS = 2.0  # below the cost of a prefill in progress
 
 
@@ -127,6 +132,7 @@
     demand: TokenDemand,
     memory_tokens: int,
     peers: Mapping[str, EngineUse],
+    memory_share: float = USABLE_MEMORY_SHARE,
 ) -> bool:
     """Return whether a generation fits into the free memory of an engine.
 
@@ -138,10 +144,12 @@
         Memory capacity of the engine.
     peers : mapping of str to EngineUse
         Usage of the other instances, by server id.
+    memory_share : float
+        Share of the memory that may be used.
     """
     use = _estimate_use(backend, peers)
     used_tokens = use.run_tokens + use.copy_tokens
-    return used_tokens + demand.tokens <= USABLE_MEMORY_SHARE * memory_tokens
+    return used_tokens + demand.tokens <= memory_share * memory_tokens
 
 
 def count_queued_prefill_tokens(
@@ -179,6 +187,23 @@
     return queue_s == 0.0 or waited_s + queue_s <= target_s
 
 
+def choose_memory_share(*, waited_s: float, target_s: float) -> float:
+    """Return the share of an engine's memory that a prompt may use.
+
+    Designed for the time after a burst: served in order of arrival, the prompts that
+    piled up make all later ones late too, long after the load has fallen. Prompts that
+    can still meet their target go first, and late ones use what these leave.
+
+    Parameters
+    ----------
+    waited_s : float
+        Time since the request arrived, or since the last event of its stream.
+    target_s : float
+        Target for the time to the next event.
+    """
+    return USABLE_MEMORY_SHARE if waited_s <= target_s else LATE_MEMORY_SHARE
+
+
 def select_preferred_engines(
     prompt_id: str, candidates: Sequence[Backend]
 ) -> frozenset[str]:
@@ -204,7 +229,8 @@
         return zlib.crc32(f"{prompt_id}/{backend.server_id}".encode())
 
     ordered = sorted(candidates, key=compute_weight, reverse=True)
-    return frozenset(each.server_id for each in ordered[:PREFERRED_ENGINE_COUNT])
+    count = max(MIN_PREFERRED_ENGINES, int(PREFERRED_ENGINE_SHARE * len(candidates)))
+    return frozenset(each.server_id for each in ordered[:count])
 
 
 def _estimate_cost(use: EngineUse, backend: Backend, rng: random.Random) -> float:
@@ -224,7 +250,9 @@
     memory_tokens: int,
     peers: Mapping[str, EngineUse],
     rng: random.Random,
+    now: float = 0.0,
     prompt_id: str = "",
+    memory_share: float = USABLE_MEMORY_SHARE,
 ) -> Backend | None:
     """Return the engine with the lowest estimated cost for a generation.
 
@@ -238,8 +266,12 @@
     peers : mapping of str to EngineUse
         Usage of the other instances, by server id.
     rng : random.Random
+    now : float
+        Seconds.
     prompt_id : str
         See `select_preferred_engines`; empty for no preference.
+    memory_share : float
+        Share of an engine's memory that may be used.
 
     Returns
     -------
@@ -249,7 +281,7 @@
     fitting = [
         each
         for each in candidates
-        if fits_in_memory(each, demand, memory_tokens, peers)
+        if fits_in_memory(each, demand, memory_tokens, peers, memory_share)
     ]
     if not fitting:
         return None
@@ -259,6 +291,8 @@
 
     def estimate(backend: Backend) -> float:
         cost = _estimate_cost(_estimate_use(backend, peers), backend, rng)
+        if now < backend.slow_until:
+            cost += SLOW_COST_RUNS
         return cost + (
             0.0 if backend.server_id in preferred else NON_PREFERRED_COST_RUNS
         )
@@ -274,6 +308,7 @@
     memory_tokens: int,
     peers: Mapping[str, EngineUse],
     rng: random.Random,
+    now: float = 0.0,
     is_suspect_data_centre: Callable[[str], bool] = lambda _: False,
 ) -> Backend | None:
     """Return the engine for the copy of a run.
@@ -294,6 +329,8 @@
     peers : mapping of str to EngineUse
         Usage of the other instances, by server id.
     rng : random.Random
+    now : float
+        Seconds.
     is_suspect_data_centre : callable
         Returns for a data centre whether it is suspect.
 
@@ -309,7 +346,13 @@
     ]
     for group in (unsuspected, remote, others):
         chosen = choose_engine(
-            group, demand=demand, memory_tokens=memory_tokens, peers=peers, rng=rng
+            group,
+            demand=demand,
+            memory_tokens=memory_tokens,
+            peers=peers,
+            rng=rng,
+            now=now,
+            memory_share=COPY_MEMORY_SHARE,
         )
         if chosen is not None:
             return chosen
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_timing.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_timing.py
@@ -15,11 +15,13 @@
 FIRST_EVENT_PROBE_MIN_SHARE = 0.3  # of the target
 FIRST_EVENT_RESUME_FACTOR = 2.5  # of the estimated time
 FIRST_EVENT_RESUME_MIN_SHARE = 0.6  # of the target; leaves time for a second attempt
+# A probe that starts this long before the resume shows whether the server is lost.
+PROBE_LEAD_S = 0.15
 SERVER_PROBE_INTERVAL_S = 0.5  # for a silent server that accepts connections
 DEFAULT_GAP_TARGET_S = 1.0  # for routes without a gap target
 DEFAULT_TOKENS_PER_S = 8000.0
 SMOOTHING_FACTOR = 0.1
-SHORT_STREAM_SHARE = 0.6  # of the average duration; few streams are shorter
+SHORT_STREAM_SHARE = 0.75  # of the average duration; few streams are shorter
 
 
 @attrs.define(slots=True)
@@ -199,7 +201,8 @@
     tolerated_s = max(GAP_TARGET_SHARE * target_s, LONGEST_GAP_FACTOR * longest_gap_s)
     limit_s = min(tolerated_s, target_s)
     if has_copy:
-        return SilenceLimits(probe_after_s=limit_s, resume_after_s=limit_s)
+        probe_s = max(0.5 * limit_s, limit_s - PROBE_LEAD_S)
+        return SilenceLimits(probe_after_s=probe_s, resume_after_s=limit_s)
     return SilenceLimits(
         probe_after_s=limit_s, resume_after_s=GAP_TARGET_FACTOR_WITHOUT_COPY * target_s
     )
--- a/packages/node/src/ebonyhaven_node/_frames.py
+++ b/packages/node/src/ebonyhaven_node/_frames.py
@@ -28,6 +28,7 @@
     ENGINE_USE = "g"
     STATE_REQUEST = "w"
     STATE = "x"
+    SERVER_CHANGES = "y"
     RUN_PLACE = "k"
     RUN_PLACE_REQUEST = "m"
     RUN_PLACE_ANSWER = "n"
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempt_monitors.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempt_monitors.py
@@ -40,6 +40,8 @@
         Times of the start, the first event and the last data received, seconds.
     probed_at : float
         Time of the last probe of the server, seconds; minus infinity before the first.
+    alive_at : float
+        Time at which the server last answered a probe, likewise.
     longest_gap_s : float
         Longest gap between two events of this attempt.
     splitter : EventSplitter
@@ -53,6 +55,7 @@
         "_longest_estimate_s",
         "_reservation",
         "_route",
+        "alive_at",
         "error_body",
         "events",
         "first_event_at",
@@ -77,7 +80,7 @@
         self._reservation = reservation
         self.head: ResponseHead | None = None
         self.last_received_at = self.started_at = context.clock()
-        self.probed_at = -math.inf
+        self.probed_at = self.alive_at = -math.inf
         self.longest_gap_s = 0.0
         self._longest_estimate_s = 0.0
         self.events = 0
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -34,6 +34,7 @@
 MAX_REFUSALS = 4  # by backend servers, before the request itself is refused
 # Share of the request's timeout spent waiting for a usable server.
 SERVER_WAIT_TIMEOUT_SHARE = 0.3
+MIN_WAIT_S = 0.005  # bounds the wake-ups of a request that waits for a server
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 _log = structlog.get_logger()
@@ -175,7 +176,9 @@
         wake_at = self._deadline
         running = self._running
         if not running:
-            wake_at = min(wake_at, max(self._server_wait_deadline, now + 0.005))
+            rest_end = self._context.state.backends.find_rest_end(self._service, now)
+            next_at = min(self._server_wait_deadline, rest_end)
+            wake_at = min(wake_at, max(next_at, now + MIN_WAIT_S))
         elif len(running) == 1 and self._can_hedge():
             wake_at = min(wake_at, running[0].sent_at + self._compute_hedge_delay_s())
         return max(0.001, wake_at - now)
@@ -240,7 +243,7 @@
         directory = self._context.state.backends
         usable = (
             directory.list_usable(self._service, now, self._excluded_servers)
-            or directory.list_ready(self._service, self._excluded_servers)
+            or directory.list_ready(self._service, now, self._excluded_servers)
             or directory.list_usable(self._service, now)
         )
         return choose_backend(
@@ -279,6 +282,8 @@
         if head.not_run:
             if head.is_other_process:
                 self._context.report_replaced(attempt.backend, head.other_server_id)
+            else:
+                self._context.report_refused(attempt.backend)
             self._refusal_count += 1
             self._excluded_servers.add(attempt.backend.key)
             self._record_last_failure(attempt, f"server refused with {head.status}")
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -204,6 +204,22 @@
         if not is_from_peer:
             self.on_loss(backend)
 
+    def report_slow(self, backend: Backend) -> None:
+        """Prefer other servers for some time, because this one is alive but silent.
+
+        Parameters
+        ----------
+        backend : Backend
+        """
+        now = self.clock()
+        backend.record_slow(now)
+        _log.info(
+            "backend_slow",
+            server=backend.server_id,
+            data_centre=backend.entry.data_centre,
+            silent_s=round(now - backend.last_received_at, 3),
+        )
+
     def _log_suspected(self, backend: Backend, now: float, is_from_peer: bool) -> None:
         has_received = math.isfinite(backend.last_received_at)
         _log.info(
@@ -228,6 +244,15 @@
         if other_server is not None:
             self.on_other_process(backend, other_server)
 
+    def report_refused(self, backend: Backend) -> None:
+        """Leave a server alone for a short time because it is full.
+
+        Parameters
+        ----------
+        backend : Backend
+        """
+        backend.record_refused(self.clock(), self.rng.random())
+
     def schedule_crash_check(self, request: ForwardRequest, backend: Backend) -> None:
         """Check later whether a server lost before the first event has crashed.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 import structlog
-from ebonyhaven_decisions.forwarding import Backend, Route, RunCopyLocation
+from ebonyhaven_decisions.forwarding import (
+    Backend,
+    EngineTraits,
+    Route,
+    RunCopyLocation,
+)
 
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._messages import CopyReference, ForwardRequest
@@ -18,10 +23,20 @@
     ----------
     request : ForwardRequest
     route : Route
+    engine : EngineTraits or None
+        None for a service without engines, whose runs have no copies.
     context : RelayContext
     """
 
-    def __init__(self, *, request: ForwardRequest, route: Route, context: RelayContext):
+    def __init__(
+        self,
+        *,
+        request: ForwardRequest,
+        route: Route,
+        engine: EngineTraits | None,
+        context: RelayContext,
+    ):
+        self._engine = engine
         self._request = request
         self._route = route
         self._context = context
@@ -40,9 +55,11 @@
         run_key = self._request.run_key
         if self._request.last_event_id is None or run_key is None:
             return
-        if not self._route.may_retry:
+        if not self._route.may_retry or self._engine is None:
             return
-        location = self._location = await self._context.copy_index.find(run_key)
+        location = self._location = await self._context.copy_index.find(
+            run_key, copy_ttl_s=self._engine.copy_ttl_s
+        )
         source = "caller_prompt" if location is None else "caller_copy"
         self._context.metrics.resumes.labels(source).inc()
         _log.info(
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -28,6 +28,7 @@
     LEAVING_RETRY_AFTER_S,
     NOT_READY_RETRY_AFTER_S,
 )
+from ebonyhaven_node.forwarding._startup import StateWaiter
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding._streams import StreamRelay
 from ebonyhaven_node.forwarding.interfaces import CallerDialect
@@ -145,16 +146,19 @@
     Parameters
     ----------
     state : ForwardingState
+    waiter : StateWaiter
+        Holds requests that arrive before the first configuration.
     """
 
-    def __init__(self, state: ForwardingState):
+    def __init__(self, state: ForwardingState, waiter: StateWaiter):
         self._state = state
+        self._waiter = waiter
 
     async def handle(
         self, work: RequestContext, proceed: Proceed[RequestContext]
     ) -> None:
         """See `Filter.handle`."""
-        if not self._state.is_complete:
+        if not await self._waiter.wait(work.request):
             raise make_not_run_failure(
                 "no configuration is in force yet",
                 step="configuration",
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -9,7 +9,7 @@
 
 import attrs
 import structlog
-from ebonyhaven_decisions import CrashLedger, EntryList
+from ebonyhaven_decisions import CrashLedger, EntryList, MemberRecord, MemberState
 from ebonyhaven_decisions.forwarding import (
     Backend,
     PeerEngineUse,
@@ -58,11 +58,14 @@
     EngineUseExchange,
     StateSynchronizer,
 )
+from ebonyhaven_node.forwarding._startup import StateWaiter
 from ebonyhaven_node.forwarding._state import ForwardingState
+from ebonyhaven_node.forwarding._state_feed import ServerChangeFeed
 from ebonyhaven_node.forwarding.interfaces import (
     BackendDialect,
     CallerDialect,
     RunCopier,
+    RunRecordStore,
     ServerInspector,
     StateSource,
 )
@@ -120,6 +123,8 @@
         Returns the `ServerInspector` for a `ConnectionPool`.
     build_copier : callable
         Returns the `RunCopier` for a `ConnectionPool`.
+    build_record_store : callable
+        Returns the `RunRecordStore` for a `ConnectionPool`.
     rng : random.Random or None
         A generator with a random seed if None.
     clock : callable
@@ -136,6 +141,7 @@
         build_source: Callable[[ForwardingState, ConnectionPool], StateSource],
         build_inspector: Callable[[ConnectionPool], ServerInspector],
         build_copier: Callable[[ConnectionPool], RunCopier],
+        build_record_store: Callable[[ConnectionPool], RunRecordStore],
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
     ):
@@ -166,7 +172,7 @@
         )
         self._metrics = ForwardingMetrics(self.registry)
         self._metrics.register_state_gauges(
-            read_version=lambda: self.source.read_version()[0],
+            read_version=lambda: self.source.read_version().configuration,
             count_backends=lambda: sum(1 for _ in self.state.backends),
             count_suspects=self._count_suspects,
             is_unresponsive=self.source.is_unresponsive,
@@ -178,9 +184,12 @@
             ratio=settings.retry_budget_ratio,
             window_s=settings.retry_budget_window_s,
             slack=settings.retry_budget_slack,
+            started_at=clock(),
         )
         self._use_exchange: EngineUseExchange | None = None
-        self._copy_index = SharedCopyIndex(reactor, clock)
+        self._copy_index = SharedCopyIndex(
+            reactor, clock, build_record_store(self.pool)
+        )
         self._copier = build_copier(self.pool)
         self._chain = self._build_chain(caller_dialect, backend_dialect)
         self.server = CallerServer(
@@ -302,15 +311,21 @@
             registry=self.registry,
         )
         self._stack.callback(self.membership.stop)
+        self.membership.observe(self._count_instances)
         self.membership.set_load_source(self._load.read)
         self.membership.set_seeds(settings.seeds)
         self.membership.add_digest(self._crashes.make_digest())
-        StateSynchronizer(
+        synchronizer = StateSynchronizer(
             source=self.source,
             membership=self.membership,
             channels=channels,
+            reactor=self._reactor,
             clock=self._clock,
         )
+        self._stack.callback(synchronizer.stop)
+        ServerChangeFeed(
+            source=self.source, membership=self.membership, channels=channels
+        )
         self._use_exchange = EngineUseExchange(
             state=self.state,
             peers=self._peers,
@@ -326,8 +341,15 @@
         )
         self._stack.callback(self._use_exchange.stop)
         self._copy_index.connect(self.membership, channels)
+        self._stack.callback(self._copy_index.stop)
         self.membership.start()
 
+    def _count_instances(self, _: MemberRecord) -> None:
+        """Update the number of instances that share the retry budget."""
+        self._budget.instances = sum(
+            record.state is not MemberState.DEAD for record in self.membership.members
+        )
+
     def _build_chain(
         self, caller_dialect: CallerDialect, backend_dialect: BackendDialect
     ):
@@ -357,7 +379,7 @@
             [
                 ReportFilter(caller_dialect, self._metrics, self._clock),
                 DecodeFilter(caller_dialect),
-                RouteFilter(self.state),
+                RouteFilter(self.state, StateWaiter(self.state, self._reactor)),
                 IdentifyFilter(),
                 CrashFilter(self._crashes),
                 AdmitFilter(self._accepts),
--- a/packages/node/src/ebonyhaven_node/forwarding/_progress.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_progress.py
@@ -52,6 +52,7 @@
         self._exchange = exchange
         self._context = context
         self._delivered_at = 0.0
+        self._first_event_s = math.nan
         self.position = request.last_event_id
         self.delivered = 0
         self.is_late = False
@@ -130,6 +131,16 @@
             self._exchange.write(remainder)
         self._exchange.finish()
         self.is_complete = True
+        now = self._context.clock()
+        _log.info(
+            "stream_completed",
+            request=self._request.request_id,
+            position=self.position,
+            delivered=self.delivered,
+            first_event_s=round(self._first_event_s, 3),
+            elapsed_s=round(now - self._request.arrived_at, 3),
+            is_late=self.is_late,
+        )
 
     def _advance_position(self, event: bytes) -> bool:
         event_id = self._context.dialect.read_event_id(event)
@@ -141,6 +152,7 @@
         return True
 
     def _record_first_event(self, elapsed_s: float) -> None:
+        self._first_event_s = elapsed_s
         self._context.metrics.first_event.observe(elapsed_s)
         if elapsed_s > self._route.target_latency_s:
             self._record_late("first_event", elapsed_s)
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_run_records.py
@@ -0,0 +1,127 @@
+"""Durable records of run copies, for the loss of all instances at once."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+from ebonyhaven_decisions.forwarding import RunCopyIndex, RunCopyLocation
+from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
+from twisted.internet.interfaces import IReactorTime
+
+from ebonyhaven_node.forwarding.interfaces import (
+    RunRecord,
+    RunRecordError,
+    RunRecordStore,
+)
+
+WRITE_INTERVAL_S = 1.0  # a run whose instance dies sooner has its prompt read again
+MAX_RECORDED_RUNS = 256  # keeps the row of an instance below the row limit of the store
+RECORDED_AGE_S = 15.0  # exceeds the duration of most generations
+READ_INTERVAL_S = 2.0  # one read serves all callers that return together
+
+_log = structlog.get_logger()
+
+
+class RunRecorder:
+    """Writes the entries of an index to the store in batches, and reads all records.
+
+    Parameters
+    ----------
+    index : RunCopyIndex
+        Its newest entries are written.
+    store : RunRecordStore
+    reactor : IReactorTime
+    clock : callable
+        Returns seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        index: RunCopyIndex,
+        store: RunRecordStore,
+        reactor: IReactorTime,
+        clock: Callable[[], float],
+    ):
+        self._index = index
+        self._store = store
+        self._reactor = reactor
+        self._clock = clock
+        self._timer: Any = None
+        self._records: dict[str, RunRecord] = {}
+        self._read_at = -math.inf
+        self._pending_read: Deferred | None = None
+        self._readers: list[Deferred] = []
+
+    def schedule_write(self) -> None:
+        """Schedule a write within `WRITE_INTERVAL_S`."""
+        if self._timer is None or not self._timer.active():
+            self._timer = self._reactor.callLater(WRITE_INTERVAL_S, self._start_write)
+
+    def stop(self) -> None:
+        """Cancel scheduled writes."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    async def find(self, key: str, max_age_s: float) -> RunCopyLocation | None:
+        """Return the recorded location of a run.
+
+        The records are read at most every `READ_INTERVAL_S`.
+
+        Parameters
+        ----------
+        key : str
+        max_age_s : float
+            Maximum age of the record, seconds.
+
+        Returns
+        -------
+        RunCopyLocation or None
+        """
+        now = self._clock()
+        if now - self._read_at >= READ_INTERVAL_S:
+            self._read_at = now
+            self._start_read()
+        if self._pending_read is not None:
+            read: Deferred = Deferred()
+            self._readers.append(read)
+            await read
+        record = self._records.get(key)
+        if record is None:
+            return None
+        age_s = record.age_s + self._clock() - self._read_at
+        return record.location if age_s <= max_age_s else None
+
+    def _start_write(self) -> None:
+        newest = self._index.list_newest(
+            MAX_RECORDED_RUNS, max_age_s=RECORDED_AGE_S, now=self._clock()
+        )
+        writing = ensureDeferred(self._store.write(newest))
+        writing.addErrback(self._log_failure, "write")
+
+    def _start_read(self) -> None:
+        self._pending_read = ensureDeferred(self._store.read())
+        self._pending_read.addCallbacks(self._replace_records, self._log_read_failure)
+        self._pending_read.addBoth(self._release_readers)
+
+    def _replace_records(self, records: dict[str, RunRecord]) -> None:
+        self._records = records
+        _log.info("run_records_read", runs=len(records))
+
+    def _log_read_failure(self, failure) -> None:
+        self._log_failure(failure, "read")
+
+    def _release_readers(self, _) -> None:
+        self._pending_read = None
+        readers, self._readers = self._readers, []
+        for each in readers:
+            if not each.called:
+                each.callback(None)
+
+    def _log_failure(self, failure, step: str) -> None:
+        """Log that the records are incomplete; prompts are then read again."""
+        failure.trap(RunRecordError, CancelledError)
+        _log.warning("run_records_unavailable", step=step, reason=str(failure.value))
--- a/packages/node/src/ebonyhaven_node/forwarding/_shared_copy_index.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shared_copy_index.py
@@ -11,6 +11,7 @@
     RunCopyIndex,
     RunCopyLocation,
     choose_index_instances,
+    choose_recorder,
 )
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
@@ -18,6 +19,8 @@
 from ebonyhaven_node._channels import Channels
 from ebonyhaven_node._frames import Frame, FrameKind
 from ebonyhaven_node._membership import MembershipController
+from ebonyhaven_node.forwarding._run_records import WRITE_INTERVAL_S, RunRecorder
+from ebonyhaven_node.forwarding.interfaces import RunRecordStore
 
 INDEX_ENTRY_TTL_S = 30.0  # exceeds the duration of a generation
 QUERY_TIMEOUT_S = 0.05  # live instances reply within milliseconds
@@ -35,12 +38,22 @@
     reactor : IReactorTime
     clock : callable
         Returns seconds.
+    store : RunRecordStore
+        Keeps entries in case all their replicas are lost.
     """
 
-    def __init__(self, reactor: IReactorTime, clock: Callable[[], float]):
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        clock: Callable[[], float],
+        store: RunRecordStore,
+    ):
         self._reactor = reactor
         self._clock = clock
         self._index = RunCopyIndex(INDEX_ENTRY_TTL_S)
+        self._recorder = RunRecorder(
+            index=self._index, store=store, reactor=reactor, clock=clock
+        )
         self._membership: MembershipController | None = None
         self._queries: dict[str, list[Deferred]] = {}
 
@@ -67,7 +80,7 @@
         location : RunCopyLocation or None
             None if the run has no copy any more.
         """
-        self._index.record(key, location, self._clock())
+        self._record(key, location)
         for name in self._choose_replicas(key):
             self._membership.send(name, FrameKind.RUN_PLACE, [key, location])
 
@@ -84,22 +97,38 @@
         """
         self._index.record(key, None, self._clock())
 
-    async def find(self, key: str) -> RunCopyLocation | None:
-        """Return the location of the copy of a run, querying the replicas if unknown.
+    def stop(self) -> None:
+        """Stop writing to the store."""
+        self._recorder.stop()
+
+    async def find(self, key: str, *, copy_ttl_s: float) -> RunCopyLocation | None:
+        """Return the location of the copy of a run.
+
+        If it is unknown, the replicas are queried, and then the store.
 
         Parameters
         ----------
         key : str
+        copy_ttl_s : float
+            Time for which an engine keeps the copy of a run that was cut off, seconds.
 
         Returns
         -------
         RunCopyLocation or None
-            None if no replica replies with a location in time.
+            None if neither a replica nor the store returns a location in time.
         """
-        known = self._index.find(key, self._clock())
+        location = self._index.find(key, self._clock())
+        if location is None:
+            location = await self._query_replicas(key)
+        if location is None:
+            max_age_s = copy_ttl_s + WRITE_INTERVAL_S
+            location = await self._recorder.find(key, max_age_s)
+        return location
+
+    async def _query_replicas(self, key: str) -> RunCopyLocation | None:
         replicas = self._choose_replicas(key)
-        if known is not None or not replicas:
-            return known
+        if not replicas:
+            return None
         result: Deferred = Deferred()
         pending = self._queries.setdefault(key, [])
         pending.append(result)
@@ -119,16 +148,24 @@
         if not result.called:
             result.callback(None)
 
-    def _choose_replicas(self, key: str) -> list[str]:
+    def _list_instances(self) -> list[str]:
         if self._membership is None:
             return []
-        own_name = self._membership.own.name
-        names = [
+        return [
             record.name
             for record in self._membership.members
             if record.state != MemberState.DEAD
         ]
-        return [name for name in choose_index_instances(key, names) if name != own_name]
+
+    def _choose_replicas(self, key: str) -> list[str]:
+        replicas = choose_index_instances(key, self._list_instances())
+        return [name for name in replicas if name != self._membership.own.name]
+
+    def _record(self, key: str, location: RunCopyLocation | None) -> None:
+        self._index.record(key, location, self._clock())
+        names = self._list_instances()
+        if names and choose_recorder(key, names) == self._membership.own.name:
+            self._recorder.schedule_write()
 
     def _handle_query(self, frame: Frame) -> None:
         key = frame.payload
@@ -145,7 +182,7 @@
         except (TypeError, ValueError) as error:
             _log.warning("run_place_malformed", peer=frame.sender, reason=str(error))
             return
-        self._index.record(key, location, self._clock())
+        self._record(key, location)
         for result in list(self._queries.get(key, ())):
             if location is not None and not result.called:
                 result.callback(location)
@@ -155,5 +192,4 @@
     key, values = payload
     if values is None:
         return str(key), None
-    holder_id, address, handle = values
-    return str(key), RunCopyLocation(str(holder_id), str(address), str(handle))
+    return str(key), RunCopyLocation(*(str(value) for value in values))
--- a/packages/node/src/ebonyhaven_node/forwarding/_sharing.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_sharing.py
@@ -23,11 +23,12 @@
 from ebonyhaven_node._membership import MembershipController
 from ebonyhaven_node.forwarding._context import SERVER_SILENCE_LIMIT_S
 from ebonyhaven_node.forwarding._state import ForwardingState
-from ebonyhaven_node.forwarding.interfaces import StateSource
+from ebonyhaven_node.forwarding.interfaces import StateSource, StateVersion
 
 SEND_DELAY_S = 0.01  # batches changes that occur together
 USE_REFRESH_INTERVAL_S = 1.0  # a report expires after three intervals
 MAX_REPORT_RECEIVERS = 16  # bounds the traffic in a large deployment
+CONFIGURATION_DELAY_S = 0.25  # all polls return within milliseconds of a change
 STATE_REQUEST_INTERVAL_S = 0.4  # between any two requests, whichever the peers
 
 _log = structlog.get_logger()
@@ -157,8 +158,7 @@
     ----------
     source : StateSource
     on_versions : callable
-        Called with the name of a peer and its versions of configuration and server
-        list.
+        Called with the name of a peer and its `StateVersion`.
     """
 
     code = "v"
@@ -167,7 +167,7 @@
     def __init__(
         self,
         source: StateSource,
-        on_versions: Callable[[str, tuple[int, int]], None],
+        on_versions: Callable[[str, StateVersion], None],
     ):
         self._source = source
         self._on_versions = on_versions
@@ -178,18 +178,24 @@
 
     def merge(self, sender: str, payload: Any) -> None:
         """See `Digest.merge`."""
-        configuration, servers = payload
-        self._on_versions(sender, (int(configuration), int(servers)))
+        configuration, era, servers = payload
+        version = StateVersion(int(configuration), int(era), int(servers))
+        self._on_versions(sender, version)
 
 
 class StateSynchronizer:
-    """Fetches configuration and server list from peers while the store is unresponsive.
+    """Compares the versions of peers with the own state and fetches what is newer.
+
+    While the store is unresponsive, peers are asked for their state. Otherwise the
+    configuration is read again: a poll that did not return it may wait on a connection
+    that has fallen silent.
 
     Parameters
     ----------
     source : StateSource
     membership : MembershipController
     channels : Channels
+    reactor : IReactorTime
     clock : callable
         Returns seconds.
     """
@@ -200,21 +206,29 @@
         source: StateSource,
         membership: MembershipController,
         channels: Channels,
+        reactor: IReactorTime,
         clock: Callable[[], float] = time.monotonic,
     ):
         self._source = source
         self._membership = membership
+        self._reactor = reactor
         self._clock = clock
+        self._refresh_timer: Any = None
         self._requested_at = -STATE_REQUEST_INTERVAL_S
         self._unready: set[str] = set()
         membership.add_digest(StateVersionDigest(source, self._handle_versions))
         channels.subscribe(FrameKind.STATE_REQUEST, self._handle_state_request)
         channels.subscribe(FrameKind.STATE, self._handle_state)
 
-    def _handle_versions(self, sender: str, versions: tuple[int, int]) -> None:
+    def _handle_versions(self, sender: str, versions: StateVersion) -> None:
         own = self._source.read_version()
         self._update_readiness(sender, versions)
-        is_newer = versions[0] > own[0] or versions[1] > own[1]
+        is_newer = (
+            versions.configuration > own.configuration
+            or versions.server_list > own.server_list
+        )
+        if versions.configuration > own.configuration:
+            self._schedule_refresh(versions.configuration)
         now = self._clock()
         if not is_newer or not self._source.is_unresponsive():
             return
@@ -223,11 +237,30 @@
         self._requested_at = now
         self._membership.send(sender, FrameKind.STATE_REQUEST, list(own))
 
-    def _update_readiness(self, sender: str, versions: tuple[int, int]) -> None:
+    def _schedule_refresh(self, version: int) -> None:
+        """Read the configuration again unless it arrives in the usual time."""
+        if self._refresh_timer is None or not self._refresh_timer.active():
+            self._refresh_timer = self._reactor.callLater(
+                CONFIGURATION_DELAY_S, self._refresh_if_older, version
+            )
+
+    def _refresh_if_older(self, version: int) -> None:
+        own = self._source.read_version()
+        if own.configuration < version and not self._source.is_unresponsive():
+            _log.warning("configuration_overdue", own=own.configuration, peer=version)
+            self._source.refresh_configuration()
+
+    def stop(self) -> None:
+        """Cancel a scheduled read."""
+        if self._refresh_timer is not None and self._refresh_timer.active():
+            self._refresh_timer.cancel()
+
+    def _update_readiness(self, sender: str, versions: StateVersion) -> None:
         """Exclude peers without configuration or server list from entry lists."""
-        unready = (
-            self._unready | {sender} if 0 in versions else self._unready - {sender}
-        )
+        if versions.is_complete:
+            unready = self._unready - {sender}
+        else:
+            unready = self._unready | {sender}
         if unready != self._unready:
             self._unready = unready
             self._membership.set_excluded_entries(unready)
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -50,14 +50,14 @@
         self._observers.append(observer)
 
     def apply_configuration(self, configuration: RoutingConfiguration) -> None:
-        """Activate a configuration if it is newer than the active one.
+        """Activate a configuration unless it is older than the active one.
 
         Parameters
         ----------
         configuration : RoutingConfiguration
         """
         known = self.configuration
-        if known is not None and configuration.version <= known.version:
+        if known is not None and configuration.version < known.version:
             return
         self.configuration = configuration
         _log.info(
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -142,8 +142,8 @@
                 result = self._handle_silence(limits)
             case BackendSuspected():
                 result = self._handle_suspicion(message)
-            case BackendProbed(server_key, False) if server_key == self._backend.key:
-                result = self._handle_failed_probe()
+            case BackendProbed(server_key, is_alive) if server_key == self._backend.key:
+                result = self._handle_probe(is_alive)
             case ResponseStarted(sender, head) if sender is self._attempt:
                 self._handle_head(head)
             case ResponseData(sender, data) if sender is self._attempt:
@@ -157,22 +157,27 @@
     # -- silence -----------------------------------------------------------
 
     def _handle_suspicion(self, suspicion: BackendSuspected) -> AttemptResult | None:
-        """End the attempt if its server is silent and suspected.
+        """End the attempt if its server is silent and suspected, and there is a copy.
 
-        Before the first event, a silent server is probed if another server of its data
-        centre is suspected.
+        Without a copy, the server is probed: it may be slow rather than lost, and its
+        work on the prompt would be done again elsewhere. Before the first event, it is
+        also probed if another server of its data centre is suspected.
         """
         if not self._attempt.was_sent or not self._monitor.is_server_silent():
             return None
-        if suspicion.server_key == self._backend.key:
+        is_own_server = suspicion.server_key == self._backend.key
+        if is_own_server and self._run_copy.is_usable(self._context.clock()):
             reason = "the server was found silent by another stream"
             return AttemptResult(AttemptEnd.SILENT, reason)
         is_same_data_centre = suspicion.data_centre == self._backend.entry.data_centre
-        if is_same_data_centre and not self._monitor.events:
+        if is_own_server or (is_same_data_centre and not self._monitor.events):
             self._probe()
         return None
 
-    def _handle_failed_probe(self) -> AttemptResult | None:
+    def _handle_probe(self, is_alive: bool) -> AttemptResult | None:
+        if is_alive:
+            self._monitor.alive_at = self._context.clock()
+            return None
         if not self._monitor.is_server_silent():
             return None
         self._context.report_unreachable(self._backend)
@@ -185,7 +190,9 @@
             self._probe()
             return None
         is_server_silent = now - self._backend.last_received_at > SERVER_SILENCE_LIMIT_S
-        if is_server_silent and self._monitor.events:
+        if self._monitor.alive_at > self._monitor.last_received_at:
+            self._context.report_slow(self._backend)
+        elif is_server_silent and self._monitor.events:
             self._context.report_unreachable(self._backend)
         end = AttemptEnd.SILENT if self._attempt.was_sent else AttemptEnd.UNREACHABLE
         return AttemptResult(end, f"silent for {silent_s:.2f} s")
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
@@ -12,6 +12,7 @@
     choose_backend,
     choose_copy_holder,
     choose_engine,
+    choose_memory_share,
     count_queued_prefill_tokens,
     is_prompt_admitted,
 )
@@ -62,7 +63,12 @@
         self._avoided_until[backend.key] = now + FAILED_SERVER_AVOIDANCE_S
 
     def choose(
-        self, prompt_id: str, now: float, *, waited_s: float, target_s: float
+        self,
+        prompt_id: str,
+        now: float,
+        *,
+        waited_s: float,
+        target_s: float,
     ) -> Backend | None:
         """Return the server for the next attempt.
 
@@ -108,7 +114,9 @@
             memory_tokens=self._engine.memory_tokens,
             peers=peers,
             rng=self._context.rng,
+            now=now,
             prompt_id=prompt_id,
+            memory_share=choose_memory_share(waited_s=waited_s, target_s=target_s),
         )
 
     def _estimate_queue_s(
@@ -149,6 +157,7 @@
             memory_tokens=self._engine.memory_tokens,
             peers=self._context.peers.sum_by_server(now),
             rng=self._context.rng,
+            now=now,
             is_suspect_data_centre=lambda data_centre: directory.is_suspect_data_centre(
                 data_centre, now
             ),
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -117,7 +117,9 @@
             service=service, engine=engine, demand=self._demand, context=context
         )
         self._run_copy: RunCopy | None = None
-        self._earlier_run = EarlierRun(request=request, route=route, context=context)
+        self._earlier_run = EarlierRun(
+            request=request, route=route, engine=engine, context=context
+        )
         self._error_response: tuple[ResponseHead, bytes] | None = None
         self._last_reason = "no server was tried"
         self._last_peer = "self"
@@ -208,6 +210,7 @@
             delivered=self._progress.delivered,
             attempts=self._attempts,
             waited_s=round(now - self._request.arrived_at, 3),
+            remaining_s=round(self._deadline - now, 3),
         )
         if self._exchange.is_started:
             self._exchange.abort()
@@ -238,7 +241,10 @@
             return _Target(*earlier)
         waited_s, target_s = self._progress.measure_wait(now)
         backend = self._server_selector.choose(
-            self._request.prompt_id or "", now, waited_s=waited_s, target_s=target_s
+            self._request.prompt_id or "",
+            now,
+            waited_s=waited_s,
+            target_s=target_s,
         )
         return None if backend is None else _Target(backend, None)
 
@@ -345,6 +351,7 @@
             own_use=[backend.run_tokens, backend.copy_tokens, backend.prefill_tokens],
             peer_use=list(peer_use),
             waited_s=round(now - self._request.arrived_at, 3),
+            remaining_s=round(self._deadline - now, 3),
         )
 
     def _choose_engine_priority(self, is_from_copy: bool) -> int | None:
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import abc
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from ebonyhaven_decisions import Outcome
+from ebonyhaven_decisions.forwarding import RunCopyLocation, ServerListVersion
 
 from ebonyhaven_node.forwarding._http_server import Exchange
 from ebonyhaven_node.forwarding._messages import (
@@ -168,6 +170,86 @@
         """
 
 
+class RunRecordError(Exception):
+    """Raised if records of runs cannot be written or read."""
+
+
+class RunRecord(NamedTuple):
+    """Record of the copy of a run.
+
+    Parameters
+    ----------
+    location : RunCopyLocation
+    age_s : float
+        Time since the instance that wrote it last confirmed it, seconds.
+    """
+
+    location: RunCopyLocation
+    age_s: float
+
+
+class RunRecordStore(abc.ABC):
+    """Durable records of where the copies of open runs are.
+
+    They outlive all instances. A record may be out of date, because engines refuse to
+    resume from a copy that they no longer have.
+    """
+
+    @abc.abstractmethod
+    async def write(self, locations: Mapping[str, RunCopyLocation]) -> None:
+        """Replace the records that this instance wrote before.
+
+        Parameters
+        ----------
+        locations : mapping of str to RunCopyLocation
+            By key of the run.
+
+        Raises
+        ------
+        RunRecordError
+            The write may have been applied nevertheless.
+        """
+
+    @abc.abstractmethod
+    async def read(self) -> dict[str, RunRecord]:
+        """Return the records of all instances.
+
+        Returns
+        -------
+        dict of str to RunRecord
+            By key of the run.
+
+        Raises
+        ------
+        RunRecordError
+        """
+
+
+class StateVersion(NamedTuple):
+    """Versions of the state of an instance; 0 for none.
+
+    Parameters
+    ----------
+    configuration : int
+    era, servers : int
+        See `ServerListVersion`.
+    """
+
+    configuration: int
+    era: int
+    servers: int
+
+    @property
+    def server_list(self) -> ServerListVersion:
+        """Version of the server list."""
+        return ServerListVersion(self.era, self.servers)
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether there are both a configuration and a server list."""
+        return self.configuration > 0 and self.servers > 0
+
+
 class StateSource(abc.ABC):
     """Source of the configuration and the list of backend servers.
 
@@ -184,13 +266,53 @@
         """Stop reading the source."""
 
     @abc.abstractmethod
-    def read_version(self) -> tuple[int, int]:
-        """Return the versions of configuration and server list, 0 for none."""
+    def read_version(self) -> StateVersion:
+        """Return the versions of configuration and server list."""
 
     @abc.abstractmethod
     def is_unresponsive(self) -> bool:
         """Return whether reads of the source fail or time out."""
 
+    @abc.abstractmethod
+    def connect_feed(
+        self,
+        *,
+        is_reader: Callable[[], bool],
+        count_instances: Callable[[], int],
+        publish: Callable[[object], None],
+    ) -> None:
+        """Share reads of the server list with other instances.
+
+        Parameters
+        ----------
+        is_reader : callable
+            Returns whether this instance reads for others.
+        count_instances : callable
+            Returns the number of instances that follow the source.
+        publish : callable
+            Called with the changes read, a JSON value for `apply_changes`, while this
+            instance reads for others.
+        """
+
+    @abc.abstractmethod
+    def apply_changes(self, payload: object) -> None:
+        """Apply changes that the reader of this instance published.
+
+        Parameters
+        ----------
+        payload : object
+            JSON value.
+
+        Raises
+        ------
+        TypeError, ValueError
+            If the payload is malformed.
+        """
+
+    @abc.abstractmethod
+    def refresh_configuration(self) -> None:
+        """Read the configuration at once, because a peer has a newer one."""
+
     @abc.abstractmethod
     def export(self) -> object:
         """Return configuration and server list as a JSON value for a peer."""
--- /dev/null
+++ b/tests/forwarding/test_run_records.py
@@ -0,0 +1,133 @@
+from __future__ import annotations
+
+from ebonyhaven_decisions.forwarding import RunCopyIndex, RunCopyLocation
+from ebonyhaven_node.forwarding._run_records import (
+    READ_INTERVAL_S,
+    WRITE_INTERVAL_S,
+    RunRecorder,
+)
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import Clock
+
+from tests.forwarding.harness import (
+    STREAM_END,
+    FakeRecordStore,
+    ForwardingHarness,
+    chunk,
+    decode_headers,
+    event,
+    stream_head,
+)
+from tests.forwarding.test_shared_copy_index import (
+    STREAM_COUNT,
+    FakeNetwork,
+    make_size_headers,
+    open_streams,
+)
+
+LAST_EVENT = 12
+MAX_AGE_S = 5.0
+NEXT_EVENT = event(LAST_EVENT + 1)
+LOCATION = RunCopyLocation("e-1", "10.0.0.1:9001", "r1")
+
+
+def build_recorder():
+    clock, index, store = Clock(), RunCopyIndex(30.0), FakeRecordStore()
+    recorder = RunRecorder(index=index, store=store, reactor=clock, clock=clock.seconds)
+    return recorder, index, store, clock
+
+
+def start_lookup(recorder, key):
+    found = []
+    ensureDeferred(recorder.find(key, MAX_AGE_S)).addCallback(found.append)
+    return found
+
+
+def test_changes_are_written_in_batches_and_nothing_is_written_without_changes():
+    recorder, index, store, clock = build_recorder()
+    for number in range(20):
+        index.record(f"k{number}", LOCATION, clock.seconds())
+        recorder.schedule_write()
+        clock.advance(0.02)
+    clock.advance(WRITE_INTERVAL_S)
+    assert [len(each) for each in store.writes] == [20]
+    clock.advance(10 * WRITE_INTERVAL_S)
+    assert len(store.writes) == 1
+
+
+def test_one_read_serves_all_callers_that_return_together():
+    recorder, _, store, clock = build_recorder()
+    store.writes.append({"a": LOCATION})
+    assert start_lookup(recorder, "a") == [LOCATION]
+    assert start_lookup(recorder, "b") == [None]
+    assert store.read_count == 1
+    clock.advance(READ_INTERVAL_S)
+    start_lookup(recorder, "a")
+    assert store.read_count == 2
+
+
+def test_record_of_a_copy_that_has_expired_is_not_used():
+    recorder, _, store, clock = build_recorder()
+    store.writes.append({"a": LOCATION})
+    store.age_s = MAX_AGE_S - 1.0
+    assert start_lookup(recorder, "a") == [LOCATION]
+    clock.advance(1.5)
+    assert start_lookup(recorder, "a") == [None]
+    assert store.read_count == 1
+
+
+def test_store_failure_means_that_nothing_is_known():
+    recorder, index, store, clock = build_recorder()
+    store.is_down = True
+    assert start_lookup(recorder, "a") == [None]
+    index.record("a", LOCATION, clock.seconds())
+    recorder.schedule_write()
+    clock.advance(WRITE_INTERVAL_S)
+    assert store.writes == []
+    store.is_down = False
+    recorder.schedule_write()
+    clock.advance(WRITE_INTERVAL_S)
+    assert store.writes == [{"a": LOCATION}]
+
+
+def send_events(harness, last):
+    """Continue all open streams until a write is due; events 1 and 2 were sent."""
+    for number in range(3, last + 1):
+        for server in harness.connections:
+            server.receive(chunk(event(number)))
+        harness.advance(WRITE_INTERVAL_S / (last - 3))
+
+
+def lose_all_instances():
+    """Open streams on an instance, and return its successor, which knows nothing."""
+    lost, successor = ForwardingHarness(engines=9), ForwardingHarness(engines=9)
+    FakeNetwork().join(lost.gateway._copy_index, "n1", [])
+    FakeNetwork().join(successor.gateway._copy_index, "n1", [])
+    references = open_streams(lost, STREAM_COUNT)
+    send_events(lost, LAST_EVENT)
+    successor.record_store.writes = lost.record_store.writes
+    return successor, references
+
+
+def test_callers_resume_from_copies_after_the_loss_of_all_instances():
+    # Replays the death of all instances at once: no instance knows where the copies
+    # of the open runs are, and all prompts were read again.
+    successor, references = lose_all_instances()
+    callers = []
+    for number in range(STREAM_COUNT):
+        caller = successor.open_caller()
+        headers = {**make_size_headers(number), "Last_Event_Id": str(LAST_EVENT)}
+        caller.request(f"/stream/{number}", f"second-{number}", **headers)
+        callers.append(caller)
+    successor.advance(0.01)
+    waiting = [each for each in successor.connections if each.has_request()]
+    assert len(waiting) == STREAM_COUNT
+    for server in waiting:
+        head, _ = server.read_request()
+        sent = decode_headers(head)
+        number = head.target.decode().rpartition("/")[2]
+        assert sent.get("kv-from") == references[number]
+        request_id = sent["x-attempt-id"]
+        server.receive(stream_head(request_id) + chunk(NEXT_EVENT) + STREAM_END)
+    successor.advance(0.0)
+    assert [each.read_answer()[2] for each in callers] == [NEXT_EVENT] * STREAM_COUNT
--- /dev/null
+++ b/tests/platform_adapter/test_run_records.py
@@ -0,0 +1,90 @@
+from __future__ import annotations
+
+from ebonyhaven_adapter._run_records import RECORD_TABLE, StoreRunRecords
+from ebonyhaven_adapter._store import Row, RowBatch
+from ebonyhaven_adapter.exceptions import StoreError
+from ebonyhaven_decisions.forwarding import RunCopyLocation
+from ebonyhaven_node.forwarding.interfaces import RunRecord, RunRecordError
+from twisted.internet.defer import ensureDeferred
+from twisted.python.failure import Failure
+
+LOCATION = RunCopyLocation("e-1", "10.0.0.1:9001", "r1")
+NEWER_LOCATION = LOCATION._replace(holder_id="e-5")
+
+
+class FakeStoreClient:
+    """Keeps the rows of one table; fails while ``is_down`` is set."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.now_s = 50.0
+        self.is_down = False
+
+    def estimate_now_s(self):
+        return self.now_s
+
+    async def write_row(self, table, key, content, *, timeout_s):
+        self._check(table)
+        self.version += 1
+        self.rows[key] = Row(key, content, self.version, False)
+
+    async def read_table(self, table, *, timeout_s):
+        self._check(table)
+        rows = tuple(self.rows.values())
+        return RowBatch(rows, self.version, False, now_s=self.now_s)
+
+    def _check(self, table):
+        assert table == RECORD_TABLE
+        if self.is_down:
+            raise StoreError(step="test", peer="store", reason="down")
+
+
+def run(coroutine):
+    results = []
+    ensureDeferred(coroutine).addBoth(results.append)
+    if isinstance(results[0], Failure):
+        results[0].raiseException()
+    return results[0]
+
+
+def test_records_of_all_instances_are_read_and_the_newest_row_wins():
+    client = FakeStoreClient()
+    run(StoreRunRecords(instance="n1", client=client).write({"a": LOCATION}))
+    run(
+        StoreRunRecords(instance="n0", client=client).write(
+            {"a": NEWER_LOCATION, "b": LOCATION}
+        )
+    )
+    client.now_s += 3.0
+    assert run(StoreRunRecords(instance="n3", client=client).read()) == {
+        "a": RunRecord(NEWER_LOCATION, 3.0),
+        "b": RunRecord(LOCATION, 3.0),
+    }
+
+
+def test_rows_of_other_writers_are_ignored():
+    client = FakeStoreClient()
+    runs = ({"a": 3}, {"a": ["e-1"]}, {"a": [1, 2, 3]}, {"b": LOCATION}, [])
+    contents = [None, 7, {}, {"written_s": "now", "runs": {}}]
+    contents += [{"written_s": 49.0, "runs": each} for each in runs]
+    for number, content in enumerate(contents):
+        client.rows[str(number)] = Row(str(number), content, number, False)
+    assert run(StoreRunRecords(instance="n1", client=client).read()) == {}
+    content = {"written_s": 49.0, "runs": {"b": list(LOCATION)}}
+    client.rows["x"] = Row("x", content, 9, False)
+    records = run(StoreRunRecords(instance="n1", client=client).read())
+    assert records == {"b": RunRecord(LOCATION, 1.0)}
+
+
+def test_store_failure_is_reported():
+    client = FakeStoreClient()
+    client.is_down = True
+    records = StoreRunRecords(instance="n1", client=client)
+    for call in (records.write({"a": LOCATION}), records.read()):
+        try:
+            run(call)
+        except RunRecordError as error:
+            assert str(error) == "down"
+        else:
+            raise AssertionError("no error")
