--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -166,7 +166,10 @@
         if not self._attempt.was_sent or not self._monitor.is_server_silent():
             return None
         is_own_server = suspicion.server_key == self._backend.key
-        if is_own_server and self._run_copy.is_usable(self._context.clock()):
+        has_copy = self._monitor.events and self._run_copy.is_usable(
+            self._context.clock()
+        )
+        if is_own_server and has_copy:
             reason = "the server was found silent by another stream"
             return AttemptResult(AttemptEnd.SILENT, reason)
         is_same_data_centre = suspicion.data_centre == self._backend.entry.data_centre
--- a/packages/standins/src/ebonyhaven_standins/resuming/__main__.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/__main__.py
@@ -8,11 +8,8 @@
 
 import structlog
 
-from ebonyhaven_standins.resuming._experiment import (
-    ExperimentResult,
-    RecoveryStrategy,
-    run_experiment,
-)
+from ebonyhaven_standins.resuming._experiment import ExperimentResult, run_experiment
+from ebonyhaven_standins.resuming._simulation import RecoveryStrategy
 
 STREAM_ARRIVALS_PER_S = (2.0, 5.0, 8.0, 12.0)
 RESULTS_PATH = pathlib.Path("bench/results/resuming.json")
--- a/packages/standins/src/ebonyhaven_standins/resuming/_engines.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_engines.py
@@ -44,6 +44,8 @@
 
     Attributes
     ----------
+    slowness : float
+        Factor on the time of each step.
     copies : dict of str to int
         Number of events that each stored copy of a run covers, by request ID.
     """
@@ -54,6 +56,7 @@
         self.address = address
         self.started_ms = 1
         self.is_down = False
+        self.slowness = 1.0
         self.copies: dict[str, int] = {}
         self.runs: dict[str, _Run] = {}
         self._fleet = fleet
@@ -166,7 +169,8 @@
         if is_resumed:
             self._fleet.repeated_prefill_tokens += run.prompt_tokens
         start = max(now, self._prefill_ends_at)
-        self._prefill_ends_at = start + run.prompt_tokens / PREFILL_TOKENS_PER_S
+        prefill_s = self.slowness * run.prompt_tokens / PREFILL_TOKENS_PER_S
+        self._prefill_ends_at = start + prefill_s
         return self._prefill_ends_at - now + FIRST_EVENT_DELAY_S
 
     def _schedule_first_event(self, run: _Run, delay_s: float) -> None:
@@ -186,6 +190,7 @@
             return
         now = self._fleet.clock.seconds()
         slowdown = PREFILL_SLOWDOWN_FACTOR if now < self._prefill_ends_at else 1.0
+        slowdown *= self.slowness
         run.timers = [
             self._fleet.clock.callLater(
                 EVENT_INTERVAL_S * slowdown, self._emit_event, run, False
--- /dev/null
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
@@ -0,0 +1,68 @@
+"""Interfaces of a deployment for a simulation that sets its state itself."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from ebonyhaven_decisions.forwarding import RunCopyLocation
+from ebonyhaven_node.forwarding.interfaces import (
+    InspectedServer,
+    RunRecord,
+    RunRecordStore,
+    ServerInspector,
+    StateSource,
+    StateVersion,
+)
+
+
+class StaticSource(StateSource):
+    """State source without updates; the experiment sets the state itself."""
+
+    def start(self) -> None:
+        """See `StateSource.start`."""
+
+    def stop(self) -> None:
+        """See `StateSource.stop`."""
+
+    def read_version(self) -> StateVersion:
+        """See `StateSource.read_version`."""
+        return StateVersion(1, 0, 1)
+
+    def is_unresponsive(self) -> bool:
+        """See `StateSource.is_unresponsive`."""
+        return False
+
+    def connect_feed(self, *, is_reader, count_instances, publish) -> None:
+        """See `StateSource.connect_feed`."""
+
+    def apply_changes(self, payload: object) -> None:
+        """See `StateSource.apply_changes`."""
+
+    def refresh_configuration(self) -> None:
+        """See `StateSource.refresh_configuration`."""
+
+    def export(self) -> object:
+        """See `StateSource.export`."""
+        return None
+
+    def merge(self, payload: object) -> None:
+        """See `StateSource.merge`."""
+
+
+class NullRecordStore(RunRecordStore):
+    """Keeps no records; the experiment loses no instance."""
+
+    async def write(self, locations: Mapping[str, RunCopyLocation]) -> None:
+        """See `RunRecordStore.write`."""
+
+    async def read(self) -> dict[str, RunRecord]:
+        """See `RunRecordStore.read`."""
+        return {}
+
+
+class NullInspector(ServerInspector):
+    """Inspector that finds no server."""
+
+    async def inspect(self, address: str) -> InspectedServer | None:
+        """See `ServerInspector.inspect`."""
+        return None
