Break the import circle of the forwarding package and split the gateway

Change: data types of requests in _requests, messages of an attempt beside it, the dialect gets head, body and time; settings and the exchange with other instances have modules of their own. No behaviour changes.

--- a/packages/node/src/ebonyhaven_node/forwarding/__init__.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/__init__.py
@@ -7,10 +7,10 @@
 
 from ebonyhaven_node._failures import make_not_run_failure
 from ebonyhaven_node.forwarding._connection_pool import ConnectionPool
-from ebonyhaven_node.forwarding._gateway import Gateway, GatewaySettings
+from ebonyhaven_node.forwarding._gateway import Gateway
 from ebonyhaven_node.forwarding._http_client import HttpRequest, ResponseHandler
 from ebonyhaven_node.forwarding._http_server import CallerServer, Exchange
-from ebonyhaven_node.forwarding._messages import (
+from ebonyhaven_node.forwarding._requests import (
     AttemptPlan,
     CopyReference,
     ForwardRequest,
@@ -19,6 +19,7 @@
     RequestHead,
     ResponseHead,
 )
+from ebonyhaven_node.forwarding._settings import GatewaySettings
 from ebonyhaven_node.forwarding._state import ForwardingState
 
 __all__ = [
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempt_monitors.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempt_monitors.py
@@ -16,7 +16,7 @@
 from ebonyhaven_node.forwarding._attempts import Attempt
 from ebonyhaven_node.forwarding._context import SERVER_SILENCE_LIMIT_S, RelayContext
 from ebonyhaven_node.forwarding._events import EventSplitter
-from ebonyhaven_node.forwarding._messages import ResponseHead
+from ebonyhaven_node.forwarding._requests import ResponseHead
 from ebonyhaven_node.forwarding._reservations import EngineReservation
 
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -1,7 +1,9 @@
-"""One attempt of a request at one backend server."""
+"""One attempt of a request at one backend server, and its messages."""
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from ebonyhaven_decisions.forwarding import Backend
 
 from ebonyhaven_node.forwarding._connection_pool import PendingConnection
@@ -12,15 +14,11 @@
     ResponseHandler,
 )
 from ebonyhaven_node.forwarding._inbox import Inbox
-from ebonyhaven_node.forwarding._messages import (
-    AttemptFailed,
+from ebonyhaven_node.forwarding._requests import (
     AttemptPlan,
     ForwardRequest,
     Headers,
-    ResponseCompleted,
-    ResponseData,
     ResponseHead,
-    ResponseStarted,
 )
 
 
@@ -156,3 +154,42 @@
         self.is_finished = True
         self.backend.in_flight -= 1
         self._context.capacity_notifier.notify()
+
+
+class ResponseStarted(NamedTuple):
+    """The head of a response has arrived."""
+
+    attempt: Attempt
+    head: ResponseHead
+
+
+class ResponseData(NamedTuple):
+    """A chunk of a response's body has arrived."""
+
+    attempt: Attempt
+    data: bytes
+
+
+class ResponseCompleted(NamedTuple):
+    """A response has arrived completely."""
+
+    attempt: Attempt
+
+
+class AttemptFailed(NamedTuple):
+    """An attempt ended without a complete response.
+
+    Parameters
+    ----------
+    attempt : Attempt
+    was_sent : bool
+        Whether the request was sent, so that the server may have run it.
+    is_connection_lost : bool
+        True if the connection failed or ended, False if the response is malformed.
+    reason : str
+    """
+
+    attempt: Attempt
+    was_sent: bool
+    is_connection_lost: bool
+    reason: str
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -11,23 +11,25 @@
 )
 
 from ebonyhaven_node._failures import make_not_run_failure, make_unknown_failure
-from ebonyhaven_node.forwarding._attempts import Attempt
-from ebonyhaven_node.forwarding._context import RelayContext
-from ebonyhaven_node.forwarding._http_server import Exchange
-from ebonyhaven_node.forwarding._inbox import Inbox
-from ebonyhaven_node.forwarding._messages import (
+from ebonyhaven_node.forwarding._attempts import (
+    Attempt,
     AttemptFailed,
-    AttemptPlan,
-    ForwardRequest,
     ResponseCompleted,
     ResponseData,
-    ResponseHead,
     ResponseStarted,
 )
+from ebonyhaven_node.forwarding._context import RelayContext
+from ebonyhaven_node.forwarding._http_server import Exchange
+from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._outcomes import (
     NO_SERVER_RETRY_AFTER_S,
     NOT_RUN_STATUSES,
 )
+from ebonyhaven_node.forwarding._requests import (
+    AttemptPlan,
+    ForwardRequest,
+    ResponseHead,
+)
 
 # Share of the target latency before hedging; the hedge may still meet the target.
 HEDGE_DELAY_TARGET_SHARE = 0.5
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -25,9 +25,9 @@
     BackendProbed,
     BackendSuspected,
     CapacityChanged,
-    ForwardRequest,
 )
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
+from ebonyhaven_node.forwarding._requests import ForwardRequest
 from ebonyhaven_node.forwarding._shared_copy_index import SharedCopyIndex
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding.interfaces import BackendDialect, RunCopier
--- a/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
@@ -11,7 +11,7 @@
 )
 
 from ebonyhaven_node.forwarding._context import RelayContext
-from ebonyhaven_node.forwarding._messages import CopyReference, ForwardRequest
+from ebonyhaven_node.forwarding._requests import CopyReference, ForwardRequest
 
 _log = structlog.get_logger()
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -22,12 +22,12 @@
 from ebonyhaven_node.forwarding._calls import CallRelay
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._http_server import Exchange
-from ebonyhaven_node.forwarding._messages import ForwardRequest
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._outcomes import (
     LEAVING_RETRY_AFTER_S,
     NOT_READY_RETRY_AFTER_S,
 )
+from ebonyhaven_node.forwarding._requests import ForwardRequest
 from ebonyhaven_node.forwarding._startup import StateWaiter
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding._streams import StreamRelay
@@ -136,7 +136,10 @@
         self, work: RequestContext, proceed: Proceed[RequestContext]
     ) -> None:
         """See `Filter.handle`."""
-        work.request = self._dialect.read_request(work.exchange)
+        exchange = work.exchange
+        work.request = self._dialect.read_request(
+            exchange.head, exchange.body, exchange.arrived_at
+        )
         await proceed(work)
 
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -5,11 +5,10 @@
 import contextlib
 import random
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
-import attrs
 import structlog
-from ebonyhaven_decisions import CrashLedger, EntryList, MemberRecord, MemberState
+from ebonyhaven_decisions import CrashLedger, EntryList
 from ebonyhaven_decisions.forwarding import (
     Backend,
     PeerEngineUse,
@@ -23,13 +22,9 @@
 from twisted.internet.defer import CancelledError, ensureDeferred
 from twisted.internet.interfaces import IReactorCore
 
-from ebonyhaven_node._channels import ChannelMetrics, Channels
 from ebonyhaven_node._crash_reports import CrashReports
 from ebonyhaven_node._filter_chain import build_chain
 from ebonyhaven_node._log_writer import LogOutput
-from ebonyhaven_node._membership import MembershipController
-from ebonyhaven_node._own_record import make_own_record
-from ebonyhaven_node._processor_load import ProcessorLoad
 from ebonyhaven_node.forwarding._adoption import EngineAdopter
 from ebonyhaven_node.forwarding._connection_pool import (
     SWEEP_INTERVAL_S,
@@ -52,15 +47,11 @@
 )
 from ebonyhaven_node.forwarding._http_server import CallerServer, Exchange
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
+from ebonyhaven_node.forwarding._peer_group import PEER_USE_TTL_S, PeerGroup
+from ebonyhaven_node.forwarding._settings import GatewaySettings
 from ebonyhaven_node.forwarding._shared_copy_index import SharedCopyIndex
-from ebonyhaven_node.forwarding._sharing import (
-    USE_REFRESH_INTERVAL_S,
-    EngineUseExchange,
-    StateSynchronizer,
-)
 from ebonyhaven_node.forwarding._startup import StateWaiter
 from ebonyhaven_node.forwarding._state import ForwardingState
-from ebonyhaven_node.forwarding._state_feed import ServerChangeFeed
 from ebonyhaven_node.forwarding.interfaces import (
     BackendDialect,
     CallerDialect,
@@ -79,35 +70,6 @@
 _log = structlog.get_logger()
 
 
-@attrs.frozen(slots=True, kw_only=True)
-class GatewaySettings:
-    """Settings of an instance, supplied by the deployment.
-
-    Parameters
-    ----------
-    instance, data_centre, region : str
-    caller_address, control_address : str
-        ``IP:PORT``.
-    seeds : mapping of str to str
-        Control addresses of other instances by name.
-    grace_s : float
-        Time between the request to stop and the kill of the process, seconds.
-    retry_budget_ratio, retry_budget_window_s, retry_budget_slack : float
-        Limit on retries, see `ServiceRetryBudget`.
-    """
-
-    instance: str
-    data_centre: str
-    region: str
-    caller_address: str
-    control_address: str
-    seeds: Mapping[str, str]
-    grace_s: float
-    retry_budget_ratio: float
-    retry_budget_window_s: float
-    retry_budget_slack: float
-
-
 class Gateway:
     """Forwards the requests of callers to backend servers.
 
@@ -152,7 +114,6 @@
         self._reactor = reactor
         self._stack = contextlib.ExitStack()
         self._rng = rng or random.Random()
-        self._load = ProcessorLoad()
         self._leaving_since: float | None = None
         self._active_count = 0
         self._log_output: LogOutput | None = None
@@ -178,7 +139,7 @@
             is_unresponsive=self.source.is_unresponsive,
             count_connections=lambda: self.pool.opened_count,
         )
-        self._peers = PeerEngineUse(ttl_s=3 * USE_REFRESH_INTERVAL_S)
+        self._peers = PeerEngineUse(ttl_s=PEER_USE_TTL_S)
         self._capacity_notifier = CapacityNotifier()
         self._budget = ServiceRetryBudget(
             ratio=settings.retry_budget_ratio,
@@ -186,7 +147,7 @@
             slack=settings.retry_budget_slack,
             started_at=clock(),
         )
-        self._use_exchange: EngineUseExchange | None = None
+        self._peer_group: PeerGroup | None = None
         self._copy_index = SharedCopyIndex(
             reactor, clock, build_record_store(self.pool)
         )
@@ -212,7 +173,7 @@
 
     def start(self) -> None:
         """Listen for callers, join the membership and follow the state source."""
-        self._start_membership()
+        self._start_peer_group()
         host, _, port = self._settings.caller_address.rpartition(":")
         listener = self._reactor.listenTCP(
             int(port), self.server, interface=host, backlog=LISTEN_BACKLOG
@@ -288,67 +249,27 @@
     def _get_closing_time(self) -> float:
         return self._leaving_since + self._settings.grace_s - SHUTDOWN_MARGIN_S
 
-    def _start_membership(self) -> None:
-        settings = self._settings
-        channels = Channels(
+    def _start_peer_group(self) -> None:
+        group = self._peer_group = PeerGroup(
+            settings=self._settings,
             reactor=self._reactor,
-            address=settings.control_address,
-            metrics=ChannelMetrics(self.registry),
             rng=self._rng,
-        )
-        self._stack.callback(channels.close)
-        self.membership = MembershipController(
-            own=make_own_record(
-                name=settings.instance,
-                control_address=settings.control_address,
-                caller_address=settings.caller_address,
-                data_centre=settings.data_centre,
-                region=settings.region,
-            ),
-            channels=channels,
-            reactor=self._reactor,
-            rng=self._rng,
-            registry=self.registry,
-        )
-        self._stack.callback(self.membership.stop)
-        self.membership.observe(self._count_instances)
-        self.membership.set_load_source(self._load.read)
-        self.membership.set_seeds(settings.seeds)
-        self.membership.add_digest(self._crashes.make_digest())
-        synchronizer = StateSynchronizer(
-            source=self.source,
-            membership=self.membership,
-            channels=channels,
-            reactor=self._reactor,
             clock=self._clock,
-        )
-        self._stack.callback(synchronizer.stop)
-        ServerChangeFeed(
-            source=self.source, membership=self.membership, channels=channels
-        )
-        self._use_exchange = EngineUseExchange(
+            registry=self.registry,
             state=self.state,
-            peers=self._peers,
+            source=self.source,
+            peer_use=self._peers,
             budget=self._budget,
-            membership=self.membership,
-            channels=channels,
-            reactor=self._reactor,
-            rng=self._rng,
+            copy_index=self._copy_index,
+            crashes=self._crashes,
             on_peer_use=self._capacity_notifier.notify,
             on_loss=lambda backend: self._context.report_unreachable(
                 backend, is_from_peer=True
             ),
         )
-        self._stack.callback(self._use_exchange.stop)
-        self._copy_index.connect(self.membership, channels)
-        self._stack.callback(self._copy_index.stop)
-        self.membership.start()
-
-    def _count_instances(self, _: MemberRecord) -> None:
-        """Update the number of instances that share the retry budget."""
-        self._budget.instances = sum(
-            record.state is not MemberState.DEAD for record in self.membership.members
-        )
+        self._stack.callback(group.stop)
+        self.membership = group.membership
+        group.start()
 
     def _build_chain(
         self, caller_dialect: CallerDialect, backend_dialect: BackendDialect
@@ -388,12 +309,12 @@
         )
 
     def _schedule_use_update(self) -> None:
-        if self._use_exchange is not None:
-            self._use_exchange.schedule_report()
+        if self._peer_group is not None:
+            self._peer_group.schedule_use_report()
 
     def _report_lost_server(self, backend: Backend) -> None:
-        if self._use_exchange is not None:
-            self._use_exchange.report_lost_server(backend)
+        if self._peer_group is not None:
+            self._peer_group.report_lost_server(backend)
 
     def _handle(self, exchange: Exchange) -> None:
         self._active_count += 1
--- a/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
@@ -19,7 +19,7 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
-from ebonyhaven_node.forwarding._messages import Headers
+from ebonyhaven_node.forwarding._requests import Headers
 
 KEEPALIVE_INTERVAL_S = 1  # lowest value of TCP_KEEPIDLE and of TCP_KEEPINTVL
 KEEPALIVE_PROBES = 1
--- a/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
@@ -12,7 +12,7 @@
 from twisted.internet.protocol import Factory, Protocol
 from twisted.python.failure import Failure
 
-from ebonyhaven_node.forwarding._messages import Headers, RequestHead
+from ebonyhaven_node.forwarding._requests import Headers, RequestHead
 
 REJECT_CLOSE_DELAY_S = 0.5  # lets the caller read the error response first
 DEFAULT_ERROR_STATUS = 400
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -0,0 +1,159 @@
+"""Everything that an instance shares with the other instances."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+from collections.abc import Callable
+
+from ebonyhaven_decisions import MemberRecord, MemberState
+from ebonyhaven_decisions.forwarding import (
+    Backend,
+    PeerEngineUse,
+    ServiceRetryBudget,
+)
+from prometheus_client import CollectorRegistry
+from twisted.internet.interfaces import IReactorCore
+
+from ebonyhaven_node._channels import ChannelMetrics, Channels
+from ebonyhaven_node._crash_reports import CrashReports
+from ebonyhaven_node._membership import MembershipController
+from ebonyhaven_node._own_record import make_own_record
+from ebonyhaven_node._processor_load import ProcessorLoad
+from ebonyhaven_node.forwarding._settings import GatewaySettings
+from ebonyhaven_node.forwarding._shared_copy_index import SharedCopyIndex
+from ebonyhaven_node.forwarding._sharing import (
+    USE_REFRESH_INTERVAL_S,
+    EngineUseExchange,
+    StateSynchronizer,
+)
+from ebonyhaven_node.forwarding._state import ForwardingState
+from ebonyhaven_node.forwarding._state_feed import ServerChangeFeed
+from ebonyhaven_node.forwarding.interfaces import StateSource
+
+PEER_USE_TTL_S = 3 * USE_REFRESH_INTERVAL_S
+
+
+class PeerGroup:
+    """Membership of the instances, and the state that they exchange.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+    reactor : IReactorCore
+    rng : random.Random
+    clock : callable
+        Returns seconds.
+    registry : CollectorRegistry
+    state : ForwardingState
+    source : StateSource
+    peer_use : PeerEngineUse
+        Updated with the reports of other instances.
+    budget : ServiceRetryBudget
+        Its number of instances is updated with the membership.
+    copy_index : SharedCopyIndex
+    crashes : CrashReports
+    on_peer_use : callable
+        Called after each report of another instance.
+    on_loss : callable
+        Called with each server that another instance found lost.
+
+    Attributes
+    ----------
+    membership : MembershipController
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        reactor: IReactorCore,
+        rng: random.Random,
+        clock: Callable[[], float],
+        registry: CollectorRegistry,
+        state: ForwardingState,
+        source: StateSource,
+        peer_use: PeerEngineUse,
+        budget: ServiceRetryBudget,
+        copy_index: SharedCopyIndex,
+        crashes: CrashReports,
+        on_peer_use: Callable[[], None],
+        on_loss: Callable[[Backend], None],
+    ):
+        self._budget = budget
+        self._stack = contextlib.ExitStack()
+        channels = Channels(
+            reactor=reactor,
+            address=settings.control_address,
+            metrics=ChannelMetrics(registry),
+            rng=rng,
+        )
+        self._stack.callback(channels.close)
+        membership = self.membership = MembershipController(
+            own=make_own_record(
+                name=settings.instance,
+                control_address=settings.control_address,
+                caller_address=settings.caller_address,
+                data_centre=settings.data_centre,
+                region=settings.region,
+            ),
+            channels=channels,
+            reactor=reactor,
+            rng=rng,
+            registry=registry,
+        )
+        self._stack.callback(membership.stop)
+        membership.observe(self._count_instances)
+        membership.set_load_source(ProcessorLoad().read)
+        membership.set_seeds(settings.seeds)
+        membership.add_digest(crashes.make_digest())
+        synchronizer = StateSynchronizer(
+            source=source,
+            membership=membership,
+            channels=channels,
+            reactor=reactor,
+            clock=clock,
+        )
+        self._stack.callback(synchronizer.stop)
+        ServerChangeFeed(source=source, membership=membership, channels=channels)
+        self._use_exchange = EngineUseExchange(
+            state=state,
+            peers=peer_use,
+            budget=budget,
+            membership=membership,
+            channels=channels,
+            reactor=reactor,
+            rng=rng,
+            on_peer_use=on_peer_use,
+            on_loss=on_loss,
+        )
+        self._stack.callback(self._use_exchange.stop)
+        copy_index.connect(membership, channels)
+        self._stack.callback(copy_index.stop)
+
+    def start(self) -> None:
+        """Join the other instances."""
+        self.membership.start()
+
+    def stop(self) -> None:
+        """Stop all exchanges and close the channels."""
+        self._stack.close()
+
+    def schedule_use_report(self) -> None:
+        """Report the engine use of this instance soon."""
+        self._use_exchange.schedule_report()
+
+    def report_lost_server(self, backend: Backend) -> None:
+        """Report a lost server soon.
+
+        Parameters
+        ----------
+        backend : Backend
+        """
+        self._use_exchange.report_lost_server(backend)
+
+    def _count_instances(self, _: MemberRecord) -> None:
+        """Update the number of instances that share the retry budget."""
+        self._budget.instances = sum(
+            record.state is not MemberState.DEAD for record in self.membership.members
+        )
--- a/packages/node/src/ebonyhaven_node/forwarding/_progress.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_progress.py
@@ -9,7 +9,7 @@
 
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._http_server import Exchange
-from ebonyhaven_node.forwarding._messages import ForwardRequest, ResponseHead
+from ebonyhaven_node.forwarding._requests import ForwardRequest, ResponseHead
 
 _log = structlog.get_logger()
 
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -0,0 +1,183 @@
+"""Requests of callers, attempts at backend servers and their responses."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import NamedTuple
+
+import attrs
+
+DIGEST_HEX_DIGITS = 16
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class RequestHead(NamedTuple):
+    """Request line and headers of a caller's request.
+
+    Parameters
+    ----------
+    method, target : bytes
+        As the caller sent them.
+    headers : tuple of (bytes, bytes)
+        Names in lower case.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+
+
+class CopyReference(NamedTuple):
+    """Reference by which the engine that holds a copy of a run finds the copy.
+
+    Parameters
+    ----------
+    address : str
+        For a continuous copy, address of the engine that holds it; for a copy on
+        request, address of the engine that ran the run.
+    handle : str or None
+        Name of a copy on request; None for a continuous copy, which is found by the
+        request id.
+    """
+
+    address: str
+    handle: str | None
+
+
+class GenerationSize(NamedTuple):
+    """Size of a generation as stated by its caller.
+
+    Parameters
+    ----------
+    prompt_tokens : int
+    output_tokens : int
+        Upper limit.
+    """
+
+    prompt_tokens: int
+    output_tokens: int
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class ForwardRequest:
+    """Decoded request of a caller.
+
+    Parameters
+    ----------
+    request_id : str
+        Chosen by the caller, unique to each of its attempts.
+    method, target : bytes
+        Forwarded unchanged.
+    host, path : str
+        Select the route.
+    headers : tuple of (bytes, bytes)
+        Headers to forward unchanged.
+    body : bytes
+    timeout_s : float or None
+        Caller's timeout, counted from ``arrived_at``. None if it set none.
+    api_key : str or None
+    last_event_id : str or None
+        Id of the last event of the stream that the caller has received.
+    size : GenerationSize or None
+        Set for generations.
+    prompt_id : str or None
+        Identifies the section of the prompt that is unique to this request.
+    arrived_at : float
+        Time of arrival, seconds of the clock of `Gateway`.
+    """
+
+    request_id: str
+    method: bytes
+    target: bytes
+    host: str
+    path: str
+    headers: Headers
+    body: bytes
+    timeout_s: float | None
+    api_key: str | None
+    last_event_id: str | None
+    size: GenerationSize | None
+    prompt_id: str | None
+    arrived_at: float
+
+    @property
+    def content_digest(self) -> str:
+        """Digest of target, API key and body, equal for all retries."""
+        hasher = hashlib.sha256(self.target)
+        hasher.update((self.api_key or "").encode())
+        hasher.update(self.body)
+        return hasher.hexdigest()[:DIGEST_HEX_DIGITS]
+
+    @property
+    def run_key(self) -> str | None:
+        """Digest that identifies a generation when its caller reconnects.
+
+        None unless the request is a generation with a ``prompt_id``.
+        """
+        if self.prompt_id is None or self.size is None:
+            return None
+        identity = (
+            f"{self.content_digest} {self.host} {self.prompt_id} {tuple(self.size)}"
+        )
+        return hashlib.sha256(identity.encode()).hexdigest()[:DIGEST_HEX_DIGITS]
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class AttemptPlan:
+    """Parameters of one attempt that are sent to the backend server.
+
+    Parameters
+    ----------
+    remaining_s : float
+        Time until the deadline of the request.
+    workspace : str or None
+        Name of the caller's workspace.
+    priority : int or None
+        Priority within the engine, 0 is the most urgent; None for the default.
+    copy_to : str or None
+        Address of the engine that stores a copy of the run's memory.
+    copy : CopyReference or None
+        Copy from which the run resumes.
+    last_event_id : str or None
+        Id of the last event that the caller has received.
+    """
+
+    remaining_s: float
+    workspace: str | None = None
+    priority: int | None = None
+    copy_to: str | None = None
+    copy: CopyReference | None = None
+    last_event_id: str | None = None
+
+
+class ResponseHead(NamedTuple):
+    """Decoded status and headers of a backend server's response.
+
+    Parameters
+    ----------
+    status : int
+    headers : tuple of (bytes, bytes)
+        Headers to forward to the caller.
+    request_id : str or None
+        Id of the request that the response belongs to.
+    has_origin_proof : bool
+        Whether the response carries the server's proof of origin.
+    not_run : bool
+        Whether the response proves that the request was not run.
+    is_other_process : bool
+        Whether the response comes from another process than the addressed one.
+    other_server_id : str or None
+        Id of that process, if the response states it.
+    load : int or None
+        Running and waiting requests of the server.
+    """
+
+    status: int
+    headers: Headers
+    request_id: str | None
+    has_origin_proof: bool
+    not_run: bool
+    is_other_process: bool
+    other_server_id: str | None
+    load: int | None
--- a/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
@@ -22,9 +22,9 @@
 from ebonyhaven_node.forwarding._messages import (
     BackendProbed,
     BackendSuspected,
-    CopyReference,
     CopyRequestCompleted,
 )
+from ebonyhaven_node.forwarding._requests import CopyReference
 from ebonyhaven_node.forwarding._reservations import EngineReservation
 from ebonyhaven_node.forwarding._stream_servers import StreamServerSelector
 
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_settings.py
@@ -0,0 +1,36 @@
+"""Settings of an instance that forwards requests."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import attrs
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class GatewaySettings:
+    """Settings of an instance, supplied by the deployment.
+
+    Parameters
+    ----------
+    instance, data_centre, region : str
+    caller_address, control_address : str
+        ``IP:PORT``.
+    seeds : mapping of str to str
+        Control addresses of other instances by name.
+    grace_s : float
+        Time between the request to stop and the kill of the process, seconds.
+    retry_budget_ratio, retry_budget_window_s, retry_budget_slack : float
+        Limit on retries, see `ServiceRetryBudget`.
+    """
+
+    instance: str
+    data_centre: str
+    region: str
+    caller_address: str
+    control_address: str
+    seeds: Mapping[str, str]
+    grace_s: float
+    retry_budget_ratio: float
+    retry_budget_window_s: float
+    retry_budget_slack: float
--- a/packages/node/src/ebonyhaven_node/forwarding/_startup.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_startup.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
-from ebonyhaven_node.forwarding._messages import ForwardRequest
+from ebonyhaven_node.forwarding._requests import ForwardRequest
 from ebonyhaven_node.forwarding._state import ForwardingState
 
 _log = structlog.get_logger()
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -8,21 +8,20 @@
 from ebonyhaven_decisions.forwarding import SERVER_PROBE_INTERVAL_S, SilenceLimits
 
 from ebonyhaven_node.forwarding._attempt_monitors import AttemptMonitor
-from ebonyhaven_node.forwarding._attempts import Attempt
-from ebonyhaven_node.forwarding._context import SERVER_SILENCE_LIMIT_S, RelayContext
-from ebonyhaven_node.forwarding._http_server import Exchange
-from ebonyhaven_node.forwarding._inbox import Inbox
-from ebonyhaven_node.forwarding._messages import (
+from ebonyhaven_node.forwarding._attempts import (
+    Attempt,
     AttemptFailed,
-    BackendProbed,
-    BackendSuspected,
     ResponseCompleted,
     ResponseData,
-    ResponseHead,
     ResponseStarted,
 )
+from ebonyhaven_node.forwarding._context import SERVER_SILENCE_LIMIT_S, RelayContext
+from ebonyhaven_node.forwarding._http_server import Exchange
+from ebonyhaven_node.forwarding._inbox import Inbox
+from ebonyhaven_node.forwarding._messages import BackendProbed, BackendSuspected
 from ebonyhaven_node.forwarding._outcomes import NOT_RUN_STATUSES
 from ebonyhaven_node.forwarding._progress import StreamProgress
+from ebonyhaven_node.forwarding._requests import ResponseHead
 from ebonyhaven_node.forwarding._run_copies import RunCopy
 
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -21,15 +21,15 @@
 from ebonyhaven_node.forwarding._earlier_runs import EarlierRun
 from ebonyhaven_node.forwarding._http_server import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
-from ebonyhaven_node.forwarding._messages import (
+from ebonyhaven_node.forwarding._messages import CapacityChanged
+from ebonyhaven_node.forwarding._outcomes import NO_SERVER_RETRY_AFTER_S
+from ebonyhaven_node.forwarding._progress import StreamProgress
+from ebonyhaven_node.forwarding._requests import (
     AttemptPlan,
-    CapacityChanged,
     CopyReference,
     ForwardRequest,
     ResponseHead,
 )
-from ebonyhaven_node.forwarding._outcomes import NO_SERVER_RETRY_AFTER_S
-from ebonyhaven_node.forwarding._progress import StreamProgress
 from ebonyhaven_node.forwarding._reservations import EngineReservation
 from ebonyhaven_node.forwarding._run_copies import RunCopy
 from ebonyhaven_node.forwarding._stream_attempts import (
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -9,11 +9,11 @@
 from ebonyhaven_decisions import Outcome
 from ebonyhaven_decisions.forwarding import RunCopyLocation, ServerListVersion
 
-from ebonyhaven_node.forwarding._http_server import Exchange
-from ebonyhaven_node.forwarding._messages import (
+from ebonyhaven_node.forwarding._requests import (
     AttemptPlan,
     ForwardRequest,
     Headers,
+    RequestHead,
     ResponseHead,
 )
 
@@ -22,12 +22,17 @@
     """Wire protocol between callers and an instance."""
 
     @abc.abstractmethod
-    def read_request(self, exchange: Exchange) -> ForwardRequest:
+    def read_request(
+        self, head: RequestHead, body: bytes, arrived_at: float
+    ) -> ForwardRequest:
         """Decode a request.
 
         Parameters
         ----------
-        exchange : Exchange
+        head : RequestHead
+        body : bytes
+        arrived_at : float
+            Time of arrival, seconds of the clock of `Gateway`.
 
         Returns
         -------
--- a/packages/standins/src/ebonyhaven_standins/resuming/_dialect.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_dialect.py
@@ -5,10 +5,10 @@
 from ebonyhaven_decisions import Outcome
 from ebonyhaven_node.forwarding import (
     AttemptPlan,
-    Exchange,
     ForwardRequest,
     GenerationSize,
     Headers,
+    RequestHead,
     ResponseHead,
 )
 from ebonyhaven_node.forwarding.interfaces import BackendDialect, CallerDialect
@@ -23,26 +23,26 @@
     ``size`` is the number of prompt tokens and of output tokens, separated by a slash.
     """
 
-    def read_request(self, exchange: Exchange) -> ForwardRequest:
+    def read_request(
+        self, head: RequestHead, body: bytes, arrived_at: float
+    ) -> ForwardRequest:
         """See `CallerDialect.read_request`."""
-        fields = {
-            name.decode(): value.decode() for name, value in exchange.head.headers
-        }
+        fields = {name.decode(): value.decode() for name, value in head.headers}
         prompt, _, output = fields["size"].partition("/")
         return ForwardRequest(
             request_id=fields["id"],
-            method=exchange.head.method,
-            target=exchange.head.target,
+            method=head.method,
+            target=head.target,
             host=HOST,
-            path=exchange.head.target.decode(),
+            path=head.target.decode(),
             headers=(),
-            body=exchange.body,
+            body=body,
             timeout_s=None,
             api_key=API_KEY,
             last_event_id=None,
             size=GenerationSize(int(prompt), int(output)),
             prompt_id=fields["id"],
-            arrived_at=exchange.arrived_at,
+            arrived_at=arrived_at,
         )
 
     def encode_outcome(self, outcome: Outcome) -> tuple[Headers, bytes]:
