--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -8,7 +8,7 @@
 
 import attrs
 import structlog
-from ebonyhaven_decisions import CrashVerdict, RequestFailure
+from ebonyhaven_decisions import CrashVerdict, OutcomeTag, RequestFailure
 from ebonyhaven_decisions.forwarding import (
     RequestKind,
     Route,
@@ -98,6 +98,9 @@
     ) -> None:
         outcome = failure.outcome
         self._count_request(work, outcome.tag.value, outcome.step)
+        waited_s = self._clock() - work.exchange.arrived_at
+        if outcome.tag is OutcomeTag.NOT_RUN:
+            self._metrics.refusal.labels(outcome.step).observe(waited_s)
         _log.warning(
             "request_failed",
             request=work.request.request_id if work.request else None,
@@ -108,7 +111,7 @@
             reason=outcome.reason,
             status=outcome.status,
             configuration=work.configuration.version if work.configuration else None,
-            waited_s=round(self._clock() - work.exchange.arrived_at, 3),
+            waited_s=round(waited_s, 3),
         )
         if work.exchange.is_started:
             work.exchange.abort()
--- a/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -60,6 +60,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self.refusal = Histogram(
+            "ebonyhaven_refusal_seconds",
+            "Time from a request to its rejection as not run, by the step that decided.",
+            ["step"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
         self.copies = Counter(
             "ebonyhaven_run_copies",
             "Copies of runs that were asked for after the loss of one, by result.",
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -127,3 +127,10 @@
     status, headers, _, _ = send_request(harness, request_id="r2").read_answer()
     assert status == 503
     assert float(headers["retry-after"]) == 0
+
+
+def test_time_to_a_rejection_is_counted_by_step():
+    harness = ForwardingHarness()
+    send_request(harness, "/nothing/x")
+    text = harness.gateway.render_metrics().decode()
+    assert 'ebonyhaven_refusal_seconds_count{step="route"} 1.0' in text
