--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_change_feed.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_change_feed.py
@@ -17,7 +17,7 @@
 # be avoided (two seconds), including one slow read.
 MIN_FEED_TIMEOUT_S = 0.6
 MAX_FEED_TIMEOUT_S = 1.0
-FEED_TIMEOUT_INTERVALS = 3.0  # of the average interval between changes
+FEED_TIMEOUT_INTERVALS = 3.0  # of the average interval between messages
 SMOOTHING_FACTOR = 0.2
 
 
@@ -43,38 +43,37 @@
 
 @attrs.define(slots=True)
 class ChangeFeed:
-    """Changes that another instance passes on, and their interval.
+    """Messages in which another instance passes on what it reads, and their interval.
 
-    A feed that stops tells nothing about its reason: the reader may be lost, cut off
-    from the store, or there may be no changes. In each case, this instance polls the
-    store until the feed continues.
+    A feed that stops tells nothing about its reason: the reader may be lost or cut off
+    from the store. In each case, this instance polls the store until it continues.
 
     Attributes
     ----------
-    advanced_at : float
-        Time of the last change that was passed on, seconds.
+    received_at : float
+        Time of the last message of the reader, seconds.
     interval_s : float
-        Moving average of the time between two changes.
+        Moving average of the time between two messages.
     """
 
-    advanced_at: float = -math.inf
+    received_at: float = -math.inf
     interval_s: float = 0.0
 
-    def record_advance(self, now: float) -> None:
-        """Record that the reader passed on a newer version of the list.
+    def record_message(self, now: float) -> None:
+        """Record that the reader passed on the result of a poll.
 
         Parameters
         ----------
         now : float
             Seconds.
         """
-        elapsed_s = min(MAX_FEED_TIMEOUT_S, now - self.advanced_at)
+        elapsed_s = min(MAX_FEED_TIMEOUT_S, now - self.received_at)
         self.interval_s += SMOOTHING_FACTOR * (elapsed_s - self.interval_s)
-        self.advanced_at = now
+        self.received_at = now
 
     def reset(self) -> None:
         """Record that a change was missed; the store has to be read."""
-        self.advanced_at = -math.inf
+        self.received_at = -math.inf
 
     def compute_pause_s(self, now: float) -> float:
         """Return the time until this instance has to poll the store itself.
@@ -91,4 +90,4 @@
         """
         timeout_s = FEED_TIMEOUT_INTERVALS * self.interval_s
         timeout_s = min(MAX_FEED_TIMEOUT_S, max(MIN_FEED_TIMEOUT_S, timeout_s))
-        return max(0.0, self.advanced_at + timeout_s - now)
+        return max(0.0, self.received_at + timeout_s - now)
--- a/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -62,7 +62,7 @@
         )
         self.refusal = Histogram(
             "ebonyhaven_refusal_seconds",
-            "Time from a request to its rejection as not run, by the step that decided.",
+            "Time from a request to its rejection as not run, by step.",
             ["step"],
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
--- a/tests/platform_adapter/test_change_feed.py
+++ b/tests/platform_adapter/test_change_feed.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhaven_adapter._source import HEARTBEAT_PUBLISH_INTERVAL_S
+from ebonyhaven_adapter._source import MIN_PUBLISH_INTERVAL_S
 from ebonyhaven_decisions.forwarding._change_feed import (
     MAX_FEED_TIMEOUT_S,
     MIN_FEED_TIMEOUT_S,
@@ -85,7 +85,7 @@
     assert harness.other.read_version().servers == 13
     for version in range(24, 34):
         harness.store.push("servers", make_rows(version, s_1=SERVER))
-        harness.clock.advance(HEARTBEAT_PUBLISH_INTERVAL_S / 2 + 0.16)
+        harness.clock.advance(MIN_PUBLISH_INTERVAL_S / 2 + 0.16)
     assert len(harness.published) < 22
 
 
