Prefer engines and servers of the own data centre at about equal use

Cause: bytes between data centres are dear here; streams and short requests go to any. Change: a remote engine costs 0.4 of a run more, a remote server 0.15 of a slot's load.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_placement.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_placement.py
@@ -22,6 +22,7 @@
 PREFILL_WEIGHT = 3.0  # a prefill delays all other runs on the engine
 COPY_WEIGHT = 0.2  # a copy occupies memory but no compute time
 FAILURE_COST_RUNS = 1.0
+REMOTE_COST_RUNS = 0.4  # decides between engines with about equal use
 SLOW_COST_RUNS = 4.0  # the cost of a prefill in progress
 JITTER_RUNS = 0.15
 TYPICAL_RUN_TOKENS = 8000.0
@@ -271,6 +272,7 @@
     rng: random.Random,
     now: float = 0.0,
     prompt_id: str = "",
+    data_centre: str | None = None,
     memory_share: float = USABLE_MEMORY_SHARE,
 ) -> Backend | None:
     """Return the engine with the lowest estimated cost for a generation.
@@ -289,6 +291,8 @@
         Seconds.
     prompt_id : str
         See `select_preferred_engines`; empty for no preference.
+    data_centre : str or None
+        Data centre whose engines are preferred; None for no preference.
     memory_share : float
         Share of an engine's memory that may be used.
 
@@ -312,6 +316,8 @@
         cost = _estimate_cost(_estimate_use(backend, peers), backend, rng)
         if now < backend.slow_until:
             cost += SLOW_COST_RUNS
+        if data_centre not in (None, backend.entry.data_centre):
+            cost += REMOTE_COST_RUNS
         return cost + (
             0.0 if backend.server_id in preferred else NON_PREFERRED_COST_RUNS
         )
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_selection.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_selection.py
@@ -12,7 +12,7 @@
 from ebonyhaven_decisions.forwarding._backends import Backend
 
 FAILURE_WEIGHT = 3.0  # doubles the cost of a server that fails a third of its requests
-REMOTE_DATA_CENTRE_COST = 0.05  # breaks ties between equally loaded servers
+REMOTE_DATA_CENTRE_COST = 0.15  # breaks ties between equally loaded servers
 JITTER_SHARE = 0.1  # prevents instances with equal views from choosing the same server
 
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
@@ -131,6 +131,7 @@
             rng=self._context.rng,
             now=now,
             prompt_id=prompt_id,
+            data_centre=self._context.data_centre,
             memory_share=choose_memory_share(waited_s=waited_s, target_s=target_s),
         )
 
--- a/tests/decisions/test_forwarding.py
+++ b/tests/decisions/test_forwarding.py
@@ -279,6 +279,27 @@
     assert backend.estimate_load(12.0) == 2
 
 
+def test_engine_of_the_own_data_centre_is_preferred_at_about_equal_use():
+    # Bytes between data centres are priced; a run beside others is worse.
+    directory = BackendDirectory()
+    for name, data_centre in (("s1", "dc-a"), ("s2", "dc-b")):
+        directory.put(make_entry(name, data_centre), 10.0)
+    engines = directory.list_usable("engines", 10.0)
+    options = {
+        "demand": DEMAND,
+        "memory_tokens": MEMORY_TOKENS,
+        "peers": {},
+        "data_centre": "dc-b",
+    }
+    for seed in range(10):
+        chosen = choose_engine(engines, rng=random.Random(seed), **options)
+        assert chosen.server_id == "s2"
+    directory.find("s2").run_tokens = DEMAND.tokens
+    for seed in range(10):
+        chosen = choose_engine(engines, rng=random.Random(seed), **options)
+        assert chosen.server_id == "s1"
+
+
 # -- retries ---------------------------------------------------------------
 
 
