Say ready only after the list of servers was read

Cause: a node printed ready as soon as a configuration was in force; a request that came before the first read of the list was told that no backend server can take it, the symptom of a listed flaky test. Change: ready waits for both, 3 s at most as before. Measured: the new test fails on the code before and passes now.

--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -57,8 +57,8 @@
 CLAIM_TIMEOUT_S = 10.0  # a slow table still confirms claims within this time
 STREAM_POLL_INTERVAL_S = 0.1
 LEAVE_NOTICE_S = 1.0
-CONFIGURATION_POLL_INTERVAL_S = 0.02
-CONFIGURATION_TIMEOUT_S = 3.0
+STATE_POLL_INTERVAL_S = 0.02
+STATE_TIMEOUT_S = 3.0
 
 _log = structlog.get_logger()
 
@@ -120,15 +120,19 @@
         drain_loop.start(DRAIN_INTERVAL_S)
         self._stack.callback(drain_loop.stop)
 
-    async def wait_for_configuration(self) -> None:
-        """Wait until a configuration is active, at most `CONFIGURATION_TIMEOUT_S`.
+    @property
+    def has_state(self) -> bool:
+        """Whether a configuration is active and the list of servers was read."""
+        return self._configuration.version > 0 and self._servers.has_complete_list
 
-        An instance without a configuration keeps listening: it refuses requests
-        with ``not_run`` until a configuration becomes active.
+    async def wait_for_state(self) -> None:
+        """Wait until there is state to serve from, at most `STATE_TIMEOUT_S`.
+
+        An instance without it keeps listening: it refuses requests with ``not_run``.
         """
-        deadline = time.monotonic() + CONFIGURATION_TIMEOUT_S
-        while self._configuration.version == 0 and time.monotonic() < deadline:
-            await task.deferLater(self._reactor, CONFIGURATION_POLL_INTERVAL_S)
+        deadline = time.monotonic() + STATE_TIMEOUT_S
+        while not self.has_state and time.monotonic() < deadline:
+            await task.deferLater(self._reactor, STATE_POLL_INTERVAL_S)
 
     async def leave(self) -> None:
         """Refuse new runs, wait for open streams, and stop all components."""
--- a/packages/node/src/ebonyhaven_node/_node_runner.py
+++ b/packages/node/src/ebonyhaven_node/_node_runner.py
@@ -48,7 +48,7 @@
             return
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: reactor.callFromThread(stop))
-        started = ensureDeferred(node.wait_for_configuration())
+        started = ensureDeferred(node.wait_for_state())
         started.addCallback(lambda _: print("ready", flush=True))
 
     reactor.callWhenRunning(start)
--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -12,6 +12,7 @@
 
 ACTIVATION_TARGET_S = 9.0
 OBSERVATION_S = 4.0
+OBSERVATION_S = 0.5  # well below the time after which an instance is ready anyway
 DECLARATION = {
     "classes": {
         "look-up": {
@@ -147,3 +148,19 @@
     cluster.wait_for_version(1, "n1", "n2", "n3")
     cluster.set_fault("partition", link="n3 to table")
     cluster.set_fault("lose_to_target", link="to n3")
+
+
+def test_instance_is_ready_only_after_it_has_read_the_list_of_servers():
+    # A caller that came right after the start was told that no server can take its
+    # request, because the instance did not know any yet.
+    with ConfiguredCluster() as cluster:
+        cluster.platform.set_faults(refuse_list=True)
+        cluster.start_node("n1", wait=False)
+        child = cluster.child("n1")
+        wait_until(lambda: "configuration_in_force" in child.log_path.read_text())
+        observed_until = time.monotonic() + OBSERVATION_S
+        wait_until(lambda: child.is_ready() or time.monotonic() > observed_until)
+        assert not child.is_ready()
+        cluster.platform.set_faults(refuse_list=False)
+        cluster.wait_until_ready("n1")
+        assert "instance_list_reachable" in child.log_path.read_text()
