--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -28,6 +28,7 @@
     is_prompt_admitted,
     select_preferred_engines,
 )
+from ebonyhaven_decisions.forwarding._priorities import choose_engine_priority
 from ebonyhaven_decisions.forwarding._restored_list import merge_restored_list
 from ebonyhaven_decisions.forwarding._routes import (
     EngineTraits,
@@ -80,6 +81,7 @@
     "choose_backend",
     "choose_copy_holder",
     "choose_engine",
+    "choose_engine_priority",
     "choose_index_instances",
     "choose_memory_share",
     "choose_reader",
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -6,7 +6,6 @@
 import random
 from collections.abc import Callable
 
-from ebonyhaven_decisions import MemberRecord, MemberState
 from ebonyhaven_decisions.forwarding import (
     Backend,
     PeerEngineUse,
@@ -80,7 +79,6 @@
         on_peer_use: Callable[[], None],
         on_loss: Callable[[Backend], None],
     ):
-        self._budget = budget
         self._stack = contextlib.ExitStack()
         channels = Channels(
             reactor=reactor,
@@ -103,7 +101,6 @@
             registry=registry,
         )
         self._stack.callback(membership.stop)
-        membership.observe(self._count_instances)
         membership.set_load_source(ProcessorLoad().read)
         membership.set_seeds(settings.seeds)
         membership.add_digest(crashes.make_digest())
@@ -151,9 +148,3 @@
         backend : Backend
         """
         self._use_exchange.report_lost_server(backend)
-
-    def _count_instances(self, _: MemberRecord) -> None:
-        """Update the number of instances that share the retry budget."""
-        self._budget.instances = sum(
-            record.state is not MemberState.DEAD for record in self.membership.members
-        )
--- a/packages/node/src/ebonyhaven_node/forwarding/_run_records.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_run_records.py
@@ -123,5 +123,8 @@
 
     def _log_failure(self, failure, step: str) -> None:
         """Log that the records are incomplete; prompts are then read again."""
-        failure.trap(RunRecordError, CancelledError)
-        _log.warning("run_records_unavailable", step=step, reason=str(failure.value))
+        if failure.check(RunRecordError, CancelledError):
+            reason = str(failure.value)
+            _log.warning("run_records_unavailable", step=step, reason=reason)
+        else:
+            _log.error("run_records_crashed", error=failure.getTraceback())
--- a/packages/node/src/ebonyhaven_node/forwarding/_sharing.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_sharing.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 import structlog
-from ebonyhaven_decisions import MemberState
+from ebonyhaven_decisions import MemberRecord, MemberState
 from ebonyhaven_decisions.forwarding import (
     Backend,
     EngineUse,
@@ -46,7 +46,7 @@
     peers : PeerEngineUse
         Records the reports of peers.
     budget : ServiceRetryBudget
-        Its number of instances is updated before each report.
+        Its number of instances is updated with the membership.
     membership : MembershipController
     channels : Channels
     reactor : IReactorTime
@@ -81,6 +81,7 @@
         self._on_peer_use = on_peer_use
         self._timer: Any = None
         self._has_sent_use = False
+        membership.observe(self._count_instances)
         channels.subscribe(FrameKind.ENGINE_USE, self._receive)
 
     def schedule_report(self) -> None:
@@ -105,6 +106,12 @@
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
+    def _count_instances(self, _: MemberRecord) -> None:
+        """Update the number of instances that share the retry budget."""
+        self._budget.instances = sum(
+            record.state is not MemberState.DEAD for record in self._membership.members
+        )
+
     def _send(self) -> None:
         peers = [
             record.name
@@ -112,7 +119,6 @@
             if record.state in (MemberState.LIVE, MemberState.LEAVING)
             and record.name != self._membership.own.name
         ]
-        self._budget.instances = 1 + len(peers)
         uses = {
             each.server_id: [each.run_tokens, each.copy_tokens, each.prefill_tokens]
             for each in self._state.backends
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -12,6 +12,7 @@
     EngineUse,
     Route,
     TokenDemand,
+    choose_engine_priority,
 )
 
 from ebonyhaven_node._failures import make_not_run_failure, make_unknown_failure
@@ -41,10 +42,6 @@
 
 CAPACITY_POLL_INTERVAL_S = 0.1  # if no notification arrives
 MAX_TRIED_SERVERS = 40  # lost servers do not count against the route's max_attempts
-# Priorities within an engine; 0 is the most urgent.
-RESUMED_PRIORITY = 2  # before new streams: the caller has received some events
-LATE_PRIORITY = 7  # yields to streams that can still meet their target
-DEFAULT_PRIORITY = 5  # assumed by engines if the request states none
 LATEST_START_SHARE = 0.75  # of the timeout; streams started later would not complete
 TOO_LATE_REASON = "too little time is left for a whole answer"
 
@@ -266,7 +263,11 @@
             plan=AttemptPlan(
                 remaining_s=self._deadline - now,
                 workspace=self._workspace,
-                priority=self._choose_engine_priority(target.copy is not None),
+                priority=choose_engine_priority(
+                    is_late=self._progress.is_late,
+                    is_resumed=target.copy is not None or self._progress.delivered > 0,
+                    priority=self._priority,
+                ),
                 copy_to=holder.entry.address if holder else None,
                 copy=target.copy,
                 last_event_id=self._progress.position,
@@ -355,14 +356,6 @@
             remaining_s=round(self._deadline - now, 3),
         )
 
-    def _choose_engine_priority(self, is_from_copy: bool) -> int | None:
-        if self._progress.is_late:
-            return LATE_PRIORITY
-        if is_from_copy or self._progress.delivered:
-            return RESUMED_PRIORITY
-        priority = DEFAULT_PRIORITY - 1 + min(2, self._priority)
-        return None if priority == DEFAULT_PRIORITY else priority
-
     # -- result ------------------------------------------------------------
 
     def _record_result(self, target: _Target, result: AttemptResult) -> None:
--- a/tests/decisions/test_forwarding.py
+++ b/tests/decisions/test_forwarding.py
@@ -15,6 +15,7 @@
     choose_backend,
     choose_copy_holder,
     choose_engine,
+    choose_engine_priority,
     compute_first_event_limits,
     compute_gap_limits,
     count_queued_prefill_tokens,
@@ -300,6 +301,16 @@
         assert chosen.server_id == "s1"
 
 
+def test_streams_with_events_go_first_and_late_ones_last():
+    assert choose_engine_priority(is_late=False, is_resumed=True, priority=2) == 2
+    assert choose_engine_priority(is_late=True, is_resumed=True, priority=0) == 7
+    new = [
+        choose_engine_priority(is_late=False, is_resumed=False, priority=number)
+        for number in range(4)
+    ]
+    assert new == [4, None, 6, 6]
+
+
 # -- retries ---------------------------------------------------------------
 
 
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -49,6 +49,7 @@
     """A source without updates; tests set the state directly."""
 
     unresponsive = False
+    refresh_count = 0
     versions = StateVersion(1, 0, 1)
 
     def start(self) -> None:
@@ -64,13 +65,13 @@
         return self.unresponsive
 
     def connect_feed(self, *, is_reader, count_instances, publish) -> None:
-        """See `StateSource.connect_feed`."""
+        pass
 
     def apply_changes(self, payload: object) -> None:
-        """See `StateSource.apply_changes`."""
+        pass
 
     def refresh_configuration(self) -> None:
-        """See `StateSource.refresh_configuration`."""
+        self.refresh_count += 1
 
     def export(self) -> object:
         return None
--- a/tests/forwarding/test_sharing.py
+++ b/tests/forwarding/test_sharing.py
@@ -5,7 +5,12 @@
 from ebonyhaven_decisions import MemberRecord, MemberState
 from ebonyhaven_decisions.forwarding import EngineUse, PeerEngineUse, ServiceRetryBudget
 from ebonyhaven_node import Frame, FrameKind
-from ebonyhaven_node.forwarding._sharing import EngineUseExchange, StateSynchronizer
+from ebonyhaven_node.forwarding._sharing import (
+    CONFIGURATION_DELAY_S,
+    EngineUseExchange,
+    StateSynchronizer,
+)
+from ebonyhaven_node.forwarding.interfaces import StateVersion
 from twisted.internet.task import Clock
 
 from tests.forwarding.harness import ForwardingHarness
@@ -38,6 +43,10 @@
         self.sent = []
         self.digests = []
         self.excluded_entries = frozenset()
+        self.observers = []
+
+    def observe(self, observer):
+        self.observers.append(observer)
 
     def send(self, name, kind, payload):
         self.sent.append((name, kind, payload))
@@ -71,9 +80,7 @@
 
 
 def test_engine_use_and_losses_are_sent_to_all_instances_in_one_message():
-    harness, exchange, membership, _, clock, _, _, budget = build_use_exchange(
-        "n2", "n3"
-    )
+    harness, exchange, membership, _, clock, _, _, _ = build_use_exchange("n2", "n3")
     engine = harness.state.backends.find("e-0")
     engine.run_tokens, engine.prefill_tokens = 8700, 8000
     exchange.schedule_report()
@@ -84,7 +91,15 @@
         ("n2", FrameKind.ENGINE_USE, payload),
         ("n3", FrameKind.ENGINE_USE, payload),
     ]
+
+
+def test_retry_budget_is_shared_by_all_instances_that_are_not_dead():
+    _, _, membership, _, _, _, _, budget = build_use_exchange("n2", "n3")
+    membership.observers[0](membership.members[1])
     assert budget.instances == 3
+    membership.members[2] = membership.members[2]._replace(state=MemberState.DEAD)
+    membership.observers[0](membership.members[2])
+    assert budget.instances == 2
 
 
 def test_nonzero_use_is_resent_periodically_and_zero_use_once():
@@ -155,3 +170,25 @@
     assert membership.excluded_entries == {"n2"}
     digest.merge("n2", [3, 0, 7])
     assert membership.excluded_entries == frozenset()
+
+
+def test_configuration_is_read_again_if_a_peer_has_a_newer_one_for_some_time():
+    # A poll can wait on a connection that has fallen silent.
+    harness, membership, _ = build_state_synchronizer()
+    digest = membership.digests[0]
+    digest.merge("n2", [2, 0, 1])
+    harness.reactor.advance(CONFIGURATION_DELAY_S / 2)
+    assert harness.source.refresh_count == 0
+    harness.reactor.advance(CONFIGURATION_DELAY_S)
+    assert harness.source.refresh_count == 1
+    digest.merge("n2", [2, 0, 1])
+    harness.source.versions = StateVersion(2, 0, 1)
+    harness.reactor.advance(CONFIGURATION_DELAY_S)
+    assert harness.source.refresh_count == 1
+
+
+def test_state_of_a_later_era_is_newer_whatever_its_version():
+    harness, membership, _ = build_state_synchronizer()
+    harness.source.unresponsive = True
+    membership.digests[0].merge("n2", [1, 1, 0])
+    assert [kind for _, kind, _ in membership.sent] == [FrameKind.STATE_REQUEST]
--- a/tests/platform_adapter/test_change_feed.py
+++ b/tests/platform_adapter/test_change_feed.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhaven_adapter._source import MIN_PUBLISH_INTERVAL_S
+from ebonyhaven_adapter._server_list import MIN_PUBLISH_INTERVAL_S
 from ebonyhaven_decisions.forwarding._change_feed import (
     MAX_FEED_TIMEOUT_S,
     MIN_FEED_TIMEOUT_S,
--- a/tests/platform_adapter/test_source.py
+++ b/tests/platform_adapter/test_source.py
@@ -4,8 +4,10 @@
 import pathlib
 from collections import deque
 
-from ebonyhaven_adapter._source import RESTORE_CONFIRMATION_S, PlatformStateSource
+from ebonyhaven_adapter._server_list import RESTORE_CONFIRMATION_S
+from ebonyhaven_adapter._source import MAX_POLL_S, PlatformStateSource
 from ebonyhaven_adapter._store import Row, RowBatch
+from ebonyhaven_adapter._table_follower import LONG_POLL_S
 from ebonyhaven_adapter.exceptions import StoreError
 from ebonyhaven_node._frames import encode_json
 from ebonyhaven_node.forwarding import ForwardingState
@@ -142,6 +144,32 @@
     assert not source.is_unresponsive()
 
 
+def test_configuration_is_read_over_a_new_connection_on_request():
+    clock, store, state, source = start_with_complete_state()
+    silent_poll = store.pending_calls.pop("op")
+    source.refresh_configuration()
+    assert silent_poll.called  # cancelled, which closes its connection
+    assert store.calls[-1] == ("changes", "op", 10)
+    store.push("op", make_rows(20, config={**CONFIGURATION, "version": 8}))
+    assert state.configuration.version == 8
+    assert not source.is_unresponsive()
+
+
+def test_polls_of_the_configuration_are_longer_among_more_instances():
+    _, _, _, source = build_source()
+    durations = []
+    for count in (1, 9, 70):
+        source.connect_feed(
+            is_reader=lambda: False,
+            count_instances=lambda count=count: count,
+            publish=lambda _: None,
+        )
+        durations.append(source._compute_poll_s())
+    assert durations == sorted(durations)
+    assert durations[0] == LONG_POLL_S
+    assert durations[-1] == MAX_POLL_S
+
+
 def test_older_configuration_is_never_applied():
     clock, store, state, _ = start_with_complete_state()
     store.push("op", make_rows(20, config={**CONFIGURATION, "version": 6}))
