--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_startup.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_startup.py
@@ -18,12 +18,12 @@
 
 @attrs.define(slots=True)
 class StateWaitLimits:
-    """Requests that currently wait for the first state of an instance.
+    """Limits on how many requests wait for the first state, and for how long.
 
     Attributes
     ----------
     requests, body_bytes : int
-        Waiting requests and the size of their bodies.
+        Requests that wait now, and the size of their bodies.
     """
 
     requests: int = 0
