Log and count how responses of servers end

Change: ResponseHandler.complete says whether a length or chunks marked the end; the log line stream_ended and the counter ebonyhaven_response_ends tell it, with the bytes of an incomplete event. No decision changes.

--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -69,6 +69,11 @@
         self._connection: HttpConnection | None = None
         self._pending: PendingConnection | None = None
 
+    @property
+    def request_id(self) -> str:
+        """Id of the request."""
+        return self._request.request_id
+
     def start(self) -> None:
         """Send the request on an idle connection, or on a new one if none is idle."""
         self.backend.in_flight += 1
@@ -111,11 +116,11 @@
         if not self.is_finished:
             self._inbox.put(ResponseData(self, data))
 
-    def complete(self) -> None:
+    def complete(self, *, is_delimited: bool) -> None:
         """See `ResponseHandler.complete`."""
         if not self.is_finished:
             self._finish()
-            self._inbox.put(ResponseCompleted(self))
+            self._inbox.put(ResponseCompleted(self, is_delimited))
 
     def fail(self, reason: str, *, is_connection_lost: bool) -> None:
         """See `ResponseHandler.fail`."""
@@ -171,9 +176,17 @@
 
 
 class ResponseCompleted(NamedTuple):
-    """A response has arrived completely."""
+    """A response has ended, and is complete as far as HTTP can tell.
+
+    Parameters
+    ----------
+    attempt : Attempt
+    is_delimited : bool
+        See `ResponseHandler.complete`.
+    """
 
     attempt: Attempt
+    is_delimited: bool
 
 
 class AttemptFailed(NamedTuple):
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -261,8 +261,11 @@
                 self._responses[attempt] = _BufferedResponse(head, [])
             case ResponseData(attempt, data):
                 self._buffer_data(attempt, data)
-            case ResponseCompleted(attempt):
+            case ResponseCompleted(attempt, is_delimited):
                 self._running.remove(attempt)
+                self._context.metrics.record_response_end(
+                    self._route.kind.value, is_delimited=is_delimited, partial_bytes=0
+                )
                 self._complete_attempt(attempt)
             case AttemptFailed(attempt, was_sent, _, reason):
                 self._running.remove(attempt)
--- a/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
@@ -61,8 +61,15 @@
         """
 
     @abc.abstractmethod
-    def complete(self) -> None:
-        """Handle the end of a complete response."""
+    def complete(self, *, is_delimited: bool) -> None:
+        """Handle the end of a response that is complete as far as HTTP can tell.
+
+        Parameters
+        ----------
+        is_delimited : bool
+            Whether a length or chunks marked the end of the body. Otherwise it ended
+            with the connection, which a server that breaks off closes as well.
+        """
 
     @abc.abstractmethod
     def fail(self, reason: str, *, is_connection_lost: bool) -> None:
@@ -258,6 +265,7 @@
             return
         handler, self._handler = self._handler, None
         trailing, _ = self._codec.trailing_data
+        is_delimited = not self.is_closed
         is_cycle_done = (
             self._codec.our_state is h11.DONE and self._codec.their_state is h11.DONE
         )
@@ -267,7 +275,7 @@
             self._on_idle(self)
         else:
             self.abort()
-        handler.complete()
+        handler.complete(is_delimited=is_delimited)
 
     def _skip_to_next_response(self) -> None:
         """Restart decoding after a response that belonged to an earlier request."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -35,6 +35,12 @@
             ["kind", "end"],
             registry=registry,
         )
+        self.response_ends = Counter(
+            "ebonyhaven_response_ends",
+            "Responses that ended, by what marked the end and whether inside an event.",
+            ["kind", "mark", "position"],
+            registry=registry,
+        )
         self.resumes = Counter(
             "ebonyhaven_stream_resumes",
             "Streams that went on, here or by callers, by what they went on from.",
@@ -85,6 +91,24 @@
             registry=registry,
         )
 
+    def record_response_end(
+        self, kind: str, *, is_delimited: bool, partial_bytes: int
+    ) -> None:
+        """Count a response that ended without a failure of its connection.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of the request.
+        is_delimited : bool
+            Whether a length or chunks marked the end, rather than the connection's.
+        partial_bytes : int
+            Bytes of an incomplete event before the end; 0 if there is none.
+        """
+        mark = "framing" if is_delimited else "connection"
+        position = "inside_event" if partial_bytes else "boundary"
+        self.response_ends.labels(kind, mark, position).inc()
+
     def register_state_gauges(
         self,
         *,
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -5,7 +5,12 @@
 import enum
 from typing import NamedTuple
 
-from ebonyhaven_decisions.forwarding import SERVER_PROBE_INTERVAL_S, SilenceLimits
+import structlog
+from ebonyhaven_decisions.forwarding import (
+    SERVER_PROBE_INTERVAL_S,
+    RequestKind,
+    SilenceLimits,
+)
 
 from ebonyhaven_node.forwarding._attempt_monitors import AttemptMonitor
 from ebonyhaven_node.forwarding._attempts import (
@@ -24,6 +29,8 @@
 from ebonyhaven_node.forwarding._requests import ResponseHead
 from ebonyhaven_node.forwarding._run_copies import RunCopy
 
+_log = structlog.get_logger()
+
 
 class AttemptEnd(enum.Enum):
     """How an attempt ended.
@@ -147,8 +154,8 @@
                 self._handle_head(head)
             case ResponseData(sender, data) if sender is self._attempt:
                 result = self._handle_data(data)
-            case ResponseCompleted(sender) if sender is self._attempt:
-                result = self._handle_completion()
+            case ResponseCompleted(sender, is_delimited) if sender is self._attempt:
+                result = self._handle_completion(is_delimited)
             case AttemptFailed(sender) if sender is self._attempt:
                 result = _make_failure_result(message)
         return result
@@ -227,7 +234,7 @@
         self._progress.deliver(new_events, self._monitor.head, now)
         return None
 
-    def _handle_completion(self) -> AttemptResult:
+    def _handle_completion(self, is_delimited: bool) -> AttemptResult:
         head = self._monitor.head
         if head.not_run:
             return AttemptResult(
@@ -235,11 +242,28 @@
             )
         if not self._monitor.is_event_stream():
             return self._handle_error_response(head)
-        self._progress.finish(head, self._monitor.splitter.take_remainder())
+        partial_event = self._monitor.splitter.take_remainder()
+        self._record_end(is_delimited, len(partial_event))
+        self._progress.finish(head, partial_event)
         if self._attempt.plan.last_event_id is None:
             self._monitor.record_stream_completed()
         return AttemptResult(AttemptEnd.DONE, "complete")
 
+    def _record_end(self, is_delimited: bool, partial_bytes: int) -> None:
+        _log.info(
+            "stream_ended",
+            request=self._attempt.request_id,
+            server=self._backend.server_id,
+            is_delimited=is_delimited,
+            partial_bytes=partial_bytes,
+            events=self._monitor.events,
+        )
+        self._context.metrics.record_response_end(
+            RequestKind.STREAM.value,
+            is_delimited=is_delimited,
+            partial_bytes=partial_bytes,
+        )
+
     def _handle_error_response(self, head: ResponseHead) -> AttemptResult:
         body = b"".join(self._monitor.error_body)
         reason = f"server answered with {head.status}"
