Take a stream that ends inside an event for broken off

Cause: the end of the transport was taken for the end of the content. A response without a length and without chunks ends with its connection; when the server closes that in order, HTTP calls the response complete, and the relay delivered what was left of an event and finished the caller's framing. Change: a stream is complete only at the boundary of an event, whatever its framing says, and an undelimited one only after at least one event. Anything else is a lost attempt: the stream goes on from its copy, or the caller's connection is aborted. StreamProgress.finish cannot deliver a partial event any more. Why it works: an event ends with its blank line; bytes after the last one are no event.

--- a/packages/node/src/ebonyhaven_node/forwarding/_events.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_events.py
@@ -47,7 +47,7 @@
             raise ValueError("an event is too long")
         return events
 
-    def take_remainder(self) -> bytes:
-        """Return and clear the bytes after the last complete event."""
-        remainder, self._buffer = self._buffer, b""
-        return remainder
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes received after the last complete event."""
+        return len(self._buffer)
--- a/packages/node/src/ebonyhaven_node/forwarding/_progress.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_progress.py
@@ -116,19 +116,15 @@
         self.delivered += len(events)
         self._delivered_at = now
 
-    def finish(self, head: ResponseHead, remainder: bytes) -> None:
-        """Complete the stream.
+    def finish(self, head: ResponseHead) -> None:
+        """Complete the stream after its last event.
 
         Parameters
         ----------
         head : ResponseHead
-        remainder : bytes
-            Bytes after the last complete event.
         """
         if not self._exchange.is_started:
             self._exchange.start_stream(head.status, head.headers)
-        if remainder:
-            self._exchange.write(remainder)
         self._exchange.finish()
         self.is_complete = True
         now = self._context.clock()
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -42,7 +42,7 @@
     ``UNREACHABLE``
         The request was not sent.
     ``LOST``
-        The connection ended after the request was sent.
+        The connection or the stream broke off after the request was sent.
     ``SILENT``
         The server was silent for too long.
     ``ERROR``
@@ -242,9 +242,14 @@
             )
         if not self._monitor.is_event_stream():
             return self._handle_error_response(head)
-        partial_event = self._monitor.splitter.take_remainder()
-        self._record_end(is_delimited, len(partial_event))
-        self._progress.finish(head, partial_event)
+        partial_bytes = self._monitor.splitter.partial_bytes
+        self._record_end(is_delimited, partial_bytes)
+        if partial_bytes:
+            return AttemptResult(AttemptEnd.LOST, "the stream ended inside an event")
+        if not is_delimited and not self._monitor.events:
+            reason = "the connection ended before the first event"
+            return AttemptResult(AttemptEnd.LOST, reason)
+        self._progress.finish(head)
         if self._attempt.plan.last_event_id is None:
             self._monitor.record_stream_completed()
         return AttemptResult(AttemptEnd.DONE, "complete")
