Take a body that ends with its connection for incomplete in treq's clients

A service's answer at the own interface and an object of the store could be a part. Change: read_body fails on such a body; the service relay answers unknown, the store client unavailable. Engine streams of the own interface end with a token that says so, JSON documents of the store cannot be read in part, messages between instances are framed: nothing to change there.

--- a/packages/node/src/ebonyhaven_node/_services.py
+++ b/packages/node/src/ebonyhaven_node/_services.py
@@ -9,7 +9,7 @@
 
 import treq
 from ebonyhaven_decisions import Outcome, OutcomeTag, PoolKind, RequestFailure
-from ebonyhaven_store import make_agent
+from ebonyhaven_store import make_agent, read_body
 from twisted.internet import error
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.http import Request
@@ -155,7 +155,7 @@
         call.addTimeout(CALL_TIMEOUT_S, self._reactor)
         try:
             response = await call
-            content = await treq.content(response)
+            content = await read_body(response)
         except _ERRORS_BEFORE_SEND as exception:
             server.record_unreachable(time.monotonic())
             return _make_outcome(OutcomeTag.NOT_RUN, "connect", server, exception)
--- a/packages/store/src/ebonyhaven_store/__init__.py
+++ b/packages/store/src/ebonyhaven_store/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ebonyhaven_store._agents import make_agent
+from ebonyhaven_store._bodies import read_body
 from ebonyhaven_store._instances import (
     InstanceList,
     InstanceListClient,
@@ -44,5 +45,6 @@
     "Write",
     "WriteResult",
     "make_agent",
+    "read_body",
     "resolve_write",
 ]
--- a/packages/store/src/ebonyhaven_store/_transport.py
+++ b/packages/store/src/ebonyhaven_store/_transport.py
@@ -17,6 +17,7 @@
 from twisted.web.client import HTTPConnectionPool, RequestNotSent
 
 from ebonyhaven_store._agents import make_agent
+from ebonyhaven_store._bodies import read_body
 from ebonyhaven_store.exceptions import (
     PlatformError,
     Rejected,
@@ -140,7 +141,7 @@
                 method, url, data=body, agent=self._agent, reactor=self._reactor
             )
             response = PlatformResponse(
-                http_response.code, await treq.content(http_response)
+                http_response.code, await read_body(http_response)
             )
         except Exception as error:
             raise self._map_exception(method, step, error) from error
