--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -43,6 +43,8 @@
     slots : int
         Requests that it runs concurrently.
     state : BackendState
+    software_version : str or None
+        Version of the server's software, not of its weights; None if unknown.
     """
 
     server_id: str
@@ -52,6 +54,7 @@
     data_centre: str
     slots: int
     state: BackendState
+    software_version: str | None = None
 
 
 class ServerListVersion(NamedTuple):
@@ -134,6 +137,11 @@
         """Id of the server that requests are addressed to."""
         return self.entry.server_id
 
+    @property
+    def software_version(self) -> str | None:
+        """Version of the server's software; None if unknown."""
+        return self.entry.software_version
+
     @property
     def name(self) -> str:
         """Name of the server in crash reports shared between instances."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
@@ -65,6 +65,7 @@
         _log.info(
             "caller_came_back",
             request=self._request.request_id,
+            original=self._request.original_request_id,
             position=self._request.last_event_id,
             copy_at=location.holder_id if location else None,
             copy=location.handle if location else None,
--- a/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -47,6 +47,11 @@
             ["source"],
             registry=registry,
         )
+        self.version_changes = Counter(
+            "ebonyhaven_stream_version_changes",
+            "Streams that went on at another software version than before.",
+            registry=registry,
+        )
         self.resume_pause = Histogram(
             "ebonyhaven_stream_resume_pause_seconds",
             "Pause of a stream that went on at another server.",
--- a/packages/node/src/ebonyhaven_node/forwarding/_progress.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_progress.py
@@ -37,6 +37,8 @@
     resume_source : str or None
         What the stream was resumed from: a ``copy`` of the run or the ``prompt``.
         None if an event was delivered since, or if there was no resume.
+    version : str or None
+        Software version of the server that generated the last event.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         self.is_late = False
         self.is_complete = False
         self.resume_source: str | None = None
+        self.version: str | None = None
 
     def measure_wait(self, now: float) -> tuple[float, float]:
         """Return how long the caller has waited for its next event, and the target.
@@ -95,13 +98,17 @@
         """
         return [event for event in events if self._advance_position(event)]
 
-    def deliver(self, events: list[bytes], head: ResponseHead, now: float) -> None:
+    def deliver(
+        self, events: list[bytes], head: ResponseHead, version: str | None, now: float
+    ) -> None:
         """Send events to the caller, preceded by the response head if not yet sent.
 
         Parameters
         ----------
         events : list of bytes
         head : ResponseHead
+        version : str or None
+            Software version of the server that generated the events.
         now : float
             Time of the context's clock, seconds.
         """
@@ -112,6 +119,7 @@
         else:
             self._exchange.start_stream(head.status, head.headers)
             self._record_first_event(now - self._request.arrived_at)
+        self._record_version(version)
         self._exchange.write(b"".join(events))
         self.delivered += len(events)
         self._delivered_at = now
@@ -170,6 +178,21 @@
         )
         self.resume_source = None
 
+    def _record_version(self, version: str | None) -> None:
+        """Report a stream that holds events of two software versions."""
+        if version == self.version:
+            return
+        if self.version is not None:
+            self._context.metrics.version_changes.inc()
+            _log.error(
+                "stream_version_changed",
+                request=self._request.request_id,
+                before=self.version,
+                version=version,
+                position=self.position,
+            )
+        self.version = version
+
     def _record_late(self, target: str, delay_s: float) -> None:
         if self.is_late:
             return
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -79,6 +79,9 @@
     api_key : str or None
     last_event_id : str or None
         Id of the last event of the stream that the caller has received.
+    original_request_id : str or None
+        Id of the caller's request that brought the first event of the stream; None if
+        this request is not a retry of a stream, or does not say of which.
     size : GenerationSize or None
         Set for generations.
     prompt_id : str or None
@@ -97,6 +100,7 @@
     timeout_s: float | None
     api_key: str | None
     last_event_id: str | None
+    original_request_id: str | None
     size: GenerationSize | None
     prompt_id: str | None
     arrived_at: float
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -87,6 +87,7 @@
             service=entry.service,
             state=entry.state.value,
             started_ms=entry.started_ms,
+            version=entry.software_version,
         )
         self._notify_observers()
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -231,7 +231,8 @@
         new_events = self._progress.select_new(events)
         if events:
             self._monitor.record_events(now, len(events))
-        self._progress.deliver(new_events, self._monitor.head, now)
+        version = self._backend.software_version
+        self._progress.deliver(new_events, self._monitor.head, version, now)
         return None
 
     def _handle_completion(self, is_delimited: bool) -> AttemptResult:
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -345,6 +345,7 @@
             route=self._route.name,
             server=backend.server_id,
             data_centre=backend.entry.data_centre,
+            version=backend.software_version,
             from_copy=target.copy is not None,
             copy_to=holder.server_id if holder else None,
             position=self._progress.position,
--- a/packages/standins/src/ebonyhaven_standins/resuming/_dialect.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_dialect.py
@@ -40,6 +40,7 @@
             timeout_s=None,
             api_key=API_KEY,
             last_event_id=None,
+            original_request_id=None,
             size=GenerationSize(int(prompt), int(output)),
             prompt_id=fields["id"],
             arrived_at=arrived_at,
