Rename the index of copies to the index of streams

A rename only, so that the fix stays readable. Change: RunCopyIndex, SharedCopyIndex, RunRecorder and their modules, the key of a stream and the kinds of message; lines run_records_* are stream_records_* now.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -8,12 +8,6 @@
 )
 from ebonyhaven_decisions.forwarding._budget import ServiceRetryBudget
 from ebonyhaven_decisions.forwarding._change_feed import ChangeFeed, choose_reader
-from ebonyhaven_decisions.forwarding._copy_index import (
-    RunCopyIndex,
-    RunCopyLocation,
-    choose_index_instances,
-    choose_recorder,
-)
 from ebonyhaven_decisions.forwarding._directory import BackendDirectory
 from ebonyhaven_decisions.forwarding._placement import (
     EngineUse,
@@ -43,6 +37,12 @@
 )
 from ebonyhaven_decisions.forwarding._selection import choose_backend
 from ebonyhaven_decisions.forwarding._startup import StateWaitLimits
+from ebonyhaven_decisions.forwarding._stream_index import (
+    RunCopyLocation,
+    StreamIndex,
+    choose_index_instances,
+    choose_recorder,
+)
 from ebonyhaven_decisions.forwarding._stream_timing import (
     SERVER_PROBE_INTERVAL_S,
     PrefillRate,
@@ -67,7 +67,7 @@
     "RequestKind",
     "Route",
     "RoutingConfiguration",
-    "RunCopyIndex",
+    "StreamIndex",
     "RunCopyLocation",
     "ServerListVersion",
     "Service",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_copy_index.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_index.py
@@ -40,7 +40,7 @@
     handle: str
 
 
-class RunCopyIndex:
+class StreamIndex:
     """Copies of runs known to this instance; the oldest entry is evicted first.
 
     Parameters
--- a/packages/node/src/ebonyhaven_node/_frames.py
+++ b/packages/node/src/ebonyhaven_node/_frames.py
@@ -29,9 +29,9 @@
     STATE_REQUEST = "w"
     STATE = "x"
     SERVER_CHANGES = "y"
-    RUN_PLACE = "k"
-    RUN_PLACE_REQUEST = "m"
-    RUN_PLACE_ANSWER = "n"
+    STREAM_RECORD = "k"
+    STREAM_RECORD_REQUEST = "m"
+    STREAM_RECORD_ANSWER = "n"
 
 
 class Frame(NamedTuple):
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -28,7 +28,7 @@
 )
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._requests import ForwardRequest
-from ebonyhaven_node.forwarding._shared_copy_index import SharedCopyIndex
+from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding.interfaces import BackendDialect, RunCopier
 
@@ -135,7 +135,7 @@
     capacity_notifier : CapacityNotifier
     metrics : ForwardingMetrics
     crashes : CrashReports
-    copy_index : SharedCopyIndex
+    stream_index : SharedStreamIndex
     data_centre : str
         Data centre of this instance.
     reactor : IReactorTime
@@ -162,7 +162,7 @@
     capacity_notifier: CapacityNotifier
     metrics: ForwardingMetrics
     crashes: CrashReports
-    copy_index: SharedCopyIndex
+    stream_index: SharedStreamIndex
     data_centre: str
     reactor: IReactorTime
     rng: random.Random
--- a/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
@@ -52,13 +52,13 @@
 
         Such a retry is counted and logged as a resume, with or without a copy.
         """
-        run_key = self._request.run_key
-        if self._request.last_event_id is None or run_key is None:
+        stream_key = self._request.stream_key
+        if self._request.last_event_id is None or stream_key is None:
             return
         if not self._route.may_retry or self._engine is None:
             return
-        location = self._location = await self._context.copy_index.find(
-            run_key, copy_ttl_s=self._engine.copy_ttl_s
+        location = self._location = await self._context.stream_index.find(
+            stream_key, copy_ttl_s=self._engine.copy_ttl_s
         )
         source = "caller_prompt" if location is None else "caller_copy"
         self._context.metrics.resumes.labels(source).inc()
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -49,16 +49,16 @@
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._peer_group import PEER_USE_TTL_S, PeerGroup
 from ebonyhaven_node.forwarding._settings import GatewaySettings
-from ebonyhaven_node.forwarding._shared_copy_index import SharedCopyIndex
+from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
 from ebonyhaven_node.forwarding._startup import StateWaiter
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding.interfaces import (
     BackendDialect,
     CallerDialect,
     RunCopier,
-    RunRecordStore,
     ServerInspector,
     StateSource,
+    StreamRecordStore,
 )
 
 LISTEN_BACKLOG = 512  # connections not yet accepted during a burst
@@ -86,7 +86,7 @@
     build_copier : callable
         Returns the `RunCopier` for a `ConnectionPool`.
     build_record_store : callable
-        Returns the `RunRecordStore` for a `ConnectionPool`.
+        Returns the `StreamRecordStore` for a `ConnectionPool`.
     rng : random.Random or None
         A generator with a random seed if None.
     clock : callable
@@ -103,7 +103,7 @@
         build_source: Callable[[ForwardingState, ConnectionPool], StateSource],
         build_inspector: Callable[[ConnectionPool], ServerInspector],
         build_copier: Callable[[ConnectionPool], RunCopier],
-        build_record_store: Callable[[ConnectionPool], RunRecordStore],
+        build_record_store: Callable[[ConnectionPool], StreamRecordStore],
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
     ):
@@ -148,7 +148,7 @@
             started_at=clock(),
         )
         self._peer_group: PeerGroup | None = None
-        self._copy_index = SharedCopyIndex(
+        self._stream_index = SharedStreamIndex(
             reactor, clock, build_record_store(self.pool)
         )
         self._copier = build_copier(self.pool)
@@ -260,7 +260,7 @@
             source=self.source,
             peer_use=self._peers,
             budget=self._budget,
-            copy_index=self._copy_index,
+            stream_index=self._stream_index,
             crashes=self._crashes,
             on_peer_use=self._capacity_notifier.notify,
             on_loss=lambda backend: self._context.report_unreachable(
@@ -294,7 +294,7 @@
             on_loss=self._report_lost_server,
             on_other_process=self._adopter.inspect_replacement,
             crashes=self._crashes,
-            copy_index=self._copy_index,
+            stream_index=self._stream_index,
         )
         return build_chain(
             [
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -20,7 +20,7 @@
 from ebonyhaven_node._own_record import make_own_record
 from ebonyhaven_node._processor_load import ProcessorLoad
 from ebonyhaven_node.forwarding._settings import GatewaySettings
-from ebonyhaven_node.forwarding._shared_copy_index import SharedCopyIndex
+from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
 from ebonyhaven_node.forwarding._sharing import (
     USE_REFRESH_INTERVAL_S,
     EngineUseExchange,
@@ -50,7 +50,7 @@
         Updated with the reports of other instances.
     budget : ServiceRetryBudget
         Its number of instances is updated with the membership.
-    copy_index : SharedCopyIndex
+    stream_index : SharedStreamIndex
     crashes : CrashReports
     on_peer_use : callable
         Called after each report of another instance.
@@ -74,7 +74,7 @@
         source: StateSource,
         peer_use: PeerEngineUse,
         budget: ServiceRetryBudget,
-        copy_index: SharedCopyIndex,
+        stream_index: SharedStreamIndex,
         crashes: CrashReports,
         on_peer_use: Callable[[], None],
         on_loss: Callable[[Backend], None],
@@ -125,8 +125,8 @@
             on_loss=on_loss,
         )
         self._stack.callback(self._use_exchange.stop)
-        copy_index.connect(membership, channels)
-        self._stack.callback(copy_index.stop)
+        stream_index.connect(membership, channels)
+        self._stack.callback(stream_index.stop)
 
     def start(self) -> None:
         """Join the other instances."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -114,7 +114,7 @@
         return hasher.hexdigest()[:DIGEST_HEX_DIGITS]
 
     @property
-    def run_key(self) -> str | None:
+    def stream_key(self) -> str | None:
         """Digest that identifies a generation when its caller reconnects.
 
         None unless the request is a generation with a ``prompt_id``.
--- a/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
@@ -44,8 +44,8 @@
     Parameters
     ----------
     request_id : str
-    run_key : str or None
-        See `ForwardRequest.run_key`; None if the copy is not published.
+    stream_key : str or None
+        See `ForwardRequest.stream_key`; None if the copy is not published.
     source : Backend
         Engine of the run.
     holder : Backend or None
@@ -64,7 +64,7 @@
         self,
         *,
         request_id: str,
-        run_key: str | None,
+        stream_key: str | None,
         source: Backend,
         holder: Backend | None,
         engine: EngineTraits | None,
@@ -75,7 +75,7 @@
     ):
         self.holder = holder
         self._request_id = request_id
-        self._run_key = run_key
+        self._stream_key = stream_key
         self._published_location: RunCopyLocation | None = None
         self._source = source
         self._engine = engine
@@ -166,8 +166,8 @@
             Whether the caller received the complete stream and will not retry it.
         """
         is_deleted = self._handle is not None and not is_needed
-        if self._run_key is not None and (is_complete or is_deleted):
-            self._context.copy_index.remove(self._run_key)
+        if self._stream_key is not None and (is_complete or is_deleted):
+            self._context.stream_index.remove(self._stream_key)
         if self._pending_request is not None:
             self._pending_request.cancel()
         if self._handle is not None and not is_needed:
@@ -185,9 +185,9 @@
         )
 
     def _publish(self, location: RunCopyLocation | None) -> None:
-        if self._run_key is not None and location != self._published_location:
+        if self._stream_key is not None and location != self._published_location:
             self._published_location = location
-            self._context.copy_index.publish(self._run_key, location)
+            self._context.stream_index.publish(self._stream_key, location)
 
     def _log_deletion_failure(self, failure) -> None:
         """Log that deleting a copy failed; it expires after its time to live."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_shared_copy_index.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
@@ -8,8 +8,8 @@
 import structlog
 from ebonyhaven_decisions import MemberState
 from ebonyhaven_decisions.forwarding import (
-    RunCopyIndex,
     RunCopyLocation,
+    StreamIndex,
     choose_index_instances,
     choose_recorder,
 )
@@ -19,8 +19,8 @@
 from ebonyhaven_node._channels import Channels
 from ebonyhaven_node._frames import Frame, FrameKind
 from ebonyhaven_node._membership import MembershipController
-from ebonyhaven_node.forwarding._run_records import WRITE_INTERVAL_S, RunRecorder
-from ebonyhaven_node.forwarding.interfaces import RunRecordStore
+from ebonyhaven_node.forwarding._stream_records import WRITE_INTERVAL_S, StreamRecorder
+from ebonyhaven_node.forwarding.interfaces import StreamRecordStore
 
 INDEX_ENTRY_TTL_S = 30.0  # exceeds the duration of a generation
 QUERY_TIMEOUT_S = 0.05  # live instances reply within milliseconds
@@ -28,7 +28,7 @@
 _log = structlog.get_logger()
 
 
-class SharedCopyIndex:
+class SharedStreamIndex:
     """Locations of run copies, with each entry replicated to several instances.
 
     Until `connect` is called, only the entries of this instance are available.
@@ -38,7 +38,7 @@
     reactor : IReactorTime
     clock : callable
         Returns seconds.
-    store : RunRecordStore
+    store : StreamRecordStore
         Keeps entries in case all their replicas are lost.
     """
 
@@ -46,12 +46,12 @@
         self,
         reactor: IReactorTime,
         clock: Callable[[], float],
-        store: RunRecordStore,
+        store: StreamRecordStore,
     ):
         self._reactor = reactor
         self._clock = clock
-        self._index = RunCopyIndex(INDEX_ENTRY_TTL_S)
-        self._recorder = RunRecorder(
+        self._index = StreamIndex(INDEX_ENTRY_TTL_S)
+        self._recorder = StreamRecorder(
             index=self._index, store=store, reactor=reactor, clock=clock
         )
         self._membership: MembershipController | None = None
@@ -66,9 +66,9 @@
         channels : Channels
         """
         self._membership = membership
-        channels.subscribe(FrameKind.RUN_PLACE, self._handle_location)
-        channels.subscribe(FrameKind.RUN_PLACE_REQUEST, self._handle_query)
-        channels.subscribe(FrameKind.RUN_PLACE_ANSWER, self._handle_location)
+        channels.subscribe(FrameKind.STREAM_RECORD, self._handle_location)
+        channels.subscribe(FrameKind.STREAM_RECORD_REQUEST, self._handle_query)
+        channels.subscribe(FrameKind.STREAM_RECORD_ANSWER, self._handle_location)
 
     def publish(self, key: str, location: RunCopyLocation | None) -> None:
         """Set the location of the copy of a run on all replicas of its entry.
@@ -76,13 +76,13 @@
         Parameters
         ----------
         key : str
-            See `ForwardRequest.run_key`.
+            See `ForwardRequest.stream_key`.
         location : RunCopyLocation or None
             None if the run has no copy any more.
         """
         self._record(key, location)
         for name in self._choose_replicas(key):
-            self._membership.send(name, FrameKind.RUN_PLACE, [key, location])
+            self._membership.send(name, FrameKind.STREAM_RECORD, [key, location])
 
     def remove(self, key: str) -> None:
         """Remove the entry of a run on this instance only.
@@ -134,7 +134,7 @@
         pending.append(result)
         timer = self._reactor.callLater(QUERY_TIMEOUT_S, self._expire, result)
         for name in replicas:
-            self._membership.send(name, FrameKind.RUN_PLACE_REQUEST, key)
+            self._membership.send(name, FrameKind.STREAM_RECORD_REQUEST, key)
         try:
             return await result
         finally:
@@ -174,13 +174,15 @@
         )
         if location is not None:
             reply = [key, location]
-            self._membership.send(frame.sender, FrameKind.RUN_PLACE_ANSWER, reply)
+            self._membership.send(frame.sender, FrameKind.STREAM_RECORD_ANSWER, reply)
 
     def _handle_location(self, frame: Frame) -> None:
         try:
             key, location = _parse_location(frame.payload)
         except (TypeError, ValueError) as error:
-            _log.warning("run_place_malformed", peer=frame.sender, reason=str(error))
+            _log.warning(
+                "stream_record_malformed", peer=frame.sender, reason=str(error)
+            )
             return
         self._record(key, location)
         for result in list(self._queries.get(key, ())):
--- a/packages/node/src/ebonyhaven_node/forwarding/_run_records.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_records.py
@@ -7,32 +7,34 @@
 from typing import Any
 
 import structlog
-from ebonyhaven_decisions.forwarding import RunCopyIndex, RunCopyLocation
+from ebonyhaven_decisions.forwarding import RunCopyLocation, StreamIndex
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
 from ebonyhaven_node.forwarding.interfaces import (
-    RunRecord,
-    RunRecordError,
-    RunRecordStore,
+    StoredRecord,
+    StreamRecordError,
+    StreamRecordStore,
 )
 
 WRITE_INTERVAL_S = 1.0  # a run whose instance dies sooner has its prompt read again
-MAX_RECORDED_RUNS = 256  # keeps the row of an instance below the row limit of the store
+MAX_RECORDED_STREAMS = (
+    256  # keeps the row of an instance below the row limit of the store
+)
 RECORDED_AGE_S = 15.0  # exceeds the duration of most generations
 READ_INTERVAL_S = 2.0  # one read serves all callers that return together
 
 _log = structlog.get_logger()
 
 
-class RunRecorder:
+class StreamRecorder:
     """Writes the entries of an index to the store in batches, and reads all records.
 
     Parameters
     ----------
-    index : RunCopyIndex
+    index : StreamIndex
         Its newest entries are written.
-    store : RunRecordStore
+    store : StreamRecordStore
     reactor : IReactorTime
     clock : callable
         Returns seconds.
@@ -41,8 +43,8 @@
     def __init__(
         self,
         *,
-        index: RunCopyIndex,
-        store: RunRecordStore,
+        index: StreamIndex,
+        store: StreamRecordStore,
         reactor: IReactorTime,
         clock: Callable[[], float],
     ):
@@ -51,7 +53,7 @@
         self._reactor = reactor
         self._clock = clock
         self._timer: Any = None
-        self._records: dict[str, RunRecord] = {}
+        self._records: dict[str, StoredRecord] = {}
         self._read_at = -math.inf
         self._pending_read: Deferred | None = None
         self._readers: list[Deferred] = []
@@ -97,7 +99,7 @@
 
     def _start_write(self) -> None:
         newest = self._index.list_newest(
-            MAX_RECORDED_RUNS, max_age_s=RECORDED_AGE_S, now=self._clock()
+            MAX_RECORDED_STREAMS, max_age_s=RECORDED_AGE_S, now=self._clock()
         )
         writing = ensureDeferred(self._store.write(newest))
         writing.addErrback(self._log_failure, "write")
@@ -107,9 +109,9 @@
         self._pending_read.addCallbacks(self._replace_records, self._log_read_failure)
         self._pending_read.addBoth(self._release_readers)
 
-    def _replace_records(self, records: dict[str, RunRecord]) -> None:
+    def _replace_records(self, records: dict[str, StoredRecord]) -> None:
         self._records = records
-        _log.info("run_records_read", runs=len(records))
+        _log.info("stream_records_read", runs=len(records))
 
     def _log_read_failure(self, failure) -> None:
         self._log_failure(failure, "read")
@@ -123,8 +125,8 @@
 
     def _log_failure(self, failure, step: str) -> None:
         """Log that the records are incomplete; prompts are then read again."""
-        if failure.check(RunRecordError, CancelledError):
+        if failure.check(StreamRecordError, CancelledError):
             reason = str(failure.value)
-            _log.warning("run_records_unavailable", step=step, reason=reason)
+            _log.warning("stream_records_unavailable", step=step, reason=reason)
         else:
-            _log.error("run_records_crashed", error=failure.getTraceback())
+            _log.error("stream_records_crashed", error=failure.getTraceback())
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -281,7 +281,7 @@
         )
         copy = RunCopy(
             request_id=self._request.request_id,
-            run_key=self._request.run_key if self._route.may_retry else None,
+            stream_key=self._request.stream_key if self._route.may_retry else None,
             source=backend,
             holder=holder,
             engine=self._engine if self._route.may_retry else None,
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -175,11 +175,11 @@
         """
 
 
-class RunRecordError(Exception):
+class StreamRecordError(Exception):
     """Raised if records of runs cannot be written or read."""
 
 
-class RunRecord(NamedTuple):
+class StoredRecord(NamedTuple):
     """Record of the copy of a run.
 
     Parameters
@@ -193,7 +193,7 @@
     age_s: float
 
 
-class RunRecordStore(abc.ABC):
+class StreamRecordStore(abc.ABC):
     """Durable records of where the copies of open runs are.
 
     They outlive all instances. A record may be out of date, because engines refuse to
@@ -211,22 +211,22 @@
 
         Raises
         ------
-        RunRecordError
+        StreamRecordError
             The write may have been applied nevertheless.
         """
 
     @abc.abstractmethod
-    async def read(self) -> dict[str, RunRecord]:
+    async def read(self) -> dict[str, StoredRecord]:
         """Return the records of all instances.
 
         Returns
         -------
-        dict of str to RunRecord
+        dict of str to StoredRecord
             By key of the run.
 
         Raises
         ------
-        RunRecordError
+        StreamRecordError
         """
 
 
--- a/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
@@ -7,11 +7,11 @@
 from ebonyhaven_decisions.forwarding import RunCopyLocation
 from ebonyhaven_node.forwarding.interfaces import (
     InspectedServer,
-    RunRecord,
-    RunRecordStore,
     ServerInspector,
     StateSource,
     StateVersion,
+    StoredRecord,
+    StreamRecordStore,
 )
 
 
@@ -49,14 +49,14 @@
         """See `StateSource.merge`."""
 
 
-class NullRecordStore(RunRecordStore):
+class NullRecordStore(StreamRecordStore):
     """Keeps no records; the experiment loses no instance."""
 
     async def write(self, locations: Mapping[str, RunCopyLocation]) -> None:
-        """See `RunRecordStore.write`."""
+        """See `StreamRecordStore.write`."""
 
-    async def read(self) -> dict[str, RunRecord]:
-        """See `RunRecordStore.read`."""
+    async def read(self) -> dict[str, StoredRecord]:
+        """See `StreamRecordStore.read`."""
         return {}
 
 
--- a/tests/decisions/test_copy_index.py
+++ b/tests/decisions/test_stream_index.py
@@ -1,12 +1,12 @@
 from __future__ import annotations
 
 from ebonyhaven_decisions.forwarding import (
-    RunCopyIndex,
     RunCopyLocation,
+    StreamIndex,
     choose_index_instances,
     choose_recorder,
 )
-from ebonyhaven_decisions.forwarding._copy_index import (
+from ebonyhaven_decisions.forwarding._stream_index import (
     INDEX_REPLICAS,
     INSTANCES_PER_RECORDER,
     MAX_INDEX_ENTRIES,
@@ -54,7 +54,7 @@
 
 
 def test_copy_is_found_until_its_entry_is_removed():
-    index = RunCopyIndex(30.0)
+    index = StreamIndex(30.0)
     index.record("abc", LOCATION, 100.0)
     assert index.find("abc", 101.0) == LOCATION
     assert index.find("other", 101.0) is None
@@ -63,7 +63,7 @@
 
 
 def test_expired_and_excess_entries_are_evicted():
-    index = RunCopyIndex(30.0)
+    index = StreamIndex(30.0)
     index.record("old", LOCATION, 100.0)
     assert index.find("old", 130.1) is None
     for number in range(MAX_INDEX_ENTRIES + 5):
@@ -74,7 +74,7 @@
 
 
 def test_newest_entries_are_listed_up_to_a_count_and_an_age():
-    index = RunCopyIndex(30.0)
+    index = StreamIndex(30.0)
     for number in range(5):
         index.record(str(number), LOCATION, 100.0 + number)
     assert list(index.list_newest(2, max_age_s=10.0, now=104.0)) == ["4", "3"]
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -23,12 +23,12 @@
 from ebonyhaven_node.forwarding.interfaces import (
     InspectedServer,
     RunCopier,
-    RunRecord,
-    RunRecordError,
-    RunRecordStore,
     ServerInspector,
     StateSource,
     StateVersion,
+    StoredRecord,
+    StreamRecordError,
+    StreamRecordStore,
 )
 from ebonyhaven_standins.memory_connections import (
     MemoryServerConnection,
@@ -108,7 +108,7 @@
         self.deleted.append((source, handle))
 
 
-class FakeRecordStore(RunRecordStore):
+class FakeRecordStore(StreamRecordStore):
     """Keeps the records in memory; unavailable while ``is_down`` is set."""
 
     def __init__(self):
@@ -119,15 +119,15 @@
 
     async def write(self, locations):
         if self.is_down:
-            raise RunRecordError("test")
+            raise StreamRecordError("test")
         self.writes.append(dict(locations))
 
     async def read(self):
         self.read_count += 1
         if self.is_down:
-            raise RunRecordError("test")
+            raise StreamRecordError("test")
         newest = self.writes[-1] if self.writes else {}
-        return {key: RunRecord(each, self.age_s) for key, each in newest.items()}
+        return {key: StoredRecord(each, self.age_s) for key, each in newest.items()}
 
 
 def decode_headers(request: h11.Request) -> dict[str, str]:
--- a/tests/forwarding/test_shared_copy_index.py
+++ b/tests/forwarding/test_shared_stream_index.py
@@ -2,12 +2,12 @@
 
 from ebonyhaven_decisions import MemberState
 from ebonyhaven_decisions.forwarding import RunCopyLocation, choose_index_instances
-from ebonyhaven_decisions.forwarding._copy_index import INDEX_REPLICAS
+from ebonyhaven_decisions.forwarding._stream_index import INDEX_REPLICAS
 from ebonyhaven_node import Frame, FrameKind
 from ebonyhaven_node._frames import encode_frame
-from ebonyhaven_node.forwarding._shared_copy_index import (
+from ebonyhaven_node.forwarding._shared_stream_index import (
     QUERY_TIMEOUT_S,
-    SharedCopyIndex,
+    SharedStreamIndex,
 )
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock
@@ -58,14 +58,14 @@
 
 
 def build_index(clock):
-    return SharedCopyIndex(clock, clock.seconds, FakeRecordStore())
+    return SharedStreamIndex(clock, clock.seconds, FakeRecordStore())
 
 
 def build_indexes(*names):
     """Return connected indexes by instance name, their network and their clock."""
     clock, network = Clock(), FakeNetwork()
     store = FakeRecordStore()
-    indexes = {name: SharedCopyIndex(clock, clock.seconds, store) for name in names}
+    indexes = {name: SharedStreamIndex(clock, clock.seconds, store) for name in names}
     for name, index in indexes.items():
         network.join(index, name, [each for each in names if each != name])
     return indexes, network, clock
@@ -110,7 +110,9 @@
     location = RunCopyLocation(
         "i-0123456789", "10.33.164.138:18028", "0123456789abcdef"
     )
-    frame = Frame(FrameKind.RUN_PLACE, "edge-sala-b-44", 44015126, ["0" * 16, location])
+    frame = Frame(
+        FrameKind.STREAM_RECORD, "edge-sala-b-44", 44015126, ["0" * 16, location]
+    )
     assert 3.9 * INDEX_REPLICAS * len(encode_frame(frame)) <= 2000 * 2 / 3
 
 
@@ -151,11 +153,11 @@
 
 def test_malformed_messages_are_ignored():
     indexes, network, _ = build_indexes("n1", "n2")
-    handle_location = network.channels["n2"].handlers[FrameKind.RUN_PLACE]
+    handle_location = network.channels["n2"].handlers[FrameKind.STREAM_RECORD]
     for payload in ("nonsense", ["abc"], ["abc", ["e-1"]], 7):
-        handle_location(Frame(FrameKind.RUN_PLACE, "n1", 1, payload))
-    handle_query = network.channels["n2"].handlers[FrameKind.RUN_PLACE_REQUEST]
-    handle_query(Frame(FrameKind.RUN_PLACE_REQUEST, "n1", 1, ["abc"]))
+        handle_location(Frame(FrameKind.STREAM_RECORD, "n1", 1, payload))
+    handle_query = network.channels["n2"].handlers[FrameKind.STREAM_RECORD_REQUEST]
+    handle_query(Frame(FrameKind.STREAM_RECORD_REQUEST, "n1", 1, ["abc"]))
     assert len(indexes["n2"]._index) == 0
 
 
@@ -191,8 +193,8 @@
         ForwardingHarness(engines=9),
         FakeNetwork(),
     )
-    network.join(lost.gateway._copy_index, "n1", ["n2"])
-    network.join(remaining.gateway._copy_index, "n2", ["n1"])
+    network.join(lost.gateway._stream_index, "n1", ["n2"])
+    network.join(remaining.gateway._stream_index, "n2", ["n1"])
     references = open_streams(lost, STREAM_COUNT)
     del network.channels["n1"]
     callers = []
--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhaven_node.forwarding._run_records import WRITE_INTERVAL_S
+from ebonyhaven_node.forwarding._stream_records import WRITE_INTERVAL_S
 
 from tests.forwarding.harness import (
     STREAM_END,
--- a/tests/forwarding/test_run_records.py
+++ b/tests/forwarding/test_stream_records.py
@@ -1,10 +1,10 @@
 from __future__ import annotations
 
-from ebonyhaven_decisions.forwarding import RunCopyIndex, RunCopyLocation
-from ebonyhaven_node.forwarding._run_records import (
+from ebonyhaven_decisions.forwarding import RunCopyLocation, StreamIndex
+from ebonyhaven_node.forwarding._stream_records import (
     READ_INTERVAL_S,
     WRITE_INTERVAL_S,
-    RunRecorder,
+    StreamRecorder,
 )
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock
@@ -18,7 +18,7 @@
     event,
     stream_head,
 )
-from tests.forwarding.test_shared_copy_index import (
+from tests.forwarding.test_shared_stream_index import (
     STREAM_COUNT,
     FakeNetwork,
     make_size_headers,
@@ -32,8 +32,10 @@
 
 
 def build_recorder():
-    clock, index, store = Clock(), RunCopyIndex(30.0), FakeRecordStore()
-    recorder = RunRecorder(index=index, store=store, reactor=clock, clock=clock.seconds)
+    clock, index, store = Clock(), StreamIndex(30.0), FakeRecordStore()
+    recorder = StreamRecorder(
+        index=index, store=store, reactor=clock, clock=clock.seconds
+    )
     return recorder, index, store, clock
 
 
@@ -101,8 +103,8 @@
 def lose_all_instances():
     """Open streams on an instance, and return its successor, which knows nothing."""
     lost, successor = ForwardingHarness(engines=9), ForwardingHarness(engines=9)
-    FakeNetwork().join(lost.gateway._copy_index, "n1", [])
-    FakeNetwork().join(successor.gateway._copy_index, "n1", [])
+    FakeNetwork().join(lost.gateway._stream_index, "n1", [])
+    FakeNetwork().join(successor.gateway._stream_index, "n1", [])
     references = open_streams(lost, STREAM_COUNT)
     send_events(lost, LAST_EVENT)
     successor.record_store.writes = lost.record_store.writes
--- a/tests/platform_adapter/test_run_records.py
+++ b/tests/platform_adapter/test_stream_records.py
@@ -1,10 +1,10 @@
 from __future__ import annotations
 
-from ebonyhaven_adapter._run_records import RECORD_TABLE, StoreRunRecords
 from ebonyhaven_adapter._store import Row, RowBatch
+from ebonyhaven_adapter._stream_records import RECORD_TABLE, StoreStreamRecords
 from ebonyhaven_adapter.exceptions import StoreError
 from ebonyhaven_decisions.forwarding import RunCopyLocation
-from ebonyhaven_node.forwarding.interfaces import RunRecord, RunRecordError
+from ebonyhaven_node.forwarding.interfaces import StoredRecord, StreamRecordError
 from twisted.internet.defer import ensureDeferred
 from twisted.python.failure import Failure
 
@@ -50,16 +50,16 @@
 
 def test_records_of_all_instances_are_read_and_the_newest_row_wins():
     client = FakeStoreClient()
-    run(StoreRunRecords(instance="n1", client=client).write({"a": LOCATION}))
+    run(StoreStreamRecords(instance="n1", client=client).write({"a": LOCATION}))
     run(
-        StoreRunRecords(instance="n0", client=client).write(
+        StoreStreamRecords(instance="n0", client=client).write(
             {"a": NEWER_LOCATION, "b": LOCATION}
         )
     )
     client.now_s += 3.0
-    assert run(StoreRunRecords(instance="n3", client=client).read()) == {
-        "a": RunRecord(NEWER_LOCATION, 3.0),
-        "b": RunRecord(LOCATION, 3.0),
+    assert run(StoreStreamRecords(instance="n3", client=client).read()) == {
+        "a": StoredRecord(NEWER_LOCATION, 3.0),
+        "b": StoredRecord(LOCATION, 3.0),
     }
 
 
@@ -70,21 +70,21 @@
     contents += [{"written_s": 49.0, "runs": each} for each in runs]
     for number, content in enumerate(contents):
         client.rows[str(number)] = Row(str(number), content, number, False)
-    assert run(StoreRunRecords(instance="n1", client=client).read()) == {}
+    assert run(StoreStreamRecords(instance="n1", client=client).read()) == {}
     content = {"written_s": 49.0, "runs": {"b": list(LOCATION)}}
     client.rows["x"] = Row("x", content, 9, False)
-    records = run(StoreRunRecords(instance="n1", client=client).read())
-    assert records == {"b": RunRecord(LOCATION, 1.0)}
+    records = run(StoreStreamRecords(instance="n1", client=client).read())
+    assert records == {"b": StoredRecord(LOCATION, 1.0)}
 
 
 def test_store_failure_is_reported():
     client = FakeStoreClient()
     client.is_down = True
-    records = StoreRunRecords(instance="n1", client=client)
+    records = StoreStreamRecords(instance="n1", client=client)
     for call in (records.write({"a": LOCATION}), records.read()):
         try:
             run(call)
-        except RunRecordError as error:
+        except StreamRecordError as error:
             assert str(error) == "down"
         else:
             raise AssertionError("no error")
