Go on with a stream only at the software version that began it

Cause: a server's version was dropped at the edge, so no decision about a stream knew it: neither the choice of its next server, nor that of the holder of its copy, nor what instances tell each other and the store of a stream that its caller takes up elsewhere. Class: state that binds a stream was not part of the stream's identity. Change: the first event binds a stream (StreamVersion). Servers and copies are chosen among that version; the record of a stream, at three instances and in the store, holds its version and the request that brought its first event; a recorder takes over what its predecessor wrote. A stream whose version has left ends at once, a retry of unknown version is refused at once unless the service has had one version only. New streams avoid the single engine of a version. Why it works: every path to a next attempt passes StreamVersion.find_obstacle and the filter of BackendDirectory.list_usable or the comparison in EarlierRun.take_copy.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -21,6 +21,7 @@
     have_room,
     is_prompt_admitted,
     select_preferred_engines,
+    select_replaceable_engines,
 )
 from ebonyhaven_decisions.forwarding._priorities import choose_engine_priority
 from ebonyhaven_decisions.forwarding._restored_list import merge_restored_list
@@ -38,11 +39,16 @@
 from ebonyhaven_decisions.forwarding._selection import choose_backend
 from ebonyhaven_decisions.forwarding._startup import StateWaitLimits
 from ebonyhaven_decisions.forwarding._stream_index import (
-    RunCopyLocation,
     StreamIndex,
     choose_index_instances,
     choose_recorder,
 )
+from ebonyhaven_decisions.forwarding._stream_records import (
+    RunCopyLocation,
+    StreamRecord,
+    decode_stream_record,
+    encode_stream_record,
+)
 from ebonyhaven_decisions.forwarding._stream_timing import (
     SERVER_PROBE_INTERVAL_S,
     PrefillRate,
@@ -76,6 +82,7 @@
     "SilenceLimits",
     "StateWaitLimits",
     "StreamDurations",
+    "StreamRecord",
     "TokenDemand",
     "Workspace",
     "choose_backend",
@@ -90,9 +97,12 @@
     "compute_gap_limits",
     "count_queued_prefill_tokens",
     "fits_in_memory",
+    "decode_stream_record",
+    "encode_stream_record",
     "group_routes",
     "have_room",
     "is_prompt_admitted",
     "merge_restored_list",
     "select_preferred_engines",
+    "select_replaceable_engines",
 ]
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -14,17 +14,21 @@
 
 # The loss of the other servers of a failed data centre is detected within this time.
 DATA_CENTRE_SUSPECT_S = 0.8
+VERSION_MEMORY_S = 30.0  # exceeds the duration of a stream
+# Entries that expired although their server lives are back within two seconds.
+ENTRY_RETURN_S = 2.5
 
 
 class BackendDirectory:
     """Backend servers, listed or recently removed, by server id."""
 
-    __slots__ = ("_by_id", "_lost_at", "_removed")
+    __slots__ = ("_by_id", "_lost_at", "_removed", "_versions")
 
     def __init__(self) -> None:
         self._lost_at: dict[str, float] = {}  # by data centre
         self._by_id: dict[str, Backend] = {}
         self._removed: dict[str, Backend] = {}
+        self._versions = RemovedVersions()
 
     def __iter__(self) -> Iterator[Backend]:
         return iter(self._by_id.values())
@@ -60,6 +64,8 @@
         known = self._by_id.get(entry.server_id) or self._removed.get(entry.server_id)
         self._removed.pop(entry.server_id, None)
         if known is None or not _is_same_process(known.entry, entry):
+            if known is not None:
+                self._versions.record(known.entry, now)
             known = Backend(entry)
         known.entry = entry
         known.removed_at = None
@@ -79,6 +85,7 @@
         backend = self._by_id.pop(server_id, None)
         if backend is None:
             return
+        self._versions.record(backend.entry, now)
         backend.removed_at = now
         self._removed[server_id] = backend
         for name, each in list(self._removed.items()):
@@ -158,8 +165,52 @@
         ]
         return unsuspected or candidates
 
+    def infer_version(self, service: str, now: float) -> str | None:
+        """Return the software version of a service if there is only one.
+
+        Parameters
+        ----------
+        service : str
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        str or None
+            None if servers of several versions, or of an unknown one, are listed or
+            were within `VERSION_MEMORY_S`.
+        """
+        versions = {
+            each.software_version
+            for each in self._by_id.values()
+            if each.entry.service == service
+        }
+        versions |= self._versions.list_recent(service, now)
+        return versions.pop() if len(versions) == 1 else None
+
+    def may_serve_version(self, service: str, version: str, now: float) -> bool:
+        """Return whether servers of a software version take requests, or may again.
+
+        Parameters
+        ----------
+        service, version : str
+        now : float
+            Seconds.
+        """
+        is_listed = any(
+            each.entry.service == service
+            and each.software_version == version
+            and each.entry.state is BackendState.READY
+            for each in self._by_id.values()
+        )
+        return is_listed or self._versions.may_return(service, version, now)
+
     def list_usable(
-        self, service: str, now: float, excluded: Iterable[tuple[str, int]] = ()
+        self,
+        service: str,
+        now: float,
+        excluded: Iterable[tuple[str, int]] = (),
+        version: str | None = None,
     ) -> list[Backend]:
         """Return the servers of a service that may be sent new requests.
 
@@ -172,27 +223,31 @@
             Seconds.
         excluded : iterable of (str, int)
             Keys of processes to leave out.
+        version : str or None
+            Software version of the servers; None for any.
 
         Returns
         -------
         list of Backend
         """
         excluded_keys = frozenset(excluded)
+
+        def is_candidate(backend: Backend) -> bool:
+            if backend.entry.service != service or backend.key in excluded_keys:
+                return False
+            return version is None or backend.software_version == version
+
         usable = [
             each
             for each in self._by_id.values()
-            if each.entry.service == service
-            and each.key not in excluded_keys
-            and each.is_usable(now)
+            if is_candidate(each) and each.is_usable(now)
         ]
         if usable or self._has_entries(service):
             return usable
         return [
             each
             for each in self._removed.values()
-            if each.entry.service == service
-            and each.key not in excluded_keys
-            and each.is_usable_after_removal(now)
+            if is_candidate(each) and each.is_usable_after_removal(now)
         ]
 
     def find_rest_end(self, service: str, now: float) -> float:
@@ -251,5 +306,58 @@
         return any(each.entry.service == service for each in self._by_id.values())
 
 
+class RemovedVersions:
+    """When servers of each software version of a service were last removed."""
+
+    __slots__ = ("_expired_at", "_removed_at")
+
+    def __init__(self) -> None:
+        self._removed_at: dict[tuple[str, str | None], float] = {}
+        # Of servers that did not announce that they leave.
+        self._expired_at: dict[tuple[str, str | None], float] = {}
+
+    def record(self, entry: BackendEntry, now: float) -> None:
+        """Record that an entry was removed.
+
+        Parameters
+        ----------
+        entry : BackendEntry
+            The entry before its removal.
+        now : float
+            Seconds.
+        """
+        key = (entry.service, entry.software_version)
+        self._removed_at[key] = now
+        if entry.state is BackendState.READY:
+            self._expired_at[key] = now
+
+    def list_recent(self, service: str, now: float) -> set[str | None]:
+        """Return the versions of servers removed within `VERSION_MEMORY_S`.
+
+        Parameters
+        ----------
+        service : str
+        now : float
+            Seconds.
+        """
+        return {
+            version
+            for (name, version), removed_at in self._removed_at.items()
+            if name == service and now - removed_at <= VERSION_MEMORY_S
+        }
+
+    def may_return(self, service: str, version: str, now: float) -> bool:
+        """Return whether a removed server of a version may still be alive.
+
+        Parameters
+        ----------
+        service, version : str
+        now : float
+            Seconds.
+        """
+        expired_at = self._expired_at.get((service, version), -math.inf)
+        return now - expired_at <= ENTRY_RETURN_S
+
+
 def _is_same_process(known: BackendEntry, entry: BackendEntry) -> bool:
     return (known.started_ms, known.address) == (entry.started_ms, entry.address)
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_placement.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_placement.py
@@ -9,6 +9,7 @@
 
 import random
 import zlib
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
@@ -325,6 +326,30 @@
     return min(fitting, key=estimate)
 
 
+def select_replaceable_engines(candidates: Sequence[Backend]) -> list[Backend]:
+    """Return the engines whose software version another candidate has as well.
+
+    Designed for the start and the end of a release, when a version has a single
+    engine: a stream that it begins could not go on anywhere after its loss.
+
+    Parameters
+    ----------
+    candidates : sequence of Backend
+
+    Returns
+    -------
+    list of Backend
+        All candidates if none can be replaced.
+    """
+    counts = Counter(each.software_version for each in candidates)
+    replaceable = [
+        each
+        for each in candidates
+        if each.software_version is not None and counts[each.software_version] > 1
+    ]
+    return replaceable or list(candidates)
+
+
 def choose_copy_holder(
     candidates: Sequence[Backend],
     *,
@@ -340,7 +365,8 @@
 
     Engines in other data centres than the run's are preferred, because the engines of
     a data centre tend to fail together. A suspect data centre is still preferred to
-    the data centre of the run, because its engines may recover shortly.
+    the data centre of the run, because its engines may recover shortly. Only engines
+    of the software version of the run can resume from the copy.
 
     Parameters
     ----------
@@ -363,7 +389,14 @@
     -------
     Backend or None
     """
-    others = [each for each in candidates if each.key != source.key]
+    version = source.software_version
+    if version is None:
+        return None
+    others = [
+        each
+        for each in candidates
+        if each.key != source.key and each.software_version == version
+    ]
     source_data_centre = source.entry.data_centre
     remote = [each for each in others if each.entry.data_centre != source_data_centre]
     unsuspected = [
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_index.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_index.py
@@ -1,8 +1,9 @@
-"""Index of the copies of runs, replicated to several instances.
+"""Index of the open streams, replicated to several instances.
 
 Designed for the loss of an instance: all callers of its streams retry at other
 instances within a tenth of a second. Prefilling their prompts again would delay each
-of these streams, and the new ones, beyond the allowed gap.
+of these streams, and the new ones, beyond the allowed gap; and at a server of another
+software version, a stream would get events that do not fit to those that it has.
 
 Also designed for the loss of all instances at once: one replica of each entry, its
 recorder, writes its entries to the platform's store in batches.
@@ -14,34 +15,17 @@
 import math
 import zlib
 from collections import OrderedDict
-from collections.abc import Iterable
-from typing import NamedTuple
+from collections.abc import Iterable, Mapping
+
+from ebonyhaven_decisions.forwarding._stream_records import StreamRecord
 
 INDEX_REPLICAS = 3  # instances per entry; each costs one message per run
 INSTANCES_PER_RECORDER = 16  # bounds the writes to the store in a large deployment
 MAX_INDEX_ENTRIES = 4096  # a few hundred bytes each
 
 
-class RunCopyLocation(NamedTuple):
-    """Location of the copy of a run.
-
-    Parameters
-    ----------
-    holder_id : str
-        Id of the server with the copy.
-    address : str
-        Address of that server, or of the run's engine for a copy made on request.
-    handle : str
-        Name of the copy on that server.
-    """
-
-    holder_id: str
-    address: str
-    handle: str
-
-
 class StreamIndex:
-    """Copies of runs known to this instance; the oldest entry is evicted first.
+    """Streams known to this instance; the oldest entry is evicted first.
 
     Parameters
     ----------
@@ -53,30 +37,51 @@
 
     def __init__(self, ttl_s: float):
         self._ttl_s = ttl_s
-        self._entries: OrderedDict[str, tuple[float, RunCopyLocation]] = OrderedDict()
+        self._entries: OrderedDict[str, tuple[float, StreamRecord]] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._entries)
 
-    def record(self, key: str, location: RunCopyLocation | None, now: float) -> None:
-        """Replace the entry of a run.
+    def record(self, key: str, record: StreamRecord | None, now: float) -> None:
+        """Replace the entry of a stream.
 
         Parameters
         ----------
         key : str
-            Identifies the run, see `choose_index_instances`.
-        location : RunCopyLocation or None
-            None if the run has no copy any more.
+            Identifies the stream, see `choose_index_instances`.
+        record : StreamRecord or None
+            None if the stream will not go on.
         now : float
             Seconds.
         """
         self._entries.pop(key, None)
-        if location is not None:
-            self._entries[key] = (now, location)
+        if record is not None:
+            self._entries[key] = (now, record)
+        self._evict(now)
+
+    def add_older(
+        self, records: Mapping[str, tuple[float, StreamRecord]], now: float
+    ) -> None:
+        """Add records of other origin, unless the index has the stream already.
+
+        Parameters
+        ----------
+        records : mapping of str to tuple of (float, StreamRecord)
+            Ages, seconds, and records, by key of the stream.
+        now : float
+            Seconds.
+        """
+        added = {
+            key: (now - age_s, record)
+            for key, (age_s, record) in records.items()
+            if key not in self._entries
+        }
+        entries = [*added.items(), *self._entries.items()]
+        self._entries = OrderedDict(sorted(entries, key=lambda entry: entry[1][0]))
         self._evict(now)
 
-    def find(self, key: str, now: float) -> RunCopyLocation | None:
-        """Return the location of the copy of a run.
+    def find(self, key: str, now: float) -> StreamRecord | None:
+        """Return the record of a stream.
 
         Parameters
         ----------
@@ -86,14 +91,14 @@
 
         Returns
         -------
-        RunCopyLocation or None
+        StreamRecord or None
         """
-        set_at, location = self._entries.get(key, (now, None))
-        return location if now - set_at <= self._ttl_s else None
+        set_at, record = self._entries.get(key, (now, None))
+        return record if now - set_at <= self._ttl_s else None
 
     def list_newest(
         self, count: int, *, max_age_s: float, now: float
-    ) -> dict[str, RunCopyLocation]:
+    ) -> dict[str, StreamRecord]:
         """Return the newest entries.
 
         Parameters
@@ -107,14 +112,14 @@
 
         Returns
         -------
-        dict of str to RunCopyLocation
-            By key of the run.
+        dict of str to StreamRecord
+            By key of the stream.
         """
-        newest: dict[str, RunCopyLocation] = {}
-        for key, (set_at, location) in reversed(self._entries.items()):
+        newest: dict[str, StreamRecord] = {}
+        for key, (set_at, record) in reversed(self._entries.items()):
             if len(newest) == count or now - set_at > max_age_s:
                 break
-            newest[key] = location
+            newest[key] = record
         return newest
 
     def _evict(self, now: float) -> None:
@@ -126,15 +131,15 @@
 
 
 def choose_recorder(key: str, instances: Iterable[str]) -> str | None:
-    """Return the instance that writes the entry of a run to the store.
+    """Return the instance that writes the entry of a stream to the store.
 
-    Few instances write, each for many runs, because the store limits its callers in
+    Few instances write, each for many streams, because the store limits its callers in
     writes per second rather than in bytes.
 
     Parameters
     ----------
     key : str
-        Identifies the run, see `choose_index_instances`.
+        Identifies the stream, see `choose_index_instances`.
     instances : iterable of str
         Names of all instances.
 
@@ -152,13 +157,12 @@
 
 
 def choose_index_instances(key: str, instances: Iterable[str]) -> list[str]:
-    """Return the instances that store the entry of a run, the same on every instance.
+    """Return the instances that store the entry of a stream, the same on all instances.
 
     Parameters
     ----------
     key : str
-        Identifies the run by its content, so that the caller's retry has the same
-        key.
+        Identifies the stream, so that the caller's retry has the same key.
     instances : iterable of str
         Names of all instances.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
@@ -1,4 +1,4 @@
-"""Copies of earlier runs, for callers that retry after the loss of their instance."""
+"""Earlier runs of streams that callers retry after the loss of their instance."""
 
 from __future__ import annotations
 
@@ -8,16 +8,18 @@
     EngineTraits,
     Route,
     RunCopyLocation,
+    StreamRecord,
 )
 
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._requests import CopyReference, ForwardRequest
+from ebonyhaven_node.forwarding._stream_versions import StreamVersion
 
 _log = structlog.get_logger()
 
 
 class EarlierRun:
-    """Earlier run that a caller's retry continues from its copy, at most once.
+    """Earlier run that a caller's retry continues, from its copy at most once.
 
     Parameters
     ----------
@@ -25,7 +27,15 @@
     route : Route
     engine : EngineTraits or None
         None for a service without engines, whose runs have no copies.
+    version : StreamVersion
+        Bound if the caller retries a stream.
     context : RelayContext
+
+    Attributes
+    ----------
+    first_request_id : str
+        Id of the caller's request that brought the first event; that of this request
+        if it is not known to be a retry.
     """
 
     def __init__(
@@ -34,42 +44,50 @@
         request: ForwardRequest,
         route: Route,
         engine: EngineTraits | None,
+        version: StreamVersion,
         context: RelayContext,
     ):
         self._engine = engine
         self._request = request
         self._route = route
+        self._version = version
         self._context = context
         self._location: RunCopyLocation | None = None
+        self.first_request_id = request.original_request_id or request.request_id
 
     @property
     def has_copy(self) -> bool:
         """Whether a copy is known and was not used yet."""
         return self._location is not None
 
-    async def find_copy(self) -> None:
-        """Look up the copy if the caller already received events of the stream.
+    async def find(self) -> None:
+        """Look up the stream if the caller already received events of it.
 
         Such a retry is counted and logged as a resume, with or without a copy.
         """
-        stream_key = self._request.stream_key
-        if self._request.last_event_id is None or stream_key is None:
-            return
-        if not self._route.may_retry or self._engine is None:
+        if self._request.last_event_id is None or not self._route.may_retry:
             return
-        location = self._location = await self._context.stream_index.find(
-            stream_key, copy_ttl_s=self._engine.copy_ttl_s
+        record = await self._find_record()
+        if record is not None:
+            self.first_request_id = record.request_id
+            self._location = record.copy if self._engine is not None else None
+        self._version.bind_to_recorded(
+            record.version if record else None, self._context.clock()
         )
-        source = "caller_prompt" if location is None else "caller_copy"
+        source = "caller_prompt" if self._location is None else "caller_copy"
         self._context.metrics.resumes.labels(source).inc()
-        _log.info(
-            "caller_came_back",
-            request=self._request.request_id,
-            original=self._request.original_request_id,
-            position=self._request.last_event_id,
-            copy_at=location.holder_id if location else None,
-            copy=location.handle if location else None,
+        self._log_retry(record)
+
+    async def _find_record(self) -> StreamRecord | None:
+        """Return the record of the stream that the caller names, if it names one."""
+        copy_ttl_s = self._engine.copy_ttl_s if self._engine is not None else 0.0
+        record = await self._context.stream_index.find(
+            self._request.stream_key, copy_ttl_s=copy_ttl_s
         )
+        named = self._request.original_request_id
+        if record is None or named in (None, record.request_id):
+            return record
+        return None
 
     def take_copy(self, now: float) -> tuple[Backend, CopyReference] | None:
         """Return the holder and the copy if it is usable, and clear the known copy.
@@ -89,4 +107,20 @@
         holder = self._context.state.backends.find(location.holder_id)
         if holder is None or not holder.can_resume_from_copy(now):
             return None
-        return holder, CopyReference(location.address, location.handle)
+        if holder.software_version != self._version.name:
+            return None
+        address = location.address or holder.entry.address
+        return holder, CopyReference(address, location.handle)
+
+    def _log_retry(self, record: StreamRecord | None) -> None:
+        location = self._location
+        _log.info(
+            "caller_came_back",
+            request=self._request.request_id,
+            original=self._request.original_request_id,
+            position=self._request.last_event_id,
+            is_recorded=record is not None,
+            version=self._version.name,
+            copy_at=location.holder_id if location else None,
+            copy=location.handle if location else None,
+        )
--- a/packages/node/src/ebonyhaven_node/forwarding/_progress.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_progress.py
@@ -5,11 +5,12 @@
 import math
 
 import structlog
-from ebonyhaven_decisions.forwarding import Route
+from ebonyhaven_decisions.forwarding import Backend, Route
 
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._http_server import Exchange
 from ebonyhaven_node.forwarding._requests import ForwardRequest, ResponseHead
+from ebonyhaven_node.forwarding._stream_versions import StreamVersion
 
 _log = structlog.get_logger()
 
@@ -22,6 +23,8 @@
     request : ForwardRequest
     route : Route
     exchange : Exchange
+    version : StreamVersion
+        Bound to the server of the first event.
     context : RelayContext
 
     Attributes
@@ -37,8 +40,6 @@
     resume_source : str or None
         What the stream was resumed from: a ``copy`` of the run or the ``prompt``.
         None if an event was delivered since, or if there was no resume.
-    version : str or None
-        Software version of the server that generated the last event.
     """
 
     def __init__(
@@ -47,10 +48,12 @@
         request: ForwardRequest,
         route: Route,
         exchange: Exchange,
+        version: StreamVersion,
         context: RelayContext,
     ):
         self._request = request
         self._route = route
+        self._version = version
         self._exchange = exchange
         self._context = context
         self._delivered_at = 0.0
@@ -60,7 +63,6 @@
         self.is_late = False
         self.is_complete = False
         self.resume_source: str | None = None
-        self.version: str | None = None
 
     def measure_wait(self, now: float) -> tuple[float, float]:
         """Return how long the caller has waited for its next event, and the target.
@@ -99,7 +101,7 @@
         return [event for event in events if self._advance_position(event)]
 
     def deliver(
-        self, events: list[bytes], head: ResponseHead, version: str | None, now: float
+        self, events: list[bytes], head: ResponseHead, server: Backend, now: float
     ) -> None:
         """Send events to the caller, preceded by the response head if not yet sent.
 
@@ -107,8 +109,8 @@
         ----------
         events : list of bytes
         head : ResponseHead
-        version : str or None
-            Software version of the server that generated the events.
+        server : Backend
+            Server that generated the events.
         now : float
             Time of the context's clock, seconds.
         """
@@ -119,7 +121,7 @@
         else:
             self._exchange.start_stream(head.status, head.headers)
             self._record_first_event(now - self._request.arrived_at)
-        self._record_version(version)
+        self._check_version(server)
         self._exchange.write(b"".join(events))
         self.delivered += len(events)
         self._delivered_at = now
@@ -178,20 +180,19 @@
         )
         self.resume_source = None
 
-    def _record_version(self, version: str | None) -> None:
+    def _check_version(self, server: Backend) -> None:
         """Report a stream that holds events of two software versions."""
-        if version == self.version:
+        self._version.bind_to_server(server)
+        if server.software_version == self._version.name:
             return
-        if self.version is not None:
-            self._context.metrics.version_changes.inc()
-            _log.error(
-                "stream_version_changed",
-                request=self._request.request_id,
-                before=self.version,
-                version=version,
-                position=self.position,
-            )
-        self.version = version
+        self._context.metrics.version_changes.inc()
+        _log.error(
+            "stream_version_changed",
+            request=self._request.request_id,
+            before=self._version.name,
+            version=server.software_version,
+            position=self.position,
+        )
 
     def _record_late(self, target: str, delay_s: float) -> None:
         if self.is_late:
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -114,16 +114,17 @@
         return hasher.hexdigest()[:DIGEST_HEX_DIGITS]
 
     @property
-    def stream_key(self) -> str | None:
-        """Digest that identifies a generation when its caller reconnects.
+    def stream_key(self) -> str:
+        """Digest that identifies a stream when its caller retries it.
 
-        None unless the request is a generation with a ``prompt_id``.
+        A generation is identified by its prompt, so that callers need not name the
+        request that began it; another stream by that request.
         """
         if self.prompt_id is None or self.size is None:
-            return None
-        identity = (
-            f"{self.content_digest} {self.host} {self.prompt_id} {tuple(self.size)}"
-        )
+            stream_id = self.original_request_id or self.request_id
+        else:
+            stream_id = f"{self.prompt_id} {tuple(self.size)}"
+        identity = f"{self.content_digest} {self.host} {stream_id}"
         return hashlib.sha256(identity.encode()).hexdigest()[:DIGEST_HEX_DIGITS]
 
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
@@ -14,6 +14,7 @@
     Backend,
     EngineTraits,
     RunCopyLocation,
+    StreamRecord,
 )
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 
@@ -44,8 +45,10 @@
     Parameters
     ----------
     request_id : str
+    first_request_id : str
+        Id of the caller's request that brought the first event of the stream.
     stream_key : str or None
-        See `ForwardRequest.stream_key`; None if the copy is not published.
+        See `ForwardRequest.stream_key`; None if the stream is not published.
     source : Backend
         Engine of the run.
     holder : Backend or None
@@ -64,6 +67,7 @@
         self,
         *,
         request_id: str,
+        first_request_id: str,
         stream_key: str | None,
         source: Backend,
         holder: Backend | None,
@@ -75,8 +79,9 @@
     ):
         self.holder = holder
         self._request_id = request_id
+        self._first_request_id = first_request_id
         self._stream_key = stream_key
-        self._published_location: RunCopyLocation | None = None
+        self._published_record: StreamRecord | None = None
         self._source = source
         self._engine = engine
         self._reservation = reservation
@@ -110,7 +115,7 @@
         return known is self.holder and self.holder.can_resume_from_copy(now)
 
     def update(self, now: float) -> None:
-        """Request or refresh the copy when due, and publish its location.
+        """Request or refresh the copy when due, and publish how the stream can go on.
 
         Parameters
         ----------
@@ -166,11 +171,13 @@
             Whether the caller received the complete stream and will not retry it.
         """
         is_deleted = self._handle is not None and not is_needed
-        if self._stream_key is not None and (is_complete or is_deleted):
+        if self._stream_key is not None and is_complete:
             self._context.stream_index.remove(self._stream_key)
+        elif is_deleted:
+            self._publish(None)
         if self._pending_request is not None:
             self._pending_request.cancel()
-        if self._handle is not None and not is_needed:
+        if is_deleted:
             deletion = ensureDeferred(
                 self._context.copier.delete_copy(
                     source=self._source.entry.address, handle=self._handle
@@ -180,14 +187,18 @@
 
     def _locate(self) -> RunCopyLocation:
         address, handle = self.reference
-        return RunCopyLocation(
-            self.holder.server_id, address, handle or self._request_id
-        )
+        if handle is None:
+            return RunCopyLocation(self.holder.server_id, None, self._request_id)
+        return RunCopyLocation(self.holder.server_id, address, handle)
 
     def _publish(self, location: RunCopyLocation | None) -> None:
-        if self._stream_key is not None and location != self._published_location:
-            self._published_location = location
-            self._context.stream_index.publish(self._stream_key, location)
+        version = self._source.software_version
+        if self._stream_key is None or version is None:
+            return
+        record = StreamRecord(version, self._first_request_id, location)
+        if record != self._published_record:
+            self._published_record = record
+            self._context.stream_index.publish(self._stream_key, record)
 
     def _log_deletion_failure(self, failure) -> None:
         """Log that deleting a copy failed; it expires after its time to live."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
@@ -1,17 +1,18 @@
-"""Index of run copies, replicated so that it survives the loss of an instance."""
+"""Index of open streams, replicated so that it survives the loss of an instance."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 
 import structlog
 from ebonyhaven_decisions import MemberState
 from ebonyhaven_decisions.forwarding import (
-    RunCopyLocation,
     StreamIndex,
+    StreamRecord,
     choose_index_instances,
     choose_recorder,
+    decode_stream_record,
+    encode_stream_record,
 )
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
@@ -29,7 +30,7 @@
 
 
 class SharedStreamIndex:
-    """Locations of run copies, with each entry replicated to several instances.
+    """Records of open streams, with each entry replicated to several instances.
 
     Until `connect` is called, only the entries of this instance are available.
 
@@ -66,26 +67,26 @@
         channels : Channels
         """
         self._membership = membership
-        channels.subscribe(FrameKind.STREAM_RECORD, self._handle_location)
+        channels.subscribe(FrameKind.STREAM_RECORD, self._handle_record)
         channels.subscribe(FrameKind.STREAM_RECORD_REQUEST, self._handle_query)
-        channels.subscribe(FrameKind.STREAM_RECORD_ANSWER, self._handle_location)
+        channels.subscribe(FrameKind.STREAM_RECORD_ANSWER, self._handle_record)
 
-    def publish(self, key: str, location: RunCopyLocation | None) -> None:
-        """Set the location of the copy of a run on all replicas of its entry.
+    def publish(self, key: str, record: StreamRecord) -> None:
+        """Set the record of a stream on all replicas of its entry.
 
         Parameters
         ----------
         key : str
             See `ForwardRequest.stream_key`.
-        location : RunCopyLocation or None
-            None if the run has no copy any more.
+        record : StreamRecord
         """
-        self._record(key, location)
+        self._record(key, record)
+        payload = [key, encode_stream_record(record)]
         for name in self._choose_replicas(key):
-            self._membership.send(name, FrameKind.STREAM_RECORD, [key, location])
+            self._membership.send(name, FrameKind.STREAM_RECORD, payload)
 
     def remove(self, key: str) -> None:
-        """Remove the entry of a run on this instance only.
+        """Remove the entry of a stream that is complete, on this instance only.
 
         Removing it on the replicas would add half of the traffic of publishing it.
         An outdated entry is harmless, because an engine refuses to resume from a copy
@@ -101,8 +102,8 @@
         """Stop writing to the store."""
         self._recorder.stop()
 
-    async def find(self, key: str, *, copy_ttl_s: float) -> RunCopyLocation | None:
-        """Return the location of the copy of a run.
+    async def find(self, key: str, *, copy_ttl_s: float) -> StreamRecord | None:
+        """Return the record of a stream.
 
         If it is unknown, the replicas are queried, and then the store.
 
@@ -114,18 +115,18 @@
 
         Returns
         -------
-        RunCopyLocation or None
-            None if neither a replica nor the store returns a location in time.
+        StreamRecord or None
+            None if neither a replica nor the store returns a record in time.
         """
-        location = self._index.find(key, self._clock())
-        if location is None:
-            location = await self._query_replicas(key)
-        if location is None:
-            max_age_s = copy_ttl_s + WRITE_INTERVAL_S
-            location = await self._recorder.find(key, max_age_s)
-        return location
-
-    async def _query_replicas(self, key: str) -> RunCopyLocation | None:
+        record = self._index.find(key, self._clock())
+        if record is None:
+            record = await self._query_replicas(key)
+        if record is None:
+            copy_max_age_s = copy_ttl_s + WRITE_INTERVAL_S
+            record = await self._recorder.find(key, copy_max_age_s)
+        return record
+
+    async def _query_replicas(self, key: str) -> StreamRecord | None:
         replicas = self._choose_replicas(key)
         if not replicas:
             return None
@@ -161,37 +162,29 @@
         replicas = choose_index_instances(key, self._list_instances())
         return [name for name in replicas if name != self._membership.own.name]
 
-    def _record(self, key: str, location: RunCopyLocation | None) -> None:
-        self._index.record(key, location, self._clock())
+    def _record(self, key: str, record: StreamRecord) -> None:
+        self._index.record(key, record, self._clock())
         names = self._list_instances()
         if names and choose_recorder(key, names) == self._membership.own.name:
             self._recorder.schedule_write()
 
     def _handle_query(self, frame: Frame) -> None:
         key = frame.payload
-        location = (
-            self._index.find(key, self._clock()) if isinstance(key, str) else None
-        )
-        if location is not None:
-            reply = [key, location]
+        record = self._index.find(key, self._clock()) if isinstance(key, str) else None
+        if record is not None:
+            reply = [key, encode_stream_record(record)]
             self._membership.send(frame.sender, FrameKind.STREAM_RECORD_ANSWER, reply)
 
-    def _handle_location(self, frame: Frame) -> None:
+    def _handle_record(self, frame: Frame) -> None:
         try:
-            key, location = _parse_location(frame.payload)
+            key, values = frame.payload
+            record = decode_stream_record(values)
         except (TypeError, ValueError) as error:
             _log.warning(
                 "stream_record_malformed", peer=frame.sender, reason=str(error)
             )
             return
-        self._record(key, location)
+        self._record(str(key), record)
         for result in list(self._queries.get(key, ())):
-            if location is not None and not result.called:
-                result.callback(location)
-
-
-def _parse_location(payload: Any) -> tuple[str, RunCopyLocation | None]:
-    key, values = payload
-    if values is None:
-        return str(key), None
-    return str(key), RunCopyLocation(*(str(value) for value in values))
+            if not result.called:
+                result.callback(record)
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -231,8 +231,7 @@
         new_events = self._progress.select_new(events)
         if events:
             self._monitor.record_events(now, len(events))
-        version = self._backend.software_version
-        self._progress.deliver(new_events, self._monitor.head, version, now)
+        self._progress.deliver(new_events, self._monitor.head, self._backend, now)
         return None
 
     def _handle_completion(self, is_delimited: bool) -> AttemptResult:
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_records.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_records.py
@@ -1,4 +1,4 @@
-"""Durable records of run copies, for the loss of all instances at once."""
+"""Durable records of open streams, for the loss of all instances at once."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from typing import Any
 
 import structlog
-from ebonyhaven_decisions.forwarding import RunCopyLocation, StreamIndex
+from ebonyhaven_decisions.forwarding import StreamIndex, StreamRecord
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
@@ -23,6 +23,7 @@
 )
 RECORDED_AGE_S = 15.0  # exceeds the duration of most generations
 READ_INTERVAL_S = 2.0  # one read serves all callers that return together
+RECORD_TTL_S = 30.0  # exceeds the duration of a generation
 
 _log = structlog.get_logger()
 
@@ -57,6 +58,7 @@
         self._read_at = -math.inf
         self._pending_read: Deferred | None = None
         self._readers: list[Deferred] = []
+        self._has_earlier_records = False
 
     def schedule_write(self) -> None:
         """Schedule a write within `WRITE_INTERVAL_S`."""
@@ -68,20 +70,20 @@
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
-    async def find(self, key: str, max_age_s: float) -> RunCopyLocation | None:
-        """Return the recorded location of a run.
+    async def find(self, key: str, copy_max_age_s: float) -> StreamRecord | None:
+        """Return the record of a stream.
 
         The records are read at most every `READ_INTERVAL_S`.
 
         Parameters
         ----------
         key : str
-        max_age_s : float
-            Maximum age of the record, seconds.
+        copy_max_age_s : float
+            Age from which a record counts without its copy, seconds.
 
         Returns
         -------
-        RunCopyLocation or None
+        StreamRecord or None
         """
         now = self._clock()
         if now - self._read_at >= READ_INTERVAL_S:
@@ -91,18 +93,41 @@
             read: Deferred = Deferred()
             self._readers.append(read)
             await read
-        record = self._records.get(key)
-        if record is None:
+        stored = self._records.get(key)
+        if stored is None:
             return None
-        age_s = record.age_s + self._clock() - self._read_at
-        return record.location if age_s <= max_age_s else None
+        age_s = stored.age_s + self._clock() - self._read_at
+        if age_s > RECORD_TTL_S:
+            return None
+        record = stored.record
+        return record if age_s <= copy_max_age_s else record._replace(copy=None)
 
     def _start_write(self) -> None:
+        writing = ensureDeferred(self._write())
+        writing.addErrback(self._log_failure, "write")
+
+    async def _write(self) -> None:
+        if not self._has_earlier_records:
+            await self._add_earlier_records()
         newest = self._index.list_newest(
             MAX_RECORDED_STREAMS, max_age_s=RECORDED_AGE_S, now=self._clock()
         )
-        writing = ensureDeferred(self._store.write(newest))
-        writing.addErrback(self._log_failure, "write")
+        await self._store.write(newest)
+
+    async def _add_earlier_records(self) -> None:
+        """Add what was recorded before this instance started to its index.
+
+        Callers of a machine that lost its power come back only after many seconds,
+        and the first write replaces the records of this instance's predecessor.
+        """
+        stored = await self._store.read()
+        self._has_earlier_records = True
+        earlier = {
+            key: (each.age_s, each.record)
+            for key, each in stored.items()
+            if each.age_s <= RECORD_TTL_S
+        }
+        self._index.add_older(earlier, self._clock())
 
     def _start_read(self) -> None:
         self._pending_read = ensureDeferred(self._store.read())
@@ -111,7 +136,7 @@
 
     def _replace_records(self, records: dict[str, StoredRecord]) -> None:
         self._records = records
-        _log.info("stream_records_read", runs=len(records))
+        _log.info("stream_records_read", streams=len(records))
 
     def _log_read_failure(self, failure) -> None:
         self._log_failure(failure, "read")
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from ebonyhaven_decisions.forwarding import (
     Backend,
@@ -16,6 +16,7 @@
     count_queued_prefill_tokens,
     have_room,
     is_prompt_admitted,
+    select_replaceable_engines,
 )
 
 from ebonyhaven_node.forwarding._context import RelayContext
@@ -63,17 +64,19 @@
         """
         self._avoided_until[backend.key] = now + FAILED_SERVER_AVOIDANCE_S
 
-    def has_room(self, now: float) -> bool:
+    def has_room(self, now: float, version: str | None = None) -> bool:
         """Return whether the engines of the service have room for additional streams.
 
         Parameters
         ----------
         now : float
             Seconds.
+        version : str or None
+            Software version of the engines; None for any.
         """
         if self._engine is None:
             return False
-        engines = self._context.state.backends.list_usable(self._service, now)
+        engines = self._list_candidates(now, version)
         peers = self._context.peers.sum_by_server(now)
         return have_room(engines, self._engine.memory_tokens, peers)
 
@@ -84,6 +87,7 @@
         *,
         waited_s: float,
         target_s: float,
+        version: str | None = None,
     ) -> Backend | None:
         """Return the server for the next attempt.
 
@@ -95,15 +99,17 @@
             Seconds.
         waited_s, target_s : float
             See `is_prompt_admitted`.
+        version : str or None
+            Software version that the stream is bound to; None before its first event.
 
         Returns
         -------
         Backend or None
             None if no server has capacity.
         """
-        usable = self._list_usable(now) or self._context.state.backends.list_usable(
-            self._service, now
-        )
+        usable = self._list_usable(now, version) or self._list_candidates(now, version)
+        if version is None:
+            usable = select_replaceable_engines(usable)
         usable = [each for each in usable if self._has_free_connection(each)]
         usable = self._context.state.backends.avoid_suspect_data_centres(usable, now)
         if self._engine is None:
@@ -179,12 +185,20 @@
             ),
         )
 
-    def _list_usable(self, now: float) -> list[Backend]:
+    def _list_usable(self, now: float, version: str | None = None) -> list[Backend]:
         avoided_keys = [
             key for key, until in self._avoided_until.items() if now < until
         ]
+        return self._list_candidates(now, version, avoided_keys)
+
+    def _list_candidates(
+        self,
+        now: float,
+        version: str | None,
+        excluded: Sequence[tuple[str, int]] = (),
+    ) -> list[Backend]:
         directory = self._context.state.backends
-        return directory.list_usable(self._service, now, avoided_keys)
+        return directory.list_usable(self._service, now, excluded, version)
 
     def _has_free_connection(self, backend: Backend) -> bool:
         configuration = self._context.state.configuration
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_versions.py
@@ -0,0 +1,81 @@
+"""Software version that the servers of a stream must have."""
+
+from __future__ import annotations
+
+from ebonyhaven_decisions.forwarding import Backend, BackendDirectory
+
+
+class StreamVersion:
+    """Software version that a stream is bound to by its first event.
+
+    Events of two versions do not fit together, and servers do not check that. Until it
+    is bound, a stream may begin at any version.
+
+    Parameters
+    ----------
+    service : str
+    backends : BackendDirectory
+
+    Attributes
+    ----------
+    is_bound : bool
+        Whether the caller has events of the stream.
+    """
+
+    __slots__ = ("_backends", "_first_server", "_service", "_version", "is_bound")
+
+    def __init__(self, service: str, backends: BackendDirectory):
+        self._service = service
+        self._backends = backends
+        self._first_server: Backend | None = None
+        self._version: str | None = None
+        self.is_bound = False
+
+    @property
+    def name(self) -> str | None:
+        """The version; None if the stream is not bound or the version is unknown."""
+        if self._first_server is not None:  # the list may name the version later
+            return self._first_server.software_version
+        return self._version
+
+    def bind_to_server(self, backend: Backend) -> None:
+        """Bind the stream to the server of its first event, unless it is bound.
+
+        Parameters
+        ----------
+        backend : Backend
+        """
+        if not self.is_bound:
+            self.is_bound = True
+            self._first_server = backend
+
+    def bind_to_recorded(self, version: str | None, now: float) -> None:
+        """Bind a stream that began at another instance or in an earlier request.
+
+        Parameters
+        ----------
+        version : str or None
+            Recorded version. Without a record, it is inferred if the service has had
+            only one version for as long as a stream lasts.
+        now : float
+            Seconds.
+        """
+        self.is_bound = True
+        self._version = version or self._backends.infer_version(self._service, now)
+
+    def find_obstacle(self, now: float) -> str | None:
+        """Return why no server can go on with the stream, or None if one may.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        if not self.is_bound:
+            return None
+        version = self.name
+        if version is None:
+            return "the software version that began the stream is not known"
+        if not self._backends.may_serve_version(self._service, version, now):
+            return f"no server of software version {version} is left"
+        return None
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -39,11 +39,11 @@
     StreamAttempt,
 )
 from ebonyhaven_node.forwarding._stream_servers import StreamServerSelector
+from ebonyhaven_node.forwarding._stream_versions import StreamVersion
 
 CAPACITY_POLL_INTERVAL_S = 0.1  # if no notification arrives
 MAX_TRIED_SERVERS = 40  # lost servers do not count against the route's max_attempts
 LATEST_START_SHARE = 0.75  # of the timeout; streams started later would not complete
-TOO_LATE_REASON = "too little time is left for a whole answer"
 
 _log = structlog.get_logger()
 
@@ -103,8 +103,13 @@
             timeout_s = min(timeout_s, request.timeout_s)
         self._deadline = request.arrived_at + timeout_s
         self._latest_start = request.arrived_at + LATEST_START_SHARE * timeout_s
+        self._version = StreamVersion(service, context.state.backends)
         self._progress = StreamProgress(
-            request=request, route=route, exchange=exchange, context=context
+            request=request,
+            route=route,
+            exchange=exchange,
+            version=self._version,
+            context=context,
         )
         self._attempts = 0
         self._tried_servers = 0
@@ -115,7 +120,11 @@
         )
         self._run_copy: RunCopy | None = None
         self._earlier_run = EarlierRun(
-            request=request, route=route, engine=engine, context=context
+            request=request,
+            route=route,
+            engine=engine,
+            version=self._version,
+            context=context,
         )
         self._error_response: tuple[ResponseHead, bytes] | None = None
         self._last_reason = "no server was tried"
@@ -130,7 +139,7 @@
             If no event was delivered and no further attempt is possible.
         """
         self._context.budget.record_request(self._service, self._context.clock())
-        await self._earlier_run.find_copy()
+        await self._earlier_run.find()
         while not self._exchange.is_done:
             target = await self._wait_for_target()
             if target is None or self._exchange.is_done:
@@ -169,12 +178,16 @@
 
     def _check_may_continue(self, now: float) -> None:
         """Fail the request if another attempt is not allowed or cannot succeed."""
+        obstacle = self._version.find_obstacle(now)
         if now >= self._deadline:
             self._give_up(now, "the time of the request is over")
+        elif obstacle is not None:
+            self._give_up(now, obstacle, retry_after_s=None)
         elif not self._may_have_run and now >= self._latest_start:
             self._give_up(now, "no server had room in time")
         elif not self._progress.delivered and not self._can_finish_in_time(now):
-            self._give_up(now, TOO_LATE_REASON)
+            reason = "too little time is left for a whole answer"
+            self._give_up(now, reason, retry_after_s=None)
         elif self._may_have_run and not self._route.may_retry:
             self._give_up(now, self._last_reason)
         elif self._is_stopped_by_crashes():
@@ -191,7 +204,7 @@
             remaining_s=self._deadline - now,
             events_delivered=int(position) if position.isdigit() else 0,
             has_copy=self._earlier_run.has_copy,
-            has_room=self._server_selector.has_room(now),
+            has_room=self._server_selector.has_room(now, self._version.name),
         )
 
     def _is_stopped_by_crashes(self) -> bool:
@@ -200,7 +213,13 @@
         verdict = self._context.crashes.evaluate(self._request.content_digest)
         return verdict is CrashVerdict.STOPPED
 
-    def _give_up(self, now: float, reason: str) -> None:
+    def _give_up(
+        self,
+        now: float,
+        reason: str,
+        *,
+        retry_after_s: float | None = NO_SERVER_RETRY_AFTER_S,
+    ) -> None:
         _log.warning(
             "stream_given_up",
             request=self._request.request_id,
@@ -218,9 +237,6 @@
             self._exchange.respond(head.status, head.headers, body)
             return
         if not self._may_have_run:
-            retry_after_s = (
-                None if reason == TOO_LATE_REASON else NO_SERVER_RETRY_AFTER_S
-            )
             raise make_not_run_failure(
                 reason, step="route", retry_after_s=retry_after_s
             )
@@ -243,6 +259,7 @@
             now,
             waited_s=waited_s,
             target_s=target_s,
+            version=self._version.name,
         )
         return None if backend is None else _Target(backend, None)
 
@@ -281,6 +298,7 @@
         )
         copy = RunCopy(
             request_id=self._request.request_id,
+            first_request_id=self._earlier_run.first_request_id,
             stream_key=self._request.stream_key if self._route.may_retry else None,
             source=backend,
             holder=holder,
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from ebonyhaven_decisions import Outcome
-from ebonyhaven_decisions.forwarding import RunCopyLocation, ServerListVersion
+from ebonyhaven_decisions.forwarding import ServerListVersion, StreamRecord
 
 from ebonyhaven_node.forwarding._requests import (
     AttemptPlan,
@@ -180,34 +180,34 @@
 
 
 class StoredRecord(NamedTuple):
-    """Record of the copy of a run.
+    """Record of a stream, as read from the store.
 
     Parameters
     ----------
-    location : RunCopyLocation
+    record : StreamRecord
     age_s : float
         Time since the instance that wrote it last confirmed it, seconds.
     """
 
-    location: RunCopyLocation
+    record: StreamRecord
     age_s: float
 
 
 class StreamRecordStore(abc.ABC):
-    """Durable records of where the copies of open runs are.
+    """Durable records of open streams.
 
-    They outlive all instances. A record may be out of date, because engines refuse to
-    resume from a copy that they no longer have.
+    They outlive all instances. The copy of a record may be out of date, because engines
+    refuse to resume from a copy that they no longer have.
     """
 
     @abc.abstractmethod
-    async def write(self, locations: Mapping[str, RunCopyLocation]) -> None:
+    async def write(self, records: Mapping[str, StreamRecord]) -> None:
         """Replace the records that this instance wrote before.
 
         Parameters
         ----------
-        locations : mapping of str to RunCopyLocation
-            By key of the run.
+        records : mapping of str to StreamRecord
+            By key of the stream.
 
         Raises
         ------
@@ -222,7 +222,7 @@
         Returns
         -------
         dict of str to StoredRecord
-            By key of the run.
+            By key of the stream.
 
         Raises
         ------
--- a/packages/standins/src/ebonyhaven_standins/resuming/_engines.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_engines.py
@@ -73,6 +73,7 @@
             data_centre=self.data_centre,
             slots=64,
             state=BackendState.READY,
+            software_version="1",
         )
 
     def accept(self, connection: MemoryServerConnection) -> None:
--- a/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 
-from ebonyhaven_decisions.forwarding import RunCopyLocation
+from ebonyhaven_decisions.forwarding import StreamRecord
 from ebonyhaven_node.forwarding.interfaces import (
     InspectedServer,
     ServerInspector,
@@ -52,7 +52,7 @@
 class NullRecordStore(StreamRecordStore):
     """Keeps no records; the experiment loses no instance."""
 
-    async def write(self, locations: Mapping[str, RunCopyLocation]) -> None:
+    async def write(self, records: Mapping[str, StreamRecord]) -> None:
         """See `StreamRecordStore.write`."""
 
     async def read(self) -> dict[str, StoredRecord]:
--- a/tests/decisions/test_forwarding.py
+++ b/tests/decisions/test_forwarding.py
@@ -32,6 +32,7 @@
         "data_centre": data_centre,
         "slots": 64,
         "state": BackendState.READY,
+        "software_version": "v1",
     }
     values.update(options)
     return BackendEntry(**values)
