Take the software version of an engine that restarts in an outage from its predecessor

Cause: an engine that is found while the list cannot be read had no version, so streams could neither go on there nor have copies there. Change: such an engine has the version that its address had, unless the server there had announced that it leaves. Engines of unknown version are still chosen for new streams.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_placement.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_placement.py
@@ -327,7 +327,7 @@
 
 
 def select_replaceable_engines(candidates: Sequence[Backend]) -> list[Backend]:
-    """Return the engines whose software version another candidate has as well.
+    """Return the engines but for the only one of a software version.
 
     Designed for the start and the end of a release, when a version has a single
     engine: a stream that it begins could not go on anywhere after its loss.
@@ -345,7 +345,7 @@
     replaceable = [
         each
         for each in candidates
-        if each.software_version is not None and counts[each.software_version] > 1
+        if each.software_version is None or counts[each.software_version] > 1
     ]
     return replaceable or list(candidates)
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_adoption.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_adoption.py
@@ -96,6 +96,7 @@
             data_centre=backend.entry.data_centre,
             slots=backend.entry.slots,
             state=BackendState.READY,
+            software_version=_infer_version(backend),
         )
         _log.info("process_adopted", server=server_id, before=backend.server_id)
         self._state.adopt_backend(entry)
@@ -110,3 +111,14 @@
             if each.engine is not None
         ]
         return engine_services == [service]
+
+
+def _infer_version(predecessor: Backend) -> str | None:
+    """Return the software version of a process that restarted at a server's address.
+
+    A release starts its processes at other addresses, and the servers that it replaces
+    announce that they leave; their addresses may then be used again by any process.
+    """
+    if predecessor.entry.state is BackendState.LEAVING:
+        return None
+    return predecessor.software_version
--- a/tests/forwarding/test_adoption.py
+++ b/tests/forwarding/test_adoption.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from ebonyhaven_decisions.forwarding import BackendState
 from ebonyhaven_node.forwarding.interfaces import InspectedServer
 
 from tests.forwarding.harness import (
@@ -39,6 +40,23 @@
     assert decode_headers(head)["x-expect-instance"] == "e-9"
 
 
+def test_adopted_engine_has_the_software_version_of_its_predecessor():
+    # Guards against streams that could not go on at engines that restarted during an
+    # outage of the store, as their version was unknown.
+    for state, version in ((BackendState.READY, "v1"), (BackendState.LEAVING, None)):
+        harness = ForwardingHarness(engines=1)
+        harness.source.unresponsive = True
+        caller = harness.open_caller()
+        caller.request("/stream/x", **TOKEN_COUNT_HEADER)
+        server, _, _ = harness.take_request()
+        known = harness.state.backends.find("e-0").entry
+        harness.state.put_backend(known._replace(state=state))
+        refusal = answer("r1", b"", 421, X_Server_Stamp=None, X_Instance_Id="e-9")
+        server.receive(refusal)
+        harness.advance(0.01)
+        assert harness.state.backends.find("e-9").software_version == version
+
+
 def test_nothing_is_adopted_while_the_list_can_be_read():
     harness = ForwardingHarness(engines=1)
     answer_from_other_process(harness)
