--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -21,12 +21,9 @@
 from ebonyhaven_node._crash_reports import CrashReports
 from ebonyhaven_node.forwarding._connection_pool import ConnectionPool
 from ebonyhaven_node.forwarding._inbox import Inbox
-from ebonyhaven_node.forwarding._messages import (
-    BackendProbed,
-    BackendSuspected,
-    CapacityChanged,
-)
+from ebonyhaven_node.forwarding._messages import BackendProbed
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
+from ebonyhaven_node.forwarding._notifiers import CapacityNotifier, SuspicionNotifier
 from ebonyhaven_node.forwarding._requests import ForwardRequest
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
 from ebonyhaven_node.forwarding._state import ForwardingState
@@ -40,81 +37,6 @@
 _log = structlog.get_logger()
 
 
-class SuspicionNotifier:
-    """Notifies the subscribed streams of lost and silent servers."""
-
-    __slots__ = ("_inboxes",)
-
-    def __init__(self) -> None:
-        self._inboxes: dict[Inbox, None] = {}
-
-    def subscribe(self, inbox: Inbox) -> None:
-        """Add a subscriber.
-
-        Parameters
-        ----------
-        inbox : Inbox
-            Receives `BackendSuspected`.
-        """
-        self._inboxes[inbox] = None
-
-    def unsubscribe(self, inbox: Inbox) -> None:
-        """Remove a subscriber, if subscribed.
-
-        Parameters
-        ----------
-        inbox : Inbox
-        """
-        self._inboxes.pop(inbox, None)
-
-    def notify(self, backend: Backend) -> None:
-        """Notify all subscribers of a suspected server.
-
-        Parameters
-        ----------
-        backend : Backend
-        """
-        suspicion = BackendSuspected(backend.key, backend.entry.data_centre)
-        for inbox in list(self._inboxes):
-            inbox.put(suspicion)
-
-
-class CapacityNotifier:
-    """Notifies waiting requests when servers or capacity may have become available."""
-
-    __slots__ = ("_inboxes",)
-
-    def __init__(self) -> None:
-        self._inboxes: dict[Inbox, None] = {}
-
-    def __len__(self) -> int:
-        return len(self._inboxes)
-
-    def subscribe(self, inbox: Inbox) -> None:
-        """Add a subscriber.
-
-        Parameters
-        ----------
-        inbox : Inbox
-            Receives `CapacityChanged`.
-        """
-        self._inboxes[inbox] = None
-
-    def unsubscribe(self, inbox: Inbox) -> None:
-        """Remove a subscriber, if subscribed.
-
-        Parameters
-        ----------
-        inbox : Inbox
-        """
-        self._inboxes.pop(inbox, None)
-
-    def notify(self) -> None:
-        """Notify all subscribers in the order of their subscription."""
-        for inbox in list(self._inboxes):
-            inbox.put(CapacityChanged())
-
-
 @attrs.frozen(slots=True, kw_only=True)
 class RelayContext:
     """Collaborators shared by the request relays of an instance.
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -31,9 +31,7 @@
     ConnectionPool,
 )
 from ebonyhaven_node.forwarding._context import (
-    CapacityNotifier,
     RelayContext,
-    SuspicionNotifier,
 )
 from ebonyhaven_node.forwarding._filters import (
     AdmitFilter,
@@ -47,6 +45,7 @@
 )
 from ebonyhaven_node.forwarding._http_server import CallerServer, Exchange
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
+from ebonyhaven_node.forwarding._notifiers import CapacityNotifier, SuspicionNotifier
 from ebonyhaven_node.forwarding._peer_group import PEER_USE_TTL_S, PeerGroup
 from ebonyhaven_node.forwarding._settings import GatewaySettings
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
