--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -9,16 +9,18 @@
 from ebonyhaven_decisions.forwarding._budget import ServiceRetryBudget
 from ebonyhaven_decisions.forwarding._change_feed import ChangeFeed, choose_reader
 from ebonyhaven_decisions.forwarding._directory import BackendDirectory
-from ebonyhaven_decisions.forwarding._placement import (
+from ebonyhaven_decisions.forwarding._engine_use import (
     EngineUse,
     PeerEngineUse,
     TokenDemand,
-    choose_copy_holder,
-    choose_engine,
-    choose_memory_share,
     count_queued_prefill_tokens,
     fits_in_memory,
     have_room,
+)
+from ebonyhaven_decisions.forwarding._placement import (
+    choose_copy_holder,
+    choose_engine,
+    choose_memory_share,
     is_prompt_admitted,
     select_preferred_engines,
     select_replaceable_engines,
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -11,12 +11,10 @@
     BackendEntry,
     BackendState,
 )
+from ebonyhaven_decisions.forwarding._removed_versions import RemovedVersions
 
 # The loss of the other servers of a failed data centre is detected within this time.
 DATA_CENTRE_SUSPECT_S = 0.8
-VERSION_MEMORY_S = 30.0  # exceeds the duration of a stream
-# Entries that expired although their server lives are back within two seconds.
-ENTRY_RETURN_S = 2.5
 
 
 class BackendDirectory:
@@ -306,58 +304,5 @@
         return any(each.entry.service == service for each in self._by_id.values())
 
 
-class RemovedVersions:
-    """When servers of each software version of a service were last removed."""
-
-    __slots__ = ("_expired_at", "_removed_at")
-
-    def __init__(self) -> None:
-        self._removed_at: dict[tuple[str, str | None], float] = {}
-        # Of servers that did not announce that they leave.
-        self._expired_at: dict[tuple[str, str | None], float] = {}
-
-    def record(self, entry: BackendEntry, now: float) -> None:
-        """Record that an entry was removed.
-
-        Parameters
-        ----------
-        entry : BackendEntry
-            The entry before its removal.
-        now : float
-            Seconds.
-        """
-        key = (entry.service, entry.software_version)
-        self._removed_at[key] = now
-        if entry.state is BackendState.READY:
-            self._expired_at[key] = now
-
-    def list_recent(self, service: str, now: float) -> set[str | None]:
-        """Return the versions of servers removed within `VERSION_MEMORY_S`.
-
-        Parameters
-        ----------
-        service : str
-        now : float
-            Seconds.
-        """
-        return {
-            version
-            for (name, version), removed_at in self._removed_at.items()
-            if name == service and now - removed_at <= VERSION_MEMORY_S
-        }
-
-    def may_return(self, service: str, version: str, now: float) -> bool:
-        """Return whether a removed server of a version may still be alive.
-
-        Parameters
-        ----------
-        service, version : str
-        now : float
-            Seconds.
-        """
-        expired_at = self._expired_at.get((service, version), -math.inf)
-        return now - expired_at <= ENTRY_RETURN_S
-
-
 def _is_same_process(known: BackendEntry, entry: BackendEntry) -> bool:
     return (known.started_ms, known.address) == (entry.started_ms, entry.address)
--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ebonyhaven_decisions.forwarding import BackendEntry, BackendState
-from ebonyhaven_decisions.forwarding._directory import VERSION_MEMORY_S
+from ebonyhaven_decisions.forwarding._removed_versions import VERSION_MEMORY_S
 from ebonyhaven_node.forwarding._stream_records import WRITE_INTERVAL_S
 
 from tests.forwarding.harness import (
