Move the limits on a stream's attempts out of its relay

Cause: _streams.py (419 lines) chose targets, ran attempts and decided when to stop; the time of a request was computed twice, there and in _calls.py. Change: StreamLimits counts attempts and returns a typed reason to give up; ForwardRequest.limit_timeout serves both relays. No behaviour changes.

--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -93,9 +93,7 @@
         self._refusal_count = 0
         self._last_reason = "no server was tried"
         self._last_peer = "self"
-        timeout_s = route.timeout_s
-        if request.timeout_s is not None:
-            timeout_s = min(timeout_s, request.timeout_s)
+        timeout_s = request.limit_timeout(route.timeout_s)
         self._deadline = request.arrived_at + timeout_s
         self._excluded_servers: set[tuple[str, int]] = set()
         self._server_wait_deadline = (
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -105,6 +105,18 @@
     prompt_id: str | None
     arrived_at: float
 
+    def limit_timeout(self, route_timeout_s: float) -> float:
+        """Return the time for the request, from its arrival, seconds.
+
+        Parameters
+        ----------
+        route_timeout_s : float
+            Longest time that the route allows, seconds.
+        """
+        if self.timeout_s is None:
+            return route_timeout_s
+        return min(route_timeout_s, self.timeout_s)
+
     @property
     def content_digest(self) -> str:
         """Digest of target, API key and body, equal for all retries."""
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -0,0 +1,187 @@
+"""Limits on the attempts of one stream."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ebonyhaven_decisions import CrashVerdict
+from ebonyhaven_decisions.forwarding import Route
+
+from ebonyhaven_node.forwarding._context import RelayContext
+from ebonyhaven_node.forwarding._earlier_runs import EarlierRun
+from ebonyhaven_node.forwarding._outcomes import NO_SERVER_RETRY_AFTER_S
+from ebonyhaven_node.forwarding._progress import StreamProgress
+from ebonyhaven_node.forwarding._requests import ForwardRequest
+from ebonyhaven_node.forwarding._stream_attempts import AttemptEnd
+from ebonyhaven_node.forwarding._stream_servers import StreamServerSelector
+from ebonyhaven_node.forwarding._stream_versions import StreamVersion
+
+MAX_TRIED_SERVERS = 40  # lost servers do not count against the route's max_attempts
+LATEST_START_SHARE = 0.75  # of the timeout; streams started later would not complete
+
+
+class GiveUpReason(NamedTuple):
+    """Why a stream gets no further attempt.
+
+    Parameters
+    ----------
+    text : str
+    retry_after_s : float or None
+        When its caller may retry, if nothing ran, seconds; None if a retry would have
+        the same end.
+    """
+
+    text: str
+    retry_after_s: float | None
+
+
+class StreamLimits:
+    """Counts the attempts of a stream and decides whether there is another one.
+
+    Parameters
+    ----------
+    request : ForwardRequest
+    route : Route
+    version : StreamVersion
+    progress : StreamProgress
+    earlier_run : EarlierRun
+    server_selector : StreamServerSelector
+    context : RelayContext
+
+    Attributes
+    ----------
+    deadline : float
+        Deadline of the request, seconds.
+    attempts : int
+        Attempts whose request was sent, or is being sent.
+    may_have_run : bool
+        Whether a server may have run the request.
+    last_reason, last_peer : str
+        How the last attempt ended, and its server.
+    """
+
+    __slots__ = (
+        "_context",
+        "_earlier_run",
+        "_failed_attempts",
+        "_latest_start",
+        "_progress",
+        "_request",
+        "_route",
+        "_server_selector",
+        "_tried_servers",
+        "_version",
+        "attempts",
+        "deadline",
+        "last_peer",
+        "last_reason",
+        "may_have_run",
+    )
+
+    def __init__(
+        self,
+        *,
+        request: ForwardRequest,
+        route: Route,
+        version: StreamVersion,
+        progress: StreamProgress,
+        earlier_run: EarlierRun,
+        server_selector: StreamServerSelector,
+        context: RelayContext,
+    ):
+        self._request = request
+        self._route = route
+        self._version = version
+        self._progress = progress
+        self._earlier_run = earlier_run
+        self._server_selector = server_selector
+        self._context = context
+        timeout_s = request.limit_timeout(route.timeout_s)
+        self.deadline = request.arrived_at + timeout_s
+        self._latest_start = request.arrived_at + LATEST_START_SHARE * timeout_s
+        self._tried_servers = 0
+        self._failed_attempts = 0
+        self.attempts = 0
+        self.may_have_run = False
+        self.last_reason = "no server was tried"
+        self.last_peer = "self"
+
+    def record_start(self) -> None:
+        """Count an attempt that starts."""
+        self.attempts += 1
+        self._tried_servers += 1
+
+    def record_end(self, end: AttemptEnd, reason: str, peer: str) -> None:
+        """Count how an attempt ended.
+
+        Parameters
+        ----------
+        end : AttemptEnd
+        reason : str
+        peer : str
+            Id of the server.
+        """
+        self.last_reason = reason
+        self.last_peer = peer
+        if end is AttemptEnd.UNREACHABLE:
+            self.attempts -= 1
+        if end not in (AttemptEnd.NOT_RUN, AttemptEnd.UNREACHABLE):
+            self.may_have_run = True
+        if end in (AttemptEnd.SILENT, AttemptEnd.ERROR):
+            self._failed_attempts += 1
+
+    def find_reason_to_give_up(self, now: float) -> GiveUpReason | None:
+        """Return why another attempt is not allowed or cannot succeed, if so.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        reason = self._find_permanent_reason(now)
+        if reason is not None:
+            return GiveUpReason(reason, retry_after_s=None)
+        reason = self._find_exceeded_limit(now)
+        if reason is not None:
+            return GiveUpReason(reason, retry_after_s=NO_SERVER_RETRY_AFTER_S)
+        return None
+
+    def _find_permanent_reason(self, now: float) -> str | None:
+        """Return a reason that also holds for a retry of the caller."""
+        if now >= self.deadline:
+            return None
+        obstacle = self._version.find_obstacle(now)
+        if obstacle is not None:
+            return obstacle
+        may_start = self.may_have_run or now < self._latest_start
+        if not may_start or self._progress.delivered or self._can_finish_in_time(now):
+            return None
+        return "too little time is left for a whole answer"
+
+    def _find_exceeded_limit(self, now: float) -> str | None:
+        if now >= self.deadline:
+            return "the time of the request is over"
+        if not self.may_have_run:
+            is_late = now >= self._latest_start
+            return "no server had room in time" if is_late else self._check_attempts()
+        if not self._route.may_retry:
+            return self.last_reason
+        verdict = self._context.crashes.evaluate(self._request.content_digest)
+        if verdict is CrashVerdict.STOPPED:
+            return "servers died each time they began the request"
+        return self._check_attempts()
+
+    def _check_attempts(self) -> str | None:
+        has_attempts = self._failed_attempts < self._route.max_attempts
+        if has_attempts and self._tried_servers < MAX_TRIED_SERVERS:
+            return None
+        return f"too many attempts; last: {self.last_reason}"
+
+    def _can_finish_in_time(self, now: float) -> bool:
+        position = self._progress.position or ""
+        return self._context.get_stream_durations(self._route.name).can_finish_in_time(
+            remaining_s=self.deadline - now,
+            events_delivered=int(position) if position.isdigit() else 0,
+            has_copy=self._earlier_run.has_copy,
+            has_room=self._server_selector.has_room(now, self._version.name),
+        )
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -5,7 +5,6 @@
 from typing import NamedTuple
 
 import structlog
-from ebonyhaven_decisions import CrashVerdict
 from ebonyhaven_decisions.forwarding import (
     Backend,
     EngineTraits,
@@ -23,7 +22,6 @@
 from ebonyhaven_node.forwarding._http_server import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._messages import CapacityChanged
-from ebonyhaven_node.forwarding._outcomes import NO_SERVER_RETRY_AFTER_S
 from ebonyhaven_node.forwarding._progress import StreamProgress
 from ebonyhaven_node.forwarding._requests import (
     AttemptPlan,
@@ -38,12 +36,11 @@
     AttemptResult,
     StreamAttempt,
 )
+from ebonyhaven_node.forwarding._stream_limits import GiveUpReason, StreamLimits
 from ebonyhaven_node.forwarding._stream_servers import StreamServerSelector
 from ebonyhaven_node.forwarding._stream_versions import StreamVersion
 
 CAPACITY_POLL_INTERVAL_S = 0.1  # if no notification arrives
-MAX_TRIED_SERVERS = 40  # lost servers do not count against the route's max_attempts
-LATEST_START_SHARE = 0.75  # of the timeout; streams started later would not complete
 
 _log = structlog.get_logger()
 
@@ -98,11 +95,6 @@
             if size
             else TokenDemand(0, 0)
         )
-        timeout_s = route.timeout_s
-        if request.timeout_s is not None:
-            timeout_s = min(timeout_s, request.timeout_s)
-        self._deadline = request.arrived_at + timeout_s
-        self._latest_start = request.arrived_at + LATEST_START_SHARE * timeout_s
         self._version = StreamVersion(service, context.state.backends)
         self._progress = StreamProgress(
             request=request,
@@ -111,10 +103,6 @@
             version=self._version,
             context=context,
         )
-        self._attempts = 0
-        self._tried_servers = 0
-        self._failed_attempts = 0
-        self._may_have_run = False
         self._server_selector = StreamServerSelector(
             service=service, engine=engine, demand=self._demand, context=context
         )
@@ -126,9 +114,16 @@
             version=self._version,
             context=context,
         )
+        self._limits = StreamLimits(
+            request=request,
+            route=route,
+            version=self._version,
+            progress=self._progress,
+            earlier_run=self._earlier_run,
+            server_selector=self._server_selector,
+            context=context,
+        )
         self._error_response: tuple[ResponseHead, bytes] | None = None
-        self._last_reason = "no server was tried"
-        self._last_peer = "self"
 
     async def run(self) -> None:
         """Relay the stream to the caller and resume it after losses of servers.
@@ -157,7 +152,10 @@
         try:
             while not self._exchange.is_done:
                 now = self._context.clock()
-                self._check_may_continue(now)
+                reason = self._limits.find_reason_to_give_up(now)
+                if reason is not None:
+                    self._give_up(now, reason)
+                    return None
                 choice = self._choose_target(now)
                 if choice is not None and self._acquire_retry(now):
                     return choice
@@ -169,65 +167,29 @@
         return None
 
     def _acquire_retry(self, now: float) -> bool:
-        if not self._attempts:
+        if not self._limits.attempts:
             return True
         if self._context.budget.acquire_retry(self._service, now):
             return True
         self._context.metrics.budget_refusals.inc()
         return False
 
-    def _check_may_continue(self, now: float) -> None:
-        """Fail the request if another attempt is not allowed or cannot succeed."""
-        obstacle = self._version.find_obstacle(now)
-        if now >= self._deadline:
-            self._give_up(now, "the time of the request is over")
-        elif obstacle is not None:
-            self._give_up(now, obstacle, retry_after_s=None)
-        elif not self._may_have_run and now >= self._latest_start:
-            self._give_up(now, "no server had room in time")
-        elif not self._progress.delivered and not self._can_finish_in_time(now):
-            reason = "too little time is left for a whole answer"
-            self._give_up(now, reason, retry_after_s=None)
-        elif self._may_have_run and not self._route.may_retry:
-            self._give_up(now, self._last_reason)
-        elif self._is_stopped_by_crashes():
-            self._give_up(now, "servers died each time they began the request")
-        elif (
-            self._failed_attempts >= self._route.max_attempts
-            or self._tried_servers >= MAX_TRIED_SERVERS
-        ):
-            self._give_up(now, f"too many attempts; last: {self._last_reason}")
-
-    def _can_finish_in_time(self, now: float) -> bool:
-        position = self._progress.position or ""
-        return self._context.get_stream_durations(self._route.name).can_finish_in_time(
-            remaining_s=self._deadline - now,
-            events_delivered=int(position) if position.isdigit() else 0,
-            has_copy=self._earlier_run.has_copy,
-            has_room=self._server_selector.has_room(now, self._version.name),
-        )
-
-    def _is_stopped_by_crashes(self) -> bool:
-        if not self._may_have_run:
-            return False
-        verdict = self._context.crashes.evaluate(self._request.content_digest)
-        return verdict is CrashVerdict.STOPPED
+    def _give_up(self, now: float, reason: GiveUpReason) -> None:
+        """End the request without another attempt.
 
-    def _give_up(
-        self,
-        now: float,
-        reason: str,
-        *,
-        retry_after_s: float | None = NO_SERVER_RETRY_AFTER_S,
-    ) -> None:
+        Raises
+        ------
+        RequestFailure
+            If no event was delivered and no server sent an error response.
+        """
         _log.warning(
             "stream_given_up",
             request=self._request.request_id,
-            reason=reason,
+            reason=reason.text,
             delivered=self._progress.delivered,
-            attempts=self._attempts,
+            attempts=self._limits.attempts,
             waited_s=round(now - self._request.arrived_at, 3),
-            remaining_s=round(self._deadline - now, 3),
+            remaining_s=round(self._limits.deadline - now, 3),
         )
         if self._exchange.is_started:
             self._exchange.abort()
@@ -236,13 +198,15 @@
             head, body = self._error_response
             self._exchange.respond(head.status, head.headers, body)
             return
-        if not self._may_have_run:
+        if not self._limits.may_have_run:
             raise make_not_run_failure(
-                reason, step="route", retry_after_s=retry_after_s
+                reason.text, step="route", retry_after_s=reason.retry_after_s
             )
-        is_late = now >= self._deadline
         raise make_unknown_failure(
-            reason, step="stream", peer=self._last_peer, status=504 if is_late else 502
+            reason.text,
+            step="stream",
+            peer=self._limits.last_peer,
+            status=504 if now >= self._limits.deadline else 502,
         )
 
     def _choose_target(self, now: float) -> _Target | None:
@@ -272,13 +236,12 @@
         holder = None
         if self._route.may_retry:
             holder = self._server_selector.choose_holder(backend, now)
-        self._attempts += 1
-        self._tried_servers += 1
+        self._limits.record_start()
         attempt = Attempt(
             request=self._request,
             backend=backend,
             plan=AttemptPlan(
-                remaining_s=self._deadline - now,
+                remaining_s=self._limits.deadline - now,
                 workspace=self._workspace,
                 priority=choose_engine_priority(
                     is_late=self._progress.is_late,
@@ -331,7 +294,7 @@
             exchange=self._exchange,
             inbox=self._inbox,
             context=self._context,
-            deadline=self._deadline,
+            deadline=self._limits.deadline,
         )
         try:
             result = await stream_attempt.run()
@@ -367,12 +330,12 @@
             from_copy=target.copy is not None,
             copy_to=holder.server_id if holder else None,
             position=self._progress.position,
-            attempt=self._attempts,
+            attempt=self._limits.attempts,
             tokens=self._demand.tokens,
             own_use=[backend.run_tokens, backend.copy_tokens, backend.prefill_tokens],
             peer_use=list(peer_use),
             waited_s=round(now - self._request.arrived_at, 3),
-            remaining_s=round(self._deadline - now, 3),
+            remaining_s=round(self._limits.deadline - now, 3),
         )
 
     # -- result ------------------------------------------------------------
@@ -382,24 +345,17 @@
         backend = target.backend
         end = result.end
         self._context.metrics.attempts.labels(self._route.kind.value, end.value).inc()
-        self._last_reason = result.reason
-        self._last_peer = backend.server_id
         self._error_response = result.error_response or self._error_response
         self._log_attempt_ended(target, result, now)
         if target.copy is not None and end is AttemptEnd.NOT_RUN:
             self._context.metrics.resumes.labels("copy_gone").inc()
-            return
-        self._server_selector.avoid(backend, now)
-        if end is AttemptEnd.UNREACHABLE:
-            self._attempts -= 1
-            if self._attempts:
-                self._context.budget.refund_retry(self._service, now)
-        if end in (AttemptEnd.NOT_RUN, AttemptEnd.UNREACHABLE):
-            return
-        self._may_have_run = True
-        backend.record_result(succeeded=False, latency_s=None)
-        if end in (AttemptEnd.SILENT, AttemptEnd.ERROR):
-            self._failed_attempts += 1
+        else:
+            self._server_selector.avoid(backend, now)
+        self._limits.record_end(end, result.reason, backend.server_id)
+        if end is AttemptEnd.UNREACHABLE and self._limits.attempts:
+            self._context.budget.refund_retry(self._service, now)
+        if end not in (AttemptEnd.NOT_RUN, AttemptEnd.UNREACHABLE):
+            backend.record_result(succeeded=False, latency_s=None)
 
     def _log_attempt_ended(
         self, target: _Target, result: AttemptResult, now: float
