Leave the copy of a run at a server that leaves, and make another one

Cause: found while following what leads a stream to its next server. A copy counted as usable as long as its holder was listed, also after the holder announced that it leaves; a stream could reach it at any time after that. Change: Backend.can_resume_from_copy asks for a ready server; the copy is then renewed elsewhere like a lost one.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -197,7 +197,9 @@
         now : float
             Seconds.
         """
-        return self.removed_at is None and now >= self.suspect_until
+        if self.removed_at is not None or self.entry.state is not BackendState.READY:
+            return False
+        return now >= self.suspect_until
 
     def is_usable_after_removal(self, now: float) -> bool:
         """Return whether requests may be sent to the server after its removal.
--- a/tests/forwarding/test_run_copies.py
+++ b/tests/forwarding/test_run_copies.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from ebonyhaven_decisions.forwarding import BackendState
+
 from tests.forwarding.harness import (
     STREAM_END,
     ForwardingHarness,
@@ -70,6 +72,19 @@
     assert harness.copier.requested
 
 
+def test_copy_on_a_leaving_server_is_replaced_and_not_used():
+    # Guards against requests that reach a server long after it announced its end.
+    harness, _, server, holder = start_run()
+    leaving = holder.entry._replace(state=BackendState.LEAVING)
+    harness.state.put_backend(leaving)
+    send_events(harness, server, 2, 3)
+    assert harness.copier.requested
+    server.reset()
+    harness.advance(0.01)
+    second, _, _ = harness.take_request()
+    assert second.address != holder.entry.address
+
+
 def test_holder_is_probed_after_a_loss_in_its_data_centre():
     harness, _, server, holder = start_run()
     neighbour = next(
