--- a/packages/node/src/ebonyhaven_node/_drivers.py
+++ b/packages/node/src/ebonyhaven_node/_drivers.py
@@ -22,11 +22,11 @@
 
 from ebonyhaven_node._candidates import CandidateSet
 from ebonyhaven_node._content_guard import ContentGuard
+from ebonyhaven_node._continuations import RunContinuation
 from ebonyhaven_node._driver_dependencies import (
     RETRY_AFTER_S,
     DriverDependencies,
     RunTargets,
-    make_generation,
 )
 from ebonyhaven_node._engines import CONNECTION_REFUSED, EngineStream
 from ebonyhaven_node._events import Token
@@ -34,13 +34,11 @@
 from ebonyhaven_node._lifecycles import RunState, StateObserver, make_run_lifecycle
 from ebonyhaven_node._run_claims import RunClaim
 from ebonyhaven_node._runs import Run
-from ebonyhaven_node._scheduling import Slot, SlotRequest
 from ebonyhaven_node._servers import BackendServer
 from ebonyhaven_node._silence import SilenceDetector
 from ebonyhaven_node._stream_opener import StreamOpener
 from ebonyhaven_node.exceptions import EngineLost, EngineRefusal, NodeError
 
-RESUME_TIMEOUT_S = 30.0
 DETACH_GRACE_S = 0.6  # time for a disconnected caller to reconnect
 
 _log = structlog.get_logger()
@@ -107,6 +105,16 @@
             lifecycle=self._lifecycle,
             receiver=self,
         )
+        self._continuation = RunContinuation(
+            run=run,
+            targets=targets,
+            dependencies=dependencies,
+            candidates=self._candidates,
+            claim=self._claim,
+            guard=self._guard,
+            lifecycle=self._lifecycle,
+            opener=self._opener,
+        )
         run.on_detached = self._handle_detached
         run.on_attached = self._stop_detach_timer
 
@@ -225,24 +233,20 @@
         parallel_continuation = None
         if plan.prepare_in_parallel and self._may_continue_in_parallel():
             parallel_continuation = ensureDeferred(
-                self._continue_elsewhere({suspected.name}, token_count)
+                self._continuation.continue_elsewhere({suspected.name}, token_count)
             )
         alive = await self._probe(suspected, plan.probe_timeout_s)
-        if self._has_progressed(token_count) or (
+        if self._continuation.has_progressed(token_count) or (
             alive and self._silence_detector.allows_waiting()
         ):
             if parallel_continuation is not None:
                 parallel_continuation.addErrback(_ignore_failure)
             return
         if parallel_continuation is None:
-            await self._continue_elsewhere({suspected.name}, token_count)
+            await self._continuation.continue_elsewhere({suspected.name}, token_count)
         else:
             await parallel_continuation
 
-    def _has_progressed(self, token_count: int) -> bool:
-        """Return whether the run has ended or has more than ``token_count`` tokens."""
-        return self._run.ended or len(self._run.texts) > token_count
-
     def _may_continue_in_parallel(self) -> bool:
         return self._request.repeatable and bool(self._run.texts)
 
@@ -266,106 +270,6 @@
         progress = len(self._run.texts) - self._candidates.primary_first_offset
         self._guard.record_crash(server, progress_tokens=progress)
 
-    # -- continuation ------------------------------------------------------
-
-    async def _continue_elsewhere(self, excluded: set[str], token_count: int) -> None:
-        """Continue the run on another server from the tokens relayed so far.
-
-        Parameters
-        ----------
-        excluded : set of str
-            Backend servers that must not be chosen; failed ones are added.
-        token_count : int
-            Number of tokens when the run was suspected.
-        """
-        deadline = time.monotonic() + RESUME_TIMEOUT_S
-        while not self._has_progressed(token_count):
-            await self._guard.check(OutcomeTag.FAILED)
-            if not self._run.texts:
-                await self._restart(excluded, deadline)
-                return
-            slot = await self._acquire_resume_slot(excluded, deadline)
-            if await self._continue_on_server(slot, token_count, deadline):
-                return
-            excluded.add(slot.server.name)
-
-    async def _continue_on_server(
-        self, slot: Slot, token_count: int, deadline: float
-    ) -> bool:
-        """Continue on the server of a slot; return False if another must be tried.
-
-        The result is also True if the run needs no continuation any more.
-        """
-        if self._claim.is_required and not await self._move_claim(slot, deadline):
-            return True
-        if self._has_progressed(token_count):
-            slot.release()
-            return True
-        self._lifecycle.continue_elsewhere()
-        try:
-            opened = await self._opener.open_stream(
-                slot, continue_from=self._run.texts[:]
-            )
-        except EngineRefusal as refusal:
-            slot.record_refusal(refusal.reason)
-            slot.release()
-            return False
-        except EngineLost:
-            slot.release()
-            return await self._opener.resolve_lost_attempt(slot.server)
-        if self._has_progressed(token_count):
-            self._candidates.drop(opened)
-            self._candidates.cancel(opened)
-        return True
-
-    async def _move_claim(self, slot: Slot, deadline: float) -> bool:
-        """Move the claim to the server of a slot.
-
-        If another instance has moved it first, attach to its run and return False.
-        """
-        self._candidates.drop_all(cancel=True)
-        try:
-            moved = await self._claim.move(server=slot.server.name, deadline=deadline)
-        except RequestFailure:
-            slot.release()
-            raise
-        if not moved:
-            slot.release()
-            await self._opener.attach_with_retries(
-                self._dependencies.servers.find(self._claim.server)
-            )
-        return moved
-
-    async def _acquire_resume_slot(self, excluded: set[str], deadline: float) -> Slot:
-        slot_request = SlotRequest(
-            request=self._request,
-            pools=self._targets.pools,
-            deadline=deadline,
-            excluded=frozenset(excluded),
-            resume=True,
-        )
-        try:
-            return await self._dependencies.scheduling.acquire(slot_request)
-        except RequestFailure as failure:
-            raise make_failure(
-                OutcomeTag.FAILED,
-                "resume",
-                "no other backend server could continue the run in time",
-                peer=failure.outcome.peer,
-            ) from failure
-
-    async def _restart(self, excluded: set[str], deadline: float) -> None:
-        """Restart a run of which no token was relayed.
-
-        If the run requires a claim, attach to the primary server instead.
-        """
-        if self._claim.is_required:
-            await self._opener.attach_with_retries(self._candidates.primary)
-            return
-        self._candidates.drop_all(cancel=True)
-        self._run.generation = make_generation(self._dependencies.rng)
-        await self._opener.start(deadline, excluded=excluded, resume=True)
-
     # -- start -------------------------------------------------------------
 
     async def _open_new(self) -> None:
@@ -417,7 +321,7 @@
             ) from error
         self._lifecycle.suspect()
         self._silence_detector.record_suspicion(since=time.monotonic())
-        await self._continue_elsewhere(excluded, len(self._run.texts))
+        await self._continuation.continue_elsewhere(excluded, len(self._run.texts))
 
     # -- completion and failure --------------------------------------------
 
