--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -84,8 +84,6 @@
     ----------
     in_flight : int
         Requests of this instance in flight at the server.
-    runs : int
-        Not updated; always 0.
     run_tokens, copy_tokens : int
         Engine memory used by runs and copies of this instance, in tokens.
     prefill_tokens : int
@@ -116,7 +114,6 @@
 
     entry: BackendEntry
     in_flight: int = 0
-    runs: int = 0
     run_tokens: int = 0
     copy_tokens: int = 0
     prefill_tokens: int = 0
--- a/tests/forwarding/test_shared_stream_index.py
+++ b/tests/forwarding/test_shared_stream_index.py
@@ -18,50 +18,21 @@
 from twisted.internet.task import Clock
 
 from tests.forwarding.harness import (
-    STREAM_END,
     FakeRecordStore,
     ForwardingHarness,
-    chunk,
-    decode_headers,
     event,
-    stream_head,
 )
-from tests.forwarding.test_sharing import FakeChannels, FakeMembership, make_record
+from tests.forwarding.losses import (
+    STREAM_COUNT,
+    FakeNetwork,
+    open_streams,
+    resume_streams,
+)
 
 RECORD = StreamRecord("v1", "r1", RunCopyLocation("e-1", "10.0.0.1:9001", "h-1"))
 OTHERS = ("n2", "n3", "n4", "n5", "n6")
 
 
-class FakeNetwork:
-    """Delivers messages between the indexes synchronously."""
-
-    def __init__(self):
-        self.channels: dict[str, FakeChannels] = {}
-
-    def join(self, index, name, others) -> FakeMembership:
-        """Connect the index of an instance to those of the others."""
-        membership = FakeNetworkMembership(self, name, others)
-        self.channels[name] = FakeChannels()
-        index.connect(membership, self.channels[name])
-        return membership
-
-
-class FakeNetworkMembership(FakeMembership):
-    """Sends messages through a fake network."""
-
-    def __init__(self, network, name, others):
-        super().__init__(*others)
-        self.own = make_record(name)
-        self.members = [self.own, *map(make_record, others)]
-        self.network = network
-
-    def send(self, name, kind, payload):
-        super().send(name, kind, payload)
-        channels = self.network.channels.get(name)
-        if channels is not None:
-            channels.handlers[kind](Frame(kind, self.own.name, 1, payload))
-
-
 def build_index(clock):
     return SharedStreamIndex(clock, clock.seconds, FakeRecordStore())
 
@@ -164,29 +135,6 @@
     assert len(indexes["n2"]._index) == 0
 
 
-STREAM_COUNT = 12
-
-
-def make_size_headers(number) -> dict[str, str]:
-    prompt = f"aa:200,b{number:x}:7800"
-    return {"X_Token_Count": "8000,700", "X_Prompt_Prefix": prompt}
-
-
-def open_streams(harness, count) -> dict[str, str]:
-    """Open streams with two events each; return the ``kv-from`` of their copies."""
-    references = {}
-    for number in range(count):
-        request_id = f"first-{number}"
-        harness.open_caller().request(
-            f"/stream/{number}", request_id, **make_size_headers(number)
-        )
-        server, head, _ = harness.take_request()
-        server.receive(stream_head(request_id) + chunk(event(1)) + chunk(event(2)))
-        harness.advance(0.0)
-        references[str(number)] = f"{decode_headers(head)['x-kv-backup']}/{request_id}"
-    return references
-
-
 def test_all_callers_of_a_lost_instance_resume_from_copies():
     # After the loss of an instance, all its callers retry at another one within 0.1 s.
     # Guards against prefilling all their prompts again at once, which delays these
@@ -200,21 +148,4 @@
     network.join(remaining.gateway._stream_index, "n2", ["n1"])
     references = open_streams(lost, STREAM_COUNT)
     del network.channels["n1"]
-    callers = []
-    for number in range(STREAM_COUNT):
-        caller = remaining.open_caller()
-        headers = {**make_size_headers(number), "Last_Event_Id": "2"}
-        caller.request(f"/stream/{number}", f"second-{number}", **headers)
-        callers.append(caller)
-    remaining.advance(0.01)
-    waiting = [each for each in remaining.connections if each.has_request()]
-    assert len(waiting) == STREAM_COUNT
-    for server in waiting:
-        head, _ = server.read_request()
-        sent = decode_headers(head)
-        number = head.target.decode().rpartition("/")[2]
-        assert sent["kv-from"] == references[number]
-        assert sent["kv-from"].startswith(server.address)
-        request_id = sent["x-attempt-id"]
-        server.receive(stream_head(request_id) + chunk(event(3)) + STREAM_END)
-    assert [each.read_answer()[2] for each in callers] == [event(3)] * STREAM_COUNT
+    assert resume_streams(remaining, references, 2) == [event(3)] * STREAM_COUNT
--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -15,8 +15,8 @@
     refusal,
     stream_head,
 )
+from tests.forwarding.losses import FakeNetwork
 from tests.forwarding.streaming import SIZE_HEADERS, open_stream, start_stream
-from tests.forwarding.test_shared_stream_index import FakeNetwork
 
 STREAM_COUNT = 8
 VERSIONS = ("v1", "v2")
--- a/tests/forwarding/test_stream_records.py
+++ b/tests/forwarding/test_stream_records.py
@@ -11,24 +11,20 @@
 from twisted.internet.task import Clock
 
 from tests.forwarding.harness import (
-    STREAM_END,
     FakeRecordStore,
     ForwardingHarness,
     chunk,
-    decode_headers,
     event,
-    stream_head,
 )
-from tests.forwarding.test_shared_stream_index import (
+from tests.forwarding.losses import (
     STREAM_COUNT,
     FakeNetwork,
-    make_size_headers,
     open_streams,
+    resume_streams,
 )
 
 LAST_EVENT = 12
 COPY_MAX_AGE_S = 5.0
-NEXT_EVENT = event(LAST_EVENT + 1)
 RECORD = StreamRecord("v1", "r1", RunCopyLocation("e-1", "10.0.0.1:9001", "h-1"))
 
 
@@ -125,21 +121,5 @@
     # Replays the death of all instances at once: no instance knows where the copies
     # of the open runs are, and all prompts were read again.
     successor, references = lose_all_instances()
-    callers = []
-    for number in range(STREAM_COUNT):
-        caller = successor.open_caller()
-        headers = {**make_size_headers(number), "Last_Event_Id": str(LAST_EVENT)}
-        caller.request(f"/stream/{number}", f"second-{number}", **headers)
-        callers.append(caller)
-    successor.advance(0.01)
-    waiting = [each for each in successor.connections if each.has_request()]
-    assert len(waiting) == STREAM_COUNT
-    for server in waiting:
-        head, _ = server.read_request()
-        sent = decode_headers(head)
-        number = head.target.decode().rpartition("/")[2]
-        assert sent.get("kv-from") == references[number]
-        request_id = sent["x-attempt-id"]
-        server.receive(stream_head(request_id) + chunk(NEXT_EVENT) + STREAM_END)
-    successor.advance(0.0)
-    assert [each.read_answer()[2] for each in callers] == [NEXT_EVENT] * STREAM_COUNT
+    bodies = resume_streams(successor, references, LAST_EVENT)
+    assert bodies == [event(LAST_EVENT + 1)] * STREAM_COUNT
