Bind a stream to the version that its server had at the first event

An entry without the time of its server's start was updated in place when the server started again under its id with another version; a stream that began there would have followed it. The error line of a stream of two versions came with each of its events. Change: an entry of another version is another process, unless the known version was inferred while the list could not be read; old versions are forgotten; the line comes once.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -44,7 +44,9 @@
         """
         return self._by_id.get(server_id)
 
-    def put(self, entry: BackendEntry, now: float) -> Backend:
+    def put(
+        self, entry: BackendEntry, now: float, *, was_inferred: bool = False
+    ) -> Backend:
         """Add or update an entry.
 
         Parameters
@@ -52,6 +54,9 @@
         entry : BackendEntry
         now : float
             Seconds.
+        was_inferred : bool
+            Whether the software version of the known entry was only inferred, so that
+            another one corrects it.
 
         Returns
         -------
@@ -61,7 +66,7 @@
         """
         known = self._by_id.get(entry.server_id) or self._removed.get(entry.server_id)
         self._removed.pop(entry.server_id, None)
-        if known is None or not _is_same_process(known.entry, entry):
+        if known is None or not _is_same_process(known.entry, entry, was_inferred):
             if known is not None:
                 self._versions.record(known.entry, now)
             known = Backend(entry)
@@ -304,5 +309,10 @@
         return any(each.entry.service == service for each in self._by_id.values())
 
 
-def _is_same_process(known: BackendEntry, entry: BackendEntry) -> bool:
-    return (known.started_ms, known.address) == (entry.started_ms, entry.address)
+def _is_same_process(
+    known: BackendEntry, entry: BackendEntry, was_inferred: bool
+) -> bool:
+    if (known.started_ms, known.address) != (entry.started_ms, entry.address):
+        return False
+    # Entries may lack the time of the start.
+    return was_inferred or known.software_version in (None, entry.software_version)
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_removed_versions.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_removed_versions.py
@@ -31,6 +31,7 @@
         now : float
             Seconds.
         """
+        self._forget_older(now)
         key = (entry.service, entry.software_version)
         self._removed_at[key] = now
         if entry.state is BackendState.READY:
@@ -51,6 +52,12 @@
             if name == service and now - removed_at <= VERSION_MEMORY_S
         }
 
+    def _forget_older(self, now: float) -> None:
+        for key, removed_at in list(self._removed_at.items()):
+            if now - removed_at > VERSION_MEMORY_S:
+                del self._removed_at[key]
+                self._expired_at.pop(key, None)
+
     def may_return(self, service: str, version: str, now: float) -> bool:
         """Return whether a removed server of a version may still be alive.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
@@ -265,7 +265,7 @@
             return
         handler, self._handler = self._handler, None
         trailing, _ = self._codec.trailing_data
-        is_delimited = not self.is_closed
+        is_delimited = not self.is_closed  # else, the loss of the connection ended it
         is_cycle_done = (
             self._codec.our_state is h11.DONE and self._codec.their_state is h11.DONE
         )
--- a/packages/node/src/ebonyhaven_node/forwarding/_progress.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_progress.py
@@ -58,6 +58,7 @@
         self._context = context
         self._delivered_at = 0.0
         self._first_event_s = math.nan
+        self._is_mixed = False
         self.position = request.last_event_id
         self.delivered = 0
         self.is_late = False
@@ -183,8 +184,9 @@
     def _check_version(self, server: Backend) -> None:
         """Report a stream that holds events of two software versions."""
         self._version.bind_to_server(server)
-        if server.software_version == self._version.name:
+        if self._is_mixed or server.software_version == self._version.name:
             return
+        self._is_mixed = True
         self._context.metrics.version_changes.inc()
         _log.error(
             "stream_version_changed",
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -75,9 +75,10 @@
         ----------
         entry : BackendEntry
         """
+        was_adopted = entry.server_id in self._adopted
         self._adopted.discard(entry.server_id)
         known = self.backends.find(entry.server_id)
-        backend = self.backends.put(entry, self._clock())
+        backend = self.backends.put(entry, self._clock(), was_inferred=was_adopted)
         if known is backend and known.entry == entry:
             return
         _log.info(
--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -255,6 +255,54 @@
         assert find_version(harness, server.address) == "v1"
 
 
+def lose_server(harness, server) -> str:
+    """Reset the connection of a stream's server and refuse its copy.
+
+    Returns the version of the server that the stream goes on at.
+    """
+    suspect_server(harness, server.address)
+    server.reset()
+    harness.advance(0.01)
+    successor, head, _ = harness.take_request()
+    if "kv-from" in decode_headers(head):
+        successor.receive(refusal("r1"))
+        harness.advance(0.01)
+        successor, _, _ = harness.take_request()
+    return find_version(harness, successor.address)
+
+
+def test_server_that_starts_again_under_its_id_may_have_another_version():
+    # Nothing tells the two processes apart but their versions.
+    harness, _, server, sent, version = start_mixed_stream()
+    other = next(each for each in VERSIONS if each != version)
+    known = harness.state.backends.find(sent["x-expect-instance"]).entry
+    harness.state.put_backend(known._replace(software_version=other))
+    assert lose_server(harness, server) == version
+
+
+def test_version_that_was_inferred_wrongly_is_corrected_by_the_list():
+    harness = ForwardingHarness(engines=4, versions=("v1", "v1", "v2", "v2"))
+    known = harness.state.backends.find("e-0").entry
+    adopted = known._replace(server_id="e-9", address="10.0.0.9:9009")
+    for number in range(4):
+        harness.state.put_backend(
+            harness.state.backends.find(f"e-{number}").entry._replace(
+                state=BackendState.LEAVING
+            )
+        )
+    harness.state.adopt_backend(adopted)
+    harness.open_caller().request("/stream/x", **SIZE_HEADERS)
+    server, _ = open_stream(harness, 1)
+    for number in range(4):
+        harness.state.put_backend(
+            harness.state.backends.find(f"e-{number}").entry._replace(
+                state=BackendState.READY
+            )
+        )
+    harness.state.put_backend(adopted._replace(software_version="v2"))
+    assert lose_server(harness, server) == "v2"
+
+
 def test_stream_of_an_engine_of_unknown_version_has_no_copy_and_does_not_go_on():
     # Such engines are found while the list of servers cannot be read.
     harness, caller = start_stream(engines=3, versions=(None,))
