--- a/packages/decisions/src/ebonyhaven_decisions/_dispatching.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_dispatching.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import enum
-import itertools
-from collections import deque
 from collections.abc import Iterable, Mapping, Set
-from typing import NamedTuple
 
+from ebonyhaven_decisions._freed_slots import FreedSlots
 from ebonyhaven_decisions._in_flight import InFlightRequest, InFlightTable
 from ebonyhaven_decisions._policies import ClassPolicy
 from ebonyhaven_decisions._reservations import Reservation, Reservations
@@ -16,15 +14,11 @@
 from ebonyhaven_decisions._servers import (
     ServerEntry,
     ServerReport,
-    ServerState,
 )
 from ebonyhaven_decisions._usage import UsageLedger
 from ebonyhaven_decisions._work import Dispatch, ServerChoice, WorkItem, compute_cost
 
 YIELDED_SLOTS_SHARE = 0.0625
-MAX_FREED_SERVERS = 4
-MAX_FREED_SLOTS = 32
-FREED_SLOT_TTL_S = 1.0
 UNDERSERVED_USAGE_RATIO = 0.5
 SLOT_COUNT_CACHE_S = 1.0
 DEFAULT_GAP_LIMIT_MS = 1000.0
@@ -40,11 +34,6 @@
     REFUSED = "refused"
 
 
-class _FreedSlot(NamedTuple):
-    freed_at: float
-    server: ServerState
-
-
 class Dispatcher:
     """Assigns requests to servers and tracks the requests until they end.
 
@@ -98,7 +87,7 @@
         self.change_count = 0
         self._enforces_limits = enforces_limits
         self._reservations = Reservations(self.table, self.in_flight_requests)
-        self._freed_slots: deque[_FreedSlot] = deque(maxlen=MAX_FREED_SLOTS)
+        self._freed_slots = FreedSlots()
         self._slot_counts: dict[str, tuple[float, float]] = {}
 
     def replace_servers(self, entries: Iterable[ServerEntry]) -> None:
@@ -158,7 +147,7 @@
             charged_tokens=cost,
         )
         self.in_flight_requests.add(request, now)
-        self._consume_freed_slot(choice.server)
+        self._freed_slots.consume(choice.server)
         policy = self.policies.get(item.class_name)
         priority = 0
         if policy is not None and self._enforces_limits:
@@ -238,7 +227,7 @@
         if request is None:
             return
         self.change_count += 1
-        self._freed_slots.append(_FreedSlot(now, request.server))
+        self._freed_slots.record(request.server, now)
         used_tokens = compute_cost(request.prefill_tokens, request.decoded_tokens)
         self._charge(request, used_tokens, now)
         if is_complete:
@@ -391,24 +380,10 @@
             spare_slots=0 if is_underserved else SPARE_SLOTS,
             avoided=frozenset() if is_underserved else urgent_reservation.server_names,
             preferred=inclusive_reservation.servers if is_urgent else (),
-            freed=() if must_yield else self._list_freed_servers(now),
+            freed=() if must_yield else self._freed_slots.list_servers(now),
             capped=urgent_reservation.server_names,
         )
 
-    def _list_freed_servers(self, now: float) -> tuple[ServerState, ...]:
-        while (
-            self._freed_slots and now - self._freed_slots[0].freed_at > FREED_SLOT_TTL_S
-        ):
-            self._freed_slots.popleft()
-        servers = dict.fromkeys(slot.server for slot in reversed(self._freed_slots))
-        return tuple(itertools.islice(servers, MAX_FREED_SERVERS))
-
-    def _consume_freed_slot(self, server: ServerState) -> None:
-        for slot in self._freed_slots:
-            if slot.server is server:
-                self._freed_slots.remove(slot)
-                return
-
     def _count_slots(self, model: str, now: float) -> float:
         counted_at, slots = self._slot_counts.get(model, (float("-inf"), 1.0))
         if now - counted_at >= SLOT_COUNT_CACHE_S:
--- a/packages/decisions/src/ebonyhaven_decisions/_routing.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_routing.py
@@ -5,12 +5,12 @@
 import abc
 import math
 import random
-from collections import OrderedDict
 from collections.abc import Sequence, Set
 from typing import NamedTuple
 
 import attrs
 
+from ebonyhaven_decisions._prefix_map import PrefixMap
 from ebonyhaven_decisions._server_table import ServerTable
 from ebonyhaven_decisions._servers import ServerState
 from ebonyhaven_decisions._work import ServerChoice, WorkItem
@@ -20,9 +20,6 @@
 HASHED_CANDIDATES = 2
 MAX_SCANNED_SERVERS = 32
 MAX_SAMPLE_DRAWS = 12
-MAX_PREFIXES = 16384
-MAX_PREFIX_SERVERS = 4
-PREFIX_TTL_S = 300.0
 REMOTE_DATA_CENTRE_DELAY_S = 0.003
 REMOTE_REGION_DELAY_S = 0.1
 FULL_LOAD_DELAY_S = 0.05  # added to the score of a server at its concurrency limit
@@ -200,50 +197,6 @@
         return ServerChoice(server=self._random.choice(tied))
 
 
-class PrefixMap:
-    """Bounded map from prefixes to the servers that probably have them cached.
-
-    The least recently recorded entries are evicted first.
-    """
-
-    __slots__ = ("_servers",)
-
-    def __init__(self) -> None:
-        self._servers: OrderedDict[str, dict[str, float]] = OrderedDict()
-
-    def __len__(self) -> int:
-        return len(self._servers)
-
-    def record(self, server: str, digest: str, now: float) -> None:
-        """Record that a server has cached a prefix."""
-        servers = self._servers.setdefault(digest, {})
-        servers.pop(server, None)
-        servers[server] = now
-        if len(servers) > MAX_PREFIX_SERVERS:
-            del servers[next(iter(servers))]
-        self._servers.move_to_end(digest)
-        if len(self._servers) > MAX_PREFIXES:
-            self._servers.popitem(last=False)
-
-    def remove(self, server: str, digest: str) -> None:
-        """Record that a server has evicted a prefix."""
-        servers = self._servers.get(digest)
-        if servers is None:
-            return
-        servers.pop(server, None)
-        if not servers:
-            del self._servers[digest]
-
-    def find_cached(self, item: WorkItem, now: float) -> dict[str, int]:
-        """Return the number of cached prompt tokens by server name."""
-        cached: dict[str, int] = {}
-        for digest, tokens in zip(item.prefix_digests, item.prefix_tokens, strict=True):
-            for server, seen_at in self._servers.get(digest, {}).items():
-                if now - seen_at <= PREFIX_TTL_S:
-                    cached[server] = max(tokens, cached.get(server, 0))
-        return cached
-
-
 class LoadAwareRouter(Router):
     """Scores a few servers by predicted time to first token, load and distance.
 
--- a/packages/node/src/ebonyhaven_node/_policy_scheduling.py
+++ b/packages/node/src/ebonyhaven_node/_policy_scheduling.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import itertools
 import time
 from collections.abc import Callable
@@ -31,7 +30,7 @@
 
 from ebonyhaven_node._active_configuration import ActiveConfiguration
 from ebonyhaven_node._failures import make_not_run_failure
-from ebonyhaven_node._requests import CHARACTERS_PER_TOKEN, GenerationRequest
+from ebonyhaven_node._prefixes import hash_prefixes
 from ebonyhaven_node._scheduling import Slot, SlotRequest, SlotScheduler
 from ebonyhaven_node._servers import (
     BackendServer,
@@ -41,8 +40,6 @@
 )
 
 RECHECK_PERIOD_S = 0.05
-PREFIX_BLOCK_CHARACTERS = 64
-MAX_PREFIXES = 10
 OVERLOAD_CAPACITY_SHARE = 0.95
 OVERLOAD_RETRY_S = 0.5
 NO_SERVER_RETRY_S = 1.0
@@ -352,35 +349,6 @@
     return frozenset(pool.models)
 
 
-def hash_prefixes(
-    request: GenerationRequest,
-) -> tuple[tuple[str, ...], tuple[int, ...]]:
-    """Return digests of prefixes of the prompt whose length doubles each time.
-
-    Parameters
-    ----------
-    request : GenerationRequest
-
-    Returns
-    -------
-    tuple of tuples
-        Digests in the form that engines report, and the token count of each prefix.
-    """
-    digests: list[str] = []
-    tokens: list[int] = []
-    hashed = hashlib.sha256()
-    hashed_length = 0
-    for power in range(MAX_PREFIXES):
-        length = PREFIX_BLOCK_CHARACTERS << power
-        if length > len(request.prompt):
-            break
-        hashed.update(request.prompt[hashed_length:length].encode())
-        hashed_length = length
-        digests.append(hashed.hexdigest()[:16])
-        tokens.append(length // CHARACTERS_PER_TOKEN)
-    return tuple(digests), tuple(tokens)
-
-
 def _make_refusal_failure(refusal: Refusal) -> RequestFailure:
     retry_after_s = round(refusal.retry_after_s, 2)
     return make_not_run_failure(
--- a/tests/node/test_policy_scheduling.py
+++ b/tests/node/test_policy_scheduling.py
@@ -11,7 +11,8 @@
     parse_declaration,
 )
 from ebonyhaven_node._active_configuration import ActiveConfiguration
-from ebonyhaven_node._policy_scheduling import PolicySlotScheduler, hash_prefixes
+from ebonyhaven_node._policy_scheduling import PolicySlotScheduler
+from ebonyhaven_node._prefixes import hash_prefixes
 from ebonyhaven_node._requests import GenerationRequest
 from ebonyhaven_node._scheduling import SlotRequest
 from ebonyhaven_node._servers import BackendServers, ReportedLoad
