Test that all streams of a version go on at the two engines that it has left

Replays the end of a release: twelve callers come back at once, their copies are gone, and twice as many engines have the new version. All twelve go on, at their own version.

--- a/tests/forwarding/test_shared_stream_index.py
+++ b/tests/forwarding/test_shared_stream_index.py
@@ -86,7 +86,7 @@
     copy = RunCopyLocation("i-0123456789", None, "0123456789abcdef")
     record = encode_stream_record(StreamRecord("v1.12", copy.handle, copy))
     payload = ["0" * 16, record]
-    frame = Frame(FrameKind.STREAM_RECORD, "edge-sala-b-44", 44015126, payload)
+    frame = Frame(FrameKind.STREAM_RECORD, "node-dc-b-0044", 44015126, payload)
     assert 3.9 * INDEX_REPLICAS * len(encode_frame(frame)) <= 2000 * 2 / 3
 
 
--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -12,6 +12,7 @@
     chunk,
     decode_headers,
     event,
+    make_entry,
     refusal,
     stream_head,
 )
@@ -19,6 +20,7 @@
 from tests.forwarding.streaming import SIZE_HEADERS, open_stream, start_stream
 
 STREAM_COUNT = 8
+RETRY_COUNT = 12
 VERSIONS = ("v1", "v2")
 
 
@@ -202,6 +204,48 @@
     assert [find_version(successor, each) for each in targets] == [version]
 
 
+def serve_waiting(harness, number) -> set[str]:
+    """Send an event and the end to all waiting streams; return their versions."""
+    waiting = [each for each in harness.connections if each.has_request()]
+    for server in waiting:
+        head, _ = server.read_request()
+        request_id = decode_headers(head)["x-attempt-id"]
+        server.receive(stream_head(request_id) + chunk(event(number)) + STREAM_END)
+    return {find_version(harness, each.address) for each in waiting}
+
+
+def test_all_streams_of_a_version_go_on_at_the_two_engines_that_it_has_left():
+    # Replays the end of a release: the copies are gone with their engines, and all
+    # callers come back at once, among twice as many engines of the new version.
+    harness = ForwardingHarness(engines=6)
+    callers = [harness.open_caller() for _ in range(RETRY_COUNT)]
+    for number, caller in enumerate(callers):
+        headers = {**SIZE_HEADERS, "X_Prompt_Prefix": f"aa:200,{number:02x}:7800"}
+        caller.request("/stream/x", f"first-{number}", **headers)
+        server, _, _ = harness.take_request()
+        server.receive(stream_head(f"first-{number}") + chunk(event(1)))
+        harness.advance(0.0)
+    for number in range(6, 10):
+        entry = make_entry(f"e-{number}", "engines", software_version="v2")
+        harness.state.put_backend(entry)
+    for name in ("e-0", "e-1", "e-2", "e-3"):
+        entry = harness.state.backends.find(name).entry
+        harness.state.put_backend(entry._replace(state=BackendState.LEAVING))
+        harness.state.remove_backend(name)
+    for caller in callers:
+        caller.disconnect()
+    retries = [harness.open_caller() for _ in range(RETRY_COUNT)]
+    for number, retry in enumerate(retries):
+        headers = {**SIZE_HEADERS, "X_Prompt_Prefix": f"aa:200,{number:02x}:7800"}
+        headers |= {"Last_Event_Id": "1", "Resumes": f"first-{number}"}
+        retry.request("/stream/x", f"second-{number}", **headers)
+    for _ in range(RETRY_COUNT):
+        harness.advance(0.2)
+        assert serve_waiting(harness, 2) <= {"v1"}
+    bodies = [retry.read_answer()[2:] for retry in retries]
+    assert bodies == [(event(2), True)] * RETRY_COUNT
+
+
 def test_retry_that_names_another_request_is_of_unknown_software_version():
     harness, caller, _, _, _ = start_mixed_stream()
     caller.disconnect()
