--- a/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
@@ -89,8 +89,8 @@
         """Remove the entry of a stream that is complete, on this instance only.
 
         Removing it on the replicas would add half of the traffic of publishing it.
-        An outdated entry is harmless, because an engine refuses to resume from a copy
-        that it no longer has.
+        An outdated entry is harmless: its version still holds, and an engine refuses to
+        resume from a copy that it no longer has.
 
         Parameters
         ----------
