--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_records.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_records.py
@@ -149,7 +149,7 @@
                 each.callback(None)
 
     def _log_failure(self, failure, step: str) -> None:
-        """Log that the records are incomplete; retries may then be of unknown streams."""
+        """Log that the records are incomplete; some streams are then unknown."""
         if failure.check(StreamRecordError, CancelledError):
             reason = str(failure.value)
             _log.warning("stream_records_unavailable", step=step, reason=reason)
