--- a/packages/node/src/ebonyhaven_node/_crash_reports.py
+++ b/packages/node/src/ebonyhaven_node/_crash_reports.py
@@ -6,6 +6,7 @@
 import time
 from typing import Protocol
 
+import structlog
 from ebonyhaven_decisions import (
     EVIDENCE_TTL_S,
     CrashEvidence,
@@ -20,6 +21,8 @@
 DIGEST_CODE = "x"
 PROCESS_ID_HEX_DIGITS = 8
 
+_log = structlog.get_logger()
+
 
 class ServerProcess(Protocol):
     """One process of a backend server.
@@ -110,6 +113,12 @@
             process, age_s, is_strong=entry.value > 0, is_tokenless=entry.value > 1
         )
         self._ledger.merge([(content, evidence)], now=time.monotonic())
+        _log.info(
+            "crash_evidence_received",
+            content=content,
+            process=process,
+            age_s=round(age_s, 3),
+        )
 
 
 def _format_process_id(server: ServerProcess) -> str:
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -190,6 +190,7 @@
 
         def handle_probe(is_alive: bool) -> None:
             if is_alive:
+                self._log_loss(request.content_digest, backend, "alive")
                 return
             self.report_unreachable(backend)
             self.reactor.callLater(
@@ -213,6 +214,19 @@
         )
         if suspects <= 1:
             self.crashes.record_crash(content, server=backend, progress_tokens=0)
+            self._log_loss(content, backend, "counted")
+        else:
+            self._log_loss(content, backend, "other_servers_lost")
+
+    def _log_loss(self, content: str, backend: Backend, result: str) -> None:
+        self.metrics.losses_checked.labels(result).inc()
+        _log.info(
+            "server_loss_checked",
+            content=content,
+            server=backend.server_id,
+            data_centre=backend.entry.data_centre,
+            result=result,
+        )
 
     def probe(self, backend: Backend, inbox: Inbox) -> None:
         """Check whether a server accepts connections.
--- a/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -78,6 +78,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self.losses_checked = Counter(
+            "ebonyhaven_server_losses_checked",
+            "Losses of servers before an answer, by whether they count as crashes.",
+            ["result"],
+            registry=registry,
+        )
         self.copies = Counter(
             "ebonyhaven_run_copies",
             "Copies of runs that were asked for after the loss of one, by result.",
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -324,6 +324,7 @@
             "stream_sent",
             request=self._request.request_id,
             route=self._route.name,
+            content=self._request.content_digest,
             server=backend.server_id,
             data_centre=backend.entry.data_centre,
             version=backend.software_version,
