--- /dev/null
+++ b/tests/forwarding/test_crashing_requests.py
@@ -0,0 +1,71 @@
+"""Requests whose content crashes each server that begins to run them."""
+
+from __future__ import annotations
+
+from tests.forwarding.harness import ForwardingHarness
+
+CHECK_S = 1.0  # covers the checks after the loss of a server
+HEDGE_S = 0.11  # just over half of the target of the harness's short requests
+
+
+def crash_server(harness):
+    """Reset the connection of the server that has the request and refuse new ones."""
+    server, _, _ = harness.take_request()
+    harness.refused.add(server.address)
+    server.reset()
+    harness.advance(0.01)
+
+
+def send_request(harness, path, request_id, **options):
+    caller = harness.open_caller()
+    caller.request(path, request_id=request_id, **options)
+    return caller
+
+
+def test_short_request_that_crashes_servers_is_not_sent_to_a_fourth():
+    # Guards against look-ups that crashed one server after the other, as only
+    # streams were held responsible for the servers lost under them.
+    harness = ForwardingHarness(plain=6)
+    caller = send_request(harness, "/repeat/x", "r1")
+    crash_server(harness)
+    crash_server(harness)
+    assert caller.read_answer()[0] == 502
+    send_request(harness, "/repeat/x", "r2")
+    crash_server(harness)
+    harness.advance(CHECK_S)
+    again = send_request(harness, "/repeat/x", "r3")
+    assert harness.count_waiting() == 0
+    assert again.read_answer()[0] == 503
+    send_request(harness, "/repeat/x", "r4", body=b"another")
+    assert harness.count_waiting() == 1
+
+
+def test_request_that_must_not_be_repeated_is_held_responsible_as_well():
+    harness = ForwardingHarness(plain=6)
+    for number in range(3):
+        caller = send_request(harness, "/once/x", f"r{number}")
+        crash_server(harness)
+        harness.advance(CHECK_S)
+        assert caller.read_answer()[0] == 502
+    again = send_request(harness, "/once/x", "r3")
+    assert harness.count_waiting() == 0
+    assert again.read_answer()[0] == 503
+
+
+def test_hedged_request_counts_both_servers_that_it_crashes():
+    harness = ForwardingHarness(plain=6)
+    send_request(harness, "/repeat/x", "r1")
+    harness.advance(HEDGE_S)
+    servers = [each for each in harness.connections if each.has_request()]
+    assert len(servers) == 2
+    for server in servers:
+        server.read_request()
+        harness.refused.add(server.address)
+        server.reset()
+    harness.advance(CHECK_S)
+    send_request(harness, "/repeat/x", "r2")
+    crash_server(harness)
+    harness.advance(CHECK_S)
+    again = send_request(harness, "/repeat/x", "r3")
+    assert harness.count_waiting() == 0
+    assert again.read_answer()[0] == 503
