Hold requests of every kind responsible for the servers lost under them

Cause: only the relay of streams reported lost servers as evidence against the content that they were running; the relay of short requests reported none, so no instance ever rejected one. No server_loss_checked was logged for them.

Change: CrashMonitor is the one place that checks losses; both relays report to it, for first attempts, retries and hedges. While a check is open whose result may block a content, the content is not sent on; a blocked one is rejected as not run, or is unknown if it may have run, without waiting and without a time to come back.

--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -22,6 +22,7 @@
 from ebonyhaven_node.forwarding._http_server import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._outcomes import (
+    CRASHING_CONTENT_REASON,
     NO_SERVER_RETRY_AFTER_S,
     NOT_RUN_STATUSES,
 )
@@ -118,7 +119,7 @@
                 attempt.cancel()
 
     async def _run_attempts(self) -> None:
-        self._start_attempt()
+        self._advance()
         while not self._exchange.is_done:
             now = self._context.clock()
             if now >= self._deadline:
@@ -133,16 +134,25 @@
     def _advance(self) -> None:
         """Start another attempt if one is due; fail if no further one is possible."""
         now = self._context.clock()
+        if self._is_undecided():
+            return
         if self._running:
-            if self._is_hedge_due(now):
+            if self._is_hedge_due(now) and not self._is_blocked():
                 self._start_attempt()
             return
-        if not self._is_exhausted() and (
-            self._start_attempt() or now < self._server_wait_deadline
-        ):
+        may_start = not self._is_exhausted() and not self._is_blocked()
+        if may_start and (self._start_attempt() or now < self._server_wait_deadline):
             return
         self._finish_without_success()
 
+    def _is_blocked(self) -> bool:
+        content = self._request.content_digest
+        return self._context.crash_monitor.is_blocked(content)
+
+    def _is_undecided(self) -> bool:
+        content = self._request.content_digest
+        return self._context.crash_monitor.is_undecided(content)
+
     def _is_exhausted(self) -> bool:
         """Return whether no further attempt is allowed."""
         if self._is_budget_exhausted or self._refusal_count >= MAX_REFUSALS:
@@ -157,6 +167,8 @@
             raise make_unknown_failure(
                 self._last_reason, step="call", peer=self._last_peer
             )
+        elif self._is_blocked():
+            raise make_not_run_failure(CRASHING_CONTENT_REASON, step="crash")
         else:
             raise make_not_run_failure(
                 f"no server took the request: {self._last_reason}",
@@ -266,9 +278,13 @@
                     self._route.kind.value, is_delimited=is_delimited, partial_bytes=0
                 )
                 self._complete_attempt(attempt)
-            case AttemptFailed(attempt, was_sent, _, reason):
+            case AttemptFailed(attempt, was_sent, is_connection_lost, reason):
                 self._running.remove(attempt)
                 self._fail_attempt(attempt, was_sent, reason)
+                if was_sent and is_connection_lost:
+                    self._context.crash_monitor.check_loss(
+                        self._request.content_digest, attempt.backend
+                    )
 
     def _buffer_data(self, attempt: Attempt, data: bytes) -> None:
         response = self._responses[attempt]
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -18,21 +18,20 @@
 )
 from twisted.internet.interfaces import IReactorTime
 
-from ebonyhaven_node._crash_reports import CrashReports
 from ebonyhaven_node.forwarding._connection_pool import ConnectionPool
+from ebonyhaven_node.forwarding._crash_monitor import (
+    PROBE_TIMEOUT_S,
+    CrashMonitor,
+)
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._messages import BackendProbed
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._notifiers import CapacityNotifier, SuspicionNotifier
-from ebonyhaven_node.forwarding._requests import ForwardRequest
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding.interfaces import BackendDialect, RunCopier
 
 SERVER_SILENCE_LIMIT_S = 0.2  # working engines send data at shorter intervals
-CRASH_CONFIRMATION_DELAY_S = 0.5  # shorter than a server restart
-DATA_CENTRE_CHECK_DELAY_S = 0.2  # peers report losses within tens of milliseconds
-PROBE_TIMEOUT_S = 0.15  # a live server accepts within milliseconds
 
 _log = structlog.get_logger()
 
@@ -56,7 +55,7 @@
     suspicion_notifier : SuspicionNotifier
     capacity_notifier : CapacityNotifier
     metrics : ForwardingMetrics
-    crashes : CrashReports
+    crash_monitor : CrashMonitor
     stream_index : SharedStreamIndex
     data_centre : str
         Data centre of this instance.
@@ -83,7 +82,7 @@
     suspicion_notifier: SuspicionNotifier
     capacity_notifier: CapacityNotifier
     metrics: ForwardingMetrics
-    crashes: CrashReports
+    crash_monitor: CrashMonitor
     stream_index: SharedStreamIndex
     data_centre: str
     reactor: IReactorTime
@@ -175,59 +174,6 @@
         """
         backend.record_refused(self.clock(), self.rng.random())
 
-    def schedule_crash_check(self, request: ForwardRequest, backend: Backend) -> None:
-        """Check later whether a server lost before the first event has crashed.
-
-        The loss counts as a crash caused by the content of the request only if the
-        server is still unreachable after `CRASH_CONFIRMATION_DELAY_S` and no other
-        server of its data centre is suspect.
-
-        Parameters
-        ----------
-        request : ForwardRequest
-        backend : Backend
-        """
-
-        def handle_probe(is_alive: bool) -> None:
-            if is_alive:
-                self._log_loss(request.content_digest, backend, "alive")
-                return
-            self.report_unreachable(backend)
-            self.reactor.callLater(
-                DATA_CENTRE_CHECK_DELAY_S,
-                self._record_crash,
-                request.content_digest,
-                backend,
-            )
-
-        self.reactor.callLater(
-            CRASH_CONFIRMATION_DELAY_S,
-            self.pool.probe_address,
-            backend.entry.address,
-            on_result=handle_probe,
-            timeout_s=PROBE_TIMEOUT_S,
-        )
-
-    def _record_crash(self, content: str, backend: Backend) -> None:
-        suspects = self.state.backends.count_suspects(
-            backend.entry.data_centre, self.clock()
-        )
-        if suspects <= 1:
-            self.crashes.record_crash(content, server=backend, progress_tokens=0)
-            self._log_loss(content, backend, "counted")
-        else:
-            self._log_loss(content, backend, "other_servers_lost")
-
-    def _log_loss(self, content: str, backend: Backend, result: str) -> None:
-        self.metrics.losses_checked.labels(result).inc()
-        _log.info(
-            "server_loss_checked",
-            content=content,
-            server=backend.server_id,
-            data_centre=backend.entry.data_centre,
-            result=result,
-        )
-
     def probe(self, backend: Backend, inbox: Inbox) -> None:
         """Check whether a server accepts connections.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -8,7 +8,7 @@
 
 import attrs
 import structlog
-from ebonyhaven_decisions import CrashVerdict, OutcomeTag, RequestFailure
+from ebonyhaven_decisions import OutcomeTag, RequestFailure
 from ebonyhaven_decisions.forwarding import (
     RequestKind,
     Route,
@@ -16,14 +16,15 @@
     Workspace,
 )
 
-from ebonyhaven_node._crash_reports import CrashReports
 from ebonyhaven_node._failures import make_not_run_failure
 from ebonyhaven_node._filter_chain import Filter, Proceed
 from ebonyhaven_node.forwarding._calls import CallRelay
 from ebonyhaven_node.forwarding._context import RelayContext
+from ebonyhaven_node.forwarding._crash_monitor import CrashMonitor
 from ebonyhaven_node.forwarding._http_server import Exchange
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._outcomes import (
+    CRASHING_CONTENT_REASON,
     LEAVING_RETRY_AFTER_S,
     NOT_READY_RETRY_AFTER_S,
 )
@@ -200,21 +201,18 @@
 
     Parameters
     ----------
-    crashes : CrashReports
+    monitor : CrashMonitor
     """
 
-    def __init__(self, crashes: CrashReports):
-        self._crashes = crashes
+    def __init__(self, monitor: CrashMonitor):
+        self._monitor = monitor
 
     async def handle(
         self, work: RequestContext, proceed: Proceed[RequestContext]
     ) -> None:
         """See `Filter.handle`."""
-        verdict = self._crashes.evaluate(work.request.content_digest)
-        if verdict is CrashVerdict.STOPPED:
-            raise make_not_run_failure(
-                "servers died each time they began this content", step="crash"
-            )
+        if self._monitor.is_blocked(work.request.content_digest):
+            raise make_not_run_failure(CRASHING_CONTENT_REASON, step="crash")
         await proceed(work)
 
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -33,6 +33,7 @@
 from ebonyhaven_node.forwarding._context import (
     RelayContext,
 )
+from ebonyhaven_node.forwarding._crash_monitor import CrashMonitor
 from ebonyhaven_node.forwarding._filters import (
     AdmitFilter,
     CrashFilter,
@@ -140,6 +141,16 @@
         )
         self._peers = PeerEngineUse(ttl_s=PEER_USE_TTL_S)
         self._capacity_notifier = CapacityNotifier()
+        self._crash_monitor = CrashMonitor(
+            crashes=self._crashes,
+            state=self.state,
+            pool=self.pool,
+            metrics=self._metrics,
+            reactor=reactor,
+            clock=clock,
+            on_unreachable=self._report_unreachable,
+            on_checked=self._capacity_notifier.notify,
+        )
         self._budget = ServiceRetryBudget(
             ratio=settings.retry_budget_ratio,
             window_s=settings.retry_budget_window_s,
@@ -262,7 +273,7 @@
             stream_index=self._stream_index,
             crashes=self._crashes,
             on_peer_use=self._capacity_notifier.notify,
-            on_loss=lambda backend: self._context.report_unreachable(
+            on_loss=lambda backend: self._report_unreachable(
                 backend, is_from_peer=True
             ),
         )
@@ -292,7 +303,7 @@
             on_usage_change=self._schedule_use_update,
             on_loss=self._report_lost_server,
             on_other_process=self._adopter.inspect_replacement,
-            crashes=self._crashes,
+            crash_monitor=self._crash_monitor,
             stream_index=self._stream_index,
         )
         return build_chain(
@@ -301,7 +312,7 @@
                 DecodeFilter(caller_dialect),
                 RouteFilter(self.state, StateWaiter(self.state, self._reactor)),
                 IdentifyFilter(),
-                CrashFilter(self._crashes),
+                CrashFilter(self._crash_monitor),
                 AdmitFilter(self._accepts),
                 RelayFilter(context, self._rng),
             ]
@@ -311,6 +322,11 @@
         if self._peer_group is not None:
             self._peer_group.schedule_use_report()
 
+    def _report_unreachable(
+        self, backend: Backend, *, is_from_peer: bool = False
+    ) -> None:
+        self._context.report_unreachable(backend, is_from_peer=is_from_peer)
+
     def _report_lost_server(self, backend: Backend) -> None:
         if self._peer_group is not None:
             self._peer_group.report_lost_server(backend)
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -4,12 +4,14 @@
 
 from typing import NamedTuple
 
-from ebonyhaven_decisions import CrashVerdict
 from ebonyhaven_decisions.forwarding import Route
 
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._earlier_runs import EarlierRun
-from ebonyhaven_node.forwarding._outcomes import NO_SERVER_RETRY_AFTER_S
+from ebonyhaven_node.forwarding._outcomes import (
+    CRASHING_CONTENT_REASON,
+    NO_SERVER_RETRY_AFTER_S,
+)
 from ebonyhaven_node.forwarding._progress import StreamProgress
 from ebonyhaven_node.forwarding._requests import ForwardRequest
 from ebonyhaven_node.forwarding._stream_attempts import AttemptEnd
@@ -150,6 +152,8 @@
         """Return a reason that also holds for a retry of the caller."""
         if now >= self.deadline:
             return None
+        if self._context.crash_monitor.is_blocked(self._request.content_digest):
+            return CRASHING_CONTENT_REASON
         obstacle = self._version.find_obstacle(now)
         if obstacle is not None:
             return obstacle
@@ -166,9 +170,6 @@
             return "no server had room in time" if is_late else self._check_attempts()
         if not self._route.may_retry:
             return self.last_reason
-        verdict = self._context.crashes.evaluate(self._request.content_digest)
-        if verdict is CrashVerdict.STOPPED:
-            return "servers died each time they began the request"
         return self._check_attempts()
 
     def _check_attempts(self) -> str | None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -156,7 +156,7 @@
                 if reason is not None:
                     self._give_up(now, reason)
                     return None
-                choice = self._choose_target(now)
+                choice = None if self._is_undecided() else self._choose_target(now)
                 if choice is not None and self._acquire_retry(now):
                     return choice
                 message = await self._inbox.get(CAPACITY_POLL_INTERVAL_S)
@@ -166,6 +166,10 @@
             self._context.capacity_notifier.unsubscribe(self._inbox)
         return None
 
+    def _is_undecided(self) -> bool:
+        content = self._request.content_digest
+        return self._context.crash_monitor.is_undecided(content)
+
     def _acquire_retry(self, now: float) -> bool:
         if not self._limits.attempts:
             return True
@@ -301,7 +305,9 @@
             if monitor.events:  # engines create copies only after the first event
                 self._run_copy = copy
             elif result.end is AttemptEnd.LOST:
-                self._context.schedule_crash_check(self._request, attempt.backend)
+                self._context.crash_monitor.check_loss(
+                    self._request.content_digest, attempt.backend
+                )
             return result
         finally:
             copy.close(
