Tell all instances at once which contents servers were lost under

Cause: evidence travelled on heartbeats, one content a heartbeat, and every request that a lost server was running makes a piece of evidence: 30 contents took 30 heartbeats to one neighbour. Instances that join later heard of it as slowly.

Change: CrashHistory keeps losses of servers and the contents that they were running; CrashExchange sends each new one to all instances within 10 ms and once more after half a second, in one message a lost server, with its age. Whoever joins, or is seen again after it was not, gets all that is known from three others.

--- a/packages/decisions/src/ebonyhaven_decisions/_crashes.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_crashes.py
@@ -142,26 +142,6 @@
             return CrashVerdict.STOPPED
         return CrashVerdict.SUSPECT
 
-    def may_be_stopped_by(self, content: str, *, crashes: int, now: float) -> bool:
-        """Return whether further crashes would be enough to block a content.
-
-        Parameters
-        ----------
-        content : str
-            Digest of the request content.
-        crashes : int
-            Number of further crashes.
-        now : float
-            Present time, seconds.
-
-        Returns
-        -------
-        bool
-        """
-        evidence = self._evidence.get(content, {}).values()
-        current = sum(now - item.at < EVIDENCE_TTL_S for item in evidence)
-        return current + crashes >= self._max_crashes
-
     def export(self, *, now: float, limit: int) -> list[tuple[str, CrashEvidence]]:
         """Return the newest evidence for other instances.
 
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -8,6 +8,12 @@
 )
 from ebonyhaven_decisions.forwarding._budget import ServiceRetryBudget
 from ebonyhaven_decisions.forwarding._change_feed import ChangeFeed, choose_reader
+from ebonyhaven_decisions.forwarding._crash_history import (
+    CrashHistory,
+    LossReport,
+    decode_loss_report,
+    encode_loss_report,
+)
 from ebonyhaven_decisions.forwarding._directory import BackendDirectory
 from ebonyhaven_decisions.forwarding._engine_use import (
     EngineUse,
@@ -67,9 +73,11 @@
     "BackendEntry",
     "BackendState",
     "ChangeFeed",
+    "CrashHistory",
     "RequestLimits",
     "EngineTraits",
     "EngineUse",
+    "LossReport",
     "PeerEngineUse",
     "PrefillRate",
     "RequestKind",
@@ -99,7 +107,9 @@
     "compute_gap_limits",
     "count_queued_prefill_tokens",
     "fits_in_memory",
+    "decode_loss_report",
     "decode_stream_record",
+    "encode_loss_report",
     "encode_stream_record",
     "group_routes",
     "have_room",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -140,14 +140,9 @@
         return self.entry.software_version
 
     @property
-    def name(self) -> str:
-        """Name of the server in crash reports shared between instances."""
-        return self.entry.server_id
-
-    @property
-    def identity(self) -> str:
-        """Identity that distinguishes the process from earlier ones of that name."""
-        return str(self.entry.started_ms)
+    def process_id(self) -> str:
+        """Identifies the process in what instances tell each other."""
+        return f"{self.entry.server_id}/{self.entry.started_ms}"
 
     @property
     def key(self) -> tuple[str, int]:
--- a/packages/node/src/ebonyhaven_node/_crash_reports.py
+++ b/packages/node/src/ebonyhaven_node/_crash_reports.py
@@ -94,24 +94,6 @@
         """
         return self._ledger.evaluate(content, now=time.monotonic())
 
-    def may_be_stopped_by(self, content: str, crashes: int) -> bool:
-        """Return whether further crashes would stop the content.
-
-        Parameters
-        ----------
-        content : str
-            Digest of the request content.
-        crashes : int
-            Number of further crashes.
-
-        Returns
-        -------
-        bool
-        """
-        return self._ledger.may_be_stopped_by(
-            content, crashes=crashes, now=time.monotonic()
-        )
-
     def make_digest(self) -> Digest:
         """Return the gossip digest of the evidence."""
         return TableDigest(
--- a/packages/node/src/ebonyhaven_node/_frames.py
+++ b/packages/node/src/ebonyhaven_node/_frames.py
@@ -32,6 +32,7 @@
     STREAM_RECORD = "k"
     STREAM_RECORD_REQUEST = "m"
     STREAM_RECORD_ANSWER = "n"
+    SERVER_LOSSES = "b"
 
 
 class Frame(NamedTuple):
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_exchange.py
@@ -0,0 +1,147 @@
+"""Exchange of the losses of servers under contents between instances."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+from ebonyhaven_decisions import MemberRecord, MemberState
+from ebonyhaven_decisions.forwarding import (
+    CrashHistory,
+    choose_index_instances,
+    decode_loss_report,
+    encode_loss_report,
+)
+from twisted.internet.interfaces import IReactorTime
+
+from ebonyhaven_node._channels import Channels
+from ebonyhaven_node._frames import Frame, FrameKind
+from ebonyhaven_node._membership import MembershipController
+
+SEND_DELAY_S = 0.01  # batches the contents that were lost with one server
+RESEND_DELAY_S = 0.5  # for messages that were dropped
+
+_log = structlog.get_logger()
+
+
+class CrashExchange:
+    """Tells all other instances at once which contents servers were lost under.
+
+    An instance that joins, or is seen again, gets all that is known from a few others.
+
+    Parameters
+    ----------
+    history : CrashHistory
+        Updated with the reports of other instances.
+    membership : MembershipController
+    channels : Channels
+    reactor : IReactorTime
+    clock : callable
+        Returns seconds.
+    on_received : callable
+        Called after each report that was new.
+    """
+
+    def __init__(
+        self,
+        *,
+        history: CrashHistory,
+        membership: MembershipController,
+        channels: Channels,
+        reactor: IReactorTime,
+        clock: Callable[[], float],
+        on_received: Callable[[], None],
+    ):
+        self._history = history
+        self._membership = membership
+        self._reactor = reactor
+        self._clock = clock
+        self._on_received = on_received
+        self._unsent: dict[str, None] = {}
+        self._timers: set[Any] = set()
+        self._live_incarnations: dict[str, int] = {}
+        channels.subscribe(FrameKind.SERVER_LOSSES, self._receive)
+        membership.observe(self._handle_member)
+
+    def publish(self, content: str) -> None:
+        """Send what is known about a content to all other instances, twice.
+
+        Parameters
+        ----------
+        content : str
+        """
+        if not self._unsent:
+            self._call_later(SEND_DELAY_S, self._send_unsent)
+        self._unsent[content] = None
+
+    def stop(self) -> None:
+        """Cancel scheduled messages."""
+        for timer in self._timers:
+            if timer.active():
+                timer.cancel()
+        self._timers.clear()
+
+    def _call_later(self, delay_s: float, send: Callable[..., None], *args) -> None:
+        self._timers = {timer for timer in self._timers if timer.active()}
+        self._timers.add(self._reactor.callLater(delay_s, send, *args))
+
+    def _send_unsent(self) -> None:
+        contents, self._unsent = list(self._unsent), {}
+        self._send_to_all(contents)
+        self._call_later(RESEND_DELAY_S, self._send_to_all, contents)
+
+    def _send_to_all(self, contents: list[str]) -> None:
+        for name in self._list_others():
+            self._send(name, contents)
+
+    def _send(self, name: str, contents: list[str] | None) -> None:
+        reports = self._history.export(self._clock(), contents)
+        if reports:
+            payload = [encode_loss_report(each) for each in reports]
+            self._membership.send(name, FrameKind.SERVER_LOSSES, payload)
+
+    def _list_others(self) -> list[str]:
+        return [
+            record.name
+            for record in self._membership.members
+            if record.state is not MemberState.DEAD
+            and record.name != self._membership.own.name
+        ]
+
+    def _handle_member(self, record: MemberRecord) -> None:
+        """Send all that is known to an instance that was not live before."""
+        if record.state is not MemberState.LIVE:
+            self._live_incarnations.pop(record.name, None)
+            return
+        known = self._live_incarnations.get(record.name)
+        self._live_incarnations[record.name] = record.incarnation
+        if known == record.incarnation:
+            return
+        names = [self._membership.own.name, *self._list_others()]
+        senders = choose_index_instances(
+            record.name, [name for name in names if name != record.name]
+        )
+        if self._membership.own.name in senders:
+            self._send(record.name, None)
+
+    def _receive(self, frame: Frame) -> None:
+        try:
+            reports = [decode_loss_report(values) for values in frame.payload]
+        except (TypeError, ValueError) as error:
+            _log.warning(
+                "server_losses_malformed", peer=frame.sender, reason=str(error)
+            )
+            return
+        now = self._clock()
+        for report in reports:
+            for content in self._history.add(report, now):
+                _log.info(
+                    "crash_evidence_received",
+                    peer=frame.sender,
+                    content=content,
+                    process=report.process,
+                    age_s=round(report.age_s, 3),
+                    crashes=self._history.count_crashes(content, now),
+                )
+        self._on_received()
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
@@ -5,11 +5,9 @@
 from collections.abc import Callable
 
 import structlog
-from ebonyhaven_decisions import CrashVerdict
-from ebonyhaven_decisions.forwarding import Backend
+from ebonyhaven_decisions.forwarding import Backend, CrashHistory, LossReport
 from twisted.internet.interfaces import IReactorTime
 
-from ebonyhaven_node._crash_reports import CrashReports
 from ebonyhaven_node.forwarding._connection_pool import ConnectionPool
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._state import ForwardingState
@@ -30,7 +28,7 @@
 
     Parameters
     ----------
-    crashes : CrashReports
+    history : CrashHistory
     state : ForwardingState
     pool : ConnectionPool
     metrics : ForwardingMetrics
@@ -39,6 +37,8 @@
         Returns seconds.
     on_unreachable : callable
         Called with each `Backend` that refused the connection of a check.
+    on_crash : callable
+        Called with each content under which a server was lost.
     on_checked : callable
         Called after each check.
     """
@@ -46,22 +46,24 @@
     def __init__(
         self,
         *,
-        crashes: CrashReports,
+        history: CrashHistory,
         state: ForwardingState,
         pool: ConnectionPool,
         metrics: ForwardingMetrics,
         reactor: IReactorTime,
         clock: Callable[[], float],
         on_unreachable: Callable[[Backend], None],
+        on_crash: Callable[[str], None],
         on_checked: Callable[[], None],
     ):
-        self._crashes = crashes
+        self._history = history
         self._state = state
         self._pool = pool
         self._metrics = metrics
         self._reactor = reactor
         self._clock = clock
         self._on_unreachable = on_unreachable
+        self._on_crash = on_crash
         self._on_checked = on_checked
         self._pending: dict[str, int] = {}
 
@@ -73,7 +75,7 @@
         content : str
             Digest of the content of a request.
         """
-        return self._crashes.evaluate(content) is CrashVerdict.STOPPED
+        return self._history.is_blocked(content, self._clock())
 
     def is_undecided(self, content: str) -> bool:
         """Return whether a running check may lead to a block of the content.
@@ -83,7 +85,9 @@
         content : str
         """
         pending = self._pending.get(content, 0)
-        return pending > 0 and self._crashes.may_be_stopped_by(content, pending)
+        return pending > 0 and self._history.is_blocked(
+            content, self._clock(), expected_crashes=pending
+        )
 
     def check_loss(self, content: str, backend: Backend) -> None:
         """Check whether a server that closed its connection has crashed.
@@ -121,7 +125,10 @@
             backend.entry.data_centre, self._clock()
         )
         if suspects <= 1:
-            self._crashes.record_crash(content, server=backend, progress_tokens=0)
+            data_centre = backend.entry.data_centre
+            report = LossReport(backend.process_id, data_centre, 0.0, (content,))
+            if self._history.add(report, self._clock()):
+                self._on_crash(content)
             self._finish_check(content, backend, "counted")
         else:
             self._finish_check(content, backend, "other_servers_lost")
@@ -137,5 +144,6 @@
             server=backend.server_id,
             data_centre=backend.entry.data_centre,
             result=result,
+            crashes=self._history.count_crashes(content, self._clock()),
         )
         self._on_checked()
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -8,9 +8,10 @@
 from collections.abc import Callable
 
 import structlog
-from ebonyhaven_decisions import CrashLedger, EntryList
+from ebonyhaven_decisions import EntryList
 from ebonyhaven_decisions.forwarding import (
     Backend,
+    CrashHistory,
     PeerEngineUse,
     PrefillRate,
     RequestKind,
@@ -22,7 +23,6 @@
 from twisted.internet.defer import CancelledError, ensureDeferred
 from twisted.internet.interfaces import IReactorCore
 
-from ebonyhaven_node._crash_reports import CrashReports
 from ebonyhaven_node._filter_chain import build_chain
 from ebonyhaven_node._log_writer import LogOutput
 from ebonyhaven_node.forwarding._adoption import EngineAdopter
@@ -65,7 +65,6 @@
 STREAM_ADMISSION_GRACE_SHARE = 0.25  # a stream started later would be cut off
 SHUTDOWN_MARGIN_S = 0.6  # connections close this long before the process is killed
 DRAIN_POLL_INTERVAL_S = 0.05
-MAX_CRASHES_PER_CONTENT = 3  # then requests with the same content are rejected
 
 _log = structlog.get_logger()
 
@@ -125,12 +124,6 @@
             inspector=build_inspector(self.pool),
             clock=clock,
         )
-        self._crashes = CrashReports(
-            CrashLedger(
-                max_crashes=MAX_CRASHES_PER_CONTENT,
-                max_weak_crashes=2 * MAX_CRASHES_PER_CONTENT,
-            )
-        )
         self._metrics = ForwardingMetrics(self.registry)
         self._metrics.register_state_gauges(
             read_version=lambda: self.source.read_version().configuration,
@@ -141,14 +134,16 @@
         )
         self._peers = PeerEngineUse(ttl_s=PEER_USE_TTL_S)
         self._capacity_notifier = CapacityNotifier()
+        self._crash_history = CrashHistory()
         self._crash_monitor = CrashMonitor(
-            crashes=self._crashes,
+            history=self._crash_history,
             state=self.state,
             pool=self.pool,
             metrics=self._metrics,
             reactor=reactor,
             clock=clock,
             on_unreachable=self._report_unreachable,
+            on_crash=self._report_crash,
             on_checked=self._capacity_notifier.notify,
         )
         self._budget = ServiceRetryBudget(
@@ -271,8 +266,9 @@
             peer_use=self._peers,
             budget=self._budget,
             stream_index=self._stream_index,
-            crashes=self._crashes,
+            crash_history=self._crash_history,
             on_peer_use=self._capacity_notifier.notify,
+            on_peer_losses=self._capacity_notifier.notify,
             on_loss=lambda backend: self._report_unreachable(
                 backend, is_from_peer=True
             ),
@@ -327,6 +323,10 @@
     ) -> None:
         self._context.report_unreachable(backend, is_from_peer=is_from_peer)
 
+    def _report_crash(self, content: str) -> None:
+        if self._peer_group is not None:
+            self._peer_group.report_crash(content)
+
     def _report_lost_server(self, backend: Backend) -> None:
         if self._peer_group is not None:
             self._peer_group.report_lost_server(backend)
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -8,6 +8,7 @@
 
 from ebonyhaven_decisions.forwarding import (
     Backend,
+    CrashHistory,
     PeerEngineUse,
     ServiceRetryBudget,
 )
@@ -15,10 +16,10 @@
 from twisted.internet.interfaces import IReactorCore
 
 from ebonyhaven_node._channels import ChannelMetrics, Channels
-from ebonyhaven_node._crash_reports import CrashReports
 from ebonyhaven_node._membership import MembershipController
 from ebonyhaven_node._own_record import make_own_record
 from ebonyhaven_node._processor_load import ProcessorLoad
+from ebonyhaven_node.forwarding._crash_exchange import CrashExchange
 from ebonyhaven_node.forwarding._settings import GatewaySettings
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
 from ebonyhaven_node.forwarding._sharing import (
@@ -51,9 +52,12 @@
     budget : ServiceRetryBudget
         Its number of instances is updated with the membership.
     stream_index : SharedStreamIndex
-    crashes : CrashReports
+    crash_history : CrashHistory
+        Updated with the losses that other instances report.
     on_peer_use : callable
         Called after each report of another instance.
+    on_peer_losses : callable
+        Called after each report of losses under contents.
     on_loss : callable
         Called with each server that another instance found lost.
 
@@ -75,8 +79,9 @@
         peer_use: PeerEngineUse,
         budget: ServiceRetryBudget,
         stream_index: SharedStreamIndex,
-        crashes: CrashReports,
+        crash_history: CrashHistory,
         on_peer_use: Callable[[], None],
+        on_peer_losses: Callable[[], None],
         on_loss: Callable[[Backend], None],
     ):
         self._stack = contextlib.ExitStack()
@@ -103,7 +108,6 @@
         self._stack.callback(membership.stop)
         membership.set_load_source(ProcessorLoad().read)
         membership.set_seeds(settings.seeds)
-        membership.add_digest(crashes.make_digest())
         synchronizer = StateSynchronizer(
             source=source,
             membership=membership,
@@ -125,6 +129,15 @@
             on_loss=on_loss,
         )
         self._stack.callback(self._use_exchange.stop)
+        self._crash_exchange = CrashExchange(
+            history=crash_history,
+            membership=membership,
+            channels=channels,
+            reactor=reactor,
+            clock=clock,
+            on_received=on_peer_losses,
+        )
+        self._stack.callback(self._crash_exchange.stop)
         stream_index.connect(membership, channels)
         self._stack.callback(stream_index.stop)
 
@@ -140,6 +153,16 @@
         """Report the engine use of this instance soon."""
         self._use_exchange.schedule_report()
 
+    def report_crash(self, content: str) -> None:
+        """Report the servers that were lost under a content soon.
+
+        Parameters
+        ----------
+        content : str
+            Digest of the content of a request.
+        """
+        self._crash_exchange.publish(content)
+
     def report_lost_server(self, backend: Backend) -> None:
         """Report a lost server soon.
 
--- /dev/null
+++ b/tests/decisions/test_crash_history.py
@@ -0,0 +1,96 @@
+from __future__ import annotations
+
+import json
+
+from ebonyhaven_decisions.forwarding import (
+    CrashHistory,
+    LossReport,
+    decode_loss_report,
+    encode_loss_report,
+)
+from ebonyhaven_decisions.forwarding._crash_history import (
+    EVIDENCE_TTL_S,
+    MAX_LOSSES,
+)
+
+MALFORMED_REPORTS = (
+    None,
+    [],
+    ["s", "dc", 1],
+    ["s", "dc", "x", []],
+    ["s", 1, 1, []],
+    ["s", "dc", 1, [5]],
+)
+
+
+def make_report(process, *contents, age_s=0.0, data_centre="dc-a") -> LossReport:
+    return LossReport(process, data_centre, age_s, contents)
+
+
+def make_history(*reports, now=100.0) -> CrashHistory:
+    history = CrashHistory()
+    for report in reports:
+        history.add(report, now)
+    return history
+
+
+def test_content_is_blocked_after_the_loss_of_three_servers():
+    history = make_history(make_report("s1", "c"), make_report("s2", "c", "other"))
+    assert not history.is_blocked("c", 100.0)
+    assert history.is_blocked("c", 100.0, expected_crashes=1)
+    history.add(make_report("s3", "c"), 100.0)
+    assert history.is_blocked("c", 100.0)
+    assert not history.is_blocked("other", 100.0)
+
+
+def test_loss_that_several_instances_report_counts_once():
+    history = make_history(make_report("s1", "c"))
+    assert history.add(make_report("s1", "c", "d", age_s=0.2), 100.0) == ["d"]
+    assert history.count_crashes("c", 100.0) == 1
+    assert history.count_crashes("d", 100.0) == 1
+
+
+def test_evidence_of_two_instances_adds_up():
+    here = make_history(make_report("s1", "c"))
+    there = make_history(make_report("s2", "c"), make_report("s3", "c"), now=7.0)
+    for report in there.export(8.0):
+        values = json.loads(json.dumps(encode_loss_report(report)))
+        here.add(decode_loss_report(values), 100.0)
+    assert here.is_blocked("c", 100.0)
+
+
+def test_evidence_expires():
+    history = make_history(*(make_report(f"s{number}", "c") for number in range(3)))
+    assert history.is_blocked("c", 99.0 + EVIDENCE_TTL_S)
+    assert not history.is_blocked("c", 100.0 + EVIDENCE_TTL_S)
+    assert history.export(100.0 + EVIDENCE_TTL_S) == []
+
+
+def test_age_of_a_report_counts():
+    history = make_history(make_report("s1", "c", age_s=EVIDENCE_TTL_S - 1.0))
+    assert history.count_crashes("c", 100.5) == 1
+    assert history.count_crashes("c", 101.5) == 0
+
+
+def test_export_may_be_limited_to_some_contents():
+    history = make_history(make_report("s1", "c", "d"), make_report("s2", "e"))
+    assert history.export(101.0, ["d"]) == [make_report("s1", "d", age_s=1.0)]
+
+
+def test_number_of_losses_is_bounded_and_the_oldest_goes_first():
+    history = CrashHistory()
+    for number in range(MAX_LOSSES + 5):
+        history.add(make_report(f"s{number}", "c", str(number)), 100.0)
+    assert len(history) == MAX_LOSSES
+    assert history.count_crashes("4", 100.0) == 0
+    assert history.count_crashes("5", 100.0) == 1
+    assert history.count_crashes("c", 100.0) == MAX_LOSSES
+
+
+def test_malformed_reports_are_refused():
+    for values in MALFORMED_REPORTS:
+        try:
+            decode_loss_report(values)
+        except (TypeError, ValueError):
+            continue
+        raise AssertionError(values)
--- a/tests/forwarding/test_adoption.py
+++ b/tests/forwarding/test_adoption.py
@@ -142,7 +142,7 @@
         server.reset()
     harness.advance(0.8)
     assert len(lost & {each.address for each in harness.connections}) >= 2
-    assert not harness.gateway._crashes._ledger.read_evidence()
+    assert len(harness.gateway._crash_history) == 0
 
 
 def test_connection_reset_by_a_live_server_is_no_crash_evidence():
@@ -157,4 +157,4 @@
             if each.has_request():
                 each.read_request()
         caller.disconnect()
-    assert not harness.gateway._crashes._ledger.read_evidence()
+    assert len(harness.gateway._crash_history) == 0
--- /dev/null
+++ b/tests/forwarding/test_crash_exchange.py
@@ -0,0 +1,150 @@
+from __future__ import annotations
+
+import json
+
+from ebonyhaven_decisions import MemberState
+from ebonyhaven_decisions.forwarding import CrashHistory, LossReport
+from ebonyhaven_node import Frame, FrameKind
+from ebonyhaven_node.forwarding._crash_exchange import (
+    RESEND_DELAY_S,
+    SEND_DELAY_S,
+    CrashExchange,
+)
+from twisted.internet.task import Clock
+
+from tests.forwarding.losses import FakeNetworkMembership
+from tests.forwarding.test_sharing import FakeChannels
+
+NAMES = ("n1", "n2", "n3", "n4", "n5")
+CONTENT = "0123456789abcdef"
+
+
+class FakeNetwork:
+    """Delivers messages between the exchanges of instances synchronously."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.channels = {}
+        self.memberships = {}
+        self.histories = {}
+        self.exchanges = {}
+        self.received = []
+
+    def join(self, name):
+        others = [each for each in NAMES if each != name]
+        self.channels[name] = FakeChannels()
+        self.memberships[name] = FakeNetworkMembership(self, name, others)
+        self.histories[name] = CrashHistory()
+        self.exchanges[name] = CrashExchange(
+            history=self.histories[name],
+            membership=self.memberships[name],
+            channels=self.channels[name],
+            reactor=self.clock,
+            clock=self.clock.seconds,
+            on_received=lambda: self.received.append(name),
+        )
+
+    def lose_server(self, name, process, *contents):
+        """Record the loss of a server at an instance, and report it."""
+        report = LossReport(process, "dc-a", 0.0, contents)
+        self.histories[name].add(report, self.clock.seconds())
+        for content in contents:
+            self.exchanges[name].publish(content)
+
+    def count_crashes(self, content=CONTENT):
+        now = self.clock.seconds()
+        return [each.count_crashes(content, now) for each in self.histories.values()]
+
+
+def build_network(*names):
+    network = FakeNetwork(Clock())
+    for name in names or NAMES:
+        network.join(name)
+    return network
+
+
+def test_losses_under_many_contents_reach_all_instances_at_once():
+    # Guards against evidence that waits for its turn in heartbeats, which take one
+    # content each: each request that a lost server was running makes one.
+    network = build_network()
+    contents = [f"{number:016x}" for number in range(30)]
+    network.lose_server("n1", "s1", *contents)
+    network.clock.advance(SEND_DELAY_S)
+    for content in contents:
+        assert network.count_crashes(content) == [1] * len(NAMES)
+
+
+def test_losses_seen_by_different_instances_add_up_everywhere():
+    network = build_network()
+    for name, process in (("n1", "s1"), ("n2", "s2"), ("n3", "s3")):
+        network.lose_server(name, process, CONTENT)
+    network.clock.advance(SEND_DELAY_S)
+    assert network.count_crashes() == [3] * len(NAMES)
+    assert len(network.received) == 3 * (len(NAMES) - 1)
+
+
+def test_report_that_was_dropped_is_sent_again():
+    network = build_network()
+    channels = network.channels.pop("n2")
+    network.lose_server("n1", "s1", CONTENT)
+    network.clock.advance(SEND_DELAY_S)
+    network.channels["n2"] = channels
+    network.clock.advance(RESEND_DELAY_S)
+    assert network.count_crashes() == [1] * len(NAMES)
+
+
+def test_instance_that_joins_later_is_told_what_is_known():
+    # Guards against an instance that starts, or was cut off, after the losses and
+    # sends the content on because it never heard of them.
+    network = build_network("n1", "n2", "n3", "n4")
+    network.lose_server("n1", "s1", CONTENT)
+    network.clock.advance(SEND_DELAY_S)
+    network.join("n5")
+    network.clock.advance(2 * RESEND_DELAY_S)
+    joined = network.memberships["n1"].members[-1]
+    assert joined.name == "n5"
+    for name in ("n1", "n2", "n3", "n4"):
+        network.memberships[name].observers[0](joined)
+    assert network.count_crashes() == [1] * len(NAMES)
+    assert len([name for name in network.received if name == "n5"]) <= 4
+
+
+def test_instance_is_told_again_only_if_it_was_gone_or_is_new():
+    network = build_network()
+    network.lose_server("n1", "s1", CONTENT)
+    network.clock.advance(10 * RESEND_DELAY_S)
+    for name in NAMES[:4]:
+        membership = network.memberships[name]
+        joined = next(each for each in membership.members if each.name == "n5")
+        observer = membership.observers[0]
+        observer(joined)
+        membership.sent.clear()
+        observer(joined)
+        assert membership.sent == []
+    senders = 0
+    for name in NAMES[:4]:
+        membership = network.memberships[name]
+        joined = next(each for each in membership.members if each.name == "n5")
+        observer = membership.observers[0]
+        observer(joined._replace(state=MemberState.DEAD))
+        observer(joined)
+        senders += len(membership.sent)
+    assert senders == 3
+
+
+def test_malformed_report_is_ignored():
+    network = build_network("n1")
+    receive = network.channels["n1"].handlers[FrameKind.SERVER_LOSSES]
+    for payload in (None, 5, [[1]], [["s", "dc", 0, [CONTENT]], "x"]):
+        receive(Frame(FrameKind.SERVER_LOSSES, "n2", 1, payload))
+    assert network.count_crashes() == [0]
+    assert network.received == []
+
+
+def test_report_is_a_short_message():
+    network = build_network("n1")
+    network.lose_server("n1", "i-69aae6ef7a/1773215223417", CONTENT)
+    network.clock.advance(SEND_DELAY_S)
+    _, kind, payload = network.memberships["n1"].sent[0]
+    assert kind is FrameKind.SERVER_LOSSES
+    assert len(json.dumps(payload)) < 100
