Count a crash unless other servers of the data centre were lost beside it

Cause: the loss of a server was dismissed if any other server of its data centre was suspect at that moment, and the servers that the same content had just crashed are. So the better a content crashed servers, the less was held against it.

Change: a loss does not count against a content if another server of the data centre was lost within half a second that did *not* run that content; instances tell each other of all processes that ended, with what is known to have run on them. A process has ended if its address refuses connections; a server that answers nothing at all is a machine or a path that is lost, and is no longer counted. A loss counts once it is 150 ms old, in which time the other losses are known; requests with the content wait for that.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -9,6 +9,7 @@
 from ebonyhaven_decisions.forwarding._budget import ServiceRetryBudget
 from ebonyhaven_decisions.forwarding._change_feed import ChangeFeed, choose_reader
 from ebonyhaven_decisions.forwarding._crash_history import (
+    SETTLE_S,
     CrashHistory,
     LossReport,
     decode_loss_report,
@@ -68,6 +69,7 @@
 
 __all__ = [
     "SERVER_PROBE_INTERVAL_S",
+    "SETTLE_S",
     "Backend",
     "BackendDirectory",
     "BackendEntry",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
@@ -3,10 +3,15 @@
 A content that crashes servers comes again, at any instance, and each time it ends the
 other requests of its server as well. One loss says little, since all requests of the
 server are lost with it; the content that crashes servers is lost each time.
+
+A data centre that fails loses many servers at about the same moment, whatever they run.
+A loss is therefore not counted against a content if another server of the data centre,
+which did not run that content, was lost with it.
 """
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
@@ -14,7 +19,10 @@
 
 MAX_CRASHES_PER_CONTENT = 3
 EVIDENCE_TTL_S = 600.0
+COMMON_CAUSE_WINDOW_S = 0.5  # losses in one data centre within it may have one cause
+SETTLE_S = 0.15  # instances find and report losses within tens of milliseconds
 MAX_LOSSES = 1024  # a few hundred bytes each
+MAX_COMPANIONS = 32  # losses at about the same moment that are kept with a loss
 MS_PER_S = 1000.0
 
 
@@ -73,7 +81,19 @@
 class _Loss:
     data_centre: str
     lost_at: float
-    contents: dict[str, None]
+    contents: dict[str, None] = attrs.Factory(dict)
+    companions: list[_Loss] = attrs.Factory(list)
+
+    def may_share_cause(self, other: _Loss) -> bool:
+        """Return whether one failure of the data centre may have caused both losses."""
+        is_same_place = self.data_centre == other.data_centre
+        return is_same_place and abs(self.lost_at - other.lost_at) <= (
+            COMMON_CAUSE_WINDOW_S
+        )
+
+    def counts_against(self, content: str) -> bool:
+        """Return whether the content may have caused the loss."""
+        return all(content in each.contents for each in self.companions)
 
 
 class CrashHistory:
@@ -85,11 +105,12 @@
         Number of servers that may be lost under a content before it is blocked.
     """
 
-    __slots__ = ("_losses", "_max_crashes", "_processes_by_content")
+    __slots__ = ("_idle_losses", "_losses", "_max_crashes", "_processes_by_content")
 
     def __init__(self, max_crashes: int = MAX_CRASHES_PER_CONTENT):
         self._max_crashes = max_crashes
         self._losses: dict[str, _Loss] = {}
+        self._idle_losses: dict[str, _Loss] = {}  # under no content that is known
         self._processes_by_content: dict[str, dict[str, None]] = {}
 
     def __len__(self) -> int:
@@ -110,39 +131,54 @@
             The contents that were not known to have been lost with the server.
         """
         self._evict(now)
-        lost_at = now - report.age_s
-        loss = self._losses.get(report.process)
-        if loss is None:
-            loss = self._losses[report.process] = _Loss(report.data_centre, lost_at, {})
+        loss = self._find(report.process) or self._create(report, now)
         added = [each for each in report.contents if each not in loss.contents]
+        if added:
+            self._idle_losses.pop(report.process, None)
+            self._losses[report.process] = loss
         for content in added:
             loss.contents[content] = None
             processes = self._processes_by_content.setdefault(content, {})
             processes[report.process] = None
         return added
 
-    def count_crashes(self, content: str, now: float) -> int:
-        """Return the number of servers that were lost under a content.
+    def is_known(self, process: str) -> bool:
+        """Return whether the loss of a server is known.
+
+        Parameters
+        ----------
+        process : str
+        """
+        return self._find(process) is not None
+
+    def count_crashes(
+        self, content: str, now: float, *, include_recent: bool = True
+    ) -> int:
+        """Return the number of servers whose loss counts against a content.
 
         Parameters
         ----------
         content : str
         now : float
             Seconds.
+        include_recent : bool
+            Whether to include losses of the last `SETTLE_S`, which may turn out to be
+            those of a data centre.
 
         Returns
         -------
         int
         """
+        latest = now if include_recent else now - SETTLE_S
         processes = self._processes_by_content.get(content, ())
+        losses = [self._losses[process] for process in processes]
         return sum(
-            now - self._losses[process].lost_at < EVIDENCE_TTL_S
-            for process in processes
+            now - EVIDENCE_TTL_S < loss.lost_at <= latest
+            and loss.counts_against(content)
+            for loss in losses
         )
 
-    def is_blocked(
-        self, content: str, now: float, *, expected_crashes: int = 0
-    ) -> bool:
+    def is_blocked(self, content: str, now: float) -> bool:
         """Return whether a content may not be sent to servers any more.
 
         Parameters
@@ -150,14 +186,28 @@
         content : str
         now : float
             Seconds.
-        expected_crashes : int
-            Losses that are not known to be crashes yet, and are taken for such.
         """
-        crashes = self.count_crashes(content, now) + expected_crashes
+        crashes = self.count_crashes(content, now, include_recent=False)
+        return crashes >= self._max_crashes
+
+    def may_be_blocked_soon(
+        self, content: str, now: float, *, unconfirmed_losses: int
+    ) -> bool:
+        """Return whether recent losses block a content if they count against it.
+
+        Parameters
+        ----------
+        content : str
+        now : float
+            Seconds.
+        unconfirmed_losses : int
+            Servers that may have been lost as well.
+        """
+        crashes = self.count_crashes(content, now) + unconfirmed_losses
         return crashes >= self._max_crashes
 
     def export(
-        self, now: float, contents: Iterable[str] | None = None
+        self, now: float, processes: Iterable[str] | None = None
     ) -> list[LossReport]:
         """Return what other instances should know.
 
@@ -165,33 +215,51 @@
         ----------
         now : float
             Seconds.
-        contents : iterable of str or None
-            Restricts the reports to these contents.
+        processes : iterable of str or None
+            Restricts the reports to the losses of these.
 
         Returns
         -------
         list of LossReport
         """
-        wanted = None if contents is None else set(contents)
+        if processes is None:
+            processes = itertools.chain(self._losses, self._idle_losses)
         reports = []
-        for process, loss in self._losses.items():
-            chosen = tuple(
-                each for each in loss.contents if wanted is None or each in wanted
+        for process in processes:
+            loss = self._find(process)
+            if loss is None or now - loss.lost_at >= EVIDENCE_TTL_S:
+                continue
+            report = LossReport(
+                process, loss.data_centre, now - loss.lost_at, tuple(loss.contents)
             )
-            age_s = now - loss.lost_at
-            if chosen and age_s < EVIDENCE_TTL_S:
-                reports.append(LossReport(process, loss.data_centre, age_s, chosen))
+            reports.append(report)
         return reports
 
+    def _find(self, process: str) -> _Loss | None:
+        return self._losses.get(process) or self._idle_losses.get(process)
+
+    def _create(self, report: LossReport, now: float) -> _Loss:
+        loss = _Loss(report.data_centre, now - report.age_s)
+        known = itertools.chain(self._losses.values(), self._idle_losses.values())
+        companions = filter(loss.may_share_cause, known)
+        for other in itertools.islice(companions, MAX_COMPANIONS):
+            loss.companions.append(other)
+            other.companions.append(loss)
+        self._idle_losses[report.process] = loss
+        return loss
+
     def _evict(self, now: float) -> None:
-        while self._losses:
-            process, loss = next(iter(self._losses.items()))
-            is_expired = now - loss.lost_at >= EVIDENCE_TTL_S
-            if len(self._losses) < MAX_LOSSES and not is_expired:
-                return
-            self._remove(process)
+        for losses in (self._losses, self._idle_losses):
+            while losses:
+                process, loss = next(iter(losses.items()))
+                is_expired = now - loss.lost_at >= EVIDENCE_TTL_S
+                if len(losses) < MAX_LOSSES and not is_expired:
+                    break
+                self._remove(process)
 
     def _remove(self, process: str) -> None:
+        if self._idle_losses.pop(process, None) is not None:
+            return
         for content in self._losses.pop(process).contents:
             processes = self._processes_by_content[content]
             del processes[process]
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -6,7 +6,10 @@
 
 from ebonyhaven_decisions.forwarding import Backend
 
-from ebonyhaven_node.forwarding._connection_pool import PendingConnection
+from ebonyhaven_node.forwarding._connection_pool import (
+    ConnectFailure,
+    PendingConnection,
+)
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._http_client import (
     HttpConnection,
@@ -148,12 +151,14 @@
         )
         connection.send(http_request, self)
 
-    def _handle_connect_failure(self, reason: str) -> None:
+    def _handle_connect_failure(self, failure: ConnectFailure) -> None:
         if self.is_finished:
             return
         self._finish()
+        if failure.is_refused:
+            self._context.crash_monitor.record_ended(self.backend)
         self._context.report_unreachable(self.backend)
-        self._inbox.put(AttemptFailed(self, False, True, reason))
+        self._inbox.put(AttemptFailed(self, False, True, failure.reason))
 
     def _finish(self) -> None:
         self.is_finished = True
--- a/packages/node/src/ebonyhaven_node/forwarding/_connection_pool.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_connection_pool.py
@@ -4,7 +4,9 @@
 
 import time
 from collections.abc import Callable
+from typing import NamedTuple
 
+from twisted.internet.error import ConnectionRefusedError as RefusedError
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
@@ -15,6 +17,21 @@
 SWEEP_INTERVAL_S = 0.5  # between calls of `ConnectionPool.close_expired`
 
 
+class ConnectFailure(NamedTuple):
+    """A connection that could not be established.
+
+    Parameters
+    ----------
+    reason : str
+    is_refused : bool
+        Whether no process listens at the address, so that its process has ended.
+        False if nothing answered.
+    """
+
+    reason: str
+    is_refused: bool
+
+
 class _ConnectionFactory(ClientFactory):
     """Factory of one connection that reports a failed connection attempt."""
 
@@ -25,7 +42,7 @@
         connection: HttpConnection,
         *,
         on_connected: Callable[[HttpConnection], None],
-        on_failed: Callable[[str], None],
+        on_failed: Callable[[ConnectFailure], None],
     ):
         self._connection = connection
         self._on_connected = on_connected
@@ -38,7 +55,8 @@
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:  # noqa: N802 Twisted API
         """Report the failure."""
-        self._on_failed(reason.getErrorMessage())
+        is_refused = reason.check(RefusedError) is not None
+        self._on_failed(ConnectFailure(reason.getErrorMessage(), is_refused))
 
 
 class _PooledConnection(HttpConnection):
@@ -140,7 +158,7 @@
         address: str,
         *,
         on_connected: Callable[[HttpConnection], None],
-        on_failed: Callable[[str], None],
+        on_failed: Callable[[ConnectFailure], None],
         timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> PendingConnection:
         """Open a new connection.
@@ -152,7 +170,7 @@
         on_connected : callable
             Called with the established connection.
         on_failed : callable
-            Called with the reason if the attempt failed.
+            Called with a `ConnectFailure` if the attempt failed.
         timeout_s : float
             Time limit of the attempt, seconds.
 
@@ -175,9 +193,9 @@
             else:
                 established.abort()
 
-        def handle_failure(reason: str) -> None:
+        def handle_failure(failure: ConnectFailure) -> None:
             if pending.finish():
-                on_failed(reason)
+                on_failed(failure)
 
         connection.on_connected = handle_connected
         factory = _ConnectionFactory(
@@ -190,7 +208,11 @@
         return pending
 
     def probe_address(
-        self, address: str, *, on_result: Callable[[bool], None], timeout_s: float
+        self,
+        address: str,
+        *,
+        on_result: Callable[[ConnectFailure | None], None],
+        timeout_s: float,
     ) -> None:
         """Probe whether a server accepts connections.
 
@@ -201,7 +223,8 @@
         address : str
             ``IP:PORT``.
         on_result : callable
-            Called with True if the server accepted the connection, otherwise False.
+            Called with None if the server accepted the connection, otherwise with
+            the `ConnectFailure`.
         timeout_s : float
             Time limit of the probe, seconds.
         """
@@ -209,12 +232,12 @@
         def handle_connected(connection: HttpConnection) -> None:
             connection.mark_idle(self._clock())
             self._add_idle(address, connection)
-            on_result(True)
+            on_result(None)
 
         self.connect(
             address,
             on_connected=handle_connected,
-            on_failed=lambda _: on_result(False),
+            on_failed=on_result,
             timeout_s=timeout_s,
         )
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -18,7 +18,7 @@
 )
 from twisted.internet.interfaces import IReactorTime
 
-from ebonyhaven_node.forwarding._connection_pool import ConnectionPool
+from ebonyhaven_node.forwarding._connection_pool import ConnectFailure, ConnectionPool
 from ebonyhaven_node.forwarding._crash_monitor import (
     PROBE_TIMEOUT_S,
     CrashMonitor,
@@ -184,8 +184,8 @@
             Receives `BackendProbed`.
         """
 
-        def report(is_alive: bool) -> None:
-            inbox.put(BackendProbed(backend.key, is_alive))
+        def report(failure: ConnectFailure | None) -> None:
+            inbox.put(BackendProbed(backend.key, is_alive=failure is None))
 
         self.pool.probe_address(
             backend.entry.address, on_result=report, timeout_s=PROBE_TIMEOUT_S
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_exchange.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_exchange.py
@@ -64,16 +64,17 @@
         channels.subscribe(FrameKind.SERVER_LOSSES, self._receive)
         membership.observe(self._handle_member)
 
-    def publish(self, content: str) -> None:
-        """Send what is known about a content to all other instances, twice.
+    def publish(self, process: str) -> None:
+        """Send what is known of the loss of a server to all other instances, twice.
 
         Parameters
         ----------
-        content : str
+        process : str
+            See `LossReport`.
         """
         if not self._unsent:
             self._call_later(SEND_DELAY_S, self._send_unsent)
-        self._unsent[content] = None
+        self._unsent[process] = None
 
     def stop(self) -> None:
         """Cancel scheduled messages."""
@@ -87,16 +88,16 @@
         self._timers.add(self._reactor.callLater(delay_s, send, *args))
 
     def _send_unsent(self) -> None:
-        contents, self._unsent = list(self._unsent), {}
-        self._send_to_all(contents)
-        self._call_later(RESEND_DELAY_S, self._send_to_all, contents)
+        processes, self._unsent = list(self._unsent), {}
+        self._send_to_all(processes)
+        self._call_later(RESEND_DELAY_S, self._send_to_all, processes)
 
-    def _send_to_all(self, contents: list[str]) -> None:
+    def _send_to_all(self, processes: list[str]) -> None:
         for name in self._list_others():
-            self._send(name, contents)
+            self._send(name, processes)
 
-    def _send(self, name: str, contents: list[str] | None) -> None:
-        reports = self._history.export(self._clock(), contents)
+    def _send(self, name: str, processes: list[str] | None) -> None:
+        reports = self._history.export(self._clock(), processes)
         if reports:
             payload = [encode_loss_report(each) for each in reports]
             self._membership.send(name, FrameKind.SERVER_LOSSES, payload)
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
@@ -1,20 +1,23 @@
-"""Finds out which losses of servers count as crashes by the content of a request."""
+"""Finds out which losses of servers may be the work of what they were running."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
 import structlog
-from ebonyhaven_decisions.forwarding import Backend, CrashHistory, LossReport
+from ebonyhaven_decisions.forwarding import (
+    SETTLE_S,
+    Backend,
+    CrashHistory,
+    LossReport,
+)
 from twisted.internet.interfaces import IReactorTime
 
-from ebonyhaven_node.forwarding._connection_pool import ConnectionPool
+from ebonyhaven_node.forwarding._connection_pool import ConnectFailure, ConnectionPool
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
-from ebonyhaven_node.forwarding._state import ForwardingState
 
 CHECK_DELAY_S = 0.05  # shorter than a server restart
 PROBE_TIMEOUT_S = 0.15  # a live server accepts within milliseconds
-DATA_CENTRE_CHECK_DELAY_S = 0.2  # peers report losses within tens of milliseconds
 
 _log = structlog.get_logger()
 
@@ -22,49 +25,48 @@
 class CrashMonitor:
     """Holds the contents of requests responsible for the servers lost under them.
 
-    All kinds of requests report here each server that was lost before its response
-    was complete. While a loss is being checked that may be the last one that a content
-    is allowed, the content is undecided and should not be sent to another server.
+    All kinds of requests report here each server that closed its connection before
+    its response was complete. It has crashed if its process has ended: a server that
+    answers nothing at all is lost for another reason. While a loss may be the last one
+    that a content is allowed, the content is undecided and should not be sent on.
 
     Parameters
     ----------
     history : CrashHistory
-    state : ForwardingState
     pool : ConnectionPool
     metrics : ForwardingMetrics
     reactor : IReactorTime
     clock : callable
         Returns seconds.
     on_unreachable : callable
-        Called with each `Backend` that refused the connection of a check.
-    on_crash : callable
-        Called with each content under which a server was lost.
-    on_checked : callable
-        Called after each check.
+        Called with each `Backend` that accepted no connection in a check.
+    on_loss : callable
+        Called with the id of each process that was found ended, and again when a
+        further content is known that it was running.
+    on_change : callable
+        Called when contents may have been decided.
     """
 
     def __init__(
         self,
         *,
         history: CrashHistory,
-        state: ForwardingState,
         pool: ConnectionPool,
         metrics: ForwardingMetrics,
         reactor: IReactorTime,
         clock: Callable[[], float],
         on_unreachable: Callable[[Backend], None],
-        on_crash: Callable[[str], None],
-        on_checked: Callable[[], None],
+        on_loss: Callable[[str], None],
+        on_change: Callable[[], None],
     ):
         self._history = history
-        self._state = state
         self._pool = pool
         self._metrics = metrics
         self._reactor = reactor
         self._clock = clock
         self._on_unreachable = on_unreachable
-        self._on_crash = on_crash
-        self._on_checked = on_checked
+        self._on_loss = on_loss
+        self._on_change = on_change
         self._pending: dict[str, int] = {}
 
     def is_blocked(self, content: str) -> bool:
@@ -78,39 +80,43 @@
         return self._history.is_blocked(content, self._clock())
 
     def is_undecided(self, content: str) -> bool:
-        """Return whether a running check may lead to a block of the content.
+        """Return whether the content may be blocked soon.
 
         Parameters
         ----------
         content : str
         """
-        pending = self._pending.get(content, 0)
-        return pending > 0 and self._history.is_blocked(
-            content, self._clock(), expected_crashes=pending
+        now = self._clock()
+        return not self._history.is_blocked(
+            content, now
+        ) and self._history.may_be_blocked_soon(
+            content, now, unconfirmed_losses=self._pending.get(content, 0)
         )
 
     def check_loss(self, content: str, backend: Backend) -> None:
         """Check whether a server that closed its connection has crashed.
 
-        The loss counts if the server accepts no connection and no other server of its
-        data centre is suspect.
-
         Parameters
         ----------
         content : str
             Digest of the content that the server was running.
         backend : Backend
         """
+        lost_at = self._clock()
         self._pending[content] = self._pending.get(content, 0) + 1
 
-        def handle_probe(is_alive: bool) -> None:
-            if is_alive:
-                self._finish_check(content, backend, "alive")
-                return
-            self._on_unreachable(backend)
-            self._reactor.callLater(
-                DATA_CENTRE_CHECK_DELAY_S, self._record_crash, content, backend
-            )
+        def handle_probe(failure: ConnectFailure | None) -> None:
+            self._finish_check(content)
+            if failure is None:
+                self._log_check(content, backend, "alive")
+            elif failure.is_refused:
+                self._on_unreachable(backend)
+                self._record(backend, (content,), lost_at)
+                self._log_check(content, backend, "crashed")
+            else:
+                self._on_unreachable(backend)
+                self._log_check(content, backend, "silent")
+            self.notify_of_losses()
 
         self._reactor.callLater(
             CHECK_DELAY_S,
@@ -120,23 +126,37 @@
             timeout_s=PROBE_TIMEOUT_S,
         )
 
-    def _record_crash(self, content: str, backend: Backend) -> None:
-        suspects = self._state.backends.count_suspects(
-            backend.entry.data_centre, self._clock()
+    def record_ended(self, backend: Backend) -> None:
+        """Record that the process of a server has ended, whatever it was running.
+
+        Parameters
+        ----------
+        backend : Backend
+        """
+        if not self._history.is_known(backend.process_id):
+            self._record(backend, (), self._clock())
+
+    def notify_of_losses(self) -> None:
+        """Have requests look at their contents again, now and once losses settled."""
+        self._on_change()
+        self._reactor.callLater(SETTLE_S, self._on_change)
+
+    def _record(
+        self, backend: Backend, contents: tuple[str, ...], lost_at: float
+    ) -> None:
+        now = self._clock()
+        report = LossReport(
+            backend.process_id, backend.entry.data_centre, now - lost_at, contents
         )
-        if suspects <= 1:
-            data_centre = backend.entry.data_centre
-            report = LossReport(backend.process_id, data_centre, 0.0, (content,))
-            if self._history.add(report, self._clock()):
-                self._on_crash(content)
-            self._finish_check(content, backend, "counted")
-        else:
-            self._finish_check(content, backend, "other_servers_lost")
-
-    def _finish_check(self, content: str, backend: Backend, result: str) -> None:
+        if self._history.add(report, now) or not contents:
+            self._on_loss(backend.process_id)
+
+    def _finish_check(self, content: str) -> None:
         self._pending[content] -= 1
         if not self._pending[content]:
             del self._pending[content]
+
+    def _log_check(self, content: str, backend: Backend, result: str) -> None:
         self._metrics.losses_checked.labels(result).inc()
         _log.info(
             "server_loss_checked",
@@ -146,4 +166,3 @@
             result=result,
             crashes=self._history.count_crashes(content, self._clock()),
         )
-        self._on_checked()
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -137,14 +137,13 @@
         self._crash_history = CrashHistory()
         self._crash_monitor = CrashMonitor(
             history=self._crash_history,
-            state=self.state,
             pool=self.pool,
             metrics=self._metrics,
             reactor=reactor,
             clock=clock,
             on_unreachable=self._report_unreachable,
-            on_crash=self._report_crash,
-            on_checked=self._capacity_notifier.notify,
+            on_loss=self._report_ended_process,
+            on_change=self._capacity_notifier.notify,
         )
         self._budget = ServiceRetryBudget(
             ratio=settings.retry_budget_ratio,
@@ -268,7 +267,7 @@
             stream_index=self._stream_index,
             crash_history=self._crash_history,
             on_peer_use=self._capacity_notifier.notify,
-            on_peer_losses=self._capacity_notifier.notify,
+            on_peer_losses=self._crash_monitor.notify_of_losses,
             on_loss=lambda backend: self._report_unreachable(
                 backend, is_from_peer=True
             ),
@@ -323,9 +322,9 @@
     ) -> None:
         self._context.report_unreachable(backend, is_from_peer=is_from_peer)
 
-    def _report_crash(self, content: str) -> None:
+    def _report_ended_process(self, process: str) -> None:
         if self._peer_group is not None:
-            self._peer_group.report_crash(content)
+            self._peer_group.report_ended_process(process)
 
     def _report_lost_server(self, backend: Backend) -> None:
         if self._peer_group is not None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_messages.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_messages.py
@@ -30,12 +30,12 @@
     Parameters
     ----------
     server_key : tuple of (str, int)
-    is_reachable : bool
+    is_alive : bool
         Whether the server accepts connections.
     """
 
     server_key: tuple[str, int]
-    is_reachable: bool
+    is_alive: bool
 
 
 class CopyRequestCompleted(NamedTuple):
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -153,15 +153,15 @@
         """Report the engine use of this instance soon."""
         self._use_exchange.schedule_report()
 
-    def report_crash(self, content: str) -> None:
-        """Report the servers that were lost under a content soon.
+    def report_ended_process(self, process: str) -> None:
+        """Report what is known of the loss of a server soon.
 
         Parameters
         ----------
-        content : str
-            Digest of the content of a request.
+        process : str
+            See `LossReport`.
         """
-        self._crash_exchange.publish(content)
+        self._crash_exchange.publish(process)
 
     def report_lost_server(self, backend: Backend) -> None:
         """Report a lost server soon.
--- a/tests/decisions/test_crash_history.py
+++ b/tests/decisions/test_crash_history.py
@@ -9,10 +9,14 @@
     encode_loss_report,
 )
 from ebonyhaven_decisions.forwarding._crash_history import (
+    COMMON_CAUSE_WINDOW_S,
     EVIDENCE_TTL_S,
     MAX_LOSSES,
+    SETTLE_S,
 )
 
+SETTLED_AT = 100.0 + SETTLE_S
+
 MALFORMED_REPORTS = (
     None,
     [],
@@ -36,11 +40,13 @@
 
 def test_content_is_blocked_after_the_loss_of_three_servers():
     history = make_history(make_report("s1", "c"), make_report("s2", "c", "other"))
-    assert not history.is_blocked("c", 100.0)
-    assert history.is_blocked("c", 100.0, expected_crashes=1)
+    assert not history.may_be_blocked_soon("c", 100.0, unconfirmed_losses=0)
+    assert history.may_be_blocked_soon("c", 100.0, unconfirmed_losses=1)
     history.add(make_report("s3", "c"), 100.0)
-    assert history.is_blocked("c", 100.0)
-    assert not history.is_blocked("other", 100.0)
+    assert history.may_be_blocked_soon("c", 100.0, unconfirmed_losses=0)
+    assert not history.is_blocked("c", 100.0)
+    assert history.is_blocked("c", SETTLED_AT)
+    assert not history.is_blocked("other", SETTLED_AT)
 
 
 def test_loss_that_several_instances_report_counts_once():
@@ -56,7 +62,7 @@
     for report in there.export(8.0):
         values = json.loads(json.dumps(encode_loss_report(report)))
         here.add(decode_loss_report(values), 100.0)
-    assert here.is_blocked("c", 100.0)
+    assert here.is_blocked("c", SETTLED_AT)
 
 
 def test_evidence_expires():
@@ -72,15 +78,41 @@
     assert history.count_crashes("c", 101.5) == 0
 
 
-def test_export_may_be_limited_to_some_contents():
-    history = make_history(make_report("s1", "c", "d"), make_report("s2", "e"))
-    assert history.export(101.0, ["d"]) == [make_report("s1", "d", age_s=1.0)]
+def test_export_may_be_limited_to_some_losses():
+    history = make_history(make_report("s1", "c", "d"), make_report("s2"))
+    assert len(history.export(101.0)) == 2
+    reports = history.export(101.0, ["s1", "unknown"])
+    assert reports == [make_report("s1", "c", "d", age_s=1.0)]
+
+
+def test_loss_with_another_server_of_the_data_centre_is_not_counted():
+    # Guards against a content that many requests share and that is blocked since its
+    # data centre failed.
+    crashes = [make_report(f"s{number}", "c") for number in range(3)]
+    history = make_history(*crashes, make_report("s9", "other"))
+    assert not history.is_blocked("c", SETTLED_AT)
+    for other in (
+        make_report("s9", "other", data_centre="dc-b"),
+        make_report("s9", age_s=2 * COMMON_CAUSE_WINDOW_S),
+        make_report("s9", "c", "other"),
+    ):
+        assert make_history(*crashes, other).is_blocked("c", SETTLED_AT)
+
+
+def test_loss_counts_once_it_is_known_that_the_others_ran_the_content_too():
+    crashes = [make_report(f"s{number}", "c") for number in range(3)]
+    history = make_history(*crashes, make_report("s3"))
+    assert not history.is_blocked("c", SETTLED_AT)
+    history.add(make_report("s3", "c"), 100.1)
+    assert history.is_blocked("c", SETTLED_AT)
 
 
 def test_number_of_losses_is_bounded_and_the_oldest_goes_first():
     history = CrashHistory()
     for number in range(MAX_LOSSES + 5):
-        history.add(make_report(f"s{number}", "c", str(number)), 100.0)
+        data_centre = f"dc-{number}"
+        report = make_report(f"s{number}", "c", str(number), data_centre=data_centre)
+        history.add(report, 100.0)
     assert len(history) == MAX_LOSSES
     assert history.count_crashes("4", 100.0) == 0
     assert history.count_crashes("5", 100.0) == 1
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -35,7 +35,11 @@
     MemoryTransport,
     make_gateway_settings,
 )
-from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.error import (
+    ConnectionDone,
+    ConnectionRefusedError,
+    TimeoutError,
+)
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
@@ -365,10 +369,10 @@
             self._accepted_count += 1
             address = f"{host}:{port}"
             if address in self.refused:
-                failure = Failure(ConnectionLost("refused"))
+                failure = Failure(ConnectionRefusedError("refused"))
                 factory.clientConnectionFailed(None, failure)
             elif address in self.silent:
-                failure = Failure(ConnectionLost("timeout"))
+                failure = Failure(TimeoutError("timeout"))
                 self.reactor.callLater(
                     timeout, factory.clientConnectionFailed, None, failure
                 )
--- a/tests/forwarding/test_adoption.py
+++ b/tests/forwarding/test_adoption.py
@@ -136,13 +136,18 @@
         harness.open_caller().request(
             "/stream/x", request_id=f"r{number}", **TOKEN_COUNT_HEADER
         )
+    harness.open_caller().request("/once/y", request_id="other", body=b"other")
     lost = {harness.find_address(name) for name in ("e-0", "e-3", "e-6")}
+    lost |= {each.address for each in harness.connections if ":8" in each.address}
     harness.refused |= lost
     for server in [each for each in harness.connections if each.address in lost]:
         server.reset()
     harness.advance(0.8)
-    assert len(lost & {each.address for each in harness.connections}) >= 2
-    assert len(harness.gateway._crash_history) == 0
+    assert len(lost & {each.address for each in harness.connections}) == 4
+    sent_count = harness.count_waiting()
+    again = harness.open_caller()
+    again.request("/stream/x", request_id="r9", **TOKEN_COUNT_HEADER)
+    assert harness.count_waiting() == sent_count + 1
 
 
 def test_connection_reset_by_a_live_server_is_no_crash_evidence():
--- a/tests/forwarding/test_crash_exchange.py
+++ b/tests/forwarding/test_crash_exchange.py
@@ -48,8 +48,7 @@
         """Record the loss of a server at an instance, and report it."""
         report = LossReport(process, "dc-a", 0.0, contents)
         self.histories[name].add(report, self.clock.seconds())
-        for content in contents:
-            self.exchanges[name].publish(content)
+        self.exchanges[name].publish(process)
 
     def count_crashes(self, content=CONTENT):
         now = self.clock.seconds()
