Clear a content that a server has run without a crash

Cause: crashes were added up over ten minutes whatever happened in between, so a content that many requests share is held responsible for three servers that end while they happen to run it, though others answer it all the time; it is then refused for ten minutes.

Change: losses before a server ran the content to an end, or eight events into its stream, do not count, and the instances tell each other. The digest of a content is computed once a request.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
@@ -7,11 +7,15 @@
 A data centre that fails loses many servers at about the same moment, whatever they run.
 A loss is therefore not counted against a content if another server of the data centre,
 which did not run that content, was lost with it.
+
+A content that crashes servers does so each time. Losses before a server ran it to an
+end, or far into its stream, are therefore not counted against it.
 """
 
 from __future__ import annotations
 
 import itertools
+import math
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
@@ -22,6 +26,7 @@
 COMMON_CAUSE_WINDOW_S = 0.5  # losses in one data centre within it may have one cause
 SETTLE_S = 0.15  # instances find and report losses within tens of milliseconds
 MAX_LOSSES = 1024  # a few hundred bytes each
+MAX_SURVIVALS = 1024
 MAX_COMPANIONS = 32  # losses at about the same moment that are kept with a loss
 MS_PER_S = 1000.0
 
@@ -105,13 +110,20 @@
         Number of servers that may be lost under a content before it is blocked.
     """
 
-    __slots__ = ("_idle_losses", "_losses", "_max_crashes", "_processes_by_content")
+    __slots__ = (
+        "_idle_losses",
+        "_losses",
+        "_max_crashes",
+        "_processes_by_content",
+        "_survived_at",
+    )
 
     def __init__(self, max_crashes: int = MAX_CRASHES_PER_CONTENT):
         self._max_crashes = max_crashes
         self._losses: dict[str, _Loss] = {}
         self._idle_losses: dict[str, _Loss] = {}  # under no content that is known
         self._processes_by_content: dict[str, dict[str, None]] = {}
+        self._survived_at: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._losses)
@@ -142,6 +154,41 @@
             processes[report.process] = None
         return added
 
+    def add_survival(self, content: str, now: float, *, age_s: float = 0.0) -> bool:
+        """Record that a server ran a content without a crash.
+
+        Parameters
+        ----------
+        content : str
+        now : float
+            Seconds.
+        age_s : float
+            Time since then, seconds.
+
+        Returns
+        -------
+        bool
+            Whether losses that counted against the content no longer do.
+        """
+        before = self.count_crashes(content, now)
+        survived_at = max(now - age_s, self._survived_at.pop(content, -math.inf))
+        self._survived_at[content] = survived_at
+        if len(self._survived_at) > MAX_SURVIVALS:
+            self._survived_at.pop(next(iter(self._survived_at)))
+        return self.count_crashes(content, now) < before
+
+    def find_survival_age_s(self, content: str, now: float) -> float | None:
+        """Return the time since a server ran a content without a crash, if known.
+
+        Parameters
+        ----------
+        content : str
+        now : float
+            Seconds.
+        """
+        survived_at = self._survived_at.get(content)
+        return None if survived_at is None else now - survived_at
+
     def is_known(self, process: str) -> bool:
         """Return whether the loss of a server is known.
 
@@ -170,11 +217,11 @@
         int
         """
         latest = now if include_recent else now - SETTLE_S
+        earliest = max(now - EVIDENCE_TTL_S, self._survived_at.get(content, -math.inf))
         processes = self._processes_by_content.get(content, ())
         losses = [self._losses[process] for process in processes]
         return sum(
-            now - EVIDENCE_TTL_S < loss.lost_at <= latest
-            and loss.counts_against(content)
+            earliest < loss.lost_at <= latest and loss.counts_against(content)
             for loss in losses
         )
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempt_monitors.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempt_monitors.py
@@ -19,6 +19,8 @@
 from ebonyhaven_node.forwarding._requests import ResponseHead
 from ebonyhaven_node.forwarding._reservations import EngineReservation
 
+SURVIVAL_EVENTS = 8  # about half a second of a stream
+
 
 class AttemptMonitor:
     """Monitors the response to one attempt at a stream.
@@ -130,6 +132,10 @@
         self.events += count
         self.last_received_at = now
 
+    def is_far_into_stream(self) -> bool:
+        """Return whether a content that crashes servers would have done so by now."""
+        return self.events >= SURVIVAL_EVENTS
+
     def record_stream_completed(self) -> None:
         """Record the durations of a stream that one attempt served completely."""
         self._context.get_stream_durations(self._route.name).record(
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -309,6 +309,8 @@
             self._record_last_failure(attempt, f"server refused with {head.status}")
             self._count_attempt("refused")
             return
+        if head.has_origin_proof:
+            self._context.crash_monitor.record_survival(self._request.content_digest)
         is_success = head.status < 500 and head.has_origin_proof
         attempt.backend.record_result(succeeded=is_success, latency_s=latency_s)
         body = b"".join(response.body)
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_exchange.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_exchange.py
@@ -21,6 +21,7 @@
 
 SEND_DELAY_S = 0.01  # batches the contents that were lost with one server
 RESEND_DELAY_S = 0.5  # for messages that were dropped
+MS_PER_S = 1000.0
 
 _log = structlog.get_logger()
 
@@ -76,6 +77,18 @@
             self._call_later(SEND_DELAY_S, self._send_unsent)
         self._unsent[process] = None
 
+    def publish_survival(self, content: str) -> None:
+        """Tell all other instances that a server ran a content without a crash.
+
+        Parameters
+        ----------
+        content : str
+        """
+        age_s = self._history.find_survival_age_s(content, self._clock())
+        survivals = [[content, round(age_s * MS_PER_S)]]
+        for name in self._list_others():
+            self._membership.send(name, FrameKind.SERVER_LOSSES, [[], survivals])
+
     def stop(self) -> None:
         """Cancel scheduled messages."""
         for timer in self._timers:
@@ -99,8 +112,8 @@
     def _send(self, name: str, processes: list[str] | None) -> None:
         reports = self._history.export(self._clock(), processes)
         if reports:
-            payload = [encode_loss_report(each) for each in reports]
-            self._membership.send(name, FrameKind.SERVER_LOSSES, payload)
+            losses = [encode_loss_report(each) for each in reports]
+            self._membership.send(name, FrameKind.SERVER_LOSSES, [losses, []])
 
     def _list_others(self) -> list[str]:
         return [
@@ -128,7 +141,9 @@
 
     def _receive(self, frame: Frame) -> None:
         try:
-            reports = [decode_loss_report(values) for values in frame.payload]
+            losses, survivals = frame.payload
+            reports = [decode_loss_report(values) for values in losses]
+            ages_s = {str(each): int(age_ms) / MS_PER_S for each, age_ms in survivals}
         except (TypeError, ValueError) as error:
             _log.warning(
                 "server_losses_malformed", peer=frame.sender, reason=str(error)
@@ -145,4 +160,6 @@
                     age_s=round(report.age_s, 3),
                     crashes=self._history.count_crashes(content, now),
                 )
+        for content, age_s in ages_s.items():
+            self._history.add_survival(content, now, age_s=max(0.0, age_s))
         self._on_received()
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
@@ -43,6 +43,8 @@
     on_loss : callable
         Called with the id of each process that was found ended, and again when a
         further content is known that it was running.
+    on_survival : callable
+        Called with each content that is no longer held responsible.
     on_change : callable
         Called when contents may have been decided.
     """
@@ -57,6 +59,7 @@
         clock: Callable[[], float],
         on_unreachable: Callable[[Backend], None],
         on_loss: Callable[[str], None],
+        on_survival: Callable[[str], None],
         on_change: Callable[[], None],
     ):
         self._history = history
@@ -66,6 +69,7 @@
         self._clock = clock
         self._on_unreachable = on_unreachable
         self._on_loss = on_loss
+        self._on_survival = on_survival
         self._on_change = on_change
         self._pending: dict[str, int] = {}
 
@@ -136,6 +140,21 @@
         if not self._history.is_known(backend.process_id):
             self._record(backend, (), self._clock())
 
+    def record_survival(self, content: str) -> None:
+        """Record that a server ran a content to an end, or far into its stream.
+
+        Parameters
+        ----------
+        content : str
+        """
+        now = self._clock()
+        if not self._history.count_crashes(content, now):
+            return
+        if self._history.add_survival(content, now):
+            _log.info("content_cleared", content=content)
+            self._on_survival(content)
+            self._on_change()
+
     def notify_of_losses(self) -> None:
         """Have requests look at their contents again, now and once losses settled."""
         self._on_change()
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -143,6 +143,7 @@
             clock=clock,
             on_unreachable=self._report_unreachable,
             on_loss=self._report_ended_process,
+            on_survival=self._report_survival,
             on_change=self._capacity_notifier.notify,
         )
         self._budget = ServiceRetryBudget(
@@ -326,6 +327,10 @@
         if self._peer_group is not None:
             self._peer_group.report_ended_process(process)
 
+    def _report_survival(self, content: str) -> None:
+        if self._peer_group is not None:
+            self._peer_group.report_survival(content)
+
     def _report_lost_server(self, backend: Backend) -> None:
         if self._peer_group is not None:
             self._peer_group.report_lost_server(backend)
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -163,6 +163,16 @@
         """
         self._crash_exchange.publish(process)
 
+    def report_survival(self, content: str) -> None:
+        """Report that a server ran a content without a crash.
+
+        Parameters
+        ----------
+        content : str
+            Digest of the content of a request.
+        """
+        self._crash_exchange.publish_survival(content)
+
     def report_lost_server(self, backend: Backend) -> None:
         """Report a lost server soon.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -88,6 +88,11 @@
         Identifies the section of the prompt that is unique to this request.
     arrived_at : float
         Time of arrival, seconds of the clock of `Gateway`.
+
+    Attributes
+    ----------
+    content_digest : str
+        Digest of target, API key and body, equal for all retries.
     """
 
     request_id: str
@@ -104,6 +109,7 @@
     size: GenerationSize | None
     prompt_id: str | None
     arrived_at: float
+    content_digest: str = attrs.field(init=False)
 
     def limit_timeout(self, route_timeout_s: float) -> float:
         """Return the time for the request, from its arrival, seconds.
@@ -117,9 +123,8 @@
             return route_timeout_s
         return min(route_timeout_s, self.timeout_s)
 
-    @property
-    def content_digest(self) -> str:
-        """Digest of target, API key and body, equal for all retries."""
+    @content_digest.default
+    def _compute_content_digest(self) -> str:
         hasher = hashlib.sha256(self.target)
         hasher.update((self.api_key or "").encode())
         hasher.update(self.body)
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -231,6 +231,8 @@
         new_events = self._progress.select_new(events)
         if events:
             self._monitor.record_events(now, len(events))
+        if events and self._monitor.is_far_into_stream():
+            self._context.crash_monitor.record_survival(self._attempt.content)
         self._progress.deliver(new_events, self._monitor.head, self._backend, now)
         return None
 
@@ -249,6 +251,7 @@
         if not is_delimited and not self._monitor.events:
             reason = "the connection ended before the first event"
             return AttemptResult(AttemptEnd.LOST, reason)
+        self._context.crash_monitor.record_survival(self._attempt.content)
         self._progress.finish(head)
         if self._attempt.plan.last_event_id is None:
             self._monitor.record_stream_completed()
--- a/tests/forwarding/test_crash_exchange.py
+++ b/tests/forwarding/test_crash_exchange.py
@@ -134,7 +134,7 @@
 def test_malformed_report_is_ignored():
     network = build_network("n1")
     receive = network.channels["n1"].handlers[FrameKind.SERVER_LOSSES]
-    for payload in (None, 5, [[1]], [["s", "dc", 0, [CONTENT]], "x"]):
+    for payload in (None, 5, [[1], []], [[["s", "dc", 0, [CONTENT]]], "x"]):
         receive(Frame(FrameKind.SERVER_LOSSES, "n2", 1, payload))
     assert network.count_crashes() == [0]
     assert network.received == []
@@ -147,3 +147,17 @@
     _, kind, payload = network.memberships["n1"].sent[0]
     assert kind is FrameKind.SERVER_LOSSES
     assert len(json.dumps(payload)) < 100
+
+
+def test_survival_of_a_content_is_told_to_all_instances():
+    network = build_network()
+    network.lose_server("n1", "s1", CONTENT)
+    network.clock.advance(1.0)
+    history = network.histories["n3"]
+    assert history.add_survival(CONTENT, network.clock.seconds())
+    network.exchanges["n3"].publish_survival(CONTENT)
+    assert network.count_crashes() == [0] * len(NAMES)
+    network.clock.advance(1.0)
+    network.lose_server("n2", "s2", CONTENT)
+    network.clock.advance(SEND_DELAY_S)
+    assert network.count_crashes() == [1] * len(NAMES)
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from tests.forwarding.harness import ForwardingHarness
+from tests.forwarding.harness import (
+    ForwardingHarness,
+    answer,
+    chunk,
+    event,
+    stream_head,
+)
 
 CHECK_S = 1.0  # covers the checks after the loss of a server
 HEDGE_S = 0.11  # just over half of the target of the harness's short requests
@@ -69,3 +75,31 @@
     again = send_request(harness, "/repeat/x", "r3")
     assert harness.count_waiting() == 0
     assert again.read_answer()[0] == 503
+
+
+def test_content_that_was_answered_meanwhile_is_not_held_responsible():
+    # Guards against a frequent content that is blocked because servers happened to
+    # end while they ran it, though others answered it all the time.
+    harness = ForwardingHarness(plain=6)
+    for number in range(4):
+        send_request(harness, "/once/x", f"r{number}")
+        crash_server(harness)
+        harness.advance(CHECK_S)
+        caller = send_request(harness, "/once/x", f"answered-{number}")
+        server, _, _ = harness.take_request()
+        server.receive(answer(f"answered-{number}"))
+        harness.advance(0.01)
+        assert caller.read_answer()[0] == 200
+
+
+def test_stream_that_goes_on_clears_its_content():
+    harness = ForwardingHarness(plain=0, engines=9)
+    for number in range(4):
+        send_request(harness, "/fixed/x", f"r{number}")
+        crash_server(harness)
+        harness.advance(CHECK_S)
+        send_request(harness, "/fixed/x", f"begun-{number}")
+        server, _, _ = harness.take_request()
+        events = b"".join(chunk(event(each)) for each in range(1, 20))
+        server.receive(stream_head(f"begun-{number}") + events)
+        harness.advance(0.01)
