Do not hold the exit of a leaving server against what it ran

Cause: a server that leaves ends with the requests that outlast its grace time, and then refuses connections, just as one that crashes; three planned stops under a content that many requests share blocked it.

Change: the loss of a server that said that it leaves, or whose entry was removed, is not counted, and is no companion of other losses. The test failed before and passes.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -149,6 +149,11 @@
         """Unique key of the process."""
         return (self.entry.server_id, self.entry.started_ms)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the server said that it leaves, or is no longer listed."""
+        return self.removed_at is not None or self.entry.state is not BackendState.READY
+
     def is_usable(self, now: float) -> bool:
         """Return whether new requests may be sent to the server.
 
@@ -160,7 +165,7 @@
         now : float
             Seconds.
         """
-        if self.removed_at is not None or self.entry.state is not BackendState.READY:
+        if self.is_leaving:
             return False
         if now < self.suspect_until or not self.accepts(now):
             return False
@@ -189,7 +194,7 @@
         now : float
             Seconds.
         """
-        if self.removed_at is not None or self.entry.state is not BackendState.READY:
+        if self.is_leaving:
             return False
         return now >= self.suspect_until
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
@@ -113,6 +113,8 @@
             self._finish_check(content)
             if failure is None:
                 self._log_check(content, backend, "alive")
+            elif backend.is_leaving:
+                self._log_check(content, backend, "left")
             elif failure.is_refused:
                 self._on_unreachable(backend)
                 self._record(backend, (content,), lost_at)
@@ -137,7 +139,8 @@
         ----------
         backend : Backend
         """
-        if not self._history.is_known(backend.process_id):
+        is_known = self._history.is_known(backend.process_id)
+        if not is_known and not backend.is_leaving:
             self._record(backend, (), self._clock())
 
     def record_survival(self, content: str) -> None:
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from ebonyhaven_decisions.forwarding import BackendState
+
 from tests.forwarding.harness import (
     ForwardingHarness,
     answer,
@@ -103,3 +105,27 @@
         events = b"".join(chunk(event(each)) for each in range(1, 20))
         server.receive(stream_head(f"begun-{number}") + events)
         harness.advance(0.01)
+
+
+def test_server_that_leaves_is_not_held_against_what_it_ran():
+    # Guards against a content that is blocked after three planned stops of servers.
+    for is_removed in (False, True):
+        harness = ForwardingHarness(plain=6)
+        for number in range(3):
+            send_request(harness, "/once/x", f"r{number}")
+            server, _, _ = harness.take_request()
+            backend = next(
+                each
+                for each in harness.state.backends
+                if each.entry.address == server.address
+            )
+            if is_removed:
+                harness.state.remove_backend(backend.server_id)
+            else:
+                entry = backend.entry._replace(state=BackendState.LEAVING)
+                harness.state.put_backend(entry)
+            harness.refused.add(server.address)
+            server.reset()
+            harness.advance(CHECK_S)
+        send_request(harness, "/once/x", "r3")
+        assert harness.count_waiting() == 1
