Give each request one guard of its content

The relays named the digest of the content and the monitor at eight places; the filter now makes a CrashGuard that they ask. No decision changes.

--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -77,11 +77,6 @@
         """Id of the request."""
         return self._request.request_id
 
-    @property
-    def content(self) -> str:
-        """Digest of the content of the request."""
-        return self._request.content_digest
-
     def start(self) -> None:
         """Send the request on an idle connection, or on a new one if none is idle."""
         self.backend.in_flight += 1
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -19,6 +19,7 @@
     ResponseStarted,
 )
 from ebonyhaven_node.forwarding._context import RelayContext
+from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._http_server import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._outcomes import (
@@ -63,6 +64,7 @@
     route : Route
     service : str
     workspace : str or None
+    guard : CrashGuard
     exchange : Exchange
     context : RelayContext
     """
@@ -74,6 +76,7 @@
         route: Route,
         service: str,
         workspace: str | None,
+        guard: CrashGuard,
         exchange: Exchange,
         context: RelayContext,
     ):
@@ -81,6 +84,7 @@
         self._route = route
         self._service = service
         self._workspace = workspace
+        self._guard = guard
         self._exchange = exchange
         self._context = context
         self._inbox = Inbox(context.reactor)
@@ -134,25 +138,17 @@
     def _advance(self) -> None:
         """Start another attempt if one is due; fail if no further one is possible."""
         now = self._context.clock()
-        if self._is_undecided():
+        if self._guard.is_undecided():
             return
         if self._running:
-            if self._is_hedge_due(now) and not self._is_blocked():
+            if self._is_hedge_due(now) and not self._guard.is_blocked():
                 self._start_attempt()
             return
-        may_start = not self._is_exhausted() and not self._is_blocked()
+        may_start = not self._is_exhausted() and not self._guard.is_blocked()
         if may_start and (self._start_attempt() or now < self._server_wait_deadline):
             return
         self._finish_without_success()
 
-    def _is_blocked(self) -> bool:
-        content = self._request.content_digest
-        return self._context.crash_monitor.is_blocked(content)
-
-    def _is_undecided(self) -> bool:
-        content = self._request.content_digest
-        return self._context.crash_monitor.is_undecided(content)
-
     def _is_exhausted(self) -> bool:
         """Return whether no further attempt is allowed."""
         if self._is_budget_exhausted or self._refusal_count >= MAX_REFUSALS:
@@ -167,7 +163,7 @@
             raise make_unknown_failure(
                 self._last_reason, step="call", peer=self._last_peer
             )
-        elif self._is_blocked():
+        elif self._guard.is_blocked():
             raise make_not_run_failure(CRASHING_CONTENT_REASON, step="crash")
         else:
             raise make_not_run_failure(
@@ -239,7 +235,7 @@
             "call_sent",
             request=self._request.request_id,
             route=self._route.name,
-            content=self._request.content_digest,
+            content=self._guard.content,
             server=backend.server_id,
             attempt=len(self._attempts) + 1,
             load=round(backend.estimate_load(now), 1),
@@ -282,9 +278,7 @@
                 self._running.remove(attempt)
                 self._fail_attempt(attempt, was_sent, reason)
                 if was_sent and is_connection_lost:
-                    self._context.crash_monitor.check_loss(
-                        self._request.content_digest, attempt.backend
-                    )
+                    self._guard.check_loss(attempt.backend)
 
     def _buffer_data(self, attempt: Attempt, data: bytes) -> None:
         response = self._responses[attempt]
@@ -310,7 +304,7 @@
             self._count_attempt("refused")
             return
         if head.has_origin_proof:
-            self._context.crash_monitor.record_survival(self._request.content_digest)
+            self._guard.record_survival()
         is_success = head.status < 500 and head.has_origin_proof
         attempt.backend.record_result(succeeded=is_success, latency_s=latency_s)
         body = b"".join(response.body)
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
@@ -0,0 +1,50 @@
+"""What one request is to the servers that may crash of it."""
+
+from __future__ import annotations
+
+from ebonyhaven_decisions.forwarding import Backend
+
+from ebonyhaven_node.forwarding._crash_monitor import CrashMonitor
+from ebonyhaven_node.forwarding._requests import ForwardRequest
+
+
+class CrashGuard:
+    """Watches the content of one request for all of its attempts.
+
+    Parameters
+    ----------
+    request : ForwardRequest
+    monitor : CrashMonitor
+
+    Attributes
+    ----------
+    content : str
+        Digest of the content, equal for all retries of the caller.
+    """
+
+    __slots__ = ("_monitor", "content")
+
+    def __init__(self, request: ForwardRequest, monitor: CrashMonitor):
+        self._monitor = monitor
+        self.content = request.content_digest
+
+    def is_blocked(self) -> bool:
+        """Return whether the request may not be sent to servers any more."""
+        return self._monitor.is_blocked(self.content)
+
+    def is_undecided(self) -> bool:
+        """Return whether the request may be blocked soon, and should wait for that."""
+        return self._monitor.is_undecided(self.content)
+
+    def check_loss(self, backend: Backend) -> None:
+        """Check whether a server that closed its connection has crashed.
+
+        Parameters
+        ----------
+        backend : Backend
+        """
+        self._monitor.check_loss(self.content, backend)
+
+    def record_survival(self) -> None:
+        """Record that a server ran the request to an end, or far into its stream."""
+        self._monitor.record_survival(self.content)
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -20,6 +20,7 @@
 from ebonyhaven_node._filter_chain import Filter, Proceed
 from ebonyhaven_node.forwarding._calls import CallRelay
 from ebonyhaven_node.forwarding._context import RelayContext
+from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._crash_monitor import CrashMonitor
 from ebonyhaven_node.forwarding._http_server import Exchange
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
@@ -53,6 +54,8 @@
         Set by `RouteFilter`.
     workspace : Workspace or None
         Set by `IdentifyFilter`; None for an anonymous request.
+    guard : CrashGuard or None
+        Set by `CrashFilter`.
     """
 
     exchange: Exchange
@@ -60,6 +63,7 @@
     configuration: RoutingConfiguration | None = None
     route: Route | None = None
     workspace: Workspace | None = None
+    guard: CrashGuard | None = None
 
 
 class ReportFilter(Filter[RequestContext]):
@@ -211,7 +215,8 @@
         self, work: RequestContext, proceed: Proceed[RequestContext]
     ) -> None:
         """See `Filter.handle`."""
-        if self._monitor.is_blocked(work.request.content_digest):
+        work.guard = CrashGuard(work.request, self._monitor)
+        if work.guard.is_blocked():
             raise make_not_run_failure(CRASHING_CONTENT_REASON, step="crash")
         await proceed(work)
 
@@ -273,6 +278,7 @@
             "route": route,
             "service": service,
             "workspace": workspace.name if workspace else None,
+            "guard": work.guard,
             "exchange": work.exchange,
             "context": self._context,
         }
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -21,6 +21,7 @@
     ResponseStarted,
 )
 from ebonyhaven_node.forwarding._context import SERVER_SILENCE_LIMIT_S, RelayContext
+from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._http_server import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._messages import BackendProbed, BackendSuspected
@@ -85,6 +86,7 @@
     monitor : AttemptMonitor
     copy : RunCopy
     progress : StreamProgress
+    guard : CrashGuard
     exchange : Exchange
     inbox : Inbox
     context : RelayContext
@@ -99,6 +101,7 @@
         monitor: AttemptMonitor,
         copy: RunCopy,
         progress: StreamProgress,
+        guard: CrashGuard,
         exchange: Exchange,
         inbox: Inbox,
         context: RelayContext,
@@ -109,6 +112,7 @@
         self._monitor = monitor
         self._run_copy = copy
         self._progress = progress
+        self._guard = guard
         self._exchange = exchange
         self._inbox = inbox
         self._context = context
@@ -232,7 +236,7 @@
         if events:
             self._monitor.record_events(now, len(events))
         if events and self._monitor.is_far_into_stream():
-            self._context.crash_monitor.record_survival(self._attempt.content)
+            self._guard.record_survival()
         self._progress.deliver(new_events, self._monitor.head, self._backend, now)
         return None
 
@@ -251,7 +255,7 @@
         if not is_delimited and not self._monitor.events:
             reason = "the connection ended before the first event"
             return AttemptResult(AttemptEnd.LOST, reason)
-        self._context.crash_monitor.record_survival(self._attempt.content)
+        self._guard.record_survival()
         self._progress.finish(head)
         if self._attempt.plan.last_event_id is None:
             self._monitor.record_stream_completed()
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -7,6 +7,7 @@
 from ebonyhaven_decisions.forwarding import Route
 
 from ebonyhaven_node.forwarding._context import RelayContext
+from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._earlier_runs import EarlierRun
 from ebonyhaven_node.forwarding._outcomes import (
     CRASHING_CONTENT_REASON,
@@ -44,6 +45,7 @@
     ----------
     request : ForwardRequest
     route : Route
+    guard : CrashGuard
     version : StreamVersion
     progress : StreamProgress
     earlier_run : EarlierRun
@@ -66,6 +68,7 @@
         "_context",
         "_earlier_run",
         "_failed_attempts",
+        "_guard",
         "_latest_start",
         "_progress",
         "_request",
@@ -85,6 +88,7 @@
         *,
         request: ForwardRequest,
         route: Route,
+        guard: CrashGuard,
         version: StreamVersion,
         progress: StreamProgress,
         earlier_run: EarlierRun,
@@ -93,6 +97,7 @@
     ):
         self._request = request
         self._route = route
+        self._guard = guard
         self._version = version
         self._progress = progress
         self._earlier_run = earlier_run
@@ -152,7 +157,7 @@
         """Return a reason that also holds for a retry of the caller."""
         if now >= self.deadline:
             return None
-        if self._context.crash_monitor.is_blocked(self._request.content_digest):
+        if self._guard.is_blocked():
             return CRASHING_CONTENT_REASON
         obstacle = self._version.find_obstacle(now)
         if obstacle is not None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -18,6 +18,7 @@
 from ebonyhaven_node.forwarding._attempt_monitors import AttemptMonitor
 from ebonyhaven_node.forwarding._attempts import Attempt
 from ebonyhaven_node.forwarding._context import RelayContext
+from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._earlier_runs import EarlierRun
 from ebonyhaven_node.forwarding._http_server import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
@@ -64,6 +65,7 @@
     workspace : str or None
     priority : int
         Priority of the request; 0 is the most urgent.
+    guard : CrashGuard
     exchange : Exchange
     context : RelayContext
     """
@@ -77,6 +79,7 @@
         engine: EngineTraits | None,
         workspace: str | None,
         priority: int,
+        guard: CrashGuard,
         exchange: Exchange,
         context: RelayContext,
     ):
@@ -86,6 +89,7 @@
         self._engine = engine
         self._workspace = workspace
         self._priority = priority
+        self._guard = guard
         self._exchange = exchange
         self._context = context
         self._inbox = Inbox(context.reactor)
@@ -117,6 +121,7 @@
         self._limits = StreamLimits(
             request=request,
             route=route,
+            guard=guard,
             version=self._version,
             progress=self._progress,
             earlier_run=self._earlier_run,
@@ -156,7 +161,9 @@
                 if reason is not None:
                     self._give_up(now, reason)
                     return None
-                choice = None if self._is_undecided() else self._choose_target(now)
+                choice = (
+                    None if self._guard.is_undecided() else self._choose_target(now)
+                )
                 if choice is not None and self._acquire_retry(now):
                     return choice
                 message = await self._inbox.get(CAPACITY_POLL_INTERVAL_S)
@@ -166,10 +173,6 @@
             self._context.capacity_notifier.unsubscribe(self._inbox)
         return None
 
-    def _is_undecided(self) -> bool:
-        content = self._request.content_digest
-        return self._context.crash_monitor.is_undecided(content)
-
     def _acquire_retry(self, now: float) -> bool:
         if not self._limits.attempts:
             return True
@@ -295,6 +298,7 @@
             monitor=monitor,
             copy=copy,
             progress=self._progress,
+            guard=self._guard,
             exchange=self._exchange,
             inbox=self._inbox,
             context=self._context,
@@ -305,9 +309,7 @@
             if monitor.events:  # engines create copies only after the first event
                 self._run_copy = copy
             elif result.end is AttemptEnd.LOST:
-                self._context.crash_monitor.check_loss(
-                    self._request.content_digest, attempt.backend
-                )
+                self._guard.check_loss(attempt.backend)
             return result
         finally:
             copy.close(
@@ -330,7 +332,7 @@
             "stream_sent",
             request=self._request.request_id,
             route=self._route.name,
-            content=self._request.content_digest,
+            content=self._guard.content,
             server=backend.server_id,
             data_centre=backend.entry.data_centre,
             version=backend.software_version,
