Identify a content by what servers see of it

Cause: the digest that a content is blocked by held the caller's API key, which servers never see; when an operator changes the key of a workspace, the same content counts as another one and crashes three more servers. Two hosts with the same path shared one.

Change: target, body, host and the workspace, which servers are told. The key stays part of what identifies a stream.

--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import hashlib
+
 from ebonyhaven_decisions.forwarding import Backend
 
 from ebonyhaven_node.forwarding._crash_monitor import CrashMonitor
-from ebonyhaven_node.forwarding._requests import ForwardRequest
+from ebonyhaven_node.forwarding._requests import (
+    DIGEST_HEX_DIGITS,
+    ForwardRequest,
+)
 
 
 class CrashGuard:
@@ -14,19 +19,24 @@
     Parameters
     ----------
     request : ForwardRequest
+    workspace : str or None
+        Name of the caller's workspace.
     monitor : CrashMonitor
 
     Attributes
     ----------
     content : str
-        Digest of the content, equal for all retries of the caller.
+        Digest of what servers see of the request, equal for all retries of the caller.
     """
 
     __slots__ = ("_monitor", "content")
 
-    def __init__(self, request: ForwardRequest, monitor: CrashMonitor):
+    def __init__(
+        self, request: ForwardRequest, workspace: str | None, monitor: CrashMonitor
+    ):
         self._monitor = monitor
-        self.content = request.content_digest
+        seen = f"{request.content_digest} {request.host} {workspace}"
+        self.content = hashlib.sha256(seen.encode()).hexdigest()[:DIGEST_HEX_DIGITS]
 
     def is_blocked(self) -> bool:
         """Return whether the request may not be sent to servers any more."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -215,7 +215,8 @@
         self, work: RequestContext, proceed: Proceed[RequestContext]
     ) -> None:
         """See `Filter.handle`."""
-        work.guard = CrashGuard(work.request, self._monitor)
+        workspace = work.workspace.name if work.workspace else None
+        work.guard = CrashGuard(work.request, workspace, self._monitor)
         if work.guard.is_blocked():
             raise make_not_run_failure(CRASHING_CONTENT_REASON, step="crash")
         await proceed(work)
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -92,7 +92,7 @@
     Attributes
     ----------
     content_digest : str
-        Digest of target, API key and body, equal for all retries.
+        Digest of target and body, equal for all retries.
     """
 
     request_id: str
@@ -126,7 +126,6 @@
     @content_digest.default
     def _compute_content_digest(self) -> str:
         hasher = hashlib.sha256(self.target)
-        hasher.update((self.api_key or "").encode())
         hasher.update(self.body)
         return hasher.hexdigest()[:DIGEST_HEX_DIGITS]
 
@@ -141,7 +140,7 @@
             stream_id = self.original_request_id or self.request_id
         else:
             stream_id = f"{self.prompt_id} {tuple(self.size)}"
-        identity = f"{self.content_digest} {self.host} {stream_id}"
+        identity = f"{self.content_digest} {self.api_key} {self.host} {stream_id}"
         return hashlib.sha256(identity.encode()).hexdigest()[:DIGEST_HEX_DIGITS]
 
 
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from ebonyhaven_decisions.forwarding import BackendState
+from ebonyhaven_decisions.forwarding import BackendState, Workspace
 
 from tests.forwarding.harness import (
     ForwardingHarness,
     answer,
     chunk,
     event,
+    make_configuration,
     stream_head,
 )
 
@@ -129,3 +130,25 @@
             harness.advance(CHECK_S)
         send_request(harness, "/once/x", "r3")
         assert harness.count_waiting() == 1
+
+
+def test_content_stays_blocked_when_its_caller_uses_another_key():
+    # Guards against three more crashes with each change of a workspace's key.
+    configuration = make_configuration()
+    workspaces = {
+        **configuration.workspaces,
+        "other-key": Workspace("studio-a", None),
+        "key-of-another": Workspace("studio-b", None),
+    }
+    harness = ForwardingHarness(configuration._replace(workspaces=workspaces), plain=6)
+    for number in range(3):
+        send_request(harness, "/once/x", f"r{number}")
+        crash_server(harness)
+        harness.advance(CHECK_S)
+    header = {"Authorization": "Bearer other-key"}
+    again = send_request(harness, "/once/x", "r3", **header)
+    assert harness.count_waiting() == 0
+    assert again.read_answer()[0] == 503
+    header = {"Authorization": "Bearer key-of-another"}
+    send_request(harness, "/once/x", "r4", **header)
+    assert harness.count_waiting() == 1
