--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_records.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_records.py
@@ -12,8 +12,8 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ebonyhaven_node.forwarding.interfaces import (
+    RecordStoreError,
     StoredRecord,
-    StreamRecordError,
     StreamRecordStore,
 )
 
@@ -150,7 +150,7 @@
 
     def _log_failure(self, failure, step: str) -> None:
         """Log that the records are incomplete; some streams are then unknown."""
-        if failure.check(StreamRecordError, CancelledError):
+        if failure.check(RecordStoreError, CancelledError):
             reason = str(failure.value)
             _log.warning("stream_records_unavailable", step=step, reason=reason)
         else:
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -175,7 +175,7 @@
         """
 
 
-class StreamRecordError(Exception):
+class RecordStoreError(Exception):
     """Raised if records of runs cannot be written or read."""
 
 
@@ -211,7 +211,7 @@
 
         Raises
         ------
-        StreamRecordError
+        RecordStoreError
             The write may have been applied nevertheless.
         """
 
@@ -226,7 +226,7 @@
 
         Raises
         ------
-        StreamRecordError
+        RecordStoreError
         """
 
 
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -22,12 +22,12 @@
 from ebonyhaven_node.forwarding import Gateway
 from ebonyhaven_node.forwarding.interfaces import (
     InspectedServer,
+    RecordStoreError,
     RunCopier,
     ServerInspector,
     StateSource,
     StateVersion,
     StoredRecord,
-    StreamRecordError,
     StreamRecordStore,
 )
 from ebonyhaven_standins.memory_connections import (
@@ -123,13 +123,13 @@
 
     async def write(self, records):
         if self.is_down:
-            raise StreamRecordError("test")
+            raise RecordStoreError("test")
         self.writes.append(dict(records))
 
     async def read(self):
         self.read_count += 1
         if self.is_down:
-            raise StreamRecordError("test")
+            raise RecordStoreError("test")
         newest = self.writes[-1] if self.writes else {}
         return {key: StoredRecord(each, self.age_s) for key, each in newest.items()}
 
--- a/tests/platform_adapter/test_stream_records.py
+++ b/tests/platform_adapter/test_stream_records.py
@@ -8,7 +8,7 @@
     StreamRecord,
     encode_stream_record,
 )
-from ebonyhaven_node.forwarding.interfaces import StoredRecord, StreamRecordError
+from ebonyhaven_node.forwarding.interfaces import RecordStoreError, StoredRecord
 from twisted.internet.defer import ensureDeferred
 from twisted.python.failure import Failure
 
@@ -92,7 +92,7 @@
     for call in (records.write({"a": RECORD}), records.read()):
         try:
             run(call)
-        except StreamRecordError as error:
+        except RecordStoreError as error:
             assert str(error) == "down"
         else:
             raise AssertionError("no error")
