Keep the losses under repeated contents in the platform's store

Cause: what instances know of contents that crash servers ended with them. After the loss of all instances at once the same content crashed three servers more, and as many again after the next loss.

Change: one instance, the same for all, writes the losses of each content that lost two servers or more; every instance reads them when it starts, until that has succeeded. Losses that do not count are not written, as their companions are unknown to the reader.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
@@ -27,6 +27,7 @@
 SETTLE_S = 0.15  # instances find and report losses within tens of milliseconds
 MAX_LOSSES = 1024  # a few hundred bytes each
 MAX_SURVIVALS = 1024
+MAX_EXPORTED_CRASHES = 512  # keeps a row below the limit of the store
 MAX_COMPANIONS = 32  # losses at about the same moment that are kept with a loss
 MS_PER_S = 1000.0
 
@@ -217,13 +218,7 @@
         int
         """
         latest = now if include_recent else now - SETTLE_S
-        earliest = max(now - EVIDENCE_TTL_S, self._survived_at.get(content, -math.inf))
-        processes = self._processes_by_content.get(content, ())
-        losses = [self._losses[process] for process in processes]
-        return sum(
-            earliest < loss.lost_at <= latest and loss.counts_against(content)
-            for loss in losses
-        )
+        return len(self._list_crashes(content, now, latest))
 
     def is_blocked(self, content: str, now: float) -> bool:
         """Return whether a content may not be sent to servers any more.
@@ -282,6 +277,51 @@
             reports.append(report)
         return reports
 
+    def export_repeated(self, now: float, min_crashes: int) -> list[LossReport]:
+        """Return the losses that count against contents that several do.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        min_crashes : int
+            Number of losses that a content must have.
+
+        Returns
+        -------
+        list of LossReport
+            With these contents only; at most `MAX_EXPORTED_CRASHES` of them.
+        """
+        contents_by_process: dict[str, list[str]] = {}
+        exported = 0
+        for content in reversed(self._processes_by_content):
+            crashes = self._list_crashes(content, now, now)
+            if len(crashes) < min_crashes:
+                continue
+            exported += len(crashes)
+            if exported > MAX_EXPORTED_CRASHES:
+                break
+            for process in crashes:
+                contents_by_process.setdefault(process, []).append(content)
+        reports = []
+        for process, contents in contents_by_process.items():
+            loss = self._losses[process]
+            age_s = now - loss.lost_at
+            report = LossReport(process, loss.data_centre, age_s, tuple(contents))
+            reports.append(report)
+        return reports
+
+    def _list_crashes(self, content: str, now: float, latest: float) -> list[str]:
+        """Return the processes whose loss until `latest` counts against a content."""
+        earliest = max(now - EVIDENCE_TTL_S, self._survived_at.get(content, -math.inf))
+        processes = self._processes_by_content.get(content, ())
+        return [
+            process
+            for process in processes
+            if earliest < self._losses[process].lost_at <= latest
+            and self._losses[process].counts_against(content)
+        ]
+
     def _find(self, process: str) -> _Loss | None:
         return self._losses.get(process) or self._idle_losses.get(process)
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -45,6 +45,7 @@
     RouteFilter,
 )
 from ebonyhaven_node.forwarding._http_server import CallerServer, Exchange
+from ebonyhaven_node.forwarding._loss_records import LossRecorder
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._notifiers import CapacityNotifier, SuspicionNotifier
 from ebonyhaven_node.forwarding._peer_group import PEER_USE_TTL_S, PeerGroup
@@ -55,6 +56,7 @@
 from ebonyhaven_node.forwarding.interfaces import (
     BackendDialect,
     CallerDialect,
+    LossRecordStore,
     RunCopier,
     ServerInspector,
     StateSource,
@@ -86,6 +88,8 @@
         Returns the `RunCopier` for a `ConnectionPool`.
     build_record_store : callable
         Returns the `StreamRecordStore` for a `ConnectionPool`.
+    build_loss_store : callable
+        Returns the `LossRecordStore` for a `ConnectionPool`.
     rng : random.Random or None
         A generator with a random seed if None.
     clock : callable
@@ -103,6 +107,7 @@
         build_inspector: Callable[[ConnectionPool], ServerInspector],
         build_copier: Callable[[ConnectionPool], RunCopier],
         build_record_store: Callable[[ConnectionPool], StreamRecordStore],
+        build_loss_store: Callable[[ConnectionPool], LossRecordStore],
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
     ):
@@ -144,7 +149,14 @@
             on_unreachable=self._report_unreachable,
             on_loss=self._report_ended_process,
             on_survival=self._report_survival,
-            on_change=self._capacity_notifier.notify,
+            on_change=self._handle_decided_contents,
+        )
+        self._loss_recorder = LossRecorder(
+            history=self._crash_history,
+            store=build_loss_store(self.pool),
+            reactor=reactor,
+            clock=clock,
+            on_read=self._crash_monitor.notify_of_losses,
         )
         self._budget = ServiceRetryBudget(
             ratio=settings.retry_budget_ratio,
@@ -191,6 +203,8 @@
         self._stack.callback(self.pool.close)
         self.state.observe(self._capacity_notifier.notify)
         self.source.start()
+        self._loss_recorder.start(self._peer_group.is_crash_recorder)
+        self._stack.callback(self._loss_recorder.stop)
         self._stack.callback(self.source.stop)
         _log.info("instance_started", instance=self._settings.instance)
 
@@ -323,6 +337,10 @@
     ) -> None:
         self._context.report_unreachable(backend, is_from_peer=is_from_peer)
 
+    def _handle_decided_contents(self) -> None:
+        self._capacity_notifier.notify()
+        self._loss_recorder.schedule_write()
+
     def _report_ended_process(self, process: str) -> None:
         if self._peer_group is not None:
             self._peer_group.report_ended_process(process)
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -6,11 +6,13 @@
 import random
 from collections.abc import Callable
 
+from ebonyhaven_decisions import MemberState
 from ebonyhaven_decisions.forwarding import (
     Backend,
     CrashHistory,
     PeerEngineUse,
     ServiceRetryBudget,
+    choose_recorder,
 )
 from prometheus_client import CollectorRegistry
 from twisted.internet.interfaces import IReactorCore
@@ -32,6 +34,7 @@
 from ebonyhaven_node.forwarding.interfaces import StateSource
 
 PEER_USE_TTL_S = 3 * USE_REFRESH_INTERVAL_S
+CRASH_RECORDS_KEY = "losses"  # all of them are written by one instance
 
 
 class PeerGroup:
@@ -149,6 +152,15 @@
         """Stop all exchanges and close the channels."""
         self._stack.close()
 
+    def is_crash_recorder(self) -> bool:
+        """Return whether this instance records the losses of servers for all."""
+        names = [
+            record.name
+            for record in self.membership.members
+            if record.state is not MemberState.DEAD
+        ]
+        return choose_recorder(CRASH_RECORDS_KEY, names) == self.membership.own.name
+
     def schedule_use_report(self) -> None:
         """Report the engine use of this instance soon."""
         self._use_exchange.schedule_report()
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import abc
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 from ebonyhaven_decisions import Outcome
-from ebonyhaven_decisions.forwarding import ServerListVersion, StreamRecord
+from ebonyhaven_decisions.forwarding import (
+    LossReport,
+    ServerListVersion,
+    StreamRecord,
+)
 
 from ebonyhaven_node.forwarding._requests import (
     AttemptPlan,
@@ -230,6 +234,33 @@
         """
 
 
+class LossRecordStore(abc.ABC):
+    """Durable records of the losses of servers; they outlive all instances."""
+
+    @abc.abstractmethod
+    async def write(self, reports: Sequence[LossReport]) -> None:
+        """Replace the reports that this instance wrote before.
+
+        Parameters
+        ----------
+        reports : sequence of LossReport
+
+        Raises
+        ------
+        RecordStoreError
+            The write may have been applied nevertheless.
+        """
+
+    @abc.abstractmethod
+    async def read(self) -> list[LossReport]:
+        """Return the reports of all instances.
+
+        Raises
+        ------
+        RecordStoreError
+        """
+
+
 class StateVersion(NamedTuple):
     """Versions of the state of an instance; 0 for none.
 
--- a/packages/standins/src/ebonyhaven_standins/resuming/_simulation.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_simulation.py
@@ -42,6 +42,7 @@
 from ebonyhaven_standins.resuming._engines import EngineFleet
 from ebonyhaven_standins.resuming._stubs import (
     NullInspector,
+    NullLossStore,
     NullRecordStore,
     StaticSource,
 )
@@ -196,6 +197,7 @@
             build_inspector=lambda pool: NullInspector(),
             build_copier=lambda pool: self.fleet,
             build_record_store=lambda pool: NullRecordStore(),
+            build_loss_store=lambda pool: NullLossStore(),
             rng=random.Random(seed),
             clock=self._reactor.seconds,
         )
--- a/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
-from ebonyhaven_decisions.forwarding import StreamRecord
+from ebonyhaven_decisions.forwarding import LossReport, StreamRecord
 from ebonyhaven_node.forwarding.interfaces import (
     InspectedServer,
+    LossRecordStore,
     ServerInspector,
     StateSource,
     StateVersion,
@@ -49,6 +50,17 @@
         """See `StateSource.merge`."""
 
 
+class NullLossStore(LossRecordStore):
+    """Keeps no records; the experiment loses no instance."""
+
+    async def write(self, reports: Sequence[LossReport]) -> None:
+        """See `LossRecordStore.write`."""
+
+    async def read(self) -> list[LossReport]:
+        """See `LossRecordStore.read`."""
+        return []
+
+
 class NullRecordStore(StreamRecordStore):
     """Keeps no records; the experiment loses no instance."""
 
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -22,6 +22,7 @@
 from ebonyhaven_node.forwarding import Gateway
 from ebonyhaven_node.forwarding.interfaces import (
     InspectedServer,
+    LossRecordStore,
     RecordStoreError,
     RunCopier,
     ServerInspector,
@@ -134,6 +135,26 @@
         return {key: StoredRecord(each, self.age_s) for key, each in newest.items()}
 
 
+class FakeLossStore(LossRecordStore):
+    """Keeps the reports in memory; unavailable while ``is_down`` is set."""
+
+    def __init__(self):
+        self.reports = []
+        self.write_count = 0
+        self.is_down = False
+
+    async def write(self, reports):
+        if self.is_down:
+            raise RecordStoreError("test")
+        self.write_count += 1
+        self.reports = list(reports)
+
+    async def read(self):
+        if self.is_down:
+            raise RecordStoreError("test")
+        return list(self.reports)
+
+
 def decode_headers(request: h11.Request) -> dict[str, str]:
     return {name.decode(): value.decode() for name, value in request.headers}
 
@@ -318,6 +339,7 @@
         self.inspector = FixedInspector()
         self.copier = FakeCopier()
         self.record_store = FakeRecordStore()
+        self.loss_store = FakeLossStore()
         self.refused: set[str] = set()
         self.silent: set[str] = set()
         self._accepted_count = 0
@@ -331,6 +353,7 @@
             build_inspector=lambda pool: self.inspector,
             build_copier=lambda pool: self.copier,
             build_record_store=lambda pool: self.record_store,
+            build_loss_store=lambda pool: self.loss_store,
             rng=random.Random(7),
             clock=self.reactor.seconds,
         )
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -152,3 +152,19 @@
     header = {"Authorization": "Bearer key-of-another"}
     send_request(harness, "/once/x", "r4", **header)
     assert harness.count_waiting() == 1
+
+
+def test_content_stays_blocked_when_all_instances_start_again():
+    harness = ForwardingHarness(plain=6)
+    harness.gateway._loss_recorder.start(lambda: True)
+    for number in range(3):
+        send_request(harness, "/once/x", f"r{number}")
+        crash_server(harness)
+        harness.advance(CHECK_S)
+    successor = ForwardingHarness(plain=6)
+    successor.loss_store.reports = harness.loss_store.reports
+    successor.gateway._loss_recorder.start(lambda: False)
+    successor.advance(CHECK_S)
+    again = send_request(successor, "/once/x", "r3")
+    assert successor.count_waiting() == 0
+    assert again.read_answer()[0] == 503
--- a/tests/platform_adapter/test_stream_records.py
+++ b/tests/platform_adapter/test_stream_records.py
@@ -19,7 +19,8 @@
 class FakeStoreClient:
     """Keeps the rows of one table; fails while ``is_down`` is set."""
 
-    def __init__(self):
+    def __init__(self, table=RECORD_TABLE):
+        self.table = table
         self.rows = {}
         self.version = 0
         self.now_s = 50.0
@@ -39,7 +40,7 @@
         return RowBatch(rows, self.version, False, now_s=self.now_s)
 
     def _check(self, table):
-        assert table == RECORD_TABLE
+        assert table == self.table
         if self.is_down:
             raise StoreError(step="test", peer="store", reason="down")
 
