--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -278,7 +278,9 @@
                 self._running.remove(attempt)
                 self._fail_attempt(attempt, was_sent, reason)
                 if was_sent and is_connection_lost:
-                    self._guard.check_loss(attempt.backend)
+                    self._guard.check_loss(
+                        attempt.backend, has_begun=attempt.head is not None
+                    )
 
     def _buffer_data(self, attempt: Attempt, data: bytes) -> None:
         response = self._responses[attempt]
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
@@ -46,14 +46,16 @@
         """Return whether the request may be blocked soon, and should wait for that."""
         return self._monitor.is_undecided(self.content)
 
-    def check_loss(self, backend: Backend) -> None:
+    def check_loss(self, backend: Backend, *, has_begun: bool) -> None:
         """Check whether a server that closed its connection has crashed.
 
         Parameters
         ----------
         backend : Backend
+        has_begun : bool
+            Whether the server had begun to answer.
         """
-        self._monitor.check_loss(self.content, backend)
+        self._monitor.check_loss(self.content, backend, has_begun=has_begun)
 
     def record_survival(self) -> None:
         """Record that a server ran the request to an end, or far into its stream."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
@@ -97,7 +97,7 @@
             content, now, unconfirmed_losses=self._pending.get(content, 0)
         )
 
-    def check_loss(self, content: str, backend: Backend) -> None:
+    def check_loss(self, content: str, backend: Backend, *, has_begun: bool) -> None:
         """Check whether a server that closed its connection has crashed.
 
         Parameters
@@ -105,23 +105,28 @@
         content : str
             Digest of the content that the server was running.
         backend : Backend
+        has_begun : bool
+            Whether the server had begun to answer.
         """
         lost_at = self._clock()
         self._pending[content] = self._pending.get(content, 0) + 1
 
+        def log(result: str) -> None:
+            self._log_check(content, backend, result, has_begun=has_begun)
+
         def handle_probe(failure: ConnectFailure | None) -> None:
             self._finish_check(content)
             if failure is None:
-                self._log_check(content, backend, "alive")
+                log("alive")
             elif backend.is_leaving:
-                self._log_check(content, backend, "left")
+                log("left")
             elif failure.is_refused:
                 self._on_unreachable(backend)
                 self._record(backend, (content,), lost_at)
-                self._log_check(content, backend, "crashed")
+                log("crashed")
             else:
                 self._on_unreachable(backend)
-                self._log_check(content, backend, "silent")
+                log("silent")
             self.notify_of_losses()
 
         self._reactor.callLater(
@@ -178,7 +183,9 @@
         if not self._pending[content]:
             del self._pending[content]
 
-    def _log_check(self, content: str, backend: Backend, result: str) -> None:
+    def _log_check(
+        self, content: str, backend: Backend, result: str, *, has_begun: bool
+    ) -> None:
         self._metrics.losses_checked.labels(result).inc()
         _log.info(
             "server_loss_checked",
@@ -186,5 +193,6 @@
             server=backend.server_id,
             data_centre=backend.entry.data_centre,
             result=result,
+            has_begun=has_begun,
             crashes=self._history.count_crashes(content, self._clock()),
         )
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -84,8 +84,9 @@
         this request is not a retry of a stream, or does not say of which.
     size : GenerationSize or None
         Set for generations.
-    prompt_id : str or None
-        Identifies the section of the prompt that is unique to this request.
+    prompt_parts : tuple of str
+        Ids of the parts of the prompt, in order; empty if the caller states none. All
+        but the last may be those of other requests as well.
     arrived_at : float
         Time of arrival, seconds of the clock of `Gateway`.
 
@@ -107,10 +108,20 @@
     last_event_id: str | None
     original_request_id: str | None
     size: GenerationSize | None
-    prompt_id: str | None
+    prompt_parts: tuple[str, ...]
     arrived_at: float
     content_digest: str = attrs.field(init=False)
 
+    @property
+    def prompt_id(self) -> str | None:
+        """Id of the part of the prompt that no other request has, if stated."""
+        return self.prompt_parts[-1] if self.prompt_parts else None
+
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the parts of the prompt that other requests may have as well."""
+        return self.prompt_parts[:-1]
+
     def limit_timeout(self, route_timeout_s: float) -> float:
         """Return the time for the request, from its arrival, seconds.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -309,7 +309,9 @@
             if monitor.events:  # engines create copies only after the first event
                 self._run_copy = copy
             elif result.end is AttemptEnd.LOST:
-                self._guard.check_loss(attempt.backend)
+                self._guard.check_loss(
+                    attempt.backend, has_begun=attempt.head is not None
+                )
             return result
         finally:
             copy.close(
@@ -333,6 +335,7 @@
             request=self._request.request_id,
             route=self._route.name,
             content=self._guard.content,
+            shared_parts=self._request.shared_parts,
             server=backend.server_id,
             data_centre=backend.entry.data_centre,
             version=backend.software_version,
--- a/packages/standins/src/ebonyhaven_standins/resuming/_dialect.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_dialect.py
@@ -42,7 +42,7 @@
             last_event_id=None,
             original_request_id=None,
             size=GenerationSize(int(prompt), int(output)),
-            prompt_id=fields["id"],
+            prompt_parts=(fields["id"],),
             arrived_at=arrived_at,
         )
 
