Hold parts of prompts responsible for the servers lost under them

Cause: a request was identified by its whole content only.

Change: a request is held responsible by its traits, from general to specific: the shared parts of its prompt, then its content. A trait is blocked after three losses that count, unless one more specific trait was there at all of them: so neither the first part that sound requests share, nor a part that only one content had, is blocked for another one. A server that runs a request with the part eight events far clears it. Streams that are waiting or still have their prompt read are ended when their part is blocked, and a crash after the first few events counts.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -12,8 +12,7 @@
     SETTLE_S,
     CrashHistory,
     LossReport,
-    decode_loss_report,
-    encode_loss_report,
+    Traits,
 )
 from ebonyhaven_decisions.forwarding._directory import BackendDirectory
 from ebonyhaven_decisions.forwarding._engine_use import (
@@ -24,6 +23,12 @@
     fits_in_memory,
     have_room,
 )
+from ebonyhaven_decisions.forwarding._loss_codec import (
+    decode_loss_report,
+    decode_survivals,
+    encode_loss_report,
+    encode_survivals,
+)
 from ebonyhaven_decisions.forwarding._placement import (
     choose_copy_holder,
     choose_engine,
@@ -96,6 +101,7 @@
     "StreamDurations",
     "StreamRecord",
     "TokenDemand",
+    "Traits",
     "Workspace",
     "choose_backend",
     "choose_copy_holder",
@@ -111,6 +117,8 @@
     "fits_in_memory",
     "decode_loss_report",
     "decode_stream_record",
+    "decode_survivals",
+    "encode_survivals",
     "encode_loss_report",
     "encode_stream_record",
     "group_routes",
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -23,9 +23,9 @@
 from ebonyhaven_node.forwarding._http_server import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._outcomes import (
-    CRASHING_CONTENT_REASON,
     NO_SERVER_RETRY_AFTER_S,
     NOT_RUN_STATUSES,
+    make_crash_reason,
 )
 from ebonyhaven_node.forwarding._requests import (
     AttemptPlan,
@@ -141,14 +141,17 @@
         if self._guard.is_undecided():
             return
         if self._running:
-            if self._is_hedge_due(now) and not self._guard.is_blocked():
+            if self._is_hedge_due(now) and not self._is_blocked():
                 self._start_attempt()
             return
-        may_start = not self._is_exhausted() and not self._guard.is_blocked()
+        may_start = not self._is_exhausted() and not self._is_blocked()
         if may_start and (self._start_attempt() or now < self._server_wait_deadline):
             return
         self._finish_without_success()
 
+    def _is_blocked(self) -> bool:
+        return self._guard.find_blocked_trait() is not None
+
     def _is_exhausted(self) -> bool:
         """Return whether no further attempt is allowed."""
         if self._is_budget_exhausted or self._refusal_count >= MAX_REFUSALS:
@@ -163,8 +166,9 @@
             raise make_unknown_failure(
                 self._last_reason, step="call", peer=self._last_peer
             )
-        elif self._guard.is_blocked():
-            raise make_not_run_failure(CRASHING_CONTENT_REASON, step="crash")
+        elif self._is_blocked():
+            trait = self._guard.find_blocked_trait()
+            raise make_not_run_failure(make_crash_reason(trait), step="crash")
         else:
             raise make_not_run_failure(
                 f"no server took the request: {self._last_reason}",
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -26,7 +26,11 @@
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._messages import BackendProbed
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
-from ebonyhaven_node.forwarding._notifiers import CapacityNotifier, SuspicionNotifier
+from ebonyhaven_node.forwarding._notifiers import (
+    CapacityNotifier,
+    CrashNotifier,
+    SuspicionNotifier,
+)
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding.interfaces import BackendDialect, RunCopier
@@ -54,6 +58,7 @@
         By route name; bounded by the number of stream routes.
     suspicion_notifier : SuspicionNotifier
     capacity_notifier : CapacityNotifier
+    crash_notifier : CrashNotifier
     metrics : ForwardingMetrics
     crash_monitor : CrashMonitor
     stream_index : SharedStreamIndex
@@ -81,6 +86,7 @@
     stream_durations: dict[str, StreamDurations]
     suspicion_notifier: SuspicionNotifier
     capacity_notifier: CapacityNotifier
+    crash_notifier: CrashNotifier
     metrics: ForwardingMetrics
     crash_monitor: CrashMonitor
     stream_index: SharedStreamIndex
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_exchange.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_exchange.py
@@ -1,4 +1,4 @@
-"""Exchange of the losses of servers under contents between instances."""
+"""Exchange of the losses of servers, and of what they ran, between instances."""
 
 from __future__ import annotations
 
@@ -11,7 +11,9 @@
     CrashHistory,
     choose_index_instances,
     decode_loss_report,
+    decode_survivals,
     encode_loss_report,
+    encode_survivals,
 )
 from twisted.internet.interfaces import IReactorTime
 
@@ -19,15 +21,14 @@
 from ebonyhaven_node._frames import Frame, FrameKind
 from ebonyhaven_node._membership import MembershipController
 
-SEND_DELAY_S = 0.01  # batches the contents that were lost with one server
+SEND_DELAY_S = 0.01  # batches what was lost with one server
 RESEND_DELAY_S = 0.5  # for messages that were dropped
-MS_PER_S = 1000.0
 
 _log = structlog.get_logger()
 
 
 class CrashExchange:
-    """Tells all other instances at once which contents servers were lost under.
+    """Tells all other instances at once what servers ran when they were lost.
 
     An instance that joins, or is seen again, gets all that is known from a few others.
 
@@ -60,6 +61,7 @@
         self._clock = clock
         self._on_received = on_received
         self._unsent: dict[str, None] = {}
+        self._unsent_survivals: dict[str, None] = {}
         self._timers: set[Any] = set()
         self._live_incarnations: dict[str, int] = {}
         channels.subscribe(FrameKind.SERVER_LOSSES, self._receive)
@@ -73,21 +75,19 @@
         process : str
             See `LossReport`.
         """
-        if not self._unsent:
-            self._call_later(SEND_DELAY_S, self._send_unsent)
+        self._schedule_unsent()
         self._unsent[process] = None
 
-    def publish_survival(self, content: str) -> None:
-        """Tell all other instances that a server ran a content without a crash.
+    def publish_survival(self, trait: str) -> None:
+        """Tell all other instances that a server ran a request without a crash.
 
         Parameters
         ----------
-        content : str
+        trait : str
+            One of its traits.
         """
-        age_s = self._history.find_survival_age_s(content, self._clock())
-        survivals = [[content, round(age_s * MS_PER_S)]]
-        for name in self._list_others():
-            self._membership.send(name, FrameKind.SERVER_LOSSES, [[], survivals])
+        self._schedule_unsent()
+        self._unsent_survivals[trait] = None
 
     def stop(self) -> None:
         """Cancel scheduled messages."""
@@ -100,20 +100,30 @@
         self._timers = {timer for timer in self._timers if timer.active()}
         self._timers.add(self._reactor.callLater(delay_s, send, *args))
 
+    def _schedule_unsent(self) -> None:
+        if not self._unsent and not self._unsent_survivals:
+            self._call_later(SEND_DELAY_S, self._send_unsent)
+
     def _send_unsent(self) -> None:
         processes, self._unsent = list(self._unsent), {}
-        self._send_to_all(processes)
-        self._call_later(RESEND_DELAY_S, self._send_to_all, processes)
+        traits, self._unsent_survivals = list(self._unsent_survivals), {}
+        self._send(self._list_others(), processes, traits)
+        self._call_later(RESEND_DELAY_S, self._resend, processes, traits)
 
-    def _send_to_all(self, processes: list[str]) -> None:
-        for name in self._list_others():
-            self._send(name, processes)
+    def _resend(self, processes: list[str], traits: list[str]) -> None:
+        self._send(self._list_others(), processes, traits)
 
-    def _send(self, name: str, processes: list[str] | None) -> None:
-        reports = self._history.export(self._clock(), processes)
-        if reports:
-            losses = [encode_loss_report(each) for each in reports]
-            self._membership.send(name, FrameKind.SERVER_LOSSES, [losses, []])
+    def _send(
+        self, names: list[str], processes: list[str] | None, traits: list[str] | None
+    ) -> None:
+        now = self._clock()
+        losses = map(encode_loss_report, self._history.export(now, processes))
+        survivals = self._history.export_survivals(now, traits)
+        payload = [list(losses), encode_survivals(survivals)]
+        if not any(payload):
+            return
+        for name in names:
+            self._membership.send(name, FrameKind.SERVER_LOSSES, payload)
 
     def _list_others(self) -> list[str]:
         return [
@@ -137,13 +147,13 @@
             record.name, [name for name in names if name != record.name]
         )
         if self._membership.own.name in senders:
-            self._send(record.name, None)
+            self._send([record.name], None, None)
 
     def _receive(self, frame: Frame) -> None:
         try:
             losses, survivals = frame.payload
             reports = [decode_loss_report(values) for values in losses]
-            ages_s = {str(each): int(age_ms) / MS_PER_S for each, age_ms in survivals}
+            ages_s = decode_survivals(survivals)
         except (TypeError, ValueError) as error:
             _log.warning(
                 "server_losses_malformed", peer=frame.sender, reason=str(error)
@@ -151,15 +161,15 @@
             return
         now = self._clock()
         for report in reports:
-            for content in self._history.add(report, now):
+            for traits in self._history.add(report, now):
                 _log.info(
                     "crash_evidence_received",
                     peer=frame.sender,
-                    content=content,
+                    content=traits[-1],
                     process=report.process,
                     age_s=round(report.age_s, 3),
-                    crashes=self._history.count_crashes(content, now),
+                    crashes=[self._history.count_crashes(each, now) for each in traits],
                 )
-        for content, age_s in ages_s.items():
-            self._history.add_survival(content, now, age_s=max(0.0, age_s))
+        for trait, age_s in ages_s.items():
+            self._history.add_survival(trait, now, age_s=age_s)
         self._on_received()
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
@@ -12,9 +12,12 @@
     ForwardRequest,
 )
 
+MAX_SHARED_PARTS = 32  # of one prompt; further ones are not held responsible
+PART_PREFIX = "part "
+
 
 class CrashGuard:
-    """Watches the content of one request for all of its attempts.
+    """Watches what one request has in common with others, for all of its attempts.
 
     Parameters
     ----------
@@ -29,22 +32,26 @@
         Digest of what servers see of the request, equal for all retries of the caller.
     """
 
-    __slots__ = ("_monitor", "content")
+    __slots__ = ("_has_survived", "_monitor", "_traits", "content")
 
     def __init__(
         self, request: ForwardRequest, workspace: str | None, monitor: CrashMonitor
     ):
         self._monitor = monitor
-        seen = f"{request.content_digest} {request.host} {workspace}"
-        self.content = hashlib.sha256(seen.encode()).hexdigest()[:DIGEST_HEX_DIGITS]
+        self._has_survived = False
+        self.content = _digest(f"{request.content_digest} {request.host} {workspace}")
+        parts = request.shared_parts[:MAX_SHARED_PARTS]
+        self._traits = (*map(_make_part_trait, parts), self.content)
 
-    def is_blocked(self) -> bool:
-        """Return whether the request may not be sent to servers any more."""
-        return self._monitor.is_blocked(self.content)
+    def find_blocked_trait(self) -> str | None:
+        """Return what keeps the request from being sent to servers, if anything."""
+        if self._has_survived:
+            return None
+        return self._monitor.find_blocked_trait(self._traits)
 
     def is_undecided(self) -> bool:
         """Return whether the request may be blocked soon, and should wait for that."""
-        return self._monitor.is_undecided(self.content)
+        return not self._has_survived and self._monitor.is_undecided(self._traits)
 
     def check_loss(self, backend: Backend, *, has_begun: bool) -> None:
         """Check whether a server that closed its connection has crashed.
@@ -55,8 +62,19 @@
         has_begun : bool
             Whether the server had begun to answer.
         """
-        self._monitor.check_loss(self.content, backend, has_begun=has_begun)
+        self._monitor.check_loss(self._traits, backend, has_begun=has_begun)
 
     def record_survival(self) -> None:
         """Record that a server ran the request to an end, or far into its stream."""
-        self._monitor.record_survival(self.content)
+        self._has_survived = True
+        self._monitor.record_survival(self._traits)
+
+
+def _make_part_trait(part: str) -> str:
+    """Return the trait of a part of a prompt; long ids are shortened to a digest."""
+    name = part if len(part) <= DIGEST_HEX_DIGITS else _digest(part)
+    return PART_PREFIX + name
+
+
+def _digest(text: str) -> str:
+    return hashlib.sha256(text.encode()).hexdigest()[:DIGEST_HEX_DIGITS]
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
@@ -10,6 +10,7 @@
     Backend,
     CrashHistory,
     LossReport,
+    Traits,
 )
 from twisted.internet.interfaces import IReactorTime
 
@@ -23,12 +24,12 @@
 
 
 class CrashMonitor:
-    """Holds the contents of requests responsible for the servers lost under them.
+    """Holds traits of requests responsible for the servers lost under them.
 
     All kinds of requests report here each server that closed its connection before
     its response was complete. It has crashed if its process has ended: a server that
     answers nothing at all is lost for another reason. While a loss may be the last one
-    that a content is allowed, the content is undecided and should not be sent on.
+    that a trait is allowed, a request with it is undecided and should not be sent on.
 
     Parameters
     ----------
@@ -42,11 +43,11 @@
         Called with each `Backend` that accepted no connection in a check.
     on_loss : callable
         Called with the id of each process that was found ended, and again when a
-        further content is known that it was running.
+        further request is known that it was running.
     on_survival : callable
-        Called with each content that is no longer held responsible.
+        Called with each trait that is no longer held responsible.
     on_change : callable
-        Called when contents may have been decided.
+        Called when requests may have been decided.
     """
 
     def __init__(
@@ -73,56 +74,66 @@
         self._on_change = on_change
         self._pending: dict[str, int] = {}
 
-    def is_blocked(self, content: str) -> bool:
-        """Return whether a content may not be sent to servers any more.
+    def find_blocked_trait(self, traits: Traits) -> str | None:
+        """Return a trait with which requests may not be sent to servers any more.
 
         Parameters
         ----------
-        content : str
-            Digest of the content of a request.
+        traits : tuple of str
+            Traits of a request, see `CrashHistory`.
+
+        Returns
+        -------
+        str or None
+            None if the request may be sent.
         """
-        return self._history.is_blocked(content, self._clock())
+        return self._history.find_blocked_trait(traits, self._clock())
 
-    def is_undecided(self, content: str) -> bool:
-        """Return whether the content may be blocked soon.
+    def is_undecided(self, traits: Traits) -> bool:
+        """Return whether a request may be blocked soon.
 
         Parameters
         ----------
-        content : str
+        traits : tuple of str
         """
         now = self._clock()
-        return not self._history.is_blocked(
-            content, now
-        ) and self._history.may_be_blocked_soon(
-            content, now, unconfirmed_losses=self._pending.get(content, 0)
+        if self._history.find_blocked_trait(traits, now) is not None:
+            return False
+        return any(
+            self._history.may_be_blocked_soon(
+                trait, now, unconfirmed_losses=self._pending.get(trait, 0)
+            )
+            for trait in traits
+            if self._is_recent(trait, now)
         )
 
-    def check_loss(self, content: str, backend: Backend, *, has_begun: bool) -> None:
+    def check_loss(self, traits: Traits, backend: Backend, *, has_begun: bool) -> None:
         """Check whether a server that closed its connection has crashed.
 
         Parameters
         ----------
-        content : str
-            Digest of the content that the server was running.
+        traits : tuple of str
+            Traits of the request that the server was running.
         backend : Backend
         has_begun : bool
             Whether the server had begun to answer.
         """
         lost_at = self._clock()
-        self._pending[content] = self._pending.get(content, 0) + 1
+        for trait in traits:
+            self._pending[trait] = self._pending.get(trait, 0) + 1
 
         def log(result: str) -> None:
-            self._log_check(content, backend, result, has_begun=has_begun)
+            self._log_check(traits, backend, result, has_begun=has_begun)
 
         def handle_probe(failure: ConnectFailure | None) -> None:
-            self._finish_check(content)
+            self._finish_check(traits)
             if failure is None:
                 log("alive")
             elif backend.is_leaving:
                 log("left")
             elif failure.is_refused:
                 self._on_unreachable(backend)
-                self._record(backend, (content,), lost_at)
+                self._record(backend, (traits,), lost_at)
                 log("crashed")
             else:
                 self._on_unreachable(backend)
@@ -148,51 +159,64 @@
         if not is_known and not backend.is_leaving:
             self._record(backend, (), self._clock())
 
-    def record_survival(self, content: str) -> None:
-        """Record that a server ran a content to an end, or far into its stream.
+    def record_survival(self, traits: Traits) -> None:
+        """Record that a server ran a request to an end, or far into its stream.
 
         Parameters
         ----------
-        content : str
+        traits : tuple of str
         """
         now = self._clock()
-        if not self._history.count_crashes(content, now):
-            return
-        if self._history.add_survival(content, now):
-            _log.info("content_cleared", content=content)
-            self._on_survival(content)
+        cleared = [
+            trait
+            for trait in traits
+            if self._history.count_crashes(trait, now)
+            and self._history.add_survival(trait, now)
+        ]
+        for trait in cleared:
+            _log.info("crashes_cleared", trait=trait)
+            self._on_survival(trait)
+        if cleared:
             self._on_change()
 
     def notify_of_losses(self) -> None:
-        """Have requests look at their contents again, now and once losses settled."""
+        """Have requests look at their traits again, now and once losses settled."""
         self._on_change()
         self._reactor.callLater(SETTLE_S, self._on_change)
 
+    def _is_recent(self, trait: str, now: float) -> bool:
+        """Return whether a loss that may count against a trait has not settled yet."""
+        settled = self._history.count_crashes(trait, now, include_recent=False)
+        known = self._history.count_crashes(trait, now)
+        return known > settled or trait in self._pending
+
     def _record(
-        self, backend: Backend, contents: tuple[str, ...], lost_at: float
+        self, backend: Backend, requests: tuple[Traits, ...], lost_at: float
     ) -> None:
         now = self._clock()
         report = LossReport(
-            backend.process_id, backend.entry.data_centre, now - lost_at, contents
+            backend.process_id, backend.entry.data_centre, now - lost_at, requests
         )
-        if self._history.add(report, now) or not contents:
+        if self._history.add(report, now) or not requests:
             self._on_loss(backend.process_id)
 
-    def _finish_check(self, content: str) -> None:
-        self._pending[content] -= 1
-        if not self._pending[content]:
-            del self._pending[content]
+    def _finish_check(self, traits: Traits) -> None:
+        for trait in traits:
+            self._pending[trait] -= 1
+            if not self._pending[trait]:
+                del self._pending[trait]
 
     def _log_check(
-        self, content: str, backend: Backend, result: str, *, has_begun: bool
+        self, traits: Traits, backend: Backend, result: str, *, has_begun: bool
     ) -> None:
+        now = self._clock()
         self._metrics.losses_checked.labels(result).inc()
         _log.info(
             "server_loss_checked",
-            content=content,
+            content=traits[-1],
             server=backend.server_id,
             data_centre=backend.entry.data_centre,
             result=result,
             has_begun=has_begun,
-            crashes=self._history.count_crashes(content, self._clock()),
+            crashes=[self._history.count_crashes(trait, now) for trait in traits],
         )
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -25,9 +25,9 @@
 from ebonyhaven_node.forwarding._http_server import Exchange
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._outcomes import (
-    CRASHING_CONTENT_REASON,
     LEAVING_RETRY_AFTER_S,
     NOT_READY_RETRY_AFTER_S,
+    make_crash_reason,
 )
 from ebonyhaven_node.forwarding._requests import ForwardRequest
 from ebonyhaven_node.forwarding._startup import StateWaiter
@@ -217,8 +217,9 @@
         """See `Filter.handle`."""
         workspace = work.workspace.name if work.workspace else None
         work.guard = CrashGuard(work.request, workspace, self._monitor)
-        if work.guard.is_blocked():
-            raise make_not_run_failure(CRASHING_CONTENT_REASON, step="crash")
+        trait = work.guard.find_blocked_trait()
+        if trait is not None:
+            raise make_not_run_failure(make_crash_reason(trait), step="crash")
         await proceed(work)
 
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -47,7 +47,11 @@
 from ebonyhaven_node.forwarding._http_server import CallerServer, Exchange
 from ebonyhaven_node.forwarding._loss_records import LossRecorder
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
-from ebonyhaven_node.forwarding._notifiers import CapacityNotifier, SuspicionNotifier
+from ebonyhaven_node.forwarding._notifiers import (
+    CapacityNotifier,
+    CrashNotifier,
+    SuspicionNotifier,
+)
 from ebonyhaven_node.forwarding._peer_group import PEER_USE_TTL_S, PeerGroup
 from ebonyhaven_node.forwarding._settings import GatewaySettings
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
@@ -139,6 +143,7 @@
         )
         self._peers = PeerEngineUse(ttl_s=PEER_USE_TTL_S)
         self._capacity_notifier = CapacityNotifier()
+        self._crash_notifier = CrashNotifier()
         self._crash_history = CrashHistory()
         self._crash_monitor = CrashMonitor(
             history=self._crash_history,
@@ -149,7 +154,7 @@
             on_unreachable=self._report_unreachable,
             on_loss=self._report_ended_process,
             on_survival=self._report_survival,
-            on_change=self._handle_decided_contents,
+            on_change=self._handle_decided_traits,
         )
         self._loss_recorder = LossRecorder(
             history=self._crash_history,
@@ -305,6 +310,7 @@
             stream_durations={},
             suspicion_notifier=SuspicionNotifier(),
             capacity_notifier=self._capacity_notifier,
+            crash_notifier=self._crash_notifier,
             metrics=self._metrics,
             data_centre=self._settings.data_centre,
             reactor=self._reactor,
@@ -337,17 +343,18 @@
     ) -> None:
         self._context.report_unreachable(backend, is_from_peer=is_from_peer)
 
-    def _handle_decided_contents(self) -> None:
+    def _handle_decided_traits(self) -> None:
         self._capacity_notifier.notify()
+        self._crash_notifier.notify()
         self._loss_recorder.schedule_write()
 
     def _report_ended_process(self, process: str) -> None:
         if self._peer_group is not None:
             self._peer_group.report_ended_process(process)
 
-    def _report_survival(self, content: str) -> None:
+    def _report_survival(self, trait: str) -> None:
         if self._peer_group is not None:
-            self._peer_group.report_survival(content)
+            self._peer_group.report_survival(trait)
 
     def _report_lost_server(self, backend: Backend) -> None:
         if self._peer_group is not None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_loss_records.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_loss_records.py
@@ -1,4 +1,4 @@
-"""Durable records of contents that servers were lost under."""
+"""Durable records of what servers ran when they were lost."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from typing import Any
 
 import structlog
-from ebonyhaven_decisions.forwarding import CrashHistory
+from ebonyhaven_decisions.forwarding import CrashHistory, Traits
 from twisted.internet.defer import CancelledError, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
@@ -52,7 +52,7 @@
         self._is_recorder: Callable[[], bool] = lambda: False
         self._write_timer: Any = None
         self._read_timer: Any = None
-        self._written: dict[str, tuple[str, ...]] = {}
+        self._written: dict[str, tuple[Traits, ...]] = {}
 
     def start(self, is_recorder: Callable[[], bool]) -> None:
         """Read what is recorded, until that has succeeded once.
@@ -81,14 +81,14 @@
 
     def _start_write(self) -> None:
         reports = self._history.export_repeated(self._clock(), MIN_RECORDED_CRASHES)
-        recorded = {report.process: report.contents for report in reports}
+        recorded = {report.process: report.requests for report in reports}
         if recorded == self._written or not self._is_recorder():
             return
         writing = ensureDeferred(self._store.write(reports))
         writing.addCallback(lambda _: self._record_written(recorded))
         writing.addErrback(self._handle_write_failure)
 
-    def _record_written(self, recorded: dict[str, tuple[str, ...]]) -> None:
+    def _record_written(self, recorded: dict[str, tuple[Traits, ...]]) -> None:
         self._written = recorded
         _log.info("crash_history_written", losses=len(recorded))
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_messages.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_messages.py
@@ -24,6 +24,10 @@
     data_centre: str
 
 
+class TraitsDecided(NamedTuple):
+    """Requests may have been blocked, or cleared, because of what they share."""
+
+
 class BackendProbed(NamedTuple):
     """A probe of a backend server has finished.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_notifiers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_notifiers.py
@@ -5,7 +5,11 @@
 from ebonyhaven_decisions.forwarding import Backend
 
 from ebonyhaven_node.forwarding._inbox import Inbox
-from ebonyhaven_node.forwarding._messages import BackendSuspected, CapacityChanged
+from ebonyhaven_node.forwarding._messages import (
+    BackendSuspected,
+    CapacityChanged,
+    TraitsDecided,
+)
 
 
 class _Notifier:
@@ -58,6 +62,16 @@
         self._send(BackendSuspected(backend.key, backend.entry.data_centre))
 
 
+class CrashNotifier(_Notifier):
+    """Notifies running streams with `TraitsDecided`."""
+
+    __slots__ = ()
+
+    def notify(self) -> None:
+        """Notify all subscribers in the order of their subscription."""
+        self._send(TraitsDecided())
+
+
 class CapacityNotifier(_Notifier):
     """Notifies waiting requests with `CapacityChanged`.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -60,7 +60,7 @@
     on_peer_use : callable
         Called after each report of another instance.
     on_peer_losses : callable
-        Called after each report of losses under contents.
+        Called after each report of losses of servers.
     on_loss : callable
         Called with each server that another instance found lost.
 
@@ -175,15 +175,15 @@
         """
         self._crash_exchange.publish(process)
 
-    def report_survival(self, content: str) -> None:
-        """Report that a server ran a content without a crash.
+    def report_survival(self, trait: str) -> None:
+        """Report that a server ran a request without a crash.
 
         Parameters
         ----------
-        content : str
-            Digest of the content of a request.
+        trait : str
+            One of its traits, see `CrashHistory`.
         """
-        self._crash_exchange.publish_survival(content)
+        self._crash_exchange.publish_survival(trait)
 
     def report_lost_server(self, backend: Backend) -> None:
         """Report a lost server soon.
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -24,8 +24,15 @@
 from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._http_server import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
-from ebonyhaven_node.forwarding._messages import BackendProbed, BackendSuspected
-from ebonyhaven_node.forwarding._outcomes import NOT_RUN_STATUSES
+from ebonyhaven_node.forwarding._messages import (
+    BackendProbed,
+    BackendSuspected,
+    TraitsDecided,
+)
+from ebonyhaven_node.forwarding._outcomes import (
+    NOT_RUN_STATUSES,
+    make_crash_reason,
+)
 from ebonyhaven_node.forwarding._progress import StreamProgress
 from ebonyhaven_node.forwarding._requests import ResponseHead
 from ebonyhaven_node.forwarding._run_copies import RunCopy
@@ -48,6 +55,8 @@
         The server was silent for too long.
     ``ERROR``
         The response was an error or malformed.
+    ``BLOCKED``
+        The request was found to crash servers, so that it was cancelled.
 
     ``NOT_RUN`` and ``UNREACHABLE`` prove that the request was not run; with the
     others, the server may have run it.
@@ -59,6 +68,7 @@
     LOST = "lost"
     SILENT = "silent"
     ERROR = "error"
+    BLOCKED = "blocked"
 
 
 class AttemptResult(NamedTuple):
@@ -150,6 +160,8 @@
         match message:
             case None:
                 result = self._handle_silence(limits)
+            case TraitsDecided():
+                result = self._handle_decision()
             case BackendSuspected():
                 result = self._handle_suspicion(message)
             case BackendProbed(server_key, is_alive) if server_key == self._backend.key:
@@ -164,6 +176,13 @@
                 result = _make_failure_result(message)
         return result
 
+    def _handle_decision(self) -> AttemptResult | None:
+        """Cancel the attempt if the request crashes servers, before it crashes one."""
+        trait = self._guard.find_blocked_trait()
+        if trait is None:
+            return None
+        return AttemptResult(AttemptEnd.BLOCKED, make_crash_reason(trait))
+
     # -- silence -----------------------------------------------------------
 
     def _handle_suspicion(self, suspicion: BackendSuspected) -> AttemptResult | None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -10,8 +10,8 @@
 from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._earlier_runs import EarlierRun
 from ebonyhaven_node.forwarding._outcomes import (
-    CRASHING_CONTENT_REASON,
     NO_SERVER_RETRY_AFTER_S,
+    make_crash_reason,
 )
 from ebonyhaven_node.forwarding._progress import StreamProgress
 from ebonyhaven_node.forwarding._requests import ForwardRequest
@@ -157,8 +157,9 @@
         """Return a reason that also holds for a retry of the caller."""
         if now >= self.deadline:
             return None
-        if self._guard.is_blocked():
-            return CRASHING_CONTENT_REASON
+        trait = self._guard.find_blocked_trait()
+        if trait is not None:
+            return make_crash_reason(trait)
         obstacle = self._version.find_obstacle(now)
         if obstacle is not None:
             return obstacle
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -289,6 +289,7 @@
         target: _Target,
     ) -> AttemptResult:
         self._context.suspicion_notifier.subscribe(self._inbox)
+        self._context.crash_notifier.subscribe(self._inbox)
         if self._progress.delivered:
             self._progress.resume_source = "copy" if target.copy else "prompt"
         attempt.start()
@@ -308,7 +309,7 @@
             result = await stream_attempt.run()
             if monitor.events:  # engines create copies only after the first event
                 self._run_copy = copy
-            elif result.end is AttemptEnd.LOST:
+            if result.end is AttemptEnd.LOST and not monitor.is_far_into_stream():
                 self._guard.check_loss(
                     attempt.backend, has_begun=attempt.head is not None
                 )
@@ -321,6 +322,7 @@
             reservation.release()
             self._context.capacity_notifier.notify()
             self._context.suspicion_notifier.unsubscribe(self._inbox)
+            self._context.crash_notifier.unsubscribe(self._inbox)
             attempt.cancel()
 
     def _log_attempt_sent(
@@ -366,7 +368,7 @@
         self._limits.record_end(end, result.reason, backend.server_id)
         if end is AttemptEnd.UNREACHABLE and self._limits.attempts:
             self._context.budget.refund_retry(self._service, now)
-        if end not in (AttemptEnd.NOT_RUN, AttemptEnd.UNREACHABLE):
+        if end in (AttemptEnd.LOST, AttemptEnd.SILENT, AttemptEnd.ERROR):
             backend.record_result(succeeded=False, latency_s=None)
 
     def _log_attempt_ended(
