--- a/packages/decisions/src/ebonyhaven_decisions/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/__init__.py
@@ -170,6 +170,7 @@
     SubqueueKey,
     WorkQueue,
 )
+from ebonyhaven_decisions._rendezvous import choose_instances
 from ebonyhaven_decisions._rings import (
     NEIGHBOUR_COUNT,
     Rings,
@@ -330,6 +331,7 @@
     "build_load_digest",
     "build_release_row",
     "build_scheduler",
+    "choose_instances",
     "choose_entries",
     "choose_readers",
     "compute_cost",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_change_feed.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_change_feed.py
@@ -7,12 +7,13 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 from collections.abc import Iterable
 
 import attrs
 
+from ebonyhaven_decisions._rendezvous import choose_instances
+
 # Lapses of a reader are bridged well within the time in which a leaving server has to
 # be avoided (two seconds), including one slow read.
 MIN_FEED_TIMEOUT_S = 0.6
@@ -34,11 +35,7 @@
     str or None
         By rendezvous hashing, the same on every instance with the same view.
     """
-
-    def compute_weight(name: str) -> bytes:
-        return hashlib.blake2b(f"reader {name}".encode(), digest_size=8).digest()
-
-    return max(instances, key=compute_weight, default=None)
+    return next(iter(choose_instances("reader", instances, 1)), None)
 
 
 @attrs.define(slots=True)
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_index.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_index.py
@@ -11,12 +11,12 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 import zlib
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 
+from ebonyhaven_decisions._rendezvous import choose_instances, compute_weight
 from ebonyhaven_decisions.forwarding._stream_records import StreamRecord
 
 INDEX_REPLICAS = 3  # instances per entry; each costs one message per run
@@ -153,7 +153,7 @@
     if not recorders:
         return None
     shard = zlib.crc32(key.encode()) % recorders
-    return max(names, key=lambda name: _compute_weight(f"recorder-{shard}", name))
+    return choose_instances(f"recorder-{shard}", names, 1)[0]
 
 
 def choose_index_instances(key: str, instances: Iterable[str]) -> list[str]:
@@ -175,11 +175,7 @@
     recorder = choose_recorder(key, names)
     ordered = sorted(
         names,
-        key=lambda name: (name == recorder, _compute_weight(key, name)),
+        key=lambda name: (name == recorder, compute_weight(key, name)),
         reverse=True,
     )
     return ordered[:INDEX_REPLICAS]
-
-
-def _compute_weight(key: str, name: str) -> bytes:
-    return hashlib.blake2b(f"{key} {name}".encode(), digest_size=8).digest()
