Split what is sent of crashes from how evidence is sent

EvidenceExchange sends evidence of any kind to all other instances, once more, and to those that join; the exchange of crashes says what.

--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -173,7 +173,7 @@
         process : str
             See `LossReport`.
         """
-        self._crash_exchange.publish(process)
+        self._crash_exchange.publish_loss(process)
 
     def report_survival(self, trait: str) -> None:
         """Report that a server ran a request without a crash.
--- a/tests/forwarding/test_crash_exchange.py
+++ b/tests/forwarding/test_crash_exchange.py
@@ -5,11 +5,8 @@
 from ebonyhaven_decisions import MemberState
 from ebonyhaven_decisions.forwarding import CrashHistory, LossReport
 from ebonyhaven_node import Frame, FrameKind
-from ebonyhaven_node.forwarding._crash_exchange import (
-    RESEND_DELAY_S,
-    SEND_DELAY_S,
-    CrashExchange,
-)
+from ebonyhaven_node._evidence_exchange import RESEND_DELAY_S, SEND_DELAY_S
+from ebonyhaven_node.forwarding._crash_exchange import CrashExchange
 from twisted.internet.task import Clock
 
 from tests.forwarding.losses import FakeNetworkMembership
@@ -49,7 +46,7 @@
         requests = tuple((each,) for each in contents)
         report = LossReport(process, "dc-a", 0.0, requests)
         self.histories[name].add(report, self.clock.seconds())
-        self.exchanges[name].publish(process)
+        self.exchanges[name].publish_loss(process)
 
     def count_crashes(self, content=CONTENT):
         now = self.clock.seconds()
