Send crashes of engines to all instances with their age

On the code before, an instance whose clock is 700 s ahead receives evidence of 700.256 s, older than it counts, and lets the content go on (SUSPECT instead of STOPPED).

Change: crashes are sent at once to all instances, with their age, and to those that join.

--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -297,7 +297,8 @@
     ) -> DriverDependencies:
         engines = EngineClient(self._reactor)
         crashes = CrashReports(CrashLedger())
-        self._membership.add_digest(crashes.make_digest())
+        crashes.connect(self._membership, self._channels, self._reactor)
+        self._stack.callback(crashes.stop)
         claimant = Claimant(
             instance=self._state.instance, incarnation=self._state.incarnation
         )
--- a/packages/node/src/ebonyhaven_node/_crash_reports.py
+++ b/packages/node/src/ebonyhaven_node/_crash_reports.py
@@ -1,25 +1,24 @@
-"""Evidence of request content that crashes engines, shared by gossip."""
+"""Evidence of request content that crashes engines, shared with other instances."""
 
 from __future__ import annotations
 
 import hashlib
 import time
-from typing import Protocol
+from collections.abc import Callable
+from typing import Any, Protocol
 
 import structlog
-from ebonyhaven_decisions import (
-    EVIDENCE_TTL_S,
-    CrashEvidence,
-    CrashLedger,
-    CrashVerdict,
-    GossipEntry,
-    GossipTable,
-)
-
-from ebonyhaven_node._digests import Digest, TableDigest
-
-DIGEST_CODE = "x"
+from ebonyhaven_decisions import CrashEvidence, CrashLedger, CrashVerdict
+from twisted.internet.interfaces import IReactorTime
+
+from ebonyhaven_node._channels import Channels
+from ebonyhaven_node._evidence_exchange import EvidenceExchange
+from ebonyhaven_node._frames import FrameKind
+from ebonyhaven_node._membership import MembershipController
+
 PROCESS_ID_HEX_DIGITS = 8
+MAX_EXPORTED_EVIDENCE = 512  # a message of about 32 KB
+MS_PER_S = 1000.0
 
 _log = structlog.get_logger()
 
@@ -47,11 +46,44 @@
     Parameters
     ----------
     ledger : CrashLedger
+    clock : callable
+        Returns seconds.
     """
 
-    def __init__(self, ledger: CrashLedger):
+    def __init__(
+        self, ledger: CrashLedger, clock: Callable[[], float] = time.monotonic
+    ):
         self._ledger = ledger
-        self._table = GossipTable(ttl_s=EVIDENCE_TTL_S)
+        self._clock = clock
+        self._exchange: EvidenceExchange | None = None
+
+    def connect(
+        self,
+        membership: MembershipController,
+        channels: Channels,
+        reactor: IReactorTime,
+    ) -> None:
+        """Start to share the evidence with other instances.
+
+        Parameters
+        ----------
+        membership : MembershipController
+        channels : Channels
+        reactor : IReactorTime
+        """
+        self._exchange = EvidenceExchange(
+            kind=FrameKind.CRASHES,
+            membership=membership,
+            channels=channels,
+            reactor=reactor,
+            export=self._export,
+            merge=self._merge,
+        )
+
+    def stop(self) -> None:
+        """Cancel scheduled messages."""
+        if self._exchange is not None:
+            self._exchange.stop()
 
     def record_crash(
         self, content: str, *, server: ServerProcess, progress_tokens: int
@@ -67,18 +99,14 @@
         progress_tokens : int
             Tokens that the engine had generated for the run.
         """
-        process = _format_process_id(server)
-        now = time.monotonic()
         self._ledger.record_crash(
-            content, server=process, progress_tokens=progress_tokens, now=now
-        )
-        evidence = self._ledger.read_evidence()[content][process]
-        entry = GossipEntry(
-            f"{content}{process}",
-            int(time.time()),
-            evidence.is_strong + evidence.is_tokenless,  # tokenless implies strong
+            content,
+            server=_format_process_id(server),
+            progress_tokens=progress_tokens,
+            now=self._clock(),
         )
-        self._table.merge(entry, now)
+        if self._exchange is not None:
+            self._exchange.publish(content)
 
     def evaluate(self, content: str) -> CrashVerdict:
         """Decide whether the content may run again.
@@ -92,33 +120,43 @@
         -------
         CrashVerdict
         """
-        return self._ledger.evaluate(content, now=time.monotonic())
-
-    def make_digest(self) -> Digest:
-        """Return the gossip digest of the evidence."""
-        return TableDigest(
-            code=DIGEST_CODE,
-            table=self._table,
-            clock=time.monotonic,
-            on_merge=self._merge_entry,
-        )
-
-    def _merge_entry(self, entry: GossipEntry) -> None:
-        content, process = (
-            entry.key[:-PROCESS_ID_HEX_DIGITS],
-            entry.key[-PROCESS_ID_HEX_DIGITS:],
-        )
-        age_s = max(0.0, time.time() - entry.version)
-        evidence = CrashEvidence(
-            process, age_s, is_strong=entry.value > 0, is_tokenless=entry.value > 1
-        )
-        self._ledger.merge([(content, evidence)], now=time.monotonic())
-        _log.info(
-            "crash_evidence_received",
-            content=content,
-            process=process,
-            age_s=round(age_s, 3),
-        )
+        return self._ledger.evaluate(content, now=self._clock())
+
+    def _export(self, contents: list[str] | None) -> list[list[Any]]:
+        """Return a list ``[content, process, age in ms, is strong, is tokenless]``."""
+        evidence = self._ledger.export(now=self._clock(), limit=MAX_EXPORTED_EVIDENCE)
+        return [
+            [
+                content,
+                each.server,
+                round(each.at * MS_PER_S),
+                each.is_strong,
+                each.is_tokenless,
+            ]
+            for content, each in evidence
+            if contents is None or content in contents
+        ]
+
+    def _merge(self, sender: str, payload: Any) -> None:
+        evidence = [_decode_evidence(*values) for values in payload]
+        self._ledger.merge(evidence, now=self._clock())
+        for content, each in evidence:
+            _log.info(
+                "crash_evidence_received",
+                peer=sender,
+                content=content,
+                process=each.server,
+                age_s=each.at,
+            )
+
+
+def _decode_evidence(
+    content: Any, process: Any, age_ms: Any, is_strong: Any, is_tokenless: Any
+) -> tuple[str, CrashEvidence]:
+    if not isinstance(content, str) or not isinstance(process, str):
+        raise ValueError("content and process must be strings")
+    age_s = max(0, int(age_ms)) / MS_PER_S
+    return content, CrashEvidence(process, age_s, bool(is_strong), bool(is_tokenless))
 
 
 def _format_process_id(server: ServerProcess) -> str:
--- a/packages/node/src/ebonyhaven_node/_frames.py
+++ b/packages/node/src/ebonyhaven_node/_frames.py
@@ -33,6 +33,7 @@
     STREAM_RECORD_REQUEST = "m"
     STREAM_RECORD_ANSWER = "n"
     SERVER_LOSSES = "b"
+    CRASHES = "f"
 
 
 class Frame(NamedTuple):
