Hold calls of plain services responsible for the servers lost under them

Change: ServiceCrashes probes a server that broke off, counts the loss against the content of the call if its process has ended, shares it with the other instances, and answers 422 from the third on. The history and the exchange are those of forwarding; the exchange of crashes moves out of that package.

Both tests failed before (the relay without the new argument: six servers lost, no 422) and pass.

--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -49,6 +49,7 @@
 from ebonyhaven_node._processor_load import ProcessorLoad
 from ebonyhaven_node._runs import RunRegistry
 from ebonyhaven_node._servers import BackendServers
+from ebonyhaven_node._service_crashes import ServiceCrashes
 from ebonyhaven_node._services import ServiceRelay
 from ebonyhaven_node._settings import Settings
 from ebonyhaven_node._sharing import SchedulingDigestExchange
@@ -230,10 +231,14 @@
                 RelayFilter(metrics=metrics, reactor=self._reactor),
             ]
         )
+        service_crashes = ServiceCrashes(self._reactor)
+        service_crashes.connect(self._membership, self._channels)
+        self._stack.callback(service_crashes.stop)
         services = ServiceRelay(
             configuration=self._configuration,
             servers=self._servers,
             scheduling=scheduling,
+            crashes=service_crashes,
             reactor=self._reactor,
         )
         return CallerInterface(
--- a/packages/node/src/ebonyhaven_node/_services.py
+++ b/packages/node/src/ebonyhaven_node/_services.py
@@ -11,6 +11,7 @@
 from ebonyhaven_decisions import Outcome, OutcomeTag, PoolKind, RequestFailure
 from ebonyhaven_store import make_agent, read_body
 from twisted.internet import error
+from twisted.internet.defer import ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.http import Request
 
@@ -19,6 +20,7 @@
 from ebonyhaven_node._requests import MAX_BODY_BYTES, make_rejection, parse_repeatable
 from ebonyhaven_node._scheduling import SlotScheduler
 from ebonyhaven_node._servers import BackendServer, BackendServers
+from ebonyhaven_node._service_crashes import ServiceCrashes, compute_content
 from ebonyhaven_node._sinks import write_outcome
 
 CALL_TIMEOUT_S = 30.0
@@ -43,6 +45,7 @@
     configuration : ActiveConfiguration
     servers : BackendServers
     scheduling : SlotScheduler
+    crashes : ServiceCrashes
     reactor : IReactorTime
     """
 
@@ -52,11 +55,13 @@
         configuration: ActiveConfiguration,
         servers: BackendServers,
         scheduling: SlotScheduler,
+        crashes: ServiceCrashes,
         reactor: IReactorTime,
     ):
         self._configuration = configuration
         self._servers = servers
         self._scheduling = scheduling
+        self._crashes = crashes
         self._reactor = reactor
         agent = make_agent(reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
         self._client = treq.client.HTTPClient(agent)
@@ -84,6 +89,8 @@
                 f"more than {MAX_BODY_BYTES} bytes of body", status=413
             )
         repeatable = self._is_repeatable(http_request)
+        target = _make_target(http_request, path)
+        content = compute_content(http_request.method, service, target, body)
         tried_servers: set[str] = set()
         final_outcome = Outcome(
             tag=OutcomeTag.NOT_RUN,
@@ -97,11 +104,16 @@
             if server is None:
                 break
             tried_servers.add(server.name)
-            outcome = await self._call(http_request, server, path, body)
+            await self._crashes.check(content, final_outcome.tag)
+            outcome = await self._call(http_request, server, target, body)
             if outcome is None:
+                self._crashes.record_survival(content)
                 return
-            if outcome.tag is OutcomeTag.UNKNOWN and not repeatable:
-                raise RequestFailure(outcome)
+            if outcome.tag is OutcomeTag.UNKNOWN:
+                check = ensureDeferred(self._crashes.check_loss(content, server))
+                if not repeatable:
+                    raise RequestFailure(outcome)
+                await check
             if final_outcome.tag is OutcomeTag.NOT_RUN:
                 final_outcome = outcome
         raise RequestFailure(final_outcome)
@@ -132,23 +144,21 @@
         return min(suitable, key=lambda item: item.in_flight, default=None)
 
     async def _call(
-        self, http_request: Request, server: BackendServer, path: str, body: bytes
+        self, http_request: Request, server: BackendServer, target: str, body: bytes
     ) -> Outcome | None:
         """Call a server; return None if its response was written to the caller."""
         slot = self._scheduling.adopt(server)
         try:
-            return await self._send(http_request, server, path, body)
+            return await self._send(http_request, server, target, body)
         finally:
             slot.release()
 
     async def _send(
-        self, http_request: Request, server: BackendServer, path: str, body: bytes
+        self, http_request: Request, server: BackendServer, target: str, body: bytes
     ) -> Outcome | None:
-        query = http_request.uri.partition(b"?")[2].decode("latin-1")
-        suffix = f"?{query}" if query else ""
         call = self._client.request(
             http_request.method.decode(),
-            f"http://{server.address}/{path}{suffix}",
+            f"http://{server.address}/{target}",
             headers=_select_headers(http_request),
             data=body or None,
         )
@@ -172,6 +182,11 @@
         return None
 
 
+def _make_target(http_request: Request, path: str) -> str:
+    query = http_request.uri.partition(b"?")[2].decode("latin-1")
+    return f"{path}?{query}" if query else path
+
+
 def _select_headers(http_request: Request) -> dict[str, str]:
     headers = {name: http_request.getHeader(name) for name in FORWARDED_HEADERS}
     return {name: value for name, value in headers.items() if value is not None}
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -18,10 +18,10 @@
 from twisted.internet.interfaces import IReactorCore
 
 from ebonyhaven_node._channels import ChannelMetrics, Channels
+from ebonyhaven_node._crash_exchange import CrashExchange
 from ebonyhaven_node._membership import MembershipController
 from ebonyhaven_node._own_record import make_own_record
 from ebonyhaven_node._processor_load import ProcessorLoad
-from ebonyhaven_node.forwarding._crash_exchange import CrashExchange
 from ebonyhaven_node.forwarding._settings import GatewaySettings
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
 from ebonyhaven_node.forwarding._sharing import (
--- a/tests/forwarding/test_crash_exchange.py
+++ b/tests/node/test_crash_exchange.py
@@ -5,8 +5,8 @@
 from ebonyhaven_decisions import MemberState
 from ebonyhaven_decisions.forwarding import CrashHistory, LossReport
 from ebonyhaven_node import Frame, FrameKind
+from ebonyhaven_node._crash_exchange import CrashExchange
 from ebonyhaven_node._evidence_exchange import RESEND_DELAY_S, SEND_DELAY_S
-from ebonyhaven_node.forwarding._crash_exchange import CrashExchange
 from twisted.internet.task import Clock
 
 from tests.forwarding.losses import FakeNetworkMembership
--- a/tests/node/test_services.py
+++ b/tests/node/test_services.py
@@ -5,8 +5,9 @@
 import types
 
 from ebonyhaven_decisions import PoolKind
+from ebonyhaven_node._service_crashes import CHECK_DELAY_S, ServiceCrashes
 from ebonyhaven_node._services import ServiceRelay
-from twisted.internet import defer, reactor
+from twisted.internet import defer, reactor, task
 from twisted.internet.protocol import Factory, Protocol
 from twisted.web.test.requesthelper import DummyRequest
 
@@ -25,35 +26,40 @@
     name = "s-1"
     in_flight = 0
 
+    is_lost = False
+
     def __init__(self, address):
         self.address = address
 
     def accepts_work(self, now):
-        return True
+        return not self.is_lost
 
     def record_unreachable(self, now):
-        pass
+        self.is_lost = True
 
     def record_answer(self):
         pass
 
 
-def make_relay(server) -> ServiceRelay:
+def make_relay(*servers) -> ServiceRelay:
     pool = types.SimpleNamespace(name="p", kind=PoolKind.SERVICE, service="desk")
     declaration = types.SimpleNamespace(pools={"p": pool})
     return ServiceRelay(
         configuration=types.SimpleNamespace(require=lambda: declaration),
-        servers=types.SimpleNamespace(list_in_pools=lambda pools: [server]),
+        servers=types.SimpleNamespace(list_in_pools=lambda pools: servers),
         scheduling=types.SimpleNamespace(
             adopt=lambda server: types.SimpleNamespace(release=lambda: None)
         ),
+        crashes=ServiceCrashes(reactor),
         reactor=reactor,
     )
 
 
-def make_request() -> DummyRequest:
+def make_request(method=b"POST", repeatable=None) -> DummyRequest:
     request = DummyRequest([b"x"])
-    request.method, request.uri = b"POST", b"/x"
+    request.method, request.uri = method, b"/x"
+    if repeatable is not None:
+        request.requestHeaders.setRawHeaders("Ebonyhaven-Repeatable", [repeatable])
     request.content = io.BytesIO(b"{}")
     return request
 
@@ -77,5 +83,69 @@
     run_in_reactor(check)
 
 
+class CrashingService(Protocol):
+    """Ends its server at the content ``x``, and answers all others."""
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 Twisted API
+        self.factory.calls.append(data)
+        if not data.startswith(b"GET /x "):
+            self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            return
+        self.factory.port.stopListening()
+        self.transport.abortConnection()
+
+
+def start_crashing_service(name, calls) -> FakeServer:
+    factory = Factory.forProtocol(CrashingService)
+    factory.calls = calls
+    factory.port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+    server = FakeServer(f"127.0.0.1:{factory.port.getHost().port}")
+    server.name, server.data_centre, server.identity = name, "dc-a", "1"
+    server.leaving, server.port = False, factory.port
+    return server
+
+
+def test_call_that_crashes_servers_is_not_sent_to_a_fourth():
+    # Guards against calls that crash one server of their service after the other.
+    async def check():
+        calls = []
+        servers = [start_crashing_service(f"s-{each}", calls) for each in range(6)]
+        relay = make_relay(*servers)
+        codes = []
+        for _ in range(3):
+            request = make_request(b"GET")
+            await relay.relay(request, "desk", "x")
+            codes.append(request.responseCode)
+        assert len(calls) == 3
+        assert codes[1:] == [422, 422]
+        request = make_request(b"GET")
+        await relay.relay(request, "desk", "other")
+        assert request.responseCode == 200
+        for server in servers:
+            await defer.maybeDeferred(server.port.stopListening)
+
+    run_in_reactor(check)
+
+
+def test_call_that_must_not_be_repeated_is_held_responsible_as_well():
+    async def check():
+        calls = []
+        servers = [start_crashing_service(f"s-{each}", calls) for each in range(6)]
+        relay = make_relay(*servers)
+        for _ in range(3):
+            request = make_request(b"GET", repeatable="no")
+            await relay.relay(request, "desk", "x")
+            assert request.responseCode == 502
+            await task.deferLater(reactor, 2 * CHECK_DELAY_S)
+        request = make_request(b"GET", repeatable="no")
+        await relay.relay(request, "desk", "x")
+        assert request.responseCode == 422
+        assert len(calls) == 3
+        for server in servers:
+            await defer.maybeDeferred(server.port.stopListening)
+
+    run_in_reactor(check)
+
+
 async def _await(deferred) -> None:
     await deferred
