--- a/packages/standins/src/ebonyhaven_standins/fault_proxy/_links.py
+++ b/packages/standins/src/ebonyhaven_standins/fault_proxy/_links.py
@@ -34,6 +34,11 @@
         self._port = None
         self.start_listening()
 
+    @property
+    def address(self) -> str:
+        """``IP:PORT`` that the link listens on."""
+        return self._listen
+
     @property
     def open_count(self) -> int:
         """Number of open connections."""
