Take a refusal for proof only if it names the request

Cause: a response without an id was taken for that to the pending request, also as proof that it was not run. A faulty server sends an extra answer; if that is a refusal without an id of an earlier request, it arrives as the answer to the next one, which runs.

--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -105,6 +105,8 @@
         head = self._context.dialect.read_head(status, headers)
         if head.request_id is not None and head.request_id != self._request.request_id:
             return False
+        if head.request_id is None:  # may belong to an earlier request
+            head = head._replace(not_run=False, is_other_process=False)
         now = self._context.clock()
         self.backend.record_received(now)
         if head.load is not None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -196,7 +196,7 @@
     has_origin_proof : bool
         Whether the response carries the server's proof of origin.
     not_run : bool
-        Whether the response proves that the request was not run.
+        Whether the response proves that the request it names was not run.
     is_other_process : bool
         Whether the response comes from another process than the addressed one.
     other_server_id : str or None
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -4,7 +4,7 @@
 from tests.reactor_thread import run_in_reactor
 
 DURATION_S = 6.0
-# 18: an extra answer without an id was taken for a refusal of the next request (REFUSED).
+# 18: an extra answer without an id was taken for a refusal of the next one (REFUSED).
 SEEDS = (1, 18)
 
 
