Do not forward a server's own 429 or 408 as an answer

Cause: a complete response with proof of origin and a status below 500 was forwarded as the answer, also 429 and 408, which callers read as a promise that nothing ran. Errors from 500 on were checked for that, and streams were.

Change: such a status counts as an error of the server, so that the request may have run; it is tried again or answered with 502. The test failed before and passes.

--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -311,7 +311,8 @@
             return
         if head.has_origin_proof:
             self._guard.record_survival()
-        is_success = head.status < 500 and head.has_origin_proof
+        is_promise = head.status in NOT_RUN_STATUSES  # although the server ran it
+        is_success = head.status < 500 and head.has_origin_proof and not is_promise
         attempt.backend.record_result(succeeded=is_success, latency_s=latency_s)
         body = b"".join(response.body)
         if is_success and head.request_id is not None:
