Send a second attempt on another connection than the first

Cause: a server that refused a request may be tried again, on the same connection; a faulty server's extra copy of the refusal then arrives as the answer to the second attempt and has its id, as both attempts are of one request. The request is rejected as not run, and runs.

Change: an idle connection that just carried the request is closed instead of reused for it.

--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -82,7 +82,7 @@
         self.backend.in_flight += 1
         self.sent_at = self._context.clock()
         address = self.backend.entry.address
-        connection = self._context.pool.acquire_idle(address)
+        connection = self._context.pool.acquire_idle(address, self._request.request_id)
         if connection is not None:
             self._send(connection)
             return
@@ -150,6 +150,7 @@
             target=self._request.target,
             headers=headers,
             body=self._request.body,
+            request_id=self._request.request_id,
         )
         connection.send(http_request, self)
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_connection_pool.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_connection_pool.py
@@ -129,7 +129,9 @@
         """
         return self._open_counts.get(address, 0)
 
-    def acquire_idle(self, address: str) -> HttpConnection | None:
+    def acquire_idle(
+        self, address: str, request_id: str | None = None
+    ) -> HttpConnection | None:
         """Remove a reusable idle connection from the pool and return it.
 
         Connections that turn out not to be reusable are closed.
@@ -138,6 +140,9 @@
         ----------
         address : str
             ``IP:PORT``.
+        request_id : str or None
+            Id of the request to send. A connection that just carried it is closed: an
+            extra response to it would be taken for that to the next attempt.
 
         Returns
         -------
@@ -148,7 +153,10 @@
         now = self._clock()
         while idle:
             connection = idle.pop()
-            if connection.is_reusable(now):
+            is_repeat = request_id is not None and (
+                connection.last_request_id == request_id
+            )
+            if connection.is_reusable(now) and not is_repeat:
                 return connection
             connection.abort()
         return None
--- a/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
@@ -94,12 +94,15 @@
     headers : tuple of (bytes, bytes)
         With Host, without Content-Length and Transfer-Encoding.
     body : bytes
+    request_id : str or None
+        Names the request in responses, if they do.
     """
 
     method: bytes
     target: bytes
     headers: Headers
     body: bytes = b""
+    request_id: str | None = None
 
 
 class HttpConnection(Protocol):
@@ -119,6 +122,8 @@
     is_closed : bool
     idle_since : float
         Clock time at which the connection became idle, seconds.
+    last_request_id : str or None
+        Id of the last request. An extra response to it may be yet to come.
     """
 
     def __init__(
@@ -138,6 +143,7 @@
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.is_closed = False
         self.idle_since = 0.0
+        self.last_request_id: str | None = None
 
     def connectionMade(self) -> None:  # noqa: N802 Twisted API
         """Set the socket options that detect an unresponsive peer."""
@@ -163,6 +169,7 @@
         """
         self._handler = handler
         self._request = request
+        self.last_request_id = request.request_id
         self._is_skipping = False
         self.transport.write(self._encode())
 
