--- a/packages/standins/src/ebonyhaven_standins/fault_proxy/_forwarding.py
+++ b/packages/standins/src/ebonyhaven_standins/fault_proxy/_forwarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 
 from twisted.internet import reactor
@@ -25,13 +26,21 @@
         Faults of the link.
     """
 
-    __slots__ = ("_faults", "_is_lossy", "_pending_timers", "_queued", "drops_all")
+    __slots__ = (
+        "_delayed",
+        "_delayed_until",
+        "_faults",
+        "_is_lossy",
+        "_queued",
+        "drops_all",
+    )
 
     def __init__(self, is_lossy: Callable[[], bool], faults: LinkFaults):
         self._is_lossy = is_lossy
         self._faults = faults
         self._queued: list[Callable[[], None]] = []
-        self._pending_timers = 0
+        self._delayed: deque[Callable[[], None]] = deque()
+        self._delayed_until = 0.0
         self.drops_all = False
 
     @property
@@ -51,9 +60,8 @@
             return
         if self.is_blocked:
             self._queued.append(action)
-        elif self._faults.delay_s or self._pending_timers:
-            self._pending_timers += 1
-            reactor.callLater(self._faults.delay_s, self._deliver_delayed, action)
+        elif self._faults.delay_s or self._delayed:
+            self._delay(action)
         else:
             action()
 
@@ -65,8 +73,16 @@
         for action in queued:
             action()
 
-    def _deliver_delayed(self, action: Callable[[], None]) -> None:
-        self._pending_timers -= 1
+    def _delay(self, action: Callable[[], None]) -> None:
+        """Deliver an action after its delay, and not before those that wait already."""
+        now = reactor.seconds()
+        due_at = max(now + self._faults.delay_s, self._delayed_until)
+        self._delayed_until = due_at
+        self._delayed.append(action)
+        reactor.callLater(due_at - now, self._deliver_delayed)
+
+    def _deliver_delayed(self) -> None:
+        action = self._delayed.popleft()
         if self.is_blocked:
             self._queued.append(action)
         elif not self.drops_all:
--- a/tests/standins/test_fault_proxy.py
+++ b/tests/standins/test_fault_proxy.py
@@ -11,6 +11,11 @@
 import tempfile
 
 from ebonyhaven_standins.cluster import derive_loopback_prefix
+from ebonyhaven_standins.fault_proxy import LinkFaults
+from ebonyhaven_standins.fault_proxy._forwarding import ForwardingDirection
+from twisted.internet import reactor, task
+
+from tests.reactor_thread import run_in_reactor
 
 TIMEOUT_S = 30.0
 SILENCE_TIMEOUT_S = 0.3
@@ -146,6 +151,24 @@
         assert target.recv(1) == b"1"
 
 
+def test_data_is_delivered_in_order_when_a_delay_ends():
+    # Guards against later data that overtakes what is still delayed.
+    delivered = []
+
+    async def forward():
+        faults = LinkFaults(delay_s=0.05)
+        direction = ForwardingDirection(lambda: False, faults)
+        for number in range(3):
+            direction.forward(lambda number=number: delivered.append(number))
+        faults.delay_s = 0.0
+        direction.forward(lambda: delivered.append(3))
+        await task.deferLater(reactor, 0.1)
+        direction.forward(lambda: delivered.append(4))
+
+    run_in_reactor(forward)
+    assert delivered == [0, 1, 2, 3, 4]
+
+
 def test_refuse_rejects_connections_until_cleared():
     with open_proxied_listener() as (stack, listener):
         set_fault("refuse")
