--- a/tests/platform_adapter/soak/_checks.py
+++ b/tests/platform_adapter/soak/_checks.py
@@ -52,7 +52,10 @@
         else:
             expected = f"answer to {each.request_id}".encode()
         if each.body != expected or each.stamp is None:
-            problems.append(f"MIXED: {each.request_id} got {each.body[:60]!r}")
+            problems.append(
+                f"MIXED: {each.request_id} got {each.stamp} {each.body!r}, "
+                f"not {expected!r}"
+            )
     return problems
 
 
@@ -103,10 +106,14 @@
     arrivals: Iterable[Arrival], crashing_path: str, contact_s: float
 ) -> list[str]:
     """Return requests that crash servers and were sent on after three had ended."""
-    found = sorted(each.at for each in arrivals if each.path.startswith(crashing_path))
+    found = sorted(
+        (each for each in arrivals if each.path.startswith(crashing_path)),
+        key=lambda arrival: arrival.at,
+    )
     if len(found) < 3:
         return []
-    late = [at for at in found[3:] if at > found[2] + contact_s]
+    late = [each for each in found[3:] if each.at > found[2].at + contact_s]
     if len(late) <= MAX_CRASH_REPEATS:
         return []
-    return [f"BUDGET: a request that crashes servers reached {len(late)} more"]
+    seen = [f"{each.at:.3f} {each.request_id} {each.process}" for each in found]
+    return [f"BUDGET: a request that crashes servers reached {len(late)} more: {seen}"]
--- a/tests/platform_adapter/stand_ins.py
+++ b/tests/platform_adapter/stand_ins.py
@@ -145,7 +145,12 @@
         return {**row, "deleted": True} if value is None else {**row, "value": value}
 
     def _encode(self, rows):
-        body = {"rows": rows, "hasMore": False, "rowVersion": self.version, "nowMs": 1}
+        body = {
+            "rows": rows,
+            "hasMore": False,
+            "rowVersion": self.version,
+            "nowMs": int(reactor.seconds() * 1000),
+        }
         return json.dumps(body).encode()
 
 
