Count the losses of a failing data centre once instead of never

Cause: a loss did not count against a trait at all if another server of the data centre was lost beside it that did not run it.

Change: losses that may share a cause count as one. The test failed before and passes.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
@@ -7,8 +7,8 @@
 are lost with it; the trait that crashes servers is lost each time.
 
 A data centre that fails loses many servers at about the same moment, whatever they run.
-A loss is therefore not counted against a trait if another server of the data centre,
-which ran nothing with that trait, was lost with it.
+If a server that ran nothing with a trait is lost beside others of its data centre that
+did, those losses therefore count as one against the trait.
 
 A trait that crashes servers does so each time. Losses before a server ran a request
 with it to an end, or far into its stream, are therefore not counted against it.
@@ -73,9 +73,9 @@
             COMMON_CAUSE_WINDOW_S
         )
 
-    def counts_against(self, trait: str) -> bool:
-        """Return whether the trait may have caused the loss."""
-        return all(trait in each.traits for each in self.companions)
+    def is_common(self, trait: str) -> bool:
+        """Return whether a server was lost beside this one without the trait."""
+        return any(trait not in each.traits for each in self.companions)
 
     def list_more_specific(self, trait: str) -> set[str]:
         """Return the traits that are more specific in any request with the trait."""
@@ -319,13 +319,15 @@
     def _list_crashes(self, trait: str, now: float, latest: float) -> list[str]:
         """Return the processes whose loss until `latest` counts against a trait."""
         earliest = max(now - EVIDENCE_TTL_S, self._survived_at.get(trait, -math.inf))
-        processes = self._processes_by_trait.get(trait, ())
-        return [
-            process
-            for process in processes
-            if earliest < self._losses[process].lost_at <= latest
-            and self._losses[process].counts_against(trait)
-        ]
+        crashes: dict[str, _Loss] = {}
+        for process in self._processes_by_trait.get(trait, ()):
+            loss = self._losses[process]
+            if not earliest < loss.lost_at <= latest:
+                continue
+            is_counted = any(each in loss.companions for each in crashes.values())
+            if not is_counted or not loss.is_common(trait):
+                crashes[process] = loss
+        return list(crashes)
 
     def _is_explained(self, trait: str, processes: Sequence[str]) -> bool:
         """Return whether one more specific trait was there at each of the losses."""
--- a/tests/decisions/test_crash_history.py
+++ b/tests/decisions/test_crash_history.py
@@ -194,3 +194,13 @@
     reports = history.export_repeated(100.0, 2)
     assert [len(each.requests) for each in reports] == [1, 1]
     assert history.export_repeated(100.0, 3) == []
+
+
+def test_losses_of_a_failing_data_centre_count_once():
+    # Guards against a content that crashes servers while others end beside each of
+    # them, and of which none would count.
+    crashes = [make_report(f"s{each}", "c", age_s=10.0 * each) for each in (1, 2, 3)]
+    others = [make_report(f"o{each}", "d", age_s=10.0 * each) for each in (1, 2, 3)]
+    assert is_blocked(make_history(*crashes, *others), "c")
+    at_once = [make_report(f"s{each}", "c") for each in range(5)]
+    assert not is_blocked(make_history(*at_once, make_report("o", "d")), "c")
