--- a/packages/node/src/ebonyhaven_node/_services.py
+++ b/packages/node/src/ebonyhaven_node/_services.py
@@ -7,12 +7,14 @@
 
 import time
 
+import structlog
 import treq
 from ebonyhaven_decisions import Outcome, OutcomeTag, PoolKind, RequestFailure
 from ebonyhaven_store import make_agent, read_body
 from twisted.internet import error
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.interfaces import IReactorTime
+from twisted.python.failure import Failure
 from twisted.web.http import Request
 
 from ebonyhaven_node._active_configuration import ActiveConfiguration
@@ -29,6 +31,7 @@
 SAFE_METHODS = frozenset({b"GET", b"HEAD"})
 FORWARDED_HEADERS = ("Content-Type", "Accept", "Idempotency-Key")
 RETURNED_HEADERS = ("Content-Type",)
+_log = structlog.get_logger()
 _ERRORS_BEFORE_SEND = (
     error.ConnectError,
     error.ConnectingCancelledError,
@@ -111,6 +114,7 @@
                 return
             if outcome.tag is OutcomeTag.UNKNOWN:
                 check = ensureDeferred(self._crashes.check_loss(content, server))
+                check.addErrback(_log_check_failure)
                 if not repeatable:
                     raise RequestFailure(outcome)
                 await check
@@ -182,6 +186,10 @@
         return None
 
 
+def _log_check_failure(failure: Failure) -> None:
+    _log.error("loss_check_failed", error=failure.getTraceback())
+
+
 def _make_target(http_request: Request, path: str) -> str:
     query = http_request.uri.partition(b"?")[2].decode("latin-1")
     return f"{path}?{query}" if query else path
--- a/tests/node/test_services.py
+++ b/tests/node/test_services.py
@@ -26,7 +26,7 @@
     name = "s-1"
     in_flight = 0
 
-    is_lost = False
+    is_lost = leaving = False
 
     def __init__(self, address):
         self.address = address
