--- a/tests/platform_adapter/soak/_servers.py
+++ b/tests/platform_adapter/soak/_servers.py
@@ -144,6 +144,9 @@
     def accept(self, connection: ServerConnection, head: h11.Request) -> None:
         headers = {name.decode(): value.decode() for name, value in head.headers}
         request_id = headers.get("x-attempt-id", "")
+        if not request_id:  # a call that the stand-in does not know
+            self._send(connection, "", 404, b"", stamp=False)
+            return
         path = head.target.decode()
         expected = headers.get("x-expect-instance")
         if expected is not None and expected != self.process_id:
