Count servers that broke a stream off and are alive against its attempts

Cause: a route bounds the servers that may run one request. A stream that was broken off did not count, whether its server had ended or a connection was only reset, so that a stream whose connections are reset ran on up to 40 servers (found while looking for what the users saw as BUDGET with real processes).

Change: a server that broke a stream off is probed; if it accepts connections, the attempt counts. Only where a further attempt depends on it, the stream waits for that answer. Servers that have ended or are cut off do not count, as before.

test_stream_runs_on_no_more_servers_than_its_route_allows failed before (ten servers and more for five) and passes.

--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
@@ -72,7 +72,8 @@
         self._on_loss = on_loss
         self._on_survival = on_survival
         self._on_change = on_change
-        self._pending: dict[str, int] = {}
+        self._pending: dict[str, int] = {}  # running checks by trait
+        self._checked: dict[str, int] = {}  # running checks by process
 
     def find_blocked_trait(self, traits: Traits) -> str | None:
         """Return a trait with which requests may not be sent to servers any more.
@@ -119,6 +120,8 @@
             Whether the server had begun to answer.
         """
         lost_at = self._clock()
+        process = backend.process_id
+        self._checked[process] = self._checked.get(process, 0) + 1
         for trait in traits:
             self._pending[trait] = self._pending.get(trait, 0) + 1
 
@@ -126,7 +129,8 @@
             self._log_check(traits, backend, result, has_begun=has_begun)
 
         def handle_probe(failure: ConnectFailure | None) -> None:
-            self._finish_check(traits)
+            self._finish_checks(self._checked, (process,))
+            self._finish_checks(self._pending, traits)
             if failure is None:
                 log("alive")
             elif backend.is_leaving:
@@ -140,13 +144,47 @@
                 log("silent")
             self.notify_of_losses()
 
-        self._reactor.callLater(
-            CHECK_DELAY_S,
-            self._pool.probe_address,
-            backend.entry.address,
-            on_result=handle_probe,
-            timeout_s=PROBE_TIMEOUT_S,
-        )
+        self._probe(backend, handle_probe)
+
+    def check_end(self, backend: Backend) -> None:
+        """Check whether a server that closed its connection has ended.
+
+        For requests that did not cause it, see `check_loss`.
+
+        Parameters
+        ----------
+        backend : Backend
+        """
+        self._checked[backend.process_id] = self._checked.get(backend.process_id, 0) + 1
+
+        def handle_probe(failure: ConnectFailure | None) -> None:
+            self._finish_checks(self._checked, (backend.process_id,))
+            if failure is not None:
+                self._on_unreachable(backend)
+                if failure.is_refused:
+                    self.record_ended(backend)
+            self._on_change()
+
+        self._probe(backend, handle_probe)
+
+    def is_alive(self, backend: Backend) -> bool:
+        """Return whether a server that was lost is there, as far as is known.
+
+        Parameters
+        ----------
+        backend : Backend
+        """
+        is_gone = backend.is_leaving or self._history.is_known(backend.process_id)
+        return not is_gone and self._clock() >= backend.suspect_until
+
+    def is_checking(self, backend: Backend) -> bool:
+        """Return whether a check of a server is under way.
+
+        Parameters
+        ----------
+        backend : Backend
+        """
+        return backend.process_id in self._checked
 
     def record_ended(self, backend: Backend) -> None:
         """Record that the process of a server has ended, whatever it was running.
@@ -200,11 +238,22 @@
         if self._history.add(report, now) or not requests:
             self._on_loss(backend.process_id)
 
-    def _finish_check(self, traits: Traits) -> None:
-        for trait in traits:
-            self._pending[trait] -= 1
-            if not self._pending[trait]:
-                del self._pending[trait]
+    def _probe(
+        self, backend: Backend, on_result: Callable[[ConnectFailure | None], None]
+    ) -> None:
+        self._reactor.callLater(
+            CHECK_DELAY_S,
+            self._pool.probe_address,
+            backend.entry.address,
+            on_result=on_result,
+            timeout_s=PROBE_TIMEOUT_S,
+        )
+
+    def _finish_checks(self, counts: dict[str, int], keys: tuple[str, ...]) -> None:
+        for key in keys:
+            counts[key] -= 1
+            if not counts[key]:
+                del counts[key]
 
     def _log_check(
         self, traits: Traits, backend: Backend, result: str, *, has_begun: bool
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from ebonyhaven_decisions.forwarding import Route
+from ebonyhaven_decisions.forwarding import Backend, Route
 
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._crash_guards import CrashGuard
@@ -19,7 +19,7 @@
 from ebonyhaven_node.forwarding._stream_servers import StreamServerSelector
 from ebonyhaven_node.forwarding._stream_versions import StreamVersion
 
-MAX_TRIED_SERVERS = 40  # lost servers do not count against the route's max_attempts
+MAX_TRIED_SERVERS = 40  # ended servers do not count against the route's max_attempts
 LATEST_START_SHARE = 0.75  # of the timeout; streams started later would not complete
 
 
@@ -70,6 +70,7 @@
         "_failed_attempts",
         "_guard",
         "_latest_start",
+        "_lost_servers",
         "_progress",
         "_request",
         "_route",
@@ -108,6 +109,7 @@
         self._latest_start = request.arrived_at + LATEST_START_SHARE * timeout_s
         self._tried_servers = 0
         self._failed_attempts = 0
+        self._lost_servers: list[Backend] = []
         self.attempts = 0
         self.may_have_run = False
         self.last_reason = "no server was tried"
@@ -118,24 +120,37 @@
         self.attempts += 1
         self._tried_servers += 1
 
-    def record_end(self, end: AttemptEnd, reason: str, peer: str) -> None:
+    def record_end(self, end: AttemptEnd, reason: str, backend: Backend) -> None:
         """Count how an attempt ended.
 
         Parameters
         ----------
         end : AttemptEnd
         reason : str
-        peer : str
-            Id of the server.
+        backend : Backend
         """
         self.last_reason = reason
-        self.last_peer = peer
+        self.last_peer = backend.server_id
         if end is AttemptEnd.UNREACHABLE:
             self.attempts -= 1
         if end not in (AttemptEnd.NOT_RUN, AttemptEnd.UNREACHABLE):
             self.may_have_run = True
         if end in (AttemptEnd.SILENT, AttemptEnd.ERROR):
             self._failed_attempts += 1
+        if end is AttemptEnd.LOST:
+            self._lost_servers.append(backend)
+
+    def is_undecided(self) -> bool:
+        """Return whether another attempt depends on checks that are under way.
+
+        Servers that have ended, or that are cut off, do not count as failed attempts.
+        """
+        is_checking = self._context.crash_monitor.is_checking
+        return not self._has_attempts() and any(map(is_checking, self._lost_servers))
+
+    def _has_attempts(self) -> bool:
+        alive = sum(map(self._context.crash_monitor.is_alive, self._lost_servers))
+        return self._failed_attempts + alive < self._route.max_attempts
 
     def find_reason_to_give_up(self, now: float) -> GiveUpReason | None:
         """Return why another attempt is not allowed or cannot succeed, if so.
@@ -179,7 +194,7 @@
         return self._check_attempts()
 
     def _check_attempts(self) -> str | None:
-        has_attempts = self._failed_attempts < self._route.max_attempts
+        has_attempts = self._has_attempts() or self.is_undecided()
         if has_attempts and self._tried_servers < MAX_TRIED_SERVERS:
             return None
         return f"too many attempts; last: {self.last_reason}"
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -161,9 +161,7 @@
                 if reason is not None:
                     self._give_up(now, reason)
                     return None
-                choice = (
-                    None if self._guard.is_undecided() else self._choose_target(now)
-                )
+                choice = None if self._is_undecided() else self._choose_target(now)
                 if choice is not None and self._acquire_retry(now):
                     return choice
                 message = await self._inbox.get(CAPACITY_POLL_INTERVAL_S)
@@ -173,6 +171,9 @@
             self._context.capacity_notifier.unsubscribe(self._inbox)
         return None
 
+    def _is_undecided(self) -> bool:
+        return self._guard.is_undecided() or self._limits.is_undecided()
+
     def _acquire_retry(self, now: float) -> bool:
         if not self._limits.attempts:
             return True
@@ -309,7 +310,9 @@
             result = await stream_attempt.run()
             if monitor.events:  # engines create copies only after the first event
                 self._run_copy = copy
-            if result.end is AttemptEnd.LOST and not monitor.is_far_into_stream():
+            if result.end is AttemptEnd.LOST and monitor.is_far_into_stream():
+                self._context.crash_monitor.check_end(attempt.backend)
+            elif result.end is AttemptEnd.LOST:
                 self._guard.check_loss(
                     attempt.backend, has_begun=attempt.head is not None
                 )
@@ -365,7 +368,7 @@
             self._context.metrics.resumes.labels("copy_gone").inc()
         else:
             self._server_selector.avoid(backend, now)
-        self._limits.record_end(end, result.reason, backend.server_id)
+        self._limits.record_end(end, result.reason, backend)
         if end is AttemptEnd.UNREACHABLE and self._limits.attempts:
             self._context.budget.refund_retry(self._service, now)
         if end in (AttemptEnd.LOST, AttemptEnd.SILENT, AttemptEnd.ERROR):
--- /dev/null
+++ b/tests/forwarding/test_attempt_limits.py
@@ -0,0 +1,47 @@
+"""Limits on the servers that run one request."""
+
+from __future__ import annotations
+
+from tests.forwarding.harness import (
+    ForwardingHarness,
+    chunk,
+    event,
+    stream_head,
+)
+
+MAX_ATTEMPTS = 5  # of the harness's streams
+TOKEN_COUNT_HEADER = {"X_Token_Count": "8000,700"}
+
+
+def break_off_streams(harness, *, ends_server) -> int:
+    """Break off each attempt at a stream; return the number of attempts."""
+    count = 0
+    while harness.count_waiting() and count < 2 * MAX_ATTEMPTS:
+        server, _, _ = harness.take_request()
+        numbers = range(10 * count + 1, 10 * count + 11)
+        events = b"".join(chunk(event(number)) for number in numbers)
+        server.receive(stream_head("r1") + events)
+        if ends_server:
+            harness.refused.add(server.address)
+        server.reset()
+        harness.advance(0.3)
+        count += 1
+    return count
+
+
+def test_stream_runs_on_no_more_servers_than_its_route_allows():
+    # Guards against a stream whose connections are reset, by servers that go on, and
+    # that runs on one server after the other.
+    harness = ForwardingHarness(engines=30)
+    harness.copier.handle = None
+    caller = harness.open_caller()
+    caller.request("/stream/x", **TOKEN_COUNT_HEADER)
+    assert break_off_streams(harness, ends_server=False) == MAX_ATTEMPTS
+    assert caller.transport.aborted
+
+
+def test_servers_that_ended_do_not_count():
+    harness = ForwardingHarness(engines=30)
+    harness.copier.handle = None
+    harness.open_caller().request("/stream/x", **TOKEN_COUNT_HEADER)
+    assert break_off_streams(harness, ends_server=True) > MAX_ATTEMPTS
