Bound the bytes of each response, skipped and interim ones included

Only the size of a head had a bound, and a short response that was being buffered (16 MiB of the 32 of an instance). A body of another request, which is skipped, interim responses and the responses of the store were read until their time was over.

--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -151,6 +151,7 @@
             headers=headers,
             body=self._request.body,
             request_id=self._request.request_id,
+            max_response_bytes=self.plan.max_response_bytes,
         )
         connection.send(http_request, self)
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -39,7 +39,6 @@
 # Share of the request's timeout spent waiting for a usable server.
 SERVER_WAIT_TIMEOUT_SHARE = 0.3
 MIN_WAIT_S = 0.005  # bounds the wake-ups of a request that waits for a server
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 _log = structlog.get_logger()
 
@@ -48,7 +47,6 @@
 class _BufferedResponse:
     head: ResponseHead
     body: list[bytes]
-    size: int = 0
 
 
 class CallRelay:
@@ -287,13 +285,7 @@
                     )
 
     def _buffer_data(self, attempt: Attempt, data: bytes) -> None:
-        response = self._responses[attempt]
-        response.body.append(data)
-        response.size += len(data)
-        if response.size > MAX_RESPONSE_BYTES:
-            attempt.cancel()
-            self._running.remove(attempt)
-            self._fail_attempt(attempt, True, "answer too long")
+        self._responses[attempt].body.append(data)
 
     def _complete_attempt(self, attempt: Attempt) -> None:
         response = self._responses.pop(attempt)
--- a/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
@@ -19,13 +19,15 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
-from ebonyhaven_node.forwarding._requests import Headers
+from ebonyhaven_node.forwarding._requests import MAX_RESPONSE_BYTES, Headers
 
 KEEPALIVE_INTERVAL_S = 1  # lowest value of TCP_KEEPIDLE and of TCP_KEEPINTVL
 KEEPALIVE_PROBES = 1
 # TCP_USER_TIMEOUT: the kernel closes a connection whose data is not acknowledged.
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
 MAX_HEAD_BYTES = 64 * 1024
+# Includes interim responses, and responses to earlier requests, which are skipped.
+MAX_BYTES_BEFORE_RESPONSE = 1024 * 1024
 # With a smaller margin, the server could close the connection while a request is in
 # transit.
 IDLE_TIMEOUT_MARGIN_S = 0.7
@@ -96,6 +98,8 @@
     body : bytes
     request_id : str or None
         Names the request in responses, if they do.
+    max_response_bytes : int
+        Size from which the response counts as malformed.
     """
 
     method: bytes
@@ -103,6 +107,7 @@
     headers: Headers
     body: bytes = b""
     request_id: str | None = None
+    max_response_bytes: int = MAX_RESPONSE_BYTES
 
 
 class HttpConnection(Protocol):
@@ -140,6 +145,8 @@
         self._handler: ResponseHandler | None = None
         self._request: HttpRequest | None = None
         self._is_skipping = False
+        self._has_head = False
+        self._received_bytes = 0
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.is_closed = False
         self.idle_since = 0.0
@@ -170,7 +177,8 @@
         self._handler = handler
         self._request = request
         self.last_request_id = request.request_id
-        self._is_skipping = False
+        self._is_skipping = self._has_head = False
+        self._received_bytes = 0
         self.transport.write(self._encode())
 
     def abort(self) -> None:
@@ -205,7 +213,10 @@
         if self._handler is None:
             self.abort()
             return
+        self._received_bytes += len(data)
         self._decode(data)
+        if self._handler is not None and self._received_bytes > self._get_limit():
+            self._fail("the response is too long", is_connection_lost=False)
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802 Twisted API
         """Complete or fail the pending response and report the loss of the connection.
@@ -222,6 +233,11 @@
             )
         self._on_lost(self)
 
+    def _get_limit(self) -> int:
+        if self._has_head:
+            return self._request.max_response_bytes
+        return MAX_BYTES_BEFORE_RESPONSE
+
     def _encode(self) -> bytes:
         request = self._request
         framing = ()
@@ -263,8 +279,8 @@
     def _handle_head(self, event: h11.Response) -> None:
         headers = tuple((bytes(name), bytes(value)) for name, value in event.headers)
         self._idle_timeout_s = _parse_idle_timeout_s(headers)
-        if not self._handler.accept_head(event.status_code, headers):
-            self._is_skipping = True
+        self._has_head = self._handler.accept_head(event.status_code, headers)
+        self._is_skipping = not self._has_head
 
     def _complete_response(self) -> None:
         if self._is_skipping:
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -8,6 +8,7 @@
 import attrs
 
 DIGEST_HEX_DIGITS = 16
+MAX_RESPONSE_BYTES = 2 * 1024 * 1024  # many of them fit into an instance
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -173,6 +174,8 @@
         Copy from which the run resumes.
     last_event_id : str or None
         Id of the last event that the caller has received.
+    max_response_bytes : int
+        Size from which the response counts as malformed.
     """
 
     remaining_s: float
@@ -181,6 +184,7 @@
     copy_to: str | None = None
     copy: CopyReference | None = None
     last_event_id: str | None = None
+    max_response_bytes: int = MAX_RESPONSE_BYTES
 
 
 class ResponseHead(NamedTuple):
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -42,6 +42,7 @@
 from ebonyhaven_node.forwarding._stream_versions import StreamVersion
 
 CAPACITY_POLL_INTERVAL_S = 0.1  # if no notification arrives
+MAX_STREAM_BYTES = 16 * 1024 * 1024  # passed on, not kept
 
 _log = structlog.get_logger()
 
@@ -259,6 +260,7 @@
                 copy_to=holder.entry.address if holder else None,
                 copy=target.copy,
                 last_event_id=self._progress.position,
+                max_response_bytes=MAX_STREAM_BYTES,
             ),
             inbox=self._inbox,
             context=self._context,
--- /dev/null
+++ b/tests/forwarding/test_endless_responses.py
@@ -0,0 +1,138 @@
+"""Bytes without end from servers: in a head, a body, and responses that are skipped."""
+
+from __future__ import annotations
+
+from ebonyhaven_node.forwarding._http_client import HttpConnection, HttpRequest
+from ebonyhaven_standins.memory_connections import MemoryTransport
+
+from tests.forwarding.harness import ForwardingHarness, answer, chunk, stream_head
+
+MIB = 1024 * 1024
+# Of the 32 MiB of an instance, one response may take a small part.
+MAX_BYTES_READ = 4 * MIB
+PIECE = b"x" * 65536
+TOKEN_COUNT_HEADER = {"X_Token_Count": "8000,700"}
+GARBAGE_HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+
+def feed_until_closed(server, piece, limit=2 * MAX_BYTES_READ) -> int:
+    """Send a piece again and again; return the bytes read when the node closes."""
+    sent = 0
+    while not server.is_closed and sent < limit:
+        server.receive(piece)
+        sent += len(piece)
+    return sent
+
+
+def open_request(path="/once/x", **headers):
+    harness = ForwardingHarness(plain=1, engines=1)
+    caller = harness.open_caller()
+    caller.request(path, **headers)
+    server, _, _ = harness.take_request()
+    return harness, caller, server
+
+
+def test_body_without_end_is_cut():
+    for framing in (b"Transfer-Encoding: chunked\r\n", b""):
+        harness, caller, server = open_request()
+        head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Server-Stamp: s\r\n"
+        server.receive(head + framing + b"\r\n")
+        piece = chunk(PIECE) if framing else PIECE
+        assert feed_until_closed(server, piece) <= MAX_BYTES_READ
+        harness.advance(0.0)
+        assert caller.read_answer()[0] == 502
+
+
+def test_head_without_end_is_cut():
+    for start, piece in (
+        (b"HTTP/1.1 200 OK\r\n", b"X-Name: " + PIECE[:100] + b"\r\n"),
+        (b"HTTP/1.1 200 ", PIECE),
+        (b"", PIECE),
+    ):
+        harness, caller, server = open_request()
+        server.receive(start)
+        assert feed_until_closed(server, piece) <= MAX_BYTES_READ
+        harness.advance(0.0)
+        assert caller.read_answer()[0] == 502
+
+
+def test_interim_responses_without_end_are_cut():
+    _, _, server = open_request()
+    piece = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" * 1000
+    assert feed_until_closed(server, piece) <= MAX_BYTES_READ
+
+
+def test_skipped_response_without_end_is_cut():
+    # Guards against a response to an earlier request that is skipped for ever.
+    for path in ("/once/x", "/stream/x"):
+        headers = TOKEN_COUNT_HEADER if path == "/stream/x" else {}
+        _, _, server = open_request(path, **headers)
+        server.receive(GARBAGE_HEAD)
+        assert feed_until_closed(server, chunk(PIECE)) <= MAX_BYTES_READ
+
+
+def test_skipped_responses_one_after_the_other_are_cut():
+    _, _, server = open_request()
+    piece = answer("other", PIECE)
+    assert feed_until_closed(server, piece) <= MAX_BYTES_READ
+
+
+def test_trailers_without_end_are_cut():
+    _, _, server = open_request()
+    head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    server.receive(head + b"0\r\n")
+    assert feed_until_closed(server, b"X-Name: value\r\n" * 1000) <= MAX_BYTES_READ
+
+
+def test_bytes_without_a_request_close_the_connection():
+    connection = HttpConnection(on_idle=lambda _: None, on_lost=lambda _: None)
+    transport = MemoryTransport()
+    connection.makeConnection(transport)
+    connection.dataReceived(PIECE)
+    assert transport.aborted
+
+
+def test_bytes_behind_a_response_close_the_connection():
+    harness, caller, server = open_request()
+    server.receive(answer("r1") + PIECE)
+    harness.advance(0.0)
+    assert server.is_closed
+    assert caller.read_answer()[0] == 200
+
+
+def test_limit_counts_anew_with_each_request():
+    lost = []
+    connection = HttpConnection(on_idle=lambda _: None, on_lost=lost.append)
+    connection.makeConnection(MemoryTransport())
+    request = HttpRequest(method=b"GET", target=b"/", headers=((b"host", b"x"),))
+
+    class Handler:
+        def __init__(self):
+            self.outcome = None
+
+        def accept_head(self, status, headers):
+            return True
+
+        def handle_data(self, data):
+            pass
+
+        def complete(self, *, is_delimited):
+            self.outcome = "complete"
+
+        def fail(self, reason, *, is_connection_lost):
+            self.outcome = reason
+
+    for _ in range(8):
+        handler = Handler()
+        connection.send(request, handler)
+        connection.dataReceived(answer("r1", b"z" * MIB))
+        assert handler.outcome == "complete"
+
+
+def test_events_without_end_are_cut():
+    _, _, server = open_request("/stream/x", **TOKEN_COUNT_HEADER)
+    server.receive(stream_head("r1"))
+    piece = chunk(b"data: " + PIECE[:50_000] + b"\n\n")
+    assert feed_until_closed(server, piece, limit=64 * MIB) <= 32 * MIB
