Bound what all buffered responses together keep

Cause: each short response is kept until it is complete; a bound of one does not bound fifty that servers send without end at the same time.

Change: at most 8 MiB of them are kept; the next bytes fail their attempt. The test failed before (60 responses of 1 MiB are kept) and passes.

--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -10,6 +10,7 @@
     choose_backend,
 )
 
+from ebonyhaven_node._byte_budgets import ByteShare
 from ebonyhaven_node._failures import make_not_run_failure, make_unknown_failure
 from ebonyhaven_node.forwarding._attempts import (
     Attempt,
@@ -46,7 +47,8 @@
 @attrs.define(slots=True, eq=False)
 class _BufferedResponse:
     head: ResponseHead
-    body: list[bytes]
+    share: ByteShare
+    body: list[bytes] = attrs.Factory(list)
 
 
 class CallRelay:
@@ -119,6 +121,8 @@
             self._context.capacity_notifier.unsubscribe(self._inbox)
             for attempt in self._attempts:
                 attempt.cancel()
+            for response in self._responses.values():
+                response.share.close()
 
     async def _run_attempts(self) -> None:
         self._advance()
@@ -267,7 +271,8 @@
     def _handle_message(self, message: object) -> None:
         match message:
             case ResponseStarted(attempt, head):
-                self._responses[attempt] = _BufferedResponse(head, [])
+                share = self._context.response_bytes.open_share()
+                self._responses[attempt] = _BufferedResponse(head, share)
             case ResponseData(attempt, data):
                 self._buffer_data(attempt, data)
             case ResponseCompleted(attempt, is_delimited):
@@ -285,10 +290,19 @@
                     )
 
     def _buffer_data(self, attempt: Attempt, data: bytes) -> None:
-        self._responses[attempt].body.append(data)
+        response = self._responses.get(attempt)
+        if response is None:
+            return
+        if response.share.grow(len(data)):
+            response.body.append(data)
+            return
+        attempt.cancel()
+        self._running.remove(attempt)
+        self._fail_attempt(attempt, True, "too much of other responses is kept")
 
     def _complete_attempt(self, attempt: Attempt) -> None:
         response = self._responses.pop(attempt)
+        response.share.close()
         head = response.head
         latency_s = self._context.clock() - attempt.sent_at
         if head.not_run:
@@ -319,7 +333,9 @@
             self._error_response = (head, body)
 
     def _fail_attempt(self, attempt: Attempt, was_sent: bool, reason: str) -> None:
-        self._responses.pop(attempt, None)
+        response = self._responses.pop(attempt, None)
+        if response is not None:
+            response.share.close()
         self._excluded_servers.add(attempt.backend.key)
         self._record_last_failure(attempt, reason)
         self._count_attempt("lost" if was_sent else "unreachable")
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -18,6 +18,7 @@
 )
 from twisted.internet.interfaces import IReactorTime
 
+from ebonyhaven_node._byte_budgets import ByteBudget
 from ebonyhaven_node.forwarding._connection_pool import ConnectFailure, ConnectionPool
 from ebonyhaven_node.forwarding._crash_monitor import (
     PROBE_TIMEOUT_S,
@@ -59,6 +60,8 @@
     suspicion_notifier : SuspicionNotifier
     capacity_notifier : CapacityNotifier
     crash_notifier : CrashNotifier
+    response_bytes : ByteBudget
+        For responses that are kept until they are complete.
     metrics : ForwardingMetrics
     crash_monitor : CrashMonitor
     stream_index : SharedStreamIndex
@@ -87,6 +90,7 @@
     suspicion_notifier: SuspicionNotifier
     capacity_notifier: CapacityNotifier
     crash_notifier: CrashNotifier
+    response_bytes: ByteBudget
     metrics: ForwardingMetrics
     crash_monitor: CrashMonitor
     stream_index: SharedStreamIndex
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -23,6 +23,7 @@
 from twisted.internet.defer import CancelledError, ensureDeferred
 from twisted.internet.interfaces import IReactorCore
 
+from ebonyhaven_node._byte_budgets import ByteBudget
 from ebonyhaven_node._filter_chain import build_chain
 from ebonyhaven_node._log_writer import LogOutput
 from ebonyhaven_node.forwarding._adoption import EngineAdopter
@@ -71,6 +72,7 @@
 STREAM_ADMISSION_GRACE_SHARE = 0.25  # a stream started later would be cut off
 SHUTDOWN_MARGIN_S = 0.6  # connections close this long before the process is killed
 DRAIN_POLL_INTERVAL_S = 0.05
+MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024  # a quarter of the target of an instance
 
 _log = structlog.get_logger()
 
@@ -311,6 +313,7 @@
             suspicion_notifier=SuspicionNotifier(),
             capacity_notifier=self._capacity_notifier,
             crash_notifier=self._crash_notifier,
+            response_bytes=ByteBudget(MAX_BUFFERED_RESPONSE_BYTES),
             metrics=self._metrics,
             data_centre=self._settings.data_centre,
             reactor=self._reactor,
--- a/tests/forwarding/test_endless_responses.py
+++ b/tests/forwarding/test_endless_responses.py
@@ -86,6 +86,27 @@
     assert feed_until_closed(server, b"X-Name: value\r\n" * 1000) <= MAX_BYTES_READ
 
 
+def test_bytes_of_all_responses_together_are_bounded():
+    # Each response alone is short enough to be read.
+    harness = ForwardingHarness(plain=60)
+    callers = [harness.open_caller() for _ in range(60)]
+    for number, caller in enumerate(callers):
+        caller.request("/once/x", request_id=f"r{number}", body=b"%d" % number)
+    servers = [each for each in harness.connections if each.has_request()]
+    assert len(servers) == 60
+    kept = 0
+    for server in servers:
+        head, _ = server.read_request()
+        request_id = dict(head.headers)[b"x-attempt-id"].decode()
+        response = answer(request_id, b"y" * MIB)
+        server.receive(response[:-1])
+        kept += 0 if server.is_closed else len(response)
+    assert kept <= 16 * MIB
+    harness.advance(0.0)
+    statuses = {caller.read_answer()[0] for caller in callers if caller.received}
+    assert statuses == {502}
+
+
 def test_bytes_without_a_request_close_the_connection():
     connection = HttpConnection(on_idle=lambda _: None, on_lost=lambda _: None)
     transport = MemoryTransport()
