Bound incomplete events and error responses of streams

Cause: an event without end was kept up to 1 MiB, and searched again from its start with each piece; the body of an error response to a stream was kept without any bound.

Change: 64 KiB each, as in the own interface, and only new bytes are searched.

--- a/packages/node/src/ebonyhaven_node/forwarding/_attempt_monitors.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempt_monitors.py
@@ -47,7 +47,7 @@
     longest_gap_s : float
         Longest gap between two events of this attempt.
     splitter : EventSplitter
-    error_body : list of bytes
+    error_body : bytearray
         Body received so far if the response is not an event stream.
     """
 
@@ -88,7 +88,7 @@
         self.events = 0
         self.first_event_at = self.started_at
         self.splitter = EventSplitter()
-        self.error_body: list[bytes] = []
+        self.error_body = bytearray()
 
     def record_head(self, head: ResponseHead) -> None:
         """Record the head of the response.
--- a/packages/node/src/ebonyhaven_node/forwarding/_events.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_events.py
@@ -4,8 +4,9 @@
 
 import re
 
-MAX_EVENT_BYTES = 1024 * 1024
+MAX_EVENT_BYTES = 64 * 1024
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_MAX_END_BYTES = 4
 
 
 class EventSplitter:
@@ -36,10 +37,11 @@
         ValueError
             If the incomplete event exceeds `MAX_EVENT_BYTES`.
         """
+        searched_bytes = max(0, len(self._buffer) - _MAX_END_BYTES + 1)
         text = self._buffer + data
         events = []
         start = 0
-        for match in _EVENT_END.finditer(text):
+        for match in _EVENT_END.finditer(text, searched_bytes):
             events.append(text[start : match.end()])
             start = match.end()
         self._buffer = text[start:]
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -37,6 +37,8 @@
 from ebonyhaven_node.forwarding._requests import ResponseHead
 from ebonyhaven_node.forwarding._run_copies import RunCopy
 
+MAX_ERROR_BODY_BYTES = 64 * 1024
+
 _log = structlog.get_logger()
 
 
@@ -244,8 +246,7 @@
 
     def _handle_data(self, data: bytes) -> AttemptResult | None:
         if not self._monitor.is_event_stream():
-            self._monitor.error_body.append(data)
-            return None
+            return self._keep_error_body(data)
         try:
             events = self._monitor.splitter.feed(data)
         except ValueError as error:
@@ -259,6 +260,13 @@
         self._progress.deliver(new_events, self._monitor.head, self._backend, now)
         return None
 
+    def _keep_error_body(self, data: bytes) -> AttemptResult | None:
+        body = self._monitor.error_body
+        body += data
+        if len(body) > MAX_ERROR_BODY_BYTES:
+            return AttemptResult(AttemptEnd.ERROR, "an error response is too long")
+        return None
+
     def _handle_completion(self, is_delimited: bool) -> AttemptResult:
         head = self._monitor.head
         if head.not_run:
@@ -296,7 +304,7 @@
         )
 
     def _handle_error_response(self, head: ResponseHead) -> AttemptResult:
-        body = b"".join(self._monitor.error_body)
+        body = bytes(self._monitor.error_body)
         reason = f"server answered with {head.status}"
         may_forward = head.has_origin_proof and head.status not in NOT_RUN_STATUSES
         if not may_forward or self._exchange.is_started:
--- a/tests/forwarding/test_endless_responses.py
+++ b/tests/forwarding/test_endless_responses.py
@@ -152,6 +152,20 @@
         assert handler.outcome == "complete"
 
 
+def test_error_body_of_a_stream_without_end_is_cut():
+    _, _, server = open_request("/stream/x", **TOKEN_COUNT_HEADER)
+    server.receive(
+        b"HTTP/1.1 500 No\r\nX-Attempt-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    assert feed_until_closed(server, chunk(PIECE)) <= MIB
+
+
+def test_event_without_end_is_cut():
+    _, _, server = open_request("/stream/x", **TOKEN_COUNT_HEADER)
+    server.receive(stream_head("r1"))
+    assert feed_until_closed(server, chunk(PIECE)) <= MIB
+
+
 def test_events_without_end_are_cut():
     _, _, server = open_request("/stream/x", **TOKEN_COUNT_HEADER)
     server.receive(stream_head("r1"))
