Cut a stream whose caller does not read it

Cause: what a server sends is written to the caller's connection at once; of a caller that does not read, or of a server that sends faster than a caller takes, any amount is kept.

Change: a stream with more than 1 MiB that its caller has not taken is cut, and its server is told by the end of the connection. The test failed before and passes.

--- a/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
@@ -17,6 +17,7 @@
 REJECT_CLOSE_DELAY_S = 0.5  # lets the caller read the error response first
 DEFAULT_ERROR_STATUS = 400
 MAX_PIPELINED_BYTES = 256 * 1024  # received before the current response is complete
+MAX_UNSENT_BYTES = 1024 * 1024  # of a stream whose caller does not read
 
 _log = structlog.get_logger()
 
@@ -98,7 +99,7 @@
             return
         self.is_started = True
         framing = (b"transfer-encoding", b"chunked")
-        self._connection.write_head(status, (*headers, framing))
+        self._connection.write_stream_head(status, (*headers, framing))
 
     def write(self, data: bytes) -> None:
         """Send a chunk of the body.
@@ -153,6 +154,9 @@
         self._arrived_at = 0.0
         self._timer = None
         self._is_rejected = False
+        self._is_producing = False
+        self._is_paused = False
+        self._unsent_bytes = 0
 
     def connectionMade(self) -> None:  # noqa: N802 Twisted API
         """Register the connection and start its idle timeout."""
@@ -204,12 +208,36 @@
         reason = _REASON_PHRASES.get(status, b"Status")
         self._write(h11.Response(status_code=status, headers=headers, reason=reason))
 
+    def write_stream_head(self, status: int, headers: Headers) -> None:
+        """Send the head of a response whose body is streamed."""
+        self.write_head(status, headers)
+        self._is_producing = True
+        self.transport.registerProducer(self, True)
+
     def write_data(self, data: bytes) -> None:
         """Send a chunk of the body."""
         self._write(h11.Data(data=data))
+        if not self._is_paused:
+            return
+        self._unsent_bytes += len(data)
+        if self._unsent_bytes > MAX_UNSENT_BYTES:
+            self._drop_slow_caller()
+
+    def pauseProducing(self) -> None:  # noqa: N802 Twisted API
+        """Count from here on what the caller does not read."""
+        self._is_paused = True
+
+    def resumeProducing(self) -> None:  # noqa: N802 Twisted API
+        """Start anew, as all was sent."""
+        self._is_paused = False
+        self._unsent_bytes = 0
+
+    def stopProducing(self) -> None:  # noqa: N802 Twisted API
+        """Leave it to `connectionLost` to end the stream."""
 
     def finish(self) -> None:
         """Complete the response and read the next request, or close the connection."""
+        self._stop_producing()
         self._write(h11.EndOfMessage())
         self._exchange = None
         self._head = None
@@ -226,8 +254,22 @@
     def abort(self) -> None:
         """Close the connection without completing the response."""
         self._exchange = None
+        self._stop_producing()
         self.transport.abortConnection()
 
+    def _drop_slow_caller(self) -> None:
+        _log.warning("caller_too_slow", unsent_bytes=self._unsent_bytes)
+        exchange = self._exchange
+        self.abort()
+        if exchange is not None:  # its relay is running at this moment
+            self._server.reactor.callLater(0.0, exchange.handle_disconnect)
+
+    def _stop_producing(self) -> None:
+        if self._is_producing:
+            self._is_producing = self._is_paused = False
+            self._unsent_bytes = 0
+            self.transport.unregisterProducer()
+
     def _head_allows_body(self) -> bool:
         return self._head is None or self._head.method != b"HEAD"
 
--- a/packages/standins/src/ebonyhaven_standins/memory_connections.py
+++ b/packages/standins/src/ebonyhaven_standins/memory_connections.py
@@ -35,6 +35,9 @@
     )
 
 
+PAUSE_THRESHOLD_BYTES = 64 * 1024  # as in the transports of Twisted
+
+
 class _NullSocket:
     """Socket that ignores its options."""
 
@@ -43,10 +46,32 @@
 
 
 class MemoryTransport(StringTransport):
-    """String transport that records whether the connection was aborted."""
+    """String transport that records whether the connection was aborted.
+
+    Attributes
+    ----------
+    aborted : bool
+    unsent_bytes : int
+        Bytes written since the peer stopped reading.
+    """
 
     aborted = False
     socket = _NullSocket()
+    unsent_bytes = 0
+    _is_read = True
+
+    def stop_reading(self) -> None:
+        """Let written bytes wait, as if the peer read no more."""
+        self._is_read = False
+
+    def write(self, data: bytes) -> None:
+        """Write data, and pause the producer if too much of it waits."""
+        super().write(data)
+        if self._is_read:
+            return
+        self.unsent_bytes += len(data)
+        if self.unsent_bytes > PAUSE_THRESHOLD_BYTES and self.producer is not None:
+            self.producer.pauseProducing()
 
     def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802 named by Twisted
         """Ignore the option."""
--- a/tests/forwarding/test_endless_responses.py
+++ b/tests/forwarding/test_endless_responses.py
@@ -105,6 +105,7 @@
     harness.advance(0.0)
     statuses = {caller.read_answer()[0] for caller in callers if caller.received}
     assert statuses == {502}
+    harness.advance(1.0)  # ends the others
 
 
 def test_bytes_without_a_request_close_the_connection():
@@ -171,3 +172,19 @@
     server.receive(stream_head("r1"))
     piece = chunk(b"data: " + PIECE[:50_000] + b"\n\n")
     assert feed_until_closed(server, piece, limit=64 * MIB) <= 32 * MIB
+
+
+def test_caller_that_does_not_read_its_stream_is_cut():
+    # Guards against what a fast server sends and its caller does not take.
+    harness, caller, server = open_request("/stream/x", **TOKEN_COUNT_HEADER)
+    server.receive(stream_head("r1"))
+    caller.transport.stop_reading()
+    number = 0
+    while not caller.transport.aborted and number < 400:
+        number += 1
+        text = b"id: %d\ndata: %s\n\n" % (number, PIECE[:20_000])
+        server.receive(chunk(text))
+    harness.advance(0.01)
+    assert caller.transport.aborted
+    assert caller.transport.unsent_bytes <= 2 * MIB
+    assert server.is_closed
