Bound bodies and time of callers' requests

Cause: the time for a request's head began anew with each byte, so that slow ones never timed out; a caller that was rejected and does not read kept its connection; and the bodies of all requests together had no bound.

Change: the head has its time from its first byte on; a rejected connection is cut after 1.5 s; at most 8 MiB of bodies are kept, further ones are answered with 503 and a time to come back.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_routes.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_routes.py
@@ -145,7 +145,7 @@
     max_header_bytes, max_body_bytes : int
         Maximum sizes of the headers and of the body.
     header_timeout_s : float
-        Maximum time without new data until the request headers are complete.
+        Maximum time from the first byte of a request until its headers are complete.
     idle_timeout_s : float
         Maximum time for the request body, and maximum idle time of a connection.
     """
--- a/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
@@ -12,9 +12,13 @@
 from twisted.internet.protocol import Factory, Protocol
 from twisted.python.failure import Failure
 
+from ebonyhaven_node._byte_budgets import ByteBudget
 from ebonyhaven_node.forwarding._requests import Headers, RequestHead
 
 REJECT_CLOSE_DELAY_S = 0.5  # lets the caller read the error response first
+REJECT_ABORT_DELAY_S = 1.0  # after that, for a caller that does not read it
+MAX_REQUEST_BYTES = 8 * 1024 * 1024  # bodies of all requests that are in progress
+BUSY_RETRY_AFTER_S = 0.5  # by then some of them have ended
 DEFAULT_ERROR_STATUS = 400
 MAX_PIPELINED_BYTES = 256 * 1024  # received before the current response is complete
 MAX_UNSENT_BYTES = 1024 * 1024  # of a stream whose caller does not read
@@ -153,6 +157,8 @@
         self._body_bytes = 0
         self._arrived_at = 0.0
         self._timer = None
+        self._is_reading_head = False
+        self._share = server.request_bytes.open_share()
         self._is_rejected = False
         self._is_producing = False
         self._is_paused = False
@@ -169,6 +175,7 @@
         """Notify the current exchange that its caller disconnected."""
         self._server.connections.discard(self)
         self._clear_timer()
+        self._share.close()
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
             exchange.handle_disconnect()
@@ -183,7 +190,8 @@
             self._reject(error)
             return
         if self._exchange is None:
-            if self._head is None:
+            if self._head is None and not self._is_reading_head:
+                self._is_reading_head = True
                 self._set_timer(self._server.limits().header_timeout_s)
             self._read_request()
         elif len(self._codec.trailing_data[0]) > MAX_PIPELINED_BYTES:
@@ -238,6 +246,7 @@
     def finish(self) -> None:
         """Complete the response and read the next request, or close the connection."""
         self._stop_producing()
+        self._share.close()
         self._write(h11.EndOfMessage())
         self._exchange = None
         self._head = None
@@ -255,6 +264,7 @@
         """Close the connection without completing the response."""
         self._exchange = None
         self._stop_producing()
+        self._share.close()
         self.transport.abortConnection()
 
     def _drop_slow_caller(self) -> None:
@@ -304,6 +314,7 @@
     def _handle_head(self, event: h11.Request) -> None:
         headers = tuple((bytes(name), bytes(value)) for name, value in event.headers)
         self._head = RequestHead(bytes(event.method), bytes(event.target), headers)
+        self._is_reading_head = False
         self._arrived_at = self._server.clock()
         self._body, self._body_bytes = [], 0
         self._set_timer(self._server.limits().idle_timeout_s)
@@ -317,6 +328,10 @@
         self._body_bytes += len(data)
         if self._body_bytes > self._server.limits().max_body_bytes:
             raise h11.RemoteProtocolError("body too large", error_status_hint=413)
+        if not self._share.grow(len(data)):
+            raise h11.RemoteProtocolError(
+                "too much of other requests is kept", error_status_hint=503
+            )
         self._body.append(data)
 
     def _dispatch(self) -> None:
@@ -329,20 +344,28 @@
     def _reject(self, error: h11.RemoteProtocolError) -> None:
         """Respond to a malformed request with an error and close the connection."""
         self._clear_timer()
+        self._body = []
+        self._share.close()
         self._is_rejected = True
         status = error.error_status_hint or DEFAULT_ERROR_STATUS
         _log.info("request_malformed", reason=str(error), status=status)
         if self._codec.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             body = f'{{"error":"{status}"}}'.encode()
-            headers = (
+            headers = [
                 (b"content-length", str(len(body)).encode()),
                 (b"connection", b"close"),
-            )
-            self.write_head(status, headers)
+            ]
+            if status == 503:
+                headers.append((b"retry-after", str(BUSY_RETRY_AFTER_S).encode()))
+            self.write_head(status, tuple(headers))
             self.write_data(body)
             self._write(h11.EndOfMessage())
+        self._server.reactor.callLater(REJECT_CLOSE_DELAY_S, self._close_rejected)
+
+    def _close_rejected(self) -> None:
+        self.transport.loseConnection()
         self._server.reactor.callLater(
-            REJECT_CLOSE_DELAY_S, self.transport.loseConnection
+            REJECT_ABORT_DELAY_S, self.transport.abortConnection
         )
 
     def _set_timer(self, delay_s: float) -> None:
@@ -387,6 +410,12 @@
         Returns whether connections are closed after the current response.
     clock : callable
         Returns seconds.
+
+    Attributes
+    ----------
+    connections : set of CallerConnection
+    request_bytes : ByteBudget
+        For the bodies of requests, until their responses have ended.
     """
 
     noisy = False
@@ -406,6 +435,7 @@
         self.limits = limits
         self.is_closing = is_closing
         self.connections: set[CallerConnection] = set()
+        self.request_bytes = ByteBudget(MAX_REQUEST_BYTES)
 
     def buildProtocol(self, address: object) -> CallerConnection:  # noqa: N802 Twisted API
         """Return the protocol of a new connection."""
