Reject bodies without end on the own interface while they arrive

Cause: the limit on a body was checked by the handlers, which are called after the whole body; until then it was written to memory, and to a file from 100 KB on.

Change: 2 MiB and a byte are kept, as much as a handler needs to reject it with its reason; from 4 MiB on the connection is closed.

--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -54,6 +54,7 @@
 from ebonyhaven_node._settings import Settings
 from ebonyhaven_node._sharing import SchedulingDigestExchange
 from ebonyhaven_node._web import CallerInterface, InstanceState
+from ebonyhaven_node._web_requests import BoundedRequest
 
 CLAIM_TIMEOUT_S = 10.0  # a slow table still confirms claims within this time
 STREAM_POLL_INTERVAL_S = 0.1
@@ -102,9 +103,8 @@
         self._stack.callback(claims_transport.close)
         interface = self._build_interface(TableClient(claims_transport))
         host, port = self._settings.caller_address.split(":")
-        listener = self._reactor.listenTCP(
-            int(port), Site(interface.app.resource()), interface=host, backlog=256
-        )
+        site = Site(interface.app.resource(), requestFactory=BoundedRequest)
+        listener = self._reactor.listenTCP(int(port), site, interface=host, backlog=256)
         self._stack.callback(listener.stopListening)
         _log.info("node_started", instance=self._settings.instance)
 
