Bound responses of services, load reports and orders, and their time

Cause: load reports and orders went through agents without the bound of make_agent, and three bodies were awaited without a time limit; responses of services were kept whole whatever others kept.

Change: one kind of agent, a time limit for each body, 16 MiB of a stream of an engine and 8 MiB of all responses of services together. The test of the latter had no counterpart.

--- a/packages/node/src/ebonyhaven_node/_engines.py
+++ b/packages/node/src/ebonyhaven_node/_engines.py
@@ -24,6 +24,7 @@
 
 CONNECT_TIMEOUT_S = 0.5
 ERROR_BODY_TIMEOUT_S = 1.0
+MAX_STREAM_BYTES = 16 * 1024 * 1024  # passed on, not kept
 CONNECTION_REFUSED = "connection refused"
 UNREACHABLE = "unreachable"
 # Raised before the connection is established, so the request was not sent.
@@ -149,7 +150,11 @@
 
     def __init__(self, reactor: IReactorTime):
         self._reactor = reactor
-        agent = make_agent(reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
+        agent = make_agent(
+            reactor,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            max_response_bytes=MAX_STREAM_BYTES,
+        )
         self._client = treq.client.HTTPClient(agent)
 
     async def start(
@@ -269,7 +274,9 @@
         response = await self._await_headers(
             server, pending_response, timeout_s, step="cancel"
         )
-        body = await treq.json_content(response)
+        content = treq.json_content(response)
+        content.addTimeout(ERROR_BODY_TIMEOUT_S, self._reactor)
+        body = await content
         return not body.get("attended", False)
 
     async def _await_headers(
--- a/packages/node/src/ebonyhaven_node/_load_poller.py
+++ b/packages/node/src/ebonyhaven_node/_load_poller.py
@@ -8,10 +8,10 @@
 
 import treq
 from ebonyhaven_decisions import ServerState, ServerTable
+from ebonyhaven_store import make_agent
 from twisted.internet import task
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
-from twisted.web.client import Agent
 
 from ebonyhaven_node._servers import BackendServer, BackendServers, ReportedLoad
 
@@ -48,9 +48,8 @@
         self._table = table
         self._reactor = reactor
         self._rng = rng
-        self._client = treq.client.HTTPClient(
-            Agent(reactor, connectTimeout=READ_TIMEOUT_S)
-        )
+        agent = make_agent(reactor, connect_timeout_s=READ_TIMEOUT_S)
+        self._client = treq.client.HTTPClient(agent)
         self._stopped = False
         self._poll_delay: Deferred | None = None
 
--- a/packages/node/src/ebonyhaven_node/_orders.py
+++ b/packages/node/src/ebonyhaven_node/_orders.py
@@ -32,7 +32,7 @@
     list_orders,
     update_placement,
 )
-from ebonyhaven_store import PlatformError, WeightClient
+from ebonyhaven_store import PlatformError, WeightClient, make_agent, read_body
 from prometheus_client import CollectorRegistry, Counter
 from twisted.internet import task
 from twisted.internet.defer import (
@@ -164,6 +164,8 @@
         self._placement = Placement()
         self._pending: dict[str, PendingOrder] = {}
         self._read_semaphore = DeferredSemaphore(MAX_CONCURRENT_READS)
+        agent = make_agent(dependencies.reactor, connect_timeout_s=REQUEST_TIMEOUT_S)
+        self._client = treq.client.HTTPClient(agent)
         self._stopped = False
         self._pending_delay: Deferred | None = None
 
@@ -228,13 +230,9 @@
 
     async def _read_state(self, server: BackendServer) -> ReportedState | None:
         try:
-            response = await treq.get(
-                f"http://{server.address}/v1/state",
-                timeout=REQUEST_TIMEOUT_S,
-                reactor=self._dependencies.reactor,
-                persistent=False,
-            )
-            state = await treq.json_content(response)
+            url = f"http://{server.address}/v1/state"
+            _, body = await self._exchange(self._client.get(url))
+            state = json.loads(body)
             return ReportedState(
                 server=server,
                 models=frozenset(state["models"]),
@@ -244,6 +242,14 @@
         except Exception:  # no orders are sent to a server whose state is unknown
             return None
 
+    async def _exchange(self, pending_response: Deferred) -> tuple[int, bytes]:
+        """Return status and body of a response that arrives in time."""
+        pending_response.addTimeout(REQUEST_TIMEOUT_S, self._dependencies.reactor)
+        response = await pending_response
+        body = read_body(response)
+        body.addTimeout(REQUEST_TIMEOUT_S, self._dependencies.reactor)
+        return response.code, await body
+
     def _build_placed_server(
         self, item: ReportedState, declaration: Declaration
     ) -> PlacedServer:
@@ -304,18 +310,12 @@
         content = GuardedBody(json.dumps(body).encode(), may_order)
         self._pending[server.name] = PendingOrder(order, self._dependencies.clock())
         try:
-            response = await treq.post(
-                f"http://{server.address}/v1/orders",
-                data=content,
-                timeout=REQUEST_TIMEOUT_S,
-                reactor=self._dependencies.reactor,
-                persistent=False,
-            )
-            await treq.content(response)
+            url = f"http://{server.address}/v1/orders"
+            status, _ = await self._exchange(self._client.post(url, data=content))
         except Exception:  # a later round reads whether the order was applied
             self._dependencies.metrics.orders.labels(order.kind, "unconfirmed").inc()
             return True
-        if response.code == STATUS_STALE_FENCE:
+        if status == STATUS_STALE_FENCE:
             self._dependencies.metrics.orders.labels(order.kind, "stale_fence").inc()
             self._lease.step_down()
             return False
--- a/packages/node/src/ebonyhaven_node/_services.py
+++ b/packages/node/src/ebonyhaven_node/_services.py
@@ -16,8 +16,10 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.python.failure import Failure
 from twisted.web.http import Request
+from twisted.web.iweb import IResponse
 
 from ebonyhaven_node._active_configuration import ActiveConfiguration
+from ebonyhaven_node._byte_budgets import ByteBudget
 from ebonyhaven_node._engines import CONNECT_TIMEOUT_S
 from ebonyhaven_node._requests import MAX_BODY_BYTES, make_rejection, parse_repeatable
 from ebonyhaven_node._scheduling import SlotScheduler
@@ -26,6 +28,7 @@
 from ebonyhaven_node._sinks import write_outcome
 
 CALL_TIMEOUT_S = 30.0
+MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024  # a quarter of the target of a node
 MAX_ATTEMPTS = 3
 RETRY_AFTER_S = 1.0
 SAFE_METHODS = frozenset({b"GET", b"HEAD"})
@@ -66,6 +69,7 @@
         self._scheduling = scheduling
         self._crashes = crashes
         self._reactor = reactor
+        self._response_bytes = ByteBudget(MAX_BUFFERED_RESPONSE_BYTES)
         agent = make_agent(reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
         self._client = treq.client.HTTPClient(agent)
 
@@ -157,6 +161,15 @@
         finally:
             slot.release()
 
+    async def _read(self, response: IResponse) -> bytes:
+        share = self._response_bytes.open_share()
+        body = read_body(response, keep=share.grow)
+        body.addTimeout(CALL_TIMEOUT_S, self._reactor)
+        try:
+            return await body
+        finally:
+            share.close()
+
     async def _send(
         self, http_request: Request, server: BackendServer, target: str, body: bytes
     ) -> Outcome | None:
@@ -169,7 +182,7 @@
         call.addTimeout(CALL_TIMEOUT_S, self._reactor)
         try:
             response = await call
-            content = await read_body(response)
+            content = await self._read(response)
         except _ERRORS_BEFORE_SEND as exception:
             server.record_unreachable(time.monotonic())
             return _make_outcome(OutcomeTag.NOT_RUN, "connect", server, exception)
--- a/tests/node/test_services.py
+++ b/tests/node/test_services.py
@@ -6,7 +6,7 @@
 
 from ebonyhaven_decisions import PoolKind
 from ebonyhaven_node._service_crashes import CHECK_DELAY_S, ServiceCrashes
-from ebonyhaven_node._services import ServiceRelay
+from ebonyhaven_node._services import MAX_BUFFERED_RESPONSE_BYTES, ServiceRelay
 from twisted.internet import defer, reactor, task
 from twisted.internet.protocol import Factory, Protocol
 from twisted.web.test.requesthelper import DummyRequest
@@ -24,6 +24,8 @@
 
 class FakeServer:
     name = "s-1"
+    identity = "1"
+    data_centre = "dc-a"
     in_flight = 0
 
     is_lost = leaving = False
@@ -149,3 +151,34 @@
 
 async def _await(deferred) -> None:
     await deferred
+
+
+class LongService(Protocol):
+    """Sends a long body whose end does not come."""
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 Twisted API
+        self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4000000\r\n\r\n")
+        self.transport.write(b"x" * 3_000_000)
+
+
+def test_bodies_of_all_calls_together_are_bounded():
+    async def check():
+        factory = Factory.forProtocol(LongService)
+        port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+        server = FakeServer(f"127.0.0.1:{port.getHost().port}")
+        relay = make_relay(server)
+        server.accepts_work = lambda now: True
+        requests = [make_request() for _ in range(4)]
+        calls = [
+            defer.ensureDeferred(relay.relay(each, "desk", "x")) for each in requests
+        ]
+        while not any(each.responseCode for each in requests):
+            await task.deferLater(reactor, 0.01)
+        assert relay._response_bytes.used_bytes <= MAX_BUFFERED_RESPONSE_BYTES
+        assert {each.responseCode for each in requests} <= {None, 502}
+        for call in calls:
+            call.addErrback(lambda _: None)
+            call.cancel()
+        await defer.maybeDeferred(port.stopListening)
+
+    run_in_reactor(check)
