Try a blocked trait once more if its servers were lost at one moment

Cause: three servers that end at the same moment for another reason, each with a request of one content that many callers ask for, look like a content that crashes servers; while it is blocked, nothing can clear it, and it is refused for ten minutes.

Change: if all losses came within a second, one instance of all, chosen by its hash, lets one request through ten seconds after them, without a hedge or a retry. If a server runs it, the trait is cleared everywhere; if one more is lost, there is no further trial.

test_content_of_servers_that_ended_at_once_is_tried_again_once failed before (refused) and passes.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -10,6 +10,7 @@
 from ebonyhaven_decisions.forwarding._change_feed import ChangeFeed, choose_reader
 from ebonyhaven_decisions.forwarding._crash_history import (
     SETTLE_S,
+    TRIAL_DELAY_S,
     CrashHistory,
     LossReport,
     Traits,
@@ -75,6 +76,7 @@
 __all__ = [
     "SERVER_PROBE_INTERVAL_S",
     "SETTLE_S",
+    "TRIAL_DELAY_S",
     "Backend",
     "BackendDirectory",
     "BackendEntry",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
@@ -30,6 +30,8 @@
 EVIDENCE_TTL_S = 600.0
 COMMON_CAUSE_WINDOW_S = 0.5  # losses in one data centre within it may have one cause
 SETTLE_S = 0.15  # instances find and report losses within tens of milliseconds
+TRIAL_DELAY_S = 10.0  # after the last loss; by then its servers are back
+TRIAL_MAX_SPREAD_S = 1.0  # of losses that one failure may have caused
 MAX_LOSSES = 1024  # a few hundred bytes each
 MAX_SURVIVALS = 1024
 MAX_EXPORTED_REQUESTS = 256  # keeps a row below the limit of the store
@@ -217,6 +219,24 @@
                 return trait
         return None
 
+    def may_be_tried(self, trait: str, now: float) -> bool:
+        """Return whether one request with a blocked trait may be sent.
+
+        If all losses came at about the same moment, they may have another cause. A
+        trial that fails adds a later one, so that there is no second trial.
+
+        Parameters
+        ----------
+        trait : str
+        now : float
+            Seconds.
+        """
+        crashes = self._list_crashes(trait, now, now)
+        lost_at = [self._losses[process].lost_at for process in crashes]
+        if not lost_at or now - max(lost_at) < TRIAL_DELAY_S:
+            return False
+        return max(lost_at) - min(lost_at) <= TRIAL_MAX_SPREAD_S
+
     def may_be_blocked_soon(
         self, trait: str, now: float, *, unconfirmed_losses: int
     ) -> bool:
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -213,6 +213,7 @@
         return (
             len(self._running) == 1
             and self._can_hedge()
+            and not self._guard.is_trial
             and now - self._running[0].sent_at >= self._compute_hedge_delay_s()
         )
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
@@ -30,28 +30,44 @@
     ----------
     content : str
         Digest of what servers see of the request, equal for all retries of the caller.
+    is_trial : bool
+        Whether the request is sent to one server though it has a blocked trait.
     """
 
-    __slots__ = ("_has_survived", "_monitor", "_traits", "content")
+    __slots__ = ("_has_survived", "_monitor", "_traits", "content", "is_trial")
 
     def __init__(
         self, request: ForwardRequest, workspace: str | None, monitor: CrashMonitor
     ):
         self._monitor = monitor
         self._has_survived = False
+        self.is_trial = False
         self.content = _digest(f"{request.content_digest} {request.host} {workspace}")
         parts = request.shared_parts[:MAX_SHARED_PARTS]
         self._traits = (*map(_make_part_trait, parts), self.content)
 
+    def admit(self) -> str | None:
+        """Return what keeps the request from being sent to servers, if anything.
+
+        A request that is admitted though it has a blocked trait is sent once.
+        """
+        trait = self.find_blocked_trait()
+        if trait is not None and self._monitor.begin_trial(trait):
+            self.is_trial = True
+            return None
+        return trait
+
     def find_blocked_trait(self) -> str | None:
-        """Return what keeps the request from being sent to servers, if anything."""
-        if self._has_survived:
+        """Return what keeps the request from another attempt, if anything."""
+        if self._has_survived or self.is_trial:
             return None
         return self._monitor.find_blocked_trait(self._traits)
 
     def is_undecided(self) -> bool:
         """Return whether the request may be blocked soon, and should wait for that."""
-        return not self._has_survived and self._monitor.is_undecided(self._traits)
+        if self._has_survived or self.is_trial:
+            return False
+        return self._monitor.is_undecided(self._traits)
 
     def check_loss(self, backend: Backend, *, has_begun: bool) -> None:
         """Check whether a server that closed its connection has crashed.
@@ -62,6 +78,7 @@
         has_begun : bool
             Whether the server had begun to answer.
         """
+        self.is_trial = False
         self._monitor.check_loss(self._traits, backend, has_begun=has_begun)
 
     def record_survival(self) -> None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import structlog
 from ebonyhaven_decisions.forwarding import (
     SETTLE_S,
+    TRIAL_DELAY_S,
     Backend,
     CrashHistory,
     LossReport,
@@ -48,6 +50,8 @@
         Called with each trait that is no longer held responsible.
     on_change : callable
         Called when requests may have been decided.
+    is_chosen : callable
+        Returns whether this instance is the one that tries a trait again.
     """
 
     def __init__(
@@ -62,6 +66,7 @@
         on_loss: Callable[[str], None],
         on_survival: Callable[[str], None],
         on_change: Callable[[], None],
+        is_chosen: Callable[[str], bool],
     ):
         self._history = history
         self._pool = pool
@@ -72,6 +77,8 @@
         self._on_loss = on_loss
         self._on_survival = on_survival
         self._on_change = on_change
+        self._is_chosen = is_chosen
+        self._tried_at: dict[str, float] = {}
         self._pending: dict[str, int] = {}  # running checks by trait
         self._checked: dict[str, int] = {}  # running checks by process
 
@@ -90,6 +97,29 @@
         """
         return self._history.find_blocked_trait(traits, self._clock())
 
+    def begin_trial(self, trait: str) -> bool:
+        """Return whether a request with a blocked trait may be sent nevertheless.
+
+        One instance tries, with one request in `TRIAL_DELAY_S`.
+
+        Parameters
+        ----------
+        trait : str
+        """
+        now = self._clock()
+        if not self._history.may_be_tried(trait, now) or not self._is_chosen(trait):
+            return False
+        if now - self._tried_at.get(trait, -math.inf) < TRIAL_DELAY_S:
+            return False
+        self._tried_at = {
+            each: tried_at
+            for each, tried_at in self._tried_at.items()
+            if now - tried_at < TRIAL_DELAY_S
+        }
+        self._tried_at[trait] = now
+        _log.info("blocked_trait_tried", trait=trait)
+        return True
+
     def is_undecided(self, traits: Traits) -> bool:
         """Return whether a request may be blocked soon.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -217,7 +217,7 @@
         """See `Filter.handle`."""
         workspace = work.workspace.name if work.workspace else None
         work.guard = CrashGuard(work.request, workspace, self._monitor)
-        trait = work.guard.find_blocked_trait()
+        trait = work.guard.admit()
         if trait is not None:
             raise make_not_run_failure(make_crash_reason(trait), step="crash")
         await proceed(work)
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -157,6 +157,7 @@
             on_loss=self._report_ended_process,
             on_survival=self._report_survival,
             on_change=self._handle_decided_traits,
+            is_chosen=self._is_chosen,
         )
         self._loss_recorder = LossRecorder(
             history=self._crash_history,
@@ -346,6 +347,9 @@
     ) -> None:
         self._context.report_unreachable(backend, is_from_peer=is_from_peer)
 
+    def _is_chosen(self, key: str) -> bool:
+        return self._peer_group is None or self._peer_group.is_chosen(key)
+
     def _handle_decided_traits(self) -> None:
         self._capacity_notifier.notify()
         self._crash_notifier.notify()
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -6,13 +6,12 @@
 import random
 from collections.abc import Callable
 
-from ebonyhaven_decisions import MemberState
+from ebonyhaven_decisions import MemberState, choose_instances
 from ebonyhaven_decisions.forwarding import (
     Backend,
     CrashHistory,
     PeerEngineUse,
     ServiceRetryBudget,
-    choose_recorder,
 )
 from prometheus_client import CollectorRegistry
 from twisted.internet.interfaces import IReactorCore
@@ -154,12 +153,21 @@
 
     def is_crash_recorder(self) -> bool:
         """Return whether this instance records the losses of servers for all."""
+        return self.is_chosen(CRASH_RECORDS_KEY)
+
+    def is_chosen(self, key: str) -> bool:
+        """Return whether this instance is the one of all that acts for a key.
+
+        Parameters
+        ----------
+        key : str
+        """
         names = [
             record.name
             for record in self.membership.members
             if record.state is not MemberState.DEAD
         ]
-        return choose_recorder(CRASH_RECORDS_KEY, names) == self.membership.own.name
+        return choose_instances(key, names, 1) == [self.membership.own.name]
 
     def schedule_use_report(self) -> None:
         """Report the engine use of this instance soon."""
--- a/tests/decisions/test_crash_history.py
+++ b/tests/decisions/test_crash_history.py
@@ -13,6 +13,7 @@
     EVIDENCE_TTL_S,
     MAX_LOSSES,
     SETTLE_S,
+    TRIAL_DELAY_S,
 )
 
 SETTLED_AT = 100.0 + SETTLE_S
@@ -204,3 +205,19 @@
     assert is_blocked(make_history(*crashes, *others), "c")
     at_once = [make_report(f"s{each}", "c") for each in range(5)]
     assert not is_blocked(make_history(*at_once, make_report("o", "d")), "c")
+
+
+def test_trait_whose_servers_were_lost_at_once_may_be_tried_again():
+    # One failure of several servers looks like a content that crashed them.
+    at_once = [make_report(f"s{each}", "c", data_centre=f"dc-{each}") for each in "012"]
+    history = make_history(*at_once)
+    assert not history.may_be_tried("c", 99.0 + TRIAL_DELAY_S)
+    assert history.may_be_tried("c", 101.0 + TRIAL_DELAY_S)
+    assert not history.may_be_tried("other", 101.0 + TRIAL_DELAY_S)
+    history.add(make_report("s4", "c"), 102.0 + TRIAL_DELAY_S)
+    assert not history.may_be_tried("c", 110.0 + 2 * TRIAL_DELAY_S)
+
+
+def test_trait_that_lost_one_server_after_the_other_is_not_tried_again():
+    crashes = [make_report(f"s{each}", "c", age_s=2.0 * each) for each in (0, 1, 2)]
+    assert not make_history(*crashes).may_be_tried("c", 101.0 + TRIAL_DELAY_S)
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ebonyhaven_decisions.forwarding import BackendState, Workspace
+from ebonyhaven_decisions.forwarding._crash_history import TRIAL_DELAY_S
 
 from tests.forwarding.harness import (
     ForwardingHarness,
@@ -168,3 +169,52 @@
     again = send_request(successor, "/once/x", "r3")
     assert successor.count_waiting() == 0
     assert again.read_answer()[0] == 503
+
+
+def crash_servers_at_once(harness, count, path="/once/x"):
+    """Lose the servers of requests with one content at the same moment."""
+    for number in range(count):
+        send_request(harness, path, f"r{number}")
+    servers = [each for each in harness.connections if each.has_request()]
+    assert len({each.address for each in servers}) == count
+    harness.refused |= {each.address for each in servers}
+    for server in servers:
+        server.read_request()
+        server.reset()
+    harness.advance(CHECK_S)
+    for retry in [each for each in harness.connections if each.has_request()]:
+        assert retry.is_closed  # sent before the last loss, and out of time
+        retry.read_request()
+
+
+def test_content_of_servers_that_ended_at_once_is_tried_again_once():
+    # Guards against a content that many requests share and that is refused for ten
+    # minutes because several servers ended at the same moment.
+    harness = ForwardingHarness(plain=6)
+    crash_servers_at_once(harness, 3)
+    again = send_request(harness, "/once/x", "r3")
+    assert again.read_answer()[0] == 503
+    harness.advance(TRIAL_DELAY_S)
+    trial = send_request(harness, "/once/x", "r4")
+    server, _, _ = harness.take_request()
+    other = send_request(harness, "/once/x", "r5")
+    assert other.read_answer()[0] == 503
+    server.receive(answer("r4"))
+    harness.advance(0.01)
+    assert trial.read_answer()[0] == 200
+    send_request(harness, "/once/x", "r6")
+    assert harness.count_waiting() == 1
+
+
+def test_content_that_crashes_the_server_of_its_trial_stays_blocked():
+    for path in ("/once/x", "/repeat/x"):
+        harness = ForwardingHarness(plain=6)
+        crash_servers_at_once(harness, 3, path)
+        harness.advance(TRIAL_DELAY_S)
+        send_request(harness, path, "r4")
+        harness.advance(HEDGE_S)
+        crash_server(harness)  # the only one that has the request
+        harness.advance(5 * TRIAL_DELAY_S)
+        again = send_request(harness, path, "r5")
+        assert again.read_answer()[0] == 503
+        assert harness.count_waiting() == 0
