Probe a lost server once for all who ask, in a module of its own

Each request that a server was running started a probe of its own, and the monitor kept two counts of them. One probe at a time tells all; results are unchanged but for its name in the log, ended instead of crashed.

--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -20,11 +20,9 @@
 
 from ebonyhaven_node._byte_budgets import ByteBudget
 from ebonyhaven_node.forwarding._connection_pool import ConnectFailure, ConnectionPool
-from ebonyhaven_node.forwarding._crash_monitor import (
-    PROBE_TIMEOUT_S,
-    CrashMonitor,
-)
+from ebonyhaven_node.forwarding._crash_monitor import CrashMonitor
 from ebonyhaven_node.forwarding._inbox import Inbox
+from ebonyhaven_node.forwarding._loss_probes import PROBE_TIMEOUT_S
 from ebonyhaven_node.forwarding._messages import BackendProbed
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._notifiers import (
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Callable
 
 import structlog
@@ -16,12 +17,10 @@
 )
 from twisted.internet.interfaces import IReactorTime
 
-from ebonyhaven_node.forwarding._connection_pool import ConnectFailure, ConnectionPool
+from ebonyhaven_node.forwarding._connection_pool import ConnectionPool
+from ebonyhaven_node.forwarding._loss_probes import LossProbes, ServerFate
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 
-CHECK_DELAY_S = 0.05  # shorter than a server restart
-PROBE_TIMEOUT_S = 0.15  # a live server accepts within milliseconds
-
 _log = structlog.get_logger()
 
 
@@ -42,7 +41,7 @@
     clock : callable
         Returns seconds.
     on_unreachable : callable
-        Called with each `Backend` that accepted no connection in a check.
+        Called with each `Backend` that accepts no connection.
     on_loss : callable
         Called with the id of each process that was found ended, and again when a
         further request is known that it was running.
@@ -69,7 +68,7 @@
         is_chosen: Callable[[str], bool],
     ):
         self._history = history
-        self._pool = pool
+        self._probes = LossProbes(pool, reactor)
         self._metrics = metrics
         self._reactor = reactor
         self._clock = clock
@@ -79,8 +78,7 @@
         self._on_change = on_change
         self._is_chosen = is_chosen
         self._tried_at: dict[str, float] = {}
-        self._pending: dict[str, int] = {}  # running checks by trait
-        self._checked: dict[str, int] = {}  # running checks by process
+        self._pending: Counter[str] = Counter()  # running checks by trait
 
     def find_blocked_trait(self, traits: Traits) -> str | None:
         """Return a trait with which requests may not be sent to servers any more.
@@ -132,7 +130,7 @@
             return False
         return any(
             self._history.may_be_blocked_soon(
-                trait, now, unconfirmed_losses=self._pending.get(trait, 0)
+                trait, now, unconfirmed_losses=self._pending[trait]
             )
             for trait in traits
             if self._is_recent(trait, now)
@@ -150,31 +148,18 @@
             Whether the server had begun to answer.
         """
         lost_at = self._clock()
-        process = backend.process_id
-        self._checked[process] = self._checked.get(process, 0) + 1
-        for trait in traits:
-            self._pending[trait] = self._pending.get(trait, 0) + 1
-
-        def log(result: str) -> None:
-            self._log_check(traits, backend, result, has_begun=has_begun)
-
-        def handle_probe(failure: ConnectFailure | None) -> None:
-            self._finish_checks(self._checked, (process,))
-            self._finish_checks(self._pending, traits)
-            if failure is None:
-                log("alive")
-            elif backend.is_leaving:
-                log("left")
-            elif failure.is_refused:
-                self._on_unreachable(backend)
+        self._pending.update(traits)
+
+        def handle_fate(fate: ServerFate) -> None:
+            self._pending.subtract(traits)
+            self._pending = +self._pending
+            self._handle_fate(backend, fate)
+            if fate is ServerFate.ENDED and not backend.is_leaving:
                 self._record(backend, (traits,), lost_at)
-                log("crashed")
-            else:
-                self._on_unreachable(backend)
-                log("silent")
+            self._log_check(traits, backend, fate, has_begun=has_begun)
             self.notify_of_losses()
 
-        self._probe(backend, handle_probe)
+        self._probes.start(backend, handle_fate)
 
     def check_end(self, backend: Backend) -> None:
         """Check whether a server that closed its connection has ended.
@@ -185,17 +170,14 @@
         ----------
         backend : Backend
         """
-        self._checked[backend.process_id] = self._checked.get(backend.process_id, 0) + 1
-
-        def handle_probe(failure: ConnectFailure | None) -> None:
-            self._finish_checks(self._checked, (backend.process_id,))
-            if failure is not None:
-                self._on_unreachable(backend)
-                if failure.is_refused:
-                    self.record_ended(backend)
+
+        def handle_fate(fate: ServerFate) -> None:
+            self._handle_fate(backend, fate)
+            if fate is ServerFate.ENDED:
+                self.record_ended(backend)
             self._on_change()
 
-        self._probe(backend, handle_probe)
+        self._probes.start(backend, handle_fate)
 
     def is_alive(self, backend: Backend) -> bool:
         """Return whether a server that was lost is there, as far as is known.
@@ -214,7 +196,7 @@
         ----------
         backend : Backend
         """
-        return backend.process_id in self._checked
+        return self._probes.is_running(backend)
 
     def record_ended(self, backend: Backend) -> None:
         """Record that the process of a server has ended, whatever it was running.
@@ -268,27 +250,16 @@
         if self._history.add(report, now) or not requests:
             self._on_loss(backend.process_id)
 
-    def _probe(
-        self, backend: Backend, on_result: Callable[[ConnectFailure | None], None]
-    ) -> None:
-        self._reactor.callLater(
-            CHECK_DELAY_S,
-            self._pool.probe_address,
-            backend.entry.address,
-            on_result=on_result,
-            timeout_s=PROBE_TIMEOUT_S,
-        )
-
-    def _finish_checks(self, counts: dict[str, int], keys: tuple[str, ...]) -> None:
-        for key in keys:
-            counts[key] -= 1
-            if not counts[key]:
-                del counts[key]
+    def _handle_fate(self, backend: Backend, fate: ServerFate) -> None:
+        if fate is not ServerFate.ALIVE:
+            self._on_unreachable(backend)
 
     def _log_check(
-        self, traits: Traits, backend: Backend, result: str, *, has_begun: bool
+        self, traits: Traits, backend: Backend, fate: ServerFate, *, has_begun: bool
     ) -> None:
         now = self._clock()
+        has_left = backend.is_leaving and fate is not ServerFate.ALIVE
+        result = "left" if has_left else fate.value
         self._metrics.losses_checked.labels(result).inc()
         _log.info(
             "server_loss_checked",
