--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -21,7 +21,7 @@
 )
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._crash_guards import CrashGuard
-from ebonyhaven_node.forwarding._http_server import Exchange
+from ebonyhaven_node.forwarding._exchanges import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._outcomes import (
     NO_SERVER_RETRY_AFTER_S,
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_exchanges.py
@@ -0,0 +1,144 @@
+"""A caller's request and the response to it."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable
+
+from ebonyhaven_node.forwarding._requests import Headers, RequestHead
+
+
+class ResponseWriter(abc.ABC):
+    """Writes the response to one request at a time."""
+
+    @abc.abstractmethod
+    def write_response(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a complete response and prepare for the next request."""
+
+    @abc.abstractmethod
+    def write_stream_head(self, status: int, headers: Headers) -> None:
+        """Send the head of a response whose body is streamed."""
+
+    @abc.abstractmethod
+    def write_data(self, data: bytes) -> None:
+        """Send a chunk of the body."""
+
+    @abc.abstractmethod
+    def finish(self) -> None:
+        """Complete the response."""
+
+    @abc.abstractmethod
+    def abort(self) -> None:
+        """Close the connection without completing the response."""
+
+
+class Exchange:
+    """A caller's request and the response to it.
+
+    Methods have no effect once the exchange is done.
+
+    Parameters
+    ----------
+    connection : ResponseWriter
+    head : RequestHead
+    body : bytes
+    arrived_at : float
+        Time at which the head was complete, seconds.
+
+    Attributes
+    ----------
+    is_started : bool
+        Whether the head of the response has been sent.
+    is_done : bool
+        Whether the response is complete or aborted, or the caller disconnected.
+    on_disconnect : callable or None
+        Called if the caller disconnects before the response is complete.
+    """
+
+    __slots__ = (
+        "_connection",
+        "arrived_at",
+        "body",
+        "head",
+        "is_done",
+        "is_started",
+        "on_disconnect",
+    )
+
+    def __init__(
+        self,
+        connection: ResponseWriter,
+        head: RequestHead,
+        body: bytes,
+        arrived_at: float,
+    ):
+        self._connection = connection
+        self.head = head
+        self.body = body
+        self.arrived_at = arrived_at
+        self.is_started = False
+        self.is_done = False
+        self.on_disconnect: Callable[[], None] | None = None
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a complete response.
+
+        Parameters
+        ----------
+        status : int
+        headers : tuple of (bytes, bytes)
+            Without Content-Length and Transfer-Encoding.
+        body : bytes
+        """
+        if self.is_done:
+            return
+        self.is_done = self.is_started = True
+        length = (b"content-length", str(len(body)).encode())
+        self._connection.write_response(status, (*headers, length), body)
+
+    def start_stream(self, status: int, headers: Headers) -> None:
+        """Send the head of a response whose body is streamed.
+
+        Parameters
+        ----------
+        status : int
+        headers : tuple of (bytes, bytes)
+            Without Content-Length and Transfer-Encoding.
+        """
+        if self.is_done:
+            return
+        self.is_started = True
+        framing = (b"transfer-encoding", b"chunked")
+        self._connection.write_stream_head(status, (*headers, framing))
+
+    def write(self, data: bytes) -> None:
+        """Send a chunk of the body.
+
+        Parameters
+        ----------
+        data : bytes
+        """
+        if not self.is_done:
+            self._connection.write_data(data)
+
+    def finish(self) -> None:
+        """Complete a streamed response."""
+        if self.is_done:
+            return
+        self.is_done = True
+        self._connection.finish()
+
+    def abort(self) -> None:
+        """Close the connection so that the response is recognizably incomplete."""
+        if self.is_done:
+            return
+        self.is_done = True
+        self._connection.abort()
+
+    def handle_disconnect(self) -> None:
+        """Handle that the caller closed the connection."""
+        if self.is_done:
+            return
+        self.is_done = True
+        if self.on_disconnect is not None:
+            self.on_disconnect()
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -22,7 +22,7 @@
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._crash_monitor import CrashMonitor
-from ebonyhaven_node.forwarding._http_server import Exchange
+from ebonyhaven_node.forwarding._exchanges import Exchange
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._outcomes import (
     LEAVING_RETRY_AFTER_S,
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -35,6 +35,7 @@
     RelayContext,
 )
 from ebonyhaven_node.forwarding._crash_monitor import CrashMonitor
+from ebonyhaven_node.forwarding._exchanges import Exchange
 from ebonyhaven_node.forwarding._filters import (
     AdmitFilter,
     CrashFilter,
@@ -45,7 +46,7 @@
     RequestContext,
     RouteFilter,
 )
-from ebonyhaven_node.forwarding._http_server import CallerServer, Exchange
+from ebonyhaven_node.forwarding._http_server import CallerServer
 from ebonyhaven_node.forwarding._loss_records import LossRecorder
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._notifiers import (
--- a/packages/node/src/ebonyhaven_node/forwarding/_progress.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_progress.py
@@ -8,7 +8,7 @@
 from ebonyhaven_decisions.forwarding import Backend, Route
 
 from ebonyhaven_node.forwarding._context import RelayContext
-from ebonyhaven_node.forwarding._http_server import Exchange
+from ebonyhaven_node.forwarding._exchanges import Exchange
 from ebonyhaven_node.forwarding._requests import ForwardRequest, ResponseHead
 from ebonyhaven_node.forwarding._stream_versions import StreamVersion
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -20,7 +20,7 @@
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._earlier_runs import EarlierRun
-from ebonyhaven_node.forwarding._http_server import Exchange
+from ebonyhaven_node.forwarding._exchanges import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._messages import CapacityChanged
 from ebonyhaven_node.forwarding._progress import StreamProgress
