--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -20,17 +20,6 @@
     group_routes,
 )
 from ebonyhaven_node.forwarding import Gateway
-from ebonyhaven_node.forwarding.interfaces import (
-    InspectedServer,
-    LossRecordStore,
-    RecordStoreError,
-    RunCopier,
-    ServerInspector,
-    StateSource,
-    StateVersion,
-    StoredRecord,
-    StreamRecordStore,
-)
 from ebonyhaven_standins.memory_connections import (
     MemoryServerConnection,
     MemoryTransport,
@@ -44,117 +33,20 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
+from tests.forwarding.fakes import (
+    FakeCopier,
+    FakeLossStore,
+    FakeRecordStore,
+    FixedInspector,
+    StaticStateSource,
+)
+
 HOST = "work.example"
 KEY = "secret-key"
 STAMP = "stamp-1"
 STEP_S = 0.005
 
 
-class StaticStateSource(StateSource):
-    """A source without updates; tests set the state directly."""
-
-    unresponsive = False
-    refresh_count = 0
-    versions = StateVersion(1, 0, 1)
-
-    def start(self) -> None:
-        pass
-
-    def stop(self) -> None:
-        pass
-
-    def read_version(self) -> StateVersion:
-        return self.versions
-
-    def is_unresponsive(self) -> bool:
-        return self.unresponsive
-
-    def connect_feed(self, *, is_reader, count_instances, publish) -> None:
-        pass
-
-    def apply_changes(self, payload: object) -> None:
-        pass
-
-    def refresh_configuration(self) -> None:
-        self.refresh_count += 1
-
-    def export(self) -> object:
-        return None
-
-    def merge(self, payload: object) -> None:
-        pass
-
-
-class FixedInspector(ServerInspector):
-    """Returns the same result for each server."""
-
-    def __init__(self):
-        self.inspected = []
-        self.result = InspectedServer(is_engine=True, started_ms=5)
-
-    async def inspect(self, address):
-        self.inspected.append(address)
-        return self.result
-
-
-class FakeCopier(RunCopier):
-    """Creates each copy immediately, or refuses all if ``handle`` is None."""
-
-    def __init__(self):
-        self.requested = []
-        self.deleted = []
-        self.handle = "h-1"
-
-    async def copy_run(self, *, source, request_id, target):
-        self.requested.append((source, request_id, target))
-        return self.handle
-
-    async def delete_copy(self, *, source, handle):
-        self.deleted.append((source, handle))
-
-
-class FakeRecordStore(StreamRecordStore):
-    """Keeps the records in memory; unavailable while ``is_down`` is set."""
-
-    def __init__(self):
-        self.writes = []
-        self.read_count = 0
-        self.age_s = 0.0
-        self.is_down = False
-
-    async def write(self, records):
-        if self.is_down:
-            raise RecordStoreError("test")
-        self.writes.append(dict(records))
-
-    async def read(self):
-        self.read_count += 1
-        if self.is_down:
-            raise RecordStoreError("test")
-        newest = self.writes[-1] if self.writes else {}
-        return {key: StoredRecord(each, self.age_s) for key, each in newest.items()}
-
-
-class FakeLossStore(LossRecordStore):
-    """Keeps the reports in memory; unavailable while ``is_down`` is set."""
-
-    def __init__(self):
-        self.reports = []
-        self.write_count = 0
-        self.is_down = False
-
-    async def write(self, reports):
-        if self.is_down:
-            raise RecordStoreError("test")
-        self.write_count += 1
-        self.reports = list(reports)
-
-    async def read(self):
-        if self.is_down:
-            raise RecordStoreError("test")
-        return list(self.reports)
-
-
 def decode_headers(request: h11.Request) -> dict[str, str]:
     return {name.decode(): value.decode() for name, value in request.headers}
 
--- a/tests/forwarding/test_loss_records.py
+++ b/tests/forwarding/test_loss_records.py
@@ -9,7 +9,7 @@
 )
 from twisted.internet.task import Clock
 
-from tests.forwarding.harness import FakeLossStore
+from tests.forwarding.fakes import FakeLossStore
 
 CONTENT = "0123456789abcdef"
 
--- a/tests/forwarding/test_shared_stream_index.py
+++ b/tests/forwarding/test_shared_stream_index.py
@@ -17,8 +17,8 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock
 
+from tests.forwarding.fakes import FakeRecordStore
 from tests.forwarding.harness import (
-    FakeRecordStore,
     ForwardingHarness,
     event,
 )
--- a/tests/forwarding/test_stream_records.py
+++ b/tests/forwarding/test_stream_records.py
@@ -10,8 +10,8 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock
 
+from tests.forwarding.fakes import FakeRecordStore
 from tests.forwarding.harness import (
-    FakeRecordStore,
     ForwardingHarness,
     chunk,
     event,
