--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import attrs
 import structlog
 from ebonyhaven_decisions.forwarding import (
     Backend,
@@ -10,7 +9,6 @@
     choose_backend,
 )
 
-from ebonyhaven_node._byte_budgets import ByteShare
 from ebonyhaven_node._failures import make_not_run_failure, make_unknown_failure
 from ebonyhaven_node.forwarding._attempts import (
     Attempt,
@@ -33,6 +31,7 @@
     ForwardRequest,
     ResponseHead,
 )
+from ebonyhaven_node.forwarding._response_buffers import ResponseBuffers
 
 # Share of the target latency before hedging; the hedge may still meet the target.
 HEDGE_DELAY_TARGET_SHARE = 0.5
@@ -44,13 +43,6 @@
 _log = structlog.get_logger()
 
 
-@attrs.define(slots=True, eq=False)
-class _BufferedResponse:
-    head: ResponseHead
-    share: ByteShare
-    body: list[bytes] = attrs.Factory(list)
-
-
 class CallRelay:
     """Forwards a request that has a single response, buffered until complete.
 
@@ -90,7 +82,7 @@
         self._inbox = Inbox(context.reactor)
         self._attempts: list[Attempt] = []
         self._running: list[Attempt] = []
-        self._responses: dict[Attempt, _BufferedResponse] = {}
+        self._responses = ResponseBuffers(context.response_bytes)
         self._error_response: tuple[ResponseHead, bytes] | None = None
         self._possible_run_count = 0
         self._attempt_count = 0
@@ -121,8 +113,7 @@
             self._context.capacity_notifier.unsubscribe(self._inbox)
             for attempt in self._attempts:
                 attempt.cancel()
-            for response in self._responses.values():
-                response.share.close()
+            self._responses.close()
 
     async def _run_attempts(self) -> None:
         self._advance()
@@ -272,8 +263,7 @@
     def _handle_message(self, message: object) -> None:
         match message:
             case ResponseStarted(attempt, head):
-                share = self._context.response_bytes.open_share()
-                self._responses[attempt] = _BufferedResponse(head, share)
+                self._responses.start(attempt, head)
             case ResponseData(attempt, data):
                 self._buffer_data(attempt, data)
             case ResponseCompleted(attempt, is_delimited):
@@ -291,20 +281,14 @@
                     )
 
     def _buffer_data(self, attempt: Attempt, data: bytes) -> None:
-        response = self._responses.get(attempt)
-        if response is None:
-            return
-        if response.share.grow(len(data)):
-            response.body.append(data)
+        if self._responses.add(attempt, data):
             return
         attempt.cancel()
         self._running.remove(attempt)
         self._fail_attempt(attempt, True, "too much of other responses is kept")
 
     def _complete_attempt(self, attempt: Attempt) -> None:
-        response = self._responses.pop(attempt)
-        response.share.close()
-        head = response.head
+        head, body = self._responses.take(attempt)
         latency_s = self._context.clock() - attempt.sent_at
         if head.not_run:
             if head.is_other_process:
@@ -321,7 +305,6 @@
         is_promise = head.status in NOT_RUN_STATUSES  # although the server ran it
         is_success = head.status < 500 and head.has_origin_proof and not is_promise
         attempt.backend.record_result(succeeded=is_success, latency_s=latency_s)
-        body = b"".join(response.body)
         if is_success and head.request_id is not None:
             self._count_attempt("answered")
             self._respond(head, body)
@@ -334,9 +317,7 @@
             self._error_response = (head, body)
 
     def _fail_attempt(self, attempt: Attempt, was_sent: bool, reason: str) -> None:
-        response = self._responses.pop(attempt, None)
-        if response is not None:
-            response.share.close()
+        self._responses.drop(attempt)
         self._excluded_servers.add(attempt.backend.key)
         self._record_last_failure(attempt, reason)
         self._count_attempt("lost" if was_sent else "unreachable")
