Bound what is kept, sent and stored of losses

Cause: a loss kept every request that its server was running, and an instance that joins was sent the whole history, which may exceed the longest message and is then dropped; each event of a stream looked up all losses of its parts.

The tests are new with the bounds.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
@@ -32,9 +32,13 @@
 SETTLE_S = 0.15  # instances find and report losses within tens of milliseconds
 TRIAL_DELAY_S = 10.0  # after the last loss; by then its servers are back
 TRIAL_MAX_SPREAD_S = 1.0  # of losses that one failure may have caused
-MAX_LOSSES = 1024  # a few hundred bytes each
+MAX_LOSSES = 512
+MAX_REQUESTS_PER_LOSS = 64
 MAX_SURVIVALS = 1024
-MAX_EXPORTED_REQUESTS = 256  # keeps a row below the limit of the store
+# About 25 bytes each: a row of the store takes 64 KiB, a message to a peer 1 MiB.
+MAX_STORED_TRAITS = 512
+MAX_STORED_CRASHES = 4  # of one trait; one more than block it
+MAX_SENT_TRAITS = 8192
 MAX_COMPANIONS = 32  # losses at about the same moment that are kept with a loss
 
 Traits = tuple[str, ...]
@@ -132,6 +136,7 @@
         self._evict(now)
         loss = self._find(report.process) or self._create(report, now)
         added = [each for each in report.requests if each not in loss.requests]
+        added = added[: MAX_REQUESTS_PER_LOSS - len(loss.requests)]
         if added:
             self._idle_losses.pop(report.process, None)
             self._losses[report.process] = loss
@@ -164,6 +169,9 @@
         self._survived_at[trait] = survived_at
         if len(self._survived_at) > MAX_SURVIVALS:
             self._survived_at.pop(next(iter(self._survived_at)))
+        for process in list(self._processes_by_trait.get(trait, ())):
+            if self._losses[process].lost_at <= survived_at:
+                self._forget(trait, process)
         return self.count_crashes(trait, now) < before
 
     def is_known(self, process: str) -> bool:
@@ -268,15 +276,21 @@
         Returns
         -------
         list of LossReport
+            The newest ones, if they are too many for a message.
         """
         if processes is None:
-            processes = itertools.chain(self._losses, self._idle_losses)
-        losses = ((process, self._find(process)) for process in processes)
-        return [
-            _make_report(process, loss, loss.requests, now)
-            for process, loss in losses
-            if loss is not None and now - loss.lost_at < EVIDENCE_TTL_S
-        ]
+            processes = itertools.chain(reversed(self._losses), self._idle_losses)
+        reports = []
+        exported = 0
+        for process in processes:
+            loss = self._find(process)
+            if loss is None or now - loss.lost_at >= EVIDENCE_TTL_S:
+                continue
+            exported += 1 + sum(map(len, loss.requests))
+            if exported > MAX_SENT_TRAITS:
+                break
+            reports.append(_make_report(process, loss, loss.requests, now))
+        return reports
 
     def export_survivals(
         self, now: float, traits: Iterable[str] | None = None
@@ -316,20 +330,21 @@
         Returns
         -------
         list of LossReport
-            With the requests that have such a trait; at most `MAX_EXPORTED_REQUESTS`.
+            With the requests that have such a trait; the newest ones, if they are too
+            many for a row of the store.
         """
         requests_by_process: dict[str, dict[Traits, None]] = {}
-        exported = 0
         for trait in reversed(self._processes_by_trait):
             crashes = self._list_crashes(trait, now, now)
             if len(crashes) < min_crashes:
                 continue
-            for process in crashes:
+            for process in crashes[-MAX_STORED_CRASHES:]:
+                found = [
+                    each for each in self._losses[process].requests if trait in each
+                ]
                 chosen = requests_by_process.setdefault(process, {})
-                found = (each for each in self._losses[process].requests)
-                chosen.update({each: None for each in found if trait in each})
-            exported = sum(map(len, requests_by_process.values()))
-            if exported > MAX_EXPORTED_REQUESTS:
+                chosen.update(dict.fromkeys(found))
+            if _count_traits(requests_by_process) > MAX_STORED_TRAITS:
                 break
         return [
             _make_report(process, self._losses[process], requests, now)
@@ -381,11 +396,19 @@
     def _remove(self, process: str) -> None:
         if self._idle_losses.pop(process, None) is not None:
             return
-        for trait in self._losses.pop(process).traits:
-            processes = self._processes_by_trait[trait]
-            del processes[process]
-            if not processes:
-                del self._processes_by_trait[trait]
+        for trait in self._losses[process].traits:
+            self._forget(trait, process)
+        del self._losses[process]
+
+    def _forget(self, trait: str, process: str) -> None:
+        processes = self._processes_by_trait.get(trait, {})
+        processes.pop(process, None)
+        if not processes:
+            self._processes_by_trait.pop(trait, None)
+
+
+def _count_traits(requests_by_process: dict[str, dict[Traits, None]]) -> int:
+    return sum(len(traits) for each in requests_by_process.values() for traits in each)
 
 
 def _make_report(
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -301,7 +301,7 @@
             self._count_attempt("refused")
             return
         if head.has_origin_proof:
-            self._guard.record_survival()
+            self._guard.record_survival(self._context.clock())
         is_promise = head.status in NOT_RUN_STATUSES  # although the server ran it
         is_success = head.status < 500 and head.has_origin_proof and not is_promise
         attempt.backend.record_result(succeeded=is_success, latency_s=latency_s)
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 
 from ebonyhaven_decisions.forwarding import Backend
 
@@ -14,6 +15,7 @@
 
 MAX_SHARED_PARTS = 32  # of one prompt; further ones are not held responsible
 PART_PREFIX = "part "
+SURVIVAL_INTERVAL_S = 1.0  # between two records for one stream
 
 
 class CrashGuard:
@@ -34,13 +36,13 @@
         Whether the request is sent to one server though it has a blocked trait.
     """
 
-    __slots__ = ("_has_survived", "_monitor", "_traits", "content", "is_trial")
+    __slots__ = ("_monitor", "_survived_at", "_traits", "content", "is_trial")
 
     def __init__(
         self, request: ForwardRequest, workspace: str | None, monitor: CrashMonitor
     ):
         self._monitor = monitor
-        self._has_survived = False
+        self._survived_at = -math.inf
         self.is_trial = False
         self.content = _digest(f"{request.content_digest} {request.host} {workspace}")
         parts = request.shared_parts[:MAX_SHARED_PARTS]
@@ -57,6 +59,10 @@
             return None
         return trait
 
+    @property
+    def _has_survived(self) -> bool:
+        return self._survived_at > -math.inf
+
     def find_blocked_trait(self) -> str | None:
         """Return what keeps the request from another attempt, if anything."""
         if self._has_survived or self.is_trial:
@@ -81,10 +87,19 @@
         self.is_trial = False
         self._monitor.check_loss(self._traits, backend, has_begun=has_begun)
 
-    def record_survival(self) -> None:
-        """Record that a server ran the request to an end, or far into its stream."""
-        self._has_survived = True
-        self._monitor.record_survival(self._traits)
+    def record_survival(self, now: float) -> None:
+        """Record that a server ran the request to an end, or far into its stream.
+
+        Called for each event of a stream, of which few are recorded.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        if now - self._survived_at >= SURVIVAL_INTERVAL_S:
+            self._survived_at = now
+            self._monitor.record_survival(self._traits)
 
 
 def _make_part_trait(part: str) -> str:
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -256,7 +256,7 @@
         if events:
             self._monitor.record_events(now, len(events))
         if events and self._monitor.is_far_into_stream():
-            self._guard.record_survival()
+            self._guard.record_survival(now)
         self._progress.deliver(new_events, self._monitor.head, self._backend, now)
         return None
 
@@ -282,7 +282,7 @@
         if not is_delimited and not self._monitor.events:
             reason = "the connection ended before the first event"
             return AttemptResult(AttemptEnd.LOST, reason)
-        self._guard.record_survival()
+        self._guard.record_survival(self._context.clock())
         self._progress.finish(head)
         if self._attempt.plan.last_event_id is None:
             self._monitor.record_stream_completed()
--- a/tests/decisions/test_crash_history.py
+++ b/tests/decisions/test_crash_history.py
@@ -12,6 +12,8 @@
     COMMON_CAUSE_WINDOW_S,
     EVIDENCE_TTL_S,
     MAX_LOSSES,
+    MAX_REQUESTS_PER_LOSS,
+    MAX_SENT_TRAITS,
     SETTLE_S,
     TRIAL_DELAY_S,
 )
@@ -221,3 +223,29 @@
 def test_trait_that_lost_one_server_after_the_other_is_not_tried_again():
     crashes = [make_report(f"s{each}", "c", age_s=2.0 * each) for each in (0, 1, 2)]
     assert not make_history(*crashes).may_be_tried("c", 101.0 + TRIAL_DELAY_S)
+
+
+def test_what_is_kept_and_told_of_losses_is_bounded():
+    history = CrashHistory()
+    for number in range(MAX_LOSSES):
+        requests = [("part a", f"c{number}-{each}") for each in range(100)]
+        report = make_report(f"s{number}", *requests, data_centre=f"dc-{number}")
+        assert len(history.add(report, 100.0)) == MAX_REQUESTS_PER_LOSS
+    told = history.export(100.0)
+    assert 0 < sum(len(each.requests) for each in told) <= MAX_SENT_TRAITS
+    assert told[0].process == f"s{MAX_LOSSES - 1}"
+    message = json.dumps([encode_loss_report(each) for each in told])
+    assert len(message) < 2**20
+    stored = history.export_repeated(100.0, 2)
+    row = json.dumps([encode_loss_report(each) for each in stored])
+    assert 0 < len(row) < 2**16
+
+
+def test_losses_that_no_longer_count_are_forgotten():
+    history = make_history(*(make_report(f"s{each}", "c") for each in range(100)))
+    history.add_survival("c", 101.0)
+    assert "c" not in history._processes_by_trait
+    history.add(make_report("s1", "c", age_s=2.0), 102.0)
+    assert history.count_crashes("c", 102.0) == 0
+    history.add(make_report("s200", "c"), 102.0)
+    assert history.count_crashes("c", 102.0) == 1
