--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
@@ -79,7 +79,7 @@
             COMMON_CAUSE_WINDOW_S
         )
 
-    def is_common(self, trait: str) -> bool:
+    def may_be_common_failure(self, trait: str) -> bool:
         """Return whether a server was lost beside this one without the trait."""
         return any(trait not in each.traits for each in self.companions)
 
@@ -360,7 +360,7 @@
             if not earliest < loss.lost_at <= latest:
                 continue
             is_counted = any(each in loss.companions for each in crashes.values())
-            if not is_counted or not loss.is_common(trait):
+            if not is_counted or not loss.may_be_common_failure(trait):
                 crashes[process] = loss
         return list(crashes)
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -300,7 +300,7 @@
             self._record_last_failure(attempt, f"server refused with {head.status}")
             self._count_attempt("refused")
             return
-        if head.has_origin_proof:
+        if head.has_origin_proof and head.request_id is not None:
             self._guard.record_survival(self._context.clock())
         is_promise = head.status in NOT_RUN_STATUSES  # although the server ran it
         is_success = head.status < 500 and head.has_origin_proof and not is_promise
