Hold a server that ends with an answer without a length against what it ran

Cause: an answer that ends with its connection counted as one that the server survived. A server that crashes closes its connections in order as well, so that a content that crashes servers in the middle of such answers was cleared each time.

Change: only an answer that a length or chunks end clears its traits; after another one, the server is probed as after a loss.

--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -271,7 +271,7 @@
                 self._context.metrics.record_response_end(
                     self._route.kind.value, is_delimited=is_delimited, partial_bytes=0
                 )
-                self._complete_attempt(attempt)
+                self._complete_attempt(attempt, is_delimited=is_delimited)
             case AttemptFailed(attempt, was_sent, is_connection_lost, reason):
                 self._running.remove(attempt)
                 self._fail_attempt(attempt, was_sent, reason)
@@ -287,25 +287,21 @@
         self._running.remove(attempt)
         self._fail_attempt(attempt, True, "too much of other responses is kept")
 
-    def _complete_attempt(self, attempt: Attempt) -> None:
+    def _complete_attempt(self, attempt: Attempt, *, is_delimited: bool) -> None:
         head, body = self._responses.take(attempt)
         latency_s = self._context.clock() - attempt.sent_at
         if head.not_run:
-            if head.is_other_process:
-                self._context.report_replaced(attempt.backend, head.other_server_id)
-            else:
-                self._context.report_refused(attempt.backend)
-            self._refusal_count += 1
-            self._excluded_servers.add(attempt.backend.key)
-            self._record_last_failure(attempt, f"server refused with {head.status}")
-            self._count_attempt("refused")
+            self._record_refusal(attempt, head)
             return
-        if head.has_origin_proof and head.request_id is not None:
+        is_own = head.has_origin_proof and head.request_id is not None
+        if not is_delimited:  # a server that crashes closes its connections as well
+            self._guard.check_loss(attempt.backend, has_begun=True)
+        elif is_own:
             self._guard.record_survival(self._context.clock())
         is_promise = head.status in NOT_RUN_STATUSES  # although the server ran it
         is_success = head.status < 500 and head.has_origin_proof and not is_promise
         attempt.backend.record_result(succeeded=is_success, latency_s=latency_s)
-        if is_success and head.request_id is not None:
+        if is_success and is_own:
             self._count_attempt("answered")
             self._respond(head, body)
             return
@@ -313,9 +309,19 @@
         self._count_attempt("error")
         self._excluded_servers.add(attempt.backend.key)
         self._record_last_failure(attempt, f"server answered with {head.status}")
-        if head.has_origin_proof and head.request_id is not None:
+        if is_own:
             self._error_response = (head, body)
 
+    def _record_refusal(self, attempt: Attempt, head: ResponseHead) -> None:
+        if head.is_other_process:
+            self._context.report_replaced(attempt.backend, head.other_server_id)
+        else:
+            self._context.report_refused(attempt.backend)
+        self._refusal_count += 1
+        self._excluded_servers.add(attempt.backend.key)
+        self._record_last_failure(attempt, f"server refused with {head.status}")
+        self._count_attempt("refused")
+
     def _fail_attempt(self, attempt: Attempt, was_sent: bool, reason: str) -> None:
         self._responses.drop(attempt)
         self._excluded_servers.add(attempt.backend.key)
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -282,7 +282,10 @@
         if not is_delimited and not self._monitor.events:
             reason = "the connection ended before the first event"
             return AttemptResult(AttemptEnd.LOST, reason)
-        self._guard.record_survival(self._context.clock())
+        if is_delimited:
+            self._guard.record_survival(self._context.clock())
+        elif not self._monitor.is_far_into_stream():  # the server may have crashed
+            self._guard.check_loss(self._backend, has_begun=True)
         self._progress.finish(head)
         if self._attempt.plan.last_event_id is None:
             self._monitor.record_stream_completed()
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -218,3 +218,28 @@
         again = send_request(harness, path, "r5")
         assert again.read_answer()[0] == 503
         assert harness.count_waiting() == 0
+
+
+def test_server_that_ends_with_an_answer_without_a_length_counts():
+    # A server that crashes closes its connections in order as well.
+    harness = ForwardingHarness(plain=6)
+    for number in range(3):
+        send_request(harness, "/once/x", f"r{number}")
+        server, _, _ = harness.take_request()
+        harness.refused.add(server.address)
+        server.receive(answer(f"r{number}", Content_Length=None)[:-1])
+        server.close()
+        harness.advance(CHECK_S)
+    again = send_request(harness, "/once/x", "r9")
+    assert again.read_answer()[0] == 503
+
+
+def test_server_that_goes_on_after_an_answer_without_a_length_does_not_count():
+    harness = ForwardingHarness(plain=6)
+    for number in range(6):
+        caller = send_request(harness, "/once/x", f"r{number}")
+        server, _, _ = harness.take_request()
+        server.receive(answer(f"r{number}", Content_Length=None))
+        server.close()
+        harness.advance(CHECK_S)
+        assert caller.read_answer()[0] == 200
