--- a/packages/standins/src/ebonyhaven_standins/bench/load.py
+++ b/packages/standins/src/ebonyhaven_standins/bench/load.py
@@ -10,60 +10,39 @@
 import json
 import pathlib
 import random
-import subprocess
 import sys
-import time
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 import attrs
 
 from ebonyhaven_standins.bench import _load_measures as measures
+from ebonyhaven_standins.bench._load_deployments import (
+    ENGINE_CAPACITY_STREAMS,
+    ENGINE_COUNT,
+    FULL_BATCH_DECODE_STEP_MS,
+    DeploymentUnderTest,
+    list_engine_names,
+    start_cluster,
+)
 from ebonyhaven_standins.bench._load_measures import LatencyTargets, Window
 from ebonyhaven_standins.bench._load_plans import (
-    INSTANCE_COUNT,
-    WORKSPACE_LOAD_SHARES,
     plan_analyses,
     plan_look_ups,
 )
 from ebonyhaven_standins.bench._open_loop import (
-    START_DELAY_S,
     LoadRecord,
-    PlannedRequest,
 )
 from ebonyhaven_standins.cluster import Cluster
 from ebonyhaven_standins.scenario import (
     ANALYSIS,
     LOOK_UP,
-    Deployment,
-    ServerSpec,
-    start_deployment,
 )
 
 SCHEDULING_ALGORITHMS = ("fair", "round_robin", "least_connections")
-ENGINE_COUNT = 20
-ENGINE_CAPACITY_STREAMS = 8
-MIN_DECODE_STEP_MS = 40.0  # with one stream
-FULL_BATCH_DECODE_STEP_MS = 56.0
 CAPACITY_TOKENS_PER_S = (
     ENGINE_COUNT * ENGINE_CAPACITY_STREAMS / (FULL_BATCH_DECODE_STEP_MS / 1000.0)
 )
-DATA_CENTRES = ("ba-petrzalka", "ba-ruzinov", "tt-hall")
-CLASSES = {
-    LOOK_UP: {
-        "first_token_ms": 500,
-        "gap_ms": 62,
-        "resume_ms": 1000,
-        "may_wait_ms": 0,
-    },
-    ANALYSIS: {
-        "first_token_ms": 2000,
-        "gap_ms": 100,
-        "resume_ms": 2000,
-        "may_wait_ms": 3000,
-        "default": True,
-    },
-}
 # The first-token targets are the sums of first_token_ms and may_wait_ms of `CLASSES`.
 LATENCY_TARGETS = {
     LOOK_UP: LatencyTargets(0.5, 0.062),
@@ -77,8 +56,6 @@
 LARGE_WORKSPACE_LOAD_SHARE = 1.0
 DRAIN_S = 25.0
 WARM_UP_S = 6.0
-SETTLING_TIME_S = 3.0
-RUN_TIMEOUT_S = 180.0
 SHORT_LOADS = (0.8, 2.0)
 FULL_LOADS = (0.5, 0.8, 1.0, 1.3, 2.0)
 
@@ -103,70 +80,6 @@
     scheduling_algorithms: Sequence[str] = SCHEDULING_ALGORITHMS
 
 
-class DeploymentUnderTest:
-    """A started deployment that sends plans to its instances.
-
-    Parameters
-    ----------
-    cluster : Cluster
-    seed : int
-
-    Attributes
-    ----------
-    lag_p95_s : float
-        95th percentile of the timer delay in the load generator during the last
-        plan, seconds. It limits the accuracy of the figures of that plan.
-    """
-
-    def __init__(self, cluster: Cluster, seed: int) -> None:
-        self.cluster = cluster
-        self._seed = seed
-        self._plan_count = 0
-        self.lag_p95_s = 0.0
-
-    def run_plan(
-        self,
-        plan: Sequence[PlannedRequest],
-        actions: Sequence[tuple[float, Callable[[Cluster], None]]] = (),
-    ) -> list[LoadRecord]:
-        """Send the requests of a plan and return their records.
-
-        Parameters
-        ----------
-        plan : sequence of PlannedRequest
-        actions : sequence of tuple of float and callable
-            Seconds after the start, and a function that is called at that time.
-        """
-        folder = self.cluster.folder
-        self._plan_count += 1
-        plan_path = folder / f"plan{self._plan_count}.json"
-        out_path = folder / f"records{self._plan_count}.json"
-        addresses = [self.cluster.addresses[name] for name in _list_instance_names()]
-        # A reused idempotency key would match a finished run of an earlier plan.
-        seed = 1000 * self._seed + self._plan_count
-        content = {"addresses": addresses, "seed": seed, "requests": plan}
-        plan_path.write_text(json.dumps(content))
-        command = [sys.executable, "-m", "ebonyhaven_standins.bench._open_loop"]
-        child = subprocess.Popen(
-            [*command, str(plan_path), str(out_path)],
-            stdout=subprocess.PIPE,
-            text=True,
-        )
-        with child:
-            try:
-                child.stdout.readline()
-                started_at = time.monotonic() + START_DELAY_S
-                for at_s, act in actions:
-                    time.sleep(max(0.0, started_at + at_s - time.monotonic()))
-                    act(self.cluster)
-                child.wait(RUN_TIMEOUT_S)
-            finally:
-                child.kill()
-        content = json.loads(out_path.read_text())
-        self.lag_p95_s = content["lag_p95_s"]
-        return content["records"]
-
-
 def measure_load(
     deployment: DeploymentUnderTest, load: float, seed: int, phase_s: float
 ) -> dict[str, Any]:
@@ -284,7 +197,7 @@
         end_s=end_s,
         rng=rng,
     )
-    killed = rng.sample(_list_engine_names(), ENGINE_COUNT // 3)
+    killed = rng.sample(list_engine_names(), ENGINE_COUNT // 3)
 
     def kill(cluster: Cluster) -> None:
         for name in killed:
@@ -335,7 +248,7 @@
     options: LoadBenchOptions, scheduling: str, seed: int
 ) -> Iterator[dict[str, Any]]:
     with Cluster() as cluster:
-        _start_cluster(cluster, scheduling, seed)
+        start_cluster(cluster, scheduling, seed)
         deployment = DeploymentUnderTest(cluster, seed)
         for load in options.loads:
             yield measure_load(deployment, load, seed, options.phase_s)
@@ -343,54 +256,6 @@
         yield measure_loss(deployment, seed, options.phase_s)
 
 
-def _start_cluster(cluster: Cluster, scheduling: str, seed: int) -> None:
-    engines = [
-        ServerSpec(
-            name=name,
-            data_centre=DATA_CENTRES[index % len(DATA_CENTRES)],
-            options=(
-                "--capacity",
-                str(ENGINE_CAPACITY_STREAMS),
-                "--step-ms",
-                str(MIN_DECODE_STEP_MS),
-                "--full-step-ms",
-                str(FULL_BATCH_DECODE_STEP_MS),
-                "--max-waiting",
-                "256",
-            ),
-        )
-        for index, name in enumerate(_list_engine_names())
-    ]
-    instances = {
-        name: DATA_CENTRES[index % len(DATA_CENTRES)]
-        for index, name in enumerate(_list_instance_names())
-    }
-    deployment = _LoadDeployment(
-        region="sk-west",
-        instances=instances,
-        engines=engines,
-        workspaces=tuple(WORKSPACE_LOAD_SHARES),
-        seed=seed,
-        node_settings={"scheduling": scheduling},
-    )
-    start_deployment(cluster, deployment)
-    time.sleep(SETTLING_TIME_S)
-
-
-@attrs.frozen(kw_only=True)
-class _LoadDeployment(Deployment):
-    def make_declaration(self) -> dict[str, Any]:
-        return {**super().make_declaration(), "classes": CLASSES}
-
-
-def _list_engine_names() -> list[str]:
-    return [f"s{number:02d}" for number in range(ENGINE_COUNT)]
-
-
-def _list_instance_names() -> list[str]:
-    return [f"n{number + 1}" for number in range(INSTANCE_COUNT)]
-
-
 def _sum_demands(records: Sequence[LoadRecord], window: Window) -> dict[str, float]:
     demands: dict[str, float] = {}
     for record in measures.select_records(records, window):
