--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -8,13 +8,16 @@
 from ebonyhaven_decisions.forwarding import (
     Backend,
     EngineTraits,
-    EngineUse,
     Route,
     TokenDemand,
     choose_engine_priority,
 )
 
 from ebonyhaven_node._failures import make_not_run_failure, make_unknown_failure
+from ebonyhaven_node.forwarding._attempt_logs import (
+    log_stream_attempt_ended,
+    log_stream_sent,
+)
 from ebonyhaven_node.forwarding._attempt_monitors import AttemptMonitor
 from ebonyhaven_node.forwarding._attempts import Attempt
 from ebonyhaven_node.forwarding._context import RelayContext
@@ -281,7 +284,17 @@
             inbox=self._inbox,
             context=self._context,
         )
-        self._log_attempt_sent(target, holder, now)
+        log_stream_sent(
+            attempt,
+            request=self._request,
+            route_name=self._route.name,
+            guard=self._guard,
+            holder=holder,
+            demand=self._demand,
+            attempts=self._limits.attempts,
+            now=now,
+            context=self._context,
+        )
         return await self._run_attempt(attempt, reservation, copy, target)
 
     async def _run_attempt(
@@ -330,33 +343,6 @@
             self._context.crash_notifier.unsubscribe(self._inbox)
             attempt.cancel()
 
-    def _log_attempt_sent(
-        self, target: _Target, holder: Backend | None, now: float
-    ) -> None:
-        backend = target.backend
-        peer_use = self._context.peers.sum_by_server(now).get(
-            backend.server_id, EngineUse()
-        )
-        _log.info(
-            "stream_sent",
-            request=self._request.request_id,
-            route=self._route.name,
-            content=self._guard.content,
-            shared_parts=self._request.shared_parts,
-            server=backend.server_id,
-            data_centre=backend.entry.data_centre,
-            version=backend.software_version,
-            from_copy=target.copy is not None,
-            copy_to=holder.server_id if holder else None,
-            position=self._progress.position,
-            attempt=self._limits.attempts,
-            tokens=self._demand.tokens,
-            own_use=[backend.run_tokens, backend.copy_tokens, backend.prefill_tokens],
-            peer_use=list(peer_use),
-            waited_s=round(now - self._request.arrived_at, 3),
-            remaining_s=round(self._limits.deadline - now, 3),
-        )
-
     # -- result ------------------------------------------------------------
 
     def _record_result(self, target: _Target, result: AttemptResult) -> None:
@@ -365,7 +351,15 @@
         end = result.end
         self._context.metrics.attempts.labels(self._route.kind.value, end.value).inc()
         self._error_response = result.error_response or self._error_response
-        self._log_attempt_ended(target, result, now)
+        log_stream_attempt_ended(
+            result,
+            request=self._request,
+            backend=backend,
+            is_from_copy=target.copy is not None,
+            progress=self._progress,
+            copy=self._run_copy,
+            now=now,
+        )
         if target.copy is not None and end is AttemptEnd.NOT_RUN:
             self._context.metrics.resumes.labels("copy_gone").inc()
         else:
@@ -375,20 +369,3 @@
             self._context.budget.refund_retry(self._service, now)
         if end in (AttemptEnd.LOST, AttemptEnd.SILENT, AttemptEnd.ERROR):
             backend.record_result(succeeded=False, latency_s=None)
-
-    def _log_attempt_ended(
-        self, target: _Target, result: AttemptResult, now: float
-    ) -> None:
-        copy = self._run_copy
-        _log.info(
-            "stream_attempt_ended",
-            request=self._request.request_id,
-            server=target.backend.server_id,
-            end=result.end.value,
-            reason=result.reason,
-            delivered=self._progress.delivered,
-            position=self._progress.position,
-            from_copy=target.copy is not None,
-            copy_at=copy.holder.server_id if copy and copy.holder else None,
-            copy_usable=copy is not None and copy.is_usable(now),
-        )
