--- a/packages/node/src/ebonyhaven_node/_web_requests.py
+++ b/packages/node/src/ebonyhaven_node/_web_requests.py
@@ -21,7 +21,7 @@
     """Request whose body is kept and received up to a limit only.
 
     Handlers are called after the whole body, of which they get enough to see that it
-    is too long. A body without end is rejected while it is received.
+    is too long. An endless body is rejected while it is received.
     """
 
     _received_bytes = 0
--- a/tests/forwarding/test_endless_requests.py
+++ b/tests/forwarding/test_endless_requests.py
@@ -1,4 +1,4 @@
-"""Bytes without end from callers, and requests that never end."""
+"""Endless input from callers, and requests that never end."""
 
 from __future__ import annotations
 
--- a/tests/forwarding/test_endless_responses.py
+++ b/tests/forwarding/test_endless_responses.py
@@ -1,4 +1,4 @@
-"""Bytes without end from servers: in a head, a body, and responses that are skipped."""
+"""Endless heads, bodies and skipped responses of servers."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
     return harness, caller, server
 
 
-def test_body_without_end_is_cut():
+def test_endless_body_is_cut():
     for framing in (b"Transfer-Encoding: chunked\r\n", b""):
         harness, caller, server = open_request()
         head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Server-Stamp: s\r\n"
@@ -45,7 +45,7 @@
         assert caller.read_answer()[0] == 502
 
 
-def test_head_without_end_is_cut():
+def test_endless_head_is_cut():
     for start, piece in (
         (b"HTTP/1.1 200 OK\r\n", b"X-Name: " + PIECE[:100] + b"\r\n"),
         (b"HTTP/1.1 200 ", PIECE),
@@ -58,13 +58,13 @@
         assert caller.read_answer()[0] == 502
 
 
-def test_interim_responses_without_end_are_cut():
+def test_endless_interim_responses_are_cut():
     _, _, server = open_request()
     piece = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" * 1000
     assert feed_until_closed(server, piece) <= MAX_BYTES_READ
 
 
-def test_skipped_response_without_end_is_cut():
+def test_endless_skipped_response_is_cut():
     # Guards against a response to an earlier request that is skipped for ever.
     for path in ("/once/x", "/stream/x"):
         headers = TOKEN_COUNT_HEADER if path == "/stream/x" else {}
@@ -79,7 +79,7 @@
     assert feed_until_closed(server, piece) <= MAX_BYTES_READ
 
 
-def test_trailers_without_end_are_cut():
+def test_endless_trailers_are_cut():
     _, _, server = open_request()
     head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
     server.receive(head + b"0\r\n")
@@ -153,7 +153,7 @@
         assert handler.outcome == "complete"
 
 
-def test_error_body_of_a_stream_without_end_is_cut():
+def test_endless_error_body_of_a_stream_is_cut():
     _, _, server = open_request("/stream/x", **TOKEN_COUNT_HEADER)
     server.receive(
         b"HTTP/1.1 500 No\r\nX-Attempt-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -161,13 +161,13 @@
     assert feed_until_closed(server, chunk(PIECE)) <= MIB
 
 
-def test_event_without_end_is_cut():
+def test_endless_event_is_cut():
     _, _, server = open_request("/stream/x", **TOKEN_COUNT_HEADER)
     server.receive(stream_head("r1"))
     assert feed_until_closed(server, chunk(PIECE)) <= MIB
 
 
-def test_events_without_end_are_cut():
+def test_endless_events_are_cut():
     _, _, server = open_request("/stream/x", **TOKEN_COUNT_HEADER)
     server.receive(stream_head("r1"))
     piece = chunk(b"data: " + PIECE[:50_000] + b"\n\n")
--- a/tests/node/test_web_requests.py
+++ b/tests/node/test_web_requests.py
@@ -33,7 +33,7 @@
     return resource, protocol, transport, clock
 
 
-def test_body_without_end_is_rejected_while_it_arrives():
+def test_endless_body_is_rejected_while_it_arrives():
     resource, protocol, transport, clock = open_connection()
     protocol.dataReceived(
         b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/store_client/test_limits.py
+++ b/tests/store_client/test_limits.py
@@ -1,4 +1,4 @@
-"""Bytes without end from peers of the HTTP agents."""
+"""Endless responses to the HTTP agents."""
 
 from __future__ import annotations
 
@@ -63,14 +63,14 @@
     return run_in_reactor(read), kind.sent_bytes
 
 
-def test_body_without_end_is_cut():
+def test_endless_body_is_cut():
     for framing in (b"Content-Length: 1000000000\r\n", b""):
         result, sent = read_endless(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n")
         assert result is None
         assert sent <= 4 * LIMIT_BYTES  # with what the connection held on its way
 
 
-def test_head_without_end_is_cut():
+def test_endless_head_is_cut():
     for start, piece in (
         (b"HTTP/1.1 200 OK\r\n", b"X-Name: value\r\n" * 1000),
         (b"", PIECE),
