Send and look at losses less often

Cause: each instance that found a lost server told all others, also where nothing is known to have run there, and each message had all streams look at their traits twice. On the grown deployment, the loss of a data centre of 28 engines would take thousands of messages an instance within a second; worked out from the code, not run.

Change: only losses with requests are sent, together with those that may share their cause; a content that was lost once is not told to be cleared; requests look again once in 10 ms, and only for what is new.

--- a/packages/node/src/ebonyhaven_node/_crash_exchange.py
+++ b/packages/node/src/ebonyhaven_node/_crash_exchange.py
@@ -36,7 +36,7 @@
     clock : callable
         Returns seconds.
     on_received : callable
-        Called after each report of another instance.
+        Called after each report of another instance that told something new.
     """
 
     def __init__(
@@ -100,8 +100,11 @@
         reports = [decode_loss_report(values) for values in losses]
         ages_s = decode_survivals(survivals)
         now = self._clock()
+        has_changed = False
         for report in reports:
+            has_changed |= not self._history.is_known(report.process)
             for traits in self._history.add(report, now):
+                has_changed = True
                 _log.info(
                     "crash_evidence_received",
                     peer=sender,
@@ -111,5 +114,6 @@
                     crashes=[self._history.count_crashes(each, now) for each in traits],
                 )
         for trait, age_s in ages_s.items():
-            self._history.add_survival(trait, now, age_s=age_s)
-        self._on_received()
+            has_changed |= self._history.add_survival(trait, now, age_s=age_s)
+        if has_changed:
+            self._on_received()
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -266,7 +266,7 @@
                 self._responses.start(attempt, head)
             case ResponseData(attempt, data):
                 self._buffer_data(attempt, data)
-            case ResponseCompleted(attempt, is_delimited):
+            case ResponseCompleted(attempt, is_delimited) if attempt in self._running:
                 self._running.remove(attempt)
                 self._context.metrics.record_response_end(
                     self._route.kind.value, is_delimited=is_delimited, partial_bytes=0
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
@@ -21,6 +21,8 @@
 from ebonyhaven_node.forwarding._loss_probes import LossProbes, ServerFate
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 
+NOTIFY_INTERVAL_S = 0.01  # many losses are found at one moment
+
 _log = structlog.get_logger()
 
 
@@ -43,8 +45,8 @@
     on_unreachable : callable
         Called with each `Backend` that accepts no connection.
     on_loss : callable
-        Called with the id of each process that was found ended, and again when a
-        further request is known that it was running.
+        Called with the id of each process that ended, for each request that it was
+        running.
     on_survival : callable
         Called with each trait that is no longer held responsible.
     on_change : callable
@@ -78,6 +80,8 @@
         self._on_change = on_change
         self._is_chosen = is_chosen
         self._tried_at: dict[str, float] = {}
+        self._settled_at = -math.inf
+        self._is_notifying = False
         self._pending: Counter[str] = Counter()  # running checks by trait
 
     def find_blocked_trait(self, traits: Traits) -> str | None:
@@ -217,22 +221,34 @@
         traits : tuple of str
         """
         now = self._clock()
+        crashes = {each: self._history.count_crashes(each, now) for each in traits}
         cleared = [
             trait
             for trait in traits
-            if self._history.count_crashes(trait, now)
-            and self._history.add_survival(trait, now)
+            if crashes[trait] and self._history.add_survival(trait, now)
         ]
         for trait in cleared:
             _log.info("crashes_cleared", trait=trait)
-            self._on_survival(trait)
+            # Others seldom see a content that was lost once again.
+            if trait != traits[-1] or crashes[trait] > 1:
+                self._on_survival(trait)
         if cleared:
             self._on_change()
 
     def notify_of_losses(self) -> None:
-        """Have requests look at their traits again, now and once losses settled."""
+        """Have requests look at their traits again, soon and once losses settled."""
+        self._settled_at = self._clock() + SETTLE_S
+        if not self._is_notifying:
+            self._is_notifying = True
+            self._reactor.callLater(NOTIFY_INTERVAL_S, self._notify)
+
+    def _notify(self) -> None:
         self._on_change()
-        self._reactor.callLater(SETTLE_S, self._on_change)
+        remaining_s = self._settled_at - self._clock()
+        self._is_notifying = remaining_s > -NOTIFY_INTERVAL_S
+        if self._is_notifying:
+            delay_s = max(remaining_s, 0.0) + NOTIFY_INTERVAL_S
+            self._reactor.callLater(delay_s, self._notify)
 
     def _is_recent(self, trait: str, now: float) -> bool:
         """Return whether a loss that may count against a trait has not settled yet."""
@@ -247,7 +263,7 @@
         report = LossReport(
             backend.process_id, backend.entry.data_centre, now - lost_at, requests
         )
-        if self._history.add(report, now) or not requests:
+        if self._history.add(report, now):
             self._on_loss(backend.process_id)
 
     def _handle_fate(self, backend: Backend, fate: ServerFate) -> None:
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -4,6 +4,7 @@
 
 from ebonyhaven_decisions.forwarding import BackendState, Workspace
 from ebonyhaven_decisions.forwarding._crash_history import TRIAL_DELAY_S
+from ebonyhaven_node.forwarding._inbox import Inbox
 
 from tests.forwarding.harness import (
     ForwardingHarness,
@@ -243,3 +244,15 @@
         server.close()
         harness.advance(CHECK_S)
         assert caller.read_answer()[0] == 200
+
+
+def test_requests_look_at_their_traits_once_for_many_losses():
+    # Guards against a data centre that is lost, and each of whose servers has all
+    # streams of all instances look again.
+    harness = ForwardingHarness(plain=0, engines=9)
+    inbox = Inbox(harness.reactor)
+    harness.gateway._crash_notifier.subscribe(inbox)
+    for _ in range(100):
+        harness.gateway._crash_monitor.notify_of_losses()
+    harness.advance(CHECK_S)
+    assert 2 <= len(inbox._messages) <= 4
