Explain a refused request by the losses before it

Cause: the story of a request that was refused because servers crashed under what it has in common with others held one line, the refusal. The losses that led to it name a digest and no request, so explain left them out; those under a part of a prompt could not be found from the refusal at all.

Change: lines about losses and about requests sent name the same list of traits, a refusal logs its trait (request_blocked), and explain shows earlier losses, cleared losses and trials of the traits of the request.

--- a/packages/node/src/ebonyhaven_node/_crash_exchange.py
+++ b/packages/node/src/ebonyhaven_node/_crash_exchange.py
@@ -108,7 +108,7 @@
                 _log.info(
                     "crash_evidence_received",
                     peer=sender,
-                    content=traits[-1],
+                    traits=traits,
                     process=report.process,
                     age_s=round(report.age_s, 3),
                     crashes=[self._history.count_crashes(each, now) for each in traits],
--- a/packages/node/src/ebonyhaven_node/_crash_reports.py
+++ b/packages/node/src/ebonyhaven_node/_crash_reports.py
@@ -144,7 +144,7 @@
             _log.info(
                 "crash_evidence_received",
                 peer=sender,
-                content=content,
+                traits=[content],
                 process=each.server,
                 age_s=each.at,
             )
--- a/packages/node/src/ebonyhaven_node/_service_crashes.py
+++ b/packages/node/src/ebonyhaven_node/_service_crashes.py
@@ -109,7 +109,7 @@
             self._exchange.publish_loss(process)
         crashes = self._history.count_crashes(content, now)
         _log.info(
-            "service_crashed", server=server.name, content=content, crashes=crashes
+            "service_crashed", server=server.name, traits=[content], crashes=crashes
         )
 
     def record_survival(self, content: str) -> None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -233,7 +233,7 @@
             "call_sent",
             request=self._request.request_id,
             route=self._route.name,
-            content=self._guard.content,
+            traits=self._guard.traits,
             server=backend.server_id,
             attempt=len(self._attempts) + 1,
             load=round(backend.estimate_load(now), 1),
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
@@ -30,13 +30,14 @@
 
     Attributes
     ----------
-    content : str
-        Digest of what servers see of the request, equal for all retries of the caller.
+    traits : tuple of str
+        The shared parts of its prompt, then a digest of what servers see of the
+        request, which is equal for all retries of the caller.
     is_trial : bool
         Whether the request is sent to one server though it has a blocked trait.
     """
 
-    __slots__ = ("_monitor", "_survived_at", "_traits", "content", "is_trial")
+    __slots__ = ("_monitor", "_survived_at", "is_trial", "traits")
 
     def __init__(
         self, request: ForwardRequest, workspace: str | None, monitor: CrashMonitor
@@ -44,9 +45,9 @@
         self._monitor = monitor
         self._survived_at = -math.inf
         self.is_trial = False
-        self.content = _digest(f"{request.content_digest} {request.host} {workspace}")
+        content = _digest(f"{request.content_digest} {request.host} {workspace}")
         parts = request.shared_parts[:MAX_SHARED_PARTS]
-        self._traits = (*map(_make_part_trait, parts), self.content)
+        self.traits = (*map(_make_part_trait, parts), content)
 
     def admit(self) -> str | None:
         """Return what keeps the request from being sent to servers, if anything.
@@ -67,13 +68,13 @@
         """Return what keeps the request from another attempt, if anything."""
         if self._has_survived or self.is_trial:
             return None
-        return self._monitor.find_blocked_trait(self._traits)
+        return self._monitor.find_blocked_trait(self.traits)
 
     def is_undecided(self) -> bool:
         """Return whether the request may be blocked soon, and should wait for that."""
         if self._has_survived or self.is_trial:
             return False
-        return self._monitor.is_undecided(self._traits)
+        return self._monitor.is_undecided(self.traits)
 
     def check_loss(self, backend: Backend, *, has_begun: bool) -> None:
         """Check whether a server that closed its connection has crashed.
@@ -85,7 +86,7 @@
             Whether the server had begun to answer.
         """
         self.is_trial = False
-        self._monitor.check_loss(self._traits, backend, has_begun=has_begun)
+        self._monitor.check_loss(self.traits, backend, has_begun=has_begun)
 
     def record_survival(self, now: float) -> None:
         """Record that a server ran the request to an end, or far into its stream.
@@ -99,7 +100,7 @@
         """
         if now - self._survived_at >= SURVIVAL_INTERVAL_S:
             self._survived_at = now
-            self._monitor.record_survival(self._traits)
+            self._monitor.record_survival(self.traits)
 
 
 def _make_part_trait(part: str) -> str:
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
@@ -279,7 +279,7 @@
         self._metrics.losses_checked.labels(result).inc()
         _log.info(
             "server_loss_checked",
-            content=traits[-1],
+            traits=traits,
             server=backend.server_id,
             data_centre=backend.entry.data_centre,
             result=result,
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -219,6 +219,12 @@
         work.guard = CrashGuard(work.request, workspace, self._monitor)
         trait = work.guard.admit()
         if trait is not None:
+            _log.info(
+                "request_blocked",
+                request=work.request.request_id,
+                trait=trait,
+                traits=work.guard.traits,
+            )
             raise make_not_run_failure(make_crash_reason(trait), step="crash")
         await proceed(work)
 
--- a/packages/operator/src/ebonyhaven_operator/_request_timeline.py
+++ b/packages/operator/src/ebonyhaven_operator/_request_timeline.py
@@ -22,6 +22,15 @@
         "store_regained",
     }
 )
+CRASH_EVENTS = frozenset(
+    {
+        "blocked_trait_tried",
+        "crash_evidence_received",
+        "crashes_cleared",
+        "server_loss_checked",
+        "service_crashed",
+    }
+)
 OMITTED_FIELDS = frozenset({"event", "level", "request", "timestamp"})
 
 
@@ -45,6 +54,14 @@
     event: str
     fields: dict[str, Any]
 
+    @property
+    def traits(self) -> set[str]:
+        """What requests have in common, as named by the line."""
+        traits = self.fields.get("traits")
+        if not isinstance(traits, list):
+            traits = [self.fields.get("trait")]
+        return {trait for trait in traits if isinstance(trait, str)}
+
     def describe(self) -> str:
         """Format the line as text for operators."""
         details = " ".join(
@@ -90,7 +107,9 @@
 
     These are the lines with the id of the request and, between the first and the
     last of them, the state changes that its instances logged about its backend
-    servers, other instances, the store, the configuration and the settings.
+    servers, other instances, the store, the configuration and the settings. What
+    they logged earlier about servers that crashed is relevant as well if the request
+    has a part of its prompt or its content in common with what those were running.
 
     Parameters
     ----------
@@ -123,7 +142,17 @@
         and first <= line.time <= last
         and _is_relevant_to_servers(line, servers)
     ]
-    return sorted([*request_lines, *state_lines], key=lambda line: line.time)
+    traits = set().union(*(line.traits for line in request_lines))
+    crash_lines = [
+        line
+        for line in all_lines
+        if line.event in CRASH_EVENTS
+        and line.source in sources
+        and line.time <= last
+        and not traits.isdisjoint(line.traits)
+    ]
+    timeline = [*request_lines, *state_lines, *crash_lines]
+    return sorted(timeline, key=lambda line: line.time)
 
 
 def _is_relevant_to_servers(line: LogLine, servers: set[str]) -> bool:
--- a/tests/operator_tool/test_request_timeline.py
+++ b/tests/operator_tool/test_request_timeline.py
@@ -50,5 +50,26 @@
     assert "server=s1" in timeline[0].describe()
 
 
+def test_timeline_has_earlier_crashes_of_the_same_parts_and_content():
+    lines = parse_lines(
+        format_line(1, "server_loss_checked", traits=["part a", "c1"], server="s1"),
+        format_line(2, "crash_evidence_received", traits=["part b", "c2"]),
+        format_line(3, "crash_evidence_received", traits=["part a", "c3"]),
+        format_line(4, "crashes_cleared", trait="part a"),
+        format_line(5, "call_sent", request="r1", traits=["part a", "c4"]),
+        format_line(6, "request_failed", request="r1"),
+        format_line(7, "crashes_cleared", trait="part a"),
+    )
+    lines += parse_lines(format_line(4, "crashes_cleared", trait="part a"), source="n2")
+    timeline = build_request_timeline("r1", lines)
+    assert [line.event for line in timeline] == [
+        "server_loss_checked",
+        "crash_evidence_received",
+        "crashes_cleared",
+        "call_sent",
+        "request_failed",
+    ]
+
+
 def test_timeline_of_unknown_request_is_empty():
     assert build_request_timeline("r9", parse_lines(format_line(1, "store_lost"))) == []
--- a/tests/platform_adapter/stand_ins.py
+++ b/tests/platform_adapter/stand_ins.py
@@ -168,6 +168,8 @@
         Open streams.
     drops_next_request : bool
         Whether the connection of the next request is aborted without a response.
+    crashes_on_request : bool
+        Whether the next request ends the server, which then accepts no connection.
     """
 
     isLeaf = True  # noqa: N815 defined by Twisted
@@ -178,6 +180,8 @@
         self.received_headers: list[dict[str, str]] = []
         self.open_streams: list[server.Request] = []
         self.drops_next_request = False
+        self.crashes_on_request = False
+        self.port = None
 
     def render(self, request):
         headers = {
@@ -188,7 +192,9 @@
         request.setHeader("X-Attempt-Id", headers.get("x-attempt-id", ""))
         request.setHeader("X-Server-Stamp", f"stamp-{self.server_id}")
         request.notifyFinish().addErrback(lambda _: self._forget(request))
-        if self.drops_next_request:
+        if self.crashes_on_request:
+            self.port.stopListening()
+        if self.drops_next_request or self.crashes_on_request:
             self.drops_next_request = False
             reactor.callLater(0, request.transport.abortConnection)
             return server.NOT_DONE_YET
@@ -234,6 +240,7 @@
     listening_port = call_in_reactor(
         lambda: reactor.listenTCP(int(port), site, interface=host)
     )
+    stand_in.port = listening_port
     return ListeningStandIn(stand_in, address, listening_port)
 
 
--- a/tests/platform_adapter/test_program.py
+++ b/tests/platform_adapter/test_program.py
@@ -28,15 +28,18 @@
 
 
 class PlatformHarness:
-    """Store, engines in two data centres, a plain server and one instance."""
+    """Store, engines in two data centres, plain servers and one instance."""
 
-    def __init__(self, stack):
+    def __init__(self, stack, *, plain_servers=1):
         self.store = StoreStandIn()
-        self.plain = BackendServerStandIn("p-1")
+        names = [f"p-{number + 1}" for number in range(plain_servers)]
+        self.plains = [BackendServerStandIn(name) for name in names]
+        self.plain = self.plains[0]
         self.engines = {name: BackendServerStandIn(name) for name in ("e-1", "e-2")}
         self.store_listener = listen(self.store)
         stack.callback(self.store_listener.stop)
-        self._register_server("p-1", self.plain, "plain", "dc-a", stack)
+        for plain in self.plains:
+            self._register_server(plain.server_id, plain, "plain", "dc-a", stack)
         self._register_server("e-1", self.engines["e-1"], "engines", "dc-a", stack)
         self._register_server("e-2", self.engines["e-2"], "engines", "dc-b", stack)
         self.node = NodeProcess(self.store_listener.address)
@@ -106,9 +109,9 @@
 
 
 @contextlib.contextmanager
-def start_harness(**options):
+def start_harness(*, plain_servers=1, **options):
     with contextlib.ExitStack() as stack:
-        harness = PlatformHarness(stack)
+        harness = PlatformHarness(stack, plain_servers=plain_servers)
         wait_until(lambda: harness.node.find_lines("instance_registered"))
         harness.configure(**options)
         wait_until(harness.is_ready)
@@ -198,6 +201,33 @@
         assert change["timestamp"] < failure["timestamp"]
 
 
+def test_logs_explain_a_request_that_crashes_servers():
+    with start_harness(plain_servers=4) as harness:
+        for server in harness.plains:
+            server.crashes_on_request = True
+        for number in range(3):
+            crashed = harness.send("/once/x", f"r-crash-{number}").getresponse()
+            assert crashed.status == 502
+        refused = harness.send("/once/x", "r-refused").getresponse()
+        assert refused.status == 503
+        assert sum(len(each.received_headers) for each in harness.plains) == 3
+        checked = harness.node.wait_for_line("server_loss_checked", crashes=[3])
+        assert checked["result"] == "ended"
+        explanation = harness.explain("r-refused")
+        assert "outcome=not_run" in explanation
+        assert "step=crash" in explanation
+        assert checked["traits"][-1] in explanation
+        assert explanation.count("server_loss_checked") == 3
+        status, body = harness.call("metrics", "/metrics")
+        assert status == 200
+        sample = b'ebonyhaven_server_losses_checked_total{result="ended"} 3.0'
+        assert sample in body
+        for server in harness.plains:
+            server.crashes_on_request = False
+        other = harness.send("/once/other", "r-other").getresponse()
+        assert other.status == 200
+
+
 def test_store_outage_is_logged_once_and_does_not_affect_callers():
     with start_harness() as harness:
         harness.store.is_down = True
