Move the losses of servers into a module of their own

Cause: the history of crashes held what a loss is, how it is told and how losses are judged, in 420 lines. Change: _losses holds Loss and LossReport; no behaviour changes. Result: tests of decisions and of forwarding pass.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -12,8 +12,6 @@
     SETTLE_S,
     TRIAL_DELAY_S,
     CrashHistory,
-    LossReport,
-    Traits,
 )
 from ebonyhaven_decisions.forwarding._directory import BackendDirectory
 from ebonyhaven_decisions.forwarding._engine_use import (
@@ -30,6 +28,7 @@
     encode_loss_report,
     encode_survivals,
 )
+from ebonyhaven_decisions.forwarding._losses import LossReport, Traits
 from ebonyhaven_decisions.forwarding._placement import (
     choose_copy_holder,
     choose_engine,
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
@@ -22,13 +22,11 @@
 import itertools
 import math
 from collections.abc import Iterable, Sequence
-from typing import NamedTuple
 
-import attrs
+from ebonyhaven_decisions.forwarding._losses import Loss, LossReport, Traits
 
 MAX_CRASHES_PER_TRAIT = 3
 EVIDENCE_TTL_S = 600.0
-COMMON_CAUSE_WINDOW_S = 0.5  # losses in one data centre within it may have one cause
 SETTLE_S = 0.15  # instances find and report losses within tens of milliseconds
 TRIAL_DELAY_S = 10.0  # after the last loss; by then its servers are back
 TRIAL_MAX_SPREAD_S = 1.0  # of losses that one failure may have caused
@@ -41,57 +39,6 @@
 MAX_SENT_TRAITS = 8192
 MAX_COMPANIONS = 32  # losses at about the same moment that are kept with a loss
 
-Traits = tuple[str, ...]
-
-
-class LossReport(NamedTuple):
-    """The loss of a server under some requests, as told to other instances.
-
-    Parameters
-    ----------
-    process : str
-        Identifies the process of the server.
-    data_centre : str
-    age_s : float
-        Time since the loss, seconds. Ages need no clocks that agree.
-    requests : tuple of tuple of str
-        Traits of each request that the server was running.
-    """
-
-    process: str
-    data_centre: str
-    age_s: float
-    requests: tuple[Traits, ...]
-
-
-@attrs.define(slots=True, eq=False)
-class _Loss:
-    process: str
-    data_centre: str
-    lost_at: float
-    requests: dict[Traits, None] = attrs.Factory(dict)
-    traits: set[str] = attrs.Factory(set)
-    companions: list[_Loss] = attrs.Factory(list)
-
-    def may_share_cause(self, other: _Loss) -> bool:
-        """Return whether one failure of the data centre may have caused both losses."""
-        is_same_place = self.data_centre == other.data_centre
-        return is_same_place and abs(self.lost_at - other.lost_at) <= (
-            COMMON_CAUSE_WINDOW_S
-        )
-
-    def may_be_common_failure(self, trait: str) -> bool:
-        """Return whether a server was lost beside this one without the trait."""
-        return any(trait not in each.traits for each in self.companions)
-
-    def list_more_specific(self, trait: str) -> set[str]:
-        """Return the traits that are more specific in any request with the trait."""
-        found: set[str] = set()
-        for traits in self.requests:
-            if trait in traits:
-                found.update(traits[traits.index(trait) + 1 :])
-        return found
-
 
 class CrashHistory:
     """Losses of servers known to this instance; the oldest one is evicted first.
@@ -112,8 +59,8 @@
 
     def __init__(self, max_crashes: int = MAX_CRASHES_PER_TRAIT):
         self._max_crashes = max_crashes
-        self._losses: dict[str, _Loss] = {}
-        self._idle_losses: dict[str, _Loss] = {}  # under no request that is known
+        self._losses: dict[str, Loss] = {}
+        self._idle_losses: dict[str, Loss] = {}  # under no request that is known
         self._processes_by_trait: dict[str, dict[str, None]] = {}
         self._survived_at: dict[str, float] = {}
 
@@ -292,7 +239,7 @@
             if exported > MAX_SENT_TRAITS:
                 break
             for each in (loss, *loss.companions):
-                reports[each.process] = _make_report(each, each.requests, now)
+                reports[each.process] = each.make_report(each.requests, now)
         return list(reports.values())
 
     def export_survivals(
@@ -350,14 +297,14 @@
             if _count_traits(requests_by_process) > MAX_STORED_TRAITS:
                 break
         return [
-            _make_report(self._losses[process], requests, now)
+            self._losses[process].make_report(requests, now)
             for process, requests in requests_by_process.items()
         ]
 
     def _list_crashes(self, trait: str, now: float, latest: float) -> list[str]:
         """Return the processes whose loss until `latest` counts against a trait."""
         earliest = max(now - EVIDENCE_TTL_S, self._survived_at.get(trait, -math.inf))
-        crashes: dict[str, _Loss] = {}
+        crashes: dict[str, Loss] = {}
         for process in self._processes_by_trait.get(trait, ()):
             loss = self._losses[process]
             if not earliest < loss.lost_at <= latest:
@@ -374,11 +321,11 @@
             set.intersection(*(each.list_more_specific(trait) for each in losses))
         )
 
-    def _find(self, process: str) -> _Loss | None:
+    def _find(self, process: str) -> Loss | None:
         return self._losses.get(process) or self._idle_losses.get(process)
 
-    def _create(self, report: LossReport, now: float) -> _Loss:
-        loss = _Loss(report.process, report.data_centre, now - report.age_s)
+    def _create(self, report: LossReport, now: float) -> Loss:
+        loss = Loss(report.process, report.data_centre, now - report.age_s)
         known = itertools.chain(self._losses.values(), self._idle_losses.values())
         companions = filter(loss.may_share_cause, known)
         for other in itertools.islice(companions, MAX_COMPANIONS):
@@ -412,9 +359,3 @@
 
 def _count_traits(requests_by_process: dict[str, dict[Traits, None]]) -> int:
     return sum(len(traits) for each in requests_by_process.values() for traits in each)
-
-
-def _make_report(loss: _Loss, requests: Iterable[Traits], now: float) -> LossReport:
-    return LossReport(
-        loss.process, loss.data_centre, now - loss.lost_at, tuple(requests)
-    )
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_loss_codec.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_loss_codec.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from ebonyhaven_decisions.forwarding._crash_history import LossReport, Traits
+from ebonyhaven_decisions.forwarding._losses import LossReport, Traits
 
 MS_PER_S = 1000.0
 
--- a/tests/decisions/test_crash_history.py
+++ b/tests/decisions/test_crash_history.py
@@ -9,7 +9,6 @@
     encode_loss_report,
 )
 from ebonyhaven_decisions.forwarding._crash_history import (
-    COMMON_CAUSE_WINDOW_S,
     EVIDENCE_TTL_S,
     MAX_LOSSES,
     MAX_REQUESTS_PER_LOSS,
@@ -17,6 +16,7 @@
     SETTLE_S,
     TRIAL_DELAY_S,
 )
+from ebonyhaven_decisions.forwarding._losses import COMMON_CAUSE_WINDOW_S
 
 SETTLED_AT = 100.0 + SETTLE_S
 
