Log the limits on requests that servers name

Cause: a server can name in its answers how many requests a second it takes from all instances together. Nothing decoded it, and the header went on to callers, so that no log line could tell whether an instance knew of a limit.

No decision uses it yet.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -108,6 +108,9 @@
         Time before which the full server is left alone, seconds.
     slow_until : float
         Time before which other servers are preferred, seconds.
+    request_rate_limit : float or None
+        Requests per second that the server takes from all instances together; None
+        while it names no limit.
     removed_at : float or None
         Time at which the entry was removed, seconds; None while it is listed.
     """
@@ -127,6 +130,7 @@
     refusals: int = 0
     resting_until: float = -math.inf
     slow_until: float = -math.inf
+    request_rate_limit: float | None = None
     removed_at: float | None = None
 
     @property
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -111,6 +111,8 @@
         self.backend.record_received(now)
         if head.load is not None:
             self.backend.record_load(head.load, now)
+        if head.request_id is not None and not head.is_other_process:
+            self._context.report_rate_limit(self.backend, head.request_rate_limit)
         self.head = head
         self._inbox.put(ResponseStarted(self, head))
         return True
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -182,6 +182,26 @@
         """
         backend.record_refused(self.clock(), self.rng.random())
 
+    def report_rate_limit(self, backend: Backend, limit: float | None) -> None:
+        """Record the limit that a server names in an answer, or that it names none.
+
+        Parameters
+        ----------
+        backend : Backend
+        limit : float or None
+            Requests per second from all instances together.
+        """
+        before = backend.request_rate_limit
+        if limit == before:
+            return
+        backend.request_rate_limit = limit
+        _log.info(
+            "backend_rate_limit_changed",
+            server=backend.server_id,
+            requests_per_s=limit,
+            before=before,
+        )
+
     def probe(self, backend: Backend, inbox: Inbox) -> None:
         """Check whether a server accepts connections.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -207,6 +207,9 @@
         Id of that process, if the response states it.
     load : int or None
         Running and waiting requests of the server.
+    request_rate_limit : float or None
+        Requests per second that the server takes from all instances together; None
+        if it names no limit.
     """
 
     status: int
@@ -217,3 +220,4 @@
     is_other_process: bool
     other_server_id: str | None
     load: int | None
+    request_rate_limit: float | None = None
