Keep the limits on requests that servers name, all instances together

Callers saw a service fail whose servers had asked for fewer requests: each got as many as before. Cause: nothing acted on the limit; instances chose servers by load and latency. Class: a bound that holds for all instances together, and that each of them has to keep on every path to a server.

Change: each process of a server has a pacer, which everything that is sent to it passes (first, second and resumed attempts, hedges, calls for copies). A few instances, chosen by rendezvous hashing, share the limit; a new one starts with nothing saved up. Limits and their end are told to all instances, and to those that join. A request that no server takes is refused at once; a stream waits only if its turn comes within its target.

Equal shares for 60 instances would let 60 come at once. Without an answer for 10 s all have a share again, so that the end of a limit is found.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -38,6 +38,11 @@
     select_replaceable_engines,
 )
 from ebonyhaven_decisions.forwarding._priorities import choose_engine_priority
+from ebonyhaven_decisions.forwarding._request_pacing import (
+    CONFIRMATION_TTL_S,
+    RequestPacer,
+    count_holders,
+)
 from ebonyhaven_decisions.forwarding._restored_list import merge_restored_list
 from ebonyhaven_decisions.forwarding._routes import (
     EngineTraits,
@@ -73,6 +78,7 @@
 )
 
 __all__ = [
+    "CONFIRMATION_TTL_S",
     "SERVER_PROBE_INTERVAL_S",
     "SETTLE_S",
     "TRIAL_DELAY_S",
@@ -89,6 +95,7 @@
     "PeerEngineUse",
     "PrefillRate",
     "RequestKind",
+    "RequestPacer",
     "Route",
     "RoutingConfiguration",
     "StreamIndex",
@@ -114,6 +121,7 @@
     "choose_recorder",
     "compute_first_event_limits",
     "compute_gap_limits",
+    "count_holders",
     "count_queued_prefill_tokens",
     "fits_in_memory",
     "decode_loss_report",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from ebonyhaven_decisions.forwarding._request_pacing import RequestPacer
+
 SUSPECT_MIN_S = 0.4  # a third of the restart time of a server on a fast machine
 SUSPECT_MAX_S = 3.0  # limits the time until a recovered server is sent requests
 REPLACED_SUSPECT_S = 10.0  # exceeds the time for which a dead process stays listed
@@ -108,9 +110,8 @@
         Time before which the full server is left alone, seconds.
     slow_until : float
         Time before which other servers are preferred, seconds.
-    request_rate_limit : float or None
-        Requests per second that the server takes from all instances together; None
-        while it names no limit.
+    pacer : RequestPacer
+        Paces requests while the server limits those of all instances together.
     removed_at : float or None
         Time at which the entry was removed, seconds; None while it is listed.
     """
@@ -130,7 +131,7 @@
     refusals: int = 0
     resting_until: float = -math.inf
     slow_until: float = -math.inf
-    request_rate_limit: float | None = None
+    pacer: RequestPacer = attrs.Factory(RequestPacer)
     removed_at: float | None = None
 
     @property
@@ -176,7 +177,7 @@
         return self.failures == 0 or self.in_flight == 0
 
     def accepts(self, now: float) -> bool:
-        """Return whether the server is expected to have room for a request.
+        """Return whether the server is expected to take a request now.
 
         Designed for many instances that share a server with few slots: if each sent
         its rejected requests again at once, most arrivals would be rejected ones.
@@ -186,10 +187,32 @@
         now : float
             Seconds.
         """
+        if not self.pacer.may_send(now):
+            return False
         if self.refusals == 0:
             return True
         return now >= self.resting_until and self.in_flight == 0
 
+    def acquire_request(self, now: float) -> bool:
+        """Count a request or call that is about to be sent, unless a limit forbids it.
+
+        Everything that an instance sends to a server passes here.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        bool
+            Whether it may be sent.
+        """
+        if not self.pacer.may_send(now):
+            return False
+        self.pacer.record_sent(now)
+        return True
+
     def can_resume_from_copy(self, now: float) -> bool:
         """Return whether a run may resume from a copy on this server.
 
@@ -198,7 +221,7 @@
         now : float
             Seconds.
         """
-        if self.is_leaving:
+        if self.is_leaving or not self.pacer.may_send(now):
             return False
         return now >= self.suspect_until
 
@@ -215,6 +238,8 @@
         """
         if self.removed_at is None or self.entry.state is not BackendState.READY:
             return False
+        if not self.pacer.may_send(now):
+            return False
         return now - self.removed_at < REMOVED_USABLE_S and now >= self.suspect_until
 
     def record_unreachable(self, now: float) -> None:
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Iterable, Iterator
 
+from ebonyhaven_decisions._rendezvous import choose_instances
 from ebonyhaven_decisions.forwarding._backends import (
     REMOVED_USABLE_S,
     Backend,
@@ -12,17 +13,30 @@
     BackendState,
 )
 from ebonyhaven_decisions.forwarding._removed_versions import RemovedVersions
+from ebonyhaven_decisions.forwarding._request_pacing import count_holders
 
 # The loss of the other servers of a failed data centre is detected within this time.
 DATA_CENTRE_SUSPECT_S = 0.8
+MAX_UNLISTED_LIMITS = 100  # told by other instances before the list shows the servers
 
 
 class BackendDirectory:
     """Backend servers, listed or recently removed, by server id."""
 
-    __slots__ = ("_by_id", "_lost_at", "_removed", "_versions")
+    __slots__ = (
+        "_by_id",
+        "_instances",
+        "_lost_at",
+        "_own_name",
+        "_removed",
+        "_unlisted_limits",
+        "_versions",
+    )
 
     def __init__(self) -> None:
+        self._own_name = ""
+        self._instances: tuple[str, ...] = ("",)
+        self._unlisted_limits: dict[str, float] = {}  # by process
         self._lost_at: dict[str, float] = {}  # by data centre
         self._by_id: dict[str, Backend] = {}
         self._removed: dict[str, Backend] = {}
@@ -70,6 +84,9 @@
             if known is not None:
                 self._versions.record(known.entry, now)
             known = Backend(entry)
+            limit = self._unlisted_limits.pop(known.process_id, None)
+            if limit is not None:
+                self.record_rate_limit(known, limit, now)
         known.entry = entry
         known.removed_at = None
         self._by_id[entry.server_id] = known
@@ -114,6 +131,109 @@
         backend.record_unreachable(now)
         self._lost_at[backend.entry.data_centre] = now
 
+    def set_instances(self, own_name: str, names: Iterable[str], now: float) -> None:
+        """Set the instances that share the limits of servers.
+
+        Parameters
+        ----------
+        own_name : str
+        names : iterable of str
+            All that are not dead, this one included.
+        now : float
+            Seconds.
+        """
+        self._own_name = own_name
+        self._instances = tuple(names)
+        for backend in self._by_id.values():
+            if backend.pacer.limit is not None:
+                self._update_share(backend, now)
+
+    def record_rate_limit(
+        self, backend: Backend, limit: float | None, now: float
+    ) -> None:
+        """Record the limit that an answer of a server names, or that it names none.
+
+        Parameters
+        ----------
+        backend : Backend
+        limit : float or None
+            Requests per second from all instances together.
+        now : float
+            Seconds.
+        """
+        backend.pacer.set_limit(limit, now)
+        if limit is not None:
+            self._update_share(backend, now)
+
+    def record_told_rate_limit(
+        self, process_id: str, limit: float | None, now: float
+    ) -> None:
+        """Record a limit that another instance told of.
+
+        Parameters
+        ----------
+        process_id : str
+            See `Backend.process_id`; may be listed later.
+        limit : float or None
+        now : float
+            Seconds.
+        """
+        for backend in self._by_id.values():
+            if backend.process_id == process_id:
+                self.record_rate_limit(backend, limit, now)
+                return
+        self._unlisted_limits.pop(process_id, None)
+        if limit is not None and len(self._unlisted_limits) < MAX_UNLISTED_LIMITS:
+            self._unlisted_limits[process_id] = limit
+
+    def _update_share(self, backend: Backend, now: float) -> None:
+        count = count_holders(backend.pacer.limit, len(self._instances))
+        holders = choose_instances(backend.process_id, self._instances, count)
+        backend.pacer.set_share(
+            is_holder=self._own_name in holders,
+            instances=len(self._instances),
+            now=now,
+        )
+
+    def find_limit_end(
+        self,
+        service: str,
+        now: float,
+        *,
+        version: str | None = None,
+        ahead: int = 0,
+    ) -> float | None:
+        """Return when a request may be sent to a server, if limits forbid it now.
+
+        Parameters
+        ----------
+        service : str
+        now : float
+            Seconds.
+        version : str or None
+            Software version of the servers; None for any.
+        ahead : int
+            Requests of this instance that are to be sent before.
+
+        Returns
+        -------
+        float or None
+            Seconds; infinite if this instance leaves the servers to others. None if
+            some ready server is not kept from requests by its limit, or there is none.
+        """
+        pacers = [
+            each.pacer
+            for each in self._by_id.values()
+            if each.entry.service == service
+            and not each.is_leaving
+            and version in (None, each.software_version)
+        ]
+        first = min((each.find_next(now) for each in pacers), default=now)
+        if first <= now:
+            return None
+        rate = sum(each.compute_rate(now) for each in pacers)
+        return first + ahead / rate if rate else math.inf
+
     def count_suspects(self, data_centre: str, now: float) -> int:
         """Return the number of suspect servers in a data centre.
 
--- a/packages/node/src/ebonyhaven_node/_frames.py
+++ b/packages/node/src/ebonyhaven_node/_frames.py
@@ -34,6 +34,7 @@
     STREAM_RECORD_ANSWER = "n"
     SERVER_LOSSES = "b"
     CRASHES = "f"
+    SERVER_LIMITS = "i"
 
 
 class Frame(NamedTuple):
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -80,7 +80,12 @@
     def start(self) -> None:
         """Send the request on an idle connection, or on a new one if none is idle."""
         self.backend.in_flight += 1
-        self.sent_at = self._context.clock()
+        now = self.sent_at = self._context.clock()
+        if not self.backend.acquire_request(now):
+            self._finish()
+            reason = "the server limits its requests"
+            self._inbox.put(AttemptFailed(self, False, True, reason))
+            return
         address = self.backend.entry.address
         connection = self._context.pool.acquire_idle(address, self._request.request_id)
         if connection is not None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -22,6 +22,7 @@
 from ebonyhaven_node.forwarding._exchanges import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._outcomes import (
+    LIMITED_REASON,
     NO_SERVER_RETRY_AFTER_S,
     NOT_RUN_STATUSES,
     make_crash_reason,
@@ -138,10 +139,19 @@
                 self._start_attempt()
             return
         may_start = not self._is_exhausted() and not self._is_blocked()
-        if may_start and (self._start_attempt() or now < self._server_wait_deadline):
+        if may_start and (self._start_attempt() or self._may_wait(now)):
             return
         self._finish_without_success()
 
+    def _may_wait(self, now: float) -> bool:
+        """Return whether a server may take the request soon."""
+        if now >= self._server_wait_deadline:
+            return False
+        if self._context.state.backends.find_limit_end(self._service, now) is None:
+            return True
+        self._last_reason = LIMITED_REASON
+        return False
+
     def _is_blocked(self) -> bool:
         return self._guard.find_blocked_trait() is not None
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -55,6 +55,8 @@
     prefill_rate : PrefillRate
     stream_durations : dict of str to StreamDurations
         By route name; bounded by the number of stream routes.
+    waiting_streams : dict of str to list
+        Ids of the requests that wait for a server, by service, in order of arrival.
     suspicion_notifier : SuspicionNotifier
     capacity_notifier : CapacityNotifier
     crash_notifier : CrashNotifier
@@ -75,6 +77,8 @@
         Called with each server that this instance found unreachable or silent.
     on_other_process : callable
         Called with a server and the id of the process that now uses its address.
+    on_rate_limit : callable
+        Called with a server that names a limit, or names none after one.
     """
 
     state: ForwardingState
@@ -85,6 +89,7 @@
     peers: PeerEngineUse
     prefill_rate: PrefillRate
     stream_durations: dict[str, StreamDurations]
+    waiting_streams: dict[str, list[str]]
     suspicion_notifier: SuspicionNotifier
     capacity_notifier: CapacityNotifier
     crash_notifier: CrashNotifier
@@ -99,6 +104,7 @@
     on_usage_change: Callable[[], None] = lambda: None
     on_loss: Callable[[Backend], None] = lambda _: None
     on_other_process: Callable[[Backend, str], None] = lambda *_: None
+    on_rate_limit: Callable[[Backend], None] = lambda _: None
 
     def get_stream_durations(self, route_name: str) -> StreamDurations:
         """Return the average durations of the streams of a route.
@@ -191,10 +197,13 @@
         limit : float or None
             Requests per second from all instances together.
         """
-        before = backend.request_rate_limit
+        before = backend.pacer.limit
+        if limit is None and before is None:
+            return
+        self.state.backends.record_rate_limit(backend, limit, self.clock())
+        self.on_rate_limit(backend)
         if limit == before:
             return
-        backend.request_rate_limit = limit
         _log.info(
             "backend_rate_limit_changed",
             server=backend.server_id,
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -312,6 +312,7 @@
             peers=self._peers,
             prefill_rate=PrefillRate(),
             stream_durations={},
+            waiting_streams={},
             suspicion_notifier=SuspicionNotifier(),
             capacity_notifier=self._capacity_notifier,
             crash_notifier=self._crash_notifier,
@@ -324,6 +325,7 @@
             on_usage_change=self._schedule_use_update,
             on_loss=self._report_lost_server,
             on_other_process=self._adopter.inspect_replacement,
+            on_rate_limit=self._report_rate_limit,
             crash_monitor=self._crash_monitor,
             stream_index=self._stream_index,
         )
@@ -364,6 +366,10 @@
         if self._peer_group is not None:
             self._peer_group.report_survival(trait)
 
+    def _report_rate_limit(self, backend: Backend) -> None:
+        if self._peer_group is not None:
+            self._peer_group.report_rate_limit(backend)
+
     def _report_lost_server(self, backend: Backend) -> None:
         if self._peer_group is not None:
             self._peer_group.report_lost_server(backend)
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -21,6 +21,7 @@
 from ebonyhaven_node._membership import MembershipController
 from ebonyhaven_node._own_record import make_own_record
 from ebonyhaven_node._processor_load import ProcessorLoad
+from ebonyhaven_node.forwarding._limit_exchange import LimitExchange
 from ebonyhaven_node.forwarding._settings import GatewaySettings
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
 from ebonyhaven_node.forwarding._sharing import (
@@ -140,6 +141,14 @@
             on_received=on_peer_losses,
         )
         self._stack.callback(self._crash_exchange.stop)
+        self._limit_exchange = LimitExchange(
+            state=state,
+            membership=membership,
+            channels=channels,
+            reactor=reactor,
+            clock=clock,
+        )
+        self._stack.callback(self._limit_exchange.stop)
         stream_index.connect(membership, channels)
         self._stack.callback(stream_index.stop)
 
@@ -183,6 +192,15 @@
         """
         self._crash_exchange.publish_loss(process)
 
+    def report_rate_limit(self, backend: Backend) -> None:
+        """Report a server that names a limit, or names none after one.
+
+        Parameters
+        ----------
+        backend : Backend
+        """
+        self._limit_exchange.publish(backend)
+
     def report_survival(self, trait: str) -> None:
         """Report that a server ran a request without a crash.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
@@ -177,7 +177,7 @@
             self._publish(None)
         if self._pending_request is not None:
             self._pending_request.cancel()
-        if is_deleted:
+        if is_deleted and self._source.acquire_request(self._context.clock()):
             deletion = ensureDeferred(
                 self._context.copier.delete_copy(
                     source=self._source.entry.address, handle=self._handle
@@ -236,6 +236,8 @@
 
     def _request_copy(self, holder: Backend, now: float) -> None:
         self._requested_at = now
+        if not self._source.acquire_request(now):
+            return
         request = self._pending_request = ensureDeferred(
             self._context.copier.copy_run(
                 source=self._source.entry.address,
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -10,6 +10,7 @@
 from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._earlier_runs import EarlierRun
 from ebonyhaven_node.forwarding._outcomes import (
+    LIMITED_REASON,
     NO_SERVER_RETRY_AFTER_S,
     make_crash_reason,
 )
@@ -163,7 +164,7 @@
         reason = self._find_permanent_reason(now)
         if reason is not None:
             return GiveUpReason(reason, retry_after_s=None)
-        reason = self._find_exceeded_limit(now)
+        reason = self._find_exceeded_limit(now) or self._find_server_limit(now)
         if reason is not None:
             return GiveUpReason(reason, retry_after_s=NO_SERVER_RETRY_AFTER_S)
         return None
@@ -193,6 +194,17 @@
             return self.last_reason
         return self._check_attempts()
 
+    def _find_server_limit(self, now: float) -> str | None:
+        """Return a reason if no server takes a request within the target."""
+        limit_end = self._server_selector.find_limit_end(
+            self._request.request_id, now, self._version.name
+        )
+        if limit_end is None:
+            return None
+        waited_s, target_s = self._progress.measure_wait(now)
+        is_in_time = waited_s + limit_end - now <= target_s
+        return None if is_in_time else LIMITED_REASON
+
     def _check_attempts(self) -> str | None:
         has_attempts = self._has_attempts() or self.is_undecided()
         if has_attempts and self._tried_servers < MAX_TRIED_SERVERS:
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
@@ -80,6 +80,29 @@
         peers = self._context.peers.sum_by_server(now)
         return have_room(engines, self._engine.memory_tokens, peers)
 
+    def find_limit_end(
+        self, request_id: str, now: float, version: str | None = None
+    ) -> float | None:
+        """Return when a waiting request may be sent, if limits forbid it now.
+
+        See `BackendDirectory.find_limit_end`.
+
+        Parameters
+        ----------
+        request_id : str
+        now : float
+            Seconds.
+        version : str or None
+            Software version of the servers; None for any.
+        """
+        line = self._context.waiting_streams.get(self._service, [])
+        return self._context.state.backends.find_limit_end(
+            self._service,
+            now,
+            version=version,
+            ahead=line.index(request_id) if request_id in line else 0,
+        )
+
     def choose(
         self,
         prompt_id: str,
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -158,6 +158,8 @@
     async def _wait_for_target(self) -> _Target | None:
         """Wait for a server with capacity; return None if the request has ended."""
         self._context.capacity_notifier.subscribe(self._inbox)
+        line = self._context.waiting_streams.setdefault(self._service, [])
+        line.append(self._request.request_id)
         try:
             while not self._exchange.is_done:
                 now = self._context.clock()
@@ -172,6 +174,7 @@
                 while message is not None and not isinstance(message, CapacityChanged):
                     message = await self._inbox.get(0.0)
         finally:
+            line.remove(self._request.request_id)
             self._context.capacity_notifier.unsubscribe(self._inbox)
         return None
 
--- /dev/null
+++ b/tests/forwarding/test_limit_exchange.py
@@ -0,0 +1,107 @@
+"""Limits of servers are told to all instances, new ones included."""
+
+from __future__ import annotations
+
+from ebonyhaven_decisions import MemberState
+from ebonyhaven_node import Frame, FrameKind
+from ebonyhaven_node.forwarding._limit_exchange import RENEWAL_S, LimitExchange
+from twisted.internet.task import Clock
+
+from tests.forwarding.harness import ForwardingHarness
+from tests.forwarding.test_sharing import FakeChannels, FakeMembership
+
+PROCESS = "p-0/1"
+
+
+class Instance:
+    """An instance that takes part in the exchange."""
+
+    def __init__(self, *others):
+        self.clock = Clock()
+        self.state = ForwardingHarness().state
+        self.membership = FakeMembership(*others)
+        self.channels = FakeChannels()
+        self.exchange = LimitExchange(
+            state=self.state,
+            membership=self.membership,
+            channels=self.channels,
+            reactor=self.clock,
+            clock=self.clock.seconds,
+        )
+        self.backend = self.state.backends.find("p-0")
+
+    def hear(self, limit):
+        """Take an answer of the server that names a limit or None."""
+        now = self.clock.seconds()
+        self.state.backends.record_rate_limit(self.backend, limit, now)
+        self.exchange.publish(self.backend)
+        self.clock.advance(0.02)
+
+    def receive(self, payload):
+        frame = Frame(FrameKind.SERVER_LIMITS, "n2", 1, payload)
+        self.channels.handlers[FrameKind.SERVER_LIMITS](frame)
+
+    def take_sent(self):
+        sent, self.membership.sent = self.membership.sent, []
+        return sent
+
+
+def test_a_limit_and_its_end_are_told_to_all_instances():
+    instance = Instance("n2", "n3")
+    instance.hear(2.0)
+    told = FrameKind.SERVER_LIMITS, {PROCESS: 2.0}
+    assert instance.take_sent() == [("n2", *told), ("n3", *told)]
+    instance.hear(None)
+    ended = FrameKind.SERVER_LIMITS, {PROCESS: None}
+    assert ("n2", *ended) in instance.take_sent()
+
+
+def test_unchanged_limit_is_told_again_after_some_time_only():
+    instance = Instance("n2")
+    instance.hear(2.0)
+    instance.clock.advance(1.0)  # the message is sent twice
+    instance.take_sent()
+    instance.hear(2.0)
+    assert not instance.take_sent()
+    instance.clock.advance(RENEWAL_S)
+    instance.hear(2.0)
+    assert instance.take_sent()
+
+
+def test_told_limit_holds_and_ends():
+    instance = Instance("n2")
+    instance.receive({PROCESS: 2.5})
+    assert instance.backend.pacer.limit == 2.5
+    instance.receive({PROCESS: None})
+    assert instance.backend.pacer.limit is None
+
+
+def test_malformed_limits_are_dropped():
+    instance = Instance("n2")
+    for payload in ([1], {PROCESS: "many"}, None):
+        instance.receive(payload)
+    assert instance.backend.pacer.limit is None
+
+
+def test_new_instance_is_told_all_limits():
+    instance = Instance("n2", "n3")
+    instance.hear(2.0)
+    instance.clock.advance(1.0)
+    instance.take_sent()
+    joined = instance.membership.members[1]._replace(incarnation=2)
+    for observer in instance.membership.observers:
+        observer(joined)
+    expected = ("n2", FrameKind.SERVER_LIMITS, {PROCESS: 2.0})
+    assert instance.take_sent() == [expected]
+
+
+def test_share_follows_the_instances_that_are_not_dead():
+    instance = Instance("n2")
+    record = instance.membership.members[1]
+    instance.membership.observers[-1](record)
+    instance.hear(2.0)
+    shared = instance.backend.pacer.compute_rate(instance.clock.seconds())
+    instance.membership.members[1] = record._replace(state=MemberState.DEAD)
+    instance.membership.observers[-1](record)
+    alone = instance.backend.pacer.compute_rate(instance.clock.seconds())
+    assert (shared, alone) == (1.0, 2.0)
--- a/tests/forwarding/test_named_limits.py
+++ b/tests/forwarding/test_named_limits.py
@@ -123,3 +123,47 @@
         harness = ForwardingHarness(plain=1)
         callers, _ = press(harness, {harness.find_address("p-0"): value}, 0.5)
         assert {caller.read_answer()[0] for caller in callers} == {200}
+
+
+def test_second_attempts_keep_the_limit_that_a_server_names():
+    harness = ForwardingHarness(plain=2)
+    limited = harness.find_address("p-0")
+    arrivals = []
+    for number in range(120):
+        harness.open_caller().request("/repeat/x", request_id=f"r{number}")
+        for _ in range(2):
+            harness.advance(0.025)
+            for connection in harness.connections:
+                if connection.has_request():
+                    head, _ = connection.read_request()
+                    request_id = dict(head.headers)[b"x-attempt-id"].decode()
+                    arrivals.append((harness.reactor.seconds(), connection.address))
+                    named = str(LIMIT) if connection.address == limited else None
+                    failed = answer(request_id, status=500, Server_Limit=named)
+                    connection.receive(failed)
+    after = [each for each in arrivals if each[0] > arrivals[0][0] + 0.5]
+    assert count_busiest_span(after, limited) <= LIMIT * SPAN_S + 1
+
+
+def test_stream_beyond_the_limit_is_refused_at_once():
+    # Those ahead of it in line use up what its server takes within its target.
+    harness = ForwardingHarness(engines=1)
+    engine = harness.state.backends.find("e-0")
+    harness.state.backends.record_rate_limit(engine, LIMIT, harness.reactor.seconds())
+    callers = [harness.open_caller() for _ in range(15)]
+    for number, caller in enumerate(callers):
+        caller.request("/stream/x", request_id=f"s{number}", X_Token_Count="10,10")
+    harness.advance(0.05)
+    is_refused = [b" 503 " in caller.received for caller in callers]
+    assert is_refused[-1]
+    assert not is_refused[0]
+
+
+def test_copies_of_runs_keep_the_limit_of_the_engine():
+    harness = ForwardingHarness()
+    engine = harness.state.backends.find("e-0")
+    now = harness.reactor.seconds()
+    harness.state.backends.record_rate_limit(engine, 0.1, now)
+    assert engine.acquire_request(now)
+    assert not engine.acquire_request(now)
+    assert not engine.can_resume_from_copy(now)
