--- a/tests/platform_adapter/soak/_servers.py
+++ b/tests/platform_adapter/soak/_servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections import deque
 from typing import NamedTuple
@@ -17,6 +18,7 @@
 LATE_EXTRA_S = (0.0, 0.06)
 STREAM_EVENTS = 12
 EVENT_INTERVAL_S = 0.02
+OWN_ERROR_STATUSES = (500, 503, 429, 408)  # of requests that the server ran
 
 
 class Arrival(NamedTuple):
@@ -117,6 +119,7 @@
         self._arrivals = arrivals
         self._faults = faults
         self._rng: random.Random = rng
+        self._error_statuses = itertools.cycle(OWN_ERROR_STATUSES)
         self._crashing_path = crashing_path
         self._on_crash = on_crash
         self._running = 0
@@ -189,7 +192,8 @@
         else:
             failed = self._rng.random() < self._faults.own_errors
             body = f"answer to {request_id}".encode()
-            self._send(connection, request_id, 500 if failed else 200, body, stamp=True)
+            status = next(self._error_statuses) if failed else 200
+            self._send(connection, request_id, status, body, stamp=True)
         self._run_next()
 
     def _refuse(self, connection, request_id, path, status) -> None:
