--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -56,6 +56,10 @@
     group_routes,
 )
 from ebonyhaven_decisions.forwarding._selection import choose_backend
+from ebonyhaven_decisions.forwarding._server_contact import (
+    ServerContact,
+    choose_checked_servers,
+)
 from ebonyhaven_decisions.forwarding._startup import StateWaitLimits
 from ebonyhaven_decisions.forwarding._stream_index import (
     StreamIndex,
@@ -100,6 +104,7 @@
     "RoutingConfiguration",
     "StreamIndex",
     "RunCopyLocation",
+    "ServerContact",
     "ServerListVersion",
     "Service",
     "ServiceRetryBudget",
@@ -112,6 +117,7 @@
     "Traits",
     "Workspace",
     "choose_backend",
+    "choose_checked_servers",
     "choose_copy_holder",
     "choose_engine",
     "choose_engine_priority",
--- /dev/null
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_server_contact.py
@@ -0,0 +1,143 @@
+"""Whether an instance reaches any backend server at all.
+
+Designed for an instance that is cut off from all servers while callers, the store and
+other instances reach it. Each of its connections fails as if that server were lost.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterable
+
+from ebonyhaven_decisions.forwarding._backends import Backend, BackendState
+
+# Failures at fewer servers are usual; data from any other server then proves contact.
+SUSPICIOUS_FAILURES = 3
+CHECKED_SERVERS = 4  # probed at once, in different data centres and services
+CHECK_INTERVAL_S = 0.2  # in which failures after a proof of contact prove nothing
+
+
+class ServerContact:
+    """Evidence of whether any backend server can be reached.
+
+    Attributes
+    ----------
+    is_lost : bool
+        Whether all servers that were probed together accepted no connection.
+    """
+
+    __slots__ = (
+        "_connected_at",
+        "_failed",
+        "_failed_at",
+        "_received_at",
+        "is_lost",
+    )
+
+    def __init__(self) -> None:
+        self.is_lost = False
+        self._failed: set[str] = set()  # addresses, since the last connection
+        self._failed_at = -math.inf
+        self._connected_at = -math.inf
+        self._received_at: dict[str, float] = {}
+
+    def record_connected(self, now: float) -> None:
+        """Record that a server accepted a connection.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        self._connected_at = now
+        self._failed.clear()
+        self._received_at.clear()
+        self.is_lost = False
+
+    def record_received(self, address: str, now: float) -> None:
+        """Record data of a server on a connection that it accepted before.
+
+        Parameters
+        ----------
+        address : str
+        now : float
+            Seconds.
+        """
+        if self._failed:
+            self._received_at[address] = now
+
+    def record_failed(self, address: str, now: float) -> None:
+        """Record that a server accepted no connection.
+
+        Parameters
+        ----------
+        address : str
+        now : float
+            Seconds.
+        """
+        if not self._failed:
+            self._failed_at = now
+        self._failed.add(address)
+
+    def is_check_due(self, now: float) -> bool:
+        """Return whether servers should be probed to tell whether all are lost.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        if self.is_lost or not self._failed:
+            return False
+        if now - self._connected_at < CHECK_INTERVAL_S:
+            return False
+        return len(self._failed) >= SUSPICIOUS_FAILURES or not self._has_received()
+
+    def record_check_failed(self) -> None:
+        """Record that no server that was probed accepted a connection."""
+        self.is_lost = True
+
+    def _has_received(self) -> bool:
+        """Return whether servers that did not fail have sent data since."""
+        return any(
+            address not in self._failed and at >= self._failed_at
+            for address, at in self._received_at.items()
+        )
+
+
+def choose_checked_servers(
+    backends: Iterable[Backend], *, excluded: str | None, rng: random.Random
+) -> list[Backend]:
+    """Return servers to probe, of as many data centres and services as possible.
+
+    Parameters
+    ----------
+    backends : iterable of Backend
+    excluded : str or None
+        Address that accepted no connection.
+    rng : random.Random
+
+    Returns
+    -------
+    list of Backend
+        The server at the excluded address is returned if there is no other.
+    """
+    ready = [each for each in backends if each.entry.state is BackendState.READY]
+    others = [each for each in ready if each.entry.address != excluded] or ready
+    rng.shuffle(others)
+    chosen: list[Backend] = []
+    while others and len(chosen) < CHECKED_SERVERS:
+        others.sort(key=lambda each: _count_alike(each, chosen))  # keeps random order
+        chosen.append(others.pop(0))
+    return chosen
+
+
+def _count_alike(backend: Backend, chosen: Iterable[Backend]) -> int:
+    """Return how many servers share its data centre or its service."""
+    entry = backend.entry
+    return sum(
+        (each.entry.data_centre == entry.data_centre)
+        + (each.entry.service == entry.service)
+        for each in chosen
+    )
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -114,6 +114,7 @@
             head = head._replace(not_run=False, is_other_process=False)
         now = self._context.clock()
         self.backend.record_received(now)
+        self._context.contact.record_received(self.backend)
         if head.load is not None:
             self.backend.record_load(head.load, now)
         if head.request_id is not None and not head.is_other_process:
@@ -125,6 +126,7 @@
     def handle_data(self, data: bytes) -> None:
         """See `ResponseHandler.handle_data`."""
         self.backend.last_received_at = self._context.clock()
+        self._context.contact.record_received(self.backend)
         if not self.is_finished:
             self._inbox.put(ResponseData(self, data))
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_connection_pool.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_connection_pool.py
@@ -117,8 +117,28 @@
         self._clock = clock
         self._idle: dict[str, list[HttpConnection]] = {}
         self._open_counts: dict[str, int] = {}
+        self._on_connected: Callable[[str], None] = lambda _: None
+        self._on_failed: Callable[[str, ConnectFailure], None] = lambda *_: None
         self.opened_count = 0
 
+    def observe_connections(
+        self,
+        on_connected: Callable[[str], None],
+        on_failed: Callable[[str, ConnectFailure], None],
+    ) -> None:
+        """Set functions to call about each new connection.
+
+        Parameters
+        ----------
+        on_connected : callable
+            Called with the address of each established connection.
+        on_failed : callable
+            Called with the address and the failure of each other one, unless it was
+            cancelled.
+        """
+        self._on_connected = on_connected
+        self._on_failed = on_failed
+
     def count_open(self, address: str) -> int:
         """Return the number of open connections to an address, busy and idle.
 
@@ -196,6 +216,7 @@
         def handle_connected(established: HttpConnection) -> None:
             self._open_counts[address] = self._open_counts.get(address, 0) + 1
             self.opened_count += 1
+            self._on_connected(address)
             if pending.finish():
                 on_connected(established)
             else:
@@ -203,6 +224,7 @@
 
         def handle_failure(failure: ConnectFailure) -> None:
             if pending.finish():
+                self._on_failed(address, failure)
                 on_failed(failure)
 
         connection.on_connected = handle_connected
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -20,6 +20,7 @@
 
 from ebonyhaven_node._byte_budgets import ByteBudget
 from ebonyhaven_node.forwarding._connection_pool import ConnectFailure, ConnectionPool
+from ebonyhaven_node.forwarding._contact_monitor import ContactMonitor
 from ebonyhaven_node.forwarding._crash_monitor import CrashMonitor
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._loss_probes import PROBE_TIMEOUT_S
@@ -65,6 +66,7 @@
     metrics : ForwardingMetrics
     crash_monitor : CrashMonitor
     stream_index : SharedStreamIndex
+    contact : ContactMonitor
     data_centre : str
         Data centre of this instance.
     reactor : IReactorTime
@@ -97,6 +99,7 @@
     metrics: ForwardingMetrics
     crash_monitor: CrashMonitor
     stream_index: SharedStreamIndex
+    contact: ContactMonitor
     data_centre: str
     reactor: IReactorTime
     rng: random.Random
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -31,6 +31,7 @@
     SWEEP_INTERVAL_S,
     ConnectionPool,
 )
+from ebonyhaven_node.forwarding._contact_monitor import ContactMonitor
 from ebonyhaven_node.forwarding._context import (
     RelayContext,
 )
@@ -136,6 +137,14 @@
             inspector=build_inspector(self.pool),
             clock=clock,
         )
+        self._contact = ContactMonitor(
+            state=self.state,
+            pool=self.pool,
+            reactor=reactor,
+            rng=self._rng,
+            clock=clock,
+            on_change=lambda: None,
+        )
         self._metrics = ForwardingMetrics(self.registry)
         self._metrics.register_state_gauges(
             read_version=lambda: self.source.read_version().configuration,
@@ -143,6 +152,7 @@
             count_suspects=self._count_suspects,
             is_unresponsive=self.source.is_unresponsive,
             count_connections=lambda: self.pool.opened_count,
+            is_contact_lost=lambda: self._contact.is_lost,
         )
         self._peers = PeerEngineUse(ttl_s=PEER_USE_TTL_S)
         self._capacity_notifier = CapacityNotifier()
@@ -210,6 +220,7 @@
         sweep.start(SWEEP_INTERVAL_S, now=False)
         self._stack.callback(sweep.stop)
         self._stack.callback(self.pool.close)
+        self._stack.callback(self._contact.stop)
         self.state.observe(self._capacity_notifier.notify)
         self.source.start()
         self._loss_recorder.start(self._peer_group.is_crash_recorder)
@@ -328,6 +339,7 @@
             on_rate_limit=self._report_rate_limit,
             crash_monitor=self._crash_monitor,
             stream_index=self._stream_index,
+            contact=self._contact,
         )
         return build_chain(
             [
--- a/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -128,6 +128,7 @@
         count_suspects: Callable[[], int],
         is_unresponsive: Callable[[], bool],
         count_connections: Callable[[], int],
+        is_contact_lost: Callable[[], bool],
     ) -> None:
         """Register gauges of the instance's state, read at each scrape.
 
@@ -142,6 +143,8 @@
             Returns whether the store is unresponsive.
         count_connections : callable
             Returns the number of connections to servers opened since startup.
+        is_contact_lost : callable
+            Returns whether no server can be reached.
         """
         gauges = (
             ("configuration_version", "Configuration in force.", read_version),
@@ -149,6 +152,7 @@
             ("backends_suspect", "Servers that get no new work.", count_suspects),
             ("store_behind", "Whether the store does not answer.", is_unresponsive),
             ("connections_opened", "Connections to servers.", count_connections),
+            ("contact_lost", "Whether no server is reached.", is_contact_lost),
         )
         for name, help_text, read in gauges:
             gauge = Gauge(f"ebonyhaven_{name}", help_text, registry=self.registry)
