--- a/packages/standins/src/ebonyhaven_standins/fault_proxy/_faults.py
+++ b/packages/standins/src/ebonyhaven_standins/fault_proxy/_faults.py
@@ -12,8 +12,8 @@
 
     ``LOSE_TO_TARGET``, ``LOSE_TO_CLIENT`` and ``PARTITION`` queue the data of one or
     both directions until ``NONE`` clears the faults. ``SILENCE_OPEN`` drops all further
-    data of the open connections, ``RESET`` aborts them, and ``REFUSE`` closes the
-    listening port.
+    data of the open connections, and ``RESET`` aborts them. ``REFUSE`` closes the
+    listening port; with ``IGNORE`` it neither accepts nor refuses connections.
     """
 
     NONE = "none"
@@ -24,6 +24,7 @@
     PARTITION = "partition"
     SILENCE_OPEN = "silence_open"
     REFUSE = "refuse"
+    IGNORE = "ignore"
 
 
 @attrs.define(slots=True)
--- a/packages/standins/src/ebonyhaven_standins/fault_proxy/_links.py
+++ b/packages/standins/src/ebonyhaven_standins/fault_proxy/_links.py
@@ -8,6 +8,7 @@
 
 from ebonyhaven_standins.fault_proxy._faults import FaultKind, LinkFaults
 from ebonyhaven_standins.fault_proxy._forwarding import LinkFactory
+from ebonyhaven_standins.fault_proxy._full_listener import FullListener
 
 
 class Link:
@@ -32,6 +33,7 @@
         host, _, port = target.rpartition(":")
         self._factory = LinkFactory(host, int(port), self._faults)
         self._port = None
+        self._full_listener: FullListener | None = None
         self.start_listening()
 
     @property
@@ -46,6 +48,9 @@
 
     def start_listening(self) -> None:
         """Accept new connections; does nothing if the link already listens."""
+        if self._full_listener is not None:
+            self._full_listener.close()
+            self._full_listener = None
         if self._port is None:
             host, _, port = self._listen.rpartition(":")
             self._port = reactor.listenTCP(int(port), self._factory, interface=host)
@@ -88,6 +93,9 @@
                 self._apply_to_open(lambda connection: connection.drop_all())
             case FaultKind.REFUSE:
                 await self.stop_listening()
+            case FaultKind.IGNORE:
+                await self.stop_listening()
+                self._full_listener = FullListener(self._listen)
 
     def _clear_faults(self) -> None:
         self._faults.delay_s = 0.0
--- a/tests/platform_adapter/soak/_checks.py
+++ b/tests/platform_adapter/soak/_checks.py
@@ -8,6 +8,7 @@
 from tests.platform_adapter.soak._callers import PROMISES, Result
 from tests.platform_adapter.soak._servers import STREAM_EVENTS, Arrival
 
+CUT_OFF_FAILURES = 10  # besides one in 50 of all requests
 MAX_CRASH_REPEATS = 3
 
 
@@ -117,3 +118,27 @@
         return []
     seen = [f"{each.at:.3f} {each.request_id} {each.process}" for each in found]
     return [f"BUDGET: a request that crashes servers reached {len(late)} more: {seen}"]
+
+
+def check_cut_off(at_cut: Sequence[Result], at_others: Sequence[Result]) -> list[str]:
+    """Return whether instances that reach no server serve far less than the others.
+
+    Parameters
+    ----------
+    at_cut, at_others : sequence of Result
+        First tries of callers at these instances and at all others in the time.
+    """
+
+    def count_served(results):
+        return sum(each.status == 200 and each.is_whole for each in results)
+
+    served, served_elsewhere = count_served(at_cut), count_served(at_others)
+    failed = len(at_cut) - served
+    if failed <= CUT_OFF_FAILURES + (len(at_cut) + len(at_others)) / 50:
+        return []
+    if served * len(at_others) >= 2 / 3 * served_elsewhere * len(at_cut):
+        return []
+    return [
+        f"RECOVER: {served} of {len(at_cut)} served at instances that reach no server, "
+        f"{served_elsewhere} of {len(at_others)} at the others"
+    ]
--- a/tests/platform_adapter/soak/_deployment.py
+++ b/tests/platform_adapter/soak/_deployment.py
@@ -35,6 +35,7 @@
 BUDGET_WINDOW_S = 4.0
 GRACE_S = 3
 CRASHING_PATH = "/repeat/crash"
+PROGRAM = "tests.platform_adapter.soak.routed_instance"
 UNLISTED_AFTER_S = 2.0  # a crashed server's entry lapses
 
 
@@ -71,6 +72,32 @@
             target=store_address,
             sides=frozenset((name, "store")),
         )
+        self.server_links: list[Link] = []
+        self._routes_path = directory / f"{name}-routes.json"
+
+    def route(self, servers: list[SoakServer]) -> None:
+        """Lead the connections to servers through links of this instance."""
+        routes = {each.link.address: allocate_address() for each in servers}
+        self._routes_path.write_text(json.dumps(routes))
+        self.server_links = [
+            Link(
+                name=f"{self.name}-{target}",
+                listen=listen,
+                target=target,
+                sides=frozenset((self.name, target)),
+            )
+            for target, listen in routes.items()
+        ]
+
+    async def cut_off(self, *kinds: FaultKind) -> None:
+        """Cut the instance off from all servers by some faults of its links."""
+        for link in self.server_links:
+            for kind in kinds:
+                await link.set_fault(kind, 0.0)
+
+    async def reconnect(self) -> None:
+        """End a cut."""
+        await self.cut_off(FaultKind.NONE)
 
     def write_settings(self, seeds: list[str]) -> None:
         metrics_host, _, metrics_port = allocate_address().rpartition(":")
@@ -99,7 +126,7 @@
             return
         with self._log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "ebonyhaven_adapter"],
+                [sys.executable, "-m", PROGRAM, str(self._routes_path)],
                 env={**os.environ, "EBONYHAVEN_NODE_FILE": str(self._settings_path)},
                 stdout=log,
                 stderr=subprocess.STDOUT,
@@ -216,6 +243,7 @@
             each.start()
         seeds = [each.addresses["controlPlane"] for each in self.instances]
         for each in self.instances:
+            each.route(self.servers)
             each.write_settings(seeds)
             each.start()
 
@@ -223,7 +251,7 @@
         self.is_stopped = True
         for each in self.instances:
             each.stop()
-            for link in (each.caller_link, each.store_link):
+            for link in (each.caller_link, each.store_link, *each.server_links):
                 await link.set_fault(FaultKind.RESET, 0.0)
                 await link.stop_listening()
         for each in self.servers:
