Relay requests to other instances while this one reaches no server

Callers of instances that had lost their links to all servers were refused (14 of 137 first tries served, 62 of 63 elsewhere). Cause: an instance knew servers as the only places for a request, and one lost server after the other as the only failure; nothing told callers or other instances that it reached none. Class: a failure of the own side taken for failures of each peer. The same mistake blamed contents for the servers 'lost' in the cut and told sound instances of losses that they believed (107 suspicions in 8.5 s).

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -305,6 +305,17 @@
         self.failures = 0
         self.suspect_until = -math.inf
 
+    def clear_suspicion(self, now: float) -> None:
+        """Forget failures of a time in which no server could be reached.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        self.failures = 0
+        self.suspect_until = min(self.suspect_until, now)
+
     def record_result(self, *, succeeded: bool, latency_s: float | None) -> None:
         """Update the averages with a finished request.
 
--- a/packages/node/src/ebonyhaven_node/_entry_lists.py
+++ b/packages/node/src/ebonyhaven_node/_entry_lists.py
@@ -27,7 +27,14 @@
         Returns the current time in seconds.
     """
 
-    __slots__ = ("_changed_at", "_clock", "_excluded", "_membership", "_rng")
+    __slots__ = (
+        "_changed_at",
+        "_clock",
+        "_excluded",
+        "_membership",
+        "_preferably_excluded",
+        "_rng",
+    )
 
     def __init__(
         self,
@@ -39,17 +46,25 @@
         self._membership = membership
         self._rng = rng
         self._clock = clock
-        self._excluded: frozenset[str] = frozenset()
+        self._excluded: dict[str, frozenset[str]] = {}  # by reason
+        self._preferably_excluded: dict[str, frozenset[str]] = {}
         self._changed_at = clock()
 
-    def set_excluded(self, names: Iterable[str]) -> None:
+    def set_excluded(
+        self, names: Iterable[str], *, reason: str, may_exclude_all: bool = True
+    ) -> None:
         """Set the instances that callers do not receive as entry points.
 
         Parameters
         ----------
         names : iterable of str
+            Replace those that were excluded for the same reason.
+        reason : str
+        may_exclude_all : bool
+            Whether they stay excluded if there are no others.
         """
-        self._excluded = frozenset(names)
+        groups = self._excluded if may_exclude_all else self._preferably_excluded
+        groups[reason] = frozenset(names)
 
     def record_change(self) -> None:
         """Shorten the time to live of entry lists after a membership change.
@@ -77,8 +92,10 @@
             or self._membership.is_isolated(now)
             or self._membership.is_outdated(now)
         )
+        candidates = self._list_candidates(now, load)
+        avoided = frozenset().union(*self._preferably_excluded.values())
         return choose_entries(
-            self._list_candidates(now, load),
+            [each for each in candidates if each.name not in avoided] or candidates,
             data_centre=own.data_centre,
             region=own.region,
             rng=self._rng,
@@ -87,7 +104,7 @@
 
     def _list_candidates(self, now: float, load: float) -> list[EntryCandidate]:
         own_name = self._membership.own.name
-        excluded = self._membership.unresponsive | self._excluded
+        excluded = self._membership.unresponsive.union(*self._excluded.values())
         outdated = self._membership.is_outdated(now)
         return [
             EntryCandidate(
--- a/packages/node/src/ebonyhaven_node/_frames.py
+++ b/packages/node/src/ebonyhaven_node/_frames.py
@@ -35,6 +35,7 @@
     SERVER_LOSSES = "b"
     CRASHES = "f"
     SERVER_LIMITS = "i"
+    SERVER_CONTACT = "j"
 
 
 class Frame(NamedTuple):
--- a/packages/node/src/ebonyhaven_node/_membership.py
+++ b/packages/node/src/ebonyhaven_node/_membership.py
@@ -156,23 +156,28 @@
         """
         listed = list(instances)
         self._entries.set_excluded(
-            item.name for item in listed if item.state == "leaving"
+            (item.name for item in listed if item.state == "leaving"),
+            reason="listed as leaving",
         )
         addresses = {
             item.name: item.control_address for item in listed if item.control_address
         }
         self._membership.set_listed(self._seeds | addresses)
 
-    def set_excluded_entries(self, names: Iterable[str]) -> None:
+    def set_excluded_entries(
+        self, names: Iterable[str], *, reason: str, may_exclude_all: bool = True
+    ) -> None:
         """Set the instances that are left out of the entry points for callers.
 
-        The next `set_listed_instances` replaces them by the leaving instances.
-
         Parameters
         ----------
-        names : iterable of str
+        names, reason, may_exclude_all
+            See `EntryLists.set_excluded`.
         """
-        self._entries.set_excluded(names)
+        self._entries.set_excluded(
+            names, reason=reason, may_exclude_all=may_exclude_all
+        )
+        self._entries.record_change()
 
     def add_digest(self, digest: Digest) -> None:
         """Send and receive a digest with the heartbeats.
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -25,7 +25,9 @@
     LIMITED_REASON,
     NO_SERVER_RETRY_AFTER_S,
     NOT_RUN_STATUSES,
+    UNREACHED_REASON,
     make_crash_reason,
+    make_unreached_failure,
 )
 from ebonyhaven_node.forwarding._requests import (
     AttemptPlan,
@@ -88,6 +90,7 @@
         self._possible_run_count = 0
         self._attempt_count = 0
         self._is_budget_exhausted = False
+        self._unreached_count = 0
         self._refusal_count = 0
         self._last_reason = "no server was tried"
         self._last_peer = "self"
@@ -138,6 +141,8 @@
             if self._is_hedge_due(now) and not self._is_blocked():
                 self._start_attempt()
             return
+        if self._context.is_left_to_peers() and not self._possible_run_count:
+            raise make_unreached_failure(UNREACHED_REASON)
         may_start = not self._is_exhausted() and not self._is_blocked()
         if may_start and (self._start_attempt() or self._may_wait(now)):
             return
@@ -172,6 +177,8 @@
         elif self._is_blocked():
             trait = self._guard.find_blocked_trait()
             raise make_not_run_failure(make_crash_reason(trait), step="crash")
+        elif self._unreached_count and not self._refusal_count:
+            raise make_unreached_failure(self._last_reason, peer=self._last_peer)
         else:
             raise make_not_run_failure(
                 f"no server took the request: {self._last_reason}",
@@ -343,6 +350,7 @@
         else:
             self._attempts.remove(attempt)
             self._attempt_count -= 1
+            self._unreached_count += 1
             if self._attempt_count:
                 self._context.budget.refund_retry(self._service, self._context.clock())
         _log.info(
--- a/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from collections.abc import Callable
 from typing import Any
@@ -108,8 +109,10 @@
         was_lost = self.is_lost
         self._contact.record_connected(self._clock())
         if was_lost:
+            self.stop()
             _log.warning("server_contact_regained", server_address=address)
             self._on_change()
+        self._release_waiting()
 
     def _handle_failed(self, address: str, failure: ConnectFailure) -> None:
         if self.is_lost or not self._is_backend(address):
@@ -132,11 +135,11 @@
                 "server_contact_lost", servers=sum(1 for _ in self._state.backends)
             )
             self._on_change()
-            self._retry()
-        self._release_waiting()
+        self._retry()
 
     def _retry(self) -> None:
         """Probe servers until one is reached again."""
+        self._release_waiting()
         if self.is_lost:
             self._timer = self._reactor.callLater(
                 RETRY_INTERVAL_S, self._probe, None, self._retry
@@ -146,11 +149,13 @@
         servers = choose_checked_servers(
             self._state.backends, excluded=excluded, rng=self._rng
         )
-        self._running_probes = len(servers)
+        pending = {each.key for each in servers}
+        self._running_probes += len(pending)
 
-        def handle_result(_: ConnectFailure | None) -> None:
+        def handle_result(backend: Backend, _: ConnectFailure | None) -> None:
             self._running_probes -= 1
-            if not self._running_probes:
+            pending.discard(backend.key)
+            if not pending:
                 on_done()
 
         if not servers:
@@ -158,7 +163,7 @@
         for backend in servers:
             self._pool.probe_address(
                 backend.entry.address,
-                on_result=handle_result,
+                on_result=functools.partial(handle_result, backend),
                 timeout_s=CHECK_TIMEOUT_S,
             )
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -31,6 +31,7 @@
     CrashNotifier,
     SuspicionNotifier,
 )
+from ebonyhaven_node.forwarding._peer_directory import PeerDirectory
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding.interfaces import BackendDialect, RunCopier
@@ -67,6 +68,8 @@
     crash_monitor : CrashMonitor
     stream_index : SharedStreamIndex
     contact : ContactMonitor
+    relay_peers : PeerDirectory
+        Instances that take requests while this one reaches no server.
     data_centre : str
         Data centre of this instance.
     reactor : IReactorTime
@@ -100,6 +103,7 @@
     crash_monitor: CrashMonitor
     stream_index: SharedStreamIndex
     contact: ContactMonitor
+    relay_peers: PeerDirectory
     data_centre: str
     reactor: IReactorTime
     rng: random.Random
@@ -122,6 +126,10 @@
         """
         return self.stream_durations.setdefault(route_name, StreamDurations())
 
+    def is_left_to_peers(self) -> bool:
+        """Return whether this instance reaches no server and others do."""
+        return self.contact.is_lost and not self.relay_peers.is_empty
+
     def report_unreachable(
         self, backend: Backend, *, is_from_peer: bool = False
     ) -> None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
@@ -18,6 +18,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ebonyhaven_node.forwarding._connection_pool import ConnectionPool
+from ebonyhaven_node.forwarding._contact_monitor import ContactMonitor
 from ebonyhaven_node.forwarding._loss_probes import LossProbes, ServerFate
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 
@@ -53,6 +54,8 @@
         Called when requests may have been decided.
     is_chosen : callable
         Returns whether this instance is the one that tries a trait again.
+    contact : ContactMonitor
+        No server has ended because this instance reaches none.
     """
 
     def __init__(
@@ -68,9 +71,11 @@
         on_survival: Callable[[str], None],
         on_change: Callable[[], None],
         is_chosen: Callable[[str], bool],
+        contact: ContactMonitor,
     ):
         self._history = history
-        self._probes = LossProbes(pool, reactor)
+        self._probes = LossProbes(pool, reactor, contact)
+        self._contact = contact
         self._metrics = metrics
         self._reactor = reactor
         self._clock = clock
@@ -209,9 +214,14 @@
         ----------
         backend : Backend
         """
-        is_known = self._history.is_known(backend.process_id)
-        if not is_known and not backend.is_leaving:
-            self._record(backend, (), self._clock())
+        lost_at = self._clock()
+
+        def record() -> None:
+            is_known = self._history.is_known(backend.process_id)
+            if not (is_known or backend.is_leaving or self._contact.is_lost):
+                self._record(backend, (), lost_at)
+
+        self._contact.call_when_known(record)
 
     def record_survival(self, traits: Traits) -> None:
         """Record that a server ran a request to an end, or far into its stream.
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -27,8 +27,10 @@
 from ebonyhaven_node.forwarding._outcomes import (
     LEAVING_RETRY_AFTER_S,
     NOT_READY_RETRY_AFTER_S,
+    REACH_STEP,
     make_crash_reason,
 )
+from ebonyhaven_node.forwarding._peer_relay import PeerRelay
 from ebonyhaven_node.forwarding._requests import ForwardRequest
 from ebonyhaven_node.forwarding._startup import StateWaiter
 from ebonyhaven_node.forwarding._state import ForwardingState
@@ -260,11 +262,23 @@
     Parameters
     ----------
     context : RelayContext
+    dialect : CallerDialect
+    own_name : str
+        Name of this instance.
     rng : random.Random
     """
 
-    def __init__(self, context: RelayContext, rng: random.Random):
+    def __init__(
+        self,
+        context: RelayContext,
+        *,
+        dialect: CallerDialect,
+        own_name: str,
+        rng: random.Random,
+    ):
         self._context = context
+        self._dialect = dialect
+        self._own_name = own_name
         self._rng = rng
 
     async def handle(
@@ -274,9 +288,37 @@
         route = work.route
         active = self._context.metrics.active.labels(route.kind.value)
         with active.track_inprogress():
-            await self._build_relay(work).run()
+            await self._relay(work)
         await proceed(work)
 
+    async def _relay(self, work: RequestContext) -> None:
+        """Relay to servers, or to another instance if no server can be reached."""
+        may_use_peers = work.request.relayed_by is None
+        is_left_to_peers = may_use_peers and self._context.is_left_to_peers()
+        if is_left_to_peers and await self._build_peer_relay(work).run():
+            return
+        try:
+            await self._build_relay(work).run()
+        except RequestFailure as failure:
+            is_unreached = failure.outcome.step == REACH_STEP
+            may_repeat = (
+                failure.outcome.tag is OutcomeTag.NOT_RUN or work.route.may_retry
+            )
+            if not (may_use_peers and is_unreached and may_repeat):
+                raise
+            if not await self._build_peer_relay(work).run():
+                raise
+
+    def _build_peer_relay(self, work: RequestContext) -> PeerRelay:
+        return PeerRelay(
+            request=work.request,
+            route=work.route,
+            exchange=work.exchange,
+            dialect=self._dialect,
+            own_name=self._own_name,
+            context=self._context,
+        )
+
     def _build_relay(self, work: RequestContext) -> CallRelay | StreamRelay:
         route = work.route
         service = self._choose_service(route)
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 import structlog
-from ebonyhaven_decisions import EntryList
+from ebonyhaven_decisions import EntryList, MemberRecord
 from ebonyhaven_decisions.forwarding import (
     Backend,
     CrashHistory,
@@ -55,6 +55,7 @@
     CrashNotifier,
     SuspicionNotifier,
 )
+from ebonyhaven_node.forwarding._peer_directory import PeerDirectory
 from ebonyhaven_node.forwarding._peer_group import PEER_USE_TTL_S, PeerGroup
 from ebonyhaven_node.forwarding._settings import GatewaySettings
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
@@ -143,7 +144,7 @@
             reactor=reactor,
             rng=self._rng,
             clock=clock,
-            on_change=lambda: None,
+            on_change=self._handle_contact_change,
         )
         self._metrics = ForwardingMetrics(self.registry)
         self._metrics.register_state_gauges(
@@ -169,6 +170,7 @@
             on_survival=self._report_survival,
             on_change=self._handle_decided_traits,
             is_chosen=self._is_chosen,
+            contact=self._contact,
         )
         self._loss_recorder = LossRecorder(
             history=self._crash_history,
@@ -340,6 +342,7 @@
             crash_monitor=self._crash_monitor,
             stream_index=self._stream_index,
             contact=self._contact,
+            relay_peers=PeerDirectory(self.list_relay_peers),
         )
         return build_chain(
             [
@@ -349,7 +352,12 @@
                 IdentifyFilter(),
                 CrashFilter(self._crash_monitor),
                 AdmitFilter(self._accepts),
-                RelayFilter(context, self._rng),
+                RelayFilter(
+                    context,
+                    dialect=caller_dialect,
+                    own_name=self._settings.instance,
+                    rng=self._rng,
+                ),
             ]
         )
 
@@ -382,9 +390,29 @@
         if self._peer_group is not None:
             self._peer_group.report_rate_limit(backend)
 
-    def _report_lost_server(self, backend: Backend) -> None:
+    def list_relay_peers(self) -> list[MemberRecord]:
+        """Return the other instances that reach servers."""
+        return self._peer_group.list_reaching() if self._peer_group else []
+
+    def _handle_contact_change(self) -> None:
+        is_lost = self._contact.is_lost
+        now = self._clock()
+        for backend in self.state.backends:
+            self.pool.close_idle(backend.entry.address)
+            if not is_lost:
+                backend.clear_suspicion(now)
         if self._peer_group is not None:
-            self._peer_group.report_lost_server(backend)
+            self._peer_group.report_contact(is_lost=is_lost)
+        self._capacity_notifier.notify()
+
+    def _report_lost_server(self, backend: Backend) -> None:
+        """Tell others of a lost server, unless it is this instance that is cut off."""
+
+        def report() -> None:
+            if self._peer_group is not None and not self._contact.is_lost:
+                self._peer_group.report_lost_server(backend)
+
+        self._contact.call_when_known(report)
 
     def _handle(self, exchange: Exchange) -> None:
         self._active_count += 1
--- a/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
@@ -198,6 +198,11 @@
         """
         self.idle_since = now
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a response is outstanding."""
+        return self._handler is not None
+
     def is_reusable(self, now: float) -> bool:
         """Return whether the connection is open and not near the server's idle timeout.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_limit_exchange.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_limit_exchange.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import structlog
-from ebonyhaven_decisions import MemberRecord, MemberState
+from ebonyhaven_decisions import MemberState
 from ebonyhaven_decisions.forwarding import CONFIRMATION_TTL_S, Backend
 from twisted.internet.interfaces import IReactorTime
 
@@ -33,6 +33,9 @@
     reactor : IReactorTime
     clock : callable
         Returns seconds.
+    reaches_servers : callable
+        Returns whether the instance with a name reaches any server; others have no
+        share in limits.
     """
 
     def __init__(
@@ -43,8 +46,10 @@
         channels: Channels,
         reactor: IReactorTime,
         clock: Callable[[], float],
+        reaches_servers: Callable[[str], bool],
     ):
         self._state = state
+        self._reaches_servers = reaches_servers
         self._membership = membership
         self._clock = clock
         self._told: dict[str, tuple[float | None, float]] = {}  # limit and time
@@ -56,7 +61,7 @@
             export=self._export,
             merge=self._merge,
         )
-        membership.observe(self._update_instances)
+        membership.observe(lambda _: self.update_instances())
 
     def publish(self, backend: Backend) -> None:
         """Tell all instances the limit of a server if they may not know it.
@@ -77,11 +82,13 @@
         """Cancel scheduled messages."""
         self._exchange.stop()
 
-    def _update_instances(self, _: MemberRecord) -> None:
+    def update_instances(self) -> None:
+        """Divide the limits anew among the instances."""
         names = [
             record.name
             for record in self._membership.members
             if record.state is not MemberState.DEAD
+            and self._reaches_servers(record.name)
         ]
         own_name = self._membership.own.name
         self._state.backends.set_instances(own_name, names, self._clock())
--- a/packages/node/src/ebonyhaven_node/forwarding/_loss_probes.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_loss_probes.py
@@ -9,6 +9,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ebonyhaven_node.forwarding._connection_pool import ConnectFailure, ConnectionPool
+from ebonyhaven_node.forwarding._contact_monitor import ContactMonitor
 
 PROBE_DELAY_S = 0.05  # shorter than a server restart
 PROBE_TIMEOUT_S = 0.15  # a live server accepts within milliseconds
@@ -37,12 +38,16 @@
     ----------
     pool : ConnectionPool
     reactor : IReactorTime
+    contact : ContactMonitor
     """
 
-    __slots__ = ("_pool", "_reactor", "_waiting")
+    __slots__ = ("_contact", "_pool", "_reactor", "_waiting")
 
-    def __init__(self, pool: ConnectionPool, reactor: IReactorTime):
+    def __init__(
+        self, pool: ConnectionPool, reactor: IReactorTime, contact: ContactMonitor
+    ):
         self._pool = pool
+        self._contact = contact
         self._reactor = reactor
         self._waiting: dict[str, list[Callable[[ServerFate], None]]] = {}
 
@@ -73,7 +78,11 @@
 
     def _probe(self, backend: Backend) -> None:
         def handle_result(failure: ConnectFailure | None) -> None:
-            fate = _classify(failure)
+            self._contact.call_when_known(lambda: report(_classify(failure)))
+
+        def report(fate: ServerFate) -> None:
+            if fate is ServerFate.ENDED and self._contact.is_lost:
+                fate = ServerFate.SILENT  # the way to it refuses all connections
             for on_result in self._waiting.pop(backend.process_id):
                 on_result(fate)
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_outcomes.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_outcomes.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+from ebonyhaven_decisions import RequestFailure
+
+from ebonyhaven_node._failures import make_not_run_failure
+
 NOT_READY_RETRY_AFTER_S = 0.5  # about the time that an instance takes to start
 NO_SERVER_RETRY_AFTER_S = 0.5  # a third of the time to replace a lost server
 LEAVING_RETRY_AFTER_S = 0.0
 LIMITED_REASON = "the servers limit their requests"
+UNREACHED_REASON = "this instance reaches no server"
+REACH_STEP = "reach"  # of a request for which no server could be reached
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -18,3 +24,24 @@
         See `CrashHistory`.
     """
     return f"servers crashed each time they began a request with {trait}"
+
+
+def make_unreached_failure(reason: str, *, peer: str = "self") -> RequestFailure:
+    """Return the failure of a request for which no server could be reached.
+
+    Parameters
+    ----------
+    reason : str
+    peer : str
+        Last server that was tried.
+
+    Returns
+    -------
+    RequestFailure
+    """
+    return make_not_run_failure(
+        f"no server could be reached: {reason}",
+        step=REACH_STEP,
+        peer=peer,
+        retry_after_s=NO_SERVER_RETRY_AFTER_S,
+    )
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Callable
 
-from ebonyhaven_decisions import MemberState, choose_instances
+from ebonyhaven_decisions import MemberRecord, MemberState, choose_instances
 from ebonyhaven_decisions.forwarding import (
     Backend,
     CrashHistory,
@@ -21,6 +21,7 @@
 from ebonyhaven_node._membership import MembershipController
 from ebonyhaven_node._own_record import make_own_record
 from ebonyhaven_node._processor_load import ProcessorLoad
+from ebonyhaven_node.forwarding._contact_exchange import ContactExchange
 from ebonyhaven_node.forwarding._limit_exchange import LimitExchange
 from ebonyhaven_node.forwarding._settings import GatewaySettings
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
@@ -141,14 +142,25 @@
             on_received=on_peer_losses,
         )
         self._stack.callback(self._crash_exchange.stop)
+        self._contact_exchange = ContactExchange(
+            membership=membership,
+            channels=channels,
+            reactor=reactor,
+            clock=clock,
+        )
+        self._stack.callback(self._contact_exchange.stop)
         self._limit_exchange = LimitExchange(
             state=state,
             membership=membership,
             channels=channels,
             reactor=reactor,
             clock=clock,
+            reaches_servers=(
+                lambda name: name not in self._contact_exchange.lost_names
+            ),
         )
         self._stack.callback(self._limit_exchange.stop)
+        self._contact_exchange.observe(self._limit_exchange.update_instances)
         stream_index.connect(membership, channels)
         self._stack.callback(stream_index.stop)
 
@@ -192,6 +204,19 @@
         """
         self._crash_exchange.publish_loss(process)
 
+    def report_contact(self, *, is_lost: bool) -> None:
+        """Report whether this instance reaches no server.
+
+        Parameters
+        ----------
+        is_lost : bool
+        """
+        self._contact_exchange.publish(is_lost=is_lost)
+
+    def list_reaching(self) -> list[MemberRecord]:
+        """Return the other live instances that reach servers, as far as is known."""
+        return self._contact_exchange.list_reaching()
+
     def report_rate_limit(self, backend: Backend) -> None:
         """Report a server that names a limit, or names none after one.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -9,6 +9,7 @@
 
 DIGEST_HEX_DIGITS = 16
 MAX_RESPONSE_BYTES = 2 * 1024 * 1024  # many of them fit into an instance
+MAX_STREAM_BYTES = 16 * 1024 * 1024  # passed on, not kept
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -90,6 +91,9 @@
         but the last may be those of other requests as well.
     arrived_at : float
         Time of arrival, seconds of the clock of `Gateway`.
+    relayed_by : str or None
+        Name of the instance that relayed the request, as it reaches no server; None
+        if it comes from the caller.
 
     Attributes
     ----------
@@ -111,6 +115,7 @@
     size: GenerationSize | None
     prompt_parts: tuple[str, ...]
     arrived_at: float
+    relayed_by: str | None = None
     content_digest: str = attrs.field(init=False)
 
     @property
--- a/packages/node/src/ebonyhaven_node/forwarding/_sharing.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_sharing.py
@@ -269,7 +269,7 @@
             unready = self._unready | {sender}
         if unready != self._unready:
             self._unready = unready
-            self._membership.set_excluded_entries(unready)
+            self._membership.set_excluded_entries(unready, reason="not ready")
 
     def _handle_state_request(self, frame: Frame) -> None:
         self._membership.send(frame.sender, FrameKind.STATE, self._source.export())
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -12,6 +12,8 @@
 from ebonyhaven_node.forwarding._outcomes import (
     LIMITED_REASON,
     NO_SERVER_RETRY_AFTER_S,
+    REACH_STEP,
+    UNREACHED_REASON,
     make_crash_reason,
 )
 from ebonyhaven_node.forwarding._progress import StreamProgress
@@ -33,10 +35,13 @@
     retry_after_s : float or None
         When its caller may retry, if nothing ran, seconds; None if a retry would have
         the same end.
+    step : str
+        Step of the failure, if nothing was delivered.
     """
 
     text: str
     retry_after_s: float | None
+    step: str = "route"
 
 
 class StreamLimits:
@@ -164,6 +169,10 @@
         reason = self._find_permanent_reason(now)
         if reason is not None:
             return GiveUpReason(reason, retry_after_s=None)
+        if self._context.is_left_to_peers():
+            return GiveUpReason(
+                UNREACHED_REASON, NO_SERVER_RETRY_AFTER_S, step=REACH_STEP
+            )
         reason = self._find_exceeded_limit(now) or self._find_server_limit(now)
         if reason is not None:
             return GiveUpReason(reason, retry_after_s=NO_SERVER_RETRY_AFTER_S)
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -28,6 +28,7 @@
 from ebonyhaven_node.forwarding._messages import CapacityChanged
 from ebonyhaven_node.forwarding._progress import StreamProgress
 from ebonyhaven_node.forwarding._requests import (
+    MAX_STREAM_BYTES,
     AttemptPlan,
     CopyReference,
     ForwardRequest,
@@ -45,7 +46,6 @@
 from ebonyhaven_node.forwarding._stream_versions import StreamVersion
 
 CAPACITY_POLL_INTERVAL_S = 0.1  # if no notification arrives
-MAX_STREAM_BYTES = 16 * 1024 * 1024  # passed on, not kept
 
 _log = structlog.get_logger()
 
@@ -215,11 +215,11 @@
             return
         if not self._limits.may_have_run:
             raise make_not_run_failure(
-                reason.text, step="route", retry_after_s=reason.retry_after_s
+                reason.text, step=reason.step, retry_after_s=reason.retry_after_s
             )
         raise make_unknown_failure(
             reason.text,
-            step="stream",
+            step="stream" if reason.step == "route" else reason.step,
             peer=self._limits.last_peer,
             status=504 if now >= self._limits.deadline else 502,
         )
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -48,6 +48,27 @@
             If a field is missing or malformed.
         """
 
+    @abc.abstractmethod
+    def write_relayed_headers(
+        self, head: RequestHead, *, remaining_s: float, relayed_by: str
+    ) -> Headers:
+        """Return the headers of a request that goes to another instance.
+
+        Parameters
+        ----------
+        head : RequestHead
+            As the caller sent it.
+        remaining_s : float
+            Time until the deadline of the request, seconds.
+        relayed_by : str
+            Name of this instance.
+
+        Returns
+        -------
+        Headers
+            Without those that concern only one connection.
+        """
+
     @abc.abstractmethod
     def encode_outcome(self, outcome: Outcome) -> tuple[Headers, bytes]:
         """Encode an outcome as headers and body of a response to its caller.
--- a/packages/standins/src/ebonyhaven_standins/fault_proxy/_links.py
+++ b/packages/standins/src/ebonyhaven_standins/fault_proxy/_links.py
@@ -23,12 +23,17 @@
         ``IP:PORT`` to forward connections to.
     sides : frozenset of str
         Names of the two sides of the network that the link connects.
+
+    Attributes
+    ----------
+    target : str
     """
 
     def __init__(self, *, name: str, listen: str, target: str, sides: frozenset[str]):
         self.name = name
         self.sides = sides
         self._listen = listen
+        self.target = target
         self._faults = LinkFaults()
         host, _, port = target.rpartition(":")
         self._factory = LinkFactory(host, int(port), self._faults)
--- a/packages/standins/src/ebonyhaven_standins/resuming/_dialect.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_dialect.py
@@ -46,6 +46,12 @@
             arrived_at=arrived_at,
         )
 
+    def write_relayed_headers(
+        self, head: RequestHead, *, remaining_s: float, relayed_by: str
+    ) -> Headers:
+        """See `CallerDialect.write_relayed_headers`."""
+        return head.headers
+
     def encode_outcome(self, outcome: Outcome) -> tuple[Headers, bytes]:
         """See `CallerDialect.encode_outcome`."""
         return (), outcome.reason.encode()
--- a/tests/forwarding/test_limit_exchange.py
+++ b/tests/forwarding/test_limit_exchange.py
@@ -27,7 +27,9 @@
             channels=self.channels,
             reactor=self.clock,
             clock=self.clock.seconds,
+            reaches_servers=lambda name: name not in self.cut_off,
         )
+        self.cut_off = set()
         self.backend = self.state.backends.find("p-0")
 
     def hear(self, limit):
@@ -105,3 +107,11 @@
     instance.membership.observers[-1](record)
     alone = instance.backend.pacer.compute_rate(instance.clock.seconds())
     assert (shared, alone) == (1.0, 2.0)
+
+
+def test_instance_that_reaches_no_server_has_no_share():
+    instance = Instance("n2")
+    instance.cut_off.add("n2")
+    instance.exchange.update_instances()
+    instance.hear(2.0)
+    assert instance.backend.pacer.compute_rate(instance.clock.seconds()) == 2.0
--- a/tests/forwarding/test_sharing.py
+++ b/tests/forwarding/test_sharing.py
@@ -55,7 +55,7 @@
     def add_digest(self, digest):
         self.digests.append(digest)
 
-    def set_excluded_entries(self, names):
+    def set_excluded_entries(self, names, *, reason, may_exclude_all=True):
         self.excluded_entries = frozenset(names)
 
 
--- a/tests/platform_adapter/soak/_deployment.py
+++ b/tests/platform_adapter/soak/_deployment.py
@@ -72,32 +72,49 @@
             target=store_address,
             sides=frozenset((name, "store")),
         )
-        self.server_links: list[Link] = []
+        self.server_links: dict[str, Link] = {}  # by the server's address
+        self._is_cut_off = False
         self._routes_path = directory / f"{name}-routes.json"
 
     def route(self, servers: list[SoakServer]) -> None:
         """Lead the connections to servers through links of this instance."""
         routes = {each.link.address: allocate_address() for each in servers}
         self._routes_path.write_text(json.dumps(routes))
-        self.server_links = [
-            Link(
+        self.server_links = {
+            target: Link(
                 name=f"{self.name}-{target}",
                 listen=listen,
                 target=target,
                 sides=frozenset((self.name, target)),
             )
             for target, listen in routes.items()
-        ]
+        }
 
     async def cut_off(self, *kinds: FaultKind) -> None:
         """Cut the instance off from all servers by some faults of its links."""
-        for link in self.server_links:
+        self._is_cut_off = True
+        for link in self.server_links.values():
             for kind in kinds:
                 await link.set_fault(kind, 0.0)
 
-    async def reconnect(self) -> None:
-        """End a cut."""
-        await self.cut_off(FaultKind.NONE)
+    async def reconnect(self, running: list[SoakServer]) -> None:
+        """End a cut; only servers that run accept connections."""
+        self._is_cut_off = False
+        for link in self.server_links.values():
+            await link.set_fault(FaultKind.NONE, 0.0)
+            if link.target not in {each.link.address for each in running}:
+                await link.stop_listening()
+
+    async def show_server(self, address: str, *, is_running: bool) -> None:
+        """Have the link to a server refuse connections while it does not run."""
+        link = self.server_links.get(address)
+        if link is None or self._is_cut_off:
+            return
+        if is_running:
+            link.start_listening()
+            return
+        await link.stop_listening()
+        await link.set_fault(FaultKind.RESET, 0.0)
 
     def write_settings(self, seeds: list[str]) -> None:
         metrics_host, _, metrics_port = allocate_address().rpartition(":")
@@ -174,6 +191,8 @@
         )
         self.process.listen(self._target)
         self.link.start_listening()
+        for instance in deployment.instances:
+            ensureDeferred(instance.show_server(self.link.address, is_running=True))
         entry = make_entry(self.service, self._address)
         deployment.store.put("servers", self.process.process_id, entry)
 
@@ -183,6 +202,8 @@
         if process is None:
             return
         await self.link.stop_listening()
+        for instance in self._deployment.instances:
+            await instance.show_server(self.link.address, is_running=False)
         await process.stop()
         await self.link.set_fault(FaultKind.RESET, 0.0)
         await self.link.set_fault(FaultKind.NONE, 0.0)
@@ -251,7 +272,8 @@
         self.is_stopped = True
         for each in self.instances:
             each.stop()
-            for link in (each.caller_link, each.store_link, *each.server_links):
+            own_links = (each.caller_link, each.store_link)
+            for link in (*own_links, *each.server_links.values()):
                 await link.set_fault(FaultKind.RESET, 0.0)
                 await link.stop_listening()
         for each in self.servers:
