Log how many refusals servers say to survive

Cause: servers of a service can be brittle for a time, and say so in all answers: one that has to refuse more than so many requests a second ends. Nothing read that.

No decision uses it yet.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -112,6 +112,8 @@
         Time before which other servers are preferred, seconds.
     pacer : RequestPacer
         Paces requests while the server limits those of all instances together.
+    max_refusals_per_s : int or None
+        Refusals per second that the server survives; None unless it says so.
     removed_at : float or None
         Time at which the entry was removed, seconds; None while it is listed.
     """
@@ -132,6 +134,7 @@
     resting_until: float = -math.inf
     slow_until: float = -math.inf
     pacer: RequestPacer = attrs.Factory(RequestPacer)
+    max_refusals_per_s: int | None = None
     removed_at: float | None = None
 
     @property
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -119,6 +119,7 @@
             self.backend.record_load(head.load, now)
         if head.request_id is not None and not head.is_other_process:
             self._context.report_rate_limit(self.backend, head.request_rate_limit)
+            self._context.report_brittle(self.backend, head.max_refusals_per_s)
         self.head = head
         self._inbox.put(ResponseStarted(self, head))
         return True
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -222,6 +222,25 @@
             before=before,
         )
 
+    def report_brittle(self, backend: Backend, max_refusals_per_s: int | None) -> None:
+        """Record how many refusals a server says to survive, or that it says nothing.
+
+        Parameters
+        ----------
+        backend : Backend
+        max_refusals_per_s : int or None
+        """
+        before = backend.max_refusals_per_s
+        if max_refusals_per_s == before:
+            return
+        backend.max_refusals_per_s = max_refusals_per_s
+        _log.info(
+            "backend_brittle_changed",
+            server=backend.server_id,
+            max_refusals_per_s=max_refusals_per_s,
+            before=before,
+        )
+
     def probe(self, backend: Backend, inbox: Inbox) -> None:
         """Check whether a server accepts connections.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -215,6 +215,9 @@
     request_rate_limit : float or None
         Requests per second that the server takes from all instances together; None
         if it names no limit.
+    max_refusals_per_s : int or None
+        Requests per second that the server can refuse for lack of room without ending;
+        None if it does not say that it is brittle.
     """
 
     status: int
@@ -226,3 +229,4 @@
     other_server_id: str | None
     load: int | None
     request_rate_limit: float | None = None
+    max_refusals_per_s: int | None = None
