--- /dev/null
+++ b/tests/forwarding/test_brittle_servers.py
@@ -0,0 +1,97 @@
+"""Servers that end when they have to refuse many requests for lack of room."""
+
+from __future__ import annotations
+
+from tests.forwarding.harness import ForwardingHarness, answer, refusal
+
+MAX_REFUSALS_PER_S = 4
+SLOTS = 6
+WORK_S = 0.045
+SEND_INTERVAL_S = 0.01
+
+
+class BrittleServer:
+    """A server with some slots and no queue that counts what it refuses."""
+
+    def __init__(self, harness, address):
+        self._harness = harness
+        self._address = address
+        self._running = []
+        self.refused_at = []
+        self.served = 0
+        self.work_s = WORK_S
+
+    def step(self):
+        now = self._harness.reactor.seconds()
+        for connection in self._harness.connections:
+            if connection.address == self._address and connection.has_request():
+                self._accept(connection, now)
+        for entry in list(self._running):
+            end, connection, request_id = entry
+            if now >= end:
+                self._running.remove(entry)
+                self.served += 1
+                connection.receive(answer(request_id, Server_Brittle="4"))
+
+    def _accept(self, connection, now):
+        head, _ = connection.read_request()
+        request_id = dict(head.headers)[b"x-attempt-id"].decode()
+        if len(self._running) < SLOTS:
+            self._running.append((now + self.work_s, connection, request_id))
+            return
+        self.refused_at.append(now)
+        connection.receive(refusal(request_id, Server_Brittle="4"))
+
+    def count_worst_second(self):
+        return max(
+            (
+                sum(start <= at < start + 1.0 for at in self.refused_at)
+                for start in self.refused_at
+            ),
+            default=0,
+        )
+
+
+def press(harness, server, seconds, per_step=1):
+    """Send requests at short intervals; return their callers."""
+    end = harness.reactor.seconds() + seconds
+    callers = []
+    while harness.reactor.seconds() < end:
+        for _ in range(per_step):
+            callers.append(harness.open_caller())
+            request_id = f"r{harness.reactor.seconds():.3f}-{len(callers)}"
+            callers[-1].request("/repeat/x", request_id=request_id)
+        harness.advance(SEND_INTERVAL_S)
+        server.step()
+        harness.advance(0.0)
+    return callers
+
+
+def test_brittle_server_refuses_few_requests_under_a_burst():
+    harness = ForwardingHarness(plain=1)
+    server = BrittleServer(harness, harness.find_address("p-0"))
+    press(harness, server, 0.5)
+    server.refused_at.clear()
+    press(harness, server, 2.0, per_step=10)
+    assert server.count_worst_second() <= MAX_REFUSALS_PER_S
+    assert server.served > 100
+
+
+def test_brittle_server_that_turns_slow_refuses_few_requests():
+    harness = ForwardingHarness(plain=1)
+    server = BrittleServer(harness, harness.find_address("p-0"))
+    press(harness, server, 0.5)
+    server.refused_at.clear()
+    server.work_s = 0.4
+    press(harness, server, 3.0, per_step=2)
+    assert server.count_worst_second() <= MAX_REFUSALS_PER_S
+
+
+def test_what_a_brittle_server_says_is_not_forwarded_to_callers():
+    harness = ForwardingHarness(plain=1)
+    caller = harness.open_caller()
+    caller.request("/once/x", request_id="r1")
+    server, _, _ = harness.take_request()
+    server.receive(answer("r1", Server_Brittle="4"))
+    harness.advance(0.0)
+    assert "server-brittle" not in caller.read_answer()[1]
