Send brittle servers no more than they survive to refuse, all instances together

Servers of a service can be brittle for a time: one that has to refuse more requests a second than it says ends. Instances learned that a server is full from its refusals, each of them for itself, which is what ends such a server. Class: as with the named limits, a bound over all instances that each finds out alone.

Change: while a server is brittle, all instances together have no more unanswered requests there than it has slots, or than it survives to refuse where its slots say little (engines, or five seconds after a refusal). Instances without a share leave it to others; one that was refused stays away for more than a second. What servers say is told with the named limits, and so are refusals.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -38,6 +38,7 @@
     select_replaceable_engines,
 )
 from ebonyhaven_decisions.forwarding._priorities import choose_engine_priority
+from ebonyhaven_decisions.forwarding._refusal_limits import CAUTION_S, RefusalLimiter
 from ebonyhaven_decisions.forwarding._request_pacing import (
     CONFIRMATION_TTL_S,
     RequestPacer,
@@ -60,6 +61,7 @@
     ServerContact,
     choose_checked_servers,
 )
+from ebonyhaven_decisions.forwarding._server_limits import NO_LIMITS, ServerLimits
 from ebonyhaven_decisions.forwarding._startup import StateWaitLimits
 from ebonyhaven_decisions.forwarding._stream_index import (
     StreamIndex,
@@ -82,6 +84,7 @@
 )
 
 __all__ = [
+    "CAUTION_S",
     "CONFIRMATION_TTL_S",
     "SERVER_PROBE_INTERVAL_S",
     "SETTLE_S",
@@ -98,6 +101,8 @@
     "LossReport",
     "PeerEngineUse",
     "PrefillRate",
+    "NO_LIMITS",
+    "RefusalLimiter",
     "RequestKind",
     "RequestPacer",
     "Route",
@@ -105,6 +110,7 @@
     "StreamIndex",
     "RunCopyLocation",
     "ServerContact",
+    "ServerLimits",
     "ServerListVersion",
     "Service",
     "ServiceRetryBudget",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -13,7 +13,7 @@
     BackendState,
 )
 from ebonyhaven_decisions.forwarding._removed_versions import RemovedVersions
-from ebonyhaven_decisions.forwarding._request_pacing import count_holders
+from ebonyhaven_decisions.forwarding._server_limits import NO_LIMITS, ServerLimits
 
 # The loss of the other servers of a failed data centre is detected within this time.
 DATA_CENTRE_SUSPECT_S = 0.8
@@ -25,6 +25,7 @@
 
     __slots__ = (
         "_by_id",
+        "_engine_services",
         "_instances",
         "_lost_at",
         "_own_name",
@@ -36,7 +37,8 @@
     def __init__(self) -> None:
         self._own_name = ""
         self._instances: tuple[str, ...] = ("",)
-        self._unlisted_limits: dict[str, float] = {}  # by process
+        self._engine_services: frozenset[str] = frozenset()
+        self._unlisted_limits: dict[str, ServerLimits] = {}  # by process
         self._lost_at: dict[str, float] = {}  # by data centre
         self._by_id: dict[str, Backend] = {}
         self._removed: dict[str, Backend] = {}
@@ -84,9 +86,9 @@
             if known is not None:
                 self._versions.record(known.entry, now)
             known = Backend(entry)
-            limit = self._unlisted_limits.pop(known.process_id, None)
-            if limit is not None:
-                self.record_rate_limit(known, limit, now)
+            limits = self._unlisted_limits.pop(known.process_id, None)
+            if limits is not None:
+                self.record_limits(known, limits, now)
         known.entry = entry
         known.removed_at = None
         self._by_id[entry.server_id] = known
@@ -145,55 +147,81 @@
         self._own_name = own_name
         self._instances = tuple(names)
         for backend in self._by_id.values():
-            if backend.pacer.limit is not None:
+            if backend.limits != NO_LIMITS:
                 self._update_share(backend, now)
 
-    def record_rate_limit(
-        self, backend: Backend, limit: float | None, now: float
-    ) -> None:
-        """Record the limit that an answer of a server names, or that it names none.
+    def record_limits(self, backend: Backend, limits: ServerLimits, now: float) -> None:
+        """Record the limits that an answer of a server names.
 
         Parameters
         ----------
         backend : Backend
-        limit : float or None
-            Requests per second from all instances together.
+        limits : ServerLimits
         now : float
             Seconds.
         """
-        backend.pacer.set_limit(limit, now)
-        if limit is not None:
+        has_changed = limits != backend.limits
+        backend.pacer.set_limit(limits.requests_per_s, now)
+        has_engine = backend.entry.service in self._engine_services
+        backend.refusal_limiter.set_limit(
+            limits.refusals_per_s,
+            slots=0 if has_engine else backend.entry.slots,  # memory binds engines
+        )
+        if has_changed:
             self._update_share(backend, now)
 
-    def record_told_rate_limit(
-        self, process_id: str, limit: float | None, now: float
+    def record_told_limits(
+        self, process_id: str, limits: ServerLimits, now: float
     ) -> None:
-        """Record a limit that another instance told of.
+        """Record limits that another instance told of.
 
         Parameters
         ----------
         process_id : str
             See `Backend.process_id`; may be listed later.
-        limit : float or None
+        limits : ServerLimits
         now : float
             Seconds.
         """
-        for backend in self._by_id.values():
-            if backend.process_id == process_id:
-                self.record_rate_limit(backend, limit, now)
-                return
+        backend = self.find_process(process_id)
+        if backend is not None:
+            self.record_limits(backend, limits, now)
+            return
         self._unlisted_limits.pop(process_id, None)
-        if limit is not None and len(self._unlisted_limits) < MAX_UNLISTED_LIMITS:
-            self._unlisted_limits[process_id] = limit
+        if limits != NO_LIMITS and len(self._unlisted_limits) < MAX_UNLISTED_LIMITS:
+            self._unlisted_limits[process_id] = limits
+
+    def find_process(self, process_id: str) -> Backend | None:
+        """Return a listed process.
+
+        Parameters
+        ----------
+        process_id : str
+            See `Backend.process_id`.
+
+        Returns
+        -------
+        Backend or None
+        """
+        backend = self._by_id.get(process_id.rpartition("/")[0])
+        return backend if backend and backend.process_id == process_id else None
+
+    def set_engine_services(self, names: Iterable[str]) -> None:
+        """Set the services whose servers are model engines.
+
+        Parameters
+        ----------
+        names : iterable of str
+        """
+        self._engine_services = frozenset(names)
 
     def _update_share(self, backend: Backend, now: float) -> None:
-        count = count_holders(backend.pacer.limit, len(self._instances))
-        holders = choose_instances(backend.process_id, self._instances, count)
-        backend.pacer.set_share(
-            is_holder=self._own_name in holders,
-            instances=len(self._instances),
-            now=now,
+        names = choose_instances(
+            backend.process_id, self._instances, len(self._instances)
         )
+        rank = names.index(self._own_name) if self._own_name in names else len(names)
+        backend.pacer.set_share(rank=rank, instances=len(names), now=now)
+        backend.refusal_limiter.set_share(rank=rank, instances=len(names))
 
     def find_limit_end(
         self,
@@ -221,17 +249,17 @@
             Seconds; infinite if this instance leaves the servers to others. None if
             some ready server is not kept from requests by its limit, or there is none.
         """
-        pacers = [
-            each.pacer
+        servers = [
+            each
             for each in self._by_id.values()
             if each.entry.service == service
             and not each.is_leaving
             and version in (None, each.software_version)
         ]
-        first = min((each.find_next(now) for each in pacers), default=now)
+        first = min((each.find_allowed(now) for each in servers), default=now)
         if first <= now:
             return None
-        rate = sum(each.compute_rate(now) for each in pacers)
+        rate = sum(each.pacer.compute_rate(now) for each in servers)
         return first + ahead / rate if rate else math.inf
 
     def count_suspects(self, data_centre: str, now: float) -> int:
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_request_pacing.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_request_pacing.py
@@ -76,19 +76,23 @@
         self.limit = limit
         self.confirmed_at = now
 
-    def set_share(self, *, is_holder: bool, instances: int, now: float) -> None:
+    def set_share(self, *, rank: int, instances: int, now: float) -> None:
         """Set this instance's part in the limit.
 
         Parameters
         ----------
-        is_holder : bool
-            Whether it is one of the `count_holders` instances that send requests.
+        rank : int
+            Its place in an order of the instances that differs with the server; the
+            first `count_holders` of them send requests.
         instances : int
             Instances that could send requests, this one included.
         now : float
             Seconds.
         """
         self._save_up(now)
+        is_holder = self.limit is not None and (
+            rank < count_holders(self.limit, instances)
+        )
         if not (is_holder and self._is_holder):
             self._saved = 0.0  # the instance that it replaces may just have sent one
         self._is_holder = is_holder
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -17,6 +17,7 @@
     ResponseHandler,
 )
 from ebonyhaven_node.forwarding._inbox import Inbox
+from ebonyhaven_node.forwarding._outcomes import LIMITED_REASON
 from ebonyhaven_node.forwarding._requests import (
     AttemptPlan,
     ForwardRequest,
@@ -71,6 +72,7 @@
         self._context = context
         self._connection: HttpConnection | None = None
         self._pending: PendingConnection | None = None
+        self._is_unanswered = False
 
     @property
     def request_id(self) -> str:
@@ -81,10 +83,10 @@
         """Send the request on an idle connection, or on a new one if none is idle."""
         self.backend.in_flight += 1
         now = self.sent_at = self._context.clock()
-        if not self.backend.acquire_request(now):
+        self._is_unanswered = self.backend.acquire_request(now)
+        if not self._is_unanswered:
             self._finish()
-            reason = "the server limits its requests"
-            self._inbox.put(AttemptFailed(self, False, True, reason))
+            self._inbox.put(AttemptFailed(self, False, True, LIMITED_REASON))
             return
         address = self.backend.entry.address
         connection = self._context.pool.acquire_idle(address, self._request.request_id)
@@ -118,8 +120,8 @@
         if head.load is not None:
             self.backend.record_load(head.load, now)
         if head.request_id is not None and not head.is_other_process:
-            self._context.report_rate_limit(self.backend, head.request_rate_limit)
-            self._context.report_brittle(self.backend, head.max_refusals_per_s)
+            self._context.report_limits(self.backend, head.limits)
+        self._record_answered()
         self.head = head
         self._inbox.put(ResponseStarted(self, head))
         return True
@@ -174,8 +176,14 @@
         self._context.report_unreachable(self.backend)
         self._inbox.put(AttemptFailed(self, False, True, failure.reason))
 
+    def _record_answered(self) -> None:
+        if self._is_unanswered:
+            self._is_unanswered = False
+            self.backend.record_answered()
+
     def _finish(self) -> None:
         self.is_finished = True
+        self._record_answered()
         self.backend.in_flight -= 1
         self._context.capacity_notifier.notify()
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -10,9 +10,11 @@
 import attrs
 import structlog
 from ebonyhaven_decisions.forwarding import (
+    NO_LIMITS,
     Backend,
     PeerEngineUse,
     PrefillRate,
+    ServerLimits,
     ServiceRetryBudget,
     StreamDurations,
 )
@@ -82,8 +84,8 @@
         Called with each server that this instance found unreachable or silent.
     on_other_process : callable
         Called with a server and the id of the process that now uses its address.
-    on_rate_limit : callable
-        Called with a server that names a limit, or names none after one.
+    on_limits : callable
+        Called with a server that names limits, or names none after some.
     """
 
     state: ForwardingState
@@ -111,7 +113,7 @@
     on_usage_change: Callable[[], None] = lambda: None
     on_loss: Callable[[Backend], None] = lambda _: None
     on_other_process: Callable[[Backend, str], None] = lambda *_: None
-    on_rate_limit: Callable[[Backend], None] = lambda _: None
+    on_limits: Callable[[Backend], None] = lambda _: None
 
     def get_stream_durations(self, route_name: str) -> StreamDurations:
         """Return the average durations of the streams of a route.
@@ -198,46 +200,29 @@
         backend : Backend
         """
         backend.record_refused(self.clock(), self.rng.random())
+        if backend.limits != NO_LIMITS:
+            self.on_limits(backend)
 
-    def report_rate_limit(self, backend: Backend, limit: float | None) -> None:
-        """Record the limit that a server names in an answer, or that it names none.
+    def report_limits(self, backend: Backend, limits: ServerLimits) -> None:
+        """Record the limits that a server names in an answer.
 
         Parameters
         ----------
         backend : Backend
-        limit : float or None
-            Requests per second from all instances together.
+        limits : ServerLimits
         """
-        before = backend.pacer.limit
-        if limit is None and before is None:
+        before = backend.limits
+        if limits == before == NO_LIMITS:
             return
-        self.state.backends.record_rate_limit(backend, limit, self.clock())
-        self.on_rate_limit(backend)
-        if limit == before:
+        self.state.backends.record_limits(backend, limits, self.clock())
+        self.on_limits(backend)
+        if limits == before:
             return
         _log.info(
-            "backend_rate_limit_changed",
+            "backend_limits_changed",
             server=backend.server_id,
-            requests_per_s=limit,
-            before=before,
-        )
-
-    def report_brittle(self, backend: Backend, max_refusals_per_s: int | None) -> None:
-        """Record how many refusals a server says to survive, or that it says nothing.
-
-        Parameters
-        ----------
-        backend : Backend
-        max_refusals_per_s : int or None
-        """
-        before = backend.max_refusals_per_s
-        if max_refusals_per_s == before:
-            return
-        backend.max_refusals_per_s = max_refusals_per_s
-        _log.info(
-            "backend_brittle_changed",
-            server=backend.server_id,
-            max_refusals_per_s=max_refusals_per_s,
+            requests_per_s=limits.requests_per_s,
+            refusals_per_s=limits.refusals_per_s,
             before=before,
         )
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -338,7 +338,7 @@
             on_usage_change=self._schedule_use_update,
             on_loss=self._report_lost_server,
             on_other_process=self._adopter.inspect_replacement,
-            on_rate_limit=self._report_rate_limit,
+            on_limits=self._report_limits,
             crash_monitor=self._crash_monitor,
             stream_index=self._stream_index,
             contact=self._contact,
@@ -386,9 +386,9 @@
         if self._peer_group is not None:
             self._peer_group.report_survival(trait)
 
-    def _report_rate_limit(self, backend: Backend) -> None:
+    def _report_limits(self, backend: Backend) -> None:
         if self._peer_group is not None:
-            self._peer_group.report_rate_limit(backend)
+            self._peer_group.report_limits(backend)
 
     def list_relay_peers(self) -> list[MemberRecord]:
         """Return the other instances that reach servers."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_limit_exchange.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_limit_exchange.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import structlog
 from ebonyhaven_decisions import MemberState
-from ebonyhaven_decisions.forwarding import CONFIRMATION_TTL_S, Backend
+from ebonyhaven_decisions.forwarding import (
+    CAUTION_S,
+    CONFIRMATION_TTL_S,
+    NO_LIMITS,
+    Backend,
+    ServerLimits,
+)
 from twisted.internet.interfaces import IReactorTime
 
 from ebonyhaven_node._channels import Channels
@@ -21,6 +28,23 @@
 _log = structlog.get_logger()
 
 
+class _Told(NamedTuple):
+    """What all instances know of a server.
+
+    Parameters
+    ----------
+    limits : ServerLimits
+    refused_at : float
+        Time of the last refusal that was told, seconds.
+    at : float
+        Time at which it was told, seconds.
+    """
+
+    limits: ServerLimits
+    refused_at: float
+    at: float
+
+
 class LimitExchange:
     """Keeps the limits of servers alike on all instances, and who shares them.
 
@@ -52,7 +76,7 @@
         self._reaches_servers = reaches_servers
         self._membership = membership
         self._clock = clock
-        self._told: dict[str, tuple[float | None, float]] = {}  # limit and time
+        self._told: dict[str, _Told] = {}  # by process
         self._exchange = EvidenceExchange(
             kind=FrameKind.SERVER_LIMITS,
             membership=membership,
@@ -64,18 +88,23 @@
         membership.observe(lambda _: self.update_instances())
 
     def publish(self, backend: Backend) -> None:
-        """Tell all instances the limit of a server if they may not know it.
+        """Tell all instances the limits of a server if they may not know them.
 
         Parameters
         ----------
         backend : Backend
-            Has just named its limit, or has named none in spite of an earlier one.
+            Has just named limits, has named none in spite of earlier ones, or is
+            brittle and has refused a request.
         """
         now = self._clock()
-        limit, told_at = self._told.get(backend.process_id, (None, now))
-        if limit == backend.pacer.limit and now - told_at < RENEWAL_S:
+        told = self._told.get(backend.process_id, _Told(NO_LIMITS, -math.inf, now))
+        refused_at = backend.refusal_limiter.refused_at
+        is_known = told.limits == backend.limits and (
+            refused_at <= told.refused_at + RENEWAL_S
+        )
+        if is_known and now - told.at < RENEWAL_S:
             return
-        self._told[backend.process_id] = (backend.pacer.limit, now)
+        self._told[backend.process_id] = _Told(backend.limits, refused_at, now)
         self._exchange.publish(backend.process_id)
 
     def stop(self) -> None:
@@ -93,32 +122,59 @@
         own_name = self._membership.own.name
         self._state.backends.set_instances(own_name, names, self._clock())
 
-    def _export(self, keys: list[str] | None) -> dict[str, float | None]:
-        """Return limits by process; None for one that has ended."""
+    def _export(self, keys: list[str] | None) -> dict[str, list[Any]]:
+        """Return by process its limits and the age of its last refusal, if recent."""
         self._forget_unlisted()
-        limits = {each.process_id: each.pacer.limit for each in self._state.backends}
         if keys is None:
-            return {key: limit for key, limit in limits.items() if limit is not None}
-        return {key: limits[key] for key in keys if key in limits}
+            chosen = [each for each in self._state.backends if each.limits != NO_LIMITS]
+        else:
+            found = map(self._state.backends.find_process, keys)
+            chosen = [each for each in found if each is not None]
+        return {each.process_id: self._encode(each) for each in chosen}
+
+    def _encode(self, backend: Backend) -> list[Any]:
+        age_s = self._clock() - backend.refusal_limiter.refused_at
+        return [*backend.limits, round(age_s, 3) if age_s < CAUTION_S else None]
 
     def _forget_unlisted(self) -> None:
         listed = {each.process_id for each in self._state.backends}
         self._told = {key: told for key, told in self._told.items() if key in listed}
 
     def _merge(self, sender: str, payload: Any) -> None:
-        now = self._clock()
-        limits = {
-            str(process): None if limit is None else float(limit)
-            for process, limit in dict(payload).items()
+        received = {
+            str(process): (_decode_limits(rate, refusals), _decode_number(age_s))
+            for process, (rate, refusals, age_s) in dict(payload).items()
         }
-        for process, limit in limits.items():
-            known, _ = self._told.get(process, (None, now))
-            self._told[process] = (limit, now)
-            self._state.backends.record_told_rate_limit(process, limit, now)
-            if limit != known:
-                _log.info(
-                    "backend_rate_limit_told",
-                    peer=sender,
-                    process=process,
-                    requests_per_s=limit,
-                )
+        for process, (limits, age_s) in received.items():
+            self._record(sender, process, limits, age_s)
+
+    def _record(
+        self, sender: str, process: str, limits: ServerLimits, age_s: float | None
+    ) -> None:
+        now = self._clock()
+        directory = self._state.backends
+        known = self._told.get(process)
+        refused_at = -math.inf if age_s is None else now - age_s
+        self._told[process] = _Told(limits, refused_at, now)
+        directory.record_told_limits(process, limits, now)
+        backend = directory.find_process(process)
+        if backend is not None:
+            backend.refusal_limiter.record_told_refused(refused_at)
+        if known is None or limits != known.limits:
+            _log.info(
+                "backend_limits_told",
+                peer=sender,
+                process=process,
+                requests_per_s=limits.requests_per_s,
+                refusals_per_s=limits.refusals_per_s,
+            )
+
+
+def _decode_limits(rate: Any, refusals: Any) -> ServerLimits:
+    return ServerLimits(
+        _decode_number(rate), None if refusals is None else int(refusals)
+    )
+
+
+def _decode_number(value: Any) -> float | None:
+    return None if value is None else float(value)
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -217,8 +217,8 @@
         """Return the other live instances that reach servers, as far as is known."""
         return self._contact_exchange.list_reaching()
 
-    def report_rate_limit(self, backend: Backend) -> None:
-        """Report a server that names a limit, or names none after one.
+    def report_limits(self, backend: Backend) -> None:
+        """Report a server that names limits, or names none after some.
 
         Parameters
         ----------
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 import attrs
+from ebonyhaven_decisions.forwarding import NO_LIMITS, ServerLimits
 
 DIGEST_HEX_DIGITS = 16
 MAX_RESPONSE_BYTES = 2 * 1024 * 1024  # many of them fit into an instance
@@ -212,12 +213,8 @@
         Id of that process, if the response states it.
     load : int or None
         Running and waiting requests of the server.
-    request_rate_limit : float or None
-        Requests per second that the server takes from all instances together; None
-        if it names no limit.
-    max_refusals_per_s : int or None
-        Requests per second that the server can refuse for lack of room without ending;
-        None if it does not say that it is brittle.
+    limits : ServerLimits
+        What the server asks of all instances together.
     """
 
     status: int
@@ -228,5 +225,4 @@
     is_other_process: bool
     other_server_id: str | None
     load: int | None
-    request_rate_limit: float | None = None
-    max_refusals_per_s: int | None = None
+    limits: ServerLimits = NO_LIMITS
--- a/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
@@ -183,8 +183,13 @@
                     source=self._source.entry.address, handle=self._handle
                 )
             )
+            deletion.addBoth(self._record_answered)
             deletion.addErrback(self._log_deletion_failure)
 
+    def _record_answered(self, result: object) -> object:
+        self._source.record_answered()
+        return result
+
     def _locate(self) -> RunCopyLocation:
         address, handle = self.reference
         if handle is None:
@@ -245,6 +250,7 @@
                 target=holder.entry.address,
             )
         )
+        request.addBoth(self._record_answered)
         request.addCallbacks(
             lambda handle: self._inbox.put(CopyRequestCompleted(holder, handle)),
             lambda failure: self._handle_failure(holder, failure),
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -60,6 +60,9 @@
         if known is not None and configuration.version < known.version:
             return
         self.configuration = configuration
+        self.backends.set_engine_services(
+            name for name, each in configuration.services.items() if each.engine
+        )
         _log.info(
             "configuration_in_force",
             version=configuration.version,
