--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -356,3 +356,12 @@
     harness.advance(0.01)
     assert harness.count_waiting() == 0
     assert caller.transport.aborted
+
+
+def test_new_instance_does_not_take_the_only_listed_version_for_that_of_a_stream():
+    # Guards against streams of two versions after the loss of all instances: the list
+    # shows only the version that replaced that of the stream.
+    harness = ForwardingHarness(engines=6, versions=("v2",))
+    harness.record_store.is_down = True
+    assert retry_stream(harness).read_answer()[0] == 503
+    assert harness.count_waiting() == 0
