Keep the software versions in use in the store, and know what a new instance does not

After the loss of all instances, streams that had begun at a version that has left went on at another, in answers that looked whole. Class: what cannot be known yet taken for what is not there.

Until the past is known, a stream without a record is refused.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -82,6 +82,10 @@
     compute_first_event_limits,
     compute_gap_limits,
 )
+from ebonyhaven_decisions.forwarding._version_history import (
+    VersionRecord,
+    VersionSnapshot,
+)
 
 __all__ = [
     "CAUTION_S",
@@ -121,6 +125,8 @@
     "StreamRecord",
     "TokenDemand",
     "Traits",
+    "VersionRecord",
+    "VersionSnapshot",
     "Workspace",
     "choose_backend",
     "choose_checked_servers",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 
 from ebonyhaven_decisions._rendezvous import choose_instances
 from ebonyhaven_decisions.forwarding._backends import (
@@ -12,8 +12,11 @@
     BackendEntry,
     BackendState,
 )
-from ebonyhaven_decisions.forwarding._removed_versions import RemovedVersions
 from ebonyhaven_decisions.forwarding._server_limits import NO_LIMITS, ServerLimits
+from ebonyhaven_decisions.forwarding._version_history import (
+    VersionHistory,
+    VersionSnapshot,
+)
 
 # The loss of the other servers of a failed data centre is detected within this time.
 DATA_CENTRE_SUSPECT_S = 0.8
@@ -42,7 +45,7 @@
         self._lost_at: dict[str, float] = {}  # by data centre
         self._by_id: dict[str, Backend] = {}
         self._removed: dict[str, Backend] = {}
-        self._versions = RemovedVersions()
+        self._versions = VersionHistory()
 
     def __iter__(self) -> Iterator[Backend]:
         return iter(self._by_id.values())
@@ -329,16 +332,65 @@
         -------
         str or None
             None if servers of several versions, or of an unknown one, are listed or
-            were within `VERSION_MEMORY_S`.
+            may have been within `VERSION_MEMORY_S`.
         """
+        if not self.is_past_known(now):
+            return None
         versions = {
-            each.software_version
-            for each in self._by_id.values()
-            if each.entry.service == service
+            version for name, version in self.list_versions() if name == service
         }
         versions |= self._versions.list_recent(service, now)
         return versions.pop() if len(versions) == 1 else None
 
+    def list_versions(self) -> frozenset[tuple[str, str | None]]:
+        """Return the services and software versions of the listed servers."""
+        return frozenset(
+            (each.entry.service, each.software_version) for each in self._by_id.values()
+        )
+
+    def record_list_read(self, now: float) -> None:
+        """Record that the list is complete, and followed from the first call on.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        self._versions.begin(now)
+
+    def is_past_known(self, now: float) -> bool:
+        """Return whether all recent software versions are known.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        return self._versions.is_complete(now)
+
+    def export_versions(self, now: float) -> VersionSnapshot:
+        """Return what is known of software versions, listed and removed ones.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        return self._versions.export(self.list_versions(), now)
+
+    def add_earlier_versions(
+        self, snapshots: Sequence[VersionSnapshot], now: float
+    ) -> None:
+        """Add what instances knew of software versions before this one started.
+
+        Parameters
+        ----------
+        snapshots : sequence of VersionSnapshot
+        now : float
+            Seconds.
+        """
+        self._versions.add_earlier(snapshots, self.list_versions(), now)
+
     def may_serve_version(self, service: str, version: str, now: float) -> bool:
         """Return whether servers of a software version take requests, or may again.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -61,6 +61,7 @@
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
 from ebonyhaven_node.forwarding._startup import StateWaiter
 from ebonyhaven_node.forwarding._state import ForwardingState
+from ebonyhaven_node.forwarding._version_records import VersionRecorder
 from ebonyhaven_node.forwarding.interfaces import (
     BackendDialect,
     CallerDialect,
@@ -69,6 +70,7 @@
     ServerInspector,
     StateSource,
     StreamRecordStore,
+    VersionRecordStore,
 )
 
 LISTEN_BACKLOG = 512  # connections not yet accepted during a burst
@@ -99,6 +101,8 @@
         Returns the `StreamRecordStore` for a `ConnectionPool`.
     build_loss_store : callable
         Returns the `LossRecordStore` for a `ConnectionPool`.
+    build_version_store : callable
+        Returns the `VersionRecordStore` for a `ConnectionPool`.
     rng : random.Random or None
         A generator with a random seed if None.
     clock : callable
@@ -117,6 +121,7 @@
         build_copier: Callable[[ConnectionPool], RunCopier],
         build_record_store: Callable[[ConnectionPool], StreamRecordStore],
         build_loss_store: Callable[[ConnectionPool], LossRecordStore],
+        build_version_store: Callable[[ConnectionPool], VersionRecordStore],
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
     ):
@@ -179,6 +184,12 @@
             clock=clock,
             on_read=self._crash_monitor.notify_of_losses,
         )
+        self._version_recorder = VersionRecorder(
+            backends=self.state.backends,
+            store=build_version_store(self.pool),
+            reactor=reactor,
+            clock=clock,
+        )
         self._budget = ServiceRetryBudget(
             ratio=settings.retry_budget_ratio,
             window_s=settings.retry_budget_window_s,
@@ -227,6 +238,10 @@
         self.source.start()
         self._loss_recorder.start(self._peer_group.is_crash_recorder)
         self._stack.callback(self._loss_recorder.stop)
+        self._version_recorder.start(self._peer_group.is_version_recorder)
+        self._stack.callback(self._version_recorder.stop)
+        self.state.observe(self._version_recorder.handle_change)
+        self.membership.observe(lambda _: self._version_recorder.handle_change())
         self._stack.callback(self.source.stop)
         _log.info("instance_started", instance=self._settings.instance)
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -35,7 +35,9 @@
 from ebonyhaven_node.forwarding.interfaces import StateSource
 
 PEER_USE_TTL_S = 3 * USE_REFRESH_INTERVAL_S
-CRASH_RECORDS_KEY = "losses"  # all of them are written by one instance
+# Each kind of record is written by one instance.
+CRASH_RECORDS_KEY = "losses"
+VERSION_RECORDS_KEY = "versions"
 
 
 class PeerGroup:
@@ -176,6 +178,10 @@
         """Return whether this instance records the losses of servers for all."""
         return self.is_chosen(CRASH_RECORDS_KEY)
 
+    def is_version_recorder(self) -> bool:
+        """Return whether this instance records the software versions for all."""
+        return self.is_chosen(VERSION_RECORDS_KEY)
+
     def is_chosen(self, key: str) -> bool:
         """Return whether this instance is the one of all that acts for a key.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -11,6 +11,7 @@
     LossReport,
     ServerListVersion,
     StreamRecord,
+    VersionSnapshot,
 )
 
 from ebonyhaven_node.forwarding._requests import (
@@ -282,6 +283,33 @@
         """
 
 
+class VersionRecordStore(abc.ABC):
+    """Durable record of the software versions in use; it outlives all instances."""
+
+    @abc.abstractmethod
+    async def write(self, snapshot: VersionSnapshot) -> None:
+        """Replace the snapshot that this instance wrote before.
+
+        Parameters
+        ----------
+        snapshot : VersionSnapshot
+
+        Raises
+        ------
+        RecordStoreError
+            The write may have been applied nevertheless.
+        """
+
+    @abc.abstractmethod
+    async def read(self) -> list[VersionSnapshot]:
+        """Return the snapshots of all instances.
+
+        Raises
+        ------
+        RecordStoreError
+        """
+
+
 class StateVersion(NamedTuple):
     """Versions of the state of an instance; 0 for none.
 
--- a/packages/standins/src/ebonyhaven_standins/resuming/_simulation.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_simulation.py
@@ -44,6 +44,7 @@
     NullInspector,
     NullLossStore,
     NullRecordStore,
+    NullVersionStore,
     StaticSource,
 )
 
@@ -198,6 +199,7 @@
             build_copier=lambda pool: self.fleet,
             build_record_store=lambda pool: NullRecordStore(),
             build_loss_store=lambda pool: NullLossStore(),
+            build_version_store=lambda pool: NullVersionStore(),
             rng=random.Random(seed),
             clock=self._reactor.seconds,
         )
--- a/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping, Sequence
 
-from ebonyhaven_decisions.forwarding import LossReport, StreamRecord
+from ebonyhaven_decisions.forwarding import LossReport, StreamRecord, VersionSnapshot
 from ebonyhaven_node.forwarding.interfaces import (
     InspectedServer,
     LossRecordStore,
@@ -13,6 +13,7 @@
     StateVersion,
     StoredRecord,
     StreamRecordStore,
+    VersionRecordStore,
 )
 
 
@@ -61,6 +62,17 @@
         return []
 
 
+class NullVersionStore(VersionRecordStore):
+    """Keeps no versions; the experiment has one."""
+
+    async def write(self, snapshot: VersionSnapshot) -> None:
+        """See `VersionRecordStore.write`."""
+
+    async def read(self) -> list[VersionSnapshot]:
+        """See `VersionRecordStore.read`."""
+        return []
+
+
 class NullRecordStore(StreamRecordStore):
     """Keeps no records; the experiment loses no instance."""
 
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -12,6 +12,7 @@
     StateVersion,
     StoredRecord,
     StreamRecordStore,
+    VersionRecordStore,
 )
 
 
@@ -100,6 +101,26 @@
         return {key: StoredRecord(each, self.age_s) for key, each in newest.items()}
 
 
+class FakeVersionStore(VersionRecordStore):
+    """Keeps the snapshot in memory; unavailable while ``is_down`` is set."""
+
+    def __init__(self):
+        self.snapshots = []
+        self.write_count = 0
+        self.is_down = False
+
+    async def write(self, snapshot):
+        if self.is_down:
+            raise RecordStoreError("test")
+        self.write_count += 1
+        self.snapshots = [snapshot]
+
+    async def read(self):
+        if self.is_down:
+            raise RecordStoreError("test")
+        return list(self.snapshots)
+
+
 class FakeLossStore(LossRecordStore):
     """Keeps the reports in memory; unavailable while ``is_down`` is set."""
 
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -37,6 +37,7 @@
     FakeCopier,
     FakeLossStore,
     FakeRecordStore,
+    FakeVersionStore,
     FixedInspector,
     StaticStateSource,
 )
@@ -215,6 +216,17 @@
 class ForwardingHarness:
     """An instance with simulated callers and backend servers.
 
+    Parameters
+    ----------
+    configuration : RoutingConfiguration, False or None
+        The usual one for None, none for False.
+    plain, engines : int
+        Numbers of servers.
+    versions : tuple of str
+        Software versions of the engines, in turn.
+    knows_past : bool
+        Whether the store tells which versions were in use before.
+
     Attributes
     ----------
     refused : set of str
@@ -225,13 +237,22 @@
         Connections accepted by servers.
     """
 
-    def __init__(self, configuration=None, plain=3, engines=3, versions=("v1",)):
+    def __init__(
+        self,
+        configuration=None,
+        plain=3,
+        engines=3,
+        versions=("v1",),
+        knows_past=True,
+    ):
         self.reactor = MemoryReactorClock()
         self.source = StaticStateSource()
         self.inspector = FixedInspector()
         self.copier = FakeCopier()
         self.record_store = FakeRecordStore()
         self.loss_store = FakeLossStore()
+        self.version_store = FakeVersionStore()
+        self.version_store.is_down = not knows_past
         self.refused: set[str] = set()
         self.silent: set[str] = set()
         self._accepted_count = 0
@@ -246,6 +267,7 @@
             build_copier=lambda pool: self.copier,
             build_record_store=lambda pool: self.record_store,
             build_loss_store=lambda pool: self.loss_store,
+            build_version_store=lambda pool: self.version_store,
             rng=random.Random(7),
             clock=self.reactor.seconds,
         )
@@ -264,6 +286,7 @@
             for number in range(engines)
         ]
         self.state.replace_backends({each.server_id: each for each in entries})
+        self.gateway._version_recorder.start(lambda: True)
 
     def open_caller(self) -> Caller:
         return Caller(self, self.gateway.server.buildProtocol(None))
