--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -256,3 +256,28 @@
         harness.gateway._crash_monitor.notify_of_losses()
     harness.advance(CHECK_S)
     assert 2 <= len(inbox._messages) <= 4
+
+
+def test_stream_that_crashes_its_servers_takes_three_and_leaves_others_alone():
+    # Replays the day of deadly streams: each goes on elsewhere within its answer, and
+    # comes again with the same content.
+    harness = ForwardingHarness(plain=0, engines=9)
+    size = {"X_Token_Count": "10,10"}
+    other = send_request(harness, "/stream/other", "other", **size)
+    other_server, _, _ = harness.take_request()
+    other_server.receive(stream_head("other") + chunk(event(1)))
+    caller = send_request(harness, "/stream/x", "r1", body=b"deadly", **size)
+    events = [event(1)]
+    for _ in range(3):
+        crash_server(harness)
+        for _ in range(4):
+            harness.advance(CHECK_S / 4)
+            events.append(event(len(events) + 1))
+            other_server.receive(chunk(events[-1]))
+    assert harness.count_waiting() == 0
+    assert caller.read_answer()[0] == 502
+    assert not harness.gateway._contact.is_lost
+    again = send_request(harness, "/stream/x", "r2", body=b"deadly", **size)
+    status, headers, _, _ = again.read_answer()
+    assert (status, "retry-after" in headers) == (503, False)
+    assert other.read_answer()[2] == b"".join(events)
