Soak: named limits, brittle servers, cut off instances, streams taken up again

Servers name limits and say that they are brittle, and fall if they refuse too much; instances are cut off from all servers by links of their own in three ways; callers take streams up again where they broke off, beside servers of two software versions.

--- a/tests/platform_adapter/soak/_callers.py
+++ b/tests/platform_adapter/soak/_callers.py
@@ -17,6 +17,7 @@
 CONNECT_TIMEOUT_S = 1.0
 TIME_LIMIT_S = 1.5
 STREAM_TIME_LIMIT_S = 6.0
+MAX_RESUMES = 2
 THINK_S = (0.0, 0.08)
 PROMISES = frozenset({408, 421, 429, 503})
 
@@ -36,6 +37,13 @@
     body : bytes
     is_whole : bool
         Whether the response was complete.
+    instance : str
+        Name of the instance that was asked.
+    first_id : str
+        Id of the request that brought the first event of the stream; its own for
+        others.
+    is_first : bool
+        Whether the caller had not tried before.
     """
 
     request_id: str
@@ -46,6 +54,13 @@
     stamp: str | None
     body: bytes
     is_whole: bool
+    instance: str = ""
+    first_id: str = ""
+    is_first: bool = True
+
+
+def _is_broken_off(result: Result) -> bool:
+    return result.status == 200 and not result.is_whole and bool(result.body)
 
 
 class _Connection(Protocol):
@@ -119,8 +134,8 @@
     Parameters
     ----------
     name : str
-    choose_address : callable
-        Returns the ``IP:PORT`` of an instance.
+    choose_instance : callable
+        Returns name and ``IP:PORT`` of an instance.
     choose_path : callable
         Returns the path of the next request.
     results : list of Result
@@ -132,13 +147,14 @@
         self,
         name: str,
         *,
-        choose_address: Callable[[], str],
+        choose_instance: Callable[[], tuple[str, str]],
         choose_path: Callable[[], str],
         results: list[Result],
         rng: random.Random,
     ):
         self._name = name
-        self._choose_address = choose_address
+        self._choose_instance = choose_instance
+        self._instance = ""
         self._choose_path = choose_path
         self._results = results
         self._rng = rng
@@ -152,16 +168,28 @@
             await deferLater(reactor, self._rng.uniform(*THINK_S))
             path = self._choose_path()
             result = await self._send(path)
-            if (
-                result is not None
-                and result.status in PROMISES
-                and (not self.is_stopped)
-            ):
-                await self._send(path)
+            if result is None or self.is_stopped:
+                continue
+            if result.status in PROMISES:
+                await self._send(path, after=result)
+            elif path.startswith("/stream") and _is_broken_off(result):
+                await self._resume(path, result)
         if self._connection is not None:
             self._connection.transport.abortConnection()
 
-    async def _send(self, path: str) -> Result | None:
+    async def _resume(self, path: str, result: Result) -> None:
+        """Take a stream up again where it broke off, until it is whole or refused."""
+        position = 0
+        for _ in range(MAX_RESUMES):
+            position += result.body.count(b"\n\n")
+            previous = result
+            result = await self._send(path, after=previous, position=position)
+            if result is None or self.is_stopped or not _is_broken_off(result):
+                return
+
+    async def _send(
+        self, path: str, *, after: Result | None = None, position: int = 0
+    ) -> Result | None:
         connection = self._connection
         if connection is None or connection.is_lost:
             connection = self._connection = await self._connect()
@@ -169,27 +197,43 @@
             return None
         self._number += 1
         request_id = f"{self._name}-{self._number}"
-        limit_s = STREAM_TIME_LIMIT_S if path.startswith("/fixed") else TIME_LIMIT_S
+        is_stream = path.startswith(("/fixed", "/stream"))
+        limit_s = STREAM_TIME_LIMIT_S if is_stream else TIME_LIMIT_S
         sent_at = reactor.seconds()
-        request = self._encode(connection, path, request_id, limit_s)
+        first_id = after.first_id if position else request_id
+        resumed = [("Last-Event-Id", str(position)), ("Resumes", first_id)]
+        request = self._encode(
+            connection, path, request_id, limit_s, resumed if position else []
+        )
         timer = reactor.callLater(limit_s, connection.transport.abortConnection)
         status, stamp, body, is_whole = await connection.exchange(request)
         if timer.active():
             timer.cancel()
         ended_at = reactor.seconds()
         result = Result(
-            request_id, path, sent_at, ended_at, status, stamp, body, is_whole
+            request_id,
+            path,
+            sent_at,
+            ended_at,
+            status,
+            stamp,
+            body,
+            is_whole,
+            self._instance,
+            first_id,
+            after is None,
         )
         self._results.append(result)
         return result
 
     async def _connect(self) -> _Connection | None:
-        host, _, port = self._choose_address().rpartition(":")
+        self._instance, address = self._choose_instance()
+        host, _, port = address.rpartition(":")
         factory = _Factory()
         reactor.connectTCP(host, int(port), factory, timeout=CONNECT_TIMEOUT_S)
         return await factory.connected
 
-    def _encode(self, connection, path, request_id, limit_s) -> bytes:
+    def _encode(self, connection, path, request_id, limit_s, resumed) -> bytes:
         method = "GET" if path.startswith("/repeat") else "POST"
         headers = [
             ("Host", HOST),
@@ -198,8 +242,9 @@
             ("Authorization", f"Bearer {KEY}"),
         ]
         body = b"" if method == "GET" else b"{}"
-        if path.startswith("/fixed"):
+        if path.startswith(("/fixed", "/stream")):
             headers.append(("X-Token-Count", "800,60"))
+        headers += resumed
         if body:
             headers.append(("Content-Length", str(len(body))))
         encoded = connection.codec.send(
--- a/tests/platform_adapter/soak/_checks.py
+++ b/tests/platform_adapter/soak/_checks.py
@@ -4,12 +4,67 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
+from typing import NamedTuple
 
 from tests.platform_adapter.soak._callers import PROMISES, Result
-from tests.platform_adapter.soak._servers import STREAM_EVENTS, Arrival
+from tests.platform_adapter.soak._servers import (
+    STREAM_EVENTS,
+    Arrival,
+    Fall,
+    encode_event,
+)
 
 CUT_OFF_FAILURES = 10  # besides one in 50 of all requests
+CONTACT_S = 3.0
+LIMIT_SPAN_S = 4.0
 MAX_CRASH_REPEATS = 3
+NEW_VERSION, OLD_VERSION = "v2", "v1"
+NEW_VERSION_PLACE = "e6"
+REPEATABLE = ("/repeat", "/stream")  # paths of requests that may run more than once
+TOLD_S = 0.5
+
+
+class NamedLimit(NamedTuple):
+    """Time in which a server named a limit.
+
+    Parameters
+    ----------
+    place : str
+    rate : float
+        Requests per second.
+    since, until : float
+        Seconds of the reactor's clock.
+    """
+
+    place: str
+    rate: float
+    since: float
+    until: float
+
+
+class SoakHistory:
+    """Which instance each request was sent to, and when instances were disturbed.
+
+    Parameters
+    ----------
+    results : iterable of Result
+    disturbances : sequence of (str, float, float)
+        Name of an instance, begin and end.
+    """
+
+    def __init__(self, results, disturbances):
+        self._instances = {each.request_id: each.instance for each in results}
+        self._disturbances = disturbances
+
+    def find_instance(self, request_id: str) -> str:
+        return self._instances.get(request_id, "")
+
+    def is_disturbed(self, instance: str, since: float, until: float) -> bool:
+        """Return whether an instance was disturbed in a time, or is unknown."""
+        return not instance or any(
+            name == instance and begin < until and end > since
+            for name, begin, end in self._disturbances
+        )
 
 
 def check_runs(arrivals: Sequence[Arrival]) -> list[str]:
@@ -21,7 +76,7 @@
     return [
         f"TWICE: {request_id} ran at {[each.process for each in found]}"
         for request_id, found in runs.items()
-        if len(found) > 1 and not found[0].path.startswith("/repeat")
+        if len(found) > 1 and not found[0].path.startswith(REPEATABLE)
     ]
 
 
@@ -35,7 +90,7 @@
         for each in results
         if each.status in PROMISES
         and each.request_id in ran
-        and not each.path.startswith("/repeat")
+        and not each.path.startswith(REPEATABLE)
     ]
 
 
@@ -47,9 +102,11 @@
             continue
         if each.path.startswith("/fixed"):
             expected = b"".join(
-                f"id: {number}\ndata: piece {number}\n\n".encode()
+                encode_event(number, find_version(each.stamp))
                 for number in range(1, STREAM_EVENTS + 1)
             )
+        elif each.path.startswith("/stream"):
+            continue  # see `check_streams`
         else:
             expected = f"answer to {each.request_id}".encode()
         if each.body != expected or each.stamp is None:
@@ -60,6 +117,92 @@
     return problems
 
 
+def find_version(stamp: str | None) -> str:
+    """Return the software version of the server with a proof of origin."""
+    return NEW_VERSION if (stamp or "").startswith(NEW_VERSION_PLACE) else OLD_VERSION
+
+
+def check_streams(results: Iterable[Result]) -> list[str]:
+    """Return streams whose events, over all tries, are not those of one version."""
+    tries = defaultdict(list)
+    for each in results:
+        if each.path.startswith("/stream") and each.status == 200:
+            tries[each.first_id].append(each)
+    problems = []
+    for first_id, found in tries.items():
+        body = b"".join(each.body for each in found)
+        # The last event of a try that broke off may be cut.
+        whole = b"".join(each.body[: each.body.rfind(b"\n\n") + 2] for each in found)
+        count = whole.count(b"\n\n")
+        expected = [
+            b"".join(encode_event(number, version) for number in range(1, count + 1))
+            for version in (OLD_VERSION, NEW_VERSION)
+        ]
+        is_complete = found[-1].is_whole
+        if whole not in expected or (is_complete and count != STREAM_EVENTS):
+            problems.append(f"ORDER: {first_id} in {len(found)} tries got {body!r}")
+    return problems
+
+
+def check_limits(
+    arrivals: Sequence[Arrival], limits: Iterable[NamedLimit], history: SoakHistory
+) -> list[str]:
+    """Return servers that got far more requests than the limit that they named."""
+    problems = []
+    for limit in limits:
+        at_server = [
+            each
+            for each in arrivals
+            if each.process.rpartition("-")[0] == limit.place
+            and limit.since <= each.at < limit.until
+        ]
+        told_at: dict[str, float] = {}
+        counted = []
+        for each in at_server:
+            sender = history.find_instance(each.request_id)
+            first_at = told_at.setdefault(sender, each.at)
+            is_told = each.at >= first_at + TOLD_S
+            is_bound = each.at >= limit.since + CONTACT_S and is_told
+            if is_bound and not history.is_disturbed(sender, limit.since, each.at):
+                counted.append(each.at)
+        allowed = 1.5 * limit.rate * LIMIT_SPAN_S + 5
+        for start in counted:
+            count = sum(start <= at < start + LIMIT_SPAN_S for at in counted)
+            if count > allowed:
+                problems.append(
+                    f"LIMIT: {limit.place} named {limit.rate:.2f} a second and got "
+                    f"{count} in {LIMIT_SPAN_S:.0f} s from {start:.3f}"
+                )
+                break
+    return problems
+
+
+def check_falls(
+    falls: Iterable[Fall],
+    times: Iterable[tuple[float, float]],
+    servers: int,
+    history: SoakHistory,
+) -> list[str]:
+    """Return the times in which brittle servers fell over too often."""
+    problems = []
+    for since, until in times:
+        counted = []
+        for fall in falls:
+            in_touch = [
+                not history.is_disturbed(
+                    history.find_instance(each), fall.at - CONTACT_S, fall.at
+                )
+                for each in fall.refused_ids
+            ]
+            is_in_time = since + CONTACT_S <= fall.at < until
+            if is_in_time and sum(in_touch) > len(in_touch) / 2:
+                counted.append(fall)
+        if len(counted) > 2 + servers / 10:
+            names = [f"{each.process} {each.at:.3f}" for each in counted]
+            problems.append(f"LIMIT: brittle servers fell over: {names}")
+    return problems
+
+
 def check_attempts(arrivals: Iterable[Arrival], max_attempts: int) -> list[str]:
     """Return repeatable requests that ran on more servers than their route allows."""
     servers = defaultdict(set)
--- a/tests/platform_adapter/soak/_deployment.py
+++ b/tests/platform_adapter/soak/_deployment.py
@@ -18,8 +18,15 @@
 from twisted.internet.task import deferLater
 from twisted.web import server
 
+from tests.platform_adapter.soak._checks import (
+    NEW_VERSION,
+    NEW_VERSION_PLACE,
+    OLD_VERSION,
+)
 from tests.platform_adapter.soak._servers import (
+    SLOTS,
     Arrival,
+    Fall,
     ServerFaults,
     ServerProcess,
 )
@@ -73,7 +80,7 @@
             sides=frozenset((name, "store")),
         )
         self.server_links: dict[str, Link] = {}  # by the server's address
-        self._is_cut_off = False
+        self.is_cut_off = False
         self._routes_path = directory / f"{name}-routes.json"
 
     def route(self, servers: list[SoakServer]) -> None:
@@ -92,14 +99,14 @@
 
     async def cut_off(self, *kinds: FaultKind) -> None:
         """Cut the instance off from all servers by some faults of its links."""
-        self._is_cut_off = True
+        self.is_cut_off = True
         for link in self.server_links.values():
             for kind in kinds:
                 await link.set_fault(kind, 0.0)
 
     async def reconnect(self, running: list[SoakServer]) -> None:
         """End a cut; only servers that run accept connections."""
-        self._is_cut_off = False
+        self.is_cut_off = False
         for link in self.server_links.values():
             await link.set_fault(FaultKind.NONE, 0.0)
             if link.target not in {each.link.address for each in running}:
@@ -108,7 +115,7 @@
     async def show_server(self, address: str, *, is_running: bool) -> None:
         """Have the link to a server refuse connections while it does not run."""
         link = self.server_links.get(address)
-        if link is None or self._is_cut_off:
+        if link is None or self.is_cut_off:
             return
         if is_running:
             link.start_listening()
@@ -181,8 +188,12 @@
     def start(self) -> None:
         self._starts += 1
         deployment = self._deployment
+        version = NEW_VERSION if self.name == NEW_VERSION_PLACE else OLD_VERSION
         self.process = ServerProcess(
             f"{self.name}-{self._starts}",
+            service=self.service,
+            version=version,
+            falls=deployment.falls,
             arrivals=deployment.arrivals,
             faults=deployment.server_faults,
             rng=deployment.rng,
@@ -194,6 +205,7 @@
         for instance in deployment.instances:
             ensureDeferred(instance.show_server(self.link.address, is_running=True))
         entry = make_entry(self.service, self._address)
+        entry |= {"slots": SLOTS, "version": version}
         deployment.store.put("servers", self.process.process_id, entry)
 
     async def crash(self, restart_after_s: float) -> None:
@@ -240,6 +252,7 @@
         self.rng = rng
         self.is_stopped = False
         self.arrivals: list[Arrival] = []
+        self.falls: list[Fall] = []
         self.server_faults = ServerFaults()
         self.store = StoreStandIn()
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="ebonyhaven-soak-"))
@@ -307,6 +320,15 @@
             make_route("once", "non_idempotent", "plain", 1, 800),
             make_route("repeat", "idempotent", "plain", 2, 800),
             make_route("fixed", "streaming", "engines", 3, 5000, targetItlMs=700),
+            make_route(
+                "stream",
+                "streaming",
+                "engines",
+                3,
+                5000,
+                targetItlMs=700,
+                streamResume=True,
+            ),
         ],
         "services": [
             {"name": "plain", "maxConnections": 100},
--- a/tests/platform_adapter/soak/_faults.py
+++ b/tests/platform_adapter/soak/_faults.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
+import math
 import random
 import signal
+from collections.abc import Iterator
 
 import structlog
 from ebonyhaven_standins.fault_proxy import FaultKind, Link
@@ -11,14 +14,24 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import deferLater
 
+from tests.platform_adapter.soak._checks import CONTACT_S, NamedLimit
 from tests.platform_adapter.soak._deployment import (
     GRACE_S,
     SoakDeployment,
+    SoakInstance,
+    SoakServer,
     make_soak_configuration,
 )
 
 PAUSE_S = (0.1, 0.9)
 DURATION_S = (0.1, 2.0)
+LIMIT_DURATION_S = (5.0, 9.0)  # longer than `CONTACT_S` and a span of the limit
+RESTART_S = 1.0  # until an instance that was started again is as the others
+CUTS = (
+    (FaultKind.RESET, FaultKind.REFUSE),
+    (FaultKind.REFUSE,),
+    (FaultKind.SILENCE_OPEN, FaultKind.IGNORE),
+)
 LINK_FAULTS = (
     FaultKind.DELAY,
     FaultKind.RESET,
@@ -47,6 +60,10 @@
         self._version = 1
         self.is_stopped = False
         self._running: list[Deferred] = []
+        self.disturbances: list[tuple[str, float, float]] = []  # of instances
+        self.named_limits: list[NamedLimit] = []
+        self.brittle_times: list[tuple[float, float]] = []
+        self.cuts: list[tuple[frozenset[str], float, float]] = []
 
     async def run(self) -> None:
         """Start one fault after the other; each lasts for its own time."""
@@ -65,6 +82,9 @@
                     self._crash_server,
                     self._spoil_answers,
                     self._change_configuration,
+                    self._name_limits,
+                    self._make_servers_brittle,
+                    self._cut_off_instances,
                 )
             )
             _log.info("fault_started", fault=fault.__name__)
@@ -79,25 +99,88 @@
     async def _wait(self) -> None:
         await deferLater(reactor, self._rng.uniform(*DURATION_S))
 
+    @contextlib.contextmanager
+    def _disturbing(self, instance: SoakInstance) -> Iterator[None]:
+        """Note that an instance is disturbed, and until when."""
+        begin = reactor.seconds()
+        number = len(self.disturbances)
+        self.disturbances.append((instance.name, begin, math.inf))
+        yield
+        end = reactor.seconds() + RESTART_S
+        self.disturbances[number] = (instance.name, begin, end)
+
     async def _kill_instance(self) -> None:
         instance = self._rng.choice(self._deployment.instances)
-        instance.signal(signal.SIGKILL)
-        await self._wait()
-        instance.start()
+        with self._disturbing(instance):
+            instance.signal(signal.SIGKILL)
+            await self._wait()
+            instance.start()
 
     async def _terminate_instance(self) -> None:
         instance = self._rng.choice(self._deployment.instances)
-        instance.signal(signal.SIGTERM)
-        await deferLater(reactor, GRACE_S)
-        instance.signal(signal.SIGKILL)
-        await deferLater(reactor, 0.1)
-        instance.start()
+        with self._disturbing(instance):
+            instance.signal(signal.SIGTERM)
+            await deferLater(reactor, GRACE_S)
+            instance.signal(signal.SIGKILL)
+            await deferLater(reactor, 0.1)
+            instance.start()
 
     async def _pause_instance(self) -> None:
         instance = self._rng.choice(self._deployment.instances)
-        instance.signal(signal.SIGSTOP)
-        await self._wait()
-        instance.signal(signal.SIGCONT)
+        with self._disturbing(instance):
+            instance.signal(signal.SIGSTOP)
+            await self._wait()
+            instance.signal(signal.SIGCONT)
+
+    async def _name_limits(self) -> None:
+        """Have some plain servers name a limit for longer than instances may take."""
+        places = [each.name for each in self._list_plain_servers()]
+        chosen = self._rng.sample(places, self._rng.randint(1, len(places) - 1))
+        limits = self._deployment.server_faults.named_limits
+        if limits:
+            return
+        since = reactor.seconds()
+        limits.update({place: self._rng.uniform(1.0, 6.0) for place in chosen})
+        await deferLater(reactor, self._rng.uniform(*LIMIT_DURATION_S))
+        until = reactor.seconds()
+        self.named_limits += [
+            NamedLimit(place, rate, since, until) for place, rate in limits.items()
+        ]
+        limits.clear()
+
+    async def _make_servers_brittle(self) -> None:
+        faults = self._deployment.server_faults
+        if faults.brittle_limit is not None:
+            return
+        since = reactor.seconds()
+        faults.brittle_limit = self._rng.randint(2, 6)
+        await deferLater(reactor, CONTACT_S)
+        faults.refuses_waiting = True
+        await deferLater(reactor, self._rng.uniform(*LIMIT_DURATION_S) - CONTACT_S)
+        faults.refuses_waiting = False
+        faults.brittle_limit = None
+        self.brittle_times.append((since, reactor.seconds()))
+
+    async def _cut_off_instances(self) -> None:
+        instances = self._deployment.instances
+        chosen = self._rng.sample(instances, self._rng.randint(1, len(instances) - 1))
+        if any(each.is_cut_off for each in instances):
+            return
+        kinds = self._rng.choice(CUTS)
+        with contextlib.ExitStack() as stack:
+            for instance in chosen:
+                stack.enter_context(self._disturbing(instance))
+                await instance.cut_off(*kinds)
+            since = reactor.seconds()
+            await deferLater(reactor, self._rng.uniform(*LIMIT_DURATION_S))
+            names = frozenset(each.name for each in chosen)
+            self.cuts.append((names, since, reactor.seconds()))
+            running = [each for each in self._deployment.servers if each.process]
+            for instance in chosen:
+                await instance.reconnect(running)
+
+    def _list_plain_servers(self) -> list[SoakServer]:
+        return [each for each in self._deployment.servers if each.service == "plain"]
 
     async def _disturb(self, links: list[Link]) -> None:
         kind = self._rng.choice(LINK_FAULTS)
--- a/tests/platform_adapter/soak/_run.py
+++ b/tests/platform_adapter/soak/_run.py
@@ -12,12 +12,18 @@
 
 from tests.platform_adapter.soak._callers import Result, SoakCaller
 from tests.platform_adapter.soak._checks import (
+    CONTACT_S,
+    SoakHistory,
     check_answers,
     check_attempts,
     check_crashes,
+    check_cut_off,
+    check_falls,
+    check_limits,
     check_refusals,
     check_repeats,
     check_runs,
+    check_streams,
 )
 from tests.platform_adapter.soak._deployment import (
     BUDGET_WINDOW_S,
@@ -31,7 +37,6 @@
 CALLER_COUNT = 24
 START_S = 3.0
 SETTLE_S = 1.0  # longer than a request that was refused could still reach a server
-CONTACT_S = 3.0
 CRASHING_SHARE = 0.01
 
 
@@ -89,7 +94,7 @@
         await deferLater(reactor, SETTLE_S)
     finally:
         await deployment.stop()
-    return _report(seed, deployment, results)
+    return _report(seed, deployment, results, injector)
 
 
 async def _finish(injector: FaultInjector, faults) -> None:
@@ -102,20 +107,31 @@
     def choose_path() -> str:
         if rng.random() < CRASHING_SHARE:
             return CRASHING_PATH
-        kind = rng.choices(("once", "repeat", "fixed"), (6, 4, 2))[0]
+        kind = rng.choices(("once", "repeat", "fixed", "stream"), (6, 4, 1, 2))[0]
         return f"/{kind}/{rng.randrange(1_000_000)}"
 
+    def choose_instance() -> tuple[str, str]:
+        instance = rng.choice(deployment.instances)
+        return instance.name, instance.caller_link.address
+
     return SoakCaller(
         f"c{number}",
-        choose_address=lambda: rng.choice(deployment.instances).caller_link.address,
+        choose_instance=choose_instance,
         choose_path=choose_path,
         results=results,
         rng=rng,
     )
 
 
-def _report(seed: int, deployment: SoakDeployment, results) -> SoakReport:
+def _report(
+    seed: int,
+    deployment: SoakDeployment,
+    results: list[Result],
+    injector: FaultInjector,
+) -> SoakReport:
     arrivals = deployment.arrivals
+    history = SoakHistory(results, injector.disturbances)
+    plain_count = sum(each.service == "plain" for each in deployment.servers)
     problems = [
         *check_runs(arrivals),
         *check_refusals(arrivals, results),
@@ -129,8 +145,35 @@
             window_s=BUDGET_WINDOW_S,
         ),
         *check_crashes(arrivals, CRASHING_PATH, CONTACT_S),
+        *check_streams(results),
+        *check_limits(arrivals, injector.named_limits, history),
+        *check_falls(deployment.falls, injector.brittle_times, plain_count, history),
+        *_check_cuts(results, injector, history),
     ]
     statuses = Counter(
         str(each.status) if each.is_whole else "broken" for each in results
     )
     return SoakReport(seed, problems, dict(statuses), str(deployment.directory))
+
+
+def _check_cuts(
+    results: list[Result], injector: FaultInjector, history: SoakHistory
+) -> list[str]:
+    """Return cuts of instances from all servers that their callers felt."""
+    problems = []
+    for names, since, until in injector.cuts:
+        begin = since + CONTACT_S
+        during = [
+            each
+            for each in results
+            if each.is_first
+            and begin <= each.sent_at < until
+            and each.path != CRASHING_PATH
+        ]
+        others = {each.instance for each in during} - names
+        if any(history.is_disturbed(each, since, until) for each in others):
+            continue  # nobody was there all the while to take the requests
+        at_cut = [each for each in during if each.instance in names]
+        at_others = [each for each in during if each.instance in others]
+        problems += check_cut_off(at_cut, at_others)
+    return problems
--- a/tests/platform_adapter/soak/_servers.py
+++ b/tests/platform_adapter/soak/_servers.py
@@ -42,6 +42,11 @@
     has_run: bool
 
 
+def encode_event(number: int, version: str) -> bytes:
+    """Return an event of a stream; two versions write different ones."""
+    return f"id: {number}\ndata: piece {number} {version}\n\n".encode()
+
+
 @attrs.define
 class ServerFaults:
     """Shares of the requests that servers treat in a faulty way."""
@@ -50,6 +55,26 @@
     extra_answers: float = 0.0
     extra_without_id: float = 0.0
     own_errors: float = 0.05
+    named_limits: dict[str, float] = attrs.Factory(dict)  # by name of the place
+    brittle_limit: int | None = None  # refusals a second, of all plain servers
+    refuses_waiting: bool = False  # requests for which no slot is free
+
+
+class Fall(NamedTuple):
+    """The end of a brittle server that had to refuse too much.
+
+    Parameters
+    ----------
+    process : str
+    at : float
+        Seconds of the reactor's clock.
+    refused_ids : tuple of str
+        Requests that it refused in the last second.
+    """
+
+    process: str
+    at: float
+    refused_ids: tuple[str, ...]
 
 
 class _Pending(NamedTuple):
@@ -58,6 +83,7 @@
     path: str
     arrived_at: float
     time_limit_s: float
+    position: int
 
 
 class ServerConnection(Protocol):
@@ -111,10 +137,30 @@
         Path of requests that end the process.
     on_crash : callable
         Called when such a request begins to run.
+    service, version : str
+    falls : list of Fall
+        Log of all servers.
     """
 
-    def __init__(self, process_id, *, arrivals, faults, rng, crashing_path, on_crash):
+    def __init__(
+        self,
+        process_id,
+        *,
+        arrivals,
+        faults,
+        rng,
+        crashing_path,
+        on_crash,
+        service="plain",
+        version="v1",
+        falls=None,
+    ):
         self.process_id = process_id
+        self.version = version
+        self._place = process_id.rpartition("-")[0]
+        self._is_plain = service == "plain"
+        self._falls: list[Fall] = [] if falls is None else falls
+        self._refused: deque[tuple[float, str]] = deque()
         self.connections: set[ServerConnection] = set()
         self._arrivals = arrivals
         self._faults = faults
@@ -154,14 +200,32 @@
         expected = headers.get("x-expect-instance")
         if expected is not None and expected != self.process_id:
             self._refuse(connection, request_id, path, 421)
-        elif self._running >= SLOTS and len(self._queue) >= QUEUE_LIMIT:
+        elif self._running >= SLOTS and len(self._queue) >= self._get_queue_limit():
             self._refuse(connection, request_id, path, 503)
+            self._record_refused(request_id)
         else:
             limit_s = int(headers.get("x-deadline-ms", "60000")) / 1000
             now = reactor.seconds()
-            self._queue.append(_Pending(connection, request_id, path, now, limit_s))
+            position = int(headers.get("last-event-id") or 0)
+            pending = _Pending(connection, request_id, path, now, limit_s, position)
+            self._queue.append(pending)
             self._run_next()
 
+    def _get_queue_limit(self) -> int:
+        return 0 if self._is_plain and self._faults.refuses_waiting else QUEUE_LIMIT
+
+    def _record_refused(self, request_id: str) -> None:
+        """Count a refusal for lack of room, which may be one too many."""
+        now = reactor.seconds()
+        self._refused.append((now, request_id))
+        while self._refused[0][0] <= now - 1.0:
+            self._refused.popleft()
+        limit = self._faults.brittle_limit
+        if self._is_plain and limit is not None and len(self._refused) > limit:
+            ids = tuple(each for _, each in self._refused)
+            self._falls.append(Fall(self.process_id, now, ids))
+            self._on_crash(self)
+
     def _run_next(self) -> None:
         while self._queue and self._running < SLOTS and not self._is_dead:
             pending = self._queue.popleft()
@@ -183,8 +247,8 @@
         connection, request_id = pending.connection, pending.request_id
         if self._is_dead:
             return
-        if pending.path.startswith("/fixed"):
-            self._start_stream(connection, request_id)
+        if not self._is_plain:
+            self._start_stream(connection, request_id, pending.position)
             return
         self._running -= 1
         if self._rng.random() < self._faults.lost_answers:
@@ -207,6 +271,7 @@
             mark,
             ("X-Instance-Id", self.process_id),
             ("X-Server-Load", f"{self._running},{len(self._queue)},{SLOTS}"),
+            *self._list_limits(),
             ("Keep-Alive", "timeout=10"),
             ("Content-Length", str(len(body))),
         ]
@@ -222,19 +287,31 @@
             delay_s = self._rng.uniform(*LATE_EXTRA_S)
             reactor.callLater(delay_s, self._send_extra, connection, extra)
 
+    def _list_limits(self) -> list[tuple[str, str]]:
+        headers = []
+        if self._place in self._faults.named_limits:
+            rate = self._faults.named_limits[self._place]
+            headers.append(("Server-Limit", f"{rate:.2f}"))
+        if self._is_plain and self._faults.brittle_limit is not None:
+            headers.append(("Server-Brittle", str(self._faults.brittle_limit)))
+        return headers
+
     def _send_extra(self, connection: ServerConnection, extra: bytes) -> None:
         if not connection.is_lost and not self._is_dead:
             connection.transport.write(extra)
 
-    def _start_stream(self, connection: ServerConnection, request_id: str) -> None:
+    def _start_stream(
+        self, connection: ServerConnection, request_id: str, position: int
+    ) -> None:
         headers = [
             ("X-Attempt-Id", request_id),
             ("X-Server-Stamp", self.process_id),
             ("Content-Type", "text/event-stream"),
             ("Transfer-Encoding", "chunked"),
+            *self._list_limits(),
         ]
         connection.send(h11.Response(status_code=200, headers=headers))
-        self._send_event(connection, 1)
+        self._send_event(connection, position + 1)
 
     def _send_event(self, connection: ServerConnection, number: int) -> None:
         if connection.is_lost or self._is_dead:
@@ -242,7 +319,7 @@
             self._run_next()
             return
         if number <= STREAM_EVENTS:
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            event = encode_event(number, self.version)
             connection.send(h11.Data(data=event))
             reactor.callLater(
                 EVENT_INTERVAL_S, self._send_event, connection, number + 1
--- a/tests/platform_adapter/test_cut_off_instances.py
+++ b/tests/platform_adapter/test_cut_off_instances.py
@@ -33,7 +33,7 @@
     return [
         SoakCaller(
             f"{instance.name}-c{number}",
-            choose_address=lambda: instance.caller_link.address,
+            choose_instance=lambda: (instance.name, instance.caller_link.address),
             choose_path=choose_path,
             results=results,
             rng=random.Random(rng.random()),
