One limiter a server for all limits that it names, shared by a module of its own

Both limits of a server are asked at one place, ServerLimiter, and divided among instances by LimitShares, so that the directory of servers keeps to its own job and the product's own interface can use them as well. No decision changes.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -22,6 +22,11 @@
     fits_in_memory,
     have_room,
 )
+from ebonyhaven_decisions.forwarding._limit_shares import (
+    LimitedServer,
+    LimitShares,
+    ServerLimiter,
+)
 from ebonyhaven_decisions.forwarding._loss_codec import (
     decode_loss_report,
     decode_survivals,
@@ -102,6 +107,8 @@
     "RequestLimits",
     "EngineTraits",
     "EngineUse",
+    "LimitShares",
+    "LimitedServer",
     "LossReport",
     "PeerEngineUse",
     "PrefillRate",
@@ -114,6 +121,7 @@
     "StreamIndex",
     "RunCopyLocation",
     "ServerContact",
+    "ServerLimiter",
     "ServerLimits",
     "ServerListVersion",
     "Service",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -8,9 +8,7 @@
 
 import attrs
 
-from ebonyhaven_decisions.forwarding._refusal_limits import RefusalLimiter
-from ebonyhaven_decisions.forwarding._request_pacing import RequestPacer
-from ebonyhaven_decisions.forwarding._server_limits import ServerLimits
+from ebonyhaven_decisions.forwarding._limit_shares import ServerLimiter
 
 SUSPECT_MIN_S = 0.4  # a third of the restart time of a server on a fast machine
 SUSPECT_MAX_S = 3.0  # limits the time until a recovered server is sent requests
@@ -112,10 +110,8 @@
         Time before which the full server is left alone, seconds.
     slow_until : float
         Time before which other servers are preferred, seconds.
-    pacer : RequestPacer
-        Paces requests while the server limits those of all instances together.
-    refusal_limiter : RefusalLimiter
-        Bounds unanswered requests while the server is brittle.
+    limiter : ServerLimiter
+        This instance's part in the limits that the server names.
     removed_at : float or None
         Time at which the entry was removed, seconds; None while it is listed.
     """
@@ -135,8 +131,7 @@
     refusals: int = 0
     resting_until: float = -math.inf
     slow_until: float = -math.inf
-    pacer: RequestPacer = attrs.Factory(RequestPacer)
-    refusal_limiter: RefusalLimiter = attrs.Factory(RefusalLimiter)
+    limiter: ServerLimiter = attrs.Factory(ServerLimiter)
     removed_at: float | None = None
 
     @property
@@ -159,11 +154,6 @@
         """Unique key of the process."""
         return (self.entry.server_id, self.entry.started_ms)
 
-    @property
-    def limits(self) -> ServerLimits:
-        """Limits that the server named last."""
-        return ServerLimits(self.pacer.limit, self.refusal_limiter.limit)
-
     @property
     def is_leaving(self) -> bool:
         """Whether the server said that it leaves, or is no longer listed."""
@@ -197,63 +187,12 @@
         now : float
             Seconds.
         """
-        if not self.is_allowed(now):
+        if not self.limiter.is_allowed(now):
             return False
         if self.refusals == 0:
             return True
         return now >= self.resting_until and self.in_flight == 0
 
-    def is_allowed(self, now: float) -> bool:
-        """Return whether the limits that the server named allow a request now.
-
-        Parameters
-        ----------
-        now : float
-            Seconds.
-        """
-        return self.pacer.may_send(now) and self.refusal_limiter.may_send(now)
-
-    def find_allowed(self, now: float) -> float:
-        """Return when the limits that the server named allow a request.
-
-        Parameters
-        ----------
-        now : float
-            Seconds.
-
-        Returns
-        -------
-        float
-            Seconds; infinite if its requests are left to other instances.
-        """
-        return max(self.pacer.find_next(now), self.refusal_limiter.find_next(now))
-
-    def acquire_request(self, now: float) -> bool:
-        """Count a request or call that is about to be sent, unless a limit forbids it.
-
-        Everything that an instance sends to a server passes here. `record_answered`
-        must follow once.
-
-        Parameters
-        ----------
-        now : float
-            Seconds.
-
-        Returns
-        -------
-        bool
-            Whether it may be sent.
-        """
-        if not self.is_allowed(now):
-            return False
-        self.pacer.record_sent(now)
-        self.refusal_limiter.record_sent()
-        return True
-
-    def record_answered(self) -> None:
-        """Count the begin of an answer, or the end of a request without one."""
-        self.refusal_limiter.record_answered()
-
     def can_resume_from_copy(self, now: float) -> bool:
         """Return whether a run may resume from a copy on this server.
 
@@ -262,7 +201,7 @@
         now : float
             Seconds.
         """
-        if self.is_leaving or not self.is_allowed(now):
+        if self.is_leaving or not self.limiter.is_allowed(now):
             return False
         return now >= self.suspect_until
 
@@ -279,7 +218,7 @@
         """
         if self.removed_at is None or self.entry.state is not BackendState.READY:
             return False
-        if not self.is_allowed(now):
+        if not self.limiter.is_allowed(now):
             return False
         return now - self.removed_at < REMOVED_USABLE_S and now >= self.suspect_until
 
@@ -329,7 +268,7 @@
         jitter : float
             Random number from 0 to 1, so that the instances return at different times.
         """
-        self.refusal_limiter.record_refused(now, jitter)
+        self.limiter.refusals.record_refused(now, jitter)
         rest_s = REFUSAL_REST_MIN_S * 2 ** min(self.refusals, 8)
         self.refusals += 1
         until = now + min(rest_s, REFUSAL_REST_MAX_S) * (0.5 + jitter)
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -5,14 +5,14 @@
 import math
 from collections.abc import Iterable, Iterator, Sequence
 
-from ebonyhaven_decisions._rendezvous import choose_instances
 from ebonyhaven_decisions.forwarding._backends import (
     REMOVED_USABLE_S,
     Backend,
     BackendEntry,
     BackendState,
 )
-from ebonyhaven_decisions.forwarding._server_limits import NO_LIMITS, ServerLimits
+from ebonyhaven_decisions.forwarding._limit_shares import LimitShares
+from ebonyhaven_decisions.forwarding._server_limits import ServerLimits
 from ebonyhaven_decisions.forwarding._version_history import (
     VersionHistory,
     VersionSnapshot,
@@ -20,7 +20,6 @@
 
 # The loss of the other servers of a failed data centre is detected within this time.
 DATA_CENTRE_SUSPECT_S = 0.8
-MAX_UNLISTED_LIMITS = 100  # told by other instances before the list shows the servers
 
 
 class BackendDirectory:
@@ -29,19 +28,15 @@
     __slots__ = (
         "_by_id",
         "_engine_services",
-        "_instances",
         "_lost_at",
-        "_own_name",
         "_removed",
-        "_unlisted_limits",
+        "_shares",
         "_versions",
     )
 
     def __init__(self) -> None:
-        self._own_name = ""
-        self._instances: tuple[str, ...] = ("",)
+        self._shares = LimitShares()
         self._engine_services: frozenset[str] = frozenset()
-        self._unlisted_limits: dict[str, ServerLimits] = {}  # by process
         self._lost_at: dict[str, float] = {}  # by data centre
         self._by_id: dict[str, Backend] = {}
         self._removed: dict[str, Backend] = {}
@@ -89,7 +84,7 @@
             if known is not None:
                 self._versions.record(known.entry, now)
             known = Backend(entry)
-            limits = self._unlisted_limits.pop(known.process_id, None)
+            limits = self._shares.take(known.process_id)
             if limits is not None:
                 self.record_limits(known, limits, now)
         known.entry = entry
@@ -141,17 +136,10 @@
 
         Parameters
         ----------
-        own_name : str
-        names : iterable of str
-            All that are not dead, this one included.
-        now : float
-            Seconds.
+        own_name, names, now
+            See `LimitShares.set_instances`.
         """
-        self._own_name = own_name
-        self._instances = tuple(names)
-        for backend in self._by_id.values():
-            if backend.limits != NO_LIMITS:
-                self._update_share(backend, now)
+        self._shares.set_instances(own_name, names, self._by_id.values(), now)
 
     def record_limits(self, backend: Backend, limits: ServerLimits, now: float) -> None:
         """Record the limits that an answer of a server names.
@@ -163,15 +151,9 @@
         now : float
             Seconds.
         """
-        has_changed = limits != backend.limits
-        backend.pacer.set_limit(limits.requests_per_s, now)
         has_engine = backend.entry.service in self._engine_services
-        backend.refusal_limiter.set_limit(
-            limits.refusals_per_s,
-            slots=0 if has_engine else backend.entry.slots,  # memory binds engines
-        )
-        if has_changed:
-            self._update_share(backend, now)
+        slots = 0 if has_engine else backend.entry.slots  # memory binds engines
+        self._shares.record(backend, limits, slots=slots, now=now)
 
     def record_told_limits(
         self, process_id: str, limits: ServerLimits, now: float
@@ -187,12 +169,10 @@
             Seconds.
         """
         backend = self.find_process(process_id)
-        if backend is not None:
+        if backend is None:
+            self._shares.keep(process_id, limits)
+        else:
             self.record_limits(backend, limits, now)
-            return
-        self._unlisted_limits.pop(process_id, None)
-        if limits != NO_LIMITS and len(self._unlisted_limits) < MAX_UNLISTED_LIMITS:
-            self._unlisted_limits[process_id] = limits
 
     def find_process(self, process_id: str) -> Backend | None:
         """Return a listed process.
@@ -218,14 +198,6 @@
         """
         self._engine_services = frozenset(names)
 
-    def _update_share(self, backend: Backend, now: float) -> None:
-        names = choose_instances(
-            backend.process_id, self._instances, len(self._instances)
-        )
-        rank = names.index(self._own_name) if self._own_name in names else len(names)
-        backend.pacer.set_share(rank=rank, instances=len(names), now=now)
-        backend.refusal_limiter.set_share(rank=rank, instances=len(names))
-
     def find_limit_end(
         self,
         service: str,
@@ -259,10 +231,10 @@
             and not each.is_leaving
             and version in (None, each.software_version)
         ]
-        first = min((each.find_allowed(now) for each in servers), default=now)
+        first = min((each.limiter.find_allowed(now) for each in servers), default=now)
         if first <= now:
             return None
-        rate = sum(each.pacer.compute_rate(now) for each in servers)
+        rate = sum(each.limiter.pacer.compute_rate(now) for each in servers)
         return first + ahead / rate if rate else math.inf
 
     def count_suspects(self, data_centre: str, now: float) -> int:
--- a/packages/node/src/ebonyhaven_node/forwarding/_limit_exchange.py
+++ b/packages/node/src/ebonyhaven_node/_limit_exchange.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
-from typing import Any, NamedTuple
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, NamedTuple, Protocol
 
 import structlog
 from ebonyhaven_decisions import MemberState
@@ -12,7 +12,7 @@
     CAUTION_S,
     CONFIRMATION_TTL_S,
     NO_LIMITS,
-    Backend,
+    LimitedServer,
     ServerLimits,
 )
 from twisted.internet.interfaces import IReactorTime
@@ -21,7 +21,6 @@
 from ebonyhaven_node._evidence_exchange import EvidenceExchange
 from ebonyhaven_node._frames import FrameKind
 from ebonyhaven_node._membership import MembershipController
-from ebonyhaven_node.forwarding._state import ForwardingState
 
 RENEWAL_S = 0.3 * CONFIRMATION_TTL_S  # after which an unchanged limit is told again
 
@@ -45,13 +44,31 @@
     at: float
 
 
+class ServerDirectory(Protocol):
+    """The listed servers of an instance, whose limits it shares with others."""
+
+    def __iter__(self) -> Iterator[LimitedServer]:
+        """Return all listed servers."""
+
+    def find_process(self, process_id: str) -> LimitedServer | None:
+        """Return a listed process by what instances call it."""
+
+    def record_told_limits(
+        self, process_id: str, limits: ServerLimits, now: float
+    ) -> None:
+        """Record limits that another instance told of."""
+
+    def set_instances(self, own_name: str, names: Iterable[str], now: float) -> None:
+        """Set the instances that share the limits."""
+
+
 class LimitExchange:
     """Keeps the limits of servers alike on all instances, and who shares them.
 
     Parameters
     ----------
-    state : ForwardingState
-        Its servers are updated with the limits and with the instances.
+    servers : ServerDirectory
+        Updated with the limits and with the instances.
     membership : MembershipController
     channels : Channels
     reactor : IReactorTime
@@ -65,14 +82,14 @@
     def __init__(
         self,
         *,
-        state: ForwardingState,
+        servers: ServerDirectory,
         membership: MembershipController,
         channels: Channels,
         reactor: IReactorTime,
         clock: Callable[[], float],
         reaches_servers: Callable[[str], bool],
     ):
-        self._state = state
+        self._servers = servers
         self._reaches_servers = reaches_servers
         self._membership = membership
         self._clock = clock
@@ -87,25 +104,25 @@
         )
         membership.observe(lambda _: self.update_instances())
 
-    def publish(self, backend: Backend) -> None:
+    def publish(self, server: LimitedServer) -> None:
         """Tell all instances the limits of a server if they may not know them.
 
         Parameters
         ----------
-        backend : Backend
+        server : LimitedServer
             Has just named limits, has named none in spite of earlier ones, or is
             brittle and has refused a request.
         """
         now = self._clock()
-        told = self._told.get(backend.process_id, _Told(NO_LIMITS, -math.inf, now))
-        refused_at = backend.refusal_limiter.refused_at
-        is_known = told.limits == backend.limits and (
+        told = self._told.get(server.process_id, _Told(NO_LIMITS, -math.inf, now))
+        refused_at = server.limiter.refusals.refused_at
+        is_known = told.limits == server.limiter.limits and (
             refused_at <= told.refused_at + RENEWAL_S
         )
         if is_known and now - told.at < RENEWAL_S:
             return
-        self._told[backend.process_id] = _Told(backend.limits, refused_at, now)
-        self._exchange.publish(backend.process_id)
+        self._told[server.process_id] = _Told(server.limiter.limits, refused_at, now)
+        self._exchange.publish(server.process_id)
 
     def stop(self) -> None:
         """Cancel scheduled messages."""
@@ -120,24 +137,26 @@
             and self._reaches_servers(record.name)
         ]
         own_name = self._membership.own.name
-        self._state.backends.set_instances(own_name, names, self._clock())
+        self._servers.set_instances(own_name, names, self._clock())
 
     def _export(self, keys: list[str] | None) -> dict[str, list[Any]]:
         """Return by process its limits and the age of its last refusal, if recent."""
         self._forget_unlisted()
         if keys is None:
-            chosen = [each for each in self._state.backends if each.limits != NO_LIMITS]
+            chosen = [
+                each for each in self._servers if each.limiter.limits != NO_LIMITS
+            ]
         else:
-            found = map(self._state.backends.find_process, keys)
+            found = map(self._servers.find_process, keys)
             chosen = [each for each in found if each is not None]
         return {each.process_id: self._encode(each) for each in chosen}
 
-    def _encode(self, backend: Backend) -> list[Any]:
-        age_s = self._clock() - backend.refusal_limiter.refused_at
-        return [*backend.limits, round(age_s, 3) if age_s < CAUTION_S else None]
+    def _encode(self, server: LimitedServer) -> list[Any]:
+        age_s = self._clock() - server.limiter.refusals.refused_at
+        return [*server.limiter.limits, round(age_s, 3) if age_s < CAUTION_S else None]
 
     def _forget_unlisted(self) -> None:
-        listed = {each.process_id for each in self._state.backends}
+        listed = {each.process_id for each in self._servers}
         self._told = {key: told for key, told in self._told.items() if key in listed}
 
     def _merge(self, sender: str, payload: Any) -> None:
@@ -152,14 +171,13 @@
         self, sender: str, process: str, limits: ServerLimits, age_s: float | None
     ) -> None:
         now = self._clock()
-        directory = self._state.backends
         known = self._told.get(process)
         refused_at = -math.inf if age_s is None else now - age_s
         self._told[process] = _Told(limits, refused_at, now)
-        directory.record_told_limits(process, limits, now)
-        backend = directory.find_process(process)
-        if backend is not None:
-            backend.refusal_limiter.record_told_refused(refused_at)
+        self._servers.record_told_limits(process, limits, now)
+        server = self._servers.find_process(process)
+        if server is not None:
+            server.limiter.refusals.record_told_refused(refused_at)
         if known is None or limits != known.limits:
             _log.info(
                 "backend_limits_told",
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -83,7 +83,7 @@
         """Send the request on an idle connection, or on a new one if none is idle."""
         self.backend.in_flight += 1
         now = self.sent_at = self._context.clock()
-        self._is_unanswered = self.backend.acquire_request(now)
+        self._is_unanswered = self.backend.limiter.acquire(now)
         if not self._is_unanswered:
             self._finish()
             self._inbox.put(AttemptFailed(self, False, True, LIMITED_REASON))
@@ -179,7 +179,7 @@
     def _record_answered(self) -> None:
         if self._is_unanswered:
             self._is_unanswered = False
-            self.backend.record_answered()
+            self.backend.limiter.record_answered()
 
     def _finish(self) -> None:
         self.is_finished = True
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -200,7 +200,7 @@
         backend : Backend
         """
         backend.record_refused(self.clock(), self.rng.random())
-        if backend.limits != NO_LIMITS:
+        if backend.limiter.limits != NO_LIMITS:
             self.on_limits(backend)
 
     def report_limits(self, backend: Backend, limits: ServerLimits) -> None:
@@ -211,7 +211,7 @@
         backend : Backend
         limits : ServerLimits
         """
-        before = backend.limits
+        before = backend.limiter.limits
         if limits == before == NO_LIMITS:
             return
         self.state.backends.record_limits(backend, limits, self.clock())
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -18,11 +18,11 @@
 
 from ebonyhaven_node._channels import ChannelMetrics, Channels
 from ebonyhaven_node._crash_exchange import CrashExchange
+from ebonyhaven_node._limit_exchange import LimitExchange
 from ebonyhaven_node._membership import MembershipController
 from ebonyhaven_node._own_record import make_own_record
 from ebonyhaven_node._processor_load import ProcessorLoad
 from ebonyhaven_node.forwarding._contact_exchange import ContactExchange
-from ebonyhaven_node.forwarding._limit_exchange import LimitExchange
 from ebonyhaven_node.forwarding._settings import GatewaySettings
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
 from ebonyhaven_node.forwarding._sharing import (
@@ -152,7 +152,7 @@
         )
         self._stack.callback(self._contact_exchange.stop)
         self._limit_exchange = LimitExchange(
-            state=state,
+            servers=state.backends,
             membership=membership,
             channels=channels,
             reactor=reactor,
--- a/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
@@ -177,7 +177,7 @@
             self._publish(None)
         if self._pending_request is not None:
             self._pending_request.cancel()
-        if is_deleted and self._source.acquire_request(self._context.clock()):
+        if is_deleted and self._source.limiter.acquire(self._context.clock()):
             deletion = ensureDeferred(
                 self._context.copier.delete_copy(
                     source=self._source.entry.address, handle=self._handle
@@ -187,7 +187,7 @@
             deletion.addErrback(self._log_deletion_failure)
 
     def _record_answered(self, result: object) -> object:
-        self._source.record_answered()
+        self._source.limiter.record_answered()
         return result
 
     def _locate(self) -> RunCopyLocation:
@@ -241,7 +241,7 @@
 
     def _request_copy(self, holder: Backend, now: float) -> None:
         self._requested_at = now
-        if not self._source.acquire_request(now):
+        if not self._source.limiter.acquire(now):
             return
         request = self._pending_request = ensureDeferred(
             self._context.copier.copy_run(
--- a/tests/decisions/test_request_pacing.py
+++ b/tests/decisions/test_request_pacing.py
@@ -92,7 +92,7 @@
         for name in sorted(self.directories):
             if self.rng.random() < demand:
                 backend = self.directories[name].find("p-0")
-                if backend.acquire_request(now):
+                if backend.limiter.acquire(now):
                     self.sent.append(now)
                     self.tell(now)
 
@@ -154,14 +154,14 @@
     directory.set_instances("n1", ("n1", "n2"), 0.0)
     directory.record_told_limits("p-0/1", ServerLimits(2.0), 0.0)
     entry = next(iter(make_directory())).entry
-    assert directory.put(entry, 1.0).pacer.limit == 2.0
+    assert directory.put(entry, 1.0).limiter.pacer.limit == 2.0
 
 
 def test_restarted_server_has_no_limit_of_before():
     directory = make_directory()
     directory.record_limits(directory.find("p-0"), ServerLimits(2.0), 0.0)
     entry = directory.find("p-0").entry._replace(started_ms=2)
-    assert directory.put(entry, 1.0).pacer.limit is None
+    assert directory.put(entry, 1.0).limiter.pacer.limit is None
 
 
 def test_end_of_the_limits_of_a_service():
@@ -169,7 +169,7 @@
     directory.set_instances("n1", ("n1",), 0.0)
     for backend in directory:
         directory.record_limits(backend, ServerLimits(2.0), 0.0)
-        assert backend.acquire_request(0.0)
+        assert backend.limiter.acquire(0.0)
     assert directory.find_limit_end("plain", 0.0) == 0.5
     assert directory.find_limit_end("plain", 0.0, ahead=4) == 1.5
     directory.record_limits(directory.find("p-1"), NO_LIMITS, 0.1)
--- a/tests/forwarding/test_named_limits.py
+++ b/tests/forwarding/test_named_limits.py
@@ -167,6 +167,6 @@
     engine = harness.state.backends.find("e-0")
     now = harness.reactor.seconds()
     harness.state.backends.record_limits(engine, ServerLimits(0.1), now)
-    assert engine.acquire_request(now)
-    assert not engine.acquire_request(now)
+    assert engine.limiter.acquire(now)
+    assert not engine.limiter.acquire(now)
     assert not engine.can_resume_from_copy(now)
--- a/tests/forwarding/test_limit_exchange.py
+++ b/tests/node/test_limit_exchange.py
@@ -5,7 +5,7 @@
 from ebonyhaven_decisions import MemberState
 from ebonyhaven_decisions.forwarding import ServerLimits
 from ebonyhaven_node import Frame, FrameKind
-from ebonyhaven_node.forwarding._limit_exchange import RENEWAL_S, LimitExchange
+from ebonyhaven_node._limit_exchange import RENEWAL_S, LimitExchange
 from twisted.internet.task import Clock
 
 from tests.forwarding.harness import ForwardingHarness
@@ -23,7 +23,7 @@
         self.membership = FakeMembership(*others)
         self.channels = FakeChannels()
         self.exchange = LimitExchange(
-            state=self.state,
+            servers=self.state.backends,
             membership=self.membership,
             channels=self.channels,
             reactor=self.clock,
@@ -74,16 +74,16 @@
 def test_told_limit_holds_and_ends():
     instance = Instance("n2")
     instance.receive({PROCESS: [2.5, None, None]})
-    assert instance.backend.pacer.limit == 2.5
+    assert instance.backend.limiter.pacer.limit == 2.5
     instance.receive({PROCESS: [None, None, None]})
-    assert instance.backend.pacer.limit is None
+    assert instance.backend.limiter.pacer.limit is None
 
 
 def test_malformed_limits_are_dropped():
     instance = Instance("n2")
     for payload in ([1], {PROCESS: ["many", None, None]}, {PROCESS: [1]}, None):
         instance.receive(payload)
-    assert instance.backend.pacer.limit is None
+    assert instance.backend.limiter.pacer.limit is None
 
 
 def test_new_instance_is_told_all_limits():
@@ -103,10 +103,10 @@
     record = instance.membership.members[1]
     instance.membership.observers[-1](record)
     instance.hear(2.0)
-    shared = instance.backend.pacer.compute_rate(instance.clock.seconds())
+    shared = instance.backend.limiter.pacer.compute_rate(instance.clock.seconds())
     instance.membership.members[1] = record._replace(state=MemberState.DEAD)
     instance.membership.observers[-1](record)
-    alone = instance.backend.pacer.compute_rate(instance.clock.seconds())
+    alone = instance.backend.limiter.pacer.compute_rate(instance.clock.seconds())
     assert (shared, alone) == (1.0, 2.0)
 
 
@@ -115,7 +115,7 @@
     instance.cut_off.add("n2")
     instance.exchange.update_instances()
     instance.hear(2.0)
-    assert instance.backend.pacer.compute_rate(instance.clock.seconds()) == 2.0
+    assert instance.backend.limiter.pacer.compute_rate(instance.clock.seconds()) == 2.0
 
 
 def test_refusal_of_a_brittle_server_is_told():
@@ -132,5 +132,5 @@
     assert payload == {PROCESS: [None, 4, 0.02]}
     other = Instance("n1")
     other.receive(payload)
-    assert other.backend.limits == limits
-    assert other.backend.refusal_limiter.refused_at == -0.02
+    assert other.backend.limiter.limits == limits
+    assert other.backend.limiter.refusals.refused_at == -0.02
