Named limits on the product's own interface

They can now, by two headers; starts, attaches, cancels, load reports and calls of services pass the limiter of their server, and instances share and tell the limits as on the users' platform. Orders and the state read with them do not pass it yet.

--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -37,6 +37,7 @@
     ValidateFilter,
 )
 from ebonyhaven_node._leases import LeaseIdentity
+from ebonyhaven_node._limit_exchange import LimitExchange
 from ebonyhaven_node._listing import ListingController
 from ebonyhaven_node._load_poller import LoadPoller
 from ebonyhaven_node._log_writer import DRAIN_INTERVAL_S, LogOutput
@@ -231,6 +232,16 @@
                 RelayFilter(metrics=metrics, reactor=self._reactor),
             ]
         )
+        limits = LimitExchange(
+            servers=self._servers,
+            membership=self._membership,
+            channels=self._channels,
+            reactor=self._reactor,
+            clock=time.monotonic,
+            reaches_servers=lambda _: True,  # not known on this interface
+        )
+        self._stack.callback(limits.stop)
+        self._servers.on_limits = limits.publish
         service_crashes = ServiceCrashes(self._reactor)
         service_crashes.connect(self._membership, self._channels)
         self._stack.callback(service_crashes.stop)
--- a/packages/node/src/ebonyhaven_node/_engines.py
+++ b/packages/node/src/ebonyhaven_node/_engines.py
@@ -19,6 +19,7 @@
 from twisted.web.http import PotentialDataLoss
 
 from ebonyhaven_node._events import EventParser, Token
+from ebonyhaven_node._limit_headers import read_limits
 from ebonyhaven_node._servers import BackendServer, ReportedLoad
 from ebonyhaven_node.exceptions import EngineLost, EngineRefusal
 
@@ -27,6 +28,8 @@
 MAX_STREAM_BYTES = 16 * 1024 * 1024  # passed on, not kept
 CONNECTION_REFUSED = "connection refused"
 UNREACHABLE = "unreachable"
+ENGINE_FULL = "full"
+LIMITED = "limited"  # by what the engine asks of all instances; nothing was sent
 # Raised before the connection is established, so the request was not sent.
 _NOT_SENT_ERRORS = (
     error.ConnectError,
@@ -186,6 +189,7 @@
         EngineLost
             If the engine may have accepted the run but did not respond.
         """
+        _acquire_request(server)
         pending_response = self._client.post(
             f"http://{server.address}/v1/completions",
             data=json.dumps(body).encode(),
@@ -238,6 +242,7 @@
         """
         query = urlencode({"from": offset, "generation": generation, "fence": fence})
         url = f"http://{server.address}/v1/runs/{run_id}?{query}"
+        _acquire_request(server)
         pending_response = self._client.get(url, unbuffered=True)
         response = await self._await_headers(
             server, pending_response, timeout_s, step="attach"
@@ -270,6 +275,7 @@
         """
         query = urlencode({"attempt": attempt, "if_detached": 1})
         url = f"http://{server.address}/v1/runs/{run_id}?{query}"
+        _acquire_request(server)
         pending_response = self._client.delete(url)
         response = await self._await_headers(
             server, pending_response, timeout_s, step="cancel"
@@ -302,7 +308,10 @@
             server.record_unreachable(time.monotonic())
             closed = _is_closed(exc)
             raise EngineLost(peer=server.name, step=step, closed=closed) from exc
+        finally:
+            server.limiter.record_answered()
         server.record_answer()
+        server.record_limits(read_limits(response.headers))
         self._record_load(server, response.headers)
         return response
 
@@ -315,6 +324,8 @@
     ) -> EngineStream:
         if response.code != 200:
             reason = await self._read_error_reason(response)
+            if reason == ENGINE_FULL:
+                server.limiter.refusals.record_refused(time.monotonic(), 0.0)
             raise EngineRefusal(peer=server.name, status=response.code, reason=reason)
         stream = EngineStream(server=server, offset=offset, receiver=receiver)
         response.deliverBody(stream)
@@ -348,6 +359,18 @@
         )
 
 
+def _acquire_request(server: BackendServer) -> None:
+    """Count a request that is about to be sent.
+
+    Raises
+    ------
+    EngineRefusal
+        If a limit that the engine named forbids it.
+    """
+    if not server.limiter.acquire(time.monotonic()):
+        raise EngineRefusal(peer=server.name, status=0, reason=LIMITED)
+
+
 def _is_refused(exc: Exception) -> bool:
     """Return whether the remote host or a proxy in between refused the connection.
 
--- a/packages/node/src/ebonyhaven_node/_load_poller.py
+++ b/packages/node/src/ebonyhaven_node/_load_poller.py
@@ -85,7 +85,10 @@
         return self._servers.find(oldest.name)
 
     async def _read(self, server: BackendServer) -> None:
+        if not server.limiter.acquire(time.monotonic()):
+            return
         response = self._client.get(f"http://{server.address}/v1/load")
+        response.addBoth(_record_answered, server)
         response.addCallback(treq.json_content)
         response.addTimeout(READ_TIMEOUT_S, self._reactor)
         try:
@@ -97,6 +100,11 @@
         server.record_load(load)
 
 
+def _record_answered(result: Any, server: BackendServer) -> Any:
+    server.limiter.record_answered()
+    return result
+
+
 def _is_service(state: ServerState) -> bool:
     return any(model.startswith("service/") for model in state.entry.models)
 
--- a/packages/node/src/ebonyhaven_node/_policy_scheduling.py
+++ b/packages/node/src/ebonyhaven_node/_policy_scheduling.py
@@ -29,6 +29,7 @@
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 from ebonyhaven_node._active_configuration import ActiveConfiguration
+from ebonyhaven_node._engines import ENGINE_FULL, LIMITED
 from ebonyhaven_node._failures import make_not_run_failure
 from ebonyhaven_node._prefixes import hash_prefixes
 from ebonyhaven_node._scheduling import Slot, SlotRequest, SlotScheduler
@@ -44,10 +45,10 @@
 OVERLOAD_RETRY_S = 0.5
 NO_SERVER_RETRY_S = 1.0
 MODEL_MISSING = "model_not_loaded"
-ENGINE_FULL = "full"
 _FAILURE_KINDS = {
     MODEL_MISSING: FailureKind.MODEL_MISSING,
     ENGINE_FULL: FailureKind.FULL,
+    LIMITED: FailureKind.FULL,
     "leaving": FailureKind.LEAVING,
 }
 
--- a/packages/node/src/ebonyhaven_node/_servers.py
+++ b/packages/node/src/ebonyhaven_node/_servers.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import abc
-from collections.abc import Callable, Iterable
+import time
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 import attrs
 import structlog
+from ebonyhaven_decisions.forwarding import (
+    NO_LIMITS,
+    LimitShares,
+    ServerLimiter,
+    ServerLimits,
+)
 from ebonyhaven_store import ListedProcess
 
 INITIAL_BACKOFF_S = 0.5
@@ -90,6 +97,10 @@
         Duration of the next backoff, seconds.
     listener : ServerListener or None
         Notified of load reports, responses and failures.
+    limiter : ServerLimiter
+        Part of this instance in the limits that the server names.
+    on_limits : callable
+        Called with the server and the limits that each of its answers names.
     """
 
     name: str
@@ -107,6 +118,23 @@
     backoff_until: float = 0.0
     backoff_s: float = INITIAL_BACKOFF_S
     listener: ServerListener | None = None
+    limiter: ServerLimiter = attrs.Factory(ServerLimiter)
+    on_limits: Callable[[BackendServer, ServerLimits], None] = lambda *_: None
+
+    @property
+    def process_id(self) -> str:
+        """Identifies the process in what instances tell each other."""
+        return f"{self.name}/{self.identity}"
+
+    def record_limits(self, limits: ServerLimits) -> None:
+        """Record the limits that an answer of the server names.
+
+        Parameters
+        ----------
+        limits : ServerLimits
+        """
+        if limits != NO_LIMITS or self.limiter.limits != NO_LIMITS:
+            self.on_limits(self, limits)
 
     def record_unreachable(self, now: float) -> None:
         """Start a backoff; its duration doubles with each failure up to a maximum.
@@ -155,7 +183,9 @@
         -------
         bool
         """
-        return not self.leaving and now >= self.backoff_until
+        if self.leaving or now < self.backoff_until:
+            return False
+        return self.limiter.is_allowed(now)
 
 
 class BackendServers:
@@ -169,14 +199,18 @@
         Whether the whole list is known and not just some of its entries.
     listener : ServerListener or None
         Listener that is set on each added server.
+    on_limits : callable
+        Called with each server that names limits, or names none after some.
     """
 
     __slots__ = (
         "_observers",
         "_servers",
+        "_shares",
         "has_complete_list",
         "instances",
         "listener",
+        "on_limits",
     )
 
     def __init__(self) -> None:
@@ -185,6 +219,55 @@
         self._servers: dict[str, BackendServer] = {}
         self._observers: list[Callable[[], None]] = []
         self.listener: ServerListener | None = None
+        self.on_limits: Callable[[BackendServer], None] = lambda _: None
+        self._shares = LimitShares()
+
+    def __iter__(self) -> Iterator[BackendServer]:
+        return iter(self._servers.values())
+
+    def find_process(self, process_id: str) -> BackendServer | None:
+        """Return a process, or None.
+
+        Parameters
+        ----------
+        process_id : str
+            See `BackendServer.process_id`.
+        """
+        server = self._servers.get(process_id.rpartition("/")[0])
+        return server if server and server.process_id == process_id else None
+
+    def set_instances(self, own_name: str, names: Iterable[str], now: float) -> None:
+        """Set the instances that share the limits of servers.
+
+        Parameters
+        ----------
+        own_name, names, now
+            See `LimitShares.set_instances`.
+        """
+        self._shares.set_instances(own_name, names, self._servers.values(), now)
+
+    def record_told_limits(
+        self, process_id: str, limits: ServerLimits, now: float
+    ) -> None:
+        """Record limits that another instance told of.
+
+        Parameters
+        ----------
+        process_id : str
+            See `BackendServer.process_id`; may be listed later.
+        limits : ServerLimits
+        now : float
+            Seconds.
+        """
+        server = self.find_process(process_id)
+        if server is None:
+            self._shares.keep(process_id, limits)
+        else:
+            self._shares.record(server, limits, slots=0, now=now)
+
+    def _record_limits(self, server: BackendServer, limits: ServerLimits) -> None:
+        self._shares.record(server, limits, slots=0, now=time.monotonic())
+        self.on_limits(server)
 
     def find(self, name: str) -> BackendServer | None:
         """Return the server with a name, or None."""
@@ -231,7 +314,11 @@
                 region=item.region,
                 identity=item.identity,
                 listener=self.listener,
+                on_limits=self._record_limits,
             )
             self._servers[name] = server
+            limits = self._shares.take(server.process_id)
+            if limits is not None:
+                self.record_told_limits(server.process_id, limits, time.monotonic())
         if item.state == "leaving" or server.leaving:
             server.leaving = item.state == "leaving"
--- a/packages/node/src/ebonyhaven_node/_services.py
+++ b/packages/node/src/ebonyhaven_node/_services.py
@@ -21,6 +21,7 @@
 from ebonyhaven_node._active_configuration import ActiveConfiguration
 from ebonyhaven_node._byte_budgets import ByteBudget
 from ebonyhaven_node._engines import CONNECT_TIMEOUT_S
+from ebonyhaven_node._limit_headers import read_limits
 from ebonyhaven_node._requests import MAX_BODY_BYTES, make_rejection, parse_repeatable
 from ebonyhaven_node._scheduling import SlotScheduler
 from ebonyhaven_node._servers import BackendServer, BackendServers
@@ -173,6 +174,9 @@
     async def _send(
         self, http_request: Request, server: BackendServer, target: str, body: bytes
     ) -> Outcome | None:
+        if not server.limiter.acquire(time.monotonic()):
+            reason = "the server limits its requests"
+            return _make_outcome(OutcomeTag.NOT_RUN, "route", server, reason)
         call = self._client.request(
             http_request.method.decode(),
             f"http://{server.address}/{target}",
@@ -185,11 +189,18 @@
             content = await self._read(response)
         except _ERRORS_BEFORE_SEND as exception:
             server.record_unreachable(time.monotonic())
-            return _make_outcome(OutcomeTag.NOT_RUN, "connect", server, exception)
+            return _make_outcome(
+                OutcomeTag.NOT_RUN, "connect", server, _describe(exception)
+            )
         except Exception as exception:
             server.record_unreachable(time.monotonic())
-            return _make_outcome(OutcomeTag.UNKNOWN, "send", server, exception)
+            return _make_outcome(
+                OutcomeTag.UNKNOWN, "send", server, _describe(exception)
+            )
+        finally:
+            server.limiter.record_answered()
         server.record_answer()
+        server.record_limits(read_limits(response.headers))
         http_request.setResponseCode(response.code)
         for name in RETURNED_HEADERS:
             for value in response.headers.getRawHeaders(name, []):
@@ -213,14 +224,18 @@
     return {name: value for name, value in headers.items() if value is not None}
 
 
+def _describe(exception: Exception) -> str:
+    return f"{type(exception).__name__}: {exception}"
+
+
 def _make_outcome(
-    tag: OutcomeTag, step: str, server: BackendServer, exception: Exception
+    tag: OutcomeTag, step: str, server: BackendServer, reason: str
 ) -> Outcome:
     return Outcome(
         tag=tag,
         step=step,
         peer=server.name,
-        reason=f"{type(exception).__name__}: {exception}",
+        reason=reason,
         status=502,
         retry_after_s=RETRY_AFTER_S,
     )
--- a/tests/forwarding/test_named_limits.py
+++ b/tests/forwarding/test_named_limits.py
@@ -83,8 +83,10 @@
 def test_streams_keep_the_limit_that_a_server_names():
     harness = ForwardingHarness(engines=1)
     arrivals = []
+    callers = []
     for number in range(80):
         caller = harness.open_caller()
+        callers.append(caller)
         caller.request("/stream/x", request_id=f"s{number}", X_Token_Count="10,10")
         harness.advance(0.1)
         for connection in harness.connections:
@@ -131,8 +133,10 @@
     harness = ForwardingHarness(plain=2)
     limited = harness.find_address("p-0")
     arrivals = []
+    callers = []
     for number in range(120):
-        harness.open_caller().request("/repeat/x", request_id=f"r{number}")
+        callers.append(harness.open_caller())
+        callers[-1].request("/repeat/x", request_id=f"r{number}")
         for _ in range(2):
             harness.advance(0.025)
             for connection in harness.connections:
--- a/tests/node/test_services.py
+++ b/tests/node/test_services.py
@@ -5,6 +5,7 @@
 import types
 
 from ebonyhaven_decisions import PoolKind
+from ebonyhaven_decisions.forwarding import ServerLimiter
 from ebonyhaven_node._service_crashes import CHECK_DELAY_S, ServiceCrashes
 from ebonyhaven_node._services import MAX_BUFFERED_RESPONSE_BYTES, ServiceRelay
 from twisted.internet import defer, reactor, task
@@ -32,6 +33,10 @@
 
     def __init__(self, address):
         self.address = address
+        self.limiter = ServerLimiter()
+
+    def record_limits(self, limits):
+        pass
 
     def accepts_work(self, now):
         return not self.is_lost
