Split versions, reports to peers and record stores out of large modules

ServiceVersions leaves the directory of servers, PeerReports the gateway, the interfaces of records a module of their own; the two recorders that read at a start and write by one instance share SharedRecorder.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -67,6 +67,7 @@
     choose_checked_servers,
 )
 from ebonyhaven_decisions.forwarding._server_limits import NO_LIMITS, ServerLimits
+from ebonyhaven_decisions.forwarding._service_versions import ServiceVersions
 from ebonyhaven_decisions.forwarding._startup import StateWaitLimits
 from ebonyhaven_decisions.forwarding._stream_index import (
     StreamIndex,
@@ -127,6 +128,7 @@
     "Service",
     "ServiceRetryBudget",
     "ServiceShare",
+    "ServiceVersions",
     "SilenceLimits",
     "StateWaitLimits",
     "StreamDurations",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator
 
 from ebonyhaven_decisions.forwarding._backends import (
     REMOVED_USABLE_S,
@@ -13,17 +13,20 @@
 )
 from ebonyhaven_decisions.forwarding._limit_shares import LimitShares
 from ebonyhaven_decisions.forwarding._server_limits import ServerLimits
-from ebonyhaven_decisions.forwarding._version_history import (
-    VersionHistory,
-    VersionSnapshot,
-)
+from ebonyhaven_decisions.forwarding._service_versions import ServiceVersions
 
 # The loss of the other servers of a failed data centre is detected within this time.
 DATA_CENTRE_SUSPECT_S = 0.8
 
 
 class BackendDirectory:
-    """Backend servers, listed or recently removed, by server id."""
+    """Backend servers, listed or recently removed, by server id.
+
+    Attributes
+    ----------
+    versions : ServiceVersions
+        Software versions of the servers, listed and earlier ones.
+    """
 
     __slots__ = (
         "_by_id",
@@ -31,7 +34,7 @@
         "_lost_at",
         "_removed",
         "_shares",
-        "_versions",
+        "versions",
     )
 
     def __init__(self) -> None:
@@ -40,7 +43,7 @@
         self._lost_at: dict[str, float] = {}  # by data centre
         self._by_id: dict[str, Backend] = {}
         self._removed: dict[str, Backend] = {}
-        self._versions = VersionHistory()
+        self.versions = ServiceVersions(self._by_id)
 
     def __iter__(self) -> Iterator[Backend]:
         return iter(self._by_id.values())
@@ -82,7 +85,7 @@
         self._removed.pop(entry.server_id, None)
         if known is None or not _is_same_process(known.entry, entry, was_inferred):
             if known is not None:
-                self._versions.record(known.entry, now)
+                self.versions.record_removed(known.entry, now)
             known = Backend(entry)
             limits = self._shares.take(known.process_id)
             if limits is not None:
@@ -105,7 +108,7 @@
         backend = self._by_id.pop(server_id, None)
         if backend is None:
             return
-        self._versions.record(backend.entry, now)
+        self.versions.record_removed(backend.entry, now)
         backend.removed_at = now
         self._removed[server_id] = backend
         for name, each in list(self._removed.items()):
@@ -291,95 +294,6 @@
         ]
         return unsuspected or candidates
 
-    def infer_version(self, service: str, now: float) -> str | None:
-        """Return the software version of a service if there is only one.
-
-        Parameters
-        ----------
-        service : str
-        now : float
-            Seconds.
-
-        Returns
-        -------
-        str or None
-            None if servers of several versions, or of an unknown one, are listed or
-            may have been within `VERSION_MEMORY_S`.
-        """
-        if not self.is_past_known(now):
-            return None
-        versions = {
-            version for name, version in self.list_versions() if name == service
-        }
-        versions |= self._versions.list_recent(service, now)
-        return versions.pop() if len(versions) == 1 else None
-
-    def list_versions(self) -> frozenset[tuple[str, str | None]]:
-        """Return the services and software versions of the listed servers."""
-        return frozenset(
-            (each.entry.service, each.software_version) for each in self._by_id.values()
-        )
-
-    def record_list_read(self, now: float) -> None:
-        """Record that the list is complete, and followed from the first call on.
-
-        Parameters
-        ----------
-        now : float
-            Seconds.
-        """
-        self._versions.begin(now)
-
-    def is_past_known(self, now: float) -> bool:
-        """Return whether all recent software versions are known.
-
-        Parameters
-        ----------
-        now : float
-            Seconds.
-        """
-        return self._versions.is_complete(now)
-
-    def export_versions(self, now: float) -> VersionSnapshot:
-        """Return what is known of software versions, listed and removed ones.
-
-        Parameters
-        ----------
-        now : float
-            Seconds.
-        """
-        return self._versions.export(self.list_versions(), now)
-
-    def add_earlier_versions(
-        self, snapshots: Sequence[VersionSnapshot], now: float
-    ) -> None:
-        """Add what instances knew of software versions before this one started.
-
-        Parameters
-        ----------
-        snapshots : sequence of VersionSnapshot
-        now : float
-            Seconds.
-        """
-        self._versions.add_earlier(snapshots, self.list_versions(), now)
-
-    def may_serve_version(self, service: str, version: str, now: float) -> bool:
-        """Return whether servers of a software version take requests, or may again.
-
-        Parameters
-        ----------
-        service, version : str
-        now : float
-            Seconds.
-        """
-        is_listed = any(
-            each.entry.service == service
-            and each.software_version == version
-            and each.entry.state is BackendState.READY
-            for each in self._by_id.values()
-        )
-        return is_listed or self._versions.may_return(service, version, now)
-
     def list_usable(
         self,
         service: str,
--- /dev/null
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_service_versions.py
@@ -0,0 +1,129 @@
+"""Software versions of the backend servers of each service, now and before."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+from ebonyhaven_decisions.forwarding._backends import (
+    Backend,
+    BackendEntry,
+    BackendState,
+)
+from ebonyhaven_decisions.forwarding._version_history import (
+    VersionHistory,
+    VersionSnapshot,
+)
+
+
+class ServiceVersions:
+    """Software versions of the listed servers, and of those of the time before.
+
+    Parameters
+    ----------
+    listed : mapping of str to Backend
+        The listed servers, by id; followed as it changes.
+    """
+
+    __slots__ = ("_history", "_listed")
+
+    def __init__(self, listed: Mapping[str, Backend]):
+        self._listed = listed
+        self._history = VersionHistory()
+
+    def list_current(self) -> frozenset[tuple[str, str | None]]:
+        """Return the services and software versions of the listed servers."""
+        return frozenset(
+            (each.entry.service, each.software_version)
+            for each in self._listed.values()
+        )
+
+    def infer(self, service: str, now: float) -> str | None:
+        """Return the software version of a service if there is only one.
+
+        Parameters
+        ----------
+        service : str
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        str or None
+            None if servers of several versions, or of an unknown one, are listed or
+            may have been within `VERSION_MEMORY_S`.
+        """
+        if not self.is_past_known(now):
+            return None
+        versions = {version for name, version in self.list_current() if name == service}
+        versions |= self._history.list_recent(service, now)
+        return versions.pop() if len(versions) == 1 else None
+
+    def may_serve(self, service: str, version: str, now: float) -> bool:
+        """Return whether servers of a software version take requests, or may again.
+
+        Parameters
+        ----------
+        service, version : str
+        now : float
+            Seconds.
+        """
+        is_listed = any(
+            each.entry.service == service
+            and each.software_version == version
+            and each.entry.state is BackendState.READY
+            for each in self._listed.values()
+        )
+        return is_listed or self._history.may_return(service, version, now)
+
+    def record_removed(self, entry: BackendEntry, now: float) -> None:
+        """Record that an entry was removed from the list.
+
+        Parameters
+        ----------
+        entry : BackendEntry
+            The entry before its removal.
+        now : float
+            Seconds.
+        """
+        self._history.record(entry, now)
+
+    def record_list_read(self, now: float) -> None:
+        """Record that the list is complete, and followed from the first call on.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        self._history.begin(now)
+
+    def is_past_known(self, now: float) -> bool:
+        """Return whether all recent software versions are known.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        return self._history.is_complete(now)
+
+    def export(self, now: float) -> VersionSnapshot:
+        """Return what is known, of listed and of removed servers.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        return self._history.export(self.list_current(), now)
+
+    def add_earlier(self, snapshots: Sequence[VersionSnapshot], now: float) -> None:
+        """Add what instances knew before this one started.
+
+        Parameters
+        ----------
+        snapshots : sequence of VersionSnapshot
+        now : float
+            Seconds.
+        """
+        self._history.add_earlier(snapshots, self.list_current(), now)
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 import structlog
-from ebonyhaven_decisions import EntryList, MemberRecord
+from ebonyhaven_decisions import EntryList
 from ebonyhaven_decisions.forwarding import (
     Backend,
     CrashHistory,
@@ -57,6 +57,7 @@
 )
 from ebonyhaven_node.forwarding._peer_directory import PeerDirectory
 from ebonyhaven_node.forwarding._peer_group import PEER_USE_TTL_S, PeerGroup
+from ebonyhaven_node.forwarding._peer_reports import PeerReports
 from ebonyhaven_node.forwarding._settings import GatewaySettings
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
 from ebonyhaven_node.forwarding._startup import StateWaiter
@@ -151,6 +152,7 @@
             clock=clock,
             on_change=self._handle_contact_change,
         )
+        self._peer_reports = PeerReports(self._contact)
         self._metrics = ForwardingMetrics(self.registry)
         self._metrics.register_state_gauges(
             read_version=lambda: self.source.read_version().configuration,
@@ -171,10 +173,10 @@
             reactor=reactor,
             clock=clock,
             on_unreachable=self._report_unreachable,
-            on_loss=self._report_ended_process,
-            on_survival=self._report_survival,
+            on_loss=self._peer_reports.report_ended_process,
+            on_survival=self._peer_reports.report_survival,
             on_change=self._handle_decided_traits,
-            is_chosen=self._is_chosen,
+            is_chosen=self._peer_reports.is_chosen,
             contact=self._contact,
         )
         self._loss_recorder = LossRecorder(
@@ -185,7 +187,7 @@
             on_read=self._crash_monitor.notify_of_losses,
         )
         self._version_recorder = VersionRecorder(
-            backends=self.state.backends,
+            versions=self.state.backends.versions,
             store=build_version_store(self.pool),
             reactor=reactor,
             clock=clock,
@@ -196,7 +198,6 @@
             slack=settings.retry_budget_slack,
             started_at=clock(),
         )
-        self._peer_group: PeerGroup | None = None
         self._stream_index = SharedStreamIndex(
             reactor, clock, build_record_store(self.pool)
         )
@@ -222,7 +223,7 @@
 
     def start(self) -> None:
         """Listen for callers, join the membership and follow the state source."""
-        self._start_peer_group()
+        group = self._start_peer_group()
         host, _, port = self._settings.caller_address.rpartition(":")
         listener = self._reactor.listenTCP(
             int(port), self.server, interface=host, backlog=LISTEN_BACKLOG
@@ -236,9 +237,9 @@
         self._stack.callback(self._contact.stop)
         self.state.observe(self._capacity_notifier.notify)
         self.source.start()
-        self._loss_recorder.start(self._peer_group.is_crash_recorder)
+        self._loss_recorder.start(group.is_crash_recorder)
         self._stack.callback(self._loss_recorder.stop)
-        self._version_recorder.start(self._peer_group.is_version_recorder)
+        self._version_recorder.start(group.is_version_recorder)
         self._stack.callback(self._version_recorder.stop)
         self.state.observe(self._version_recorder.handle_change)
         self.membership.observe(lambda _: self._version_recorder.handle_change())
@@ -305,8 +306,8 @@
     def _get_closing_time(self) -> float:
         return self._leaving_since + self._settings.grace_s - SHUTDOWN_MARGIN_S
 
-    def _start_peer_group(self) -> None:
-        group = self._peer_group = PeerGroup(
+    def _start_peer_group(self) -> PeerGroup:
+        group = PeerGroup(
             settings=self._settings,
             reactor=self._reactor,
             rng=self._rng,
@@ -326,7 +327,9 @@
         )
         self._stack.callback(group.stop)
         self.membership = group.membership
+        self._peer_reports.connect(group)
         group.start()
+        return group
 
     def _build_chain(
         self, caller_dialect: CallerDialect, backend_dialect: BackendDialect
@@ -350,14 +353,14 @@
             reactor=self._reactor,
             rng=self._rng,
             clock=self._clock,
-            on_usage_change=self._schedule_use_update,
-            on_loss=self._report_lost_server,
+            on_usage_change=self._peer_reports.schedule_use_report,
+            on_loss=self._peer_reports.report_lost_server,
             on_other_process=self._adopter.inspect_replacement,
-            on_limits=self._report_limits,
+            on_limits=self._peer_reports.report_limits,
             crash_monitor=self._crash_monitor,
             stream_index=self._stream_index,
             contact=self._contact,
-            relay_peers=PeerDirectory(self.list_relay_peers),
+            relay_peers=PeerDirectory(self._peer_reports.list_reaching),
         )
         return build_chain(
             [
@@ -376,39 +379,16 @@
             ]
         )
 
-    def _schedule_use_update(self) -> None:
-        if self._peer_group is not None:
-            self._peer_group.schedule_use_report()
-
     def _report_unreachable(
         self, backend: Backend, *, is_from_peer: bool = False
     ) -> None:
         self._context.report_unreachable(backend, is_from_peer=is_from_peer)
 
-    def _is_chosen(self, key: str) -> bool:
-        return self._peer_group is None or self._peer_group.is_chosen(key)
-
     def _handle_decided_traits(self) -> None:
         self._capacity_notifier.notify()
         self._crash_notifier.notify()
         self._loss_recorder.schedule_write()
 
-    def _report_ended_process(self, process: str) -> None:
-        if self._peer_group is not None:
-            self._peer_group.report_ended_process(process)
-
-    def _report_survival(self, trait: str) -> None:
-        if self._peer_group is not None:
-            self._peer_group.report_survival(trait)
-
-    def _report_limits(self, backend: Backend) -> None:
-        if self._peer_group is not None:
-            self._peer_group.report_limits(backend)
-
-    def list_relay_peers(self) -> list[MemberRecord]:
-        """Return the other instances that reach servers."""
-        return self._peer_group.list_reaching() if self._peer_group else []
-
     def _handle_contact_change(self) -> None:
         is_lost = self._contact.is_lost
         now = self._clock()
@@ -416,19 +396,9 @@
             self.pool.close_idle(backend.entry.address)
             if not is_lost:
                 backend.clear_suspicion(now)
-        if self._peer_group is not None:
-            self._peer_group.report_contact(is_lost=is_lost)
+        self._peer_reports.report_contact(is_lost=is_lost)
         self._capacity_notifier.notify()
 
-    def _report_lost_server(self, backend: Backend) -> None:
-        """Tell others of a lost server, unless it is this instance that is cut off."""
-
-        def report() -> None:
-            if self._peer_group is not None and not self._contact.is_lost:
-                self._peer_group.report_lost_server(backend)
-
-        self._contact.call_when_known(report)
-
     def _handle(self, exchange: Exchange) -> None:
         self._active_count += 1
         running = ensureDeferred(self._chain(RequestContext(exchange)))
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -144,7 +144,7 @@
         for entry in entries.values():
             self.put_backend(entry)
         self.has_backend_list = True
-        self.backends.record_list_read(self._clock())
+        self.backends.versions.record_list_read(self._clock())
         self._notify_observers()
 
     def _notify_observers(self) -> None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_versions.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_versions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhaven_decisions.forwarding import Backend, BackendDirectory
+from ebonyhaven_decisions.forwarding import Backend, ServiceVersions
 
 
 class StreamVersion:
@@ -14,7 +14,7 @@
     Parameters
     ----------
     service : str
-    backends : BackendDirectory
+    versions : ServiceVersions
 
     Attributes
     ----------
@@ -22,11 +22,11 @@
         Whether the caller has events of the stream.
     """
 
-    __slots__ = ("_backends", "_first_server", "_service", "_version", "is_bound")
+    __slots__ = ("_first_server", "_service", "_version", "_versions", "is_bound")
 
-    def __init__(self, service: str, backends: BackendDirectory):
+    def __init__(self, service: str, versions: ServiceVersions):
         self._service = service
-        self._backends = backends
+        self._versions = versions
         self._first_server: Backend | None = None
         self._version: str | None = None
         self.is_bound = False
@@ -61,7 +61,7 @@
             Seconds.
         """
         self.is_bound = True
-        self._version = version or self._backends.infer_version(self._service, now)
+        self._version = version or self._versions.infer(self._service, now)
 
     def find_obstacle(self, now: float) -> str | None:
         """Return why no server can go on with the stream, or None if one may.
@@ -76,6 +76,6 @@
         version = self.name
         if version is None:
             return "the software version that began the stream is not known"
-        if not self._backends.may_serve_version(self._service, version, now):
+        if not self._versions.may_serve(self._service, version, now):
             return f"no server of software version {version} is left"
         return None
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -103,7 +103,7 @@
             if size
             else TokenDemand(0, 0)
         )
-        self._version = StreamVersion(service, context.state.backends)
+        self._version = StreamVersion(service, context.state.backends.versions)
         self._progress = StreamProgress(
             request=request,
             route=route,
--- a/tests/decisions/test_version_history.py
+++ b/tests/decisions/test_version_history.py
@@ -35,23 +35,23 @@
 
 def test_version_is_inferred_only_while_a_service_has_one():
     directory = build_directory()
-    directory.add_earlier_versions([], 10.0)
-    assert directory.infer_version("engines", 10.0) == "v1"
-    assert directory.infer_version("other", 10.0) is None
+    directory.versions.add_earlier([], 10.0)
+    assert directory.versions.infer("engines", 10.0) == "v1"
+    assert directory.versions.infer("other", 10.0) is None
     directory.put(make_entry("s9", software_version="v2"), 10.0)
-    assert directory.infer_version("engines", 10.0) is None
+    assert directory.versions.infer("engines", 10.0) is None
     directory.remove("s9", 11.0)
-    assert directory.infer_version("engines", 11.0 + VERSION_MEMORY_S) is None
-    assert directory.infer_version("engines", 11.1 + VERSION_MEMORY_S) == "v1"
+    assert directory.versions.infer("engines", 11.0 + VERSION_MEMORY_S) is None
+    assert directory.versions.infer("engines", 11.1 + VERSION_MEMORY_S) == "v1"
 
 
 def test_version_is_served_by_ready_servers_only():
     directory = build_directory()
     leaving = make_entry("s9", software_version="v2", state=BackendState.LEAVING)
     directory.put(leaving, 10.0)
-    assert directory.may_serve_version("engines", "v1", 10.0)
-    assert not directory.may_serve_version("engines", "v2", 10.0)
-    assert not directory.may_serve_version("engines", "v3", 10.0)
+    assert directory.versions.may_serve("engines", "v1", 10.0)
+    assert not directory.versions.may_serve("engines", "v2", 10.0)
+    assert not directory.versions.may_serve("engines", "v3", 10.0)
     assert [each.server_id for each in directory.list_usable("engines", 10.0)] == [
         each.server_id for each in directory.list_usable("engines", 10.0, version="v1")
     ]
@@ -65,16 +65,16 @@
 def infer(*snapshots, after_s=0.0):
     """Return the version that a new instance infers; its list shows v1 alone."""
     directory = build_directory()
-    directory.record_list_read(10.0)
-    directory.add_earlier_versions(snapshots, 10.0)
-    return directory.infer_version("engines", 10.0 + after_s)
+    directory.versions.record_list_read(10.0)
+    directory.versions.add_earlier(snapshots, 10.0)
+    return directory.versions.infer("engines", 10.0 + after_s)
 
 
 def test_past_is_unknown_until_it_was_read_or_followed():
     directory = build_directory()
-    directory.record_list_read(10.0)
-    assert directory.infer_version("engines", 10.0) is None
-    assert directory.infer_version("engines", 10.0 + VERSION_MEMORY_S) == "v1"
+    directory.versions.record_list_read(10.0)
+    assert directory.versions.infer("engines", 10.0) is None
+    assert directory.versions.infer("engines", 10.0 + VERSION_MEMORY_S) == "v1"
     assert infer() == "v1"  # no instance has ever run
 
 
@@ -98,8 +98,8 @@
 
 def test_snapshot_passes_on_what_was_read():
     directory = build_directory()
-    assert not directory.export_versions(10.0).is_complete
-    directory.add_earlier_versions([take_snapshot("v2", gone_s=4.0)], 10.0)
-    snapshot = directory.export_versions(12.0)
+    assert not directory.versions.export(10.0).is_complete
+    directory.versions.add_earlier([take_snapshot("v2", gone_s=4.0)], 10.0)
+    snapshot = directory.versions.export(12.0)
     assert snapshot.is_complete
     assert VersionRecord("engines", "v2", 6.0) in snapshot.records
--- a/tests/forwarding/test_cut_off.py
+++ b/tests/forwarding/test_cut_off.py
@@ -214,7 +214,7 @@
     # servers which they reach.
     harness = CutOffHarness(peers=())
     reported = []
-    harness.gateway._peer_group = _RecordingGroup(reported)
+    harness.gateway._peer_reports.connect(_RecordingGroup(reported))
     harness.open_caller().request("/repeat/x", request_id="r1")
     harness.advance(DETECTION_S)
     assert harness.is_contact_lost
@@ -227,7 +227,7 @@
 def test_loss_of_one_server_is_told_while_others_are_reached():
     harness = ForwardingHarness()
     reported = []
-    harness.gateway._peer_group = _RecordingGroup(reported)
+    harness.gateway._peer_reports.connect(_RecordingGroup(reported))
     harness.refused.add(harness.find_address("p-0"))
     for number in range(6):
         harness.open_caller().request("/repeat/x", request_id=f"r{number}")
--- a/tests/forwarding/test_loss_records.py
+++ b/tests/forwarding/test_loss_records.py
@@ -2,11 +2,8 @@
 
 from ebonyhaven_decisions.forwarding import CrashHistory, LossReport
 from ebonyhaven_decisions.forwarding._crash_history import SETTLE_S
-from ebonyhaven_node.forwarding._loss_records import (
-    RETRY_INTERVAL_S,
-    WRITE_DELAY_S,
-    LossRecorder,
-)
+from ebonyhaven_node.forwarding._loss_records import WRITE_DELAY_S, LossRecorder
+from ebonyhaven_node.forwarding._shared_records import RETRY_INTERVAL_S
 from twisted.internet.task import Clock
 
 from tests.forwarding.fakes import FakeLossStore
--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -9,8 +9,8 @@
     VersionSnapshot,
 )
 from ebonyhaven_decisions.forwarding._version_history import VERSION_MEMORY_S
+from ebonyhaven_node.forwarding._shared_records import RETRY_INTERVAL_S
 from ebonyhaven_node.forwarding._stream_records import WRITE_INTERVAL_S
-from ebonyhaven_node.forwarding._version_records import RETRY_INTERVAL_S
 
 from tests.forwarding.harness import (
     STREAM_END,
