Ask for limits only where servers name any

A server without limits answers at once now, and what a server sends is looked at only while contact is in doubt.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -227,17 +227,19 @@
             Seconds; infinite if this instance leaves the servers to others. None if
             some ready server is not kept from requests by its limit, or there is none.
         """
-        servers = [
-            each
-            for each in self._by_id.values()
-            if each.entry.service == service
-            and not each.is_leaving
-            and version in (None, each.software_version)
-        ]
-        first = min((each.limiter.find_allowed(now) for each in servers), default=now)
+        limiters = []
+        for each in self._by_id.values():
+            if each.entry.service != service or each.is_leaving:
+                continue
+            if version not in (None, each.software_version):
+                continue
+            if not each.limiter.has_limits:
+                return None
+            limiters.append(each.limiter)
+        first = min((each.find_allowed(now) for each in limiters), default=now)
         if first <= now:
             return None
-        rate = sum(each.limiter.pacer.compute_rate(now) for each in servers)
+        rate = sum(each.pacer.compute_rate(now) for each in limiters)
         return first + ahead / rate if rate else math.inf
 
     def count_suspects(self, data_centre: str, now: float) -> int:
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_limit_shares.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_limit_shares.py
@@ -20,11 +20,14 @@
     ----------
     pacer : RequestPacer
     refusals : RefusalLimiter
+    has_limits : bool
+        Whether the server names any limit; most never do.
     """
 
-    __slots__ = ("pacer", "refusals")
+    __slots__ = ("has_limits", "pacer", "refusals")
 
     def __init__(self) -> None:
+        self.has_limits = False
         self.pacer = RequestPacer()
         self.refusals = RefusalLimiter()
 
@@ -41,6 +44,8 @@
         now : float
             Seconds.
         """
+        if not self.has_limits:
+            return True
         return self.pacer.may_send(now) and self.refusals.may_send(now)
 
     def find_allowed(self, now: float) -> float:
@@ -56,6 +61,8 @@
         float
             Seconds; infinite if requests are left to other instances.
         """
+        if not self.has_limits:
+            return now
         return max(self.pacer.find_next(now), self.refusals.find_next(now))
 
     def acquire(self, now: float) -> bool:
@@ -95,6 +102,7 @@
         now : float
             Seconds.
         """
+        self.has_limits = limits != NO_LIMITS
         self.pacer.set_limit(limits.requests_per_s, now)
         self.refusals.set_limit(limits.refusals_per_s, slots=slots)
 
@@ -158,7 +166,7 @@
         self._own_name = own_name
         self._instances = tuple(names)
         for server in servers:
-            if server.limiter.limits != NO_LIMITS:
+            if server.limiter.has_limits:
                 self._update_share(server, now)
 
     def record(
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_server_contact.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_server_contact.py
@@ -42,6 +42,11 @@
         self._connected_at = -math.inf
         self._received_at: dict[str, float] = {}
 
+    @property
+    def is_in_doubt(self) -> bool:
+        """Whether connections have failed since the last one was established."""
+        return bool(self._failed)
+
     def record_connected(self, now: float) -> None:
         """Record that a server accepted a connection.
 
--- a/packages/node/src/ebonyhaven_node/_limit_exchange.py
+++ b/packages/node/src/ebonyhaven_node/_limit_exchange.py
@@ -143,9 +143,7 @@
         """Return by process its limits and the age of its last refusal, if recent."""
         self._forget_unlisted()
         if keys is None:
-            chosen = [
-                each for each in self._servers if each.limiter.limits != NO_LIMITS
-            ]
+            chosen = [each for each in self._servers if each.limiter.has_limits]
         else:
             found = map(self._servers.find_process, keys)
             chosen = [each for each in found if each is not None]
--- a/packages/node/src/ebonyhaven_node/_servers.py
+++ b/packages/node/src/ebonyhaven_node/_servers.py
@@ -133,7 +133,7 @@
         ----------
         limits : ServerLimits
         """
-        if limits != NO_LIMITS or self.limiter.limits != NO_LIMITS:
+        if limits != NO_LIMITS or self.limiter.has_limits:
             self.on_limits(self, limits)
 
     def record_unreachable(self, now: float) -> None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
@@ -77,7 +77,8 @@
         ----------
         backend : Backend
         """
-        self._contact.record_received(backend.entry.address, self._clock())
+        if self._contact.is_in_doubt:
+            self._contact.record_received(backend.entry.address, self._clock())
 
     def call_when_known(self, callback: Callable[[], None]) -> None:
         """Call back once a check under way has ended, or now if there is none.
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -200,7 +200,7 @@
         backend : Backend
         """
         backend.record_refused(self.clock(), self.rng.random())
-        if backend.limiter.limits != NO_LIMITS:
+        if backend.limiter.has_limits:
             self.on_limits(backend)
 
     def report_limits(self, backend: Backend, limits: ServerLimits) -> None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_version_records.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_version_records.py
@@ -53,8 +53,10 @@
 
     def is_due(self) -> bool:
         """See `SharedRecorder.is_due`."""
+        if not self.has_read:
+            return False
         current = self._versions.list_current()
-        return self.has_read and bool(current) and current != self._written
+        return bool(current) and current != self._written
 
     async def read(self) -> None:
         """See `SharedRecorder.read`."""
