Never pass on a refusal of another instance for a request that may have run

Found on reading: a repeatable request that was lost at one instance, or at a server before contact was lost, could be refused by the next instance; the refusal says that it was not run. It ends as unknown now. Two tests failed before (503) and pass (502).

--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -295,29 +295,31 @@
         """Relay to servers, or to another instance if no server can be reached."""
         may_use_peers = work.request.relayed_by is None
         is_left_to_peers = may_use_peers and self._context.is_left_to_peers()
-        if is_left_to_peers and await self._build_peer_relay(work).run():
+        if is_left_to_peers and await self._relay_to_peer(work, may_have_run=False):
             return
         try:
             await self._build_relay(work).run()
         except RequestFailure as failure:
             is_unreached = failure.outcome.step == REACH_STEP
-            may_repeat = (
-                failure.outcome.tag is OutcomeTag.NOT_RUN or work.route.may_retry
-            )
+            may_have_run = failure.outcome.tag is not OutcomeTag.NOT_RUN
+            may_repeat = not may_have_run or work.route.may_retry
             if not (may_use_peers and is_unreached and may_repeat):
                 raise
-            if not await self._build_peer_relay(work).run():
+            if not await self._relay_to_peer(work, may_have_run=may_have_run):
                 raise
 
-    def _build_peer_relay(self, work: RequestContext) -> PeerRelay:
-        return PeerRelay(
+    async def _relay_to_peer(self, work: RequestContext, *, may_have_run: bool) -> bool:
+        """Relay to another instance; return False if none takes the request."""
+        relay = PeerRelay(
             request=work.request,
             route=work.route,
             exchange=work.exchange,
             dialect=self._dialect,
             own_name=self._own_name,
             context=self._context,
+            may_have_run=may_have_run,
         )
+        return await relay.run()
 
     def _build_relay(self, work: RequestContext) -> CallRelay | StreamRelay:
         route = work.route
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_relay.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_relay.py
@@ -101,6 +101,8 @@
     dialect : CallerDialect
     own_name : str
     context : RelayContext
+    may_have_run : bool
+        Whether a server may have run the request, so that no refusal is passed on.
     """
 
     def __init__(
@@ -112,7 +114,9 @@
         dialect: CallerDialect,
         own_name: str,
         context: RelayContext,
+        may_have_run: bool,
     ):
+        self._may_have_run = may_have_run
         self._request = request
         self._route = route
         self._exchange = exchange
@@ -124,6 +128,7 @@
         self._share = context.response_bytes.open_share()
         self._tried: list[str] = []
         self._last_refusal: tuple[ResponseHead, bytes] | None = None
+        self._lost_at: MemberRecord | None = None  # instance that may have run it
 
     async def run(self) -> bool:
         """Relay the request, or return False if no instance takes it.
@@ -133,6 +138,22 @@
         RequestFailure
             If the request was sent and no response arrived.
         """
+        if await self._try_peers():
+            return True
+        if self._lost_at is not None:
+            raise make_unknown_failure(
+                "an instance gave no whole answer",
+                step=REACH_STEP,
+                peer=self._lost_at.name,
+            )
+        if self._last_refusal is None or self._may_have_run:
+            return self._exchange.is_done
+        head, body = self._last_refusal
+        self._exchange.respond(head.status, head.headers, body)
+        return True
+
+    async def _try_peers(self) -> bool:
+        """Relay to one instance after the other; return whether one answered."""
         try:
             while len(self._tried) < MAX_PEERS_TRIED and not self._exchange.is_done:
                 peer = self._peers.choose(self._tried)
@@ -147,11 +168,7 @@
                     self._peers.record_done(peer.name)
         finally:
             self._share.close()
-        if self._last_refusal is None:
-            return self._exchange.is_done
-        head, body = self._last_refusal
-        self._exchange.respond(head.status, head.headers, body)
-        return True
+        return False
 
     async def _try_peer(self, peer: MemberRecord) -> bool:
         """Relay to one instance; return whether the request is answered."""
@@ -225,6 +242,7 @@
             return True
         is_late = self._context.clock() >= self._deadline
         if self._route.may_retry and not is_late:
+            self._lost_at = peer
             return False
         status = 504 if is_late else 502
         raise make_unknown_failure(
--- a/tests/forwarding/test_cut_off.py
+++ b/tests/forwarding/test_cut_off.py
@@ -259,3 +259,36 @@
 
     def list_reaching(self):
         return []
+
+
+def test_request_that_may_have_run_at_one_instance_is_not_refused_by_another():
+    # Guards against a refusal that says that a request was not run, and was.
+    harness = CutOffHarness(peers=(PEER, OTHER))
+    harness.lose_contact()
+    caller = harness.open_caller()
+    caller.request("/repeat/x", request_id="r2")
+    harness.advance(0.01)
+    peer, _, _ = harness.take_request()
+    peer.reset()
+    harness.advance(0.01)
+    other, _, _ = harness.take_request()
+    other.receive(answer("r2", b"", 503, X_Server_Stamp=None, Retry_After="0.50"))
+    harness.advance(0.01)
+    assert caller.read_answer()[0] == 502
+
+
+def test_stream_that_a_server_may_have_begun_is_not_refused_by_another_instance():
+    harness = ForwardingHarness()
+    harness.gateway._context.relay_peers._list_peers = lambda: [PEER]
+    caller = harness.open_caller()
+    caller.request("/stream/x", request_id="s1", X_Token_Count="10,10")
+    harness.advance(0.01)
+    server, _, _ = harness.take_request()
+    harness.refused.update(each.entry.address for each in harness.state.backends)
+    server.reset()
+    harness.advance(0.5)
+    peer, _, _ = harness.take_request()
+    assert peer.address == PEER.caller_address
+    peer.receive(answer("s1", b"", 503, X_Server_Stamp=None, Retry_After="0.50"))
+    harness.advance(0.01)
+    assert caller.read_answer()[0] == 502
