Take a new process of a brittle service for brittle before it says so

Cause: nothing that the new process says has arrived yet, and all instances send what has waited for it. Class: as with software versions, what cannot be known yet taken for what is not there.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -12,6 +12,7 @@
     BackendState,
 )
 from ebonyhaven_decisions.forwarding._limit_shares import LimitShares
+from ebonyhaven_decisions.forwarding._request_pacing import CONFIRMATION_TTL_S
 from ebonyhaven_decisions.forwarding._server_limits import ServerLimits
 from ebonyhaven_decisions.forwarding._service_versions import ServiceVersions
 
@@ -29,6 +30,7 @@
     """
 
     __slots__ = (
+        "_brittle",
         "_by_id",
         "_engine_services",
         "_lost_at",
@@ -40,6 +42,7 @@
     def __init__(self) -> None:
         self._shares = LimitShares()
         self._engine_services: frozenset[str] = frozenset()
+        self._brittle: dict[str, tuple[int, float]] = {}  # by service: limit, time
         self._lost_at: dict[str, float] = {}  # by data centre
         self._by_id: dict[str, Backend] = {}
         self._removed: dict[str, Backend] = {}
@@ -88,8 +91,9 @@
                 self.versions.record_removed(known.entry, now)
             known = Backend(entry)
             limits = self._shares.take(known.process_id)
+            limits = limits or self._expect_limits(entry.service, now)
             if limits is not None:
-                self.record_limits(known, limits, now)
+                self._set_limits(known, limits, now)
         known.entry = entry
         known.removed_at = None
         self._by_id[entry.server_id] = known
@@ -154,6 +158,24 @@
         now : float
             Seconds.
         """
+        service, refusals = backend.entry.service, limits.refusals_per_s
+        if refusals is None:
+            self._brittle.pop(service, None)
+        else:
+            self._brittle[service] = (refusals, now)
+        self._set_limits(backend, limits, now)
+
+    def _expect_limits(self, service: str, now: float) -> ServerLimits | None:
+        """Return what a new server will name, as far as those of its service tell.
+
+        All servers of a service are brittle at the same time.
+        """
+        refusals, said_at = self._brittle.get(service, (0, -math.inf))
+        if now - said_at > CONFIRMATION_TTL_S:
+            return None
+        return ServerLimits(refusals_per_s=refusals)
+
+    def _set_limits(self, backend: Backend, limits: ServerLimits, now: float) -> None:
         has_engine = backend.entry.service in self._engine_services
         slots = 0 if has_engine else backend.entry.slots  # memory binds engines
         self._shares.record(backend, limits, slots=slots, now=now)
--- a/tests/decisions/test_refusal_limits.py
+++ b/tests/decisions/test_refusal_limits.py
@@ -6,7 +6,15 @@
 import random
 from collections import deque
 
-from ebonyhaven_decisions.forwarding import RefusalLimiter
+from ebonyhaven_decisions.forwarding import (
+    CONFIRMATION_TTL_S,
+    NO_LIMITS,
+    BackendDirectory,
+    BackendEntry,
+    BackendState,
+    RefusalLimiter,
+    ServerLimits,
+)
 
 SLOTS = 6
 MAX_REFUSALS = 4
@@ -14,6 +22,18 @@
 TELL_DELAY_S = 0.02
 
 
+def make_entry(server_id):
+    return BackendEntry(
+        server_id=server_id,
+        started_ms=1,
+        service="plain",
+        address=f"10.0.0.{server_id[2:]}:80",
+        data_centre="dc-a",
+        slots=SLOTS,
+        state=BackendState.READY,
+    )
+
+
 class Group:
     """A brittle server and instances that send it all they may."""
 
@@ -106,3 +126,24 @@
     assert not limiter.may_send(11.0)
     assert limiter.find_next(10.0) == 11.1
     assert limiter.may_send(11.1)
+
+
+def test_new_process_of_a_brittle_service_is_taken_for_brittle():
+    # Guards against servers that fall over as soon as they are back: nothing they said
+    # has arrived yet, and all instances send what has waited for them.
+    directory = BackendDirectory()
+    first = directory.put(make_entry("s-1"), 10.0)
+    directory.record_limits(first, ServerLimits(refusals_per_s=3), 10.0)
+    restarted = directory.put(make_entry("s-2"), 11.0)
+    assert restarted.limiter.limits == ServerLimits(refusals_per_s=3)
+    directory.record_limits(restarted, NO_LIMITS, 11.1)
+    assert directory.put(make_entry("s-3"), 11.2).limiter.limits == NO_LIMITS
+
+
+def test_service_is_not_taken_for_brittle_long_after_it_said_so():
+    directory = BackendDirectory()
+    first = directory.put(make_entry("s-1"), 10.0)
+    directory.record_limits(first, ServerLimits(refusals_per_s=3), 10.0)
+    later = directory.put(make_entry("s-2"), 10.1 + CONFIRMATION_TTL_S)
+    other = directory.put(make_entry("s-3")._replace(service="other"), 10.0)
+    assert later.limiter.limits == other.limiter.limits == NO_LIMITS
