--- a/packages/standins/src/ebonyhaven_standins/service/__main__.py
+++ b/packages/standins/src/ebonyhaven_standins/service/__main__.py
@@ -21,11 +21,14 @@
     address: Annotated[str, typer.Option()],
     log: Annotated[str, typer.Option(help="File of the execution log.")],
     delay_ms: float = 0.0,
+    request_limit: float | None = None,
 ) -> None:
     """Run one plain service until it is killed."""
     from twisted.internet import reactor
 
-    settings = ServiceSettings(name=name, delay_ms=delay_ms)
+    settings = ServiceSettings(
+        name=name, delay_ms=delay_ms, request_limit=request_limit
+    )
     service = ServiceHttpApi(settings, ExecutionLog(log, name), reactor)
     signal.signal(signal.SIGUSR1, lambda *_: _mark_leaving(service))
     serve_app(service.app, address)
--- a/packages/standins/src/ebonyhaven_standins/service/_http.py
+++ b/packages/standins/src/ebonyhaven_standins/service/_http.py
@@ -23,10 +23,13 @@
         Name of the backend server.
     delay_ms : float
         Time between the execution of a request and its response.
+    request_limit : float or None
+        Requests per second that its answers name as its limit.
     """
 
     name: str
     delay_ms: float = 0.0
+    request_limit: float | None = None
 
 
 class ServiceHttpApi:
@@ -96,3 +99,6 @@
     def _add_load_headers(self, request) -> None:
         request.setHeader("Engine-Running", str(self._running))
         request.setHeader("Engine-Leaving", "1" if self.leaving else "0")
+        limit = self._settings.request_limit
+        if limit is not None:
+            request.setHeader("Backend-Request-Limit", str(limit))
