--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -24,6 +24,7 @@
 )
 from ebonyhaven_decisions.forwarding._limit_shares import (
     LimitedServer,
+    LimitedServerDirectory,
     LimitShares,
     ServerLimiter,
 )
@@ -110,6 +111,7 @@
     "EngineUse",
     "LimitShares",
     "LimitedServer",
+    "LimitedServerDirectory",
     "LossReport",
     "PeerEngineUse",
     "PrefillRate",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from ebonyhaven_decisions.forwarding._limit_shares import ServerLimiter
+from ebonyhaven_decisions.forwarding._limit_shares import LimitedServer, ServerLimiter
 
 SUSPECT_MIN_S = 0.4  # a third of the restart time of a server on a fast machine
 SUSPECT_MAX_S = 3.0  # limits the time until a recovered server is sent requests
@@ -75,7 +75,7 @@
 
 
 @attrs.define(slots=True, eq=False)
-class Backend:
+class Backend(LimitedServer):
     """One process of a backend server, with its load and failures.
 
     Parameters
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -11,7 +11,10 @@
     BackendEntry,
     BackendState,
 )
-from ebonyhaven_decisions.forwarding._limit_shares import LimitShares
+from ebonyhaven_decisions.forwarding._limit_shares import (
+    LimitedServerDirectory,
+    LimitShares,
+)
 from ebonyhaven_decisions.forwarding._request_pacing import CONFIRMATION_TTL_S
 from ebonyhaven_decisions.forwarding._server_limits import ServerLimits
 from ebonyhaven_decisions.forwarding._service_versions import ServiceVersions
@@ -20,7 +23,7 @@
 DATA_CENTRE_SUSPECT_S = 0.8
 
 
-class BackendDirectory:
+class BackendDirectory(LimitedServerDirectory):
     """Backend servers, listed or recently removed, by server id.
 
     Attributes
@@ -139,13 +142,7 @@
         self._lost_at[backend.entry.data_centre] = now
 
     def set_instances(self, own_name: str, names: Iterable[str], now: float) -> None:
-        """Set the instances that share the limits of servers.
-
-        Parameters
-        ----------
-        own_name, names, now
-            See `LimitShares.set_instances`.
-        """
+        """See `LimitedServerDirectory.set_instances`."""
         self._shares.set_instances(own_name, names, self._by_id.values(), now)
 
     def record_limits(self, backend: Backend, limits: ServerLimits, now: float) -> None:
@@ -183,16 +180,7 @@
     def record_told_limits(
         self, process_id: str, limits: ServerLimits, now: float
     ) -> None:
-        """Record limits that another instance told of.
-
-        Parameters
-        ----------
-        process_id : str
-            See `Backend.process_id`; may be listed later.
-        limits : ServerLimits
-        now : float
-            Seconds.
-        """
+        """See `LimitedServerDirectory.record_told_limits`."""
         backend = self.find_process(process_id)
         if backend is None:
             self._shares.keep(process_id, limits)
@@ -200,17 +188,7 @@
             self.record_limits(backend, limits, now)
 
     def find_process(self, process_id: str) -> Backend | None:
-        """Return a listed process.
-
-        Parameters
-        ----------
-        process_id : str
-            See `Backend.process_id`.
-
-        Returns
-        -------
-        Backend or None
-        """
+        """See `LimitedServerDirectory.find_process`."""
         backend = self._by_id.get(process_id.rpartition("/")[0])
         return backend if backend and backend.process_id == process_id else None
 
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_limit_shares.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_limit_shares.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from typing import Protocol
+import abc
+from collections.abc import Iterable, Iterator
 
 from ebonyhaven_decisions._rendezvous import choose_instances
 from ebonyhaven_decisions.forwarding._refusal_limits import RefusalLimiter
@@ -122,16 +122,71 @@
         self.refusals.set_share(rank=rank, instances=instances)
 
 
-class LimitedServer(Protocol):
-    """A process of a server whose limits instances share."""
+class LimitedServer(abc.ABC):
+    """A process of a server whose limits instances share.
+
+    Attributes
+    ----------
+    limiter : ServerLimiter
+        Part of this instance in its limits.
+    """
+
+    __slots__ = ()
+
+    limiter: ServerLimiter
 
     @property
+    @abc.abstractmethod
     def process_id(self) -> str:
         """Identifies the process in what instances tell each other."""
 
-    @property
-    def limiter(self) -> ServerLimiter:
-        """Part of this instance in its limits."""
+
+class LimitedServerDirectory(abc.ABC):
+    """The listed servers of an instance, whose limits it shares with others."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def __iter__(self) -> Iterator[LimitedServer]:
+        """Return all listed servers."""
+
+    @abc.abstractmethod
+    def find_process(self, process_id: str) -> LimitedServer | None:
+        """Return a listed process.
+
+        Parameters
+        ----------
+        process_id : str
+            See `LimitedServer.process_id`.
+        """
+
+    @abc.abstractmethod
+    def record_told_limits(
+        self, process_id: str, limits: ServerLimits, now: float
+    ) -> None:
+        """Record limits that another instance told of.
+
+        Parameters
+        ----------
+        process_id : str
+            See `LimitedServer.process_id`; may be listed later.
+        limits : ServerLimits
+        now : float
+            Seconds.
+        """
+
+    @abc.abstractmethod
+    def set_instances(self, own_name: str, names: Iterable[str], now: float) -> None:
+        """Set the instances that share the limits of servers.
+
+        Parameters
+        ----------
+        own_name : str
+        names : iterable of str
+            Instances that may send requests.
+        now : float
+            Seconds.
+        """
 
 
 class LimitShares:
--- a/packages/node/src/ebonyhaven_node/_limit_exchange.py
+++ b/packages/node/src/ebonyhaven_node/_limit_exchange.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable, Iterator
-from typing import Any, NamedTuple, Protocol
+from collections.abc import Callable
+from typing import Any, NamedTuple
 
 import structlog
 from ebonyhaven_decisions import MemberState
@@ -13,6 +13,7 @@
     CONFIRMATION_TTL_S,
     NO_LIMITS,
     LimitedServer,
+    LimitedServerDirectory,
     ServerLimits,
 )
 from twisted.internet.interfaces import IReactorTime
@@ -44,30 +45,12 @@
     at: float
 
 
-class ServerDirectory(Protocol):
-    """The listed servers of an instance, whose limits it shares with others."""
-
-    def __iter__(self) -> Iterator[LimitedServer]:
-        """Return all listed servers."""
-
-    def find_process(self, process_id: str) -> LimitedServer | None:
-        """Return a listed process by what instances call it."""
-
-    def record_told_limits(
-        self, process_id: str, limits: ServerLimits, now: float
-    ) -> None:
-        """Record limits that another instance told of."""
-
-    def set_instances(self, own_name: str, names: Iterable[str], now: float) -> None:
-        """Set the instances that share the limits."""
-
-
 class LimitExchange:
     """Keeps the limits of servers alike on all instances, and who shares them.
 
     Parameters
     ----------
-    servers : ServerDirectory
+    servers : LimitedServerDirectory
         Updated with the limits and with the instances.
     membership : MembershipController
     channels : Channels
@@ -82,7 +65,7 @@
     def __init__(
         self,
         *,
-        servers: ServerDirectory,
+        servers: LimitedServerDirectory,
         membership: MembershipController,
         channels: Channels,
         reactor: IReactorTime,
--- a/packages/node/src/ebonyhaven_node/_servers.py
+++ b/packages/node/src/ebonyhaven_node/_servers.py
@@ -11,6 +11,8 @@
 import structlog
 from ebonyhaven_decisions.forwarding import (
     NO_LIMITS,
+    LimitedServer,
+    LimitedServerDirectory,
     LimitShares,
     ServerLimiter,
     ServerLimits,
@@ -71,7 +73,7 @@
 
 
 @attrs.define(slots=True, kw_only=True, eq=False)
-class BackendServer:
+class BackendServer(LimitedServer):
     """State of one backend server as seen by this instance.
 
     Parameters
@@ -188,7 +190,7 @@
         return self.limiter.is_allowed(now)
 
 
-class BackendServers:
+class BackendServers(LimitedServerDirectory):
     """All backend servers known to this instance, by name.
 
     Attributes
@@ -226,39 +228,18 @@
         return iter(self._servers.values())
 
     def find_process(self, process_id: str) -> BackendServer | None:
-        """Return a process, or None.
-
-        Parameters
-        ----------
-        process_id : str
-            See `BackendServer.process_id`.
-        """
+        """See `LimitedServerDirectory.find_process`."""
         server = self._servers.get(process_id.rpartition("/")[0])
         return server if server and server.process_id == process_id else None
 
     def set_instances(self, own_name: str, names: Iterable[str], now: float) -> None:
-        """Set the instances that share the limits of servers.
-
-        Parameters
-        ----------
-        own_name, names, now
-            See `LimitShares.set_instances`.
-        """
+        """See `LimitedServerDirectory.set_instances`."""
         self._shares.set_instances(own_name, names, self._servers.values(), now)
 
     def record_told_limits(
         self, process_id: str, limits: ServerLimits, now: float
     ) -> None:
-        """Record limits that another instance told of.
-
-        Parameters
-        ----------
-        process_id : str
-            See `BackendServer.process_id`; may be listed later.
-        limits : ServerLimits
-        now : float
-            Seconds.
-        """
+        """See `LimitedServerDirectory.record_told_limits`."""
         server = self.find_process(process_id)
         if server is None:
             self._shares.keep(process_id, limits)
