Do not overfill a brittle server that survives more refusals than it has slots

Cause: room was the greater of slots and refusals. Change: the slots where they are known, the lesser of the two for five seconds after a refusal. The test failed before.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_refusal_limits.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_refusal_limits.py
@@ -135,8 +135,10 @@
 
     def _count_share(self, now: float) -> int:
         """Return how many requests of this instance may be unanswered."""
-        is_cautious = now - self.refused_at < CAUTION_S
-        room = max(1, self.limit, 0 if is_cautious else self._slots)
+        room = self._slots or self.limit
+        if now - self.refused_at < CAUTION_S:
+            room = min(room, self.limit)
+        room = max(1, room)
         if self._rank >= room:
             return 0
         return max(1, room // self._instances)
--- a/tests/decisions/test_refusal_limits.py
+++ b/tests/decisions/test_refusal_limits.py
@@ -37,11 +37,11 @@
 class Group:
     """A brittle server and instances that send it all they may."""
 
-    def __init__(self, count, *, slots, seed):
+    def __init__(self, count, *, slots, seed, limit=MAX_REFUSALS):
         self.rng = random.Random(seed)
         self.limiters = [RefusalLimiter() for _ in range(count)]
         for rank, limiter in enumerate(self.limiters):
-            limiter.set_limit(MAX_REFUSALS, slots=slots)
+            limiter.set_limit(limit, slots=slots)
             limiter.set_share(rank=rank, instances=count)
         self.running = []
         self.refused_at = []
@@ -90,6 +90,15 @@
         assert group.served > 500, count
 
 
+def test_server_that_survives_more_refusals_than_it_has_slots_is_not_overfilled():
+    # Guards against a server that stands idle, as each refusal keeps instances away.
+    for count in (1, 9):
+        group = Group(count, slots=SLOTS, seed=1, limit=2 * SLOTS)
+        for step in range(2000):
+            group.step(step * STEP_S, work_s=0.045, held_slots=0, demand=0.9)
+        assert not group.refused_at, count
+
+
 def test_server_with_less_room_than_slots_survives():
     # Requests that were cancelled, and new connections, hold slots as well.
     for count in (1, 3, 9, 60):
