--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -137,6 +137,11 @@
         self._set(table, key, base64.b64encode(json.dumps(document).encode()).decode())
         self._notify()
 
+    def put_bytes(self, table: str, key: str, value: bytes) -> None:
+        self.version += 1
+        self._set(table, key, base64.b64encode(value).decode())
+        self._notify()
+
     def drop(self, table: str, key: str) -> None:
         self.version += 1
         self._set(table, key, None)
