--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -246,6 +246,7 @@
         extra = {key: request.headers[key] for key in keys if key in request.headers}
         self.record("server", self.name, "runs", method, target, attempt, extra)
         work = asyncio.ensure_future(self.work(self, request, writer))
+        work.add_done_callback(lambda done: done.cancelled() or done.exception())
         gone = asyncio.ensure_future(_wait_for_close(reader))
         await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
         if not work.done():
@@ -398,6 +399,10 @@
                 *command, cwd=REPOSITORY, env=variables, stdout=log, stderr=log
             )
 
+    def read_last_line(self) -> str:
+        lines = (self.folder / f"{self.name}.log").read_text().splitlines()
+        return lines[-1][:300] if lines else ""
+
     async def is_ready(self) -> bool:
         try:
             status, _ = await asyncio.wait_for(
@@ -638,6 +643,10 @@
             while not await each.is_ready():
                 if time.monotonic() > end:
                     raise CouldNotRun(f"{each.name} did not become ready")
+                if each.process.returncode is not None:
+                    self.record(each.name, "ended at its start:", each.read_last_line())
+                    await asyncio.sleep(0.5)
+                    await each.start()
                 await asyncio.sleep(0.1)
         self.record("all instances are ready")
 
