--- a/review/4/play.py
+++ b/review/4/play.py
@@ -1,4 +1,4 @@
-"""A server pauses in the middle of streams that may not be resumed."""
+"""One entry in the list of servers can't be read; then the servers are replaced."""
 
 import asyncio
 import pathlib
@@ -7,52 +7,82 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common"))
-from rig import Channel, answer_after, main, make_configuration, stream_events  # noqa: E402
+from rig import answer_after, main, make_configuration, make_entry, send  # noqa: E402
 
-STREAMS = 6
-EVENTS = 60
-PAUSE_S = 3.0  # a caller abandons a stream after a gap of 18 s (4 x 4.5 s)
-GRACE_S = 8
-GENERATION = {"X-Model-Name": "m", "X-Token-Count": "8200,300"}
+UNREADABLE = b"[" * 4000  # 4,000 of the 65,536 bytes that a row may have; no JSON value
+DRAIN_S = 2.0
+LINGER_S = 4.0  # a server goes on for `drainMs` and a little longer (at times many seconds)
+CONTACT_S = 3.0
 
 
 async def play(rig, has_trouble):
-    await rig.add_server("i-app1", "app", answer_after(0.02))
-    pauses = {30: PAUSE_S} if has_trouble else {}
-    for number in (1, 2, 3):
-        await rig.add_server(f"i-llm{number}", "llm", stream_events(EVENTS, pauses=pauses))
-    await rig.start(2, make_configuration(7), graceS=GRACE_S)
+    work = answer_after(0.03)
+    old = [await rig.add_server(f"i-old{number}", "app", work) for number in (1, 2, 3)]
+    await rig.start(2, make_configuration(7))
     await rig.wait_ready()
+    await asyncio.sleep(CONTACT_S)
+    statuses = []
+    is_over = asyncio.Event()
+
+    async def ask():
+        number = 0
+        while not is_over.is_set():
+            number += 1
+            instance = rig.instances[number % 2]
+            answer = await send(
+                instance.listen["frontend"], "POST", "/once/charge", f"a{number:05d}",
+                rig.record, body=b"charge",
+            )  # fmt: skip
+            statuses.append((time.monotonic(), answer.status))
+            await asyncio.sleep(0.05)
+
+    asking = asyncio.ensure_future(ask())
+    await asyncio.sleep(1.0)
+    if has_trouble:
+        rig.record("another writer puts an entry that can't be read")
+        rig.store.put_bytes("servers", "other-writer", UNREADABLE)
+    await asyncio.sleep(2.0)
+    for number in (4, 5, 6):
+        await rig.add_server(f"i-new{number}", "app", work)
     await asyncio.sleep(1.0)
-    first = rig.instances[0]
-    answers = {}
-
-    async def ask(number):
-        channel = Channel(first.listen["frontend"], rig.record)
-        await channel.request("GET", "/safe/look", f"k{number:04d}")
-        attempt = f"s{number:04d}"
-        headers = {**GENERATION, "X-Prompt-Prefix": f"aa:200,{number:08x}:8000"}
-        answers[attempt] = await channel.request(
-            "POST", "/fixed/draft", attempt, body=b"dossier %d" % number,
-            deadline_ms=25000, headers=headers,
-        )  # fmt: skip
-        channel.close()
-
-    tasks = [asyncio.ensure_future(ask(number)) for number in range(STREAMS)]
-    await asyncio.sleep(0.6)  # all of them stream by now
-    rig.record("SIGTERM to", first.name)
-    first.signal(signal.SIGTERM)
-    stopped_at = time.monotonic()
-    await asyncio.gather(*tasks)
-    ended_s = max(answer.ended for answer in answers.values()) - stopped_at
-    rig.record(f"last answer ended {ended_s:.2f} s after the SIGTERM")
-    ran = [request.headers["x-attempt-id"] for each in rig.servers for _, request in each.ran]
-    return [
-        f"LOST: {attempt} ran once at a sound server, its channel ended after "
-        f"{len(answer.body.splitlines()) // 3} of {EVENTS} events"
-        for attempt, answer in sorted(answers.items())
-        if ran.count(attempt) == 1 and not answer.is_complete
-    ]
+    for server in old:
+        entry = make_entry(server, "app", state="draining", sequence=2)
+        rig.store.put("servers", server.name, entry)
+    draining_at = time.monotonic()
+    rig.record("the old servers report draining; the store has acknowledged it")
+    await asyncio.sleep(LINGER_S)
+    for server in old:
+        rig.store.drop("servers", server.name)
+        server.close()
+    ended_at = time.monotonic()
+    rig.record("the old servers have ended and are removed from the list")
+    await asyncio.sleep(4.0)
+    is_over.set()
+    await asking
+    second = rig.instances[1]
+    rig.record(second.name, "is killed and started again")
+    second.signal(signal.SIGKILL)
+    await second.process.wait()
+    await second.start()
+    is_ready = False
+    for _ in range(100):
+        is_ready = is_ready or await second.is_ready()
+        if is_ready:
+            break
+        await asyncio.sleep(0.1)
+    rig.record(second.name, "is ready" if is_ready else "is not ready 10 s after its start")
+    after = [status for at, status in statuses if at > ended_at + DRAIN_S]
+    served = after.count(200)
+    rig.record(f"{served} of {len(after)} requests served once the old servers are gone")
+    broken = []
+    for server in old:
+        late = [at - draining_at for at, _ in server.ran if at > draining_at + DRAIN_S]
+        if late:
+            broken.append(
+                f"DRAIN: {len(late)} requests reached {server.name} later than drainMs "
+                f"after it was draining, the last one {late[-1]:.2f} s after"
+            )
+    return broken
 
 
 main(play, str(pathlib.Path(__file__).parent))
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common"))
 from rig import main, make_configuration, send, stream_events  # noqa: E402
 
-STREAMS = 30  # prompts of 8,200 tokens; three engines have memory for 88,000 tokens each
+STREAMS = 40  # prompts of 8,200 tokens; three engines have memory for 88,000 tokens each
 EVENTS = 130
 GAP_S = 0.1  # a whole stream takes 13 s of its 25 s
 LOSS_SLACK_S = 0.2
