--- a/review/4/play.py
+++ b/review/4/play.py
@@ -11,7 +11,9 @@
 
 UNREADABLE = b"[" * 4000  # 4,000 of the 65,536 bytes that a row may have; no JSON value
 DRAIN_S = 2.0
-LINGER_S = 4.0  # a server goes on for `drainMs` and a little longer (at times many seconds)
+LINGER_S = (
+    4.0  # a server goes on for `drainMs` and a little longer (at times many seconds)
+)
 CONTACT_S = 3.0
 
 
@@ -70,10 +72,14 @@
         if is_ready:
             break
         await asyncio.sleep(0.1)
-    rig.record(second.name, "is ready" if is_ready else "is not ready 10 s after its start")
+    rig.record(
+        second.name, "is ready" if is_ready else "is not ready 10 s after its start"
+    )
     after = [status for at, status in statuses if at > ended_at + DRAIN_S]
     served = after.count(200)
-    rig.record(f"{served} of {len(after)} requests served once the old servers are gone")
+    rig.record(
+        f"{served} of {len(after)} requests served once the old servers are gone"
+    )
     broken = []
     for server in old:
         late = [at - draining_at for at, _ in server.ran if at > draining_at + DRAIN_S]
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -9,7 +9,9 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common"))
 from rig import main, make_configuration, send, stream_events  # noqa: E402
 
-STREAMS = 40  # prompts of 8,200 tokens; three engines have memory for 88,000 tokens each
+STREAMS = (
+    40  # prompts of 8,200 tokens; three engines have memory for 88,000 tokens each
+)
 EVENTS = 130
 GAP_S = 0.1  # a whole stream takes 13 s of its 25 s
 LOSS_SLACK_S = 0.2
@@ -45,7 +47,11 @@
         tasks.append(asyncio.ensure_future(ask(number)))
         await asyncio.sleep(0.05)
     await asyncio.sleep(0.5)
-    ran = {request.headers["x-attempt-id"] for each in rig.servers for _, request in each.ran}
+    ran = {
+        request.headers["x-attempt-id"]
+        for each in rig.servers
+        for _, request in each.ran
+    }
     rig.record(f"{len(ran)} of {STREAMS} streams run, the others wait in {first.name}")
     if has_trouble:
         rig.record("SIGTERM to", first.name)
@@ -56,7 +62,11 @@
         await asyncio.gather(*tasks)
     else:
         await asyncio.gather(*tasks)
-    ran = {request.headers["x-attempt-id"] for each in rig.servers for _, request in each.ran}
+    ran = {
+        request.headers["x-attempt-id"]
+        for each in rig.servers
+        for _, request in each.ran
+    }
     return [
         f"LOST: {attempt} was read, reached no server, and its channel ended without an "
         f"answer {answer.ended - answer.started:.2f} s after it was sent"
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -175,7 +175,9 @@
         answer["rowVersion"] = self.version
         answer["nowMs"] = int((time.monotonic() - self._began) * 1000)
         body = json.dumps(answer).encode()
-        writer.write(encode_response(status, {"Content-Type": "application/json"}, body))
+        writer.write(
+            encode_response(status, {"Content-Type": "application/json"}, body)
+        )
         await writer.drain()
         return True
 
@@ -320,14 +322,19 @@
     async def work(server: Server, request: Message, writer) -> None:
         attempt = request.headers.get("x-attempt-id", "")
         memory = f"{attempt} {request.headers.get('x-model-name')}"
-        source, holder = request.headers.get("kv-from"), request.headers.get("x-kv-backup")
+        source, holder = (
+            request.headers.get("kv-from"),
+            request.headers.get("x-kv-backup"),
+        )
         if source is not None:
             if source not in copies:
                 headers = {**own_headers(server, request), "X-Not-Executed": "1"}
                 writer.write(encode_response(503, headers, b""))
                 return
             memory = copies[source]
-            server.record("server", server.name, attempt, "goes on from memory of", memory)
+            server.record(
+                "server", server.name, attempt, "goes on from memory of", memory
+            )
         if holder is not None and copies is not None:
             copies[f"{holder}/{attempt}"] = memory
         await asyncio.sleep(first_s if source is None else 0.01)
@@ -341,7 +348,9 @@
         begin = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(begin, count + 1):
             if number in (pauses or {}):
-                server.record("server", server.name, "pauses", attempt, "before", number)
+                server.record(
+                    "server", server.name, "pauses", attempt, "before", number
+                )
                 await asyncio.sleep(pauses[number])
             event = f"id: {number}\ndata: {memory} {number}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
@@ -390,7 +399,9 @@
         deploy = (REPOSITORY / "deploy" / "system.toml").read_text()
         command = deploy.split('run = "', 1)[1].split('"', 1)[0].split()
         variables = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
         }
         variables["PYTHONPATH"] = str(REPOSITORY / "target" / "deps")
         variables["EBONYHAVEN_NODE_FILE"] = str(self.settings_path)
@@ -408,7 +419,7 @@
             status, _ = await asyncio.wait_for(
                 get(self.listen["readiness"], "/ready"), 1.0
             )
-        except (OSError, asyncio.TimeoutError):
+        except (TimeoutError, OSError):
             return False
         return status == 200
 
@@ -505,7 +516,7 @@
             self._writer.write(head + body)
             reading = _read_answer(self._reader, answer, on_data)
             await asyncio.wait_for(reading, patience_s)
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
+        except (TimeoutError, OSError, asyncio.IncompleteReadError) as error:
             self._record("caller", attempt, "failed:", type(error).__name__, error)
         answer.ended = time.monotonic()
         self._record("caller", attempt, "got", answer)
@@ -629,7 +640,9 @@
         await self.store.listen()
         self.store.put("op", "config", configuration)
         self.instances = [
-            Instance(f"edge-{n}", f"127.0.2.{n}", self.store.address, self.folder, **bounds)
+            Instance(
+                f"edge-{n}", f"127.0.2.{n}", self.store.address, self.folder, **bounds
+            )
             for n in range(1, count + 1)
         ]
         seeds = [each.listen["controlPlane"] for each in self.instances][:3]
@@ -674,7 +687,7 @@
         rig = Rig(case)
         try:
             broken = await asyncio.wait_for(play(rig, has_trouble), 110.0)
-        except (CouldNotRun, asyncio.TimeoutError, OSError) as error:
+        except (TimeoutError, CouldNotRun, OSError) as error:
             rig.record("could not run:", type(error).__name__, error)
             print(f"could not run: {type(error).__name__} {error}")
             return 2
