--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -687,7 +687,7 @@
         rig = Rig(case)
         try:
             broken = await asyncio.wait_for(play(rig, has_trouble), 110.0)
-        except (TimeoutError, CouldNotRun, OSError) as error:
+        except Exception as error:  # whatever keeps the case from being played
             rig.record("could not run:", type(error).__name__, error)
             print(f"could not run: {type(error).__name__} {error}")
             return 2
