--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -23,13 +24,25 @@
 HOST = "ficu95.example"
 KEY = "n2ctnfzs989anu6wsjnb"
 TENANT = "hule930"
-HEADROOM_S = 0.001
+SERVER_PORTS = (12_000, 32_000)
+
+
+_taken_ports: set[int] = set()
 
 
 def free_port(ip: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    """Return a free port below the range that the kernel gives to callers."""
+    while True:
+        port = random.randint(*SERVER_PORTS)
+        if port in _taken_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                continue
+        _taken_ports.add(port)
+        return port
 
 
 class Record:
@@ -411,8 +424,10 @@
             )
 
     def read_last_line(self) -> str:
+        """Return the last line of the log, or the one that tells of a failed start."""
         lines = (self.folder / f"{self.name}.log").read_text().splitlines()
-        return lines[-1][:300] if lines else ""
+        failed = [line for line in lines if "start_failed" in line or "Error:" in line]
+        return (failed or lines or [""])[-1][-300:]
 
     async def is_ready(self) -> bool:
         try:
