A leave of a listed server is logged, and observers of the state are told

Callers saw nothing of this by itself; the log never showed `backend_listed` with state=leaving, and requests that wait for a server were not looked at again when an entry changed in place.

Cause: `ForwardingState.put_backend` compared the known entry with the new one after the directory had already written the new one into the same object, so that they were always equal. Class: a value that is compared after it was overwritten.

Evidence: on the old code `test_leave_of_a_listed_server_is_logged_and_told` fails at `assert [line["state"] for line in lines] == ["leaving"]`; it passes with the change. The server itself was treated as leaving in either case, as the directory had the new entry.

Elsewhere: `BackendDirectory.put` compares before it writes.

--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -81,8 +81,9 @@
         was_adopted = entry.server_id in self._adopted
         self._adopted.discard(entry.server_id)
         known = self.backends.find(entry.server_id)
-        backend = self.backends.put(entry, self._clock(), was_inferred=was_adopted)
-        if known is backend and known.entry == entry:
+        known_entry = known.entry if known is not None else None
+        self.backends.put(entry, self._clock(), was_inferred=was_adopted)
+        if known_entry == entry:
             return
         _log.info(
             "backend_listed",
--- a/tests/platform_adapter/test_source.py
+++ b/tests/platform_adapter/test_source.py
@@ -12,6 +12,7 @@
 from ebonyhaven_node._frames import encode_json
 from ebonyhaven_node.forwarding import ForwardingState
 from ebonyhaven_node.forwarding.interfaces import ReadGroup
+from structlog.testing import capture_logs
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
@@ -142,6 +143,17 @@
     assert state.backends.find("s-1") is None
 
 
+def test_leave_of_a_listed_server_is_logged_and_told():
+    # Guards against an entry that was overwritten before it was compared.
+    _, store, state, _ = start_with_complete_state()
+    told = []
+    state.observe(lambda: told.append("change"))
+    with capture_logs() as lines:
+        store.push("servers", make_rows(15, s_1={**SERVER, "state": "draining"}))
+    assert [line["state"] for line in lines] == ["leaving"]
+    assert told == ["change"]
+
+
 def test_missing_history_triggers_an_immediate_table_read():
     _, store, state, _ = start_with_complete_state()
     store.push("servers", make_store_error(status=410))
