Log of the server list tells how each change came; age of the list is a gauge

What the record of the incident lacks: whether an instance that sent to a leaving server knew of the leave, and from whom. `backend_listed` and `backend_unlisted` now have `via` (own read of the table, own poll, message of a reader, state of a peer, expiry after a restore) with the era and version that the change was written with, once for each change. `ebonyhaven_server_list_age_seconds` is the time since a poll of the instance or of its reader.

No logic is changed.

--- a/packages/node/src/ebonyhaven_node/forwarding/__init__.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/__init__.py
@@ -21,7 +21,11 @@
     ResponseHead,
 )
 from ebonyhaven_node.forwarding._settings import GatewaySettings
-from ebonyhaven_node.forwarding._state import ForwardingState
+from ebonyhaven_node.forwarding._state import (
+    ForwardingState,
+    ListOrigin,
+    ListSource,
+)
 
 __all__ = [
     "AttemptPlan",
@@ -36,6 +40,8 @@
     "GenerationSize",
     "Headers",
     "HttpRequest",
+    "ListOrigin",
+    "ListSource",
     "RequestHead",
     "ResponseHandler",
     "ResponseHead",
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -163,6 +163,7 @@
             is_unresponsive=self.source.is_unresponsive,
             count_connections=lambda: self.pool.opened_count,
             is_contact_lost=lambda: self._contact.is_lost,
+            measure_list_age_s=self.source.measure_list_age_s,
         )
         self._peers = PeerEngineUse(ttl_s=PEER_USE_TTL_S)
         self._capacity_notifier = CapacityNotifier(reactor)
--- a/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -131,6 +131,7 @@
         is_unresponsive: Callable[[], bool],
         count_connections: Callable[[], int],
         is_contact_lost: Callable[[], bool],
+        measure_list_age_s: Callable[[], float],
     ) -> None:
         """Register gauges of the instance's state, read at each scrape.
 
@@ -147,6 +148,8 @@
             Returns the number of connections to servers opened since startup.
         is_contact_lost : callable
             Returns whether no server can be reached.
+        measure_list_age_s : callable
+            Returns the time since the server list was last known to be current.
         """
         gauges = (
             ("configuration_version", "Configuration in force.", read_version),
@@ -155,6 +158,11 @@
             ("store_behind", "Whether the store does not answer.", is_unresponsive),
             ("connections_opened", "Connections to servers.", count_connections),
             ("contact_lost", "Whether no server is reached.", is_contact_lost),
+            (
+                "server_list_age_seconds",
+                "Time since the server list was last known to be current.",
+                measure_list_age_s,
+            ),
         )
         for name, help_text, read in gauges:
             gauge = Gauge(f"ebonyhaven_{name}", help_text, registry=self.registry)
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import enum
 import time
 from collections.abc import Callable, Mapping
+from typing import NamedTuple
 
 import structlog
 from ebonyhaven_decisions.forwarding import (
@@ -11,11 +13,40 @@
     BackendEntry,
     RequestLimits,
     RoutingConfiguration,
+    ServerListVersion,
 )
 
 _log = structlog.get_logger()
 
 
+class ListSource(enum.StrEnum):
+    """Where an instance learned of a change of the server list."""
+
+    TABLE = "table"  # own read of the whole list
+    POLL = "poll"  # own poll of the changes
+    READER = "reader"  # message of the instance that reads for this one
+    PEER = "peer"  # whole state of another instance
+    EXPIRY = "expiry"  # not written again after a restore of the store
+    ADOPTION = "adoption"  # a process that answered while the list was unreadable
+
+
+class ListOrigin(NamedTuple):
+    """Source of a change of the server list, for the log.
+
+    Parameters
+    ----------
+    source : ListSource
+    version : ServerListVersion
+        Version that the change was written with, or of the list that contains it.
+    """
+
+    source: ListSource
+    version: ServerListVersion
+
+
+_ADOPTED = ListOrigin(ListSource.ADOPTION, ServerListVersion(0, 0))
+
+
 class ForwardingState:
     """Active configuration and backend servers, with notification of changes.
 
@@ -71,12 +102,13 @@
         )
         self._notify_observers()
 
-    def put_backend(self, entry: BackendEntry) -> None:
+    def put_backend(self, entry: BackendEntry, origin: ListOrigin = _ADOPTED) -> None:
         """Add a backend server or update its entry.
 
         Parameters
         ----------
         entry : BackendEntry
+        origin : ListOrigin
         """
         was_adopted = entry.server_id in self._adopted
         self._adopted.discard(entry.server_id)
@@ -93,21 +125,23 @@
             state=entry.state.value,
             started_ms=entry.started_ms,
             version=entry.software_version,
+            **_describe_origin(origin),
         )
         self._notify_observers()
 
-    def remove_backend(self, server_id: str) -> None:
+    def remove_backend(self, server_id: str, origin: ListOrigin = _ADOPTED) -> None:
         """Remove a backend server that is no longer listed.
 
         Parameters
         ----------
         server_id : str
+        origin : ListOrigin
         """
         known = self.backends.find(server_id)
         if known is None:
             return
         self.backends.remove(server_id, self._clock())
-        _log.info("backend_unlisted", server=server_id)
+        _log.info("backend_unlisted", server=server_id, **_describe_origin(origin))
         self._notify_observers()
 
     def adopt_backend(self, entry: BackendEntry) -> None:
@@ -128,12 +162,15 @@
             self._adopted.discard(server_id)
             self.remove_backend(server_id)
 
-    def replace_backends(self, entries: Mapping[str, BackendEntry]) -> None:
+    def replace_backends(
+        self, entries: Mapping[str, BackendEntry], origin: ListOrigin = _ADOPTED
+    ) -> None:
         """Replace all backend servers except adopted ones.
 
         Parameters
         ----------
         entries : mapping of str to BackendEntry
+        origin : ListOrigin
         """
         removed = [
             each
@@ -141,9 +178,9 @@
             if each.server_id not in entries and each.server_id not in self._adopted
         ]
         for backend in removed:
-            self.remove_backend(backend.server_id)
+            self.remove_backend(backend.server_id, origin)
         for entry in entries.values():
-            self.put_backend(entry)
+            self.put_backend(entry, origin)
         self.has_backend_list = True
         self.backends.versions.record_list_read(self._clock())
         self._notify_observers()
@@ -151,3 +188,9 @@
     def _notify_observers(self) -> None:
         for observer in self._observers:
             observer()
+
+
+def _describe_origin(origin: ListOrigin) -> dict[str, object]:
+    """Return the fields of a log line that tell how a change came."""
+    era, version = origin.version
+    return {"via": origin.source.value, "era": era, "list_version": version}
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -318,6 +318,17 @@
     def is_unresponsive(self) -> bool:
         """Return whether reads of the source fail or time out."""
 
+    @abc.abstractmethod
+    def measure_list_age_s(self) -> float:
+        """Return the time since the server list was last known to be current.
+
+        Returns
+        -------
+        float
+            Seconds since a poll of this instance or of its reader; infinite before the
+            first.
+        """
+
     @abc.abstractmethod
     def connect_group(self, group: ReadGroup) -> None:
         """Share reads with other instances.
--- a/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
@@ -34,6 +34,10 @@
         """See `StateSource.is_unresponsive`."""
         return False
 
+    def measure_list_age_s(self) -> float:
+        """See `StateSource.measure_list_age_s`."""
+        return 0.0
+
     def connect_group(self, group) -> None:
         """See `StateSource.connect_group`."""
 
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -35,6 +35,9 @@
     def is_unresponsive(self) -> bool:
         return self.unresponsive
 
+    def measure_list_age_s(self) -> float:
+        return 0.0
+
     def connect_group(self, group) -> None:
         pass
 
