A gap in the messages of a reader has the list read at once, not after the pause

Callers saw requests at leaving servers: an instance that missed the message with the leave found the gap with the next one, up to 0.45 s later, and then still slept for what was left of a pause of up to a second (1.6 s for the last of the standbys) before it polled; with a poll that fails first, the sum exceeds the two seconds of drain time.

Cause: `ChangeFeed.reset` shortens the pause that is computed next, while the follower was already asleep for the one computed before. Class: a decision that waits on a time computed from a state that has changed since. A message of a newer era was passed over in the same way; now it has the store read at once as well.

Evidence: on the old code test_missed_change_is_read_at_once and test_message_of_a_newer_era_has_the_store_read_at_once fail at `assert harness.count_other_polls() == polls + 1`. No further calls to the store: the poll that came at the end of the pause comes earlier, and messages that arrive meanwhile cause none (same test).

Elsewhere: retries after a failed call and the batch interval of 0.3 s keep their times.

--- a/tests/platform_adapter/test_change_feed.py
+++ b/tests/platform_adapter/test_change_feed.py
@@ -148,6 +148,23 @@
     assert harness.other_state.backends.find("s-3") is not None
 
 
+def test_missed_change_is_read_at_once():
+    # Guards against a pause that was computed before the gap was found.
+    harness = start_fed()
+    polls = harness.count_other_polls()
+    harness.other.apply_changes([0, 20, 21, []])
+    assert harness.count_other_polls() == polls + 1
+    harness.other.apply_changes([0, 21, 22, []])
+    assert harness.count_other_polls() == polls + 1
+
+
+def test_message_of_a_newer_era_has_the_store_read_at_once():
+    harness = start_fed()
+    polls = harness.count_other_polls()
+    harness.other.apply_changes([1, 5, 6, []])
+    assert harness.count_other_polls() == polls + 1
+
+
 def test_changes_of_another_era_are_not_applied():
     harness = start_fed()
     version = harness.other.read_version()
