Log what became of requests during a shutdown, count incomplete responses by reason

Callers saw answers that ended early, and no line told which requests a stop cut or refused, nor which end of an attempt an incomplete response had. `instance_stopped` now has counts by kind of the requests that were answered, refused, aborted or left by their callers since the shutdown began, with 20 ids each. `ebonyhaven_incomplete_responses_total` counts responses that were begun and not completed by how their last attempt ended, and `stream_given_up` names that as well.

The times of the shutdown move from the gateway to `_shutdown`. Tests that set a private attribute of the gateway begin a shutdown as SIGTERM does.

--- a/packages/node/src/ebonyhaven_node/forwarding/_exchanges.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_exchanges.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import enum
 from collections.abc import Callable
 
 from ebonyhaven_node.forwarding._requests import Headers, RequestHead
@@ -32,6 +33,22 @@
         """Close the connection without completing the response."""
 
 
+class ExchangeEnd(enum.Enum):
+    """How an exchange ended.
+
+    ``ANSWERED``
+        The response is complete.
+    ``ABORTED``
+        The connection was closed without a complete response.
+    ``DISCONNECTED``
+        The caller closed the connection.
+    """
+
+    ANSWERED = "answered"
+    ABORTED = "aborted"
+    DISCONNECTED = "disconnected"
+
+
 class Exchange:
     """A caller's request and the response to it.
 
@@ -49,8 +66,10 @@
     ----------
     is_started : bool
         Whether the head of the response has been sent.
-    is_done : bool
-        Whether the response is complete or aborted, or the caller disconnected.
+    status : int or None
+        Status of the response; None until its head has been sent.
+    end : ExchangeEnd or None
+        None until the exchange is done.
     on_disconnect : callable or None
         Called if the caller disconnects before the response is complete.
     """
@@ -59,10 +78,11 @@
         "_connection",
         "arrived_at",
         "body",
+        "end",
         "head",
-        "is_done",
         "is_started",
         "on_disconnect",
+        "status",
     )
 
     def __init__(
@@ -77,9 +97,15 @@
         self.body = body
         self.arrived_at = arrived_at
         self.is_started = False
-        self.is_done = False
+        self.status: int | None = None
+        self.end: ExchangeEnd | None = None
         self.on_disconnect: Callable[[], None] | None = None
 
+    @property
+    def is_done(self) -> bool:
+        """Whether the response is complete or aborted, or the caller disconnected."""
+        return self.end is not None
+
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response.
 
@@ -92,7 +118,9 @@
         """
         if self.is_done:
             return
-        self.is_done = self.is_started = True
+        self.is_started = True
+        self.status = status
+        self.end = ExchangeEnd.ANSWERED
         length = (b"content-length", str(len(body)).encode())
         self._connection.write_response(status, (*headers, length), body)
 
@@ -108,6 +136,7 @@
         if self.is_done:
             return
         self.is_started = True
+        self.status = status
         framing = (b"transfer-encoding", b"chunked")
         self._connection.write_stream_head(status, (*headers, framing))
 
@@ -125,20 +154,20 @@
         """Complete a streamed response."""
         if self.is_done:
             return
-        self.is_done = True
+        self.end = ExchangeEnd.ANSWERED
         self._connection.finish()
 
     def abort(self) -> None:
         """Close the connection so that the response is recognizably incomplete."""
         if self.is_done:
             return
-        self.is_done = True
+        self.end = ExchangeEnd.ABORTED
         self._connection.abort()
 
     def handle_disconnect(self) -> None:
         """Handle that the caller closed the connection."""
         if self.is_done:
             return
-        self.is_done = True
+        self.end = ExchangeEnd.DISCONNECTED
         if self.on_disconnect is not None:
             self.on_disconnect()
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -14,8 +14,6 @@
     CrashHistory,
     PeerEngineUse,
     PrefillRate,
-    RequestKind,
-    Route,
     ServiceRetryBudget,
 )
 from prometheus_client import CollectorRegistry, generate_latest
@@ -61,6 +59,7 @@
 from ebonyhaven_node.forwarding._permit_exchange import PermitExchange
 from ebonyhaven_node.forwarding._settings import GatewaySettings
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
+from ebonyhaven_node.forwarding._shutdown import Shutdown, ShutdownReport
 from ebonyhaven_node.forwarding._startup import StateWaiter
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding._version_records import VersionRecorder
@@ -76,8 +75,6 @@
 )
 
 LISTEN_BACKLOG = 512  # connections not yet accepted during a burst
-STREAM_ADMISSION_GRACE_SHARE = 0.25  # a stream started later would be cut off
-SHUTDOWN_MARGIN_S = 0.6  # connections close this long before the process is killed
 DRAIN_POLL_INTERVAL_S = 0.05
 MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024  # a quarter of the target of an instance
 
@@ -134,8 +131,9 @@
         self._reactor = reactor
         self._stack = contextlib.ExitStack()
         self._rng = rng or random.Random()
-        self._leaving_since: float | None = None
-        self._active_count = 0
+        self._shutdown = Shutdown(settings.grace_s, clock)
+        self._shutdown_report = ShutdownReport()
+        self._active: dict[Exchange, RequestContext] = {}
         self._log_output: LogOutput | None = None
         self.pool = ConnectionPool(reactor, clock)
         self.source = build_source(self.state, self.pool)
@@ -224,7 +222,7 @@
     @property
     def is_leaving(self) -> bool:
         """Whether this instance is shutting down."""
-        return self._leaving_since is not None
+        return self._shutdown.is_leaving
 
     @property
     def is_ready(self) -> bool:
@@ -284,12 +282,12 @@
         """
         if self.is_leaving:
             return
-        self._leaving_since = self._clock()
+        self._shutdown.begin()
         self.membership.leave()
-        _log.info("instance_leaving", active=self._active_count)
-        while self._clock() < self._get_closing_time():
+        _log.info("instance_leaving", active=len(self._active))
+        while self._clock() < self._shutdown.closing_time:
             await task.deferLater(self._reactor, DRAIN_POLL_INTERVAL_S)
-        _log.info("instance_stopped", active=self._active_count)
+        self._log_stopped()
         await self.membership.depart()
         self.server.close_all()
         self._stack.close()
@@ -304,18 +302,15 @@
         if self._log_output is not None:
             self._log_output.drain()
 
-    def _accepts(self, route: Route) -> bool:
-        """Return whether a request that arrives now can finish before shutdown."""
-        if self._leaving_since is None:
-            return True
-        now = self._clock()
-        if route.kind is RequestKind.STREAM:
-            admission_s = STREAM_ADMISSION_GRACE_SHARE * self._settings.grace_s
-            return now < self._leaving_since + admission_s
-        return now + route.timeout_s < self._get_closing_time()
-
-    def _get_closing_time(self) -> float:
-        return self._leaving_since + self._settings.grace_s - SHUTDOWN_MARGIN_S
+    def _log_stopped(self) -> None:
+        """Log what became of the requests since the shutdown began."""
+        works = self._active.values()
+        self._shutdown_report.record_open(map(_describe, works))
+        _log.info(
+            "instance_stopped",
+            active=len(self._active),
+            **self._shutdown_report.summarize(),
+        )
 
     def _start_peer_group(self) -> PeerGroup:
         group = PeerGroup(
@@ -383,7 +378,7 @@
                 RouteFilter(self.state, StateWaiter(self.state, self._reactor)),
                 IdentifyFilter(),
                 CrashFilter(self._crash_monitor),
-                AdmitFilter(self._accepts),
+                AdmitFilter(self._shutdown.accepts),
                 RelayFilter(
                     context,
                     dialect=caller_dialect,
@@ -414,13 +409,20 @@
         self._capacity_notifier.notify()
 
     def _handle(self, exchange: Exchange) -> None:
-        self._active_count += 1
-        running = ensureDeferred(self._chain(RequestContext(exchange)))
+        work = RequestContext(exchange)
+        self._active[exchange] = work
+        running = ensureDeferred(self._chain(work))
         exchange.on_disconnect = running.cancel
         running.addBoth(self._finish, exchange)
 
     def _finish(self, result: object, exchange: Exchange) -> None:
-        self._active_count -= 1
+        work = self._active.pop(exchange)
+        self._end_crashed(result, exchange)
+        if self.is_leaving:
+            self._shutdown_report.record(exchange, *_describe(work))
+
+    def _end_crashed(self, result: object, exchange: Exchange) -> None:
+        """End the response to a request whose handling failed."""
         check = getattr(result, "check", None)
         if check is None:
             return
@@ -432,3 +434,9 @@
             exchange.abort()
         else:
             exchange.respond(500, (), b"{}")
+
+
+def _describe(work: RequestContext) -> tuple[str, str | None]:
+    """Return the kind and the id of a request."""
+    kind = work.route.kind.value if work.route else "none"
+    return kind, work.request.request_id if work.request else None
--- a/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -43,6 +43,12 @@
             ["kind", "mark", "position"],
             registry=registry,
         )
+        self.incomplete = Counter(
+            "ebonyhaven_incomplete_responses",
+            "Responses that were begun and ended before they were complete, by reason.",
+            ["kind", "reason"],
+            registry=registry,
+        )
         self.resumes = Counter(
             "ebonyhaven_stream_resumes",
             "Streams that went on, here or by callers, by what they went on from.",
--- /dev/null
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shutdown.py
@@ -0,0 +1,116 @@
+"""Graceful shutdown of an instance: what it still accepts, and what became of it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from ebonyhaven_decisions.forwarding import RequestKind, Route
+
+from ebonyhaven_node.forwarding._exchanges import Exchange, ExchangeEnd
+from ebonyhaven_node.forwarding._outcomes import NOT_RUN_STATUSES
+
+STREAM_ADMISSION_GRACE_SHARE = 0.25  # a stream started later would be cut off
+SHUTDOWN_MARGIN_S = 0.6  # connections close this long before the process is killed
+MAX_LOGGED_IDS = 20
+REFUSED = "refused"
+
+
+class Shutdown:
+    """Times of the graceful shutdown of an instance.
+
+    Parameters
+    ----------
+    grace_s : float
+        Time from the start of the shutdown until the process is killed.
+    clock : callable
+        Returns seconds.
+    """
+
+    def __init__(self, grace_s: float, clock: Callable[[], float]):
+        self._grace_s = grace_s
+        self._clock = clock
+        self._began_at: float | None = None
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the shutdown has begun."""
+        return self._began_at is not None
+
+    @property
+    def closing_time(self) -> float:
+        """Time at which open connections are closed, seconds."""
+        return self._began_at + self._grace_s - SHUTDOWN_MARGIN_S
+
+    def begin(self) -> None:
+        """Begin the shutdown now."""
+        self._began_at = self._clock()
+
+    def accepts(self, route: Route) -> bool:
+        """Return whether a request that arrives now can finish before the end.
+
+        Parameters
+        ----------
+        route : Route
+        """
+        if self._began_at is None:
+            return True
+        now = self._clock()
+        if route.kind is RequestKind.STREAM:
+            return now < self._began_at + STREAM_ADMISSION_GRACE_SHARE * self._grace_s
+        return now + route.timeout_s < self.closing_time
+
+
+class ShutdownReport:
+    """Counts what became of requests while an instance shut down, for its log."""
+
+    def __init__(self) -> None:
+        self._counts: dict[str, Counter[str]] = {}
+        self._ids: dict[str, list[str]] = {}
+
+    def record(self, exchange: Exchange, kind: str, request_id: str | None) -> None:
+        """Count a request that has ended.
+
+        Parameters
+        ----------
+        exchange : Exchange
+        kind : str
+            Kind of the route, ``none`` without one.
+        request_id : str or None
+        """
+        self._add(_name_end(exchange), kind, request_id)
+
+    def record_open(self, requests: Iterable[tuple[str, str | None]]) -> None:
+        """Count requests that are in progress when the instance stops, as aborted.
+
+        Parameters
+        ----------
+        requests : iterable of (str, str or None)
+            Kind and id of each.
+        """
+        for kind, request_id in requests:
+            self._add(ExchangeEnd.ABORTED.value, kind, request_id)
+
+    def summarize(self) -> dict[str, Any]:
+        """Return counts by end and kind, and a few ids of those not answered."""
+        fields: dict[str, Any] = {
+            end: dict(counts) for end, counts in self._counts.items()
+        }
+        fields.update({f"{end}_ids": ids for end, ids in self._ids.items()})
+        return fields
+
+    def _add(self, end: str, kind: str, request_id: str | None) -> None:
+        self._counts.setdefault(end, Counter())[kind] += 1
+        if end == ExchangeEnd.ANSWERED.value or request_id is None:
+            return
+        ids = self._ids.setdefault(end, [])
+        if len(ids) < MAX_LOGGED_IDS:
+            ids.append(request_id)
+
+
+def _name_end(exchange: Exchange) -> str:
+    if exchange.end is ExchangeEnd.ANSWERED and exchange.status in NOT_RUN_STATUSES:
+        return REFUSED
+    end = exchange.end or ExchangeEnd.ABORTED
+    return end.value
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -24,6 +24,8 @@
 
 MAX_TRIED_SERVERS = 40  # ended servers do not count against the route's max_attempts
 LATEST_START_SHARE = 0.75  # of the timeout; streams started later would not complete
+DEADLINE_END = "deadline"
+NO_ATTEMPT_END = "no_attempt"
 
 
 class GiveUpReason(NamedTuple):
@@ -75,6 +77,7 @@
         "_earlier_run",
         "_failed_attempts",
         "_guard",
+        "_last_end",
         "_latest_start",
         "_lost_servers",
         "_progress",
@@ -116,6 +119,7 @@
         self._tried_servers = 0
         self._failed_attempts = 0
         self._lost_servers: list[Backend] = []
+        self._last_end: AttemptEnd | None = None
         self.attempts = 0
         self.may_have_run = False
         self.last_reason = "no server was tried"
@@ -135,6 +139,7 @@
         reason : str
         backend : Backend
         """
+        self._last_end = end
         self.last_reason = reason
         self.last_peer = backend.server_id
         if end is AttemptEnd.UNREACHABLE:
@@ -146,6 +151,18 @@
         if end is AttemptEnd.LOST:
             self._lost_servers.append(backend)
 
+    def name_last_end(self, now: float) -> str:
+        """Return the deadline, or how the last attempt ended, for logs and metrics.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        if now >= self.deadline:
+            return DEADLINE_END
+        return self._last_end.value if self._last_end else NO_ATTEMPT_END
+
     def is_undecided(self) -> bool:
         """Return whether another attempt depends on checks that are under way.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -177,12 +177,17 @@
             "stream_given_up",
             request=self._request.request_id,
             reason=reason.text,
+            last_end=self._limits.name_last_end(now),
+            last_reason=self._limits.last_reason,
             delivered=self._progress.delivered,
             attempts=self._limits.attempts,
             waited_s=round(now - self._request.arrived_at, 3),
             remaining_s=round(self._limits.deadline - now, 3),
         )
         if self._exchange.is_started:
+            kind = self._route.kind.value
+            last_end = self._limits.name_last_end(now)
+            self._context.metrics.incomplete.labels(kind, last_end).inc()
             self._exchange.abort()
             return
         if self._error_response is not None:  # more specific than `reason`
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -139,3 +139,13 @@
         if self.is_down:
             raise RecordStoreError("test")
         return list(self.reports)
+
+
+class FakeMembership:
+    """A membership without other instances."""
+
+    def leave(self):
+        pass
+
+    async def depart(self):
+        pass
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -25,6 +25,7 @@
     MemoryTransport,
     make_gateway_settings,
 )
+from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.error import (
     ConnectionDone,
     ConnectionRefusedError,
@@ -36,6 +37,7 @@
 from tests.forwarding.fakes import (
     FakeCopier,
     FakeLossStore,
+    FakeMembership,
     FakeRecordStore,
     FakeVersionStore,
     FixedInspector,
@@ -288,6 +290,11 @@
         self.state.replace_backends({each.server_id: each for each in entries})
         self.gateway._version_recorder.start(lambda: True)
 
+    def leave(self) -> Deferred:
+        """Begin the graceful shutdown of the instance."""
+        self.gateway.membership = FakeMembership()
+        return ensureDeferred(self.gateway.leave())
+
     def open_caller(self) -> Caller:
         return Caller(self, self.gateway.server.buildProtocol(None))
 
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -95,7 +95,7 @@
 
 def test_leaving_instance_closes_connections_after_the_response():
     harness = ForwardingHarness()
-    harness.gateway._leaving_since = harness.reactor.seconds()
+    harness.leave()
     caller = send_request(harness, "/nothing/x")
     _, headers, _, _ = caller.read_answer()
     assert headers["connection"] == "close"
@@ -104,7 +104,7 @@
 
 def test_leaving_instance_accepts_streams_only_while_they_can_complete():
     harness = ForwardingHarness()
-    harness.gateway._leaving_since = harness.reactor.seconds()
+    harness.leave()
     send_request(harness, "/stream/x")
     assert harness.count_waiting() == 1
     harness.advance(2.5)  # exceeds a quarter of the grace period of 8 s
@@ -119,7 +119,7 @@
     # Guards against accepting a request that is aborted when the process exits, as
     # happened to one accepted 7.65 s after the signal.
     harness = ForwardingHarness()
-    harness.gateway._leaving_since = harness.reactor.seconds()
+    harness.leave()
     harness.advance(6.5)
     send_request(harness)  # its route timeout is 0.8 s; the instance stops after 7.4 s
     assert harness.count_waiting() == 1
