Keep a stream at a silent server unless another server would take it

Callers whose sound server paused for some seconds got an answer that ended early, though they wait 18 s for an event and their stream could go on nowhere else.

Cause: the end of an attempt for silence (three times the allowed pause, a probe without an answer, 0.6 of the first-event target) did not ask whether anything could follow it. For routes that may not be resumed nothing can, and for others nothing can while attempts, repeats or servers with room are lacking. Class: an attempt is given up before it is known that something better is there.

Now an attempt whose request was sent ends for silence only if another server would take the stream at that moment. Otherwise the stream waits until its deadline, the end of its connection, or until the server's process is known to have ended (a refused probe, checked by the crash monitor, which also knows when this instance is cut off). It looks again every 0.5 s; probes of the silent server become rarer.

Short requests that may not be repeated were looked at: they wait until their deadline.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_budget.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_budget.py
@@ -131,11 +131,22 @@
             Whether the budget allows the retry.
         """
         bucket = self._get_bucket(service, now)
-        if not self._has_share(service, now) and not self._has_pool(service, now):
+        if not self.has_retry(service, now):
             return False
         bucket.retries += 1
         return True
 
+    def has_retry(self, service: str, now: float) -> bool:
+        """Return whether the budget allows a retry.
+
+        Parameters
+        ----------
+        service : str
+        now : float
+            Seconds.
+        """
+        return self._has_share(service, now) or self._has_pool(service, now)
+
     def record_peer(self, peer: str, uses: Mapping[str, BudgetUse], now: float) -> None:
         """Replace the report of a peer.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempt_monitors.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempt_monitors.py
@@ -20,6 +20,7 @@
 from ebonyhaven_node.forwarding._reservations import EngineReservation
 
 SURVIVAL_EVENTS = 8  # about half a second of a stream
+PROBE_INTERVAL_SILENCE_SHARE = 0.5  # of the silence so far, between two probes
 
 
 class AttemptMonitor:
@@ -44,6 +45,9 @@
         Time of the last probe of the server, seconds; minus infinity before the first.
     alive_at : float
         Time at which the server last answered a probe, likewise.
+    kept_at : float
+        Time at which the attempt was last kept although the server was silent for too
+        long, likewise.
     longest_gap_s : float
         Longest gap between two events of this attempt.
     splitter : EventSplitter
@@ -62,6 +66,7 @@
         "events",
         "first_event_at",
         "head",
+        "kept_at",
         "last_received_at",
         "longest_gap_s",
         "probed_at",
@@ -82,7 +87,7 @@
         self._reservation = reservation
         self.head: ResponseHead | None = None
         self.last_received_at = self.started_at = context.clock()
-        self.probed_at = self.alive_at = -math.inf
+        self.probed_at = self.alive_at = self.kept_at = -math.inf
         self.longest_gap_s = 0.0
         self._longest_estimate_s = 0.0
         self.events = 0
@@ -198,11 +203,28 @@
         """
         probe_at = max(
             self.last_received_at + limits.probe_after_s,
-            self.probed_at + SERVER_PROBE_INTERVAL_S,
+            self.probed_at + self._compute_probe_interval_s(),
+        )
+        resume_at = max(
+            self.last_received_at + limits.resume_after_s,
+            self.kept_at + SERVER_PROBE_INTERVAL_S,
         )
-        resume_at = self.last_received_at + limits.resume_after_s
         return max(0.001, min(probe_at, resume_at) - now)
 
+    def is_probe_due(self, now: float) -> bool:
+        """Return whether the last probe of the server is long enough ago.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        return now - self.probed_at >= self._compute_probe_interval_s()
+
+    def _compute_probe_interval_s(self) -> float:
+        silent_s = max(0.0, self.probed_at - self.last_received_at)
+        return max(SERVER_PROBE_INTERVAL_S, PROBE_INTERVAL_SILENCE_SHARE * silent_s)
+
     def is_server_silent(self) -> bool:
         """Return whether the server sent nothing to this instance recently.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
@@ -198,6 +198,15 @@
         is_gone = backend.is_leaving or self._history.is_known(backend.process_id)
         return not is_gone and self._clock() >= backend.suspect_until
 
+    def has_ended(self, backend: Backend) -> bool:
+        """Return whether the process of a server is known to have ended.
+
+        Parameters
+        ----------
+        backend : Backend
+        """
+        return self._history.is_known(backend.process_id)
+
     def is_checking(self, backend: Backend) -> bool:
         """Return whether a check of a server is under way.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 from typing import NamedTuple
 
 import structlog
-from ebonyhaven_decisions.forwarding import (
-    SERVER_PROBE_INTERVAL_S,
-    RequestKind,
-    SilenceLimits,
-)
+from ebonyhaven_decisions.forwarding import RequestKind, SilenceLimits
 
 from ebonyhaven_node.forwarding._attempt_monitors import AttemptMonitor
 from ebonyhaven_node.forwarding._attempts import (
@@ -92,6 +89,10 @@
 class StreamAttempt:
     """Runs an attempt until the stream completes or needs another attempt.
 
+    A silent server ends the attempt only if the stream can go on at another one. If
+    not, the stream waits until its deadline, the end of the connection or the end of
+    the server's process.
+
     Parameters
     ----------
     attempt : Attempt
@@ -104,6 +105,8 @@
     context : RelayContext
     deadline : float
         Deadline of the request, seconds.
+    can_go_on_elsewhere : callable
+        Returns whether another server would take the stream now.
     """
 
     def __init__(
@@ -118,6 +121,7 @@
         inbox: Inbox,
         context: RelayContext,
         deadline: float,
+        can_go_on_elsewhere: Callable[[], bool],
     ):
         self._attempt = attempt
         self._backend = attempt.backend
@@ -129,6 +133,7 @@
         self._inbox = inbox
         self._context = context
         self._deadline = deadline
+        self._can_go_on_elsewhere = can_go_on_elsewhere
 
     async def run(self) -> AttemptResult:
         """Handle messages until the attempt ends.
@@ -200,7 +205,7 @@
         has_copy = self._monitor.events and self._run_copy.is_usable(
             self._context.clock()
         )
-        if is_own_server and has_copy:
+        if is_own_server and has_copy and self._can_go_on_elsewhere():
             reason = "the server was found silent by another stream"
             return AttemptResult(AttemptEnd.SILENT, reason)
         is_same_data_centre = suspicion.data_centre == self._backend.entry.data_centre
@@ -214,26 +219,50 @@
             return None
         if not self._monitor.is_server_silent():
             return None
-        self._context.report_unreachable(self._backend)
-        return AttemptResult(AttemptEnd.SILENT, "the server accepts no connection")
+        self._report_unreachable(self._context.clock())
+        if self._can_leave_server():
+            return AttemptResult(AttemptEnd.SILENT, "the server accepts no connection")
+        self._context.crash_monitor.check_end(self._backend)
+        return None
 
     def _handle_silence(self, limits: SilenceLimits) -> AttemptResult | None:
         now = self._context.clock()
         silent_s = now - self._monitor.last_received_at
-        if now < self._deadline and silent_s < limits.resume_after_s:
+        is_over = now >= self._deadline
+        if not is_over and silent_s < limits.resume_after_s:
             self._probe()
             return None
+        self._report_silence(now)
+        if is_over or self._can_leave_server():
+            was_sent = self._attempt.was_sent
+            end = AttemptEnd.SILENT if was_sent else AttemptEnd.UNREACHABLE
+            return AttemptResult(end, f"silent for {silent_s:.2f} s")
+        if self._context.crash_monitor.has_ended(self._backend):
+            return AttemptResult(AttemptEnd.LOST, "the process of the server has ended")
+        self._monitor.kept_at = now
+        self._probe()
+        return None
+
+    def _can_leave_server(self) -> bool:
+        """Return whether the stream loses nothing if the attempt ends."""
+        return not self._attempt.was_sent or self._can_go_on_elsewhere()
+
+    def _report_silence(self, now: float) -> None:
+        """Have new requests go to other servers."""
         is_server_silent = now - self._backend.last_received_at > SERVER_SILENCE_LIMIT_S
         if self._monitor.alive_at > self._monitor.last_received_at:
-            self._context.report_slow(self._backend)
+            if now >= self._backend.slow_until:
+                self._context.report_slow(self._backend)
         elif is_server_silent and self._monitor.events:
+            self._report_unreachable(now)
+
+    def _report_unreachable(self, now: float) -> None:
+        if now >= self._backend.suspect_until:
             self._context.report_unreachable(self._backend)
-        end = AttemptEnd.SILENT if self._attempt.was_sent else AttemptEnd.UNREACHABLE
-        return AttemptResult(end, f"silent for {silent_s:.2f} s")
 
     def _probe(self) -> None:
         now = self._context.clock()
-        if now - self._monitor.probed_at >= SERVER_PROBE_INTERVAL_S:
+        if self._monitor.is_probe_due(now):
             self._monitor.probed_at = now
             self._context.probe(self._backend, self._inbox)
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -172,8 +172,27 @@
         return not self._has_attempts() and any(map(is_checking, self._lost_servers))
 
     def _has_attempts(self) -> bool:
+        return self._count_attempts_that_failed() < self._route.max_attempts
+
+    def _count_attempts_that_failed(self) -> int:
         alive = sum(map(self._context.crash_monitor.is_alive, self._lost_servers))
-        return self._failed_attempts + alive < self._route.max_attempts
+        return self._failed_attempts + alive
+
+    def may_replace_attempt(self, now: float) -> bool:
+        """Return whether the running attempt could be followed by another one.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        return (
+            self._route.may_retry
+            and self._count_attempts_that_failed() + 1 < self._route.max_attempts
+            and self._tried_servers < MAX_TRIED_SERVERS
+            and self._find_permanent_reason(now) is None
+            and not self._context.is_left_to_peers()
+        )
 
     def find_reason_to_give_up(self, now: float) -> GiveUpReason | None:
         """Return why another attempt is not allowed or cannot succeed, if so.
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_targets.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_targets.py
@@ -133,6 +133,25 @@
             return found
         return await self._compare_engines(found)
 
+    def has_other(self, copy: RunCopy | None, backend: Backend) -> bool:
+        """Return whether another server would take the stream if its attempt ended.
+
+        Parameters
+        ----------
+        copy : RunCopy or None
+            Copy of the attempt.
+        backend : Backend
+            Server of the attempt.
+        """
+        now = self._context.clock()
+        if not self._limits.may_replace_attempt(now):
+            return False
+        if not self._context.budget.has_retry(self._service, now):
+            return False
+        if copy is not None and copy.is_usable(now):
+            return True
+        return any(each is not backend for each in self._rank_servers(now))
+
     async def _wait(self, copy: RunCopy | None) -> StreamTarget | GiveUpReason | None:
         self._context.capacity_notifier.subscribe(self._inbox)
         line = self._context.waiting_streams.setdefault(self._service, [])
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -287,6 +287,9 @@
             inbox=self._inbox,
             context=self._context,
             deadline=self._limits.deadline,
+            can_go_on_elsewhere=lambda: self._targets.has_other(
+                copy if monitor.events else None, attempt.backend
+            ),
         )
         try:
             result = await stream_attempt.run()
