Wake waiting requests in turns of their own, so that each is answered

Callers of a burst got no answer, on channels that stayed open: of requests whose time was over together, the end of one woke the next within the same call, until Python's recursion limit was reached somewhere in a response or in a coroutine. Many requests sent ahead on one connection did the same: each answer read and handled the next request.

Class: a completion that starts the next one in the same call. Notifiers put their messages into inboxes in later turns of the reactor now, 64 at a time, and not twice; a connection reads one request a turn after an answer. An exchange whose response raises closes its connection, as it was marked as done before anything was written and so could not be ended any more.

Also looked at: requests that wait for the first state (ended in a loop, one beside the other, at most 512), permits and reservations (they wake through the same notifiers), relays to other instances (inboxes of their own), messages of servers (put by the connection, where nothing else waits). `Attempt._finish` needs no change.

--- a/packages/node/src/ebonyhaven_node/forwarding/_exchanges.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_exchanges.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import abc
+import contextlib
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from ebonyhaven_node.forwarding._requests import Headers, RequestHead
 
@@ -52,7 +53,8 @@
 class Exchange:
     """A caller's request and the response to it.
 
-    Methods have no effect once the exchange is done.
+    Methods have no effect once the exchange is done. If one raises, the connection is
+    closed, as what was sent of the response cannot be completed.
 
     Parameters
     ----------
@@ -122,7 +124,8 @@
         self.status = status
         self.end = ExchangeEnd.ANSWERED
         length = (b"content-length", str(len(body)).encode())
-        self._connection.write_response(status, (*headers, length), body)
+        with self._abort_on_error():
+            self._connection.write_response(status, (*headers, length), body)
 
     def start_stream(self, status: int, headers: Headers) -> None:
         """Send the head of a response whose body is streamed.
@@ -138,7 +141,8 @@
         self.is_started = True
         self.status = status
         framing = (b"transfer-encoding", b"chunked")
-        self._connection.write_stream_head(status, (*headers, framing))
+        with self._abort_on_error():
+            self._connection.write_stream_head(status, (*headers, framing))
 
     def write(self, data: bytes) -> None:
         """Send a chunk of the body.
@@ -147,7 +151,9 @@
         ----------
         data : bytes
         """
-        if not self.is_done:
+        if self.is_done:
+            return
+        with self._abort_on_error():
             self._connection.write_data(data)
 
     def finish(self) -> None:
@@ -155,7 +161,8 @@
         if self.is_done:
             return
         self.end = ExchangeEnd.ANSWERED
-        self._connection.finish()
+        with self._abort_on_error():
+            self._connection.finish()
 
     def abort(self) -> None:
         """Close the connection so that the response is recognizably incomplete."""
@@ -171,3 +178,12 @@
         self.end = ExchangeEnd.DISCONNECTED
         if self.on_disconnect is not None:
             self.on_disconnect()
+
+    @contextlib.contextmanager
+    def _abort_on_error(self) -> Iterator[None]:
+        try:
+            yield
+        except BaseException:
+            self.end = ExchangeEnd.ABORTED
+            self._connection.abort()
+            raise
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -172,7 +172,8 @@
             on_granted=self._capacity_notifier.notify,
         )
         self._metrics.register_room_gauge(self._permits.read_rooms)
-        self._crash_notifier = CrashNotifier()
+        self._crash_notifier = CrashNotifier(reactor)
+        self._suspicion_notifier = SuspicionNotifier(reactor)
         self._crash_history = CrashHistory()
         self._crash_monitor = CrashMonitor(
             history=self._crash_history,
@@ -245,6 +246,8 @@
         self._stack.callback(self._contact.stop)
         self.state.observe(self._capacity_notifier.notify_soon)
         self._stack.callback(self._capacity_notifier.stop)
+        self._stack.callback(self._crash_notifier.stop)
+        self._stack.callback(self._suspicion_notifier.stop)
         self.source.start()
         self._loss_recorder.start(group.is_crash_recorder)
         self._stack.callback(self._loss_recorder.stop)
@@ -352,7 +355,7 @@
             prefill_rate=PrefillRate(),
             stream_durations={},
             waiting_streams={},
-            suspicion_notifier=SuspicionNotifier(),
+            suspicion_notifier=self._suspicion_notifier,
             capacity_notifier=self._capacity_notifier,
             crash_notifier=self._crash_notifier,
             response_bytes=ByteBudget(MAX_BUFFERED_RESPONSE_BYTES),
--- a/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
@@ -8,7 +8,7 @@
 import h11
 import structlog
 from ebonyhaven_decisions.forwarding import RequestLimits
-from twisted.internet.interfaces import IReactorTime
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
 from twisted.internet.protocol import Factory, Protocol
 from twisted.python.failure import Failure
 
@@ -46,6 +46,7 @@
         self._body_bytes = 0
         self._arrived_at = 0.0
         self._timer = None
+        self._next_read: IDelayedCall | None = None
         self._is_reading_head = False
         self._share = server.request_bytes.open_share()
         self._is_rejected = False
@@ -64,6 +65,8 @@
         """Notify the current exchange that its caller disconnected."""
         self._server.connections.discard(self)
         self._clear_timer()
+        if self._is_read_scheduled:
+            self._next_read.cancel()
         self._share.close()
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
@@ -78,7 +81,7 @@
         except h11.RemoteProtocolError as error:
             self._reject(error)
             return
-        if self._exchange is None:
+        if self._exchange is None and not self._is_read_scheduled:
             if self._head is None and not self._is_reading_head:
                 self._is_reading_head = True
                 self._set_timer(self._server.limits().header_timeout_s)
@@ -147,7 +150,8 @@
             return
         self._codec.start_next_cycle()
         self._set_timer(self._server.limits().idle_timeout_s)
-        self._read_request()
+        if self._codec.trailing_data[0]:
+            self._next_read = self._server.reactor.callLater(0.0, self._read_request)
 
     def abort(self) -> None:
         """Close the connection without completing the response."""
@@ -177,9 +181,16 @@
         if data:
             self.transport.write(data)
 
+    @property
+    def _is_read_scheduled(self) -> bool:
+        """Whether the request after an answered one is read in the next turn."""
+        return self._next_read is not None and self._next_read.active()
+
     def _read_request(self) -> None:
+        """Read at most one request from what has been received."""
+        event = None
         try:
-            while self._exchange is None:
+            while not isinstance(event, h11.EndOfMessage):
                 event = self._codec.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     self._send_continue()
--- a/packages/node/src/ebonyhaven_node/forwarding/_inbox.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_inbox.py
@@ -27,6 +27,9 @@
     def put(self, message: Any) -> None:
         """Add a message; a waiting consumer is resumed synchronously.
 
+        A consumer that ends or starts other requests must not be woken by them in this
+        way; notifiers do so in later turns of the reactor.
+
         Parameters
         ----------
         message : object
--- a/packages/node/src/ebonyhaven_node/forwarding/_notifiers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_notifiers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 from ebonyhaven_decisions.forwarding import Backend
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
@@ -13,15 +15,28 @@
 )
 
 COALESCING_S = 0.05
+MAX_WAKES_PER_TURN = 64  # of relays, each of which may end and start attempts
 
 
 class _Notifier:
-    """Inboxes of the subscribers, in the order of their subscription."""
+    """Inboxes of the subscribers, in the order of their subscription.
+
+    Messages are put into them in later turns of the reactor, a bounded number at a
+    time, so that the end of one request never runs within that of another. A message
+    that a subscriber has not got yet is not repeated.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+    """
 
-    __slots__ = ("_inboxes",)
+    __slots__ = ("_inboxes", "_pending", "_reactor", "_turn")
 
-    def __init__(self) -> None:
+    def __init__(self, reactor: IReactorTime) -> None:
+        self._reactor = reactor
         self._inboxes: dict[Inbox, None] = {}
+        self._pending: dict[tuple[Inbox, object], None] = {}
+        self._turn: IDelayedCall | None = None
 
     def __len__(self) -> int:
         return len(self._inboxes)
@@ -45,9 +60,29 @@
         """
         self._inboxes.pop(inbox, None)
 
+    def stop(self) -> None:
+        """Cancel scheduled notifications."""
+        if self._turn is not None and self._turn.active():
+            self._turn.cancel()
+
     def _send(self, message: object) -> None:
-        for inbox in list(self._inboxes):
-            inbox.put(message)
+        for inbox in self._inboxes:
+            self._pending[inbox, message] = None
+        self._schedule_turn()
+
+    def _schedule_turn(self) -> None:
+        is_scheduled = self._turn is not None and self._turn.active()
+        if self._pending and not is_scheduled:
+            self._turn = self._reactor.callLater(0.0, self._run_turn)
+
+    def _run_turn(self) -> None:
+        due = list(itertools.islice(self._pending, MAX_WAKES_PER_TURN))
+        for inbox, message in due:
+            del self._pending[inbox, message]
+        self._schedule_turn()
+        for inbox, message in due:
+            if inbox in self._inboxes:
+                inbox.put(message)
 
 
 class SuspicionNotifier(_Notifier):
@@ -85,11 +120,10 @@
     reactor : IReactorTime
     """
 
-    __slots__ = ("_reactor", "_timer")
+    __slots__ = ("_timer",)
 
     def __init__(self, reactor: IReactorTime) -> None:
-        super().__init__()
-        self._reactor = reactor
+        super().__init__(reactor)
         self._timer: IDelayedCall | None = None
 
     def notify(self) -> None:
@@ -106,6 +140,7 @@
             self._timer = self._reactor.callLater(COALESCING_S, self.notify)
 
     def stop(self) -> None:
-        """Cancel a scheduled notification."""
+        """Cancel scheduled notifications."""
+        super().stop()
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
