--- a/tests/platform_adapter/test_program.py
+++ b/tests/platform_adapter/test_program.py
@@ -255,6 +255,28 @@
         assert harness.node.find_lines("instance_stopped")
 
 
+def test_second_sigterm_cuts_no_stream():
+    with start_harness() as harness:
+        connection = harness.send("/stream/x", "r-last", X_Token_Count="800,70")
+        engine = harness.find_streaming_engine()
+        call_in_reactor(engine.send_events, 1, 1)
+        response = connection.getresponse()
+        harness.node.terminate()
+        harness.node.wait_for_line("instance_leaving")
+        harness.node.terminate()
+        wait_until(
+            lambda: (
+                harness.node.process.poll() is not None
+                or harness.node.find_lines("signal_ignored")
+            )
+        )
+        call_in_reactor(engine.send_events, 2, 2)
+        call_in_reactor(engine.finish)
+        assert response.read().decode().count("piece") == 2
+        assert harness.node.process.wait(TIMEOUT_S) == 0
+        assert len(harness.node.find_lines("instance_stopped")) == 1
+
+
 def test_settings_are_reloaded_on_change_and_on_sighup():
     with start_harness() as harness:
         node = harness.node
