--- a/packages/node/src/ebonyhaven_node/forwarding/_exchanges.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_exchanges.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import abc
-from collections.abc import Callable
+import contextlib
+import enum
+from collections.abc import Callable, Iterator
 
 from ebonyhaven_node.forwarding._requests import Headers, RequestHead
 
@@ -32,10 +34,27 @@
         """Close the connection without completing the response."""
 
 
+class ExchangeEnd(enum.Enum):
+    """How an exchange ended.
+
+    ``ANSWERED``
+        The response is complete.
+    ``ABORTED``
+        The connection was closed without a complete response.
+    ``DISCONNECTED``
+        The caller closed the connection.
+    """
+
+    ANSWERED = "answered"
+    ABORTED = "aborted"
+    DISCONNECTED = "disconnected"
+
+
 class Exchange:
     """A caller's request and the response to it.
 
-    Methods have no effect once the exchange is done.
+    Methods have no effect once the exchange is done. If one raises, the connection is
+    closed, as what was sent of the response cannot be completed.
 
     Parameters
     ----------
@@ -49,8 +68,10 @@
     ----------
     is_started : bool
         Whether the head of the response has been sent.
-    is_done : bool
-        Whether the response is complete or aborted, or the caller disconnected.
+    status : int or None
+        Status of the response; None until its head has been sent.
+    end : ExchangeEnd or None
+        None until the exchange is done.
     on_disconnect : callable or None
         Called if the caller disconnects before the response is complete.
     """
@@ -59,10 +80,11 @@
         "_connection",
         "arrived_at",
         "body",
+        "end",
         "head",
-        "is_done",
         "is_started",
         "on_disconnect",
+        "status",
     )
 
     def __init__(
@@ -77,9 +99,15 @@
         self.body = body
         self.arrived_at = arrived_at
         self.is_started = False
-        self.is_done = False
+        self.status: int | None = None
+        self.end: ExchangeEnd | None = None
         self.on_disconnect: Callable[[], None] | None = None
 
+    @property
+    def is_done(self) -> bool:
+        """Whether the response is complete or aborted, or the caller disconnected."""
+        return self.end is not None
+
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response.
 
@@ -92,9 +120,12 @@
         """
         if self.is_done:
             return
-        self.is_done = self.is_started = True
+        self.is_started = True
+        self.status = status
+        self.end = ExchangeEnd.ANSWERED
         length = (b"content-length", str(len(body)).encode())
-        self._connection.write_response(status, (*headers, length), body)
+        with self._abort_on_error():
+            self._connection.write_response(status, (*headers, length), body)
 
     def start_stream(self, status: int, headers: Headers) -> None:
         """Send the head of a response whose body is streamed.
@@ -108,8 +139,10 @@
         if self.is_done:
             return
         self.is_started = True
+        self.status = status
         framing = (b"transfer-encoding", b"chunked")
-        self._connection.write_stream_head(status, (*headers, framing))
+        with self._abort_on_error():
+            self._connection.write_stream_head(status, (*headers, framing))
 
     def write(self, data: bytes) -> None:
         """Send a chunk of the body.
@@ -118,27 +151,39 @@
         ----------
         data : bytes
         """
-        if not self.is_done:
+        if self.is_done:
+            return
+        with self._abort_on_error():
             self._connection.write_data(data)
 
     def finish(self) -> None:
         """Complete a streamed response."""
         if self.is_done:
             return
-        self.is_done = True
-        self._connection.finish()
+        self.end = ExchangeEnd.ANSWERED
+        with self._abort_on_error():
+            self._connection.finish()
 
     def abort(self) -> None:
         """Close the connection so that the response is recognizably incomplete."""
         if self.is_done:
             return
-        self.is_done = True
+        self.end = ExchangeEnd.ABORTED
         self._connection.abort()
 
     def handle_disconnect(self) -> None:
         """Handle that the caller closed the connection."""
         if self.is_done:
             return
-        self.is_done = True
+        self.end = ExchangeEnd.DISCONNECTED
         if self.on_disconnect is not None:
             self.on_disconnect()
+
+    @contextlib.contextmanager
+    def _abort_on_error(self) -> Iterator[None]:
+        try:
+            yield
+        except BaseException:
+            self.end = ExchangeEnd.ABORTED
+            self._connection.abort()
+            raise
