Decode documents of other writers in one place, with one error

What callers saw: once one row of the server list could not be read, no instance read the list any more. Requests went to leaving servers until these were gone (3.5 s to 4.0 s after the leave, bound 2 s), then to none; a restart did not help.

Cause: `_decode_value` expected ValueError and TypeError, but JSON nested about 1,000 levels deep raises RecursionError, which ended the follower of the table; it began again 0.4 s later with the same row. The same came from addresses with digits that are not ASCII or too many for `int`, from sections of a configuration that are no lists, and, at the instance that reads for others, from text that can't be encoded when it is passed on (unpaired surrogates). Numbers such as 10**400, 1e999 and NaN passed the decoder. A server whose key no header can hold failed each request to it.

Class: input of others that raises what its decoder does not expect.

Now `decode_document` is the only way in for rows, configuration, settings, reports of engines and copies, and records in the store. Whatever is wrong raises `MalformedDocument`; values are bounded in size, depth and magnitude, and can be encoded again. The fields are checked by `_fields`. A row that can't be read names no server and the others hold; an odd configuration leaves the active one; an odd registration or record is left out. Rows with an unreadable key are left out rather than spoil a page.

A known server whose row turns odd is not used until its row can be read again, as the row names no server; it counts as expired, not as leaving, so that its streams go on.

--- a/packages/decisions/src/ebonyhaven_decisions/exceptions.py
+++ b/packages/decisions/src/ebonyhaven_decisions/exceptions.py
@@ -13,3 +13,12 @@
 
 class IllegalTransition(DecisionError):
     """Raised when a state machine receives an input that its state does not allow."""
+
+
+class MalformedDocument(DecisionError):
+    """Raised for a document of another process that can't be used.
+
+    Parameters
+    ----------
+    reason : str
+    """
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_loss_codec.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_loss_codec.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from ebonyhaven_decisions._documents import check_integer
 from ebonyhaven_decisions.forwarding._losses import LossReport, Traits
 
 MS_PER_S = 1000.0
@@ -37,7 +38,7 @@
     process, data_centre, age_ms, requests = values
     if not isinstance(process, str) or not isinstance(data_centre, str):
         raise ValueError("process and data centre must be strings")
-    age_s = max(0, int(age_ms)) / MS_PER_S
+    age_s = _decode_age_s(age_ms)
     decoded = tuple(_decode_traits(traits) for traits in requests)
     return LossReport(process, data_centre, age_s, decoded)
 
@@ -65,7 +66,11 @@
     TypeError, ValueError
         If the value is malformed.
     """
-    return {str(trait): max(0, int(age_ms)) / MS_PER_S for trait, age_ms in values}
+    return {str(trait): _decode_age_s(age_ms) for trait, age_ms in values}
+
+
+def _decode_age_s(age_ms: Any) -> float:
+    return max(0, check_integer(age_ms)) / MS_PER_S
 
 
 def _decode_traits(traits: Any) -> Traits:
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_records.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_records.py
@@ -4,6 +4,8 @@
 
 from typing import Any, NamedTuple
 
+from ebonyhaven_decisions._documents import check_token
+
 
 class RunCopyLocation(NamedTuple):
     """Location of the copy of a run.
@@ -80,8 +82,7 @@
 
 
 def _decode_location(holder_id: Any, address: Any, handle: Any) -> RunCopyLocation:
-    if not isinstance(holder_id, str) or not isinstance(handle, str):
-        raise ValueError("holder and handle of a copy must be strings")
-    if address is not None and not isinstance(address, str):
-        raise ValueError("address of a copy must be a string or null")
-    return RunCopyLocation(holder_id, address, handle)
+    if not isinstance(holder_id, str):
+        raise ValueError("holder of a copy must be a string")
+    address = None if address is None else check_token(address)
+    return RunCopyLocation(holder_id, address, check_token(handle))
--- /dev/null
+++ b/tests/platform_adapter/test_odd_documents.py
@@ -0,0 +1,209 @@
+from __future__ import annotations
+
+import json
+import pathlib
+import tempfile
+
+from ebonyhaven_adapter._configuration import decode_configuration
+from ebonyhaven_adapter._inspection import _decode_report
+from ebonyhaven_adapter._servers import decode_backend_entry
+from ebonyhaven_adapter._settings import read_settings
+from ebonyhaven_adapter._source import CONFIGURATION_KEY
+from ebonyhaven_adapter._store import _decode_rows
+from ebonyhaven_adapter._table_follower import LONG_POLL_S
+from ebonyhaven_adapter.exceptions import MalformedDocument, SettingsError
+from ebonyhaven_decisions import decode_document
+from ebonyhaven_node._frames import encode_json
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.platform_adapter.odd_documents import (
+    CONFIGURATION,
+    ODD_BYTES,
+    ODD_TEXTS,
+    SERVER,
+    encode_page,
+    encode_row,
+    json_values,
+    list_odd_entries,
+    make_variants,
+)
+from tests.platform_adapter.test_source import FixedGroup, build_source
+
+LISTED = json.dumps(SERVER).encode()
+OTHER = json.dumps({**SERVER, "address": "10.0.0.2:80"}).encode()
+REPORT = {"models": [], "kvTotal": 5, "born": 3, "active": 1, "runs": [["r", 1, 0]]}
+seeded = settings(derandomize=True, database=None, deadline=None, max_examples=150)
+
+
+class PublishingGroup(FixedGroup):
+    """A group in which this instance reads for the others."""
+
+    def __init__(self):
+        super().__init__(count=2)
+        self.published = []
+
+    def find_rank(self):
+        return 0
+
+    def publish_changes(self, payload):
+        self.published.append(encode_json(payload))
+
+
+def read_page(version, **contents):
+    """Return the batch that the store client makes of rows."""
+    rows = [
+        encode_row(key.replace("_", "-"), each, version)
+        for key, each in contents.items()
+    ]
+    return _decode_rows(encode_page(rows, version), era=0)
+
+
+def start_reader():
+    clock, store, state, source = build_source()
+    group = PublishingGroup()
+    source.connect_group(group)
+    configuration = json.dumps(CONFIGURATION).encode()
+    store.push("op", read_page(10, **{CONFIGURATION_KEY: configuration}))
+    store.push("servers", read_page(12, s_1=LISTED))
+    source.start()
+    return clock, store, state, group
+
+
+def list_servers(state) -> set[str]:
+    return {each.server_id for each in state.backends}
+
+
+def test_odd_row_in_the_server_list_leaves_all_others_in_use():
+    # Replays a list that no instance read any more, as one row raised an error.
+    for odd in list_odd_entries():
+        clock, store, state, group = start_reader()
+        store.push("servers", read_page(15, odd=odd, s_2=OTHER))
+        assert list_servers(state) == {"s-1", "s-2"}, odd[:80]
+        clock.advance(LONG_POLL_S)
+        assert store.calls[-1] == ("changes", "servers", 15), odd[:80]
+        store.push("servers", read_page(20, s_1=None))
+        assert list_servers(state) == {"s-2"}, odd[:80]
+        assert len(group.published) >= 2
+
+
+def test_list_with_an_odd_row_is_read_at_a_start():
+    for odd in list_odd_entries():
+        _, store, state, source = build_source()
+        store.push("servers", read_page(12, odd=odd, s_1=LISTED))
+        source.start()
+        assert list_servers(state) == {"s-1"}, odd[:80]
+
+
+def test_row_whose_key_no_header_can_hold_names_no_server():
+    for key in ("s\u4e2d", "s 1", "s\n1", "s\ud800", "s" * 300):
+        _, store, state, _ = start_reader()
+        row = encode_row(key, OTHER, 15)
+        store.push("servers", _decode_rows(encode_page([row], 15), era=0))
+        assert list_servers(state) == {"s-1"}, ascii(key)
+
+
+def test_server_whose_row_is_odd_for_a_time_is_used_again():
+    for odd in list_odd_entries():
+        clock, store, state, _ = start_reader()
+        store.push("servers", read_page(15, s_1=odd, s_2=OTHER))
+        assert list_servers(state) == {"s-2"}, odd[:80]
+        clock.advance(LONG_POLL_S)
+        store.push("servers", read_page(16, s_1=LISTED))
+        assert state.backends.find("s-1").is_usable(clock.seconds())
+
+
+def list_odd_configurations() -> list[bytes]:
+    newer = {**CONFIGURATION, "version": 8}
+    sections = [{**newer, name: 5} for name in ("routes", "services", "tenants")]
+    sections += [{**newer, "limits": [5]}, {**newer, "limits": {"maxBodyBytes": "x"}}]
+    sections += [{**newer, "routes": "x"}, {**newer, "version": True}, [newer], 5]
+    texts = [
+        json.dumps({**newer, field: "@"}).replace('"@"', text)
+        for field in ("version", "routes", "other")
+        for text in ODD_TEXTS
+    ]
+    texts += [json.dumps(each) for each in sections] + list(ODD_TEXTS)
+    return [each.encode() for each in texts] + list(ODD_BYTES)
+
+
+def test_odd_configuration_keeps_the_one_in_force_and_later_ones_apply():
+    for odd in list_odd_configurations():
+        clock, store, state, _ = start_reader()
+        store.push("op", read_page(15, **{CONFIGURATION_KEY: odd}))
+        assert state.configuration.version == 7, odd[:80]
+        clock.advance(LONG_POLL_S)
+        assert store.calls[-1] == ("changes", "op", 15), odd[:80]
+        later = json.dumps({**CONFIGURATION, "version": 9}).encode()
+        store.push("op", read_page(20, **{CONFIGURATION_KEY: later}))
+        assert state.configuration.version == 9
+
+
+def expect_one_error(decode, data) -> None:
+    """Decode bytes; anything but a value or the one typed error fails the test."""
+    try:
+        decode(decode_document(data))
+    except MalformedDocument as error:
+        assert len(str(error)) < 500
+    else:
+        encode_json(decode_document(data))
+
+
+@seeded
+@given(make_variants(SERVER), st.text(max_size=4))
+def test_any_server_entry_is_decoded_or_refused(data, key):
+    def decode(document):
+        entry = decode_backend_entry(key, document)
+        encode_json(list(entry))
+
+    expect_one_error(decode, data)
+
+
+@seeded
+@given(make_variants(CONFIGURATION))
+def test_any_configuration_is_decoded_or_refused(data):
+    expect_one_error(decode_configuration, data)
+
+
+@seeded
+@given(make_variants(REPORT))
+def test_any_report_of_an_engine_is_decoded_or_refused(data):
+    expect_one_error(_decode_report, data)
+
+
+@seeded
+@given(make_variants(json.loads(encode_page([encode_row("s-1", LISTED, 1)], 1))))
+def test_any_response_of_the_store_is_decoded_or_refused(data):
+    try:
+        _decode_rows(data, era=0)
+    except MalformedDocument:
+        return
+
+
+@seeded
+@given(st.binary(max_size=64) | json_values.map(lambda each: json.dumps(each).encode()))
+def test_any_bytes_are_decoded_or_refused(data):
+    expect_one_error(lambda document: document, data)
+
+
+def test_odd_settings_file_is_refused_with_its_name():
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "node.json"
+        for content in (*ODD_BYTES, *(each.encode() for each in ODD_TEXTS)):
+            path.write_bytes(content)
+            try:
+                read_settings(path)
+            except SettingsError as error:
+                assert str(path) in str(error)
+            else:
+                raise AssertionError(content[:80])
+
+
+def test_deeply_nested_document_is_refused_whatever_its_depth():
+    for depth in (65, 500, 990, 1010, 50_000):
+        try:
+            decode_document(b"[" * depth + b"]" * depth)
+        except MalformedDocument:
+            continue
+        raise AssertionError(depth)
+    assert decode_document(b"[" * 64 + b"]" * 64)
