Take numbers that can't be read, in headers and events, as absent

Cause: the text was checked with `isdigit`, which admits what `int` or the next division does not. Class: input of others that raises what its decoder does not expect.

--- a/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
@@ -15,6 +15,7 @@
 
 import attrs
 import h11
+from ebonyhaven_decisions import parse_count
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
@@ -332,6 +333,7 @@
     for name, value in headers:
         if name == b"keep-alive" and b"timeout=" in value.lower():
             digits = value.lower().partition(b"timeout=")[2].split(b",")[0].strip()
-            if digits.isdigit():
-                return max(DEFAULT_IDLE_TIMEOUT_S, int(digits) - IDLE_TIMEOUT_MARGIN_S)
+            timeout_s = parse_count(digits)
+            if timeout_s is not None:
+                return max(DEFAULT_IDLE_TIMEOUT_S, timeout_s - IDLE_TIMEOUT_MARGIN_S)
     return DEFAULT_IDLE_TIMEOUT_S
--- a/packages/node/src/ebonyhaven_node/forwarding/_progress.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_progress.py
@@ -5,6 +5,7 @@
 import math
 
 import structlog
+from ebonyhaven_decisions import parse_count
 from ebonyhaven_decisions.forwarding import Backend, Route
 
 from ebonyhaven_node.forwarding._context import RelayContext
@@ -214,6 +215,7 @@
 
     Ids that are not both numeric have no order: any id that differs is later.
     """
-    if event_id.isdigit() and position.isdigit():
-        return int(event_id) > int(position)
-    return event_id != position
+    numbers = parse_count(event_id), parse_count(position)
+    if None in numbers:
+        return event_id != position
+    return numbers[0] > numbers[1]
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from ebonyhaven_decisions import parse_count
 from ebonyhaven_decisions.forwarding import Backend, Route
 
 from ebonyhaven_node.forwarding._context import RelayContext
@@ -224,7 +225,7 @@
         position = self._progress.position or ""
         return self._context.get_stream_durations(self._route.name).can_finish_in_time(
             remaining_s=self.deadline - now,
-            events_delivered=int(position) if position.isdigit() else 0,
+            events_delivered=parse_count(position) or 0,
             has_copy=self._earlier_run.has_copy,
             has_room=self._server_selector.has_room(now, self._version.name),
         )
