Keep hearing other instances after a message that can't be read

What happened: one message nested 5,000 levels deep on the control address raised RecursionError out of the reader of the socket, and the reactor stopped reading it: the instance heard no other instance any more. Numbers without bounds and of other types (infinite ages, booleans) passed the codecs and were used later. A control address that is none, in a row or message, raised out of the sender, and with it out of the round of heartbeats.

Class: input of others that raises what its decoder does not expect.

Frames now go through `decode_document`; the codecs check integers and numbers. A message to an address that can't be dialled is dropped and counted.

--- a/packages/node/src/ebonyhaven_node/_channels.py
+++ b/packages/node/src/ebonyhaven_node/_channels.py
@@ -9,6 +9,7 @@
 import attrs
 import pynng
 import structlog
+from ebonyhaven_decisions import quote
 from prometheus_client import CollectorRegistry, Counter
 from twisted.internet.interfaces import IReactorFDSet, IReadDescriptor
 from zope.interface import implementer
@@ -209,7 +210,12 @@
         data = encode_frame(frame)
         if new_connection:
             self._disconnect(address)
-        connection = self._connect(address)
+        try:
+            connection = self._connect(address)
+        except (pynng.NNGException, ValueError) as error:
+            self._metrics.dropped.labels("address_invalid").inc()
+            _log.warning("address_invalid", peer=quote(address), reason=str(error))
+            return False
         try:
             connection.socket.send(data, block=False)
         except pynng.NNGException:
@@ -241,7 +247,11 @@
                 reconnect_time_min=RECONNECT_MIN_MS,
                 reconnect_time_max=RECONNECT_MAX_MS,
             )
-            socket.dial(f"tcp://{target}", block=False)
+            try:
+                socket.dial(f"tcp://{target}", block=False)
+            except (pynng.NNGException, ValueError):
+                socket.close()
+                raise
             connection = _Connection(socket, 0.0)
             self._connections[address] = connection
         connection.used_at = time.monotonic()
--- a/packages/node/src/ebonyhaven_node/_digests.py
+++ b/packages/node/src/ebonyhaven_node/_digests.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from ebonyhaven_decisions import GossipEntry, GossipTable
+from ebonyhaven_decisions import GossipEntry, GossipTable, check_integer
 
 HEARTBEAT_DIGEST_BYTES = 64
 EXPIRY_INTERVAL_COLLECTIONS = 100
@@ -131,7 +131,7 @@
     def merge(self, sender: str, payload: Any) -> None:
         """See `Digest.merge`."""
         for key, version, value in payload:
-            entry = GossipEntry(str(key), int(version), value)
+            entry = GossipEntry(str(key), check_integer(version), value)
             if self._merge(entry) and self._on_merge is not None:
                 self._on_merge(entry)
 
--- a/packages/node/src/ebonyhaven_node/_frames.py
+++ b/packages/node/src/ebonyhaven_node/_frames.py
@@ -6,6 +6,10 @@
 import json
 from typing import Any, NamedTuple
 
+from ebonyhaven_decisions import MAX_DOCUMENT_DEPTH, check_integer, decode_document
+
+# A payload may hold a document of the greatest depth.
+MAX_FRAME_DEPTH = MAX_DOCUMENT_DEPTH + 8
 NNG_HEADER_BYTES = 8
 
 
@@ -108,10 +112,11 @@
         If the bytes are not a message of a known kind.
     """
     try:
-        kind, sender, incarnation, payload = json.loads(data)
-        frame = Frame(FrameKind(kind), sender, incarnation, payload)
+        fields = decode_document(data, max_depth=MAX_FRAME_DEPTH)
+        kind, sender, incarnation, payload = fields
+        frame = Frame(FrameKind(kind), sender, check_integer(incarnation), payload)
     except (TypeError, ValueError) as error:
         raise FrameError(str(error)) from error
-    if not isinstance(sender, str) or not isinstance(incarnation, int):
-        raise FrameError("sender is not a string or incarnation is not an integer")
+    if not isinstance(sender, str):
+        raise FrameError("sender is not a string")
     return frame
--- a/packages/node/src/ebonyhaven_node/_limit_exchange.py
+++ b/packages/node/src/ebonyhaven_node/_limit_exchange.py
@@ -7,7 +7,7 @@
 from typing import Any, NamedTuple
 
 import structlog
-from ebonyhaven_decisions import MemberState
+from ebonyhaven_decisions import MemberState, check_integer, check_number
 from ebonyhaven_decisions.forwarding import (
     CAUTION_S,
     CONFIRMATION_TTL_S,
@@ -171,9 +171,10 @@
 
 def _decode_limits(rate: Any, refusals: Any) -> ServerLimits:
     return ServerLimits(
-        _decode_number(rate), None if refusals is None else int(refusals)
+        _decode_number(rate),
+        None if refusals is None else check_integer(refusals, minimum=0),
     )
 
 
 def _decode_number(value: Any) -> float | None:
-    return None if value is None else float(value)
+    return None if value is None else max(0.0, check_number(value))
--- a/packages/node/src/ebonyhaven_node/_membership_codec.py
+++ b/packages/node/src/ebonyhaven_node/_membership_codec.py
@@ -17,6 +17,7 @@
     QueryAnswer,
     TableAnswer,
     TableRequest,
+    check_integer,
 )
 
 from ebonyhaven_node._frames import FrameError, FrameKind
@@ -93,9 +94,9 @@
         state, digest, digests, updates, loads = fields
         heartbeat = Heartbeat(
             state=MemberState(state),
-            digest=int(digest),
+            digest=check_integer(digest),
             updates=_decode_records(updates),
-            loads=tuple(LoadReport(*report) for report in loads),
+            loads=tuple(_decode_load(*report) for report in loads),
         )
         return HeartbeatPayload(heartbeat, dict(digests))
     except (TypeError, ValueError) as error:
@@ -168,7 +169,14 @@
 
 def _decode_record(fields: Sequence[Any]) -> MemberRecord:
     incarnation, state, *texts = fields
-    return MemberRecord(int(incarnation), MemberState(state), *map(str, texts))
+    return MemberRecord(
+        check_integer(incarnation), MemberState(state), *map(str, texts)
+    )
+
+
+def _decode_load(*fields: Any) -> LoadReport:
+    *numbers, name = fields
+    return LoadReport(*map(check_integer, numbers), str(name))
 
 
 def _decode_records(payload: Sequence[Any]) -> tuple[MemberRecord, ...]:
--- a/packages/node/src/ebonyhaven_node/forwarding/_sharing.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_sharing.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 import structlog
-from ebonyhaven_decisions import MemberRecord, MemberState
+from ebonyhaven_decisions import MemberRecord, MemberState, check_integer, check_number
 from ebonyhaven_decisions.forwarding import (
     Backend,
     BudgetUse,
@@ -143,11 +143,11 @@
         try:
             use_by_server, lost, *budget_uses = frame.payload
             uses = {
-                str(name): EngineUse(*(int(value) for value in values))
+                str(name): EngineUse(*map(_check_count, values))
                 for name, values in use_by_server.items()
             }
             budget_use_by_service = {
-                str(name): BudgetUse(*(int(value) for value in values))
+                str(name): BudgetUse(*map(_check_count, values))
                 for each in budget_uses[:1]
                 for name, values in each.items()
             }
@@ -198,7 +198,7 @@
     def merge(self, sender: str, payload: Any) -> None:
         """See `Digest.merge`."""
         configuration, era, servers = payload
-        version = StateVersion(int(configuration), int(era), int(servers))
+        version = StateVersion(*map(check_integer, (configuration, era, servers)))
         self._on_versions(sender, version)
 
 
@@ -291,7 +291,7 @@
         Messages with changes of the server list would wait behind many answers.
         """
         try:
-            known = StateVersion(*(int(each) for each in frame.payload))
+            known = StateVersion(*map(check_integer, frame.payload))
         except (TypeError, ValueError) as error:
             _log.warning("request_malformed", peer=frame.sender, reason=str(error))
             return
@@ -309,3 +309,7 @@
             return
         versions = self._source.read_version()
         _log.info("peer_state_taken", peer=frame.sender, versions=list(versions))
+
+
+def _check_count(value: object) -> int:
+    return max(0, int(check_number(value)))
--- a/tests/node/test_channels.py
+++ b/tests/node/test_channels.py
@@ -108,6 +108,46 @@
     run_in_reactor(receive_malformed)
 
 
+async def receive_deeply_nested():
+    sender, receiver = Endpoint(), Endpoint()
+    texts = ("[" * 50_000, "[" * 5000 + "]" * 5000, "1" * 5000, "1e999", r'"\ud800"')
+    try:
+        with pynng.Push0(dial=f"tcp://{receiver.address}") as raw:
+            for text in texts:
+                raw.send(f'["c","n1",1,{text}]'.encode())
+            raw.send(b'["c","n1",1' + b"0" * 400 + b",0]")
+            deadline = time.monotonic() + RECEIVE_TIMEOUT_S
+            while receiver.read_metric("dropped_total", reason="malformed") != 6:
+                assert time.monotonic() < deadline
+                await task.deferLater(reactor, 0.01)
+        sender.channels.send(receiver.address, make_frame("good"))
+        assert await receiver.wait_for(1) == [make_frame("good")]
+    finally:
+        sender.channels.close()
+        receiver.channels.close()
+
+
+def test_instance_hears_others_after_a_message_that_can_not_be_read():
+    run_in_reactor(receive_deeply_nested)
+
+
+async def send_to_odd_addresses():
+    sender, receiver = Endpoint(), Endpoint()
+    try:
+        for address in ("nowhere", "", "10.0.0.1", "\ud800:80"):
+            assert not sender.channels.send(address, make_frame("lost"))
+        assert sender.read_metric("dropped_total", reason="address_invalid") == 4
+        sender.channels.send(receiver.address, make_frame("good"))
+        assert await receiver.wait_for(1) == [make_frame("good")]
+    finally:
+        sender.channels.close()
+        receiver.channels.close()
+
+
+def test_messages_to_an_address_that_is_none_are_dropped():
+    run_in_reactor(send_to_odd_addresses)
+
+
 async def raise_in_handler():
     sender, receiver = Endpoint(), Endpoint()
     try:
