Ask again at the moment of sending whether the server leaves

Callers saw: a request reached a server that had said it leaves (DRAIN). It was chosen while the server was ready, and sent when its connection was open, up to 0.3 s later, or after engines had been asked for their load. An entry replaced by another process of the same id kept its old address in use in the same way.

Cause: `Attempt` asked nothing once a server was chosen. Class: knowledge asked when choosing instead of when sending. All requests of callers to servers, calls and streams, hedges, retries and resumes from copies, pass `Attempt.start` and `Attempt._send`; both ask `BackendDirectory.may_send` now. A request that is kept back has provably not run; it goes elsewhere, or is refused with a time to come back, and doesn't count as an attempt at an unreachable server, so that no instance is asked to relay it.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -224,11 +224,21 @@
         now : float
             Seconds.
         """
-        if self.removed_at is None or self.entry.state is not BackendState.READY:
+        if not self.is_kept_after_removal(now) or not self.limiter.is_allowed(now):
             return False
-        if not self.limiter.is_allowed(now):
+        return now >= self.suspect_until
+
+    def is_kept_after_removal(self, now: float) -> bool:
+        """Return whether the removal is so recent that the entry may come back.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        if self.removed_at is None or self.entry.state is not BackendState.READY:
             return False
-        return now - self.removed_at < REMOVED_USABLE_S and now >= self.suspect_until
+        return now - self.removed_at < REMOVED_USABLE_S
 
     def record_unreachable(self, now: float) -> None:
         """Suspect the server for a time that doubles with each failure, up to a limit.
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -341,6 +341,24 @@
             if is_candidate(each) and each.is_usable_after_removal(now)
         ]
 
+    def may_send(self, backend: Backend, now: float) -> bool:
+        """Return whether a server that was chosen before may be sent a request now.
+
+        Unlike `list_usable`, this leaves out how loaded or suspect the server is.
+
+        Parameters
+        ----------
+        backend : Backend
+        now : float
+            Seconds.
+        """
+        if self._by_id.get(backend.server_id) is backend:
+            return not backend.is_leaving
+        if self._removed.get(backend.server_id) is not backend:
+            return False  # another process has taken its id
+        is_only_hope = not self._has_entries(backend.entry.service)
+        return is_only_hope and backend.is_kept_after_removal(now)
+
     def find_rest_end(self, service: str, now: float) -> float:
         """Return when the next full server of a service may be tried again.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -17,7 +17,7 @@
     ResponseHandler,
 )
 from ebonyhaven_node.forwarding._inbox import Inbox
-from ebonyhaven_node.forwarding._outcomes import LIMITED_REASON
+from ebonyhaven_node.forwarding._outcomes import LEFT_REASON, LIMITED_REASON
 from ebonyhaven_node.forwarding._requests import (
     AttemptPlan,
     ForwardRequest,
@@ -83,10 +83,12 @@
         """Send the request on an idle connection, or on a new one if none is idle."""
         self.backend.in_flight += 1
         now = self.sent_at = self._context.clock()
+        if not self._may_send(now):
+            self._fail_unsent(LEFT_REASON, is_unreached=False)
+            return
         self._is_unanswered = self.backend.limiter.acquire(now)
         if not self._is_unanswered:
-            self._finish()
-            self._inbox.put(AttemptFailed(self, False, True, LIMITED_REASON))
+            self._fail_unsent(LIMITED_REASON, is_unreached=True)
             return
         address = self.backend.entry.address
         connection = self._context.pool.acquire_idle(address, self._request.request_id)
@@ -151,9 +153,14 @@
         if self.is_finished:
             connection.abort()
             return
+        now = self._context.clock()
+        if not self._may_send(now):
+            connection.abort()
+            self._fail_unsent(LEFT_REASON, is_unreached=False)
+            return
         self._connection = connection
         self.was_sent = True
-        self.sent_at = self._context.clock()
+        self.sent_at = now
         headers = self._context.dialect.write_headers(
             self._request, self.backend.server_id, self.plan
         )
@@ -174,7 +181,15 @@
         if failure.is_refused:
             self._context.crash_monitor.record_ended(self.backend)
         self._context.report_unreachable(self.backend)
-        self._inbox.put(AttemptFailed(self, False, True, failure.reason))
+        self._inbox.put(AttemptFailed(self, False, True, failure.reason, True))
+
+    def _may_send(self, now: float) -> bool:
+        """Return whether the server, chosen some time ago, may still get requests."""
+        return self._context.state.backends.may_send(self.backend, now)
+
+    def _fail_unsent(self, reason: str, *, is_unreached: bool) -> None:
+        self._finish()
+        self._inbox.put(AttemptFailed(self, False, True, reason, is_unreached))
 
     def _record_answered(self) -> None:
         if self._is_unanswered:
@@ -228,9 +243,12 @@
     is_connection_lost : bool
         True if the connection failed or ended, False if the response is malformed.
     reason : str
+    is_unreached : bool
+        Whether the request was not sent although the server may get requests.
     """
 
     attempt: Attempt
     was_sent: bool
     is_connection_lost: bool
     reason: str
+    is_unreached: bool = False
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -294,8 +294,11 @@
                     self._route.kind.value, is_delimited=is_delimited, partial_bytes=0
                 )
                 self._complete_attempt(attempt, is_delimited=is_delimited)
-            case AttemptFailed(attempt, was_sent, is_connection_lost, reason):
+            case AttemptFailed(
+                attempt, was_sent, is_connection_lost, reason, unreached
+            ):
                 self._running.remove(attempt)
+                self._unreached_count += unreached
                 self._fail_attempt(attempt, was_sent, reason)
                 if was_sent and is_connection_lost:
                     self._guard.check_loss(
@@ -355,7 +358,6 @@
         else:
             self._attempts.remove(attempt)
             self._attempt_count -= 1
-            self._unreached_count += 1
             if self._attempt_count:
                 self._context.budget.refund_retry(self._service, self._context.clock())
         _log.info(
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -233,6 +233,8 @@
         Addresses that refuse connections.
     silent : set of str
         Addresses at which connection attempts time out.
+    is_accepting : bool
+        Whether connection attempts proceed; otherwise they wait.
     connections : list of MemoryServerConnection
         Connections accepted by servers.
     """
@@ -255,6 +257,7 @@
         self.version_store.is_down = not knows_past
         self.refused: set[str] = set()
         self.silent: set[str] = set()
+        self.is_accepting = True
         self._accepted_count = 0
         self.connections: list[MemoryServerConnection] = []
         self.gateway = Gateway(
@@ -301,7 +304,7 @@
             self._accept()
 
     def _accept(self) -> None:
-        while self._accepted_count < len(self.reactor.tcpClients):
+        while self.is_accepting and self._accepted_count < len(self.reactor.tcpClients):
             number = self._accepted_count
             host, port, factory, timeout, _ = self.reactor.tcpClients[number]
             self._accepted_count += 1
