Soak: servers that leave or stand still, rows of another writer, checks of DRAIN and LOST

The soak had no server that leaves, no server that stands still and no stop under waiting streams, and judged neither rule, so that it passed on code that breaks both.

Servers have an entry of their own now (`_places`): they report that they leave, or are removed without a word, go on for drainMs and longer, say so in their answers, and are followed by others at other addresses, which are used again after a while. Arrivals hold both times. The store can refuse or delay single instances, drop its history, and holds rows that can't be decoded. Instances are stopped while streams of a route that may not be resumed wait in them, sometimes by two signals.

A request that came in time and was read late by a server that stood still is noted apart. Each run writes a timeline of each finding.

--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -7,17 +7,24 @@
 
 from twisted.internet import task
 
+from tests.platform_adapter.soak._deployment import LARGE, SMALL
+from tests.platform_adapter.soak._faults import FAULT_SETS
 from tests.platform_adapter.soak._run import run_soak
 
 
-async def _run(seeds: range, duration_s: float) -> int:
+async def _run(options) -> int:
     failed = 0
+    seeds = range(options.seed, options.seed + options.seeds)
+    size = LARGE if options.large else SMALL
     for seed in seeds:
-        report = await run_soak(seed, duration_s)
+        report = await run_soak(
+            seed, options.seconds, fault_set=options.faults, size=size
+        )
         failed += bool(report.problems)
         print(f"seed {seed}: {report.statuses}, logs {report.directory}", flush=True)
         for problem in report.problems[:20]:
             print(f"  {problem}", flush=True)
+        print(f"  {len(report.notes)} notes, see traces.txt", flush=True)
     print(f"{len(seeds) - failed} passed, {failed} failed")
     return failed
 
@@ -28,12 +35,15 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--faults", choices=sorted(FAULT_SETS), default="standard")
+    parser.add_argument(
+        "--large", action="store_true", help="six instances in three data centres"
+    )
     options = parser.parse_args()
-    seeds = range(options.seed, options.seed + options.seeds)
     failures = []
 
     async def run(_) -> None:
-        failures.append(await _run(seeds, options.seconds))
+        failures.append(await _run(options))
 
     task.react(lambda reactor: task.ensureDeferred(run(reactor)))
     sys.exit(bool(failures[0]))
--- a/tests/platform_adapter/soak/_callers.py
+++ b/tests/platform_adapter/soak/_callers.py
@@ -17,6 +17,8 @@
 CONNECT_TIMEOUT_S = 1.0
 TIME_LIMIT_S = 1.5
 STREAM_TIME_LIMIT_S = 6.0
+LONG_TIME_LIMIT_S = 14.0
+STREAM_PATHS = ("/fixed", "/long", "/stream")
 MAX_RESUMES = 2
 THINK_S = (0.0, 0.08)
 PROMISES = frozenset({408, 421, 429, 503})
@@ -44,6 +46,10 @@
         others.
     is_first : bool
         Whether the caller had not tried before.
+    is_given_up : bool
+        Whether the caller closed the connection, as its time was over.
+    is_on_kept : bool
+        Whether the connection had carried a request before.
     """
 
     request_id: str
@@ -57,22 +63,33 @@
     instance: str = ""
     first_id: str = ""
     is_first: bool = True
+    is_given_up: bool = False
+    is_on_kept: bool = False
 
 
 def _is_broken_off(result: Result) -> bool:
     return result.status == 200 and not result.is_whole and bool(result.body)
 
 
+def get_time_limit_s(path: str) -> float:
+    """Return how long callers wait for an answer."""
+    if path.startswith("/long"):
+        return LONG_TIME_LIMIT_S
+    return STREAM_TIME_LIMIT_S if path.startswith(STREAM_PATHS) else TIME_LIMIT_S
+
+
 class _Connection(Protocol):
     def __init__(self):
         self.codec = h11.Connection(h11.CLIENT)
         self.is_lost = False
+        self.count = 0  # of the requests that it carried
         self._done: Deferred | None = None
         self._status, self._stamp, self._body = None, None, b""
 
     def exchange(self, request: bytes) -> Deferred:
         self._status, self._stamp, self._body = None, None, b""
         self._done = Deferred()
+        self.count += 1
         self.transport.write(request)
         return self._done
 
@@ -197,8 +214,7 @@
             return None
         self._number += 1
         request_id = f"{self._name}-{self._number}"
-        is_stream = path.startswith(("/fixed", "/stream"))
-        limit_s = STREAM_TIME_LIMIT_S if is_stream else TIME_LIMIT_S
+        limit_s = get_time_limit_s(path)
         sent_at = reactor.seconds()
         first_id = after.first_id if position else request_id
         resumed = [("Last-Event-Id", str(position)), ("Resumes", first_id)]
@@ -207,7 +223,8 @@
         )
         timer = reactor.callLater(limit_s, connection.transport.abortConnection)
         status, stamp, body, is_whole = await connection.exchange(request)
-        if timer.active():
+        is_given_up = not timer.active()
+        if not is_given_up:
             timer.cancel()
         ended_at = reactor.seconds()
         result = Result(
@@ -222,6 +239,8 @@
             self._instance,
             first_id,
             after is None,
+            is_given_up,
+            connection.count > 1,
         )
         self._results.append(result)
         return result
@@ -242,7 +261,7 @@
             ("Authorization", f"Bearer {KEY}"),
         ]
         body = b"" if method == "GET" else b"{}"
-        if path.startswith(("/fixed", "/stream")):
+        if path.startswith(STREAM_PATHS):
             headers.append(("X-Token-Count", "800,60"))
         headers += resumed
         if body:
--- a/tests/platform_adapter/soak/_checks.py
+++ b/tests/platform_adapter/soak/_checks.py
@@ -4,9 +4,9 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
-from typing import NamedTuple
 
 from tests.platform_adapter.soak._callers import PROMISES, Result
+from tests.platform_adapter.soak._fault_log import NamedLimit
 from tests.platform_adapter.soak._servers import (
     STREAM_EVENTS,
     Arrival,
@@ -24,32 +24,14 @@
 TOLD_S = 0.5
 
 
-class NamedLimit(NamedTuple):
-    """Time in which a server named a limit.
-
-    Parameters
-    ----------
-    place : str
-    rate : float
-        Requests per second.
-    since, until : float
-        Seconds of the reactor's clock.
-    """
-
-    place: str
-    rate: float
-    since: float
-    until: float
-
-
 class SoakHistory:
     """Which instance each request was sent to, and when instances were disturbed.
 
     Parameters
     ----------
     results : iterable of Result
-    disturbances : sequence of (str, float, float)
-        Name of an instance, begin and end.
+    disturbances : sequence of Disturbance
+        Of instances.
     """
 
     def __init__(self, results, disturbances):
@@ -62,8 +44,8 @@
     def is_disturbed(self, instance: str, since: float, until: float) -> bool:
         """Return whether an instance was disturbed in a time, or is unknown."""
         return not instance or any(
-            name == instance and begin < until and end > since
-            for name, begin, end in self._disturbances
+            each.name == instance and each.overlaps(since, until)
+            for each in self._disturbances
         )
 
 
@@ -100,7 +82,7 @@
     for each in results:
         if each.status != 200 or not each.is_whole:
             continue
-        if each.path.startswith("/fixed"):
+        if each.path.startswith(("/fixed", "/long")):
             expected = b"".join(
                 encode_event(number, find_version(each.stamp))
                 for number in range(1, STREAM_EVENTS + 1)
--- a/tests/platform_adapter/soak/_deployment.py
+++ b/tests/platform_adapter/soak/_deployment.py
@@ -10,40 +10,32 @@
 import subprocess
 import sys
 import tempfile
+from typing import NamedTuple
 
 from ebonyhaven_standins.cluster import allocate_address
 from ebonyhaven_standins.fault_proxy import FaultKind, Link
 from twisted.internet import reactor
-from twisted.internet.defer import ensureDeferred
-from twisted.internet.task import deferLater
-from twisted.web import server
-
-from tests.platform_adapter.soak._checks import (
-    NEW_VERSION,
-    NEW_VERSION_PLACE,
-    OLD_VERSION,
-)
-from tests.platform_adapter.soak._servers import (
-    SLOTS,
-    Arrival,
-    Fall,
-    ServerFaults,
-    ServerProcess,
-)
-from tests.platform_adapter.stand_ins import (
-    HOST,
-    KEY,
-    StoreStandIn,
-    make_entry,
+from twisted.web import resource, server
+
+from tests.platform_adapter.soak._places import (
+    DepartureLog,
+    ListedServer,
+    ServerSite,
+    SitePool,
+    SoakServer,
 )
+from tests.platform_adapter.soak._servers import ServerFaults, ServerLog, ServerProcess
+from tests.platform_adapter.stand_ins import HOST, KEY, StoreStandIn
 
 RETRY_RATIO = 0.4
 RETRY_SLACK = 20
 BUDGET_WINDOW_S = 4.0
 GRACE_S = 3
+LONG_GRACE_S = 8
+ROUTE_TIMEOUTS_S = {"once": 0.8, "repeat": 0.8, "fixed": 5.0, "stream": 5.0}
+LONG_ROUTE_TIMEOUT_S = 14.0
 CRASHING_PATH = "/repeat/crash"
 PROGRAM = "tests.platform_adapter.soak.routed_instance"
-UNLISTED_AFTER_S = 2.0  # a crashed server's entry lapses
 
 
 class SoakInstance:
@@ -54,11 +46,29 @@
     name : str
     directory : pathlib.Path
         Holds settings and logs.
-    store_address : str
+    store : StoreStandIn
+    data_centre : str
+    grace_s : int
     """
 
-    def __init__(self, name: str, directory: pathlib.Path, store_address: str):
+    def __init__(
+        self,
+        name: str,
+        directory: pathlib.Path,
+        store: StoreStandIn,
+        *,
+        data_centre: str = "dc-a",
+        grace_s: int = GRACE_S,
+    ):
         self.name = name
+        self._data_centre = data_centre
+        self.grace_s = grace_s
+        self.store_door = StoreDoor(store)
+        store_address = allocate_address()
+        site = server.Site(self.store_door)
+        site.noisy = False
+        host, _, port = store_address.rpartition(":")
+        self._store_port = reactor.listenTCP(int(port), site, interface=host)
         self.process: subprocess.Popen | None = None
         self.addresses = {
             kind: allocate_address()
@@ -83,9 +93,9 @@
         self.is_cut_off = False
         self._routes_path = directory / f"{name}-routes.json"
 
-    def route(self, servers: list[SoakServer]) -> None:
+    def route(self, sites: list[ServerSite]) -> None:
         """Lead the connections to servers through links of this instance."""
-        routes = {each.link.address: allocate_address() for each in servers}
+        routes = {each.address: allocate_address() for each in sites}
         self._routes_path.write_text(json.dumps(routes))
         self.server_links = {
             target: Link(
@@ -104,12 +114,12 @@
             for kind in kinds:
                 await link.set_fault(kind, 0.0)
 
-    async def reconnect(self, running: list[SoakServer]) -> None:
+    async def reconnect(self, running: set[str]) -> None:
         """End a cut; only servers that run accept connections."""
         self.is_cut_off = False
         for link in self.server_links.values():
             await link.set_fault(FaultKind.NONE, 0.0)
-            if link.target not in {each.link.address for each in running}:
+            if link.target not in running:
                 await link.stop_listening()
 
     async def show_server(self, address: str, *, is_running: bool) -> None:
@@ -127,14 +137,14 @@
         metrics_host, _, metrics_port = allocate_address().rpartition(":")
         settings = {
             "nodeName": self.name,
-            "zone": "dc-a",
+            "zone": self._data_centre,
             "region": "r1",
             "ip": metrics_host,
             "listen": self.addresses,
             "internalPorts": [int(metrics_port), int(metrics_port)],
             "seedNodes": seeds,
             "bounds": {
-                "graceS": GRACE_S,
+                "graceS": self.grace_s,
                 "retryBudgetRatio": RETRY_RATIO,
                 "budgetWindowS": BUDGET_WINDOW_S,
                 "retrySlack": RETRY_SLACK,
@@ -160,76 +170,76 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
-    def stop(self) -> None:
+    async def stop(self) -> None:
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
         if self.process is not None:
             self.process.wait(30)
+        for link in (self.caller_link, self.store_link, *self.server_links.values()):
+            await link.set_fault(FaultKind.RESET, 0.0)
+            await link.stop_listening()
+        await self._store_port.stopListening()
 
 
-class SoakServer:
-    """A place of a backend server, whose processes end and start again."""
+class StoreDoor(resource.Resource):
+    """The store as one instance reaches it.
 
-    def __init__(self, name: str, service: str, deployment: SoakDeployment):
-        self.name = name
-        self.service = service
-        self._deployment = deployment
-        self._target = allocate_address()
-        self._address = allocate_address()
-        self._starts = 0
-        self.process: ServerProcess | None = None
-        self.link = Link(
-            name=f"instances-{name}",
-            listen=self._address,
-            target=self._target,
-            sides=frozenset(("instances", name)),
-        )
+    Parameters
+    ----------
+    store : StoreStandIn
 
-    def start(self) -> None:
-        self._starts += 1
-        deployment = self._deployment
-        version = NEW_VERSION if self.name == NEW_VERSION_PLACE else OLD_VERSION
-        self.process = ServerProcess(
-            f"{self.name}-{self._starts}",
-            service=self.service,
-            version=version,
-            falls=deployment.falls,
-            arrivals=deployment.arrivals,
-            faults=deployment.server_faults,
-            rng=deployment.rng,
-            crashing_path=CRASHING_PATH,
-            on_crash=lambda _: ensureDeferred(self.crash(1.0)),
-        )
-        self.process.listen(self._target)
-        self.link.start_listening()
-        for instance in deployment.instances:
-            ensureDeferred(instance.show_server(self.link.address, is_running=True))
-        entry = make_entry(self.service, self._address)
-        entry |= {"slots": SLOTS, "version": version}
-        deployment.store.put("servers", self.process.process_id, entry)
-
-    async def crash(self, restart_after_s: float) -> None:
-        """End the process; another one starts at its address."""
-        process, self.process = self.process, None
-        if process is None:
+    Attributes
+    ----------
+    refuses_with : int or None
+        Status with which this instance's calls are refused.
+    delay_s : float
+        Time that its calls take longer.
+    """
+
+    isLeaf = True  # noqa: N815 defined by Twisted
+
+    def __init__(self, store: StoreStandIn):
+        super().__init__()
+        self._store = store
+        self.refuses_with: int | None = None
+        self.delay_s = 0.0
+
+    def render(self, request):
+        if self.refuses_with is not None:
+            request.setResponseCode(self.refuses_with)
+            return b"{}"
+        if self.delay_s:
+            reactor.callLater(self.delay_s, self._render_late, request)
+            return server.NOT_DONE_YET
+        return self._store.render(request)
+
+    def _render_late(self, request) -> None:
+        if request._disconnected:
             return
-        await self.link.stop_listening()
-        for instance in self._deployment.instances:
-            await instance.show_server(self.link.address, is_running=False)
-        await process.stop()
-        await self.link.set_fault(FaultKind.RESET, 0.0)
-        await self.link.set_fault(FaultKind.NONE, 0.0)
-        await self.link.stop_listening()
-        reactor.callLater(
-            UNLISTED_AFTER_S,
-            self._deployment.store.put,
-            "servers",
-            process.process_id,
-            None,
-        )
-        await deferLater(reactor, restart_after_s)
-        if not self._deployment.is_stopped:
-            self.start()
+        body = self._store.render(request)
+        if body is not server.NOT_DONE_YET:
+            request.write(body)
+            request.finish()
+
+
+class DeploymentSize(NamedTuple):
+    """Numbers of processes, and whether they are spread over data centres."""
+
+    instances: int = 3
+    plain: int = 4
+    engines: int = 3
+    spare_sites: int = 4
+    data_centres: tuple[str, ...] = ("dc-a",)
+
+
+SMALL = DeploymentSize()
+LARGE = DeploymentSize(
+    instances=6,
+    plain=8,
+    engines=6,
+    spare_sites=10,
+    data_centres=("dc-a", "dc-b", "dc-c"),
+)
 
 
 class SoakDeployment:
@@ -238,66 +248,104 @@
     Parameters
     ----------
     rng : random.Random
-    instance_count, plain_count, engine_count : int
+    size : DeploymentSize
+    has_long_streams : bool
+        Whether there is a route of streams that last for seconds.
     """
 
+    crashing_path = CRASHING_PATH
+
     def __init__(
         self,
         rng: random.Random,
         *,
-        instance_count: int = 3,
-        plain_count: int = 4,
-        engine_count: int = 3,
+        size: DeploymentSize = SMALL,
+        has_long_streams: bool = False,
     ):
         self.rng = rng
+        self.has_long_streams = has_long_streams
         self.is_stopped = False
-        self.arrivals: list[Arrival] = []
-        self.falls: list[Fall] = []
+        self.log = ServerLog()
+        self.departures = DepartureLog()
+        self.processes: list[ListedServer] = []
         self.server_faults = ServerFaults()
         self.store = StoreStandIn()
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="ebonyhaven-soak-"))
-        store_address = allocate_address()
-        host, _, port = store_address.rpartition(":")
-        site = server.Site(self.store)
-        site.noisy = False
-        self._store_port = reactor.listenTCP(int(port), site, interface=host)
+        data_centres = size.data_centres
         self.instances = [
-            SoakInstance(f"n{number}", self.directory, store_address)
-            for number in range(instance_count)
+            SoakInstance(
+                f"n{number}",
+                self.directory,
+                self.store,
+                data_centre=data_centres[number % len(data_centres)],
+                grace_s=LONG_GRACE_S if has_long_streams else GRACE_S,
+            )
+            for number in range(size.instances)
         ]
-        kinds = ["plain"] * plain_count + ["engines"] * engine_count
+        kinds = ["plain"] * size.plain + ["engines"] * size.engines
+        names = [f"s{number}" for number in range(len(kinds) + size.spare_sites)]
+        self._sites = SitePool(names, rng)
+        self._is_started = False
         self.servers = [
-            SoakServer(f"{service[0]}{number}", service, self)
+            SoakServer(
+                f"{service[0]}{number}",
+                service,
+                data_centres[number % len(data_centres)],
+                self,
+            )
             for number, service in enumerate(kinds)
         ]
 
     def start(self) -> None:
-        self.store.put("op", "config", make_soak_configuration(1))
+        self._is_started = True
+        self.put_configuration(1)
         for each in self.servers:
             each.start()
         seeds = [each.addresses["controlPlane"] for each in self.instances]
         for each in self.instances:
-            each.route(self.servers)
-            each.write_settings(seeds)
+            each.route(self._sites.sites)
+            each.write_settings(seeds[:3])
             each.start()
 
+    def put_configuration(self, version: int) -> None:
+        document = make_soak_configuration(
+            version, has_long_streams=self.has_long_streams
+        )
+        self.store.put("op", "config", document)
+
+    def take_site(self) -> ServerSite:
+        return self._sites.take(in_order=not self._is_started)
+
+    def free_site(self, site: ServerSite) -> None:
+        self._sites.free(site)
+
+    def has_free_site(self) -> bool:
+        return self._sites.has_free
+
+    def note_departure(self, process: str, reason: str) -> None:
+        self.departures.note_departure(process, reason)
+
+    def note_listed(self, process: str) -> None:
+        self.departures.note_listed(process)
+
+    def find_listed(self, process: ServerProcess) -> ListedServer:
+        return next(each for each in self.processes if each.process is process)
+
+    def list_running(self) -> list[ListedServer]:
+        return [each for each in self.processes if not each.process.is_dead]
+
     async def stop(self) -> None:
         self.is_stopped = True
         for each in self.instances:
-            each.stop()
-            own_links = (each.caller_link, each.store_link)
-            for link in (*own_links, *each.server_links.values()):
-                await link.set_fault(FaultKind.RESET, 0.0)
-                await link.stop_listening()
-        for each in self.servers:
-            if each.process is not None:
-                await each.process.stop()
-            await each.link.set_fault(FaultKind.RESET, 0.0)
-            await each.link.stop_listening()
-        await self._store_port.stopListening()
+            await each.stop()
+        for each in self.list_running():
+            await each.process.stop()
+        for site in self._sites.sites:
+            await site.link.set_fault(FaultKind.RESET, 0.0)
+            await site.link.stop_listening()
 
 
-def make_soak_configuration(version: int) -> dict:
+def make_soak_configuration(version: int, *, has_long_streams: bool = False) -> dict:
     """Return a configuration with a route of each kind that must keep a promise."""
 
     def make_route(name, kind, service, attempts, timeout_ms, **options):
@@ -314,6 +362,11 @@
         }
 
     engine = {"slots": 8, "kvCapacityTokens": 88000, "backups": False}
+    timeout_ms = int(LONG_ROUTE_TIMEOUT_S * 1000)
+    long_route = make_route(
+        "long", "streaming", "engines", 3, timeout_ms, targetItlMs=700
+    )
+    long_route["targetLatencyMs"] = 2500
     return {
         "version": version,
         "routes": [
@@ -329,6 +382,7 @@
                 targetItlMs=700,
                 streamResume=True,
             ),
+            *([long_route] if has_long_streams else []),
         ],
         "services": [
             {"name": "plain", "maxConnections": 100},
--- /dev/null
+++ b/tests/platform_adapter/soak/_fault_log.py
@@ -0,0 +1,140 @@
+"""What a soak disturbed, and when."""
+
+from __future__ import annotations
+
+import contextlib
+import enum
+import math
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from twisted.internet import reactor
+
+RESTART_S = 1.0  # until an instance that was started again is as the others
+
+
+class DisturbanceKind(enum.Enum):
+    """What happened to an instance or a server."""
+
+    KILL = "kill"
+    STOP = "stop"
+    FREEZE = "freeze"
+    CUT = "cut"
+    STORE_LINK = "store link"
+    CALLER_LINK = "caller link"
+    SERVER_LINK = "server link"
+    PAUSE = "pause"  # of a server
+
+
+class Disturbance(NamedTuple):
+    """Time in which something was disturbed.
+
+    Parameters
+    ----------
+    name : str
+        Name of an instance, address or process of a server.
+    begin, end : float
+        Seconds of the reactor's clock.
+    kind : DisturbanceKind
+    """
+
+    name: str
+    begin: float
+    end: float
+    kind: DisturbanceKind = DisturbanceKind.KILL
+
+    def overlaps(self, since: float, until: float) -> bool:
+        return self.begin < until and self.end > since
+
+
+class Termination(NamedTuple):
+    """A request to stop, from SIGTERM until the time that a process has is over."""
+
+    instance: str
+    at: float
+    grace_s: float
+
+
+class NamedLimit(NamedTuple):
+    """Time in which a server named a limit.
+
+    Parameters
+    ----------
+    place : str
+    rate : float
+        Requests per second.
+    since, until : float
+        Seconds of the reactor's clock.
+    """
+
+    place: str
+    rate: float
+    since: float
+    until: float
+
+
+class FaultLog:
+    """What was disturbed.
+
+    Attributes
+    ----------
+    processes : list of Disturbance
+        Of instances: their processes, and cuts from all servers.
+    links : list of Disturbance
+        Of instances: their links to callers and to the store.
+    server_links : list of Disturbance
+        By address of a server.
+    pauses : list of Disturbance
+        By process of a server.
+    store_times, brittle_times : list of (float, float)
+    terminations : list of Termination
+    configurations : list of float
+        When one was written.
+    named_limits : list of NamedLimit
+    cuts : list of (frozenset of str, float, float)
+        Instances that reached no server.
+    """
+
+    def __init__(self):
+        self.processes: list[Disturbance] = []
+        self.links: list[Disturbance] = []
+        self.server_links: list[Disturbance] = []
+        self.pauses: list[Disturbance] = []
+        self.store_times: list[tuple[float, float]] = []
+        self.brittle_times: list[tuple[float, float]] = []
+        self.terminations: list[Termination] = []
+        self.configurations: list[float] = []
+        self.named_limits: list[NamedLimit] = []
+        self.cuts: list[tuple[frozenset[str], float, float]] = []
+
+    @contextlib.contextmanager
+    def noting(
+        self,
+        times: list[Disturbance],
+        name: str,
+        kind: DisturbanceKind,
+        *,
+        settle_s: float = 0.0,
+    ) -> Iterator[None]:
+        """Note that something is disturbed, and until when."""
+        begin = reactor.seconds()
+        number = len(times)
+        times.append(Disturbance(name, begin, math.inf, kind))
+        try:
+            yield
+        finally:
+            end = reactor.seconds() + settle_s
+            times[number] = Disturbance(name, begin, end, kind)
+
+    def disturbing(self, instance: str, kind: DisturbanceKind):
+        """Note that the process of an instance is disturbed, and until when."""
+        return self.noting(self.processes, instance, kind, settle_s=RESTART_S)
+
+    @contextlib.contextmanager
+    def disturbing_store(self) -> Iterator[None]:
+        """Note that the store is impaired for all, and until when."""
+        begin = reactor.seconds()
+        number = len(self.store_times)
+        self.store_times.append((begin, math.inf))
+        yield
+        self.store_times[number] = (begin, reactor.seconds())
--- a/tests/platform_adapter/soak/_run.py
+++ b/tests/platform_adapter/soak/_run.py
@@ -25,16 +25,34 @@
     check_runs,
     check_streams,
 )
+from tests.platform_adapter.soak._contact import ContactHistory
 from tests.platform_adapter.soak._deployment import (
     BUDGET_WINDOW_S,
     CRASHING_PATH,
     RETRY_RATIO,
     RETRY_SLACK,
+    SMALL,
+    DeploymentSize,
     SoakDeployment,
 )
+from tests.platform_adapter.soak._fault_log import FaultLog
 from tests.platform_adapter.soak._faults import FaultInjector
+from tests.platform_adapter.soak._leaving_checks import (
+    check_leaving,
+    check_leaving_answers,
+    list_late_reads,
+)
+from tests.platform_adapter.soak._loss_checks import (
+    CutHistory,
+    check_closed_channels,
+    check_configuration_cuts,
+    check_stops,
+    list_steady_cuts,
+)
+from tests.platform_adapter.soak._traces import write_traces
 
 CALLER_COUNT = 24
+LONG_CALLER_COUNT = 20
 START_S = 3.0
 SETTLE_S = 1.0  # longer than a request that was refused could still reach a server
 CRASHING_SHARE = 0.01
@@ -51,15 +69,24 @@
         Requests by what their callers were told.
     directory : str
         Logs of the instances.
+    notes : list of str
+        What breaks no promise by itself and helps to find causes.
     """
 
     seed: int
     problems: list[str]
     statuses: dict[str, int]
     directory: str
+    notes: list[str]
 
 
-async def run_soak(seed: int, duration_s: float) -> SoakReport:
+async def run_soak(
+    seed: int,
+    duration_s: float,
+    *,
+    fault_set: str = "standard",
+    size: DeploymentSize = SMALL,
+) -> SoakReport:
     """Run the program under load and faults, and check what happened.
 
     Parameters
@@ -67,19 +94,31 @@
     seed : int
     duration_s : float
         Time of load and faults, seconds.
+    fault_set : str
+        Name of one of `FAULT_SETS`; all but ``standard`` add streams of seconds.
+    size : DeploymentSize
 
     Returns
     -------
     SoakReport
     """
     rng = random.Random(seed)
-    deployment = SoakDeployment(random.Random(rng.random()))
+    has_long_streams = fault_set != "standard"
+    deployment = SoakDeployment(
+        random.Random(rng.random()), size=size, has_long_streams=has_long_streams
+    )
     results: list[Result] = []
     callers = [
         _make_caller(number, deployment, results, random.Random(rng.random()))
         for number in range(CALLER_COUNT)
     ]
-    injector = FaultInjector(deployment, random.Random(rng.random()))
+    injector = FaultInjector(deployment, random.Random(rng.random()), fault_set)
+    if has_long_streams:
+        callers += [
+            _make_long_caller(number, deployment, results, random.Random(rng.random()))
+            for number in range(LONG_CALLER_COUNT * size.instances // 3)
+        ]
+    started_at = reactor.seconds()
     deployment.start()
     try:
         await deferLater(reactor, START_S)
@@ -94,7 +133,7 @@
         await deferLater(reactor, SETTLE_S)
     finally:
         await deployment.stop()
-    return _report(seed, deployment, results, injector)
+    return _report(seed, deployment, results, injector.log, started_at)
 
 
 async def _finish(injector: FaultInjector, faults) -> None:
@@ -110,12 +149,24 @@
         kind = rng.choices(("once", "repeat", "fixed", "stream"), (6, 4, 1, 2))[0]
         return f"/{kind}/{rng.randrange(1_000_000)}"
 
+    return _make_any_caller(f"c{number}", choose_path, deployment, results, rng)
+
+
+def _make_long_caller(number, deployment, results, rng: random.Random) -> SoakCaller:
+    def choose_path() -> str:
+        return f"/long/{rng.randrange(1_000_000)}"
+
+    name = f"c{CALLER_COUNT + number}"
+    return _make_any_caller(name, choose_path, deployment, results, rng)
+
+
+def _make_any_caller(name, choose_path, deployment, results, rng) -> SoakCaller:
     def choose_instance() -> tuple[str, str]:
         instance = rng.choice(deployment.instances)
         return instance.name, instance.caller_link.address
 
     return SoakCaller(
-        f"c{number}",
+        name,
         choose_instance=choose_instance,
         choose_path=choose_path,
         results=results,
@@ -127,10 +178,17 @@
     seed: int,
     deployment: SoakDeployment,
     results: list[Result],
-    injector: FaultInjector,
+    faults: FaultLog,
+    started_at: float,
 ) -> SoakReport:
-    arrivals = deployment.arrivals
-    history = SoakHistory(results, injector.disturbances)
+    arrivals = deployment.log.arrivals
+    departures = deployment.departures.list_all()
+    history = SoakHistory(results, faults.processes)
+    addresses = {
+        each.process.process_id: each.site.address for each in deployment.processes
+    }
+    contact = ContactHistory(results, faults, addresses)
+    cuts = CutHistory(results, deployment.log, contact)
     plain_count = sum(each.service == "plain" for each in deployment.servers)
     problems = [
         *check_runs(arrivals),
@@ -146,22 +204,37 @@
         ),
         *check_crashes(arrivals, CRASHING_PATH, CONTACT_S),
         *check_streams(results),
-        *check_limits(arrivals, injector.named_limits, history),
-        *check_falls(deployment.falls, injector.brittle_times, plain_count, history),
-        *_check_cuts(results, injector, history),
+        *check_limits(arrivals, faults.named_limits, history),
+        *check_falls(deployment.log.falls, faults.brittle_times, plain_count, history),
+        *_check_cuts(results, faults, history),
+        *check_leaving(arrivals, departures, contact),
+        *check_leaving_answers(arrivals, deployment.log.leaving_answers, contact),
+        *check_closed_channels(cuts),
+        *check_stops(cuts, faults.terminations),
+        *check_configuration_cuts(
+            cuts, faults.configurations, started_at + START_S, reactor.seconds()
+        ),
+    ]
+    notes = [
+        *list_late_reads(arrivals, departures, contact),
+        *list_steady_cuts(cuts),
     ]
+    write_traces(
+        deployment.directory, [*problems, *notes], deployment.log, departures, contact
+    )
     statuses = Counter(
         str(each.status) if each.is_whole else "broken" for each in results
     )
-    return SoakReport(seed, problems, dict(statuses), str(deployment.directory))
+    directory = str(deployment.directory)
+    return SoakReport(seed, problems, dict(statuses), directory, notes)
 
 
 def _check_cuts(
-    results: list[Result], injector: FaultInjector, history: SoakHistory
+    results: list[Result], faults: FaultLog, history: SoakHistory
 ) -> list[str]:
     """Return cuts of instances from all servers that their callers felt."""
     problems = []
-    for names, since, until in injector.cuts:
+    for names, since, until in faults.cuts:
         begin = since + CONTACT_S
         during = [
             each
--- a/tests/platform_adapter/soak/_servers.py
+++ b/tests/platform_adapter/soak/_servers.py
@@ -4,6 +4,7 @@
 
 import itertools
 import random
+import re
 from collections import deque
 from typing import NamedTuple
 
@@ -18,6 +19,8 @@
 LATE_EXTRA_S = (0.0, 0.06)
 STREAM_EVENTS = 12
 EVENT_INTERVAL_S = 0.02
+LONG_EVENT_INTERVAL_S = 0.25
+LONG_PATH = "/long"
 OWN_ERROR_STATUSES = (500, 503, 429, 408)  # of requests that the server ran
 
 
@@ -30,9 +33,13 @@
     process : str
         Id of the server's process.
     at : float
-        Seconds of the reactor's clock.
+        When the server read it; seconds of the reactor's clock.
     has_run : bool
         Whether the server ran it; False if it was refused.
+    received_at : float
+        When its last bytes came, which a paused server reads later.
+    refused_with : int or None
+        Status of a refusal.
     """
 
     request_id: str
@@ -40,6 +47,45 @@
     process: str
     at: float
     has_run: bool
+    received_at: float = 0.0
+    refused_with: int | None = None
+
+
+class RunEnd(NamedTuple):
+    """The end of a request at a server.
+
+    Parameters
+    ----------
+    request_id, process : str
+    at : float
+        Seconds of the reactor's clock.
+    is_broken_off : bool
+        Whether the server ended it without an answer.
+    """
+
+    request_id: str
+    process: str
+    at: float
+    is_broken_off: bool
+
+
+class ServerLog:
+    """What all servers note.
+
+    Attributes
+    ----------
+    arrivals : list of Arrival
+    ends : list of RunEnd
+    falls : list of Fall
+    leaving_answers : set of (str, str)
+        Process and request of the answers that said that the server leaves.
+    """
+
+    def __init__(self):
+        self.arrivals: list[Arrival] = []
+        self.ends: list[RunEnd] = []
+        self.falls: list[Fall] = []
+        self.leaving_answers: set[tuple[str, str]] = set()
 
 
 def encode_event(number: int, version: str) -> bytes:
@@ -81,7 +127,8 @@
     connection: ServerConnection
     request_id: str
     path: str
-    arrived_at: float
+    arrived_at: float  # when the server read it
+    received_at: float
     time_limit_s: float
     position: int
 
@@ -94,22 +141,32 @@
         self.codec = h11.Connection(h11.SERVER)
         self.is_lost = False
         self._head = None
+        self._received_at = 0.0
 
     def connectionMade(self) -> None:  # noqa: N802 Twisted API
         self.process.connections.add(self)
 
     def connectionLost(self, reason) -> None:  # noqa: N802 Twisted API
-        self.is_lost = True
         self.process.connections.discard(self)
+        self.process.act(self._mark_lost)
+
+    def _mark_lost(self) -> None:
+        self.is_lost = True
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 Twisted API
+        self.process.act(self._read, data, reactor.seconds())
+
+    def _read(self, data: bytes, received_at: float) -> None:
+        if self.codec.our_state in (h11.MUST_CLOSE, h11.CLOSED):
+            return
+        self._received_at = received_at
         self.codec.receive_data(data)
         while True:
             event = self.codec.next_event()
             if isinstance(event, h11.Request):
                 self._head = event
             elif isinstance(event, h11.EndOfMessage):
-                self.process.accept(self, self._head)
+                self.process.accept(self, self._head, self._received_at)
                 return
             elif not isinstance(event, h11.Data):
                 return
@@ -121,6 +178,8 @@
     def end_cycle(self) -> None:
         if self.codec.our_state is h11.DONE and self.codec.their_state is h11.DONE:
             self.codec.start_next_cycle()
+        elif self.codec.our_state is h11.MUST_CLOSE and not self.is_lost:
+            self.transport.loseConnection()
 
 
 class ServerProcess:
@@ -129,8 +188,7 @@
     Parameters
     ----------
     process_id : str
-    arrivals : list of Arrival
-        Log of all servers.
+    log : ServerLog
     faults : ServerFaults
     rng : random.Random
     crashing_path : str
@@ -138,32 +196,33 @@
     on_crash : callable
         Called when such a request begins to run.
     service, version : str
-    falls : list of Fall
-        Log of all servers.
+
+    Attributes
+    ----------
+    is_leaving : bool
+        Whether answers say that the server leaves.
     """
 
     def __init__(
         self,
         process_id,
         *,
-        arrivals,
+        log,
         faults,
         rng,
         crashing_path,
         on_crash,
         service="plain",
         version="v1",
-        falls=None,
     ):
         self.process_id = process_id
         self.version = version
         self._place = process_id.rpartition("-")[0]
         self._is_plain = service == "plain"
-        self._falls: list[Fall] = [] if falls is None else falls
+        self._log: ServerLog = log
         self._has_fallen = False
         self._refused: deque[tuple[float, str]] = deque()
         self.connections: set[ServerConnection] = set()
-        self._arrivals = arrivals
         self._faults = faults
         self._rng: random.Random = rng
         self._error_statuses = itertools.cycle(OWN_ERROR_STATUSES)
@@ -171,7 +230,11 @@
         self._on_crash = on_crash
         self._running = 0
         self._queue: deque[_Pending] = deque()
+        self._in_hand: dict[tuple[ServerConnection, str], _Pending] = {}
         self._is_dead = False
+        self.is_leaving = False
+        self._is_paused = False
+        self._held: list[tuple] = []  # what a paused process has to do
         self._port = None
 
     def listen(self, address: str) -> None:
@@ -181,17 +244,69 @@
         factory.buildProtocol = lambda _: ServerConnection(self)
         self._port = reactor.listenTCP(int(port), factory, interface=host)
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the process stands still."""
+        return self._is_paused
+
+    @property
+    def is_dead(self) -> bool:
+        """Whether the process has ended."""
+        return self._is_dead
+
+    def pause(self) -> None:
+        """Stand still: bytes that come are kept, and nothing is done with them."""
+        self._is_paused = True
+
+    def resume(self) -> None:
+        """Go on; what came meanwhile is read at once, in order."""
+        self._is_paused = False
+        held, self._held = self._held, []
+        for action, arguments in held:
+            self.act(action, *arguments)
+
+    def act(self, action, *arguments) -> None:
+        """Do something now, or when the process goes on."""
+        if self._is_dead:
+            return
+        if self._is_paused:
+            self._held.append((action, arguments))
+        else:
+            action(*arguments)
+
     async def stop(self) -> None:
         """End the process and break off all of its connections."""
         self._is_dead = True
+        for pending in [*self._queue, *self._in_hand.values()]:
+            self._log_end(pending.request_id, is_broken_off=True)
+        for request_id in self._list_unread():
+            self._log_end(request_id, is_broken_off=True)
         self._queue.clear()
+        self._in_hand.clear()
+        self._held.clear()
         for connection in list(self.connections):
             connection.transport.abortConnection()
         if self._port is not None:
             port, self._port = self._port, None
             await port.stopListening()
 
-    def accept(self, connection: ServerConnection, head: h11.Request) -> None:
+    def _list_unread(self) -> list[str]:
+        """Return the requests whose bytes wait for a paused process."""
+        data = [
+            argument
+            for _, arguments in self._held
+            for argument in arguments
+            if isinstance(argument, bytes)
+        ]
+        return [
+            found.decode()
+            for each in data
+            for found in re.findall(rb"(?i)x-attempt-id: *([^\r\n]+)", each)
+        ]
+
+    def accept(
+        self, connection: ServerConnection, head: h11.Request, received_at: float
+    ) -> None:
         headers = {name.decode(): value.decode() for name, value in head.headers}
         request_id = headers.get("x-attempt-id", "")
         if not request_id:  # a call that the stand-in does not know
@@ -200,15 +315,17 @@
         path = head.target.decode()
         expected = headers.get("x-expect-instance")
         if expected is not None and expected != self.process_id:
-            self._refuse(connection, request_id, path, 421)
+            self._refuse(connection, request_id, path, 421, received_at)
         elif self._running >= SLOTS and len(self._queue) >= self._get_queue_limit():
-            self._refuse(connection, request_id, path, 503)
+            self._refuse(connection, request_id, path, 503, received_at)
             self._record_refused(request_id)
         else:
             limit_s = int(headers.get("x-deadline-ms", "60000")) / 1000
             now = reactor.seconds()
             position = int(headers.get("last-event-id") or 0)
-            pending = _Pending(connection, request_id, path, now, limit_s, position)
+            pending = _Pending(
+                connection, request_id, path, now, received_at, limit_s, position
+            )
             self._queue.append(pending)
             self._run_next()
 
@@ -226,35 +343,48 @@
         if is_brittle and len(self._refused) > limit:
             self._has_fallen = True
             ids = tuple(each for _, each in self._refused)
-            self._falls.append(Fall(self.process_id, now, ids))
+            self._log.falls.append(Fall(self.process_id, now, ids))
             self._on_crash(self)
 
     def _run_next(self) -> None:
         while self._queue and self._running < SLOTS and not self._is_dead:
             pending = self._queue.popleft()
             if reactor.seconds() - pending.arrived_at > pending.time_limit_s:
-                self._refuse(pending.connection, pending.request_id, pending.path, 503)
+                self._refuse(
+                    pending.connection,
+                    pending.request_id,
+                    pending.path,
+                    503,
+                    pending.received_at,
+                )
             elif not pending.connection.is_lost:
                 self._run(pending)
 
     def _run(self, pending: _Pending) -> None:
-        self._log(pending.request_id, pending.path, has_run=True)
+        self._log_arrival(
+            pending.request_id, pending.path, pending.received_at, has_run=True
+        )
         if pending.path.startswith(self._crashing_path):
             self._on_crash(self)
             return
         self._running += 1
+        self._in_hand[pending.connection, pending.request_id] = pending
         work_s = self._rng.uniform(*WORK_S)
-        reactor.callLater(work_s, self._answer, pending)
+        reactor.callLater(work_s, self.act, self._answer, pending)
+
+    def _end_run(self, pending: _Pending, *, is_broken_off: bool = False) -> None:
+        self._running -= 1
+        self._in_hand.pop((pending.connection, pending.request_id), None)
+        self._log_end(pending.request_id, is_broken_off=is_broken_off)
 
     def _answer(self, pending: _Pending) -> None:
         connection, request_id = pending.connection, pending.request_id
-        if self._is_dead:
-            return
         if not self._is_plain:
-            self._start_stream(connection, request_id, pending.position)
+            self._start_stream(pending)
             return
-        self._running -= 1
-        if self._rng.random() < self._faults.lost_answers:
+        is_broken_off = self._rng.random() < self._faults.lost_answers
+        self._end_run(pending, is_broken_off=is_broken_off)
+        if is_broken_off:
             connection.transport.abortConnection()
         else:
             failed = self._rng.random() < self._faults.own_errors
@@ -263,8 +393,10 @@
             self._send(connection, request_id, status, body, stamp=True)
         self._run_next()
 
-    def _refuse(self, connection, request_id, path, status) -> None:
-        self._log(request_id, path, has_run=False)
+    def _refuse(self, connection, request_id, path, status, received_at) -> None:
+        self._log_arrival(
+            request_id, path, received_at, has_run=False, refused_with=status
+        )
         self._send(connection, request_id, status, b"", stamp=False)
 
     def _send(self, connection, request_id, status, body, *, stamp) -> None:
@@ -275,7 +407,7 @@
             ("X-Instance-Id", self.process_id),
             ("X-Server-Load", f"{self._running},{len(self._queue)},{SLOTS}"),
             *self._list_limits(),
-            ("Keep-Alive", "timeout=10"),
+            *self._list_connection_headers(request_id),
             ("Content-Length", str(len(body))),
         ]
         connection.send(h11.Response(status_code=status, headers=headers))
@@ -290,6 +422,12 @@
             delay_s = self._rng.uniform(*LATE_EXTRA_S)
             reactor.callLater(delay_s, self._send_extra, connection, extra)
 
+    def _list_connection_headers(self, request_id: str) -> list[tuple[str, str]]:
+        if not self.is_leaving:
+            return [("Keep-Alive", "timeout=10")]
+        self._log.leaving_answers.add((self.process_id, request_id))
+        return [("Server-Leaving", "1"), ("Connection", "close")]
+
     def _list_limits(self) -> list[tuple[str, str]]:
         headers = []
         if self._place in self._faults.named_limits:
@@ -303,37 +441,59 @@
         if not connection.is_lost and not self._is_dead:
             connection.transport.write(extra)
 
-    def _start_stream(
-        self, connection: ServerConnection, request_id: str, position: int
-    ) -> None:
+    def _start_stream(self, pending: _Pending) -> None:
         headers = [
-            ("X-Attempt-Id", request_id),
+            ("X-Attempt-Id", pending.request_id),
             ("X-Server-Stamp", self.process_id),
             ("Content-Type", "text/event-stream"),
             ("Transfer-Encoding", "chunked"),
             *self._list_limits(),
+            *self._list_connection_headers(pending.request_id),
         ]
-        connection.send(h11.Response(status_code=200, headers=headers))
-        self._send_event(connection, position + 1)
+        pending.connection.send(h11.Response(status_code=200, headers=headers))
+        self._send_event(pending, pending.position + 1)
 
-    def _send_event(self, connection: ServerConnection, number: int) -> None:
-        if connection.is_lost or self._is_dead:
-            self._running -= 1
+    def _send_event(self, pending: _Pending, number: int) -> None:
+        connection = pending.connection
+        if connection.is_lost:
+            self._end_run(pending)
             self._run_next()
             return
         if number <= STREAM_EVENTS:
             event = encode_event(number, self.version)
             connection.send(h11.Data(data=event))
+            is_long = pending.path.startswith(LONG_PATH)
+            interval_s = LONG_EVENT_INTERVAL_S if is_long else EVENT_INTERVAL_S
             reactor.callLater(
-                EVENT_INTERVAL_S, self._send_event, connection, number + 1
+                interval_s, self.act, self._send_event, pending, number + 1
             )
             return
         connection.send(h11.EndOfMessage())
         connection.end_cycle()
-        self._running -= 1
+        self._end_run(pending)
         self._run_next()
 
-    def _log(self, request_id: str, path: str, *, has_run: bool) -> None:
+    def _log_end(self, request_id: str, *, is_broken_off: bool) -> None:
         now = reactor.seconds()
-        arrival = Arrival(request_id, path, self.process_id, now, has_run)
-        self._arrivals.append(arrival)
+        self._log.ends.append(RunEnd(request_id, self.process_id, now, is_broken_off))
+
+    def _log_arrival(
+        self,
+        request_id: str,
+        path: str,
+        received_at: float,
+        *,
+        has_run: bool,
+        refused_with: int | None = None,
+    ) -> None:
+        self._log.arrivals.append(
+            Arrival(
+                request_id,
+                path,
+                self.process_id,
+                reactor.seconds(),
+                has_run,
+                received_at,
+                refused_with,
+            )
+        )
--- /dev/null
+++ b/tests/platform_adapter/soak/_store_faults.py
@@ -0,0 +1,124 @@
+"""Faults of the store, and rows that others write into its tables."""
+
+from __future__ import annotations
+
+import json
+import random
+
+from twisted.internet import reactor
+from twisted.internet.task import deferLater
+
+from tests.platform_adapter.soak._deployment import SoakDeployment
+from tests.platform_adapter.soak._fault_log import DisturbanceKind, FaultLog
+from tests.platform_adapter.soak._link_faults import DURATION_S, LinkDisturber
+from tests.platform_adapter.stand_ins import make_entry
+
+REFUSALS = (503, 429)
+SLOW_S = (0.2, 2.5)
+FOREIGN_ROW_S = (0.5, 8.0)
+UNUSED_ADDRESS = "127.0.0.1:9"
+FOREIGN_FIELDS = {
+    "address": (
+        "127.0.0.1:\u00b2",
+        "127.0.0.1:\u0663",
+        "127.0.0.1:70000",
+        ":",
+        7,
+        None,
+    ),
+    "service": (None, 3, "", {}),
+    "slots": ("6", 10**400, -1, 1.5, None, True),
+    "state": ("gone", [], {}, None),
+    "version": (None, 4, {}),
+    "zone": (None, 5, []),
+    "born": ("x", 10**30, -1, None, {}),
+    "sequence": ({}, 10**60),
+}
+FOREIGN_BYTES = (
+    b"",
+    b"\xff\xfe\x00",
+    b"not JSON",
+    b"[" * 4000,
+    b'{"service":' * 4000,
+    b"[" * 4000 + b"]" * 4000,
+    b"1" * 6000,
+    b"NaN",
+    b"[]",
+    b"null",
+    b'"text"',
+    b'{"slots":1e999}',
+    b'{"\\ud800":1}',
+)
+
+
+class StoreFaults:
+    """Outages of the store, new configurations, and rows of another writer.
+
+    Parameters
+    ----------
+    deployment : SoakDeployment
+    rng : random.Random
+    log : FaultLog
+    """
+
+    def __init__(self, deployment: SoakDeployment, rng: random.Random, log: FaultLog):
+        self._deployment = deployment
+        self._rng = rng
+        self._log = log
+        self._links = LinkDisturber(rng)
+        self._version = 1
+        self._foreign_count = 0
+
+    async def disturb_store(self) -> None:
+        instance = self._rng.choice(self._deployment.instances)
+        kind = DisturbanceKind.STORE_LINK
+        with self._log.noting(self._log.links, instance.name, kind):
+            await self._links.disturb([instance.store_link])
+
+    async def stop_store(self) -> None:
+        with self._log.disturbing_store():
+            self._deployment.store.is_down = True
+            await self._wait()
+            self._deployment.store.is_down = False
+
+    async def refuse_instance(self) -> None:
+        """Have the store refuse or delay the calls of one instance."""
+        instance = self._rng.choice(self._deployment.instances)
+        door = instance.store_door
+        kind = DisturbanceKind.STORE_LINK
+        with self._log.noting(self._log.links, instance.name, kind):
+            door.refuses_with = self._rng.choice((None, *REFUSALS))
+            door.delay_s = self._rng.uniform(*SLOW_S)
+            await self._wait()
+            door.refuses_with, door.delay_s = None, 0.0
+
+    async def forget_history(self) -> None:
+        with self._log.disturbing_store():
+            self._deployment.store.forget_history()
+
+    async def change_configuration(self) -> None:
+        self._version += 1
+        self._log.configurations.append(reactor.seconds())
+        self._deployment.put_configuration(self._version)
+
+    async def write_foreign_row(self) -> None:
+        """Write an entry that names no server to use, and remove it later."""
+        self._foreign_count += 1
+        name = f"other-{self._foreign_count}"
+        self._deployment.store.put_bytes("servers", name, self._make_foreign_row())
+        await deferLater(reactor, self._rng.uniform(*FOREIGN_ROW_S))
+        self._deployment.store.put_bytes("servers", name, None)
+
+    def _make_foreign_row(self) -> bytes:
+        if self._rng.random() < 0.5:
+            return self._rng.choice(FOREIGN_BYTES)
+        entry = make_entry("plain", UNUSED_ADDRESS) | {"state": "draining"}
+        field = self._rng.choice(sorted(FOREIGN_FIELDS))
+        if self._rng.random() < 0.3:
+            del entry[field]
+        else:
+            entry[field] = self._rng.choice(FOREIGN_FIELDS[field])
+        return json.dumps(entry).encode()
+
+    async def _wait(self) -> None:
+        await deferLater(reactor, self._rng.uniform(*DURATION_S))
--- a/tests/platform_adapter/stand_ins.py
+++ b/tests/platform_adapter/stand_ins.py
@@ -37,7 +37,8 @@
 class StoreStandIn(resource.Resource):
     """In-memory store with versioned rows and a change feed.
 
-    It responds with status 503 while ``is_down`` is set. `restore` brings back an older
+    It responds with status 503 while ``is_down`` is set. `forget_history` has it answer
+    410 to those that follow an older version. `restore` brings back an older
     copy, as after the loss of the latest writes.
     """
 
@@ -48,23 +49,34 @@
         self.rows: dict[tuple[str, str], tuple[str, int]] = {}
         self.changes: list[tuple[str, str, str | None, int]] = []
         self.version = 10
+        self._oldest_version = 0
         self.is_down = False
         self.era = 1
         self._pending_polls: list[tuple[server.Request, str, int]] = []
 
     def put(self, table: str, key: str, document) -> None:
+        content = None if document is None else json.dumps(document).encode()
+        self.put_bytes(table, key, content)
+
+    def put_bytes(self, table: str, key: str, content: bytes | None) -> None:
+        """Write a row of any content, or remove it."""
         self.version += 1
         value = None
-        if document is None:
+        if content is None:
             self.rows.pop((table, key), None)
         else:
-            value = base64.b64encode(json.dumps(document).encode()).decode()
+            value = base64.b64encode(content).decode()
             self.rows[table, key] = (value, self.version)
         self.changes.append((table, key, value, self.version))
         polls, self._pending_polls = self._pending_polls, []
         for request, name, after in polls:
             self._answer_feed(request, name, after)
 
+    def forget_history(self) -> None:
+        """Drop the changes up to now."""
+        self._oldest_version = self.version
+        self.changes.clear()
+
     def take_copy(self):
         """Return a copy for `restore`."""
         return dict(self.rows), list(self.changes), self.version
@@ -106,7 +118,7 @@
     def _rows_feed(self, request):
         table = request.args[b"tableName"][0].decode()
         after = int(request.args[b"after"][0])
-        if after > self.version:
+        if after > self.version or after < self._oldest_version:
             request.setResponseCode(410)
             return b"{}"
         wait_s = int(request.args[b"waitMs"][0]) / 1000
