Soak: all servers replaced in turn, second signals in findings

Findings of LOST say whether SIGTERM came twice and when. A pause of a server is noted for as long as that server stood still; until now it lasted until the last of those that stood still with it went on. Only notes and timelines depend on it, no check does.

--- a/tests/platform_adapter/soak/_fault_log.py
+++ b/tests/platform_adapter/soak/_fault_log.py
@@ -48,11 +48,28 @@
 
 
 class Termination(NamedTuple):
-    """A request to stop, from SIGTERM until the time that a process has is over."""
+    """A request to stop, and the time that a process has then.
+
+    Parameters
+    ----------
+    instance : str
+    at : float
+        Time of the signal; seconds of the reactor's clock.
+    grace_s : float
+    second_after_s : float or None
+        Time until the same signal came again.
+    """
 
     instance: str
     at: float
     grace_s: float
+    second_after_s: float | None = None
+
+    def describe(self) -> str:
+        text = f"{self.instance} was stopped at {self.at:.3f}"
+        if self.second_after_s is None:
+            return text
+        return f"{text} and again {self.second_after_s:.3f} s later"
 
 
 class NamedLimit(NamedTuple):
--- a/tests/platform_adapter/soak/_faults.py
+++ b/tests/platform_adapter/soak/_faults.py
@@ -45,6 +45,7 @@
 FAULT_SETS = {
     "standard": _STANDARD,
     "leaving": _LEAVING,
+    "rolling": ("replace_in_turn", "replace_in_turn", *_LEAVING),
     "leaving-disturbed": (
         *_LEAVING,
         "kill_instance",
--- a/tests/platform_adapter/soak/_instance_faults.py
+++ b/tests/platform_adapter/soak/_instance_faults.py
@@ -71,7 +71,7 @@
         with self._log.disturbing(instance.name, DisturbanceKind.STOP):
             instance.signal(signal.SIGTERM)
             now = reactor.seconds()
-            stop = Termination(instance.name, now, instance.grace_s)
+            stop = Termination(instance.name, now, instance.grace_s, second_after_s)
             self._log.terminations.append(stop)
             if second_after_s is not None:
                 reactor.callLater(second_after_s, instance.signal, signal.SIGTERM)
--- a/tests/platform_adapter/soak/_loss_checks.py
+++ b/tests/platform_adapter/soak/_loss_checks.py
@@ -144,7 +144,7 @@
 def check_stops(history: CutHistory, terminations: Sequence[Termination]) -> list[str]:
     """Return requests that a planned stop of their instance left unanswered."""
     return [
-        f"LOST: {each.instance} was stopped at {stop.at:.3f}, "
+        f"LOST: {stop.describe()}, "
         f"{each.ended_at - stop.at:.3f} s before the cut: {history.describe(each)}"
         for stop in terminations
         for each in history.cuts
--- a/tests/platform_adapter/soak/_server_faults.py
+++ b/tests/platform_adapter/soak/_server_faults.py
@@ -17,11 +17,13 @@
     NamedLimit,
 )
 from tests.platform_adapter.soak._link_faults import DURATION_S, LinkDisturber
-from tests.platform_adapter.soak._places import SoakServer
+from tests.platform_adapter.soak._places import ListedServer, SoakServer
 
 LIMIT_DURATION_S = (5.0, 9.0)  # longer than `CONTACT_S` and a span of the limit
 LINGER_S = (0.2, 1.0, 4.0, 8.0)
 PAUSED_S = (1.0, 8.0)
+REPORTING_SHARE = 0.6  # of the servers that leave
+TURN_S = (0.3, 1.5)
 SUCCESSOR_S = (-1.0, 2.0)
 
 
@@ -40,6 +42,7 @@
         self._rng = rng
         self._log = log
         self._links = LinkDisturber(rng)
+        self._is_replacing = False
 
     async def name_limits(self) -> None:
         """Have some plain servers name a limit for longer than instances may take."""
@@ -106,19 +109,23 @@
         running = self._deployment.list_running()
         count = min(self._rng.randint(1, 2), len(running))
         duration_s = self._rng.uniform(*PAUSED_S)
-        paused = []
-        with contextlib.ExitStack() as stack:
-            for each in self._rng.sample(running, count):
-                name, kind = each.process.process_id, DisturbanceKind.PAUSE
-                stack.enter_context(self._log.noting(self._log.pauses, name, kind))
-                paused.append(each.pause(duration_s))
-            await _wait_for_all(paused)
+        chosen = self._rng.sample(running, count)
+        await _wait_for_all([self._pause(each, duration_s) for each in chosen])
+
+    async def _pause(self, listed: ListedServer, duration_s: float) -> None:
+        if listed.process.is_paused:
+            return
+        name, kind = listed.process.process_id, DisturbanceKind.PAUSE
+        with self._log.noting(self._log.pauses, name, kind):
+            await listed.pause(duration_s)
 
     async def replace_server(self) -> None:
         """Have a server leave, with or without a word, and another one follow it."""
-        server = self._rng.choice(self._deployment.servers)
+        await self._replace(self._rng.choice(self._deployment.servers))
+
+    async def _replace(self, server: SoakServer) -> None:
         await server.leave(
-            reports=self._rng.random() < 0.6,
+            reports=self._rng.random() < REPORTING_SHARE,
             linger_s=self._rng.uniform(0.1, self._rng.choice(LINGER_S)),
             successor_after_s=max(0.0, self._rng.uniform(*SUCCESSOR_S)),
         )
@@ -130,16 +137,27 @@
         leaving, *others = self._rng.sample(servers, len(servers))
         still = [each.listed for each in others[:2] if each.listed is not None]
         duration_s = self._rng.uniform(*PAUSED_S)
-        with contextlib.ExitStack() as stack:
-            for each in still:
-                name, kind = each.process.process_id, DisturbanceKind.PAUSE
-                stack.enter_context(self._log.noting(self._log.pauses, name, kind))
-            leave = leaving.leave(
-                reports=self._rng.random() < 0.6,
-                linger_s=self._rng.uniform(1.0, 8.0),
-                successor_after_s=self._rng.uniform(0.0, 2.0),
-            )
-            await _wait_for_all([leave, *(each.pause(duration_s) for each in still)])
+        leave = leaving.leave(
+            reports=self._rng.random() < REPORTING_SHARE,
+            linger_s=self._rng.uniform(*PAUSED_S),
+            successor_after_s=self._rng.uniform(0.0, 2.0),
+        )
+        pauses = [self._pause(each, duration_s) for each in still]
+        await _wait_for_all([leave, *pauses])
+
+    async def replace_in_turn(self) -> None:
+        """Have all servers leave one after the other, some of them overlapping."""
+        if self._is_replacing:
+            return
+        self._is_replacing = True
+        replaced = []
+        for server in self._rng.sample(
+            self._deployment.servers, len(self._deployment.servers)
+        ):
+            replaced.append(ensureDeferred(self._replace(server)))
+            await deferLater(reactor, self._rng.uniform(*TURN_S))
+        await _wait_for_all(replaced)
+        self._is_replacing = False
 
 
 async def _wait_for_all(coroutines) -> None:
