--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -187,7 +187,10 @@
 
     def _notify_observers(self) -> None:
         for observer in self._observers:
-            observer()
+            try:
+                observer()
+            except Exception:  # the change counts whoever fails to act on it
+                _log.exception("state_observer_failed")
 
 
 def _describe_origin(origin: ListOrigin) -> dict[str, object]:
--- a/tests/platform_adapter/test_source.py
+++ b/tests/platform_adapter/test_source.py
@@ -3,17 +3,20 @@
 import json
 import pathlib
 from collections import deque
+from unittest import mock
 
+from ebonyhaven_adapter import _server_list
 from ebonyhaven_adapter._server_list import RESTORE_CONFIRMATION_S
+from ebonyhaven_adapter._servers import decode_backend_entry
 from ebonyhaven_adapter._source import MAX_POLL_S, PlatformStateSource
 from ebonyhaven_adapter._store import Row, RowBatch
-from ebonyhaven_adapter._table_follower import LONG_POLL_S
+from ebonyhaven_adapter._table_follower import LONG_POLL_S, RETRY_INTERVAL_S
 from ebonyhaven_adapter.exceptions import StoreError
 from ebonyhaven_node._frames import encode_json
 from ebonyhaven_node.forwarding import ForwardingState
 from ebonyhaven_node.forwarding.interfaces import ReadGroup
 from structlog.testing import capture_logs
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import Clock
 
 CONFIGURATION = {
@@ -154,6 +157,57 @@
     assert told == ["change"]
 
 
+def test_observer_that_fails_does_not_stop_the_following():
+    # Guards against a list that is read anew forever, or no longer followed.
+    clock, store, state, _ = start_with_complete_state()
+
+    def fail():
+        raise RecursionError
+
+    state.observe(fail)
+    leaving = {**SERVER, "state": "draining"}
+    listed = {**SERVER, "address": "10.0.0.2:80"}
+    store.push("servers", make_rows(15, s_1=leaving, s_2=listed))
+    assert not state.backends.find("s-1").is_usable(clock.seconds())
+    assert state.backends.find("s-2") is not None
+    clock.advance(0.3)
+    assert store.calls[-1] == ("changes", "servers", 15)
+
+
+def test_row_whose_decoding_fails_names_no_server():
+    clock, store, state, _ = start_with_complete_state()
+
+    def decode(server_id, document):
+        if server_id == "s-9":
+            raise RecursionError
+        return decode_backend_entry(server_id, document)
+
+    leaving = {**SERVER, "state": "draining"}
+    with mock.patch.object(_server_list, "decode_backend_entry", decode):
+        store.push("servers", make_rows(15, s_9=SERVER, s_1=leaving))
+    assert not state.backends.find("s-1").is_usable(clock.seconds())
+    clock.advance(0.3)
+    assert store.calls[-1] == ("changes", "servers", 15)
+
+
+def test_failure_within_a_call_is_retried_from_the_version_that_is_known():
+    clock, store, state, _ = start_with_complete_state()
+    for failure in (RecursionError(), CancelledError()):
+        store.pending_calls.pop("servers").errback(failure)
+        clock.advance(RETRY_INTERVAL_S)
+        assert store.calls[-1] == ("changes", "servers", 12)
+    store.push("servers", make_rows(15, s_1=None))
+    assert state.backends.find("s-1") is None
+
+
+def test_stopped_source_does_not_poll_again():
+    clock, store, _, source = start_with_complete_state()
+    calls = len(store.calls)
+    source.stop()
+    clock.advance(10.0)
+    assert len(store.calls) == calls
+
+
 def test_missing_history_triggers_an_immediate_table_read():
     _, store, state, _ = start_with_complete_state()
     store.push("servers", make_store_error(status=410))
