What a reader learned from a peer is not claimed by its next message

Callers saw requests at leaving servers for as long as these were listed, at instances other than the reader: these took a message for complete that left the leave out, and moved past it for good, as an entry changes no more while only its sequence does. It takes a reader that hears of the leave from a peer (in an outage of the store, at its start, after a freeze) before its own poll returns it. Fits the records: only some instances sent too late, while the list went on.

Cause: a message claims all changes between two versions, and leaves out those that change nothing at the reader. What a peer told moved the list of the reader, but not the version from which the next message claims to be complete; nor did the first read of the table, if it was older than the state of the peer. Class: two ways into one state, of which one does not keep up the promise of the other.

--- a/tests/platform_adapter/test_change_feed.py
+++ b/tests/platform_adapter/test_change_feed.py
@@ -21,6 +21,7 @@
 from tests.platform_adapter.test_source import (
     CONFIGURATION,
     SERVER,
+    build_source,
     make_rows,
     make_store_error,
     send_between_instances,
@@ -165,6 +166,43 @@
     assert harness.count_other_polls() == polls + 1
 
 
+def learn_from_peer(source, version):
+    """Let a source take the state of a peer that knows of servers that leave."""
+    entries = [
+        ["s-1", 1000, "engines", "10.0.0.1:80", "dc-a", 4, "leaving", "v1"],
+        ["s-2", 1000, "engines", "10.0.0.2:80", "dc-a", 4, "ready", "v1"],
+    ]
+    source.merge([0, None, [0, version], entries])
+
+
+def test_leave_that_a_reader_learned_from_a_peer_is_not_left_out_for_others():
+    # Guards against a message that claims to hold a change which it leaves out.
+    harness = start_fed()
+    polls = harness.count_other_polls()
+    learn_from_peer(harness.reader, 14)
+    harness.store.push("servers", make_rows(14, s_1={**SERVER, "state": "draining"}))
+    harness.advance(0.35)
+    harness.change(15, s_2={**SERVER, "address": "10.0.0.2:80", "sequence": 2})
+    harness.advance(0.0)
+    is_known = not harness.other_state.backends.find("s-1").is_usable(0.0)
+    assert is_known or harness.count_other_polls() == polls + 1
+
+
+def test_leave_that_a_reader_has_from_a_peer_before_its_own_read_is_read_by_others():
+    harness = start_fed()
+    clock, store, _, reader = build_source()
+    reader.connect_group(FakeGroup(rank=0, publish=harness.other.apply_changes))
+    learn_from_peer(reader, 14)
+    store.push("op", make_rows(10, config=CONFIGURATION))
+    store.push("servers", make_rows(13, s_1=SERVER))
+    reader.start()
+    polls = harness.count_other_polls()
+    store.push("servers", make_rows(15, s_1={**SERVER, "state": "draining"}))
+    clock.advance(0.35)
+    is_known = not harness.other_state.backends.find("s-1").is_usable(0.0)
+    assert is_known or harness.count_other_polls() == polls + 1
+
+
 def test_changes_of_another_era_are_not_applied():
     harness = start_fed()
     version = harness.other.read_version()
