Messages of a reader count from the time of the read, not of their arrival

Callers saw requests at leaving servers up to seconds late, through instances that were well and in touch: the link from the reader was slow, or its machine had been frozen, and each message of seconds ago was taken for a sign that the list is current, so that the instance did not poll.

Cause: there was no bound on the age of what a message says. Class: time of arrival taken for time of the fact. A message now tells the time of the store's clock at which the store answered; an instance knows the difference to its own clock from responses and messages (the greatest difference, as each is late by its way), and counts its pause from the time of the read. Changes of a late message are applied as before.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -8,8 +8,10 @@
 )
 from ebonyhaven_decisions.forwarding._budget import BudgetUse, ServiceRetryBudget
 from ebonyhaven_decisions.forwarding._change_feed import (
+    MAX_FEED_TIMEOUT_S,
     STANDBY_READERS,
     ChangeFeed,
+    MessageAges,
     find_reader_rank,
 )
 from ebonyhaven_decisions.forwarding._crash_history import (
@@ -113,6 +115,7 @@
     "SAMPLED_ENGINES",
     "SERVER_PROBE_INTERVAL_S",
     "SETTLE_S",
+    "MAX_FEED_TIMEOUT_S",
     "STANDBY_READERS",
     "TRIAL_DELAY_S",
     "Backend",
@@ -121,6 +124,7 @@
     "BackendState",
     "BudgetUse",
     "ChangeFeed",
+    "MessageAges",
     "CrashHistory",
     "RequestLimits",
     "EngineLoad",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_change_feed.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_change_feed.py
@@ -23,6 +23,8 @@
 FEED_TIMEOUT_INTERVALS = 3.0  # of the average interval between messages
 SMOOTHING_FACTOR = 0.2
 STANDBY_READERS = 4  # that pass on what they read while the reader is silent
+# A clock that went back by more was started anew; responses are late by less.
+CLOCK_RESET_S = 5.0
 STANDBY_DELAY_S = 0.15  # exceeds the time of a poll that returns at once
 
 
@@ -56,7 +58,7 @@
     Attributes
     ----------
     received_at : float
-        Time of the last message of the reader, seconds.
+        Time at which the reader read what it passed on last, seconds.
     interval_s : float
         Moving average of the time between two messages.
     """
@@ -70,8 +72,11 @@
         Parameters
         ----------
         now : float
-            Seconds.
+            Time of the poll, seconds. A message that was on its way for long says
+            nothing of what came after it.
         """
+        if now <= self.received_at:
+            return
         elapsed_s = min(MAX_FEED_TIMEOUT_S, now - self.received_at)
         self.interval_s += SMOOTHING_FACTOR * (elapsed_s - self.interval_s)
         self.received_at = now
@@ -99,3 +104,52 @@
         timeout_s = min(MAX_FEED_TIMEOUT_S, max(MIN_FEED_TIMEOUT_S, timeout_s))
         timeout_s += STANDBY_DELAY_S * max(0, rank - 1)
         return max(0.0, self.received_at + timeout_s - now)
+
+
+@attrs.define(slots=True)
+class MessageAges:
+    """Ages of messages that name the time of the store's clock at which they were read.
+
+    The difference between the store's clock and the own one is learned from responses
+    and messages. Each is late by the time that it was on its way, so that the greatest
+    difference is the nearest to the truth.
+    """
+
+    _offset_s: float | None = None
+
+    def record_read(self, read_at_s: float, now: float) -> None:
+        """Record a response of the store to this instance.
+
+        Parameters
+        ----------
+        read_at_s : float
+            Time of the store's clock in the response, seconds.
+        now : float
+            Seconds of the own clock.
+        """
+        offset_s = read_at_s - now
+        known_s = self._offset_s
+        if known_s is None or offset_s > known_s or known_s - offset_s > CLOCK_RESET_S:
+            self._offset_s = offset_s
+
+    def measure_age_s(self, read_at_s: float | None, now: float) -> float:
+        """Return the time since the store answered the reader.
+
+        Parameters
+        ----------
+        read_at_s : float or None
+            Time of the store's clock in the message, seconds; None if it names none.
+        now : float
+            Seconds of the own clock.
+
+        Returns
+        -------
+        float
+            Seconds; 0 if unknown.
+        """
+        if read_at_s is None:
+            return 0.0
+        offset_s = read_at_s - now
+        if self._offset_s is None or offset_s > self._offset_s:
+            self._offset_s = offset_s
+        return self._offset_s - offset_s
