Refuse what waits in an instance when it leaves, as nothing of it has run

Callers whose streams waited in an instance for room got no answer when it stopped: their connections were reset 7.4 s later, although nothing had run and others could have taken them. The same held for requests that waited for the first state, and for short requests of routes that last longer than the grace period.

Cause: only requests that arrive after the SIGTERM were asked whether they can end in time; nothing told those that waited. Class: a decision of admission is taken once, and not again when what it rests on changes.

`Shutdown` is part of what relays share. Once it has begun, a stream that has not run and finds no room is refused, with a retry time of zero; one that may have run goes on waiting, as a refusal would be untrue. A stream that finds room is sent only if streams of its route usually end before the instance does. A short request waits for a server as before if its own time ends before the instance, else it is refused. Deadlines end with the instance, so that what is in progress then is ended by its relay, which knows whether it has run: with an answer (502) if none was begun. What servers are told of the time left is unchanged.

--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -22,11 +22,13 @@
 from ebonyhaven_node.forwarding._exchanges import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._outcomes import (
+    CLOSING_REASON,
     LIMITED_REASON,
     NO_SERVER_RETRY_AFTER_S,
     NOT_RUN_STATUSES,
     UNREACHED_REASON,
     make_crash_reason,
+    make_leaving_failure,
     make_unreached_failure,
 )
 from ebonyhaven_node.forwarding._requests import (
@@ -95,12 +97,16 @@
         self._last_reason = "no server was tried"
         self._last_peer = "self"
         timeout_s = request.limit_timeout(route.timeout_s)
-        self._deadline = request.arrived_at + timeout_s
+        self._caller_deadline = request.arrived_at + timeout_s
         self._excluded_servers: set[tuple[str, int]] = set()
         self._server_wait_deadline = (
             request.arrived_at + SERVER_WAIT_TIMEOUT_SHARE * timeout_s
         )
 
+    @property
+    def _deadline(self) -> float:
+        return self._context.shutdown.limit_deadline(self._caller_deadline)
+
     async def run(self) -> None:
         """Forward the request and send the response to the caller.
 
@@ -125,7 +131,7 @@
         while not self._exchange.is_done:
             now = self._context.clock()
             if now >= self._deadline:
-                raise self._build_timeout_failure()
+                raise self._build_late_failure(now)
             message = await self._inbox.get(self._next_timeout(now))
             if message is not None:
                 self._handle_message(message)
@@ -145,10 +151,25 @@
         if self._context.is_left_to_peers() and not self._possible_run_count:
             raise make_unreached_failure(UNREACHED_REASON)
         may_start = not self._is_exhausted() and not self._is_blocked()
-        if may_start and (self._start_attempt() or self._may_wait(now)):
+        if may_start and self._start_attempt():
+            return
+        if not self._possible_run_count:
+            self._leave_to_other_instance()
+        if may_start and self._may_wait(now):
             return
         self._finish_without_success()
 
+    def _leave_to_other_instance(self) -> None:
+        """Refuse a request that would wait longer than this instance is there.
+
+        Raises
+        ------
+        RequestFailure
+            If this instance stops before the deadline of the request.
+        """
+        if self._context.shutdown.cuts(self._caller_deadline):
+            raise make_leaving_failure()
+
     def _may_wait(self, now: float) -> bool:
         """Return whether a server may take the request soon."""
         if now >= self._server_wait_deadline:
@@ -245,7 +266,7 @@
             request=self._request,
             backend=backend,
             plan=AttemptPlan(
-                remaining_s=self._deadline - now, workspace=self._workspace
+                remaining_s=self._caller_deadline - now, workspace=self._workspace
             ),
             inbox=self._inbox,
             context=self._context,
@@ -378,10 +399,18 @@
         self._context.metrics.latency.labels(self._route.kind.value).observe(elapsed_s)
         self._exchange.respond(head.status, head.headers, body)
 
-    def _build_timeout_failure(self) -> Exception:
+    def _build_late_failure(self, now: float) -> Exception:
+        """Return the failure of a request at its deadline."""
         may_have_run = self._possible_run_count or any(
             each.was_sent for each in self._attempts
         )
+        if now >= self._caller_deadline:
+            return self._build_timeout_failure(may_have_run)
+        if not may_have_run:
+            return make_leaving_failure()
+        return make_unknown_failure(CLOSING_REASON, step="call", peer=self._last_peer)
+
+    def _build_timeout_failure(self, may_have_run: bool) -> Exception:
         for attempt in self._attempts:
             if attempt in self._running and attempt.was_sent:
                 attempt.backend.record_result(succeeded=False, latency_s=None)
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -36,6 +36,7 @@
 from ebonyhaven_node.forwarding._peer_directory import PeerDirectory
 from ebonyhaven_node.forwarding._permit_exchange import PermitExchange
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
+from ebonyhaven_node.forwarding._shutdown import Shutdown
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding.interfaces import (
     BackendDialect,
@@ -78,6 +79,7 @@
     contact : ContactMonitor
     permits : PermitExchange
         Permits for requests to brittle servers.
+    shutdown : Shutdown
     relay_peers : PeerDirectory
         Instances that take requests while this one reaches no server.
     data_centre : str
@@ -115,6 +117,7 @@
     stream_index: SharedStreamIndex
     contact: ContactMonitor
     permits: PermitExchange
+    shutdown: Shutdown
     relay_peers: PeerDirectory
     data_centre: str
     reactor: IReactorTime
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -25,13 +25,14 @@
 from ebonyhaven_node.forwarding._exchanges import Exchange
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._outcomes import (
-    LEAVING_RETRY_AFTER_S,
     NOT_READY_RETRY_AFTER_S,
     REACH_STEP,
     make_crash_reason,
+    make_leaving_failure,
 )
 from ebonyhaven_node.forwarding._peer_relay import PeerRelay
 from ebonyhaven_node.forwarding._requests import ForwardRequest
+from ebonyhaven_node.forwarding._shutdown import Shutdown
 from ebonyhaven_node.forwarding._startup import StateWaiter
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding._streams import StreamRelay
@@ -161,17 +162,21 @@
     state : ForwardingState
     waiter : StateWaiter
         Holds requests that arrive before the first configuration.
+    shutdown : Shutdown
     """
 
-    def __init__(self, state: ForwardingState, waiter: StateWaiter):
+    def __init__(self, state: ForwardingState, waiter: StateWaiter, shutdown: Shutdown):
         self._state = state
         self._waiter = waiter
+        self._shutdown = shutdown
 
     async def handle(
         self, work: RequestContext, proceed: Proceed[RequestContext]
     ) -> None:
         """See `Filter.handle`."""
         if not await self._waiter.wait(work.request):
+            if self._shutdown.is_leaving:
+                raise make_leaving_failure()
             raise make_not_run_failure(
                 "no configuration is in force yet",
                 step="configuration",
@@ -248,11 +253,7 @@
     ) -> None:
         """See `Filter.handle`."""
         if not self._accepts(work.route):
-            raise make_not_run_failure(
-                "this instance is leaving; use another",
-                step="admit",
-                retry_after_s=LEAVING_RETRY_AFTER_S,
-            )
+            raise make_leaving_failure()
         await proceed(work)
 
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -211,6 +211,7 @@
             reactor, clock, build_record_store(self.pool)
         )
         self._copier = build_copier(self.pool)
+        self._state_waiter = StateWaiter(self.state, reactor)
         self._chain = self._build_chain(caller_dialect, backend_dialect)
         self.server = CallerServer(
             reactor=reactor,
@@ -288,6 +289,7 @@
         self._shutdown.begin()
         self.membership.leave()
         _log.info("instance_leaving", active=len(self._active))
+        self._wake_requests()
         while self._clock() < self._shutdown.closing_time:
             await task.deferLater(self._reactor, DRAIN_POLL_INTERVAL_S)
         self._log_stopped()
@@ -305,6 +307,12 @@
         if self._log_output is not None:
             self._log_output.drain()
 
+    def _wake_requests(self) -> None:
+        """Have requests in progress take the end of the instance into account."""
+        self._state_waiter.stop()
+        self._capacity_notifier.notify()
+        self._crash_notifier.notify()
+
     def _log_stopped(self) -> None:
         """Log what became of the requests since the shutdown began."""
         works = self._active.values()
@@ -372,13 +380,14 @@
             stream_index=self._stream_index,
             contact=self._contact,
             permits=self._permits,
+            shutdown=self._shutdown,
             relay_peers=PeerDirectory(self._peer_reports.list_reaching),
         )
         return build_chain(
             [
                 ReportFilter(caller_dialect, self._metrics, self._clock),
                 DecodeFilter(caller_dialect),
-                RouteFilter(self.state, StateWaiter(self.state, self._reactor)),
+                RouteFilter(self.state, self._state_waiter, self._shutdown),
                 IdentifyFilter(),
                 CrashFilter(self._crash_monitor),
                 AdmitFilter(self._shutdown.accepts),
--- a/packages/node/src/ebonyhaven_node/forwarding/_outcomes.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_outcomes.py
@@ -8,7 +8,10 @@
 
 NOT_READY_RETRY_AFTER_S = 0.5  # about the time that an instance takes to start
 NO_SERVER_RETRY_AFTER_S = 0.5  # a third of the time to replace a lost server
-LEAVING_RETRY_AFTER_S = 0.0
+LEAVING_RETRY_AFTER_S = 0.0  # at another instance
+LEAVING_REASON = "this instance is leaving; use another"
+LEAVING_STEP = "admit"
+CLOSING_REASON = "this instance stopped before the answer was complete"
 LIMITED_REASON = "the servers limit their requests"
 UNREACHED_REASON = "this instance reaches no server"
 REACH_STEP = "reach"  # of a request for which no server could be reached
@@ -45,3 +48,15 @@
         peer=peer,
         retry_after_s=NO_SERVER_RETRY_AFTER_S,
     )
+
+
+def make_leaving_failure() -> RequestFailure:
+    """Return the failure of a request that was not run before this instance left.
+
+    Returns
+    -------
+    RequestFailure
+    """
+    return make_not_run_failure(
+        LEAVING_REASON, step=LEAVING_STEP, retry_after_s=LEAVING_RETRY_AFTER_S
+    )
--- a/packages/node/src/ebonyhaven_node/forwarding/_shutdown.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shutdown.py
@@ -59,7 +59,27 @@
         now = self._clock()
         if route.kind is RequestKind.STREAM:
             return now < self._began_at + STREAM_ADMISSION_GRACE_SHARE * self._grace_s
-        return now + route.timeout_s < self.closing_time
+        return not self.cuts(now + route.timeout_s)
+
+    def cuts(self, deadline: float) -> bool:
+        """Return whether the shutdown ends before a deadline.
+
+        Parameters
+        ----------
+        deadline : float
+            Seconds.
+        """
+        return self.is_leaving and self.closing_time <= deadline
+
+    def limit_deadline(self, deadline: float) -> float:
+        """Return a deadline, or the end of the shutdown if that is earlier.
+
+        Parameters
+        ----------
+        deadline : float
+            Seconds.
+        """
+        return min(deadline, self.closing_time) if self.is_leaving else deadline
 
 
 class ShutdownReport:
--- a/packages/node/src/ebonyhaven_node/forwarding/_startup.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_startup.py
@@ -27,6 +27,7 @@
         self._reactor = reactor
         self._limits = StateWaitLimits()
         self._waiting: list[Deferred] = []
+        self._is_stopped = False
         state.observe(self._release)
 
     async def wait(self, request: ForwardRequest) -> bool:
@@ -43,6 +44,8 @@
         """
         if self._state.is_complete:
             return True
+        if self._is_stopped:
+            return False
         size = len(request.body)
         wait_s = self._limits.compute_wait_s(
             timeout_s=request.timeout_s, body_bytes=size
@@ -70,9 +73,16 @@
         )
         return self._state.is_complete
 
+    def stop(self) -> None:
+        """Let no request wait any longer."""
+        self._is_stopped = True
+        self._release_all()
+
     def _release(self) -> None:
-        if not self._state.is_complete:
-            return
+        if self._state.is_complete:
+            self._release_all()
+
+    def _release_all(self) -> None:
         waiting, self._waiting = self._waiting, []
         for released in waiting:
             released.callback(None)
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -103,8 +103,9 @@
     exchange : Exchange
     inbox : Inbox
     context : RelayContext
-    deadline : float
-        Deadline of the request, seconds.
+    read_deadline : callable
+        Returns the deadline of the request, seconds; it is earlier once this instance
+        leaves.
     can_go_on_elsewhere : callable
         Returns whether another server would take the stream now.
     """
@@ -120,7 +121,7 @@
         exchange: Exchange,
         inbox: Inbox,
         context: RelayContext,
-        deadline: float,
+        read_deadline: Callable[[], float],
         can_go_on_elsewhere: Callable[[], bool],
     ):
         self._attempt = attempt
@@ -132,7 +133,7 @@
         self._exchange = exchange
         self._inbox = inbox
         self._context = context
-        self._deadline = deadline
+        self._read_deadline = read_deadline
         self._can_go_on_elsewhere = can_go_on_elsewhere
 
     async def run(self) -> AttemptResult:
@@ -148,7 +149,7 @@
                 self._run_copy.update(now)
             limits = self._monitor.compute_silence_limits(self._run_copy.is_usable(now))
             wait_s = self._monitor.compute_wait_s(limits, now)
-            message = await self._inbox.get(min(wait_s, self._deadline - now))
+            message = await self._inbox.get(min(wait_s, self._read_deadline() - now))
             if self._exchange.is_done:
                 return AttemptResult(AttemptEnd.DONE, "the caller disconnected")
             self._run_copy.handle_message(message)
@@ -228,11 +229,13 @@
     def _handle_silence(self, limits: SilenceLimits) -> AttemptResult | None:
         now = self._context.clock()
         silent_s = now - self._monitor.last_received_at
-        is_over = now >= self._deadline
-        if not is_over and silent_s < limits.resume_after_s:
+        is_over = now >= self._read_deadline()
+        is_silent = silent_s >= limits.resume_after_s
+        if not is_over and not is_silent:
             self._probe()
             return None
-        self._report_silence(now)
+        if is_silent:
+            self._report_silence(now)
         if is_over or self._can_leave_server():
             was_sent = self._attempt.was_sent
             end = AttemptEnd.SILENT if was_sent else AttemptEnd.UNREACHABLE
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -10,6 +10,10 @@
 from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._earlier_runs import EarlierRun
 from ebonyhaven_node.forwarding._outcomes import (
+    CLOSING_REASON,
+    LEAVING_REASON,
+    LEAVING_RETRY_AFTER_S,
+    LEAVING_STEP,
     LIMITED_REASON,
     NO_SERVER_RETRY_AFTER_S,
     REACH_STEP,
@@ -25,6 +29,7 @@
 MAX_TRIED_SERVERS = 40  # ended servers do not count against the route's max_attempts
 LATEST_START_SHARE = 0.75  # of the timeout; streams started later would not complete
 DEADLINE_END = "deadline"
+CLOSING_END = "closing"
 NO_ATTEMPT_END = "no_attempt"
 
 
@@ -46,6 +51,9 @@
     step: str = "route"
 
 
+LEAVING_GIVE_UP = GiveUpReason(LEAVING_REASON, LEAVING_RETRY_AFTER_S, LEAVING_STEP)
+
+
 class StreamLimits:
     """Counts the attempts of a stream and decides whether there is another one.
 
@@ -62,7 +70,7 @@
 
     Attributes
     ----------
-    deadline : float
+    caller_deadline : float
         Deadline of the request, seconds.
     attempts : int
         Attempts whose request was sent, or is being sent.
@@ -87,7 +95,7 @@
         "_tried_servers",
         "_version",
         "attempts",
-        "deadline",
+        "caller_deadline",
         "last_peer",
         "last_reason",
         "may_have_run",
@@ -114,7 +122,7 @@
         self._server_selector = server_selector
         self._context = context
         timeout_s = request.limit_timeout(route.timeout_s)
-        self.deadline = request.arrived_at + timeout_s
+        self.caller_deadline = request.arrived_at + timeout_s
         self._latest_start = request.arrived_at + LATEST_START_SHARE * timeout_s
         self._tried_servers = 0
         self._failed_attempts = 0
@@ -125,6 +133,19 @@
         self.last_reason = "no server was tried"
         self.last_peer = "self"
 
+    @property
+    def deadline(self) -> float:
+        """Deadline of the request, or end of this instance if earlier, seconds."""
+        return self._context.shutdown.limit_deadline(self.caller_deadline)
+
+    @property
+    def must_use_other_instance(self) -> bool:
+        """Whether the stream is better off elsewhere than waiting here.
+
+        While this instance leaves, that holds for each stream that has not run.
+        """
+        return self._context.shutdown.is_leaving and not self.may_have_run
+
     def record_start(self) -> None:
         """Count an attempt that starts."""
         self.attempts += 1
@@ -152,7 +173,9 @@
             self._lost_servers.append(backend)
 
     def name_last_end(self, now: float) -> str:
-        """Return the deadline, or how the last attempt ended, for logs and metrics.
+        """Return what ended the request, or how its last attempt ended.
+
+        For logs and metrics, whose values it bounds.
 
         Parameters
         ----------
@@ -160,7 +183,7 @@
             Seconds.
         """
         if now >= self.deadline:
-            return DEADLINE_END
+            return DEADLINE_END if now >= self.caller_deadline else CLOSING_END
         return self._last_end.value if self._last_end else NO_ATTEMPT_END
 
     def is_undecided(self) -> bool:
@@ -205,6 +228,8 @@
         reason = self._find_permanent_reason(now)
         if reason is not None:
             return GiveUpReason(reason, retry_after_s=None)
+        if self.must_use_other_instance and not self._can_finish(now, self.deadline):
+            return LEAVING_GIVE_UP
         if self._context.is_left_to_peers():
             return GiveUpReason(
                 UNREACHED_REASON, NO_SERVER_RETRY_AFTER_S, step=REACH_STEP
@@ -225,13 +250,17 @@
         if obstacle is not None:
             return obstacle
         may_start = self.may_have_run or now < self._latest_start
-        if not may_start or self._progress.delivered or self._can_finish_in_time(now):
+        if not may_start or self._progress.delivered:
+            return None
+        if self._can_finish(now, self.caller_deadline):
             return None
         return "too little time is left for a whole answer"
 
     def _find_exceeded_limit(self, now: float) -> str | None:
-        if now >= self.deadline:
+        if now >= self.caller_deadline:
             return "the time of the request is over"
+        if now >= self.deadline:
+            return CLOSING_REASON
         if not self.may_have_run:
             is_late = now >= self._latest_start
             return "no server had room in time" if is_late else self._check_attempts()
@@ -256,10 +285,11 @@
             return None
         return f"too many attempts; last: {self.last_reason}"
 
-    def _can_finish_in_time(self, now: float) -> bool:
+    def _can_finish(self, now: float, deadline: float) -> bool:
+        """Return whether a stream that starts now can complete before a deadline."""
         position = self._progress.position or ""
         return self._context.get_stream_durations(self._route.name).can_finish_in_time(
-            remaining_s=self.deadline - now,
+            remaining_s=deadline - now,
             events_delivered=int(position) if position.isdigit() else 0,
             has_copy=self._earlier_run.has_copy,
             has_room=self._server_selector.has_room(now, self._version.name),
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_targets.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_targets.py
@@ -21,7 +21,11 @@
 from ebonyhaven_node.forwarding._progress import StreamProgress
 from ebonyhaven_node.forwarding._requests import CopyReference, ForwardRequest
 from ebonyhaven_node.forwarding._run_copies import RunCopy
-from ebonyhaven_node.forwarding._stream_limits import GiveUpReason, StreamLimits
+from ebonyhaven_node.forwarding._stream_limits import (
+    LEAVING_GIVE_UP,
+    GiveUpReason,
+    StreamLimits,
+)
 from ebonyhaven_node.forwarding._stream_servers import StreamServerSelector
 from ebonyhaven_node.forwarding._stream_versions import StreamVersion
 
@@ -165,6 +169,8 @@
                     found = self._look(copy, now)
                     if found is not None:
                         return found
+                if self._limits.must_use_other_instance:
+                    return LEAVING_GIVE_UP
                 message = await self._inbox.get(CAPACITY_POLL_INTERVAL_S)
                 while message is not None and not isinstance(message, CapacityChanged):
                     message = await self._inbox.get(0.0)
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -182,7 +182,7 @@
             delivered=self._progress.delivered,
             attempts=self._limits.attempts,
             waited_s=round(now - self._request.arrived_at, 3),
-            remaining_s=round(self._limits.deadline - now, 3),
+            remaining_s=round(self._limits.caller_deadline - now, 3),
         )
         if self._exchange.is_started:
             kind = self._route.kind.value
@@ -202,7 +202,7 @@
             reason.text,
             step="stream" if reason.step == "route" else reason.step,
             peer=self._limits.last_peer,
-            status=504 if now >= self._limits.deadline else 502,
+            status=504 if now >= self._limits.caller_deadline else 502,
         )
 
     # -- attempt -----------------------------------------------------------
@@ -219,7 +219,7 @@
             request=self._request,
             backend=backend,
             plan=AttemptPlan(
-                remaining_s=self._limits.deadline - now,
+                remaining_s=self._limits.caller_deadline - now,
                 workspace=self._workspace,
                 priority=choose_engine_priority(
                     is_late=self._progress.is_late,
@@ -286,7 +286,7 @@
             exchange=self._exchange,
             inbox=self._inbox,
             context=self._context,
-            deadline=self._limits.deadline,
+            read_deadline=lambda: self._limits.deadline,
             can_go_on_elsewhere=lambda: self._targets.has_other(
                 copy if monitor.events else None, attempt.backend
             ),
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -2,12 +2,24 @@
 
 from __future__ import annotations
 
+from ebonyhaven_decisions.forwarding import EngineUse, RequestKind
 from structlog.testing import capture_logs
 
-from tests.forwarding.harness import answer, chunk, event
+from tests.forwarding.harness import (
+    STREAM_END,
+    ForwardingHarness,
+    answer,
+    chunk,
+    event,
+    make_configuration,
+    make_route,
+    stream_head,
+)
 from tests.forwarding.streaming import SIZE_HEADERS, open_stream, start_stream
 
 GRACE_S = 8.0
+LOSS_SLACK_S = 0.2  # an answer that is due at once has come by then
+FULL = EngineUse(88_000, 0, 80_000)
 EVENT_INTERVAL_S = 0.2
 
 
@@ -51,3 +63,127 @@
     name = "ebonyhaven_incomplete_responses_total"
     assert harness.gateway.registry.get_sample_value(name, sample) == 1.0
     assert find_line(lines, "stream_given_up")["last_end"] == "lost"
+
+
+def fill_engines(harness):
+    """Let another instance report that no engine has room."""
+    uses = {each.server_id: FULL for each in harness.state.backends}
+    harness.gateway._peers.record("n2", uses, harness.reactor.seconds())
+
+
+def free_engines(harness):
+    harness.gateway._peers.record("n2", {}, harness.reactor.seconds())
+    harness.gateway._capacity_notifier.notify_soon()
+
+
+def send_stream(harness, request_id="r1", path="/fixed/x", **options):
+    caller = harness.open_caller()
+    caller.request(path, request_id, **SIZE_HEADERS, **options)
+    return caller
+
+
+def is_sent_elsewhere(caller) -> bool:
+    """Return whether a caller may ask again elsewhere at once, as nothing was run."""
+    status, headers, _, is_complete = caller.read_answer()
+    return is_complete and status == 503 and float(headers["retry-after"]) == 0.0
+
+
+def test_streams_that_wait_for_room_are_refused_at_once_when_an_instance_leaves():
+    harness = ForwardingHarness()
+    fill_engines(harness)
+    callers = [send_stream(harness, f"r{number}") for number in range(13)]
+    harness.advance(1.0)
+    assert not any(each.received for each in callers)
+    harness.leave()
+    harness.advance(LOSS_SLACK_S)
+    assert all(map(is_sent_elsewhere, callers))
+    assert harness.count_waiting() == 0
+
+
+def test_stream_that_finds_no_room_at_a_leaving_instance_does_not_wait():
+    harness = ForwardingHarness()
+    harness.leave()
+    sent = send_stream(harness, "r1")
+    assert harness.count_waiting() == 1
+    fill_engines(harness)
+    refused = send_stream(harness, "r2")
+    harness.advance(LOSS_SLACK_S)
+    assert not sent.received
+    assert is_sent_elsewhere(refused)
+
+
+def test_stream_that_may_have_run_still_waits_for_room_at_a_leaving_instance():
+    harness = ForwardingHarness()
+    caller = send_stream(harness, path="/stream/x")
+    server, _ = open_stream(harness, 1)
+    fill_engines(harness)
+    harness.inspector.result = None
+    harness.leave()
+    for each in harness.state.backends:
+        each.suspect_until = harness.reactor.seconds() + 2.0
+    server.reset()
+    harness.advance(1.0)
+    assert harness.count_waiting() == 0
+    assert not caller.transport.aborted
+    free_engines(harness)
+    harness.advance(2.0)
+    second, _, _ = harness.take_request()
+    second.receive(stream_head("r1") + chunk(event(2)) + STREAM_END)
+    assert caller.read_answer()[2:] == (event(1) + event(2), True)
+
+
+def test_stream_that_lasts_longer_than_the_instance_is_refused_once_it_leaves():
+    harness = ForwardingHarness()
+    durations = harness.gateway._context.get_stream_durations("fixed")
+    durations.record(first_event_s=1.0, streaming_s=12.0, events=100)
+    harness.leave()
+    refused = send_stream(harness, "r1")
+    harness.advance(LOSS_SLACK_S)
+    assert is_sent_elsewhere(refused)
+    short = send_stream(harness, "r2", "/stream/x")
+    assert not short.received
+    assert harness.count_waiting() == 1
+
+
+def test_request_that_waits_for_the_first_state_is_refused_when_an_instance_leaves():
+    harness = ForwardingHarness(configuration=False)
+    caller = send_stream(harness)
+    harness.leave()
+    harness.advance(LOSS_SLACK_S)
+    assert is_sent_elsewhere(caller)
+    late = send_stream(harness)
+    assert is_sent_elsewhere(late)
+
+
+def rest_servers(harness, seconds):
+    """Let all plain servers have refused a request, so that calls wait for them."""
+    now = harness.reactor.seconds()
+    for each in harness.state.backends:
+        each.record_refused(now, 0.5)
+        each.resting_until = now + seconds
+
+
+def test_call_that_ends_before_the_instance_still_waits_for_a_server():
+    harness = ForwardingHarness()
+    rest_servers(harness, 0.1)
+    caller = harness.open_caller()
+    caller.request("/once/x")
+    harness.leave()
+    assert harness.count_waiting() == 0
+    harness.advance(0.2)
+    server, _, _ = harness.take_request()
+    server.receive(answer("r1"))
+    assert caller.read_answer()[0] == 200
+
+
+def test_waiting_call_that_may_last_longer_than_the_instance_is_refused():
+    route = make_route("long", RequestKind.NON_IDEMPOTENT, timeout_s=30.0)
+    harness = ForwardingHarness(make_configuration(routes=[route]))
+    rest_servers(harness, 5.0)
+    caller = harness.open_caller()
+    caller.request("/long/x")
+    harness.advance(0.5)
+    assert not caller.received
+    harness.leave()
+    harness.advance(LOSS_SLACK_S)
+    assert is_sent_elsewhere(caller)
