Answer what is open when an instance closes, and send what was written

Callers whose answer was complete lost it if it was still being sent when the grace period of its instance ended, as all connections were aborted. Requests that no server had begun to answer, and that another instance was asked for, got a closed connection and no answer.

Class: connections were closed without asking what they carry. Connections then close once what was written has been sent, for 0.2 s at most; only what is left is aborted. The departure is told to other instances in the same time. `instance_stopped` counts after that.

`CallerServer.close_idle`, which nothing called, goes.

--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -34,7 +34,7 @@
     RelayContext,
 )
 from ebonyhaven_node.forwarding._crash_monitor import CrashMonitor
-from ebonyhaven_node.forwarding._exchanges import Exchange
+from ebonyhaven_node.forwarding._exchanges import Exchange, ExchangeEnd
 from ebonyhaven_node.forwarding._filters import (
     AdmitFilter,
     CrashFilter,
@@ -62,6 +62,7 @@
 from ebonyhaven_node.forwarding._shutdown import Shutdown, ShutdownReport
 from ebonyhaven_node.forwarding._startup import StateWaiter
 from ebonyhaven_node.forwarding._state import ForwardingState
+from ebonyhaven_node.forwarding._stream_limits import CLOSING_END
 from ebonyhaven_node.forwarding._version_records import VersionRecorder
 from ebonyhaven_node.forwarding.interfaces import (
     BackendDialect,
@@ -76,6 +77,9 @@
 
 LISTEN_BACKLOG = 512  # connections not yet accepted during a burst
 DRAIN_POLL_INTERVAL_S = 0.05
+ENDING_S = 0.1  # in which relays end what is in progress when the instance closes
+SENDING_S = 0.2  # in which responses that were written reach their callers
+CLOSING_STATUS = 502  # of requests that may have run
 MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024  # a quarter of the target of an instance
 
 _log = structlog.get_logger()
@@ -290,13 +294,42 @@
         self.membership.leave()
         _log.info("instance_leaving", active=len(self._active))
         self._wake_requests()
-        while self._clock() < self._shutdown.closing_time:
-            await task.deferLater(self._reactor, DRAIN_POLL_INTERVAL_S)
+        closing_time = self._shutdown.closing_time
+        await self._poll_until(lambda: False, closing_time)
+        departure = self.membership.depart()
+        await self._poll_until(lambda: not self._active, closing_time + ENDING_S)
+        self._end_open_requests()
         self._log_stopped()
-        await self.membership.depart()
         self.server.close_all()
+        await self._poll_until(
+            lambda: not self.server.connections, closing_time + ENDING_S + SENDING_S
+        )
+        await departure
+        self.server.abort_all()
         self._stack.close()
 
+    async def _poll_until(self, is_done: Callable[[], bool], deadline: float) -> None:
+        """Wait until something is done, or until a deadline in seconds."""
+        while not is_done() and (remaining_s := deadline - self._clock()) > 0.0:
+            await task.deferLater(
+                self._reactor, min(DRAIN_POLL_INTERVAL_S, remaining_s)
+            )
+
+    def _end_open_requests(self) -> None:
+        """End the requests whose relays have not done so at the end of the instance.
+
+        They may have run.
+        """
+        for exchange, work in list(self._active.items()):
+            kind, request_id = _describe(work)
+            _log.warning("request_cut", request=request_id, kind=kind)
+            if exchange.is_started:
+                self._metrics.incomplete.labels(kind, CLOSING_END).inc()
+                exchange.abort()
+            else:
+                exchange.respond(CLOSING_STATUS, (), b"{}")
+            exchange.on_disconnect()
+
     def _count_suspects(self) -> int:
         now = self._clock()
         return sum(now < each.suspect_until for each in self.state.backends)
@@ -315,8 +348,6 @@
 
     def _log_stopped(self) -> None:
         """Log what became of the requests since the shutdown began."""
-        works = self._active.values()
-        self._shutdown_report.record_open(map(_describe, works))
         _log.info(
             "instance_stopped",
             active=len(self._active),
@@ -439,6 +470,8 @@
         if check is None:
             return
         if check(CancelledError):
+            if exchange.end is not ExchangeEnd.DISCONNECTED:
+                return
             _log.info("caller_left", target=exchange.head.target.decode("latin-1"))
             return
         _log.error("request_crashed", error=result.getTraceback())
--- a/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
@@ -89,11 +89,6 @@
         elif len(self._codec.trailing_data[0]) > MAX_PIPELINED_BYTES:
             self.transport.abortConnection()
 
-    def close_if_idle(self) -> None:
-        """Close the connection unless it has a request in progress."""
-        if self._exchange is None and self._head is None:
-            self.transport.loseConnection()
-
     def write_response(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response and prepare for the next request."""
         self.write_head(status, headers)
@@ -341,12 +336,12 @@
         """Return the protocol of a new connection."""
         return CallerConnection(self)
 
-    def close_idle(self) -> None:
-        """Close the connections that have no request in progress."""
+    def close_all(self) -> None:
+        """Close all connections once what was written to them has been sent."""
         for connection in list(self.connections):
-            connection.close_if_idle()
+            connection.transport.loseConnection()
 
-    def close_all(self) -> None:
+    def abort_all(self) -> None:
         """Close all connections at once."""
         for connection in list(self.connections):
             connection.transport.abortConnection()
--- a/packages/node/src/ebonyhaven_node/forwarding/_shutdown.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shutdown.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
 from ebonyhaven_decisions.forwarding import RequestKind, Route
@@ -101,17 +101,6 @@
         """
         self._add(_name_end(exchange), kind, request_id)
 
-    def record_open(self, requests: Iterable[tuple[str, str | None]]) -> None:
-        """Count requests that are in progress when the instance stops, as aborted.
-
-        Parameters
-        ----------
-        requests : iterable of (str, str or None)
-            Kind and id of each.
-        """
-        for kind, request_id in requests:
-            self._add(ExchangeEnd.ABORTED.value, kind, request_id)
-
     def summarize(self) -> dict[str, Any]:
         """Return counts by end and kind, and a few ids of those not answered."""
         fields: dict[str, Any] = {
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -239,7 +239,8 @@
         if is_over or self._can_leave_server():
             was_sent = self._attempt.was_sent
             end = AttemptEnd.SILENT if was_sent else AttemptEnd.UNREACHABLE
-            return AttemptResult(end, f"silent for {silent_s:.2f} s")
+            reason = f"silent for {silent_s:.2f} s" if is_silent else "out of time"
+            return AttemptResult(end, reason)
         if self._context.crash_monitor.has_ended(self._backend):
             return AttemptResult(AttemptEnd.LOST, "the process of the server has ended")
         self._monitor.kept_at = now
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -14,6 +14,7 @@
     StreamRecordStore,
     VersionRecordStore,
 )
+from twisted.internet.defer import succeed
 
 
 class StaticStateSource(StateSource):
@@ -147,5 +148,5 @@
     def leave(self):
         pass
 
-    async def depart(self):
-        pass
+    def depart(self):
+        return succeed(None)
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from ebonyhaven_decisions.forwarding import EngineUse, RequestKind
+from ebonyhaven_node.forwarding._shutdown import SHUTDOWN_MARGIN_S
 from structlog.testing import capture_logs
 
 from tests.forwarding.harness import (
+    STEP_S,
     STREAM_END,
     ForwardingHarness,
     answer,
@@ -16,6 +18,7 @@
     stream_head,
 )
 from tests.forwarding.streaming import SIZE_HEADERS, open_stream, start_stream
+from tests.forwarding.test_cut_off import CutOffHarness
 
 GRACE_S = 8.0
 LOSS_SLACK_S = 0.2  # an answer that is due at once has come by then
@@ -187,3 +190,95 @@
     harness.leave()
     harness.advance(LOSS_SLACK_S)
     assert is_sent_elsewhere(caller)
+
+
+def advance_to_closing(harness):
+    harness.advance(GRACE_S - SHUTDOWN_MARGIN_S - STEP_S)
+
+
+def test_request_at_a_silent_server_is_answered_when_its_instance_closes():
+    harness = ForwardingHarness()
+    caller = send_stream(harness)
+    server, _, _ = harness.take_request()
+    harness.leave()
+    advance_to_closing(harness)
+    assert not caller.received
+    assert not server.is_closed
+    harness.advance(LOSS_SLACK_S)
+    status, _, _, is_complete = caller.read_answer()
+    assert (status, is_complete) == (502, True)
+    assert server.is_closed
+
+
+def test_short_request_at_a_silent_server_is_answered_when_its_instance_closes():
+    route = make_route("long", RequestKind.NON_IDEMPOTENT, timeout_s=30.0)
+    harness = ForwardingHarness(make_configuration(routes=[route]))
+    caller = harness.open_caller()
+    caller.request("/long/x")
+    assert harness.count_waiting() == 1
+    harness.leave()
+    advance_to_closing(harness)
+    assert not caller.received
+    harness.advance(LOSS_SLACK_S)
+    assert caller.read_answer()[::3] == (502, True)
+    failures = [each.failure_share for each in harness.state.backends]
+    assert not any(failures)  # the instance ended it, not the server
+
+
+def test_begun_stream_is_cut_visibly_when_its_instance_closes():
+    harness, caller = start_stream("/fixed/x")
+    server, _ = open_stream(harness, 1)
+    harness.leave()
+    advance_streaming(harness, server, GRACE_S - 2 * EVENT_INTERVAL_S)
+    harness.advance(LOSS_SLACK_S)
+    assert caller.transport.aborted
+    assert not caller.read_answer()[3]
+    sample = {"kind": "stream", "reason": "closing"}
+    name = "ebonyhaven_incomplete_responses_total"
+    assert harness.gateway.registry.get_sample_value(name, sample) == 1.0
+
+
+def test_complete_answers_are_sent_before_their_connections_close():
+    harness = ForwardingHarness()
+    caller = harness.open_caller()
+    caller.request("/once/x")
+    server, _, _ = harness.take_request()
+    harness.leave()
+    server.receive(answer("r1"))
+    advance_to_closing(harness)
+    harness.advance(LOSS_SLACK_S)
+    assert caller.transport.is_closed
+    assert not caller.transport.aborted
+    harness.advance(GRACE_S)
+    assert caller.transport.aborted  # it has not read its answer
+
+
+def test_requests_until_the_last_moment_are_answered():
+    harness = ForwardingHarness()
+    harness.leave()
+    callers = []
+    for _ in range(round((GRACE_S - SHUTDOWN_MARGIN_S) / EVENT_INTERVAL_S)):
+        callers.append(harness.open_caller())
+        callers[-1].request("/once/x")
+        for server in [each for each in harness.connections if each.has_request()]:
+            server.read_request()
+            server.receive(answer("r1"))
+        harness.advance(EVENT_INTERVAL_S)
+    harness.advance(LOSS_SLACK_S)
+    statuses = [each.read_answer()[::3] for each in callers]
+    assert set(statuses) == {(200, True), (503, True)}
+    assert statuses == sorted(statuses)
+
+
+def test_request_at_another_instance_is_answered_when_its_instance_closes():
+    harness = CutOffHarness()
+    harness.lose_contact()
+    caller = send_stream(harness, "r2")
+    harness.advance(0.01)
+    peer, _, _ = harness.take_request()
+    harness.leave()
+    advance_to_closing(harness)
+    assert not caller.received
+    harness.advance(LOSS_SLACK_S)
+    assert caller.read_answer()[::3] == (502, True)
+    assert peer.is_closed
