--- a/tests/platform_adapter/stand_ins.py
+++ b/tests/platform_adapter/stand_ins.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import json
 import os
 import pathlib
@@ -329,7 +330,10 @@
         self.settings_path.write_text(json.dumps(settings))
         self.log_path = self.directory / "n1.log"
         self._log = self.log_path.open("wb")
-        self.process = subprocess.Popen(
+        self.process = self._start()
+
+    def _start(self) -> subprocess.Popen:
+        return subprocess.Popen(
             [sys.executable, "-m", "ebonyhaven_adapter"],
             env={**os.environ, "EBONYHAVEN_NODE_FILE": str(self.settings_path)},
             stdout=self._log,
@@ -360,3 +364,34 @@
             self.process.kill()
         self.process.wait(30)
         self._log.close()
+
+
+class StartingNodeProcess(NodeProcess):
+    """Process that reads its settings from a pipe, and waits for them."""
+
+    def _start(self) -> subprocess.Popen:
+        self._settings = self.settings_path.read_bytes()
+        self.settings_path.unlink()
+        os.mkfifo(self.settings_path)
+        return super()._start()
+
+    def open_settings(self) -> int:
+        """Return the writing end of the pipe once the process waits for it."""
+        descriptors = []
+
+        def is_open() -> bool:
+            with contextlib.suppress(OSError):
+                flags = os.O_WRONLY | os.O_NONBLOCK
+                descriptors.append(os.open(self.settings_path, flags))
+            return bool(descriptors)
+
+        wait_until(is_open)
+        return descriptors[0]
+
+    def write_settings(self, descriptor: int) -> None:
+        """Give the process its settings; the same are in the file from then on."""
+        replacement = self.settings_path.with_suffix(".new")
+        replacement.write_bytes(self._settings)
+        replacement.replace(self.settings_path)
+        os.write(descriptor, self._settings)
+        os.close(descriptor)
--- a/tests/platform_adapter/test_program.py
+++ b/tests/platform_adapter/test_program.py
@@ -15,6 +15,7 @@
     KEY,
     BackendServerStandIn,
     NodeProcess,
+    StartingNodeProcess,
     StoreStandIn,
     call_in_reactor,
     listen,
@@ -289,3 +290,16 @@
         node.settings_path.write_text("{")
         node.wait_for_line("settings_not_reloaded")
         assert harness.is_ready()
+
+
+def test_sighup_during_a_start_does_not_end_the_process():
+    with contextlib.ExitStack() as stack:
+        store = listen(StoreStandIn())
+        stack.callback(store.stop)
+        node = StartingNodeProcess(store.address)
+        stack.callback(node.stop)
+        pipe = node.open_settings()
+        node.process.send_signal(signal.SIGHUP)
+        node.write_settings(pipe)
+        node.wait_for_line("settings_reloaded", changed=False)
+        assert node.process.poll() is None
