End requests of which their handling loses track

A request whose coroutine hangs, or ends without an answer, left its caller on an open connection for good: a connection has no timer while a request is in progress. Class: that each request ends rested on each path of its handling alone.

The requests in progress move from the gateway to `ActiveRequests`, which sees to their end: one that is still open 0.5 s after its time is answered with 504, or cut if its response had begun; one whose handling ended without an answer gets 500. Both are logged as errors, as they show a fault elsewhere.

--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -18,12 +18,12 @@
 )
 from prometheus_client import CollectorRegistry, generate_latest
 from twisted.internet import task
-from twisted.internet.defer import CancelledError, ensureDeferred
 from twisted.internet.interfaces import IReactorCore
 
 from ebonyhaven_node._byte_budgets import ByteBudget
 from ebonyhaven_node._filter_chain import build_chain
 from ebonyhaven_node._log_writer import LogOutput
+from ebonyhaven_node.forwarding._active_requests import ActiveRequests
 from ebonyhaven_node.forwarding._adoption import EngineAdopter
 from ebonyhaven_node.forwarding._connection_pool import (
     SWEEP_INTERVAL_S,
@@ -34,7 +34,6 @@
     RelayContext,
 )
 from ebonyhaven_node.forwarding._crash_monitor import CrashMonitor
-from ebonyhaven_node.forwarding._exchanges import Exchange, ExchangeEnd
 from ebonyhaven_node.forwarding._filters import (
     AdmitFilter,
     CrashFilter,
@@ -42,7 +41,6 @@
     IdentifyFilter,
     RelayFilter,
     ReportFilter,
-    RequestContext,
     RouteFilter,
 )
 from ebonyhaven_node.forwarding._http_server import CallerServer
@@ -59,10 +57,9 @@
 from ebonyhaven_node.forwarding._permit_exchange import PermitExchange
 from ebonyhaven_node.forwarding._settings import GatewaySettings
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
-from ebonyhaven_node.forwarding._shutdown import Shutdown, ShutdownReport
+from ebonyhaven_node.forwarding._shutdown import Shutdown
 from ebonyhaven_node.forwarding._startup import StateWaiter
 from ebonyhaven_node.forwarding._state import ForwardingState
-from ebonyhaven_node.forwarding._stream_limits import CLOSING_END
 from ebonyhaven_node.forwarding._version_records import VersionRecorder
 from ebonyhaven_node.forwarding.interfaces import (
     BackendDialect,
@@ -79,7 +76,6 @@
 DRAIN_POLL_INTERVAL_S = 0.05
 ENDING_S = 0.1  # in which relays end what is in progress when the instance closes
 SENDING_S = 0.2  # in which responses that were written reach their callers
-CLOSING_STATUS = 502  # of requests that may have run
 MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024  # a quarter of the target of an instance
 
 _log = structlog.get_logger()
@@ -136,8 +132,6 @@
         self._stack = contextlib.ExitStack()
         self._rng = rng or random.Random()
         self._shutdown = Shutdown(settings.grace_s, clock)
-        self._shutdown_report = ShutdownReport()
-        self._active: dict[Exchange, RequestContext] = {}
         self._log_output: LogOutput | None = None
         self.pool = ConnectionPool(reactor, clock)
         self.source = build_source(self.state, self.pool)
@@ -216,10 +210,15 @@
         )
         self._copier = build_copier(self.pool)
         self._state_waiter = StateWaiter(self.state, reactor)
-        self._chain = self._build_chain(caller_dialect, backend_dialect)
+        self._active = ActiveRequests(
+            chain=self._build_chain(caller_dialect, backend_dialect),
+            shutdown=self._shutdown,
+            metrics=self._metrics,
+            clock=clock,
+        )
         self.server = CallerServer(
             reactor=reactor,
-            handle=self._handle,
+            handle=self._active.handle,
             limits=lambda: self.state.limits,
             is_closing=lambda: self.is_leaving,
             clock=clock,
@@ -298,8 +297,8 @@
         await self._poll_until(lambda: False, closing_time)
         departure = self.membership.depart()
         await self._poll_until(lambda: not self._active, closing_time + ENDING_S)
-        self._end_open_requests()
-        self._log_stopped()
+        self._active.end_all()
+        _log.info("instance_stopped", **self._active.summarize_shutdown())
         self.server.close_all()
         await self._poll_until(
             lambda: not self.server.connections, closing_time + ENDING_S + SENDING_S
@@ -315,21 +314,6 @@
                 self._reactor, min(DRAIN_POLL_INTERVAL_S, remaining_s)
             )
 
-    def _end_open_requests(self) -> None:
-        """End the requests whose relays have not done so at the end of the instance.
-
-        They may have run.
-        """
-        for exchange, work in list(self._active.items()):
-            kind, request_id = _describe(work)
-            _log.warning("request_cut", request=request_id, kind=kind)
-            if exchange.is_started:
-                self._metrics.incomplete.labels(kind, CLOSING_END).inc()
-                exchange.abort()
-            else:
-                exchange.respond(CLOSING_STATUS, (), b"{}")
-            exchange.on_disconnect()
-
     def _count_suspects(self) -> int:
         now = self._clock()
         return sum(now < each.suspect_until for each in self.state.backends)
@@ -337,6 +321,7 @@
     def _sweep(self) -> None:
         self.pool.close_expired()
         self._adopter.remove_unconfirmed()
+        self._active.end_overdue()
         if self._log_output is not None:
             self._log_output.drain()
 
@@ -346,14 +331,6 @@
         self._capacity_notifier.notify()
         self._crash_notifier.notify()
 
-    def _log_stopped(self) -> None:
-        """Log what became of the requests since the shutdown began."""
-        _log.info(
-            "instance_stopped",
-            active=len(self._active),
-            **self._shutdown_report.summarize(),
-        )
-
     def _start_peer_group(self) -> PeerGroup:
         group = PeerGroup(
             settings=self._settings,
@@ -450,38 +427,3 @@
                 backend.clear_suspicion(now)
         self._peer_reports.report_contact(is_lost=is_lost)
         self._capacity_notifier.notify()
-
-    def _handle(self, exchange: Exchange) -> None:
-        work = RequestContext(exchange)
-        self._active[exchange] = work
-        running = ensureDeferred(self._chain(work))
-        exchange.on_disconnect = running.cancel
-        running.addBoth(self._finish, exchange)
-
-    def _finish(self, result: object, exchange: Exchange) -> None:
-        work = self._active.pop(exchange)
-        self._end_crashed(result, exchange)
-        if self.is_leaving:
-            self._shutdown_report.record(exchange, *_describe(work))
-
-    def _end_crashed(self, result: object, exchange: Exchange) -> None:
-        """End the response to a request whose handling failed."""
-        check = getattr(result, "check", None)
-        if check is None:
-            return
-        if check(CancelledError):
-            if exchange.end is not ExchangeEnd.DISCONNECTED:
-                return
-            _log.info("caller_left", target=exchange.head.target.decode("latin-1"))
-            return
-        _log.error("request_crashed", error=result.getTraceback())
-        if exchange.is_started:
-            exchange.abort()
-        else:
-            exchange.respond(500, (), b"{}")
-
-
-def _describe(work: RequestContext) -> tuple[str, str | None]:
-    """Return the kind and the id of a request."""
-    kind = work.route.kind.value if work.route else "none"
-    return kind, work.request.request_id if work.request else None
--- /dev/null
+++ b/tests/forwarding/test_active_requests.py
@@ -0,0 +1,74 @@
+"""Requests of which their own handling loses track."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+from ebonyhaven_node.forwarding._calls import CallRelay
+from ebonyhaven_node.forwarding._streams import StreamRelay
+from structlog.testing import capture_logs
+from twisted.internet.defer import Deferred
+
+from tests.forwarding.harness import ForwardingHarness, answer
+
+TIMEOUT_S = 0.8
+LATE_S = 0.5
+
+
+async def hang(relay):
+    await Deferred()
+
+
+async def return_early(relay):
+    return
+
+
+async def start_and_hang(relay):
+    relay._exchange.start_stream(200, ())
+    await Deferred(canceller=lambda deferred: None)
+
+
+def send(harness, path="/once/x"):
+    caller = harness.open_caller()
+    caller.request(path)
+    return caller
+
+
+def test_request_that_is_not_answered_within_its_time_is_ended():
+    harness = ForwardingHarness()
+    with mock.patch.object(CallRelay, "run", hang):
+        caller = send(harness)
+    harness.advance(TIMEOUT_S + LATE_S)
+    assert not caller.received
+    harness.advance(0.1)
+    harness.gateway._sweep()
+    assert caller.read_answer()[::3] == (504, True)
+
+
+def test_response_that_is_not_completed_within_its_time_is_cut():
+    harness = ForwardingHarness()
+    with mock.patch.object(StreamRelay, "run", start_and_hang):
+        caller = send(harness, "/stream/x")
+    harness.advance(25.0 + LATE_S + 0.1)
+    with capture_logs() as lines:
+        harness.gateway._sweep()
+        harness.gateway._sweep()
+    assert caller.transport.aborted
+    assert [line["reason"] for line in lines] == ["overdue"]
+
+
+def test_request_whose_handling_ends_without_an_answer_gets_one():
+    harness = ForwardingHarness()
+    with mock.patch.object(CallRelay, "run", return_early):
+        caller = send(harness)
+    assert caller.read_answer()[::3] == (500, True)
+
+
+def test_request_within_its_time_is_left_alone():
+    harness = ForwardingHarness()
+    caller = send(harness)
+    server, _, _ = harness.take_request()
+    harness.advance(TIMEOUT_S / 2)
+    harness.gateway._sweep()
+    server.receive(answer("r1"))
+    assert caller.read_answer()[0] == 200
