--- a/packages/node/src/ebonyhaven_node/forwarding/_shutdown.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shutdown.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
 from ebonyhaven_decisions.forwarding import RequestKind, Route
@@ -59,7 +59,27 @@
         now = self._clock()
         if route.kind is RequestKind.STREAM:
             return now < self._began_at + STREAM_ADMISSION_GRACE_SHARE * self._grace_s
-        return now + route.timeout_s < self.closing_time
+        return not self.cuts(now + route.timeout_s)
+
+    def cuts(self, deadline: float) -> bool:
+        """Return whether the shutdown ends before a deadline.
+
+        Parameters
+        ----------
+        deadline : float
+            Seconds.
+        """
+        return self.is_leaving and self.closing_time <= deadline
+
+    def limit_deadline(self, deadline: float) -> float:
+        """Return a deadline, or the end of the shutdown if that is earlier.
+
+        Parameters
+        ----------
+        deadline : float
+            Seconds.
+        """
+        return min(deadline, self.closing_time) if self.is_leaving else deadline
 
 
 class ShutdownReport:
@@ -81,17 +101,6 @@
         """
         self._add(_name_end(exchange), kind, request_id)
 
-    def record_open(self, requests: Iterable[tuple[str, str | None]]) -> None:
-        """Count requests that are in progress when the instance stops, as aborted.
-
-        Parameters
-        ----------
-        requests : iterable of (str, str or None)
-            Kind and id of each.
-        """
-        for kind, request_id in requests:
-            self._add(ExchangeEnd.ABORTED.value, kind, request_id)
-
     def summarize(self) -> dict[str, Any]:
         """Return counts by end and kind, and a few ids of those not answered."""
         fields: dict[str, Any] = {
