Infer the version of a stream only from a list that was read after the retry

What callers saw (reported by other operators): during a release, one instance was cut off or stood still for seconds while servers of a new version joined. Streams begun at these servers through other instances broke, were retried at that instance, and went on at a server of the old version: events of two versions in one stream.

Cause: for a stream without a record, `ServiceVersions.infer` takes the only version that the instance knows. That holds as of its last poll, and just after a pause, or while a connection is silent, that is seconds old; answers that waited in a buffer make it look new. Class: knowledge as of an unknown moment taken for what holds now.

Now an instance reads the changes of the list before it infers: a read that began after the retry arrived shows every version that can have begun the stream, whatever happened to the instance before. No clock is needed.

Evidence: test_retry_at_an_instance_that_stood_still_while_a_version_joined (the real program, stopped while the version joins, its poll unanswered) fails on the code before: the retry reached an engine of v1.

Elsewhere: the version of an adopted process is inferred from that of the server before it at the address, as of before the outage; not changed here.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_service_versions.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_service_versions.py
@@ -88,7 +88,7 @@
         self._history.record(entry, now)
 
     def record_list_read(self, now: float) -> None:
-        """Record that the list is complete, and followed from the first call on.
+        """Record that the whole list was read, and is followed from now on.
 
         Parameters
         ----------
@@ -97,6 +97,16 @@
         """
         self._history.begin(now)
 
+    def record_gap(self, now: float) -> None:
+        """Record that servers may have been listed and removed again unnoticed.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        self._history.restart(now)
+
     def is_past_known(self, now: float) -> bool:
         """Return whether all recent software versions are known.
 
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_version_history.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_version_history.py
@@ -60,14 +60,29 @@
         self._is_past_known = False
 
     def begin(self, now: float) -> None:
-        """Record that the list of servers is followed, from the first call on.
+        """Record that the whole list of servers was read, and is followed from now on.
+
+        What came and went between two whole lists is not known.
 
         Parameters
         ----------
         now : float
             Seconds.
         """
-        self._followed_since = min(self._followed_since, now)
+        if math.isfinite(self._followed_since):
+            self.restart(now)
+        self._followed_since = now
+
+    def restart(self, now: float) -> None:
+        """Record that servers may have been listed and removed again unnoticed.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        self._is_past_known = False
+        self._followed_since = now
 
     def is_complete(self, now: float) -> bool:
         """Return whether all versions of the last `VERSION_MEMORY_S` are known.
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -25,6 +25,7 @@
 from ebonyhaven_node.forwarding._contact_monitor import ContactMonitor
 from ebonyhaven_node.forwarding._crash_monitor import CrashMonitor
 from ebonyhaven_node.forwarding._inbox import Inbox
+from ebonyhaven_node.forwarding._list_confirmation import ListConfirmer
 from ebonyhaven_node.forwarding._loss_probes import PROBE_TIMEOUT_S
 from ebonyhaven_node.forwarding._messages import BackendProbed
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
@@ -75,6 +76,7 @@
     metrics : ForwardingMetrics
     crash_monitor : CrashMonitor
     stream_index : SharedStreamIndex
+    list_confirmer : ListConfirmer
     contact : ContactMonitor
     permits : PermitExchange
         Permits for requests to brittle servers.
@@ -113,6 +115,7 @@
     metrics: ForwardingMetrics
     crash_monitor: CrashMonitor
     stream_index: SharedStreamIndex
+    list_confirmer: ListConfirmer
     contact: ContactMonitor
     permits: PermitExchange
     relay_peers: PeerDirectory
--- a/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
@@ -71,13 +71,20 @@
         if record is not None:
             self.first_request_id = record.request_id
             self._location = record.copy if self._engine is not None else None
-        self._version.bind_to_recorded(
-            record.version if record else None, self._context.clock()
-        )
+        version = record.version if record else await self._infer_version()
+        self._version.bind_to_recorded(version)
         source = "caller_prompt" if self._location is None else "caller_copy"
         self._context.metrics.resumes.labels(source).inc()
         self._log_retry(record)
 
+    async def _infer_version(self) -> str | None:
+        """Return the only version that servers have had, if the list is current."""
+        if self._version.infer(self._context.clock()) is None:
+            return None
+        if not await self._context.list_confirmer.confirm():
+            return None
+        return self._version.infer(self._context.clock())
+
     async def _find_record(self) -> StreamRecord | None:
         """Return the record of the stream that the caller names, if it names one."""
         copy_ttl_s = self._engine.copy_ttl_s if self._engine is not None else 0.0
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -48,6 +48,7 @@
     RouteFilter,
 )
 from ebonyhaven_node.forwarding._http_server import CallerServer
+from ebonyhaven_node.forwarding._list_confirmation import ListConfirmer
 from ebonyhaven_node.forwarding._loss_records import LossRecorder
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._notifiers import (
@@ -373,6 +374,7 @@
             on_limits=self._peer_reports.report_limits,
             crash_monitor=self._crash_monitor,
             stream_index=self._stream_index,
+            list_confirmer=ListConfirmer(self.source),
             contact=self._contact,
             permits=self._permits,
             relay_peers=PeerDirectory(self._peer_reports.list_reaching),
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -185,6 +185,10 @@
         self.backends.versions.record_list_read(self._clock())
         self._notify_observers()
 
+    def record_missed_servers(self) -> None:
+        """Record that servers were listed and removed again without being noticed."""
+        self.backends.versions.record_gap(self._clock())
+
     def _notify_observers(self) -> None:
         for observer in self._observers:
             observer()
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_versions.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_versions.py
@@ -49,19 +49,32 @@
             self.is_bound = True
             self._first_server = backend
 
-    def bind_to_recorded(self, version: str | None, now: float) -> None:
+    def bind_to_recorded(self, version: str | None) -> None:
         """Bind a stream that began at another instance or in an earlier request.
 
         Parameters
         ----------
         version : str or None
-            Recorded version. Without a record, it is inferred if the service has had
-            only one version for as long as a stream lasts.
+            None if it is unknown.
+        """
+        self.is_bound = True
+        self._version = version
+
+    def infer(self, now: float) -> str | None:
+        """Return the version that alone can have begun a stream without a record.
+
+        Parameters
+        ----------
         now : float
             Seconds.
+
+        Returns
+        -------
+        str or None
+            None unless the service has had only one version, as far as the server list
+            shows, for as long as a stream lasts.
         """
-        self.is_bound = True
-        self._version = version or self._versions.infer(self._service, now)
+        return self._versions.infer(self._service, now)
 
     def find_obstacle(self, now: float) -> str | None:
         """Return why no server can go on with the stream, or None if one may.
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -329,6 +329,16 @@
             first.
         """
 
+    @abc.abstractmethod
+    async def read_server_changes(self) -> bool:
+        """Read the changes of the server list at once, and apply them.
+
+        Returns
+        -------
+        bool
+            Whether the list holds all changes made before the call.
+        """
+
     @abc.abstractmethod
     def connect_group(self, group: ReadGroup) -> None:
         """Share reads with other instances.
--- a/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
@@ -38,6 +38,10 @@
         """See `StateSource.measure_list_age_s`."""
         return 0.0
 
+    async def read_server_changes(self) -> bool:
+        """See `StateSource.read_server_changes`."""
+        return True
+
     def connect_group(self, group) -> None:
         """See `StateSource.connect_group`."""
 
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -14,14 +14,47 @@
     StreamRecordStore,
     VersionRecordStore,
 )
+from twisted.internet.defer import Deferred
 
 
 class StaticStateSource(StateSource):
-    """A source without updates; tests set the state directly."""
+    """A source without updates; tests set the state directly.
+
+    Attributes
+    ----------
+    unread : list of callable
+        Apply changes of the server list that the instance learns with its next read.
+    is_slow : bool
+        Whether a read takes until `finish_reads` is called.
+    """
 
     unresponsive = False
     refresh_count = 0
     versions = StateVersion(1, 0, 1)
+    is_slow = False
+    read_count = 0
+
+    def __init__(self) -> None:
+        self.unread = []
+        self._slow_reads = []
+
+    async def read_server_changes(self) -> bool:
+        self.read_count += 1
+        unread, self.unread = self.unread, []
+        if self.is_slow:
+            self._slow_reads.append(Deferred())
+            await self._slow_reads[-1]
+        if self.unresponsive:
+            self.unread = unread
+            return False
+        for apply in unread:
+            apply()
+        return True
+
+    def finish_reads(self) -> None:
+        reads, self._slow_reads = self._slow_reads, []
+        for each in reads:
+            each.callback(None)
 
     def start(self) -> None:
         pass
--- a/tests/platform_adapter/stand_ins.py
+++ b/tests/platform_adapter/stand_ins.py
@@ -37,7 +37,8 @@
 class StoreStandIn(resource.Resource):
     """In-memory store with versioned rows and a change feed.
 
-    It responds with status 503 while ``is_down`` is set. `restore` brings back an older
+    It responds with status 503 while ``is_down`` is set, and holds back the answers to
+    polls that wait for changes while ``holds_polls`` is. `restore` brings back an older
     copy, as after the loss of the latest writes.
     """
 
@@ -49,6 +50,7 @@
         self.changes: list[tuple[str, str, str | None, int]] = []
         self.version = 10
         self.is_down = False
+        self.holds_polls = False
         self.era = 1
         self._pending_polls: list[tuple[server.Request, str, int]] = []
 
@@ -61,6 +63,8 @@
             value = base64.b64encode(json.dumps(document).encode()).decode()
             self.rows[table, key] = (value, self.version)
         self.changes.append((table, key, value, self.version))
+        if self.holds_polls:
+            return
         polls, self._pending_polls = self._pending_polls, []
         for request, name, after in polls:
             self._answer_feed(request, name, after)
@@ -110,7 +114,11 @@
             request.setResponseCode(410)
             return b"{}"
         wait_s = int(request.args[b"waitMs"][0]) / 1000
-        if any(change[0] == table and change[3] > after for change in self.changes):
+        is_held = self.holds_polls and wait_s > 0.0
+        has_changes = any(
+            change[0] == table and change[3] > after for change in self.changes
+        )
+        if has_changes and not is_held:
             return self._encode(self._list_changes(table, after))
         entry = (request, table, after)
         self._pending_polls.append(entry)
@@ -124,7 +132,7 @@
         return self._encode([])
 
     def _expire(self, entry):
-        if entry in self._pending_polls:
+        if entry in self._pending_polls and not self.holds_polls:
             self._pending_polls.remove(entry)
             self._answer_feed(*entry)
 
