--- a/tests/platform_adapter/stand_ins.py
+++ b/tests/platform_adapter/stand_ins.py
@@ -38,7 +38,8 @@
 class StoreStandIn(resource.Resource):
     """In-memory store with versioned rows and a change feed.
 
-    It responds with status 503 while ``is_down`` is set. `forget_history` has it answer
+    It responds with status 503 while ``is_down`` is set, and holds back the answers to
+    polls that wait for changes while ``holds_polls`` is. `forget_history` has it answer
     410 to those that follow an older version. `restore` brings back an older
     copy, as after the loss of the latest writes.
     """
@@ -52,6 +53,7 @@
         self.version = 10
         self._oldest_version = 0
         self.is_down = False
+        self.holds_polls = False
         self.era = 1
         self._pending_polls: list[tuple[server.Request, str, int]] = []
 
@@ -69,6 +71,8 @@
             value = base64.b64encode(content).decode()
             self.rows[table, key] = (value, self.version)
         self.changes.append((table, key, value, self.version))
+        if self.holds_polls:
+            return
         polls, self._pending_polls = self._pending_polls, []
         for request, name, after in polls:
             self._answer_feed(request, name, after)
@@ -123,7 +127,11 @@
             request.setResponseCode(410)
             return b"{}"
         wait_s = int(request.args[b"waitMs"][0]) / 1000
-        if any(change[0] == table and change[3] > after for change in self.changes):
+        is_held = self.holds_polls and wait_s > 0.0
+        has_changes = any(
+            change[0] == table and change[3] > after for change in self.changes
+        )
+        if has_changes and not is_held:
             return self._encode(self._list_changes(table, after))
         entry = (request, table, after)
         self._pending_polls.append(entry)
@@ -137,7 +145,7 @@
         return self._encode([])
 
     def _expire(self, entry):
-        if entry in self._pending_polls:
+        if entry in self._pending_polls and not self.holds_polls:
             self._pending_polls.remove(entry)
             self._answer_feed(*entry)
 
