Keep requests from servers that answer nothing until they do

Callers saw: requests reached servers later than drainMs after they had left (DRAIN), all at the same instant and from several instances, beside look-ups that ended as 504 "no answer within the time of the route". A process that stands still, stopped or out of processor time, keeps a kernel that accepts connections and takes requests for it. Once it goes on it reads all of them, also those whose connections were closed meanwhile.

Cause: an accepted connection counted as a sign of life, and a server that answered nothing went on getting requests. A short request went to suspect servers too when no other was left (`BackendDirectory.list_ready`), and engines got streams. Class: a handshake of the kernel taken for a sign of life of the process.

Change: per process, the time since which something sent to it has had no byte from it, on any connection (`ServerSilence`). Beyond the target of the route, or four times its usual latency (engines: 1.3 times the estimated prefill), it is unresponsive and gets no requests: they go to others, wait as before, or are refused as not run with a time to come back. A request that finds all silent servers is offered to instances that reach them, as before one that could open no connection.

The fake inspector of the tests answers no longer for servers that cannot be reached.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -65,6 +65,7 @@
 from ebonyhaven_decisions.forwarding._restored_list import merge_restored_list
 from ebonyhaven_decisions.forwarding._room_estimates import RoomEstimate
 from ebonyhaven_decisions.forwarding._routes import (
+    DEFAULT_HEALTH_PATH,
     EngineTraits,
     RequestKind,
     RequestLimits,
@@ -81,6 +82,10 @@
     choose_checked_servers,
 )
 from ebonyhaven_decisions.forwarding._server_limits import NO_LIMITS, ServerLimits
+from ebonyhaven_decisions.forwarding._server_silence import (
+    ServerSilence,
+    compute_patience_s,
+)
 from ebonyhaven_decisions.forwarding._service_versions import ServiceVersions
 from ebonyhaven_decisions.forwarding._startup import StateWaitLimits
 from ebonyhaven_decisions.forwarding._stream_index import (
@@ -110,6 +115,7 @@
 __all__ = [
     "CAUTION_S",
     "CONFIRMATION_TTL_S",
+    "DEFAULT_HEALTH_PATH",
     "SAMPLED_ENGINES",
     "SERVER_PROBE_INTERVAL_S",
     "SETTLE_S",
@@ -149,6 +155,7 @@
     "ServerLimiter",
     "ServerLimits",
     "ServerListVersion",
+    "ServerSilence",
     "Service",
     "ServiceRetryBudget",
     "ServiceShare",
@@ -172,6 +179,7 @@
     "choose_sampled_engine",
     "compute_first_event_limits",
     "compute_gap_limits",
+    "compute_patience_s",
     "count_holders",
     "count_queued_prefill_tokens",
     "find_reader_rank",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -10,6 +10,7 @@
 
 from ebonyhaven_decisions.forwarding._limit_shares import LimitedServer, ServerLimiter
 from ebonyhaven_decisions.forwarding._permit_limiters import PermitLimiter
+from ebonyhaven_decisions.forwarding._server_silence import ServerSilence
 
 SUSPECT_MIN_S = 0.4  # a third of the restart time of a server on a fast machine
 SUSPECT_MAX_S = 3.0  # limits the time until a recovered server is sent requests
@@ -115,6 +116,8 @@
         Time before which other servers are preferred, seconds.
     limiter : ServerLimiter
         This instance's part in the limits that the server names.
+    silence : ServerSilence
+        How long the server has left this instance's requests without a byte.
     removed_at : float or None
         Time at which the entry was removed, seconds; None while it is listed.
     """
@@ -136,6 +139,7 @@
     resting_until: float = -math.inf
     slow_until: float = -math.inf
     limiter: ServerLimiter = attrs.Factory(lambda: ServerLimiter(PermitLimiter()))
+    silence: ServerSilence = attrs.Factory(ServerSilence)
     removed_at: float | None = None
 
     @property
@@ -166,8 +170,8 @@
     def is_usable(self, now: float) -> bool:
         """Return whether new requests may be sent to the server.
 
-        After a failure, one request at a time is sent until the server responds. See
-        `accepts` for refusals.
+        After a failure, one request at a time is sent until the server responds, and
+        none while it is unresponsive. See `accepts` for refusals.
 
         Parameters
         ----------
@@ -178,6 +182,8 @@
             return False
         if now < self.suspect_until or not self.accepts(now):
             return False
+        if self.silence.is_unresponsive(now):
+            return False
         return self.failures == 0 or self.in_flight == 0
 
     def accepts(self, now: float) -> bool:
@@ -211,7 +217,7 @@
         """
         if self.is_leaving or not self.limiter.is_allowed(now):
             return False
-        return now >= self.suspect_until
+        return now >= self.suspect_until and not self.silence.is_unresponsive(now)
 
     def is_usable_after_removal(self, now: float) -> bool:
         """Return whether requests may be sent to the server after its removal.
@@ -226,7 +232,7 @@
         """
         if not self.is_kept_after_removal(now) or not self.limiter.is_allowed(now):
             return False
-        return now >= self.suspect_until
+        return now >= self.suspect_until and not self.silence.is_unresponsive(now)
 
     def is_kept_after_removal(self, now: float) -> bool:
         """Return whether the removal is so recent that the entry may come back.
@@ -301,10 +307,21 @@
         now : float
             Seconds.
         """
-        self.last_received_at = now
+        self.record_data(now)
         self.failures = 0
         self.suspect_until = -math.inf
 
+    def record_data(self, now: float) -> None:
+        """Record that further bytes of a response arrived.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        self.last_received_at = now
+        self.silence.record_received(now)
+
     def clear_suspicion(self, now: float) -> None:
         """Forget failures of a time in which no server could be reached.
 
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -387,7 +387,7 @@
 
         A short request tries a suspect server rather than being rejected, because a
         failed connection attempt proves that the request was not run. Servers that
-        are full are left out.
+        are full or unresponsive are left out.
 
         Parameters
         ----------
@@ -409,6 +409,31 @@
             and each.key not in excluded_keys
             and each.entry.state is BackendState.READY
             and each.accepts(now)
+            and not each.silence.is_unresponsive(now)
+        ]
+
+    def list_unresponsive(
+        self, now: float, service: str | None = None
+    ) -> list[Backend]:
+        """Return the listed servers that answer nothing and do not say that they leave.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        service : str or None
+            None for all services.
+
+        Returns
+        -------
+        list of Backend
+        """
+        return [
+            each
+            for each in self._by_id.values()
+            if service in (None, each.entry.service)
+            and not each.is_leaving
+            and each.silence.is_unresponsive(now)
         ]
 
     def _has_entries(self, service: str) -> bool:
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_routes.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_routes.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 MS_PER_S = 1000.0
+DEFAULT_HEALTH_PATH = "/health"
 
 
 class RequestKind(enum.Enum):
@@ -116,11 +117,14 @@
         Maximum connections to one server, from all instances together.
     engine : EngineTraits or None
         None for a service without model engines.
+    health_path : str
+        Path at which its servers answer whether they are healthy.
     """
 
     name: str
     max_connections: int
     engine: EngineTraits | None
+    health_path: str = DEFAULT_HEALTH_PATH
 
 
 class Workspace(NamedTuple):
--- /dev/null
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_server_silence.py
@@ -0,0 +1,109 @@
+"""Whether a backend server has stopped to answer, although it may still be listed.
+
+Designed for a process that stands still, stopped or out of processor time, while its
+kernel accepts connections and takes requests for it. It reads them once it goes on,
+perhaps seconds later, so that a connection that it accepts proves nothing.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+MIN_PATIENCE_S = 0.25  # exceeds the pauses of a loaded process
+LATENCY_FACTOR = 4.0  # of the usual time to a response
+TIMEOUT_SHARE = 0.8  # of the time for the request, whose end proves less
+
+
+def compute_patience_s(
+    *, target_latency_s: float, latency_s: float, timeout_s: float
+) -> float:
+    """Return how long a server may leave a short request without any sign of life.
+
+    Parameters
+    ----------
+    target_latency_s : float
+        Target of the request's route.
+    latency_s : float
+        Usual time to a response of the server.
+    timeout_s : float
+        Time until the request ends.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    patience_s = max(MIN_PATIENCE_S, target_latency_s, LATENCY_FACTOR * latency_s)
+    return min(patience_s, TIMEOUT_SHARE * timeout_s)
+
+
+@attrs.define(slots=True, eq=False)
+class ServerSilence:
+    """Time for which one process of a server has left requests without a byte.
+
+    All requests of this instance to the process count, and bytes of any response to
+    one of them end the silence. A process that was unresponsive stays so until it
+    sends something, even if all requests to it are given up.
+
+    Attributes
+    ----------
+    requests : int
+        Requests at the server whose responses are not complete.
+    since : float or None
+        Time of the last byte, or of the first request after it, seconds; None if
+        nothing is expected from the server.
+    patience_s : float
+        Time for which the server may be silent.
+    """
+
+    requests: int = 0
+    since: float | None = None
+    patience_s: float = 0.0
+
+    def record_sent(self, now: float, patience_s: float) -> None:
+        """Record that a request was sent.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        patience_s : float
+            Time for which the server may be silent about it.
+        """
+        if self.since is None:
+            self.since = now
+            self.patience_s = 0.0
+        self.requests += 1
+        self.patience_s = max(self.patience_s, patience_s)
+
+    def record_received(self, now: float) -> None:
+        """Record that bytes of a response arrived.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        self.since = now if self.requests else None
+
+    def record_ended(self, now: float) -> None:
+        """Record that a request was completed or given up.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        self.requests -= 1
+        if not self.requests and not self.is_unresponsive(now):
+            self.since = None
+
+    def is_unresponsive(self, now: float) -> bool:
+        """Return whether the server has been silent for longer than it may be.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        return self.since is not None and now - self.since > self.patience_s
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -130,7 +130,7 @@
 
     def handle_data(self, data: bytes) -> None:
         """See `ResponseHandler.handle_data`."""
-        self.backend.last_received_at = self._context.clock()
+        self.backend.record_data(self._context.clock())
         self._context.contact.record_received(self.backend)
         if not self.is_finished:
             self._inbox.put(ResponseData(self, data))
@@ -161,6 +161,7 @@
         self._connection = connection
         self.was_sent = True
         self.sent_at = now
+        self.backend.silence.record_sent(now, self.plan.patience_s)
         headers = self._context.dialect.write_headers(
             self._request, self.backend.server_id, self.plan
         )
@@ -199,6 +200,8 @@
 
     def _finish(self) -> None:
         self.is_finished = True
+        if self.was_sent:
+            self.backend.silence.record_ended(self._context.clock())
         self._record_answered()
         self.backend.in_flight -= 1
         self._context.capacity_notifier.notify()
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -7,6 +7,7 @@
     Backend,
     Route,
     choose_backend,
+    compute_patience_s,
 )
 
 from ebonyhaven_node._failures import make_not_run_failure, make_unknown_failure
@@ -25,6 +26,7 @@
     LIMITED_REASON,
     NO_SERVER_RETRY_AFTER_S,
     NOT_RUN_STATUSES,
+    SILENT_REASON,
     UNREACHED_REASON,
     make_crash_reason,
     make_unreached_failure,
@@ -181,6 +183,8 @@
         elif self._is_blocked():
             trait = self._guard.find_blocked_trait()
             raise make_not_run_failure(make_crash_reason(trait), step="crash")
+        elif self._has_silent_servers() and not self._refusal_count:
+            raise make_unreached_failure(SILENT_REASON, peer=self._last_peer)
         elif self._unreached_count and not self._refusal_count:
             raise make_unreached_failure(self._last_reason, peer=self._last_peer)
         else:
@@ -191,6 +195,11 @@
                 retry_after_s=NO_SERVER_RETRY_AFTER_S,
             )
 
+    def _has_silent_servers(self) -> bool:
+        """Return whether servers answer nothing, perhaps only to this instance."""
+        now = self._context.clock()
+        return bool(self._context.state.backends.list_unresponsive(now, self._service))
+
     def _may_forward_error(self) -> bool:
         """Return whether the error response may be forwarded.
 
@@ -244,9 +253,7 @@
         attempt = Attempt(
             request=self._request,
             backend=backend,
-            plan=AttemptPlan(
-                remaining_s=self._deadline - now, workspace=self._workspace
-            ),
+            plan=self._make_plan(backend, now),
             inbox=self._inbox,
             context=self._context,
         )
@@ -268,6 +275,18 @@
         self._context.permits.withdraw(self._request.request_id)
         return True
 
+    def _make_plan(self, backend: Backend, now: float) -> AttemptPlan:
+        remaining_s = self._deadline - now
+        return AttemptPlan(
+            remaining_s=remaining_s,
+            workspace=self._workspace,
+            patience_s=compute_patience_s(
+                target_latency_s=self._route.target_latency_s,
+                latency_s=backend.latency_s,
+                timeout_s=remaining_s,
+            ),
+        )
+
     def _select_backend(self, now: float) -> Backend | None:
         directory = self._context.state.backends
         usable = (
--- a/packages/node/src/ebonyhaven_node/forwarding/_engine_sampling.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_engine_sampling.py
@@ -81,7 +81,7 @@
             self._context.permits.handle_answered(backend)
         if server is None or not _is_same_process(server, backend):
             return SampledEngine(backend, None)
-        backend.last_received_at = self._context.clock()
+        backend.record_data(self._context.clock())
         return SampledEngine(backend, server.load)
 
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -61,6 +61,7 @@
 from ebonyhaven_node.forwarding._permit_exchange import PermitExchange
 from ebonyhaven_node.forwarding._settings import GatewaySettings
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
+from ebonyhaven_node.forwarding._silence_monitor import SilenceMonitor
 from ebonyhaven_node.forwarding._startup import StateWaiter
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding._version_records import VersionRecorder
@@ -174,6 +175,15 @@
             on_granted=self._capacity_notifier.notify,
         )
         self._metrics.register_room_gauge(self._permits.read_rooms)
+        self._silence_monitor = SilenceMonitor(
+            state=self.state,
+            inspector=self._inspector,
+            pool=self.pool,
+            permits=self._permits,
+            reactor=reactor,
+            clock=clock,
+            on_response=self._capacity_notifier.notify_soon,
+        )
         self._crash_notifier = CrashNotifier()
         self._crash_history = CrashHistory()
         self._crash_monitor = CrashMonitor(
@@ -247,6 +257,8 @@
         self._stack.callback(self._contact.stop)
         self.state.observe(self._capacity_notifier.notify_soon)
         self._stack.callback(self._capacity_notifier.stop)
+        self._silence_monitor.start()
+        self._stack.callback(self._silence_monitor.stop)
         self.source.start()
         self._loss_recorder.start(group.is_crash_recorder)
         self._stack.callback(self._loss_recorder.stop)
--- a/packages/node/src/ebonyhaven_node/forwarding/_outcomes.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_outcomes.py
@@ -11,6 +11,7 @@
 LEAVING_RETRY_AFTER_S = 0.0
 LIMITED_REASON = "the servers limit their requests"
 LEFT_REASON = "the server left"
+SILENT_REASON = "servers answer nothing"
 UNREACHED_REASON = "this instance reaches no server"
 REACH_STEP = "reach"  # of a request for which no server could be reached
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from typing import NamedTuple
 
 import attrs
@@ -182,6 +183,9 @@
         Id of the last event that the caller has received.
     max_response_bytes : int
         Size from which the response counts as malformed.
+    patience_s : float
+        Time for which the server may send nothing at all before it counts as
+        unresponsive.
     """
 
     remaining_s: float
@@ -191,6 +195,7 @@
     copy: CopyReference | None = None
     last_event_id: str | None = None
     max_response_bytes: int = MAX_RESPONSE_BYTES
+    patience_s: float = math.inf
 
 
 class ResponseHead(NamedTuple):
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
@@ -12,6 +12,7 @@
     choose_backend,
     choose_copy_holder,
     choose_memory_share,
+    compute_first_event_limits,
     count_queued_prefill_tokens,
     have_room,
     is_prompt_admitted,
@@ -22,6 +23,7 @@
 from ebonyhaven_node.forwarding._context import RelayContext
 
 FAILED_SERVER_AVOIDANCE_S = 2.0
+DEFAULT_FIRST_EVENT_TARGET_S = 1.0  # for routes without a target
 MIN_CONNECTIONS_PER_SERVER = 2.0  # even if many instances share the limit
 
 
@@ -191,6 +193,34 @@
             memory_share=choose_memory_share(waited_s=waited_s, target_s=target_s),
         )
 
+    def estimate_patience_s(
+        self, backend: Backend, now: float, *, target_s: float
+    ) -> float:
+        """Return how long a server may send nothing after it got the stream, seconds.
+
+        Parameters
+        ----------
+        backend : Backend
+        now : float
+            Seconds.
+        target_s : float
+            Target for the time to the first event; 0 for none.
+
+        Returns
+        -------
+        float
+            Seconds.
+        """
+        peers = self._context.peers.sum_by_server(now)
+        tokens = count_queued_prefill_tokens(backend, peers)
+        limits = compute_first_event_limits(
+            target_latency_s=target_s or DEFAULT_FIRST_EVENT_TARGET_S,
+            estimate_s=self._context.prefill_rate.estimate_s(
+                tokens + self._demand.prompt_tokens
+            ),
+        )
+        return limits.probe_after_s
+
     def _estimate_queue_s(
         self, backend: Backend, peers: Mapping[str, EngineUse]
     ) -> float:
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -225,6 +225,9 @@
                 copy=target.copy,
                 last_event_id=self._progress.position,
                 max_response_bytes=MAX_STREAM_BYTES,
+                patience_s=self._server_selector.estimate_patience_s(
+                    backend, now, target_s=self._route.target_latency_s
+                ),
             ),
             inbox=self._inbox,
             context=self._context,
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -175,7 +175,7 @@
 
 
 class ServerInspector(abc.ABC):
-    """Queries backend servers for their type and start time."""
+    """Queries backend servers for their type, start time and health."""
 
     @abc.abstractmethod
     async def inspect(
@@ -196,6 +196,25 @@
             None if there was no valid response.
         """
 
+    @abc.abstractmethod
+    async def check_health(self, address: str, *, path: str, timeout_s: float) -> bool:
+        """Ask the server at an address whether it is healthy.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:PORT``.
+        path : str
+            See `Service.health_path`.
+        timeout_s : float
+            Seconds.
+
+        Returns
+        -------
+        bool
+            Whether it answered at all.
+        """
+
 
 class RunCopier(abc.ABC):
     """Requests copies of the memory of runs on other engines."""
--- /dev/null
+++ b/tests/decisions/test_server_silence.py
@@ -0,0 +1,60 @@
+from __future__ import annotations
+
+from ebonyhaven_decisions.forwarding import ServerSilence, compute_patience_s
+
+PATIENCE_S = 0.5
+
+
+def make_silence(now=10.0):
+    silence = ServerSilence()
+    silence.record_sent(now, PATIENCE_S)
+    return silence
+
+
+def test_server_is_unresponsive_after_it_left_a_request_without_a_byte():
+    silence = make_silence()
+    assert not silence.is_unresponsive(10.0 + PATIENCE_S)
+    assert silence.is_unresponsive(10.1 + PATIENCE_S)
+
+
+def test_bytes_of_any_response_end_the_silence():
+    silence = make_silence()
+    silence.record_sent(10.4, PATIENCE_S)
+    silence.record_received(10.4)
+    silence.record_ended(10.4)
+    assert not silence.is_unresponsive(10.6)
+    assert silence.is_unresponsive(11.0)
+
+
+def test_silence_lasts_when_all_requests_are_given_up():
+    silence = make_silence()
+    silence.record_ended(10.1 + PATIENCE_S)
+    assert silence.is_unresponsive(20.0)
+    silence.record_received(20.0)
+    assert not silence.is_unresponsive(30.0)
+
+
+def test_request_that_is_given_up_early_proves_nothing():
+    silence = make_silence()
+    silence.record_ended(10.2)
+    assert not silence.is_unresponsive(20.0)
+    silence.record_sent(20.0, PATIENCE_S)
+    assert not silence.is_unresponsive(20.2)
+
+
+def test_server_may_be_silent_as_long_as_its_slowest_request_allows():
+    silence = make_silence()
+    silence.record_sent(10.1, 3.0)
+    assert not silence.is_unresponsive(12.9)
+    assert silence.is_unresponsive(13.1)
+
+
+def test_patience_follows_target_and_usual_latency_within_the_timeout():
+    def compute(target_s, latency_s):
+        return compute_patience_s(
+            target_latency_s=target_s, latency_s=latency_s, timeout_s=1.0
+        )
+
+    assert compute(0.5, 0.05) == 0.5
+    assert compute(0.3, 0.15) == 0.6
+    assert compute(0.3, 0.9) < 1.0
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -14,6 +14,9 @@
     StreamRecordStore,
     VersionRecordStore,
 )
+from twisted.internet import task
+
+STILL_POLL_S = 0.01
 
 
 class StaticStateSource(StateSource):
@@ -52,15 +55,46 @@
 
 
 class FixedInspector(ServerInspector):
-    """Returns the same result for each server."""
-
-    def __init__(self):
+    """Returns the same result for each server; those that answer nothing time out.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+    unreachable : set of str
+        Addresses at which connection attempts time out.
+
+    Attributes
+    ----------
+    still : set of str
+        Addresses of servers that accept connections and answer nothing.
+    checked : list of str
+        Addresses of the servers that were asked for their health.
+    """
+
+    def __init__(self, reactor, unreachable):
+        self._reactor = reactor
+        self._unreachable = unreachable
         self.inspected = []
+        self.checked = []
+        self.still = set()
         self.result = InspectedServer(is_engine=True, started_ms=5)
 
     async def inspect(self, address, *, timeout_s=0.5):
         self.inspected.append(address)
-        return self.result
+        return self.result if await self._is_answered(address, timeout_s) else None
+
+    async def check_health(self, address, *, path, timeout_s):
+        self.checked.append(address)
+        return await self._is_answered(address, timeout_s)
+
+    async def _is_answered(self, address, timeout_s):
+        end = self._reactor.seconds() + timeout_s
+        while self._is_silent(address) and self._reactor.seconds() < end:
+            await task.deferLater(self._reactor, STILL_POLL_S)
+        return not self._is_silent(address)
+
+    def _is_silent(self, address):
+        return address in self.still or address in self._unreachable
 
 
 class FakeCopier(RunCopier):
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -249,7 +249,6 @@
     ):
         self.reactor = MemoryReactorClock()
         self.source = StaticStateSource()
-        self.inspector = FixedInspector()
         self.copier = FakeCopier()
         self.record_store = FakeRecordStore()
         self.loss_store = FakeLossStore()
@@ -257,6 +256,7 @@
         self.version_store.is_down = not knows_past
         self.refused: set[str] = set()
         self.silent: set[str] = set()
+        self.inspector = FixedInspector(self.reactor, self.silent)
         self.is_accepting = True
         self._accepted_count = 0
         self.connections: list[MemoryServerConnection] = []
@@ -290,6 +290,7 @@
         ]
         self.state.replace_backends({each.server_id: each for each in entries})
         self.gateway._version_recorder.start(lambda: True)
+        self.gateway._silence_monitor.start()
 
     def open_caller(self) -> Caller:
         return Caller(self, self.gateway.server.buildProtocol(None))
--- a/tests/forwarding/test_engine_sampling.py
+++ b/tests/forwarding/test_engine_sampling.py
@@ -35,6 +35,9 @@
         started_ms = self.started_ms.get(address, 1)
         return InspectedServer(True, started_ms, self.loads.get(address))
 
+    async def check_health(self, address, *, path, timeout_s):
+        return address not in self.silent
+
 
 def start(instances=INSTANCES, engines=3):
     harness = ForwardingHarness(engines=engines)
