Count the use of a removed server from when the list last held it

Callers saw: requests reached the only server of a service up to 2.5 s after the store had acknowledged its removal (DRAIN allows 2 s). Some servers never say that they leave; their entry is removed. As entries also expire while the store is away, such a server stays in use for 1.5 s if its service has no other.

Cause: the 1.5 s counted from when this instance heard of the removal, which takes up to a second where another instance reads the list. Class: a time limit that starts at one's own knowledge of an event in place of the event. It now starts at the last message or answer of the store that still had the entry, unless that is over 1.5 s ago: then the store was away, its acknowledgements don't count yet, and the time starts at the news, as before.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -119,7 +119,10 @@
     silence : ServerSilence
         How long the server has left this instance's requests without a byte.
     removed_at : float or None
-        Time at which the entry was removed, seconds; None while it is listed.
+        Time at which this instance heard that the entry was removed, seconds; None
+        while it is listed.
+    kept_until : float
+        Time until which the server may be used after the removal, seconds.
     """
 
     entry: BackendEntry
@@ -141,6 +144,7 @@
     limiter: ServerLimiter = attrs.Factory(lambda: ServerLimiter(PermitLimiter()))
     silence: ServerSilence = attrs.Factory(ServerSilence)
     removed_at: float | None = None
+    kept_until: float = -math.inf
 
     @property
     def server_id(self) -> str:
@@ -244,7 +248,7 @@
         """
         if self.removed_at is None or self.entry.state is not BackendState.READY:
             return False
-        return now - self.removed_at < REMOVED_USABLE_S
+        return now < self.kept_until
 
     def record_unreachable(self, now: float) -> None:
         """Suspect the server for a time that doubles with each failure, up to a limit.
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -35,6 +35,7 @@
     __slots__ = (
         "_brittle",
         "_by_id",
+        "_current_at",
         "_engine_services",
         "_lost_at",
         "_removed",
@@ -49,6 +50,7 @@
         self._lost_at: dict[str, float] = {}  # by data centre
         self._by_id: dict[str, Backend] = {}
         self._removed: dict[str, Backend] = {}
+        self._current_at = -math.inf
         self.versions = ServiceVersions(self._by_id)
 
     def __iter__(self) -> Iterator[Backend]:
@@ -106,6 +108,10 @@
     def remove(self, server_id: str, now: float) -> None:
         """Remove an entry; its server stays usable for `REMOVED_USABLE_S`.
 
+        The time counts from when the list was last known to hold the entry, because
+        the platform counts from the removal, which this instance hears of later. If
+        that is too long ago, the store was not available in between.
+
         Parameters
         ----------
         server_id : str
@@ -117,11 +123,24 @@
             return
         self.versions.record_removed(backend.entry, now)
         backend.removed_at = now
+        was_available = now - self._current_at <= REMOVED_USABLE_S
+        listed_at = self._current_at if was_available else now
+        backend.kept_until = listed_at + REMOVED_USABLE_S
         self._removed[server_id] = backend
         for name, each in list(self._removed.items()):
-            if now - (each.removed_at or now) >= REMOVED_USABLE_S:
+            if now >= each.kept_until:
                 del self._removed[name]
 
+    def record_current(self, now: float) -> None:
+        """Record that all changes of the list up to now are known.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        self._current_at = now
+
     def _suspect_predecessors(self, entry: BackendEntry, now: float) -> None:
         """Suspect the other entries with the address of a new entry."""
         for each in self._by_id.values():
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -147,6 +147,10 @@
         self.backends.versions.record_list_read(self._clock())
         self._notify_observers()
 
+    def record_list_current(self) -> None:
+        """Record that all changes of the server list up to now are known."""
+        self.backends.record_current(self._clock())
+
     def _notify_observers(self) -> None:
         for observer in self._observers:
             observer()
--- a/tests/decisions/test_forwarding.py
+++ b/tests/decisions/test_forwarding.py
@@ -301,6 +301,22 @@
     assert directory.list_usable("engines", 12.0) == []
 
 
+def test_removed_server_is_used_as_long_as_if_its_removal_were_known_at_once():
+    directory = build_directory(1)
+    directory.record_current(10.0)
+    directory.remove("s0", 11.0)
+    assert len(directory.list_usable("engines", 11.4)) == 1
+    assert directory.list_usable("engines", 11.6) == []
+
+
+def test_removal_in_an_outage_of_the_store_counts_from_its_end():
+    directory = build_directory(1)
+    directory.record_current(10.0)
+    directory.remove("s0", 15.0)
+    assert len(directory.list_usable("engines", 16.4)) == 1
+    assert directory.list_usable("engines", 16.6) == []
+
+
 def test_removed_server_is_not_used_while_another_is_listed():
     directory = build_directory(2)
     directory.remove("s0", 10.0)
--- a/tests/platform_adapter/test_change_feed.py
+++ b/tests/platform_adapter/test_change_feed.py
@@ -27,6 +27,8 @@
     start_with_complete_state,
 )
 
+DRAIN_S = 2.0
+
 
 class FakeGroup(ReadGroup):
     """A group in which this instance has a fixed place among the readers."""
@@ -108,6 +110,22 @@
     assert harness.other.read_version() == harness.reader.read_version()
 
 
+def test_only_server_is_not_used_beyond_its_drain_time_if_its_removal_is_told_late():
+    # Guards against counting from when an instance hears of a removal, which may have
+    # been acknowledged over a second before.
+    harness = start_fed()
+    harness.change(14, s_2=None)
+    harness.is_connected = False
+    removed_at = harness.clock.seconds()
+    harness.change(15, s_1=None)
+    harness.advance(0.65)
+    harness.other.apply_changes(send_between_instances(harness.published[-1]))
+    assert harness.other_state.backends.find("s-1") is None
+    for state in (harness.state, harness.other_state):
+        usable = state.backends.list_usable(SERVER["service"], removed_at + DRAIN_S)
+        assert not usable
+
+
 def test_heartbeats_of_servers_are_published_as_versions_only():
     harness = start_fed()
     for version in range(14, 24):
