Adopt no engine that says that it leaves

Callers saw: while the store was away, streams were sent to a restarted engine that was itself leaving (DRAIN), as soon as it answered at a known address.

Cause: the report that an engine is asked for before it is used has its state, which was not read; the engine was taken as ready. Class: an answer's statement about leaving that is not taken.

Evidence: test_engine_that_leaves_is_not_adopted fails without the change ("assert harness.state.backends.find("e-9") is None").

--- a/packages/node/src/ebonyhaven_node/forwarding/_adoption.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_adoption.py
@@ -85,7 +85,8 @@
 
     async def _inspect_and_adopt(self, backend: Backend, server_id: str) -> None:
         inspected = await self._inspector.inspect(backend.entry.address)
-        if inspected is None or not inspected.is_engine:
+        is_engine = inspected is not None and inspected.is_engine
+        if not is_engine or inspected.is_leaving:
             _log.info("process_not_adopted", server=server_id)
             return
         entry = BackendEntry(
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -167,11 +167,14 @@
         Start of its process, Unix milliseconds; 0 if unknown.
     load : EngineLoad or None
         None if it reports none.
+    is_leaving : bool
+        Whether it says that it leaves.
     """
 
     is_engine: bool
     started_ms: int
     load: EngineLoad | None = None
+    is_leaving: bool = False
 
 
 class ServerInspector(abc.ABC):
--- a/tests/forwarding/test_adoption.py
+++ b/tests/forwarding/test_adoption.py
@@ -64,6 +64,15 @@
     assert harness.inspector.inspected == []
 
 
+def test_engine_that_leaves_is_not_adopted():
+    harness = ForwardingHarness(engines=1)
+    harness.source.unresponsive = True
+    harness.inspector.result = InspectedServer(True, 5, is_leaving=True)
+    answer_from_other_process(harness)
+    assert harness.state.backends.find("e-9") is None
+    assert harness.count_waiting() == 0
+
+
 def test_process_other_than_an_engine_is_not_adopted():
     harness = ForwardingHarness(engines=1)
     harness.source.unresponsive = True
