Take a server's word in any answer that it leaves

A server that leaves says so in all its answers (`Server-Leaving: 1`), and from then on gets nothing from an instance that has passed on such an answer, in touch with the store or not.

It holds for the process, by id and start: an entry that still says ready, or that comes back with a restored store, does not undo it; another start under the same id is not concerned, nor is the addressed server if another process answered in its place (421). `backend_leaving_told` is logged once for a process.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -118,6 +118,8 @@
         This instance's part in the limits that the server names.
     silence : ServerSilence
         How long the server has left this instance's requests without a byte.
+    has_told_leave : bool
+        Whether the process itself said in an answer that it leaves.
     removed_at : float or None
         Time at which this instance heard that the entry was removed, seconds; None
         while it is listed.
@@ -143,6 +145,7 @@
     slow_until: float = -math.inf
     limiter: ServerLimiter = attrs.Factory(lambda: ServerLimiter(PermitLimiter()))
     silence: ServerSilence = attrs.Factory(ServerSilence)
+    has_told_leave: bool = False
     removed_at: float | None = None
     kept_until: float = -math.inf
 
@@ -169,7 +172,12 @@
     @property
     def is_leaving(self) -> bool:
         """Whether the server said that it leaves, or is no longer listed."""
-        return self.removed_at is not None or self.entry.state is not BackendState.READY
+        return self.removed_at is not None or self.has_announced_leave
+
+    @property
+    def has_announced_leave(self) -> bool:
+        """Whether the server said that it leaves, in its entry or in an answer."""
+        return self.has_told_leave or self.entry.state is not BackendState.READY
 
     def is_usable(self, now: float) -> bool:
         """Return whether new requests may be sent to the server.
@@ -246,7 +254,7 @@
         now : float
             Seconds.
         """
-        if self.removed_at is None or self.entry.state is not BackendState.READY:
+        if self.removed_at is None or self.has_announced_leave:
             return False
         return now < self.kept_until
 
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -9,7 +9,6 @@
     REMOVED_USABLE_S,
     Backend,
     BackendEntry,
-    BackendState,
 )
 from ebonyhaven_decisions.forwarding._limit_shares import (
     LimitedServerDirectory,
@@ -21,6 +20,7 @@
 
 # The loss of the other servers of a failed data centre is detected within this time.
 DATA_CENTRE_SUSPECT_S = 0.8
+TOLD_LEAVE_TTL_S = 60.0  # exceeds the time for which a leaving process goes on
 
 
 class BackendDirectory(LimitedServerDirectory):
@@ -40,6 +40,7 @@
         "_lost_at",
         "_removed",
         "_shares",
+        "_told_leave_at",
         "versions",
     )
 
@@ -51,6 +52,7 @@
         self._by_id: dict[str, Backend] = {}
         self._removed: dict[str, Backend] = {}
         self._current_at = -math.inf
+        self._told_leave_at: dict[tuple[str, int], float] = {}  # by process
         self.versions = ServiceVersions(self._by_id)
 
     def __iter__(self) -> Iterator[Backend]:
@@ -95,6 +97,7 @@
             if known is not None:
                 self.versions.record_removed(known.entry, now)
             known = Backend(entry)
+            known.has_told_leave = known.key in self._told_leave_at
             limits = self._shares.take(known.process_id)
             limits = limits or self._expect_limits(entry.service, now)
             if limits is not None:
@@ -131,6 +134,54 @@
             if now >= each.kept_until:
                 del self._removed[name]
 
+    def record_told_leave(self, backend: Backend, now: float) -> bool:
+        """Record that a process said in an answer that it leaves.
+
+        This holds for as long as the process lasts, whatever the list says later.
+
+        Parameters
+        ----------
+        backend : Backend
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        bool
+            Whether this was not known from an answer before.
+        """
+        if backend.has_told_leave:
+            return False
+        backend.has_told_leave = True
+        self._told_leave_at = {
+            key: told_at
+            for key, told_at in self._told_leave_at.items()
+            if now - told_at < TOLD_LEAVE_TTL_S or self._is_listed(key)
+        }
+        self._told_leave_at[backend.key] = now
+        return True
+
+    def _is_listed(self, key: tuple[str, int]) -> bool:
+        backend = self._by_id.get(key[0])
+        return backend is not None and backend.key == key
+
+    def has_only_leaving(self, service: str) -> bool:
+        """Return whether all listed servers of a service said that they leave.
+
+        Parameters
+        ----------
+        service : str
+
+        Returns
+        -------
+        bool
+            False if none is listed.
+        """
+        listed = [
+            each for each in self._by_id.values() if each.entry.service == service
+        ]
+        return bool(listed) and all(each.is_leaving for each in listed)
+
     def record_current(self, now: float) -> None:
         """Record that all changes of the list up to now are known.
 
@@ -426,7 +477,7 @@
             for each in self._by_id.values()
             if each.entry.service == service
             and each.key not in excluded_keys
-            and each.entry.state is BackendState.READY
+            and not each.is_leaving
             and each.accepts(now)
             and not each.silence.is_unresponsive(now)
         ]
--- a/packages/node/src/ebonyhaven_node/forwarding/_adoption.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_adoption.py
@@ -120,6 +120,6 @@
     A release starts its processes at other addresses, and the servers that it replaces
     announce that they leave; their addresses may then be used again by any process.
     """
-    if predecessor.entry.state is BackendState.LEAVING:
+    if predecessor.has_announced_leave:
         return None
     return predecessor.software_version
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -112,6 +112,8 @@
     def accept_head(self, status: int, headers: Headers) -> bool:
         """See `ResponseHandler.accept_head`."""
         head = self._context.dialect.read_head(status, headers)
+        if head.is_leaving:
+            self._report_leaving(head)
         if head.request_id is not None and head.request_id != self._request.request_id:
             return False
         if head.request_id is None:  # may belong to an earlier request
@@ -192,6 +194,15 @@
         self._finish()
         self._inbox.put(AttemptFailed(self, False, True, reason, is_unreached))
 
+    def _report_leaving(self, head: ResponseHead) -> None:
+        """Report the process that answered, which need not be the addressed one."""
+        backend: Backend | None = self.backend
+        if head.is_other_process:
+            other_id = head.other_server_id or ""
+            backend = self._context.state.backends.find(other_id)
+        if backend is not None:
+            self._context.report_told_leave(backend)
+
     def _record_answered(self) -> None:
         if self._is_unanswered:
             self._is_unanswered = False
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -23,9 +23,11 @@
 from ebonyhaven_node.forwarding._exchanges import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._outcomes import (
+    ALL_LEAVING_REASON,
     LIMITED_REASON,
     NO_SERVER_RETRY_AFTER_S,
     NOT_RUN_STATUSES,
+    REPLACEMENT_RETRY_AFTER_S,
     SILENT_REASON,
     UNREACHED_REASON,
     make_crash_reason,
@@ -96,6 +98,7 @@
         self._refusal_count = 0
         self._last_reason = "no server was tried"
         self._last_peer = "self"
+        self._retry_after_s = NO_SERVER_RETRY_AFTER_S
         timeout_s = request.limit_timeout(route.timeout_s)
         self._deadline = request.arrived_at + timeout_s
         self._excluded_servers: set[tuple[str, int]] = set()
@@ -155,6 +158,10 @@
         """Return whether a server may take the request soon."""
         if now >= self._server_wait_deadline:
             return False
+        if self._context.state.backends.has_only_leaving(self._service):
+            self._last_reason = ALL_LEAVING_REASON
+            self._retry_after_s = REPLACEMENT_RETRY_AFTER_S
+            return False
         if self._context.state.backends.find_limit_end(self._service, now) is None:
             self._context.permits.ask(
                 self._service, self._request.request_id, self._excluded_servers
@@ -192,7 +199,7 @@
                 f"no server took the request: {self._last_reason}",
                 step="route",
                 peer=self._last_peer,
-                retry_after_s=NO_SERVER_RETRY_AFTER_S,
+                retry_after_s=self._retry_after_s,
             )
 
     def _has_silent_servers(self) -> bool:
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -189,6 +189,24 @@
             failures=backend.failures + 1,
         )
 
+    def report_told_leave(self, backend: Backend) -> None:
+        """Send nothing more to a process that said in an answer that it leaves.
+
+        Parameters
+        ----------
+        backend : Backend
+        """
+        was_listed_ready = not backend.is_leaving
+        if not self.state.backends.record_told_leave(backend, self.clock()):
+            return
+        self.pool.close_idle(backend.entry.address)
+        _log.info(
+            "backend_leaving_told",
+            server=backend.server_id,
+            data_centre=backend.entry.data_centre,
+            was_listed_ready=was_listed_ready,
+        )
+
     def report_replaced(self, backend: Backend, other_server: str | None) -> None:
         """Suspect a server because another process responded at its address.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_engine_sampling.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_engine_sampling.py
@@ -81,6 +81,9 @@
             self._context.permits.handle_answered(backend)
         if server is None or not _is_same_process(server, backend):
             return SampledEngine(backend, None)
+        if server.is_leaving:
+            self._context.report_told_leave(backend)
+            return SampledEngine(backend, None)
         backend.record_data(self._context.clock())
         return SampledEngine(backend, server.load)
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -183,6 +183,7 @@
             reactor=reactor,
             clock=clock,
             on_response=self._capacity_notifier.notify_soon,
+            on_leave=self._report_told_leave,
         )
         self._crash_notifier = CrashNotifier()
         self._crash_history = CrashHistory()
@@ -410,6 +411,9 @@
     ) -> None:
         self._context.report_unreachable(backend, is_from_peer=is_from_peer)
 
+    def _report_told_leave(self, backend: Backend) -> None:
+        self._context.report_told_leave(backend)
+
     def _handle_decided_traits(self) -> None:
         self._capacity_notifier.notify()
         self._crash_notifier.notify()
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -220,6 +220,8 @@
         Running and waiting requests of the server.
     limits : ServerLimits
         What the server asks of all instances together.
+    is_leaving : bool
+        Whether the process that answered says that it leaves.
     """
 
     status: int
@@ -231,3 +233,4 @@
     other_server_id: str | None
     load: int | None
     limits: ServerLimits = NO_LIMITS
+    is_leaving: bool = False
--- a/packages/node/src/ebonyhaven_node/forwarding/_silence_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_silence_monitor.py
@@ -15,7 +15,7 @@
 from ebonyhaven_node.forwarding._connection_pool import ConnectionPool
 from ebonyhaven_node.forwarding._permit_exchange import PermitExchange
 from ebonyhaven_node.forwarding._state import ForwardingState
-from ebonyhaven_node.forwarding.interfaces import ServerInspector
+from ebonyhaven_node.forwarding.interfaces import InspectedServer, ServerInspector
 
 CHECK_INTERVAL_S = 0.2  # the target of a short request, in which it still can be met
 # Of one question. A server that stands still answers it once it goes on; one whose
@@ -69,6 +69,8 @@
         Returns seconds.
     on_response : callable
         Called when a server has answered again.
+    on_leave : callable
+        Called with a `Backend` that answers that it leaves.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         reactor: IReactorTime,
         clock: Callable[[], float],
         on_response: Callable[[], None],
+        on_leave: Callable[[Backend], None],
     ):
         self._state = state
         self._inspector = inspector
@@ -88,6 +91,7 @@
         self._permits = permits
         self._clock = clock
         self._on_response = on_response
+        self._on_leave = on_leave
         self._episodes: dict[tuple[str, int], _Episode] = {}
         self._checked_at = clock()
         self._loop = task.LoopingCall(self._check_all)
@@ -141,8 +145,8 @@
         episode.check.addErrback(self._log_failure, backend)
         episode.check.addCallback(self._handle_result, episode)
 
-    async def _ask(self, backend: Backend, timeout_s: float) -> bool:
-        """Return whether a server sent a response in time."""
+    async def _ask(self, backend: Backend, timeout_s: float) -> InspectedServer | None:
+        """Return what a server says of itself, or None if it did not in time."""
         configuration = self._state.configuration
         service = configuration.services.get(backend.entry.service)
         address = backend.entry.address
@@ -152,23 +156,23 @@
                 address, path=path, timeout_s=timeout_s
             )
         # Engines report also when none of their slots is free.
-        report = await self._inspector.inspect(address, timeout_s=timeout_s)
-        return report is not None
+        return await self._inspector.inspect(address, timeout_s=timeout_s)
 
-    def _handle_result(self, is_answered: bool, episode: _Episode) -> None:
+    def _handle_result(self, server: InspectedServer | None, episode: _Episode) -> None:
         episode.check = None
         backend = episode.backend
         backend.limiter.record_answered()
         self._permits.handle_answered(backend)
-        if is_answered:
+        if server is not None and server.is_leaving:
+            self._on_leave(backend)
+        if server is not None:
             backend.record_received(self._clock())
             self._on_response()
 
-    def _log_failure(self, failure: Failure, backend: Backend) -> bool:
+    def _log_failure(self, failure: Failure, backend: Backend) -> None:
         if not failure.check(CancelledError):
             error = failure.getTraceback()
             _log.error("health_check_failed", server=backend.server_id, error=error)
-        return False
 
     def _log_begin(self, backend: Backend, now: float) -> None:
         _log.info(
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -10,9 +10,11 @@
 from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._earlier_runs import EarlierRun
 from ebonyhaven_node.forwarding._outcomes import (
+    ALL_LEAVING_REASON,
     LIMITED_REASON,
     NO_SERVER_RETRY_AFTER_S,
     REACH_STEP,
+    REPLACEMENT_RETRY_AFTER_S,
     UNREACHED_REASON,
     make_crash_reason,
 )
@@ -173,6 +175,9 @@
             return GiveUpReason(
                 UNREACHED_REASON, NO_SERVER_RETRY_AFTER_S, step=REACH_STEP
             )
+        has_begun = self.may_have_run or self._progress.delivered
+        if not has_begun and self._server_selector.has_only_leaving():
+            return GiveUpReason(ALL_LEAVING_REASON, REPLACEMENT_RETRY_AFTER_S)
         reason = self._find_exceeded_limit(now) or self._find_server_limit(now)
         if reason is not None:
             return GiveUpReason(reason, retry_after_s=NO_SERVER_RETRY_AFTER_S)
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
@@ -82,6 +82,10 @@
         peers = self._context.peers.sum_by_server(now)
         return have_room(engines, self._engine.memory_tokens, peers)
 
+    def has_only_leaving(self) -> bool:
+        """See `BackendDirectory.has_only_leaving`."""
+        return self._context.state.backends.has_only_leaving(self._service)
+
     def find_limit_end(
         self, request_id: str, now: float, version: str | None = None
     ) -> float | None:
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -200,7 +200,9 @@
         """
 
     @abc.abstractmethod
-    async def check_health(self, address: str, *, path: str, timeout_s: float) -> bool:
+    async def check_health(
+        self, address: str, *, path: str, timeout_s: float
+    ) -> InspectedServer | None:
         """Ask the server at an address whether it is healthy.
 
         Parameters
@@ -214,8 +216,8 @@
 
         Returns
         -------
-        bool
-            Whether it answered at all.
+        InspectedServer or None
+            None if there was no response; any status will do.
         """
 
 
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -85,7 +85,8 @@
 
     async def check_health(self, address, *, path, timeout_s):
         self.checked.append(address)
-        return await self._is_answered(address, timeout_s)
+        is_answered = await self._is_answered(address, timeout_s)
+        return self.result if is_answered else None
 
     async def _is_answered(self, address, timeout_s):
         end = self._reactor.seconds() + timeout_s
--- a/tests/forwarding/test_engine_sampling.py
+++ b/tests/forwarding/test_engine_sampling.py
@@ -36,7 +36,7 @@
         return InspectedServer(True, started_ms, self.loads.get(address))
 
     async def check_health(self, address, *, path, timeout_s):
-        return address not in self.silent
+        return None if address in self.silent else InspectedServer(False, 0)
 
 
 def start(instances=INSTANCES, engines=3):
