--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -10,6 +10,7 @@
 
 from ebonyhaven_decisions.forwarding._limit_shares import LimitedServer, ServerLimiter
 from ebonyhaven_decisions.forwarding._permit_limiters import PermitLimiter
+from ebonyhaven_decisions.forwarding._server_silence import ServerSilence
 
 SUSPECT_MIN_S = 0.4  # a third of the restart time of a server on a fast machine
 SUSPECT_MAX_S = 3.0  # limits the time until a recovered server is sent requests
@@ -115,8 +116,15 @@
         Time before which other servers are preferred, seconds.
     limiter : ServerLimiter
         This instance's part in the limits that the server names.
+    silence : ServerSilence
+        How long the server has left this instance's requests without a byte.
+    has_told_leave : bool
+        Whether the process itself said in an answer that it leaves.
     removed_at : float or None
-        Time at which the entry was removed, seconds; None while it is listed.
+        Time at which this instance heard that the entry was removed, seconds; None
+        while it is listed.
+    kept_until : float
+        Time until which the server may be used after the removal, seconds.
     """
 
     entry: BackendEntry
@@ -136,7 +144,10 @@
     resting_until: float = -math.inf
     slow_until: float = -math.inf
     limiter: ServerLimiter = attrs.Factory(lambda: ServerLimiter(PermitLimiter()))
+    silence: ServerSilence = attrs.Factory(ServerSilence)
+    has_told_leave: bool = False
     removed_at: float | None = None
+    kept_until: float = -math.inf
 
     @property
     def server_id(self) -> str:
@@ -161,13 +172,18 @@
     @property
     def is_leaving(self) -> bool:
         """Whether the server said that it leaves, or is no longer listed."""
-        return self.removed_at is not None or self.entry.state is not BackendState.READY
+        return self.removed_at is not None or self.has_announced_leave
+
+    @property
+    def has_announced_leave(self) -> bool:
+        """Whether the server said that it leaves, in its entry or in an answer."""
+        return self.has_told_leave or self.entry.state is not BackendState.READY
 
     def is_usable(self, now: float) -> bool:
         """Return whether new requests may be sent to the server.
 
-        After a failure, one request at a time is sent until the server responds. See
-        `accepts` for refusals.
+        After a failure, one request at a time is sent until the server responds, and
+        none while it is unresponsive. See `accepts` for refusals.
 
         Parameters
         ----------
@@ -178,6 +194,8 @@
             return False
         if now < self.suspect_until or not self.accepts(now):
             return False
+        if self.silence.is_unresponsive(now):
+            return False
         return self.failures == 0 or self.in_flight == 0
 
     def accepts(self, now: float) -> bool:
@@ -211,7 +229,7 @@
         """
         if self.is_leaving or not self.limiter.is_allowed(now):
             return False
-        return now >= self.suspect_until
+        return now >= self.suspect_until and not self.silence.is_unresponsive(now)
 
     def is_usable_after_removal(self, now: float) -> bool:
         """Return whether requests may be sent to the server after its removal.
@@ -226,7 +244,7 @@
         """
         if not self.is_kept_after_removal(now) or not self.limiter.is_allowed(now):
             return False
-        return now >= self.suspect_until
+        return now >= self.suspect_until and not self.silence.is_unresponsive(now)
 
     def is_kept_after_removal(self, now: float) -> bool:
         """Return whether the removal is so recent that the entry may come back.
@@ -236,9 +254,9 @@
         now : float
             Seconds.
         """
-        if self.removed_at is None or self.entry.state is not BackendState.READY:
+        if self.removed_at is None or self.has_announced_leave:
             return False
-        return now - self.removed_at < REMOVED_USABLE_S
+        return now < self.kept_until
 
     def record_unreachable(self, now: float) -> None:
         """Suspect the server for a time that doubles with each failure, up to a limit.
@@ -301,10 +319,21 @@
         now : float
             Seconds.
         """
-        self.last_received_at = now
+        self.record_data(now)
         self.failures = 0
         self.suspect_until = -math.inf
 
+    def record_data(self, now: float) -> None:
+        """Record that further bytes of a response arrived.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        self.last_received_at = now
+        self.silence.record_received(now)
+
     def clear_suspicion(self, now: float) -> None:
         """Forget failures of a time in which no server could be reached.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -112,6 +112,8 @@
     def accept_head(self, status: int, headers: Headers) -> bool:
         """See `ResponseHandler.accept_head`."""
         head = self._context.dialect.read_head(status, headers)
+        if head.is_leaving:
+            self._report_leaving(head)
         if head.request_id is not None and head.request_id != self._request.request_id:
             return False
         if head.request_id is None:  # may belong to an earlier request
@@ -130,7 +132,7 @@
 
     def handle_data(self, data: bytes) -> None:
         """See `ResponseHandler.handle_data`."""
-        self.backend.last_received_at = self._context.clock()
+        self.backend.record_data(self._context.clock())
         self._context.contact.record_received(self.backend)
         if not self.is_finished:
             self._inbox.put(ResponseData(self, data))
@@ -161,6 +163,7 @@
         self._connection = connection
         self.was_sent = True
         self.sent_at = now
+        self.backend.silence.record_sent(now, self.plan.patience_s)
         headers = self._context.dialect.write_headers(
             self._request, self.backend.server_id, self.plan
         )
@@ -191,6 +194,15 @@
         self._finish()
         self._inbox.put(AttemptFailed(self, False, True, reason, is_unreached))
 
+    def _report_leaving(self, head: ResponseHead) -> None:
+        """Report the process that answered, which need not be the addressed one."""
+        backend: Backend | None = self.backend
+        if head.is_other_process:
+            other_id = head.other_server_id or ""
+            backend = self._context.state.backends.find(other_id)
+        if backend is not None:
+            self._context.report_told_leave(backend)
+
     def _record_answered(self) -> None:
         if self._is_unanswered:
             self._is_unanswered = False
@@ -199,6 +211,8 @@
 
     def _finish(self) -> None:
         self.is_finished = True
+        if self.was_sent:
+            self.backend.silence.record_ended(self._context.clock())
         self._record_answered()
         self.backend.in_flight -= 1
         self._context.capacity_notifier.notify()
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -7,6 +7,7 @@
     Backend,
     Route,
     choose_backend,
+    compute_patience_s,
 )
 
 from ebonyhaven_node._failures import make_not_run_failure, make_unknown_failure
@@ -22,10 +23,13 @@
 from ebonyhaven_node.forwarding._exchanges import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._outcomes import (
+    ALL_LEAVING_REASON,
     CLOSING_REASON,
     LIMITED_REASON,
     NO_SERVER_RETRY_AFTER_S,
     NOT_RUN_STATUSES,
+    REPLACEMENT_RETRY_AFTER_S,
+    SILENT_REASON,
     UNREACHED_REASON,
     make_crash_reason,
     make_leaving_failure,
@@ -96,6 +100,7 @@
         self._refusal_count = 0
         self._last_reason = "no server was tried"
         self._last_peer = "self"
+        self._retry_after_s = NO_SERVER_RETRY_AFTER_S
         timeout_s = request.limit_timeout(route.timeout_s)
         self._caller_deadline = request.arrived_at + timeout_s
         self._excluded_servers: set[tuple[str, int]] = set()
@@ -174,6 +179,10 @@
         """Return whether a server may take the request soon."""
         if now >= self._server_wait_deadline:
             return False
+        if self._context.state.backends.has_only_leaving(self._service):
+            self._last_reason = ALL_LEAVING_REASON
+            self._retry_after_s = REPLACEMENT_RETRY_AFTER_S
+            return False
         if self._context.state.backends.find_limit_end(self._service, now) is None:
             self._context.permits.ask(
                 self._service, self._request.request_id, self._excluded_servers
@@ -202,6 +211,8 @@
         elif self._is_blocked():
             trait = self._guard.find_blocked_trait()
             raise make_not_run_failure(make_crash_reason(trait), step="crash")
+        elif self._has_silent_servers() and not self._refusal_count:
+            raise make_unreached_failure(SILENT_REASON, peer=self._last_peer)
         elif self._unreached_count and not self._refusal_count:
             raise make_unreached_failure(self._last_reason, peer=self._last_peer)
         else:
@@ -209,9 +220,14 @@
                 f"no server took the request: {self._last_reason}",
                 step="route",
                 peer=self._last_peer,
-                retry_after_s=NO_SERVER_RETRY_AFTER_S,
+                retry_after_s=self._retry_after_s,
             )
 
+    def _has_silent_servers(self) -> bool:
+        """Return whether servers answer nothing, perhaps only to this instance."""
+        now = self._context.clock()
+        return bool(self._context.state.backends.list_unresponsive(now, self._service))
+
     def _may_forward_error(self) -> bool:
         """Return whether the error response may be forwarded.
 
@@ -265,9 +281,7 @@
         attempt = Attempt(
             request=self._request,
             backend=backend,
-            plan=AttemptPlan(
-                remaining_s=self._caller_deadline - now, workspace=self._workspace
-            ),
+            plan=self._make_plan(backend, now),
             inbox=self._inbox,
             context=self._context,
         )
@@ -289,6 +303,18 @@
         self._context.permits.withdraw(self._request.request_id)
         return True
 
+    def _make_plan(self, backend: Backend, now: float) -> AttemptPlan:
+        remaining_s = self._caller_deadline - now
+        return AttemptPlan(
+            remaining_s=remaining_s,
+            workspace=self._workspace,
+            patience_s=compute_patience_s(
+                target_latency_s=self._route.target_latency_s,
+                latency_s=backend.latency_s,
+                timeout_s=remaining_s,
+            ),
+        )
+
     def _select_backend(self, now: float) -> Backend | None:
         directory = self._context.state.backends
         usable = (
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -59,6 +59,7 @@
 from ebonyhaven_node.forwarding._settings import GatewaySettings
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
 from ebonyhaven_node.forwarding._shutdown import Shutdown
+from ebonyhaven_node.forwarding._silence_monitor import SilenceMonitor
 from ebonyhaven_node.forwarding._startup import StateWaiter
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding._version_records import VersionRecorder
@@ -172,6 +173,16 @@
             on_granted=self._capacity_notifier.notify,
         )
         self._metrics.register_room_gauge(self._permits.read_rooms)
+        self._silence_monitor = SilenceMonitor(
+            state=self.state,
+            inspector=self._inspector,
+            pool=self.pool,
+            permits=self._permits,
+            reactor=reactor,
+            clock=clock,
+            on_response=self._capacity_notifier.notify_soon,
+            on_leave=self._report_told_leave,
+        )
         self._crash_notifier = CrashNotifier(reactor)
         self._suspicion_notifier = SuspicionNotifier(reactor)
         self._crash_history = CrashHistory()
@@ -254,6 +265,8 @@
         self._stack.callback(self._capacity_notifier.stop)
         self._stack.callback(self._crash_notifier.stop)
         self._stack.callback(self._suspicion_notifier.stop)
+        self._silence_monitor.start()
+        self._stack.callback(self._silence_monitor.stop)
         self.source.start()
         self._loss_recorder.start(group.is_crash_recorder)
         self._stack.callback(self._loss_recorder.stop)
@@ -416,6 +429,9 @@
     ) -> None:
         self._context.report_unreachable(backend, is_from_peer=is_from_peer)
 
+    def _report_told_leave(self, backend: Backend) -> None:
+        self._context.report_told_leave(backend)
+
     def _handle_decided_traits(self) -> None:
         self._capacity_notifier.notify()
         self._crash_notifier.notify()
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -189,6 +189,16 @@
         """Record that servers were listed and removed again without being noticed."""
         self.backends.versions.record_gap(self._clock())
 
+    def record_list_current(self, at: float) -> None:
+        """Record that all changes of the server list up to a time are known.
+
+        Parameters
+        ----------
+        at : float
+            Seconds.
+        """
+        self.backends.record_current(at)
+
     def _notify_observers(self) -> None:
         for observer in self._observers:
             try:
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -167,15 +167,18 @@
         Start of its process, Unix milliseconds; 0 if unknown.
     load : EngineLoad or None
         None if it reports none.
+    is_leaving : bool
+        Whether it says that it leaves.
     """
 
     is_engine: bool
     started_ms: int
     load: EngineLoad | None = None
+    is_leaving: bool = False
 
 
 class ServerInspector(abc.ABC):
-    """Queries backend servers for their type and start time."""
+    """Queries backend servers for their type, start time and health."""
 
     @abc.abstractmethod
     async def inspect(
@@ -196,6 +199,27 @@
             None if there was no valid response.
         """
 
+    @abc.abstractmethod
+    async def check_health(
+        self, address: str, *, path: str, timeout_s: float
+    ) -> InspectedServer | None:
+        """Ask the server at an address whether it is healthy.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:PORT``.
+        path : str
+            See `Service.health_path`.
+        timeout_s : float
+            Seconds.
+
+        Returns
+        -------
+        InspectedServer or None
+            None if there was no response; any status will do.
+        """
+
 
 class RunCopier(abc.ABC):
     """Requests copies of the memory of runs on other engines."""
