Soak: the last server of a service leaves, and readers of the list are disturbed

`replace_last` has a server leave once the entries of all others of its service have lapsed, so that no other entry is there. The set `leaving-readers` adds kills and freezes of instances and trouble that single instances have with the store, while the store is stable for the others, whose requests are judged.

--- a/tests/platform_adapter/soak/_faults.py
+++ b/tests/platform_adapter/soak/_faults.py
@@ -37,6 +37,7 @@
     "replace_server",
     "replace_server",
     "replace_paused",
+    "replace_last",
     "pause_servers",
     "terminate_waiting_instance",
     "change_configuration",
@@ -55,6 +56,13 @@
         "stop_store",
         "forget_history",
     ),
+    "leaving-readers": (
+        *_LEAVING,
+        "kill_instance",
+        "pause_instance",
+        "disturb_store",
+        "refuse_instance",
+    ),
     "foreign-rows": (*_LEAVING, "write_foreign_row"),
     "all": (
         *_STANDARD,
--- a/tests/platform_adapter/soak/_server_faults.py
+++ b/tests/platform_adapter/soak/_server_faults.py
@@ -17,9 +17,10 @@
     NamedLimit,
 )
 from tests.platform_adapter.soak._link_faults import DURATION_S, LinkDisturber
-from tests.platform_adapter.soak._places import ListedServer, SoakServer
+from tests.platform_adapter.soak._places import LAPSE_S, ListedServer, SoakServer
 
 LIMIT_DURATION_S = (5.0, 9.0)  # longer than `CONTACT_S` and a span of the limit
+LAPSED_S = (1.0, 4.0)
 LINGER_S = (0.2, 1.0, 4.0, 8.0)
 PAUSED_S = (1.0, 8.0)
 REPORTING_SHARE = 0.6  # of the servers that leave
@@ -145,6 +146,24 @@
         pauses = [self._pause(each, duration_s) for each in still]
         await _wait_for_all([leave, *pauses])
 
+    async def replace_last(self) -> None:
+        """Have a server leave when the entries of all others of it have lapsed."""
+        service = self._rng.choice(("plain", "engines"))
+        servers = [each for each in self._deployment.servers if each.service == service]
+        leaving, *others = self._rng.sample(servers, len(servers))
+        still = [each.listed for each in others if each.listed is not None]
+        paused = [
+            ensureDeferred(self._pause(each, LAPSE_S + self._rng.uniform(*LAPSED_S)))
+            for each in still
+        ]
+        await deferLater(reactor, LAPSE_S)
+        await leaving.leave(
+            reports=self._rng.random() < REPORTING_SHARE,
+            linger_s=self._rng.uniform(*PAUSED_S),
+            successor_after_s=self._rng.uniform(*LAPSED_S),
+        )
+        await _wait_for_all(paused)
+
     async def replace_in_turn(self) -> None:
         """Have all servers leave one after the other, some of them overlapping."""
         if self._is_replacing:
