Decode bodies, events and entries on the node's own interface through the same door

What happened: a request body, an engine's event or a deflated configuration entry that is nested 2,000 levels deep raised RecursionError past its decoder; an event whose document is no object raised TypeError, and a load header that is no number ValueError, out of the engine's client. A deflated entry was inflated without a bound.

Class: input of others that raises what its decoder does not expect; found when looking for the same cause elsewhere.

Evidence: on the code before, the tests of bodies, events and configuration entries in test_odd_input fail (RecursionError; TypeError). The test of event ids fails there with KeyError, which the engine's client handled; that of load headers needs a function that is new. All five pass now.

--- a/packages/decisions/src/ebonyhaven_decisions/_configuration_entries.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_configuration_entries.py
@@ -14,6 +14,14 @@
 
 import attrs
 
+from ebonyhaven_decisions._documents import (
+    MAX_DOCUMENT_BYTES,
+    check_integer,
+    check_number,
+    decode_document,
+)
+from ebonyhaven_decisions.exceptions import MalformedDocument
+
 CURRENT_CONFIGURATION_KEY = "configuration/current"
 CONFIGURATION_HISTORY_PREFIX = "configuration/history/"
 CONFIGURATION_CHANGE_PREFIX = "configuration/changes/"
@@ -73,10 +81,10 @@
     """
     try:
         return ConfigurationEntry(
-            version=int(value["version"]),
+            version=check_integer(value["version"]),
             change_id=str(value["change_id"]),
             author=str(value["author"]),
-            accepted_at=float(value["accepted_at"]),
+            accepted_at=check_number(value["accepted_at"]),
             declaration=_read_declaration(value),
         )
     except (KeyError, TypeError, zlib.error) as error:
@@ -87,7 +95,11 @@
     deflated = value.get("declaration_deflated")
     if deflated is None:
         return value["declaration"]
-    return json.loads(zlib.decompress(base64.b64decode(deflated)))
+    inflater = zlib.decompressobj()
+    text = inflater.decompress(base64.b64decode(deflated), MAX_DOCUMENT_BYTES)
+    if not inflater.eof:
+        raise MalformedDocument("a declaration that does not end in time")
+    return decode_document(text)
 
 
 def format_history_key(version: int) -> str:
--- a/packages/node/src/ebonyhaven_node/_crash_reports.py
+++ b/packages/node/src/ebonyhaven_node/_crash_reports.py
@@ -8,7 +8,12 @@
 from typing import Any, Protocol
 
 import structlog
-from ebonyhaven_decisions import CrashEvidence, CrashLedger, CrashVerdict
+from ebonyhaven_decisions import (
+    CrashEvidence,
+    CrashLedger,
+    CrashVerdict,
+    check_integer,
+)
 from twisted.internet.interfaces import IReactorTime
 
 from ebonyhaven_node._channels import Channels
@@ -155,7 +160,7 @@
 ) -> tuple[str, CrashEvidence]:
     if not isinstance(content, str) or not isinstance(process, str):
         raise ValueError("content and process must be strings")
-    age_s = max(0, int(age_ms)) / MS_PER_S
+    age_s = max(0, check_integer(age_ms)) / MS_PER_S
     return content, CrashEvidence(process, age_s, bool(is_strong), bool(is_tokenless))
 
 
--- a/packages/node/src/ebonyhaven_node/_engines.py
+++ b/packages/node/src/ebonyhaven_node/_engines.py
@@ -9,7 +9,9 @@
 from typing import Any, Protocol, TypedDict
 from urllib.parse import urlencode
 
+import structlog
 import treq
+from ebonyhaven_decisions import check_integer, check_number, parse_count, quote
 from ebonyhaven_store import make_agent
 from twisted.internet import defer, error
 from twisted.internet.interfaces import IReactorTime
@@ -38,6 +40,8 @@
     error.TimeoutError,
 )
 
+_log = structlog.get_logger()
+
 
 class StartBody(TypedDict, total=False):
     """Request body that starts or continues a run; see docs/PROTOCOLS.md."""
@@ -343,20 +347,34 @@
     def _record_load(self, server: BackendServer, headers: Any) -> None:
         if not headers.hasHeader("Engine-Running"):
             return
-        server.record_load(
-            ReportedLoad(
-                running=int(_read_header(headers, "Engine-Running", "0")),
-                waiting=int(_read_header(headers, "Engine-Waiting", "0")),
-                capacity=int(
-                    _read_header(headers, "Engine-Capacity", str(server.capacity))
-                ),
-                pace_s=float(
-                    _read_header(headers, "Engine-Pace-Ms", str(server.pace_s * 1000))
-                )
-                / 1000,
-                leaving=_read_header(headers, "Engine-Leaving", "0") == "1",
-            )
-        )
+        try:
+            load = _read_load(server, headers)
+        except ValueError as error:
+            _log.info("load_malformed", server=server.name, reason=quote(error))
+            return
+        server.record_load(load)
+
+
+def _read_load(server: BackendServer, headers: Any) -> ReportedLoad:
+    """Return the load that an engine's answer names.
+
+    Raises
+    ------
+    ValueError
+        If a number can't be read.
+    """
+
+    def read_count(name: str, default: str) -> int:
+        return check_integer(parse_count(_read_header(headers, name, default)))
+
+    pace_ms = _read_header(headers, "Engine-Pace-Ms", str(server.pace_s * 1000))
+    return ReportedLoad(
+        running=read_count("Engine-Running", "0"),
+        waiting=read_count("Engine-Waiting", "0"),
+        capacity=read_count("Engine-Capacity", str(server.capacity)),
+        pace_s=check_number(float(pace_ms), minimum=0) / 1000,
+        leaving=_read_header(headers, "Engine-Leaving", "0") == "1",
+    )
 
 
 def _acquire_request(server: BackendServer) -> None:
--- a/packages/node/src/ebonyhaven_node/_events.py
+++ b/packages/node/src/ebonyhaven_node/_events.py
@@ -5,7 +5,14 @@
 import json
 from typing import Any, NamedTuple
 
-from ebonyhaven_decisions import OFFSET_BEFORE_FIRST_TOKEN, EventId, Outcome
+from ebonyhaven_decisions import (
+    OFFSET_BEFORE_FIRST_TOKEN,
+    EventId,
+    Outcome,
+    decode_document,
+    parse_count,
+)
+from ebonyhaven_decisions.exceptions import MalformedDocument
 
 KEEP_ALIVE_COMMENT = b": keep-alive\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
@@ -85,15 +92,28 @@
             return None
         if not head.startswith(b"id: "):
             return None
-        offset = int(head[4:])
+        offset = parse_count(head[4:])
+        if offset is None:
+            raise MalformedDocument("an event without a valid id")
         if rest.endswith(_COMPACT_TEXT_SUFFIX):
             _, _, literal = rest[: -len(_COMPACT_TEXT_SUFFIX)].partition(
                 _COMPACT_TEXT_PREFIX
             )
             if literal and b"\\" not in literal:
                 return Token(offset, literal.decode(), None)
-        choice = json.loads(rest.removeprefix(b"data: "))["choices"][0]
-        return Token(offset, choice["text"], choice["finish_reason"])
+        body = decode_document(rest.removeprefix(b"data: "), allows_surrogates=True)
+        return _read_token(offset, body)
+
+
+def _read_token(offset: int, body: Any) -> Token:
+    try:
+        choice = body["choices"][0]
+        text, finish_reason = choice["text"], choice["finish_reason"]
+    except (LookupError, TypeError) as error:
+        raise MalformedDocument(f"not an event: {error!r}") from error
+    if not isinstance(text, str) or not isinstance(finish_reason, str | None):
+        raise MalformedDocument("text and finish reason must be strings")
+    return Token(offset, text, finish_reason)
 
 
 class EventEncoder:
--- a/packages/node/src/ebonyhaven_node/_limit_headers.py
+++ b/packages/node/src/ebonyhaven_node/_limit_headers.py
@@ -4,6 +4,7 @@
 
 import math
 
+from ebonyhaven_decisions import parse_count
 from ebonyhaven_decisions.forwarding import ServerLimits
 from twisted.web.http_headers import Headers
 
@@ -20,7 +21,7 @@
     """
     return ServerLimits(
         _parse_number(headers.getRawHeaders(REQUEST_LIMIT_HEADER, [""])[0]),
-        _parse_count(headers.getRawHeaders(REFUSAL_LIMIT_HEADER, [""])[0]),
+        parse_count(headers.getRawHeaders(REFUSAL_LIMIT_HEADER, [""])[0]),
     )
 
 
@@ -30,7 +31,3 @@
     except ValueError:
         return None
     return number if math.isfinite(number) and number >= 0.0 else None
-
-
-def _parse_count(text: str) -> int | None:
-    return int(text) if text.strip().isdigit() else None
--- a/packages/node/src/ebonyhaven_node/_requests.py
+++ b/packages/node/src/ebonyhaven_node/_requests.py
@@ -11,6 +11,7 @@
 from ebonyhaven_decisions import (
     EventId,
     RequestFailure,
+    decode_document,
     parse_event_id,
 )
 from ebonyhaven_decisions.exceptions import MalformedEventId
@@ -132,7 +133,7 @@
         limit = f"at most {MAX_BODY_BYTES} are accepted"
         raise make_rejection(f"the body has {len(content)} bytes, {limit}", status=413)
     try:
-        body = json.loads(content)
+        body = decode_document(content)
     except ValueError as error:
         raise make_rejection(f"the body is not JSON: {error}") from error
     if not isinstance(body, dict):
