A server that left is not taken back by an older list, however that comes

Callers saw requests at servers whose leave the instance had already acted on.

Cause: the protection against a restored copy held for one read only, the first of an era. Taken back was a leave by a second whole read (410, crash of the follower), by the own read after a peer had told the new era, by the newer state of a peer that knew nothing of the leave or still kept what the copy lacked, by a whole read whose version did not count what is missing in it (it was that of the newest row, so that the older list of a peer seemed newer), and by a copy that shows a server as leaving that had left and come back before (the known entry counted as newer). Class: a fact is kept only as its effect on a list, and the list is replaced as a whole by one whose age is not compared for each entry.

Evidence: on the old code seven of the eight new tests of test_source fail (test_server_that_left_does_not_return_with_a_second_read_of_a_restored_store, .._with_a_read_ after_the_state_of_a_peer, .._with_the_newer_state_of_a_peer, test_server_that_the_restored_ store_shows_as_leaving_leaves, test_removal_that_a_whole_read_showed_is_newer_than_the_state_ of_a_peer, test_state_for_a_peer_leaves_out_what_a_restored_store_lacks, test_second_read_of_ a_restored_store_leaves_servers_time_to_return); the eighth guards the return of a server that writes its entry again, which held.

Elsewhere: the configuration is compared by version and era already.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -19,6 +19,7 @@
     TRIAL_DELAY_S,
     CrashHistory,
 )
+from ebonyhaven_decisions.forwarding._departures import DepartedServers
 from ebonyhaven_decisions.forwarding._directory import BackendDirectory
 from ebonyhaven_decisions.forwarding._engine_loads import (
     SAMPLED_ENGINES,
@@ -129,6 +130,7 @@
     "RequestLimits",
     "EngineLoad",
     "EngineTraits",
+    "DepartedServers",
     "EngineUse",
     "LimitShares",
     "LimitedServer",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_restored_list.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_restored_list.py
@@ -20,8 +20,9 @@
     """Return the server list to use after a restore of the store.
 
     What was known before the restore is newer than the copy, except for entries that
-    were written again since. A server that left stays away in either case, and one
-    that the copy lacks is kept for the caller to remove if it does not return.
+    were written again since. A server that left stays away in either case, one that
+    leaves in either list leaves, and one that the copy lacks is kept for the caller to
+    remove if it does not return.
 
     Parameters
     ----------
@@ -40,7 +41,8 @@
     merged = {
         server_id: entry
         for server_id, entry in restored.items()
-        if (server_id, entry.started_ms) not in departed
+        if entry.state is BackendState.LEAVING
+        or (server_id, entry.started_ms) not in departed
     }
     for server_id, entry in known.items():
         merged[server_id] = _merge_entries(entry, merged.get(server_id))
--- a/tests/platform_adapter/test_source.py
+++ b/tests/platform_adapter/test_source.py
@@ -387,6 +387,92 @@
     assert state.backends.find("s-1") is not None
 
 
+def leave_then_restore():
+    """Return a source that read the restored table with a server that had left."""
+    clock, store, state, source = start_with_complete_state()
+    store.push("servers", make_rows(14, s_1=None))
+    clock.advance(0.3)
+    restore_store(store, s_1=SERVER)
+    assert state.backends.find("s-1") is None
+    return clock, store, state, source
+
+
+def test_server_that_left_does_not_return_with_a_second_read_of_a_restored_store():
+    _, store, state, _ = leave_then_restore()
+    store.push("servers", make_store_error(status=410))
+    store.push("servers", make_rows(11, era=1, s_1=SERVER))
+    assert state.backends.find("s-1") is None
+
+
+def test_server_that_left_does_not_return_with_a_read_after_the_state_of_a_peer():
+    clock, store, state, source = start_with_complete_state()
+    store.push("servers", make_rows(14, s_1={**SERVER, "state": "draining"}))
+    clock.advance(0.3)
+    entry = ["s-1", 1000, "engines", "10.0.0.1:80", "dc-a", 4, "ready", "v1"]
+    source.merge([1, None, [1, 11], [entry]])
+    restore_store(store, s_1=SERVER)
+    backend = state.backends.find("s-1")
+    assert backend is None or not backend.is_usable(clock.seconds())
+
+
+def test_server_that_left_does_not_return_with_the_newer_state_of_a_peer():
+    _, _, state, source = leave_then_restore()
+    entry = ["s-1", 1000, "engines", "10.0.0.1:80", "dc-a", 4, "ready", "v1"]
+    source.merge([1, None, [1, 12], [entry]])
+    assert state.backends.find("s-1") is None
+
+
+def test_server_that_was_removed_returns_once_it_writes_its_entry_again():
+    clock, store, state, _ = leave_then_restore()
+    store.push("servers", make_rows(13, era=1, s_1=SERVER))
+    assert state.backends.find("s-1").is_usable(clock.seconds())
+    clock.advance(0.3)
+    store.push("servers", make_store_error(status=410))
+    store.push("servers", make_rows(13, era=1, s_1=SERVER))
+    assert state.backends.find("s-1").is_usable(clock.seconds())
+
+
+def test_server_that_the_restored_store_shows_as_leaving_leaves():
+    # Guards against a known entry that counts as newer than the leave.
+    clock, store, state, _ = start_with_complete_state()
+    store.push("servers", make_rows(14, s_1=None))
+    clock.advance(0.3)
+    store.push("servers", make_rows(15, s_1=SERVER))
+    clock.advance(0.3)
+    restore_store(store, s_1={**SERVER, "state": "draining"})
+    assert not state.backends.find("s-1").is_usable(clock.seconds())
+
+
+def test_removal_that_a_whole_read_showed_is_newer_than_the_state_of_a_peer():
+    # Guards against the version of a list that does not count what is missing in it.
+    _, _, state, source = start_with_complete_state()
+    _, store, other_state, other = build_source()
+    store.push("op", make_rows(10, config=CONFIGURATION))
+    rows = make_rows(9, s_2={**SERVER, "address": "10.0.0.2:80"})
+    store.push("servers", rows._replace(version=20))
+    other.start()
+    other.merge(send_between_instances(source.export()))
+    assert other_state.backends.find("s-1") is None
+    assert other_state.backends.find("s-2") is not None
+
+
+def test_state_for_a_peer_leaves_out_what_a_restored_store_lacks():
+    _, store, state, source = start_with_complete_state()
+    restore_store(store)
+    assert state.backends.find("s-1") is not None
+    assert source.export()[3] == []
+
+
+def test_second_read_of_a_restored_store_leaves_servers_time_to_return():
+    clock, store, state, _ = start_with_complete_state()
+    restore_store(store)
+    store.push("servers", make_store_error(status=410))
+    store.push("servers", make_rows(12, era=1))
+    assert state.backends.find("s-1") is not None
+    clock.advance(RESTORE_CONFIRMATION_S)
+    assert state.backends.find("s-1") is None
+
+
 def test_restored_configuration_is_not_applied_and_does_not_block_later_ones():
     clock, store, state, _ = start_with_complete_state()
     store.push("op", make_rows(9, era=1))
