--- a/tests/platform_adapter/test_change_feed.py
+++ b/tests/platform_adapter/test_change_feed.py
@@ -204,6 +204,20 @@
     assert is_known or harness.count_other_polls() == polls + 1
 
 
+def test_leave_after_a_restore_is_passed_on_though_the_reader_knew_of_it():
+    harness = start_fed()
+    leaving = {**SERVER, "state": "draining"}
+    harness.is_connected = False
+    harness.store.push("servers", make_rows(14, s_1=leaving))
+    harness.is_connected = True
+    for store in (harness.store, harness.other_store):
+        store.push("servers", make_rows(12, era=1))
+        store.push("servers", make_rows(12, era=1, s_1=SERVER))
+    harness.advance(MAX_FEED_TIMEOUT_S)
+    harness.store.push("servers", make_rows(13, era=1, s_1=leaving))
+    assert not harness.other_state.backends.find("s-1").is_usable(0.0)
+
+
 STORE_CLOCK_S = 500.0  # ahead of the clocks of the instances
 
 
