--- a/tests/platform_adapter/test_change_feed.py
+++ b/tests/platform_adapter/test_change_feed.py
@@ -8,6 +8,7 @@
 )
 from ebonyhaven_adapter._source import MAX_PUBLISHED_BYTES
 from ebonyhaven_adapter._table_follower import RETRY_INTERVAL_S
+from ebonyhaven_decisions.forwarding import MessageAges
 from ebonyhaven_decisions.forwarding._change_feed import (
     MAX_FEED_TIMEOUT_S,
     MIN_FEED_TIMEOUT_S,
@@ -21,6 +22,7 @@
 from tests.platform_adapter.test_source import (
     CONFIGURATION,
     SERVER,
+    build_source,
     make_rows,
     make_store_error,
     send_between_instances,
@@ -148,6 +150,141 @@
     assert harness.other_state.backends.find("s-3") is not None
 
 
+def test_missed_change_is_read_at_once():
+    # Guards against a pause that was computed before the gap was found.
+    harness = start_fed()
+    polls = harness.count_other_polls()
+    harness.other.apply_changes([0, 20, 21, []])
+    assert harness.count_other_polls() == polls + 1
+    harness.other.apply_changes([0, 21, 22, []])
+    assert harness.count_other_polls() == polls + 1
+
+
+def test_message_of_a_newer_era_has_the_store_read_at_once():
+    harness = start_fed()
+    polls = harness.count_other_polls()
+    harness.other.apply_changes([1, 5, 6, []])
+    assert harness.count_other_polls() == polls + 1
+
+
+def learn_from_peer(source, version):
+    """Let a source take the state of a peer that knows of servers that leave."""
+    entries = [
+        ["s-1", 1000, "engines", "10.0.0.1:80", "dc-a", 4, "leaving", "v1"],
+        ["s-2", 1000, "engines", "10.0.0.2:80", "dc-a", 4, "ready", "v1"],
+    ]
+    source.merge([0, None, [0, version], entries])
+
+
+def test_leave_that_a_reader_learned_from_a_peer_is_not_left_out_for_others():
+    # Guards against a message that claims to hold a change which it leaves out.
+    harness = start_fed()
+    polls = harness.count_other_polls()
+    learn_from_peer(harness.reader, 14)
+    harness.store.push("servers", make_rows(14, s_1={**SERVER, "state": "draining"}))
+    harness.advance(0.35)
+    harness.change(15, s_2={**SERVER, "address": "10.0.0.2:80", "sequence": 2})
+    harness.advance(0.0)
+    is_known = not harness.other_state.backends.find("s-1").is_usable(0.0)
+    assert is_known or harness.count_other_polls() == polls + 1
+
+
+def test_leave_that_a_reader_has_from_a_peer_before_its_own_read_is_read_by_others():
+    harness = start_fed()
+    clock, store, _, reader = build_source()
+    reader.connect_group(FakeGroup(rank=0, publish=harness.other.apply_changes))
+    learn_from_peer(reader, 14)
+    store.push("op", make_rows(10, config=CONFIGURATION))
+    store.push("servers", make_rows(13, s_1=SERVER))
+    reader.start()
+    polls = harness.count_other_polls()
+    store.push("servers", make_rows(15, s_1={**SERVER, "state": "draining"}))
+    clock.advance(0.35)
+    is_known = not harness.other_state.backends.find("s-1").is_usable(0.0)
+    assert is_known or harness.count_other_polls() == polls + 1
+
+
+def test_leave_after_a_restore_is_passed_on_though_the_reader_knew_of_it():
+    harness = start_fed()
+    leaving = {**SERVER, "state": "draining"}
+    harness.is_connected = False
+    harness.store.push("servers", make_rows(14, s_1=leaving))
+    harness.is_connected = True
+    for store in (harness.store, harness.other_store):
+        store.push("servers", make_rows(12, era=1))
+        store.push("servers", make_rows(12, era=1, s_1=SERVER))
+    harness.advance(MAX_FEED_TIMEOUT_S)
+    harness.store.push("servers", make_rows(13, era=1, s_1=leaving))
+    assert not harness.other_state.backends.find("s-1").is_usable(0.0)
+
+
+STORE_CLOCK_S = 500.0  # ahead of the clocks of the instances
+
+
+def start_with_store_clock():
+    """Return a harness whose messages tell the time of the store's clock."""
+    harness = start_fed()
+    harness.advance(MAX_FEED_TIMEOUT_S)
+    harness.is_connected = False
+    for clock, store in (
+        (harness.clock, harness.store),
+        (harness.other_clock, harness.other_store),
+    ):
+        rows = make_rows(14, s_1={**SERVER, "sequence": 14})
+        store.push("servers", rows._replace(now_s=clock.seconds() + STORE_CLOCK_S))
+    return harness
+
+
+def publish_unchanged(harness, version):
+    """Let the reader publish that there are no changes, and return the message."""
+    now_s = harness.clock.seconds() + STORE_CLOCK_S
+    rows = make_rows(version, s_1={**SERVER, "sequence": version})
+    harness.store.push("servers", rows._replace(now_s=now_s))
+    harness.advance(0.35)
+    return send_between_instances(harness.published[-1])
+
+
+def test_messages_that_were_long_on_their_way_do_not_keep_an_instance_from_polling():
+    # Guards against an instance behind a slow link that never polls.
+    harness = start_with_store_clock()
+    delayed = [publish_unchanged(harness, version) for version in range(15, 25)]
+    harness.advance(MAX_FEED_TIMEOUT_S)
+    polls = harness.count_other_polls()
+    for message in delayed:
+        harness.other.apply_changes(message)
+        harness.other_store.push("servers", make_rows(message[2]))
+    assert harness.count_other_polls() == polls + len(delayed)
+
+
+def test_messages_that_arrive_at_once_keep_an_instance_from_polling():
+    harness = start_with_store_clock()
+    harness.other.apply_changes(publish_unchanged(harness, 15))
+    harness.other_store.push("servers", make_rows(15))
+    polls = harness.count_other_polls()
+    for version in range(16, 36):
+        harness.other.apply_changes(publish_unchanged(harness, version))
+    assert harness.count_other_polls() == polls
+
+
+def test_time_of_a_message_is_no_change_for_an_instance_of_an_earlier_build():
+    harness = start_with_store_clock()
+    message = publish_unchanged(harness, 15)
+    era, after, version, changes = message
+    assert (era, after, version) == (0, 14, 15)
+    assert all(change[0] <= after and change[2] is None for change in changes)
+
+
+def test_ages_recover_when_the_clock_of_the_store_starts_anew():
+    ages = MessageAges()
+    ages.record_read(500.0, 0.0)
+    assert ages.measure_age_s(509.0, 10.0) == 1.0
+    ages.record_read(509.5, 10.0)  # a late response does not count
+    assert ages.measure_age_s(510.0, 10.0) == 0.0
+    ages.record_read(1.0, 11.0)
+    assert ages.measure_age_s(2.0, 12.0) == 0.0
+    assert ages.measure_age_s(None, 12.0) == 0.0
+
+
 def test_changes_of_another_era_are_not_applied():
     harness = start_fed()
     version = harness.other.read_version()
--- a/tests/platform_adapter/test_source.py
+++ b/tests/platform_adapter/test_source.py
@@ -3,17 +3,20 @@
 import json
 import pathlib
 from collections import deque
+from unittest import mock
 
+from ebonyhaven_adapter import _server_list
 from ebonyhaven_adapter._server_list import RESTORE_CONFIRMATION_S
+from ebonyhaven_adapter._servers import decode_backend_entry
 from ebonyhaven_adapter._source import MAX_POLL_S, PlatformStateSource
 from ebonyhaven_adapter._store import Row, RowBatch
-from ebonyhaven_adapter._table_follower import LONG_POLL_S
+from ebonyhaven_adapter._table_follower import LONG_POLL_S, RETRY_INTERVAL_S
 from ebonyhaven_adapter.exceptions import StoreError
 from ebonyhaven_node._frames import encode_json
 from ebonyhaven_node.forwarding import ForwardingState
 from ebonyhaven_node.forwarding.interfaces import ReadGroup
 from structlog.testing import capture_logs
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import Clock
 
 CONFIGURATION = {
@@ -154,6 +157,57 @@
     assert told == ["change"]
 
 
+def test_observer_that_fails_does_not_stop_the_following():
+    # Guards against a list that is read anew forever, or no longer followed.
+    clock, store, state, _ = start_with_complete_state()
+
+    def fail():
+        raise RecursionError
+
+    state.observe(fail)
+    leaving = {**SERVER, "state": "draining"}
+    listed = {**SERVER, "address": "10.0.0.2:80"}
+    store.push("servers", make_rows(15, s_1=leaving, s_2=listed))
+    assert not state.backends.find("s-1").is_usable(clock.seconds())
+    assert state.backends.find("s-2") is not None
+    clock.advance(0.3)
+    assert store.calls[-1] == ("changes", "servers", 15)
+
+
+def test_row_whose_decoding_fails_names_no_server():
+    clock, store, state, _ = start_with_complete_state()
+
+    def decode(server_id, document):
+        if server_id == "s-9":
+            raise RecursionError
+        return decode_backend_entry(server_id, document)
+
+    leaving = {**SERVER, "state": "draining"}
+    with mock.patch.object(_server_list, "decode_backend_entry", decode):
+        store.push("servers", make_rows(15, s_9=SERVER, s_1=leaving))
+    assert not state.backends.find("s-1").is_usable(clock.seconds())
+    clock.advance(0.3)
+    assert store.calls[-1] == ("changes", "servers", 15)
+
+
+def test_failure_within_a_call_is_retried_from_the_version_that_is_known():
+    clock, store, state, _ = start_with_complete_state()
+    for failure in (RecursionError(), CancelledError()):
+        store.pending_calls.pop("servers").errback(failure)
+        clock.advance(RETRY_INTERVAL_S)
+        assert store.calls[-1] == ("changes", "servers", 12)
+    store.push("servers", make_rows(15, s_1=None))
+    assert state.backends.find("s-1") is None
+
+
+def test_stopped_source_does_not_poll_again():
+    clock, store, _, source = start_with_complete_state()
+    calls = len(store.calls)
+    source.stop()
+    clock.advance(10.0)
+    assert len(store.calls) == calls
+
+
 def test_missing_history_triggers_an_immediate_table_read():
     _, store, state, _ = start_with_complete_state()
     store.push("servers", make_store_error(status=410))
@@ -333,6 +387,92 @@
     assert state.backends.find("s-1") is not None
 
 
+def leave_then_restore():
+    """Return a source that read the restored table with a server that had left."""
+    clock, store, state, source = start_with_complete_state()
+    store.push("servers", make_rows(14, s_1=None))
+    clock.advance(0.3)
+    restore_store(store, s_1=SERVER)
+    assert state.backends.find("s-1") is None
+    return clock, store, state, source
+
+
+def test_server_that_left_does_not_return_with_a_second_read_of_a_restored_store():
+    _, store, state, _ = leave_then_restore()
+    store.push("servers", make_store_error(status=410))
+    store.push("servers", make_rows(11, era=1, s_1=SERVER))
+    assert state.backends.find("s-1") is None
+
+
+def test_server_that_left_does_not_return_with_a_read_after_the_state_of_a_peer():
+    clock, store, state, source = start_with_complete_state()
+    store.push("servers", make_rows(14, s_1={**SERVER, "state": "draining"}))
+    clock.advance(0.3)
+    entry = ["s-1", 1000, "engines", "10.0.0.1:80", "dc-a", 4, "ready", "v1"]
+    source.merge([1, None, [1, 11], [entry]])
+    restore_store(store, s_1=SERVER)
+    backend = state.backends.find("s-1")
+    assert backend is None or not backend.is_usable(clock.seconds())
+
+
+def test_server_that_left_does_not_return_with_the_newer_state_of_a_peer():
+    _, _, state, source = leave_then_restore()
+    entry = ["s-1", 1000, "engines", "10.0.0.1:80", "dc-a", 4, "ready", "v1"]
+    source.merge([1, None, [1, 12], [entry]])
+    assert state.backends.find("s-1") is None
+
+
+def test_server_that_was_removed_returns_once_it_writes_its_entry_again():
+    clock, store, state, _ = leave_then_restore()
+    store.push("servers", make_rows(13, era=1, s_1=SERVER))
+    assert state.backends.find("s-1").is_usable(clock.seconds())
+    clock.advance(0.3)
+    store.push("servers", make_store_error(status=410))
+    store.push("servers", make_rows(13, era=1, s_1=SERVER))
+    assert state.backends.find("s-1").is_usable(clock.seconds())
+
+
+def test_server_that_the_restored_store_shows_as_leaving_leaves():
+    # Guards against a known entry that counts as newer than the leave.
+    clock, store, state, _ = start_with_complete_state()
+    store.push("servers", make_rows(14, s_1=None))
+    clock.advance(0.3)
+    store.push("servers", make_rows(15, s_1=SERVER))
+    clock.advance(0.3)
+    restore_store(store, s_1={**SERVER, "state": "draining"})
+    assert not state.backends.find("s-1").is_usable(clock.seconds())
+
+
+def test_removal_that_a_whole_read_showed_is_newer_than_the_state_of_a_peer():
+    # Guards against the version of a list that does not count what is missing in it.
+    _, _, state, source = start_with_complete_state()
+    _, store, other_state, other = build_source()
+    store.push("op", make_rows(10, config=CONFIGURATION))
+    rows = make_rows(9, s_2={**SERVER, "address": "10.0.0.2:80"})
+    store.push("servers", rows._replace(version=20))
+    other.start()
+    other.merge(send_between_instances(source.export()))
+    assert other_state.backends.find("s-1") is None
+    assert other_state.backends.find("s-2") is not None
+
+
+def test_state_for_a_peer_leaves_out_what_a_restored_store_lacks():
+    _, store, state, source = start_with_complete_state()
+    restore_store(store)
+    assert state.backends.find("s-1") is not None
+    assert source.export()[3] == []
+
+
+def test_second_read_of_a_restored_store_leaves_servers_time_to_return():
+    clock, store, state, _ = start_with_complete_state()
+    restore_store(store)
+    store.push("servers", make_store_error(status=410))
+    store.push("servers", make_rows(12, era=1))
+    assert state.backends.find("s-1") is not None
+    clock.advance(RESTORE_CONFIRMATION_S)
+    assert state.backends.find("s-1") is None
+
+
 def test_restored_configuration_is_not_applied_and_does_not_block_later_ones():
     clock, store, state, _ = start_with_complete_state()
     store.push("op", make_rows(9, era=1))
