Test the program with rows and configurations that can't be read

The real program reads past 70 odd rows at its start, and past each of them again in the list and in place of the configuration.

--- a/tests/platform_adapter/stand_ins.py
+++ b/tests/platform_adapter/stand_ins.py
@@ -55,12 +55,16 @@
         self._pending_polls: list[tuple[server.Request, str, int]] = []
 
     def put(self, table: str, key: str, document) -> None:
+        content = None if document is None else json.dumps(document).encode()
+        self.put_bytes(table, key, content)
+
+    def put_bytes(self, table: str, key: str, content: bytes | None) -> None:
         self.version += 1
         value = None
-        if document is None:
+        if content is None:
             self.rows.pop((table, key), None)
         else:
-            value = base64.b64encode(json.dumps(document).encode()).decode()
+            value = base64.b64encode(content).decode()
             self.rows[table, key] = (value, self.version)
         self.changes.append((table, key, value, self.version))
         if self.holds_polls:
--- a/tests/platform_adapter/test_program.py
+++ b/tests/platform_adapter/test_program.py
@@ -10,6 +10,7 @@
 
 from ebonyhaven_standins.cluster import find_binary
 
+from tests.platform_adapter.odd_documents import ODD_BYTES, list_odd_entries
 from tests.platform_adapter.stand_ins import (
     HOST,
     KEY,
@@ -267,3 +268,22 @@
         node.settings_path.write_text("{")
         node.wait_for_line("settings_not_reloaded")
         assert harness.is_ready()
+
+
+def test_list_is_followed_past_rows_and_configurations_that_can_not_be_read():
+    with contextlib.ExitStack() as stack:
+        harness = PlatformHarness(stack)
+        for number, odd in enumerate(list_odd_entries()):
+            call_in_reactor(harness.store.put_bytes, "servers", f"odd-{number}", odd)
+        harness.configure()
+        wait_until(harness.is_ready)
+        for odd in (*list_odd_entries(), *ODD_BYTES):
+            call_in_reactor(harness.store.put_bytes, "servers", "odd", odd)
+            call_in_reactor(harness.store.put_bytes, "op", "config", odd)
+        entry = make_entry("plain", "127.0.0.9:9")
+        harness.put("servers", "p-9", entry)
+        harness.node.wait_for_line("backend_listed", server="p-9")
+        harness.configure(version=2)
+        listed = {line["server"] for line in harness.node.find_lines("backend_listed")}
+        assert listed == {"p-1", "e-1", "e-2", "p-9"}
+        assert harness.node.process.poll() is None
