A message that may hide that a known change was undone is not taken for complete

Callers saw requests at a server that had left, for as long as an instance lived: a reader that had been frozen read a row twice changed in between (a lapsed entry, written again, then removed) as unchanged, and its message claimed to hold all changes since before. An instance that knew the middle one moved past the removal.

Cause: what a message leaves out is the same at its end as at its beginning, which tells an instance that is somewhere in between nothing. Class: a net difference is applied to another state than that from which it was taken.

Evidence: with the check left out test_change_that_was_undone_in_the_span_of_a_message_is_read fails (no poll). That messages of two readers with the usual overlap cause no polls is tested.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -12,6 +12,7 @@
     STANDBY_READERS,
     ChangeFeed,
     MessageAges,
+    RecentChanges,
     find_reader_rank,
 )
 from ebonyhaven_decisions.forwarding._crash_history import (
@@ -126,6 +127,7 @@
     "BudgetUse",
     "ChangeFeed",
     "MessageAges",
+    "RecentChanges",
     "CrashHistory",
     "RequestLimits",
     "EngineLoad",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_change_feed.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_change_feed.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 import attrs
 
@@ -25,6 +25,7 @@
 STANDBY_READERS = 4  # that pass on what they read while the reader is silent
 # A clock that went back by more was started anew; responses are late by less.
 CLOCK_RESET_S = 5.0
+MAX_RECENT_CHANGES = 1024
 STANDBY_DELAY_S = 0.15  # exceeds the time of a poll that returns at once
 
 
@@ -106,6 +107,66 @@
         return max(0.0, self.received_at + timeout_s - now)
 
 
+class RecentChanges:
+    """Versions of the newest changes of entries, to check messages against.
+
+    A message leaves out what is the same at its end as at its beginning. To an instance
+    that knows a change in between, it does not tell that this change was undone.
+    """
+
+    def __init__(self) -> None:
+        self._versions: dict[str, int] = {}  # by server, oldest first
+        self._forgotten = 0
+
+    def record(self, server_id: str, version: int) -> None:
+        """Record that an entry changed.
+
+        Parameters
+        ----------
+        server_id : str
+        version : int
+            Of the change.
+        """
+        self._versions.pop(server_id, None)
+        self._versions[server_id] = version
+        if len(self._versions) > MAX_RECENT_CHANGES:
+            oldest = next(iter(self._versions))
+            self._forgotten = max(self._forgotten, self._versions.pop(oldest))
+
+    def record_list(
+        self, before: Mapping[str, object], after: Mapping[str, object], version: int
+    ) -> None:
+        """Record what changed between two lists.
+
+        Parameters
+        ----------
+        before, after : mapping of str to object
+            Entries by server.
+        version : int
+            Of the list after.
+        """
+        for server_id in before.keys() | after.keys():
+            if before.get(server_id) != after.get(server_id):
+                self.record(server_id, version)
+
+    def has_others(self, after: int, server_ids: Collection[str]) -> bool:
+        """Return whether other entries than those of a message changed since its start.
+
+        Parameters
+        ----------
+        after : int
+            Version after which the message holds changes.
+        server_ids : collection of str
+            Servers whose changes it holds.
+        """
+        if after < self._forgotten:
+            return True
+        return any(
+            version > after and server_id not in server_ids
+            for server_id, version in self._versions.items()
+        )
+
+
 @attrs.define(slots=True)
 class MessageAges:
     """Ages of messages that name the time of the store's clock at which they were read.
--- a/tests/platform_adapter/test_change_feed.py
+++ b/tests/platform_adapter/test_change_feed.py
@@ -8,9 +8,10 @@
 )
 from ebonyhaven_adapter._source import MAX_PUBLISHED_BYTES
 from ebonyhaven_adapter._table_follower import RETRY_INTERVAL_S
-from ebonyhaven_decisions.forwarding import MessageAges
+from ebonyhaven_decisions.forwarding import MessageAges, RecentChanges
 from ebonyhaven_decisions.forwarding._change_feed import (
     MAX_FEED_TIMEOUT_S,
+    MAX_RECENT_CHANGES,
     MIN_FEED_TIMEOUT_S,
     STANDBY_DELAY_S,
     STANDBY_READERS,
@@ -218,6 +219,41 @@
     assert not harness.other_state.backends.find("s-1").is_usable(0.0)
 
 
+def test_change_that_was_undone_in_the_span_of_a_message_is_read():
+    # Guards against a slow reader to which nothing has changed in between.
+    harness = start_fed()
+    harness.other.apply_changes([0, 13, 15, [[15, "s-1", None]]])
+    polls = harness.count_other_polls()
+    harness.other.apply_changes([0, 12, 18, []])
+    assert harness.count_other_polls() == polls + 1
+    harness.other_store.push("servers", make_rows(18, s_1=SERVER))
+    assert harness.other_state.backends.find("s-1") is not None
+
+
+def test_messages_of_two_readers_are_applied_without_polls():
+    harness = start_fed()
+    polls = harness.count_other_polls()
+    for version in range(14, 24):
+        change = [[version, "s-1", None]] if version % 2 else []
+        for after in (version - 1, max(13, version - 3)):
+            known = [
+                [each, "s-1", None] for each in range(after + 1, version) if each % 2
+            ]
+            harness.other.apply_changes([0, after, version, known + change])
+    assert harness.count_other_polls() == polls
+    assert harness.other_state.backends.find("s-1") is None
+
+
+def test_changes_that_are_forgotten_count_as_changes():
+    recent = RecentChanges()
+    for number in range(MAX_RECENT_CHANGES + 1):
+        recent.record(f"s-{number}", number + 1)
+    assert recent.has_others(0, {f"s-{each}" for each in range(number + 1)})
+    assert not recent.has_others(1, {f"s-{each}" for each in range(number + 1)})
+    assert recent.has_others(number, set())
+    assert not recent.has_others(number + 1, set())
+
+
 STORE_CLOCK_S = 500.0  # ahead of the clocks of the instances
 
 
