A whole read that is older than what is known is left out, and not repeated without a pause

Callers saw nothing for certain; instances whose reads of the table were stale after the store had dropped its history settled on the older version, and asked again as fast as the store answered: each read led to a poll that the store answered with 410, and that to the next read.

Cause: at a 410 the follower forgot up to which version it knew the changes, so that it could not tell that a read was older, and read the table again at once however often that had just failed. Class: state is thrown away before its replacement is known to be better; a retry without a pause.

Evidence: on the old code test_table_older_than_what_is_known_is_left_out and test_tables_that_are_all_too_old_are_not_read_without_a_pause fail.

Elsewhere: the configuration uses the same follower.

--- a/tests/platform_adapter/test_source.py
+++ b/tests/platform_adapter/test_source.py
@@ -217,6 +217,30 @@
     assert state.backends.find("s-2") is not None
 
 
+def test_table_older_than_what_is_known_is_left_out():
+    # Guards against a stale read after the history was dropped.
+    clock, store, state, _ = start_with_complete_state()
+    store.push("servers", make_rows(15, s_1={**SERVER, "state": "draining"}))
+    clock.advance(0.3)
+    store.push("servers", make_store_error(status=410))
+    store.push("servers", make_rows(14, s_1=SERVER))
+    assert not state.backends.find("s-1").is_usable(clock.seconds())
+    assert store.calls[-1] == ("changes", "servers", 15)
+
+
+def test_tables_that_are_all_too_old_are_not_read_without_a_pause():
+    # Guards against hundreds of calls a second while reads of the table are stale.
+    clock, store, _, _ = start_with_complete_state()
+    for _ in range(200):
+        store.responses["servers"].append(make_rows(13, s_1=SERVER))
+        store.responses["servers"].append(make_store_error(status=410))
+    calls = len(store.calls)
+    store.push("servers", make_store_error(status=410))
+    clock.pump([0.1] * 10)
+    tables = store.calls[calls:].count(("table", "servers", None))
+    assert tables <= 2 + 1.0 / RETRY_INTERVAL_S
+
+
 def test_store_failure_keeps_the_state_and_is_retried_after_a_delay():
     clock, store, state, source = start_with_complete_state()
     assert not source.is_unresponsive()
