--- /dev/null
+++ b/tests/platform_adapter/list_exploration/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded exploration of how instances learn that servers leave, in simulated time."""
