Go on with periodic work after an error

Class: one error ends a loop. `start_loop` logs it and goes on.

Found by reading; what raised there was not seen.

--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -23,6 +23,7 @@
 from ebonyhaven_node._byte_budgets import ByteBudget
 from ebonyhaven_node._filter_chain import build_chain
 from ebonyhaven_node._log_writer import LogOutput
+from ebonyhaven_node._loops import start_loop
 from ebonyhaven_node.forwarding._active_requests import ActiveRequests
 from ebonyhaven_node.forwarding._adoption import EngineAdopter
 from ebonyhaven_node.forwarding._connection_pool import (
@@ -242,9 +243,9 @@
             int(port), self.server, interface=host, backlog=LISTEN_BACKLOG
         )
         self._stack.callback(listener.stopListening)
-        sweep = task.LoopingCall(self._sweep)
-        sweep.clock = self._reactor
-        sweep.start(SWEEP_INTERVAL_S, now=False)
+        sweep = start_loop(
+            self._sweep, interval_s=SWEEP_INTERVAL_S, reactor=self._reactor
+        )
         self._stack.callback(sweep.stop)
         self._stack.callback(self.pool.close)
         self._stack.callback(self._contact.stop)
