Stop to listen before an instance closes its connections

Callers that connected while an instance ended were accepted by the kernel, and heard nothing until its process was gone (up to 0.3 s later on a busy machine), as the listener closed last. It closes at the end of the grace period now, before connections do, so that they are refused at once and ask another instance.

Class: what takes requests is stopped after what handles them.

Evidence: test_closing_instance_accepts_no_connections_that_it_will_not_read fails on the code before and passes now.

--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -131,6 +131,7 @@
         self._settings = settings
         self._reactor = reactor
         self._stack = contextlib.ExitStack()
+        self._listening = contextlib.ExitStack()
         self._rng = rng or random.Random()
         self._shutdown = Shutdown(settings.grace_s, clock)
         self._log_output: LogOutput | None = None
@@ -242,7 +243,8 @@
         listener = self._reactor.listenTCP(
             int(port), self.server, interface=host, backlog=LISTEN_BACKLOG
         )
-        self._stack.callback(listener.stopListening)
+        self._listening.callback(listener.stopListening)
+        self._stack.enter_context(self._listening)
         sweep = start_loop(
             self._sweep, interval_s=SWEEP_INTERVAL_S, reactor=self._reactor
         )
@@ -296,7 +298,9 @@
         self._wake_requests()
         closing_time = self._shutdown.closing_time
         await self._poll_until(lambda: False, closing_time)
+        self._listening.close()  # callers go elsewhere rather than to a closing process
         departure = self.membership.depart()
+        await task.deferLater(self._reactor, 0.0)  # the listener closes in this turn
         await self._poll_until(lambda: not self._active, closing_time + ENDING_S)
         self._active.end_all()
         _log.info("instance_stopped", **self._active.summarize_shutdown())
--- a/tests/platform_adapter/test_program.py
+++ b/tests/platform_adapter/test_program.py
@@ -278,6 +278,17 @@
         assert len(harness.node.find_lines("instance_stopped")) == 1
 
 
+def test_closing_instance_accepts_no_connections_that_it_will_not_read():
+    with start_harness() as harness:
+        harness.node.terminate()
+        harness.node.wait_for_line("instance_stopped")
+        for _ in range(20):
+            with contextlib.suppress(ConnectionRefusedError):
+                harness.send("/once/x", "r-late")
+                raise AssertionError("the instance accepted a connection")
+        assert harness.node.process.wait(TIMEOUT_S) == 0
+
+
 def test_settings_are_reloaded_on_change_and_on_sighup():
     with start_harness() as harness:
         node = harness.node
