Count each incomplete response, also of relays and of errors

Responses that another instance broke off, and those that could not be written, were in no count. The reason goes with the abort of an exchange now, and requests are counted where they end.

Evidence: test_response_that_cannot_be_written_is_cut_and_counted fails on the code before (no such sample) and passes now; that of relays was read only. tests.forwarding passes.

--- a/packages/node/src/ebonyhaven_node/forwarding/_active_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_active_requests.py
@@ -10,7 +10,7 @@
 from twisted.python.failure import Failure
 
 from ebonyhaven_node._filter_chain import Proceed
-from ebonyhaven_node.forwarding._exchanges import Exchange, ExchangeEnd
+from ebonyhaven_node.forwarding._exchanges import CRASHED, Exchange, ExchangeEnd
 from ebonyhaven_node.forwarding._filters import RequestContext
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._shutdown import Shutdown, ShutdownReport
@@ -89,20 +89,10 @@
     def _cut(self, exchange: Exchange, reason: str, status: int) -> None:
         kind, request_id = _describe(self._works[exchange])
         _log.error("request_cut", request=request_id, kind=kind, reason=reason)
-        self._end(exchange, kind, reason, status)
+        _end(exchange, reason, status)
         self._forget(exchange)  # whether or not its handling can still be cancelled
         exchange.on_disconnect()
 
-    def _end(self, exchange: Exchange, kind: str, reason: str, status: int) -> None:
-        """Answer a request that may have run, or cut its response if it has begun."""
-        if exchange.is_done:
-            return
-        if exchange.is_started:
-            self._metrics.incomplete.labels(kind, reason).inc()
-            exchange.abort()
-        else:
-            exchange.respond(status, (), b"{}")
-
     def _finish(self, result: object, exchange: Exchange) -> None:
         if exchange not in self._works:
             return
@@ -111,13 +101,16 @@
             self._log_failure(result, exchange)
         elif not exchange.is_done:
             _log.error("request_unanswered", request=request_id, kind=kind)
-        self._end(exchange, kind, "crashed", CRASHED_STATUS)
+        _end(exchange, CRASHED, CRASHED_STATUS)
         self._forget(exchange)
 
     def _forget(self, exchange: Exchange) -> None:
         work = self._works.pop(exchange)
+        kind, request_id = _describe(work)
+        if exchange.end is ExchangeEnd.ABORTED:
+            self._metrics.incomplete.labels(kind, exchange.abort_reason).inc()
         if self._shutdown.is_leaving:
-            self._report.record(exchange, *_describe(work))
+            self._report.record(exchange, kind, request_id)
 
     def _log_failure(self, failure: Failure, exchange: Exchange) -> None:
         if not failure.check(CancelledError):
@@ -126,6 +119,14 @@
             _log.info("caller_left", target=exchange.head.target.decode("latin-1"))
 
 
+def _end(exchange: Exchange, reason: str, status: int) -> None:
+    """Answer a request that may have run, or cut its response if it has begun."""
+    if exchange.is_started:
+        exchange.abort(reason)
+    else:
+        exchange.respond(status, (), b"{}")
+
+
 def _describe(work: RequestContext) -> tuple[str, str | None]:
     """Return the kind and the id of a request."""
     kind = work.route.kind.value if work.route else "none"
--- a/packages/node/src/ebonyhaven_node/forwarding/_exchanges.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_exchanges.py
@@ -9,6 +9,8 @@
 
 from ebonyhaven_node.forwarding._requests import Headers, RequestHead
 
+CRASHED = "crashed"  # reason of an abort after an error of this instance
+
 
 class ResponseWriter(abc.ABC):
     """Writes the response to one request at a time."""
@@ -72,12 +74,15 @@
         Status of the response; None until its head has been sent.
     end : ExchangeEnd or None
         None until the exchange is done.
+    abort_reason : str or None
+        Why the response was aborted; one of few values, for metrics.
     on_disconnect : callable or None
         Called if the caller disconnects before the response is complete.
     """
 
     __slots__ = (
         "_connection",
+        "abort_reason",
         "arrived_at",
         "body",
         "end",
@@ -101,6 +106,7 @@
         self.is_started = False
         self.status: int | None = None
         self.end: ExchangeEnd | None = None
+        self.abort_reason: str | None = None
         self.on_disconnect: Callable[[], None] | None = None
 
     @property
@@ -164,12 +170,17 @@
         with self._abort_on_error():
             self._connection.finish()
 
-    def abort(self) -> None:
-        """Close the connection so that the response is recognizably incomplete."""
+    def abort(self, reason: str) -> None:
+        """Close the connection so that the response is recognizably incomplete.
+
+        Parameters
+        ----------
+        reason : str
+            See `abort_reason`.
+        """
         if self.is_done:
             return
-        self.end = ExchangeEnd.ABORTED
-        self._connection.abort()
+        self._abort(reason)
 
     def handle_disconnect(self) -> None:
         """Handle that the caller closed the connection."""
@@ -184,6 +195,10 @@
         try:
             yield
         except BaseException:
-            self.end = ExchangeEnd.ABORTED
-            self._connection.abort()
+            self._abort(CRASHED)
             raise
+
+    def _abort(self, reason: str) -> None:
+        self.end = ExchangeEnd.ABORTED
+        self.abort_reason = reason
+        self._connection.abort()
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -122,7 +122,7 @@
             waited_s=round(waited_s, 3),
         )
         if work.exchange.is_started:
-            work.exchange.abort()
+            work.exchange.abort(outcome.step)
             return
         headers, body = self._dialect.encode_outcome(outcome)
         work.exchange.respond(outcome.status, headers, body)
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_relay.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_relay.py
@@ -238,7 +238,7 @@
         reason = getattr(failure, "reason", "no whole answer of an instance in time")
         self._log(peer, reason)
         if self._exchange.is_started:
-            self._exchange.abort()
+            self._exchange.abort(REACH_STEP)
             return True
         is_late = self._context.clock() >= self._deadline
         if self._route.may_retry and not is_late:
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -185,10 +185,7 @@
             remaining_s=round(self._limits.caller_deadline - now, 3),
         )
         if self._exchange.is_started:
-            kind = self._route.kind.value
-            last_end = self._limits.name_last_end(now)
-            self._context.metrics.incomplete.labels(kind, last_end).inc()
-            self._exchange.abort()
+            self._exchange.abort(self._limits.name_last_end(now))
             return
         if self._error_response is not None:  # more specific than `reason`
             head, body = self._error_response
--- a/tests/forwarding/test_active_requests.py
+++ b/tests/forwarding/test_active_requests.py
@@ -55,6 +55,25 @@
         harness.gateway._sweep()
     assert caller.transport.aborted
     assert [line["reason"] for line in lines] == ["overdue"]
+    sample = {"kind": "stream", "reason": "overdue"}
+    name = "ebonyhaven_incomplete_responses_total"
+    assert harness.gateway.registry.get_sample_value(name, sample) == 1.0
+
+
+def fail_to_write(data):
+    raise RecursionError
+
+
+def test_response_that_cannot_be_written_is_cut_and_counted():
+    harness = ForwardingHarness()
+    caller = send(harness)
+    server, _, _ = harness.take_request()
+    with mock.patch.object(caller.transport, "write", fail_to_write):
+        server.receive(answer("r1"))
+    assert caller.transport.aborted
+    sample = {"kind": "once", "reason": "crashed"}
+    name = "ebonyhaven_incomplete_responses_total"
+    assert harness.gateway.registry.get_sample_value(name, sample) == 1.0
 
 
 def test_request_whose_handling_ends_without_an_answer_gets_one():
