--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -23,6 +23,7 @@
 from ebonyhaven_node._byte_budgets import ByteBudget
 from ebonyhaven_node._filter_chain import build_chain
 from ebonyhaven_node._log_writer import LogOutput
+from ebonyhaven_node._loops import start_loop
 from ebonyhaven_node.forwarding._active_requests import ActiveRequests
 from ebonyhaven_node.forwarding._adoption import EngineAdopter
 from ebonyhaven_node.forwarding._connection_pool import (
@@ -132,6 +133,7 @@
         self._settings = settings
         self._reactor = reactor
         self._stack = contextlib.ExitStack()
+        self._listening = contextlib.ExitStack()
         self._rng = rng or random.Random()
         self._shutdown = Shutdown(settings.grace_s, clock)
         self._log_output: LogOutput | None = None
@@ -254,10 +256,11 @@
         listener = self._reactor.listenTCP(
             int(port), self.server, interface=host, backlog=LISTEN_BACKLOG
         )
-        self._stack.callback(listener.stopListening)
-        sweep = task.LoopingCall(self._sweep)
-        sweep.clock = self._reactor
-        sweep.start(SWEEP_INTERVAL_S, now=False)
+        self._listening.callback(listener.stopListening)
+        self._stack.enter_context(self._listening)
+        sweep = start_loop(
+            self._sweep, interval_s=SWEEP_INTERVAL_S, reactor=self._reactor
+        )
         self._stack.callback(sweep.stop)
         self._stack.callback(self.pool.close)
         self._stack.callback(self._contact.stop)
@@ -310,7 +313,9 @@
         self._wake_requests()
         closing_time = self._shutdown.closing_time
         await self._poll_until(lambda: False, closing_time)
+        self._listening.close()  # callers go elsewhere rather than to a closing process
         departure = self.membership.depart()
+        await task.deferLater(self._reactor, 0.0)  # the listener closes in this turn
         await self._poll_until(lambda: not self._active, closing_time + ENDING_S)
         self._active.end_all()
         _log.info("instance_stopped", **self._active.summarize_shutdown())
