The simulation of losses asks its engines whether they are there

Cause: its inspector lacked the question that silent servers are asked, and never answered.

Change: engines of the simulation answer unless they are down; `Gateway.watch_servers` starts the questions where the gateway runs without listeners.

--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -268,8 +268,7 @@
         self._stack.callback(self._capacity_notifier.stop)
         self._stack.callback(self._crash_notifier.stop)
         self._stack.callback(self._suspicion_notifier.stop)
-        self._silence_monitor.start()
-        self._stack.callback(self._silence_monitor.stop)
+        self.watch_servers()
         self.source.start()
         self._loss_recorder.start(group.is_crash_recorder)
         self._stack.callback(self._loss_recorder.stop)
@@ -280,6 +279,11 @@
         self._stack.callback(self.source.stop)
         _log.info("instance_started", instance=self._settings.instance)
 
+    def watch_servers(self) -> None:
+        """Look for servers that answer nothing; `start` does so too."""
+        self._silence_monitor.start()
+        self._stack.callback(self._silence_monitor.stop)
+
     def attach_log_output(self, log_output: LogOutput) -> None:
         """Export the number of lost log lines and write buffered lines periodically.
 
--- a/packages/standins/src/ebonyhaven_standins/resuming/_simulation.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_simulation.py
@@ -41,10 +41,10 @@
 )
 from ebonyhaven_standins.resuming._engines import EngineFleet
 from ebonyhaven_standins.resuming._stubs import (
-    NullInspector,
     NullLossStore,
     NullRecordStore,
     NullVersionStore,
+    SimulatedInspector,
     StaticSource,
 )
 
@@ -100,6 +100,7 @@
         entries = {item.name: item.make_entry() for item in self.fleet.engines}
         self._gateway.state.apply_configuration(_make_configuration(strategy))
         self._gateway.state.replace_backends(entries)
+        self._gateway.watch_servers()
         self._accepted_connections = 0
         self.streams: list[SimulatedStream] = []
 
@@ -195,7 +196,9 @@
             caller_dialect=SimulatedCallerDialect(),
             backend_dialect=SimulatedBackendDialect(),
             build_source=lambda state, pool: StaticSource(),
-            build_inspector=lambda pool: NullInspector(),
+            build_inspector=lambda pool: SimulatedInspector(
+                lambda address: self.fleet.by_address[address].is_down
+            ),
             build_copier=lambda pool: self.fleet,
             build_record_store=lambda pool: NullRecordStore(),
             build_loss_store=lambda pool: NullLossStore(),
--- a/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from ebonyhaven_decisions.forwarding import LossReport, StreamRecord, VersionSnapshot
 from ebonyhaven_node.forwarding.interfaces import (
+    INSPECTION_TIMEOUT_S,
     InspectedServer,
     LossRecordStore,
     ServerInspector,
@@ -92,11 +93,28 @@
         return {}
 
 
-class NullInspector(ServerInspector):
-    """Inspector that finds no server."""
+class SimulatedInspector(ServerInspector):
+    """Inspector of engines that answer at once unless they are down.
+
+    Parameters
+    ----------
+    is_down : callable
+        Returns for an address whether its engine is down.
+    """
+
+    def __init__(self, is_down: Callable[[str], bool]):
+        self._is_down = is_down
 
     async def inspect(
-        self, address: str, *, timeout_s: float = 0.5
+        self, address: str, *, timeout_s: float = INSPECTION_TIMEOUT_S
     ) -> InspectedServer | None:
         """See `ServerInspector.inspect`."""
-        return None
+        if self._is_down(address):
+            return None
+        return InspectedServer(is_engine=True, started_ms=0)
+
+    async def check_health(
+        self, address: str, *, path: str, timeout_s: float
+    ) -> InspectedServer | None:
+        """See `ServerInspector.check_health`."""
+        return await self.inspect(address, timeout_s=timeout_s)
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -292,7 +292,7 @@
         ]
         self.state.replace_backends({each.server_id: each for each in entries})
         self.gateway._version_recorder.start(lambda: True)
-        self.gateway._silence_monitor.start()
+        self.gateway.watch_servers()
 
     def leave(self) -> Deferred:
         """Begin the graceful shutdown of the instance."""
