Ask a server that is there but slow less often, and late requests prove nothing

Seen in logs of the soak: a request that was sent with next to no time left made its server unresponsive at once (logged with patience_s 0.0, requests 0), and an engine that reported that it is there was asked again each 0.4 s while it left the same streams waiting.

No patience is below 0.25 s now, and each answer that leaves requests waiting doubles the patience until a request is answered. The new tests of test_server_silence fail without the change; the one about a slow engine, whose target is 4.5 s, holds on both.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_server_silence.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_server_silence.py
@@ -10,6 +10,7 @@
 import attrs
 
 MIN_PATIENCE_S = 0.25  # exceeds the pauses of a loaded process
+SLOW_FACTOR = 2.0  # of the patience with a server that only says that it is there
 LATENCY_FACTOR = 4.0  # of the usual time to a response
 TIMEOUT_SHARE = 0.8  # of the time for the request, whose end proves less
 
@@ -33,7 +34,7 @@
     float
         Seconds.
     """
-    patience_s = max(MIN_PATIENCE_S, target_latency_s, LATENCY_FACTOR * latency_s)
+    patience_s = max(target_latency_s, LATENCY_FACTOR * latency_s)
     return min(patience_s, TIMEOUT_SHARE * timeout_s)
 
 
@@ -74,7 +75,7 @@
             self.since = now
             self.patience_s = 0.0
         self.requests += 1
-        self.patience_s = max(self.patience_s, patience_s)
+        self.patience_s = max(self.patience_s, patience_s, MIN_PATIENCE_S)
 
     def record_received(self, now: float) -> None:
         """Record that bytes of a response arrived.
@@ -86,6 +87,17 @@
         """
         self.since = now if self.requests else None
 
+    def record_alive(self, now: float) -> None:
+        """Record that the server says that it is there, and leaves requests waiting.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        self.record_received(now)
+        self.patience_s *= SLOW_FACTOR
+
     def record_ended(self, now: float) -> None:
         """Record that a request was completed or given up.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_silence_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_silence_monitor.py
@@ -166,7 +166,9 @@
         if server is not None and server.is_leaving:
             self._on_leave(backend)
         if server is not None:
-            backend.record_received(self._clock())
+            now = self._clock()
+            backend.record_received(now)
+            backend.silence.record_alive(now)
             self._on_response()
 
     def _log_failure(self, failure: Failure, backend: Backend) -> None:
--- a/tests/decisions/test_server_silence.py
+++ b/tests/decisions/test_server_silence.py
@@ -49,6 +49,26 @@
     assert silence.is_unresponsive(13.1)
 
 
+def test_request_with_little_time_left_proves_nothing():
+    silence = ServerSilence()
+    silence.record_sent(10.0, 0.01)
+    silence.record_ended(10.02)
+    assert not silence.is_unresponsive(11.0)
+
+
+def test_server_that_is_there_but_slow_may_be_silent_for_longer_each_time():
+    silence = make_silence()
+    silence.record_alive(11.0)
+    assert not silence.is_unresponsive(11.9)
+    silence.record_alive(12.1)
+    assert not silence.is_unresponsive(14.0)
+    assert silence.is_unresponsive(14.2)
+    silence.record_received(15.0)
+    silence.record_ended(15.0)
+    silence.record_sent(15.0, PATIENCE_S)
+    assert silence.is_unresponsive(15.1 + PATIENCE_S)
+
+
 def test_patience_follows_target_and_usual_latency_within_the_timeout():
     def compute(target_s, latency_s):
         return compute_patience_s(
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -162,6 +162,18 @@
         assert set(servers.list_statuses()) == {200}
 
 
+def test_engine_that_is_slow_is_asked_seldom_and_keeps_its_streams():
+    harness = ForwardingHarness(engines=1)
+    servers = StandingServers(harness, ["e-0"])
+    harness.inspector.still.clear()
+    servers.request("/fixed/x", X_Deadline_Ms="20000", **SIZE_HEADERS)
+    servers.run(2.0)
+    servers.request("/fixed/y", X_Deadline_Ms="20000", **SIZE_HEADERS)
+    servers.run(4.0)
+    assert len(harness.inspector.inspected) <= 3
+    assert {path for _, path in servers.unread} == {"/fixed/x", "/fixed/y"}
+
+
 def test_accepted_connection_is_no_sign_of_life():
     harness = ForwardingHarness(plain=1)
     servers = StandingServers(harness, ["p-0"])
@@ -187,7 +199,7 @@
     servers = StandingServers(harness, ["p-0", "p-1", "p-2"])
     servers.run(0.4, "/once/x")
     servers.resume()
-    servers.run(0.6)
+    servers.run(0.6, "/once/x")
     caller = servers.request("/once/x")
     servers.run(0.1)
     assert caller.read_answer()[0] == 200
