Ask for no permit for a brittle server that answers nothing

A request that waits for a brittle server asks the owner of one of them for a permit. It asked for unresponsive servers too, held a permit that it could not use, and the room was missing at others. The gauge of servers without new work counts unresponsive ones as well, and the directory asks about silence before it compares names, as it is asked five times a second.

Class: a reason not to send that one of the paths that choose does not know. Looked at: the list of usable and of ready servers, resumes and copies, samples of engines, checks before sending, permits; the time at which a limit ends counts unresponsive servers still, which only makes a request wait for as long as before.

Evidence: test_no_permit_is_asked_for_a_server_that_answers_nothing fails without the change ("assert asked == [[sound.process_id]] * 8").

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -177,10 +177,14 @@
         bool
             False if none is listed.
         """
-        listed = [
-            each for each in self._by_id.values() if each.entry.service == service
-        ]
-        return bool(listed) and all(each.is_leaving for each in listed)
+        is_listed = False
+        for each in self._by_id.values():
+            if each.entry.service != service:
+                continue
+            if not each.is_leaving:
+                return False
+            is_listed = True
+        return is_listed
 
     def record_current(self, at: float) -> None:
         """Record that all changes of the list up to a time are known.
@@ -501,9 +505,9 @@
         return [
             each
             for each in self._by_id.values()
-            if service in (None, each.entry.service)
+            if each.silence.is_unresponsive(now)
+            and service in (None, each.entry.service)
             and not each.is_leaving
-            and each.silence.is_unresponsive(now)
         ]
 
     def _has_entries(self, service: str) -> bool:
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -340,7 +340,10 @@
 
     def _count_suspects(self) -> int:
         now = self._clock()
-        return sum(now < each.suspect_until for each in self.state.backends)
+        return sum(
+            now < each.suspect_until or each.silence.is_unresponsive(now)
+            for each in self.state.backends
+        )
 
     def _sweep(self) -> None:
         self.pool.close_expired()
--- a/tests/forwarding/test_permit_exchange.py
+++ b/tests/forwarding/test_permit_exchange.py
@@ -322,3 +322,15 @@
         handler(Frame(FrameKind.SERVER_PERMITS, "n1", 1, payload))
     fleet.run(10.0, until_s=2.0)
     assert fleet.count_served_per_s(0.5, 2.0) > 5.0
+
+
+def test_no_permit_is_asked_for_a_server_that_answers_nothing():
+    fleet = Fleet(1, room=6, limit=3)
+    instance = fleet.instances[0]
+    silent, sound = instance.directory
+    silent.silence.record_sent(fleet.clock.seconds(), 0.5)
+    fleet.clock.advance(1.0)
+    for number in range(8):
+        instance.exchange.ask(SERVICE, f"r{number}")
+    asked = [list(each) for each in instance.exchange._asked.values()]
+    assert asked == [[sound.process_id]] * 8
