--- a/tests/platform_adapter/soak/_run.py
+++ b/tests/platform_adapter/soak/_run.py
@@ -41,6 +41,7 @@
     check_leaving,
     check_leaving_answers,
     list_late_reads,
+    list_latest_arrivals,
 )
 from tests.platform_adapter.soak._loss_checks import (
     CutHistory,
@@ -217,6 +218,7 @@
     ]
     notes = [
         *list_late_reads(arrivals, departures, contact),
+        *list_latest_arrivals(arrivals, departures, contact),
         *list_steady_cuts(cuts),
     ]
     write_traces(
--- a/tests/platform_adapter/test_soak_checks.py
+++ b/tests/platform_adapter/test_soak_checks.py
@@ -25,6 +25,7 @@
     check_leaving,
     check_leaving_answers,
     list_late_reads,
+    list_latest_arrivals,
 )
 from tests.platform_adapter.soak._loss_checks import (
     CutHistory,
@@ -192,6 +193,16 @@
     assert not list_late_reads([make_arrival(104.0)], [LEFT], contact)
 
 
+def test_latest_request_at_a_leaving_server_is_noted():
+    numbers = {1: 100.5, 2: 101.5, 3: 100.9}
+    results = [make_result(number, sent_at=100.0) for number in numbers]
+    arrivals = [
+        make_arrival(at, request_id=f"r{number}") for number, at in numbers.items()
+    ]
+    (latest,) = list_latest_arrivals(arrivals, [LEFT], make_contact(results))
+    assert "r2 " in latest
+
+
 def test_request_after_an_answer_of_a_leaving_server_is_found():
     told = make_result(1, ended_at=50.0)
 
