Soak: times at which the soak itself stood still excuse what came late

The links, the store and the servers of a soak run in one process. Such a time is noted, counts as trouble of all links and of the store, and is listed in the report; a check has a test that only this excuses. Also: `last-servers`, in which instances are frozen while the last server of a service leaves.

--- a/tests/platform_adapter/soak/_contact.py
+++ b/tests/platform_adapter/soak/_contact.py
@@ -48,7 +48,7 @@
         ) and self.is_store_stable(since, until)
 
     def is_store_stable(self, since: float, until: float) -> bool:
-        return not any(
+        return not self._has_stalled(since, until) and not any(
             begin < until and end > since - CONTACT_S
             for begin, end in self.faults.store_times
         )
@@ -75,13 +75,18 @@
     def is_held_up(self, process: str, since: float, until: float) -> bool:
         """Return whether the link to a server was harmed in a time."""
         address = self._addresses.get(process)
-        return any(
+        return self._has_stalled(since, until) or any(
             each.name == address and each.overlaps(since, until)
             for each in self.faults.server_links
         )
 
     def is_any_link_harmed(self, since: float, until: float) -> bool:
-        return any(each.overlaps(since, until) for each in self.faults.server_links)
+        return self._has_stalled(since, until) or any(
+            each.overlaps(since, until) for each in self.faults.server_links
+        )
+
+    def _has_stalled(self, since: float, until: float) -> bool:
+        return any(begin < until and end > since for begin, end in self.faults.stalls)
 
     def is_paused(self, process: str, at: float) -> bool:
         return any(
--- a/tests/platform_adapter/soak/_fault_log.py
+++ b/tests/platform_adapter/soak/_fault_log.py
@@ -10,6 +10,8 @@
 
 from twisted.internet import reactor
 
+STALL_S = 0.25  # beyond which times are not those of instances
+TICK_S = 0.05
 RESTART_S = 1.0  # until an instance that was started again is as the others
 
 
@@ -110,6 +112,8 @@
     named_limits : list of NamedLimit
     cuts : list of (frozenset of str, float, float)
         Instances that reached no server.
+    stalls : list of (float, float)
+        When the soak itself, and so each link, store and server, stood still.
     """
 
     def __init__(self):
@@ -123,6 +127,8 @@
         self.configurations: list[float] = []
         self.named_limits: list[NamedLimit] = []
         self.cuts: list[tuple[frozenset[str], float, float]] = []
+        self.stalls: list[tuple[float, float]] = []
+        self._ticked_at = 0.0
 
     @contextlib.contextmanager
     def noting(
@@ -155,3 +161,10 @@
         self.store_times.append((begin, math.inf))
         yield
         self.store_times[number] = (begin, reactor.seconds())
+
+    def watch_stalls(self) -> None:
+        """Note when the reactor of the soak stands still, until it stops."""
+        now = reactor.seconds()
+        if self._ticked_at and now - self._ticked_at > TICK_S + STALL_S:
+            self.stalls.append((self._ticked_at, now))
+        self._ticked_at = now
--- a/tests/platform_adapter/soak/_faults.py
+++ b/tests/platform_adapter/soak/_faults.py
@@ -79,6 +79,7 @@
         "forget_history",
         "change_configuration",
     ),
+    "last-servers": ("replace_last", "pause_servers", "refuse_instance"),
     "leaving-limits": (
         *_LEAVING,
         "name_limits",
--- a/tests/platform_adapter/soak/_run.py
+++ b/tests/platform_adapter/soak/_run.py
@@ -8,7 +8,7 @@
 
 from twisted.internet import reactor
 from twisted.internet.defer import ensureDeferred
-from twisted.internet.task import deferLater
+from twisted.internet.task import LoopingCall, deferLater
 
 from tests.platform_adapter.soak._callers import Result, SoakCaller
 from tests.platform_adapter.soak._checks import (
@@ -35,7 +35,7 @@
     DeploymentSize,
     SoakDeployment,
 )
-from tests.platform_adapter.soak._fault_log import FaultLog
+from tests.platform_adapter.soak._fault_log import TICK_S, FaultLog
 from tests.platform_adapter.soak._faults import FaultInjector
 from tests.platform_adapter.soak._leaving_checks import (
     check_leaving,
@@ -120,6 +120,8 @@
             for number in range(LONG_CALLER_COUNT * size.instances // 3)
         ]
     started_at = reactor.seconds()
+    watch = LoopingCall(injector.log.watch_stalls)
+    watch.start(TICK_S)
     deployment.start()
     try:
         await deferLater(reactor, START_S)
@@ -133,6 +135,7 @@
             await each
         await deferLater(reactor, SETTLE_S)
     finally:
+        watch.stop()
         await deployment.stop()
     return _report(seed, deployment, results, injector.log, started_at)
 
@@ -217,6 +220,10 @@
         ),
     ]
     notes = [
+        *(
+            f"stall: of {end - begin:.3f} s at {begin:.3f}"
+            for begin, end in faults.stalls
+        ),
         *list_late_reads(arrivals, departures, contact),
         *list_latest_arrivals(arrivals, departures, contact),
         *list_steady_cuts(cuts),
--- a/tests/platform_adapter/soak/_server_faults.py
+++ b/tests/platform_adapter/soak/_server_faults.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import random
+import signal
 
 from twisted.internet import reactor
 from twisted.internet.defer import ensureDeferred
@@ -20,6 +21,7 @@
 from tests.platform_adapter.soak._places import LAPSE_S, ListedServer, SoakServer
 
 LIMIT_DURATION_S = (5.0, 9.0)  # longer than `CONTACT_S` and a span of the limit
+FROZEN_S = (0.5, 3.0)
 LAPSED_S = (1.0, 4.0)
 LINGER_S = (0.2, 1.0, 4.0, 8.0)
 PAUSED_S = (1.0, 8.0)
@@ -157,12 +159,25 @@
             for each in still
         ]
         await deferLater(reactor, LAPSE_S)
+        frozen = ensureDeferred(self._freeze_readers())
         await leaving.leave(
             reports=self._rng.random() < REPORTING_SHARE,
             linger_s=self._rng.uniform(*PAUSED_S),
             successor_after_s=self._rng.uniform(*LAPSED_S),
         )
-        await _wait_for_all(paused)
+        await _wait_for_all([*paused, frozen])
+
+    async def _freeze_readers(self) -> None:
+        """Freeze some instances, and so at times the one that reads the list."""
+        instances = self._deployment.instances
+        count = self._rng.randrange(len(instances))
+        with contextlib.ExitStack() as stack:
+            for each in self._rng.sample(instances, count):
+                noting = self._log.disturbing(each.name, DisturbanceKind.FREEZE)
+                stack.enter_context(noting)
+                each.signal(signal.SIGSTOP)
+                stack.callback(each.signal, signal.SIGCONT)
+            await deferLater(reactor, self._rng.uniform(*FROZEN_S))
 
     async def replace_in_turn(self) -> None:
         """Have all servers leave one after the other, some of them overlapping."""
--- a/tests/platform_adapter/soak/_traces.py
+++ b/tests/platform_adapter/soak/_traces.py
@@ -99,6 +99,9 @@
                 each.begin,
                 f"fault: {each.kind.value} of {each.name}, {lasted_s:.3f} s",
             )
+    for begin, end in faults.stalls:
+        if begin < until and end > since:
+            yield begin, f"the soak itself stood still for {end - begin:.3f} s"
     for begin, end in faults.store_times:
         if begin < until and end > since:
             yield begin, f"fault: store, {end - begin:.3f} s"
--- a/tests/platform_adapter/test_soak_checks.py
+++ b/tests/platform_adapter/test_soak_checks.py
@@ -174,6 +174,12 @@
     assert check_arrival(late, sent_at=104.4, store_times=[(90.0, 96.9)])
 
 
+def test_soak_that_stood_still_itself_blames_nobody():
+    for stall in ((99.8, 100.2), (102.0, 102.5)):
+        assert not check_arrival(make_arrival(102.6), stalls=[stall])
+    assert check_arrival(make_arrival(102.6), stalls=[(95.0, 96.0)])
+
+
 def test_harmed_link_to_the_server_holds_requests_up():
     def harm(begin, end, name="127.0.0.1:1"):
         kind = DisturbanceKind.SERVER_LINK
