--- a/tests/platform_adapter/test_soak_checks.py
+++ b/tests/platform_adapter/test_soak_checks.py
@@ -25,6 +25,7 @@
     check_leaving,
     check_leaving_answers,
     list_late_reads,
+    list_latest_arrivals,
 )
 from tests.platform_adapter.soak._loss_checks import (
     CutHistory,
@@ -173,6 +174,12 @@
     assert check_arrival(late, sent_at=104.4, store_times=[(90.0, 96.9)])
 
 
+def test_soak_that_stood_still_itself_blames_nobody():
+    for stall in ((99.8, 100.2), (102.0, 102.5)):
+        assert not check_arrival(make_arrival(102.6), stalls=[stall])
+    assert check_arrival(make_arrival(102.6), stalls=[(95.0, 96.0)])
+
+
 def test_harmed_link_to_the_server_holds_requests_up():
     def harm(begin, end, name="127.0.0.1:1"):
         kind = DisturbanceKind.SERVER_LINK
@@ -192,6 +199,16 @@
     assert not list_late_reads([make_arrival(104.0)], [LEFT], contact)
 
 
+def test_latest_request_at_a_leaving_server_is_noted():
+    numbers = {1: 100.5, 2: 101.5, 3: 100.9}
+    results = [make_result(number, sent_at=100.0) for number in numbers]
+    arrivals = [
+        make_arrival(at, request_id=f"r{number}") for number, at in numbers.items()
+    ]
+    (latest,) = list_latest_arrivals(arrivals, [LEFT], make_contact(results))
+    assert "r2 " in latest
+
+
 def test_request_after_an_answer_of_a_leaving_server_is_found():
     told = make_result(1, ended_at=50.0)
 
