Leave requests to other instances only if no server of the service answers

A request is offered to others for that only if all ready servers are unresponsive, or suspect.

Evidence: test_request_is_left_to_other_instances_only_if_no_server_answers fails without the change ("assert failed[-1]["step"] == expected_step").

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -486,17 +486,13 @@
             and not each.silence.is_unresponsive(now)
         ]
 
-    def list_unresponsive(
-        self, now: float, service: str | None = None
-    ) -> list[Backend]:
+    def list_unresponsive(self, now: float) -> list[Backend]:
         """Return the listed servers that answer nothing and do not say that they leave.
 
         Parameters
         ----------
         now : float
             Seconds.
-        service : str or None
-            None for all services.
 
         Returns
         -------
@@ -505,10 +501,28 @@
         return [
             each
             for each in self._by_id.values()
-            if each.silence.is_unresponsive(now)
-            and service in (None, each.entry.service)
-            and not each.is_leaving
+            if each.silence.is_unresponsive(now) and not each.is_leaving
+        ]
+
+    def has_only_silent(self, service: str, now: float) -> bool:
+        """Return whether no ready server of a service answers this instance.
+
+        All are unresponsive, or suspect beside an unresponsive one.
+
+        Parameters
+        ----------
+        service : str
+        now : float
+            Seconds.
+        """
+        ready = [
+            each
+            for each in self._by_id.values()
+            if each.entry.service == service and not each.is_leaving
         ]
+        unresponsive = [each for each in ready if each.silence.is_unresponsive(now)]
+        suspect = [each for each in ready if now < each.suspect_until]
+        return bool(unresponsive) and {*unresponsive, *suspect} == set(ready)
 
     def _has_entries(self, service: str) -> bool:
         return any(each.entry.service == service for each in self._by_id.values())
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -211,7 +211,7 @@
         elif self._is_blocked():
             trait = self._guard.find_blocked_trait()
             raise make_not_run_failure(make_crash_reason(trait), step="crash")
-        elif self._has_silent_servers() and not self._refusal_count:
+        elif self._has_only_silent_servers() and not self._refusal_count:
             raise make_unreached_failure(SILENT_REASON, peer=self._last_peer)
         elif self._unreached_count and not self._refusal_count:
             raise make_unreached_failure(self._last_reason, peer=self._last_peer)
@@ -223,10 +223,10 @@
                 retry_after_s=self._retry_after_s,
             )
 
-    def _has_silent_servers(self) -> bool:
-        """Return whether servers answer nothing, perhaps only to this instance."""
+    def _has_only_silent_servers(self) -> bool:
+        """Return whether no server answers, perhaps only this instance."""
         now = self._context.clock()
-        return bool(self._context.state.backends.list_unresponsive(now, self._service))
+        return self._context.state.backends.has_only_silent(self._service, now)
 
     def _may_forward_error(self) -> bool:
         """Return whether the error response may be forwarded.
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ebonyhaven_decisions.forwarding import RequestKind, ServiceShare
+from structlog.testing import capture_logs
 
 from tests.forwarding.harness import (
     STREAM_END,
@@ -131,6 +132,24 @@
     assert len(servers.unread) == sent_count
 
 
+def test_request_is_left_to_other_instances_only_if_no_server_answers():
+    # Guards against passing on what full servers refuse, because another one is silent.
+    for full, expected_step in (([], "reach"), (["p-2"], "route")):
+        harness = ForwardingHarness()
+        names = [each for each in ("p-0", "p-1", "p-2") if each not in full]
+        servers = StandingServers(harness, names)
+        for server_id in full:
+            backend = harness.state.backends.find(server_id)
+            backend.refusals = 1
+            backend.resting_until = harness.reactor.seconds() + 10.0
+        servers.run(1.0, "/once/x")
+        with capture_logs() as lines:
+            servers.request("/once/x")
+            servers.run(ROUTE_TIMEOUT_S)
+        failed = [each for each in lines if each["event"] == "request_failed"]
+        assert failed[-1]["step"] == expected_step
+
+
 def test_server_that_goes_on_gets_requests_again():
     harness = ForwardingHarness(plain=1, engines=1)
     servers = StandingServers(harness, ["p-0", "e-0"])
