A leave from before a restore is not taken for one of the new era

Callers saw requests at a server whose leave the instance had known, after a restore of the store that was followed by an outage, in which peers told their lists: a peer that had started on the copy listed the server as ready.

Cause: with each list that an instance took, it recorded what leaves anew, with the version of that list, also what the list itself did not hold; a newer list of the same era then seemed to be later than the leave. Class: evidence is dated by when it was repeated. What told a leave first counts now, until the process returns by an entry written later.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_departures.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_departures.py
@@ -45,6 +45,9 @@
     ) -> None:
         """Record that a process leaves, or is no longer listed.
 
+        What told it first counts until it returns: a later list may still lack the
+        process for the sake of that, and is no evidence of its own.
+
         Parameters
         ----------
         entry : BackendEntry
@@ -54,7 +57,19 @@
             Seconds.
         """
         self._forget_older(now)
-        self._departures[entry.server_id, entry.started_ms] = Departure(version, now)
+        process = (entry.server_id, entry.started_ms)
+        known = self._departures.get(process)
+        first = known.version if known is not None else version
+        self._departures[process] = Departure(first, now)
+
+    def record_return(self, entry: BackendEntry) -> None:
+        """Record that an entry of a process counts that was written after it left.
+
+        Parameters
+        ----------
+        entry : BackendEntry
+        """
+        self._departures.pop((entry.server_id, entry.started_ms), None)
 
     def begin_era(self, version: ServerListVersion) -> None:
         """Record the first list of an era.
--- a/tests/platform_adapter/test_source.py
+++ b/tests/platform_adapter/test_source.py
@@ -480,6 +480,27 @@
     assert other_state.backends.find("s-2") is not None
 
 
+def test_leave_known_before_a_restore_outlasts_several_states_of_peers():
+    # Guards against a leave that is taken for one of the new era.
+    clock, store, state, source = start_with_complete_state()
+    store.push("servers", make_rows(14, s_1={**SERVER, "state": "draining"}))
+    entry = ["s-1", 1000, "engines", "10.0.0.1:80", "dc-a", 4, "ready", "v1"]
+    for version, entries in ((11, []), (12, []), (13, [entry]), (14, [entry])):
+        source.merge([1, None, [1, version], entries])
+        backend = state.backends.find("s-1")
+        assert backend is None or not backend.is_usable(clock.seconds())
+
+
+def test_time_to_return_after_a_restore_begins_with_the_first_message():
+    clock, store, state, source = start_with_complete_state()
+    source.apply_changes([1, 10, 11, []])
+    clock.advance(RESTORE_CONFIRMATION_S - 0.5)
+    restore_store(store)
+    assert state.backends.find("s-1") is not None
+    clock.advance(0.5)
+    assert state.backends.find("s-1") is None
+
+
 def test_state_for_a_peer_leaves_out_what_a_restored_store_lacks():
     _, store, state, source = start_with_complete_state()
     restore_store(store)
