--- a/packages/node/src/ebonyhaven_node/forwarding/_active_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_active_requests.py
@@ -15,7 +15,6 @@
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 from ebonyhaven_node.forwarding._shutdown import Shutdown, ShutdownReport
 
-OVERDUE_S = 0.5  # after its time is over, a request without an end has been lost
 # Statuses of requests that may have run and have no other answer.
 CRASHED_STATUS = 500
 CLOSING_STATUS = 502
@@ -51,6 +50,7 @@
         self._clock = clock
         self._report = ShutdownReport()
         self._works: dict[Exchange, RequestContext] = {}
+        self._overdue: set[Exchange] = set()
 
     def __len__(self) -> int:
         return len(self._works)
@@ -68,11 +68,20 @@
         running.addBoth(self._finish, exchange)
 
     def end_overdue(self) -> None:
-        """End the requests whose time has been over for `OVERDUE_S`."""
+        """End the requests whose time was over at the last call already.
+
+        If the process stood still, they get the time between two calls to end
+        by themselves.
+        """
         now = self._clock()
-        for exchange, work in list(self._works.items()):
-            if now > _find_deadline(work) + OVERDUE_S:
-                self._cut(exchange, "overdue", OVERDUE_STATUS)
+        overdue = {
+            exchange
+            for exchange, work in self._works.items()
+            if now > _find_deadline(work)
+        }
+        for exchange in overdue & self._overdue:
+            self._cut(exchange, "overdue", OVERDUE_STATUS)
+        self._overdue = overdue - self._overdue
 
     def end_all(self) -> None:
         """End all requests, as the instance closes."""
