--- a/tests/platform_adapter/test_odd_documents.py
+++ b/tests/platform_adapter/test_odd_documents.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import contextlib
 import json
 import pathlib
 import tempfile
@@ -186,6 +187,37 @@
     expect_one_error(lambda document: document, data)
 
 
+ENTRY = ["s-2", 1000, "engines", "10.0.0.2:80", "dc-a", 4, "ready", "v1"]
+MESSAGE = [0, 12, 14, [[0, "9000", None], [13, "s-2", ENTRY], [14, "s-1", None]]]
+STATE = [0, None, [0, 14], [ENTRY]]
+
+
+def apply_of_peer(name, data) -> None:
+    """Pass a payload of a peer to a source; fail if odd entries are used."""
+    _, store, state, source = build_source()
+    store.push("op", read_page(10))
+    store.push("servers", read_page(12, s_1=LISTED))
+    source.start()
+    with contextlib.suppress(KeyError, TypeError, ValueError):
+        getattr(source, name)(decode_document(data))
+    for each in state.backends:
+        document = {**SERVER, "slots": each.entry.slots, "address": each.entry.address}
+        document |= {"service": each.entry.service, "born": each.entry.started_ms}
+        assert decode_backend_entry(each.server_id, document)
+
+
+@seeded
+@given(make_variants(MESSAGE))
+def test_any_changes_that_a_reader_tells_are_applied_or_refused(data):
+    apply_of_peer("apply_changes", data)
+
+
+@seeded
+@given(make_variants(STATE))
+def test_any_state_of_a_peer_is_merged_or_refused(data):
+    apply_of_peer("merge", data)
+
+
 def test_odd_settings_file_is_refused_with_its_name():
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / "node.json"
