--- a/tests/node/test_odd_input.py
+++ b/tests/node/test_odd_input.py
@@ -25,7 +25,7 @@
 EVENT = {"choices": [{"index": 0, "text": "a", "finish_reason": None}]}
 ENTRY = {"version": 3, "change_id": "c", "author": "a", "accepted_at": 1.5}
 INFLATED_BYTES = 64 * 1024 * 1024
-seeded = settings(derandomize=True, database=None, deadline=None, max_examples=150)
+thorough = settings(max_examples=150)
 
 
 def deflate(data: bytes) -> str:
@@ -42,7 +42,7 @@
             raise AssertionError(text[:80])
 
 
-@seeded
+@thorough
 @given(make_variants(EVENT))
 def test_any_event_of_an_engine_is_parsed_or_refused(data):
     try:
--- a/tests/node/test_odd_messages.py
+++ b/tests/node/test_odd_messages.py
@@ -34,7 +34,7 @@
 LOCATION = RunCopyLocation("e-1", "10.0.0.1:80", "h-1")
 STREAM_RECORD = StreamRecord("v1", "r1", LOCATION)
 LOSS = LossReport("e-1", "dc-a", 0.5, (("content", "part"),))
-seeded = settings(derandomize=True, database=None, deadline=None, max_examples=150)
+thorough = settings(max_examples=150)
 
 
 def to_json(value):
@@ -55,13 +55,13 @@
     encode_json(decoded)
 
 
-@seeded
+@thorough
 @given(make_variants(to_json(encode_heartbeat(HEARTBEAT, {"v": [1, 2, 3]}))))
 def test_any_heartbeat_is_decoded_or_refused(data):
     decode_or_refuse(decode_heartbeat, data)
 
 
-@seeded
+@thorough
 @given(
     make_variants(to_json(RECORD)),
     st.sampled_from((FrameKind.PROBE, FrameKind.TABLE, FrameKind.QUERY)),
@@ -70,7 +70,7 @@
     decode_or_refuse(lambda payload: decode_message(kind, payload), data)
 
 
-@seeded
+@thorough
 @given(make_variants(to_json(encode_stream_record(STREAM_RECORD))))
 def test_any_record_of_a_stream_is_decoded_or_refused(data):
     def decode(payload):
@@ -82,19 +82,19 @@
     decode_or_refuse(decode, data)
 
 
-@seeded
+@thorough
 @given(make_variants(to_json(encode_loss_report(LOSS))))
 def test_any_report_of_a_loss_is_decoded_or_refused(data):
     decode_or_refuse(lambda payload: decode_loss_report(payload).age_s / 2, data)
 
 
-@seeded
+@thorough
 @given(make_variants([["content", 500]]))
 def test_any_survivals_are_decoded_or_refused(data):
     decode_or_refuse(decode_survivals, data)
 
 
-@seeded
+@thorough
 @given(st.binary(max_size=48), json_values, st.integers(0, 10_000))
 def test_any_frame_is_decoded_or_refused(data, payload, seed):
     text = bytearray(encode_json(["c", "n1", 1, json.dumps(payload)]))
--- a/tests/platform_adapter/test_odd_documents.py
+++ b/tests/platform_adapter/test_odd_documents.py
@@ -34,7 +34,7 @@
 LISTED = json.dumps(SERVER).encode()
 OTHER = json.dumps({**SERVER, "address": "10.0.0.2:80"}).encode()
 REPORT = {"models": [], "kvTotal": 5, "born": 3, "active": 1, "runs": [["r", 1, 0]]}
-seeded = settings(derandomize=True, database=None, deadline=None, max_examples=150)
+thorough = settings(max_examples=150)
 
 
 class PublishingGroup(FixedGroup):
@@ -150,7 +150,7 @@
         encode_json(decode_document(data))
 
 
-@seeded
+@thorough
 @given(make_variants(SERVER), st.text(max_size=4))
 def test_any_server_entry_is_decoded_or_refused(data, key):
     def decode(document):
@@ -160,19 +160,19 @@
     expect_one_error(decode, data)
 
 
-@seeded
+@thorough
 @given(make_variants(CONFIGURATION))
 def test_any_configuration_is_decoded_or_refused(data):
     expect_one_error(decode_configuration, data)
 
 
-@seeded
+@thorough
 @given(make_variants(REPORT))
 def test_any_report_of_an_engine_is_decoded_or_refused(data):
     expect_one_error(_decode_report, data)
 
 
-@seeded
+@thorough
 @given(make_variants(json.loads(encode_page([encode_row("s-1", LISTED, 1)], 1))))
 def test_any_response_of_the_store_is_decoded_or_refused(data):
     try:
@@ -181,7 +181,7 @@
         return
 
 
-@seeded
+@thorough
 @given(st.binary(max_size=64) | json_values.map(lambda each: json.dumps(each).encode()))
 def test_any_bytes_are_decoded_or_refused(data):
     expect_one_error(lambda document: document, data)
@@ -206,13 +206,13 @@
         assert decode_backend_entry(each.server_id, document)
 
 
-@seeded
+@thorough
 @given(make_variants(MESSAGE))
 def test_any_changes_that_a_reader_tells_are_applied_or_refused(data):
     apply_of_peer("apply_changes", data)
 
 
-@seeded
+@thorough
 @given(make_variants(STATE))
 def test_any_state_of_a_peer_is_merged_or_refused(data):
     apply_of_peer("merge", data)
