--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -277,7 +277,6 @@
         self.state.observe(self._version_recorder.handle_change)
         self.membership.observe(lambda _: self._version_recorder.handle_change())
         self._stack.callback(self.source.stop)
-        _log.info("instance_started", instance=self._settings.instance)
 
     def watch_servers(self) -> None:
         """Look for servers that answer nothing; `start` does so too."""
