--- a/tests/platform_adapter/test_change_feed.py
+++ b/tests/platform_adapter/test_change_feed.py
@@ -190,6 +190,14 @@
     assert is_known or harness.count_other_polls() == polls + 1
 
 
+def test_leave_that_is_written_again_is_passed_on_though_a_peer_told_it():
+    harness = start_fed()
+    learn_from_peer(harness.reader, 14)
+    harness.other.apply_changes([0, 13, 14, []])
+    harness.store.push("servers", make_rows(15, s_1={**SERVER, "state": "draining"}))
+    assert not harness.other_state.backends.find("s-1").is_usable(0.0)
+
+
 def test_leave_that_a_reader_has_from_a_peer_before_its_own_read_is_read_by_others():
     harness = start_fed()
     clock, store, _, reader = build_source()
