Look at a connection once more before its time limit counts

An instance that stood still (a freeze, too little processor time) while it probed a server took it for silent: the limit of a connection attempt, 0.15 to 0.3 s, had passed before the reactor could see that the server had accepted. It suspected sound servers, told all other instances, and streams left them. Class: own standstill is taken for the silence of others, as with the timeouts of relays. The pool has a timer of its own, which lets the reactor look once more; that of the reactor's connector is not used.

This is `_connection_pool`; the in-memory servers of the tests no longer play its timer.

--- a/packages/node/src/ebonyhaven_node/forwarding/_connection_pool.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_connection_pool.py
@@ -7,12 +7,13 @@
 from typing import NamedTuple
 
 from twisted.internet.error import ConnectionRefusedError as RefusedError
-from twisted.internet.interfaces import IReactorTCP
+from twisted.internet.interfaces import IReactorTCP, IReactorTime
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
 from ebonyhaven_node.forwarding._http_client import HttpConnection
 
+TIMEOUT_REASON = "the connection was not accepted in time"
 CONNECT_TIMEOUT_S = 0.3  # a running server accepts within a few milliseconds
 SWEEP_INTERVAL_S = 0.5  # between calls of `ConnectionPool.close_expired`
 
@@ -71,13 +72,29 @@
 
 
 class PendingConnection:
-    """Connection attempt that can be cancelled."""
+    """Connection attempt that can be cancelled and has a time limit.
 
-    __slots__ = ("_connector", "_is_finished")
+    The limit counts only after the reactor has looked at the connection once more: if
+    the process stood still, timers are due although the server has accepted it.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    reactor : IReactorTime
+    timeout_s : float
+        Time limit, seconds.
+    on_timeout : callable
+    """
+
+    __slots__ = ("_connector", "_is_finished", "_on_timeout", "_reactor", "_timer")
+
+    def __init__(
+        self, reactor: IReactorTime, timeout_s: float, on_timeout: Callable[[], None]
+    ) -> None:
         self._connector = None
         self._is_finished = False
+        self._reactor = reactor
+        self._on_timeout = on_timeout
+        self._timer = reactor.callLater(timeout_s, self._look_before_expiry)
 
     def set_connector(self, connector: object) -> None:
         """Set the connector that `cancel` disconnects."""
@@ -87,11 +104,24 @@
         """Mark the attempt as finished; return whether it was still pending."""
         was_pending = not self._is_finished
         self._is_finished = True
+        if self._timer.active():
+            self._timer.cancel()
         return was_pending
 
     def cancel(self) -> None:
         """Cancel the attempt unless it has succeeded or failed."""
-        if self.finish() and self._connector is not None:
+        if self.finish():
+            self._disconnect()
+
+    def _look_before_expiry(self) -> None:
+        self._timer = self._reactor.callLater(0.0, self._expire)
+
+    def _expire(self) -> None:
+        self._on_timeout()
+        self._disconnect()
+
+    def _disconnect(self) -> None:
+        if self._connector is not None:
             self._connector.disconnect()
 
 
@@ -206,7 +236,6 @@
         -------
         PendingConnection
         """
-        pending = PendingConnection()
         connection = _PooledConnection(
             on_idle=lambda connection: self._add_idle(address, connection),
             on_lost=lambda connection: self._remove(address, connection),
@@ -227,13 +256,18 @@
                 self._on_failed(address, failure)
                 on_failed(failure)
 
+        pending = PendingConnection(
+            self._reactor,
+            timeout_s,
+            lambda: handle_failure(ConnectFailure(TIMEOUT_REASON, is_refused=False)),
+        )
         connection.on_connected = handle_connected
         factory = _ConnectionFactory(
             connection, on_connected=handle_connected, on_failed=handle_failure
         )
         host, _, port = address.rpartition(":")
         pending.set_connector(
-            self._reactor.connectTCP(host, int(port), factory, timeout=timeout_s)
+            self._reactor.connectTCP(host, int(port), factory, timeout=None)
         )
         return pending
 
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -29,7 +29,6 @@
 from twisted.internet.error import (
     ConnectionDone,
     ConnectionRefusedError,
-    TimeoutError,
 )
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
@@ -310,18 +309,13 @@
     def _accept(self) -> None:
         while self._accepted_count < len(self.reactor.tcpClients):
             number = self._accepted_count
-            host, port, factory, timeout, _ = self.reactor.tcpClients[number]
+            host, port, factory, _, _ = self.reactor.tcpClients[number]
             self._accepted_count += 1
             address = f"{host}:{port}"
             if address in self.refused:
                 failure = Failure(ConnectionRefusedError("refused"))
                 factory.clientConnectionFailed(None, failure)
-            elif address in self.silent:
-                failure = Failure(TimeoutError("timeout"))
-                self.reactor.callLater(
-                    timeout, factory.clientConnectionFailed, None, failure
-                )
-            else:
+            elif address not in self.silent:
                 protocol = factory.buildProtocol(None)
                 self.connections.append(MemoryServerConnection(address, protocol))
 
--- a/tests/forwarding/test_request_chains.py
+++ b/tests/forwarding/test_request_chains.py
@@ -14,10 +14,10 @@
 from ebonyhaven_node.forwarding._requests import RequestHead
 from nose2.tools import params
 from twisted.internet.defer import ensureDeferred
-from twisted.internet.task import Clock
 
 from tests.forwarding.harness import HOST, KEY, ForwardingHarness
 from tests.forwarding.streaming import SIZE_HEADERS
+from tests.forwarding.turns import TurnReactor
 
 REQUESTS = 300  # a chain of 60 ends exceeds the recursion limit
 TIMEOUT_S = 0.8
@@ -93,32 +93,13 @@
     assert exchange.end is ExchangeEnd.ABORTED
 
 
-class Turns(Clock):
-    """A clock whose turns without a delay are run one at a time."""
-
-    def __init__(self):
-        super().__init__()
-        self.due = []
-
-    def callLater(self, delay, run, *args):  # noqa: N802 Twisted API
-        call = super().callLater(delay, run, *args)
-        if delay == 0.0:
-            self.due.append((call, run, args))
-        return call
-
-    def run_next(self):
-        call, run, args = self.due.pop(0)
-        call.cancel()
-        run(*args)
-
-
 async def wait_for_message(inbox, woken):
     await inbox.get(1.0)
     woken.append(inbox)
 
 
 def test_one_turn_wakes_a_bounded_number_of_requests_and_none_within_the_call():
-    turns = Turns()
+    turns = TurnReactor()
     notifier = CapacityNotifier(turns)
     woken = []
     inboxes = [Inbox(turns) for _ in range(2 * MAX_WAKES_PER_TURN)]
@@ -128,8 +109,8 @@
     notifier.notify()
     notifier.notify()
     assert woken == []
-    turns.run_next()
+    turns.run_turn()
     assert woken == inboxes[:MAX_WAKES_PER_TURN]
-    turns.run_next()
+    turns.run_turn()
     assert woken == inboxes
-    assert turns.due == []
+    assert not turns.has_turn
