Patience with a busy server follows the requests that wait now

Callers saw nothing yet; found in a review. An instance that always has some request at a server was patient with it for as long as the slowest request of all that time allowed, and twice as long after each pause that the server had explained: after three pauses 4 s where 0.5 s was meant, over drainMs. It then went on sending to a server that stands still, which reads the requests after it has left (rule DRAIN).

Cause: the patience began anew only when nothing was expected of the server, which never is the case under load. Class: a state is left only by a condition that load prevents.

Now each byte counts the silence anew, with the patience of the requests that wait then, and ends the allowance for a server that only says that it is there.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -320,6 +320,21 @@
             Seconds.
         """
         self.record_data(now)
+        self._clear_failures()
+
+    def record_alive(self, now: float) -> None:
+        """Record that the server answered that it is there, and clear the suspicion.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        self.last_received_at = now
+        self.silence.record_alive(now)
+        self._clear_failures()
+
+    def _clear_failures(self) -> None:
         self.failures = 0
         self.suspect_until = -math.inf
 
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_server_silence.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_server_silence.py
@@ -48,18 +48,23 @@
 
     Attributes
     ----------
-    requests : int
-        Requests at the server whose responses are not complete.
     since : float or None
         Time of the last byte, or of the first request after it, seconds; None if
         nothing is expected from the server.
     patience_s : float
-        Time for which the server may be silent.
+        Time for which the server may be silent, as the slowest of its requests since
+        then allows.
     """
 
-    requests: int = 0
     since: float | None = None
     patience_s: float = 0.0
+    _waiting: list[float] = attrs.Factory(list)  # patience with each request
+    _slow_factor: float = 1.0
+
+    @property
+    def requests(self) -> int:
+        """Requests at the server whose responses are not complete."""
+        return len(self._waiting)
 
     def record_sent(self, now: float, patience_s: float) -> None:
         """Record that a request was sent.
@@ -71,11 +76,12 @@
         patience_s : float
             Time for which the server may be silent about it.
         """
+        self._waiting.append(patience_s)
         if self.since is None:
-            self.since = now
-            self.patience_s = 0.0
-        self.requests += 1
-        self.patience_s = max(self.patience_s, patience_s, MIN_PATIENCE_S)
+            self._slow_factor = 1.0
+            self._begin(now)
+        else:
+            self.patience_s = max(self.patience_s, self._slow_factor * patience_s)
 
     def record_received(self, now: float) -> None:
         """Record that bytes of a response arrived.
@@ -85,7 +91,8 @@
         now : float
             Seconds.
         """
-        self.since = now if self.requests else None
+        self._slow_factor = 1.0
+        self._begin(now)
 
     def record_alive(self, now: float) -> None:
         """Record that the server says that it is there, and leaves requests waiting.
@@ -95,19 +102,21 @@
         now : float
             Seconds.
         """
-        self.record_received(now)
-        self.patience_s *= SLOW_FACTOR
+        self._slow_factor *= SLOW_FACTOR
+        self._begin(now)
 
-    def record_ended(self, now: float) -> None:
+    def record_ended(self, now: float, patience_s: float) -> None:
         """Record that a request was completed or given up.
 
         Parameters
         ----------
         now : float
             Seconds.
+        patience_s : float
+            As when it was sent.
         """
-        self.requests -= 1
-        if not self.requests and not self.is_unresponsive(now):
+        self._waiting.remove(patience_s)
+        if not self._waiting and not self.is_unresponsive(now):
             self.since = None
 
     def is_unresponsive(self, now: float) -> bool:
@@ -119,3 +128,9 @@
             Seconds.
         """
         return self.since is not None and now - self.since > self.patience_s
+
+    def _begin(self, now: float) -> None:
+        """Count the silence from now on, about the requests that are waiting now."""
+        self.since = now if self._waiting else None
+        patience_s = max(self._waiting, default=0.0)
+        self.patience_s = self._slow_factor * max(patience_s, MIN_PATIENCE_S)
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -212,7 +212,8 @@
     def _finish(self) -> None:
         self.is_finished = True
         if self.was_sent:
-            self.backend.silence.record_ended(self._context.clock())
+            now = self._context.clock()
+            self.backend.silence.record_ended(now, self.plan.patience_s)
         self._record_answered()
         self.backend.in_flight -= 1
         self._context.capacity_notifier.notify()
--- a/packages/node/src/ebonyhaven_node/forwarding/_silence_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_silence_monitor.py
@@ -166,9 +166,7 @@
         if server is not None and server.is_leaving:
             self._on_leave(backend)
         if server is not None:
-            now = self._clock()
-            backend.record_received(now)
-            backend.silence.record_alive(now)
+            backend.record_alive(self._clock())
             self._on_response()
 
     def _log_failure(self, failure: Failure, backend: Backend) -> None:
