--- a/tests/platform_adapter/test_change_feed.py
+++ b/tests/platform_adapter/test_change_feed.py
@@ -5,6 +5,7 @@
 from ebonyhaven_adapter._server_list import (
     MAX_RETRY_INTERVAL_S,
     MIN_PUBLISH_INTERVAL_S,
+    RESTORE_CONFIRMATION_S,
 )
 from ebonyhaven_adapter._source import MAX_PUBLISHED_BYTES
 from ebonyhaven_adapter._table_follower import RETRY_INTERVAL_S
@@ -237,6 +238,28 @@
     assert not harness.other_state.backends.find("s-1").is_usable(0.0)
 
 
+def test_server_that_expired_before_a_restore_returns_at_each_instance():
+    # Guards against a return that is no change for the reader, as the copy has it.
+    harness = start_fed()
+    harness.change(14, s_1=None)
+    stores = (harness.store, harness.other_store)
+    s_2 = {**SERVER, "address": "10.0.0.2:80"}
+    for store in stores:
+        store.push("servers", make_rows(12, era=1))
+        store.push("servers", make_rows(12, era=1, s_1=SERVER, s_2=s_2))
+    harness.advance(MAX_FEED_TIMEOUT_S)
+    for store in stores:
+        store.push("servers", make_rows(13, era=1, s_2=s_2))
+    harness.advance(0.35)
+    assert harness.other_state.backends.find("s-1") is None
+    harness.store.push("servers", make_rows(14, era=1, s_1=SERVER))
+    harness.advance(RESTORE_CONFIRMATION_S)
+    harness.other_store.push("servers", make_rows(14, era=1))
+    harness.other_store.push("servers", make_rows(14, era=1, s_1=SERVER, s_2=s_2))
+    for state in (harness.state, harness.other_state):
+        assert state.backends.find("s-1").is_usable(0.0)
+
+
 def test_change_that_was_undone_in_the_span_of_a_message_is_read():
     # Guards against a slow reader to which nothing has changed in between.
     harness = start_fed()
--- a/tests/platform_adapter/test_source.py
+++ b/tests/platform_adapter/test_source.py
@@ -456,6 +456,29 @@
     assert state.backends.find("s-1").is_usable(clock.seconds())
 
 
+def test_server_that_expired_before_a_restore_returns_although_a_peer_told_it_first():
+    clock, store, state, source = leave_then_restore()
+    entry = ["s-1", 1000, "engines", "10.0.0.1:80", "dc-a", 4, "ready", "v1"]
+    source.merge([1, None, [1, 13], [entry]])
+    store.push("servers", make_rows(13, era=1, s_1=SERVER))
+    assert state.backends.find("s-1") is None
+    clock.advance(RESTORE_CONFIRMATION_S)
+    restore_store(store, version=13, s_1=SERVER)
+    assert state.backends.find("s-1").is_usable(clock.seconds())
+
+
+def test_table_is_read_again_once_if_a_process_stays_away_after_a_restore():
+    clock, store, state, _ = leave_then_restore()
+    for version in range(12, 22):
+        clock.advance(RESTORE_CONFIRMATION_S)
+        store.push("servers", make_rows(version, era=1))
+        if store.calls[-1][0] == "table":
+            copy = make_rows(11, era=1, s_1=SERVER)
+            store.push("servers", copy._replace(version=version))
+    assert state.backends.find("s-1") is None
+    assert store.calls.count(("table", "servers", None)) == 3
+
+
 def test_server_that_the_restored_store_shows_as_leaving_leaves():
     # Guards against a known entry that counts as newer than the leave.
     clock, store, state, _ = start_with_complete_state()
