Forget what is known of the store's clock after minutes, as clocks drift

Instances that a reader supplies would poll the store themselves after some hours: each message seems older by what the clocks drifted since the nearest difference was learned, and counts as late beyond a second. At 1e-4 that is after 2.8 hours, until at 5 s the clock is taken for one that was started anew; with 390 instances some 260 reads a second.

Cause: the greatest difference of the two clocks was kept for good. Class: a bound that is learned and never forgotten. It is now that of the last 5 to 10 minutes.

Evidence: test_messages_do_not_seem_late_as_clocks_drift fails on the code before (an age over 0.09 s at a drift of 1e-4 within four hours; 1.44 s at their end in a trial). It also asserts that a message which is late by 2 s is still told from one that is not. Found by reading; no run of real processes lasts so long. Tests of the feed pass.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_change_feed.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_change_feed.py
@@ -25,6 +25,7 @@
 STANDBY_READERS = 4  # that pass on what they read while the reader is silent
 # A clock that went back by more was started anew; responses are late by less.
 CLOCK_RESET_S = 5.0
+CLOCK_MEMORY_S = 300.0  # in which two clocks drift by little
 MAX_RECENT_CHANGES = 1024
 STANDBY_DELAY_S = 0.15  # exceeds the time of a poll that returns at once
 
@@ -173,10 +174,13 @@
 
     The difference between the store's clock and the own one is learned from responses
     and messages. Each is late by the time that it was on its way, so that the greatest
-    difference is the nearest to the truth.
+    difference is the nearest to the truth. As clocks drift, it is forgotten after one
+    to two times `CLOCK_MEMORY_S`.
     """
 
     _offset_s: float | None = None
+    _recent_offset_s: float = -math.inf  # since the last start of a new memory
+    _began_at: float = -math.inf
 
     def record_read(self, read_at_s: float, now: float) -> None:
         """Record a response of the store to this instance.
@@ -189,9 +193,9 @@
             Seconds of the own clock.
         """
         offset_s = read_at_s - now
-        known_s = self._offset_s
-        if known_s is None or offset_s > known_s or known_s - offset_s > CLOCK_RESET_S:
-            self._offset_s = offset_s
+        if self._offset_s is not None and self._offset_s - offset_s > CLOCK_RESET_S:
+            self._offset_s = None
+        self._learn(offset_s, now)
 
     def measure_age_s(self, read_at_s: float | None, now: float) -> float:
         """Return the time since the store answered the reader.
@@ -211,6 +215,17 @@
         if read_at_s is None:
             return 0.0
         offset_s = read_at_s - now
-        if self._offset_s is None or offset_s > self._offset_s:
-            self._offset_s = offset_s
+        self._learn(offset_s, now)
         return self._offset_s - offset_s
+
+    def _learn(self, offset_s: float, now: float) -> None:
+        if self._offset_s is None:
+            self._offset_s = self._recent_offset_s = offset_s
+            self._began_at = now
+        elif now - self._began_at > CLOCK_MEMORY_S:
+            self._offset_s = max(self._recent_offset_s, offset_s)
+            self._recent_offset_s = offset_s
+            self._began_at = now
+        else:
+            self._offset_s = max(self._offset_s, offset_s)
+            self._recent_offset_s = max(self._recent_offset_s, offset_s)
--- a/tests/platform_adapter/test_change_feed.py
+++ b/tests/platform_adapter/test_change_feed.py
@@ -11,6 +11,7 @@
 from ebonyhaven_adapter._table_follower import RETRY_INTERVAL_S
 from ebonyhaven_decisions.forwarding import MessageAges, RecentChanges
 from ebonyhaven_decisions.forwarding._change_feed import (
+    CLOCK_MEMORY_S,
     MAX_FEED_TIMEOUT_S,
     MAX_RECENT_CHANGES,
     MIN_FEED_TIMEOUT_S,
@@ -362,6 +363,17 @@
     assert ages.measure_age_s(None, 12.0) == 0.0
 
 
+def test_messages_do_not_seem_late_as_clocks_drift():
+    drift_share = 1e-4
+    for clock_rate in (1 - drift_share, 1 + drift_share):
+        ages = MessageAges()
+        ages.record_read(500.0, 0.0)
+        for now in range(1, 4 * 3600):
+            age_s = ages.measure_age_s(500.0 + clock_rate * now, float(now))
+            assert age_s <= 3 * CLOCK_MEMORY_S * drift_share
+        assert ages.measure_age_s(498.0 + clock_rate * now, float(now)) >= 2.0
+
+
 def test_changes_of_another_era_are_not_applied():
     harness = start_fed()
     version = harness.other.read_version()
