--- a/tests/platform_adapter/test_source.py
+++ b/tests/platform_adapter/test_source.py
@@ -287,6 +287,20 @@
     assert state.configuration.version == 9
 
 
+def test_only_server_is_not_used_beyond_its_drain_time_if_a_response_was_late():
+    # Guards against counting from when a response arrives, not from when it was given.
+    store_ahead_s, drain_s = 500.0, 2.0
+    clock, store, state, _ = start_with_complete_state()
+    store.push("servers", make_rows(12)._replace(now_s=store_ahead_s))
+    answered_at = clock.seconds()
+    clock.advance(0.7)
+    late = make_rows(13)._replace(now_s=store_ahead_s + answered_at)
+    store.push("servers", late)
+    store.push("servers", make_rows(14, s_1=None)._replace(now_s=store_ahead_s + 0.7))
+    assert state.backends.find("s-1") is None
+    assert not state.backends.list_usable(SERVER["service"], answered_at + drain_s)
+
+
 def test_malformed_entries_are_ignored_and_valid_entries_applied():
     clock, store, state, _ = start_with_complete_state()
     malformed = {
