Ask the owner of a brittle server for a permit to find out whether it goes on

An instance that does not own a brittle server which stood still never used it again, for as long as the server stayed brittle: it got no request, being unresponsive, and no question whether it is there, for lack of a permit. Its requests went through other instances, or were refused if those had found the server silent too.

Class: a state whose end depends on what the state forbids. The monitor now asks for a permit itself, for one question at a time, and gives it back.

Evidence: test_brittle_server_of_another_owner_is_asked_whether_it_goes_on fails on the code before (unresponsive 5 s after the server went on). Looked at: limits by requests a second (an instance without a share sends nothing there anyway), servers that are resting (the question does not ask for that). Tests of silent and brittle servers, permits, named limits and leaving servers pass.

--- a/packages/node/src/ebonyhaven_node/forwarding/_permit_exchange.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_permit_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import random
 from collections.abc import Callable, Collection
 from typing import NamedTuple
@@ -155,6 +156,21 @@
             self._asked.setdefault(request_id, {})[backend.process_id] = now
             self._ask_owner(backend, request_id, now)
 
+    def ask_for(self, backend: Backend, request_id: str) -> None:
+        """Ask for a permit for a request to one server, whether or not it answers.
+
+        Parameters
+        ----------
+        backend : Backend
+        request_id : str
+            Of the request, which goes to no other server.
+        """
+        now = self._clock()
+        asked = self._asked.setdefault(request_id, {})
+        if now - asked.get(backend.process_id, -math.inf) >= ASK_AGAIN_S:
+            asked[backend.process_id] = now
+            self._ask_owner(backend, request_id, now)
+
     def withdraw(self, request_id: str) -> None:
         """Give up the permits that a request asked for and has not used.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_silence_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_silence_monitor.py
@@ -49,6 +49,11 @@
     timeout_s: float = FIRST_CHECK_TIMEOUT_S
     next_at: float = 0.0
 
+    @property
+    def check_id(self) -> str:
+        """Id of the questions, as that of a request, towards owners of the server."""
+        return f"check {self.backend.process_id}"
+
 
 class SilenceMonitor:
     """Asks each unresponsive server whether it is there, one question at a time.
@@ -124,6 +129,7 @@
             is_over = not backend.silence.is_unresponsive(now)
             if is_over or backend.is_leaving:
                 del self._episodes[key]
+                self._permits.withdraw(episode.check_id)
                 if episode.check is not None:
                     episode.check.cancel()
                 self._log_end(episode, now)
@@ -134,9 +140,13 @@
             episode = _Episode(backend, backend.silence.since)
             self._episodes[backend.key] = episode
             self._log_begin(backend, now)
-        is_due = episode.check is None and now >= episode.next_at
-        if not is_due or not backend.limiter.acquire(now):
+        if episode.check is not None or now < episode.next_at:
+            return
+        if not backend.limiter.acquire(now):
+            if backend.limiter.refusals.limit is not None:
+                self._permits.ask_for(backend, episode.check_id)
             return
+        self._permits.withdraw(episode.check_id)
         timeout_s = episode.timeout_s
         episode.next_at = now + timeout_s
         episode.timeout_s = min(2 * timeout_s, MAX_CHECK_TIMEOUT_S)
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from ebonyhaven_decisions.forwarding import RequestKind, ServiceShare
+from ebonyhaven_decisions.forwarding import RequestKind, ServerLimits, ServiceShare
+from ebonyhaven_node._frames import Frame
 from structlog.testing import capture_logs
 
 from tests.forwarding.harness import (
@@ -165,6 +166,48 @@
         assert caller.read_answer()[0] == 200
 
 
+class GrantingOwner:
+    """Another instance, which owns a server and grants each permit.
+
+    Parameters
+    ----------
+    harness : ForwardingHarness
+    server_id : str
+    """
+
+    def __init__(self, harness, server_id):
+        self.harness = harness
+        self.permits = harness.gateway._permits
+        self.permits._membership = self
+        directory, now = harness.state.backends, harness.reactor.seconds()
+        backend = directory.find(server_id)
+        directory.record_limits(backend, ServerLimits(refusals_per_s=3), now)
+        for own_name in ("n0", "n1"):
+            if backend.limiter.refusals.is_owner:
+                directory.set_instances(own_name, ["n0", "n1"], now)
+        assert not backend.limiter.refusals.is_owner
+
+    def send(self, instance, kind, payload):
+        action, process_id, request_ids = payload
+        if action == "a":
+            frame = Frame(kind, instance, 1, ["g", process_id, request_ids])
+            self.harness.reactor.callLater(0.01, self.permits._receive, frame)
+
+
+def test_brittle_server_of_another_owner_is_asked_whether_it_goes_on():
+    # Guards against a server that gets nothing for good: neither a request as it is
+    # unresponsive, nor a question for lack of a permit.
+    harness = ForwardingHarness(plain=1)
+    servers = StandingServers(harness, ["p-0"])
+    GrantingOwner(harness, "p-0")
+    servers.run(1.0, "/once/x")
+    assert servers.unread
+    servers.run(2.0)
+    servers.resume()
+    servers.run(5.0)
+    assert not harness.state.backends.list_unresponsive(harness.reactor.seconds())
+
+
 def test_server_that_is_gone_silent_is_asked_seldom():
     harness = ForwardingHarness(plain=1)
     servers = StandingServers(harness, ["p-0"])
