Be patient with a stream that has begun for a pause, not for its prefill

An engine that stands still got new streams for as long as the prefill of any stream that runs there had been allowed to take, as long as that stream lasts: 10 s in the test, over drainMs. The engine reads them when it goes on, perhaps after its entry was removed (DRAIN).

Cause: the patience with a server is that with the slowest of its requests, and a stream kept the patience that it was sent with once it had begun. Class: a bound computed for one phase is kept in the next. An engine that has only paused or preempted a stream says so in its report, and is left more time then, as before.

Evidence: test_standing_engine_gets_no_streams_for_the_sake_of_a_long_prompt_it_has_read fails on the code before. Looked at: short requests, whose head and body come together. 131 tests of streams, pauses, shutdowns, calls, standing servers and the simulation of losses pass.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -110,6 +110,7 @@
     StreamDurations,
     compute_first_event_limits,
     compute_gap_limits,
+    compute_gap_patience_s,
 )
 from ebonyhaven_decisions.forwarding._version_history import (
     VersionRecord,
@@ -187,6 +188,7 @@
     "choose_sampled_engine",
     "compute_first_event_limits",
     "compute_gap_limits",
+    "compute_gap_patience_s",
     "compute_patience_s",
     "count_holders",
     "count_queued_prefill_tokens",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_server_silence.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_server_silence.py
@@ -83,6 +83,19 @@
         else:
             self.patience_s = max(self.patience_s, self._slow_factor * patience_s)
 
+    def record_begun(self, patience_s: float, gap_patience_s: float) -> None:
+        """Record that the body of a response has begun, before it is received.
+
+        Parameters
+        ----------
+        patience_s : float
+            As when the request was sent.
+        gap_patience_s : float
+            Time for which the server may be silent about the request from now on.
+        """
+        self._waiting.remove(patience_s)
+        self._waiting.append(gap_patience_s)
+
     def record_received(self, now: float) -> None:
         """Record that bytes of a response arrived.
 
@@ -113,7 +126,7 @@
         now : float
             Seconds.
         patience_s : float
-            As when it was sent.
+            That applied to it last.
         """
         self._waiting.remove(patience_s)
         if not self._waiting and not self.is_unresponsive(now):
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_timing.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_timing.py
@@ -189,6 +189,17 @@
     )
 
 
+def compute_gap_patience_s(target_gap_s: float) -> float:
+    """Return how long a server may send nothing once its streams have begun, seconds.
+
+    Parameters
+    ----------
+    target_gap_s : float
+        Target for the gap between two events; 0 for no target.
+    """
+    return target_gap_s or DEFAULT_GAP_TARGET_S
+
+
 def compute_gap_limits(
     *, target_gap_s: float, longest_gap_s: float, has_copy: bool
 ) -> SilenceLimits:
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -73,6 +73,7 @@
         self._connection: HttpConnection | None = None
         self._pending: PendingConnection | None = None
         self._is_unanswered = False
+        self._patience_s = plan.patience_s
 
     @property
     def request_id(self) -> str:
@@ -132,6 +133,7 @@
 
     def handle_data(self, data: bytes) -> None:
         """See `ResponseHandler.handle_data`."""
+        self._shorten_patience()
         self.backend.record_data(self._context.clock())
         self._context.contact.record_received(self.backend)
         if not self.is_finished:
@@ -203,6 +205,15 @@
         if backend is not None:
             self._context.report_told_leave(backend)
 
+    def _shorten_patience(self) -> None:
+        """No longer allow for the prefill, once the stream has begun."""
+        gap_patience_s = self.plan.gap_patience_s
+        if gap_patience_s is None or self.is_finished:
+            return
+        if gap_patience_s < self._patience_s:
+            self.backend.silence.record_begun(self._patience_s, gap_patience_s)
+            self._patience_s = gap_patience_s
+
     def _record_answered(self) -> None:
         if self._is_unanswered:
             self._is_unanswered = False
@@ -213,7 +224,7 @@
         self.is_finished = True
         if self.was_sent:
             now = self._context.clock()
-            self.backend.silence.record_ended(now, self.plan.patience_s)
+            self.backend.silence.record_ended(now, self._patience_s)
         self._record_answered()
         self.backend.in_flight -= 1
         self._context.capacity_notifier.notify()
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -186,6 +186,8 @@
     patience_s : float
         Time for which the server may send nothing at all before it counts as
         unresponsive.
+    gap_patience_s : float or None
+        The same once the body of the response has begun; None if it does not differ.
     """
 
     remaining_s: float
@@ -196,6 +198,7 @@
     last_event_id: str | None = None
     max_response_bytes: int = MAX_RESPONSE_BYTES
     patience_s: float = math.inf
+    gap_patience_s: float | None = None
 
 
 class ResponseHead(NamedTuple):
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -8,6 +8,7 @@
     Route,
     TokenDemand,
     choose_engine_priority,
+    compute_gap_patience_s,
 )
 
 from ebonyhaven_node._failures import make_not_run_failure, make_unknown_failure
@@ -230,6 +231,7 @@
                 patience_s=self._server_selector.estimate_patience_s(
                     backend, now, target_s=self._route.target_latency_s
                 ),
+                gap_patience_s=compute_gap_patience_s(self._route.target_gap_s),
             ),
             inbox=self._inbox,
             context=self._context,
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -120,6 +120,35 @@
     assert max(at for at, _ in servers.unread) - first_at < DRAIN_S
 
 
+def test_standing_engine_gets_no_streams_for_the_sake_of_a_long_prompt_it_has_read():
+    # Guards against patience with a prefill that ended long ago.
+    route = make_route(
+        "fixed",
+        RequestKind.STREAM,
+        shares=(ServiceShare("engines", 1.0),),
+        timeout_s=25.0,
+        target_latency_s=4.5,
+    )
+    harness = ForwardingHarness(make_configuration(routes=[route]), engines=1)
+    harness.gateway._context.prefill_rate.tokens_per_s = 1000.0
+    caller = harness.open_caller()
+    caller.request("/fixed/x", request_id="long", **SIZE_HEADERS)
+    engine, _, _ = harness.take_request()
+    harness.gateway._context.prefill_rate.tokens_per_s = 20_000.0
+    engine.receive(stream_head("long"))
+    for number in range(1, 21):
+        engine.receive(chunk(event(number)))
+        harness.advance(0.05)
+    servers = StandingServers(harness, ["e-0"])
+    still_at = harness.reactor.seconds()
+    small = {"X_Token_Count": "200,20", "X_Prompt_Prefix": "cc:200"}
+    for _ in range(60):
+        servers.request("/fixed/y", **small)
+        servers.run(0.1)
+    assert servers.unread
+    assert max(at for at, _ in servers.unread) - still_at < DRAIN_S
+
+
 def test_request_is_refused_as_not_run_if_all_servers_stand_still():
     harness = ForwardingHarness(plain=2)
     servers = StandingServers(harness, ["p-0", "p-1"])
