Soak: servers leave while the store is away for seconds

`leaving-outages` stops the store for 4 to 9 s. A server that leaves meanwhile can't report it and says so in its answers alone, which binds the instance that passes such an answer on, in touch or not.

--- a/tests/platform_adapter/soak/_faults.py
+++ b/tests/platform_adapter/soak/_faults.py
@@ -46,6 +46,7 @@
 FAULT_SETS = {
     "standard": _STANDARD,
     "leaving": _LEAVING,
+    "leaving-outages": (*_LEAVING, "replace_in_turn", "stop_store_for_long"),
     "rolling": ("replace_in_turn", "replace_in_turn", *_LEAVING),
     "leaving-disturbed": (
         *_LEAVING,
@@ -93,6 +94,7 @@
         *_LEAVING,
         "refuse_instance",
         "forget_history",
+        "stop_store_for_long",
         "write_foreign_row",
     ),
 }
--- a/tests/platform_adapter/soak/_store_faults.py
+++ b/tests/platform_adapter/soak/_store_faults.py
@@ -15,6 +15,7 @@
 
 REFUSALS = (503, 429)
 SLOW_S = (0.2, 2.5)
+OUTAGE_S = (4.0, 9.0)
 FOREIGN_ROW_S = (0.5, 8.0)
 UNUSED_ADDRESS = "127.0.0.1:9"
 FOREIGN_FIELDS = {
@@ -76,9 +77,16 @@
             await self._links.disturb([instance.store_link])
 
     async def stop_store(self) -> None:
+        await self._stop_store(DURATION_S)
+
+    async def stop_store_for_long(self) -> None:
+        """Stop the store for so long that servers leave before they can report it."""
+        await self._stop_store(OUTAGE_S)
+
+    async def _stop_store(self, duration_s: tuple[float, float]) -> None:
         with self._log.disturbing_store():
             self._deployment.store.is_down = True
-            await self._wait()
+            await deferLater(reactor, self._rng.uniform(*duration_s))
             self._deployment.store.is_down = False
 
     async def refuse_instance(self) -> None:
