--- a/tests/platform_adapter/test_cut_off_instances.py
+++ b/tests/platform_adapter/test_cut_off_instances.py
@@ -75,7 +75,7 @@
         at_cut=[each for each in during if not each.request_id.startswith(sound.name)],
         at_others=[each for each in during if each.request_id.startswith(sound.name)],
     )
-    problems += check_runs(deployment.arrivals)
+    problems += check_runs(deployment.log.arrivals)
     return problems, len(during)
 
 
