--- a/tests/platform_adapter/list_exploration/__main__.py
+++ b/tests/platform_adapter/list_exploration/__main__.py
@@ -8,7 +8,12 @@
 
 import structlog
 
-from tests.platform_adapter.list_exploration._worlds import FAULTS, explore
+from tests.platform_adapter.list_exploration._worlds import (
+    CALM_INTERVAL_S,
+    FAULT_INTERVAL_S,
+    FAULTS,
+    explore,
+)
 
 
 def main() -> None:
@@ -18,6 +23,7 @@
     parser.add_argument("--seconds", type=float, default=40.0)
     parser.add_argument("--faults", default=",".join(FAULTS))
     parser.add_argument("--instances", type=int, default=None)
+    parser.add_argument("--calm", action="store_true", help="long after each fault")
     parser.add_argument("--logs", action="store_true")
     options = parser.parse_args()
     faults = tuple(each for each in options.faults.split(",") if each)
@@ -30,6 +36,7 @@
             duration_s=options.seconds,
             faults=faults,
             instances=options.instances,
+            fault_interval_s=CALM_INTERVAL_S if options.calm else FAULT_INTERVAL_S,
         )
         kinds = {finding.kind for finding in world.findings}
         counts.update(kinds)
--- a/tests/platform_adapter/list_exploration/_worlds.py
+++ b/tests/platform_adapter/list_exploration/_worlds.py
@@ -23,6 +23,8 @@
 SERVER_HEARTBEAT_S = 1.2
 ENTRY_TTL_S = 3.6
 FAULT_INTERVAL_S = (0.5, 4.0)
+CALM_INTERVAL_S = (9.0, 13.0)  # leaves time to see what a fault leaves behind
+RETURN_BOUND_S = 2.0 * CONTACT_S  # exceeds that in which servers write again
 LEAVE_INTERVAL_S = (0.4, 2.5)
 FINAL_S = 4.0  # without new faults at the end
 
@@ -89,7 +91,10 @@
         duration_s: float,
         faults: tuple[str, ...],
         instances: int | None = None,
+        fault_interval_s: tuple[float, float] = FAULT_INTERVAL_S,
     ):
+        self._fault_interval_s = fault_interval_s
+        self._listed_at: dict[str, tuple[int, float]] = {}  # by server: era, time
         self.rng = random.Random(seed)  # of the history, whatever the instances do
         self._network_rng = random.Random(f"network {seed}")
         self._instance_count = instances or self.rng.randint(2, 7)
@@ -217,7 +222,7 @@
             return
         if self.network.instances:
             getattr(self, "_" + self.rng.choice(self._faults))()
-        self._later(self.rng.uniform(*FAULT_INTERVAL_S), self._fail_next)
+        self._later(self.rng.uniform(*self._fault_interval_s), self._fail_next)
 
     def _choose_instance(self) -> SimulatedInstance:
         names = sorted(self.network.instances)
@@ -388,13 +393,14 @@
 
     # -- checks ------------------------------------------------------------
 
-    def is_in_touch(self, name: str) -> bool:
+    def is_in_touch(self, name: str, for_s: float = CONTACT_S) -> bool:
         now = self.clock.seconds()
-        is_sound = self.machine_failures[name].has_been_sound(now)
-        return is_sound and self.store_failures.has_been_sound(now)
+        is_sound = self.machine_failures[name].has_been_sound(now, for_s)
+        return is_sound and self.store_failures.has_been_sound(now, for_s)
 
     def _check(self) -> None:
         now = self.clock.seconds()
+        self._check_listed(now)
         for name, instance in self.network.instances.items():
             if instance.reactor.is_frozen:
                 continue
@@ -405,6 +411,26 @@
                     self._seen.add((name, server.server_id))
         self._later(CHECK_INTERVAL_S, self._check)
 
+    def _check_listed(self, now: float) -> None:
+        """Check that servers that are listed and stay can be used."""
+        era, rows = self.store.era, self.store.rows["servers"]
+        for server_id, server in self._servers.items():
+            row = rows.get(server_id)
+            is_listed = row is not None and not row.is_gone
+            if not is_listed or server.state != "ready":
+                self._listed_at.pop(server_id, None)
+            elif self._listed_at.get(server_id, (-1, now))[0] != era:
+                self._listed_at[server_id] = (era, now)
+        due = [
+            server_id
+            for server_id, (_, listed_at) in self._listed_at.items()
+            if now - listed_at > RETURN_BOUND_S
+        ]
+        for name, instance in self.network.instances.items():
+            for server_id in due if self.is_in_touch(name, RETURN_BOUND_S) else ():
+                if not instance.may_use(server_id):
+                    self._report("not used", now, (name, server_id), f"era {era}")
+
     def _check_server(self, name, instance, server, now) -> None:
         key = (name, server.server_id)
         if not instance.may_use(server.server_id):
@@ -463,8 +489,15 @@
     duration_s: float = 40.0,
     faults: tuple[str, ...] = FAULTS,
     instances: int | None = None,
+    fault_interval_s: tuple[float, float] = FAULT_INTERVAL_S,
 ) -> World:
     """Play one seed and return its world."""
-    world = World(seed, duration_s=duration_s, faults=faults, instances=instances)
+    world = World(
+        seed,
+        duration_s=duration_s,
+        faults=faults,
+        instances=instances,
+        fault_interval_s=fault_interval_s,
+    )
     world.run()
     return world
