The end of a row that names no server is no server that was missed

Cause: what was never listed was taken for missed, though it was seen and left out. Class: absence from what was understood is taken for absence from what was seen.

--- a/tests/platform_adapter/test_change_feed.py
+++ b/tests/platform_adapter/test_change_feed.py
@@ -19,6 +19,7 @@
     STANDBY_READERS,
     find_reader_rank,
 )
+from ebonyhaven_decisions.forwarding._version_history import VERSION_MEMORY_S
 from ebonyhaven_node.forwarding._state_feed import MAX_INSTANCES_OF_ONE_READER
 from ebonyhaven_node.forwarding.interfaces import ReadGroup
 
@@ -272,6 +273,32 @@
     assert harness.other_state.backends.find("s-1") is not None
 
 
+def test_removal_of_a_row_that_names_no_server_does_not_hide_software_versions():
+    # Guards against refusing the retries of streams, as a server seems to be missed.
+    harness = start_fed()
+    harness.advance(VERSION_MEMORY_S)
+    harness.change(14, s_3={**SERVER, "version": None})
+    harness.change(15, s_3=None)
+    harness.change(16, s_2=None)
+    for state, clock in (
+        (harness.state, harness.clock),
+        (harness.other_state, harness.other_clock),
+    ):
+        assert state.backends.find("s-2") is None
+        assert state.backends.versions.infer("engines", clock.seconds()) == "v1"
+
+
+def test_server_whose_row_was_unreadable_before_is_removed():
+    harness = start_fed()
+    harness.change(14, s_3={**SERVER, "version": None})
+    harness.change(16, s_3={**SERVER, "address": "10.0.0.3:80"})
+    for state in (harness.state, harness.other_state):
+        assert state.backends.find("s-3") is not None
+    harness.change(17, s_3=None)
+    for state in (harness.state, harness.other_state):
+        assert state.backends.find("s-3") is None
+
+
 def test_messages_of_two_readers_are_applied_without_polls():
     harness = start_fed()
     polls = harness.count_other_polls()
