A response of the store without rows is refused, not taken for an empty table

A response that lacks its rows, to a read of the server list, would have removed all servers at all instances that read it.

Cause: reads lists with a function that takes a missing one as empty, which suits the optional sections of a configuration; before, such a response counted as malformed and was asked for again. Class: absence from what was understood is taken for absence.

Evidence: test_response_without_rows_is_not_taken_for_an_empty_table fails on the code before.

--- a/tests/platform_adapter/test_odd_documents.py
+++ b/tests/platform_adapter/test_odd_documents.py
@@ -103,6 +103,15 @@
         assert list_servers(state) == {"s-1"}, ascii(key)
 
 
+def test_response_without_rows_is_not_taken_for_an_empty_table():
+    for odd in (b'{"rowVersion": 15}', b'{"rowVersion": 15, "rows": null}'):
+        try:
+            _decode_rows(odd, era=0)
+        except MalformedDocument:
+            continue
+        raise AssertionError(odd)
+
+
 def test_server_whose_row_is_odd_for_a_time_is_used_again():
     for odd in list_odd_entries():
         clock, store, state, _ = start_reader()
