--- a/tests/platform_adapter/test_source.py
+++ b/tests/platform_adapter/test_source.py
@@ -390,6 +390,18 @@
     assert state.backends.find("s-2") is not None  # 12 was given out before
 
 
+def test_store_of_an_older_era_is_not_asked_without_a_pause():
+    clock, store, state, _ = start_with_complete_state()
+    restore_store(store, s_1=SERVER)
+    store.responses["servers"].extend([make_rows(13)] * 100)
+    calls, pauses = len(store.calls), 5
+    store.push("servers", make_rows(13))
+    for _ in range(pauses):
+        clock.advance(RETRY_INTERVAL_S)
+    assert len(store.calls) - calls <= 2 * (pauses + 1)
+    assert state.backends.find("s-1") is not None
+
+
 def test_server_that_the_restored_store_lacks_is_used_until_it_had_time_to_return():
     clock, store, state, _ = start_with_complete_state()
     restore_store(store)
