Take no silence of readers for an outage of the store

The only server of a service could be used for up to 2.8 s after its removal was acknowledged (drainMs is 2 s) by an instance whose readers were all silent: it hears of the removal 1.3 s later, by its own poll, and may use the server for another 1.5 s.

Cause: a list that was not known to be current for more than 1.5 s is taken for one of a store that was away, while the time to an own poll, one to 1.6 s after the last message, is longer. The gap that counts as an outage is 2.5 s now: the longest time to a poll and one call without an answer. A server that expires in an outage of 1.5 to 2.5 s is no longer kept if its service has no other; servers expire after three pings, 3.6 s.

Evidence: test_only_server_is_not_used_beyond_its_drain_time_if_all_readers_are_silent fails on the code before.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -16,6 +16,9 @@
 SUSPECT_MAX_S = 3.0  # limits the time until a recovered server is sent requests
 REPLACED_SUSPECT_S = 10.0  # exceeds the time for which a dead process stays listed
 REMOVED_USABLE_S = 1.5  # shorter than the drain time of a leaving server
+# Between two reads of the list while the store is there, if all readers are silent and
+# a call has no answer. Entries of servers that are alive expire in longer outages only.
+MAX_READ_GAP_S = 2.5
 SLOW_S = 2.0  # for which a server that paused its streams gets few new ones
 LOAD_REPORT_TTL_S = 1.0  # older reports do not reflect the current load
 RESULT_SMOOTHING_FACTOR = 0.2
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Iterator
 
 from ebonyhaven_decisions.forwarding._backends import (
+    MAX_READ_GAP_S,
     REMOVED_USABLE_S,
     Backend,
     BackendEntry,
@@ -113,7 +114,7 @@
 
         The time counts from when the list was last known to hold the entry, because
         the platform counts from the removal, which this instance hears of later. If
-        that is too long ago, the store was not available in between.
+        that is over `MAX_READ_GAP_S` ago, the store was not available in between.
 
         Parameters
         ----------
@@ -126,7 +127,7 @@
             return
         self.versions.record_removed(backend.entry, now)
         backend.removed_at = now
-        was_available = now - self._current_at <= REMOVED_USABLE_S
+        was_available = now - self._current_at <= MAX_READ_GAP_S
         listed_at = self._current_at if was_available else now
         backend.kept_until = listed_at + REMOVED_USABLE_S
         self._removed[server_id] = backend
--- a/tests/platform_adapter/test_change_feed.py
+++ b/tests/platform_adapter/test_change_feed.py
@@ -132,6 +132,26 @@
         assert not usable
 
 
+def test_only_server_is_not_used_beyond_its_drain_time_if_all_readers_are_silent():
+    # Guards against taking the silence of readers for an outage of the store.
+    harness = start_fed()
+    harness.other_group.rank = STANDBY_READERS + 1
+    for version in range(14, 24):
+        harness.change(version, s_1={**SERVER, "sequence": version})
+    harness.change(24, s_2=None)
+    harness.is_connected = False
+    removed_at = harness.clock.seconds()
+    polls = harness.count_other_polls()
+    while harness.count_other_polls() == polls:
+        harness.advance(0.01)
+    harness.other_store.push("servers", make_rows(25, s_1=None))
+    assert harness.other_state.backends.find("s-1") is None
+    usable = harness.other_state.backends.list_usable(
+        SERVER["service"], removed_at + DRAIN_S
+    )
+    assert not usable
+
+
 def test_heartbeats_of_servers_are_published_as_versions_only():
     harness = start_fed()
     for version in range(14, 24):
