End the questions to a process that another one of its id has replaced

The record of an unresponsive process, and of what it was sent, was kept for as long as the instance lived if its entry named another process instead of being removed.

Cause: an episode ended only when the server answered or left, and a replaced process does neither. Class: a state whose end rests on an event that need not come.

Evidence: test_process_that_another_one_replaces_is_no_longer_asked fails on the code before (no line backend_left_unresponsive). A server that answers that it leaves is logged as responsive now, as docs/OPERATIONS.md says.

--- a/packages/node/src/ebonyhaven_node/forwarding/_silence_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_silence_monitor.py
@@ -127,7 +127,8 @@
         for key, episode in list(self._episodes.items()):
             backend = episode.backend
             is_over = not backend.silence.is_unresponsive(now)
-            if is_over or backend.is_leaving:
+            is_listed = self._state.backends.find(backend.server_id) is backend
+            if is_over or backend.is_leaving or not is_listed:
                 del self._episodes[key]
                 self._permits.withdraw(episode.check_id)
                 if episode.check is not None:
@@ -196,8 +197,9 @@
 
     def _log_end(self, episode: _Episode, now: float) -> None:
         backend = episode.backend
+        has_answered = not backend.silence.is_unresponsive(now)
         _log.info(
-            "backend_left_unresponsive" if backend.is_leaving else "backend_responsive",
+            "backend_responsive" if has_answered else "backend_left_unresponsive",
             server=backend.server_id,
             data_centre=backend.entry.data_centre,
             silent_s=round(now - episode.began_at, 3),
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -14,6 +14,7 @@
     decode_headers,
     event,
     make_configuration,
+    make_entry,
     make_route,
     stream_head,
 )
@@ -237,6 +238,17 @@
     assert not harness.state.backends.list_unresponsive(harness.reactor.seconds())
 
 
+def test_process_that_another_one_replaces_is_no_longer_asked():
+    harness = ForwardingHarness(plain=1)
+    servers = StandingServers(harness, ["p-0"])
+    servers.run(1.0, "/once/x")
+    with capture_logs() as lines:
+        harness.state.put_backend(make_entry("p-0", started_ms=2))
+        servers.run(0.5)
+    assert "backend_left_unresponsive" in [each["event"] for each in lines]
+    assert ("p-0", 1) not in harness.gateway._silence_monitor._episodes
+
+
 def test_server_that_is_gone_silent_is_asked_seldom():
     harness = ForwardingHarness(plain=1)
     servers = StandingServers(harness, ["p-0"])
