--- a/tests/platform_adapter/test_odd_documents.py
+++ b/tests/platform_adapter/test_odd_documents.py
@@ -97,13 +97,22 @@
 
 
 def test_row_whose_key_no_header_can_hold_names_no_server():
-    for key in ("s\u4e2d", "s 1", "s\n1", "s\ud800", "s" * 300):
+    for key in ("", "s\u4e2d", "s 1", "s\n1", "s\ud800", "s" * 300):
         _, store, state, _ = start_reader()
         row = encode_row(key, OTHER, 15)
         store.push("servers", _decode_rows(encode_page([row], 15), era=0))
         assert list_servers(state) == {"s-1"}, ascii(key)
 
 
+def test_response_without_rows_is_not_taken_for_an_empty_table():
+    for odd in (b'{"rowVersion": 15}', b'{"rowVersion": 15, "rows": null}'):
+        try:
+            _decode_rows(odd, era=0)
+        except MalformedDocument:
+            continue
+        raise AssertionError(odd)
+
+
 def test_server_whose_row_is_odd_for_a_time_is_used_again():
     for odd in list_odd_entries():
         clock, store, state, _ = start_reader()
