Split limits and suspect data centres from the directory of servers

The exchanges of limits and of permits get the limits alone.

No change of behaviour: the lines are moved as they were, but for the mapping of listed servers, which has another name there. Tests change only in the object they call; no expectation differs.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -1,5 +1,6 @@
 """Rules for forwarding requests and streams to backend servers, without I/O."""
 
+from ebonyhaven_decisions.forwarding._backend_limits import BackendLimits
 from ebonyhaven_decisions.forwarding._backends import (
     Backend,
     BackendEntry,
@@ -129,6 +130,7 @@
     "Backend",
     "BackendDirectory",
     "BackendEntry",
+    "BackendLimits",
     "BackendState",
     "BudgetUse",
     "ChangeFeed",
--- /dev/null
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backend_limits.py
@@ -0,0 +1,150 @@
+"""Limits that the listed backend servers of an instance name."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Iterator, Mapping
+
+from ebonyhaven_decisions.forwarding._backends import Backend
+from ebonyhaven_decisions.forwarding._limit_shares import (
+    LimitedServerDirectory,
+    LimitShares,
+)
+from ebonyhaven_decisions.forwarding._request_pacing import CONFIRMATION_TTL_S
+from ebonyhaven_decisions.forwarding._server_limits import ServerLimits
+
+
+class BackendLimits(LimitedServerDirectory):
+    """Limits of the listed servers, and the parts of this instance in them.
+
+    Parameters
+    ----------
+    listed : mapping of str to Backend
+        The listed servers, by id; followed as it changes.
+    """
+
+    __slots__ = ("_brittle", "_engine_services", "_listed", "_shares")
+
+    def __init__(self, listed: Mapping[str, Backend]):
+        self._listed = listed
+        self._shares = LimitShares()
+        self._engine_services: frozenset[str] = frozenset()
+        self._brittle: dict[str, tuple[int, float]] = {}  # by service: limit, time
+
+    def __iter__(self) -> Iterator[Backend]:
+        return iter(self._listed.values())
+
+    def apply_known(self, backend: Backend, now: float) -> None:
+        """Set the limits that are known of a process which is listed now.
+
+        Parameters
+        ----------
+        backend : Backend
+        now : float
+            Seconds.
+        """
+        limits = self._shares.take(backend.process_id)
+        limits = limits or self._expect_limits(backend.entry.service, now)
+        if limits is not None:
+            self._set_limits(backend, limits, now)
+
+    def set_instances(self, own_name: str, names: Iterable[str], now: float) -> None:
+        """See `LimitedServerDirectory.set_instances`."""
+        self._shares.set_instances(own_name, names, self._listed.values(), now)
+
+    def record_limits(self, backend: Backend, limits: ServerLimits, now: float) -> None:
+        """Record the limits that an answer of a server names.
+
+        Parameters
+        ----------
+        backend : Backend
+        limits : ServerLimits
+        now : float
+            Seconds.
+        """
+        service, refusals = backend.entry.service, limits.refusals_per_s
+        if refusals is None:
+            self._brittle.pop(service, None)
+        else:
+            self._brittle[service] = (refusals, now)
+        self._set_limits(backend, limits, now)
+
+    def _expect_limits(self, service: str, now: float) -> ServerLimits | None:
+        """Return what a new server will name, as far as those of its service tell.
+
+        All servers of a service are brittle at the same time.
+        """
+        refusals, said_at = self._brittle.get(service, (0, -math.inf))
+        if now - said_at > CONFIRMATION_TTL_S:
+            return None
+        return ServerLimits(refusals_per_s=refusals)
+
+    def _set_limits(self, backend: Backend, limits: ServerLimits, now: float) -> None:
+        has_engine = backend.entry.service in self._engine_services
+        slots = 0 if has_engine else backend.entry.slots  # memory binds engines
+        self._shares.record(backend, limits, slots=slots, now=now)
+
+    def record_told_limits(
+        self, process_id: str, limits: ServerLimits, now: float
+    ) -> None:
+        """See `LimitedServerDirectory.record_told_limits`."""
+        backend = self.find_process(process_id)
+        if backend is None:
+            self._shares.keep(process_id, limits)
+        else:
+            self.record_limits(backend, limits, now)
+
+    def find_process(self, process_id: str) -> Backend | None:
+        """See `LimitedServerDirectory.find_process`."""
+        backend = self._listed.get(process_id.rpartition("/")[0])
+        return backend if backend and backend.process_id == process_id else None
+
+    def set_engine_services(self, names: Iterable[str]) -> None:
+        """Set the services whose servers are model engines.
+
+        Parameters
+        ----------
+        names : iterable of str
+        """
+        self._engine_services = frozenset(names)
+
+    def find_limit_end(
+        self,
+        service: str,
+        now: float,
+        *,
+        version: str | None = None,
+        ahead: int = 0,
+    ) -> float | None:
+        """Return when a request may be sent to a server, if limits forbid it now.
+
+        Parameters
+        ----------
+        service : str
+        now : float
+            Seconds.
+        version : str or None
+            Software version of the servers; None for any.
+        ahead : int
+            Requests of this instance that are to be sent before.
+
+        Returns
+        -------
+        float or None
+            Seconds; infinite if this instance leaves the servers to others. None if
+            some ready server is not kept from requests by its limit, or there is none.
+        """
+        limiters = []
+        for each in self._listed.values():
+            if each.entry.service != service or each.is_leaving:
+                continue
+            if version not in (None, each.software_version):
+                continue
+            if not each.limiter.has_limits:
+                return None
+            limiters.append(each.limiter)
+        first = min((each.find_allowed(now) for each in limiters), default=now)
+        if first <= now:
+            return None
+        rate = sum(each.pacer.compute_rate(now) for each in limiters)
+        return first + ahead / rate if rate else math.inf
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -5,54 +5,48 @@
 import math
 from collections.abc import Iterable, Iterator
 
+from ebonyhaven_decisions.forwarding._backend_limits import BackendLimits
 from ebonyhaven_decisions.forwarding._backends import (
     REMOVED_USABLE_S,
     Backend,
     BackendEntry,
 )
-from ebonyhaven_decisions.forwarding._limit_shares import (
-    LimitedServerDirectory,
-    LimitShares,
-)
-from ebonyhaven_decisions.forwarding._request_pacing import CONFIRMATION_TTL_S
-from ebonyhaven_decisions.forwarding._server_limits import ServerLimits
 from ebonyhaven_decisions.forwarding._service_versions import ServiceVersions
+from ebonyhaven_decisions.forwarding._suspect_data_centres import SuspectDataCentres
 
-# The loss of the other servers of a failed data centre is detected within this time.
-DATA_CENTRE_SUSPECT_S = 0.8
 TOLD_LEAVE_TTL_S = 60.0  # exceeds the time for which a leaving process goes on
 
 
-class BackendDirectory(LimitedServerDirectory):
+class BackendDirectory:
     """Backend servers, listed or recently removed, by server id.
 
     Attributes
     ----------
+    data_centres : SuspectDataCentres
+        Data centres of servers that were lost.
+    limits : BackendLimits
+        Limits of the listed servers.
     versions : ServiceVersions
         Software versions of the servers, listed and earlier ones.
     """
 
     __slots__ = (
-        "_brittle",
         "_by_id",
         "_current_at",
-        "_engine_services",
-        "_lost_at",
         "_removed",
-        "_shares",
         "_told_leave_at",
+        "data_centres",
+        "limits",
         "versions",
     )
 
     def __init__(self) -> None:
-        self._shares = LimitShares()
-        self._engine_services: frozenset[str] = frozenset()
-        self._brittle: dict[str, tuple[int, float]] = {}  # by service: limit, time
-        self._lost_at: dict[str, float] = {}  # by data centre
         self._by_id: dict[str, Backend] = {}
         self._removed: dict[str, Backend] = {}
         self._current_at = -math.inf
         self._told_leave_at: dict[tuple[str, int], float] = {}  # by process
+        self.data_centres = SuspectDataCentres()
+        self.limits = BackendLimits(self._by_id)
         self.versions = ServiceVersions(self._by_id)
 
     def __iter__(self) -> Iterator[Backend]:
@@ -98,10 +92,7 @@
                 self.versions.record_removed(known.entry, now)
             known = Backend(entry)
             known.has_told_leave = known.key in self._told_leave_at
-            limits = self._shares.take(known.process_id)
-            limits = limits or self._expect_limits(entry.service, now)
-            if limits is not None:
-                self._set_limits(known, limits, now)
+            self.limits.apply_known(known, now)
         known.entry = entry
         known.removed_at = None
         self._by_id[entry.server_id] = known
@@ -213,108 +204,7 @@
             Seconds.
         """
         backend.record_unreachable(now)
-        self._lost_at[backend.entry.data_centre] = now
-
-    def set_instances(self, own_name: str, names: Iterable[str], now: float) -> None:
-        """See `LimitedServerDirectory.set_instances`."""
-        self._shares.set_instances(own_name, names, self._by_id.values(), now)
-
-    def record_limits(self, backend: Backend, limits: ServerLimits, now: float) -> None:
-        """Record the limits that an answer of a server names.
-
-        Parameters
-        ----------
-        backend : Backend
-        limits : ServerLimits
-        now : float
-            Seconds.
-        """
-        service, refusals = backend.entry.service, limits.refusals_per_s
-        if refusals is None:
-            self._brittle.pop(service, None)
-        else:
-            self._brittle[service] = (refusals, now)
-        self._set_limits(backend, limits, now)
-
-    def _expect_limits(self, service: str, now: float) -> ServerLimits | None:
-        """Return what a new server will name, as far as those of its service tell.
-
-        All servers of a service are brittle at the same time.
-        """
-        refusals, said_at = self._brittle.get(service, (0, -math.inf))
-        if now - said_at > CONFIRMATION_TTL_S:
-            return None
-        return ServerLimits(refusals_per_s=refusals)
-
-    def _set_limits(self, backend: Backend, limits: ServerLimits, now: float) -> None:
-        has_engine = backend.entry.service in self._engine_services
-        slots = 0 if has_engine else backend.entry.slots  # memory binds engines
-        self._shares.record(backend, limits, slots=slots, now=now)
-
-    def record_told_limits(
-        self, process_id: str, limits: ServerLimits, now: float
-    ) -> None:
-        """See `LimitedServerDirectory.record_told_limits`."""
-        backend = self.find_process(process_id)
-        if backend is None:
-            self._shares.keep(process_id, limits)
-        else:
-            self.record_limits(backend, limits, now)
-
-    def find_process(self, process_id: str) -> Backend | None:
-        """See `LimitedServerDirectory.find_process`."""
-        backend = self._by_id.get(process_id.rpartition("/")[0])
-        return backend if backend and backend.process_id == process_id else None
-
-    def set_engine_services(self, names: Iterable[str]) -> None:
-        """Set the services whose servers are model engines.
-
-        Parameters
-        ----------
-        names : iterable of str
-        """
-        self._engine_services = frozenset(names)
-
-    def find_limit_end(
-        self,
-        service: str,
-        now: float,
-        *,
-        version: str | None = None,
-        ahead: int = 0,
-    ) -> float | None:
-        """Return when a request may be sent to a server, if limits forbid it now.
-
-        Parameters
-        ----------
-        service : str
-        now : float
-            Seconds.
-        version : str or None
-            Software version of the servers; None for any.
-        ahead : int
-            Requests of this instance that are to be sent before.
-
-        Returns
-        -------
-        float or None
-            Seconds; infinite if this instance leaves the servers to others. None if
-            some ready server is not kept from requests by its limit, or there is none.
-        """
-        limiters = []
-        for each in self._by_id.values():
-            if each.entry.service != service or each.is_leaving:
-                continue
-            if version not in (None, each.software_version):
-                continue
-            if not each.limiter.has_limits:
-                return None
-            limiters.append(each.limiter)
-        first = min((each.find_allowed(now) for each in limiters), default=now)
-        if first <= now:
-            return None
-        rate = sum(each.pacer.compute_rate(now) for each in limiters)
-        return first + ahead / rate if rate else math.inf
+        self.data_centres.record_loss(backend.entry.data_centre, now)
 
     def count_suspects(self, data_centre: str, now: float) -> int:
         """Return the number of suspect servers in a data centre.
@@ -334,42 +224,6 @@
             for each in self._by_id.values()
         )
 
-    def is_suspect_data_centre(self, data_centre: str, now: float) -> bool:
-        """Return whether a server of a data centre was lost recently.
-
-        Servers of a data centre tend to fail together, and each further loss is
-        only detected by sending a request.
-
-        Parameters
-        ----------
-        data_centre : str
-        now : float
-            Seconds.
-        """
-        return now - self._lost_at.get(data_centre, -math.inf) < DATA_CENTRE_SUSPECT_S
-
-    def avoid_suspect_data_centres(
-        self, candidates: list[Backend], now: float
-    ) -> list[Backend]:
-        """Return the candidates outside suspect data centres, or all if none are.
-
-        Parameters
-        ----------
-        candidates : list of Backend
-        now : float
-            Seconds.
-
-        Returns
-        -------
-        list of Backend
-        """
-        unsuspected = [
-            each
-            for each in candidates
-            if not self.is_suspect_data_centre(each.entry.data_centre, now)
-        ]
-        return unsuspected or candidates
-
     def list_usable(
         self,
         service: str,
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -183,7 +183,8 @@
             self._last_reason = ALL_LEAVING_REASON
             self._retry_after_s = REPLACEMENT_RETRY_AFTER_S
             return False
-        if self._context.state.backends.find_limit_end(self._service, now) is None:
+        limits = self._context.state.backends.limits
+        if limits.find_limit_end(self._service, now) is None:
             self._context.permits.ask(
                 self._service, self._request.request_id, self._excluded_servers
             )
@@ -323,7 +324,7 @@
             or directory.list_usable(self._service, now)
         )
         return choose_backend(
-            directory.avoid_suspect_data_centres(usable, now),
+            directory.data_centres.avoid_suspect_data_centres(usable, now),
             data_centre=self._context.data_centre,
             now=now,
             rng=self._context.rng,
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -249,7 +249,7 @@
         before = backend.limiter.limits
         if limits == before == NO_LIMITS:
             return
-        self.state.backends.record_limits(backend, limits, self.clock())
+        self.state.backends.limits.record_limits(backend, limits, self.clock())
         self.on_limits(backend)
         if limits == before:
             return
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -168,7 +168,7 @@
         self._peers = PeerEngineUse(ttl_s=PEER_USE_TTL_S)
         self._capacity_notifier = CapacityNotifier(reactor)
         self._permits = PermitExchange(
-            backends=self.state.backends,
+            backends=self.state.backends.limits,
             reactor=reactor,
             rng=self._rng,
             clock=clock,
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -155,7 +155,7 @@
         )
         self._stack.callback(self._contact_exchange.stop)
         self._limit_exchange = LimitExchange(
-            servers=state.backends,
+            servers=state.backends.limits,
             membership=membership,
             channels=channels,
             reactor=reactor,
--- a/packages/node/src/ebonyhaven_node/forwarding/_permit_exchange.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_permit_exchange.py
@@ -11,7 +11,7 @@
 from ebonyhaven_decisions import MemberRecord, MemberState
 from ebonyhaven_decisions.forwarding import (
     Backend,
-    BackendDirectory,
+    BackendLimits,
     Permit,
     PermitLimiter,
 )
@@ -61,7 +61,7 @@
 
     Parameters
     ----------
-    backends : BackendDirectory
+    backends : BackendLimits
     reactor : IReactorTime
     rng : random.Random
     clock : callable
@@ -73,7 +73,7 @@
     def __init__(
         self,
         *,
-        backends: BackendDirectory,
+        backends: BackendLimits,
         reactor: IReactorTime,
         rng: random.Random,
         clock: Callable[[], float],
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -91,7 +91,7 @@
         if known is not None and configuration.version < known.version:
             return
         self.configuration = configuration
-        self.backends.set_engine_services(
+        self.backends.limits.set_engine_services(
             name for name, each in configuration.services.items() if each.engine
         )
         _log.info(
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
@@ -91,7 +91,7 @@
     ) -> float | None:
         """Return when a waiting request may be sent, if limits forbid it now.
 
-        See `BackendDirectory.find_limit_end`.
+        See `BackendLimits.find_limit_end`.
 
         Parameters
         ----------
@@ -102,7 +102,7 @@
             Software version of the servers; None for any.
         """
         line = self._context.waiting_streams.get(self._service, [])
-        return self._context.state.backends.find_limit_end(
+        return self._context.state.backends.limits.find_limit_end(
             self._service,
             now,
             version=version,
@@ -166,7 +166,9 @@
         if version is None:
             usable = select_replaceable_engines(usable)
         usable = [each for each in usable if self._has_free_connection(each)]
-        usable = self._context.state.backends.avoid_suspect_data_centres(usable, now)
+        usable = self._context.state.backends.data_centres.avoid_suspect_data_centres(
+            usable, now
+        )
         if self._engine is None:
             chosen = choose_backend(
                 usable,
@@ -264,8 +266,8 @@
             peers=self._context.peers.sum_by_server(now),
             rng=self._context.rng,
             now=now,
-            is_suspect_data_centre=lambda data_centre: directory.is_suspect_data_centre(
-                data_centre, now
+            is_suspect_data_centre=lambda data_centre: (
+                directory.data_centres.is_suspect_data_centre(data_centre, now)
             ),
         )
 
--- a/tests/decisions/test_forwarding.py
+++ b/tests/decisions/test_forwarding.py
@@ -234,9 +234,9 @@
     directory = build_directory(6)
     directory.record_unreachable(directory.find("s0"), 10.0)
     usable = directory.list_usable("engines", 10.1)
-    unsuspected = directory.avoid_suspect_data_centres(usable, 10.1)
+    unsuspected = directory.data_centres.avoid_suspect_data_centres(usable, 10.1)
     assert {each.entry.data_centre for each in unsuspected} == {"dc-b", "dc-c"}
-    later = directory.avoid_suspect_data_centres(
+    later = directory.data_centres.avoid_suspect_data_centres(
         directory.list_usable("engines", 11.0), 11.0
     )
     assert "s3" in {each.server_id for each in later}
@@ -248,7 +248,7 @@
         directory.record_unreachable(each, 10.0)
     directory.put(make_entry("s9", "dc-a"), 10.0)
     usable = directory.list_usable("engines", 10.1)
-    assert directory.avoid_suspect_data_centres(usable, 10.1) == usable
+    assert directory.data_centres.avoid_suspect_data_centres(usable, 10.1) == usable
 
 
 # -- state of servers ------------------------------------------------------
--- a/tests/decisions/test_refusal_limits.py
+++ b/tests/decisions/test_refusal_limits.py
@@ -142,17 +142,17 @@
     # has arrived yet, and all instances send what has waited for them.
     directory = BackendDirectory()
     first = directory.put(make_entry("s-1"), 10.0)
-    directory.record_limits(first, ServerLimits(refusals_per_s=3), 10.0)
+    directory.limits.record_limits(first, ServerLimits(refusals_per_s=3), 10.0)
     restarted = directory.put(make_entry("s-2"), 11.0)
     assert restarted.limiter.limits == ServerLimits(refusals_per_s=3)
-    directory.record_limits(restarted, NO_LIMITS, 11.1)
+    directory.limits.record_limits(restarted, NO_LIMITS, 11.1)
     assert directory.put(make_entry("s-3"), 11.2).limiter.limits == NO_LIMITS
 
 
 def test_service_is_not_taken_for_brittle_long_after_it_said_so():
     directory = BackendDirectory()
     first = directory.put(make_entry("s-1"), 10.0)
-    directory.record_limits(first, ServerLimits(refusals_per_s=3), 10.0)
+    directory.limits.record_limits(first, ServerLimits(refusals_per_s=3), 10.0)
     later = directory.put(make_entry("s-2"), 10.1 + CONFIRMATION_TTL_S)
     other = directory.put(make_entry("s-3")._replace(service="other"), 10.0)
     assert later.limiter.limits == other.limiter.limits == NO_LIMITS
--- a/tests/decisions/test_request_pacing.py
+++ b/tests/decisions/test_request_pacing.py
@@ -59,8 +59,8 @@
 
     def add(self, name, names, now):
         directory = self.directories[name] = make_directory()
-        directory.set_instances(name, names, now)
-        directory.record_told_limits("p-0/1", self.limits, now)
+        directory.limits.set_instances(name, names, now)
+        directory.limits.record_told_limits("p-0/1", self.limits, now)
 
     def change(self, now, *, lost=0, joined=0):
         """Lose and add some instances; each of the others learns it at its own time."""
@@ -81,14 +81,14 @@
         if now - self.told_at >= TELL_INTERVAL_S:
             self.told_at = now
             for directory in self.directories.values():
-                directory.record_told_limits("p-0/1", self.limits, now)
+                directory.limits.record_told_limits("p-0/1", self.limits, now)
 
     def press(self, now, demand):
         for at, name, names in list(self.views):
             if at <= now:
                 self.views.remove((at, name, names))
                 if name in self.directories:
-                    self.directories[name].set_instances(name, names, now)
+                    self.directories[name].limits.set_instances(name, names, now)
         for name in sorted(self.directories):
             if self.rng.random() < demand:
                 backend = self.directories[name].find("p-0")
@@ -151,26 +151,26 @@
 
 def test_limit_of_a_server_that_is_not_listed_yet_holds_once_it_is():
     directory = BackendDirectory()
-    directory.set_instances("n1", ("n1", "n2"), 0.0)
-    directory.record_told_limits("p-0/1", ServerLimits(2.0), 0.0)
+    directory.limits.set_instances("n1", ("n1", "n2"), 0.0)
+    directory.limits.record_told_limits("p-0/1", ServerLimits(2.0), 0.0)
     entry = next(iter(make_directory())).entry
     assert directory.put(entry, 1.0).limiter.pacer.limit == 2.0
 
 
 def test_restarted_server_has_no_limit_of_before():
     directory = make_directory()
-    directory.record_limits(directory.find("p-0"), ServerLimits(2.0), 0.0)
+    directory.limits.record_limits(directory.find("p-0"), ServerLimits(2.0), 0.0)
     entry = directory.find("p-0").entry._replace(started_ms=2)
     assert directory.put(entry, 1.0).limiter.pacer.limit is None
 
 
 def test_end_of_the_limits_of_a_service():
     directory = make_directory(servers=2)
-    directory.set_instances("n1", ("n1",), 0.0)
+    directory.limits.set_instances("n1", ("n1",), 0.0)
     for backend in directory:
-        directory.record_limits(backend, ServerLimits(2.0), 0.0)
+        directory.limits.record_limits(backend, ServerLimits(2.0), 0.0)
         assert backend.limiter.acquire(0.0)
-    assert directory.find_limit_end("plain", 0.0) == 0.5
-    assert directory.find_limit_end("plain", 0.0, ahead=4) == 1.5
-    directory.record_limits(directory.find("p-1"), NO_LIMITS, 0.1)
-    assert directory.find_limit_end("plain", 0.1) is None
+    assert directory.limits.find_limit_end("plain", 0.0) == 0.5
+    assert directory.limits.find_limit_end("plain", 0.0, ahead=4) == 1.5
+    directory.limits.record_limits(directory.find("p-1"), NO_LIMITS, 0.1)
+    assert directory.limits.find_limit_end("plain", 0.1) is None
--- a/tests/forwarding/test_named_limits.py
+++ b/tests/forwarding/test_named_limits.py
@@ -156,7 +156,7 @@
     harness = ForwardingHarness(engines=1)
     engine = harness.state.backends.find("e-0")
     now = harness.reactor.seconds()
-    harness.state.backends.record_limits(engine, ServerLimits(LIMIT), now)
+    harness.state.backends.limits.record_limits(engine, ServerLimits(LIMIT), now)
     callers = [harness.open_caller() for _ in range(15)]
     for number, caller in enumerate(callers):
         caller.request("/stream/x", request_id=f"s{number}", X_Token_Count="10,10")
@@ -170,7 +170,7 @@
     harness = ForwardingHarness()
     engine = harness.state.backends.find("e-0")
     now = harness.reactor.seconds()
-    harness.state.backends.record_limits(engine, ServerLimits(0.1), now)
+    harness.state.backends.limits.record_limits(engine, ServerLimits(0.1), now)
     assert engine.limiter.acquire(now)
     assert not engine.limiter.acquire(now)
     assert not engine.can_resume_from_copy(now)
--- a/tests/forwarding/test_permit_exchange.py
+++ b/tests/forwarding/test_permit_exchange.py
@@ -64,7 +64,7 @@
         for server in servers:
             self.directory.put(server.entry, 0.0)
         self.exchange = PermitExchange(
-            backends=self.directory,
+            backends=self.directory.limits,
             reactor=self.clock,
             rng=self.rng,
             clock=self.clock.seconds,
@@ -97,10 +97,10 @@
     def join(self):
         names = [each.name for each in self.members if each.state is MemberState.LIVE]
         now = self.clock.seconds()
-        self.directory.set_instances(self.name, names, now)
+        self.directory.limits.set_instances(self.name, names, now)
         for backend in self.directory:
             limits = ServerLimits(refusals_per_s=self.limit)
-            self.directory.record_limits(backend, limits, now)
+            self.directory.limits.record_limits(backend, limits, now)
         if not self.handlers:
             self.exchange.connect(self, self)
 
--- a/tests/forwarding/test_slow_servers.py
+++ b/tests/forwarding/test_slow_servers.py
@@ -70,7 +70,9 @@
     assert now < backend.slow_until
     assert now >= backend.suspect_until
     directory = harness.state.backends
-    assert not directory.is_suspect_data_centre(backend.entry.data_centre, now)
+    assert not directory.data_centres.is_suspect_data_centre(
+        backend.entry.data_centre, now
+    )
 
 
 def test_silent_server_that_accepts_no_connection_is_reported_lost():
--- a/tests/node/test_limit_exchange.py
+++ b/tests/node/test_limit_exchange.py
@@ -23,7 +23,7 @@
         self.membership = FakeMembership(*others)
         self.channels = FakeChannels()
         self.exchange = LimitExchange(
-            servers=self.state.backends,
+            servers=self.state.backends.limits,
             membership=self.membership,
             channels=self.channels,
             reactor=self.clock,
@@ -36,7 +36,7 @@
     def hear(self, limit):
         """Take an answer of the server that names a limit or None."""
         now = self.clock.seconds()
-        self.state.backends.record_limits(self.backend, ServerLimits(limit), now)
+        self.state.backends.limits.record_limits(self.backend, ServerLimits(limit), now)
         self.exchange.publish(self.backend)
         self.clock.advance(0.02)
 
@@ -121,7 +121,7 @@
 def test_refusal_of_a_brittle_server_is_told():
     instance = Instance("n2")
     limits = ServerLimits(refusals_per_s=4)
-    instance.state.backends.record_limits(instance.backend, limits, 0.0)
+    instance.state.backends.limits.record_limits(instance.backend, limits, 0.0)
     instance.exchange.publish(instance.backend)
     instance.clock.advance(1.0)
     instance.take_sent()
