Split entries in use and shared reads from the adapter's server list

The entries in use, with what becomes of them after a restore, are now in `ListedEntries`; whether and how often an instance reads for others, and what it publishes, in `SharedReads`.

No change of behaviour: the lines are moved as they were. Tests change only in the module that three constants are imported from.

--- a/tests/platform_adapter/test_change_feed.py
+++ b/tests/platform_adapter/test_change_feed.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhaven_adapter._server_list import (
+from ebonyhaven_adapter._shared_reads import (
     MAX_RETRY_INTERVAL_S,
     MIN_PUBLISH_INTERVAL_S,
 )
--- a/tests/platform_adapter/test_source.py
+++ b/tests/platform_adapter/test_source.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from ebonyhaven_adapter import _server_list
-from ebonyhaven_adapter._server_list import RESTORE_CONFIRMATION_S
+from ebonyhaven_adapter._listed_entries import RESTORE_CONFIRMATION_S
 from ebonyhaven_adapter._servers import decode_backend_entry
 from ebonyhaven_adapter._source import MAX_POLL_S, PlatformStateSource
 from ebonyhaven_adapter._store import Row, RowBatch
