Split the choice of servers from the relay of short requests

Which server an attempt goes to, what it has to keep to, and how long a request waits for a server are now in `CallServerSelector`, as `StreamServerSelector` is for streams.

No change of behaviour: the lines are moved as they were. No test changes.

--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -3,12 +3,7 @@
 from __future__ import annotations
 
 import structlog
-from ebonyhaven_decisions.forwarding import (
-    Backend,
-    Route,
-    choose_backend,
-    compute_patience_s,
-)
+from ebonyhaven_decisions.forwarding import Route
 
 from ebonyhaven_node._failures import make_not_run_failure, make_unknown_failure
 from ebonyhaven_node.forwarding._attempts import (
@@ -18,6 +13,7 @@
     ResponseData,
     ResponseStarted,
 )
+from ebonyhaven_node.forwarding._call_servers import CallServerSelector
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._exchanges import Exchange
@@ -36,7 +32,6 @@
     make_unreached_failure,
 )
 from ebonyhaven_node.forwarding._requests import (
-    AttemptPlan,
     ForwardRequest,
     ResponseHead,
 )
@@ -45,9 +40,6 @@
 # Share of the target latency before hedging; the hedge may still meet the target.
 HEDGE_DELAY_TARGET_SHARE = 0.5
 MAX_REFUSALS = 4  # by backend servers, before the request itself is refused
-# Share of the request's timeout spent waiting for a usable server.
-SERVER_WAIT_TIMEOUT_SHARE = 0.3
-MIN_WAIT_S = 0.005  # bounds the wake-ups of a request that waits for a server
 
 _log = structlog.get_logger()
 
@@ -84,7 +76,6 @@
         self._request = request
         self._route = route
         self._service = service
-        self._workspace = workspace
         self._guard = guard
         self._exchange = exchange
         self._context = context
@@ -101,12 +92,14 @@
         self._last_reason = "no server was tried"
         self._last_peer = "self"
         self._retry_after_s = NO_SERVER_RETRY_AFTER_S
-        timeout_s = request.limit_timeout(route.timeout_s)
-        self._caller_deadline = request.arrived_at + timeout_s
-        self._excluded_servers: set[tuple[str, int]] = set()
-        self._server_wait_deadline = (
-            request.arrived_at + SERVER_WAIT_TIMEOUT_SHARE * timeout_s
+        self._servers = CallServerSelector(
+            request=request,
+            route=route,
+            service=service,
+            workspace=workspace,
+            context=context,
         )
+        self._caller_deadline = self._servers.caller_deadline
 
     @property
     def _deadline(self) -> float:
@@ -177,7 +170,7 @@
 
     def _may_wait(self, now: float) -> bool:
         """Return whether a server may take the request soon."""
-        if now >= self._server_wait_deadline:
+        if now >= self._servers.wait_deadline:
             return False
         if self._context.state.backends.has_only_leaving(self._service):
             self._last_reason = ALL_LEAVING_REASON
@@ -185,9 +178,7 @@
             return False
         limits = self._context.state.backends.limits
         if limits.find_limit_end(self._service, now) is None:
-            self._context.permits.ask(
-                self._service, self._request.request_id, self._excluded_servers
-            )
+            self._servers.ask_for_permit()
             return True
         self._last_reason = LIMITED_REASON
         return False
@@ -212,7 +203,7 @@
         elif self._is_blocked():
             trait = self._guard.find_blocked_trait()
             raise make_not_run_failure(make_crash_reason(trait), step="crash")
-        elif self._has_only_silent_servers() and not self._refusal_count:
+        elif self._servers.has_only_silent() and not self._refusal_count:
             raise make_unreached_failure(SILENT_REASON, peer=self._last_peer)
         elif self._unreached_count and not self._refusal_count:
             raise make_unreached_failure(self._last_reason, peer=self._last_peer)
@@ -224,11 +215,6 @@
                 retry_after_s=self._retry_after_s,
             )
 
-    def _has_only_silent_servers(self) -> bool:
-        """Return whether no server answers, perhaps only this instance."""
-        now = self._context.clock()
-        return self._context.state.backends.has_only_silent(self._service, now)
-
     def _may_forward_error(self) -> bool:
         """Return whether the error response may be forwarded.
 
@@ -240,9 +226,7 @@
         wake_at = self._deadline
         running = self._running
         if not running:
-            rest_end = self._context.state.backends.find_rest_end(self._service, now)
-            next_at = min(self._server_wait_deadline, rest_end)
-            wake_at = min(wake_at, max(next_at, now + MIN_WAIT_S))
+            wake_at = min(wake_at, self._servers.find_next_choice(now))
         elif len(running) == 1 and self._can_hedge():
             wake_at = min(wake_at, running[0].sent_at + self._compute_hedge_delay_s())
         return max(0.001, wake_at - now)
@@ -270,7 +254,7 @@
     def _start_attempt(self) -> bool:
         """Start an attempt if a server is available and the retry budget allows it."""
         now = self._context.clock()
-        backend = self._select_backend(now)
+        backend = self._servers.choose(now)
         if backend is None:
             return False
         if self._attempt_count and not self._context.budget.acquire_retry(
@@ -282,7 +266,7 @@
         attempt = Attempt(
             request=self._request,
             backend=backend,
-            plan=self._make_plan(backend, now),
+            plan=self._servers.make_plan(backend, now),
             inbox=self._inbox,
             context=self._context,
         )
@@ -304,32 +288,6 @@
         self._context.permits.withdraw(self._request.request_id)
         return True
 
-    def _make_plan(self, backend: Backend, now: float) -> AttemptPlan:
-        remaining_s = self._caller_deadline - now
-        return AttemptPlan(
-            remaining_s=remaining_s,
-            workspace=self._workspace,
-            patience_s=compute_patience_s(
-                target_latency_s=self._route.target_latency_s,
-                latency_s=backend.latency_s,
-                timeout_s=remaining_s,
-            ),
-        )
-
-    def _select_backend(self, now: float) -> Backend | None:
-        directory = self._context.state.backends
-        usable = (
-            directory.list_usable(self._service, now, self._excluded_servers)
-            or directory.list_ready(self._service, now, self._excluded_servers)
-            or directory.list_usable(self._service, now)
-        )
-        return choose_backend(
-            directory.data_centres.avoid_suspect_data_centres(usable, now),
-            data_centre=self._context.data_centre,
-            now=now,
-            rng=self._context.rng,
-        )
-
     def _handle_message(self, message: object) -> None:
         match message:
             case ResponseStarted(attempt, head):
@@ -380,7 +338,7 @@
             return
         self._possible_run_count += 1
         self._count_attempt("error")
-        self._excluded_servers.add(attempt.backend.key)
+        self._servers.exclude(attempt.backend)
         self._record_last_failure(attempt, f"server answered with {head.status}")
         if is_own:
             self._error_response = (head, body)
@@ -391,13 +349,13 @@
         else:
             self._context.report_refused(attempt.backend)
         self._refusal_count += 1
-        self._excluded_servers.add(attempt.backend.key)
+        self._servers.exclude(attempt.backend)
         self._record_last_failure(attempt, f"server refused with {head.status}")
         self._count_attempt("refused")
 
     def _fail_attempt(self, attempt: Attempt, was_sent: bool, reason: str) -> None:
         self._responses.drop(attempt)
-        self._excluded_servers.add(attempt.backend.key)
+        self._servers.exclude(attempt.backend)
         self._record_last_failure(attempt, reason)
         self._count_attempt("lost" if was_sent else "unreachable")
         if was_sent:
