Split the tests of a restored store from those of the source

Tests of a store that came back from an older copy, and of eras, are now in test_restored_store.py; what several test modules share is in state_sources.py, no longer in a test module.

--- a/tests/platform_adapter/list_exploration/_worlds.py
+++ b/tests/platform_adapter/list_exploration/_worlds.py
@@ -13,7 +13,7 @@
     SimulatedInstance,
 )
 from tests.platform_adapter.list_exploration._store import SimulatedStore
-from tests.platform_adapter.test_source import CONFIGURATION, SERVER
+from tests.platform_adapter.state_sources import CONFIGURATION, SERVER
 
 CONTACT_S = 3.0  # ``contactMs`` of the rules
 DRAIN_S = 2.0  # ``drainMs`` of the rules
--- a/tests/platform_adapter/test_change_feed.py
+++ b/tests/platform_adapter/test_change_feed.py
@@ -20,7 +20,7 @@
 from ebonyhaven_node.forwarding._state_feed import MAX_INSTANCES_OF_ONE_READER
 from ebonyhaven_node.forwarding.interfaces import ReadGroup
 
-from tests.platform_adapter.test_source import (
+from tests.platform_adapter.state_sources import (
     CONFIGURATION,
     SERVER,
     build_source,
--- a/tests/platform_adapter/test_list_confirmation.py
+++ b/tests/platform_adapter/test_list_confirmation.py
@@ -10,14 +10,14 @@
 from twisted.internet.defer import ensureDeferred
 
 from tests.platform_adapter.stand_ins import make_entry
-from tests.platform_adapter.test_program import PlatformHarness
-from tests.platform_adapter.test_source import (
+from tests.platform_adapter.state_sources import (
     SERVER,
     build_source,
     make_rows,
     make_store_error,
     start_with_complete_state,
 )
+from tests.platform_adapter.test_program import PlatformHarness
 from tests.waiting import wait_until
 
 OTHER = {**SERVER, "address": "10.0.0.2:80", "version": "v2"}
--- a/tests/platform_adapter/test_list_origin.py
+++ b/tests/platform_adapter/test_list_origin.py
@@ -6,14 +6,14 @@
 
 from structlog.testing import capture_logs
 
-from tests.platform_adapter.test_change_feed import start_fed
-from tests.platform_adapter.test_source import (
+from tests.platform_adapter.state_sources import (
     SERVER,
     build_source,
     make_rows,
     send_between_instances,
     start_with_complete_state,
 )
+from tests.platform_adapter.test_change_feed import start_fed
 
 LEAVING_SERVER = {**SERVER, "state": "draining"}
 
--- a/tests/platform_adapter/test_odd_documents.py
+++ b/tests/platform_adapter/test_odd_documents.py
@@ -29,7 +29,7 @@
     list_odd_entries,
     make_variants,
 )
-from tests.platform_adapter.test_source import FixedGroup, build_source
+from tests.platform_adapter.state_sources import FixedGroup, build_source
 
 LISTED = json.dumps(SERVER).encode()
 OTHER = json.dumps({**SERVER, "address": "10.0.0.2:80"}).encode()
--- a/tests/platform_adapter/test_source.py
+++ b/tests/platform_adapter/test_source.py
@@ -1,130 +1,26 @@
 from __future__ import annotations
 
-import json
 import pathlib
-from collections import deque
 from unittest import mock
 
 from ebonyhaven_adapter import _server_list
-from ebonyhaven_adapter._listed_entries import RESTORE_CONFIRMATION_S
 from ebonyhaven_adapter._servers import decode_backend_entry
-from ebonyhaven_adapter._source import MAX_POLL_S, PlatformStateSource
+from ebonyhaven_adapter._source import MAX_POLL_S
 from ebonyhaven_adapter._store import Row, RowBatch
 from ebonyhaven_adapter._table_follower import LONG_POLL_S, RETRY_INTERVAL_S
-from ebonyhaven_adapter.exceptions import StoreError
-from ebonyhaven_node._frames import encode_json
-from ebonyhaven_node.forwarding import ForwardingState
-from ebonyhaven_node.forwarding.interfaces import ReadGroup
 from structlog.testing import capture_logs
-from twisted.internet.defer import CancelledError, Deferred
-from twisted.internet.task import Clock
+from twisted.internet.defer import CancelledError
 
-CONFIGURATION = {
-    "version": 7,
-    "routes": [],
-    "services": [],
-    "limits": {},
-    "tenants": [{"name": "studio-a", "apiKeys": ["k1"]}],
-}
-SERVER = {
-    "service": "engines",
-    "address": "10.0.0.1:80",
-    "zone": "dc-a",
-    "version": "v1",
-    "slots": 4,
-    "state": "ready",
-    "coldRemainingMs": 0,
-    "sequence": 1,
-    "born": 1000,
-}
-
-
-class ScriptedStoreClient:
-    """Returns prepared responses; a call without one waits for `push`."""
-
-    def __init__(self):
-        self.calls = []
-        self.responses = {"op": deque(), "servers": deque()}
-        self.pending_calls = {}
-
-    async def read_table(self, table, *, timeout_s):
-        return await self._respond(table, ("table", table, None))
-
-    async def read_changes(self, table, after, *, wait_s, timeout_s):
-        return await self._respond(table, ("changes", table, after))
-
-    async def _respond(self, table, call):
-        self.calls.append(call)
-        if not self.responses[table]:
-            self.pending_calls[table] = Deferred()
-            return await self.pending_calls[table]
-        response = self.responses[table].popleft()
-        if isinstance(response, StoreError):
-            raise response
-        return response
-
-    def push(self, table, response):
-        pending_call = self.pending_calls.pop(table, None)
-        if pending_call is None:
-            self.responses[table].append(response)
-        elif isinstance(response, StoreError):
-            pending_call.errback(response)
-        else:
-            pending_call.callback(response)
-
-
-def make_rows(version, era=0, **contents):
-    batch = (
-        Row(key.replace("_", "-"), content, version, content is None)
-        for key, content in contents.items()
-    )
-    return RowBatch(tuple(batch), version, False, era)
-
-
-def make_store_error(status=None):
-    return StoreError(step="read", peer="store", reason="test", status=status)
-
-
-def build_source():
-    clock, store = Clock(), ScriptedStoreClient()
-    state = ForwardingState(clock.seconds)
-    source = PlatformStateSource(
-        client=store, state=state, reactor=clock, clock=clock.seconds
-    )
-    return clock, store, state, source
-
-
-class FixedGroup(ReadGroup):
-    """A small group of a fixed size, in which this instance is no reader."""
-
-    def __init__(self, count):
-        self._count = count
-
-    def find_rank(self):
-        return self._count
-
-    def count_instances(self):
-        return self._count
-
-    def shares_configuration(self):
-        return False
-
-    def publish_changes(self, payload):
-        raise AssertionError(payload)
-
-    publish_state = publish_changes
-
-
-def send_between_instances(payload):
-    return json.loads(encode_json(payload))
-
-
-def start_with_complete_state():
-    clock, store, state, source = build_source()
-    store.push("op", make_rows(10, config=CONFIGURATION))
-    store.push("servers", make_rows(12, s_1=SERVER))
-    source.start()
-    return clock, store, state, source
+from tests.platform_adapter.state_sources import (
+    CONFIGURATION,
+    SERVER,
+    FixedGroup,
+    build_source,
+    make_rows,
+    make_store_error,
+    send_between_instances,
+    start_with_complete_state,
+)
 
 
 def test_state_is_complete_once_both_tables_were_read():
@@ -358,115 +254,6 @@
     assert state.backends.find("s-2").is_usable(clock.seconds())
 
 
-def restore_store(store, version=11, **servers):
-    """Let the poll in progress return after a restore, then the table be read."""
-    store.push("servers", make_rows(version, era=1))
-    store.push("servers", make_rows(version, era=1, **servers))
-
-
-def test_restore_during_a_poll_causes_the_table_to_be_read_again():
-    _, store, state, source = start_with_complete_state()
-    restore_store(store, s_1=SERVER)
-    assert ("table", "servers", None) in store.calls
-    assert store.calls[-1] == ("changes", "servers", 11)
-    assert source.read_version() == (7, 1, 11)
-    store.push(
-        "servers", make_rows(12, era=1, s_2={**SERVER, "address": "10.0.0.2:80"})
-    )
-    assert state.backends.find("s-2") is not None  # 12 was given out before
-
-
-def test_server_that_the_restored_store_lacks_is_used_until_it_had_time_to_return():
-    clock, store, state, _ = start_with_complete_state()
-    restore_store(store)
-    assert state.backends.find("s-1").is_usable(clock.seconds())
-    clock.advance(RESTORE_CONFIRMATION_S)
-    assert state.backends.find("s-1") is None
-
-
-def test_server_that_writes_its_entry_again_stays():
-    clock, store, state, _ = start_with_complete_state()
-    restore_store(store)
-    clock.advance(1.0)
-    store.push("servers", make_rows(13, era=1, s_1=SERVER))
-    clock.advance(RESTORE_CONFIRMATION_S)
-    assert state.backends.find("s-1") is not None
-
-
-def test_server_that_left_does_not_return_with_a_restored_store():
-    clock, store, state, _ = start_with_complete_state()
-    store.push("servers", make_rows(14, s_1={**SERVER, "state": "draining"}))
-    clock.advance(0.3)
-    restore_store(store, s_1=SERVER)
-    assert not state.backends.find("s-1").is_usable(clock.seconds())
-
-
-def test_server_that_was_removed_does_not_return_with_a_restored_store():
-    clock, store, state, _ = start_with_complete_state()
-    store.push("servers", make_rows(14, s_1=None))
-    clock.advance(0.3)
-    restore_store(store, s_1=SERVER)
-    assert state.backends.find("s-1") is None
-    store.push("servers", make_rows(15, era=1, s_1={**SERVER, "born": 3000}))
-    assert state.backends.find("s-1") is not None
-
-
-def leave_then_restore():
-    """Return a source that read the restored table with a server that had left."""
-    clock, store, state, source = start_with_complete_state()
-    store.push("servers", make_rows(14, s_1=None))
-    clock.advance(0.3)
-    restore_store(store, s_1=SERVER)
-    assert state.backends.find("s-1") is None
-    return clock, store, state, source
-
-
-def test_server_that_left_does_not_return_with_a_second_read_of_a_restored_store():
-    _, store, state, _ = leave_then_restore()
-    store.push("servers", make_store_error(status=410))
-    store.push("servers", make_rows(11, era=1, s_1=SERVER))
-    assert state.backends.find("s-1") is None
-
-
-def test_server_that_left_does_not_return_with_a_read_after_the_state_of_a_peer():
-    clock, store, state, source = start_with_complete_state()
-    store.push("servers", make_rows(14, s_1={**SERVER, "state": "draining"}))
-    clock.advance(0.3)
-    entry = ["s-1", 1000, "engines", "10.0.0.1:80", "dc-a", 4, "ready", "v1"]
-    source.merge([1, None, [1, 11], [entry]])
-    restore_store(store, s_1=SERVER)
-    backend = state.backends.find("s-1")
-    assert backend is None or not backend.is_usable(clock.seconds())
-
-
-def test_server_that_left_does_not_return_with_the_newer_state_of_a_peer():
-    _, _, state, source = leave_then_restore()
-    entry = ["s-1", 1000, "engines", "10.0.0.1:80", "dc-a", 4, "ready", "v1"]
-    source.merge([1, None, [1, 12], [entry]])
-    assert state.backends.find("s-1") is None
-
-
-def test_server_that_was_removed_returns_once_it_writes_its_entry_again():
-    clock, store, state, _ = leave_then_restore()
-    store.push("servers", make_rows(13, era=1, s_1=SERVER))
-    assert state.backends.find("s-1").is_usable(clock.seconds())
-    clock.advance(0.3)
-    store.push("servers", make_store_error(status=410))
-    store.push("servers", make_rows(13, era=1, s_1=SERVER))
-    assert state.backends.find("s-1").is_usable(clock.seconds())
-
-
-def test_server_that_the_restored_store_shows_as_leaving_leaves():
-    # Guards against a known entry that counts as newer than the leave.
-    clock, store, state, _ = start_with_complete_state()
-    store.push("servers", make_rows(14, s_1=None))
-    clock.advance(0.3)
-    store.push("servers", make_rows(15, s_1=SERVER))
-    clock.advance(0.3)
-    restore_store(store, s_1={**SERVER, "state": "draining"})
-    assert not state.backends.find("s-1").is_usable(clock.seconds())
-
-
 def test_removal_that_a_whole_read_showed_is_newer_than_the_state_of_a_peer():
     # Guards against the version of a list that does not count what is missing in it.
     _, _, state, source = start_with_complete_state()
@@ -480,82 +267,6 @@
     assert other_state.backends.find("s-2") is not None
 
 
-def test_leave_known_before_a_restore_outlasts_several_states_of_peers():
-    # Guards against a leave that is taken for one of the new era.
-    clock, store, state, source = start_with_complete_state()
-    store.push("servers", make_rows(14, s_1={**SERVER, "state": "draining"}))
-    entry = ["s-1", 1000, "engines", "10.0.0.1:80", "dc-a", 4, "ready", "v1"]
-    for version, entries in ((11, []), (12, []), (13, [entry]), (14, [entry])):
-        source.merge([1, None, [1, version], entries])
-        backend = state.backends.find("s-1")
-        assert backend is None or not backend.is_usable(clock.seconds())
-
-
-def test_time_to_return_after_a_restore_begins_with_the_first_message():
-    clock, store, state, source = start_with_complete_state()
-    source.apply_changes([1, 10, 11, []])
-    clock.advance(RESTORE_CONFIRMATION_S - 0.5)
-    restore_store(store)
-    assert state.backends.find("s-1") is not None
-    clock.advance(0.5)
-    assert state.backends.find("s-1") is None
-
-
-def test_state_for_a_peer_leaves_out_what_a_restored_store_lacks():
-    _, store, state, source = start_with_complete_state()
-    restore_store(store)
-    assert state.backends.find("s-1") is not None
-    assert source.export()[3] == []
-
-
-def test_second_read_of_a_restored_store_leaves_servers_time_to_return():
-    clock, store, state, _ = start_with_complete_state()
-    restore_store(store)
-    store.push("servers", make_store_error(status=410))
-    store.push("servers", make_rows(12, era=1))
-    assert state.backends.find("s-1") is not None
-    clock.advance(RESTORE_CONFIRMATION_S)
-    assert state.backends.find("s-1") is None
-
-
-def test_restored_configuration_is_not_applied_and_does_not_block_later_ones():
-    clock, store, state, _ = start_with_complete_state()
-    store.push("op", make_rows(9, era=1))
-    store.push("op", make_rows(9, era=1, config={**CONFIGURATION, "version": 6}))
-    assert state.configuration.version == 7
-    again = {**CONFIGURATION, "tenants": [{"name": "studio-b", "apiKeys": ["k2"]}]}
-    store.push("op", make_rows(10, era=1, config=again))
-    assert state.configuration.version == 7
-    assert "k2" in state.configuration.workspaces
-    clock.advance(0.3)
-    store.push("op", make_rows(11, era=1, config={**CONFIGURATION, "version": 8}))
-    assert state.configuration.version == 8
-
-
-def test_configuration_of_an_older_era_from_a_peer_is_not_applied():
-    _, store, state, source = start_with_complete_state()
-    store.push("op", make_rows(9, era=1))
-    again = {**CONFIGURATION, "tenants": [{"name": "studio-b", "apiKeys": ["k2"]}]}
-    store.push("op", make_rows(9, era=1, config=again))
-    assert "k2" in state.configuration.workspaces
-    source.merge(
-        [
-            0,
-            CONFIGURATION,
-            [0, 99],
-            [["s-9", 1, "engines", "10.0.0.9:80", "dc-a", 4, "ready"]],
-        ]
-    )
-    assert "k2" in state.configuration.workspaces
-
-
-def test_server_list_of_an_older_era_from_a_peer_is_not_applied():
-    _, store, state, source = start_with_complete_state()
-    restore_store(store, s_1=SERVER)
-    source.merge([0, None, [0, 99], []])
-    assert state.backends.find("s-1") is not None
-
-
 def test_platform_names_occur_only_in_the_adapter():
     root = pathlib.Path(__file__).resolve().parents[2]
     names = ("X-Attempt-Id", "x-attempt-id", "X-Kv-Backup", "kv-from", "rows-feed")
