--- a/packages/node/src/ebonyhaven_node/forwarding/_permit_exchange.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_permit_exchange.py
@@ -12,7 +12,7 @@
 from ebonyhaven_decisions import MemberRecord, MemberState
 from ebonyhaven_decisions.forwarding import (
     Backend,
-    BackendDirectory,
+    BackendLimits,
     Permit,
     PermitLimiter,
 )
@@ -62,7 +62,7 @@
 
     Parameters
     ----------
-    backends : BackendDirectory
+    backends : BackendLimits
     reactor : IReactorTime
     rng : random.Random
     clock : callable
@@ -74,7 +74,7 @@
     def __init__(
         self,
         *,
-        backends: BackendDirectory,
+        backends: BackendLimits,
         reactor: IReactorTime,
         rng: random.Random,
         clock: Callable[[], float],
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -211,10 +211,10 @@
         self.permits._membership = self
         directory, now = harness.state.backends, harness.reactor.seconds()
         backend = directory.find(server_id)
-        directory.record_limits(backend, ServerLimits(refusals_per_s=3), now)
+        directory.limits.record_limits(backend, ServerLimits(refusals_per_s=3), now)
         for own_name in ("n0", "n1"):
             if backend.limiter.refusals.is_owner:
-                directory.set_instances(own_name, ["n0", "n1"], now)
+                directory.limits.set_instances(own_name, ["n0", "n1"], now)
         assert not backend.limiter.refusals.is_owner
 
     def send(self, instance, kind, payload):
--- a/tests/platform_adapter/test_change_feed.py
+++ b/tests/platform_adapter/test_change_feed.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from ebonyhaven_adapter._server_list import (
+from ebonyhaven_adapter._listed_entries import RESTORE_CONFIRMATION_S
+from ebonyhaven_adapter._shared_reads import (
     MAX_RETRY_INTERVAL_S,
     MIN_PUBLISH_INTERVAL_S,
-    RESTORE_CONFIRMATION_S,
 )
 from ebonyhaven_adapter._source import MAX_PUBLISHED_BYTES
 from ebonyhaven_adapter._table_follower import RETRY_INTERVAL_S
@@ -23,7 +23,7 @@
 from ebonyhaven_node.forwarding._state_feed import MAX_INSTANCES_OF_ONE_READER
 from ebonyhaven_node.forwarding.interfaces import ReadGroup
 
-from tests.platform_adapter.test_source import (
+from tests.platform_adapter.state_sources import (
     CONFIGURATION,
     SERVER,
     build_source,
@@ -242,7 +242,11 @@
 def test_leave_that_a_reader_has_from_a_peer_before_its_own_read_is_read_by_others():
     harness = start_fed()
     clock, store, _, reader = build_source()
-    reader.connect_group(FakeGroup(rank=0, publish=harness.other.apply_changes))
+
+    def publish(payload):
+        harness.other.apply_changes(send_between_instances(payload))
+
+    reader.connect_group(FakeGroup(rank=0, publish=publish))
     learn_from_peer(reader, 14)
     store.push("op", make_rows(10, config=CONFIGURATION))
     store.push("servers", make_rows(13, s_1=SERVER))
