Split the tests of the change feed by what they test

Tests of who reads, of messages that were long on their way and of the configuration of a large group are now in test_readers.py, test_message_ages.py and test_shared_configuration.py; the reader and the instance that it supplies are in fed_instances.py, no longer in a test module.

--- a/tests/platform_adapter/test_list_origin.py
+++ b/tests/platform_adapter/test_list_origin.py
@@ -6,6 +6,7 @@
 
 from structlog.testing import capture_logs
 
+from tests.platform_adapter.fed_instances import start_fed
 from tests.platform_adapter.state_sources import (
     SERVER,
     build_source,
@@ -13,7 +14,6 @@
     send_between_instances,
     start_with_complete_state,
 )
-from tests.platform_adapter.test_change_feed import start_fed
 
 LEAVING_SERVER = {**SERVER, "state": "draining"}
 
--- /dev/null
+++ b/tests/platform_adapter/test_shared_configuration.py
@@ -0,0 +1,96 @@
+"""Tests of the configuration that readers pass on in a large group."""
+
+from __future__ import annotations
+
+from ebonyhaven_adapter._source import MAX_PUBLISHED_BYTES
+from ebonyhaven_decisions.forwarding._change_feed import (
+    MAX_FEED_TIMEOUT_S,
+    STANDBY_DELAY_S,
+    STANDBY_READERS,
+)
+
+from tests.platform_adapter.fed_instances import start_fed
+from tests.platform_adapter.state_sources import (
+    CONFIGURATION,
+    SERVER,
+    make_rows,
+    send_between_instances,
+)
+
+
+class LargeGroup:
+    """A reader of the configuration and an instance that it supplies."""
+
+    def __init__(self):
+        self.feed = start_fed()
+        self.feed.group.instances = self.feed.other_group.instances = 195
+        self.feed.other_group.rank = STANDBY_READERS + 1
+        self.feed.other_store.push("op", make_rows(13))
+        self.version = 13
+
+    def keep_alive(self, seconds):
+        """Let the reader publish that there are no changes."""
+        for _ in range(round(seconds / 0.35)):
+            self.version += 1
+            self.feed.change(self.version, s_1={**SERVER, "sequence": self.version})
+
+    def count_other_polls(self):
+        return sum(call[1] == "op" for call in self.feed.other_store.calls)
+
+
+def test_new_configuration_reaches_a_large_group_through_its_reader():
+    # Guards against a call of each instance for each new configuration.
+    group = LargeGroup()
+    group.keep_alive(1.0)
+    polls = group.count_other_polls()
+    changed = {**CONFIGURATION, "version": 8}
+    group.feed.store.push("op", make_rows(20, config=changed))
+    (payload,) = group.feed.group.states
+    group.feed.other.merge(send_between_instances(payload))
+    assert group.feed.other_state.configuration.version == 8
+    assert group.feed.other_state.backends.find("s-2") is not None
+    group.keep_alive(10.0)
+    assert group.count_other_polls() == polls
+    assert not group.feed.other.is_unresponsive()
+
+
+def test_overdue_configuration_is_read_although_a_reader_is_heard():
+    group = LargeGroup()
+    group.keep_alive(1.0)
+    polls = group.count_other_polls()
+    group.feed.other.refresh_configuration()
+    assert group.count_other_polls() == polls + 1
+    changed = {**CONFIGURATION, "version": 8}
+    group.feed.other_store.push("op", make_rows(20, config=changed))
+    assert group.feed.other_state.configuration.version == 8
+    group.keep_alive(3.0)
+    assert group.count_other_polls() == polls + 1
+
+
+def test_instance_polls_the_configuration_when_its_readers_fall_silent():
+    group = LargeGroup()
+    group.keep_alive(1.0)
+    polls = group.count_other_polls()
+    group.feed.advance(MAX_FEED_TIMEOUT_S + STANDBY_READERS * STANDBY_DELAY_S)
+    assert group.count_other_polls() == polls + 1
+
+
+def test_large_configuration_is_left_to_the_store():
+    group = LargeGroup()
+    group.keep_alive(1.0)
+    tenants = [
+        {"name": f"studio-{number}", "apiKeys": [f"k{number}" * 10]}
+        for number in range(MAX_PUBLISHED_BYTES // 40)
+    ]
+    changed = {**CONFIGURATION, "version": 8, "tenants": tenants}
+    group.feed.store.push("op", make_rows(20, config=changed))
+    assert group.feed.state.configuration.version == 8
+    assert not group.feed.group.states
+
+
+def test_small_group_polls_the_configuration_itself():
+    harness = start_fed()
+    polls = sum(call[1] == "op" for call in harness.other_store.calls)
+    harness.other_store.push("op", make_rows(14))
+    harness.other_clock.advance(0.0)
+    assert sum(call[1] == "op" for call in harness.other_store.calls) == polls + 1
