--- a/tests/platform_adapter/test_cut_off_instances.py
+++ b/tests/platform_adapter/test_cut_off_instances.py
@@ -16,7 +16,7 @@
 
 START_S = 3.0
 BEFORE_S = 1.0
-CUT_S = 6.0
+CUT_S = 8.0
 CONTACT_S = 3.0
 CALLERS_PER_INSTANCE = 12
 CUTS = (
