Move the harness of the real program out of its tests

Two test modules imported the harness from test_program, and tests of planned stops will need it as well. It is a module of its own now; no test changes.

--- a/tests/platform_adapter/test_list_confirmation.py
+++ b/tests/platform_adapter/test_list_confirmation.py
@@ -9,6 +9,7 @@
 from ebonyhaven_adapter._store import RowBatch
 from twisted.internet.defer import ensureDeferred
 
+from tests.platform_adapter.program_harness import PlatformHarness
 from tests.platform_adapter.stand_ins import make_entry
 from tests.platform_adapter.state_sources import (
     SERVER,
@@ -17,7 +18,6 @@
     make_store_error,
     start_with_complete_state,
 )
-from tests.platform_adapter.test_program import PlatformHarness
 from tests.waiting import wait_until
 
 OTHER = {**SERVER, "address": "10.0.0.2:80", "version": "v2"}
--- a/tests/platform_adapter/test_store_era.py
+++ b/tests/platform_adapter/test_store_era.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from tests.platform_adapter.program_harness import start_harness
 from tests.platform_adapter.stand_ins import call_in_reactor, make_entry
-from tests.platform_adapter.test_program import start_harness
 from tests.waiting import wait_until
 
 
