Answer requests that were sent ahead before a leaving instance closes

Cause: each response of a leaving instance announced the close of its connection, whatever had been received behind the request that it answers; and the close of all connections at the end of the grace period did not wait for what they still carried. HTTP allows it.

Now only the last response of what was received announces the close, and each connection closes once that is answered; what cannot end before the instance is refused as not run. Part of a request keeps no connection open.

--- a/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
@@ -53,6 +53,7 @@
         self._is_producing = False
         self._is_paused = False
         self._unsent_bytes = 0
+        self._is_closing = False
 
     def connectionMade(self) -> None:  # noqa: N802 Twisted API
         """Register the connection and start its idle timeout."""
@@ -98,7 +99,7 @@
 
     def write_head(self, status: int, headers: Headers) -> None:
         """Send the head of a response."""
-        if self._server.is_closing():
+        if self._is_last_response():
             headers = (*headers, (b"connection", b"close"))
         reason = _REASON_PHRASES.get(status, b"Status")
         self._write(h11.Response(status_code=status, headers=headers, reason=reason))
@@ -145,8 +146,16 @@
             return
         self._codec.start_next_cycle()
         self._set_timer(self._server.limits().idle_timeout_s)
-        if self._codec.trailing_data[0]:
+        if self._has_request_ahead():
             self._next_read = self._server.reactor.callLater(0.0, self._read_request)
+        elif self._is_closing:
+            self.transport.loseConnection()
+
+    def close(self) -> None:
+        """Close the connection once the requests received so far are answered."""
+        self._is_closing = True
+        if self._exchange is None and not self._is_read_scheduled:
+            self.transport.loseConnection()
 
     def abort(self) -> None:
         """Close the connection without completing the response."""
@@ -181,6 +190,18 @@
         """Whether the request after an answered one is read in the next turn."""
         return self._next_read is not None and self._next_read.active()
 
+    def _has_request_ahead(self) -> bool:
+        """Whether bytes of a request were received behind the current one."""
+        return bool(self._codec.trailing_data[0])
+
+    def _is_last_response(self) -> bool:
+        """Whether the connection closes after the current response.
+
+        Requests that were sent ahead are answered first, as their caller could not
+        tell whether they have run.
+        """
+        return self._server.is_closing() and not self._has_request_ahead()
+
     def _read_request(self) -> None:
         """Read at most one request from what has been received."""
         event = None
@@ -188,12 +209,18 @@
             while not isinstance(event, h11.EndOfMessage):
                 event = self._codec.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
-                    self._send_continue()
+                    self._handle_incomplete_request()
                     return
                 self._handle_event(event)
         except h11.RemoteProtocolError as error:
             self._reject(error)
 
+    def _handle_incomplete_request(self) -> None:
+        if self._is_closing:
+            self.transport.loseConnection()
+        else:
+            self._send_continue()
+
     def _send_continue(self) -> None:
         if self._head is not None and self._codec.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
@@ -337,9 +364,9 @@
         return CallerConnection(self)
 
     def close_all(self) -> None:
-        """Close all connections once what was written to them has been sent."""
+        """Close all connections, each once what it carries is answered and sent."""
         for connection in list(self.connections):
-            connection.transport.loseConnection()
+            connection.close()
 
     def abort_all(self) -> None:
         """Close all connections at once."""
