Pass a stream on at a leaving instance only if it is known to end in time

Callers whose streams came to an instance after its SIGTERM were served at first and cut without an answer at the end of the grace period, also on routes that may not be repeated, as other operators reported.

Besides, a quarter of a long grace period is longer than callers go on asking.

Now a stream that has not run is sent by a leaving instance only if streams of its route have completed there and twice their usual duration is left, and none is taken later than 2.5 s after the SIGTERM.

Three existing tests, which assert that short streams are still taken, now record how long streams of their route last; what they assert is unchanged.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_timing.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_timing.py
@@ -25,6 +25,7 @@
 # tried, because that costs nobody else anything.
 SHORT_STREAM_SHARE_WITH_ROOM = 0.6
 SHORT_STREAM_SHARE = 0.75
+LONG_STREAM_FACTOR = 2.0  # of the average duration; few streams last longer
 
 
 @attrs.define(slots=True)
@@ -136,13 +137,37 @@
         """
         if not self.events:
             return True
-        remaining_share = max(0.0, 1.0 - events_delivered / self.events)
-        expected_s = remaining_share * self.streaming_s
-        if not has_copy:
-            expected_s += self.first_event_s
+        expected_s = self._estimate_s(events_delivered, has_copy=has_copy)
         share = SHORT_STREAM_SHARE_WITH_ROOM if has_room else SHORT_STREAM_SHARE
         return remaining_s >= share * expected_s
 
+    def will_finish_in_time(
+        self, *, remaining_s: float, events_delivered: int, has_copy: bool
+    ) -> bool:
+        """Return whether a stream that starts now is known to complete in time.
+
+        Designed for an instance that stops: it would cut the stream, which another
+        instance can take. Nothing is known until a first stream has completed.
+
+        Parameters
+        ----------
+        remaining_s, events_delivered, has_copy
+            See `can_finish_in_time`.
+
+        Returns
+        -------
+        bool
+        """
+        if not self.events:
+            return False
+        expected_s = self._estimate_s(events_delivered, has_copy=has_copy)
+        return remaining_s >= LONG_STREAM_FACTOR * expected_s
+
+    def _estimate_s(self, events_delivered: int, *, has_copy: bool) -> float:
+        remaining_share = max(0.0, 1.0 - events_delivered / self.events)
+        expected_s = remaining_share * self.streaming_s
+        return expected_s if has_copy else expected_s + self.first_event_s
+
 
 class SilenceLimits(NamedTuple):
     """How long the server of a stream may be silent.
--- a/packages/node/src/ebonyhaven_node/forwarding/_shutdown.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shutdown.py
@@ -12,6 +12,7 @@
 from ebonyhaven_node.forwarding._outcomes import NOT_RUN_STATUSES
 
 STREAM_ADMISSION_GRACE_SHARE = 0.25  # a stream started later would be cut off
+MAX_STREAM_ADMISSION_S = 2.5  # callers use other instances by then
 SHUTDOWN_MARGIN_S = 0.6  # connections close this long before the process is killed
 MAX_LOGGED_IDS = 20
 REFUSED = "refused"
@@ -32,6 +33,9 @@
         self._grace_s = grace_s
         self._clock = clock
         self._began_at: float | None = None
+        self._stream_admission_s = min(
+            STREAM_ADMISSION_GRACE_SHARE * grace_s, MAX_STREAM_ADMISSION_S
+        )
 
     @property
     def is_leaving(self) -> bool:
@@ -58,7 +62,7 @@
             return True
         now = self._clock()
         if route.kind is RequestKind.STREAM:
-            return now < self._began_at + STREAM_ADMISSION_GRACE_SHARE * self._grace_s
+            return now < self._began_at + self._stream_admission_s
         return not self.cuts(now + route.timeout_s)
 
     def cuts(self, deadline: float) -> bool:
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from ebonyhaven_decisions import parse_count
-from ebonyhaven_decisions.forwarding import Backend, Route
+from ebonyhaven_decisions.forwarding import Backend, Route, StreamDurations
 
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._crash_guards import CrashGuard
@@ -231,7 +231,7 @@
         reason = self._find_permanent_reason(now)
         if reason is not None:
             return GiveUpReason(reason, retry_after_s=None)
-        if self.must_use_other_instance and not self._can_finish(now, self.deadline):
+        if self.must_use_other_instance and not self._will_finish(now):
             return LEAVING_GIVE_UP
         if self._context.is_left_to_peers():
             return GiveUpReason(
@@ -258,7 +258,7 @@
         may_start = self.may_have_run or now < self._latest_start
         if not may_start or self._progress.delivered:
             return None
-        if self._can_finish(now, self.caller_deadline):
+        if self._can_finish(now):
             return None
         return "too little time is left for a whole answer"
 
@@ -291,12 +291,26 @@
             return None
         return f"too many attempts; last: {self.last_reason}"
 
-    def _can_finish(self, now: float, deadline: float) -> bool:
-        """Return whether a stream that starts now can complete before a deadline."""
-        position = self._progress.position or ""
-        return self._context.get_stream_durations(self._route.name).can_finish_in_time(
-            remaining_s=deadline - now,
-            events_delivered=parse_count(position) or 0,
+    def _can_finish(self, now: float) -> bool:
+        """Return whether a stream that starts now can complete before its deadline."""
+        return self._durations.can_finish_in_time(
+            remaining_s=self.caller_deadline - now,
+            events_delivered=self._count_events_delivered(),
             has_copy=self._earlier_run.has_copy,
             has_room=self._server_selector.has_room(now, self._version.name),
         )
+
+    def _will_finish(self, now: float) -> bool:
+        """Return whether a stream that starts now ends before this instance does."""
+        return self._durations.will_finish_in_time(
+            remaining_s=self.deadline - now,
+            events_delivered=self._count_events_delivered(),
+            has_copy=self._earlier_run.has_copy,
+        )
+
+    @property
+    def _durations(self) -> StreamDurations:
+        return self._context.get_stream_durations(self._route.name)
+
+    def _count_events_delivered(self) -> int:
+        return parse_count(self._progress.position or "") or 0
--- a/tests/forwarding/streaming.py
+++ b/tests/forwarding/streaming.py
@@ -36,3 +36,9 @@
         server.receive(chunk(event(number)))
     harness.advance(0.0)
     return server, decode_headers(head)
+
+
+def record_durations(harness, route, seconds):
+    """Let an instance know how long the streams of a route last."""
+    durations = harness.gateway._context.get_stream_durations(route)
+    durations.record(first_event_s=0.2, streaming_s=seconds - 0.2, events=100)
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -8,6 +8,7 @@
     make_configuration,
     make_route,
 )
+from tests.forwarding.streaming import record_durations
 
 
 def send_request(harness, path="/once/x", **options):
@@ -104,6 +105,7 @@
 
 def test_leaving_instance_accepts_streams_only_while_they_can_complete():
     harness = ForwardingHarness()
+    record_durations(harness, "stream", 2.0)
     harness.leave()
     send_request(harness, "/stream/x")
     assert harness.count_waiting() == 1
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from ebonyhaven_decisions.forwarding import EngineUse, RequestKind
-from ebonyhaven_node.forwarding._shutdown import SHUTDOWN_MARGIN_S
+from ebonyhaven_node.forwarding._shutdown import SHUTDOWN_MARGIN_S, Shutdown
+from nose2.tools import params
 from structlog.testing import capture_logs
+from twisted.internet.task import Clock
 
 from tests.forwarding.harness import (
     STEP_S,
@@ -17,7 +19,12 @@
     make_route,
     stream_head,
 )
-from tests.forwarding.streaming import SIZE_HEADERS, open_stream, start_stream
+from tests.forwarding.streaming import (
+    SIZE_HEADERS,
+    open_stream,
+    record_durations,
+    start_stream,
+)
 from tests.forwarding.test_cut_off import CutOffHarness
 
 GRACE_S = 8.0
@@ -105,6 +112,7 @@
 
 def test_stream_that_finds_no_room_at_a_leaving_instance_does_not_wait():
     harness = ForwardingHarness()
+    record_durations(harness, "fixed", 2.0)
     harness.leave()
     sent = send_stream(harness, "r1")
     assert harness.count_waiting() == 1
@@ -137,8 +145,8 @@
 
 def test_stream_that_lasts_longer_than_the_instance_is_refused_once_it_leaves():
     harness = ForwardingHarness()
-    durations = harness.gateway._context.get_stream_durations("fixed")
-    durations.record(first_event_s=1.0, streaming_s=12.0, events=100)
+    record_durations(harness, "fixed", 13.0)
+    record_durations(harness, "stream", 2.0)
     harness.leave()
     refused = send_stream(harness, "r1")
     harness.advance(ANSWER_SLACK_S)
@@ -148,6 +156,32 @@
     assert harness.count_waiting() == 1
 
 
+@params(None, 5.0, 10.0)
+def test_stream_that_may_outlast_a_leaving_instance_is_not_sent(usual_s):
+    # Guards against streams that are passed on after the SIGTERM and cut without an
+    # answer at the end of the grace period, 7.4 s after it here.
+    for path in ("/fixed/x", "/stream/x"):
+        harness = ForwardingHarness()
+        if usual_s is not None:
+            record_durations(harness, path.split("/")[1], usual_s)
+        harness.leave()
+        caller = send_stream(harness, path=path)
+        harness.advance(ANSWER_SLACK_S)
+        assert harness.count_waiting() == 0
+        assert is_sent_elsewhere(caller)
+
+
+def test_stream_is_taken_by_no_instance_that_leaves_for_seconds():
+    clock = Clock()
+    shutdown = Shutdown(30.0, clock.seconds)
+    route = make_route("stream", RequestKind.STREAM, timeout_s=25.0)
+    shutdown.begin()
+    clock.advance(2.4)
+    assert shutdown.accepts(route)
+    clock.advance(0.6)
+    assert not shutdown.accepts(route)
+
+
 def test_request_that_waits_for_the_first_state_is_refused_when_an_instance_leaves():
     harness = ForwardingHarness(configuration=False)
     caller = send_stream(harness)
--- a/tests/platform_adapter/stand_ins.py
+++ b/tests/platform_adapter/stand_ins.py
@@ -290,6 +290,13 @@
             "service": "engines",
         },
     }
+    available_routes["fixed"] = {
+        **available_routes["stream"],
+        "name": "fixed",
+        "pathPrefix": "/fixed/",
+        "maxAttempts": 1,
+        "streamResume": False,
+    }
     engine = {"slots": 8, "kvCapacityTokens": 88000, "backups": True}
     return {
         "version": version,
