A request that cannot be encoded is refused, rather than left without an answer

Callers of a workspace whose name is not in Latin-1 got no answer until their time was over, and others were kept from servers that were taken for silent meanwhile. The same happened to a stream whose last event had a NUL, VT or FF in its id, once its server was lost.

Cause: an attempt counted as sent before its request was encoded; what the encoding raised ended in the callback of the connection.

A request is encoded first now; if that fails it ends as not sent, and no other server is tried.

--- a/packages/decisions/src/ebonyhaven_decisions/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/__init__.py
@@ -77,6 +77,7 @@
     check_number,
     check_token,
     decode_document,
+    is_field_value,
     parse_count,
     quote,
 )
@@ -359,6 +360,7 @@
     "format_change_key",
     "format_history_key",
     "has_free_slot",
+    "is_field_value",
     "is_held",
     "is_order_applied",
     "list_orders",
--- a/packages/decisions/src/ebonyhaven_decisions/_documents.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_documents.py
@@ -22,6 +22,7 @@
 _ZERO_FOR_DIGITS = bytes.maketrans(b"123456789", b"000000000")
 _MANY_ZEROS = b"0" * _MAX_DIGITS
 _TOKEN = re.compile(r"[\x21-\x7e]{1,256}")
+_FIELD_VALUE = re.compile(r"[^\x00\t-\r ]([^\x00\n-\r]*[^\x00\t-\r ])?")
 
 
 def decode_document(
@@ -126,6 +127,19 @@
     return value
 
 
+def is_field_value(text: str) -> bool:
+    """Return whether the field of an HTTP header may hold a text.
+
+    See RFC 9110, section 5.5. Control characters that do not change how a header is
+    read are allowed, and characters beyond ASCII left to their encoding.
+
+    Parameters
+    ----------
+    text : str
+    """
+    return _FIELD_VALUE.fullmatch(text) is not None
+
+
 def parse_count(text: str | bytes) -> int | None:
     """Return a whole number in ASCII digits; None for other text or a larger number.
 
--- a/packages/node/src/ebonyhaven_node/exceptions.py
+++ b/packages/node/src/ebonyhaven_node/exceptions.py
@@ -25,6 +25,10 @@
         self.key = key
 
 
+class UnsendableRequest(NodeError):
+    """Raised when a request cannot be expressed in HTTP; nothing of it was sent."""
+
+
 class EngineRefusal(NodeError):
     """Raised when it is certain that an engine did not run a request.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -6,6 +6,7 @@
 
 from ebonyhaven_decisions.forwarding import Backend
 
+from ebonyhaven_node.exceptions import UnsendableRequest
 from ebonyhaven_node.forwarding._connection_pool import (
     ConnectFailure,
     PendingConnection,
@@ -162,14 +163,24 @@
             connection.abort()
             self._fail_unsent(LEFT_REASON, is_unreached=False)
             return
+        try:
+            connection.send(self._make_http_request(), self)
+        except UnsendableRequest as error:
+            connection.abort()
+            self._finish()
+            reason = f"the request cannot be sent: {error}"
+            self._inbox.put(AttemptFailed(self, False, False, reason, is_final=True))
+            return
         self._connection = connection
         self.was_sent = True
         self.sent_at = now
         self.backend.silence.record_sent(now, self.plan.patience_s)
+
+    def _make_http_request(self) -> HttpRequest:
         headers = self._context.dialect.write_headers(
             self._request, self.backend.server_id, self.plan
         )
-        http_request = HttpRequest(
+        return HttpRequest(
             method=self._request.method,
             target=self._request.target,
             headers=headers,
@@ -177,7 +188,6 @@
             request_id=self._request.request_id,
             max_response_bytes=self.plan.max_response_bytes,
         )
-        connection.send(http_request, self)
 
     def _handle_connect_failure(self, failure: ConnectFailure) -> None:
         if self.is_finished:
@@ -271,6 +281,8 @@
     reason : str
     is_unreached : bool
         Whether the request was not sent although the server may get requests.
+    is_final : bool
+        Whether no other server can get the request either.
     """
 
     attempt: Attempt
@@ -278,3 +290,4 @@
     is_connection_lost: bool
     reason: str
     is_unreached: bool = False
+    is_final: bool = False
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -87,6 +87,7 @@
         self._possible_run_count = 0
         self._attempt_count = 0
         self._is_budget_exhausted = False
+        self._is_unsendable = False
         self._unreached_count = 0
         self._refusal_count = 0
         self._last_reason = "no server was tried"
@@ -188,7 +189,9 @@
 
     def _is_exhausted(self) -> bool:
         """Return whether no further attempt is allowed."""
-        if self._is_budget_exhausted or self._refusal_count >= MAX_REFUSALS:
+        if self._is_budget_exhausted or self._is_unsendable:
+            return True
+        if self._refusal_count >= MAX_REFUSALS:
             return True
         return self._possible_run_count > 0 and not self._can_retry()
 
@@ -301,10 +304,11 @@
                 )
                 self._complete_attempt(attempt, is_delimited=is_delimited)
             case AttemptFailed(
-                attempt, was_sent, is_connection_lost, reason, unreached
+                attempt, was_sent, is_connection_lost, reason, unreached, is_final
             ):
                 self._running.remove(attempt)
                 self._unreached_count += unreached
+                self._is_unsendable |= is_final
                 self._fail_attempt(attempt, was_sent, reason)
                 if was_sent and is_connection_lost:
                     self._guard.check_loss(
--- a/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
@@ -20,6 +20,7 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
+from ebonyhaven_node.exceptions import UnsendableRequest
 from ebonyhaven_node.forwarding._requests import MAX_RESPONSE_BYTES, Headers
 
 KEEPALIVE_INTERVAL_S = 1  # lowest value of TCP_KEEPIDLE and of TCP_KEEPINTVL
@@ -174,13 +175,22 @@
         ----------
         request : HttpRequest
         handler : ResponseHandler
+
+        Raises
+        ------
+        UnsendableRequest
+            If HTTP cannot express the request. The connection is of no further use.
         """
+        try:
+            encoded = self._encode(request)
+        except h11.LocalProtocolError as error:
+            raise UnsendableRequest(str(error)) from error
         self._handler = handler
         self._request = request
         self.last_request_id = request.request_id
         self._is_skipping = self._has_head = False
         self._received_bytes = 0
-        self.transport.write(self._encode())
+        self.transport.write(encoded)
 
     def abort(self) -> None:
         """Close the connection at once without notifying the handler."""
@@ -244,8 +254,7 @@
             return self._request.max_response_bytes
         return MAX_BYTES_BEFORE_RESPONSE
 
-    def _encode(self) -> bytes:
-        request = self._request
+    def _encode(self, request: HttpRequest) -> bytes:
         framing = ()
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
             framing = ((b"content-length", str(len(request.body)).encode()),)
@@ -310,7 +319,9 @@
         """Restart decoding after a response that belonged to an earlier request."""
         trailing, is_closed = self._codec.trailing_data
         self._codec = _make_codec()
-        self._encode()  # sets the state of the codec; the request was already sent
+        self._encode(
+            self._request
+        )  # sets the state of the codec; the request was already sent
         self._is_skipping = False
         if trailing:
             self._codec.receive_data(trailing)
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from ebonyhaven_decisions import parse_count
+from ebonyhaven_decisions import is_field_value, parse_count
 from ebonyhaven_decisions.forwarding import Backend, Route, StreamDurations
 
 from ebonyhaven_node.forwarding._context import RelayContext
@@ -249,10 +249,7 @@
         """Return a reason that also holds for a retry of the caller."""
         if now >= self.deadline:
             return None
-        trait = self._guard.find_blocked_trait()
-        if trait is not None:
-            return make_crash_reason(trait)
-        obstacle = self._version.find_obstacle(now)
+        obstacle = self._find_obstacle(now)
         if obstacle is not None:
             return obstacle
         may_start = self.may_have_run or now < self._latest_start
@@ -262,6 +259,15 @@
             return None
         return "too little time is left for a whole answer"
 
+    def _find_obstacle(self, now: float) -> str | None:
+        """Return what keeps the stream from each server, whatever time is left."""
+        trait = self._guard.find_blocked_trait()
+        if trait is not None:
+            return make_crash_reason(trait)
+        if not is_field_value(self._progress.position or "0"):
+            return "the id of its last event cannot be sent"
+        return self._version.find_obstacle(now)
+
     def _find_exceeded_limit(self, now: float) -> str | None:
         if now >= self.caller_deadline:
             return "the time of the request is over"
