--- a/tests/platform_adapter/streaming_engines.py
+++ b/tests/platform_adapter/answering_servers.py
@@ -1,4 +1,4 @@
-"""Stand-in of an engine that sends its streams by itself."""
+"""Stand-ins of servers that answer by themselves, after some time."""
 
 from __future__ import annotations
 
@@ -38,3 +38,19 @@
             return
         request.write(f"id: {number}\ndata: piece {number}\n\n".encode())
         reactor.callLater(EVENT_INTERVAL_S, self._send, request, number + 1, count)
+
+
+class SlowServer(BackendServerStandIn):
+    """Answers each request after `WORK_S`."""
+
+    WORK_S = 0.1
+
+    def render(self, request):
+        body = super().render(request)
+        reactor.callLater(self.WORK_S, self._finish, request, body)
+        return server.NOT_DONE_YET
+
+    def _finish(self, request, body):
+        if not request._disconnected:
+            request.write(body)
+            request.finish()
--- a/tests/platform_adapter/program_harness.py
+++ b/tests/platform_adapter/program_harness.py
@@ -28,10 +28,17 @@
 class PlatformHarness:
     """Store, engines in two data centres, plain servers and one instance."""
 
-    def __init__(self, stack, *, plain_servers=1, build_engine=BackendServerStandIn):
+    def __init__(
+        self,
+        stack,
+        *,
+        plain_servers=1,
+        build_plain=BackendServerStandIn,
+        build_engine=BackendServerStandIn,
+    ):
         self.store = StoreStandIn()
         names = [f"p-{number + 1}" for number in range(plain_servers)]
-        self.plains = [BackendServerStandIn(name) for name in names]
+        self.plains = [build_plain(name) for name in names]
         self.plain = self.plains[0]
         self.engines = {name: build_engine(name) for name in ("e-1", "e-2")}
         self.store_listener = listen(self.store)
