One connection that cannot be written to does not leave others without an answer

Each is ended by itself now, and the error is logged. The new test fails on the code before (RecursionError out of `end_all`, two of three callers without an answer).

--- a/packages/node/src/ebonyhaven_node/forwarding/_active_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_active_requests.py
@@ -98,7 +98,10 @@
     def _cut(self, exchange: Exchange, reason: str, status: int) -> None:
         kind, request_id = _describe(self._works[exchange])
         _log.error("request_cut", request=request_id, kind=kind, reason=reason)
-        _end(exchange, reason, status)
+        try:
+            _end(exchange, reason, status)
+        except Exception:  # its connection is closed, the other requests are not
+            _log.exception("response_failed", request=request_id)
         self._forget(exchange)  # whether or not its handling can still be cancelled
         exchange.on_disconnect()
 
--- a/tests/forwarding/test_active_requests.py
+++ b/tests/forwarding/test_active_requests.py
@@ -92,3 +92,14 @@
     harness.gateway._sweep()
     server.receive(answer("r1"))
     assert caller.read_answer()[0] == 200
+
+
+def test_response_that_cannot_be_written_leaves_no_other_request_unanswered():
+    # Guards against a stop at which one broken connection cuts all others.
+    harness = ForwardingHarness()
+    callers = [send(harness) for _ in range(3)]
+    with mock.patch.object(callers[0].transport, "write", fail_to_write):
+        harness.gateway._active.end_all()
+    assert callers[0].transport.aborted
+    assert [each.read_answer()[::3] for each in callers[1:]] == [(502, True)] * 2
+    assert not harness.gateway._active
