A step of a shutdown that fails does not end the process with all its requests

An error while a leaving instance told the others that it leaves, or closed its listener, ended the shutdown at once, and with it each request in progress.

The new test, a membership that raises at both steps, fails on: the request in progress is cut.

--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -17,7 +17,6 @@
     ServiceRetryBudget,
 )
 from prometheus_client import CollectorRegistry, generate_latest
-from twisted.internet import task
 from twisted.internet.interfaces import IReactorCore
 
 from ebonyhaven_node._byte_budgets import ByteBudget
@@ -63,6 +62,7 @@
 from ebonyhaven_node.forwarding._silence_monitor import SilenceMonitor
 from ebonyhaven_node.forwarding._startup import StateWaiter
 from ebonyhaven_node.forwarding._state import ForwardingState
+from ebonyhaven_node.forwarding._stop_sequence import StopSequence
 from ebonyhaven_node.forwarding._version_records import VersionRecorder
 from ebonyhaven_node.forwarding.interfaces import (
     BackendDialect,
@@ -76,9 +76,6 @@
 )
 
 LISTEN_BACKLOG = 512  # connections not yet accepted during a burst
-DRAIN_POLL_INTERVAL_S = 0.05
-ENDING_S = 0.1  # in which relays end what is in progress when the instance closes
-SENDING_S = 0.2  # in which responses that were written reach their callers
 MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024  # a quarter of the target of an instance
 
 _log = structlog.get_logger()
@@ -302,41 +299,22 @@
         return generate_latest(self.registry)
 
     async def leave(self) -> None:
-        """Shut down gracefully.
-
-        Callers may use an entry list for several times its time to live. Therefore
-        the instance stays reachable until `SHUTDOWN_MARGIN_S` before the end of the
-        grace period and rejects only requests that could not finish in time.
-        """
+        """Shut down gracefully, see `StopSequence`; a further call does nothing."""
         if self.is_leaving:
             return
-        self._shutdown.begin()
-        self.membership.leave()
-        _log.info("instance_leaving", active=len(self._active))
-        self._wake_requests()
-        closing_time = self._shutdown.closing_time
-        await self._poll_until(lambda: False, closing_time)
-        self._listening.close()  # callers go elsewhere rather than to a closing process
-        departure = self.membership.depart()
-        await task.deferLater(self._reactor, 0.0)  # the listener closes in this turn
-        await self._poll_until(lambda: not self._active, closing_time + ENDING_S)
-        self._active.end_all()
-        _log.info("instance_stopped", **self._active.summarize_shutdown())
-        self.server.close_all()
-        await self._poll_until(
-            lambda: not self.server.connections, closing_time + ENDING_S + SENDING_S
+        sequence = StopSequence(
+            shutdown=self._shutdown,
+            active=self._active,
+            server=self.server,
+            membership=self.membership,
+            listening=self._listening,
+            wake_requests=self._wake_requests,
+            reactor=self._reactor,
+            clock=self._clock,
         )
-        await departure
-        self.server.abort_all()
+        await sequence.run()
         self._stack.close()
 
-    async def _poll_until(self, is_done: Callable[[], bool], deadline: float) -> None:
-        """Wait until something is done, or until a deadline in seconds."""
-        while not is_done() and (remaining_s := deadline - self._clock()) > 0.0:
-            await task.deferLater(
-                self._reactor, min(DRAIN_POLL_INTERVAL_S, remaining_s)
-            )
-
     def _count_suspects(self) -> int:
         now = self._clock()
         return sum(
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -293,9 +293,9 @@
         self.gateway._version_recorder.start(lambda: True)
         self.gateway.watch_servers()
 
-    def leave(self) -> Deferred:
+    def leave(self, membership=None) -> Deferred:
         """Begin the graceful shutdown of the instance."""
-        self.gateway.membership = FakeMembership()
+        self.gateway.membership = membership or FakeMembership()
         return ensureDeferred(self.gateway.leave())
 
     def open_caller(self) -> Caller:
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -8,6 +8,7 @@
 from structlog.testing import capture_logs
 from twisted.internet.task import Clock
 
+from tests.forwarding.fakes import FakeMembership
 from tests.forwarding.harness import (
     STEP_S,
     STREAM_END,
@@ -316,3 +317,30 @@
     harness.advance(ANSWER_SLACK_S)
     assert caller.read_answer()[::3] == (502, True)
     assert peer.is_closed
+
+
+class FailingMembership(FakeMembership):
+    """A membership that can tell the other instances nothing."""
+
+    def leave(self):
+        raise OSError("no channel")
+
+    def depart(self):
+        raise OSError("no channel")
+
+
+def test_instance_that_cannot_announce_its_stop_still_answers_its_requests():
+    # Guards against a stop that one failing step ends at once, with all requests.
+    harness = ForwardingHarness()
+    caller = harness.open_caller()
+    caller.request("/once/x")
+    server, _, _ = harness.take_request()
+    stopped = harness.leave(FailingMembership())
+    harness.advance(0.5)
+    assert harness.gateway.is_leaving
+    assert not stopped.called
+    server.receive(answer("r1"))
+    assert caller.read_answer()[::3] == (200, True)
+    harness.advance(GRACE_S)
+    assert stopped.called
+    assert stopped.result is None
