--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -26,8 +26,7 @@
     return directory
 
 
-def test_built_program_reports_invalid_settings_on_one_line():
-    directory = copy_deployed_files()
+def run_build(directory):
     deployment = tomllib.loads((directory / "deploy" / "system.toml").read_text())
     build = subprocess.run(
         ["sh", "-c", deployment["build"]],
@@ -38,6 +37,28 @@
         check=False,
     )
     assert build.returncode == 0, build.stderr
+    return deployment
+
+
+def test_libraries_of_another_kind_of_machine_are_built_anew():
+    # Guards against a folder that was carried over, in which the program cannot start.
+    directory = copy_deployed_files()
+    target = directory / "target"
+    (target / "deps").mkdir(parents=True)
+    left_over = target / "deps" / "left_over.py"
+    left_over.touch()
+    (target / "installed").touch()
+    run_build(directory)
+    assert not left_over.exists()
+    left_over.touch()
+    run_build(directory)
+    assert left_over.exists()
+    shutil.rmtree(directory)
+
+
+def test_built_program_reports_invalid_settings_on_one_line():
+    directory = copy_deployed_files()
+    deployment = run_build(directory)
     assert {path.name for path in directory.iterdir()} == {*COPIED_PATHS, "target"}
     settings = directory / "settings.json"
     settings.write_text('{"nodeName": "n1"}')
