--- a/tests/platform_adapter/test_odd_documents.py
+++ b/tests/platform_adapter/test_odd_documents.py
@@ -104,6 +104,22 @@
         assert list_servers(state) == {"s-1"}, ascii(key)
 
 
+def list_odd_rows() -> list[object]:
+    row = encode_row("s-9", OTHER, 15)
+    odd = [{**row, "rowVersion": each} for each in (None, "15", True, 1.5, [])]
+    odd += [{**row, "key": each} for each in (None, 5, [], "")]
+    return [*odd, None, 5, "x", [], {}]
+
+
+def test_odd_row_of_a_response_leaves_all_others_in_use():
+    # Guards against a response that is refused again and again for one of its rows.
+    for odd in list_odd_rows():
+        _, store, state, _ = start_reader()
+        page = encode_page([odd, encode_row("s-2", OTHER, 15)], 15)
+        store.push("servers", _decode_rows(page, era=0))
+        assert list_servers(state) == {"s-1", "s-2"}, odd
+
+
 def test_response_without_rows_is_not_taken_for_an_empty_table():
     for odd in (b'{"rowVersion": 15}', b'{"rowVersion": 15, "rows": null}'):
         try:
