--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -100,6 +100,7 @@
 
 
 def test_streams_that_wait_for_room_are_refused_at_once_when_an_instance_leaves():
+    # Guards against streams that wait in a stopped instance and get no answer.
     harness = ForwardingHarness()
     fill_engines(harness)
     callers = [send_stream(harness, f"r{number}") for number in range(13)]
--- a/tests/platform_adapter/test_planned_stops.py
+++ b/tests/platform_adapter/test_planned_stops.py
@@ -22,6 +22,9 @@
 STREAM_PATHS = ("/fixed/x", "/stream/x")
 SHORT_STREAM_EVENTS = 5
 START_DELAYS_S = (0.0, 0.1, 0.3, 1.0)
+WAITING_STREAMS = 32
+SETTLING_S = 0.5  # in which all that find room are sent
+REFUSED_WITHIN_S = 1.0
 LOSS_SLACK_S = 0.2  # after which a request that was read must have its answer
 NO_ANSWER = "no answer"
 
@@ -167,6 +170,24 @@
     node.terminate()
 
 
+def test_streams_that_wait_for_room_are_refused_when_their_instance_stops():
+    # Guards against streams that wait in a stopped instance and get no answer, though
+    # nothing of them has run and another instance could take them.
+    with start_streaming_instance(STREAM_EVENTS) as harness:
+        answers = Answers(harness)
+        for _ in range(WAITING_STREAMS):
+            answers.send("/fixed/x", X_Token_Count="8200,780")
+        wait_until(lambda: len(list_received(harness)) > WAITING_STREAMS / 4)
+        time.sleep(SETTLING_S)
+        waiting = WAITING_STREAMS - len(list_received(harness))
+        assert waiting > WAITING_STREAMS / 4
+        assert not answers.ends
+        harness.node.terminate()
+        harness.node.wait_for_line("instance_leaving")
+        wait_until(lambda: len(answers.ends) >= waiting, timeout_s=REFUSED_WITHIN_S)
+        assert {end for _, end in answers.ends} == {503}
+
+
 def test_stop_in_the_first_seconds_of_an_instance_cuts_no_request():
     # Guards against requests that were read and get no answer, as their instance is
     # stopped before it has read its first state, or while it joins the others.
--- a/tests/platform_adapter/test_program.py
+++ b/tests/platform_adapter/test_program.py
@@ -241,6 +241,7 @@
 
 
 def test_list_is_followed_past_rows_and_configurations_that_can_not_be_read():
+    # Guards against a server list that no instance reads any more, for one odd row.
     with contextlib.ExitStack() as stack:
         harness = PlatformHarness(stack)
         for number, odd in enumerate(list_odd_entries()):
--- a/tests/platform_adapter/test_source.py
+++ b/tests/platform_adapter/test_source.py
@@ -71,6 +71,7 @@
 
 
 def test_row_whose_decoding_fails_names_no_server():
+    # Guards against a list of which no row after a bad one is applied.
     clock, store, state, _ = start_with_complete_state()
 
     def decode(server_id, document):
@@ -87,6 +88,7 @@
 
 
 def test_failure_within_a_call_is_retried_from_the_version_that_is_known():
+    # Guards against a list that is no longer followed after one failed call.
     clock, store, state, _ = start_with_complete_state()
     for failure in (RecursionError(), CancelledError()):
         store.pending_calls.pop("servers").errback(failure)
