--- a/tests/platform_adapter/soak/_checks.py
+++ b/tests/platform_adapter/soak/_checks.py
@@ -7,12 +7,8 @@
 
 from tests.platform_adapter.soak._callers import PROMISES, Result
 from tests.platform_adapter.soak._fault_log import NamedLimit
-from tests.platform_adapter.soak._servers import (
-    STREAM_EVENTS,
-    Arrival,
-    Fall,
-    encode_event,
-)
+from tests.platform_adapter.soak._server_log import Arrival, Fall
+from tests.platform_adapter.soak._servers import STREAM_EVENTS, encode_event
 
 CUT_OFF_FAILURES = 10  # besides one in 50 of all requests
 CONTACT_S = 3.0
--- a/tests/platform_adapter/soak/_deployment.py
+++ b/tests/platform_adapter/soak/_deployment.py
@@ -24,7 +24,8 @@
     SitePool,
     SoakServer,
 )
-from tests.platform_adapter.soak._servers import ServerFaults, ServerLog, ServerProcess
+from tests.platform_adapter.soak._server_log import ServerLog
+from tests.platform_adapter.soak._servers import ServerFaults, ServerProcess
 from tests.platform_adapter.stand_ins import HOST, KEY, StoreStandIn
 
 RETRY_RATIO = 0.4
--- a/tests/platform_adapter/soak/_leaving_checks.py
+++ b/tests/platform_adapter/soak/_leaving_checks.py
@@ -7,7 +7,7 @@
 from tests.platform_adapter.soak._checks import CONTACT_S
 from tests.platform_adapter.soak._contact import ContactHistory
 from tests.platform_adapter.soak._places import DRAIN_S, Departure
-from tests.platform_adapter.soak._servers import Arrival
+from tests.platform_adapter.soak._server_log import Arrival
 
 MISDIRECTED_STATUS = 421
 
--- a/tests/platform_adapter/soak/_loss_checks.py
+++ b/tests/platform_adapter/soak/_loss_checks.py
@@ -14,7 +14,7 @@
     ROUTE_TIMEOUTS_S,
 )
 from tests.platform_adapter.soak._fault_log import DisturbanceKind, Termination
-from tests.platform_adapter.soak._servers import Arrival, RunEnd, ServerLog
+from tests.platform_adapter.soak._server_log import Arrival, RunEnd, ServerLog
 
 APPLY_S = 2.0  # until a configuration is in force
 GRACE_END_S = 1.0
--- a/tests/platform_adapter/soak/_servers.py
+++ b/tests/platform_adapter/soak/_servers.py
@@ -12,7 +12,10 @@
 import attrs
 import h11
 from twisted.internet import reactor
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import Factory
+
+from tests.platform_adapter.soak._server_connections import ServerConnection
+from tests.platform_adapter.soak._server_log import Arrival, Fall, RunEnd, ServerLog
 
 SLOTS = 4
 QUEUE_LIMIT = 6
@@ -25,70 +28,6 @@
 OWN_ERROR_STATUSES = (500, 503, 429, 408)  # of requests that the server ran
 
 
-class Arrival(NamedTuple):
-    """A request that reached a server.
-
-    Parameters
-    ----------
-    request_id, path : str
-    process : str
-        Id of the server's process.
-    at : float
-        When the server read it; seconds of the reactor's clock.
-    has_run : bool
-        Whether the server ran it; False if it was refused.
-    received_at : float
-        When its last bytes came, which a paused server reads later.
-    refused_with : int or None
-        Status of a refusal.
-    """
-
-    request_id: str
-    path: str
-    process: str
-    at: float
-    has_run: bool
-    received_at: float = 0.0
-    refused_with: int | None = None
-
-
-class RunEnd(NamedTuple):
-    """The end of a request at a server.
-
-    Parameters
-    ----------
-    request_id, process : str
-    at : float
-        Seconds of the reactor's clock.
-    is_broken_off : bool
-        Whether the server ended it without an answer.
-    """
-
-    request_id: str
-    process: str
-    at: float
-    is_broken_off: bool
-
-
-class ServerLog:
-    """What all servers note.
-
-    Attributes
-    ----------
-    arrivals : list of Arrival
-    ends : list of RunEnd
-    falls : list of Fall
-    leaving_answers : set of (str, str)
-        Process and request of the answers that said that the server leaves.
-    """
-
-    def __init__(self):
-        self.arrivals: list[Arrival] = []
-        self.ends: list[RunEnd] = []
-        self.falls: list[Fall] = []
-        self.leaving_answers: set[tuple[str, str]] = set()
-
-
 def encode_event(number: int, version: str) -> bytes:
     """Return an event of a stream; two versions write different ones."""
     return f"id: {number}\ndata: piece {number} {version}\n\n".encode()
@@ -107,23 +46,6 @@
     refuses_waiting: bool = False  # requests for which no slot is free
 
 
-class Fall(NamedTuple):
-    """The end of a brittle server that had to refuse too much.
-
-    Parameters
-    ----------
-    process : str
-    at : float
-        Seconds of the reactor's clock.
-    refused_ids : tuple of str
-        Requests that it refused in the last second.
-    """
-
-    process: str
-    at: float
-    refused_ids: tuple[str, ...]
-
-
 class _Pending(NamedTuple):
     connection: ServerConnection
     request_id: str
@@ -134,55 +56,6 @@
     position: int
 
 
-class ServerConnection(Protocol):
-    """Connection of an instance to a server."""
-
-    def __init__(self, process: ServerProcess):
-        self.process = process
-        self.codec = h11.Connection(h11.SERVER)
-        self.is_lost = False
-        self._head = None
-        self._received_at = 0.0
-
-    def connectionMade(self) -> None:  # noqa: N802 Twisted API
-        self.process.connections.add(self)
-
-    def connectionLost(self, reason) -> None:  # noqa: N802 Twisted API
-        self.process.connections.discard(self)
-        self.process.act(self._mark_lost)
-
-    def _mark_lost(self) -> None:
-        self.is_lost = True
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802 Twisted API
-        self.process.act(self._read, data, reactor.seconds())
-
-    def _read(self, data: bytes, received_at: float) -> None:
-        if self.codec.our_state in (h11.MUST_CLOSE, h11.CLOSED):
-            return
-        self._received_at = received_at
-        self.codec.receive_data(data)
-        while True:
-            event = self.codec.next_event()
-            if isinstance(event, h11.Request):
-                self._head = event
-            elif isinstance(event, h11.EndOfMessage):
-                self.process.accept(self, self._head, self._received_at)
-                return
-            elif not isinstance(event, h11.Data):
-                return
-
-    def send(self, event) -> None:
-        if not self.is_lost:
-            self.transport.write(self.codec.send(event) or b"")
-
-    def end_cycle(self) -> None:
-        if self.codec.our_state is h11.DONE and self.codec.their_state is h11.DONE:
-            self.codec.start_next_cycle()
-        elif self.codec.our_state is h11.MUST_CLOSE and not self.is_lost:
-            self.transport.loseConnection()
-
-
 class ServerProcess:
     """One process of a backend server, until it crashes or leaves.
 
--- a/tests/platform_adapter/soak/_traces.py
+++ b/tests/platform_adapter/soak/_traces.py
@@ -9,7 +9,7 @@
 
 from tests.platform_adapter.soak._contact import ContactHistory
 from tests.platform_adapter.soak._places import Departure
-from tests.platform_adapter.soak._servers import ServerLog
+from tests.platform_adapter.soak._server_log import ServerLog
 
 AROUND_S = 12.0
 REQUEST_ID = re.compile(r"\bc\d+-\d+\b")
--- a/tests/platform_adapter/test_soak_checks.py
+++ b/tests/platform_adapter/test_soak_checks.py
@@ -34,13 +34,8 @@
     check_stops,
 )
 from tests.platform_adapter.soak._places import Departure
-from tests.platform_adapter.soak._servers import (
-    Arrival,
-    Fall,
-    RunEnd,
-    ServerLog,
-    encode_event,
-)
+from tests.platform_adapter.soak._server_log import Arrival, Fall, RunEnd, ServerLog
+from tests.platform_adapter.soak._servers import encode_event
 
 
 def make_result(number, *, instance="n0", status=200, **options):
