--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -95,6 +95,21 @@
 STREAM_END = b"0\r\n\r\n"
 
 
+def encode_request(path, request_id="r1", method="POST", body=b"{}", **headers):
+    """Return an encoded request of a caller; empty headers are left out."""
+    fields = {
+        "Host": HOST,
+        "X-Attempt-Id": request_id,
+        "X-Deadline-Ms": "25000",
+        "Authorization": f"Bearer {KEY}",
+        "Content-Length": str(len(body)),
+    }
+    fields.update({name.replace("_", "-"): each for name, each in headers.items()})
+    lines = [f"{method} {path} HTTP/1.1"]
+    lines += [f"{name}: {each}" for name, each in fields.items() if each]
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+
 class Caller:
     """Connection of a caller."""
 
@@ -108,18 +123,9 @@
         self.protocol.dataReceived(data)
         self.harness.advance(0.0)
 
-    def request(self, path, request_id="r1", method="POST", body=b"{}", **headers):
-        fields = {
-            "Host": HOST,
-            "X-Attempt-Id": request_id,
-            "X-Deadline-Ms": "25000",
-            "Authorization": f"Bearer {KEY}",
-            "Content-Length": str(len(body)),
-        }
-        fields.update({name.replace("_", "-"): each for name, each in headers.items()})
-        lines = [f"{method} {path} HTTP/1.1"]
-        lines += [f"{name}: {each}" for name, each in fields.items() if each]
-        self.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+    def request(self, path, request_id="r1", **options):
+        """Send a request, see `encode_request`."""
+        self.send(encode_request(path, request_id, **options))
 
     def disconnect(self) -> None:
         self.protocol.connectionLost(Failure(ConnectionDone()))
--- a/tests/forwarding/test_odd_numbers.py
+++ b/tests/forwarding/test_odd_numbers.py
@@ -93,24 +93,10 @@
         harness = ForwardingHarness()
         caller = harness.open_caller()
         headers = {**SIZE_HEADERS, "Last_Event_Id": position, "Resumes": "r0"}
-        caller.protocol.dataReceived(encode_request(headers))
+        caller.request("/stream/x", body=b"", **headers)
         harness.advance(0.05)
         server, _, _ = harness.take_request()
         event = b"id: 7\ndata: piece\n\n"
         server.receive(stream_head("r1") + chunk(event) + STREAM_END)
         harness.advance(0.01)
         assert caller.read_answer()[0] == 200
-
-
-def encode_request(headers) -> bytes:
-    fields = {
-        "Host": "work.example",
-        "X-Attempt-Id": "r1",
-        "X-Deadline-Ms": "25000",
-        "Authorization": "Bearer secret-key",
-        "Content-Length": "0",
-        **{name.replace("_", "-"): value for name, value in headers.items()},
-    }
-    lines = ["POST /stream/x HTTP/1.1"]
-    lines += [f"{name}: {value}" for name, value in fields.items()]
-    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
--- a/tests/forwarding/test_requests_sent_ahead.py
+++ b/tests/forwarding/test_requests_sent_ahead.py
@@ -6,13 +6,12 @@
 from ebonyhaven_node.forwarding._shutdown import SHUTDOWN_MARGIN_S
 
 from tests.forwarding.harness import (
-    HOST,
-    KEY,
     STEP_S,
     STREAM_END,
     ForwardingHarness,
     answer,
     chunk,
+    encode_request,
     event,
     stream_head,
 )
@@ -23,20 +22,6 @@
 EVENT_INTERVAL_S = 0.2
 
 
-def encode_request(path, request_id, body=b"{}", **headers) -> bytes:
-    fields = {
-        "Host": HOST,
-        "X-Attempt-Id": request_id,
-        "X-Deadline-Ms": "25000",
-        "Authorization": f"Bearer {KEY}",
-        "Content-Length": str(len(body)),
-        **{name.replace("_", "-"): each for name, each in headers.items()},
-    }
-    lines = [f"POST {path} HTTP/1.1"]
-    lines += [f"{name}: {each}" for name, each in fields.items()]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
-
-
 def read_answers(received: bytes) -> list[tuple[int, bool]]:
     """Return status of each whole answer, and whether it announces the close."""
     answers = []
@@ -128,7 +113,7 @@
 
 def test_body_that_ends_after_its_instance_began_to_leave_is_answered():
     harness = ForwardingHarness()
-    request = encode_request("/once/x", "r1", b"y" * 1000)
+    request = encode_request("/once/x", "r1", body=b"y" * 1000)
     caller = send_ahead(harness, request[:-500])
     harness.leave()
     harness.advance(0.5)
