--- a/tests/platform_adapter/program_harness.py
+++ b/tests/platform_adapter/program_harness.py
@@ -8,17 +8,17 @@
 
 from ebonyhaven_standins.cluster import find_binary
 
+from tests.platform_adapter.node_processes import NodeProcess
 from tests.platform_adapter.stand_ins import (
     HOST,
     KEY,
     BackendServerStandIn,
-    NodeProcess,
-    StoreStandIn,
     call_in_reactor,
     listen,
     make_configuration,
     make_entry,
 )
+from tests.platform_adapter.store_stand_in import StoreStandIn
 from tests.waiting import wait_until
 
 TIMEOUT_S = 60.0
--- a/tests/platform_adapter/soak/_deployment.py
+++ b/tests/platform_adapter/soak/_deployment.py
@@ -26,7 +26,8 @@
 )
 from tests.platform_adapter.soak._server_log import ServerLog
 from tests.platform_adapter.soak._servers import ServerFaults, ServerProcess
-from tests.platform_adapter.stand_ins import HOST, KEY, StoreStandIn
+from tests.platform_adapter.stand_ins import HOST, KEY
+from tests.platform_adapter.store_stand_in import StoreStandIn
 
 RETRY_RATIO = 0.4
 RETRY_SLACK = 20
--- a/tests/platform_adapter/test_planned_stops.py
+++ b/tests/platform_adapter/test_planned_stops.py
@@ -11,8 +11,8 @@
 from nose2.tools import params
 
 from tests.platform_adapter.answering_servers import SlowServer, StreamingEngine
+from tests.platform_adapter.node_processes import NodeProcess
 from tests.platform_adapter.program_harness import PlatformHarness
-from tests.platform_adapter.stand_ins import NodeProcess
 from tests.platform_adapter.stop_callers import CALLERS, Answer
 from tests.waiting import wait_until
 
--- a/tests/platform_adapter/test_program.py
+++ b/tests/platform_adapter/test_program.py
@@ -7,19 +7,15 @@
 import signal
 import time
 
+from tests.platform_adapter.node_processes import StartingNodeProcess
 from tests.platform_adapter.odd_documents import ODD_BYTES, list_odd_entries
 from tests.platform_adapter.program_harness import (
     TIMEOUT_S,
     PlatformHarness,
     start_harness,
 )
-from tests.platform_adapter.stand_ins import (
-    StartingNodeProcess,
-    StoreStandIn,
-    call_in_reactor,
-    listen,
-    make_entry,
-)
+from tests.platform_adapter.stand_ins import call_in_reactor, listen, make_entry
+from tests.platform_adapter.store_stand_in import StoreStandIn
 from tests.waiting import wait_until
 
 EVENT_INTERVAL_S = 0.1
--- a/tests/platform_adapter/test_standing_servers.py
+++ b/tests/platform_adapter/test_standing_servers.py
@@ -7,17 +7,17 @@
 import threading
 import time
 
+from tests.platform_adapter.node_processes import NodeProcess
 from tests.platform_adapter.stand_ins import (
     HOST,
     KEY,
-    NodeProcess,
-    StoreStandIn,
     call_in_reactor,
     listen,
     make_configuration,
     make_entry,
 )
 from tests.platform_adapter.standing_servers import StandingServer
+from tests.platform_adapter.store_stand_in import StoreStandIn
 from tests.waiting import wait_until
 
 DRAIN_S = 2.0
