Test of waiting streams waits for all to be in progress, rather than half a second

The metrics of the instance tell how many streams it handles; the test stops it once that is all of them, and counts those that an engine has as sent.

--- a/tests/platform_adapter/test_planned_stops.py
+++ b/tests/platform_adapter/test_planned_stops.py
@@ -23,7 +23,6 @@
 SHORT_STREAM_EVENTS = 5
 START_DELAYS_S = (0.0, 0.1, 0.3, 1.0)
 WAITING_STREAMS = 32
-SETTLING_S = 0.5  # in which all that find room are sent
 REFUSED_WITHIN_S = 2.5  # well before the instance closes
 # After it, a request that was read must have its answer; a caller may notice late.
 LOSS_SLACK_S = 0.2 + 0.5
@@ -172,6 +171,14 @@
     node.terminate()
 
 
+def count_active_streams(harness) -> int:
+    """Return the streams in progress, from the metrics of the instance."""
+    _, body = harness.call("metrics", "/metrics")
+    name = b'ebonyhaven_forwarded_active{kind="stream"} '
+    values = [line for line in body.splitlines() if line.startswith(name)]
+    return int(float(values[0].removeprefix(name))) if values else 0
+
+
 def test_streams_that_wait_for_room_are_refused_when_their_instance_stops():
     # Guards against streams that wait in a stopped instance and get no answer, though
     # nothing of them has run and another instance could take them.
@@ -179,14 +186,15 @@
         answers = Answers(harness)
         for _ in range(WAITING_STREAMS):
             answers.send("/fixed/x", X_Token_Count="8200,780")
-        wait_until(lambda: len(list_received(harness)) > WAITING_STREAMS / 4)
-        time.sleep(SETTLING_S)
+        wait_until(lambda: count_active_streams(harness) == WAITING_STREAMS)
         assert not answers.ends
         harness.node.terminate()
         harness.node.wait_for_line("instance_leaving")
-        waiting = WAITING_STREAMS - len(list_received(harness))
-        assert waiting > WAITING_STREAMS / 4
-        wait_until(lambda: len(answers.ends) >= waiting, timeout_s=REFUSED_WITHIN_S)
+        wait_until(
+            lambda: len(answers.ends) + len(list_received(harness)) == WAITING_STREAMS,
+            timeout_s=REFUSED_WITHIN_S,
+        )
+        assert len(answers.ends) > WAITING_STREAMS / 4
         assert {end for _, end in answers.ends} == {503}
 
 
