Log how a configuration came, how old it may be, and what limits refused a request

Cause: the logs of the incident cannot tell an instance that was not told of a version from one whose store connection had fallen silent, nor a relayed request from one of a caller. A gauge shows the age of the configuration.

--- a/packages/node/src/ebonyhaven_node/forwarding/__init__.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/__init__.py
@@ -22,14 +22,17 @@
 )
 from ebonyhaven_node.forwarding._settings import GatewaySettings
 from ebonyhaven_node.forwarding._state import (
+    ChangeSource,
+    ConfigurationOrigin,
     ForwardingState,
     ListOrigin,
-    ListSource,
 )
 
 __all__ = [
     "AttemptPlan",
     "CallerServer",
+    "ChangeSource",
+    "ConfigurationOrigin",
     "ConnectionPool",
     "CopyReference",
     "Exchange",
@@ -41,7 +44,6 @@
     "Headers",
     "HttpRequest",
     "ListOrigin",
-    "ListSource",
     "RequestHead",
     "ResponseHandler",
     "ResponseHead",
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -76,6 +76,8 @@
     ----------
     dialect : CallerDialect
     metrics : ForwardingMetrics
+    measure_configuration_age_s : callable
+        See `StateSource`.
     clock : callable
         Returns seconds.
     """
@@ -84,10 +86,12 @@
         self,
         dialect: CallerDialect,
         metrics: ForwardingMetrics,
+        measure_configuration_age_s: Callable[[], float],
         clock: Callable[[], float] = time.monotonic,
     ):
         self._dialect = dialect
         self._metrics = metrics
+        self._measure_configuration_age_s = measure_configuration_age_s
         self._clock = clock
 
     async def handle(
@@ -119,6 +123,7 @@
             reason=outcome.reason,
             status=outcome.status,
             configuration=work.configuration.version if work.configuration else None,
+            configuration_age_s=round(self._measure_configuration_age_s(), 2),
             waited_s=round(waited_s, 3),
         )
         if work.exchange.is_started:
@@ -187,6 +192,13 @@
         work.route = work.configuration.find_route(request.host, request.path)
         if work.route is None:
             raise make_not_run_failure("no route matches", step="route", status=404)
+        if request.relayed_by is not None:
+            _log.info(
+                "relayed_request_received",
+                request=request.request_id,
+                peer=request.relayed_by,
+                configuration=work.configuration.version,
+            )
         await proceed(work)
 
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -160,6 +160,7 @@
             is_unresponsive=self.source.is_unresponsive,
             count_connections=lambda: self.pool.opened_count,
             is_contact_lost=lambda: self._contact.is_lost,
+            measure_configuration_age_s=self.source.measure_configuration_age_s,
             measure_list_age_s=self.source.measure_list_age_s,
         )
         self._peers = PeerEngineUse(ttl_s=PEER_USE_TTL_S)
@@ -398,7 +399,12 @@
         )
         return build_chain(
             [
-                ReportFilter(caller_dialect, self._metrics, self._clock),
+                ReportFilter(
+                    caller_dialect,
+                    self._metrics,
+                    self.source.measure_configuration_age_s,
+                    self._clock,
+                ),
                 DecodeFilter(caller_dialect),
                 RouteFilter(self.state, self._state_waiter, self._shutdown),
                 IdentifyFilter(),
--- a/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
@@ -270,7 +270,12 @@
         self._share.close()
         self._is_rejected = True
         status = error.error_status_hint or DEFAULT_ERROR_STATUS
-        _log.info("request_malformed", reason=str(error), status=status)
+        _log.info(
+            "request_malformed",
+            reason=str(error),
+            status=status,
+            **self._server.limits()._asdict(),
+        )
         if self._codec.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             body = f'{{"error":"{status}"}}'.encode()
             headers = [
--- a/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -137,6 +137,7 @@
         is_unresponsive: Callable[[], bool],
         count_connections: Callable[[], int],
         is_contact_lost: Callable[[], bool],
+        measure_configuration_age_s: Callable[[], float],
         measure_list_age_s: Callable[[], float],
     ) -> None:
         """Register gauges of the instance's state, read at each scrape.
@@ -154,8 +155,9 @@
             Returns the number of connections to servers opened since startup.
         is_contact_lost : callable
             Returns whether no server can be reached.
-        measure_list_age_s : callable
-            Returns the time since the server list was last known to be current.
+        measure_configuration_age_s, measure_list_age_s : callable
+            Return the time since the configuration, or the server list, was last known
+            to be current.
         """
         gauges = (
             ("configuration_version", "Configuration in force.", read_version),
@@ -164,6 +166,11 @@
             ("store_behind", "Whether the store does not answer.", is_unresponsive),
             ("connections_opened", "Connections to servers.", count_connections),
             ("contact_lost", "Whether no server is reached.", is_contact_lost),
+            (
+                "configuration_age_seconds",
+                "Time since the configuration was last known to be current.",
+                measure_configuration_age_s,
+            ),
             (
                 "server_list_age_seconds",
                 "Time since the server list was last known to be current.",
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -19,10 +19,10 @@
 _log = structlog.get_logger()
 
 
-class ListSource(enum.StrEnum):
-    """Where an instance learned of a change of the server list."""
+class ChangeSource(enum.StrEnum):
+    """Where an instance learned of a change of the configuration or server list."""
 
-    TABLE = "table"  # own read of the whole list
+    TABLE = "table"  # own read of the whole table
     POLL = "poll"  # own poll of the changes
     READER = "reader"  # message of the instance that reads for this one
     PEER = "peer"  # whole state of another instance
@@ -30,21 +30,39 @@
     ADOPTION = "adoption"  # a process that answered while the list was unreadable
 
 
+class ConfigurationOrigin(NamedTuple):
+    """Source of a configuration, for the log.
+
+    Parameters
+    ----------
+    source : ChangeSource
+    era : int
+        Number of times that the store it was read from had been restored.
+    silent_s : float or None
+        Time since the store last answered about the configuration; None if unknown.
+    """
+
+    source: ChangeSource
+    era: int
+    silent_s: float | None = None
+
+
 class ListOrigin(NamedTuple):
     """Source of a change of the server list, for the log.
 
     Parameters
     ----------
-    source : ListSource
+    source : ChangeSource
     version : ServerListVersion
         Version that the change was written with, or of the list that contains it.
     """
 
-    source: ListSource
+    source: ChangeSource
     version: ServerListVersion
 
 
-_ADOPTED = ListOrigin(ListSource.ADOPTION, ServerListVersion(0, 0))
+_OWN_READ = ConfigurationOrigin(ChangeSource.TABLE, 0)
+_ADOPTED = ListOrigin(ChangeSource.ADOPTION, ServerListVersion(0, 0))
 
 
 class ForwardingState:
@@ -80,12 +98,17 @@
         """Subscribe ``observer`` to changes of servers and configuration."""
         self._observers.append(observer)
 
-    def apply_configuration(self, configuration: RoutingConfiguration) -> None:
+    def apply_configuration(
+        self,
+        configuration: RoutingConfiguration,
+        origin: ConfigurationOrigin = _OWN_READ,
+    ) -> None:
         """Activate a configuration unless it is older than the active one.
 
         Parameters
         ----------
         configuration : RoutingConfiguration
+        origin : ConfigurationOrigin
         """
         known = self.configuration
         if known is not None and configuration.version < known.version:
@@ -99,6 +122,9 @@
             version=configuration.version,
             before=known.version if known else None,
             routes=sum(len(each) for each in configuration.routes.values()),
+            via=origin.source.value,
+            era=origin.era,
+            silent_s=origin.silent_s,
         )
         self._notify_observers()
 
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -342,6 +342,17 @@
     def is_unresponsive(self) -> bool:
         """Return whether reads of the source fail or time out."""
 
+    @abc.abstractmethod
+    def measure_configuration_age_s(self) -> float:
+        """Return the time since the configuration was last known to be current.
+
+        Returns
+        -------
+        float
+            Seconds since the store answered this instance or its reader, or since the
+            source was built.
+        """
+
     @abc.abstractmethod
     def measure_list_age_s(self) -> float:
         """Return the time since the server list was last known to be current.
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -71,6 +71,9 @@
     def is_unresponsive(self) -> bool:
         return self.unresponsive
 
+    def measure_configuration_age_s(self) -> float:
+        return 0.0
+
     def measure_list_age_s(self) -> float:
         return 0.0
 
