Soak: play changes of routes, shares, keys and timeouts; check CONFIG and DENIED

Change: versions move, split, add and drop routes, add and drop keys and change a timeout, at times in quick succession; two callers of each instance use what changes. Checked are requests handled as only an overdue or an earlier version allows, answers at the timeout of a route, and refusals of proper requests. New faults: all connections of all instances fall silent at once (to the store, or to instances and servers as well), and the store is restored from a copy. Connections between instances lead through links of their own.

--- a/tests/platform_adapter/soak/_callers.py
+++ b/tests/platform_adapter/soak/_callers.py
@@ -50,6 +50,7 @@
         Whether the caller closed the connection, as its time was over.
     is_on_kept : bool
         Whether the connection had carried a request before.
+    key : str
     """
 
     request_id: str
@@ -65,6 +66,7 @@
     is_first: bool = True
     is_given_up: bool = False
     is_on_kept: bool = False
+    key: str = KEY
 
 
 def _is_broken_off(result: Result) -> bool:
@@ -158,6 +160,8 @@
     results : list of Result
         Log of all callers.
     rng : random.Random
+    choose_key : callable
+        Returns the key of the next request.
     """
 
     def __init__(
@@ -168,7 +172,9 @@
         choose_path: Callable[[], str],
         results: list[Result],
         rng: random.Random,
+        choose_key: Callable[[], str] = lambda: KEY,
     ):
+        self._choose_key = choose_key
         self._name = name
         self._choose_instance = choose_instance
         self._instance = ""
@@ -184,13 +190,17 @@
         while not self.is_stopped:
             await deferLater(reactor, self._rng.uniform(*THINK_S))
             path = self._choose_path()
-            result = await self._send(path)
+            result = await self.send(path)
             if result is None or self.is_stopped:
                 continue
             if result.status in PROMISES:
-                await self._send(path, after=result)
+                await self.send(path, after=result)
             elif path.startswith("/stream") and _is_broken_off(result):
                 await self._resume(path, result)
+        self.close()
+
+    def close(self) -> None:
+        """Close the connection, if one is open."""
         if self._connection is not None:
             self._connection.transport.abortConnection()
 
@@ -200,13 +210,23 @@
         for _ in range(MAX_RESUMES):
             position += result.body.count(b"\n\n")
             previous = result
-            result = await self._send(path, after=previous, position=position)
+            result = await self.send(path, after=previous, position=position)
             if result is None or self.is_stopped or not _is_broken_off(result):
                 return
 
-    async def _send(
+    async def send(
         self, path: str, *, after: Result | None = None, position: int = 0
     ) -> Result | None:
+        """Send a request and return what came of it; None without a connection.
+
+        Parameters
+        ----------
+        path : str
+        after : Result or None
+            What was told of an earlier try.
+        position : int
+            Number of events that came before.
+        """
         connection = self._connection
         if connection is None or connection.is_lost:
             connection = self._connection = await self._connect()
@@ -217,10 +237,11 @@
         limit_s = get_time_limit_s(path)
         sent_at = reactor.seconds()
         first_id = after.first_id if position else request_id
-        resumed = [("Last-Event-Id", str(position)), ("Resumes", first_id)]
-        request = self._encode(
-            connection, path, request_id, limit_s, resumed if position else []
-        )
+        key = self._choose_key()
+        headers = [("Authorization", f"Bearer {key}")]
+        if position:
+            headers += [("Last-Event-Id", str(position)), ("Resumes", first_id)]
+        request = self._encode(connection, path, request_id, limit_s, headers)
         timer = reactor.callLater(limit_s, connection.transport.abortConnection)
         status, stamp, body, is_whole = await connection.exchange(request)
         is_given_up = not timer.active()
@@ -241,6 +262,7 @@
             after is None,
             is_given_up,
             connection.count > 1,
+            key,
         )
         self._results.append(result)
         return result
@@ -252,18 +274,17 @@
         reactor.connectTCP(host, int(port), factory, timeout=CONNECT_TIMEOUT_S)
         return await factory.connected
 
-    def _encode(self, connection, path, request_id, limit_s, resumed) -> bytes:
+    def _encode(self, connection, path, request_id, limit_s, more_headers) -> bytes:
         method = "GET" if path.startswith("/repeat") else "POST"
         headers = [
             ("Host", HOST),
             ("X-Attempt-Id", request_id),
             ("X-Deadline-Ms", str(int(limit_s * 1000))),
-            ("Authorization", f"Bearer {KEY}"),
+            *more_headers,
         ]
         body = b"" if method == "GET" else b"{}"
         if path.startswith(STREAM_PATHS):
             headers.append(("X-Token-Count", "800,60"))
-        headers += resumed
         if body:
             headers.append(("Content-Length", str(len(body))))
         encoded = connection.codec.send(
--- a/tests/platform_adapter/soak/_contact.py
+++ b/tests/platform_adapter/soak/_contact.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping
 
 from tests.platform_adapter.soak._callers import Result
@@ -12,9 +13,8 @@
     FaultLog,
 )
 
-RESTARTS_AND_FREEZES = frozenset(
-    {DisturbanceKind.KILL, DisturbanceKind.STOP, DisturbanceKind.FREEZE}
-)
+RESTARTS = frozenset({DisturbanceKind.KILL, DisturbanceKind.STOP})
+RESTARTS_AND_FREEZES = RESTARTS | {DisturbanceKind.FREEZE}
 
 
 class ContactHistory:
@@ -64,6 +64,15 @@
             if each.name == instance and each.overlaps(since, until)
         ]
 
+    def count_disturbances(
+        self, instance: str, kinds: frozenset[DisturbanceKind], *, until: float
+    ) -> int:
+        """Return how often an instance was disturbed in some way before a time."""
+        return sum(
+            each.kind in kinds
+            for each in self.list_disturbances(instance, -math.inf, until)
+        )
+
     def was_restarted_or_frozen(
         self, instance: str, since: float, until: float
     ) -> bool:
--- a/tests/platform_adapter/soak/_deployment.py
+++ b/tests/platform_adapter/soak/_deployment.py
@@ -17,6 +17,7 @@
 from twisted.internet import reactor
 from twisted.web import resource, server
 
+from tests.platform_adapter.soak._configurations import ConfigurationPlay
 from tests.platform_adapter.soak._places import (
     DepartureLog,
     ListedServer,
@@ -26,7 +27,6 @@
 )
 from tests.platform_adapter.soak._server_log import ServerLog
 from tests.platform_adapter.soak._servers import ServerFaults, ServerProcess
-from tests.platform_adapter.stand_ins import HOST, KEY
 from tests.platform_adapter.store_stand_in import StoreStandIn
 
 RETRY_RATIO = 0.4
@@ -34,8 +34,6 @@
 BUDGET_WINDOW_S = 4.0
 GRACE_S = 3
 LONG_GRACE_S = 8
-ROUTE_TIMEOUTS_S = {"once": 0.8, "repeat": 0.8, "fixed": 5.0, "stream": 5.0}
-LONG_ROUTE_TIMEOUT_S = 14.0
 CRASHING_PATH = "/repeat/crash"
 PROGRAM = "tests.platform_adapter.soak.routed_instance"
 
@@ -92,22 +90,31 @@
             sides=frozenset((name, "store")),
         )
         self.server_links: dict[str, Link] = {}  # by the server's address
+        self.peer_links: dict[str, Link] = {}  # by the other's control address
         self.is_cut_off = False
         self._routes_path = directory / f"{name}-routes.json"
 
-    def route(self, sites: list[ServerSite]) -> None:
-        """Lead the connections to servers through links of this instance."""
-        routes = {each.address: allocate_address() for each in sites}
+    def route(self, sites: list[ServerSite], peers: list[SoakInstance]) -> None:
+        """Lead connections to servers and instances through links of this instance."""
+        servers = [each.address for each in sites]
+        others = [each.addresses["controlPlane"] for each in peers if each is not self]
+        self.server_links = {each: self._make_link(each) for each in servers}
+        self.peer_links = {each: self._make_link(each) for each in others}
+        links = {**self.server_links, **self.peer_links}
+        routes = {target: link.address for target, link in links.items()}
         self._routes_path.write_text(json.dumps(routes))
-        self.server_links = {
-            target: Link(
-                name=f"{self.name}-{target}",
-                listen=listen,
-                target=target,
-                sides=frozenset((self.name, target)),
-            )
-            for target, listen in routes.items()
-        }
+
+    def _make_link(self, target: str) -> Link:
+        return Link(
+            name=f"{self.name}-{target}",
+            listen=allocate_address(),
+            target=target,
+            sides=frozenset((self.name, target)),
+        )
+
+    def list_links(self) -> list[Link]:
+        """Return all links that this instance opens connections through."""
+        return [self.store_link, *self.server_links.values(), *self.peer_links.values()]
 
     async def cut_off(self, *kinds: FaultKind) -> None:
         """Cut the instance off from all servers by some faults of its links."""
@@ -177,7 +184,7 @@
         self.signal(signal.SIGKILL)
         if self.process is not None:
             self.process.wait(30)
-        for link in (self.caller_link, self.store_link, *self.server_links.values()):
+        for link in (self.caller_link, *self.list_links()):
             await link.set_fault(FaultKind.RESET, 0.0)
             await link.stop_listening()
         await self._store_port.stopListening()
@@ -230,6 +237,7 @@
     instances: int = 3
     plain: int = 4
     engines: int = 3
+    others: int = 2
     spare_sites: int = 4
     data_centres: tuple[str, ...] = ("dc-a",)
 
@@ -272,6 +280,11 @@
         self.processes: list[ListedServer] = []
         self.server_faults = ServerFaults()
         self.store = StoreStandIn()
+        self.configurations = ConfigurationPlay(
+            self.store,
+            random.Random(rng.random()),
+            has_long_streams=has_long_streams,
+        )
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="ebonyhaven-soak-"))
         data_centres = size.data_centres
         self.instances = [
@@ -285,6 +298,7 @@
             for number in range(size.instances)
         ]
         kinds = ["plain"] * size.plain + ["engines"] * size.engines
+        kinds += ["other"] * size.others
         names = [f"s{number}" for number in range(len(kinds) + size.spare_sites)]
         self._sites = SitePool(names, rng)
         self._is_started = False
@@ -300,21 +314,15 @@
 
     def start(self) -> None:
         self._is_started = True
-        self.put_configuration(1)
+        self.configurations.write()
         for each in self.servers:
             each.start()
         seeds = [each.addresses["controlPlane"] for each in self.instances]
         for each in self.instances:
-            each.route(self._sites.sites)
+            each.route(self._sites.sites, self.instances)
             each.write_settings(seeds[:3])
             each.start()
 
-    def put_configuration(self, version: int) -> None:
-        document = make_soak_configuration(
-            version, has_long_streams=self.has_long_streams
-        )
-        self.store.put("op", "config", document)
-
     def take_site(self) -> ServerSite:
         return self._sites.take(in_order=not self._is_started)
 
@@ -345,51 +353,3 @@
         for site in self._sites.sites:
             await site.link.set_fault(FaultKind.RESET, 0.0)
             await site.link.stop_listening()
-
-
-def make_soak_configuration(version: int, *, has_long_streams: bool = False) -> dict:
-    """Return a configuration with a route of each kind that must keep a promise."""
-
-    def make_route(name, kind, service, attempts, timeout_ms, **options):
-        return {
-            "name": name,
-            "host": HOST,
-            "pathPrefix": f"/{name}/",
-            "kind": kind,
-            "timeoutMs": timeout_ms,
-            "targetLatencyMs": 200,
-            "maxAttempts": attempts,
-            "service": service,
-            **options,
-        }
-
-    engine = {"slots": 8, "kvCapacityTokens": 88000, "backups": False}
-    timeout_ms = int(LONG_ROUTE_TIMEOUT_S * 1000)
-    long_route = make_route(
-        "long", "streaming", "engines", 3, timeout_ms, targetItlMs=700
-    )
-    long_route["targetLatencyMs"] = 2500
-    return {
-        "version": version,
-        "routes": [
-            make_route("once", "non_idempotent", "plain", 1, 800),
-            make_route("repeat", "idempotent", "plain", 2, 800),
-            make_route("fixed", "streaming", "engines", 3, 5000, targetItlMs=700),
-            make_route(
-                "stream",
-                "streaming",
-                "engines",
-                3,
-                5000,
-                targetItlMs=700,
-                streamResume=True,
-            ),
-            *([long_route] if has_long_streams else []),
-        ],
-        "services": [
-            {"name": "plain", "maxConnections": 100},
-            {"name": "engines", "maxConnections": 100, "engine": engine},
-        ],
-        "limits": {},
-        "tenants": [{"name": "studio-a", "apiKeys": [KEY]}],
-    }
--- a/tests/platform_adapter/soak/_loss_checks.py
+++ b/tests/platform_adapter/soak/_loss_checks.py
@@ -8,11 +8,11 @@
 
 from tests.platform_adapter.soak._callers import Result, get_time_limit_s
 from tests.platform_adapter.soak._checks import CONTACT_S
-from tests.platform_adapter.soak._contact import ContactHistory
-from tests.platform_adapter.soak._deployment import (
+from tests.platform_adapter.soak._configurations import (
     LONG_ROUTE_TIMEOUT_S,
     ROUTE_TIMEOUTS_S,
 )
+from tests.platform_adapter.soak._contact import ContactHistory
 from tests.platform_adapter.soak._fault_log import DisturbanceKind, Termination
 from tests.platform_adapter.soak._server_log import Arrival, RunEnd, ServerLog
 
--- a/tests/platform_adapter/soak/_places.py
+++ b/tests/platform_adapter/soak/_places.py
@@ -76,8 +76,7 @@
     ----------
     process : ServerProcess
     site : ServerSite
-    service : str
-    data_centre : str
+    service, data_centre : str
     deployment : SoakDeployment
     """
 
@@ -92,7 +91,7 @@
     ):
         self.process = process
         self.site = site
-        self._service = service
+        self.service = service
         self._data_centre = data_centre
         self._deployment = deployment
         self._state = "ready"
@@ -110,7 +109,7 @@
         await self._wait_for_store()
         if self.process.is_dead:
             return
-        entry = make_entry(self._service, self.site.address, self._data_centre)
+        entry = make_entry(self.service, self.site.address, self._data_centre)
         entry |= {"slots": SLOTS, "version": self.process.version, "state": state}
         self._deployment.store.put("servers", self.process.process_id, entry)
         if state == "ready":
--- a/tests/platform_adapter/soak/_run.py
+++ b/tests/platform_adapter/soak/_run.py
@@ -25,6 +25,15 @@
     check_runs,
     check_streams,
 )
+from tests.platform_adapter.soak._configuration_checks import (
+    ConfigurationHistory,
+    check_configurations_in_force,
+    check_denials,
+    check_reverts,
+    check_timeouts,
+    is_denied,
+    list_denials,
+)
 from tests.platform_adapter.soak._contact import ContactHistory
 from tests.platform_adapter.soak._deployment import (
     BUDGET_WINDOW_S,
@@ -50,6 +59,7 @@
     check_stops,
     list_steady_cuts,
 )
+from tests.platform_adapter.soak._probers import make_prober
 from tests.platform_adapter.soak._traces import write_traces
 
 CALLER_COUNT = 24
@@ -57,6 +67,7 @@
 START_S = 3.0
 SETTLE_S = 1.0  # longer than a request that was refused could still reach a server
 CRASHING_SHARE = 0.01
+PROBERS = 2  # callers of each instance that use routes and keys that change
 
 
 class SoakReport(NamedTuple):
@@ -113,6 +124,12 @@
         _make_caller(number, deployment, results, random.Random(rng.random()))
         for number in range(CALLER_COUNT)
     ]
+    probes: list[Result] = []
+    callers += [
+        make_prober(number, instance, deployment, probes, random.Random(rng.random()))
+        for instance in deployment.instances
+        for number in range(PROBERS)
+    ]
     injector = FaultInjector(deployment, random.Random(rng.random()), fault_set)
     if has_long_streams:
         callers += [
@@ -137,7 +154,8 @@
     finally:
         watch.stop()
         await deployment.stop()
-    return _report(seed, deployment, results, injector.log, started_at)
+    record = _SoakRecord(deployment, results, probes, injector.log, started_at)
+    return _report(seed, record)
 
 
 async def _finish(injector: FaultInjector, faults) -> None:
@@ -178,30 +196,40 @@
     )
 
 
-def _report(
-    seed: int,
-    deployment: SoakDeployment,
-    results: list[Result],
-    faults: FaultLog,
-    started_at: float,
-) -> SoakReport:
+class _SoakRecord(NamedTuple):
+    """What a soak did and saw."""
+
+    deployment: SoakDeployment
+    results: list[Result]
+    probes: list[Result]
+    faults: FaultLog
+    started_at: float
+
+
+def _report(seed: int, record: _SoakRecord) -> SoakReport:
+    deployment, results, probes, faults, started_at = record
     arrivals = deployment.log.arrivals
     departures = deployment.departures.list_all()
-    history = SoakHistory(results, faults.processes)
+    everything = [*results, *probes]
+    history = SoakHistory(everything, faults.processes)
     addresses = {
         each.process.process_id: each.site.address for each in deployment.processes
     }
-    contact = ContactHistory(results, faults, addresses)
-    cuts = CutHistory(results, deployment.log, contact)
+    services = {each.process.process_id: each.service for each in deployment.processes}
+    contact = ContactHistory(everything, faults, addresses)
+    cuts = CutHistory(everything, deployment.log, contact)
+    configurations = ConfigurationHistory(
+        everything, arrivals, deployment.configurations.played, services, contact
+    )
     plain_count = sum(each.service == "plain" for each in deployment.servers)
     problems = [
         *check_runs(arrivals),
-        *check_refusals(arrivals, results),
-        *check_answers(results),
+        *check_refusals(arrivals, everything),
+        *check_answers(everything),
         *check_attempts(arrivals, 2),
         *check_repeats(
             arrivals,
-            results,
+            [*results, *(each for each in probes if not is_denied(each))],
             ratio=RETRY_RATIO,
             slack=RETRY_SLACK,
             window_s=BUDGET_WINDOW_S,
@@ -218,6 +246,10 @@
         *check_configuration_cuts(
             cuts, faults.configurations, started_at + START_S, reactor.seconds()
         ),
+        *check_configurations_in_force(configurations),
+        *check_reverts(configurations),
+        *check_timeouts(configurations),
+        *check_denials(configurations),
     ]
     notes = [
         *(
@@ -227,6 +259,7 @@
         *list_late_reads(arrivals, departures, contact),
         *list_latest_arrivals(arrivals, departures, contact),
         *list_steady_cuts(cuts),
+        *list_denials(configurations),
     ]
     write_traces(
         deployment.directory, [*problems, *notes], deployment.log, departures, contact
--- a/tests/platform_adapter/soak/_servers.py
+++ b/tests/platform_adapter/soak/_servers.py
@@ -14,6 +14,7 @@
 from twisted.internet import reactor
 from twisted.internet.protocol import Factory
 
+from tests.platform_adapter.soak._configurations import TIMED_PATH
 from tests.platform_adapter.soak._server_connections import ServerConnection
 from tests.platform_adapter.soak._server_log import Arrival, Fall, RunEnd, ServerLog
 
@@ -25,6 +26,7 @@
 EVENT_INTERVAL_S = 0.02
 LONG_EVENT_INTERVAL_S = 0.25
 LONG_PATH = "/long"
+TIMED_WORK_S = 1.2  # longer than the timeout of the route
 OWN_ERROR_STATUSES = (500, 503, 429, 408)  # of requests that the server ran
 
 
@@ -92,7 +94,8 @@
         self.process_id = process_id
         self.version = version
         self._place = process_id.rpartition("-")[0]
-        self._is_plain = service == "plain"
+        self._is_plain = service != "engines"
+        self._may_be_brittle = service == "plain"
         self._log: ServerLog = log
         self._has_fallen = False
         self._refused: deque[tuple[float, str]] = deque()
@@ -219,7 +222,8 @@
         return json.dumps(report).encode()
 
     def _get_queue_limit(self) -> int:
-        return 0 if self._is_plain and self._faults.refuses_waiting else QUEUE_LIMIT
+        refuses = self._may_be_brittle and self._faults.refuses_waiting
+        return 0 if refuses else QUEUE_LIMIT
 
     def _record_refused(self, request_id: str) -> None:
         """Count a refusal for lack of room, which may be one too many."""
@@ -228,8 +232,8 @@
         while self._refused[0][0] <= now - 1.0:
             self._refused.popleft()
         limit = self._faults.brittle_limit
-        is_brittle = self._is_plain and limit is not None and not self._has_fallen
-        if is_brittle and len(self._refused) > limit:
+        may_fall = self._may_be_brittle and limit is not None and not self._has_fallen
+        if may_fall and len(self._refused) > limit:
             self._has_fallen = True
             ids = tuple(each for _, each in self._refused)
             self._log.falls.append(Fall(self.process_id, now, ids))
@@ -258,7 +262,8 @@
             return
         self._running += 1
         self._in_hand[pending.connection, pending.request_id] = pending
-        work_s = self._rng.uniform(*WORK_S)
+        is_timed = pending.path.startswith(TIMED_PATH)
+        work_s = TIMED_WORK_S if is_timed else self._rng.uniform(*WORK_S)
         reactor.callLater(work_s, self.act, self._answer, pending)
 
     def _end_run(self, pending: _Pending, *, is_broken_off: bool = False) -> None:
@@ -322,7 +327,7 @@
         if self._place in self._faults.named_limits:
             rate = self._faults.named_limits[self._place]
             headers.append(("Server-Limit", f"{rate:.2f}"))
-        if self._is_plain and self._faults.brittle_limit is not None:
+        if self._may_be_brittle and self._faults.brittle_limit is not None:
             headers.append(("Server-Brittle", str(self._faults.brittle_limit)))
         return headers
 
--- a/tests/platform_adapter/soak/routed_instance.py
+++ b/tests/platform_adapter/soak/routed_instance.py
@@ -1,7 +1,7 @@
-"""Runs the program with its connections to servers led through its own links.
+"""Runs the program with the connections that it opens led through its own links.
 
-All instances know a server by the same address. Only a link of its own lets one of them
-be cut off from the servers while the others reach them.
+All instances know a server or another instance by the same address. Only a link of its
+own lets one of them be cut off while the others reach them.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 import pathlib
 import sys
 
+import pynng
 from ebonyhaven_adapter.__main__ import main
 from twisted.internet import reactor
 
@@ -20,15 +21,20 @@
     Parameters
     ----------
     routes : dict of str to str
-        Addresses of links by address of a server.
+        Addresses of links by address of a server, or control address of an instance.
     """
-    connect = reactor.connectTCP
+    connect, dial = reactor.connectTCP, pynng.Push0.dial
 
     def connect_routed(host, port, *arguments, **options):
         host, _, port = routes.get(f"{host}:{port}", f"{host}:{port}").rpartition(":")
         return connect(host, int(port), *arguments, **options)
 
+    def dial_routed(socket, url, **options):
+        scheme, _, address = url.partition("://")
+        return dial(socket, f"{scheme}://{routes.get(address, address)}", **options)
+
     reactor.connectTCP = connect_routed
+    pynng.Push0.dial = dial_routed
 
 
 if __name__ == "__main__":
--- a/tests/platform_adapter/store_stand_in.py
+++ b/tests/platform_adapter/store_stand_in.py
@@ -67,6 +67,8 @@
         self.era += 1
         polls, self._pending_polls = self._pending_polls, []
         for request, name, after in polls:
+            if request._disconnected:
+                continue
             self._set_era(request)
             if after > self.version:
                 request.setResponseCode(410)
