--- a/tests/platform_adapter/list_exploration/_store.py
+++ b/tests/platform_adapter/list_exploration/_store.py
@@ -136,6 +136,9 @@
     async def read_table(self, table, *, timeout_s):
         return await self._call(lambda: self._store.read_table(table), timeout_s)
 
+    def close_idle_connections(self):
+        """Do nothing; each call here has a connection of its own."""
+
     async def read_changes(self, table, after, *, wait_s, timeout_s):
         store = self._store
 
--- a/tests/platform_adapter/state_sources.py
+++ b/tests/platform_adapter/state_sources.py
@@ -47,6 +47,9 @@
     async def read_table(self, table, *, timeout_s):
         return await self._respond(table, ("table", table, None))
 
+    def close_idle_connections(self):
+        pass
+
     async def read_changes(self, table, after, *, wait_s, timeout_s):
         return await self._respond(table, ("changes", table, after))
 
