Replace connections between instances that may have fallen silent

What was seen: after all connections between nine instances fell silent, most of what an instance sent to others than its neighbours in the ring of heartbeats was lost for good: reports of retry budgets and of engine use, crash evidence, changes of the server list. Instances that the reader no longer reached polled the list themselves. Cause: nothing shows a sender that a connection is silent; only an instance that misses heartbeats probes its neighbour, which answers over a new connection to the prober alone. Class: as with the polls, one event that hits all connections is handled as the loss of one. Change: an instance that is probed, which means that it is not heard, opens its connections anew, except those younger than 2 s.

--- a/packages/node/src/ebonyhaven_node/_channels.py
+++ b/packages/node/src/ebonyhaven_node/_channels.py
@@ -28,6 +28,7 @@
 RECONNECT_MIN_MS = 250
 RECONNECT_MAX_MS = 4000
 IDLE_TIMEOUT_S = 10.0
+MIN_REPLACED_AGE_S = 2.0  # of connections, which several probes at once replace once
 MAX_MESSAGE_BYTES = 1 << 20
 MAX_MESSAGES_PER_WAKEUP = 64
 DIRECTIONS = ("sent", "received")
@@ -89,6 +90,7 @@
 @attrs.define(slots=True)
 class _Connection:
     socket: pynng.Push0
+    opened_at: float
     used_at: float
 
 
@@ -231,6 +233,17 @@
             if connection.used_at < cutoff:
                 self._disconnect(address)
 
+    def replace_connections(self) -> None:
+        """Send the next messages over new connections, unless one was just opened.
+
+        Nothing shows a sender that a connection has fallen silent. If one has, the
+        others that were open at that moment may have as well.
+        """
+        cutoff = time.monotonic() - MIN_REPLACED_AGE_S
+        for address, connection in list(self._connections.items()):
+            if connection.opened_at < cutoff:
+                self._disconnect(address)
+
     def close(self) -> None:
         """Close all sockets."""
         self._reactor.removeReader(self._descriptor)
@@ -252,7 +265,7 @@
             except (pynng.NNGException, ValueError):
                 socket.close()
                 raise
-            connection = _Connection(socket, 0.0)
+            connection = _Connection(socket, time.monotonic(), 0.0)
             self._connections[address] = connection
         connection.used_at = time.monotonic()
         return connection
--- a/packages/node/src/ebonyhaven_node/_membership.py
+++ b/packages/node/src/ebonyhaven_node/_membership.py
@@ -16,6 +16,7 @@
     MemberRecord,
     Membership,
     MembershipMessage,
+    Probe,
 )
 from prometheus_client import CollectorRegistry
 from twisted.internet import task
@@ -254,6 +255,8 @@
         except FrameError:
             self._metrics.count_fault("message_malformed")
             return
+        if isinstance(message, Probe):  # its sender does not hear this instance
+            self._channels.replace_connections()
         now = self._clock()
         envelopes = self._membership.receive(
             frame.sender, frame.incarnation, message, now
