Relays carry the configuration and the runs of a request; denials of others stay inside

What callers would see: an older version that comes back at one instance, or 401 and 404 for proper requests, while the instance that they asked reaches no server; requests that run on more servers than their route allows, and repeats that no budget counts. Cause: an instance that reaches no server relays a request to another one, which handles it as if a caller had sent it: under its own configuration, which may be older; its refusal was passed on like an answer; it counted the request again, and its first attempt as no repeat, even if a server may have run the request already. Class: a hop that drops what was decided before it. Change: the header of a relay names the configuration and the number of possible runs. An instance with an older configuration refuses the request as not run, so that another one is tried. A denial without proof of origin is not passed on.

--- a/packages/node/src/ebonyhaven_node/forwarding/__init__.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/__init__.py
@@ -17,6 +17,7 @@
     ForwardRequest,
     GenerationSize,
     Headers,
+    RelayOrigin,
     RequestHead,
     ResponseHead,
 )
@@ -44,6 +45,7 @@
     "Headers",
     "HttpRequest",
     "ListOrigin",
+    "RelayOrigin",
     "RequestHead",
     "ResponseHandler",
     "ResponseHead",
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -84,8 +84,9 @@
         self._running: list[Attempt] = []
         self._responses = ResponseBuffers(context.response_bytes)
         self._error_response: tuple[ResponseHead, bytes] | None = None
-        self._possible_run_count = 0
-        self._attempt_count = 0
+        self._earlier_runs = request.count_earlier_runs()
+        self._possible_run_count = self._earlier_runs
+        self._attempt_count = self._earlier_runs
         self._is_budget_exhausted = False
         self._is_unsendable = False
         self._unreached_count = 0
@@ -102,6 +103,11 @@
         )
         self._caller_deadline = self._servers.caller_deadline
 
+    @property
+    def possible_runs(self) -> int:
+        """Number of servers that may have run the request."""
+        return self._possible_run_count
+
     @property
     def _deadline(self) -> float:
         return self._context.shutdown.limit_deadline(self._caller_deadline)
@@ -114,7 +120,6 @@
         RequestFailure
             If no server returned a response that may be forwarded.
         """
-        self._context.budget.record_request(self._service, self._context.clock())
         self._context.capacity_notifier.subscribe(self._inbox)
         try:
             await self._run_attempts()
@@ -244,7 +249,8 @@
         )
 
     def _can_hedge(self) -> bool:
-        return self._route.may_retry and len(self._attempts) < self._route.max_attempts
+        attempts = self._earlier_runs + len(self._attempts)
+        return self._route.may_retry and attempts < self._route.max_attempts
 
     def _is_hedge_due(self, now: float) -> bool:
         return (
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -31,7 +31,7 @@
     make_leaving_failure,
 )
 from ebonyhaven_node.forwarding._peer_relay import PeerRelay
-from ebonyhaven_node.forwarding._requests import ForwardRequest
+from ebonyhaven_node.forwarding._requests import ForwardRequest, RelayOrigin
 from ebonyhaven_node.forwarding._shutdown import Shutdown
 from ebonyhaven_node.forwarding._startup import StateWaiter
 from ebonyhaven_node.forwarding._state import ForwardingState
@@ -189,18 +189,36 @@
             )
         work.configuration = self._state.configuration
         request = work.request
+        if request.relay_origin is not None:
+            self._check_relayed(request, work.configuration.version)
         work.route = work.configuration.find_route(request.host, request.path)
         if work.route is None:
             raise make_not_run_failure("no route matches", step="route", status=404)
-        if request.relayed_by is not None:
-            _log.info(
-                "relayed_request_received",
-                request=request.request_id,
-                peer=request.relayed_by,
-                configuration=work.configuration.version,
-            )
         await proceed(work)
 
+    def _check_relayed(self, request: ForwardRequest, version: int) -> None:
+        """Refuse to handle a request under an older version than its first instance.
+
+        Raises
+        ------
+        RequestFailure
+        """
+        origin = request.relay_origin
+        _log.info(
+            "relayed_request_received",
+            request=request.request_id,
+            peer=origin.instance,
+            peer_configuration=origin.configuration,
+            configuration=version,
+            runs=origin.runs,
+        )
+        if version < origin.configuration:
+            raise make_not_run_failure(
+                "this instance has an older configuration",
+                step="configuration",
+                retry_after_s=NOT_READY_RETRY_AFTER_S,
+            )
+
 
 class IdentifyFilter(Filter[RequestContext]):
     """Determines the workspace of a request from its API key."""
@@ -306,37 +324,42 @@
 
     async def _relay(self, work: RequestContext) -> None:
         """Relay to servers, or to another instance if no server can be reached."""
-        may_use_peers = work.request.relayed_by is None
+        may_use_peers = work.request.relay_origin is None
+        service = self._choose_service(work.route)
+        if may_use_peers:  # others are counted where they came from
+            self._context.budget.record_request(service, self._context.clock())
         is_left_to_peers = may_use_peers and self._context.is_left_to_peers()
-        if is_left_to_peers and await self._relay_to_peer(work, may_have_run=False):
+        if is_left_to_peers and await self._relay_to_peer(work, runs=0):
             return
+        relay = self._build_relay(work, service)
         try:
-            await self._build_relay(work).run()
+            await relay.run()
         except RequestFailure as failure:
             is_unreached = failure.outcome.step == REACH_STEP
             may_have_run = failure.outcome.tag is not OutcomeTag.NOT_RUN
             may_repeat = not may_have_run or work.route.may_retry
             if not (may_use_peers and is_unreached and may_repeat):
                 raise
-            if not await self._relay_to_peer(work, may_have_run=may_have_run):
+            runs = max(1, relay.possible_runs) if may_have_run else 0
+            if not await self._relay_to_peer(work, runs=runs):
                 raise
 
-    async def _relay_to_peer(self, work: RequestContext, *, may_have_run: bool) -> bool:
+    async def _relay_to_peer(self, work: RequestContext, *, runs: int) -> bool:
         """Relay to another instance; return False if none takes the request."""
         relay = PeerRelay(
             request=work.request,
             route=work.route,
             exchange=work.exchange,
             dialect=self._dialect,
-            own_name=self._own_name,
+            origin=RelayOrigin(self._own_name, work.configuration.version, runs),
             context=self._context,
-            may_have_run=may_have_run,
         )
         return await relay.run()
 
-    def _build_relay(self, work: RequestContext) -> CallRelay | StreamRelay:
+    def _build_relay(
+        self, work: RequestContext, service: str
+    ) -> CallRelay | StreamRelay:
         route = work.route
-        service = self._choose_service(route)
         workspace = work.workspace
         shared = {
             "request": work.request,
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_relay.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_relay.py
@@ -28,6 +28,7 @@
     MAX_STREAM_BYTES,
     ForwardRequest,
     Headers,
+    RelayOrigin,
     ResponseHead,
 )
 from ebonyhaven_node.forwarding.interfaces import CallerDialect
@@ -99,10 +100,9 @@
     route : Route
     exchange : Exchange
     dialect : CallerDialect
-    own_name : str
+    origin : RelayOrigin
+        If a server may have run the request, no refusal is passed on.
     context : RelayContext
-    may_have_run : bool
-        Whether a server may have run the request, so that no refusal is passed on.
     """
 
     def __init__(
@@ -112,17 +112,15 @@
         route: Route,
         exchange: Exchange,
         dialect: CallerDialect,
-        own_name: str,
+        origin: RelayOrigin,
         context: RelayContext,
-        may_have_run: bool,
     ):
-        self._may_have_run = may_have_run
+        self._origin = origin
         self._request = request
         self._route = route
         self._exchange = exchange
         self._peers = context.relay_peers
         self._dialect = dialect
-        self._own_name = own_name
         self._context = context
         self._deadline = request.arrived_at + request.limit_timeout(route.timeout_s)
         self._share = context.response_bytes.open_share()
@@ -146,7 +144,7 @@
                 step=REACH_STEP,
                 peer=self._lost_at.name,
             )
-        if self._last_refusal is None or self._may_have_run:
+        if self._last_refusal is None or self._origin.runs:
             return self._exchange.is_done
         head, body = self._last_refusal
         self._exchange.respond(head.status, head.headers, body)
@@ -192,7 +190,7 @@
             method=head.method,
             target=head.target,
             headers=self._dialect.write_relayed_headers(
-                head, remaining_s=remaining_s, relayed_by=self._own_name
+                head, remaining_s=remaining_s, origin=self._origin
             ),
             body=self._exchange.body,
             max_response_bytes=MAX_STREAM_BYTES if is_stream else MAX_RESPONSE_BYTES,
@@ -223,6 +221,8 @@
         elif head.status == REFUSED_STATUS and not head.has_origin_proof:
             self._last_refusal = (head, body)
             return False
+        elif _is_own_denial(head):
+            return False
         else:
             self._exchange.respond(head.status, head.headers, body)
         return True
@@ -243,6 +243,7 @@
         is_late = self._context.clock() >= self._deadline
         if self._route.may_retry and not is_late:
             self._lost_at = peer
+            self._origin = self._origin._replace(runs=self._origin.runs + 1)
             return False
         status = 504 if is_late else 502
         raise make_unknown_failure(
@@ -264,6 +265,14 @@
         )
 
 
+def _is_own_denial(head: ResponseHead) -> bool:
+    """Return whether an instance itself found a request wrong.
+
+    The instance that relays it did not, so that their configurations differ.
+    """
+    return 400 <= head.status < 500 and not head.has_origin_proof
+
+
 class _Opening:
     """Connection to another instance, idle or new; put into an inbox when open."""
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -63,6 +63,23 @@
     output_tokens: int
 
 
+class RelayOrigin(NamedTuple):
+    """What an instance that reaches no server tells of a request that it relays.
+
+    Parameters
+    ----------
+    instance : str
+    configuration : int
+        Version under which it accepted the request; 0 if unknown.
+    runs : int
+        Number of servers that may have run the request already.
+    """
+
+    instance: str
+    configuration: int = 0
+    runs: int = 0
+
+
 @attrs.frozen(slots=True, kw_only=True)
 class ForwardRequest:
     """Decoded request of a caller.
@@ -93,9 +110,8 @@
         but the last may be those of other requests as well.
     arrived_at : float
         Time of arrival, seconds of the clock of `Gateway`.
-    relayed_by : str or None
-        Name of the instance that relayed the request, as it reaches no server; None
-        if it comes from the caller.
+    relay_origin : RelayOrigin or None
+        None if the request comes from the caller.
 
     Attributes
     ----------
@@ -117,7 +133,7 @@
     size: GenerationSize | None
     prompt_parts: tuple[str, ...]
     arrived_at: float
-    relayed_by: str | None = None
+    relay_origin: RelayOrigin | None = None
     content_digest: str = attrs.field(init=False)
 
     @property
@@ -130,6 +146,10 @@
         """Ids of the parts of the prompt that other requests may have as well."""
         return self.prompt_parts[:-1]
 
+    def count_earlier_runs(self) -> int:
+        """Return how many servers may have run the request for another instance."""
+        return self.relay_origin.runs if self.relay_origin is not None else 0
+
     def limit_timeout(self, route_timeout_s: float) -> float:
         """Return the time for the request, from its arrival, seconds.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -76,7 +76,7 @@
     caller_deadline : float
         Deadline of the request, seconds.
     attempts : int
-        Attempts whose request was sent, or is being sent.
+        Attempts whose request was sent, or is being sent, by any instance.
     may_have_run : bool
         Whether a server may have run the request.
     last_reason, last_peer : str
@@ -131,8 +131,8 @@
         self._failed_attempts = 0
         self._lost_servers: list[Backend] = []
         self._last_end: AttemptEnd | None = None
-        self.attempts = 0
-        self.may_have_run = False
+        self.attempts = request.count_earlier_runs()
+        self.may_have_run = self.attempts > 0
         self.last_reason = "no server was tried"
         self.last_peer = "self"
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -139,6 +139,11 @@
         )
         self._error_response: tuple[ResponseHead, bytes] | None = None
 
+    @property
+    def possible_runs(self) -> int:
+        """Number of servers that may have run the request."""
+        return self._limits.attempts
+
     async def run(self) -> None:
         """Relay the stream to the caller and resume it after losses of servers.
 
@@ -147,7 +152,6 @@
         RequestFailure
             If no event was delivered and no further attempt is possible.
         """
-        self._context.budget.record_request(self._service, self._context.clock())
         try:
             await self._earlier_run.find()
             await self._try_targets()
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -19,6 +19,7 @@
     AttemptPlan,
     ForwardRequest,
     Headers,
+    RelayOrigin,
     RequestHead,
     ResponseHead,
 )
@@ -70,7 +71,7 @@
 
     @abc.abstractmethod
     def write_relayed_headers(
-        self, head: RequestHead, *, remaining_s: float, relayed_by: str
+        self, head: RequestHead, *, remaining_s: float, origin: RelayOrigin
     ) -> Headers:
         """Return the headers of a request that goes to another instance.
 
@@ -80,8 +81,8 @@
             As the caller sent it.
         remaining_s : float
             Time until the deadline of the request, seconds.
-        relayed_by : str
-            Name of this instance.
+        origin : RelayOrigin
+            What this instance tells the other one.
 
         Returns
         -------
--- a/packages/standins/src/ebonyhaven_standins/resuming/_dialect.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_dialect.py
@@ -8,6 +8,7 @@
     ForwardRequest,
     GenerationSize,
     Headers,
+    RelayOrigin,
     RequestHead,
     ResponseHead,
 )
@@ -47,7 +48,7 @@
         )
 
     def write_relayed_headers(
-        self, head: RequestHead, *, remaining_s: float, relayed_by: str
+        self, head: RequestHead, *, remaining_s: float, origin: RelayOrigin
     ) -> Headers:
         """See `CallerDialect.write_relayed_headers`."""
         return head.headers
--- a/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
@@ -35,6 +35,10 @@
         """See `StateSource.is_unresponsive`."""
         return False
 
+    def measure_configuration_age_s(self) -> float:
+        """See `StateSource.measure_configuration_age_s`."""
+        return 0.0
+
     def measure_list_age_s(self) -> float:
         """See `StateSource.measure_list_age_s`."""
         return 0.0
