Refuse no request as wrong by limits that are unknown or out of date

What callers would see: 413 or 431 for requests that the operator's limits allow, as long as an instance knows no configuration, and on connections that were opened before a version that raised the limit on headers. Cause: the limits have defaults that apply before the first configuration, and the parser takes the limit on headers when a connection opens. Class: a decision with knowledge that is missing or was taken once. Change: without a configuration, what exceeds the defaults gets 503 with Retry-After. The limit on headers is looked up for each incomplete request. Whether the users' DENIED came from it is not known: their record has no case.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_routes.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_routes.py
@@ -152,12 +152,16 @@
         Maximum time from the first byte of a request until its headers are complete.
     idle_timeout_s : float
         Maximum time for the request body, and maximum idle time of a connection.
+    are_known : bool
+        Whether a configuration is active. What exceeds the defaults before may be
+        within the limits of the operator.
     """
 
     max_header_bytes: int = 16 * 1024
     max_body_bytes: int = 4 * 1024 * 1024
     header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
+    are_known: bool = True
 
 
 class RoutingConfiguration(NamedTuple):
--- a/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
@@ -21,6 +21,9 @@
 MAX_REQUEST_BYTES = 8 * 1024 * 1024  # bodies of all requests that are in progress
 BUSY_RETRY_AFTER_S = 0.5  # by then some of them have ended
 DEFAULT_ERROR_STATUS = 400
+BUSY_STATUS = 503  # not run; another instance, or this one later, may take the request
+EXCEEDED_LIMIT_STATUSES = frozenset({413, 431})
+MAX_HEAD_BYTES = 1024 * 1024  # whatever the configuration allows
 MAX_PIPELINED_BYTES = 256 * 1024  # received before the current response is complete
 MAX_UNSENT_BYTES = 1024 * 1024  # of a stream whose caller does not read
 
@@ -37,8 +40,9 @@
 
     def __init__(self, server: CallerServer):
         self._server = server
+        # The limit in force may change while the connection is open.
         self._codec = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.limits().max_header_bytes
+            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._exchange: Exchange | None = None
         self._head: RequestHead | None = None
@@ -208,6 +212,8 @@
         try:
             while not isinstance(event, h11.EndOfMessage):
                 event = self._codec.next_event()
+                if event is h11.NEED_DATA:
+                    self._check_incomplete_size()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     self._handle_incomplete_request()
                     return
@@ -215,6 +221,11 @@
         except h11.RemoteProtocolError as error:
             self._reject(error)
 
+    def _check_incomplete_size(self) -> None:
+        received_bytes = len(self._codec.trailing_data[0])
+        if received_bytes > self._server.limits().max_header_bytes:
+            raise h11.RemoteProtocolError("headers too large", error_status_hint=431)
+
     def _handle_incomplete_request(self) -> None:
         if self._is_closing:
             self.transport.loseConnection()
@@ -252,7 +263,7 @@
             raise h11.RemoteProtocolError("body too large", error_status_hint=413)
         if not self._share.grow(len(data)):
             raise h11.RemoteProtocolError(
-                "too much of other requests is kept", error_status_hint=503
+                "too much of other requests is kept", error_status_hint=BUSY_STATUS
             )
         self._body.append(data)
 
@@ -269,12 +280,15 @@
         self._body = []
         self._share.close()
         self._is_rejected = True
+        limits = self._server.limits()
         status = error.error_status_hint or DEFAULT_ERROR_STATUS
+        if status in EXCEEDED_LIMIT_STATUSES and not limits.are_known:
+            status = BUSY_STATUS
         _log.info(
             "request_malformed",
             reason=str(error),
             status=status,
-            **self._server.limits()._asdict(),
+            **limits._asdict(),
         )
         if self._codec.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             body = f'{{"error":"{status}"}}'.encode()
@@ -282,7 +296,7 @@
                 (b"content-length", str(len(body)).encode()),
                 (b"connection", b"close"),
             ]
-            if status == 503:
+            if status == BUSY_STATUS:
                 headers.append((b"retry-after", str(BUSY_RETRY_AFTER_S).encode()))
             self.write_head(status, tuple(headers))
             self.write_data(body)
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -91,7 +91,7 @@
     def limits(self) -> RequestLimits:
         """Limits on callers in the active configuration, or the defaults."""
         if self.configuration is None:
-            return RequestLimits()
+            return RequestLimits(are_known=False)
         return self.configuration.limits
 
     def observe(self, observer: Callable[[], None]) -> None:
