Send evidence of losses again after silent connections are replaced

What callers would see: a request that crashes servers goes on to crash more, at instances that never heard of the first losses. Cause: evidence is sent at once and 0.5 s later, over the same connection. If connections have fallen silent, both are lost, as they are replaced 1 to 1.5 s after the silence. Change: it is sent a third time 2.5 s after the first, within the 3 s after which instances count as in touch.

--- a/packages/node/src/ebonyhaven_node/_evidence_exchange.py
+++ b/packages/node/src/ebonyhaven_node/_evidence_exchange.py
@@ -15,13 +15,14 @@
 
 SEND_DELAY_S = 0.01  # batches what was found at one moment
 RESEND_DELAY_S = 0.5  # for messages that were dropped
+SILENCE_RESEND_DELAY_S = 2.5  # by then connections that fell silent are replaced
 JOIN_SENDERS = 3  # instances that tell a new one what is known
 
 _log = structlog.get_logger()
 
 
 class EvidenceExchange:
-    """Sends each piece of evidence to all other instances at once, and once more.
+    """Sends each piece of evidence to all other instances at once, and twice more.
 
     An instance that joins, or is seen again, gets all that is known from a few others.
 
@@ -88,7 +89,8 @@
     def _send_unsent(self) -> None:
         keys, self._unsent = list(self._unsent), {}
         self._send_to_all(keys)
-        self._call_later(RESEND_DELAY_S, self._send_to_all, keys)
+        for delay_s in (RESEND_DELAY_S, SILENCE_RESEND_DELAY_S):
+            self._call_later(delay_s, self._send_to_all, keys)
 
     def _send_to_all(self, keys: list[str]) -> None:
         payload = self._export(keys)
--- a/tests/node/test_crash_exchange.py
+++ b/tests/node/test_crash_exchange.py
@@ -14,6 +14,9 @@
 
 NAMES = ("n1", "n2", "n3", "n4", "n5")
 CONTENT = "0123456789abcdef"
+CONTACT_S = 3.0
+STEP_S = 0.01
+SILENCE_FOUND_S = 2.0  # heartbeats are missed after 1 s, and a probe follows
 
 
 class FakeNetwork:
@@ -80,6 +83,17 @@
     assert len(network.received) == 3 * (len(NAMES) - 1)
 
 
+def test_report_that_was_lost_on_a_silent_connection_is_known_within_contact_time():
+    # Guards against a request that crashes servers and that others do not know.
+    network = build_network()
+    channels = network.channels.pop("n2")
+    network.lose_server("n1", "s1", CONTENT)
+    network.clock.pump([STEP_S] * round(SILENCE_FOUND_S / STEP_S))
+    network.channels["n2"] = channels
+    network.clock.pump([STEP_S] * round((CONTACT_S - SILENCE_FOUND_S) / STEP_S))
+    assert network.count_crashes() == [1] * len(NAMES)
+
+
 def test_report_that_was_dropped_is_sent_again():
     network = build_network()
     channels = network.channels.pop("n2")
