Resume a stream only at the service to which its route leads now

What callers would see: the rest of a stream that they ask for again is run by the service that a newer configuration has moved their route away from, however long ago. Cause: a caller that comes back with the id of its last event is sent to the holder of the copy of its earlier run; the software version of the holder was compared, its service was not. Class: a shortcut around the decision that the configuration makes. Change: a copy counts only at a server of the service chosen for the request. Result: the new test failed before (the retry ran at the old service).

--- a/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
@@ -25,6 +25,8 @@
     ----------
     request : ForwardRequest
     route : Route
+    service : str
+        To which the configuration in force sends the request.
     engine : EngineTraits or None
         None for a service without engines, whose runs have no copies.
     version : StreamVersion
@@ -43,6 +45,7 @@
         *,
         request: ForwardRequest,
         route: Route,
+        service: str,
         engine: EngineTraits | None,
         version: StreamVersion,
         context: RelayContext,
@@ -50,6 +53,7 @@
         self._engine = engine
         self._request = request
         self._route = route
+        self._service = service
         self._version = version
         self._context = context
         self._location: RunCopyLocation | None = None
@@ -114,6 +118,8 @@
         holder = self._context.state.backends.find(location.holder_id)
         if holder is None or not holder.can_resume_from_copy(now):
             return None
+        if holder.entry.service != self._service:
+            return None
         if holder.software_version != self._version.name:
             return None
         address = location.address or holder.entry.address
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -109,6 +109,7 @@
         self._earlier_run = EarlierRun(
             request=request,
             route=route,
+            service=service,
             engine=engine,
             version=self._version,
             context=context,
--- a/tests/forwarding/test_earlier_runs.py
+++ b/tests/forwarding/test_earlier_runs.py
@@ -1,10 +1,14 @@
 from __future__ import annotations
 
+from ebonyhaven_decisions.forwarding import ServiceShare
+
 from tests.forwarding.harness import (
     STREAM_END,
     chunk,
     decode_headers,
     event,
+    make_configuration,
+    make_entry,
     refusal,
     stream_head,
 )
@@ -62,3 +66,35 @@
     retry_stream(harness)
     _, head, _ = harness.take_request()
     assert "kv-from" not in decode_headers(head)
+
+
+def move_route(harness, service):
+    """Put a configuration in force that sends the streams to another service."""
+    known = make_configuration(version=2)
+    routes = {
+        host: tuple(
+            route._replace(shares=(ServiceShare(service, 1.0),))
+            if route.name == "stream"
+            else route
+            for route in group
+        )
+        for host, group in known.routes.items()
+    }
+    engines = known.services["engines"]._replace(name=service)
+    harness.state.apply_configuration(
+        known._replace(routes=routes, services={**known.services, service: engines})
+    )
+
+
+def test_retry_does_not_run_at_a_service_that_its_route_has_left():
+    # Guards against an older configuration that is seen again where a copy lies.
+    harness, caller = start_stream()
+    open_stream(harness, 1, 2)
+    other = make_entry("o-7", "other-engines")
+    harness.state.put_backend(other)
+    move_route(harness, "other-engines")
+    caller.disconnect()
+    retry_stream(harness)
+    server, head, _ = harness.take_request()
+    assert server.address == other.address
+    assert "kv-from" not in decode_headers(head)
