Ask a peer for a configuration that the store does not hold

What callers would see: 404 and 401 from an instance that started while the store, restored from a copy, held an older version, for as long as the operator had not written again. Cause: an instance whose peers name a newer version read the store again and again, and asked a peer only if the store did not answer. Class: one source is taken for the truth although others are known to be ahead of it. Change: a version that the store did not have when it was read for it is asked of the peer that names it. Result: the new test failed before.

--- a/packages/node/src/ebonyhaven_node/forwarding/_sharing.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_sharing.py
@@ -207,7 +207,8 @@
 
     While the store is unresponsive, peers are asked for their state. Otherwise the
     configuration is read again: a poll that did not return it may wait on a connection
-    that has fallen silent.
+    that has fallen silent. If the store itself holds an older one, as it was restored
+    from a copy, the peer is asked.
 
     Parameters
     ----------
@@ -235,6 +236,7 @@
         self._refresh_timer: Any = None
         self._requested_at = -STATE_REQUEST_INTERVAL_S
         self._answered_at = -STATE_ANSWER_INTERVAL_S
+        self._refreshed_for = 0  # newest version for which the store was read again
         self._unready: set[str] = set()
         membership.add_digest(StateVersionDigest(source, self._handle_versions))
         channels.subscribe(FrameKind.STATE_REQUEST, self._handle_state_request)
@@ -248,27 +250,40 @@
             or versions.server_list > own.server_list
         )
         if versions.configuration > own.configuration:
-            self._schedule_refresh(versions.configuration)
+            self._schedule_refresh(sender, versions.configuration)
+        if is_newer and self._source.is_unresponsive():
+            self._request_state(sender, own)
+
+    def _request_state(self, peer: str, own: StateVersion) -> None:
         now = self._clock()
-        if not is_newer or not self._source.is_unresponsive():
-            return
         if now - self._requested_at < STATE_REQUEST_INTERVAL_S:
             return
         self._requested_at = now
-        self._membership.send(sender, FrameKind.STATE_REQUEST, list(own))
+        self._membership.send(peer, FrameKind.STATE_REQUEST, list(own))
 
-    def _schedule_refresh(self, version: int) -> None:
-        """Read the configuration again unless it arrives in the usual time."""
+    def _schedule_refresh(self, peer: str, version: int) -> None:
+        """Get the configuration of a peer unless it arrives in the usual time."""
         if self._refresh_timer is None or not self._refresh_timer.active():
             self._refresh_timer = self._reactor.callLater(
-                CONFIGURATION_DELAY_S, self._refresh_if_older, version
+                CONFIGURATION_DELAY_S, self._refresh_if_older, peer, version
             )
 
-    def _refresh_if_older(self, version: int) -> None:
+    def _refresh_if_older(self, peer: str, version: int) -> None:
         own = self._source.read_version()
-        if own.configuration < version and not self._source.is_unresponsive():
-            _log.warning("configuration_overdue", own=own.configuration, peer=version)
-            self._source.refresh_configuration()
+        if own.configuration >= version or self._source.is_unresponsive():
+            return
+        is_read = self._refreshed_for >= version
+        _log.warning(
+            "configuration_overdue",
+            own=own.configuration,
+            peer=version,
+            asked=peer if is_read else "store",
+        )
+        if is_read:
+            self._request_state(peer, own)
+            return
+        self._refreshed_for = version
+        self._source.refresh_configuration()
 
     def stop(self) -> None:
         """Cancel a scheduled read."""
--- a/tests/forwarding/test_sharing.py
+++ b/tests/forwarding/test_sharing.py
@@ -189,6 +189,16 @@
     assert harness.source.refresh_count == 1
 
 
+def test_peer_is_asked_for_a_configuration_that_the_store_does_not_hold():
+    # Guards against an instance that starts while a restored store is behind.
+    harness, membership, _ = build_state_synchronizer()
+    for _ in range(2):
+        membership.digests[0].merge("n2", [2, 0, 1])
+        harness.reactor.advance(CONFIGURATION_DELAY_S)
+    assert harness.source.refresh_count == 1
+    assert membership.sent == [("n2", FrameKind.STATE_REQUEST, [1, 0, 1])]
+
+
 def test_state_of_a_later_era_is_newer_whatever_its_version():
     harness, membership, _ = build_state_synchronizer()
     harness.source.unresponsive = True
