Take no stale report of a peer for its present use of the retry budget

Cause: with at least eight reporting peers, that is nine instances, an instance may exceed its share of the budget while the peers report little use, for up to 3 s after their last report. When connections between instances fall silent, reports stop at the moment at which all need retries, and each takes the others to need none. Class: as with the polls, an estimate that holds while instances fail independently, and fails with one event for all. Change: reports count for 1.2 s, a little more than the interval at which they are sent, and the budget is pooled among 13 instances and more; with fewer, a share is a sizeable part. The new test failed before.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_budget.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_budget.py
@@ -20,8 +20,11 @@
 # With more in use by all instances, each keeps to its share. The rest covers retries
 # that the reports do not show yet.
 POOLED_ALLOWANCE_SHARE = 0.4
-MIN_REPORTING_PEERS = 8  # of which the use of all is extrapolated
-USE_TTL_S = 3.0  # age after which the report of a peer is dropped
+# Of which the use of all is extrapolated. With fewer instances, a share is enough.
+MIN_REPORTING_PEERS = 12
+# Age after which the report of a peer is dropped. Peers report every second, unless
+# connections to them are silent; then all may need retries at once.
+USE_TTL_S = 1.2
 
 
 class BudgetUse(NamedTuple):
--- a/tests/decisions/test_retry_budgets.py
+++ b/tests/decisions/test_retry_budgets.py
@@ -42,10 +42,13 @@
         self.requests_at = []
         self.retries_at = []
 
-    def run(self, seconds, *, lost_share, loss_interval_s):
-        next_loss = loss_interval_s
+    def run(self, seconds, *, lost_share, loss_interval_s, silent_at=None):
+        """Play some time; if connections fall silent, losses begin at that moment."""
+        next_loss = loss_interval_s if silent_at is None else silent_at
         for step in range(round(seconds / STEP_S)):
             now = step * STEP_S
+            if silent_at is not None and now >= silent_at:
+                self.is_reporting = False
             self._start(now)
             self._report(step, now)
             if now >= next_loss:
@@ -133,6 +136,14 @@
             assert fleet.find_worst_use() < 1.0, (count, lost_share)
 
 
+def test_budget_of_all_holds_when_reports_stop_at_the_moment_of_the_losses():
+    # Guards against instances that each take the others to need no retries.
+    for count, interval_s in ((9, 0.5), (9, 1.0), (13, 0.5), (28, 1.0), (70, 1.0)):
+        fleet = Fleet(count, seed=1)
+        fleet.run(24.0, lost_share=0.9, loss_interval_s=interval_s, silent_at=12.0)
+        assert fleet.find_worst_use() < 1.0, (count, interval_s)
+
+
 def test_reports_of_instances_that_fell_silent_do_not_count():
     budget = ServiceRetryBudget(ratio=RATIO, window_s=WINDOW_S, slack=SLACK)
     budget.instances = INSTANCES
--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -16,6 +16,8 @@
     failed = 0
     seeds = range(options.seed, options.seed + options.seeds)
     size = LARGE if options.large else SMALL
+    if options.instances is not None:
+        size = size._replace(instances=options.instances)
     for seed in seeds:
         report = await run_soak(
             seed, options.seconds, fault_set=options.faults, size=size
@@ -39,6 +41,7 @@
     parser.add_argument(
         "--large", action="store_true", help="six instances in three data centres"
     )
+    parser.add_argument("--instances", type=int, help="another number of instances")
     options = parser.parse_args()
     failures = []
 
