Split the exchange of engine use from the comparison of state

One module held both, with their constants and tests; six other test modules took their fakes from its tests. The fakes have a module of their own.

--- a/packages/node/src/ebonyhaven_node/forwarding/_engine_sampling.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_engine_sampling.py
@@ -13,7 +13,9 @@
 from twisted.internet.defer import DeferredList, ensureDeferred
 
 from ebonyhaven_node.forwarding._context import RelayContext
-from ebonyhaven_node.forwarding._sharing import MAX_REPORT_RECEIVERS
+from ebonyhaven_node.forwarding._engine_use_exchange import (
+    MAX_REPORT_RECEIVERS,
+)
 from ebonyhaven_node.forwarding.interfaces import InspectedServer
 
 # Engines answer within milliseconds, also when all their slots are in use; one that
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -23,16 +23,16 @@
 from ebonyhaven_node._own_record import make_own_record
 from ebonyhaven_node._processor_load import ProcessorLoad
 from ebonyhaven_node.forwarding._contact_exchange import ContactExchange
-from ebonyhaven_node.forwarding._permit_exchange import PermitExchange
-from ebonyhaven_node.forwarding._settings import GatewaySettings
-from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
-from ebonyhaven_node.forwarding._sharing import (
+from ebonyhaven_node.forwarding._engine_use_exchange import (
     USE_REFRESH_INTERVAL_S,
     EngineUseExchange,
-    StateSynchronizer,
 )
+from ebonyhaven_node.forwarding._permit_exchange import PermitExchange
+from ebonyhaven_node.forwarding._settings import GatewaySettings
+from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding._state_feed import ServerChangeFeed
+from ebonyhaven_node.forwarding._state_synchronization import StateSynchronizer
 from ebonyhaven_node.forwarding.interfaces import StateSource
 
 PEER_USE_TTL_S = 3 * USE_REFRESH_INTERVAL_S
--- a/packages/node/src/ebonyhaven_node/forwarding/_sharing.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state_synchronization.py
@@ -1,34 +1,21 @@
-"""Exchange of engine use and state between the instances that forward requests."""
+"""Comparison of configuration and server list between instances."""
 
 from __future__ import annotations
 
-import random
 import time
 from collections.abc import Callable
 from typing import Any
 
 import structlog
-from ebonyhaven_decisions import MemberRecord, MemberState, check_integer, check_number
-from ebonyhaven_decisions.forwarding import (
-    Backend,
-    BudgetUse,
-    EngineUse,
-    PeerEngineUse,
-    ServiceRetryBudget,
-)
+from ebonyhaven_decisions import check_integer
 from twisted.internet.interfaces import IReactorTime
 
 from ebonyhaven_node._channels import Channels
 from ebonyhaven_node._digests import Digest
 from ebonyhaven_node._frames import Frame, FrameKind
 from ebonyhaven_node._membership import MembershipController
-from ebonyhaven_node.forwarding._context import SERVER_SILENCE_LIMIT_S
-from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding.interfaces import StateSource, StateVersion
 
-SEND_DELAY_S = 0.01  # batches changes that occur together
-USE_REFRESH_INTERVAL_S = 1.0  # a report expires after three intervals
-MAX_REPORT_RECEIVERS = 16  # bounds the traffic in a large deployment
 CONFIGURATION_DELAY_S = 0.25  # all polls return within milliseconds of a change
 STATE_REQUEST_INTERVAL_S = 0.4  # between any two requests, whichever the peers
 # Between any two answers: a whole state may be tens of kilobytes, and several peers ask
@@ -38,138 +25,6 @@
 _log = structlog.get_logger()
 
 
-class EngineUseExchange:
-    """Reports the tokens that this instance occupies on engines to its peers.
-
-    A report is sent after each change and, while any tokens are occupied, at least
-    every `USE_REFRESH_INTERVAL_S`. It also lists servers found lost since the last one,
-    and tells how much of the retry budgets this instance uses.
-
-    Parameters
-    ----------
-    state : ForwardingState
-    peers : PeerEngineUse
-        Records the reports of peers.
-    budget : ServiceRetryBudget
-        Updated with the membership and with the reports of peers.
-    membership : MembershipController
-    channels : Channels
-    reactor : IReactorTime
-    rng : random.Random
-    on_peer_use : callable
-        Called after each valid report of a peer, also if no use changed.
-    on_loss : callable
-        Called with each server that a peer reports as lost.
-    """
-
-    def __init__(
-        self,
-        *,
-        state: ForwardingState,
-        peers: PeerEngineUse,
-        budget: ServiceRetryBudget,
-        membership: MembershipController,
-        channels: Channels,
-        reactor: IReactorTime,
-        rng: random.Random,
-        on_peer_use: Callable[[], None],
-        on_loss: Callable[[Backend], None],
-    ):
-        self._on_loss = on_loss
-        self._lost: set[str] = set()
-        self._state = state
-        self._peers = peers
-        self._budget = budget
-        self._membership = membership
-        self._reactor = reactor
-        self._rng = rng
-        self._on_peer_use = on_peer_use
-        self._timer: Any = None
-        self._has_sent_use = False
-        membership.observe(self._count_instances)
-        channels.subscribe(FrameKind.ENGINE_USE, self._receive)
-
-    def schedule_report(self) -> None:
-        """Schedule a report within `SEND_DELAY_S`."""
-        if self._timer is None or not self._timer.active():
-            self._timer = self._reactor.callLater(SEND_DELAY_S, self._send)
-        elif self._timer.getTime() - self._reactor.seconds() > SEND_DELAY_S:
-            self._timer.reset(SEND_DELAY_S)
-
-    def report_lost_server(self, backend: Backend) -> None:
-        """Schedule a report that a server is lost.
-
-        Parameters
-        ----------
-        backend : Backend
-        """
-        self._lost.add(backend.server_id)
-        self.schedule_report()
-
-    def stop(self) -> None:
-        """Cancel scheduled reports."""
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-
-    def _count_instances(self, _: MemberRecord) -> None:
-        """Update the number of instances that share the retry budget."""
-        self._budget.instances = sum(
-            record.state is not MemberState.DEAD for record in self._membership.members
-        )
-
-    def _send(self) -> None:
-        peers = [
-            record.name
-            for record in self._membership.members
-            if record.state in (MemberState.LIVE, MemberState.LEAVING)
-            and record.name != self._membership.own.name
-        ]
-        uses = {
-            each.server_id: [each.run_tokens, each.copy_tokens, each.prefill_tokens]
-            for each in self._state.backends
-            if each.run_tokens or each.copy_tokens
-        }
-        lost, self._lost = sorted(self._lost), set()
-        if uses or lost or self._has_sent_use:
-            chosen = self._rng.sample(peers, min(MAX_REPORT_RECEIVERS, len(peers)))
-            payload = [uses, lost, self._budget.read_uses(time.monotonic())]
-            for name in chosen:
-                self._membership.send(name, FrameKind.ENGINE_USE, payload)
-        self._has_sent_use = bool(uses)
-        if uses:
-            self._timer = self._reactor.callLater(USE_REFRESH_INTERVAL_S, self._send)
-
-    def _receive(self, frame: Frame) -> None:
-        try:
-            use_by_server, lost, *budget_uses = frame.payload
-            uses = {
-                str(name): EngineUse(*map(_check_count, values))
-                for name, values in use_by_server.items()
-            }
-            budget_use_by_service = {
-                str(name): BudgetUse(*map(_check_count, values))
-                for each in budget_uses[:1]
-                for name, values in each.items()
-            }
-        except (AttributeError, TypeError, ValueError) as error:
-            _log.warning("engine_use_malformed", peer=frame.sender, reason=str(error))
-            return
-        now = time.monotonic()
-        self._peers.record(frame.sender, uses, now)
-        self._budget.record_peer(frame.sender, budget_use_by_service, now)
-        for server_id in lost:
-            self._handle_lost_server(server_id)
-        self._on_peer_use()
-
-    def _handle_lost_server(self, server_id: str) -> None:
-        """Call `on_loss` unless the server recently sent data to this instance."""
-        backend = self._state.backends.find(server_id)
-        if backend is None:
-            return
-        if time.monotonic() - backend.last_received_at > SERVER_SILENCE_LIMIT_S:
-            self._on_loss(backend)
-
-
 class StateVersionDigest(Digest):
     """Adds the versions of this instance's state to each heartbeat.
 
@@ -324,7 +179,3 @@
             return
         versions = self._source.read_version()
         _log.info("peer_state_taken", peer=frame.sender, versions=list(versions))
-
-
-def _check_count(value: object) -> int:
-    return max(0, int(check_number(value)))
--- a/tests/forwarding/losses.py
+++ b/tests/forwarding/losses.py
@@ -11,7 +11,7 @@
     event,
     stream_head,
 )
-from tests.forwarding.test_sharing import FakeChannels, FakeMembership, make_record
+from tests.forwarding.peers import FakeChannels, FakeMembership, make_record
 
 STREAM_COUNT = 12
 
--- a/tests/forwarding/test_contact_exchange.py
+++ b/tests/forwarding/test_contact_exchange.py
@@ -11,7 +11,7 @@
 )
 from twisted.internet.task import Clock
 
-from tests.forwarding.test_sharing import FakeChannels, FakeMembership
+from tests.forwarding.peers import FakeChannels, FakeMembership
 
 
 class Instance:
--- a/tests/forwarding/test_cut_off.py
+++ b/tests/forwarding/test_cut_off.py
@@ -13,7 +13,7 @@
     event,
     stream_head,
 )
-from tests.forwarding.test_sharing import make_record
+from tests.forwarding.peers import make_record
 
 PEER = make_record("n2")._replace(caller_address="10.1.0.2:80")
 OTHER = make_record("n3")._replace(caller_address="10.1.0.3:80")
--- a/tests/node/test_crash_exchange.py
+++ b/tests/node/test_crash_exchange.py
@@ -10,7 +10,7 @@
 from twisted.internet.task import Clock
 
 from tests.forwarding.losses import FakeNetworkMembership
-from tests.forwarding.test_sharing import FakeChannels
+from tests.forwarding.peers import FakeChannels
 
 NAMES = ("n1", "n2", "n3", "n4", "n5")
 CONTENT = "0123456789abcdef"
--- a/tests/node/test_crash_reports.py
+++ b/tests/node/test_crash_reports.py
@@ -11,7 +11,7 @@
 from ebonyhaven_node._servers import BackendServer
 from twisted.internet.task import Clock
 
-from tests.forwarding.test_sharing import FakeChannels, FakeMembership
+from tests.forwarding.peers import FakeChannels, FakeMembership
 
 CONTENT = "0123456789abcdef"
 DAY_S = 86_400.0
--- a/tests/node/test_limit_exchange.py
+++ b/tests/node/test_limit_exchange.py
@@ -9,7 +9,7 @@
 from twisted.internet.task import Clock
 
 from tests.forwarding.harness import ForwardingHarness
-from tests.forwarding.test_sharing import FakeChannels, FakeMembership
+from tests.forwarding.peers import FakeChannels, FakeMembership
 
 PROCESS = "p-0/1"
 
--- a/tests/platform_adapter/list_exploration/_instances.py
+++ b/tests/platform_adapter/list_exploration/_instances.py
@@ -11,8 +11,10 @@
 from ebonyhaven_node import Frame, FrameKind
 from ebonyhaven_node._frames import encode_json
 from ebonyhaven_node.forwarding import ForwardingState
-from ebonyhaven_node.forwarding._sharing import StateSynchronizer
 from ebonyhaven_node.forwarding._state_feed import ServerChangeFeed
+from ebonyhaven_node.forwarding._state_synchronization import (
+    StateSynchronizer,
+)
 from twisted.internet.task import Clock
 
 from tests.platform_adapter.list_exploration._reactors import InstanceReactor
