--- a/tests/forwarding/test_relayed_requests.py
+++ b/tests/forwarding/test_relayed_requests.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from tests.forwarding.harness import ForwardingHarness, answer, make_configuration
+from tests.forwarding.harness import (
+    ForwardingHarness,
+    answer,
+    decode_headers,
+    make_configuration,
+)
 from tests.forwarding.test_cut_off import OTHER, PEER, CutOffHarness
 
 
@@ -60,3 +65,18 @@
     caller = relay_from_other(harness, "/repeat/x", runs=2)
     assert harness.count_waiting() == 0
     assert caller.read_answer()[0] == 502
+
+
+def test_run_at_an_instance_that_was_lost_is_told_to_the_next_one():
+    # Guards against more runs than attempts of the route, over two relays.
+    harness = CutOffHarness(peers=(PEER, OTHER))
+    harness.lose_contact()
+    caller = harness.open_caller()
+    caller.request("/repeat/x", request_id="r2")
+    harness.advance(0.01)
+    peer, head, _ = harness.take_request()
+    assert decode_headers(head)["ebonyhaven-relayed-by"].endswith("runs=0")
+    peer.reset()
+    harness.advance(0.01)
+    _, head, _ = harness.take_request()
+    assert decode_headers(head)["ebonyhaven-relayed-by"].endswith("runs=1")
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -7,6 +7,9 @@
 # 18: an extra answer without an id was taken for a refusal of the next one (REFUSED).
 # 132: a brittle server that was back was not known to be brittle (LIMIT).
 SEEDS = (1, 18, 132)
+CONFIGURATION_DURATION_S = 10.0
+# 32, 41: connections to the store fell silent, and polls were in phase (CONFIG).
+CONFIGURATION_SEEDS = (32, 41)
 
 
 def test_promises_hold_under_faults_of_real_processes():
@@ -14,3 +17,14 @@
         report = run_in_reactor(run_soak, seed, DURATION_S)
         assert not report.problems, (seed, report.problems, report.directory)
         assert report.statuses["200"] > 100, report.statuses
+
+
+def test_configurations_are_in_force_under_faults_of_real_processes():
+    for seed in CONFIGURATION_SEEDS:
+        report = run_in_reactor(run_configuration_soak, seed)
+        assert not report.problems, (seed, report.problems, report.directory)
+        assert report.statuses["200"] > 100, report.statuses
+
+
+async def run_configuration_soak(seed):
+    return await run_soak(seed, CONFIGURATION_DURATION_S, fault_set="configurations")
