--- a/tests/forwarding/test_relayed_requests.py
+++ b/tests/forwarding/test_relayed_requests.py
@@ -11,6 +11,17 @@
 from tests.forwarding.test_cut_off import OTHER, PEER, CutOffHarness
 
 
+def start_relay(path):
+    """Have an instance that reaches no server relay a request to the first of two."""
+    harness = CutOffHarness(peers=(PEER, OTHER))
+    harness.lose_contact()
+    caller = harness.open_caller()
+    caller.request(path, request_id="r2")
+    harness.advance(0.01)
+    peer, head, _ = harness.take_request()
+    return harness, caller, peer, head
+
+
 def relay_from_other(harness, path, *, configuration=1, runs=0):
     """Send a request as an instance that reaches no server relays it."""
     caller = harness.open_caller()
@@ -22,12 +33,7 @@
 
 def test_denial_of_an_instance_with_another_configuration_reaches_no_caller():
     for status in (401, 404):
-        harness = CutOffHarness(peers=(PEER, OTHER))
-        harness.lose_contact()
-        caller = harness.open_caller()
-        caller.request("/once/x", request_id="r2")
-        harness.advance(0.01)
-        peer, _, _ = harness.take_request()
+        harness, caller, peer, _ = start_relay("/once/x")
         peer.receive(answer("r2", b"", status, X_Server_Stamp=None))
         harness.advance(0.01)
         other, _, _ = harness.take_request()
@@ -69,12 +75,7 @@
 
 def test_run_at_an_instance_that_was_lost_is_told_to_the_next_one():
     # Guards against more runs than attempts of the route, over two relays.
-    harness = CutOffHarness(peers=(PEER, OTHER))
-    harness.lose_contact()
-    caller = harness.open_caller()
-    caller.request("/repeat/x", request_id="r2")
-    harness.advance(0.01)
-    peer, head, _ = harness.take_request()
+    harness, _, peer, head = start_relay("/repeat/x")
     assert decode_headers(head)["ebonyhaven-relayed-by"].endswith("runs=0")
     peer.reset()
     harness.advance(0.01)
