Fault proxy: a link listens again only once its port is closed

The link waits for that now; its test fails without the wait. A server that is to end twice at one moment ends once.

--- a/packages/standins/src/ebonyhaven_standins/fault_proxy/_links.py
+++ b/packages/standins/src/ebonyhaven_standins/fault_proxy/_links.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from twisted.internet import defer, reactor
+from twisted.internet import defer, reactor, task
 
 from ebonyhaven_standins.fault_proxy._faults import FaultKind, LinkFaults
 from ebonyhaven_standins.fault_proxy._forwarding import LinkFactory
@@ -38,6 +38,7 @@
         host, _, port = target.rpartition(":")
         self._factory = LinkFactory(host, int(port), self._faults)
         self._port = None
+        self._closing_ports = 0
         self._full_listener: FullListener | None = None
         self.start_listening()
 
@@ -46,6 +47,11 @@
         """``IP:PORT`` that the link listens on."""
         return self._listen
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether the link accepts new connections."""
+        return self._port is not None
+
     @property
     def open_count(self) -> int:
         """Number of open connections."""
@@ -69,7 +75,10 @@
             Fires when the port is closed.
         """
         port, self._port = self._port, None
-        return defer.succeed(None) if port is None else port.stopListening()
+        if port is None:
+            return defer.succeed(None)
+        self._closing_ports += 1
+        return defer.maybeDeferred(port.stopListening).addBoth(self._record_closed)
 
     async def set_fault(self, kind: FaultKind, delay_ms: float) -> None:
         """Set a fault, or clear all faults with ``FaultKind.NONE``.
@@ -83,6 +92,8 @@
         faults = self._faults
         match kind:
             case FaultKind.NONE:
+                while self._closing_ports:  # the address is in use until then
+                    await task.deferLater(reactor, 0.0)
                 self._clear_faults()
             case FaultKind.DELAY:
                 faults.delay_s = delay_ms / 1000.0
@@ -102,6 +113,10 @@
                 await self.stop_listening()
                 self._full_listener = FullListener(self._listen)
 
+    def _record_closed(self, result: object) -> object:
+        self._closing_ports -= 1
+        return result
+
     def _clear_faults(self) -> None:
         self._faults.delay_s = 0.0
         self._faults.loses_to_target = self._faults.loses_to_client = False
--- a/tests/platform_adapter/soak/_places.py
+++ b/tests/platform_adapter/soak/_places.py
@@ -95,6 +95,7 @@
         self._data_centre = data_centre
         self._deployment = deployment
         self._state = "ready"
+        self._is_ending = False
 
     async def start(self) -> None:
         self.process.listen(self.site.target)
@@ -141,8 +142,9 @@
 
     async def end(self) -> None:
         """End the process; its address refuses connections."""
-        if self.process.is_dead:
+        if self.process.is_dead or self._is_ending:
             return
+        self._is_ending = True  # a second crash may come while the first is handled
         link = self.site.link
         await link.stop_listening()
         for instance in self._deployment.instances:
--- a/tests/standins/test_fault_proxy.py
+++ b/tests/standins/test_fault_proxy.py
@@ -10,8 +10,8 @@
 import sys
 import tempfile
 
-from ebonyhaven_standins.cluster import derive_loopback_prefix
-from ebonyhaven_standins.fault_proxy import LinkFaults
+from ebonyhaven_standins.cluster import allocate_address, derive_loopback_prefix
+from ebonyhaven_standins.fault_proxy import FaultKind, Link, LinkFaults
 from ebonyhaven_standins.fault_proxy._forwarding import ForwardingDirection
 from twisted.internet import reactor, task
 
@@ -206,3 +206,20 @@
         events = [json.loads(line)["event"] for line in log.read_text().splitlines()]
         assert events[-1] == "crash"
         assert events.count("start") == 2
+
+
+async def clear_faults_while_closing() -> bool:
+    target = allocate_address()
+    link = Link(
+        name="a-b", listen=allocate_address(), target=target, sides=frozenset("ab")
+    )
+    closing = link.stop_listening()
+    await link.set_fault(FaultKind.NONE, 0.0)
+    await closing
+    is_listening = link.is_listening
+    await link.stop_listening()
+    return is_listening
+
+
+def test_link_listens_again_while_its_port_is_being_closed():
+    assert run_in_reactor(clear_faults_while_closing)
