Count crashes of servers that a cut off instance had taken for lost

Cause: an instance that is cut off from servers finds their addresses refused, takes them for ended, all at one moment, and tells the others. Servers that crash later under a request are the same processes, so that their losses keep the earlier moment, and count as one failure beside the servers that did not run the request. Traced by the age of the evidence in the logs: 6.8 s at a crash of that moment, the time since the cut. Class: evidence of one who cannot tell a failure from its own isolation. Change: a process that ran requests after it was taken for lost was not lost then; the earlier loss is dropped, as is what it explained. Result: the new test failed before (one crash counted of three).

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
@@ -23,7 +23,12 @@
 import math
 from collections.abc import Iterable, Sequence
 
-from ebonyhaven_decisions.forwarding._losses import Loss, LossReport, Traits
+from ebonyhaven_decisions.forwarding._losses import (
+    COMMON_CAUSE_WINDOW_S,
+    Loss,
+    LossReport,
+    Traits,
+)
 
 MAX_CRASHES_PER_TRAIT = 3
 EVIDENCE_TTL_S = 600.0
@@ -82,6 +87,7 @@
             The requests that were not known to have been lost with the server.
         """
         self._evict(now)
+        self._drop_premature(report, now)
         loss = self._find(report.process) or self._create(report, now)
         added = [each for each in report.requests if each not in loss.requests]
         added = added[: MAX_REQUESTS_PER_LOSS - len(loss.requests)]
@@ -324,6 +330,20 @@
     def _find(self, process: str) -> Loss | None:
         return self._losses.get(process) or self._idle_losses.get(process)
 
+    def _drop_premature(self, report: LossReport, now: float) -> None:
+        """Drop an earlier loss of a process that went on to run requests after it.
+
+        An instance that is cut off from servers takes them for lost, all at one moment.
+        """
+        loss = self._idle_losses.get(report.process)
+        if loss is None or not report.requests:
+            return
+        if now - report.age_s <= loss.lost_at + COMMON_CAUSE_WINDOW_S:
+            return
+        del self._idle_losses[report.process]
+        for other in loss.companions:
+            other.companions.remove(loss)
+
     def _create(self, report: LossReport, now: float) -> Loss:
         loss = Loss(report.process, report.data_centre, now - report.age_s)
         known = itertools.chain(self._losses.values(), self._idle_losses.values())
--- a/tests/decisions/test_crash_history.py
+++ b/tests/decisions/test_crash_history.py
@@ -259,3 +259,21 @@
     assert history.count_crashes("c", 102.0) == 0
     history.add(make_report("s200", "c"), 102.0)
     assert history.count_crashes("c", 102.0) == 1
+
+
+def test_crashes_of_servers_that_a_cut_off_instance_took_for_lost_count():
+    # Guards against crashes that count as one failure seconds before them.
+    servers = ("s1", "s2", "s3")
+    taken_for_lost = (*servers, "s4")
+    history = make_history(*(make_report(each) for each in taken_for_lost), now=90.0)
+    for number, server in enumerate(servers):
+        history.add(make_report(server, "c"), 97.0 + number)
+    assert history.count_crashes("c", SETTLED_AT) == len(servers)
+    assert is_blocked(history, "c")
+
+
+def test_requests_that_are_reported_late_belong_to_the_loss_of_their_server():
+    history = make_history(make_report("s1"), make_report("s2"), now=90.0)
+    for server in ("s1", "s2"):
+        history.add(make_report(server, "c", age_s=COMMON_CAUSE_WINDOW_S), 90.5)
+    assert history.count_crashes("c", SETTLED_AT) == 2
