--- a/tests/platform_adapter/soak/_instance_faults.py
+++ b/tests/platform_adapter/soak/_instance_faults.py
@@ -69,6 +69,7 @@
         self, instance: SoakInstance, second_after_s: float | None
     ) -> None:
         with self._log.disturbing(instance.name, DisturbanceKind.STOP):
+            process = instance.process
             instance.signal(signal.SIGTERM)
             now = reactor.seconds()
             stop = Termination(instance.name, now, instance.grace_s, second_after_s)
@@ -76,7 +77,8 @@
             if second_after_s is not None:
                 reactor.callLater(second_after_s, instance.signal, signal.SIGTERM)
             await deferLater(reactor, instance.grace_s)
-            instance.signal(signal.SIGKILL)
+            if instance.process is process:  # another one was not asked to stop
+                instance.signal(signal.SIGKILL)
             await deferLater(reactor, KILL_S)
             instance.start()
 
