Keep the rests that backend servers name

A refusal left a server alone for 0.015 to 0.75 s by a rule of our own, and streams told other streams nothing.

Each process of a server now has a rest beside its limits, in the one object that decides when an instance may send to it, and that every path asks: short requests, hedges, streams, resumes, copies, load reports, health checks, the product's own interface. Attempts ask once more right before their bytes leave, also whether the server left, answers nothing or the request is found to crash servers meanwhile. After a rest, requests go one in 0.1 s until one is served. Where all servers rest, requests wait only within their target and are refused with the time of the shortest rest otherwise; streams that have begun wait. A rest belongs to the process, also if its entry is removed and comes back.

A FakeServer of test_services gets the new method.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -82,11 +82,13 @@
     group_routes,
 )
 from ebonyhaven_decisions.forwarding._selection import choose_backend
+from ebonyhaven_decisions.forwarding._send_obstacles import SendObstacle
 from ebonyhaven_decisions.forwarding._server_contact import (
     ServerContact,
     choose_checked_servers,
 )
 from ebonyhaven_decisions.forwarding._server_limits import NO_LIMITS, ServerLimits
+from ebonyhaven_decisions.forwarding._server_rests import MAX_REST_S, ServerRest
 from ebonyhaven_decisions.forwarding._server_silence import (
     ServerSilence,
     compute_patience_s,
@@ -126,6 +128,7 @@
     "SERVER_PROBE_INTERVAL_S",
     "SETTLE_S",
     "MAX_FEED_TIMEOUT_S",
+    "MAX_REST_S",
     "STANDBY_READERS",
     "TRIAL_DELAY_S",
     "Backend",
@@ -162,10 +165,12 @@
     "StreamIndex",
     "RunCopyLocation",
     "SampledEngine",
+    "SendObstacle",
     "ServerContact",
     "ServerLimiter",
     "ServerLimits",
     "ServerListVersion",
+    "ServerRest",
     "ServerSilence",
     "Service",
     "ServiceRetryBudget",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backend_limits.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backend_limits.py
@@ -116,7 +116,7 @@
         version: str | None = None,
         ahead: int = 0,
     ) -> float | None:
-        """Return when a request may be sent to a server, if limits forbid it now.
+        """Return when a request may be sent, if rests and limits forbid it now.
 
         Parameters
         ----------
@@ -132,19 +132,45 @@
         -------
         float or None
             Seconds; infinite if this instance leaves the servers to others. None if
-            some ready server is not kept from requests by its limit, or there is none.
+            some ready server may be sent requests, or there is none.
         """
-        limiters = []
-        for each in self._listed.values():
-            if each.entry.service != service or each.is_leaving:
-                continue
-            if version not in (None, each.software_version):
-                continue
-            if not each.limiter.has_limits:
-                return None
-            limiters.append(each.limiter)
+        limiters = [each.limiter for each in self._list_ready(service, version)]
         first = min((each.find_allowed(now) for each in limiters), default=now)
         if first <= now:
             return None
         rate = sum(each.pacer.compute_rate(now) for each in limiters)
         return first + ahead / rate if rate else math.inf
+
+    def find_rest_end(
+        self, service: str, now: float, *, version: str | None = None
+    ) -> float | None:
+        """Return when the first rest ends, if only rests keep requests from a service.
+
+        Parameters
+        ----------
+        service : str
+        now : float
+            Seconds.
+        version : str or None
+            Software version of the servers; None for any.
+
+        Returns
+        -------
+        float or None
+            Seconds; None if some ready server is not resting, or there is none.
+        """
+        ends = []
+        for each in self._list_ready(service, version):
+            if not each.limiter.rest.is_resting(now):
+                return None
+            ends.append(each.limiter.rest.until)
+        return min(ends, default=None)
+
+    def _list_ready(self, service: str, version: str | None) -> list[Backend]:
+        return [
+            each
+            for each in self._listed.values()
+            if each.entry.service == service
+            and not each.is_leaving
+            and version in (None, each.software_version)
+        ]
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -12,6 +12,8 @@
     Backend,
     BackendEntry,
 )
+from ebonyhaven_decisions.forwarding._send_obstacles import SendObstacle
+from ebonyhaven_decisions.forwarding._server_rests import ServerRest
 from ebonyhaven_decisions.forwarding._service_versions import ServiceVersions
 from ebonyhaven_decisions.forwarding._suspect_data_centres import SuspectDataCentres
 
@@ -35,6 +37,7 @@
         "_by_id",
         "_current_at",
         "_removed",
+        "_rests",
         "_told_leave_at",
         "data_centres",
         "limits",
@@ -46,6 +49,7 @@
         self._removed: dict[str, Backend] = {}
         self._current_at = -math.inf
         self._told_leave_at: dict[tuple[str, int], float] = {}  # by process
+        self._rests: dict[tuple[str, int], ServerRest] = {}  # that last, by process
         self.data_centres = SuspectDataCentres()
         self.limits = BackendLimits(self._by_id)
         self.versions = ServiceVersions(self._by_id)
@@ -93,6 +97,7 @@
                 self.versions.record_removed(known.entry, now)
             known = Backend(entry)
             known.has_told_leave = known.key in self._told_leave_at
+            known.limiter.rest = self._rests.get(known.key, known.limiter.rest)
             self.limits.apply_known(known, now)
         known.entry = entry
         known.removed_at = None
@@ -153,6 +158,32 @@
         self._told_leave_at[backend.key] = now
         return True
 
+    def record_rest(self, backend: Backend, rest_s: float, now: float) -> bool:
+        """Record that a process named a time for which it wants no requests.
+
+        This holds for the process, also if its entry is removed and comes back.
+
+        Parameters
+        ----------
+        backend : Backend
+        rest_s : float
+            Seconds.
+        now : float
+            Time of the answer, seconds.
+
+        Returns
+        -------
+        bool
+            Whether the process was not resting before.
+        """
+        rest = backend.limiter.rest
+        is_new = rest.record_named(rest_s, now)
+        self._rests = {
+            key: each for key, each in self._rests.items() if each.is_resting(now)
+        }
+        self._rests[backend.key] = rest
+        return is_new
+
     def _is_listed(self, key: tuple[str, int]) -> bool:
         backend = self._by_id.get(key[0])
         return backend is not None and backend.key == key
@@ -270,17 +301,31 @@
             if is_candidate(each) and each.is_usable_after_removal(now)
         ]
 
-    def may_send(self, backend: Backend, now: float) -> bool:
-        """Return whether a server that was chosen before may be sent a request now.
+    def find_obstacle(self, backend: Backend, now: float) -> SendObstacle | None:
+        """Return what keeps a server that was chosen before from a request now.
 
-        Unlike `list_usable`, this leaves out how loaded or suspect the server is.
+        Unlike `list_usable`, this leaves out how loaded or suspect the server is, and
+        the limits, of which a request takes its part when its server is chosen.
 
         Parameters
         ----------
         backend : Backend
         now : float
             Seconds.
+
+        Returns
+        -------
+        SendObstacle or None
         """
+        if not self._is_there(backend, now):
+            return SendObstacle.LEFT
+        if backend.limiter.rest.is_resting(now):
+            return SendObstacle.RESTING
+        if backend.silence.is_unresponsive(now):
+            return SendObstacle.SILENT
+        return None
+
+    def _is_there(self, backend: Backend, now: float) -> bool:
         if self._by_id.get(backend.server_id) is backend:
             return not backend.is_leaving
         if self._removed.get(backend.server_id) is not backend:
@@ -289,7 +334,7 @@
         return is_only_hope and backend.is_kept_after_removal(now)
 
     def find_rest_end(self, service: str, now: float) -> float:
-        """Return when the next full server of a service may be tried again.
+        """Return when the next full or resting server may be tried again.
 
         Parameters
         ----------
@@ -303,11 +348,11 @@
             Seconds; infinite if no server is resting.
         """
         ends = [
-            each.resting_until
+            max(each.resting_until, each.limiter.rest.next_at)
             for each in self._by_id.values()
-            if each.entry.service == service and each.resting_until > now
+            if each.entry.service == service
         ]
-        return min(ends, default=math.inf)
+        return min((each for each in ends if each > now), default=math.inf)
 
     def list_ready(
         self, service: str, now: float, excluded: Iterable[tuple[str, int]] = ()
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_limit_shares.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_limit_shares.py
@@ -9,12 +9,16 @@
 from ebonyhaven_decisions.forwarding._refusal_limits import RefusalLimiter
 from ebonyhaven_decisions.forwarding._request_pacing import RequestPacer
 from ebonyhaven_decisions.forwarding._server_limits import NO_LIMITS, ServerLimits
+from ebonyhaven_decisions.forwarding._server_rests import ServerRest
 
 MAX_UNLISTED_LIMITS = 100  # told by other instances before the list shows the servers
 
 
 class ServerLimiter:
-    """Part of this instance in the limits of one process of a server.
+    """Decides when this instance may send requests to one process of a server.
+
+    The rests that the server names are this instance's own. The limits that it names
+    are those of all instances, of which this one has a part.
 
     Parameters
     ----------
@@ -25,16 +29,18 @@
     ----------
     pacer : RequestPacer
     refusals : RefusalLimiter
+    rest : ServerRest
     has_limits : bool
         Whether the server names any limit; most never do.
     """
 
-    __slots__ = ("has_limits", "pacer", "refusals")
+    __slots__ = ("has_limits", "pacer", "refusals", "rest")
 
     def __init__(self, refusals: RefusalLimiter | None = None) -> None:
         self.has_limits = False
         self.pacer = RequestPacer()
         self.refusals = refusals if refusals is not None else RefusalLimiter()
+        self.rest = ServerRest()
 
     @property
     def limits(self) -> ServerLimits:
@@ -42,19 +48,21 @@
         return ServerLimits(self.pacer.limit, self.refusals.limit)
 
     def is_allowed(self, now: float) -> bool:
-        """Return whether the limits allow a request now.
+        """Return whether rests and limits allow a request now.
 
         Parameters
         ----------
         now : float
             Seconds.
         """
+        if not self.rest.may_send(now):
+            return False
         if not self.has_limits:
             return True
         return self.pacer.may_send(now) and self.refusals.may_send(now)
 
     def find_allowed(self, now: float) -> float:
-        """Return when the limits allow a request.
+        """Return when rests and limits allow a request.
 
         Parameters
         ----------
@@ -64,14 +72,16 @@
         Returns
         -------
         float
-            Seconds; infinite if requests are left to other instances.
+            Seconds; infinite if requests are left to other instances. The present
+            time if it depends on answers to requests that were sent.
         """
+        rested_at = max(now, self.rest.until)
         if not self.has_limits:
-            return now
-        return max(self.pacer.find_next(now), self.refusals.find_next(now))
+            return rested_at
+        return max(rested_at, self.pacer.find_next(now), self.refusals.find_next(now))
 
     def acquire(self, now: float) -> bool:
-        """Count a request or call that is about to be sent, unless a limit forbids it.
+        """Count a request or call that is about to be sent, unless it is forbidden.
 
         Everything that an instance sends to a server passes here. `record_answered`
         must follow once.
@@ -88,6 +98,7 @@
         """
         if not self.is_allowed(now):
             return False
+        self.rest.record_sent(now)
         self.pacer.record_sent(now)
         self.refusals.record_sent(now)
         return True
--- a/packages/node/src/ebonyhaven_node/_engines.py
+++ b/packages/node/src/ebonyhaven_node/_engines.py
@@ -21,7 +21,7 @@
 from twisted.web.http import PotentialDataLoss
 
 from ebonyhaven_node._events import EventParser, Token
-from ebonyhaven_node._limit_headers import read_limits
+from ebonyhaven_node._limit_headers import read_limits, read_rest_s
 from ebonyhaven_node._servers import BackendServer, ReportedLoad
 from ebonyhaven_node.exceptions import EngineLost, EngineRefusal
 
@@ -316,6 +316,8 @@
             server.limiter.record_answered()
         server.record_answer()
         server.record_limits(read_limits(response.headers))
+        rest_s = read_rest_s(response.code, response.headers)
+        server.record_rest(rest_s, time.monotonic())
         self._record_load(server, response.headers)
         return response
 
--- a/packages/node/src/ebonyhaven_node/_limit_headers.py
+++ b/packages/node/src/ebonyhaven_node/_limit_headers.py
@@ -1,4 +1,4 @@
-"""Headers in which backend servers name limits, on the product's own interface."""
+"""Headers in which backend servers name limits and rests, on the own interface."""
 
 from __future__ import annotations
 
@@ -10,6 +10,8 @@
 
 REQUEST_LIMIT_HEADER = "Backend-Request-Limit"
 REFUSAL_LIMIT_HEADER = "Backend-Refusal-Limit"
+RETRY_AFTER_HEADER = "Retry-After"
+UNAVAILABLE_STATUS = 503
 
 
 def read_limits(headers: Headers) -> ServerLimits:
@@ -25,6 +27,24 @@
     )
 
 
+def read_rest_s(status: int, headers: Headers) -> float | None:
+    """Return for how long a server wants no requests, if its answer says so.
+
+    Parameters
+    ----------
+    status : int
+    headers : Headers
+
+    Returns
+    -------
+    float or None
+        Seconds, more than 0.
+    """
+    if status != UNAVAILABLE_STATUS:
+        return None
+    return _parse_number(headers.getRawHeaders(RETRY_AFTER_HEADER, [""])[0]) or None
+
+
 def _parse_number(text: str) -> float | None:
     try:
         number = float(text)
--- a/packages/node/src/ebonyhaven_node/_servers.py
+++ b/packages/node/src/ebonyhaven_node/_servers.py
@@ -138,6 +138,21 @@
         if limits != NO_LIMITS or self.limiter.has_limits:
             self.on_limits(self, limits)
 
+    def record_rest(self, rest_s: float | None, now: float) -> None:
+        """Record the rest that an answer of the server names.
+
+        Parameters
+        ----------
+        rest_s : float or None
+            Seconds; None if the answer names none.
+        now : float
+            Current monotonic time, seconds.
+        """
+        if rest_s is None:
+            self.limiter.rest.record_served(now)
+        elif self.limiter.rest.record_named(rest_s, now):
+            _log.info("backend_resting", server=self.name, rest_s=rest_s)
+
     def record_unreachable(self, now: float) -> None:
         """Start a backoff; its duration doubles with each failure up to a maximum.
 
--- a/packages/node/src/ebonyhaven_node/_services.py
+++ b/packages/node/src/ebonyhaven_node/_services.py
@@ -21,7 +21,7 @@
 from ebonyhaven_node._active_configuration import ActiveConfiguration
 from ebonyhaven_node._byte_budgets import ByteBudget
 from ebonyhaven_node._engines import CONNECT_TIMEOUT_S
-from ebonyhaven_node._limit_headers import read_limits
+from ebonyhaven_node._limit_headers import read_limits, read_rest_s
 from ebonyhaven_node._requests import MAX_BODY_BYTES, make_rejection, parse_repeatable
 from ebonyhaven_node._scheduling import SlotScheduler
 from ebonyhaven_node._servers import BackendServer, BackendServers
@@ -201,6 +201,8 @@
             server.limiter.record_answered()
         server.record_answer()
         server.record_limits(read_limits(response.headers))
+        rest_s = read_rest_s(response.code, response.headers)
+        server.record_rest(rest_s, time.monotonic())
         http_request.setResponseCode(response.code)
         for name in RETURNED_HEADERS:
             for value in response.headers.getRawHeaders(name, []):
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from ebonyhaven_decisions.forwarding import Backend
+from ebonyhaven_decisions.forwarding import Backend, SendObstacle
 
 from ebonyhaven_node.exceptions import UnsendableRequest
 from ebonyhaven_node.forwarding._connection_pool import (
@@ -12,13 +12,13 @@
     PendingConnection,
 )
 from ebonyhaven_node.forwarding._context import RelayContext
+from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._http_client import (
     HttpConnection,
     HttpRequest,
     ResponseHandler,
 )
 from ebonyhaven_node.forwarding._inbox import Inbox
-from ebonyhaven_node.forwarding._outcomes import LEFT_REASON, LIMITED_REASON
 from ebonyhaven_node.forwarding._requests import (
     AttemptPlan,
     ForwardRequest,
@@ -35,6 +35,7 @@
     request : ForwardRequest
     backend : Backend
     plan : AttemptPlan
+    guard : CrashGuard
     inbox : Inbox
         Receives `ResponseStarted`, a `ResponseData` per chunk and
         `ResponseCompleted`, or `AttemptFailed` at any point before completion.
@@ -59,6 +60,7 @@
         request: ForwardRequest,
         backend: Backend,
         plan: AttemptPlan,
+        guard: CrashGuard,
         inbox: Inbox,
         context: RelayContext,
     ):
@@ -69,6 +71,7 @@
         self.sent_at = 0.0
         self.plan = plan
         self._request = request
+        self._guard = guard
         self._inbox = inbox
         self._context = context
         self._connection: HttpConnection | None = None
@@ -85,12 +88,13 @@
         """Send the request on an idle connection, or on a new one if none is idle."""
         self.backend.in_flight += 1
         now = self.sent_at = self._context.clock()
-        if not self._may_send(now):
-            self._fail_unsent(LEFT_REASON, is_unreached=False)
+        obstacle = self._find_obstacle(now)
+        if obstacle is not None:
+            self._fail_unsent(obstacle)
             return
         self._is_unanswered = self.backend.limiter.acquire(now)
         if not self._is_unanswered:
-            self._fail_unsent(LIMITED_REASON, is_unreached=True)
+            self._fail_unsent(SendObstacle.LIMITED)
             return
         address = self.backend.entry.address
         connection = self._context.pool.acquire_idle(address, self._request.request_id)
@@ -116,11 +120,15 @@
         head = self._context.dialect.read_head(status, headers)
         if head.is_leaving:
             self._report_leaving(head)
+        if head.rest_s is not None:
+            self._context.report_rest(self.backend, head.rest_s)
         if head.request_id is not None and head.request_id != self._request.request_id:
             return False
         if head.request_id is None:  # may belong to an earlier request
             head = head._replace(not_run=False, is_other_process=False)
         now = self._context.clock()
+        if head.rest_s is None:
+            self.backend.limiter.rest.record_served(now)
         self.backend.record_received(now)
         self._context.contact.record_received(self.backend)
         if head.load is not None:
@@ -159,9 +167,10 @@
             connection.abort()
             return
         now = self._context.clock()
-        if not self._may_send(now):
+        obstacle = self._find_obstacle(now)
+        if obstacle is not None:
             connection.abort()
-            self._fail_unsent(LEFT_REASON, is_unreached=False)
+            self._fail_unsent(obstacle)
             return
         try:
             connection.send(self._make_http_request(), self)
@@ -198,13 +207,16 @@
         self._context.report_unreachable(self.backend)
         self._inbox.put(AttemptFailed(self, False, True, failure.reason, True))
 
-    def _may_send(self, now: float) -> bool:
-        """Return whether the server, chosen some time ago, may still get requests."""
-        return self._context.state.backends.may_send(self.backend, now)
+    def _find_obstacle(self, now: float) -> SendObstacle | None:
+        """Return what keeps the request from the server, chosen some time ago."""
+        if self._guard.find_blocked_trait() is not None:
+            return SendObstacle.CRASHING
+        return self._context.state.backends.find_obstacle(self.backend, now)
 
-    def _fail_unsent(self, reason: str, *, is_unreached: bool) -> None:
+    def _fail_unsent(self, obstacle: SendObstacle) -> None:
         self._finish()
-        self._inbox.put(AttemptFailed(self, False, True, reason, is_unreached))
+        is_unreached = obstacle in (SendObstacle.LIMITED, SendObstacle.SILENT)
+        self._inbox.put(AttemptFailed(self, False, True, obstacle.value, is_unreached))
 
     def _report_leaving(self, head: ResponseHead) -> None:
         """Report the process that answered, which need not be the addressed one."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_call_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_call_servers.py
@@ -34,6 +34,8 @@
         Seconds; when the caller no longer waits.
     wait_deadline : float
         Seconds; to which the request waits for a server that takes it.
+    target_deadline : float
+        Seconds; to which an answer is on time.
     """
 
     def __init__(
@@ -53,6 +55,9 @@
         timeout_s = request.limit_timeout(route.timeout_s)
         self.caller_deadline = request.arrived_at + timeout_s
         self.wait_deadline = request.arrived_at + SERVER_WAIT_TIMEOUT_SHARE * timeout_s
+        self.target_deadline = request.arrived_at + (
+            route.target_latency_s or SERVER_WAIT_TIMEOUT_SHARE * timeout_s
+        )
         self._excluded_servers: set[tuple[str, int]] = set()
 
     def choose(self, now: float) -> Backend | None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -25,6 +25,7 @@
     NO_SERVER_RETRY_AFTER_S,
     NOT_RUN_STATUSES,
     REPLACEMENT_RETRY_AFTER_S,
+    RESTING_REASON,
     SILENT_REASON,
     UNREACHED_REASON,
     make_crash_reason,
@@ -183,6 +184,11 @@
             self._retry_after_s = REPLACEMENT_RETRY_AFTER_S
             return False
         limits = self._context.state.backends.limits
+        rest_end = limits.find_rest_end(self._service, now)
+        if rest_end is not None:
+            self._last_reason = RESTING_REASON
+            self._retry_after_s = rest_end - now
+            return rest_end <= self._servers.target_deadline
         if limits.find_limit_end(self._service, now) is None:
             self._servers.ask_for_permit()
             return True
@@ -276,6 +282,7 @@
             request=self._request,
             backend=backend,
             plan=self._servers.make_plan(backend, now),
+            guard=self._guard,
             inbox=self._inbox,
             context=self._context,
         )
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -213,6 +213,26 @@
             was_listed_ready=was_listed_ready,
         )
 
+    def report_rest(self, backend: Backend, rest_s: float) -> None:
+        """Send nothing to a process for the time that it named in an answer.
+
+        Parameters
+        ----------
+        backend : Backend
+        rest_s : float
+            Seconds.
+        """
+        if not self.state.backends.record_rest(backend, rest_s, self.clock()):
+            return
+        self.metrics.server_rests.inc()
+        _log.info(
+            "backend_resting",
+            server=backend.server_id,
+            data_centre=backend.entry.data_centre,
+            rest_s=rest_s,
+            in_flight=backend.in_flight,
+        )
+
     def report_replaced(self, backend: Backend, other_server: str | None) -> None:
         """Suspect a server because another process responded at its address.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_engine_sampling.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_engine_sampling.py
@@ -86,6 +86,9 @@
         if server.is_leaving:
             self._context.report_told_leave(backend)
             return SampledEngine(backend, None)
+        if server.rest_s is not None:
+            self._context.report_rest(backend, server.rest_s)
+            return SampledEngine(backend, None)
         backend.record_data(self._context.clock())
         return SampledEngine(backend, server.load)
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -182,6 +182,7 @@
             clock=clock,
             on_response=self._capacity_notifier.notify_soon,
             on_leave=self._report_told_leave,
+            on_rest=self._report_rest,
         )
         self._crash_notifier = CrashNotifier(reactor)
         self._suspicion_notifier = SuspicionNotifier(reactor)
@@ -427,6 +428,9 @@
     def _report_told_leave(self, backend: Backend) -> None:
         self._context.report_told_leave(backend)
 
+    def _report_rest(self, backend: Backend, rest_s: float) -> None:
+        self._context.report_rest(backend, rest_s)
+
     def _handle_decided_traits(self) -> None:
         self._capacity_notifier.notify()
         self._crash_notifier.notify()
--- a/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -98,6 +98,11 @@
             ["result"],
             registry=registry,
         )
+        self.server_rests = Counter(
+            "ebonyhaven_server_rests",
+            "Times for which backend servers wanted no requests of this instance.",
+            registry=registry,
+        )
         self.budget_refusals = Counter(
             "ebonyhaven_repeat_budget_refusals",
             "Repeats that the budget did not allow.",
--- a/packages/node/src/ebonyhaven_node/forwarding/_outcomes.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_outcomes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ebonyhaven_decisions import RequestFailure
+from ebonyhaven_decisions.forwarding import SendObstacle
 
 from ebonyhaven_node._failures import make_not_run_failure
 
@@ -12,10 +13,10 @@
 LEAVING_REASON = "this instance is leaving; use another"
 LEAVING_STEP = "admit"
 CLOSING_REASON = "this instance stopped before the answer was complete"
-LIMITED_REASON = "the servers limit their requests"
+LIMITED_REASON = SendObstacle.LIMITED.value
 REPLACEMENT_RETRY_AFTER_S = 1.5  # in which a new server starts and is listed
 ALL_LEAVING_REASON = "all servers are leaving"
-LEFT_REASON = "the server left"
+RESTING_REASON = "all servers want no requests for some time"
 SILENT_REASON = "servers answer nothing"
 UNREACHED_REASON = "this instance reaches no server"
 REACH_STEP = "reach"  # of a request for which no server could be reached
--- a/packages/node/src/ebonyhaven_node/forwarding/_permit_exchange.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_permit_exchange.py
@@ -381,6 +381,6 @@
     limiter = _get_limiter(backend)
     if limiter.limit is None or backend.is_leaving or now < backend.suspect_until:
         return False
-    if backend.silence.is_unresponsive(now):
+    if backend.silence.is_unresponsive(now) or not backend.limiter.rest.may_send(now):
         return False
     return backend.limiter.pacer.may_send(now)
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -245,6 +245,8 @@
         What the server asks of all instances together.
     is_leaving : bool
         Whether the process that answered says that it leaves.
+    rest_s : float or None
+        Time for which that process wants no requests, seconds; None if it names none.
     """
 
     status: int
@@ -257,3 +259,4 @@
     load: int | None
     limits: ServerLimits = NO_LIMITS
     is_leaving: bool = False
+    rest_s: float | None = None
--- a/packages/node/src/ebonyhaven_node/forwarding/_silence_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_silence_monitor.py
@@ -76,6 +76,8 @@
         Called when a server has answered again.
     on_leave : callable
         Called with a `Backend` that answers that it leaves.
+    on_rest : callable
+        Called with a `Backend` that wants no requests, and for how long, seconds.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         clock: Callable[[], float],
         on_response: Callable[[], None],
         on_leave: Callable[[Backend], None],
+        on_rest: Callable[[Backend, float], None],
     ):
         self._state = state
         self._inspector = inspector
@@ -97,6 +100,7 @@
         self._clock = clock
         self._on_response = on_response
         self._on_leave = on_leave
+        self._on_rest = on_rest
         self._episodes: dict[tuple[str, int], _Episode] = {}
         self._checked_at = clock()
         self._loop = task.LoopingCall(self._check_all)
@@ -176,6 +180,8 @@
         self._permits.handle_answered(backend)
         if server is not None and server.is_leaving:
             self._on_leave(backend)
+        if server is not None and server.rest_s is not None:
+            self._on_rest(backend, server.rest_s)
         if server is not None:
             backend.record_alive(self._clock())
             self._on_response()
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -20,6 +20,7 @@
     NO_SERVER_RETRY_AFTER_S,
     REACH_STEP,
     REPLACEMENT_RETRY_AFTER_S,
+    RESTING_REASON,
     UNREACHED_REASON,
     make_crash_reason,
 )
@@ -240,10 +241,10 @@
         has_begun = self.may_have_run or self._progress.delivered
         if not has_begun and self._server_selector.has_only_leaving():
             return GiveUpReason(ALL_LEAVING_REASON, REPLACEMENT_RETRY_AFTER_S)
-        reason = self._find_exceeded_limit(now) or self._find_server_limit(now)
+        reason = self._find_exceeded_limit(now)
         if reason is not None:
             return GiveUpReason(reason, retry_after_s=NO_SERVER_RETRY_AFTER_S)
-        return None
+        return self._find_server_limit(now)
 
     def _find_permanent_reason(self, now: float) -> str | None:
         """Return a reason that also holds for a retry of the caller."""
@@ -280,8 +281,24 @@
             return self.last_reason
         return self._check_attempts()
 
-    def _find_server_limit(self, now: float) -> str | None:
+    def _check_rest(self, rest_end: float, now: float) -> GiveUpReason | None:
+        """Return a reason if all servers rest beyond the target of the first event.
+
+        A stream that has begun waits for them, as long as its caller does.
+        """
+        waited_s, target_s = self._progress.measure_wait(now)
+        latest = now - waited_s + target_s
+        if self._progress.delivered:
+            latest = self.deadline
+        if rest_end <= latest:
+            return None
+        return GiveUpReason(RESTING_REASON, rest_end - now)
+
+    def _find_server_limit(self, now: float) -> GiveUpReason | None:
         """Return a reason if no server takes a request within the target."""
+        rest_end = self._server_selector.find_rest_end(now, self._version.name)
+        if rest_end is not None:
+            return self._check_rest(rest_end, now)
         limit_end = self._server_selector.find_limit_end(
             self._request.request_id, now, self._version.name
         )
@@ -289,7 +306,9 @@
             return None
         waited_s, target_s = self._progress.measure_wait(now)
         is_in_time = waited_s + limit_end - now <= target_s
-        return None if is_in_time else LIMITED_REASON
+        if is_in_time:
+            return None
+        return GiveUpReason(LIMITED_REASON, retry_after_s=NO_SERVER_RETRY_AFTER_S)
 
     def _check_attempts(self) -> str | None:
         has_attempts = self._has_attempts() or self.is_undecided()
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
@@ -109,6 +109,22 @@
             ahead=line.index(request_id) if request_id in line else 0,
         )
 
+    def find_rest_end(self, now: float, version: str | None = None) -> float | None:
+        """Return when the first rest ends, if only rests keep the stream waiting.
+
+        See `BackendLimits.find_rest_end`.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        version : str or None
+            Software version of the servers; None for any.
+        """
+        return self._context.state.backends.limits.find_rest_end(
+            self._service, now, version=version
+        )
+
     def choose(
         self,
         prompt_id: str,
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -238,6 +238,7 @@
                 ),
                 gap_patience_s=compute_gap_patience_s(self._route.target_gap_s),
             ),
+            guard=self._guard,
             inbox=self._inbox,
             context=self._context,
         )
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -170,12 +170,15 @@
         None if it reports none.
     is_leaving : bool
         Whether it says that it leaves.
+    rest_s : float or None
+        Time for which it wants no requests, seconds; None if it names none.
     """
 
     is_engine: bool
     started_ms: int
     load: EngineLoad | None = None
     is_leaving: bool = False
+    rest_s: float | None = None
 
 
 class ServerInspector(abc.ABC):
--- a/tests/forwarding/test_resting_servers.py
+++ b/tests/forwarding/test_resting_servers.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+from ebonyhaven_decisions.forwarding import MAX_REST_S
+
 from tests.forwarding.harness import (
     STREAM_END,
     ForwardingHarness,
     answer,
     chunk,
+    decode_headers,
     event,
+    make_entry,
     refusal,
     stream_head,
 )
-from tests.forwarding.streaming import SIZE_HEADERS
+from tests.forwarding.streaming import SIZE_HEADERS, open_stream, start_stream
 
 REST_S = 3.0
 UNDER_WAY_S = 0.5  # after the answer that names the rest
@@ -139,3 +143,122 @@
         status, headers, _, is_complete = caller.read_answer()
         assert (status, is_complete) == (503, True), path
         assert 5.0 < float(headers["retry-after"]) <= 6.0, path
+
+
+def test_request_whose_connection_was_being_opened_is_sent_into_a_rest():
+    for path in ("/once/x", "/stream/x"):
+        harness = ForwardingHarness(plain=2, engines=2)
+        harness.is_accepting = False
+        harness.open_caller().request(path, **SIZE_HEADERS)
+        host, port, *_ = harness.reactor.tcpClients[-1]
+        address = f"{host}:{port}"
+        resting = find_backend(harness, address)
+        harness.gateway._context.report_rest(resting, REST_S)
+        harness.is_accepting = True
+        harness.advance(0.2)
+        server, _, _ = harness.take_request()
+        assert server.address != address, path
+
+
+def find_backend(harness, address):
+    backends = harness.state.backends
+    return next(each for each in backends if each.entry.address == address)
+
+
+def test_waiting_streams_are_sent_together_at_the_end_of_a_rest():
+    # Each arrival that is turned away counts against the retry budget of all.
+    harness = ForwardingHarness(engines=1)
+    backend = harness.state.backends.find("e-0")
+    harness.gateway._context.report_rest(backend, 2.0)
+    callers = []
+    for number in range(12):
+        callers.append(harness.open_caller())
+        callers[-1].request("/stream/x", f"r{number}", body=b"%d" % number)
+    harness.advance(1.95)
+    assert harness.count_waiting() == 0
+    harness.advance(0.14)
+    server, head, _ = harness.take_request()
+    server.receive(refuse_with_rest(decode_headers(head)["x-attempt-id"], 1.0))
+    harness.advance(0.9)
+    assert harness.count_waiting() == 0
+    harness.advance(0.5)
+    assert 0 < harness.count_waiting() <= 5  # one at an interval, until one is served
+
+
+def test_short_request_waits_for_the_end_of_a_rest_only_within_its_target():
+    for rest_s, is_sent in ((0.1, True), (0.5, False)):
+        harness = ForwardingHarness(plain=1)
+        backend = harness.state.backends.find("p-0")
+        harness.gateway._context.report_rest(backend, rest_s)
+        caller = harness.open_caller()
+        caller.request("/once/x")
+        harness.advance(0.05)
+        assert bool(caller.received) is not is_sent
+        if is_sent:
+            harness.advance(0.1)
+            harness.take_request()
+        else:
+            status, headers, _, _ = caller.read_answer()
+            assert (status, headers["retry-after"]) == (503, "0.50")
+
+
+def test_stream_that_has_begun_is_cut_while_all_engines_rest():
+    harness, caller = start_stream(engines=2)
+    server, _ = open_stream(harness, 1, 2)
+    for each in harness.state.backends:
+        if each.entry.service == "engines":
+            harness.gateway._context.report_rest(each, 2.0)
+    server.close()
+    harness.advance(1.9)
+    assert harness.count_waiting() == 0
+    assert not caller.transport.disconnected
+    harness.advance(0.3)
+    _, head, _ = harness.take_request()
+    assert decode_headers(head)["last-event-id"] == "2"
+
+
+def test_rest_ends_when_the_entry_of_its_server_comes_back():
+    harness = ForwardingHarness(plain=1)
+    backends = harness.state.backends
+    entry = backends.find("p-0").entry
+    harness.gateway._context.report_rest(backends.find("p-0"), 9.0)
+    harness.state.remove_backend("p-0")
+    harness.advance(4.0)
+    harness.state.put_backend(make_entry("p-1"))
+    harness.state.remove_backend("p-1")  # forgets those that were removed long ago
+    harness.state.put_backend(entry)
+    assert not backends.find("p-0").is_usable(harness.reactor.seconds())
+    harness.state.put_backend(entry._replace(started_ms=2))
+    assert backends.find("p-0").is_usable(harness.reactor.seconds())
+
+
+def test_value_that_names_no_time_is_taken_for_a_rest():
+    for value in ("", "-1", "0", "nan", "inf", "soon", "Sun, 06 Dec 2026 01:00:00 GMT"):
+        harness = ForwardingHarness(plain=1)
+        harness.open_caller().request("/once/x")
+        server, _, _ = harness.take_request()
+        server.receive(refuse_with_rest("r1", value))
+        harness.advance(0.0)
+        rest = harness.state.backends.find("p-0").limiter.rest
+        assert not rest.is_resting(harness.reactor.seconds()), value
+
+
+def test_only_unavailable_servers_name_rests():
+    for status in (200, 429, 500):
+        harness = ForwardingHarness(plain=1)
+        harness.open_caller().request("/once/x")
+        server, _, _ = harness.take_request()
+        server.receive(answer("r1", b"x", status, Retry_After="3"))
+        harness.advance(0.0)
+        rest = harness.state.backends.find("p-0").limiter.rest
+        assert not rest.is_resting(harness.reactor.seconds()), status
+
+
+def test_rest_beyond_any_target_is_bounded():
+    harness = ForwardingHarness(plain=1)
+    harness.open_caller().request("/once/x")
+    server, _, _ = harness.take_request()
+    server.receive(refuse_with_rest("r1", 1e9))
+    harness.advance(0.0)
+    rest = harness.state.backends.find("p-0").limiter.rest
+    assert rest.until <= harness.reactor.seconds() + MAX_REST_S
--- a/tests/node/test_backend_limits.py
+++ b/tests/node/test_backend_limits.py
@@ -21,21 +21,22 @@
 ATTACHES = 12
 
 
-class LimitedEngine(resource.Resource):
-    """Engine that knows no run and names a limit."""
+class NamingEngine(resource.Resource):
+    """Engine that knows no run and names something in a header of its answers."""
 
     isLeaf = True  # noqa: N815 defined by Twisted
 
-    def __init__(self):
+    def __init__(self, status, header, value):
         super().__init__()
-        self.limit = str(LIMIT)
         self.arrivals = 0
+        self._status = status
+        self._header = header
+        self._value = value
 
     def render(self, request):
         self.arrivals += 1
-        if self.limit:
-            request.setHeader("Backend-Request-Limit", self.limit)
-        request.setResponseCode(404)
+        request.setHeader(self._header, self._value)
+        request.setResponseCode(self._status)
         return b'{"error": "run_unknown"}'
 
 
@@ -55,9 +56,9 @@
     return servers.find("s1")
 
 
-async def attach_often():
+async def attach_often(status, header, value):
     """Attach at short intervals; return the engine and how the attaches ended."""
-    engine, address = LimitedEngine(), allocate_address()
+    engine, address = NamingEngine(status, header, value), allocate_address()
     host, _, port = address.rpartition(":")
     site = server.Site(engine)
     site.noisy = False
@@ -85,7 +86,9 @@
 
 def test_engine_that_names_a_limit_gets_no_more_requests():
     started_at = time.monotonic()
-    engine, reasons, backend = run_in_reactor(attach_often)
+    engine, reasons, backend = run_in_reactor(
+        attach_often, 404, "Backend-Request-Limit", str(LIMIT)
+    )
     elapsed_s = time.monotonic() - started_at
     # The first answer names the limit; one more may have been saved up.
     assert engine.arrivals <= 2 + LIMIT * elapsed_s
@@ -93,6 +96,13 @@
     assert not backend.accepts_work(time.monotonic())
 
 
+def test_engine_that_names_a_rest_gets_requests_in_it():
+    engine, reasons, backend = run_in_reactor(attach_often, 503, "Retry-After", "60")
+    assert engine.arrivals == 1
+    assert reasons.count(LIMITED) == ATTACHES - 1
+    assert not backend.accepts_work(time.monotonic())
+
+
 def test_limits_are_shared_and_told():
     servers = BackendServers()
     backend = list_server(servers, "127.0.0.1:1")
--- a/tests/node/test_services.py
+++ b/tests/node/test_services.py
@@ -38,6 +38,9 @@
     def record_limits(self, limits):
         pass
 
+    def record_rest(self, rest_s, now):
+        pass
+
     def accepts_work(self, now):
         return not self.is_lost
 
