Hold a content responsible for engines that it crashes far into its stream

What a server survives tells nothing of what comes later: the class is evidence that is taken for more than it shows.

A loss after 8 events or more now counts against traits of the content and the place in the run, in two overlapping series of classes of a factor of two. 8 events clear earlier losses only, a run to its end all. A stream whose engines end at different places is not stopped.

test_stream_that_crashes_engines_after_ten_events_goes_on_to_further_ones failed before (8 to 12 engines for 8 events or more), now 3 engines for each of 1, 7, 8, 10, 15, 16 and 30 events.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -61,6 +61,11 @@
     select_replaceable_engines,
 )
 from ebonyhaven_decisions.forwarding._priorities import choose_engine_priority
+from ebonyhaven_decisions.forwarding._progress_traits import (
+    EARLY_EVENTS,
+    choose_progress_traits,
+    list_progress_traits,
+)
 from ebonyhaven_decisions.forwarding._refusal_limits import CAUTION_S, RefusalLimiter
 from ebonyhaven_decisions.forwarding._request_pacing import (
     CONFIRMATION_TTL_S,
@@ -191,6 +196,9 @@
     "choose_engine_priority",
     "choose_index_instances",
     "choose_memory_share",
+    "choose_progress_traits",
+    "list_progress_traits",
+    "EARLY_EVENTS",
     "choose_recorder",
     "choose_sampled_engine",
     "compute_first_event_limits",
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempt_monitors.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempt_monitors.py
@@ -5,6 +5,7 @@
 import math
 
 from ebonyhaven_decisions.forwarding import (
+    EARLY_EVENTS,
     SERVER_PROBE_INTERVAL_S,
     EngineUse,
     Route,
@@ -19,7 +20,6 @@
 from ebonyhaven_node.forwarding._requests import ResponseHead
 from ebonyhaven_node.forwarding._reservations import EngineReservation
 
-SURVIVAL_EVENTS = 8  # about half a second of a stream
 PROBE_INTERVAL_SILENCE_SHARE = 0.5  # of the silence so far, between two probes
 
 
@@ -139,7 +139,7 @@
 
     def is_far_into_stream(self) -> bool:
         """Return whether a content that crashes servers would have done so by now."""
-        return self.events >= SURVIVAL_EVENTS
+        return self.events >= EARLY_EVENTS
 
     def record_stream_completed(self) -> None:
         """Record the durations of a stream that one attempt served completely."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -347,7 +347,7 @@
         if not is_delimited:  # a server that crashes closes its connections as well
             self._guard.check_loss(attempt.backend, has_begun=True)
         elif is_own:
-            self._guard.record_survival(self._context.clock())
+            self._guard.record_completed()
         is_promise = head.status in NOT_RUN_STATUSES  # although the server ran it
         is_success = head.status < 500 and head.has_origin_proof and not is_promise
         attempt.backend.record_result(succeeded=is_success, latency_s=latency_s)
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
@@ -5,7 +5,12 @@
 import hashlib
 import math
 
-from ebonyhaven_decisions.forwarding import Backend
+from ebonyhaven_decisions.forwarding import (
+    EARLY_EVENTS,
+    Backend,
+    choose_progress_traits,
+    list_progress_traits,
+)
 
 from ebonyhaven_node.forwarding._crash_monitor import CrashMonitor
 from ebonyhaven_node.forwarding._requests import (
@@ -37,7 +42,13 @@
         Whether the request is sent to one server though it has a blocked trait.
     """
 
-    __slots__ = ("_monitor", "_survived_at", "is_trial", "traits")
+    __slots__ = (
+        "_monitor",
+        "_progress_traits",
+        "_survived_at",
+        "is_trial",
+        "traits",
+    )
 
     def __init__(
         self, request: ForwardRequest, workspace: str | None, monitor: CrashMonitor
@@ -48,6 +59,7 @@
         content = _digest(f"{request.content_digest} {request.host} {workspace}")
         parts = request.shared_parts[:MAX_SHARED_PARTS]
         self.traits = (*map(_make_part_trait, parts), content)
+        self._progress_traits = list_progress_traits(content)
 
     def admit(self) -> str | None:
         """Return what keeps the request from being sent to servers, if anything.
@@ -61,22 +73,25 @@
         return trait
 
     @property
-    def _has_survived(self) -> bool:
-        return self._survived_at > -math.inf
+    def _suspect_traits(self) -> tuple[str, ...]:
+        """What the request may still crash servers with, as far as it is known."""
+        if self._survived_at > -math.inf:
+            return self._progress_traits
+        return (*self.traits, *self._progress_traits)
 
     def find_blocked_trait(self) -> str | None:
         """Return what keeps the request from another attempt, if anything."""
-        if self._has_survived or self.is_trial:
+        if self.is_trial:
             return None
-        return self._monitor.find_blocked_trait(self.traits)
+        return self._monitor.find_blocked_trait(self._suspect_traits)
 
     def is_undecided(self) -> bool:
         """Return whether the request may be blocked soon, and should wait for that."""
-        if self._has_survived or self.is_trial:
+        if self.is_trial:
             return False
-        return self._monitor.is_undecided(self.traits)
+        return self._monitor.is_undecided(self._suspect_traits)
 
-    def check_loss(self, backend: Backend, *, has_begun: bool) -> None:
+    def check_loss(self, backend: Backend, *, has_begun: bool, events: int = 0) -> None:
         """Check whether a server that closed its connection has crashed.
 
         Parameters
@@ -84,12 +99,21 @@
         backend : Backend
         has_begun : bool
             Whether the server had begun to answer.
+        events : int
+            Events of a stream that it had sent in this run.
         """
         self.is_trial = False
-        self._monitor.check_loss(self.traits, backend, has_begun=has_begun)
+        traits = self.traits
+        if events >= EARLY_EVENTS:
+            traits = choose_progress_traits(self.traits[-1], events)
+        self._monitor.check_loss(traits, backend, has_begun=has_begun)
+
+    def record_completed(self) -> None:
+        """Record that a server ran the request to an end."""
+        self._monitor.record_survival((*self._progress_traits, *self.traits))
 
-    def record_survival(self, now: float) -> None:
-        """Record that a server ran the request to an end, or far into its stream.
+    def record_progress(self, now: float) -> None:
+        """Record that a server runs the request far into its stream.
 
         Called for each event of a stream, of which few are recorded.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -289,7 +289,7 @@
         if events:
             self._monitor.record_events(now, len(events))
         if events and self._monitor.is_far_into_stream():
-            self._guard.record_survival(now)
+            self._guard.record_progress(now)
         self._progress.deliver(new_events, self._monitor.head, self._backend, now)
         return None
 
@@ -316,9 +316,11 @@
             reason = "the connection ended before the first event"
             return AttemptResult(AttemptEnd.LOST, reason)
         if is_delimited:
-            self._guard.record_survival(self._context.clock())
-        elif not self._monitor.is_far_into_stream():  # the server may have crashed
-            self._guard.check_loss(self._backend, has_begun=True)
+            self._guard.record_completed()
+        else:  # the server may have crashed
+            self._guard.check_loss(
+                self._backend, has_begun=True, events=self._monitor.events
+            )
         self._progress.finish(head)
         if self._attempt.plan.last_event_id is None:
             self._monitor.record_stream_completed()
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -303,11 +303,11 @@
             result = await stream_attempt.run()
             if monitor.events:  # engines create copies only after the first event
                 self._run_copy = copy
-            if result.end is AttemptEnd.LOST and monitor.is_far_into_stream():
-                self._context.crash_monitor.check_end(attempt.backend)
-            elif result.end is AttemptEnd.LOST:
+            if result.end is AttemptEnd.LOST:
                 self._guard.check_loss(
-                    attempt.backend, has_begun=attempt.head is not None
+                    attempt.backend,
+                    has_begun=attempt.head is not None,
+                    events=monitor.events,
                 )
             return result
         finally:
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -7,9 +7,11 @@
 from ebonyhaven_node.forwarding._inbox import Inbox
 
 from tests.forwarding.harness import (
+    STREAM_END,
     ForwardingHarness,
     answer,
     chunk,
+    decode_headers,
     event,
     make_configuration,
     stream_head,
@@ -281,3 +283,52 @@
     status, headers, _, _ = again.read_answer()
     assert (status, "retry-after" in headers) == (503, False)
     assert other.read_answer()[2] == b"".join(events)
+
+
+def crash_server_after(harness, events):
+    """Have the server of the pending stream send some events, then end its process."""
+    server, head, _ = harness.take_request()
+    headers = decode_headers(head)
+    first = int(headers.get("last-event-id", "0")) + 1
+    server.receive(stream_head(headers["x-attempt-id"]))
+    for number in range(first, first + events):
+        server.receive(chunk(event(number)))
+        harness.advance(0.04)
+    harness.refused.add(server.address)
+    server.reset()
+    harness.advance(CHECK_S)
+
+
+def count_crashes(events_by_run, sends=3):
+    """Return the servers that end under a stream that is sent some times."""
+    harness = ForwardingHarness(plain=0, engines=30)
+    crashes = 0
+    for number in range(sends):
+        send_request(harness, "/stream/x", f"r{number}", body=b"deadly")
+        harness.advance(0.2)
+        while harness.count_waiting() and crashes < len(events_by_run):
+            crash_server_after(harness, events_by_run[crashes])
+            crashes += 1
+    return crashes
+
+
+def test_stream_that_crashes_engines_after_ten_events_goes_on_to_further_ones():
+    # 33 engines ended under one stream: 8 events were taken for proof that its
+    # content crashes nothing (BUDGET).
+    for events in (1, 7, 8, 10, 15, 16, 30):
+        assert count_crashes([events] * 12) == 3, events
+    assert count_crashes([10, 12, 9] * 4) == 3
+    assert count_crashes([15, 17] * 6) == 3
+
+
+def test_stream_whose_engines_end_at_different_places_is_not_held_responsible():
+    harness = ForwardingHarness(plain=0, engines=9)
+    caller = send_request(harness, "/stream/x", "r1")
+    for events in (9, 30, 1, 14, 60):
+        harness.advance(0.2)
+        crash_server_after(harness, events)
+    server, head, _ = harness.take_request()
+    assert decode_headers(head)["last-event-id"] == "114"
+    server.receive(stream_head("r1") + chunk(event(115)) + STREAM_END)
+    harness.advance(0.0)
+    assert caller.read_answer()[3]
