Soak: play rests; check rests, handed on times and callers that left

Servers, one, some or all of a service, now answer 503 with Retry-After for a while, half of them after they ran the request; a part of the callers leaves early, of those of long streams three in ten. Checked are the lines of BUDGET that were missing (more than two requests in a rest; more time handed on than is left) and GONE (requests that reach servers, and work, half a second after the caller left). The lines on attempts, repeats in a window and crashing requests were checked before.

--- a/tests/platform_adapter/soak/_callers.py
+++ b/tests/platform_adapter/soak/_callers.py
@@ -21,6 +21,7 @@
 STREAM_PATHS = ("/fixed", "/long", "/stream")
 MAX_RESUMES = 2
 THINK_S = (0.0, 0.08)
+EARLY_LEAVE_S = (0.05, 1.5)
 PROMISES = frozenset({408, 421, 429, 503})
 
 
@@ -162,6 +163,8 @@
     rng : random.Random
     choose_key : callable
         Returns the key of the next request.
+    early_leave_share : float
+        Share of the requests that the caller gives up long before their time is over.
     """
 
     def __init__(
@@ -173,7 +176,10 @@
         results: list[Result],
         rng: random.Random,
         choose_key: Callable[[], str] = lambda: KEY,
+        early_leave_share: float = 0.0,
     ):
+        self._early_leave_share = early_leave_share
+        self._leave_rng = random.Random(name)
         self._choose_key = choose_key
         self._name = name
         self._choose_instance = choose_instance
@@ -242,7 +248,8 @@
         if position:
             headers += [("Last-Event-Id", str(position)), ("Resumes", first_id)]
         request = self._encode(connection, path, request_id, limit_s, headers)
-        timer = reactor.callLater(limit_s, connection.transport.abortConnection)
+        patience_s = self._choose_patience_s(limit_s)
+        timer = reactor.callLater(patience_s, connection.transport.abortConnection)
         status, stamp, body, is_whole = await connection.exchange(request)
         is_given_up = not timer.active()
         if not is_given_up:
@@ -267,6 +274,11 @@
         self._results.append(result)
         return result
 
+    def _choose_patience_s(self, limit_s: float) -> float:
+        if self._leave_rng.random() < self._early_leave_share:
+            return min(limit_s, self._leave_rng.uniform(*EARLY_LEAVE_S))
+        return limit_s
+
     async def _connect(self) -> _Connection | None:
         chosen = self._choose_instance()
         if chosen is None:
--- a/tests/platform_adapter/soak/_faults.py
+++ b/tests/platform_adapter/soak/_faults.py
@@ -107,6 +107,17 @@
         "crash_server",
     ),
     "foreign-rows": (*_LEAVING, "write_foreign_row"),
+    "rests": (
+        *("name_rests",) * 4,
+        "pause_instance",
+        "kill_instance",
+        "pause_servers",
+        "crash_server",
+        "replace_server",
+        "spoil_answers",
+        "name_limits",
+        "stop_store",
+    ),
     "all": (
         *_STANDARD,
         *_LEAVING,
@@ -116,6 +127,7 @@
         "write_foreign_row",
         "restore_store",
         "silence_connections",
+        "name_rests",
     ),
 }
 
--- a/tests/platform_adapter/soak/_run.py
+++ b/tests/platform_adapter/soak/_run.py
@@ -10,6 +10,10 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import LoopingCall, deferLater
 
+from tests.platform_adapter.soak._budget_checks import (
+    check_rests,
+    check_times_handed_on,
+)
 from tests.platform_adapter.soak._callers import Result, SoakCaller
 from tests.platform_adapter.soak._checks import (
     CONTACT_S,
@@ -46,6 +50,7 @@
 )
 from tests.platform_adapter.soak._fault_log import TICK_S, FaultLog
 from tests.platform_adapter.soak._faults import FaultInjector
+from tests.platform_adapter.soak._gone_checks import check_gone
 from tests.platform_adapter.soak._leaving_checks import (
     check_leaving,
     check_leaving_answers,
@@ -67,6 +72,8 @@
 START_S = 3.0
 SETTLE_S = 1.0  # longer than a request that was refused could still reach a server
 CRASHING_SHARE = 0.01
+EARLY_LEAVE_SHARE = 0.04
+LONG_EARLY_LEAVE_SHARE = 0.3  # of streams of seconds
 PROBERS = 2  # callers of each instance that use routes and keys that change
 
 
@@ -179,10 +186,25 @@
         return f"/long/{rng.randrange(1_000_000)}"
 
     name = f"c{CALLER_COUNT + number}"
-    return _make_any_caller(name, choose_path, deployment, results, rng)
+    return _make_any_caller(
+        name,
+        choose_path,
+        deployment,
+        results,
+        rng,
+        early_leave_share=LONG_EARLY_LEAVE_SHARE,
+    )
 
 
-def _make_any_caller(name, choose_path, deployment, results, rng) -> SoakCaller:
+def _make_any_caller(
+    name,
+    choose_path,
+    deployment,
+    results,
+    rng,
+    *,
+    early_leave_share=EARLY_LEAVE_SHARE,
+) -> SoakCaller:
     def choose_instance() -> tuple[str, str]:
         instance = rng.choice(deployment.instances)
         return instance.name, instance.caller_link.address
@@ -193,6 +215,7 @@
         choose_path=choose_path,
         results=results,
         rng=rng,
+        early_leave_share=early_leave_share,
     )
 
 
@@ -235,6 +258,9 @@
             window_s=BUDGET_WINDOW_S,
         ),
         *check_crashes(arrivals, CRASHING_PATH, CONTACT_S),
+        *check_rests(arrivals, deployment.log.rests, contact),
+        *check_times_handed_on(arrivals, contact),
+        *check_gone(everything, deployment.log, contact),
         *check_streams(results),
         *check_limits(arrivals, faults.named_limits, history),
         *check_falls(deployment.log.falls, faults.brittle_times, plain_count, history),
--- a/tests/platform_adapter/soak/_server_faults.py
+++ b/tests/platform_adapter/soak/_server_faults.py
@@ -24,7 +24,9 @@
 FROZEN_S = (0.5, 3.0)
 LAPSED_S = (1.0, 4.0)
 LINGER_S = (0.2, 1.0, 4.0, 8.0)
+NAMING_S = (0.2, 3.0)  # in which servers name rests, shorter than some of these
 PAUSED_S = (1.0, 8.0)
+REST_S = (1.0, 6.0)
 REPORTING_SHARE = 0.6  # of the servers that leave
 TURN_S = (0.3, 1.5)
 SUCCESSOR_S = (-1.0, 2.0)
@@ -63,6 +65,18 @@
         ]
         limits.clear()
 
+    async def name_rests(self) -> None:
+        """Have some or all servers of a service want no requests for some time."""
+        service = self._rng.choice(("plain", "engines"))
+        servers = [each for each in self._deployment.servers if each.service == service]
+        count = self._rng.choice((1, self._rng.randint(1, len(servers)), len(servers)))
+        rests = self._deployment.server_faults.named_rests
+        places = [each.name for each in self._rng.sample(servers, count)]
+        rests.update({place: self._rng.uniform(*REST_S) for place in places})
+        await deferLater(reactor, self._rng.uniform(*NAMING_S))
+        for place in places:
+            rests.pop(place, None)
+
     async def make_servers_brittle(self) -> None:
         faults = self._deployment.server_faults
         if faults.brittle_limit is not None:
--- a/tests/platform_adapter/soak/_server_log.py
+++ b/tests/platform_adapter/soak/_server_log.py
@@ -21,6 +21,8 @@
         When its last bytes came, which a paused server reads later.
     refused_with : int or None
         Status of a refusal.
+    remaining_s : float or None
+        Time that the server was told to have for it, seconds.
     """
 
     request_id: str
@@ -30,6 +32,7 @@
     has_run: bool
     received_at: float = 0.0
     refused_with: int | None = None
+    remaining_s: float | None = None
 
 
 class RunEnd(NamedTuple):
@@ -67,6 +70,24 @@
     refused_ids: tuple[str, ...]
 
 
+class NamedRest(NamedTuple):
+    """An answer in which a server said that it wants no requests for some time.
+
+    Parameters
+    ----------
+    process, request_id : str
+    at : float
+        Seconds of the reactor's clock.
+    rest_s : float
+        Seconds.
+    """
+
+    process: str
+    request_id: str
+    at: float
+    rest_s: float
+
+
 class ServerLog:
     """What all servers note.
 
@@ -77,6 +98,7 @@
     falls : list of Fall
     leaving_answers : set of (str, str)
         Process and request of the answers that said that the server leaves.
+    rests : list of NamedRest
     """
 
     def __init__(self):
@@ -84,3 +106,4 @@
         self.ends: list[RunEnd] = []
         self.falls: list[Fall] = []
         self.leaving_answers: set[tuple[str, str]] = set()
+        self.rests: list[NamedRest] = []
--- a/tests/platform_adapter/soak/_servers.py
+++ b/tests/platform_adapter/soak/_servers.py
@@ -16,7 +16,13 @@
 
 from tests.platform_adapter.soak._configurations import TIMED_PATH
 from tests.platform_adapter.soak._server_connections import ServerConnection
-from tests.platform_adapter.soak._server_log import Arrival, Fall, RunEnd, ServerLog
+from tests.platform_adapter.soak._server_log import (
+    Arrival,
+    Fall,
+    NamedRest,
+    RunEnd,
+    ServerLog,
+)
 
 SLOTS = 4
 QUEUE_LIMIT = 6
@@ -27,6 +33,7 @@
 LONG_EVENT_INTERVAL_S = 0.25
 LONG_PATH = "/long"
 TIMED_WORK_S = 1.2  # longer than the timeout of the route
+STAMPED_REST_SHARE = 0.5
 OWN_ERROR_STATUSES = (500, 503, 429, 408)  # of requests that the server ran
 
 
@@ -44,6 +51,7 @@
     extra_without_id: float = 0.0
     own_errors: float = 0.05
     named_limits: dict[str, float] = attrs.Factory(dict)  # by name of the place
+    named_rests: dict[str, float] = attrs.Factory(dict)  # seconds, likewise
     brittle_limit: int | None = None  # refusals a second, of all plain servers
     refuses_waiting: bool = False  # requests for which no slot is free
 
@@ -192,14 +200,16 @@
             body = self._encode_report() if is_report else b""
             self._send(connection, "", 200 if is_report else 404, body, stamp=False)
             return
+        limit_s = int(headers.get("x-deadline-ms", "60000")) / 1000
         expected = headers.get("x-expect-instance")
         if expected is not None and expected != self.process_id:
             self._refuse(connection, request_id, path, 421, received_at)
+        elif self._place in self._faults.named_rests:
+            self._rest(connection, request_id, path, received_at)
         elif self._running >= SLOTS and len(self._queue) >= self._get_queue_limit():
             self._refuse(connection, request_id, path, 503, received_at)
             self._record_refused(request_id)
         else:
-            limit_s = int(headers.get("x-deadline-ms", "60000")) / 1000
             now = reactor.seconds()
             position = int(headers.get("last-event-id") or 0)
             pending = _Pending(
@@ -255,7 +265,11 @@
 
     def _run(self, pending: _Pending) -> None:
         self._log_arrival(
-            pending.request_id, pending.path, pending.received_at, has_run=True
+            pending.request_id,
+            pending.path,
+            pending.received_at,
+            has_run=True,
+            remaining_s=pending.time_limit_s,
         )
         if pending.path.startswith(self._crashing_path):
             self._on_crash(self)
@@ -287,13 +301,29 @@
             self._send(connection, request_id, status, body, stamp=True)
         self._run_next()
 
+    def _rest(self, connection, request_id, path, received_at) -> None:
+        """Answer that the server wants nothing; half the requests it has run."""
+        rest_s = self._faults.named_rests[self._place]
+        has_run = self._rng.random() < STAMPED_REST_SHARE
+        refused_with = None if has_run else 503
+        self._log_arrival(
+            request_id, path, received_at, has_run=has_run, refused_with=refused_with
+        )
+        if has_run:
+            self._log_end(request_id, is_broken_off=False)
+        retry_after = ("Retry-After", f"{rest_s:.2f}")
+        self._send(connection, request_id, 503, b"", retry_after, stamp=has_run)
+        if not connection.is_lost:
+            now = reactor.seconds()
+            self._log.rests.append(NamedRest(self.process_id, request_id, now, rest_s))
+
     def _refuse(self, connection, request_id, path, status, received_at) -> None:
         self._log_arrival(
             request_id, path, received_at, has_run=False, refused_with=status
         )
         self._send(connection, request_id, status, b"", stamp=False)
 
-    def _send(self, connection, request_id, status, body, *, stamp) -> None:
+    def _send(self, connection, request_id, status, body, *more_headers, stamp) -> None:
         mark = ("X-Server-Stamp", self.process_id) if stamp else ("X-Not-Executed", "1")
         headers = [
             ("X-Attempt-Id", request_id),
@@ -302,6 +332,7 @@
             ("X-Server-Load", f"{self._running},{len(self._queue)},{SLOTS}"),
             *self._list_limits(),
             *self._list_connection_headers(request_id),
+            *more_headers,
             ("Content-Length", str(len(body))),
         ]
         connection.send(h11.Response(status_code=status, headers=headers))
@@ -379,6 +410,7 @@
         *,
         has_run: bool,
         refused_with: int | None = None,
+        remaining_s: float | None = None,
     ) -> None:
         self._log.arrivals.append(
             Arrival(
@@ -389,5 +421,6 @@
                 has_run,
                 received_at,
                 refused_with,
+                remaining_s,
             )
         )
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -8,6 +8,8 @@
 # 132: a brittle server that was back was not known to be brittle (LIMIT).
 SEEDS = (1, 18, 132)
 CONFIGURATION_DURATION_S = 10.0
+REST_DURATION_S = 8.0
+REST_SEEDS = (3000,)
 # 32, 41: connections to the store fell silent, and polls were in phase (CONFIG).
 CONFIGURATION_SEEDS = (32, 41)
 
@@ -26,5 +28,16 @@
         assert report.statuses["200"] > 100, report.statuses
 
 
+def test_servers_that_rest_are_left_alone_under_faults_of_real_processes():
+    for seed in REST_SEEDS:
+        report = run_in_reactor(run_rest_soak, seed)
+        assert not report.problems, (seed, report.problems, report.directory)
+        assert report.statuses["503"] > 10, report.statuses
+
+
+async def run_rest_soak(seed):
+    return await run_soak(seed, REST_DURATION_S, fault_set="rests")
+
+
 async def run_configuration_soak(seed):
     return await run_soak(seed, CONFIGURATION_DURATION_S, fault_set="configurations")
