Keep the retry budget when many instances start again at once

Listed as open: an allowance of repeats that was used before a restart could be used again after it, up to 1.6 times the budget, as nobody knows what the process before it used.

For its first window an instance now uses no more than what is left beside a full use before (15%), divided by the share of the instances that are as young as it. Each tells with its report whether its process is older than a window; earlier releases tell nothing and count as older. One that starts alone beside sounder ones keeps its share; one that hears nobody takes all for young. The class: state that ends with a process and counts beyond it.

Two tests of the exchange name the new field of the message.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_budget.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_budget.py
@@ -18,6 +18,9 @@
 WINDOW_BUCKETS = 20
 KEPT_WINDOWS = 2  # whose requests are averaged; those of one instance vary much
 USABLE_ALLOWANCE_SHARE = 0.85  # buckets only approximate the sliding window
+# Of the allowance of all, which processes that start together may use again: what their
+# predecessors used is not known.
+RESTART_ALLOWANCE_SHARE = 1.0 - USABLE_ALLOWANCE_SHARE
 # With more in use by all instances, each keeps to its share. The rest covers retries
 # that the reports do not show yet.
 POOLED_ALLOWANCE_SHARE = 0.4
@@ -44,6 +47,24 @@
     retries: int = 0
 
 
+class _PeerReport(NamedTuple):
+    """What a peer told last.
+
+    Parameters
+    ----------
+    at : float
+        Seconds.
+    uses : mapping of str to BudgetUse
+        By service.
+    is_settled : bool
+        See `ServiceRetryBudget.is_settled`.
+    """
+
+    at: float
+    uses: Mapping[str, BudgetUse]
+    is_settled: bool
+
+
 @attrs.define(slots=True)
 class _Bucket:
     """Counts of one interval of the window.
@@ -112,7 +133,7 @@
         self._started_at = started_at
         self._counts: dict[str, deque[_Bucket]] = {}
         self._began_at: dict[str, float] = {}  # first request or retry, by service
-        self._peers: dict[str, tuple[float, Mapping[str, BudgetUse]]] = {}
+        self._peers: dict[str, _PeerReport] = {}
         self.instances = 1
 
     def record_request(self, service: str, now: float) -> None:
@@ -157,7 +178,26 @@
         """
         return self._has_share(service, now) or self._has_pool(service, now)
 
-    def record_peer(self, peer: str, uses: Mapping[str, BudgetUse], now: float) -> None:
+    def is_settled(self, now: float) -> bool:
+        """Return whether this process is older than a window.
+
+        What its predecessor used no longer counts then.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        return now - self._started_at >= self._window_s
+
+    def record_peer(
+        self,
+        peer: str,
+        uses: Mapping[str, BudgetUse],
+        now: float,
+        *,
+        is_settled: bool = True,
+    ) -> None:
         """Replace the report of a peer.
 
         Parameters
@@ -167,9 +207,11 @@
             By service.
         now : float
             Seconds.
+        is_settled : bool
+            What the peer tells of itself, see `is_settled`.
         """
         self._peers.pop(peer, None)  # keeps the reports in order of their age
-        self._peers[peer] = (now, uses)
+        self._peers[peer] = _PeerReport(now, uses, is_settled)
 
     def read_uses(self, now: float) -> dict[str, BudgetUse]:
         """Return the use of this instance by service, for its peers.
@@ -199,7 +241,20 @@
         slack *= min(1.0, (now - self._started_at) / self._window_s)
         requests = min(use.requests, self._average_requests(service, now))
         allowed = self._ratio * requests + slack
-        return use.retries + 1 <= USABLE_ALLOWANCE_SHARE * allowed
+        return use.retries + 1 <= self._compute_usable_share(now) * allowed
+
+    def _compute_usable_share(self, now: float) -> float:
+        """Return the share of its allowance that this instance may use.
+
+        Soon after its start, the more of the instances are as young as it, as far as
+        their reports tell, the less.
+        """
+        if self.is_settled(now):
+            return USABLE_ALLOWANCE_SHARE
+        reports = self._list_reports(now)
+        young = 1 + sum(not each.is_settled for each in reports)
+        share = RESTART_ALLOWANCE_SHARE * (1 + len(reports)) / young
+        return min(USABLE_ALLOWANCE_SHARE, share)
 
     def _average_requests(self, service: str, now: float) -> float:
         """Return the average number of requests in the last windows."""
@@ -213,16 +268,12 @@
         Unknown within a window of the start: if many start at the same time, what
         their predecessors used is in no report.
         """
-        if now - self._started_at < self._window_s:
+        if not self.is_settled(now):
             return False
-        while self._peers:
-            peer, (reported_at, _) = next(iter(self._peers.items()))
-            if now - reported_at <= USE_TTL_S:
-                break
-            del self._peers[peer]
-        if len(self._peers) < MIN_REPORTING_PEERS:
+        reports = self._list_reports(now)
+        if len(reports) < MIN_REPORTING_PEERS:
             return False
-        reported = [uses.get(service, BudgetUse()) for _, uses in self._peers.values()]
+        reported = [each.uses.get(service, BudgetUse()) for each in reports]
         own = self._read_use(service, now)
         scale = self.instances / (1 + len(reported))
         requests = scale * (own.requests + sum(use.requests for use in reported))
@@ -233,6 +284,15 @@
         allowed = self._ratio * requests + self._slack
         return retries + 1 <= POOLED_ALLOWANCE_SHARE * allowed
 
+    def _list_reports(self, now: float) -> list[_PeerReport]:
+        """Return the reports that are not out of date."""
+        while self._peers:
+            peer, report = next(iter(self._peers.items()))
+            if now - report.at <= USE_TTL_S:
+                break
+            del self._peers[peer]
+        return list(self._peers.values())
+
     def _read_use(self, service: str, now: float) -> BudgetUse:
         counts = self._list_buckets(service, now, WINDOW_BUCKETS)
         return BudgetUse(
--- a/packages/node/src/ebonyhaven_node/forwarding/_engine_use_exchange.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_engine_use_exchange.py
@@ -36,7 +36,8 @@
 
     A report is sent after each change and, while any tokens are occupied, at least
     every `USE_REFRESH_INTERVAL_S`. It also lists servers found lost since the last one,
-    and tells how much of the retry budgets this instance uses.
+    and tells how much of the retry budgets this instance uses, and whether its process
+    is older than their window.
 
     Parameters
     ----------
@@ -125,7 +126,9 @@
         lost, self._lost = sorted(self._lost), set()
         if uses or lost or self._has_sent_use:
             chosen = self._rng.sample(peers, min(MAX_REPORT_RECEIVERS, len(peers)))
-            payload = [uses, lost, self._budget.read_uses(time.monotonic())]
+            now = time.monotonic()
+            is_settled = self._budget.is_settled(now)
+            payload = [uses, lost, self._budget.read_uses(now), is_settled]
             for name in chosen:
                 self._membership.send(name, FrameKind.ENGINE_USE, payload)
         self._has_sent_use = bool(uses)
@@ -134,22 +137,26 @@
 
     def _receive(self, frame: Frame) -> None:
         try:
-            use_by_server, lost, *budget_uses = frame.payload
+            # Earlier releases send two or three fields.
+            use_by_server, lost, *budget_fields = frame.payload
             uses = {
                 str(name): EngineUse(*map(_check_count, values))
                 for name, values in use_by_server.items()
             }
             budget_use_by_service = {
                 str(name): BudgetUse(*map(_check_count, values))
-                for each in budget_uses[:1]
+                for each in budget_fields[:1]
                 for name, values in each.items()
             }
+            is_settled = budget_fields[1:2] in ([], [True])
         except (AttributeError, TypeError, ValueError) as error:
             _log.warning("engine_use_malformed", peer=frame.sender, reason=str(error))
             return
         now = time.monotonic()
         self._peers.record(frame.sender, uses, now)
-        self._budget.record_peer(frame.sender, budget_use_by_service, now)
+        self._budget.record_peer(
+            frame.sender, budget_use_by_service, now, is_settled=is_settled
+        )
         for server_id in lost:
             self._handle_lost_server(server_id)
         self._on_peer_use()
--- a/tests/decisions/test_retry_budgets.py
+++ b/tests/decisions/test_retry_budgets.py
@@ -42,13 +42,29 @@
         self.requests_at = []
         self.retries_at = []
 
-    def run(self, seconds, *, lost_share, loss_interval_s, silent_at=None):
-        """Play some time; if connections fall silent, losses begin at that moment."""
-        next_loss = loss_interval_s if silent_at is None else silent_at
+    def run(
+        self,
+        seconds,
+        *,
+        lost_share,
+        loss_interval_s,
+        losing_at=None,
+        silent_at=None,
+        restarts=(),
+    ):
+        """Play some time.
+
+        Losses begin after the first interval, or at another time. Reports stop when
+        connections fall silent. ``restarts`` holds the numbers of the instances that
+        start again, by time.
+        """
+        restarts = dict(restarts)
+        next_loss = loss_interval_s if losing_at is None else losing_at
         for step in range(round(seconds / STEP_S)):
-            now = step * STEP_S
+            now = round(step * STEP_S, 3)
             if silent_at is not None and now >= silent_at:
                 self.is_reporting = False
+            self.restart(restarts.get(now, ()), now)
             self._start(now)
             self._report(step, now)
             if now >= next_loss:
@@ -59,6 +75,15 @@
         self.waits += [seconds - since for since, _ in self.waiting]
         return self
 
+    def restart(self, numbers, now):
+        """Replace the processes of instances; their callers send streams again."""
+        for number in numbers:
+            count = len(self.budgets)
+            self.budgets[number] = ServiceRetryBudget(
+                ratio=RATIO, window_s=WINDOW_S, slack=SLACK, started_at=now
+            )
+            self.budgets[number].instances = count
+
     def _start(self, now):
         count = int(REQUESTS_PER_S * STEP_S + self.rng.random())
         for _ in range(count):
@@ -77,7 +102,8 @@
             receivers = min(RECEIVERS, len(self.budgets) - 1)
             for peer in self.rng.sample(self.budgets, receivers):
                 if uses and peer is not budget:
-                    peer.record_peer(f"n{number}", uses, now)
+                    is_settled = budget.is_settled(now)
+                    peer.record_peer(f"n{number}", uses, now, is_settled=is_settled)
 
     def _lose(self, share, now):
         kept = []
@@ -145,10 +171,31 @@
         *((count, 1.0) for count in seldom),
     ):
         fleet = Fleet(count, seed=1)
-        fleet.run(24.0, lost_share=0.9, loss_interval_s=interval_s, silent_at=12.0)
+        losses = {"lost_share": 0.9, "loss_interval_s": interval_s}
+        fleet.run(24.0, **losses, losing_at=12.0, silent_at=12.0)
         assert fleet.find_worst_use() < 1.0, (count, interval_s)
 
 
+def test_allowance_that_was_used_before_a_restart_is_used_again_after_it():
+    # Up to 1.6 times the budget, if all instances are killed soon after many losses.
+    every = range(9)
+    for restarts in (
+        {15.0: every},
+        {15.0: range(4), 16.0: range(4, 9)},
+        {15.0 + number: [number] for number in every},
+    ):
+        fleet = Fleet(9, seed=1)
+        losses = {"lost_share": 0.9, "loss_interval_s": 0.2}
+        fleet.run(30.0, **losses, losing_at=12.0, restarts=restarts)
+        assert fleet.find_worst_use() < 1.0, restarts
+
+
+def test_single_restart_leaves_an_instance_its_share_of_the_budget():
+    fleet = Fleet(9, seed=1)
+    fleet.run(20.0, lost_share=0.05, loss_interval_s=0.5, restarts={10.0: [3]})
+    assert compute_late_share(fleet) < 0.05
+
+
 def test_reports_of_instances_that_fell_silent_do_not_count():
     budget = ServiceRetryBudget(ratio=RATIO, window_s=WINDOW_S, slack=SLACK)
     budget.instances = INSTANCES
--- a/tests/forwarding/test_engine_use_exchange.py
+++ b/tests/forwarding/test_engine_use_exchange.py
@@ -42,7 +42,7 @@
     exchange.schedule_report()
     exchange.report_lost_server(harness.state.backends.find("e-1"))
     clock.advance(0.02)
-    payload = [{"e-0": [8700, 0, 8000]}, ["e-1"], {}]
+    payload = [{"e-0": [8700, 0, 8000]}, ["e-1"], {}, True]
     assert sorted(membership.sent) == [
         ("n2", FrameKind.ENGINE_USE, payload),
         ("n3", FrameKind.ENGINE_USE, payload),
@@ -69,7 +69,7 @@
     engine.run_tokens = 0
     exchange.schedule_report()
     clock.advance(0.02)
-    assert membership.sent[-1][2] == [{}, [], {}]
+    assert membership.sent[-1][2] == [{}, [], {}, True]
     clock.pump([1.0] * 5)
     assert len(membership.sent) == 3
 
@@ -104,6 +104,18 @@
     assert membership.sent[-1][2][2] == {"engines": (1, 1)}
 
 
+def test_instance_that_starts_beside_others_does_not_know_that_they_just_did():
+    _, _, _, channels, _, _, _, budget = build_use_exchange("n2", "n3")
+    receive = channels.handlers[FrameKind.ENGINE_USE]
+    for name, payload, is_settled in (
+        ("n2", [{}, [], {}, False], False),
+        ("n3", [{}, [], {}, True], True),
+        ("n4", [{}, [], {}], True),  # an earlier release
+    ):
+        receive(Frame(FrameKind.ENGINE_USE, name, 1, payload))
+        assert budget._peers[name].is_settled is is_settled
+
+
 def test_use_of_the_retry_budget_by_peers_is_recorded_unless_malformed():
     _, _, _, channels, _, _, _, budget = build_use_exchange("n2")
     budget.instances = 195
