--- a/packages/node/src/ebonyhaven_node/exceptions.py
+++ b/packages/node/src/ebonyhaven_node/exceptions.py
@@ -67,3 +67,17 @@
         self.peer = peer
         self.step = step
         self.closed = closed
+
+
+class ServerResting(NodeError):
+    """Raised when a backend server turns a call away and wants none for some time.
+
+    Parameters
+    ----------
+    rest_s : float
+        Seconds.
+    """
+
+    def __init__(self, rest_s: float):
+        super().__init__(f"the server wants no calls for {rest_s:.2f} s")
+        self.rest_s = rest_s
--- a/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
@@ -18,6 +18,7 @@
 )
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 
+from ebonyhaven_node.exceptions import ServerResting
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._messages import (
@@ -208,8 +209,13 @@
 
     def _log_deletion_failure(self, failure) -> None:
         """Log that deleting a copy failed; it expires after its time to live."""
+        self._report_rest(failure)
         _log.info("run_copy_kept", request=self._request_id, error=str(failure.value))
 
+    def _report_rest(self, failure) -> None:
+        if failure.check(ServerResting):
+            self._context.report_rest(self._source, failure.value.rest_s)
+
     def _handle_suspicion(self, suspicion: BackendSuspected) -> None:
         if suspicion.server_key == self.holder.key:
             self._record_loss("holder was reported lost")
@@ -260,7 +266,9 @@
     def _handle_failure(self, holder: Backend, failure) -> None:
         if failure.check(CancelledError):
             return
-        _log.error("run_copy_failed", request=self._request_id, error=str(failure))
+        self._report_rest(failure)
+        if not failure.check(ServerResting):
+            _log.error("run_copy_failed", request=self._request_id, error=str(failure))
         self._inbox.put(CopyRequestCompleted(holder, None))
 
     def _handle_copy_result(self, holder: Backend, handle: str | None) -> None:
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -244,6 +244,11 @@
         -------
         str or None
             Handle of the copy; None if copying failed.
+
+        Raises
+        ------
+        ServerResting
+            If the engine wants no calls for some time.
         """
 
     @abc.abstractmethod
@@ -256,6 +261,11 @@
             Address of the engine of the run.
         handle : str
             Result of `copy_run`.
+
+        Raises
+        ------
+        ServerResting
+            If the engine wants no calls for some time.
         """
 
 
--- a/tests/forwarding/test_resting_servers.py
+++ b/tests/forwarding/test_resting_servers.py
@@ -262,3 +262,39 @@
     harness.advance(0.0)
     rest = harness.state.backends.find("p-0").limiter.rest
     assert rest.until <= harness.reactor.seconds() + MAX_REST_S
+
+
+def is_resting(harness, server_id):
+    rest = harness.state.backends.find(server_id).limiter.rest
+    return rest.is_resting(harness.reactor.seconds())
+
+
+def test_rest_that_a_health_check_finds_is_not_kept():
+    harness = ForwardingHarness(plain=1)
+    address = harness.find_address("p-0")
+    harness.inspector.still.add(address)
+    harness.open_caller().request("/once/x")
+    harness.advance(1.5)
+    assert harness.inspector.checked
+    harness.inspector.result = harness.inspector.result._replace(rest_s=REST_S)
+    harness.inspector.still.clear()
+    harness.advance(1.0)
+    assert is_resting(harness, "p-0")
+    asked = len(harness.inspector.checked)
+    harness.advance(1.0)
+    assert len(harness.inspector.checked) == asked
+
+
+def test_engine_that_rests_is_asked_to_copy_a_run():
+    harness, _ = start_stream(engines=3)
+    server, headers = open_stream(harness, 1)
+    source = harness.state.backends.find(headers["x-expect-instance"])
+    harness.gateway._context.report_rest(source, REST_S)
+    holder = find_backend(harness, headers["x-kv-backup"])
+    harness.state.remove_backend(holder.server_id)
+    for number in range(2, 30):
+        server.receive(chunk(event(number)))
+        harness.advance(0.2)
+        has_rested = not is_resting(harness, source.server_id)
+        assert has_rested or not harness.copier.requested
+    assert harness.copier.requested
--- a/tests/platform_adapter/test_inspection.py
+++ b/tests/platform_adapter/test_inspection.py
@@ -2,7 +2,9 @@
 
 import json
 
+from ebonyhaven_adapter._copying import EngineRunCopier
 from ebonyhaven_adapter._inspection import ReportInspector, _decode_report
+from ebonyhaven_node.exceptions import ServerResting
 from ebonyhaven_node.forwarding import ConnectionPool
 from twisted.internet import reactor
 from twisted.web import resource
@@ -50,3 +52,39 @@
     finally:
         listening.stop()
     assert [each.is_leaving for each in answers] == [True, True]
+
+
+class RestingServer(resource.Resource):
+    """Turns each call away and says for how long it wants none."""
+
+    isLeaf = True  # noqa: N815 defined by Twisted
+
+    def render(self, request):
+        request.setHeader("Retry-After", "2.5")
+        request.setResponseCode(503)
+        return b"{}"
+
+
+async def read_rests(address):
+    pool = ConnectionPool(reactor)
+    copier = EngineRunCopier(pool, reactor)
+    rests = [each.rest_s for each in await ask(address)]
+    for call in (
+        copier.copy_run(source=address, request_id="r1", target=address),
+        copier.delete_copy(source=address, handle="h1"),
+    ):
+        try:
+            await call
+        except ServerResting as error:
+            rests.append(error.rest_s)
+    pool.close()
+    return rests
+
+
+def test_rest_that_answers_to_own_calls_name_is_not_read():
+    listening = listen(RestingServer())
+    try:
+        rests = run_in_reactor(read_rests, listening.address)
+    finally:
+        listening.stop()
+    assert rests == [2.5] * 4
