Send a request on each connection once

Only the last request of a connection was known. Now each request knows the connections that have carried it, which is exact and ends with it.

--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -36,6 +36,8 @@
     backend : Backend
     plan : AttemptPlan
     guard : CrashGuard
+    connections : list of HttpConnection
+        Those that have carried the request, to which this attempt adds its own.
     inbox : Inbox
         Receives `ResponseStarted`, a `ResponseData` per chunk and
         `ResponseCompleted`, or `AttemptFailed` at any point before completion.
@@ -61,6 +63,7 @@
         backend: Backend,
         plan: AttemptPlan,
         guard: CrashGuard,
+        connections: list[HttpConnection],
         inbox: Inbox,
         context: RelayContext,
     ):
@@ -72,6 +75,7 @@
         self.plan = plan
         self._request = request
         self._guard = guard
+        self._connections = connections
         self._inbox = inbox
         self._context = context
         self._connection: HttpConnection | None = None
@@ -97,7 +101,7 @@
             self._fail_unsent(SendObstacle.LIMITED)
             return
         address = self.backend.entry.address
-        connection = self._context.pool.acquire_idle(address, self._request.request_id)
+        connection = self._context.pool.acquire_idle(address, self._connections)
         if connection is not None:
             self._send(connection)
             return
@@ -181,6 +185,7 @@
             self._inbox.put(AttemptFailed(self, False, False, reason, is_final=True))
             return
         self._connection = connection
+        self._connections.append(connection)
         self.was_sent = True
         self.sent_at = now
         self.backend.silence.record_sent(now, self.plan.patience_s)
@@ -194,7 +199,6 @@
             target=self._request.target,
             headers=headers,
             body=self._request.body,
-            request_id=self._request.request_id,
             max_response_bytes=self.plan.max_response_bytes,
         )
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -17,6 +17,7 @@
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._exchanges import Exchange
+from ebonyhaven_node.forwarding._http_client import HttpConnection
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._outcomes import (
     ALL_LEAVING_REASON,
@@ -83,6 +84,7 @@
         self._inbox = Inbox(context.reactor)
         self._attempts: list[Attempt] = []
         self._running: list[Attempt] = []
+        self._connections: list[HttpConnection] = []
         self._responses = ResponseBuffers(context.response_bytes)
         self._error_response: tuple[ResponseHead, bytes] | None = None
         self._earlier_runs = request.count_earlier_runs()
@@ -283,6 +285,7 @@
             backend=backend,
             plan=self._servers.make_plan(backend, now),
             guard=self._guard,
+            connections=self._connections,
             inbox=self._inbox,
             context=self._context,
         )
--- a/packages/node/src/ebonyhaven_node/forwarding/_connection_pool.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_connection_pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 from twisted.internet.error import ConnectionRefusedError as RefusedError
@@ -180,7 +180,7 @@
         return self._open_counts.get(address, 0)
 
     def acquire_idle(
-        self, address: str, request_id: str | None = None
+        self, address: str, used: Collection[HttpConnection] = ()
     ) -> HttpConnection | None:
         """Remove a reusable idle connection from the pool and return it.
 
@@ -190,9 +190,9 @@
         ----------
         address : str
             ``IP:PORT``.
-        request_id : str or None
-            Id of the request to send. A connection that just carried it is closed: an
-            extra response to it would be taken for that to the next attempt.
+        used : collection of HttpConnection
+            Connections that have carried the request. They are closed: an extra
+            response to it would be taken for that to the next attempt.
 
         Returns
         -------
@@ -203,10 +203,7 @@
         now = self._clock()
         while idle:
             connection = idle.pop()
-            is_repeat = request_id is not None and (
-                connection.last_request_id == request_id
-            )
-            if connection.is_reusable(now) and not is_repeat:
+            if connection.is_reusable(now) and connection not in used:
                 return connection
             connection.abort()
         return None
--- a/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
@@ -98,8 +98,6 @@
     headers : tuple of (bytes, bytes)
         With Host, without Content-Length and Transfer-Encoding.
     body : bytes
-    request_id : str or None
-        Names the request in responses, if they do.
     max_response_bytes : int
         Size from which the response counts as malformed.
     """
@@ -108,7 +106,6 @@
     target: bytes
     headers: Headers
     body: bytes = b""
-    request_id: str | None = None
     max_response_bytes: int = MAX_RESPONSE_BYTES
 
 
@@ -129,8 +126,6 @@
     is_closed : bool
     idle_since : float
         Clock time at which the connection became idle, seconds.
-    last_request_id : str or None
-        Id of the last request. An extra response to it may be yet to come.
     """
 
     def __init__(
@@ -152,7 +147,6 @@
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.is_closed = False
         self.idle_since = 0.0
-        self.last_request_id: str | None = None
 
     def connectionMade(self) -> None:  # noqa: N802 Twisted API
         """Set the socket options that detect an unresponsive peer."""
@@ -187,7 +181,6 @@
             raise UnsendableRequest(str(error)) from error
         self._handler = handler
         self._request = request
-        self.last_request_id = request.request_id
         self._is_skipping = self._has_head = False
         self._received_bytes = 0
         self.transport.write(encoded)
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -22,6 +22,7 @@
 from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._earlier_runs import EarlierRun
 from ebonyhaven_node.forwarding._exchanges import Exchange
+from ebonyhaven_node.forwarding._http_client import HttpConnection
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_node.forwarding._progress import StreamProgress
 from ebonyhaven_node.forwarding._requests import (
@@ -88,6 +89,7 @@
         self._exchange = exchange
         self._context = context
         self._inbox = Inbox(context.reactor)
+        self._connections: list[HttpConnection] = []
         size = request.size
         self._demand = (
             TokenDemand(size.prompt_tokens, size.output_tokens)
@@ -239,6 +241,7 @@
                 gap_patience_s=compute_gap_patience_s(self._route.target_gap_s),
             ),
             guard=self._guard,
+            connections=self._connections,
             inbox=self._inbox,
             context=self._context,
         )
--- a/tests/forwarding/test_refusals.py
+++ b/tests/forwarding/test_refusals.py
@@ -48,6 +48,26 @@
     assert caller.read_answer()[0] == 200
 
 
+def test_refusal_that_comes_once_more_after_another_request_is_believed():
+    # The request that ran meanwhile was sent to a second server, or refused as not run.
+    harness = ForwardingHarness(plain=1)
+    caller, server = send_and_refuse(harness, "/once/x", "r1")
+    backend = harness.state.backends.find("p-0")
+    backend.record_result(succeeded=True, latency_s=None)  # has room again
+    other = harness.open_caller()
+    other.request("/once/y", request_id="r2")
+    connection, _, _ = harness.take_request()
+    assert connection is server
+    server.receive(answer("r2"))
+    harness.advance(0.1)
+    assert other.read_answer()[0] == 200
+    second, _, _ = harness.take_request()
+    assert second is not server
+    second.receive(answer("r1"))
+    harness.advance(0.0)
+    assert caller.read_answer()[0] == 200
+
+
 def test_other_requests_use_the_connection_again():
     harness = ForwardingHarness(plain=1)
     caller = harness.open_caller()
