Send nothing for a process to an address that another one has taken

A 421 made the server suspect, and short requests try suspect servers, as a refused connection proves that nothing ran.

test_process_that_took_an_address_gets_requests_for_its_predecessor failed before.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -97,6 +97,8 @@
         Prompt tokens of this instance that the engine has yet to prefill.
     suspect_until : float
         Time before which no new requests are sent to the server, seconds.
+    replaced_until : float
+        Time before which another process is taken to be at its address, seconds.
     failures : int
         Failures to reach the server since it last responded.
     last_received_at : float
@@ -136,6 +138,7 @@
     copy_tokens: int = 0
     prefill_tokens: int = 0
     suspect_until: float = -math.inf
+    replaced_until: float = -math.inf
     failures: int = 0
     last_received_at: float = -math.inf
     failure_share: float = 0.0
@@ -288,14 +291,15 @@
         self.slow_until = now + SLOW_S
 
     def record_replaced(self, now: float) -> None:
-        """Suspect the server because another process responds at its address.
+        """Record that another process responds at the server's address.
 
         Parameters
         ----------
         now : float
             Seconds.
         """
-        self.suspect_until = max(self.suspect_until, now + REPLACED_SUSPECT_S)
+        self.replaced_until = now + REPLACED_SUSPECT_S
+        self.suspect_until = max(self.suspect_until, self.replaced_until)
 
     def record_refused(self, now: float, jitter: float) -> None:
         """Record that the server refused a request because it was full.
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -317,7 +317,7 @@
         -------
         SendObstacle or None
         """
-        if not self._is_there(backend, now):
+        if not self._is_there(backend, now) or now < backend.replaced_until:
             return SendObstacle.LEFT
         if backend.limiter.rest.is_resting(now):
             return SendObstacle.RESTING
@@ -361,7 +361,7 @@
 
         A short request tries a suspect server rather than being rejected, because a
         failed connection attempt proves that the request was not run. Servers that
-        are full or unresponsive are left out.
+        are full, unresponsive or replaced by another process are left out.
 
         Parameters
         ----------
@@ -382,6 +382,7 @@
             if each.entry.service == service
             and each.key not in excluded_keys
             and not each.is_leaving
+            and now >= each.replaced_until
             and each.accepts(now)
             and not each.silence.is_unresponsive(now)
         ]
--- a/tests/forwarding/test_refusals.py
+++ b/tests/forwarding/test_refusals.py
@@ -68,6 +68,22 @@
     assert caller.read_answer()[0] == 200
 
 
+def test_process_that_took_an_address_gets_requests_for_its_predecessor():
+    # 75 requests in a second reached it, from an instance with an older list.
+    harness = ForwardingHarness(plain=1)
+    arrivals = 0
+    for number in range(20):
+        harness.open_caller().request("/repeat/x", request_id=f"r{number}")
+        while harness.count_waiting():
+            server, head, _ = harness.take_request()
+            arrivals += 1
+            request_id = dict(head.headers)[b"x-attempt-id"].decode()
+            server.receive(refusal(request_id, 421, X_Instance_Id="p-9"))
+            harness.advance(0.0)
+        harness.advance(0.05)
+    assert arrivals <= 2
+
+
 def test_other_requests_use_the_connection_again():
     harness = ForwardingHarness(plain=1)
     caller = harness.open_caller()
