Split the backoff after refusals and what processes say from server and directory

The backoff of our own rule was called a rest, as is now the time that a server names; it has its own class and name. What a process said of itself in an answer (that it leaves, that it rests) outlasts its entry in the list and is kept in one place.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -10,6 +10,7 @@
 
 from ebonyhaven_decisions.forwarding._limit_shares import LimitedServer, ServerLimiter
 from ebonyhaven_decisions.forwarding._permit_limiters import PermitLimiter
+from ebonyhaven_decisions.forwarding._refusal_backoffs import RefusalBackoff
 from ebonyhaven_decisions.forwarding._server_silence import ServerSilence
 
 SUSPECT_MIN_S = 0.4  # a third of the restart time of a server on a fast machine
@@ -22,9 +23,6 @@
 SLOW_S = 2.0  # for which a server that paused its streams gets few new ones
 LOAD_REPORT_TTL_S = 1.0  # older reports do not reflect the current load
 RESULT_SMOOTHING_FACTOR = 0.2
-# After a refusal, a full server is left alone for a time that doubles with each one.
-REFUSAL_REST_MIN_S = 0.03  # about the time of a short request
-REFUSAL_REST_MAX_S = 0.5
 DEFAULT_LATENCY_S = 0.05
 
 
@@ -111,12 +109,8 @@
         Running and queued requests of other instances in the last load report.
     reported_at : float
         Time of the last load report, seconds.
-    in_flight_at_refusal : int
-        Other requests of this instance at the server when it last refused one.
-    refusals : int
-        Requests that the server refused because it was full, since it last ran one.
-    resting_until : float
-        Time before which the full server is left alone, seconds.
+    backoff : RefusalBackoff
+        Backoff after refusals.
     slow_until : float
         Time before which other servers are preferred, seconds.
     limiter : ServerLimiter
@@ -145,9 +139,7 @@
     latency_s: float = DEFAULT_LATENCY_S
     reported_load: int = 0
     reported_at: float = -math.inf
-    in_flight_at_refusal: int = 0
-    refusals: int = 0
-    resting_until: float = -math.inf
+    backoff: RefusalBackoff = attrs.Factory(RefusalBackoff)
     slow_until: float = -math.inf
     limiter: ServerLimiter = attrs.Factory(lambda: ServerLimiter(PermitLimiter()))
     silence: ServerSilence = attrs.Factory(ServerSilence)
@@ -207,10 +199,7 @@
     def accepts(self, now: float) -> bool:
         """Return whether the server is expected to take a request now.
 
-        Designed for many instances that share a server with few slots: if each sent
-        its rejected requests again at once, most arrivals would be rejected ones. Up
-        to what it was serving for this instance, a server that has refused a request
-        goes on to get others. Permits take care of brittle servers.
+        Permits take the place of the backoff for brittle servers.
 
         Parameters
         ----------
@@ -219,11 +208,8 @@
         """
         if not self.limiter.is_allowed(now):
             return False
-        if self.refusals == 0 or self.limiter.refusals.limit is not None:
-            return True
-        if now < self.resting_until:
-            return False
-        return self.in_flight < max(1, self.in_flight_at_refusal)
+        is_brittle = self.limiter.refusals.limit is not None
+        return is_brittle or self.backoff.allows(self.in_flight, now)
 
     def can_resume_from_copy(self, now: float) -> bool:
         """Return whether a run may resume from a copy on this server.
@@ -312,11 +298,7 @@
             Random number from 0 to 1, so that the instances return at different times.
         """
         self.limiter.refusals.record_refused(now, jitter)
-        rest_s = REFUSAL_REST_MIN_S * 2 ** min(self.refusals, 8)
-        self.refusals += 1
-        self.in_flight_at_refusal = self.in_flight
-        until = now + min(rest_s, REFUSAL_REST_MAX_S) * (0.5 + jitter)
-        self.resting_until = max(self.resting_until, until)
+        self.backoff.record_refused(self.in_flight, now, jitter)
 
     def record_received(self, now: float) -> None:
         """Record that response bytes arrived and clear the suspicion.
@@ -377,7 +359,7 @@
             Seconds from sending the request to the complete response; None if
             unknown.
         """
-        self.refusals = 0
+        self.backoff.record_run()
         failed = 0.0 if succeeded else 1.0
         self.failure_share += RESULT_SMOOTHING_FACTOR * (failed - self.failure_share)
         if succeeded and latency_s is not None:  # fast failures would lower the average
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -12,13 +12,11 @@
     Backend,
     BackendEntry,
 )
+from ebonyhaven_decisions.forwarding._process_notices import ProcessNotices
 from ebonyhaven_decisions.forwarding._send_obstacles import SendObstacle
-from ebonyhaven_decisions.forwarding._server_rests import ServerRest
 from ebonyhaven_decisions.forwarding._service_versions import ServiceVersions
 from ebonyhaven_decisions.forwarding._suspect_data_centres import SuspectDataCentres
 
-TOLD_LEAVE_TTL_S = 60.0  # exceeds the time for which a leaving process goes on
-
 
 class BackendDirectory:
     """Backend servers, listed or recently removed, by server id.
@@ -29,6 +27,8 @@
         Data centres of servers that were lost.
     limits : BackendLimits
         Limits of the listed servers.
+    notices : ProcessNotices
+        What their processes said of themselves in answers.
     versions : ServiceVersions
         Software versions of the servers, listed and earlier ones.
     """
@@ -37,10 +37,9 @@
         "_by_id",
         "_current_at",
         "_removed",
-        "_rests",
-        "_told_leave_at",
         "data_centres",
         "limits",
+        "notices",
         "versions",
     )
 
@@ -48,10 +47,9 @@
         self._by_id: dict[str, Backend] = {}
         self._removed: dict[str, Backend] = {}
         self._current_at = -math.inf
-        self._told_leave_at: dict[tuple[str, int], float] = {}  # by process
-        self._rests: dict[tuple[str, int], ServerRest] = {}  # that last, by process
         self.data_centres = SuspectDataCentres()
         self.limits = BackendLimits(self._by_id)
+        self.notices = ProcessNotices(self._is_listed)
         self.versions = ServiceVersions(self._by_id)
 
     def __iter__(self) -> Iterator[Backend]:
@@ -96,8 +94,7 @@
             if known is not None:
                 self.versions.record_removed(known.entry, now)
             known = Backend(entry)
-            known.has_told_leave = known.key in self._told_leave_at
-            known.limiter.rest = self._rests.get(known.key, known.limiter.rest)
+            self.notices.apply(known)
             self.limits.apply_known(known, now)
         known.entry = entry
         known.removed_at = None
@@ -131,59 +128,6 @@
             if now >= each.kept_until:
                 del self._removed[name]
 
-    def record_told_leave(self, backend: Backend, now: float) -> bool:
-        """Record that a process said in an answer that it leaves.
-
-        This holds for as long as the process lasts, whatever the list says later.
-
-        Parameters
-        ----------
-        backend : Backend
-        now : float
-            Seconds.
-
-        Returns
-        -------
-        bool
-            Whether this was not known from an answer before.
-        """
-        if backend.has_told_leave:
-            return False
-        backend.has_told_leave = True
-        self._told_leave_at = {
-            key: told_at
-            for key, told_at in self._told_leave_at.items()
-            if now - told_at < TOLD_LEAVE_TTL_S or self._is_listed(key)
-        }
-        self._told_leave_at[backend.key] = now
-        return True
-
-    def record_rest(self, backend: Backend, rest_s: float, now: float) -> bool:
-        """Record that a process named a time for which it wants no requests.
-
-        This holds for the process, also if its entry is removed and comes back.
-
-        Parameters
-        ----------
-        backend : Backend
-        rest_s : float
-            Seconds.
-        now : float
-            Time of the answer, seconds.
-
-        Returns
-        -------
-        bool
-            Whether the process was not resting before.
-        """
-        rest = backend.limiter.rest
-        is_new = rest.record_named(rest_s, now)
-        self._rests = {
-            key: each for key, each in self._rests.items() if each.is_resting(now)
-        }
-        self._rests[backend.key] = rest
-        return is_new
-
     def _is_listed(self, key: tuple[str, int]) -> bool:
         backend = self._by_id.get(key[0])
         return backend is not None and backend.key == key
@@ -348,7 +292,7 @@
             Seconds; infinite if no server is resting.
         """
         ends = [
-            max(each.resting_until, each.limiter.rest.next_at)
+            max(each.backoff.until, each.limiter.rest.next_at)
             for each in self._by_id.values()
             if each.entry.service == service
         ]
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -203,7 +203,7 @@
         backend : Backend
         """
         was_listed_ready = not backend.is_leaving
-        if not self.state.backends.record_told_leave(backend, self.clock()):
+        if not self.state.backends.notices.record_leave(backend, self.clock()):
             return
         self.pool.close_idle(backend.entry.address)
         _log.info(
@@ -222,7 +222,7 @@
         rest_s : float
             Seconds.
         """
-        if not self.state.backends.record_rest(backend, rest_s, self.clock()):
+        if not self.state.backends.notices.record_rest(backend, rest_s, self.clock()):
             return
         self.metrics.server_rests.inc()
         _log.info(
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -199,7 +199,7 @@
     now = harness.reactor.seconds()
     for each in harness.state.backends:
         each.record_refused(now, 0.5)
-        each.resting_until = now + seconds
+        each.backoff.until = now + seconds
 
 
 def test_call_that_ends_before_the_instance_still_waits_for_a_server():
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -171,8 +171,8 @@
         servers = StandingServers(harness, names)
         for server_id in full:
             backend = harness.state.backends.find(server_id)
-            backend.refusals = 1
-            backend.resting_until = harness.reactor.seconds() + 10.0
+            backend.backoff.refusals = 1
+            backend.backoff.until = harness.reactor.seconds() + 10.0
         servers.run(1.0, "/once/x")
         with capture_logs() as lines:
             servers.request("/once/x")
