--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -20,7 +20,11 @@
         size = size._replace(instances=options.instances)
     for seed in seeds:
         report = await run_soak(
-            seed, options.seconds, fault_set=options.faults, size=size
+            seed,
+            options.seconds,
+            fault_set=options.faults,
+            size=size,
+            production=options.production,
         )
         failed += bool(report.problems)
         print(f"seed {seed}: {report.statuses}, logs {report.directory}", flush=True)
@@ -42,6 +46,9 @@
         "--large", action="store_true", help="six instances in three data centres"
     )
     parser.add_argument("--instances", type=int, help="another number of instances")
+    parser.add_argument(
+        "--production", help="commit whose build runs until it is upgraded"
+    )
     options = parser.parse_args()
     failures = []
 
--- a/tests/platform_adapter/soak/_deployment.py
+++ b/tests/platform_adapter/soak/_deployment.py
@@ -17,6 +17,7 @@
 from twisted.internet import reactor
 from twisted.web import resource, server
 
+from tests.platform_adapter.soak._builds import export_build
 from tests.platform_adapter.soak._configurations import ConfigurationPlay
 from tests.platform_adapter.soak._places import (
     DepartureLog,
@@ -49,6 +50,11 @@
     store : StoreStandIn
     data_centre : str
     grace_s : int
+
+    Attributes
+    ----------
+    earlier_build : str or None
+        Import path of the build that the next process runs; None for the present one.
     """
 
     def __init__(
@@ -70,6 +76,7 @@
         host, _, port = store_address.rpartition(":")
         self._store_port = reactor.listenTCP(int(port), site, interface=host)
         self.process: subprocess.Popen | None = None
+        self.earlier_build: str | None = None
         self.addresses = {
             kind: allocate_address()
             for kind in ("frontend", "readiness", "controlPlane", "directory")
@@ -167,10 +174,13 @@
         """Start the process, unless it runs."""
         if self.is_running():
             return
+        variables = {**os.environ, "EBONYHAVEN_NODE_FILE": str(self._settings_path)}
+        if self.earlier_build is not None:
+            variables["PYTHONPATH"] = self.earlier_build
         with self._log_path.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", PROGRAM, str(self._routes_path)],
-                env={**os.environ, "EBONYHAVEN_NODE_FILE": str(self._settings_path)},
+                env=variables,
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
@@ -264,6 +274,8 @@
     size : DeploymentSize
     has_long_streams : bool
         Whether there is a route of streams that last for seconds.
+    production : str or None
+        Commit whose build the instances run first; None for the present one.
     """
 
     crashing_path = CRASHING_PATH
@@ -274,6 +286,7 @@
         *,
         size: DeploymentSize = SMALL,
         has_long_streams: bool = False,
+        production: str | None = None,
     ):
         self.rng = rng
         self.has_long_streams = has_long_streams
@@ -300,6 +313,10 @@
             )
             for number in range(size.instances)
         ]
+        if production is not None:
+            build = export_build(production, self.directory / "production")
+            for each in self.instances:
+                each.earlier_build = build
         kinds = ["plain"] * size.plain + ["engines"] * size.engines
         kinds += ["other"] * size.others
         names = [f"s{number}" for number in range(len(kinds) + size.spare_sites)]
--- a/tests/platform_adapter/soak/_faults.py
+++ b/tests/platform_adapter/soak/_faults.py
@@ -107,6 +107,13 @@
         "crash_server",
     ),
     "foreign-rows": (*_LEAVING, "write_foreign_row"),
+    "upgrade": (
+        *("upgrade_instance",) * 3,
+        "replace_server",
+        "change_configuration",
+        "crash_server",
+        "pause_servers",
+    ),
     "rests": (
         *("name_rests",) * 4,
         "pause_instance",
--- a/tests/platform_adapter/soak/_instance_faults.py
+++ b/tests/platform_adapter/soak/_instance_faults.py
@@ -89,6 +89,14 @@
             for each in self._log.terminations
         )
 
+    async def upgrade_instance(self) -> None:
+        """Replace an instance of an earlier build by one of the present build."""
+        earlier = [each for each in self._deployment.instances if each.earlier_build]
+        if not earlier or self._is_stopping(earlier[0]):
+            return
+        earlier[0].earlier_build = None
+        await self._terminate(earlier[0], None)
+
     async def pause_instance(self) -> None:
         instance = self._choose()
         with self._log.disturbing(instance.name, DisturbanceKind.FREEZE):
--- a/tests/platform_adapter/soak/_run.py
+++ b/tests/platform_adapter/soak/_run.py
@@ -105,6 +105,7 @@
     *,
     fault_set: str = "standard",
     size: DeploymentSize = SMALL,
+    production: str | None = None,
 ) -> SoakReport:
     """Run the program under load and faults, and check what happened.
 
@@ -116,6 +117,8 @@
     fault_set : str
         Name of one of `FAULT_SETS`; all but ``standard`` add streams of seconds.
     size : DeploymentSize
+    production : str or None
+        Commit whose build the instances run until they are upgraded.
 
     Returns
     -------
@@ -124,7 +127,10 @@
     rng = random.Random(seed)
     has_long_streams = fault_set != "standard"
     deployment = SoakDeployment(
-        random.Random(rng.random()), size=size, has_long_streams=has_long_streams
+        random.Random(rng.random()),
+        size=size,
+        has_long_streams=has_long_streams,
+        production=production,
     )
     results: list[Result] = []
     callers = [
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -10,6 +10,9 @@
 CONFIGURATION_DURATION_S = 10.0
 REST_DURATION_S = 8.0
 REST_SEEDS = (3000,)
+UPGRADE_DURATION_S = 12.0
+UPGRADE_SEEDS = (3200,)
+PRODUCTION = "c594f59"  # commit of the release that is replaced
 # 32, 41: connections to the store fell silent, and polls were in phase (CONFIG).
 CONFIGURATION_SEEDS = (32, 41)
 
@@ -35,6 +38,19 @@
         assert report.statuses["503"] > 10, report.statuses
 
 
+def test_instances_of_two_builds_keep_promises_while_they_are_replaced():
+    for seed in UPGRADE_SEEDS:
+        report = run_in_reactor(run_upgrade_soak, seed)
+        assert not report.problems, (seed, report.problems, report.directory)
+        assert report.statuses["200"] > 100, report.statuses
+
+
+async def run_upgrade_soak(seed):
+    return await run_soak(
+        seed, UPGRADE_DURATION_S, fault_set="upgrade", production=PRODUCTION
+    )
+
+
 async def run_rest_soak(seed):
     return await run_soak(seed, REST_DURATION_S, fault_set="rests")
 
