--- a/tests/platform_adapter/soak/_callers.py
+++ b/tests/platform_adapter/soak/_callers.py
@@ -81,6 +81,12 @@
     return STREAM_TIME_LIMIT_S if path.startswith(STREAM_PATHS) else TIME_LIMIT_S
 
 
+def has_left_early(result: Result) -> bool:
+    """Return whether the caller gave up long before its time was over."""
+    waited_s = result.ended_at - result.sent_at
+    return result.is_given_up and waited_s < get_time_limit_s(result.path) - THINK_S[1]
+
+
 class _Connection(Protocol):
     def __init__(self):
         self.codec = h11.Connection(h11.CLIENT)
--- a/tests/platform_adapter/soak/_run.py
+++ b/tests/platform_adapter/soak/_run.py
@@ -14,7 +14,7 @@
     check_rests,
     check_times_handed_on,
 )
-from tests.platform_adapter.soak._callers import Result, SoakCaller
+from tests.platform_adapter.soak._callers import Result, SoakCaller, has_left_early
 from tests.platform_adapter.soak._checks import (
     CONTACT_S,
     SoakHistory,
@@ -316,6 +316,7 @@
             if each.is_first
             and begin <= each.sent_at < until
             and each.path != CRASHING_PATH
+            and not has_left_early(each)
         ]
         others = {each.instance for each in during} - names
         if any(history.is_disturbed(each, since, until) for each in others):
