Sections of the reports between instances; types of roll-outs

New parts (roll-outs, waiting) have news for other instances. Instead of an exchange each, the report of engine use carries sections by code; unknown ones are skipped, so builds before this one read such reports as before. A section may name receivers that get each report. The types of orders, stages and verdicts of roll-outs are what its two halves, the decider and the evidence, agree on.

--- /dev/null
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/__init__.py
@@ -0,0 +1,22 @@
+"""Roll-outs: a service's requests move to another version, step by step.
+
+Decisions without input, output or clock.
+"""
+
+from ebonyhaven_decisions.forwarding.rollouts._stages import (
+    RolloutOrder,
+    RolloutStage,
+    RolloutState,
+)
+from ebonyhaven_decisions.forwarding.rollouts._verdicts import (
+    VersionQuality,
+    VersionVerdict,
+)
+
+__all__ = [
+    "RolloutOrder",
+    "RolloutStage",
+    "RolloutState",
+    "VersionQuality",
+    "VersionVerdict",
+]
--- /dev/null
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/_stages.py
@@ -0,0 +1,77 @@
+"""Orders of the operators to move a service to another version, and their stages."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+
+class RolloutState(enum.StrEnum):
+    """State of a roll-out."""
+
+    IN_PROGRESS = "in_progress"
+    COMPLETED = "completed"
+    REVERTED = "reverted"
+
+
+class RolloutOrder(NamedTuple):
+    """An operator's order to move a service's requests to another version.
+
+    Parameters
+    ----------
+    order_id : str
+        Differs for each order, also where the same one is given again.
+    service : str
+    version : str
+        Software version of the backend servers that are to take the requests.
+    duration_s : float
+        Time from the order to its limit, seconds.
+    ordered_at_s : float
+        When it was given, seconds of the store's clock.
+    """
+
+    order_id: str
+    service: str
+    version: str
+    duration_s: float
+    ordered_at_s: float
+
+    @property
+    def limit_s(self) -> float:
+        """When it is to be completed or reverted, seconds of the store's clock."""
+        return self.ordered_at_s + self.duration_s
+
+
+class RolloutStage(NamedTuple):
+    """What holds for a roll-out now; the same at each instance that may act on it.
+
+    Parameters
+    ----------
+    order : RolloutOrder
+    state : RolloutState
+    number : int
+        Grows with each stage of an order.
+    share : float
+        Share of the service's requests that may go to the new version, 0 to 1.
+    started_at_s : float
+        When the stage began, seconds of the store's clock.
+    valid_until_s : float
+        Seconds of the store's clock. An instance that knows of no later one sends
+        nothing to the new version after it, unless the roll-out is completed.
+    decider : str
+        Instance that wrote it.
+    reason : str
+        Figures that decided it, for operators.
+    old_versions : tuple of str
+        Versions that served when the order was given; empty if unknown.
+    """
+
+    order: RolloutOrder
+    state: RolloutState
+    number: int
+    share: float
+    started_at_s: float
+    valid_until_s: float
+    decider: str
+    reason: str
+    old_versions: tuple[str, ...] = ()
--- a/packages/node/src/ebonyhaven_node/forwarding/_engine_use_exchange.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_engine_use_exchange.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import structlog
@@ -22,6 +22,7 @@
 from ebonyhaven_node._frames import Frame, FrameKind
 from ebonyhaven_node._membership import MembershipController
 from ebonyhaven_node.forwarding._context import SERVER_SILENCE_LIMIT_S
+from ebonyhaven_node.forwarding._peer_sections import PeerSection, PeerSections
 from ebonyhaven_node.forwarding._state import ForwardingState
 
 SEND_DELAY_S = 0.01  # batches changes that occur together
@@ -37,7 +38,7 @@
     A report is sent after each change and, while any tokens are occupied, at least
     every `USE_REFRESH_INTERVAL_S`. It also lists servers found lost since the last one,
     and tells how much of the retry budgets this instance uses, and whether its process
-    is older than their window.
+    is older than their window. Other parts add sections of their own.
 
     Parameters
     ----------
@@ -54,6 +55,7 @@
         Called after each valid report of a peer, also if no use changed.
     on_loss : callable
         Called with each server that a peer reports as lost.
+    sections : sequence of PeerSection
     """
 
     def __init__(
@@ -68,8 +70,10 @@
         rng: random.Random,
         on_peer_use: Callable[[], None],
         on_loss: Callable[[Backend], None],
+        sections: Sequence[PeerSection] = (),
     ):
         self._on_loss = on_loss
+        self._sections = PeerSections(sections)
         self._lost: set[str] = set()
         self._state = state
         self._peers = peers
@@ -124,20 +128,26 @@
             if each.run_tokens or each.copy_tokens
         }
         lost, self._lost = sorted(self._lost), set()
-        if uses or lost or self._has_sent_use:
-            chosen = self._rng.sample(peers, min(MAX_REPORT_RECEIVERS, len(peers)))
-            now = time.monotonic()
+        now = time.monotonic()
+        sections = self._sections.collect(now)
+        if uses or lost or sections or self._has_sent_use:
             is_settled = self._budget.is_settled(now)
             payload = [uses, lost, self._budget.read_uses(now), is_settled]
-            for name in chosen:
+            if sections:
+                payload.append(sections)
+            for name in self._choose_receivers(peers):
                 self._membership.send(name, FrameKind.ENGINE_USE, payload)
         self._has_sent_use = bool(uses)
-        if uses:
+        if uses or sections:
             self._timer = self._reactor.callLater(USE_REFRESH_INTERVAL_S, self._send)
 
+    def _choose_receivers(self, peers: Sequence[str]) -> set[str]:
+        chosen = self._rng.sample(peers, min(MAX_REPORT_RECEIVERS, len(peers)))
+        return {*chosen, *(self._sections.list_receivers() & set(peers))}
+
     def _receive(self, frame: Frame) -> None:
         try:
-            # Earlier releases send two or three fields.
+            # Earlier releases send two, three or four fields.
             use_by_server, lost, *budget_fields = frame.payload
             uses = {
                 str(name): EngineUse(*map(_check_count, values))
@@ -149,10 +159,12 @@
                 for name, values in each.items()
             }
             is_settled = budget_fields[1:2] in ([], [True])
+            sections = dict(*budget_fields[2:3])
         except (AttributeError, TypeError, ValueError) as error:
             _log.warning("engine_use_malformed", peer=frame.sender, reason=str(error))
             return
         now = time.monotonic()
+        self._sections.merge(frame.sender, sections, now)
         self._peers.record(frame.sender, uses, now)
         self._budget.record_peer(
             frame.sender, budget_use_by_service, now, is_settled=is_settled
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -4,7 +4,7 @@
 
 import contextlib
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from ebonyhaven_decisions import MemberRecord, MemberState, choose_instances
 from ebonyhaven_decisions.forwarding import (
@@ -27,6 +27,7 @@
     USE_REFRESH_INTERVAL_S,
     EngineUseExchange,
 )
+from ebonyhaven_node.forwarding._peer_sections import PeerSection
 from ebonyhaven_node.forwarding._permit_exchange import PermitExchange
 from ebonyhaven_node.forwarding._settings import GatewaySettings
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
@@ -68,6 +69,8 @@
         Called after each report of losses of servers.
     on_loss : callable
         Called with each server that another instance found lost.
+    sections : sequence of PeerSection
+        Of the reports to other instances.
 
     Attributes
     ----------
@@ -92,6 +95,7 @@
         on_peer_use: Callable[[], None],
         on_peer_losses: Callable[[], None],
         on_loss: Callable[[Backend], None],
+        sections: Sequence[PeerSection] = (),
     ):
         self._stack = contextlib.ExitStack()
         channels = Channels(
@@ -136,6 +140,7 @@
             rng=rng,
             on_peer_use=on_peer_use,
             on_loss=on_loss,
+            sections=sections,
         )
         self._stack.callback(self._use_exchange.stop)
         self._crash_exchange = CrashExchange(
