Soak: roll-outs of sound and bad versions, paces that change; EXPOSURE

Operators order roll-outs of the plain service while servers of the new version start beside the old ones. Versions are sound, or fail at once, late, or on one route, or are slow. At completed the old servers stop at once, at reverted the new ones leave. Checked from outside: what a bad version got between its order and its limit, what it got later than the bound after its 50th bad answer, and requests that the end of the old servers cut. Plain servers may also take longer by times and say so as a fourth figure of their load.

--- a/tests/platform_adapter/soak/_deployment.py
+++ b/tests/platform_adapter/soak/_deployment.py
@@ -26,6 +26,7 @@
     SitePool,
     SoakServer,
 )
+from tests.platform_adapter.soak._rollout_checks import ExposureBounds
 from tests.platform_adapter.soak._server_log import ServerLog
 from tests.platform_adapter.soak._servers import ServerFaults, ServerProcess
 from tests.platform_adapter.store_stand_in import StoreStandIn
@@ -50,6 +51,8 @@
     store : StoreStandIn
     data_centre : str
     grace_s : int
+    exposure : ExposureBounds or None
+        Of bad versions; None if operators order no roll-outs.
 
     Attributes
     ----------
@@ -65,9 +68,11 @@
         *,
         data_centre: str = "dc-a",
         grace_s: int = GRACE_S,
+        exposure: ExposureBounds | None = None,
     ):
         self.name = name
-        self._data_centre = data_centre
+        self.data_centre = data_centre
+        self._exposure_bounds = {} if exposure is None else _describe(exposure)
         self.grace_s = grace_s
         self.store_door = StoreDoor(store)
         store_address = allocate_address()
@@ -153,7 +158,7 @@
         metrics_host, _, metrics_port = allocate_address().rpartition(":")
         settings = {
             "nodeName": self.name,
-            "zone": self._data_centre,
+            "zone": self.data_centre,
             "region": "r1",
             "ip": metrics_host,
             "listen": self.addresses,
@@ -165,6 +170,7 @@
                 "budgetWindowS": BUDGET_WINDOW_S,
                 "retrySlack": RETRY_SLACK,
                 "ttl_max_s": 5,
+                **self._exposure_bounds,
             },
             "platform": {"address": self.store_link_address},
         }
@@ -203,6 +209,14 @@
         await self._store_port.stopListening()
 
 
+def _describe(exposure: ExposureBounds) -> dict[str, float]:
+    return {
+        "exposureShare": exposure.share,
+        "exposureSlack": exposure.slack,
+        "rollbackMs": int(1000 * exposure.rollback_s),
+    }
+
+
 class StoreDoor(resource.Resource):
     """The store as one instance reaches it.
 
@@ -276,6 +290,8 @@
         Whether there is a route of streams that last for seconds.
     production : str or None
         Commit whose build the instances run first; None for the present one.
+    exposure : ExposureBounds or None
+        See `SoakInstance`.
     """
 
     crashing_path = CRASHING_PATH
@@ -287,6 +303,7 @@
         size: DeploymentSize = SMALL,
         has_long_streams: bool = False,
         production: str | None = None,
+        exposure: ExposureBounds | None = None,
     ):
         self.rng = rng
         self.has_long_streams = has_long_streams
@@ -310,6 +327,7 @@
                 self.store,
                 data_centre=data_centres[number % len(data_centres)],
                 grace_s=LONG_GRACE_S if has_long_streams else GRACE_S,
+                exposure=exposure,
             )
             for number in range(size.instances)
         ]
--- a/tests/platform_adapter/soak/_fault_log.py
+++ b/tests/platform_adapter/soak/_fault_log.py
@@ -92,6 +92,39 @@
     until: float
 
 
+class VersionKind(enum.Enum):
+    """How a new version of the servers' software does."""
+
+    SOUND = "sound"
+    FAILS = "fails"
+    FAILS_LATE = "fails late"
+    FAILS_ON_ONE_ROUTE = "fails on one route"
+    SLOW = "slow"
+
+
+class PlayedRollout(NamedTuple):
+    """A roll-out that was ordered.
+
+    Parameters
+    ----------
+    version : str
+    kind : VersionKind
+    at, limit : float
+        Order and time limit; seconds of the reactor's clock.
+    state : str or None
+        Last state that the system reported; None for none.
+    decided_at : float or None
+        When it was completed or reverted.
+    """
+
+    version: str
+    kind: VersionKind
+    at: float
+    limit: float
+    state: str | None = None
+    decided_at: float | None = None
+
+
 class FaultLog:
     """What was disturbed.
 
@@ -109,6 +142,7 @@
     terminations : list of Termination
     configurations : list of float
         When one was written.
+    rollouts : list of PlayedRollout
     named_limits : list of NamedLimit
     cuts : list of (frozenset of str, float, float)
         Instances that reached no server.
@@ -125,6 +159,7 @@
         self.brittle_times: list[tuple[float, float]] = []
         self.terminations: list[Termination] = []
         self.configurations: list[float] = []
+        self.rollouts: list[PlayedRollout] = []
         self.named_limits: list[NamedLimit] = []
         self.cuts: list[tuple[frozenset[str], float, float]] = []
         self.stalls: list[tuple[float, float]] = []
--- a/tests/platform_adapter/soak/_faults.py
+++ b/tests/platform_adapter/soak/_faults.py
@@ -12,11 +12,13 @@
 from tests.platform_adapter.soak._deployment import SoakDeployment
 from tests.platform_adapter.soak._fault_log import FaultLog
 from tests.platform_adapter.soak._instance_faults import InstanceFaults
+from tests.platform_adapter.soak._rollouts import RolloutFaults
 from tests.platform_adapter.soak._server_faults import BackendFaults
 from tests.platform_adapter.soak._store_faults import StoreFaults
 
 PAUSE_S = (0.1, 0.9)
 LONG_PAUSE_S = (0.3, 2.0)  # between faults that last for many seconds
+ORDER_ROLLOUT = "order_rollout"
 _STANDARD = (
     "kill_instance",
     "terminate_instance",
@@ -125,6 +127,18 @@
         "name_limits",
         "stop_store",
     ),
+    "paces": (*("vary_paces",) * 3, *_STANDARD),
+    "rollouts": (ORDER_ROLLOUT,),
+    "rollouts-disturbed": (
+        *(ORDER_ROLLOUT,) * 4,
+        "kill_instance",
+        "pause_instance",
+        "disturb_store",
+        "stop_store",
+        "crash_server",
+        "change_configuration",
+        "vary_paces",
+    ),
     "all": (
         *_STANDARD,
         *_LEAVING,
@@ -163,7 +177,7 @@
         self.log = FaultLog()
         self._kinds = [
             kind(deployment, rng, self.log)
-            for kind in (InstanceFaults, BackendFaults, StoreFaults)
+            for kind in (InstanceFaults, BackendFaults, StoreFaults, RolloutFaults)
         ]
         self.is_stopped = False
         self._running: list[Deferred] = []
--- a/tests/platform_adapter/soak/_places.py
+++ b/tests/platform_adapter/soak/_places.py
@@ -17,7 +17,11 @@
     NEW_VERSION_PLACE,
     OLD_VERSION,
 )
-from tests.platform_adapter.soak._servers import SLOTS, ServerProcess
+from tests.platform_adapter.soak._servers import (
+    SLOTS,
+    ServerProcess,
+    VersionFault,
+)
 from tests.platform_adapter.stand_ins import make_entry
 
 if TYPE_CHECKING:
@@ -186,17 +190,30 @@
     ----------
     name, service, data_centre : str
     deployment : SoakDeployment
+    version : str or None
+        Of its software; None for the usual one of its name.
+    version_fault : VersionFault or None
     """
 
     def __init__(
-        self, name: str, service: str, data_centre: str, deployment: SoakDeployment
+        self,
+        name: str,
+        service: str,
+        data_centre: str,
+        deployment: SoakDeployment,
+        *,
+        version: str | None = None,
+        version_fault: VersionFault | None = None,
     ):
         self.name = name
+        self._version = version
+        self._version_fault = version_fault
         self.service = service
         self._data_centre = data_centre
         self._deployment = deployment
         self._site = deployment.take_site()
         self._starts = 0
+        self._is_retired = False
         self.listed: ListedServer | None = None
 
     @property
@@ -212,11 +229,13 @@
     def start(self) -> None:
         self._starts += 1
         deployment = self._deployment
-        version = NEW_VERSION if self.name == NEW_VERSION_PLACE else OLD_VERSION
+        usual = NEW_VERSION if self.name == NEW_VERSION_PLACE else OLD_VERSION
+        version = self._version or usual
         process = ServerProcess(
             f"{self.name}-{self._starts}",
             service=self.service,
             version=version,
+            version_fault=self._version_fault,
             log=deployment.log,
             faults=deployment.server_faults,
             rng=deployment.rng,
@@ -246,9 +265,21 @@
         await listed.end()
         reactor.callLater(UNLISTED_AFTER_S, listed.unlist, "crashed")
         await deferLater(reactor, restart_after_s)
-        if not self._deployment.is_stopped:
+        if not self._deployment.is_stopped and not self._is_retired:
             self.start()
 
+    async def retire(self, *, linger_s: float, drains: bool) -> None:
+        """End the process for good, after it said so or at once."""
+        self._is_retired = True
+        listed, self.listed = self.listed, None
+        if listed is not None and drains:
+            await listed.leave(reports=True, linger_s=linger_s)
+        elif listed is not None:
+            listed.unlist("stopped")
+            await listed.end()
+        await deferLater(reactor, REUSE_S)
+        self._deployment.free_site(self._site)
+
     async def leave(
         self, *, reports: bool, linger_s: float, successor_after_s: float
     ) -> None:
--- a/tests/platform_adapter/soak/_run.py
+++ b/tests/platform_adapter/soak/_run.py
@@ -49,7 +49,11 @@
     SoakDeployment,
 )
 from tests.platform_adapter.soak._fault_log import TICK_S, FaultLog
-from tests.platform_adapter.soak._faults import FaultInjector
+from tests.platform_adapter.soak._faults import (
+    FAULT_SETS,
+    ORDER_ROLLOUT,
+    FaultInjector,
+)
 from tests.platform_adapter.soak._gone_checks import check_gone
 from tests.platform_adapter.soak._leaving_checks import (
     check_leaving,
@@ -65,6 +69,15 @@
     list_steady_cuts,
 )
 from tests.platform_adapter.soak._probers import make_prober
+from tests.platform_adapter.soak._rollout_checks import (
+    EXPOSURE,
+    RolloutHistory,
+    check_exposure,
+    check_rollout_cuts,
+    list_rollouts,
+    map_versions,
+)
+from tests.platform_adapter.soak._rollouts import ROLLOUT_SERVICE
 from tests.platform_adapter.soak._traces import write_traces
 
 CALLER_COUNT = 24
@@ -131,6 +144,7 @@
         size=size,
         has_long_streams=has_long_streams,
         production=production,
+        exposure=EXPOSURE if ORDER_ROLLOUT in FAULT_SETS[fault_set] else None,
     )
     results: list[Result] = []
     callers = [
@@ -250,6 +264,8 @@
     configurations = ConfigurationHistory(
         everything, arrivals, deployment.configurations.played, services, contact
     )
+    versions = map_versions(deployment.processes, ROLLOUT_SERVICE)
+    rollouts = RolloutHistory(arrivals, versions, contact)
     plain_count = sum(each.service == "plain" for each in deployment.servers)
     problems = [
         *check_runs(arrivals),
@@ -282,6 +298,8 @@
         *check_reverts(configurations),
         *check_timeouts(configurations),
         *check_denials(configurations),
+        *check_exposure(faults.rollouts, rollouts, deployment.log.ends, EXPOSURE),
+        *check_rollout_cuts(faults.rollouts, deployment.log.ends, versions),
     ]
     notes = [
         *(
@@ -292,6 +310,7 @@
         *list_latest_arrivals(arrivals, departures, contact),
         *list_steady_cuts(cuts),
         *list_denials(configurations),
+        *list_rollouts(faults.rollouts),
     ]
     write_traces(
         deployment.directory, [*problems, *notes], deployment.log, departures, contact
--- a/tests/platform_adapter/soak/_server_faults.py
+++ b/tests/platform_adapter/soak/_server_faults.py
@@ -25,6 +25,8 @@
 LAPSED_S = (1.0, 4.0)
 LINGER_S = (0.2, 1.0, 4.0, 8.0)
 NAMING_S = (0.2, 3.0)  # in which servers name rests, shorter than some of these
+PACES = (0.8, 1.0, 1.5, 4.0)  # times the usual work
+PACE_CHANGE_S = (0.05, 1.0)
 PAUSED_S = (1.0, 8.0)
 REST_S = (1.0, 6.0)
 REPORTING_SHARE = 0.6  # of the servers that leave
@@ -77,6 +79,18 @@
         for place in places:
             rests.pop(place, None)
 
+    async def vary_paces(self) -> None:
+        """Have plain servers take longer by times, and say so in their answers."""
+        places = [each.name for each in self._list_plain_servers()]
+        paces = self._deployment.server_faults.paces
+        if paces:
+            return
+        until = reactor.seconds() + self._rng.uniform(*LIMIT_DURATION_S)
+        while reactor.seconds() < until:
+            paces.update({place: self._rng.choice(PACES) for place in places})
+            await deferLater(reactor, self._rng.uniform(*PACE_CHANGE_S))
+        paces.clear()
+
     async def make_servers_brittle(self) -> None:
         faults = self._deployment.server_faults
         if faults.brittle_limit is not None:
--- a/tests/platform_adapter/soak/_server_log.py
+++ b/tests/platform_adapter/soak/_server_log.py
@@ -45,12 +45,18 @@
         Seconds of the reactor's clock.
     is_broken_off : bool
         Whether the server ended it without an answer.
+    is_bad : bool
+        Whether the answer shows a fault of the server's version.
+    was_stopped : bool
+        Whether it was in progress when the process ended.
     """
 
     request_id: str
     process: str
     at: float
     is_broken_off: bool
+    is_bad: bool = False
+    was_stopped: bool = False
 
 
 class Fall(NamedTuple):
--- a/tests/platform_adapter/soak/_servers.py
+++ b/tests/platform_adapter/soak/_servers.py
@@ -52,10 +52,36 @@
     own_errors: float = 0.05
     named_limits: dict[str, float] = attrs.Factory(dict)  # by name of the place
     named_rests: dict[str, float] = attrs.Factory(dict)  # seconds, likewise
+    paces: dict[str, float] = attrs.Factory(dict)  # times the usual work, likewise
     brittle_limit: int | None = None  # refusals a second, of all plain servers
     refuses_waiting: bool = False  # requests for which no slot is free
 
 
+@attrs.frozen
+class VersionFault:
+    """What a bad version of the servers' software does.
+
+    Parameters
+    ----------
+    error_share : float
+        Of the requests that it runs.
+    slow_factor : float
+        Of the time that they take.
+    path : str
+        Prefix of the requests that show it.
+    since : float
+        Seconds of the reactor's clock.
+    """
+
+    error_share: float = 0.0
+    slow_factor: float = 1.0
+    path: str = "/"
+    since: float = 0.0
+
+    def is_shown(self, path: str) -> bool:
+        return path.startswith(self.path) and reactor.seconds() >= self.since
+
+
 class _Pending(NamedTuple):
     connection: ServerConnection
     request_id: str
@@ -80,6 +106,7 @@
     on_crash : callable
         Called when such a request begins to run.
     service, version : str
+    version_fault : VersionFault
 
     Attributes
     ----------
@@ -98,7 +125,9 @@
         on_crash,
         service="plain",
         version="v1",
+        version_fault=None,
     ):
+        self._version_fault = version_fault or VersionFault()
         self.process_id = process_id
         self.version = version
         self._place = process_id.rpartition("-")[0]
@@ -163,9 +192,9 @@
         """End the process and break off all of its connections."""
         self._is_dead = True
         for pending in [*self._queue, *self._in_hand.values()]:
-            self._log_end(pending.request_id, is_broken_off=True)
+            self._log_end(pending.request_id, is_broken_off=True, was_stopped=True)
         for request_id in self._list_unread():
-            self._log_end(request_id, is_broken_off=True)
+            self._log_end(request_id, is_broken_off=True, was_stopped=True)
         self._queue.clear()
         self._in_hand.clear()
         self._held.clear()
@@ -278,12 +307,17 @@
         self._in_hand[pending.connection, pending.request_id] = pending
         is_timed = pending.path.startswith(TIMED_PATH)
         work_s = TIMED_WORK_S if is_timed else self._rng.uniform(*WORK_S)
+        work_s *= self._faults.paces.get(self._place, 1.0)
+        if self._version_fault.is_shown(pending.path):
+            work_s *= self._version_fault.slow_factor
         reactor.callLater(work_s, self.act, self._answer, pending)
 
-    def _end_run(self, pending: _Pending, *, is_broken_off: bool = False) -> None:
+    def _end_run(
+        self, pending: _Pending, *, is_broken_off: bool = False, is_bad: bool = False
+    ) -> None:
         self._running -= 1
         self._in_hand.pop((pending.connection, pending.request_id), None)
-        self._log_end(pending.request_id, is_broken_off=is_broken_off)
+        self._log_end(pending.request_id, is_broken_off=is_broken_off, is_bad=is_bad)
 
     def _answer(self, pending: _Pending) -> None:
         connection, request_id = pending.connection, pending.request_id
@@ -291,9 +325,15 @@
             self._start_stream(pending)
             return
         is_broken_off = self._rng.random() < self._faults.lost_answers
-        self._end_run(pending, is_broken_off=is_broken_off)
+        fault = self._version_fault
+        is_shown = fault.is_shown(pending.path)
+        has_version_error = is_shown and self._rng.random() < fault.error_share
+        is_bad = has_version_error or (is_shown and fault.slow_factor > 1.0)
+        self._end_run(pending, is_broken_off=is_broken_off, is_bad=is_bad)
         if is_broken_off:
             connection.transport.abortConnection()
+        elif has_version_error:
+            self._send(connection, request_id, 500, b"", stamp=True)
         else:
             failed = self._rng.random() < self._faults.own_errors
             body = f"answer to {request_id}".encode()
@@ -329,7 +369,7 @@
             ("X-Attempt-Id", request_id),
             mark,
             ("X-Instance-Id", self.process_id),
-            ("X-Server-Load", f"{self._running},{len(self._queue)},{SLOTS}"),
+            ("X-Server-Load", self._describe_load()),
             *self._list_limits(),
             *self._list_connection_headers(request_id),
             *more_headers,
@@ -347,6 +387,11 @@
             delay_s = self._rng.uniform(*LATE_EXTRA_S)
             reactor.callLater(delay_s, self._send_extra, connection, extra)
 
+    def _describe_load(self) -> str:
+        load = f"{self._running},{len(self._queue)},{SLOTS}"
+        pace = self._faults.paces.get(self._place)
+        return load if pace is None else f"{load},{100 * pace:.0f}"
+
     def _list_connection_headers(self, request_id: str) -> list[tuple[str, str]]:
         if not self.is_leaving:
             return [("Keep-Alive", "timeout=10")]
@@ -398,9 +443,9 @@
         self._end_run(pending)
         self._run_next()
 
-    def _log_end(self, request_id: str, *, is_broken_off: bool) -> None:
+    def _log_end(self, request_id: str, **how: bool) -> None:
         now = reactor.seconds()
-        self._log.ends.append(RunEnd(request_id, self.process_id, now, is_broken_off))
+        self._log.ends.append(RunEnd(request_id, self.process_id, now, **how))
 
     def _log_arrival(
         self,
