--- a/tests/platform_adapter/soak/_deployment.py
+++ b/tests/platform_adapter/soak/_deployment.py
@@ -17,6 +17,7 @@
 from twisted.internet import reactor
 from twisted.web import resource, server
 
+from tests.platform_adapter.soak._behaviours import ServerFaults
 from tests.platform_adapter.soak._builds import export_build
 from tests.platform_adapter.soak._configurations import ConfigurationPlay
 from tests.platform_adapter.soak._places import (
@@ -28,7 +29,7 @@
 )
 from tests.platform_adapter.soak._rollout_checks import ExposureBounds
 from tests.platform_adapter.soak._server_log import ServerLog
-from tests.platform_adapter.soak._servers import ServerFaults, ServerProcess
+from tests.platform_adapter.soak._servers import ServerProcess
 from tests.platform_adapter.store_stand_in import StoreStandIn
 
 RETRY_RATIO = 0.4
--- a/tests/platform_adapter/soak/_places.py
+++ b/tests/platform_adapter/soak/_places.py
@@ -12,16 +12,13 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
 
+from tests.platform_adapter.soak._behaviours import VersionFault
 from tests.platform_adapter.soak._checks import (
     NEW_VERSION,
     NEW_VERSION_PLACE,
     OLD_VERSION,
 )
-from tests.platform_adapter.soak._servers import (
-    SLOTS,
-    ServerProcess,
-    VersionFault,
-)
+from tests.platform_adapter.soak._servers import SLOTS, ServerProcess
 from tests.platform_adapter.stand_ins import make_entry
 
 if TYPE_CHECKING:
--- a/tests/platform_adapter/soak/_rollouts.py
+++ b/tests/platform_adapter/soak/_rollouts.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
 
+from tests.platform_adapter.soak._behaviours import VersionFault
 from tests.platform_adapter.soak._deployment import SoakDeployment
 from tests.platform_adapter.soak._fault_log import (
     FaultLog,
@@ -17,7 +18,6 @@
     VersionKind,
 )
 from tests.platform_adapter.soak._places import SoakServer
-from tests.platform_adapter.soak._servers import VersionFault
 
 ORDER_TABLE, STATUS_TABLE = "op", "status"
 ROLLOUT_SERVICE = "plain"
