Tell others of lost servers what this instance found, and repeat it in turns

A report now holds what was asked for, and for each trait at most two losses beside it, without their requests: enough to tell a lost data centre from a crash. The repeats are spread over 0.4 s.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
@@ -43,6 +43,7 @@
 MAX_STORED_CRASHES = 4  # of one trait; one more than block it
 MAX_SENT_TRAITS = 8192
 MAX_COMPANIONS = 32  # losses at about the same moment that are kept with a loss
+MAX_SENT_WITNESSES = 2  # of these, told with a loss; its own finder tells each of them
 
 
 class CrashHistory:
@@ -225,8 +226,8 @@
         now : float
             Seconds.
         processes : iterable of str or None
-            Restricts the reports to the losses of these, and to those that may share
-            their cause.
+            Restricts the reports to the losses of these, and to a few that show that
+            theirs may be those of a data centre, without the requests of the latter.
 
         Returns
         -------
@@ -237,6 +238,7 @@
             processes = reversed(self._losses)
         wanted = [self._losses[each] for each in processes if each in self._losses]
         reports: dict[str, LossReport] = {}
+        witnesses: dict[str, LossReport] = {}
         exported = 0
         for loss in wanted:
             if now - loss.lost_at >= EVIDENCE_TTL_S:
@@ -244,9 +246,12 @@
             exported += sum(map(len, loss.requests))
             if exported > MAX_SENT_TRAITS:
                 break
-            for each in (loss, *loss.companions):
-                reports[each.process] = each.make_report(each.requests, now)
-        return list(reports.values())
+            reports[loss.process] = loss.make_report(loss.requests, now)
+            for each in loss.list_witnesses(MAX_SENT_WITNESSES):
+                witnesses[each.process] = each.make_report((), now)
+        for process in reports:
+            witnesses.pop(process, None)
+        return [*reports.values(), *witnesses.values()]
 
     def export_survivals(
         self, now: float, traits: Iterable[str] | None = None
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_losses.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_losses.py
@@ -82,6 +82,36 @@
         """
         return any(trait not in each.traits for each in self.companions)
 
+    def list_witnesses(self, limit: int) -> list[Loss]:
+        """Return losses beside this one that tell it from the crash of a request.
+
+        Of a server without any of the traits, if there is one; rather of one that ran
+        no request that is known, as no other instance reports it.
+
+        Parameters
+        ----------
+        limit : int
+            Maximum number of losses that lack the same traits.
+
+        Returns
+        -------
+        list of Loss
+            Enough that `may_be_common_failure` has the same result for each trait.
+        """
+        found: list[Loss] = []
+        lacking = dict.fromkeys(self.traits, 0)
+        for each in sorted(self.companions, key=lambda loss: len(loss.traits)):
+            missing = [
+                trait
+                for trait, count in lacking.items()
+                if count < limit and trait not in each.traits
+            ]
+            if missing:
+                found.append(each)
+            for trait in missing:
+                lacking[trait] += 1
+        return found
+
     def list_more_specific(self, trait: str) -> set[str]:
         """Return the traits that are more specific in any request with the trait.
 
--- a/packages/node/src/ebonyhaven_node/_evidence_exchange.py
+++ b/packages/node/src/ebonyhaven_node/_evidence_exchange.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import structlog
@@ -17,6 +18,10 @@
 RESEND_DELAY_S = 0.5  # for messages that were dropped
 SILENCE_RESEND_DELAY_S = 2.5  # by then connections that fell silent are replaced
 JOIN_SENDERS = 3  # instances that tell a new one what is known
+# Messages that repeat what most instances know leave the link to callers' bytes.
+RESEND_TURNS = 8
+RESEND_TURN_INTERVAL_S = 0.05
+MIN_RESENDS_PER_TURN = 8
 
 _log = structlog.get_logger()
 
@@ -24,7 +29,8 @@
 class EvidenceExchange:
     """Sends each piece of evidence to all other instances at once, and twice more.
 
-    An instance that joins, or is seen again, gets all that is known from a few others.
+    The repeats are spread over `RESEND_TURNS`, as all instances send them together. An
+    instance that joins, or is seen again, gets all that is known from a few others.
 
     Parameters
     ----------
@@ -88,14 +94,25 @@
 
     def _send_unsent(self) -> None:
         keys, self._unsent = list(self._unsent), {}
-        self._send_to_all(keys)
+        self._send_to(self._list_others(), keys)
         for delay_s in (RESEND_DELAY_S, SILENCE_RESEND_DELAY_S):
-            self._call_later(delay_s, self._send_to_all, keys)
-
-    def _send_to_all(self, keys: list[str]) -> None:
+            self._call_later(delay_s, self._resend, keys)
+
+    def _resend(self, keys: list[str]) -> None:
+        names = self._list_others()
+        per_turn = max(MIN_RESENDS_PER_TURN, math.ceil(len(names) / RESEND_TURNS))
+        for turn, start in enumerate(range(0, len(names), per_turn)):
+            due = names[start : start + per_turn]
+            if turn:
+                delay_s = turn * RESEND_TURN_INTERVAL_S
+                self._call_later(delay_s, self._send_to, due, keys)
+            else:
+                self._send_to(due, keys)
+
+    def _send_to(self, names: Sequence[str], keys: list[str]) -> None:
         payload = self._export(keys)
         if payload:
-            for name in self._list_others():
+            for name in names:
                 self._membership.send(name, self._kind, payload)
 
     def _list_others(self) -> list[str]:
--- a/tests/decisions/test_crash_history.py
+++ b/tests/decisions/test_crash_history.py
@@ -106,6 +106,46 @@
     assert history.export(100.0, ["idle"]) == []
 
 
+def test_what_is_told_of_a_loss_does_not_grow_with_its_data_centre():
+    # Guards against instances that tell all others of each server of a lost data
+    # centre, whoever found it, and so fill the links that callers' streams need.
+    losses = [
+        make_report(f"i-{each:010x}/1773215223417", f"{each:016x}")
+        for each in range(30)
+    ]
+    history = make_history(*losses)
+    told = history.export(100.0, [losses[0].process])
+    assert losses[0] in told
+    assert len(json.dumps([encode_loss_report(each) for each in told])) < 250
+
+
+def test_data_centre_that_was_lost_is_told_from_crashes_of_what_it_ran():
+    # Each instance tells what it found; idle servers are found by some of them.
+    for idle in (0, 1):
+        reports = [make_report(f"s{each}", ("part", f"c{each}")) for each in range(6)]
+        others = [make_report(f"o{each}", f"d{each}") for each in range(2 - idle)]
+        others += [make_report("idle")] * idle
+        everywhere = make_history(*reports, *others)
+        told = CrashHistory()
+        for report in reports:
+            for each in everywhere.export(100.0, [report.process]):
+                told.add(each, 100.0)
+        assert told.count_crashes("part", SETTLED_AT) == 1
+        assert not is_blocked(told, "part", "new")
+        assert told.find_blocked_trait(("part", "c1"), SETTLED_AT) is None
+
+
+def test_servers_lost_beside_each_other_under_one_content_still_block_it():
+    # A loss that is told to show a common cause must not hide what its server ran.
+    crashes = [make_report(f"s{each}", "c", f"other {each}") for each in range(3)]
+    finders = [make_history(*crashes) for _ in crashes]
+    told = CrashHistory()
+    for report, finder in zip(crashes, finders, strict=True):
+        for each in finder.export(100.0, [report.process]):
+            told.add(each, 100.0)
+    assert told.find_blocked_trait(("c",), SETTLED_AT) == "c"
+
+
 def test_loss_with_another_server_of_the_data_centre_is_not_counted():
     # Guards against a content that many requests share and that is blocked since its
     # data centre failed.
--- a/tests/node/test_crash_exchange.py
+++ b/tests/node/test_crash_exchange.py
@@ -1,21 +1,25 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 
 from ebonyhaven_decisions import MemberState
 from ebonyhaven_decisions.forwarding import CrashHistory, LossReport
 from ebonyhaven_node import Frame, FrameKind
 from ebonyhaven_node._crash_exchange import CrashExchange
 from ebonyhaven_node._evidence_exchange import RESEND_DELAY_S, SEND_DELAY_S
+from ebonyhaven_node._frames import encode_json
 from twisted.internet.task import Clock
 
 from tests.forwarding.losses import FakeNetworkMembership
-from tests.forwarding.peers import FakeChannels
+from tests.forwarding.peers import FakeChannels, make_record
 
 NAMES = ("n1", "n2", "n3", "n4", "n5")
 CONTENT = "0123456789abcdef"
 CONTACT_S = 3.0
 STEP_S = 0.01
+LINK_BYTES_PER_S = 625_000
+LINK_DELAY_S = 0.05  # a quarter of what an event may take to its caller
 SILENCE_FOUND_S = 2.0  # heartbeats are missed after 1 s, and a probe follows
 
 
@@ -167,6 +171,40 @@
     assert len(json.dumps(payload)) < 100
 
 
+def test_loss_of_a_data_centre_leaves_the_link_to_the_streams_of_callers():
+    # Guards against streams that are late although no instance waits: each instance
+    # told 66 others of all 29 lost servers, 170 KB at once, on links of 5 Mbit/s.
+    others = [f"edge-{number}" for number in range(66)]
+    network = FakeNetwork(Clock())
+    network.join("n1")
+    membership = network.memberships["n1"]
+    membership.members = [membership.own, *map(make_record, others)]
+    for number in range(29):
+        process = f"i-{number:010x}/1773215223417"
+        report = LossReport(process, "dc-a", 0.0, ((f"{number:016x}",),))
+        network.histories["n1"].add(report, network.clock.seconds())
+    network.exchanges["n1"].publish_loss("i-0000000000/1773215223417")
+    most = 0
+    for _ in range(round(CONTACT_S / LINK_DELAY_S)):
+        membership.sent.clear()
+        network.clock.pump([STEP_S] * round(LINK_DELAY_S / STEP_S))
+        sent = [encode_json(payload) for _, _, payload in membership.sent]
+        most = max(most, sum(map(len, sent)))
+    assert 0 < most < LINK_BYTES_PER_S * LINK_DELAY_S
+
+
+def test_repeats_reach_many_instances_within_contact_time():
+    others = [f"edge-{number}" for number in range(390)]
+    network = FakeNetwork(Clock())
+    network.join("n1")
+    membership = network.memberships["n1"]
+    membership.members = [membership.own, *map(make_record, others)]
+    network.lose_server("n1", "s1", CONTENT)
+    network.clock.pump([STEP_S] * round(CONTACT_S / STEP_S))
+    receivers = Counter(name for name, _, _ in membership.sent)
+    assert receivers == dict.fromkeys(others, 3)
+
+
 def test_survival_of_a_content_is_told_to_all_instances():
     network = build_network()
     network.lose_server("n1", "s1", CONTENT)
