Measure how long events wait for the link to their caller, and turns and bursts

The age of the oldest event that the caller has not acknowledged is read from the system with each event; over 0.2 s the stream is told as late (`what` delivery), without effect on where it runs. The lag of turns and the bytes sent to others within a tenth of a second are histograms, and bytes sent are counted by kind.

--- a/packages/node/src/ebonyhaven_node/_channels.py
+++ b/packages/node/src/ebonyhaven_node/_channels.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import time
 from collections.abc import Callable, Mapping
@@ -10,7 +11,7 @@
 import pynng
 import structlog
 from ebonyhaven_decisions import quote
-from prometheus_client import CollectorRegistry, Counter
+from prometheus_client import CollectorRegistry, Counter, Histogram
 from twisted.internet.interfaces import IReactorFDSet, IReadDescriptor
 from zope.interface import implementer
 
@@ -32,6 +33,8 @@
 MAX_MESSAGE_BYTES = 1 << 20
 MAX_MESSAGES_PER_WAKEUP = 64
 DIRECTIONS = ("sent", "received")
+BURST_S = 0.1  # what is sent within it is held to leave together
+BURST_BUCKETS_BYTES = tuple(1024 * 2**step for step in range(11))
 
 _log = structlog.get_logger()
 
@@ -44,9 +47,16 @@
     Parameters
     ----------
     registry : CollectorRegistry
+    clock : callable
+        Returns seconds.
     """
 
-    def __init__(self, registry: CollectorRegistry):
+    def __init__(
+        self,
+        registry: CollectorRegistry,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self._clock = clock
         self.messages = Counter(
             "ebonyhaven_control_messages",
             "Messages between instances.",
@@ -65,6 +75,23 @@
             ["reason"],
             registry=registry,
         )
+        self.sent_bytes = Counter(
+            "ebonyhaven_control_sent_bytes",
+            "Bytes of messages to other instances with their length header.",
+            ["kind"],
+            registry=registry,
+        )
+        self.burst = Histogram(
+            "ebonyhaven_control_burst_bytes",
+            "Bytes sent to other instances within a tenth of a second, if any were.",
+            buckets=BURST_BUCKETS_BYTES,
+            registry=registry,
+        )
+        self._burst_bytes = 0
+        self._burst_end = -math.inf
+        self._bound_sent_bytes = {
+            kind: self.sent_bytes.labels(kind.name.lower()) for kind in FrameKind
+        }
         self._bound_messages = {
             (direction, kind): self.messages.labels(direction, kind.name.lower())
             for direction in DIRECTIONS
@@ -85,6 +112,18 @@
         """
         self._bound_messages[direction, kind].inc()
         self._bound_bytes[direction].inc(size)
+        if direction == "sent":
+            self._bound_sent_bytes[kind].inc(size)
+            self._count_burst(size)
+
+    def _count_burst(self, size: int) -> None:
+        now = self._clock()
+        if now >= self._burst_end:
+            if self._burst_bytes:
+                self.burst.observe(self._burst_bytes)
+            self._burst_bytes = 0
+            self._burst_end = now + BURST_S
+        self._burst_bytes += size
 
 
 @attrs.define(slots=True)
--- a/packages/node/src/ebonyhaven_node/forwarding/_exchanges.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_exchanges.py
@@ -27,6 +27,10 @@
     def write_data(self, data: bytes) -> None:
         """Send a chunk of the body."""
 
+    def count_unacknowledged(self) -> int:
+        """Return the bytes written that the caller has not acknowledged, if known."""
+        return 0
+
     @abc.abstractmethod
     def finish(self) -> None:
         """Complete the response."""
@@ -162,6 +166,10 @@
         with self._abort_on_error():
             self._connection.write_data(data)
 
+    def count_unacknowledged(self) -> int:
+        """Return the bytes written that the caller has not acknowledged, if known."""
+        return 0 if self.is_done else self._connection.count_unacknowledged()
+
     def finish(self) -> None:
         """Complete a streamed response."""
         if self.is_done:
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -63,6 +63,7 @@
 from ebonyhaven_node.forwarding._startup import StateWaiter
 from ebonyhaven_node.forwarding._state import ForwardingState
 from ebonyhaven_node.forwarding._stop_sequence import StopSequence
+from ebonyhaven_node.forwarding._turn_lags import TurnLagSampler
 from ebonyhaven_node.forwarding._version_records import VersionRecorder
 from ebonyhaven_node.forwarding.interfaces import (
     BackendDialect,
@@ -261,6 +262,13 @@
             self._sweep, interval_s=SWEEP_INTERVAL_S, reactor=self._reactor
         )
         self._stack.callback(sweep.stop)
+        turn_lags = TurnLagSampler(
+            reactor=self._reactor,
+            clock=self._clock,
+            observe=self._metrics.turn_lag.observe,
+        )
+        turn_lags.start()
+        self._stack.callback(turn_lags.stop)
         self._stack.callback(self.pool.close)
         self._stack.callback(self._contact.stop)
         self.state.observe(self._capacity_notifier.notify_soon)
--- a/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
@@ -13,6 +13,7 @@
 from twisted.python.failure import Failure
 
 from ebonyhaven_node._byte_budgets import ByteBudget
+from ebonyhaven_node.forwarding._delivery_lags import count_unacknowledged
 from ebonyhaven_node.forwarding._exchanges import Exchange, ResponseWriter
 from ebonyhaven_node.forwarding._requests import Headers, RequestHead
 
@@ -123,6 +124,10 @@
         if self._unsent_bytes > MAX_UNSENT_BYTES:
             self._drop_slow_caller()
 
+    def count_unacknowledged(self) -> int:
+        """See `count_unacknowledged`."""
+        return count_unacknowledged(self.transport)
+
     def pauseProducing(self) -> None:  # noqa: N802 Twisted API
         """Count from here on what the caller does not read."""
         self._is_paused = True
--- a/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -72,6 +72,24 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self.late_streams = Counter(
+            "ebonyhaven_late_streams",
+            "Streams that missed a target, by what missed it first.",
+            ["what"],
+            registry=registry,
+        )
+        self.delivery_lag = Histogram(
+            "ebonyhaven_stream_delivery_lag_seconds",
+            "Longest time that an event of a stream waited for its caller's link.",
+            buckets=PAUSE_BUCKETS_S,
+            registry=registry,
+        )
+        self.turn_lag = Histogram(
+            "ebonyhaven_turn_lag_seconds",
+            "How much later than asked a call of the reactor came.",
+            buckets=PAUSE_BUCKETS_S,
+            registry=registry,
+        )
         self.latency = Histogram(
             "ebonyhaven_forwarded_latency_seconds",
             "Time from a request to its whole answer, for short requests.",
--- a/packages/node/src/ebonyhaven_node/forwarding/_progress.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_progress.py
@@ -9,10 +9,13 @@
 from ebonyhaven_decisions.forwarding import Backend, Route
 
 from ebonyhaven_node.forwarding._context import RelayContext
+from ebonyhaven_node.forwarding._delivery_lags import DeliveryLag
 from ebonyhaven_node.forwarding._exchanges import Exchange
 from ebonyhaven_node.forwarding._requests import ForwardRequest, ResponseHead
 from ebonyhaven_node.forwarding._stream_versions import StreamVersion
 
+MAX_DELIVERY_LAG_S = 0.2  # of an event, from then on its stream is late
+
 _log = structlog.get_logger()
 
 
@@ -59,6 +62,8 @@
         self._context = context
         self._delivered_at = 0.0
         self._first_event_s = math.nan
+        self._delivery_lag = DeliveryLag()
+        self._is_delivered_late = False
         self._is_mixed = False
         self.position = request.last_event_id
         self.delivered = 0
@@ -124,7 +129,10 @@
             self._exchange.start_stream(head.status, head.headers)
             self._record_first_event(now - self._request.arrived_at)
         self._check_version(server)
-        self._exchange.write(b"".join(events))
+        self._measure_delivery(now)
+        data = b"".join(events)
+        self._exchange.write(data)
+        self._delivery_lag.record(len(data), now)
         self.delivered += len(events)
         self._delivered_at = now
 
@@ -135,11 +143,13 @@
         ----------
         head : ResponseHead
         """
+        now = self._context.clock()
+        self._measure_delivery(now)
+        self._context.metrics.delivery_lag.observe(self._delivery_lag.longest_s)
         if not self._exchange.is_started:
             self._exchange.start_stream(head.status, head.headers)
         self._exchange.finish()
         self.is_complete = True
-        now = self._context.clock()
         _log.info(
             "stream_completed",
             request=self._request.request_id,
@@ -148,6 +158,7 @@
             first_event_s=round(self._first_event_s, 3),
             elapsed_s=round(now - self._request.arrived_at, 3),
             is_late=self.is_late,
+            delivery_lag_s=round(self._delivery_lag.longest_s, 3),
         )
 
     def _advance_position(self, event: bytes) -> bool:
@@ -182,6 +193,16 @@
         )
         self.resume_source = None
 
+    def _measure_delivery(self, now: float) -> None:
+        """Report a stream whose caller does not get what was written.
+
+        It does not count as late otherwise: another server would not mend it.
+        """
+        lag_s = self._delivery_lag.measure(self._exchange.count_unacknowledged(), now)
+        if lag_s > MAX_DELIVERY_LAG_S and not self._is_delivered_late:
+            self._is_delivered_late = True
+            self._log_late("delivery", lag_s)
+
     def _check_version(self, server: Backend) -> None:
         """Report a stream that holds events of two software versions."""
         self._version.bind_to_server(server)
@@ -201,6 +222,10 @@
         if self.is_late:
             return
         self.is_late = True
+        self._log_late(target, delay_s)
+
+    def _log_late(self, target: str, delay_s: float) -> None:
+        self._context.metrics.late_streams.labels(target).inc()
         _log.warning(
             "stream_late",
             request=self._request.request_id,
--- a/tests/node/test_channels.py
+++ b/tests/node/test_channels.py
@@ -5,9 +5,11 @@
 
 import pynng
 from ebonyhaven_node import ChannelMetrics, ChannelOptions, Channels, Frame, FrameKind
+from ebonyhaven_node._channels import BURST_S
 from ebonyhaven_standins.cluster import allocate_address
 from prometheus_client import CollectorRegistry
 from twisted.internet import reactor, task
+from twisted.internet.task import Clock
 
 from tests.reactor_thread import run_in_reactor
 
@@ -57,11 +59,31 @@
         assert second.read_metric(
             "bytes_total", direction="received"
         ) == first.read_metric("bytes_total", direction="sent")
+        assert first.read_metric("bytes_total", direction="sent") == first.read_metric(
+            "sent_bytes_total", kind="configuration"
+        )
     finally:
         first.channels.close()
         second.channels.close()
 
 
+def test_bytes_that_are_sent_together_are_told_as_one_burst():
+    # Guards against messages that fill the link to callers unseen.
+    clock = Clock()
+    registry = CollectorRegistry()
+    metrics = ChannelMetrics(registry, clock.seconds)
+    for _ in range(66):
+        metrics.count_message("sent", FrameKind.SERVER_LOSSES, 2580)
+    clock.advance(BURST_S)
+    metrics.count_message("received", FrameKind.SERVER_LOSSES, 2580)
+    metrics.count_message("sent", FrameKind.HEARTBEAT, 200)
+    clock.advance(BURST_S)
+    metrics.count_message("sent", FrameKind.HEARTBEAT, 200)
+    name = "ebonyhaven_control_burst_bytes"
+    assert registry.get_sample_value(f"{name}_sum") == 66 * 2580 + 200
+    assert registry.get_sample_value(f"{name}_bucket", {"le": "131072.0"}) == 1
+
+
 def test_frames_arrive_and_are_counted_by_sender_and_receiver():
     run_in_reactor(exchange_frames, False)
 
