--- a/packages/node/src/ebonyhaven_node/_candidates.py
+++ b/packages/node/src/ebonyhaven_node/_candidates.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ebonyhaven_node._engines import EngineStream
+from ebonyhaven_node._engine_streams import EngineStream
 from ebonyhaven_node._events import Token
 from ebonyhaven_node._orphans import OrphanCanceller
 from ebonyhaven_node._runs import Run
--- a/packages/node/src/ebonyhaven_node/_drivers.py
+++ b/packages/node/src/ebonyhaven_node/_drivers.py
@@ -28,7 +28,8 @@
     DriverDependencies,
     RunTargets,
 )
-from ebonyhaven_node._engines import CONNECTION_REFUSED, EngineStream
+from ebonyhaven_node._engine_streams import EngineStream
+from ebonyhaven_node._engines import CONNECTION_REFUSED
 from ebonyhaven_node._events import Token
 from ebonyhaven_node._failures import make_failure
 from ebonyhaven_node._lifecycles import RunState, StateObserver, make_run_lifecycle
--- a/packages/node/src/ebonyhaven_node/_stream_opener.py
+++ b/packages/node/src/ebonyhaven_node/_stream_opener.py
@@ -18,7 +18,8 @@
     RunTargets,
     make_generation,
 )
-from ebonyhaven_node._engines import CONNECTION_REFUSED, StartBody, StreamReceiver
+from ebonyhaven_node._engine_streams import StreamReceiver
+from ebonyhaven_node._engines import CONNECTION_REFUSED, StartBody
 from ebonyhaven_node._failures import make_failure
 from ebonyhaven_node._lifecycles import RunLifecycle
 from ebonyhaven_node._run_claims import RunClaim
