Loads with a fourth figure are read, typed; unknown forms are counted and logged

Cause: `X-Server-Load` of newer deployments has a fourth figure, how long work takes on that machine now. The parser took three figures only, so each of their loads was dropped without a word. Other forms are counted in `ebonyhaven_unread_server_loads_total` and logged once for each process. The pace is handed on and not yet used.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -124,6 +124,7 @@
     VersionRecord,
     VersionSnapshot,
 )
+from ebonyhaven_decisions.forwarding.balancing import ServerLoad
 
 __all__ = [
     "CAUTION_S",
@@ -174,6 +175,7 @@
     "ServerContact",
     "ServerLimiter",
     "ServerLimits",
+    "ServerLoad",
     "ServerListVersion",
     "ServerRest",
     "ServerSilence",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -12,6 +12,7 @@
 from ebonyhaven_decisions.forwarding._permit_limiters import PermitLimiter
 from ebonyhaven_decisions.forwarding._refusal_backoffs import RefusalBackoff
 from ebonyhaven_decisions.forwarding._server_silence import ServerSilence
+from ebonyhaven_decisions.forwarding.balancing import ServerLoad
 
 SUSPECT_MIN_S = 0.4  # a third of the restart time of a server on a fast machine
 SUSPECT_MAX_S = 3.0  # limits the time until a recovered server is sent requests
@@ -117,6 +118,8 @@
         This instance's part in the limits that the server names.
     silence : ServerSilence
         How long the server has left this instance's requests without a byte.
+    has_unread_load : bool
+        Whether the process stated its load in an unknown form.
     has_told_leave : bool
         Whether the process itself said in an answer that it leaves.
     removed_at : float or None
@@ -143,6 +146,7 @@
     slow_until: float = -math.inf
     limiter: ServerLimiter = attrs.Factory(lambda: ServerLimiter(PermitLimiter()))
     silence: ServerSilence = attrs.Factory(ServerSilence)
+    has_unread_load: bool = False
     has_told_leave: bool = False
     removed_at: float | None = None
     kept_until: float = -math.inf
@@ -365,17 +369,16 @@
         if succeeded and latency_s is not None:  # fast failures would lower the average
             self.latency_s += RESULT_SMOOTHING_FACTOR * (latency_s - self.latency_s)
 
-    def record_load(self, load: int, now: float) -> None:
+    def record_load(self, load: ServerLoad, now: float) -> None:
         """Record the load that the server reports with a response.
 
         Parameters
         ----------
-        load : int
-            Running and queued requests of all instances.
+        load : ServerLoad
         now : float
             Seconds.
         """
-        self.reported_load = max(0, load - self.in_flight)
+        self.reported_load = max(0, load.requests - self.in_flight)
         self.reported_at = now
 
     def estimate_load(self, now: float) -> float:
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -135,8 +135,7 @@
             self.backend.limiter.rest.record_served(now)
         self.backend.record_received(now)
         self._context.contact.record_received(self.backend)
-        if head.load is not None:
-            self.backend.record_load(head.load, now)
+        self._record_load(head, now)
         if head.request_id is not None and not head.is_other_process:
             self._context.report_limits(self.backend, head.limits)
         self._record_answered()
@@ -231,6 +230,14 @@
         if backend is not None:
             self._context.report_told_leave(backend)
 
+    def _record_load(self, head: ResponseHead, now: float) -> None:
+        if head.is_other_process:
+            return
+        if head.load is not None:
+            self.backend.record_load(head.load, now)
+        if head.unread_load is not None:
+            self._context.report_unread_load(self.backend, head.unread_load)
+
     def _shorten_patience(self) -> None:
         """No longer allow for the prefill, once the stream has begun."""
         gap_patience_s = self.plan.gap_patience_s
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -233,6 +233,23 @@
             in_flight=backend.in_flight,
         )
 
+    def report_unread_load(self, backend: Backend, header: str) -> None:
+        """Count a load in an unknown form, and log it once for each process.
+
+        Parameters
+        ----------
+        backend : Backend
+        header : str
+            Start of the header.
+        """
+        self.metrics.unread_loads.inc()
+        if backend.has_unread_load:
+            return
+        backend.has_unread_load = True
+        _log.warning(
+            "server_load_unread", server=backend.server_id, header_start=header
+        )
+
     def report_replaced(self, backend: Backend, other_server: str | None) -> None:
         """Suspect a server because another process responded at its address.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -121,6 +121,11 @@
             "Times for which backend servers wanted no requests of this instance.",
             registry=registry,
         )
+        self.unread_loads = Counter(
+            "ebonyhaven_unread_server_loads",
+            "Responses that state the load of their server in an unknown form.",
+            registry=registry,
+        )
         self.budget_refusals = Counter(
             "ebonyhaven_repeat_budget_refusals",
             "Repeats that the budget did not allow.",
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 import attrs
-from ebonyhaven_decisions.forwarding import NO_LIMITS, ServerLimits
+from ebonyhaven_decisions.forwarding import NO_LIMITS, ServerLimits, ServerLoad
 
 DIGEST_HEX_DIGITS = 16
 MAX_RESPONSE_BYTES = 2 * 1024 * 1024  # many of them fit into an instance
@@ -239,14 +239,16 @@
         Whether the response comes from another process than the addressed one.
     other_server_id : str or None
         Id of that process, if the response states it.
-    load : int or None
-        Running and waiting requests of the server.
+    load : ServerLoad or None
+        What the server says of its load.
     limits : ServerLimits
         What the server asks of all instances together.
     is_leaving : bool
         Whether the process that answered says that it leaves.
     rest_s : float or None
         Time for which that process wants no requests, seconds; None if it names none.
+    unread_load : str or None
+        What the server says of its load in a form that is not known.
     """
 
     status: int
@@ -256,7 +258,8 @@
     not_run: bool
     is_other_process: bool
     other_server_id: str | None
-    load: int | None
+    load: ServerLoad | None
     limits: ServerLimits = NO_LIMITS
     is_leaving: bool = False
     rest_s: float | None = None
+    unread_load: str | None = None
--- a/packages/node/src/ebonyhaven_node/forwarding/_silence_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_silence_monitor.py
@@ -183,6 +183,8 @@
         if server is not None and server.rest_s is not None:
             self._on_rest(backend, server.rest_s)
         if server is not None:
+            if server.server_load is not None:
+                backend.record_load(server.server_load, self._clock())
             backend.record_alive(self._clock())
             self._on_response()
 
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from ebonyhaven_decisions import Outcome
-from ebonyhaven_decisions.forwarding import EngineLoad, ServerListVersion
+from ebonyhaven_decisions.forwarding import EngineLoad, ServerListVersion, ServerLoad
 
 from ebonyhaven_node.forwarding._record_stores import (
     LossRecordStore,
@@ -172,6 +172,8 @@
         Whether it says that it leaves.
     rest_s : float or None
         Time for which it wants no requests, seconds; None if it names none.
+    server_load : ServerLoad or None
+        What it says of its load in the headers of the response.
     """
 
     is_engine: bool
@@ -179,6 +181,7 @@
     load: EngineLoad | None = None
     is_leaving: bool = False
     rest_s: float | None = None
+    server_load: ServerLoad | None = None
 
 
 class ServerInspector(abc.ABC):
--- a/tests/forwarding/test_odd_numbers.py
+++ b/tests/forwarding/test_odd_numbers.py
@@ -4,6 +4,7 @@
 
 from ebonyhaven_adapter._headers import PlatformBackendDialect, PlatformCallerDialect
 from ebonyhaven_node.forwarding import RequestHead
+from structlog.testing import capture_logs
 
 from tests.forwarding.harness import (
     STREAM_END,
@@ -16,6 +17,7 @@
 
 MANY_DIGITS = b"1" * 5000
 ODD_NUMBERS = (MANY_DIGITS, b"1" + b"0" * 400, b"\xb2", b"-1", b"1e999", b"")
+UNREAD_LOADS = "ebonyhaven_unread_server_loads_total"
 ODD_EVENT_IDS = ("\u00b2", MANY_DIGITS.decode(), "1" + "0" * 400)
 
 
@@ -57,6 +59,22 @@
         assert caller.read_answer()[::2] == (200, b"ok")
 
 
+def test_loads_in_an_unknown_form_are_counted_and_logged_once_a_server():
+    harness = ForwardingHarness()
+    with capture_logs() as logs:
+        for _ in range(3):
+            caller = harness.open_caller()
+            caller.request("/repeat/x")
+            server, _, _ = harness.take_request()
+            server.receive(answer("r1", X_Server_Load="busy"))
+            harness.advance(0.01)
+            assert caller.read_answer()[0] == 200
+    assert harness.gateway.registry.get_sample_value(UNREAD_LOADS) == 3
+    unread = [each for each in logs if each["event"] == "server_load_unread"]
+    assert unread
+    assert len({each["server"] for each in unread}) == len(unread)
+
+
 def test_request_with_an_odd_deadline_is_served():
     for odd in ODD_NUMBERS[:2]:
         harness = ForwardingHarness()
