Servers of short requests are chosen by what a request would take there

Cause: a reported load faded to nothing within a second, no pace was used, and all instances with the same reports took the lowest cost. Change: `forwarding/balancing/`: reports age into the usual load; paces told are weighed by how far the times of answers follow them; a server's own slowness is learned by route, without its waits; requests that instances with the same reports have sent since are laid on the servers up to one level and the choice is random by what each gets (Dahlin 2000). Servers that report no load are chosen by the rule of before. Patience uses the same forecast. `ebonyhaven_server_load_deviation` shows evenness.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -86,7 +86,7 @@
     Workspace,
     group_routes,
 )
-from ebonyhaven_decisions.forwarding._selection import choose_backend
+from ebonyhaven_decisions.forwarding._selection import choose_backend, compute_mean_use
 from ebonyhaven_decisions.forwarding._send_obstacles import SendObstacle
 from ebonyhaven_decisions.forwarding._server_contact import (
     ServerContact,
@@ -124,7 +124,7 @@
     VersionRecord,
     VersionSnapshot,
 )
-from ebonyhaven_decisions.forwarding.balancing import ServerLoad
+from ebonyhaven_decisions.forwarding.balancing import ServerLoad, ServiceTimes
 
 __all__ = [
     "CAUTION_S",
@@ -182,6 +182,7 @@
     "Service",
     "ServiceRetryBudget",
     "ServiceShare",
+    "ServiceTimes",
     "ServiceVersions",
     "SilenceLimits",
     "StateWaitLimits",
@@ -207,6 +208,7 @@
     "compute_gap_limits",
     "compute_gap_patience_s",
     "compute_patience_s",
+    "compute_mean_use",
     "count_holders",
     "count_queued_prefill_tokens",
     "find_reader_rank",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backends.py
@@ -12,7 +12,7 @@
 from ebonyhaven_decisions.forwarding._permit_limiters import PermitLimiter
 from ebonyhaven_decisions.forwarding._refusal_backoffs import RefusalBackoff
 from ebonyhaven_decisions.forwarding._server_silence import ServerSilence
-from ebonyhaven_decisions.forwarding.balancing import ServerLoad
+from ebonyhaven_decisions.forwarding.balancing import LoadEstimate, ServerLoad
 
 SUSPECT_MIN_S = 0.4  # a third of the restart time of a server on a fast machine
 SUSPECT_MAX_S = 3.0  # limits the time until a recovered server is sent requests
@@ -22,7 +22,6 @@
 # a call has no answer. Entries of servers that are alive expire in longer outages only.
 MAX_READ_GAP_S = 2.5
 SLOW_S = 2.0  # for which a server that paused its streams gets few new ones
-LOAD_REPORT_TTL_S = 1.0  # older reports do not reflect the current load
 RESULT_SMOOTHING_FACTOR = 0.2
 DEFAULT_LATENCY_S = 0.05
 
@@ -106,10 +105,8 @@
         Moving average of the share of failed requests, from 0 to 1.
     latency_s : float
         Moving average of the time to a complete response, seconds.
-    reported_load : int
-        Running and queued requests of other instances in the last load report.
-    reported_at : float
-        Time of the last load report, seconds.
+    load : LoadEstimate
+        What the server's reports say about its load and pace.
     backoff : RefusalBackoff
         Backoff after refusals.
     slow_until : float
@@ -140,8 +137,7 @@
     last_received_at: float = -math.inf
     failure_share: float = 0.0
     latency_s: float = DEFAULT_LATENCY_S
-    reported_load: int = 0
-    reported_at: float = -math.inf
+    load: LoadEstimate = attrs.Factory(LoadEstimate)
     backoff: RefusalBackoff = attrs.Factory(RefusalBackoff)
     slow_until: float = -math.inf
     limiter: ServerLimiter = attrs.Factory(lambda: ServerLimiter(PermitLimiter()))
@@ -378,21 +374,4 @@
         now : float
             Seconds.
         """
-        self.reported_load = max(0, load.requests - self.in_flight)
-        self.reported_at = now
-
-    def estimate_load(self, now: float) -> float:
-        """Return the estimated number of requests on the server.
-
-        Parameters
-        ----------
-        now : float
-            Seconds.
-
-        Returns
-        -------
-        float
-        """
-        age_s = now - self.reported_at
-        weight = max(0.0, 1.0 - age_s / LOAD_REPORT_TTL_S)
-        return self.in_flight + weight * self.reported_load
+        self.load.record(load, in_flight=self.in_flight, now=now)
--- a/packages/node/src/ebonyhaven_node/forwarding/_call_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_call_servers.py
@@ -6,6 +6,7 @@
     Backend,
     Route,
     choose_backend,
+    compute_mean_use,
     compute_patience_s,
 )
 
@@ -58,6 +59,7 @@
         self.target_deadline = request.arrived_at + (
             route.target_latency_s or SERVER_WAIT_TIMEOUT_SHARE * timeout_s
         )
+        self._times = context.state.get_service_times(service)
         self._excluded_servers: set[tuple[str, int]] = set()
 
     def choose(self, now: float) -> Backend | None:
@@ -85,6 +87,7 @@
             data_centre=self._context.data_centre,
             now=now,
             rng=self._context.rng,
+            times=self._times,
         )
 
     def make_plan(self, backend: Backend, now: float) -> AttemptPlan:
@@ -106,11 +109,39 @@
             workspace=self._workspace,
             patience_s=compute_patience_s(
                 target_latency_s=self._route.target_latency_s,
-                latency_s=backend.latency_s,
+                latency_s=max(
+                    backend.latency_s, self._times.forecast_s(backend.load, now)
+                ),
                 timeout_s=remaining_s,
             ),
         )
 
+    def record_answer(self, backend: Backend, latency_s: float) -> None:
+        """Learn from the time that an answer took.
+
+        Parameters
+        ----------
+        backend : Backend
+        latency_s : float
+            Seconds from sending the request to the complete response.
+        """
+        self._times.record_answer(
+            backend.load, route=self._route.name, latency_s=latency_s
+        )
+        if backend.load.is_known:
+            self._observe_evenness(backend)
+
+    def _observe_evenness(self, backend: Backend) -> None:
+        """Observe how far the load of a server is from the mean of its service."""
+        servers = [
+            each
+            for each in self._context.state.backends
+            if each.entry.service == self._service and not each.is_leaving
+        ]
+        if len(servers) > 1:
+            deviation = backend.load.requests_per_slot - compute_mean_use(servers)
+            self._context.metrics.load_deviation.observe(deviation)
+
     def exclude(self, backend: Backend) -> None:
         """Leave out a process as long as there is another one.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -298,7 +298,7 @@
             server=backend.server_id,
             attempt=len(self._attempts) + 1,
             budget_shares=self._context.budget.instances,
-            load=round(backend.estimate_load(now), 1),
+            load=round(backend.in_flight + backend.load.others, 1),
             failure_share=round(backend.failure_share, 2),
             waited_s=round(now - self._request.arrived_at, 3),
         )
@@ -355,6 +355,7 @@
         is_success = head.status < 500 and head.has_origin_proof and not is_promise
         attempt.backend.record_result(succeeded=is_success, latency_s=latency_s)
         if is_success and is_own:
+            self._servers.record_answer(attempt.backend, latency_s)
             self._count_attempt("answered")
             self._respond(head, body)
             return
--- a/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -10,6 +10,7 @@
 
 LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.5, 10.0, 25.0)
 PAUSE_BUCKETS_S = (0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1.0, 2.0, 5.0)
+LOAD_DEVIATION_BUCKETS = (-1.0, -0.5, -0.25, -0.1, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0)
 
 
 class ForwardingMetrics:
@@ -121,6 +122,13 @@
             "Times for which backend servers wanted no requests of this instance.",
             registry=registry,
         )
+        self.load_deviation = Histogram(
+            "ebonyhaven_server_load_deviation",
+            "Requests per slot that a server reports with an answer, less the mean of "
+            "the last reports of its service's servers.",
+            buckets=LOAD_DEVIATION_BUCKETS,
+            registry=registry,
+        )
         self.unread_loads = Counter(
             "ebonyhaven_unread_server_loads",
             "Responses that state the load of their server in an unknown form.",
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -14,6 +14,7 @@
     RequestLimits,
     RoutingConfiguration,
     ServerListVersion,
+    ServiceTimes,
 )
 
 _log = structlog.get_logger()
@@ -78,10 +79,20 @@
         self._clock = clock
         self.configuration: RoutingConfiguration | None = None
         self.backends = BackendDirectory()
+        self.service_times: dict[str, ServiceTimes] = {}
         self.has_backend_list = False
         self._adopted: set[str] = set()
         self._observers: list[Callable[[], None]] = []
 
+    def get_service_times(self, service: str) -> ServiceTimes:
+        """Return the usual times of a service's requests.
+
+        Parameters
+        ----------
+        service : str
+        """
+        return self.service_times.setdefault(service, ServiceTimes())
+
     @property
     def is_complete(self) -> bool:
         """Whether both a configuration and a server list are available."""
