Streams wait by rank, lateness and workspace, and are refused by a forecast

Cause: streams waited in order of arrival, whatever their priority and workspace, so that a burst of the least urgent or of one workspace delayed all others; prompts with a long target filled engines until those with a short one were late behind them; a stream that could not be served in time was held until three quarters of its time were over, and its Retry-After was a constant.

Change: one order (begun, rank, in time, workspace by start-time fair queueing, arrival), in which waiting streams are also woken; a less urgent rank leaves room for a run and the time of a prompt to each more urgent rank that came within 5 s, here or at peers; the priority within an engine follows the rank for resumed and late runs too; a forecast from the memory ahead and the rate at which runs free it refuses at once, with Retry-After as the forecast, spread, the more urgent first. Instances tell each other what waits by service and rank in a section of their reports.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -36,6 +36,7 @@
     count_queued_prefill_tokens,
     fits_in_memory,
     have_room,
+    sum_run_tokens,
 )
 from ebonyhaven_decisions.forwarding._limit_shares import (
     LimitedServer,
@@ -226,4 +227,5 @@
     "merge_restored_list",
     "select_preferred_engines",
     "select_replaceable_engines",
+    "sum_run_tokens",
 ]
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_engine_use.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_engine_use.py
@@ -173,6 +173,18 @@
     return used_tokens < ROOM_MEMORY_SHARE * memory_tokens * len(engines)
 
 
+def sum_run_tokens(engines: Sequence[Backend], peers: Mapping[str, EngineUse]) -> int:
+    """Return the memory of the runs on engines.
+
+    Parameters
+    ----------
+    engines : sequence of Backend
+    peers : mapping of str to EngineUse
+        Usage of the other instances, by server id.
+    """
+    return sum(estimate_use(each, peers).run_tokens for each in engines)
+
+
 def count_queued_prefill_tokens(
     backend: Backend, peers: Mapping[str, EngineUse]
 ) -> int:
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_priorities.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_priorities.py
@@ -1,11 +1,14 @@
 """Priorities of streams within an engine; 0 is the most urgent.
 
-Designed for an engine whose memory is full: it preempts the least urgent run first.
+Designed for an engine whose memory is full: it preempts the least urgent run first. A
+burst of the least urgent requests then preempts neither streams that go on there after
+a loss nor, among late ones, those of a more urgent rank.
 """
 
 from __future__ import annotations
 
-RESUMED_PRIORITY = 2  # before new streams: the caller has received some events
+# Of the most urgent rank; the others follow it.
+RESUMED_PRIORITY = 0  # before new streams: the caller has received some events
 LATE_PRIORITY = 7  # yields to streams that can still meet their target
 DEFAULT_PRIORITY = 5  # assumed by engines if the request states none
 MAX_ROUTE_PRIORITY = 2  # of routes and workspaces, as far as engines tell them apart
@@ -30,9 +33,10 @@
     int or None
         None for the default.
     """
+    rank = min(MAX_ROUTE_PRIORITY, priority)
     if is_late:
-        return LATE_PRIORITY
+        return LATE_PRIORITY + rank
     if is_resumed:
-        return RESUMED_PRIORITY
-    chosen = DEFAULT_PRIORITY - 1 + min(MAX_ROUTE_PRIORITY, priority)
+        return RESUMED_PRIORITY + rank
+    chosen = DEFAULT_PRIORITY - 1 + rank
     return None if chosen == DEFAULT_PRIORITY else chosen
--- /dev/null
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/waiting/__init__.py
@@ -0,0 +1,46 @@
+"""Who waits for room at model engines, who goes first, and who is refused.
+
+Decisions without input, output or clock.
+"""
+
+from ebonyhaven_decisions.forwarding.waiting._forecasts import (
+    WaitForecast,
+    choose_retry_after_s,
+    estimate_freed_tokens_per_s,
+    forecast_wait,
+    limit_patience_s,
+)
+from ebonyhaven_decisions.forwarding.waiting._lines import (
+    WaitingLine,
+    WaitingStream,
+)
+from ebonyhaven_decisions.forwarding.waiting._ranks import (
+    RANK_MEMORY_S,
+    RANKS,
+    PeerRanks,
+    RankActivity,
+    RankNews,
+    limit_rank,
+)
+from ebonyhaven_decisions.forwarding.waiting._reserves import (
+    leaves_time_to_urgent,
+    limit_memory_share,
+)
+
+__all__ = [
+    "RANKS",
+    "RANK_MEMORY_S",
+    "PeerRanks",
+    "RankActivity",
+    "RankNews",
+    "WaitForecast",
+    "WaitingLine",
+    "WaitingStream",
+    "choose_retry_after_s",
+    "estimate_freed_tokens_per_s",
+    "forecast_wait",
+    "leaves_time_to_urgent",
+    "limit_memory_share",
+    "limit_patience_s",
+    "limit_rank",
+]
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -44,6 +44,7 @@
     RunCopier,
     ServerInspector,
 )
+from ebonyhaven_node.forwarding.waiting import WaitingMetrics, WaitingState
 
 SERVER_SILENCE_LIMIT_S = 0.2  # working engines send data at shorter intervals
 
@@ -67,8 +68,9 @@
     prefill_rate : PrefillRate
     stream_durations : dict of str to StreamDurations
         By route name; bounded by the number of stream routes.
-    waiting_streams : dict of str to list
-        Ids of the requests that wait for a server, by service, in order of arrival.
+    waiting : WaitingState
+        Streams that wait for a server, by service.
+    waiting_metrics : WaitingMetrics
     suspicion_notifier : SuspicionNotifier
     capacity_notifier : CapacityNotifier
     crash_notifier : CrashNotifier
@@ -109,7 +111,8 @@
     peers: PeerEngineUse
     prefill_rate: PrefillRate
     stream_durations: dict[str, StreamDurations]
-    waiting_streams: dict[str, list[str]]
+    waiting: WaitingState
+    waiting_metrics: WaitingMetrics
     suspicion_notifier: SuspicionNotifier
     capacity_notifier: CapacityNotifier
     crash_notifier: CrashNotifier
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -75,6 +75,11 @@
     StreamRecordStore,
     VersionRecordStore,
 )
+from ebonyhaven_node.forwarding.waiting import (
+    WaitingMetrics,
+    WaitingSection,
+    WaitingState,
+)
 
 LISTEN_BACKLOG = 512  # connections not yet accepted during a burst
 MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024  # a quarter of the target of an instance
@@ -166,6 +171,7 @@
         )
         self._peers = PeerEngineUse(ttl_s=PEER_USE_TTL_S)
         self._capacity_notifier = CapacityNotifier(reactor)
+        self._waiting = WaitingState()
         self._permits = PermitExchange(
             backends=self.state.backends.limits,
             reactor=reactor,
@@ -364,6 +370,7 @@
             on_loss=lambda backend: self._report_unreachable(
                 backend, is_from_peer=True
             ),
+            sections=[WaitingSection(self._waiting)],
         )
         self._stack.callback(group.stop)
         self.membership = group.membership
@@ -384,7 +391,8 @@
             peers=self._peers,
             prefill_rate=PrefillRate(),
             stream_durations={},
-            waiting_streams={},
+            waiting=self._waiting,
+            waiting_metrics=WaitingMetrics(self.registry, self._waiting),
             suspicion_notifier=self._suspicion_notifier,
             capacity_notifier=self._capacity_notifier,
             crash_notifier=self._crash_notifier,
--- a/packages/node/src/ebonyhaven_node/forwarding/_notifiers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_notifiers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from collections.abc import Callable
 
 from ebonyhaven_decisions.forwarding import Backend
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
@@ -19,7 +20,7 @@
 
 
 class _Notifier:
-    """Inboxes of the subscribers, in the order of their subscription.
+    """Inboxes of the subscribers, notified in order.
 
     Messages are put into them in later turns of the reactor, a bounded number at a
     time, so that the end of one request never runs within that of another. A message
@@ -34,22 +35,27 @@
 
     def __init__(self, reactor: IReactorTime) -> None:
         self._reactor = reactor
-        self._inboxes: dict[Inbox, None] = {}
+        self._inboxes: dict[Inbox, Callable[[], int]] = {}
         self._pending: dict[tuple[Inbox, object], None] = {}
         self._turn: IDelayedCall | None = None
 
     def __len__(self) -> int:
         return len(self._inboxes)
 
-    def subscribe(self, inbox: Inbox) -> None:
+    def subscribe(
+        self, inbox: Inbox, read_order: Callable[[], int] = lambda: 0
+    ) -> None:
         """Add a subscriber.
 
         Parameters
         ----------
         inbox : Inbox
             Receives the messages.
+        read_order : callable
+            Returns a number; subscribers with smaller ones are notified first, and
+            equal ones in the order of their subscription.
         """
-        self._inboxes[inbox] = None
+        self._inboxes[inbox] = read_order
 
     def unsubscribe(self, inbox: Inbox) -> None:
         """Remove a subscriber, if subscribed.
@@ -66,7 +72,7 @@
             self._turn.cancel()
 
     def _send(self, message: object) -> None:
-        for inbox in self._inboxes:
+        for inbox in sorted(self._inboxes, key=lambda each: self._inboxes[each]()):
             self._pending[inbox, message] = None
         self._schedule_turn()
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -76,6 +76,8 @@
     ----------
     caller_deadline : float
         Deadline of the request, seconds.
+    latest_start : float
+        Time after which the stream would not complete if it started, seconds.
     attempts : int
         Attempts whose request was sent, or is being sent, by any instance.
     may_have_run : bool
@@ -90,7 +92,6 @@
         "_failed_attempts",
         "_guard",
         "_last_end",
-        "_latest_start",
         "_lost_servers",
         "_progress",
         "_request",
@@ -102,6 +103,7 @@
         "caller_deadline",
         "last_peer",
         "last_reason",
+        "latest_start",
         "may_have_run",
     )
 
@@ -127,7 +129,7 @@
         self._context = context
         timeout_s = request.limit_timeout(route.timeout_s)
         self.caller_deadline = request.arrived_at + timeout_s
-        self._latest_start = request.arrived_at + LATEST_START_SHARE * timeout_s
+        self.latest_start = request.arrived_at + LATEST_START_SHARE * timeout_s
         self._tried_servers = 0
         self._failed_attempts = 0
         self._lost_servers: list[Backend] = []
@@ -253,7 +255,7 @@
         obstacle = self._find_obstacle(now)
         if obstacle is not None:
             return obstacle
-        may_start = self.may_have_run or now < self._latest_start
+        may_start = self.may_have_run or now < self.latest_start
         if not may_start or self._progress.delivered:
             return None
         if self._can_finish(now):
@@ -275,7 +277,7 @@
         if now >= self.deadline:
             return CLOSING_REASON
         if not self.may_have_run:
-            is_late = now >= self._latest_start
+            is_late = now >= self.latest_start
             return "no server had room in time" if is_late else self._check_attempts()
         if not self._route.may_retry:
             return self.last_reason
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
@@ -18,9 +18,16 @@
     is_prompt_admitted,
     rank_engines,
     select_replaceable_engines,
+    sum_run_tokens,
+)
+from ebonyhaven_decisions.forwarding.waiting import (
+    leaves_time_to_urgent,
+    limit_memory_share,
+    limit_rank,
 )
 
 from ebonyhaven_node.forwarding._context import RelayContext
+from ebonyhaven_node.forwarding.waiting import EngineRoom
 
 FAILED_SERVER_AVOIDANCE_S = 2.0
 DEFAULT_FIRST_EVENT_TARGET_S = 1.0  # for routes without a target
@@ -36,6 +43,8 @@
     engine : EngineTraits or None
         None for a service without model engines.
     demand : TokenDemand
+    priority : int
+        Priority of the request; 0 is the most urgent.
     context : RelayContext
     """
 
@@ -45,11 +54,13 @@
         service: str,
         engine: EngineTraits | None,
         demand: TokenDemand,
+        priority: int,
         context: RelayContext,
     ):
         self._service = service
         self._engine = engine
         self._demand = demand
+        self._rank = limit_rank(priority)
         self._context = context
         self._avoided_until: dict[tuple[str, int], float] = {}
 
@@ -82,6 +93,23 @@
         peers = self._context.peers.sum_by_server(now)
         return have_room(engines, self._engine.memory_tokens, peers)
 
+    def read_room(self, now: float) -> EngineRoom:
+        """Return the use of the engines of the service.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        engines = self._list_candidates(now, version=None)
+        peers = self._context.peers.sum_by_server(now)
+        memory_tokens = self._engine.memory_tokens if self._engine else 0
+        return EngineRoom(
+            sum_run_tokens(engines, peers),
+            is_plenty=have_room(engines, memory_tokens, peers),
+            read_at=now,
+        )
+
     def has_only_leaving(self) -> bool:
         """See `BackendDirectory.has_only_leaving`."""
         return self._context.state.backends.has_only_leaving(self._service)
@@ -101,12 +129,12 @@
         version : str or None
             Software version of the servers; None for any.
         """
-        line = self._context.waiting_streams.get(self._service, [])
+        line = self._context.waiting.get(self._service).line
         return self._context.state.backends.limits.find_limit_end(
             self._service,
             now,
             version=version,
-            ahead=line.index(request_id) if request_id in line else 0,
+            ahead=line.count_ahead(request_id, now),
         )
 
     def find_rest_end(self, now: float, version: str | None = None) -> float | None:
@@ -159,6 +187,7 @@
         waited_s: float,
         target_s: float,
         version: str | None = None,
+        has_begun: bool = False,
     ) -> list[Backend]:
         """Return the servers with capacity for the next attempt, the best one first.
 
@@ -172,6 +201,9 @@
             See `is_prompt_admitted`.
         version : str or None
             Software version that the stream is bound to; None before its first event.
+        has_begun : bool
+            Whether its caller has received events, so that it uses what is kept free
+            for more urgent ones.
 
         Returns
         -------
@@ -194,6 +226,11 @@
             )
             return [] if chosen is None else [chosen]
         peers = self._context.peers.sum_by_server(now)
+        ranks = self._context.waiting.get(self._service).ranks
+        more_urgent = (
+            [] if has_begun else ranks.list_more_urgent_targets(self._rank, now)
+        )
+        prompt_s = self._context.prefill_rate.estimate_s(self._demand.prompt_tokens)
         admitting = [
             each
             for each in usable
@@ -202,6 +239,11 @@
                 queue_s=self._estimate_queue_s(each, peers),
                 target_s=target_s,
             )
+            and leaves_time_to_urgent(
+                queue_s=self._estimate_queue_s(each, peers),
+                prompt_s=prompt_s,
+                more_urgent_targets=more_urgent,
+            )
         ]
         return rank_engines(
             admitting,
@@ -212,7 +254,12 @@
             now=now,
             prompt_id=prompt_id,
             data_centre=self._context.data_centre,
-            memory_share=choose_memory_share(waited_s=waited_s, target_s=target_s),
+            memory_share=limit_memory_share(
+                choose_memory_share(waited_s=waited_s, target_s=target_s),
+                tokens=self._demand.tokens,
+                memory_tokens=self._engine.memory_tokens,
+                more_urgent_ranks=len(more_urgent),
+            ),
         )
 
     def estimate_patience_s(
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_targets.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_targets.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import NamedTuple
 
 from ebonyhaven_decisions.forwarding import (
@@ -28,13 +27,9 @@
 )
 from ebonyhaven_node.forwarding._stream_servers import StreamServerSelector
 from ebonyhaven_node.forwarding._stream_versions import StreamVersion
+from ebonyhaven_node.forwarding._stream_waits import StreamWait
 
 CAPACITY_POLL_INTERVAL_S = 0.1  # if no notification arrives
-# Under overload, each stream that looks for a server looks at all of them. Those at the
-# head of the line do so at each notification, the others now and then, in case they may
-# be placed before the first ones.
-LINE_HEAD_STREAMS = 4
-LINE_TAIL_INTERVAL_S = 0.3
 
 
 class StreamTarget(NamedTuple):
@@ -63,6 +58,7 @@
     progress : StreamProgress
     guard : CrashGuard
     limits : StreamLimits
+    wait : StreamWait
     earlier_run : EarlierRun
     server_selector : StreamServerSelector
     exchange : Exchange
@@ -79,13 +75,13 @@
         "_guard",
         "_inbox",
         "_limits",
-        "_looked_at",
         "_progress",
         "_request",
         "_sampler",
         "_server_selector",
         "_service",
         "_version",
+        "_wait",
     )
 
     def __init__(
@@ -98,6 +94,7 @@
         progress: StreamProgress,
         guard: CrashGuard,
         limits: StreamLimits,
+        wait: StreamWait,
         earlier_run: EarlierRun,
         server_selector: StreamServerSelector,
         exchange: Exchange,
@@ -111,13 +108,13 @@
         self._progress = progress
         self._guard = guard
         self._limits = limits
+        self._wait = wait
         self._earlier_run = earlier_run
         self._server_selector = server_selector
         self._exchange = exchange
         self._inbox = inbox
         self._context = context
         self._sampler = EngineSampler(context)
-        self._looked_at = -math.inf  # for a server, while others wait before it
 
     async def find(self, copy: RunCopy | None) -> StreamTarget | GiveUpReason | None:
         """Wait for a server with room.
@@ -132,7 +129,7 @@
         StreamTarget or GiveUpReason or None
             None if the request has ended.
         """
-        found = await self._wait(copy)
+        found = await self._wait_for_server(copy)
         if not isinstance(found, StreamTarget):
             return found
         return await self._compare_engines(found)
@@ -156,16 +153,18 @@
             return True
         return any(each is not backend for each in self._rank_servers(now))
 
-    async def _wait(self, copy: RunCopy | None) -> StreamTarget | GiveUpReason | None:
-        self._context.capacity_notifier.subscribe(self._inbox)
-        line = self._context.waiting_streams.setdefault(self._service, [])
-        line.append(self._request.request_id)
+    async def _wait_for_server(
+        self, copy: RunCopy | None
+    ) -> StreamTarget | GiveUpReason | None:
+        found = None
+        self._wait.begin(self._context.clock())
+        self._context.capacity_notifier.subscribe(self._inbox, self._wait.read_order)
         try:
             while not self._exchange.is_done:
                 now = self._context.clock()
                 if copy is not None and not copy.is_usable(now):
                     copy = None
-                if self._is_turn(line, now) or now >= self._limits.deadline:
+                if self._wait.is_turn(now) or now >= self._limits.deadline:
                     found = self._look(copy, now)
                     if found is not None:
                         return found
@@ -175,7 +174,7 @@
                 while message is not None and not isinstance(message, CapacityChanged):
                     message = await self._inbox.get(0.0)
         finally:
-            line.remove(self._request.request_id)
+            self._wait.end(is_served=isinstance(found, StreamTarget))
             self._context.capacity_notifier.unsubscribe(self._inbox)
         return None
 
@@ -191,17 +190,9 @@
         choice = self._choose_target(copy, now)
         if choice is None:
             self._context.permits.ask(self._service, self._request.request_id)
-            return None
+            return self._wait.find_refusal(now)
         return choice if self._acquire_retry(now) else None
 
-    def _is_turn(self, line: list[str], now: float) -> bool:
-        """Return whether the stream, which waits in a line, looks for a server now."""
-        is_at_head = self._request.request_id in line[:LINE_HEAD_STREAMS]
-        if not is_at_head and now - self._looked_at < LINE_TAIL_INTERVAL_S:
-            return False
-        self._looked_at = now
-        return True
-
     def _is_undecided(self) -> bool:
         return self._guard.is_undecided() or self._limits.is_undecided()
 
@@ -230,6 +221,7 @@
             waited_s=waited_s,
             target_s=target_s,
             version=self._version.name,
+            has_begun=self._wait.has_begun,
         )
 
     async def _compare_engines(self, target: StreamTarget) -> StreamTarget:
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -45,6 +45,7 @@
     StreamTargetFinder,
 )
 from ebonyhaven_node.forwarding._stream_versions import StreamVersion
+from ebonyhaven_node.forwarding._stream_waits import StreamWait
 
 _log = structlog.get_logger()
 
@@ -105,7 +106,11 @@
             context=context,
         )
         self._server_selector = StreamServerSelector(
-            service=service, engine=engine, demand=self._demand, context=context
+            service=service,
+            engine=engine,
+            demand=self._demand,
+            priority=priority,
+            context=context,
         )
         self._run_copy: RunCopy | None = None
         self._earlier_run = EarlierRun(
@@ -134,6 +139,18 @@
             progress=self._progress,
             guard=guard,
             limits=self._limits,
+            wait=StreamWait(
+                request=request,
+                route=route,
+                service=service,
+                priority=priority,
+                workspace=workspace,
+                tokens=self._demand.tokens if engine else 0,
+                progress=self._progress,
+                limits=self._limits,
+                server_selector=self._server_selector,
+                context=context,
+            ),
             earlier_run=self._earlier_run,
             server_selector=self._server_selector,
             exchange=exchange,
