Probe a silent server of a stream with long gaps in time for its resume

Prompts that their engines read had stretched their gaps to 0.254 s; two and a half of these, 0.64 s, were waited for, and the probe that tells a lost server came 0.15 s before. It now comes early enough that its answer and a resume from the copy fit the target; a slow server that accepts is kept as long as before.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_timing.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_timing.py
@@ -17,6 +17,7 @@
 FIRST_EVENT_RESUME_MIN_SHARE = 0.6  # of the target; leaves time for a second attempt
 # A probe that starts this long before the resume shows whether the server is lost.
 PROBE_LEAD_S = 0.15
+RESUME_LEAD_S = 0.15  # from a copy; its first event takes less than a tenth of a second
 SERVER_PROBE_INTERVAL_S = 0.5  # for a silent server that accepts connections
 DEFAULT_GAP_TARGET_S = 1.0  # for routes without a gap target
 DEFAULT_TOKENS_PER_S = 8000.0
@@ -248,7 +249,8 @@
     tolerated_s = max(GAP_TARGET_SHARE * target_s, LONGEST_GAP_FACTOR * longest_gap_s)
     limit_s = min(tolerated_s, target_s)
     if has_copy:
-        probe_s = max(0.5 * limit_s, limit_s - PROBE_LEAD_S)
+        latest_s = min(limit_s, target_s - RESUME_LEAD_S) - PROBE_LEAD_S
+        probe_s = max(0.5 * limit_s, latest_s)
         return SilenceLimits(probe_after_s=probe_s, resume_after_s=limit_s)
     return SilenceLimits(
         probe_after_s=limit_s, resume_after_s=GAP_TARGET_FACTOR_WITHOUT_COPY * target_s
--- a/tests/decisions/test_stream_timing.py
+++ b/tests/decisions/test_stream_timing.py
@@ -16,6 +16,19 @@
     assert 0.35 < slow.resume_after_s <= 0.7
 
 
+def test_stream_with_long_gaps_knows_of_a_lost_server_in_time_to_resume():
+    # A prompt that an engine reads stretches the gaps of its streams to 0.25 s. Guards
+    # against streams that paused for 0.71 s, as the probe was answered at 0.64 s.
+    probed_s, resume_s = 0.15, 0.1
+    for gap_s in (0.02, 0.25, 0.5):
+        limits = compute_gap_limits(
+            target_gap_s=0.7, longest_gap_s=gap_s, has_copy=True
+        )
+        assert limits.probe_after_s + probed_s + resume_s <= 0.7
+        assert limits.probe_after_s < limits.resume_after_s
+    assert limits.resume_after_s == 0.7
+
+
 def test_stream_without_a_copy_waits_for_a_server_that_accepts_connections():
     limits = compute_gap_limits(target_gap_s=0.7, longest_gap_s=0.02, has_copy=False)
     assert limits.probe_after_s == 0.35
