--- a/tests/node/test_crash_exchange.py
+++ b/tests/node/test_crash_exchange.py
@@ -4,7 +4,7 @@
 from collections import Counter
 
 from ebonyhaven_decisions import MemberState
-from ebonyhaven_decisions.forwarding import CrashHistory, LossReport
+from ebonyhaven_decisions.forwarding import SETTLE_S, CrashHistory, LossReport
 from ebonyhaven_node import Frame, FrameKind
 from ebonyhaven_node._crash_exchange import CrashExchange
 from ebonyhaven_node._evidence_exchange import RESEND_DELAY_S, SEND_DELAY_S
@@ -26,8 +26,9 @@
 class FakeNetwork:
     """Delivers messages between the exchanges of instances synchronously."""
 
-    def __init__(self, clock):
+    def __init__(self, clock, names=NAMES):
         self.clock = clock
+        self.names = names
         self.channels = {}
         self.memberships = {}
         self.histories = {}
@@ -35,7 +36,7 @@
         self.received = []
 
     def join(self, name):
-        others = [each for each in NAMES if each != name]
+        others = [each for each in self.names if each != name]
         self.channels[name] = FakeChannels()
         self.memberships[name] = FakeNetworkMembership(self, name, others)
         self.histories[name] = CrashHistory()
@@ -193,6 +194,35 @@
     assert 0 < most < LINK_BYTES_PER_S * LINK_DELAY_S
 
 
+def test_many_instances_tell_a_lost_data_centre_from_a_content_that_crashes_servers():
+    # Each instance tells what it found and little of what was lost beside it; a content
+    # crashes servers before, at the moment of and after the loss of a data centre.
+    names = [f"edge-{number}" for number in range(30)]
+    network = FakeNetwork(Clock(), names)
+    for name in names:
+        network.join(name)
+    network.lose_server(names[0], "s0", CONTENT)
+    network.clock.pump([STEP_S] * 100)
+    for number, name in enumerate(names):
+        lost = ("part", f"{number:016x}")
+        report = LossReport(f"a{number}", "dc-a", 0.0, (lost,))
+        network.histories[name].add(report, network.clock.seconds())
+        network.exchanges[name].publish_loss(report.process)
+    network.lose_server(names[1], "a31", CONTENT)
+    network.clock.pump([STEP_S] * 100)
+    now = network.clock.seconds()
+    for history in network.histories.values():
+        assert history.count_crashes("part", now) == 1
+        assert history.count_crashes(CONTENT, now) == 2
+        assert history.find_blocked_trait((CONTENT,), now) is None
+    network.lose_server(names[2], "s2", CONTENT)
+    network.clock.pump([STEP_S] * round((SEND_DELAY_S + SETTLE_S) / STEP_S + 1))
+    now = network.clock.seconds()
+    for history in network.histories.values():
+        assert history.find_blocked_trait(("part", CONTENT), now) == CONTENT
+        assert history.find_blocked_trait(("part", "new"), now) is None
+
+
 def test_repeats_reach_many_instances_within_contact_time():
     others = [f"edge-{number}" for number in range(390)]
     network = FakeNetwork(Clock())
