--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/balancing/_service_times.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/balancing/_service_times.py
@@ -13,8 +13,8 @@
 # The time of an answer is the only sign of a server's load if it reports none.
 UNREPORTED_SMOOTHING_FACTOR = 0.2
 MAX_RATIO_LOG = 3.0  # of one answer's time to the usual one
-PRIOR_WEIGHT = 3.0  # of the assumption that work takes as long as the pace says
-FORGOTTEN_SHARE = 0.02  # of what was learned about paces, for each answer
+PRIOR_WEIGHT = 1.0  # of the assumption that work takes as long as the pace says
+FORGOTTEN_SHARE = 0.005  # of what was learned about paces, for each answer
 
 
 class ServiceTimes:
--- a/tests/decisions/test_balancing_replay.py
+++ b/tests/decisions/test_balancing_replay.py
@@ -35,13 +35,13 @@
     return math.exp(random.Random(int(at * 20) * 7 + server).gauss(0.0, 0.8))
 
 
-def check(trace, *, rounding=1.0):
+def check(trace):
     """Check what callers need, and that the earlier rule does no better."""
     now, before = (play_mean(trace, rule) for rule in (RULE, EARLIER_RULE))
     assert now.time_p99 <= TARGET_WORK * trace.work_s * MS_PER_S
-    assert now.wait_p95 <= rounding * before.wait_p95
-    assert now.wait_p99 <= rounding * before.wait_p99
-    assert now.needless <= rounding * before.needless
+    assert now.wait_p95 <= before.wait_p95
+    assert now.wait_p99 <= before.wait_p99
+    assert now.needless <= before.needless
     return now, before
 
 
@@ -86,6 +86,16 @@
     assert now.time_p95 < before.time_p95
 
 
+def slow_down_at_times(at: float, server: int) -> float:
+    """Return 2.5 in 15 of 100 spans of 0.6 s."""
+    is_slow = random.Random(int(at / 0.6) * 31 + server).random() < 0.15
+    return 2.5 if is_slow else 1.0
+
+
+def test_ninety_instances_and_machines_that_are_slow_for_moments():
+    check(Trace(91, 4, work_s=0.06, use=0.43, pace=slow_down_at_times))
+
+
 def test_paces_that_change_places_untold():
     trace = Trace(
         12,
