Roll-outs: a gate for the stages, and a verdict from the answers of all instances

Nothing kept requests from a version that operators roll out, nor compared its answers with those of the version before. A RolloutGate in the directory of servers now holds each instance to the share of the present stage by a credit that starts at a random fraction; without a valid stage on the store's clock the new version gets nothing. An EvidenceBoard sums what instances count by route, version and load, and judges by Wald's sequential test of failures and of slow answers.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -16,6 +16,7 @@
 from ebonyhaven_decisions.forwarding._send_obstacles import SendObstacle
 from ebonyhaven_decisions.forwarding._service_versions import ServiceVersions
 from ebonyhaven_decisions.forwarding._suspect_data_centres import SuspectDataCentres
+from ebonyhaven_decisions.forwarding.rollouts._gate import RolloutGate
 
 
 class BackendDirectory:
@@ -29,6 +30,8 @@
         Limits of the listed servers.
     notices : ProcessNotices
         What their processes said of themselves in answers.
+    rollouts : RolloutGate
+        Versions that may be sent requests.
     versions : ServiceVersions
         Software versions of the servers, listed and earlier ones.
     """
@@ -40,6 +43,7 @@
         "data_centres",
         "limits",
         "notices",
+        "rollouts",
         "versions",
     )
 
@@ -50,7 +54,8 @@
         self.data_centres = SuspectDataCentres()
         self.limits = BackendLimits(self._by_id)
         self.notices = ProcessNotices(self._is_listed)
-        self.versions = ServiceVersions(self._by_id)
+        self.rollouts = RolloutGate()
+        self.versions = ServiceVersions(self._by_id, self.rollouts)
 
     def __iter__(self) -> Iterator[Backend]:
         return iter(self._by_id.values())
@@ -100,6 +105,7 @@
         known.removed_at = None
         self._by_id[entry.server_id] = known
         self._suspect_predecessors(entry, now)
+        self.rollouts.unordered.record_listed(entry, now)
         return known
 
     def remove(self, server_id: str, now: float) -> None:
@@ -237,15 +243,17 @@
             for each in self._by_id.values()
             if is_candidate(each) and each.is_usable(now)
         ]
-        if usable or self._has_entries(service):
-            return usable
-        return [
-            each
-            for each in self._removed.values()
-            if is_candidate(each) and each.is_usable_after_removal(now)
-        ]
-
-    def find_obstacle(self, backend: Backend, now: float) -> SendObstacle | None:
+        if not usable and not self._has_entries(service):
+            usable = [
+                each
+                for each in self._removed.values()
+                if is_candidate(each) and each.is_usable_after_removal(now)
+            ]
+        return self.rollouts.select(usable, now, is_bound=version is not None)
+
+    def find_obstacle(
+        self, backend: Backend, now: float, *, is_bound: bool = False
+    ) -> SendObstacle | None:
         """Return what keeps a server that was chosen before from a request now.
 
         Unlike `list_usable`, this leaves out how loaded or suspect the server is, and
@@ -256,11 +264,15 @@
         backend : Backend
         now : float
             Seconds.
+        is_bound : bool
+            See `RolloutGate.allows`.
 
         Returns
         -------
         SendObstacle or None
         """
+        if not self.rollouts.is_open(backend, is_bound=is_bound):
+            return SendObstacle.ROLLOUT
         if not self._is_there(backend, now) or now < backend.replaced_until:
             return SendObstacle.LEFT
         if backend.limiter.rest.is_resting(now):
@@ -320,7 +332,7 @@
         list of Backend
         """
         excluded_keys = frozenset(excluded)
-        return [
+        ready = [
             each
             for each in self._by_id.values()
             if each.entry.service == service
@@ -330,6 +342,7 @@
             and each.accepts(now)
             and not each.silence.is_unresponsive(now)
         ]
+        return self.rollouts.select(ready, now)
 
     def list_unresponsive(self, now: float) -> list[Backend]:
         """Return the listed servers that answer nothing and do not say that they leave.
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_send_obstacles.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_send_obstacles.py
@@ -16,6 +16,8 @@
         It leaves requests of this instance unanswered.
     ``LIMITED``
         The limits that it names forbid it.
+    ``ROLLOUT``
+        Its version gets no requests at this stage of a roll-out.
     ``CRASHING``
         The request crashes servers.
     """
@@ -24,4 +26,5 @@
     RESTING = "the server wants no requests for some time"
     SILENT = "the server answers nothing"
     LIMITED = "the servers limit their requests"
+    ROLLOUT = "the version of the server gets no requests now"
     CRASHING = "the request crashes servers"
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_service_versions.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_service_versions.py
@@ -13,6 +13,7 @@
     VersionHistory,
     VersionSnapshot,
 )
+from ebonyhaven_decisions.forwarding.rollouts._gate import RolloutGate
 
 
 class ServiceVersions:
@@ -22,12 +23,14 @@
     ----------
     listed : mapping of str to Backend
         The listed servers, by id; followed as it changes.
+    rollouts : RolloutGate
     """
 
-    __slots__ = ("_history", "_listed")
+    __slots__ = ("_history", "_listed", "_rollouts")
 
-    def __init__(self, listed: Mapping[str, Backend]):
+    def __init__(self, listed: Mapping[str, Backend], rollouts: RolloutGate):
         self._listed = listed
+        self._rollouts = rollouts
         self._history = VersionHistory()
 
     def list_current(self) -> frozenset[tuple[str, str | None]]:
@@ -67,6 +70,8 @@
         now : float
             Seconds.
         """
+        if self._rollouts.is_withdrawn(service, version):
+            return False
         is_listed = any(
             each.entry.service == service
             and each.software_version == version
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/__init__.py
@@ -3,6 +3,8 @@
 Decisions without input, output or clock.
 """
 
+from ebonyhaven_decisions.forwarding.rollouts._evidence import EvidenceBoard
+from ebonyhaven_decisions.forwarding.rollouts._gate import RolloutGate
 from ebonyhaven_decisions.forwarding.rollouts._stages import (
     RolloutOrder,
     RolloutStage,
@@ -14,6 +16,8 @@
 )
 
 __all__ = [
+    "EvidenceBoard",
+    "RolloutGate",
     "RolloutOrder",
     "RolloutStage",
     "RolloutState",
