Roll-outs: attempts keep to the gate and record their answers for all instances

Attempts ask the gate when they start and right before bytes leave, which short requests, hedges, retries, streams, resumes, run copies and relayed requests share; one that wasn't sent gives its credit back. Where attempts end, answers and failures are counted, also those that a retry, a hedge or a resume hides. A section of the reports tells the decider and two more instances. Sections may be private to their receivers now. Without an open order nothing is counted.

--- a/packages/node/src/ebonyhaven_node/forwarding/_attempt_monitors.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempt_monitors.py
@@ -20,6 +20,8 @@
 from ebonyhaven_node.forwarding._requests import ResponseHead
 from ebonyhaven_node.forwarding._reservations import EngineReservation
 
+# The first events of a stream tell its pace long before it has ended.
+PACE_EVENTS = 16
 PROBE_INTERVAL_SILENCE_SHARE = 0.5  # of the silence so far, between two probes
 
 
@@ -95,6 +97,11 @@
         self.splitter = EventSplitter()
         self.error_body = bytearray()
 
+    @property
+    def route_name(self) -> str:
+        """Name of the route of the request."""
+        return self._route.name
+
     def record_head(self, head: ResponseHead) -> None:
         """Record the head of the response.
 
@@ -132,10 +139,22 @@
             if tokens and self._attempt.backend.prefill_tokens == tokens:
                 self._context.prefill_rate.record(tokens, now - self.started_at)
             self._reservation.release_prefill()
+            self._context.rollouts.record_first_event(
+                self._attempt.backend,
+                self._route.name,
+                time_s=None if self._attempt.plan.copy else now - self.started_at,
+            )
         else:
             self.longest_gap_s = max(self.longest_gap_s, now - self.last_received_at)
+        had_pace = self.events >= PACE_EVENTS
         self.events += count
         self.last_received_at = now
+        if self.events >= PACE_EVENTS and not had_pace:
+            self._context.rollouts.record_pace(
+                self._attempt.backend,
+                self._route.name,
+                pace_s=(now - self.first_event_at) / self.events,
+            )
 
     def is_far_into_stream(self) -> bool:
         """Return whether a content that crashes servers would have done so by now."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -81,6 +81,7 @@
         self._connection: HttpConnection | None = None
         self._pending: PendingConnection | None = None
         self._is_unanswered = False
+        self._is_admitted = False
         self._patience_s = plan.patience_s
 
     @property
@@ -88,6 +89,11 @@
         """Id of the request."""
         return self._request.request_id
 
+    @property
+    def _is_bound(self) -> bool:
+        """Whether the attempt goes on with a stream at the version that began it."""
+        return self.plan.last_event_id is not None or self.plan.copy is not None
+
     def start(self) -> None:
         """Send the request on an idle connection, or on a new one if none is idle."""
         self.backend.in_flight += 1
@@ -100,6 +106,12 @@
         if not self._is_unanswered:
             self._fail_unsent(SendObstacle.LIMITED)
             return
+        self._is_admitted = self._context.rollouts.acquire(
+            self.backend, is_bound=self._is_bound
+        )
+        if not self._is_admitted:
+            self._fail_unsent(SendObstacle.ROLLOUT)
+            return
         address = self.backend.entry.address
         connection = self._context.pool.acquire_idle(address, self._connections)
         if connection is not None:
@@ -184,6 +196,8 @@
             self._inbox.put(AttemptFailed(self, False, False, reason, is_final=True))
             return
         self._connection = connection
+        is_first = not self._connections
+        self._context.rollouts.record_sent(self.backend, is_first=is_first)
         self._connections.append(connection)
         self.was_sent = True
         self.sent_at = now
@@ -214,7 +228,9 @@
         """Return what keeps the request from the server, chosen some time ago."""
         if self._guard.find_blocked_trait() is not None:
             return SendObstacle.CRASHING
-        return self._context.state.backends.find_obstacle(self.backend, now)
+        return self._context.state.backends.find_obstacle(
+            self.backend, now, is_bound=self._is_bound
+        )
 
     def _fail_unsent(self, obstacle: SendObstacle) -> None:
         self._finish()
@@ -258,6 +274,8 @@
         if self.was_sent:
             now = self._context.clock()
             self.backend.silence.record_ended(now, self._patience_s)
+        elif self._is_admitted:
+            self._context.rollouts.refund(self.backend)
         self._record_answered()
         self.backend.in_flight -= 1
         self._context.capacity_notifier.notify()
--- a/packages/node/src/ebonyhaven_node/forwarding/_call_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_call_servers.py
@@ -82,8 +82,9 @@
             or directory.list_ready(self._service, now, self._excluded_servers)
             or directory.list_usable(self._service, now)
         )
+        due = directory.rollouts.list_due(usable)
         return choose_backend(
-            directory.data_centres.avoid_suspect_data_centres(usable, now),
+            directory.data_centres.avoid_suspect_data_centres(due, now),
             data_centre=self._context.data_centre,
             now=now,
             rng=self._context.rng,
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -328,6 +328,12 @@
                 self._unreached_count += unreached
                 self._is_unsendable |= is_final
                 self._fail_attempt(attempt, was_sent, reason)
+                if was_sent:
+                    self._context.rollouts.record_broken(
+                        attempt.backend,
+                        self._route.name,
+                        is_connection_lost=is_connection_lost,
+                    )
                 if was_sent and is_connection_lost:
                     self._guard.check_loss(
                         attempt.backend, has_begun=attempt.head is not None
@@ -354,9 +360,16 @@
         is_promise = head.status in NOT_RUN_STATUSES  # although the server ran it
         is_success = head.status < 500 and head.has_origin_proof and not is_promise
         attempt.backend.record_result(succeeded=is_success, latency_s=latency_s)
+        self._context.rollouts.record_answer(
+            attempt.backend,
+            self._route.name,
+            sent_at=attempt.sent_at,
+            is_failure=not is_success or not is_own,
+        )
         if is_success and is_own:
             self._servers.record_answer(attempt.backend, latency_s)
             self._count_attempt("answered")
+            self._record_overtaken(attempt)
             self._respond(head, body)
             return
         self._possible_run_count += 1
@@ -366,6 +379,17 @@
         if is_own:
             self._error_response = (head, body)
 
+    def _record_overtaken(self, answered: Attempt) -> None:
+        """Record the attempts that the answer of a hedge hides."""
+        for each in self._running:
+            if each.was_sent:
+                self._context.rollouts.record_overtaken(
+                    each.backend,
+                    self._route.name,
+                    sent_at=each.sent_at,
+                    answered_sent_at=answered.sent_at,
+                )
+
     def _record_refusal(self, attempt: Attempt, head: ResponseHead) -> None:
         if head.is_other_process:
             self._context.report_replaced(attempt.backend, head.other_server_id)
@@ -424,6 +448,12 @@
         for attempt in self._attempts:
             if attempt in self._running and attempt.was_sent:
                 attempt.backend.record_result(succeeded=False, latency_s=None)
+                self._context.rollouts.record_timeout(
+                    attempt.backend,
+                    self._route.name,
+                    sent_at=attempt.sent_at,
+                    timeout_s=self._route.timeout_s,
+                )
                 if attempt.head is None:
                     self._report_if_silent(attempt)
         if may_have_run:
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -44,6 +44,7 @@
     RunCopier,
     ServerInspector,
 )
+from ebonyhaven_node.forwarding.rollouts import RolloutRecorder
 from ebonyhaven_node.forwarding.waiting import WaitingMetrics, WaitingState
 
 SERVER_SILENCE_LIMIT_S = 0.2  # working engines send data at shorter intervals
@@ -84,6 +85,7 @@
     permits : PermitExchange
         Permits for requests to brittle servers.
     shutdown : Shutdown
+    rollouts : RolloutRecorder
     relay_peers : PeerDirectory
         Instances that take requests while this one reaches no server.
     data_centre : str
@@ -124,6 +126,7 @@
     contact: ContactMonitor
     permits: PermitExchange
     shutdown: Shutdown
+    rollouts: RolloutRecorder
     relay_peers: PeerDirectory
     data_centre: str
     reactor: IReactorTime
--- a/packages/node/src/ebonyhaven_node/forwarding/_engine_use_exchange.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_engine_use_exchange.py
@@ -133,12 +133,14 @@
         if uses or lost or sections or self._has_sent_use:
             is_settled = self._budget.is_settled(now)
             payload = [uses, lost, self._budget.read_uses(now), is_settled]
-            if sections:
-                payload.append(sections)
+            has_use = uses or lost or self._has_sent_use
             for name in self._choose_receivers(peers):
-                self._membership.send(name, FrameKind.ENGINE_USE, payload)
+                selected = self._sections.select(sections, name)
+                message = [*payload, selected] if selected else payload
+                if has_use or selected:
+                    self._membership.send(name, FrameKind.ENGINE_USE, message)
         self._has_sent_use = bool(uses)
-        if uses or sections:
+        if uses or sections or self._sections.keep_reporting:
             self._timer = self._reactor.callLater(USE_REFRESH_INTERVAL_S, self._send)
 
     def _choose_receivers(self, peers: Sequence[str]) -> set[str]:
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -75,6 +75,11 @@
     StreamRecordStore,
     VersionRecordStore,
 )
+from ebonyhaven_node.forwarding.rollouts import (
+    EvidenceSection,
+    RolloutRecorder,
+    build_evidence_board,
+)
 from ebonyhaven_node.forwarding.waiting import (
     WaitingMetrics,
     WaitingSection,
@@ -220,6 +225,24 @@
             reactor=reactor,
             clock=clock,
         )
+        self.evidence = build_evidence_board(
+            self.state.backends,
+            self._peer_reports.list_instances,
+            own_name=settings.instance,
+        )
+        self.evidence_section = EvidenceSection(
+            board=self.evidence,
+            list_instances=self._peer_reports.list_instances,
+            schedule_report=self._peer_reports.schedule_use_report,
+            clock=clock,
+        )
+        self._rollout_recorder = RolloutRecorder(
+            gate=self.state.backends.rollouts,
+            board=self.evidence,
+            metrics=self._metrics,
+            clock=clock,
+            on_change=self.evidence_section.handle_change,
+        )
         self._budget = ServiceRetryBudget(
             ratio=settings.retry_budget_ratio,
             window_s=settings.retry_budget_window_s,
@@ -370,7 +393,7 @@
             on_loss=lambda backend: self._report_unreachable(
                 backend, is_from_peer=True
             ),
-            sections=[WaitingSection(self._waiting)],
+            sections=[WaitingSection(self._waiting), self.evidence_section],
         )
         self._stack.callback(group.stop)
         self.membership = group.membership
@@ -412,6 +435,7 @@
             contact=self._contact,
             permits=self._permits,
             shutdown=self._shutdown,
+            rollouts=self._rollout_recorder,
             relay_peers=PeerDirectory(self._peer_reports.list_reaching),
         )
         return build_chain(
--- a/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_metrics.py
@@ -61,6 +61,12 @@
             "Streams that went on at another software version than before.",
             registry=registry,
         )
+        self.rollout_answers = Counter(
+            "ebonyhaven_rollout_answers",
+            "Answers of services with an open roll-out, by version and end.",
+            ["version", "end"],
+            registry=registry,
+        )
         self.resume_pause = Histogram(
             "ebonyhaven_stream_resume_pause_seconds",
             "Pause of a stream that went on at another server.",
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -199,12 +199,16 @@
         ----------
         key : str
         """
-        names = [
+        names = self.list_instances()
+        return choose_instances(key, names, 1) == [self.membership.own.name]
+
+    def list_instances(self) -> list[str]:
+        """Return the names of all instances not known to be dead."""
+        return [
             record.name
             for record in self.membership.members
             if record.state is not MemberState.DEAD
         ]
-        return choose_instances(key, names, 1) == [self.membership.own.name]
 
     def schedule_use_report(self) -> None:
         """Report the engine use of this instance soon."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_reports.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_reports.py
@@ -41,6 +41,10 @@
         """See `PeerGroup.list_reaching`."""
         return self._group.list_reaching() if self._group is not None else []
 
+    def list_instances(self) -> list[str]:
+        """See `PeerGroup.list_instances`; empty before there is a group."""
+        return self._group.list_instances() if self._group is not None else []
+
     def schedule_use_report(self) -> None:
         """See `PeerGroup.schedule_use_report`."""
         if self._group is not None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_sections.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_sections.py
@@ -19,9 +19,15 @@
     ----------
     code : str
         Identifies the section in messages.
+    is_private : bool
+        Whether only `list_receivers` get it.
+    keeps_reporting : bool
+        Whether reports go on although there is nothing to tell at the moment.
     """
 
     code: str
+    is_private = False
+    keeps_reporting = False
 
     @abc.abstractmethod
     def collect(self, now: float) -> object | None:
@@ -85,6 +91,27 @@
         payloads = {code: each.collect(now) for code, each in self._by_code.items()}
         return {code: each for code, each in payloads.items() if each is not None}
 
+    @property
+    def keep_reporting(self) -> bool:
+        """Whether a section has reports go on."""
+        return any(each.keeps_reporting for each in self._by_code.values())
+
+    def select(self, payloads: Mapping[str, object], name: str) -> dict[str, object]:
+        """Return the payloads that an instance gets.
+
+        Parameters
+        ----------
+        payloads : mapping of str to object
+            By code.
+        name : str
+        """
+        return {
+            code: each
+            for code, each in payloads.items()
+            if not self._by_code[code].is_private
+            or name in self._by_code[code].list_receivers()
+        }
+
     def merge(self, sender: str, payloads: Mapping[str, object], now: float) -> None:
         """Merge the sections of a report; a malformed one doesn't stop the others.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -321,6 +321,11 @@
             self._guard.check_loss(
                 self._backend, has_begun=True, events=self._monitor.events
             )
+        self._context.rollouts.record_stream_end(
+            self._backend,
+            self._monitor.route_name,
+            longest_pause_s=self._monitor.longest_gap_s,
+        )
         self._progress.finish(head)
         if self._attempt.plan.last_event_id is None:
             self._monitor.record_stream_completed()
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
@@ -210,16 +210,17 @@
         list of Backend
             At most one for a service without model engines.
         """
+        rollouts = self._context.state.backends.rollouts
         usable = self._list_usable(now, version) or self._list_candidates(now, version)
         if version is None:
-            usable = select_replaceable_engines(usable)
+            usable = rollouts.add_due(select_replaceable_engines(usable), usable)
         usable = [each for each in usable if self._has_free_connection(each)]
         usable = self._context.state.backends.data_centres.avoid_suspect_data_centres(
             usable, now
         )
         if self._engine is None:
             chosen = choose_backend(
-                usable,
+                rollouts.list_due(usable),
                 data_centre=self._context.data_centre,
                 now=now,
                 rng=self._context.rng,
@@ -245,7 +246,7 @@
                 more_urgent_targets=more_urgent,
             )
         ]
-        return rank_engines(
+        ranked = rank_engines(
             admitting,
             demand=self._demand,
             memory_tokens=self._engine.memory_tokens,
@@ -261,6 +262,7 @@
                 more_urgent_ranks=len(more_urgent),
             ),
         )
+        return rollouts.prefer(ranked)
 
     def estimate_patience_s(
         self, backend: Backend, now: float, *, target_s: float
@@ -322,7 +324,7 @@
             return None
         directory = self._context.state.backends
         return choose_copy_holder(
-            self._list_usable(now),
+            self._list_usable(now, source.software_version),
             source=source,
             demand=self._demand,
             memory_tokens=self._engine.memory_tokens,
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -321,6 +321,7 @@
         )
         try:
             result = await stream_attempt.run()
+            self._record_quality(attempt, monitor, result)
             if monitor.events:  # engines create copies only after the first event
                 self._run_copy = copy
             if result.end is AttemptEnd.LOST:
@@ -343,6 +344,29 @@
 
     # -- result ------------------------------------------------------------
 
+    def _record_quality(
+        self, attempt: Attempt, monitor: AttemptMonitor, result: AttemptResult
+    ) -> None:
+        """Record a failure of the server for the roll-out of its version."""
+        rollouts, name = self._context.rollouts, self._route.name
+        is_answer = not monitor.events
+        is_over = self._context.clock() >= self._limits.caller_deadline
+        if result.end is AttemptEnd.SILENT and is_over:
+            rollouts.record_timeout(
+                attempt.backend,
+                name,
+                sent_at=attempt.sent_at,
+                timeout_s=self._route.timeout_s,
+                is_answer=is_answer,
+            )
+        elif result.end in (AttemptEnd.LOST, AttemptEnd.SILENT, AttemptEnd.ERROR):
+            rollouts.record_broken(
+                attempt.backend,
+                name,
+                is_answer=is_answer,
+                is_connection_lost=result.end is not AttemptEnd.ERROR,
+            )
+
     def _record_result(self, target: StreamTarget, result: AttemptResult) -> None:
         now = self._context.clock()
         backend = target.backend
--- a/tests/forwarding/test_peer_sections.py
+++ b/tests/forwarding/test_peer_sections.py
@@ -44,3 +44,13 @@
     sections = PeerSections([_Section("a", receivers=["n2"]), _Section("b")])
 
     assert sections.list_receivers() == {"n2"}
+
+
+def test_private_section_goes_to_its_receivers_only():
+    section = _Section("a", 1, receivers=["n2"])
+    section.is_private = True
+    sections = PeerSections([section, _Section("b", 2)])
+    payloads = sections.collect(0.0)
+
+    assert sections.select(payloads, "n2") == {"a": 1, "b": 2}
+    assert sections.select(payloads, "n3") == {"b": 2}
