--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -332,6 +332,7 @@
                     self._context.rollouts.record_broken(
                         attempt.backend,
                         self._route.name,
+                        request_id=attempt.request_id,
                         is_connection_lost=is_connection_lost,
                     )
                 if was_sent and is_connection_lost:
@@ -363,6 +364,7 @@
         self._context.rollouts.record_answer(
             attempt.backend,
             self._route.name,
+            request_id=attempt.request_id,
             sent_at=attempt.sent_at,
             is_failure=not is_success or not is_own,
         )
@@ -451,6 +453,7 @@
                 self._context.rollouts.record_timeout(
                     attempt.backend,
                     self._route.name,
+                    request_id=attempt.request_id,
                     sent_at=attempt.sent_at,
                     timeout_s=self._route.timeout_s,
                 )
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -355,6 +355,7 @@
             rollouts.record_timeout(
                 attempt.backend,
                 name,
+                request_id=attempt.request_id,
                 sent_at=attempt.sent_at,
                 timeout_s=self._route.timeout_s,
                 is_answer=is_answer,
@@ -363,6 +364,7 @@
             rollouts.record_broken(
                 attempt.backend,
                 name,
+                request_id=attempt.request_id,
                 is_answer=is_answer,
                 is_connection_lost=result.end is not AttemptEnd.ERROR,
             )
--- a/packages/node/src/ebonyhaven_node/forwarding/rollouts/_recorder.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/rollouts/_recorder.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+import structlog
 from ebonyhaven_decisions.forwarding import Backend
 from ebonyhaven_decisions.forwarding.rollouts import EvidenceBoard, RolloutGate
 
@@ -14,6 +15,8 @@
 FAIR_TIME_SHARE = 0.5
 CRASH_SPAN_S = 2.0  # on the store's clock, so that all instances mean the same crash
 
+_log = structlog.get_logger()
+
 
 class RolloutRecorder:
     """Keeps requests to the stages of roll-outs, and records their answers.
@@ -94,6 +97,7 @@
         backend: Backend,
         route: str,
         *,
+        request_id: str,
         sent_at: float,
         is_failure: bool = False,
     ) -> None:
@@ -103,13 +107,20 @@
         ----------
         backend : Backend
         route : str
+        request_id : str
         sent_at : float
             Seconds.
         is_failure : bool
             Whether the server answered with an error of its own.
         """
         time_s = None if is_failure else self._clock() - sent_at
-        self._record(backend, route, is_failure=is_failure, time_s=time_s)
+        self._record(
+            backend,
+            route,
+            request_id=request_id,
+            is_failure=is_failure,
+            time_s=time_s,
+        )
 
     def record_overtaken(
         self, backend: Backend, route: str, *, sent_at: float, answered_sent_at: float
@@ -131,6 +142,7 @@
         backend: Backend,
         route: str,
         *,
+        request_id: str,
         is_answer: bool = True,
         is_connection_lost: bool,
     ) -> None:
@@ -140,6 +152,7 @@
         ----------
         backend : Backend
         route : str
+        request_id : str
         is_answer : bool
             False for a stream that has begun.
         is_connection_lost : bool
@@ -153,6 +166,7 @@
         self._record(
             backend,
             route,
+            request_id=request_id,
             is_failure=True,
             is_answer=is_answer,
             lost_process=lost_process,
@@ -163,6 +177,7 @@
         backend: Backend,
         route: str,
         *,
+        request_id: str,
         sent_at: float,
         timeout_s: float,
         is_answer: bool = True,
@@ -176,6 +191,7 @@
         ----------
         backend : Backend
         route : str
+        request_id : str
         sent_at : float
             Seconds.
         timeout_s : float
@@ -184,7 +200,13 @@
             False for a stream that has begun.
         """
         if self._clock() - sent_at >= FAIR_TIME_SHARE * timeout_s:
-            self._record(backend, route, is_failure=True, is_answer=is_answer)
+            self._record(
+                backend,
+                route,
+                request_id=request_id,
+                is_failure=True,
+                is_answer=is_answer,
+            )
 
     # -- streams -----------------------------------------------------------
 
@@ -228,11 +250,18 @@
         """
         self._record(backend, route, is_answer=False, pause_s=longest_pause_s)
 
-    def _record(self, backend: Backend, route: str, **values: object) -> None:
-        if self._board.is_empty:
-            return
+    def _record(
+        self,
+        backend: Backend,
+        route: str,
+        *,
+        request_id: str | None = None,
+        is_failure: bool = False,
+        is_answer: bool = True,
+        **values: object,
+    ) -> None:
         service = backend.entry.service
-        order = self._gate.find_order(service)
+        order = None if self._board.is_empty else self._gate.find_order(service)
         if order is None:
             return
         load = backend.in_flight + backend.load.others
@@ -241,12 +270,24 @@
             backend.software_version,
             route,
             is_loaded=load >= LOADED_SHARE * backend.entry.slots,
+            is_failure=is_failure,
+            is_answer=is_answer,
             **values,
         )
-        if values.get("is_answer", True):
-            version = "new" if backend.software_version == order.version else "old"
-            end = "failed" if values.get("is_failure") else "answered"
+        version = "new" if backend.software_version == order.version else "old"
+        if is_answer or is_failure:
+            end = "failed" if is_failure else "answered"
             self._metrics.rollout_answers.labels(version, end).inc()
+        if is_failure:
+            _log.info(
+                "rollout_answer_failed",
+                request=request_id,
+                service=service,
+                route=route,
+                server=backend.server_id,
+                version=backend.software_version,
+                is_new=version == "new",
+            )
         self._on_change()
 
     def _follow(self, service: str) -> None:
--- a/tests/forwarding/test_rollouts.py
+++ b/tests/forwarding/test_rollouts.py
@@ -223,8 +223,9 @@
     harness, caller, server, _ = start_new_stream(1, 2)
     set_stage(harness, "engines", 0.0, RolloutState.REVERTED)
     server.reset()
-    harness.advance(1.0)
+    harness.advance(0.1)
     assert harness.count_waiting() == 0
+    assert caller.transport.disconnecting or caller.transport.disconnected
 
 
 def test_stream_of_a_reverted_version_runs_on_at_its_server():
