--- a/tests/decisions/test_rollout_evidence.py
+++ b/tests/decisions/test_rollout_evidence.py
@@ -72,6 +72,31 @@
         assert at <= 6.0
 
 
+def judge_times(*, old_idle, old_loaded, new_loaded):
+    """Judge a loaded new version by times, in seconds, of 40 answers each."""
+    board = make_board()
+    for version, is_loaded, time_s in (
+        (OLD, False, old_idle),
+        (OLD, True, old_loaded),
+        (NEW, True, new_loaded),
+    ):
+        for _ in range(40 if time_s else 0):
+            board.record(SERVICE, version, "r0", is_loaded=is_loaded, time_s=time_s)
+    return board.judge(ORDER, (OLD,), 0.0).quality
+
+
+def test_version_that_is_slow_under_load_is_compared_with_the_loaded_old_one():
+    times = {"old_idle": 0.05, "old_loaded": 0.1}
+    assert judge_times(**times, new_loaded=0.4) is VersionQuality.BAD
+    assert judge_times(**times, new_loaded=0.1) is VersionQuality.SOUND
+
+
+def test_load_that_the_old_version_never_had_excuses_a_factor_of_two():
+    times = {"old_idle": 0.05, "old_loaded": None}
+    assert judge_times(**times, new_loaded=0.1) is VersionQuality.SOUND
+    assert judge_times(**times, new_loaded=0.4) is VersionQuality.BAD
+
+
 def test_few_answers_leave_the_verdict_open():
     board = make_board()
     for _ in range(3):
