--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/waiting/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/waiting/__init__.py
@@ -15,6 +15,7 @@
     WaitingStream,
 )
 from ebonyhaven_decisions.forwarding.waiting._ranks import (
+    NEWS_TTL_S,
     RANK_MEMORY_S,
     RANKS,
     PeerRanks,
@@ -28,6 +29,7 @@
 )
 
 __all__ = [
+    "NEWS_TTL_S",
     "RANKS",
     "RANK_MEMORY_S",
     "PeerRanks",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/waiting/_reserves.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/waiting/_reserves.py
@@ -32,9 +32,11 @@
     more_urgent_ranks : int
         Number of more urgent ranks that are present.
     """
-    reserved = more_urgent_ranks * tokens / max(1, memory_tokens)
-    # An engine with no other run takes the prompt in any case.
-    return max(memory_share - reserved, min(memory_share, tokens / memory_tokens))
+    reserved = more_urgent_ranks * tokens / memory_tokens
+    # An engine with no other run takes the prompt in any case; one token more keeps
+    # rounding from refusing it.
+    own_share = (tokens + 1) / memory_tokens
+    return max(memory_share - reserved, min(memory_share, own_share))
 
 
 def leaves_time_to_urgent(
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_waits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_waits.py
@@ -7,6 +7,7 @@
 import structlog
 from ebonyhaven_decisions.forwarding import Route
 from ebonyhaven_decisions.forwarding.waiting import (
+    RANKS,
     WaitForecast,
     WaitingStream,
     choose_retry_after_s,
@@ -96,7 +97,7 @@
         self._looked_at = -math.inf
         self._forecast: WaitForecast | None = None
         if tokens:
-            self._waiting.ranks.record(
+            self._waiting.record_request(
                 self._rank, route.target_latency_s or math.inf, request.arrived_at
             )
 
@@ -186,7 +187,7 @@
         )
         if not forecast.is_in_vain(remaining_s=remaining_s):
             return None
-        return self._refuse(forecast, remaining_s, now)
+        return self._refuse(forecast, remaining_s)
 
     def _forecast_wait(self, now: float) -> WaitForecast | None:
         """Return the forecast, or None if there is plenty of room or no measure."""
@@ -211,9 +212,7 @@
             freed_tokens_per_s=freed_tokens_per_s,
         )
 
-    def _refuse(
-        self, forecast: WaitForecast, remaining_s: float, now: float
-    ) -> GiveUpReason:
+    def _refuse(self, forecast: WaitForecast, remaining_s: float) -> GiveUpReason:
         retry_after_s = choose_retry_after_s(
             forecast, rank=self._rank, rng=self._context.rng
         )
@@ -229,8 +228,7 @@
             remaining_s=round(remaining_s, 3),
             retry_after_s=round(retry_after_s, 3),
         )
-        is_worth_it = retry_after_s < self._limits.caller_deadline - now
-        return GiveUpReason(FORECAST_REASON, retry_after_s if is_worth_it else None)
+        return GiveUpReason(FORECAST_REASON, retry_after_s)
 
     def _record_wait(self, wait_s: float) -> None:
         if not self._tokens:
@@ -250,5 +248,5 @@
             workspace=self._workspace,
             wait_s=round(wait_s, 3),
             forecast_s=forecast_s,
-            still_waiting=self._waiting.line.count_by_rank(3),
+            still_waiting=self._waiting.line.count_by_rank(RANKS),
         )
--- a/packages/node/src/ebonyhaven_node/forwarding/waiting/_section.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/waiting/_section.py
@@ -31,7 +31,7 @@
     def collect(self, now: float) -> object | None:
         payload = {}
         for service, waiting in self._state.items():
-            news = waiting.ranks.tell(waiting.line.count_by_rank(RANKS), now)
+            news = waiting.own_ranks.tell(waiting.line.count_by_rank(RANKS), now)
             if news is not None:
                 payload[service] = [_encode(each) for each in news]
         return payload or None
--- a/packages/node/src/ebonyhaven_node/forwarding/waiting/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/waiting/_state.py
@@ -43,17 +43,32 @@
     ----------
     line : WaitingLine
         Streams that wait here.
-    ranks : RankActivity
-        Requests here and at peers.
+    own_ranks, ranks : RankActivity
+        Requests here, and here and at peers.
     peers : PeerRanks
         Streams that wait at peers.
     """
 
     line: WaitingLine = attrs.field(factory=WaitingLine)
+    own_ranks: RankActivity = attrs.field(factory=RankActivity)
     ranks: RankActivity = attrs.field(factory=RankActivity)
     peers: PeerRanks = attrs.field(factory=PeerRanks)
     _room: EngineRoom = EngineRoom(0, True, -math.inf)
 
+    def record_request(self, rank: int, target_s: float, now: float) -> None:
+        """Record a request of a caller of this instance.
+
+        Parameters
+        ----------
+        rank : int
+        target_s : float
+            Target for its first event; infinite for none.
+        now : float
+            Seconds.
+        """
+        self.own_ranks.record(rank, target_s, now)
+        self.ranks.record(rank, target_s, now)
+
     def read_room(self, now: float, read: Callable[[], EngineRoom]) -> EngineRoom:
         """Return the use of the engines, not older than `ROOM_TTL_S`.
 
--- a/tests/decisions/test_waiting.py
+++ b/tests/decisions/test_waiting.py
@@ -161,8 +161,8 @@
 
 
 def test_idle_engine_takes_the_largest_prompt_of_the_least_urgent():
-    tokens = int(0.9 * MEMORY_TOKENS)
-    assert share(2, tokens) * MEMORY_TOKENS >= tokens
+    for tokens in range(1_000, 80_000, 700):
+        assert share(2, tokens) * MEMORY_TOKENS >= tokens
 
 
 def test_least_urgent_do_not_queue_so_long_that_the_urgent_would_be_late():
