--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/_answer_counts.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/_answer_counts.py
@@ -87,14 +87,23 @@
             lost[route, code] += count
         else:
             times[route][code[0], is_loaded][int(code[1:])] += count
-    for (route, _), count in lost.items():
-        failed[route] += min(count, MAX_LOSSES_OF_PROCESS)
+    _add_losses(lost, answered, failed)
     return {
         route: AnswerSummary(count, min(count, failed[route]), dict(times[route]))
         for route, count in answered.items()
     }
 
 
+def _add_losses(lost: Counter, answered: Counter, failed: Counter) -> None:
+    """Count what processes broke off, a few of each over all routes."""
+    counted: Counter = Counter()
+    for (route, code), count in lost.most_common():
+        taken = min(count, MAX_LOSSES_OF_PROCESS - counted[code])
+        counted[code] += taken
+        failed[route] += taken
+        answered[route] = max(failed[route], answered[route] - (count - taken))
+
+
 def encode_counts(counts: Counter) -> list:
     """Return counts as a JSON value.
 
