Test of crashing calls waits until their losses count

It failed once, in a whole run of tests.decisions, forwarding and node beside other runs (load 20 on 7 cores): the fourth call was sent before the loss under the third had been checked. The test slept for twice the delay of the check, which a probe of a loaded machine outlasts.

--- a/tests/node/test_services.py
+++ b/tests/node/test_services.py
@@ -2,11 +2,12 @@
 
 import contextlib
 import io
+import time
 import types
 
 from ebonyhaven_decisions import PoolKind
 from ebonyhaven_decisions.forwarding import ServerLimiter
-from ebonyhaven_node._service_crashes import CHECK_DELAY_S, ServiceCrashes
+from ebonyhaven_node._service_crashes import ServiceCrashes, compute_content
 from ebonyhaven_node._services import MAX_BUFFERED_RESPONSE_BYTES, ServiceRelay
 from twisted.internet import defer, reactor, task
 from twisted.internet.protocol import Factory, Protocol
@@ -14,6 +15,9 @@
 
 from tests.reactor_thread import run_in_reactor
 
+CHECK_DEADLINE_S = 10.0
+CHECK_POLL_S = 0.01
+
 
 class ClosingService(Protocol):
     """Sends a part of an answer without a length and closes the connection."""
@@ -51,7 +55,7 @@
         pass
 
 
-def make_relay(*servers) -> ServiceRelay:
+def make_relay(*servers, crashes=None) -> ServiceRelay:
     pool = types.SimpleNamespace(name="p", kind=PoolKind.SERVICE, service="desk")
     declaration = types.SimpleNamespace(pools={"p": pool})
     return ServiceRelay(
@@ -60,11 +64,19 @@
         scheduling=types.SimpleNamespace(
             adopt=lambda server: types.SimpleNamespace(release=lambda: None)
         ),
-        crashes=ServiceCrashes(reactor),
+        crashes=crashes or ServiceCrashes(reactor),
         reactor=reactor,
     )
 
 
+async def wait_for_crashes(crashes: ServiceCrashes, content: str, count: int) -> None:
+    """Wait until that many losses of servers were checked and count as crashes."""
+    deadline = reactor.seconds() + CHECK_DEADLINE_S
+    while crashes._history.count_crashes(content, time.monotonic()) < count:
+        assert reactor.seconds() < deadline, "the losses were not counted"
+        await task.deferLater(reactor, CHECK_POLL_S)
+
+
 def make_request(method=b"POST", repeatable=None) -> DummyRequest:
     request = DummyRequest([b"x"])
     request.method, request.uri = method, b"/x"
@@ -141,12 +153,14 @@
     async def check():
         calls = []
         servers = [start_crashing_service(f"s-{each}", calls) for each in range(6)]
-        relay = make_relay(*servers)
-        for _ in range(3):
+        crashes = ServiceCrashes(reactor)
+        relay = make_relay(*servers, crashes=crashes)
+        content = compute_content(b"GET", "desk", "x", b"{}")
+        for count in range(1, 4):
             request = make_request(b"GET", repeatable="no")
             await relay.relay(request, "desk", "x")
             assert request.responseCode == 502
-            await task.deferLater(reactor, 2 * CHECK_DELAY_S)
+            await wait_for_crashes(crashes, content, count)
         request = make_request(b"GET", repeatable="no")
         await relay.relay(request, "desk", "x")
         assert request.responseCode == 422
