Patience grows with the pace that a server tells beyond its usual one, and else not

Cause: patience took the forecast of a request's time over all routes and servers. It began with the first answer, often a slow one, and fell by a twentieth with each answer, so a server that stands still could be waited for longer than before, though it tells no pace. Change: the server's own usual time counts as before, times how much slower it says it is than usual. The usual time of a service is a mean from the first answers on.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/balancing/_load_estimates.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/balancing/_load_estimates.py
@@ -39,6 +39,8 @@
     slowness_log : float
         Logarithm of the server's time for the same work at the same pace, relative to
         the other servers.
+    usual_pace_log : float
+        Logarithm of the pace that the server usually told.
     """
 
     others: float = 0.0
@@ -47,9 +49,9 @@
     requests_per_slot: float = 0.0
     predicted_pace_log: float | None = None
     slowness_log: float = 0.0
+    usual_pace_log: float = 0.0
     _usual: float = 0.0
     _pace_log: float | None = None
-    _usual_pace_log: float = 0.0
 
     @property
     def is_known(self) -> bool:
@@ -127,8 +129,8 @@
         if self._pace_log is None:
             return None
         age_s = max(0.0, now - self.reported_at)
-        deviation = self._pace_log - self._usual_pace_log
-        return self._usual_pace_log + deviation * math.exp(-age_s / PACE_MEMORY_S)
+        deviation = self._pace_log - self.usual_pace_log
+        return self.usual_pace_log + deviation * math.exp(-age_s / PACE_MEMORY_S)
 
     def _record_pace(self, pace: float | None, share: float, now: float) -> None:
         self.predicted_pace_log = self.expect_pace_log(now)
@@ -138,4 +140,4 @@
         if self._pace_log is None:
             share = 1.0
         self._pace_log = math.log(pace)
-        self._usual_pace_log += share * (self._pace_log - self._usual_pace_log)
+        self.usual_pace_log += share * (self._pace_log - self.usual_pace_log)
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/balancing/_service_times.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/balancing/_service_times.py
@@ -22,22 +22,30 @@
 
     How far a told pace predicts the time of an answer is learned: figures that change
     faster than answers come, or say nothing about the work, lose their weight.
+
+    Attributes
+    ----------
+    usual_s : float
+        Time of a request of any route on a usual server, seconds.
     """
 
-    __slots__ = ("_by_route", "_counts", "_covariance", "_usual_s", "_variance")
+    __slots__ = (
+        "_by_route",
+        "_count",
+        "_counts",
+        "_covariance",
+        "_variance",
+        "usual_s",
+    )
 
     def __init__(self) -> None:
         self._by_route: dict[str, float] = {}
         self._counts: dict[str, int] = {}
-        self._usual_s: float | None = None
+        self._count = 0
+        self.usual_s = DEFAULT_SERVICE_S
         self._covariance = PRIOR_WEIGHT
         self._variance = PRIOR_WEIGHT
 
-    @property
-    def usual_s(self) -> float:
-        """Time of a request of any route on a usual server, seconds."""
-        return DEFAULT_SERVICE_S if self._usual_s is None else self._usual_s
-
     @property
     def pace_trust(self) -> float:
         """How far times follow the told paces, from 0 (not at all) to 1."""
@@ -57,8 +65,8 @@
             return math.exp(estimate.slowness_log)
         return math.exp(estimate.slowness_log + self.pace_trust * pace_log)
 
-    def forecast_s(self, estimate: LoadEstimate, now: float) -> float:
-        """Return how long a request is expected to take at a server without a wait.
+    def estimate_delay_factor(self, estimate: LoadEstimate, now: float) -> float:
+        """Return how much longer work takes at a server now than it usually does there.
 
         Parameters
         ----------
@@ -69,11 +77,14 @@
         Returns
         -------
         float
-            Seconds; 0 until the first answer.
+            At least 1; 1 for a server that tells no pace.
         """
-        if self._usual_s is None:
-            return 0.0
-        return self._usual_s * self.estimate_factor(estimate, now)
+        pace_log = estimate.expect_pace_log(now)
+        if pace_log is None:
+            return 1.0
+        return math.exp(
+            max(0.0, self.pace_trust * (pace_log - estimate.usual_pace_log))
+        )
 
     def record_answer(
         self, estimate: LoadEstimate, *, route: str, latency_s: float
@@ -116,8 +127,9 @@
         factor = max(TIME_SMOOTHING_FACTOR, 1.0 / count)
         known_s = self._by_route.get(route, time_s)
         self._by_route[route] = known_s + factor * (time_s - known_s)
-        known_s = time_s if self._usual_s is None else self._usual_s
-        self._usual_s = known_s + TIME_SMOOTHING_FACTOR * (time_s - known_s)
+        self._count += 1
+        factor = max(TIME_SMOOTHING_FACTOR, 1.0 / self._count)
+        self.usual_s += factor * (time_s - self.usual_s)
 
 
 def _compare(time_s: float, usual_s: float) -> float:
--- a/packages/node/src/ebonyhaven_node/forwarding/_call_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_call_servers.py
@@ -105,14 +105,13 @@
         AttemptPlan
         """
         remaining_s = self.caller_deadline - now
+        delay_factor = self._times.estimate_delay_factor(backend.load, now)
         return AttemptPlan(
             remaining_s=remaining_s,
             workspace=self._workspace,
             patience_s=compute_patience_s(
                 target_latency_s=self._route.target_latency_s,
-                latency_s=max(
-                    backend.latency_s, self._times.forecast_s(backend.load, now)
-                ),
+                latency_s=backend.latency_s * delay_factor,
                 timeout_s=remaining_s,
             ),
         )
--- a/tests/decisions/test_balancing.py
+++ b/tests/decisions/test_balancing.py
@@ -140,6 +140,26 @@
     assert times.pace_trust < 0.2
 
 
+def test_work_takes_longer_on_a_machine_that_tells_so():
+    times, estimate = ServiceTimes(), LoadEstimate()
+    assert times.estimate_delay_factor(estimate, 0.0) == 1.0
+    for step in range(100):
+        estimate.record(HALF_FULL._replace(pace=1.0), in_flight=0, now=0.1 * step)
+    assert times.estimate_delay_factor(estimate, 9.9) == 1.0
+    estimate.record(HALF_FULL._replace(pace=4.0), in_flight=0, now=9.9)
+    assert 3.0 < times.estimate_delay_factor(estimate, 9.9) <= 4.0
+    estimate.record(HALF_FULL._replace(pace=0.5), in_flight=0, now=9.91)
+    assert times.estimate_delay_factor(estimate, 9.91) == 1.0
+
+
+def test_servers_that_tell_no_pace_are_waited_for_as_before():
+    times, estimate = ServiceTimes(), LoadEstimate()
+    for step in range(10):
+        estimate.record(FULL, in_flight=0, now=0.1 * step)
+        times.record_answer(estimate, route=ROUTE, latency_s=3.0)
+    assert times.estimate_delay_factor(estimate, 1.0) == 1.0
+
+
 def test_routes_that_take_longer_make_no_server_slow():
     times = ServiceTimes()
     short, long = LoadEstimate(), LoadEstimate()
