A hedge goes to a server that doesn't have the request yet

Cause: a hedge was sent to the server of the first attempt if that still seemed the best one, where it helps least. Change: servers that were tried are left out while there are others. Result: the new test fails without the change and passes with it; 86 tests of calls, refusals, crashing requests, limits, rests, slow and leaving servers pass.

--- a/packages/node/src/ebonyhaven_node/forwarding/_call_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_call_servers.py
@@ -61,11 +61,13 @@
         )
         self._times = context.state.get_service_times(service)
         self._excluded_servers: set[tuple[str, int]] = set()
+        self._tried_servers: set[tuple[str, int]] = set()
 
     def choose(self, now: float) -> Backend | None:
         """Return the server of the next attempt, if any may be sent a request.
 
-        A server that was excluded is chosen again if there is no other one.
+        A server that was excluded, or has the request already, is chosen again if
+        there is no other one.
 
         Parameters
         ----------
@@ -82,6 +84,9 @@
             or directory.list_ready(self._service, now, self._excluded_servers)
             or directory.list_usable(self._service, now)
         )
+        usable = [
+            each for each in usable if each.key not in self._tried_servers
+        ] or usable
         due = directory.rollouts.list_due(usable)
         return choose_backend(
             directory.data_centres.avoid_suspect_data_centres(due, now),
@@ -104,6 +109,7 @@
         -------
         AttemptPlan
         """
+        self._tried_servers.add(backend.key)
         remaining_s = self.caller_deadline - now
         delay_factor = self._times.estimate_delay_factor(backend.load, now)
         return AttemptPlan(
--- a/tests/forwarding/test_calls.py
+++ b/tests/forwarding/test_calls.py
@@ -125,6 +125,17 @@
     assert first.is_closed
 
 
+def test_hedge_goes_to_another_server_also_if_that_is_slow():
+    harness, _ = start_call("/repeat/x", method="GET", body=b"")
+    first, _, _ = harness.take_request()
+    for backend in harness.gateway._context.state.backends:
+        if backend.entry.address != first.address:
+            backend.latency_s = 10.0
+    harness.advance(0.11)  # more than half of the target latency of 0.2 s
+    second, _, _ = harness.take_request()
+    assert second.address != first.address
+
+
 def test_refused_connections_do_not_consume_retry_budget():
     harness = ForwardingHarness()
     budget = harness.gateway._context.budget
