--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/__init__.py
@@ -3,8 +3,22 @@
 Decisions without input, output or clock.
 """
 
+from ebonyhaven_decisions.forwarding.rollouts._book import RolloutBook, StoredStage
+from ebonyhaven_decisions.forwarding.rollouts._decider import (
+    RolloutView,
+    compute_validity_s,
+    decide_stage,
+    is_handover,
+)
 from ebonyhaven_decisions.forwarding.rollouts._evidence import EvidenceBoard
+from ebonyhaven_decisions.forwarding.rollouts._exposure import ExposureLimits
 from ebonyhaven_decisions.forwarding.rollouts._gate import RolloutGate
+from ebonyhaven_decisions.forwarding.rollouts._stage_codec import (
+    decode_order,
+    decode_stage,
+    encode_order,
+    encode_stage,
+)
 from ebonyhaven_decisions.forwarding.rollouts._stages import (
     RolloutOrder,
     RolloutStage,
@@ -18,9 +32,20 @@
 __all__ = [
     "EvidenceBoard",
     "RolloutGate",
+    "ExposureLimits",
+    "RolloutBook",
     "RolloutOrder",
     "RolloutStage",
     "RolloutState",
+    "RolloutView",
+    "StoredStage",
     "VersionQuality",
     "VersionVerdict",
+    "compute_validity_s",
+    "decide_stage",
+    "decode_order",
+    "decode_stage",
+    "encode_order",
+    "encode_stage",
+    "is_handover",
 ]
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/_stages.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/_stages.py
@@ -5,6 +5,8 @@
 import enum
 from typing import NamedTuple
 
+from ebonyhaven_decisions._documents import parse_count
+
 
 class RolloutState(enum.StrEnum):
     """State of a roll-out."""
@@ -20,7 +22,8 @@
     Parameters
     ----------
     order_id : str
-        Differs for each order, also where the same one is given again.
+        Differs for each order, also where the same one is given again: the era of the
+        store in which it was first seen and the version of its row, ``ERA.VERSION``.
     service : str
     version : str
         Software version of the backend servers that are to take the requests.
@@ -41,6 +44,26 @@
         """When it is to be completed or reverted, seconds of the store's clock."""
         return self.ordered_at_s + self.duration_s
 
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Era and row version; of two orders for a service, the greater one counts."""
+        era, _, row_version = self.order_id.partition(".")
+        return (parse_count(era) or 0, parse_count(row_version) or 0)
+
+    def is_same(self, other: RolloutOrder) -> bool:
+        """Return whether an order is this one, maybe first seen in another era.
+
+        Parameters
+        ----------
+        other : RolloutOrder
+        """
+        return (
+            self.service == other.service
+            and self.version == other.version
+            and self.duration_s == other.duration_s
+            and self.rank[1] == other.rank[1]
+        )
+
 
 class RolloutStage(NamedTuple):
     """What holds for a roll-out now; the same at each instance that may act on it.
