--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/_book.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/_book.py
@@ -177,9 +177,25 @@
         self._notify(is_news=is_row)
         return True
 
-    def forget_row(self, service: str) -> None:
-        """Record that the store holds no row of a service."""
-        self._row_versions.pop(service, None)
+    def set_row_version(self, service: str, row_version: int) -> None:
+        """Record the version of a row whose stage can't be read, 0 for no row.
+
+        Parameters
+        ----------
+        service : str
+        row_version : int
+        """
+        self._row_versions[service] = row_version
+
+    def forget(self, service: str) -> None:
+        """Forget the order and the stage of a service.
+
+        Parameters
+        ----------
+        service : str
+        """
+        for known in (self._orders, self._stages, self._withdrawn):
+            known.pop(service, None)
 
     def withhold(self, service: str) -> None:
         """Take the share from the present stage, before the store knows of its end."""
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/_decider.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/_decider.py
@@ -19,11 +19,12 @@
 MAX_VALIDITY_S = 2.5  # of a stage, so that a lost decider ends the exposure soon
 RENEWAL_PART = 0.4  # of the validity that is left when a stage is renewed
 COMMIT_S = 0.3  # for the last write before the time limit
-OBSERVED_PART = 0.4  # of the exposure; the rest is for the hand-over
+OBSERVED_PART = 0.4  # of the exposure at most; the rest is for the hand-over
+OBSERVED_REQUESTS = 60.0  # at least, unless that is more than the part
+HANDOVER_ROOM_S = 1.0  # for which the rest should last
 TOTAL_PART = 0.9  # of the exposure, as counts of other instances come late
 MAX_OBSERVED_SHARE = 0.5  # the versions are compared over the same span
-HANDOVER_S = 1.5  # until short requests have ended and all instances have said so
-MIN_HANDOVER_S = 0.7
+HANDOVER_S = 1.8  # until short requests have ended and all instances have said so
 MAX_HANDOVER_PART = 0.5  # of the time from the order to its limit
 SETTLING_S = 0.4  # until the stage of a hand-over has reached all instances
 NEWS_LAG_S = 1.0  # age of the counts of other instances
@@ -99,17 +100,8 @@
         return writer.end(RolloutState.REVERTED, reason)
     if now >= stage.valid_until_s or stage.decider != decider:
         return writer.renew()  # act on news only while the stage is one's own
-    if is_handover(stage):
-        return _finish(view, stage, writer, now) or writer.renew_if_due()
-    if not view.has_old and view.has_new and not stage.old_versions:
-        return writer.end(RolloutState.COMPLETED, "no server of another version")
-    is_sound = view.verdict.quality is VersionQuality.SOUND
-    if is_sound and now >= compute_handover_at(view, limits, now):
-        return writer.move(1.0, view.verdict.reason)
-    share = _choose_share(view, stage, limits, now)
-    if share is not None:
-        return writer.move(share, _describe_counts(view.verdict))
-    return writer.renew_if_due()
+    advance = _finish if is_handover(stage) else _observe
+    return advance(view, stage, writer, now) or writer.renew_if_due()
 
 
 def is_handover(stage: RolloutStage) -> bool:
@@ -146,8 +138,7 @@
     allowed = TOTAL_PART * limits.compute_allowed(rate * order.duration_s)
     allowed_s = max(0.0, allowed - verdict.exposed) / rate
     needed_s = min(max(HANDOVER_S, view.longest_s), allowed_s)
-    bounded_s = min(max(needed_s, MIN_HANDOVER_S), order.duration_s * MAX_HANDOVER_PART)
-    return order.limit_s - bounded_s - COMMIT_S
+    return order.limit_s - min(needed_s, order.duration_s * MAX_HANDOVER_PART)
 
 
 def _begin(
@@ -175,12 +166,18 @@
 def _find_revert_reason(
     view: RolloutView, stage: RolloutStage, now: float
 ) -> str | None:
+    verdict = view.verdict
     if view.is_withdrawn:
         return "the order was taken back"
-    if view.verdict.quality is VersionQuality.BAD:
-        return view.verdict.reason
+    if verdict.quality is VersionQuality.BAD:
+        return verdict.reason
     if is_handover(stage):
         return None if view.has_new else "no server of the new version is left"
+    return _find_limit_reason(view, now)
+
+
+def _find_limit_reason(view: RolloutView, now: float) -> str | None:
+    """Return why a version under observation is given up at the time limit."""
     if now < view.order.limit_s - COMMIT_S:
         return None
     if not view.has_new:
@@ -190,6 +187,21 @@
     return f"undecided at the time limit: {view.verdict.reason}"
 
 
+def _observe(
+    view: RolloutView, stage: RolloutStage, writer: _StageWriter, now: float
+) -> RolloutStage | None:
+    """Return the hand-over once it is due, or another share."""
+    if not view.has_old and view.has_new and not stage.old_versions:
+        return writer.end(RolloutState.COMPLETED, "no server of another version")
+    is_sound = view.verdict.quality is VersionQuality.SOUND
+    if is_sound and now >= compute_handover_at(view, writer.limits, now):
+        return writer.move(1.0, view.verdict.reason)
+    share = _choose_share(view, stage, writer.limits, now)
+    if share is None:
+        return None
+    return writer.move(share, _describe_counts(view.verdict))
+
+
 def _finish(
     view: RolloutView, stage: RolloutStage, writer: _StageWriter, now: float
 ) -> RolloutStage | None:
@@ -215,8 +227,10 @@
     """Return another share if the present one is far from what is allowed."""
     verdict, order = view.verdict, view.order
     rate = _estimate_rate(view, now)
-    allowed = OBSERVED_PART * limits.compute_allowed(rate * order.duration_s)
-    left_s = max(NEWS_LAG_S, compute_handover_at(view, limits, now) - now)
+    allowed = _compute_observed(limits.compute_allowed(rate * order.duration_s), rate)
+    left_s = compute_handover_at(view, limits, now) - now
+    if left_s <= NEWS_LAG_S:
+        return None
     share = (allowed - verdict.exposed) / (rate * left_s)
     share = min(MAX_OBSERVED_SHARE, max(0.0, share))
     if share <= stage.share / SHARE_STEP and stage.share > 0.0:
@@ -228,6 +242,12 @@
     return None
 
 
+def _compute_observed(allowed: float, rate: float) -> float:
+    """Return how much of the allowed exposure is for the time before the hand-over."""
+    spared = TOTAL_PART * allowed - rate * HANDOVER_ROOM_S
+    return min(OBSERVED_PART * allowed, max(OBSERVED_REQUESTS, spared))
+
+
 def _estimate_rate(view: RolloutView, now: float) -> float:
     """Return the requests per second of a service, rather too many than too few."""
     elapsed_s = max(NEWS_LAG_S, now - view.order.ordered_at_s - NEWS_LAG_S)
@@ -244,13 +264,13 @@
 class _StageWriter:
     """Derives the stages that may follow a present one."""
 
-    __slots__ = ("_decider", "_limits", "_now", "_stage")
+    __slots__ = ("_decider", "_now", "_stage", "limits")
 
     def __init__(
         self, stage: RolloutStage, limits: ExposureLimits, decider: str, now: float
     ):
         self._stage = stage
-        self._limits = limits
+        self.limits = limits
         self._decider = decider
         self._now = now
 
@@ -259,20 +279,20 @@
         return self._follow(state, share, reason, valid_until_s=self._now)
 
     def move(self, share: float, reason: str) -> RolloutStage:
-        valid_until_s = self._now + compute_validity_s(self._limits)
+        valid_until_s = self._now + compute_validity_s(self.limits)
         return self._follow(
             RolloutState.IN_PROGRESS, share, reason, valid_until_s=valid_until_s
         )
 
     def renew(self) -> RolloutStage:
         return self._stage._replace(
-            valid_until_s=self._now + compute_validity_s(self._limits),
+            valid_until_s=self._now + compute_validity_s(self.limits),
             decider=self._decider,
         )
 
     def renew_if_due(self) -> RolloutStage | None:
         left_s = self._stage.valid_until_s - self._now
-        is_due = left_s < RENEWAL_PART * compute_validity_s(self._limits)
+        is_due = left_s < RENEWAL_PART * compute_validity_s(self.limits)
         return self.renew() if is_due and not math.isinf(left_s) else None
 
     def _follow(
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/_stages.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/_stages.py
@@ -50,6 +50,10 @@
         era, _, row_version = self.order_id.partition(".")
         return (parse_count(era) or 0, parse_count(row_version) or 0)
 
+    def without_era(self) -> RolloutOrder:
+        """Return this order with an id that a restored store leaves as it is."""
+        return self._replace(order_id=str(self.rank[1]))
+
     def is_same(self, other: RolloutOrder) -> bool:
         """Return whether an order is this one, maybe first seen in another era.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_settings.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_settings.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 import attrs
+from ebonyhaven_decisions.forwarding.rollouts import ExposureLimits
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -22,6 +23,9 @@
         Time between the request to stop and the kill of the process, seconds.
     retry_budget_ratio, retry_budget_window_s, retry_budget_slack : float
         Limit on retries, see `ServiceRetryBudget`.
+    exposure : ExposureLimits or None
+        Limits on requests for new software versions; None if the deployment names
+        none. If so, there are no roll-outs.
     """
 
     instance: str
@@ -34,3 +38,4 @@
     retry_budget_ratio: float
     retry_budget_window_s: float
     retry_budget_slack: float
+    exposure: ExposureLimits | None = None
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -16,6 +16,7 @@
     ServerListVersion,
     ServiceTimes,
 )
+from ebonyhaven_decisions.forwarding.rollouts import RolloutBook
 
 _log = structlog.get_logger()
 
@@ -73,6 +74,11 @@
     ----------
     clock : callable
         Returns seconds.
+
+    Attributes
+    ----------
+    rollouts : RolloutBook
+        Orders to move services to other software versions, and their stages.
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic):
@@ -80,6 +86,7 @@
         self.configuration: RoutingConfiguration | None = None
         self.backends = BackendDirectory()
         self.service_times: dict[str, ServiceTimes] = {}
+        self.rollouts = RolloutBook()
         self.has_backend_list = False
         self._adopted: set[str] = set()
         self._observers: list[Callable[[], None]] = []
