--- a/tests/platform_adapter/store_stand_in.py
+++ b/tests/platform_adapter/store_stand_in.py
@@ -115,11 +115,23 @@
         return server.NOT_DONE_YET
 
     def _rows_tx(self, request):
-        for row in json.loads(request.content.read())["write"]:
+        body = json.loads(request.content.read())
+        held = [self._find(each["tableName"], each["key"]) for each in body["expect"]]
+        expected = [each["rowVersion"] for each in body["expect"]]
+        if [each["rowVersion"] if each else 0 for each in held] != expected:
+            request.setResponseCode(412)
+            return self._encode([each for each in held if each])
+        for row in body["write"]:
             content = json.loads(base64.b64decode(row["value"]))
             self.put(row["tableName"], row["key"], content)
         return self._encode([])
 
+    def _find(self, table, key):
+        """Return the description of a row, or None if there is none."""
+        if (table, key) not in self.rows:
+            return None
+        return self._describe(table, key, *self.rows[table, key])
+
     def _expire(self, entry):
         if entry in self._pending_polls and not self.holds_polls:
             self._pending_polls.remove(entry)
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -9,6 +9,7 @@
 
 from ebonyhaven_adapter._settings import read_settings
 from ebonyhaven_adapter.exceptions import SettingsError
+from ebonyhaven_decisions.forwarding.rollouts import ExposureLimits
 
 SETTINGS = {
     "nodeName": "n1",
@@ -50,6 +51,17 @@
     assert settings.retry_budget_slack == 150
 
 
+def test_bounds_on_exposure_are_read_if_the_contract_names_them():
+    assert read_settings(write_settings(SETTINGS)).exposure is None
+    named = {"exposureShare": 0.1, "exposureSlack": 50, "rollbackMs": 5000}
+    bounds = {**SETTINGS["bounds"], **named}
+    settings = read_settings(write_settings({**SETTINGS, "bounds": bounds}))
+    assert settings.exposure == ExposureLimits(0.1, 50, 5.0)
+    bounds = {**SETTINGS["bounds"], **named, "exposureShare": "much"}
+    invalid = read_invalid_settings({**SETTINGS, "bounds": bounds})
+    assert invalid.field == "exposureShare"
+
+
 def read_invalid_settings(document) -> SettingsError:
     try:
         read_settings(write_settings(document))
