Roll-outs: the gateway decides on roll-outs where the settings name bounds on exposure

Wires controller, section of stages and store in; without bounds nothing of it is built. A test with three real processes, 41 requests a second and servers of two versions, 8 s.

tests.platform_adapter.test_rollout_processes: 2 passed; the good version completed after 7.59 s, no request lost; one that fails half of its answers reverted after 2.5 s with 9 requests.

--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -69,6 +69,7 @@
     BackendDialect,
     CallerDialect,
     LossRecordStore,
+    RolloutRecordStore,
     RunCopier,
     ServerInspector,
     StateSource,
@@ -77,6 +78,7 @@
 )
 from ebonyhaven_node.forwarding.rollouts import (
     EvidenceSection,
+    RolloutParts,
     RolloutRecorder,
     build_evidence_board,
 )
@@ -113,6 +115,9 @@
         Returns the `LossRecordStore` for a `ConnectionPool`.
     build_version_store : callable
         Returns the `VersionRecordStore` for a `ConnectionPool`.
+    build_rollout_store : callable or None
+        Returns the `RolloutRecordStore` for a `ConnectionPool`. Without it, and
+        without limits on exposure in the settings, there are no roll-outs.
     rng : random.Random or None
         A generator with a random seed if None.
     clock : callable
@@ -132,6 +137,8 @@
         build_record_store: Callable[[ConnectionPool], StreamRecordStore],
         build_loss_store: Callable[[ConnectionPool], LossRecordStore],
         build_version_store: Callable[[ConnectionPool], VersionRecordStore],
+        build_rollout_store: Callable[[ConnectionPool], RolloutRecordStore]
+        | None = None,
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
     ):
@@ -243,6 +250,21 @@
             clock=clock,
             on_change=self.evidence_section.handle_change,
         )
+        self._rollouts: RolloutParts | None = None
+        if build_rollout_store is not None and settings.exposure is not None:
+            self._rollouts = RolloutParts(
+                instance=settings.instance,
+                limits=settings.exposure,
+                state=self.state,
+                board=self.evidence,
+                store=build_rollout_store(self.pool),
+                registry=self.registry,
+                reactor=reactor,
+                rng=self._rng,
+                clock=clock,
+                list_instances=self._peer_reports.list_instances,
+            )
+            self.evidence_section.decider = self._rollouts.controller.find_decider
         self._budget = ServiceRetryBudget(
             ratio=settings.retry_budget_ratio,
             window_s=settings.retry_budget_window_s,
@@ -308,6 +330,9 @@
         self.source.start()
         self._loss_recorder.start(group.is_crash_recorder)
         self._stack.callback(self._loss_recorder.stop)
+        if self._rollouts is not None:
+            self._rollouts.start(group.is_chosen, group.schedule_use_report)
+            self._stack.callback(self._rollouts.controller.stop)
         self._version_recorder.start(group.is_version_recorder)
         self._stack.callback(self._version_recorder.stop)
         self.state.observe(self._version_recorder.handle_change)
@@ -393,7 +418,11 @@
             on_loss=lambda backend: self._report_unreachable(
                 backend, is_from_peer=True
             ),
-            sections=[WaitingSection(self._waiting), self.evidence_section],
+            sections=[
+                WaitingSection(self._waiting),
+                self.evidence_section,
+                *([self._rollouts.section] if self._rollouts else []),
+            ],
         )
         self._stack.callback(group.stop)
         self.membership = group.membership
