Instances share the room of engines that come back while streams wait

Cause: all instances see an engine that came back before any report tells that it is full. Change: ScarceRoom gives each instance, in rounds of 0.25 s, the part of the places that it has of the streams that wait, here and (as peers tell in their reports) elsewhere; fractions are drawn. Without waiting streams elsewhere nothing changes.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -30,10 +30,12 @@
     choose_sampled_engine,
 )
 from ebonyhaven_decisions.forwarding._engine_use import (
+    USABLE_MEMORY_SHARE,
     EngineUse,
     PeerEngineUse,
     TokenDemand,
     count_queued_prefill_tokens,
+    estimate_use,
     fits_in_memory,
     have_room,
     sum_run_tokens,
@@ -203,6 +205,7 @@
     "choose_progress_traits",
     "list_progress_traits",
     "EARLY_EVENTS",
+    "USABLE_MEMORY_SHARE",
     "choose_recorder",
     "choose_sampled_engine",
     "compute_first_event_limits",
@@ -212,6 +215,7 @@
     "compute_mean_use",
     "count_holders",
     "count_queued_prefill_tokens",
+    "estimate_use",
     "find_reader_rank",
     "fits_in_memory",
     "decode_loss_report",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/waiting/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/waiting/__init__.py
@@ -27,6 +27,10 @@
     leaves_time_to_urgent,
     limit_memory_share,
 )
+from ebonyhaven_decisions.forwarding.waiting._scarce_room import (
+    ScarceRoom,
+    count_places,
+)
 
 __all__ = [
     "NEWS_TTL_S",
@@ -35,10 +39,12 @@
     "PeerRanks",
     "RankActivity",
     "RankNews",
+    "ScarceRoom",
     "WaitForecast",
     "WaitingLine",
     "WaitingStream",
     "choose_retry_after_s",
+    "count_places",
     "estimate_freed_tokens_per_s",
     "forecast_wait",
     "leaves_time_to_urgent",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/waiting/_ranks.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/waiting/_ranks.py
@@ -148,10 +148,28 @@
         now : float
             Seconds.
         """
-        total = 0
-        for peer, (told_at, news) in list(self._reports.items()):
+        return sum(
+            each.waiting for news in self._list_recent(now) for each in news[: rank + 1]
+        )
+
+    def estimate_waiting(self, instances: int, now: float) -> float:
+        """Return how many streams wait at all other instances, told of or not.
+
+        Parameters
+        ----------
+        instances : int
+            Number of instances, with this one.
+        now : float
+            Seconds.
+        """
+        recent = self._list_recent(now)
+        if not recent:
+            return 0.0
+        told = sum(each.waiting for news in recent for each in news)
+        return told * max(1.0, (instances - 1) / len(recent))
+
+    def _list_recent(self, now: float) -> list[Sequence[RankNews]]:
+        for peer, (told_at, _) in list(self._reports.items()):
             if now - told_at > NEWS_TTL_S:
                 del self._reports[peer]
-                continue
-            total += sum(each.waiting for each in news[: rank + 1])
-        return total
+        return [news for _, news in self._reports.values()]
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping, Sequence
 
 from ebonyhaven_decisions.forwarding import (
+    USABLE_MEMORY_SHARE,
     Backend,
     EngineTraits,
     EngineUse,
@@ -14,6 +15,7 @@
     choose_memory_share,
     compute_first_event_limits,
     count_queued_prefill_tokens,
+    estimate_use,
     have_room,
     is_prompt_admitted,
     rank_engines,
@@ -21,6 +23,7 @@
     sum_run_tokens,
 )
 from ebonyhaven_decisions.forwarding.waiting import (
+    count_places,
     leaves_time_to_urgent,
     limit_memory_share,
     limit_rank,
@@ -264,6 +267,37 @@
         )
         return rollouts.prefer(ranked)
 
+    def count_places(
+        self, engines: Sequence[Backend], now: float, *, remaining_s: float
+    ) -> int:
+        """Return how many streams like this one engines could take.
+
+        Parameters
+        ----------
+        engines : sequence of Backend
+            Those that have room for it.
+        now : float
+            Seconds.
+        remaining_s : float
+            Time until the stream misses its target; infinite for none.
+        """
+        if self._engine is None:
+            return len(engines)
+        peers = self._context.peers.sum_by_server(now)
+        usable_tokens = USABLE_MEMORY_SHARE * self._engine.memory_tokens
+        rate = self._context.prefill_rate
+        places = 0
+        for each in engines:
+            use = estimate_use(each, peers)
+            places += count_places(
+                free_tokens=usable_tokens - use.run_tokens - use.copy_tokens,
+                tokens=self._demand.tokens,
+                queue_s=rate.estimate_s(use.prefill_tokens),
+                prompt_s=rate.estimate_s(self._demand.prompt_tokens),
+                remaining_s=remaining_s,
+            )
+        return places
+
     def estimate_patience_s(
         self, backend: Backend, now: float, *, target_s: float
     ) -> float:
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_targets.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_targets.py
@@ -211,7 +211,9 @@
         if earlier is not None:
             return StreamTarget(*earlier)
         ranked = self._rank_servers(now)
-        return StreamTarget(ranked[0], None) if ranked else None
+        if not ranked or not self._wait.may_take_room(ranked, now):
+            return None
+        return StreamTarget(ranked[0], None)
 
     def _rank_servers(self, now: float) -> list[Backend]:
         waited_s, target_s = self._progress.measure_wait(now)
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_waits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_waits.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 
 import structlog
-from ebonyhaven_decisions.forwarding import Route
+from ebonyhaven_decisions.forwarding import Backend, Route
 from ebonyhaven_decisions.forwarding.waiting import (
     RANKS,
     WaitForecast,
@@ -161,6 +162,37 @@
         self._looked_at = now
         return True
 
+    def may_take_room(self, engines: Sequence[Backend], now: float) -> bool:
+        """Return whether the stream may be sent now to an engine that has room.
+
+        If more streams wait, here and elsewhere, than engines have room for, it waits
+        for the part of this instance. A stream that has begun takes what there is.
+
+        Parameters
+        ----------
+        engines : sequence of Backend
+            Those that have room for it.
+        now : float
+            Seconds.
+        """
+        if not self._tokens or self.has_begun:
+            return True
+        elsewhere = self._waiting.peers.estimate_waiting(
+            self._context.budget.instances, now
+        )
+        if not elsewhere:
+            return True  # the reservations of this instance count at once
+        waited_s, target_s = self._progress.measure_wait(now)
+        return self._waiting.scarce_room.acquire(
+            places=self._server_selector.count_places(
+                engines, now, remaining_s=target_s - waited_s
+            ),
+            waiting_here=len(self._waiting.line),
+            waiting_elsewhere=elsewhere,
+            now=now,
+            rng=self._context.rng,
+        )
+
     def find_refusal(self, now: float) -> GiveUpReason | None:
         """Return a reason if the stream would get room too late for its caller.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/waiting/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/waiting/_state.py
@@ -10,6 +10,7 @@
     RANKS,
     PeerRanks,
     RankActivity,
+    ScarceRoom,
     WaitingLine,
 )
 
@@ -47,12 +48,14 @@
         Requests here, and here and at peers.
     peers : PeerRanks
         Streams that wait at peers.
+    scarce_room : ScarceRoom
     """
 
     line: WaitingLine = attrs.field(factory=WaitingLine)
     own_ranks: RankActivity = attrs.field(factory=RankActivity)
     ranks: RankActivity = attrs.field(factory=RankActivity)
     peers: PeerRanks = attrs.field(factory=PeerRanks)
+    scarce_room: ScarceRoom = attrs.field(factory=ScarceRoom)
     _room: EngineRoom = EngineRoom(0, True, -math.inf)
 
     def record_request(self, rank: int, target_s: float, now: float) -> None:
