Gateway: what a deployment builds, and the parts of roll-outs, in modules of their own

No behaviour changes; test_rollouts reads the evidence through the parts. 80 tests of roll-outs, calls, start-up and resuming passed, with test_rollout_processes.

--- a/packages/node/src/ebonyhaven_node/forwarding/__init__.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/__init__.py
@@ -9,6 +9,7 @@
 from ebonyhaven_node.forwarding._connection_pool import ConnectionPool
 from ebonyhaven_node.forwarding._exchanges import Exchange
 from ebonyhaven_node.forwarding._gateway import Gateway
+from ebonyhaven_node.forwarding._gateway_builders import GatewayBuilders
 from ebonyhaven_node.forwarding._http_client import HttpRequest, ResponseHandler
 from ebonyhaven_node.forwarding._http_server import CallerServer
 from ebonyhaven_node.forwarding._requests import (
@@ -40,6 +41,7 @@
     "ForwardRequest",
     "ForwardingState",
     "Gateway",
+    "GatewayBuilders",
     "GatewaySettings",
     "GenerationSize",
     "Headers",
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -43,6 +43,7 @@
     ReportFilter,
     RouteFilter,
 )
+from ebonyhaven_node.forwarding._gateway_builders import GatewayBuilders
 from ebonyhaven_node.forwarding._http_server import CallerServer
 from ebonyhaven_node.forwarding._list_confirmation import ListConfirmer
 from ebonyhaven_node.forwarding._loss_records import LossRecorder
@@ -65,23 +66,8 @@
 from ebonyhaven_node.forwarding._stop_sequence import StopSequence
 from ebonyhaven_node.forwarding._turn_lags import TurnLagSampler
 from ebonyhaven_node.forwarding._version_records import VersionRecorder
-from ebonyhaven_node.forwarding.interfaces import (
-    BackendDialect,
-    CallerDialect,
-    LossRecordStore,
-    RolloutRecordStore,
-    RunCopier,
-    ServerInspector,
-    StateSource,
-    StreamRecordStore,
-    VersionRecordStore,
-)
-from ebonyhaven_node.forwarding.rollouts import (
-    EvidenceSection,
-    RolloutParts,
-    RolloutRecorder,
-    build_evidence_board,
-)
+from ebonyhaven_node.forwarding.interfaces import BackendDialect, CallerDialect
+from ebonyhaven_node.forwarding.rollouts import RolloutParts
 from ebonyhaven_node.forwarding.waiting import (
     WaitingMetrics,
     WaitingSection,
@@ -101,23 +87,7 @@
     ----------
     settings : GatewaySettings
     reactor : IReactorCore
-    caller_dialect : CallerDialect
-    backend_dialect : BackendDialect
-    build_source : callable
-        Returns the `StateSource` for a `ForwardingState` and a `ConnectionPool`.
-    build_inspector : callable
-        Returns the `ServerInspector` for a `ConnectionPool`.
-    build_copier : callable
-        Returns the `RunCopier` for a `ConnectionPool`.
-    build_record_store : callable
-        Returns the `StreamRecordStore` for a `ConnectionPool`.
-    build_loss_store : callable
-        Returns the `LossRecordStore` for a `ConnectionPool`.
-    build_version_store : callable
-        Returns the `VersionRecordStore` for a `ConnectionPool`.
-    build_rollout_store : callable or None
-        Returns the `RolloutRecordStore` for a `ConnectionPool`. Without it, and
-        without limits on exposure in the settings, there are no roll-outs.
+    builders : GatewayBuilders
     rng : random.Random or None
         A generator with a random seed if None.
     clock : callable
@@ -129,16 +99,7 @@
         *,
         settings: GatewaySettings,
         reactor: IReactorCore,
-        caller_dialect: CallerDialect,
-        backend_dialect: BackendDialect,
-        build_source: Callable[[ForwardingState, ConnectionPool], StateSource],
-        build_inspector: Callable[[ConnectionPool], ServerInspector],
-        build_copier: Callable[[ConnectionPool], RunCopier],
-        build_record_store: Callable[[ConnectionPool], StreamRecordStore],
-        build_loss_store: Callable[[ConnectionPool], LossRecordStore],
-        build_version_store: Callable[[ConnectionPool], VersionRecordStore],
-        build_rollout_store: Callable[[ConnectionPool], RolloutRecordStore]
-        | None = None,
+        builders: GatewayBuilders,
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
     ):
@@ -153,8 +114,8 @@
         self._shutdown = Shutdown(settings.grace_s, clock)
         self._log_output: LogOutput | None = None
         self.pool = ConnectionPool(reactor, clock)
-        self.source = build_source(self.state, self.pool)
-        self._inspector = build_inspector(self.pool)
+        self.source = builders.build_source(self.state, self.pool)
+        self._inspector = builders.build_inspector(self.pool)
         self._adopter = EngineAdopter(
             state=self.state,
             source=self.source,
@@ -221,50 +182,31 @@
         )
         self._loss_recorder = LossRecorder(
             history=self._crash_history,
-            store=build_loss_store(self.pool),
+            store=builders.build_loss_store(self.pool),
             reactor=reactor,
             clock=clock,
             on_read=self._crash_monitor.notify_of_losses,
         )
         self._version_recorder = VersionRecorder(
             versions=self.state.backends.versions,
-            store=build_version_store(self.pool),
+            store=builders.build_version_store(self.pool),
             reactor=reactor,
             clock=clock,
         )
-        self.evidence = build_evidence_board(
-            self.state.backends,
-            self._peer_reports.list_instances,
-            own_name=settings.instance,
-        )
-        self.evidence_section = EvidenceSection(
-            board=self.evidence,
+        build_rollout_store = builders.build_rollout_store
+        self.rollouts = RolloutParts(
+            instance=settings.instance,
+            limits=settings.exposure,
+            state=self.state,
+            store=build_rollout_store(self.pool) if build_rollout_store else None,
+            metrics=self._metrics,
+            registry=self.registry,
             list_instances=self._peer_reports.list_instances,
             schedule_report=self._peer_reports.schedule_use_report,
+            reactor=reactor,
+            rng=self._rng,
             clock=clock,
         )
-        self._rollout_recorder = RolloutRecorder(
-            gate=self.state.backends.rollouts,
-            board=self.evidence,
-            metrics=self._metrics,
-            clock=clock,
-            on_change=self.evidence_section.handle_change,
-        )
-        self._rollouts: RolloutParts | None = None
-        if build_rollout_store is not None and settings.exposure is not None:
-            self._rollouts = RolloutParts(
-                instance=settings.instance,
-                limits=settings.exposure,
-                state=self.state,
-                board=self.evidence,
-                store=build_rollout_store(self.pool),
-                registry=self.registry,
-                reactor=reactor,
-                rng=self._rng,
-                clock=clock,
-                list_instances=self._peer_reports.list_instances,
-            )
-            self.evidence_section.decider = self._rollouts.controller.find_decider
         self._budget = ServiceRetryBudget(
             ratio=settings.retry_budget_ratio,
             window_s=settings.retry_budget_window_s,
@@ -272,12 +214,12 @@
             started_at=clock(),
         )
         self._stream_index = SharedStreamIndex(
-            reactor, clock, build_record_store(self.pool)
+            reactor, clock, builders.build_record_store(self.pool)
         )
-        self._copier = build_copier(self.pool)
+        self._copier = builders.build_copier(self.pool)
         self._state_waiter = StateWaiter(self.state, reactor)
         self._active = ActiveRequests(
-            chain=self._build_chain(caller_dialect, backend_dialect),
+            chain=self._build_chain(builders.caller_dialect, builders.backend_dialect),
             shutdown=self._shutdown,
             metrics=self._metrics,
             clock=clock,
@@ -330,9 +272,8 @@
         self.source.start()
         self._loss_recorder.start(group.is_crash_recorder)
         self._stack.callback(self._loss_recorder.stop)
-        if self._rollouts is not None:
-            self._rollouts.start(group.is_chosen, group.schedule_use_report)
-            self._stack.callback(self._rollouts.controller.stop)
+        self.rollouts.start(group.is_chosen)
+        self._stack.callback(self.rollouts.stop)
         self._version_recorder.start(group.is_version_recorder)
         self._stack.callback(self._version_recorder.stop)
         self.state.observe(self._version_recorder.handle_change)
@@ -420,8 +361,7 @@
             ),
             sections=[
                 WaitingSection(self._waiting),
-                self.evidence_section,
-                *([self._rollouts.section] if self._rollouts else []),
+                *self.rollouts.list_sections(),
             ],
         )
         self._stack.callback(group.stop)
@@ -464,7 +404,7 @@
             contact=self._contact,
             permits=self._permits,
             shutdown=self._shutdown,
-            rollouts=self._rollout_recorder,
+            rollouts=self.rollouts.recorder,
             relay_peers=PeerDirectory(self._peer_reports.list_reaching),
         )
         return build_chain(
--- a/packages/standins/src/ebonyhaven_standins/resuming/_simulation.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_simulation.py
@@ -18,7 +18,7 @@
     Workspace,
     group_routes,
 )
-from ebonyhaven_node.forwarding import Gateway
+from ebonyhaven_node.forwarding import Gateway, GatewayBuilders
 from twisted.internet.error import ConnectionRefusedError as Refused
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
@@ -193,16 +193,18 @@
         return Gateway(
             settings=make_gateway_settings("dc-0"),
             reactor=self._reactor,
-            caller_dialect=SimulatedCallerDialect(),
-            backend_dialect=SimulatedBackendDialect(),
-            build_source=lambda state, pool: StaticSource(),
-            build_inspector=lambda pool: SimulatedInspector(
-                lambda address: self.fleet.by_address[address].is_down
+            builders=GatewayBuilders(
+                caller_dialect=SimulatedCallerDialect(),
+                backend_dialect=SimulatedBackendDialect(),
+                build_source=lambda state, pool: StaticSource(),
+                build_inspector=lambda pool: SimulatedInspector(
+                    lambda address: self.fleet.by_address[address].is_down
+                ),
+                build_copier=lambda pool: self.fleet,
+                build_record_store=lambda pool: NullRecordStore(),
+                build_loss_store=lambda pool: NullLossStore(),
+                build_version_store=lambda pool: NullVersionStore(),
             ),
-            build_copier=lambda pool: self.fleet,
-            build_record_store=lambda pool: NullRecordStore(),
-            build_loss_store=lambda pool: NullLossStore(),
-            build_version_store=lambda pool: NullVersionStore(),
             rng=random.Random(seed),
             clock=self._reactor.seconds,
         )
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -19,7 +19,7 @@
     Workspace,
     group_routes,
 )
-from ebonyhaven_node.forwarding import Gateway
+from ebonyhaven_node.forwarding import Gateway, GatewayBuilders
 from ebonyhaven_standins.memory_connections import (
     MemoryServerConnection,
     MemoryTransport,
@@ -270,14 +270,16 @@
         self.gateway = Gateway(
             settings=make_gateway_settings("dc-a"),
             reactor=self.reactor,
-            caller_dialect=PlatformCallerDialect(),
-            backend_dialect=PlatformBackendDialect(),
-            build_source=lambda state, pool: self.source,
-            build_inspector=lambda pool: self.inspector,
-            build_copier=lambda pool: self.copier,
-            build_record_store=lambda pool: self.record_store,
-            build_loss_store=lambda pool: self.loss_store,
-            build_version_store=lambda pool: self.version_store,
+            builders=GatewayBuilders(
+                caller_dialect=PlatformCallerDialect(),
+                backend_dialect=PlatformBackendDialect(),
+                build_source=lambda state, pool: self.source,
+                build_inspector=lambda pool: self.inspector,
+                build_copier=lambda pool: self.copier,
+                build_record_store=lambda pool: self.record_store,
+                build_loss_store=lambda pool: self.loss_store,
+                build_version_store=lambda pool: self.version_store,
+            ),
             rng=random.Random(7),
             clock=self.reactor.seconds,
         )
--- a/tests/forwarding/test_rollouts.py
+++ b/tests/forwarding/test_rollouts.py
@@ -69,12 +69,12 @@
 def judge(harness, service="plain"):
     gate = harness.state.backends.rollouts
     order = gate.find_order(service)
-    return harness.gateway.evidence.judge(order, (), harness.reactor.seconds())
+    return harness.gateway.rollouts.evidence.judge(order, (), harness.reactor.seconds())
 
 
 def list_codes(harness, version="v2"):
     """Return what is counted of a version, times without their bucket."""
-    (fields,) = harness.gateway.evidence.export().values()
+    (fields,) = harness.gateway.rollouts.evidence.export().values()
     codes = {}
     for _, name, _, counts in fields[4]:
         for code, count in counts.items():
@@ -242,8 +242,8 @@
     server, _, _ = harness.take_request()
     server.receive(answer("r1"))
     harness.advance(0.01)
-    assert harness.gateway.evidence.export() is None
-    assert not harness.gateway.evidence_section.keeps_reporting
+    assert harness.gateway.rollouts.evidence.export() is None
+    assert not harness.gateway.rollouts.evidence_section.keeps_reporting
 
 
 def make_section(instances, requests=0):
