--- a/tests/docs/test_commands.py
+++ b/tests/docs/test_commands.py
@@ -86,7 +86,7 @@
         assert {entry["instance"] for entry in listed["entries"]} <= {"n1", "n2"}
         assert listed["keep_s"] > 0
         stream = read_checked_output(run_script(completion, folder, **variables))
-        assert read_offsets(stream) == list(range(9))
+        assert read_offsets(stream) == list(range(9)), stream
         assert stream.rstrip().endswith("data: [DONE]")
         last_event_id = re.findall(r"^id: (2-\S+)", stream, re.MULTILINE)[0]
         variables["ENTRY"] = cluster.addresses["n2"]
