--- a/packages/node/src/ebonyhaven_node/forwarding/rollouts/_controller.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/rollouts/_controller.py
@@ -8,12 +8,10 @@
 from typing import TYPE_CHECKING, Any
 
 import structlog
-from ebonyhaven_decisions.forwarding import BackendState, RequestKind
 from ebonyhaven_decisions.forwarding.rollouts import (
     ExposureLimits,
     RolloutOrder,
     RolloutStage,
-    RolloutState,
     RolloutView,
     StoredStage,
     VersionQuality,
@@ -31,6 +29,7 @@
     StageConflict,
 )
 from ebonyhaven_node.forwarding.rollouts._metrics import RolloutMetrics
+from ebonyhaven_node.forwarding.rollouts._views import RolloutViewReader
 
 if TYPE_CHECKING:
     from ebonyhaven_decisions.forwarding.rollouts import EvidenceBoard, RolloutGate
@@ -94,7 +93,7 @@
         self._state = state
         self._book = state.rollouts
         self._gate = gate
-        self._board = board
+        self._views = RolloutViewReader(state=state, board=board, clock=clock)
         self._store = store
         self._metrics = metrics
         self._reactor = reactor
@@ -224,7 +223,7 @@
         stage = self._book.find_stage(service)
         if not self._may_decide(order, stage, now_s):
             return
-        view = self._make_view(order, stage)
+        view = self._views.read(order, stage)
         decided = decide_stage(view, self._limits, decider=self._instance, now=now_s)
         if decided is None:
             return
@@ -252,59 +251,6 @@
         )
         return waited_s >= standby_s
 
-    def _make_view(
-        self, order: RolloutOrder, stage: RolloutStage | None
-    ) -> RolloutView:
-        versions = self._list_versions(order.service)
-        is_known = stage is not None and stage.order.is_same(order)
-        shut_out = {order.version}
-        if not is_known and not _is_completed(stage):
-            shut_out |= {stage.order.version} if stage else set()
-        current = {each for each in versions if each not in shut_out}
-        old_versions = tuple(sorted(each for each in current if each is not None))
-        if is_known:
-            old_versions = stage.old_versions
-            current &= {*old_versions, None}
-        now = self._clock()
-        return RolloutView(
-            order=order,
-            stage=stage,
-            verdict=self._judge(order, old_versions, now),
-            active=self._board.count_active(order.service, old_versions, now),
-            old_versions=old_versions,
-            has_old=bool(current),
-            has_new=order.version in versions,
-            longest_s=self._find_longest_s(order.service),
-            is_withdrawn=self._book.is_withdrawn(order.service),
-        )
-
-    def _judge(
-        self, order: RolloutOrder, old_versions: tuple[str, ...], now: float
-    ) -> VersionVerdict:
-        return self._board.judge(order.without_era(), old_versions, now)
-
-    def _list_versions(self, service: str) -> set[str | None]:
-        return {
-            each.software_version
-            for each in self._state.backends
-            if each.entry.service == service and each.entry.state is BackendState.READY
-        }
-
-    def _find_longest_s(self, service: str) -> float:
-        """Return how long the streams of a service may take, 0 without any."""
-        configuration = self._state.configuration
-        routes = configuration.routes.values() if configuration else ()
-        return max(
-            (
-                route.timeout_s
-                for group in routes
-                for route in group
-                if route.kind is RequestKind.STREAM
-                and any(share.service == service for share in route.shares)
-            ),
-            default=0.0,
-        )
-
     async def _write(self, decided: RolloutStage, view: RolloutView) -> None:
         service, before = decided.order.service, view.stage
         is_change = (
@@ -391,10 +337,6 @@
             _log.error("rollout_crashed", step=step, error=failure.getTraceback())
 
 
-def _is_completed(stage: RolloutStage | None) -> bool:
-    return stage is not None and stage.state is RolloutState.COMPLETED
-
-
 def make_decider_key(service: str) -> str:
     """Return the key by which the preferred decider of a service is chosen.
 
