--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -13,6 +13,9 @@
 UPGRADE_DURATION_S = 12.0
 UPGRADE_SEEDS = (3200,)
 PRODUCTION = "c594f59"  # commit of the release that is replaced
+ROLLOUT_DURATION_S = 14.0
+# 4002: a version that fails on one route got 101 requests of 68 allowed (EXPOSURE).
+ROLLOUT_SEEDS = (4002,)
 # 32, 41: connections to the store fell silent, and polls were in phase (CONFIG).
 CONFIGURATION_SEEDS = (32, 41)
 
@@ -45,6 +48,17 @@
         assert report.statuses["200"] > 100, report.statuses
 
 
+def test_bad_versions_reach_few_callers_with_real_processes():
+    for seed in ROLLOUT_SEEDS:
+        report = run_in_reactor(run_rollout_soak, seed)
+        assert not report.problems, (seed, report.problems, report.directory)
+        assert any("state='reverted'" in each for each in report.notes), report.notes
+
+
+async def run_rollout_soak(seed):
+    return await run_soak(seed, ROLLOUT_DURATION_S, fault_set="rollouts")
+
+
 async def run_upgrade_soak(seed):
     return await run_soak(
         seed, UPGRADE_DURATION_S, fault_set="upgrade", production=PRODUCTION
