A new version is not sound before routes that callers used have answers

Cause: only routes with answers since the order were asked for. Change: where operators order roll-outs, instances count answers by route in spans of 30 s and tell, with the evidence, those before the order. A route that had 3% of them or more needs as many answers as its share asks for. Routes asked once at each instance are not waited for. Builds before this one tell none and skip the field.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/__init__.py
@@ -13,6 +13,10 @@
 from ebonyhaven_decisions.forwarding.rollouts._evidence import EvidenceBoard
 from ebonyhaven_decisions.forwarding.rollouts._exposure import ExposureLimits
 from ebonyhaven_decisions.forwarding.rollouts._gate import RolloutGate
+from ebonyhaven_decisions.forwarding.rollouts._route_traffic import (
+    TRAFFIC_SPAN_S,
+    RouteTraffic,
+)
 from ebonyhaven_decisions.forwarding.rollouts._stage_codec import (
     decode_order,
     decode_stage,
@@ -30,6 +34,7 @@
 )
 
 __all__ = [
+    "TRAFFIC_SPAN_S",
     "EvidenceBoard",
     "RolloutGate",
     "ExposureLimits",
@@ -38,6 +43,7 @@
     "RolloutStage",
     "RolloutState",
     "RolloutView",
+    "RouteTraffic",
     "StoredStage",
     "VersionQuality",
     "VersionVerdict",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/_evidence.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/_evidence.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import Counter, deque
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 
 import attrs
 
@@ -12,6 +12,7 @@
     ANSWERED,
     FAILED,
     LOST,
+    MAX_ROWS,
     PACE,
     PAUSE,
     TIME,
@@ -45,6 +46,8 @@
         Requests in flight by version.
     stage : int
         Number of the stage that it knows; 0 for none.
+    earlier : dict of str to int
+        Answers by route before it followed the order.
     at : float
         When the news came, seconds.
     """
@@ -54,6 +57,7 @@
     exposed: int = 0
     active: dict[str, int] = attrs.Factory(dict)
     stage: int = 0
+    earlier: dict[str, int] = attrs.Factory(dict)
     at: float = -math.inf
 
 
@@ -78,6 +82,12 @@
     def list_news(self) -> list[_News]:
         return [self.own, *self.peers.values(), *self.retired]
 
+    def sum_earlier(self) -> Counter:
+        total: Counter = Counter()
+        for each in self.list_news():
+            total.update(each.earlier)
+        return total
+
     def sum_counts(self) -> Counter:
         total: Counter = Counter()
         for each in self.list_news():
@@ -123,7 +133,12 @@
         """Return the services with an open order."""
         return list(self._evidence)
 
-    def follow(self, service: str, order: RolloutOrder | None) -> None:
+    def follow(
+        self,
+        service: str,
+        order: RolloutOrder | None,
+        earlier: Mapping[str, int] | None = None,
+    ) -> None:
         """Start or stop counting the answers of a service.
 
         Parameters
@@ -131,13 +146,16 @@
         service : str
         order : RolloutOrder or None
             The open order; None if there is none.
+        earlier : mapping of str to int or None
+            Answers that this instance saw before, by route.
         """
         if order is None:
             self._evidence.pop(service, None)
             return
         known = self._evidence.get(service)
         if known is None or known.order.order_id != order.order_id:
-            self._evidence[service] = _Evidence(order)
+            own = _News(earlier=dict(earlier or {}))
+            self._evidence[service] = _Evidence(order, own)
 
     # -- own answers -------------------------------------------------------
 
@@ -220,6 +238,7 @@
                 self._read_stage_number(service),
                 self._count_in_flight(service),
                 encode_counts(known.own.counts),
+                known.own.earlier,
             ]
             for service, known in self._evidence.items()
         }
@@ -244,15 +263,17 @@
             known = self._find(order_id)
             if known is None:
                 continue
-            requests, exposed, stage, active, rows, *_ = fields
-            if len(active) > MAX_LISTED_VERSIONS:
-                raise ValueError("too many versions")
+            requests, exposed, stage, active, rows, *optional = fields
+            earlier = optional[0] if optional else {}
+            if len(active) > MAX_LISTED_VERSIONS or len(earlier) > MAX_ROWS:
+                raise ValueError("too many versions or routes")
             news = _News(
                 counts=decode_counts(rows),
                 requests=check_count(requests),
                 exposed=check_count(exposed),
                 active={str(key): check_count(each) for key, each in active.items()},
                 stage=check_count(stage),
+                earlier={str(key): check_count(n) for key, n in earlier.items()},
                 at=now,
             )
             before = known.peers.get(sender)
@@ -316,6 +337,7 @@
                 summarize(each, old_versions or None, without=order.version)
                 for each in (total, recent)
             ],
+            earlier=known.sum_earlier(),
         )
         return VersionVerdict(
             quality=quality,
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/_judgement.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/rollouts/_judgement.py
@@ -25,6 +25,9 @@
 # that a verdict on it needs: a version that fails 0.4 of its answers shows a failure
 # among 7 with a chance of 0.97. Rare routes would outlast roll-outs.
 NEEDED_BY_SHARE = ((0.1, 7), (0.03, 4), (0.0, 1))
+# Of the answers before an order, from which on a route is one that callers use: the
+# operators ask routes that nobody uses, once at each instance.
+MIN_EARLIER_SHARE = 0.03
 ALL_ROUTES = "all routes"
 
 _EMPTY = AnswerSummary(0, 0, {})
@@ -40,7 +43,10 @@
 
 
 def judge_answers(
-    *, new: Sequence[_Answers], old: Sequence[_Answers]
+    *,
+    new: Sequence[_Answers],
+    old: Sequence[_Answers],
+    earlier: Mapping[str, int] | None = None,
 ) -> tuple[VersionQuality, int, int, str]:
     """Judge a new version.
 
@@ -48,6 +54,8 @@
     ----------
     new, old : sequence of mapping of str to AnswerSummary
         Answers by route, since the order and of the last seconds, in this order.
+    earlier : mapping of str to int or None
+        Answers by route before the order.
 
     Returns
     -------
@@ -61,7 +69,7 @@
     bad_answers = max(failures, worst.bad_answers)
     if worst.ratio >= ALARM_RATIO:
         return VersionQuality.BAD, answers, bad_answers, worst.reason
-    missing = _find_missing(total, old_total)
+    missing = _find_missing(total, old_total, earlier or {})
     if missing is not None:
         return VersionQuality.UNDECIDED, answers, bad_answers, missing
     pooled = compute_failure_ratio(
@@ -134,18 +142,29 @@
     )
 
 
-def _find_missing(new: _Answers, old: _Answers) -> str | None:
-    """Return which route lacks answers of the new version, if one does."""
+def _find_missing(
+    new: _Answers, old: _Answers, earlier: Mapping[str, int]
+) -> str | None:
+    """Return which route lacks answers of the new version, if one does.
+
+    A route that was used before the order may be used again.
+    """
     by_route = Counter({route: each.answers for route, each in old.items()})
     by_route.update({route: each.answers for route, each in new.items()})
-    total = by_route.total()
-    if not total:
+    if not by_route.total():
         return "no answers"
-    for route, count in by_route.items():
-        needed = next(
-            answers for share, answers in NEEDED_BY_SHARE if count >= share * total
-        )
+    shares = _compute_shares(by_route)
+    for route, share in _compute_shares(earlier).items():
+        if share >= MIN_EARLIER_SHARE:
+            shares[route] = max(share, shares.get(route, 0.0))
+    for route, share in shares.items():
+        needed = next(answers for least, answers in NEEDED_BY_SHARE if share >= least)
         has = new.get(route, _EMPTY).answers
         if has < needed:
             return f"{has} of {needed} answers on {route}"
     return None
+
+
+def _compute_shares(counts: Mapping[str, int]) -> dict[str, float]:
+    total = sum(counts.values())
+    return {route: count / total for route, count in counts.items() if count}
--- a/packages/node/src/ebonyhaven_node/forwarding/rollouts/_assembly.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/rollouts/_assembly.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable, Iterable
 
-from ebonyhaven_decisions.forwarding.rollouts import ExposureLimits
+from ebonyhaven_decisions.forwarding.rollouts import ExposureLimits, RouteTraffic
 from prometheus_client import CollectorRegistry
 from twisted.internet.interfaces import IReactorTime
 
@@ -97,6 +97,7 @@
             return
         gate.read_store_time = store.read_time_s
         gate.unordered.hold_s = UNORDERED_HOLD_S
+        self.recorder.traffic = RouteTraffic()
         self.controller = RolloutController(
             instance=instance,
             limits=limits,
--- a/packages/node/src/ebonyhaven_node/forwarding/rollouts/_recorder.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/rollouts/_recorder.py
@@ -6,7 +6,11 @@
 
 import structlog
 from ebonyhaven_decisions.forwarding import Backend
-from ebonyhaven_decisions.forwarding.rollouts import EvidenceBoard, RolloutGate
+from ebonyhaven_decisions.forwarding.rollouts import (
+    EvidenceBoard,
+    RolloutGate,
+    RouteTraffic,
+)
 
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 
@@ -21,7 +25,7 @@
 class RolloutRecorder:
     """Keeps requests to the stages of roll-outs, and records their answers.
 
-    Nothing is recorded while no order is open.
+    Nothing but which routes are used is recorded while no order is open.
 
     Parameters
     ----------
@@ -32,9 +36,14 @@
         Returns seconds.
     on_change : callable
         Called when there is something to tell the other instances.
+
+    Attributes
+    ----------
+    traffic : RouteTraffic or None
+        Which routes callers use; None where operators order no roll-outs.
     """
 
-    __slots__ = ("_board", "_clock", "_gate", "_metrics", "_on_change")
+    __slots__ = ("_board", "_clock", "_gate", "_metrics", "_on_change", "traffic")
 
     def __init__(
         self,
@@ -50,6 +59,7 @@
         self._metrics = metrics
         self._clock = clock
         self._on_change = on_change
+        self.traffic: RouteTraffic | None = None
         gate.observe(self._follow)
 
     # -- before an answer --------------------------------------------------
@@ -261,6 +271,8 @@
         **values: object,
     ) -> None:
         service = backend.entry.service
+        if is_answer and self.traffic is not None:
+            self.traffic.record(service, route, self._clock())
         order = None if self._board.is_empty else self._gate.find_order(service)
         if order is None:
             return
@@ -292,5 +304,8 @@
 
     def _follow(self, service: str) -> None:
         """Count answers as long as the order for a service is open."""
-        self._board.follow(service, self._gate.find_order(service))
+        earlier = {}
+        if self.traffic is not None:
+            earlier = self.traffic.read(service, self._clock())
+        self._board.follow(service, self._gate.find_order(service), earlier)
         self._on_change()
--- a/tests/decisions/rollouts.py
+++ b/tests/decisions/rollouts.py
@@ -76,13 +76,13 @@
     return directory
 
 
-def make_board(stage=1, peers=(), active=None) -> EvidenceBoard:
+def make_board(stage=1, peers=(), active=None, earlier=None) -> EvidenceBoard:
     board = EvidenceBoard(
         count_in_flight=lambda service: active or {},
         list_peers=lambda: list(peers),
         read_stage_number=lambda service: stage,
     )
-    board.follow(SERVICE, ORDER)
+    board.follow(SERVICE, ORDER, earlier or {})
     return board
 
 
--- a/tests/decisions/test_rollout_evidence.py
+++ b/tests/decisions/test_rollout_evidence.py
@@ -211,3 +211,47 @@
     board.record(SERVICE, NEW, "r0", is_failure=True)
     assert board.is_empty
     assert board.export() is None
+
+
+def answer_without(route, *, earlier, seconds=6.0):
+    """Return the verdict on a version, with no request on a route since the order."""
+    board = make_board(earlier=earlier)
+    others = [each for each in ROUTES if each != route]
+    for step in range(int(90 * seconds)):
+        version = NEW if step % 5 == 0 else OLD
+        board.record_sent(SERVICE, version, is_first=True)
+        board.record(SERVICE, version, others[step % len(others)], time_s=0.05)
+    return board.judge(ORDER, (OLD,), seconds)
+
+
+def test_version_is_not_sound_before_a_route_that_pauses_has_answers():
+    # Guards against a version that fails on one route, on which callers sent nothing
+    # from the order to the hand-over: the soak saw it completed (EXPOSURE).
+    earlier = dict.fromkeys(ROUTES, 100)
+    verdict = answer_without("r2", earlier=earlier)
+    assert verdict.quality is VersionQuality.UNDECIDED
+    assert "r2" in verdict.reason
+
+
+def test_a_route_that_was_hardly_used_is_not_waited_for():
+    earlier = {**dict.fromkeys(ROUTES, 100), "r2": 2}
+    assert answer_without("r2", earlier=earlier).quality is VersionQuality.SOUND
+
+
+def test_a_route_that_was_used_elsewhere_is_waited_for():
+    board = make_board(peers=["n2"])
+    teller = make_board(earlier={"r2": 50})
+    board.merge("n2", teller.export(), 1.0)
+    for step in range(500):
+        version = NEW if step % 5 == 0 else OLD
+        board.record_sent(SERVICE, version, is_first=True)
+        board.record(SERVICE, version, "r0", time_s=0.05)
+    assert board.judge(ORDER, (OLD,), 6.0).quality is VersionQuality.UNDECIDED
+
+
+def test_news_of_a_build_that_tells_no_earlier_requests_is_read():
+    board, teller = make_board(peers=["n2"]), make_board()
+    teller.record_sent(SERVICE, NEW, is_first=True)
+    payload = {order: fields[:5] for order, fields in teller.export().items()}
+    board.merge("n2", payload, 1.0)
+    assert board.judge(ORDER, (OLD,), 1.0).exposed == 1
