--- a/tests/integration/test_losses.py
+++ b/tests/integration/test_losses.py
@@ -32,8 +32,13 @@
         time.sleep(PAUSE_S)  # duration of the pause, not a wait for a condition
         system.cluster.resume(paused)
         system.wait_and_check_completed()
-        cancelled = {line.server for line in system.find_log_lines("cancel", stream)}
-        assert paused in cancelled
+        wait_until(
+            lambda: (
+                paused
+                in {line.server for line in system.find_log_lines("cancel", stream)}
+            ),
+            "cancellation at the paused engine",
+        )
 
 
 def test_a_silent_connection_is_replaced_without_computing_a_token_twice():
