--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -309,6 +309,7 @@
 
     def __init__(self, rig: Rig, service: str, zone: str, settings: dict):
         self._rig = rig
+        self.born = int(time.time() * 1000)
         self.name = settings.get("id") or f"i-{secrets.token_hex(5)}"
         self.service = service
         self.zone = zone
@@ -316,11 +317,13 @@
         self.settings = {
             **settings,
             "id": self.name,
+            "born": self.born,
             "address": self.address,
             "log": str(rig.folder / "servers.log"),
         }
         self.version = settings.get("version", "v1")
         self.is_listed = False
+        self.is_replaced = False
         self.state = "ready"
         self._sequence = 0
         self.process = subprocess.Popen(
@@ -339,6 +342,7 @@
             "state": self.state,
             "coldRemainingMs": 0,
             "sequence": self._sequence,
+            "born": self.born,
         }
         self._rig.store.put("servers", self.name, entry)
         self.is_listed = True
@@ -406,13 +410,42 @@
                 if silent[server.name] >= 3:
                     server.unlist()
 
-    def add_server(self, service: str, zone: str, **settings: object) -> ServerProcess:
+    def add_server(
+        self,
+        service: str,
+        zone: str,
+        *,
+        listed_after_s: float = 0.0,
+        **settings: object,
+    ) -> ServerProcess:
+        """Start a server, which writes its entry once it accepts channels."""
         server = ServerProcess(self, service, zone, settings)
         self.servers.append(server)
         wait_until(lambda: can_connect(server.address), 10.0)
+        time.sleep(listed_after_s)
         server.beat()
         return server
 
+    def restart_crashed(self, after_s: float) -> None:
+        """Start each server that ends again, as a new lifetime at the same address."""
+
+        def watch() -> None:
+            due: dict[str, float] = {}
+            while not self._is_stopped:
+                time.sleep(0.05)
+                for server in list(self.servers):
+                    if server.is_running() or server.is_replaced:
+                        continue
+                    now = time.monotonic()
+                    if now < due.setdefault(server.name, now + after_s):
+                        continue
+                    server.is_replaced = True
+                    settings = {k: v for k, v in server.settings.items() if k != "id"}
+                    with contextlib.suppress(CannotRun):
+                        self.add_server(server.service, server.zone, **settings)
+
+        threading.Thread(target=watch, daemon=True).start()
+
     def configure(
         self, routes: list, services: list, *, version: int = 1, **more
     ) -> None:
--- a/review/common-2/server.py
+++ b/review/common-2/server.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import os
 import select
 import socket
 import sys
@@ -24,6 +25,8 @@
     "framing": "chunked",  # or "none": neither a length nor chunks, ends with the channel
     "body_parts": 1,  # in which the body of a plain answer is written
     "part_gap_ms": 0,
+    "keeps_to_slots": False,  # whether requests beyond the slots wait for one
+    "deadly": None,  # prefix of the paths of requests that crash the server
 }
 IDLE_S = 30.0
 
@@ -87,7 +90,10 @@
         self.name = self.settings["id"]
         self.log = Log(self.settings["log"], self.name)
         self.active = 0
+        self.waiting = 0
         self._lock = threading.Lock()
+        count = self.settings["slots"] if self.settings["keeps_to_slots"] else 10_000
+        self._slots = threading.Semaphore(count)
 
     def serve(self) -> None:
         host, _, port = self.settings["address"].rpartition(":")
@@ -125,23 +131,35 @@
             return self._refuse(channel, request_id, 421)
         if "kv-from" in request.headers:  # keeps no copies
             return self._refuse(channel, request_id, 503)
-        self.log.write("run", id=request_id, target=request.target)
         with self._lock:
+            self.waiting += 1
+        self._slots.acquire()
+        with self._lock:
+            self.waiting -= 1
             self.active += 1
         try:
+            if is_closed(channel):  # while it waited
+                self.log.write("left", id=request_id, events=0)
+                return False
+            self.log.write("run", id=request_id, target=request.target)
+            deadly = self.settings["deadly"]
+            if deadly is not None and request.target.startswith(deadly):
+                self.log.write("crashed", id=request_id, active=self.active)
+                os._exit(1)
             if "x-token-count" in request.headers:
                 return self._stream(channel, request, request_id)
             return self._answer_plain(channel, request_id)
         finally:
             with self._lock:
                 self.active -= 1
+            self._slots.release()
 
     def _list_headers(self, request_id: str) -> list[str]:
         return [
             f"X-Attempt-Id: {request_id}",
             f"X-Server-Stamp: stamp-{self.name}-{request_id}",
             f"X-Instance-Id: {self.name}",
-            f"X-Server-Load: {self.active},0,{self.settings['slots']}",
+            f"X-Server-Load: {self.active},{self.waiting},{self.settings['slots']}",
         ]
 
     def _refuse(self, channel: socket.socket, request_id: str, status: int) -> bool:
@@ -213,10 +231,11 @@
             status = 200
             report = {
                 "stage": "colocated",
+                "born": self.settings["born"],
                 "models": [{"name": "m", "version": 1, "adapters": []}],
                 "busy": False,
                 "sequence": 1,
-                "queued": 0,
+                "queued": self.waiting,
                 "active": self.active,
                 "kvUsed": 1000 * self.active,
                 "kvTotal": 88000,
