--- a/review/common-2/server.py
+++ b/review/common-2/server.py
@@ -26,8 +26,7 @@
     "body_parts": 1,  # in which the body of a plain answer is written
     "part_gap_ms": 0,
     "keeps_to_slots": False,  # whether requests beyond the slots wait for one
-    "warms_up_s": 0.0,  # after its start, in which it turns requests away
-    "deadly": None,  # prefix of the paths of requests that crash the server
+    "deadly_part": None,  # of prompts; requests with it crash the server
 }
 IDLE_S = 30.0
 
@@ -91,7 +90,6 @@
         self.name = self.settings["id"]
         self.log = Log(self.settings["log"], self.name)
         self.active = 0
-        self._warm_at = time.monotonic() + self.settings["warms_up_s"]
         self.waiting = 0
         self._lock = threading.Lock()
         count = self.settings["slots"] if self.settings["keeps_to_slots"] else 10_000
@@ -131,9 +129,6 @@
         expected = request.headers.get("x-expect-instance", self.name)
         if expected != self.name:
             return self._refuse(channel, request_id, 421)
-        left_s = self._warm_at - time.monotonic()
-        if left_s > 0:
-            return self._refuse(channel, request_id, 503, retry_after_s=left_s)
         if "kv-from" in request.headers:  # keeps no copies
             return self._refuse(channel, request_id, 503)
         with self._lock:
@@ -147,8 +142,8 @@
                 self.log.write("left", id=request_id, events=0)
                 return False
             self.log.write("run", id=request_id, target=request.target)
-            deadly = self.settings["deadly"]
-            if deadly is not None and request.target.startswith(deadly):
+            parts = request.headers.get("x-prompt-prefix", "").split(",")
+            if self.settings["deadly_part"] in [each.split(":")[0] for each in parts]:
                 self.log.write("crashed", id=request_id, active=self.active)
                 os._exit(1)
             if "x-token-count" in request.headers:
@@ -167,13 +162,8 @@
             f"X-Server-Load: {self.active},{self.waiting},{self.settings['slots']}",
         ]
 
-    def _refuse(
-        self,
-        channel: socket.socket,
-        request_id: str,
-        status: int,
-        retry_after_s: float | None = None,
-    ) -> bool:
+    def _refuse(self, channel: socket.socket, request_id: str, status: int) -> bool:
+        self.log.write("refused", id=request_id, status=status)
         headers = [
             f"HTTP/1.1 {status} Refused",
             f"X-Attempt-Id: {request_id}",
@@ -181,10 +171,7 @@
             f"X-Instance-Id: {self.name}",
             "Content-Length: 0",
         ]
-        if retry_after_s is not None:
-            headers.append(f"Retry-After: {retry_after_s:.2f}")
         channel.sendall("\r\n".join(headers).encode() + b"\r\n\r\n")
-        self.log.write("refused", id=request_id, status=status, rest_s=retry_after_s)
         return True
 
     def _answer_plain(self, channel: socket.socket, request_id: str) -> bool:
