--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import queue
+import random
 import secrets
 import shutil
 import signal
@@ -28,6 +29,7 @@
 HERE = pathlib.Path(__file__).resolve().parent
 HOST = "work.example"
 HEARTBEAT_S = 1.2
+_allocated: set[int] = set()
 # As on the sheet of ferias-sts.
 BOUNDS = {
     "seedLagS": 3,
@@ -74,9 +76,15 @@
 
 
 def allocate_address(host: str = "127.0.0.1") -> str:
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return f"{host}:{probe.getsockname()[1]}"
+    """Return a free address whose port no outgoing connection takes meanwhile."""
+    while True:
+        port = random.randrange(18_000, 32_000)
+        if port in _allocated:
+            continue
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((host, port))
+            _allocated.add(port)
+            return f"{host}:{port}"
 
 
 class _QuietServer(ThreadingHTTPServer):
