--- a/review/common-2/server.py
+++ b/review/common-2/server.py
@@ -26,9 +26,15 @@
     "body_parts": 1,  # in which the body of a plain answer is written
     "part_gap_ms": 0,
     "keeps_to_slots": False,  # whether requests beyond the slots wait for one
+    "queue": 1_000_000,  # requests that may wait for a slot
+    "brittle": None,  # refusals a second that it survives, while it is brittle
+    "brittle_from": 0.0,  # times of the machine's steady clock
+    "brittle_until": 0.0,
+    "brittle_queue": 0,  # that may wait from `CONTACT_S` later
     "deadly_part": None,  # of prompts; requests with it crash the server
 }
 IDLE_S = 30.0
+CONTACT_S = 3.0
 
 
 class Log:
@@ -91,6 +97,7 @@
         self.log = Log(self.settings["log"], self.name)
         self.active = 0
         self.waiting = 0
+        self._refused: list[float] = []  # times of the last second
         self._lock = threading.Lock()
         count = self.settings["slots"] if self.settings["keeps_to_slots"] else 10_000
         self._slots = threading.Semaphore(count)
@@ -132,7 +139,14 @@
         if "kv-from" in request.headers:  # keeps no copies
             return self._refuse(channel, request_id, 503)
         with self._lock:
-            self.waiting += 1
+            is_full = self.active + self.waiting >= (
+                self.settings["slots"] + self._get_queue()
+            )
+            self.waiting += not is_full
+        if is_full:
+            self._refuse(channel, request_id, 503)
+            self._count_refusal(request_id)
+            return True
         self._slots.acquire()
         with self._lock:
             self.waiting -= 1
@@ -154,8 +168,36 @@
                 self.active -= 1
             self._slots.release()
 
+    def _is_brittle(self) -> bool:
+        settings = self.settings
+        now = time.monotonic()
+        is_now = settings["brittle_from"] <= now < settings["brittle_until"]
+        return settings["brittle"] is not None and is_now
+
+    def _get_queue(self) -> int:
+        settings = self.settings
+        since_s = time.monotonic() - settings["brittle_from"]
+        if self._is_brittle() and since_s >= CONTACT_S:
+            return settings["brittle_queue"]
+        return settings["queue"]
+
+    def _count_refusal(self, request_id: str) -> None:
+        now = time.monotonic()
+        with self._lock:
+            self._refused = [each for each in self._refused if each > now - 1.0]
+            self._refused.append(now)
+            count = len(self._refused)
+        if self._is_brittle() and count > self.settings["brittle"]:
+            self.log.write("fell", id=request_id, refused=count, active=self.active)
+            os._exit(1)
+
+    def _list_limits(self) -> list[str]:
+        brittle = self.settings["brittle"]
+        return [f"Server-Brittle: {brittle}"] if self._is_brittle() else []
+
     def _list_headers(self, request_id: str) -> list[str]:
         return [
+            *self._list_limits(),
             f"X-Attempt-Id: {request_id}",
             f"X-Server-Stamp: stamp-{self.name}-{request_id}",
             f"X-Instance-Id: {self.name}",
@@ -168,6 +210,7 @@
             f"HTTP/1.1 {status} Refused",
             f"X-Attempt-Id: {request_id}",
             "X-Not-Executed: 1",
+            *self._list_limits(),
             f"X-Instance-Id: {self.name}",
             "Content-Length: 0",
         ]
