--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -378,6 +378,7 @@
         self.nodes: list[Node] = []
         self.servers: list[ServerProcess] = []
         self._is_stopped = False
+        self._watcher: threading.Thread | None = None
 
     def __enter__(self) -> Rig:
         threading.Thread(target=self._beat, daemon=True).start()
@@ -385,6 +386,8 @@
 
     def __exit__(self, *_: object) -> None:
         self._is_stopped = True
+        if self._watcher is not None:
+            self._watcher.join(12)  # it may be starting a server
         for each in self.nodes:
             each.signal(signal.SIGCONT)
             each.signal(signal.SIGKILL)
@@ -453,7 +456,8 @@
                     with contextlib.suppress(CannotRun):
                         self.add_server(server.service, server.zone, **settings)
 
-        threading.Thread(target=watch, daemon=True).start()
+        self._watcher = threading.Thread(target=watch, daemon=True)
+        self._watcher.start()
 
     def configure(
         self, routes: list, services: list, *, version: int = 1, **more
@@ -749,6 +753,7 @@
 def run_case(play) -> None:
     """Run a case, and exit as the issue says: 1 broken, 0 held, 2 could not run."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # all processes are ended
     try:
         is_broken = play(has_trouble)
     except CannotRun as error:
