Tests: a line of a log that is half written is not parsed

A test of a running process failed once with a JSONDecodeError: it had read the last line of the log before its line break. A reader of a file can see a part of one write, cut at a page.

read_whole_lines leaves out what has no line break yet; all readers of logs of live processes use it.

--- a/packages/standins/src/ebonyhaven_standins/bench/_membership_measures.py
+++ b/packages/standins/src/ebonyhaven_standins/bench/_membership_measures.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple, TypedDict
 
 from ebonyhaven_standins.bench._node_sets import NodeSet
+from ebonyhaven_standins.log_lines import read_whole_lines
 
 DETECTION_WAIT_S = 4.0
 REJOIN_WAIT_S = 8.0
@@ -152,7 +153,7 @@
     """
     changes = []
     for name in names:
-        for line in nodes.child(name).log_path.read_text().splitlines():
+        for line in read_whole_lines(nodes.child(name).log_path):
             if '"instance_changed"' in line:
                 entry = json.loads(line)
                 changes.append(
--- a/packages/standins/src/ebonyhaven_standins/bench/configuration.py
+++ b/packages/standins/src/ebonyhaven_standins/bench/configuration.py
@@ -19,6 +19,7 @@
 from typing import Any, TypedDict
 
 from ebonyhaven_standins.cluster import Cluster
+from ebonyhaven_standins.log_lines import read_whole_lines
 
 DEFAULT_INSTANCES = 6
 DEFAULT_CHANGES = 10
@@ -193,8 +194,8 @@
 def _read_versions(cluster: Cluster, name: str) -> list[tuple[int, float]]:
     """Return the versions that an instance logged as in force, with their times."""
     versions = []
-    for line in cluster.child(name).log_path.read_text().splitlines():
-        if IN_FORCE_EVENT_MARKER in line and line.endswith("}"):
+    for line in read_whole_lines(cluster.child(name).log_path):
+        if IN_FORCE_EVENT_MARKER in line:
             entry = json.loads(line)
             at = datetime.datetime.fromisoformat(entry["timestamp"])
             versions.append((entry["version"], at.timestamp()))
--- a/tests/integration/test_orders.py
+++ b/tests/integration/test_orders.py
@@ -10,6 +10,7 @@
 
 from ebonyhaven_decisions import LeaseTiming
 from ebonyhaven_standins.cluster import Cluster
+from ebonyhaven_standins.log_lines import read_whole_lines
 
 from tests.integration.test_configuration import DECLARATION
 from tests.waiting import wait_until
@@ -80,12 +81,8 @@
 
     def read_sent_orders(self, instance: str) -> list[dict[str, Any]]:
         """Return the log lines of the orders that an instance sent."""
-        lines = self.child(instance).log_path.read_text().splitlines()
-        return [
-            json.loads(line)
-            for line in lines
-            if '"order_sent"' in line and line.endswith("}")
-        ]
+        lines = read_whole_lines(self.child(instance).log_path)
+        return [json.loads(line) for line in lines if '"order_sent"' in line]
 
     def list_sent_fences(self, server: str, name: str) -> list[int]:
         """Return the fencing numbers of all orders to a server for a model version."""
--- a/tests/integration/test_scheduling.py
+++ b/tests/integration/test_scheduling.py
@@ -5,6 +5,7 @@
 import time
 
 from ebonyhaven_standins.cluster import Cluster
+from ebonyhaven_standins.log_lines import read_whole_lines
 from ebonyhaven_standins.scenario import Deployment, ServerSpec, start_deployment
 
 TIMEOUT_S = 30.0
@@ -83,7 +84,7 @@
 
 
 def read_log(cluster, event):
-    lines = cluster.execution_logs["s1"].read_text().splitlines()
+    lines = read_whole_lines(cluster.execution_logs["s1"])
     return [line for line in map(json.loads, lines) if line["event"] == event]
 
 
--- a/tests/platform_adapter/node_processes.py
+++ b/tests/platform_adapter/node_processes.py
@@ -12,6 +12,7 @@
 import tempfile
 
 from ebonyhaven_standins.cluster import allocate_address
+from ebonyhaven_standins.log_lines import read_whole_lines
 
 from tests.waiting import wait_until
 
@@ -60,7 +61,7 @@
         )
 
     def read_log(self) -> list[dict]:
-        lines = self.log_path.read_text().splitlines()
+        lines = read_whole_lines(self.log_path)
         return [json.loads(line) for line in lines if line.startswith("{")]
 
     def find_lines(self, event, **fields) -> list[dict]:
--- a/tests/platform_adapter/soak/_traces.py
+++ b/tests/platform_adapter/soak/_traces.py
@@ -7,6 +7,8 @@
 import pathlib
 import re
 
+from ebonyhaven_standins.log_lines import read_whole_lines
+
 from tests.platform_adapter.soak._contact import ContactHistory
 from tests.platform_adapter.soak._places import Departure
 from tests.platform_adapter.soak._server_log import ServerLog
@@ -39,7 +41,7 @@
 def _read_logs(directory: pathlib.Path) -> list[tuple[float, str, dict]]:
     found = []
     for path in sorted(directory.glob("*.log")):
-        for line in path.read_text(errors="replace").splitlines():
+        for line in read_whole_lines(path):
             if line.startswith("{"):
                 entry = json.loads(line)
                 at = datetime.datetime.fromisoformat(entry.pop("timestamp"))
