--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -69,6 +69,10 @@
     choose_progress_traits,
     list_progress_traits,
 )
+from ebonyhaven_decisions.forwarding._record_segments import (
+    RecordSegments,
+    SegmentWrite,
+)
 from ebonyhaven_decisions.forwarding._refusal_limits import CAUTION_S, RefusalLimiter
 from ebonyhaven_decisions.forwarding._request_pacing import (
     CONFIRMATION_TTL_S,
@@ -114,6 +118,7 @@
     decode_stream_record,
     encode_stream_record,
 )
+from ebonyhaven_decisions.forwarding._stream_retention import StreamRetention
 from ebonyhaven_decisions.forwarding._stream_timing import (
     SERVER_PROBE_INTERVAL_S,
     PrefillRate,
@@ -165,6 +170,7 @@
     "PermitLimiter",
     "PrefillRate",
     "NO_LIMITS",
+    "RecordSegments",
     "RefusalLimiter",
     "RequestKind",
     "RequestPacer",
@@ -172,8 +178,10 @@
     "Route",
     "RoutingConfiguration",
     "StreamIndex",
+    "StreamRetention",
     "RunCopyLocation",
     "SampledEngine",
+    "SegmentWrite",
     "SendObstacle",
     "ServerContact",
     "ServerLimiter",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -15,6 +15,7 @@
 from ebonyhaven_decisions.forwarding._process_notices import ProcessNotices
 from ebonyhaven_decisions.forwarding._send_obstacles import SendObstacle
 from ebonyhaven_decisions.forwarding._service_versions import ServiceVersions
+from ebonyhaven_decisions.forwarding._stream_retention import StreamRetention
 from ebonyhaven_decisions.forwarding._suspect_data_centres import SuspectDataCentres
 from ebonyhaven_decisions.forwarding.rollouts._gate import RolloutGate
 
@@ -30,6 +31,8 @@
         Limits of the listed servers.
     notices : ProcessNotices
         What their processes said of themselves in answers.
+    retention : StreamRetention
+        For how long what is known of streams is kept.
     rollouts : RolloutGate
         Versions that may be sent requests.
     versions : ServiceVersions
@@ -43,6 +46,7 @@
         "data_centres",
         "limits",
         "notices",
+        "retention",
         "rollouts",
         "versions",
     )
@@ -55,7 +59,8 @@
         self.limits = BackendLimits(self._by_id)
         self.notices = ProcessNotices(self._is_listed)
         self.rollouts = RolloutGate()
-        self.versions = ServiceVersions(self._by_id, self.rollouts)
+        self.retention = StreamRetention()
+        self.versions = ServiceVersions(self._by_id, self.rollouts, self.retention)
 
     def __iter__(self) -> Iterator[Backend]:
         return iter(self._by_id.values())
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_service_versions.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_service_versions.py
@@ -9,6 +9,7 @@
     BackendEntry,
     BackendState,
 )
+from ebonyhaven_decisions.forwarding._stream_retention import StreamRetention
 from ebonyhaven_decisions.forwarding._version_history import (
     VersionHistory,
     VersionSnapshot,
@@ -24,14 +25,21 @@
     listed : mapping of str to Backend
         The listed servers, by id; followed as it changes.
     rollouts : RolloutGate
+    retention : StreamRetention
+        For how long versions without servers are remembered.
     """
 
     __slots__ = ("_history", "_listed", "_rollouts")
 
-    def __init__(self, listed: Mapping[str, Backend], rollouts: RolloutGate):
+    def __init__(
+        self,
+        listed: Mapping[str, Backend],
+        rollouts: RolloutGate,
+        retention: StreamRetention,
+    ):
         self._listed = listed
         self._rollouts = rollouts
-        self._history = VersionHistory()
+        self._history = VersionHistory(retention)
 
     def list_current(self) -> frozenset[tuple[str, str | None]]:
         """Return the services and software versions of the listed servers."""
@@ -53,7 +61,7 @@
         -------
         str or None
             None if servers of several versions, or of an unknown one, are listed or
-            may have been within `VERSION_MEMORY_S`.
+            may have been since an open stream began.
         """
         if not self.is_past_known(now):
             return None
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_index.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_index.py
@@ -1,4 +1,4 @@
-"""Index of the open streams, replicated to several instances.
+"""Index of streams that may be taken up again, replicated to several instances.
 
 Designed for the loss of an instance: all callers of its streams retry at other
 instances within a tenth of a second. Prefilling their prompts again would delay each
@@ -7,6 +7,9 @@
 
 Also designed for the loss of all instances at once: one replica of each entry, its
 recorder, writes its entries to the platform's store in batches.
+
+The entry of a stream that its servers have ended is kept as well: its caller may not
+have received all of it.
 """
 
 from __future__ import annotations
@@ -15,13 +18,32 @@
 import zlib
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
+from typing import NamedTuple
 
 from ebonyhaven_decisions._rendezvous import choose_instances, compute_weight
 from ebonyhaven_decisions.forwarding._stream_records import StreamRecord
+from ebonyhaven_decisions.forwarding._stream_retention import StreamRetention
 
 INDEX_REPLICAS = 3  # instances per entry; each costs one message per run
 INSTANCES_PER_RECORDER = 16  # bounds the writes to the store in a large deployment
-MAX_INDEX_ENTRIES = 4096  # a few hundred bytes each
+MAX_INDEX_ENTRIES = 16_384  # a few hundred bytes each
+
+
+class _Entry(NamedTuple):
+    """Entry of a stream.
+
+    Parameters
+    ----------
+    record : StreamRecord
+    set_at : float
+        Seconds.
+    is_stored : bool
+        Whether it was read from the store.
+    """
+
+    record: StreamRecord
+    set_at: float
+    is_stored: bool = False
 
 
 class StreamIndex:
@@ -29,40 +51,50 @@
 
     Parameters
     ----------
-    ttl_s : float
-        Time to live of an entry, seconds.
+    retention : StreamRetention
+        Time to live of an entry.
     """
 
-    __slots__ = ("_entries", "_ttl_s")
+    __slots__ = ("_entries", "_retention")
 
-    def __init__(self, ttl_s: float):
-        self._ttl_s = ttl_s
-        self._entries: OrderedDict[str, tuple[float, StreamRecord]] = OrderedDict()
+    def __init__(self, retention: StreamRetention):
+        self._retention = retention
+        self._entries: OrderedDict[str, _Entry] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._entries)
 
-    def record(self, key: str, record: StreamRecord | None, now: float) -> None:
+    def record(self, key: str, record: StreamRecord, now: float) -> None:
         """Replace the entry of a stream.
 
         Parameters
         ----------
         key : str
             Identifies the stream, see `choose_index_instances`.
-        record : StreamRecord or None
-            None if the stream will not go on.
+        record : StreamRecord
         now : float
             Seconds.
         """
         self._entries.pop(key, None)
-        if record is not None:
-            self._entries[key] = (now, record)
+        self._entries[key] = _Entry(record, now)
         self._evict(now)
 
-    def add_older(
+    def drop_copy(self, key: str) -> None:
+        """Record that the copy of a stream's run is gone.
+
+        Parameters
+        ----------
+        key : str
+        """
+        if key in self._entries:
+            entry = self._entries[key]
+            without_copy = entry.record._replace(copy=None)
+            self._entries[key] = entry._replace(record=without_copy)
+
+    def add_stored(
         self, records: Mapping[str, tuple[float, StreamRecord]], now: float
     ) -> None:
-        """Add records of other origin, unless the index has the stream already.
+        """Add records of the store, unless the index has the stream already.
 
         Parameters
         ----------
@@ -72,12 +104,12 @@
             Seconds.
         """
         added = {
-            key: (now - age_s, record)
+            key: _Entry(record, now - age_s, is_stored=True)
             for key, (age_s, record) in records.items()
             if key not in self._entries
         }
         entries = [*added.items(), *self._entries.items()]
-        self._entries = OrderedDict(sorted(entries, key=lambda entry: entry[1][0]))
+        self._entries = OrderedDict(sorted(entries, key=lambda entry: entry[1].set_at))
         self._evict(now)
 
     def find(self, key: str, now: float) -> StreamRecord | None:
@@ -93,20 +125,16 @@
         -------
         StreamRecord or None
         """
-        set_at, record = self._entries.get(key, (now, None))
-        return record if now - set_at <= self._ttl_s else None
+        entry = self._entries.get(key)
+        if entry is None or now - entry.set_at > self._retention.get_s(now):
+            return None
+        return entry.record
 
-    def list_newest(
-        self, count: int, *, max_age_s: float, now: float
-    ) -> dict[str, StreamRecord]:
-        """Return the newest entries.
+    def list_unstored(self, now: float) -> dict[str, StreamRecord]:
+        """Return the entries that are not from the store, the oldest first.
 
         Parameters
         ----------
-        count : int
-            Maximum number of entries.
-        max_age_s : float
-            Maximum age of an entry, seconds.
         now : float
             Seconds.
 
@@ -115,17 +143,19 @@
         dict of str to StreamRecord
             By key of the stream.
         """
-        newest: dict[str, StreamRecord] = {}
-        for key, (set_at, record) in reversed(self._entries.items()):
-            if len(newest) == count or now - set_at > max_age_s:
-                break
-            newest[key] = record
-        return newest
+        self._evict(now)
+        return {
+            key: entry.record
+            for key, entry in self._entries.items()
+            if not entry.is_stored
+        }
 
     def _evict(self, now: float) -> None:
+        retention_s = self._retention.get_s(now)
         while self._entries:
-            set_at, _ = next(iter(self._entries.values()))
-            if len(self._entries) <= MAX_INDEX_ENTRIES and now - set_at <= self._ttl_s:
+            oldest = next(iter(self._entries.values()))
+            is_expired = now - oldest.set_at > retention_s
+            if not is_expired and len(self._entries) <= MAX_INDEX_ENTRIES:
                 return
             self._entries.popitem(last=False)
 
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_version_history.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_version_history.py
@@ -7,8 +7,8 @@
 from typing import NamedTuple
 
 from ebonyhaven_decisions.forwarding._backends import BackendEntry, BackendState
+from ebonyhaven_decisions.forwarding._stream_retention import StreamRetention
 
-VERSION_MEMORY_S = 30.0  # exceeds the duration of a stream
 # Entries that expired although their server lives are back within two seconds.
 ENTRY_RETURN_S = 2.5
 
@@ -37,7 +37,7 @@
     ----------
     records : tuple of VersionRecord
     is_complete : bool
-        Whether it knew all versions of the last `VERSION_MEMORY_S`.
+        Whether it knew all versions that open streams may have begun at.
     age_s : float
         Time since it was taken, seconds.
     """
@@ -48,11 +48,24 @@
 
 
 class VersionHistory:
-    """When servers of each software version of a service were last removed."""
+    """When servers of each software version of a service were last removed.
 
-    __slots__ = ("_expired_at", "_followed_since", "_is_past_known", "_removed_at")
+    Parameters
+    ----------
+    retention : StreamRetention
+        For how long versions are remembered.
+    """
+
+    __slots__ = (
+        "_expired_at",
+        "_followed_since",
+        "_is_past_known",
+        "_removed_at",
+        "_retention",
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, retention: StreamRetention) -> None:
+        self._retention = retention
         self._removed_at: dict[tuple[str, str | None], float] = {}
         # Of servers that did not announce that they leave.
         self._expired_at: dict[tuple[str, str | None], float] = {}
@@ -85,14 +98,15 @@
         self._followed_since = now
 
     def is_complete(self, now: float) -> bool:
-        """Return whether all versions of the last `VERSION_MEMORY_S` are known.
+        """Return whether all versions that open streams may have begun at are known.
 
         Parameters
         ----------
         now : float
             Seconds.
         """
-        return self._is_past_known or now - self._followed_since >= VERSION_MEMORY_S
+        followed_s = now - self._followed_since
+        return self._is_past_known or followed_s >= self._retention.get_s(now)
 
     def record(self, entry: BackendEntry, now: float) -> None:
         """Record that an entry was removed.
@@ -154,7 +168,7 @@
         newest = min(complete, key=lambda each: each.age_s, default=None)
         listed_now = frozenset(listed)
         for snapshot in snapshots:
-            if snapshot is newest or snapshot.age_s <= VERSION_MEMORY_S:
+            if snapshot is newest or snapshot.age_s <= self._retention.get_s(now):
                 self._add_snapshot(snapshot, listed_now, now)
         self._is_past_known |= newest is not None or not snapshots
 
@@ -176,7 +190,7 @@
             self._removed_at[key] = max(known_at, removed_at)
 
     def list_recent(self, service: str, now: float) -> set[str | None]:
-        """Return the versions of servers removed within `VERSION_MEMORY_S`.
+        """Return the versions of servers removed while a stream may have been open.
 
         Parameters
         ----------
@@ -184,10 +198,11 @@
         now : float
             Seconds.
         """
+        retention_s = self._retention.get_s(now)
         return {
             version
             for (name, version), removed_at in self._removed_at.items()
-            if name == service and now - removed_at <= VERSION_MEMORY_S
+            if name == service and now - removed_at <= retention_s
         }
 
     def may_return(self, service: str, version: str, now: float) -> bool:
@@ -203,7 +218,8 @@
         return now - expired_at <= ENTRY_RETURN_S
 
     def _forget_older(self, now: float) -> None:
+        retention_s = self._retention.get_s(now)
         for key, removed_at in list(self._removed_at.items()):
-            if now - removed_at > VERSION_MEMORY_S:
+            if now - removed_at > retention_s:
                 del self._removed_at[key]
                 self._expired_at.pop(key, None)
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -214,7 +214,10 @@
             started_at=clock(),
         )
         self._stream_index = SharedStreamIndex(
-            reactor, clock, builders.build_record_store(self.pool)
+            reactor,
+            clock,
+            builders.build_record_store(self.pool),
+            self.state.backends.retention,
         )
         self._copier = builders.build_copier(self.pool)
         self._state_waiter = StateWaiter(self.state, reactor)
--- a/packages/node/src/ebonyhaven_node/forwarding/_record_stores.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_record_stores.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import abc
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
-from ebonyhaven_decisions.forwarding import LossReport, StreamRecord, VersionSnapshot
+from ebonyhaven_decisions.forwarding import (
+    LossReport,
+    SegmentWrite,
+    StreamRecord,
+    VersionSnapshot,
+)
 from ebonyhaven_decisions.forwarding.rollouts import RolloutStage, StoredStage
 
 
@@ -31,50 +36,57 @@
         self.row_version = row_version
 
 
-class StoredRecord(NamedTuple):
-    """Record of a stream, as read from the store.
+class StoredSegment(NamedTuple):
+    """Records of streams, as read from the store.
 
     Parameters
     ----------
-    record : StreamRecord
+    own_number : int or None
+        Number of the segment if this instance or its predecessor wrote it.
+    records : mapping of str to StreamRecord
+        By key of the stream.
     age_s : float
-        Time since the instance that wrote it last confirmed it, seconds.
+        Time since it was written last, seconds.
     """
 
-    record: StreamRecord
+    own_number: int | None
+    records: Mapping[str, StreamRecord]
     age_s: float
 
 
 class StreamRecordStore(abc.ABC):
-    """Durable records of open streams.
+    """Durable records of the streams that may be taken up again, in segments.
 
     They outlive all instances. The copy of a record may be out of date, because engines
     refuse to resume from a copy that they no longer have.
     """
 
     @abc.abstractmethod
-    async def write(self, records: Mapping[str, StreamRecord]) -> None:
-        """Replace the records that this instance wrote before.
+    def observe_restore(self, observer: Callable[[], None]) -> None:
+        """Call ``observer`` when the store may have lost what was written last.
 
         Parameters
         ----------
-        records : mapping of str to StreamRecord
-            By key of the stream.
+        observer : callable
+        """
+
+    @abc.abstractmethod
+    async def write(self, write: SegmentWrite) -> None:
+        """Replace and remove segments of this instance, all or none.
+
+        Parameters
+        ----------
+        write : SegmentWrite
 
         Raises
         ------
         RecordStoreError
-            The write may have been applied nevertheless.
+            The write may have been applied nevertheless, or may be later.
         """
 
     @abc.abstractmethod
-    async def read(self) -> dict[str, StoredRecord]:
-        """Return the records of all instances.
-
-        Returns
-        -------
-        dict of str to StoredRecord
-            By key of the stream.
+    async def read(self) -> list[StoredSegment]:
+        """Return the segments of all instances, the one written last at the end.
 
         Raises
         ------
--- a/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
@@ -173,7 +173,7 @@
         """
         is_deleted = self._handle is not None and not is_needed
         if self._stream_key is not None and is_complete:
-            self._context.stream_index.remove(self._stream_key)
+            self._context.stream_index.drop_copy(self._stream_key)
         elif is_deleted:
             self._publish(None)
         if self._pending_request is not None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
@@ -1,4 +1,4 @@
-"""Index of open streams, replicated so that it survives the loss of an instance."""
+"""Index of streams, replicated so that it survives the loss of an instance."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 from ebonyhaven_decisions.forwarding import (
     StreamIndex,
     StreamRecord,
+    StreamRetention,
     choose_index_instances,
     choose_recorder,
     decode_stream_record,
@@ -23,14 +24,13 @@
 from ebonyhaven_node.forwarding._stream_records import WRITE_INTERVAL_S, StreamRecorder
 from ebonyhaven_node.forwarding.interfaces import StreamRecordStore
 
-INDEX_ENTRY_TTL_S = 30.0  # exceeds the duration of a generation
 QUERY_TIMEOUT_S = 0.05  # live instances reply within milliseconds
 
 _log = structlog.get_logger()
 
 
 class SharedStreamIndex:
-    """Records of open streams, with each entry replicated to several instances.
+    """Records of streams, with each entry replicated to several instances.
 
     Until `connect` is called, only the entries of this instance are available.
 
@@ -41,6 +41,8 @@
         Returns seconds.
     store : StreamRecordStore
         Keeps entries in case all their replicas are lost.
+    retention : StreamRetention
+        Time for which entries are kept.
     """
 
     def __init__(
@@ -48,12 +50,17 @@
         reactor: IReactorTime,
         clock: Callable[[], float],
         store: StreamRecordStore,
+        retention: StreamRetention,
     ):
         self._reactor = reactor
         self._clock = clock
-        self._index = StreamIndex(INDEX_ENTRY_TTL_S)
+        self._index = StreamIndex(retention)
         self._recorder = StreamRecorder(
-            index=self._index, store=store, reactor=reactor, clock=clock
+            index=self._index,
+            store=store,
+            retention=retention,
+            reactor=reactor,
+            clock=clock,
         )
         self._membership: MembershipController | None = None
         self._queries: dict[str, list[Deferred]] = {}
@@ -85,18 +92,19 @@
         for name in self._choose_replicas(key):
             self._membership.send(name, FrameKind.STREAM_RECORD, payload)
 
-    def remove(self, key: str) -> None:
-        """Remove the entry of a stream that is complete, on this instance only.
+    def drop_copy(self, key: str) -> None:
+        """Record that the copy of a stream's run is gone, on this instance only.
 
-        Removing it on the replicas would add half of the traffic of publishing it.
-        An outdated entry is harmless: its version still holds, and an engine refuses to
-        resume from a copy that it no longer has.
+        Telling the replicas would add half of the traffic of publishing the copy. An
+        outdated one is harmless: an engine refuses to resume from a copy that it no
+        longer has. The entry itself stays also if the stream is complete, because its
+        caller may not have received the end.
 
         Parameters
         ----------
         key : str
         """
-        self._index.record(key, None, self._clock())
+        self._index.drop_copy(key)
 
     def stop(self) -> None:
         """Stop writing to the store."""
@@ -166,7 +174,7 @@
         self._index.record(key, record, self._clock())
         names = self._list_instances()
         if names and choose_recorder(key, names) == self._membership.own.name:
-            self._recorder.schedule_write()
+            self._recorder.add(key, record, frozenset(names))
 
     def _handle_query(self, frame: Frame) -> None:
         key = frame.payload
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -132,6 +132,7 @@
         if known is not None and configuration.version < known.version:
             return
         self.configuration = configuration
+        self.backends.retention.apply(configuration, self._clock())
         self.backends.limits.set_engine_services(
             name for name, each in configuration.services.items() if each.engine
         )
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_records.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_records.py
@@ -1,41 +1,58 @@
-"""Durable records of open streams, for the loss of all instances at once."""
+"""Durable records of streams, for the loss of all instances at once."""
 
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
 
 import structlog
-from ebonyhaven_decisions.forwarding import StreamIndex, StreamRecord
+from ebonyhaven_decisions.forwarding import (
+    RecordSegments,
+    StreamIndex,
+    StreamRecord,
+    StreamRetention,
+)
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
 from ebonyhaven_node.forwarding.interfaces import (
     RecordStoreError,
-    StoredRecord,
+    StoredSegment,
     StreamRecordStore,
 )
 
 WRITE_INTERVAL_S = 1.0  # a run whose instance dies sooner has its prompt read again
-MAX_RECORDED_STREAMS = (
-    256  # keeps the row of an instance below the row limit of the store
-)
-RECORDED_AGE_S = 15.0  # exceeds the duration of most generations
 READ_INTERVAL_S = 2.0  # one read serves all callers that return together
-RECORD_TTL_S = 30.0  # exceeds the duration of a generation
 
 _log = structlog.get_logger()
 
 
+class _FoundRecord(NamedTuple):
+    """Record of a stream, as read from the store.
+
+    Parameters
+    ----------
+    record : StreamRecord
+    age_s : float
+        Time since the segment with the record was written last, seconds.
+    """
+
+    record: StreamRecord
+    age_s: float
+
+
 class StreamRecorder:
-    """Writes the entries of an index to the store in batches, and reads all records.
+    """Writes records of streams to the store in batches, and reads all records.
 
     Parameters
     ----------
     index : StreamIndex
-        Its newest entries are written.
+        Of the streams whose records this instance may have to write; gets what was
+        recorded before it started.
     store : StreamRecordStore
+    retention : StreamRetention
+        Time for which a record is kept and used.
     reactor : IReactorTime
     clock : callable
         Returns seconds.
@@ -46,24 +63,43 @@
         *,
         index: StreamIndex,
         store: StreamRecordStore,
+        retention: StreamRetention,
         reactor: IReactorTime,
         clock: Callable[[], float],
     ):
         self._index = index
         self._store = store
+        self._retention = retention
         self._reactor = reactor
         self._clock = clock
+        self._segments = RecordSegments(retention)
+        self._has_earlier_records = False
+        self._instances: frozenset[str] = frozenset()
+        self._must_restart = False
         self._timer: Any = None
-        self._records: dict[str, StoredRecord] = {}
+        self._is_writing = False
+        self._records: dict[str, _FoundRecord] = {}
         self._read_at = -math.inf
         self._pending_read: Deferred | None = None
         self._readers: list[Deferred] = []
-        self._has_earlier_records = False
+        store.observe_restore(self._handle_restore)
 
-    def schedule_write(self) -> None:
-        """Schedule a write within `WRITE_INTERVAL_S`."""
-        if self._timer is None or not self._timer.active():
-            self._timer = self._reactor.callLater(WRITE_INTERVAL_S, self._start_write)
+    def add(self, key: str, record: StreamRecord, instances: frozenset[str]) -> None:
+        """Write the record of a stream within `WRITE_INTERVAL_S`.
+
+        Parameters
+        ----------
+        key : str
+        record : StreamRecord
+        instances : frozenset of str
+            Names of all instances, which divide the streams among them.
+        """
+        if instances != self._instances:  # one may be gone whose records these were
+            self._instances = instances
+            self._must_restart = True
+        if not self._must_restart:
+            self._segments.add(key, record, self._clock())
+        self._schedule_write()
 
     def stop(self) -> None:
         """Cancel scheduled writes."""
@@ -93,50 +129,93 @@
             read: Deferred = Deferred()
             self._readers.append(read)
             await read
-        stored = self._records.get(key)
-        if stored is None:
+        found = self._records.get(key)
+        if found is None:
             return None
-        age_s = stored.age_s + self._clock() - self._read_at
-        if age_s > RECORD_TTL_S:
+        now = self._clock()
+        age_s = found.age_s + now - self._read_at
+        if age_s > self._retention.get_s(now):
             return None
-        record = stored.record
+        record = found.record
         return record if age_s <= copy_max_age_s else record._replace(copy=None)
 
+    # -- writing -----------------------------------------------------------
+
+    def _handle_restore(self) -> None:
+        if self._has_earlier_records:
+            self._has_earlier_records = False
+            self._must_restart = True
+            self._schedule_write()
+
+    def _schedule_write(self) -> None:
+        if self._timer is None or not self._timer.active():
+            self._timer = self._reactor.callLater(WRITE_INTERVAL_S, self._start_write)
+
     def _start_write(self) -> None:
+        if self._is_writing:
+            self._schedule_write()
+            return
+        self._is_writing = True
         writing = ensureDeferred(self._write())
-        writing.addErrback(self._log_failure, "write")
+        writing.addErrback(self._handle_write_failure)
+        writing.addBoth(self._end_write)
+
+    def _handle_write_failure(self, failure) -> None:
+        self._log_failure(failure, "write")
+        self._schedule_write()
+
+    def _end_write(self, _: object) -> None:
+        self._is_writing = False
+        if not self._segments.is_written:
+            self._schedule_write()
 
     async def _write(self) -> None:
         if not self._has_earlier_records:
             await self._add_earlier_records()
-        newest = self._index.list_newest(
-            MAX_RECORDED_STREAMS, max_age_s=RECORDED_AGE_S, now=self._clock()
-        )
-        await self._store.write(newest)
+        if self._must_restart:
+            self._must_restart = False
+            now = self._clock()
+            self._segments.restart(self._index.list_unstored(now), now)
+        write = self._segments.plan_write(self._clock())
+        if not write.written and not write.removed:
+            return
+        try:
+            await self._store.write(write)
+        except Exception:
+            self._segments.reject(write, self._clock())
+            raise
+        self._segments.confirm(write, self._clock())
 
     async def _add_earlier_records(self) -> None:
-        """Add what was recorded before this instance started to its index.
+        """Take over what was recorded before this instance started.
 
-        Callers of a machine that lost its power come back only after many seconds,
-        and the first write replaces the records of this instance's predecessor.
+        Callers of a machine that lost its power come back only after many seconds.
         """
         stored = await self._store.read()
+        now = self._clock()
         self._has_earlier_records = True
+        for each in stored:
+            if each.own_number is not None:
+                self._segments.add_found(each.own_number, age_s=each.age_s, now=now)
         earlier = {
             key: (each.age_s, each.record)
-            for key, each in stored.items()
-            if each.age_s <= RECORD_TTL_S
+            for key, each in _merge(stored).items()
+            if each.age_s <= self._retention.get_s(now)
         }
-        self._index.add_older(earlier, self._clock())
+        self._index.add_stored(earlier, now)
+
+    # -- reading -----------------------------------------------------------
 
     def _start_read(self) -> None:
         self._pending_read = ensureDeferred(self._store.read())
         self._pending_read.addCallbacks(self._replace_records, self._log_read_failure)
         self._pending_read.addBoth(self._release_readers)
 
-    def _replace_records(self, records: dict[str, StoredRecord]) -> None:
-        self._records = records
-        _log.info("stream_records_read", streams=len(records))
+    def _replace_records(self, segments: list[StoredSegment]) -> None:
+        self._records = _merge(segments)
+        _log.info(
+            "stream_records_read", segments=len(segments), streams=len(self._records)
+        )
 
     def _log_read_failure(self, failure) -> None:
         self._log_failure(failure, "read")
@@ -155,3 +234,12 @@
             _log.warning("stream_records_unavailable", step=step, reason=reason)
         else:
             _log.error("stream_records_crashed", error=failure.getTraceback())
+
+
+def _merge(segments: Iterable[StoredSegment]) -> dict[str, _FoundRecord]:
+    """Return the records of segments; a later segment replaces those before it."""
+    return {
+        key: _FoundRecord(record, segment.age_s)
+        for segment in segments
+        for key, record in segment.records.items()
+    }
--- a/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/interfaces.py
@@ -13,7 +13,7 @@
     RecordStoreError,
     RolloutRecordStore,
     StageConflict,
-    StoredRecord,
+    StoredSegment,
     StreamRecordStore,
     VersionRecordStore,
 )
@@ -47,7 +47,7 @@
     "StageConflict",
     "StateSource",
     "StateVersion",
-    "StoredRecord",
+    "StoredSegment",
     "StreamRecordStore",
     "VersionRecordStore",
 ]
--- a/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 
-from ebonyhaven_decisions.forwarding import LossReport, StreamRecord, VersionSnapshot
+from ebonyhaven_decisions.forwarding import LossReport, SegmentWrite, VersionSnapshot
 from ebonyhaven_node.forwarding.interfaces import (
     INSPECTION_TIMEOUT_S,
     InspectedServer,
@@ -12,7 +12,7 @@
     ServerInspector,
     StateSource,
     StateVersion,
-    StoredRecord,
+    StoredSegment,
     StreamRecordStore,
     VersionRecordStore,
 )
@@ -89,12 +89,15 @@
 class NullRecordStore(StreamRecordStore):
     """Keeps no records; the experiment loses no instance."""
 
-    async def write(self, records: Mapping[str, StreamRecord]) -> None:
+    def observe_restore(self, observer: Callable[[], None]) -> None:
+        """See `StreamRecordStore.observe_restore`."""
+
+    async def write(self, write: SegmentWrite) -> None:
         """See `StreamRecordStore.write`."""
 
-    async def read(self) -> dict[str, StoredRecord]:
+    async def read(self) -> list[StoredSegment]:
         """See `StreamRecordStore.read`."""
-        return {}
+        return []
 
 
 class SimulatedInspector(ServerInspector):
--- a/tests/decisions/test_stream_index.py
+++ b/tests/decisions/test_stream_index.py
@@ -4,6 +4,7 @@
     RunCopyLocation,
     StreamIndex,
     StreamRecord,
+    StreamRetention,
     choose_index_instances,
     choose_recorder,
 )
@@ -54,17 +55,18 @@
     assert chosen == set(INSTANCES)
 
 
-def test_record_is_found_until_its_entry_is_removed():
-    index = StreamIndex(30.0)
+def test_record_is_found_without_its_copy_once_that_is_gone():
+    index = StreamIndex(StreamRetention())
     index.record("abc", RECORD, 100.0)
     assert index.find("abc", 101.0) == RECORD
     assert index.find("other", 101.0) is None
-    index.record("abc", None, 102.0)
-    assert index.find("abc", 102.0) is None
+    index.drop_copy("abc")
+    assert index.find("abc", 102.0) == RECORD._replace(copy=None)
+    assert index.find("abc", 130.1) is None
 
 
 def test_expired_and_excess_entries_are_evicted():
-    index = StreamIndex(30.0)
+    index = StreamIndex(StreamRetention())
     index.record("old", RECORD, 100.0)
     assert index.find("old", 130.1) is None
     for number in range(MAX_INDEX_ENTRIES + 5):
@@ -74,21 +76,27 @@
     assert index.find(str(MAX_INDEX_ENTRIES), 131.0) == RECORD
 
 
-def test_newest_entries_are_listed_up_to_a_count_and_an_age():
-    index = StreamIndex(30.0)
-    for number in range(5):
-        index.record(str(number), RECORD, 100.0 + number)
-    assert list(index.list_newest(2, max_age_s=10.0, now=104.0)) == ["4", "3"]
-    assert list(index.list_newest(9, max_age_s=1.5, now=104.0)) == ["4", "3"]
-
-
-def test_older_records_are_added_in_order_and_replace_none():
-    index = StreamIndex(30.0)
+def test_stored_records_are_added_in_order_and_replace_none():
+    index = StreamIndex(StreamRetention())
     newer = RECORD._replace(version="v2")
     index.record("a", newer, 100.0)
-    older = {"a": (9.0, RECORD), "b": (5.0, RECORD), "c": (40.0, RECORD)}
-    index.add_older(older, 101.0)
+    stored = {"a": (9.0, RECORD), "b": (5.0, RECORD), "c": (40.0, RECORD)}
+    index.add_stored(stored, 101.0)
     assert index.find("a", 101.0) == newer
     assert index.find("b", 101.0) == RECORD
     assert index.find("c", 101.0) is None
-    assert list(index.list_newest(9, max_age_s=30.0, now=101.0)) == ["a", "b"]
+    for number in range(MAX_INDEX_ENTRIES - 1):
+        index.record(str(number), RECORD, 102.0)
+    assert index.find("a", 102.0) == newer  # the oldest is evicted first
+    assert index.find("b", 102.0) is None
+
+
+def test_unstored_entries_are_listed_until_they_expire():
+    index = StreamIndex(StreamRetention())
+    for number in range(3):
+        index.record(str(number), RECORD, 100.0 + number)
+    index.add_stored({"s": (5.0, RECORD), "1": (5.0, RECORD)}, 103.0)
+    assert list(index.list_unstored(103.0)) == ["0", "1", "2"]
+    assert list(index.list_unstored(130.5)) == ["1", "2"]
+    index.record("s", RECORD, 131.0)
+    assert list(index.list_unstored(131.0)) == ["1", "2", "s"]
--- a/tests/decisions/test_version_history.py
+++ b/tests/decisions/test_version_history.py
@@ -2,12 +2,13 @@
 
 from ebonyhaven_decisions.forwarding import (
     BackendState,
+    StreamRetention,
     VersionRecord,
     VersionSnapshot,
 )
+from ebonyhaven_decisions.forwarding._stream_retention import MIN_RETENTION_S
 from ebonyhaven_decisions.forwarding._version_history import (
     ENTRY_RETURN_S,
-    VERSION_MEMORY_S,
     VersionHistory,
 )
 
@@ -15,16 +16,16 @@
 
 
 def test_versions_are_remembered_for_as_long_as_a_stream_lasts():
-    versions = VersionHistory()
+    versions = VersionHistory(StreamRetention())
     versions.record(make_entry("s0", software_version="v1"), 100.0)
     versions.record(make_entry("s1", software_version=None), 101.0)
     assert versions.list_recent("engines", 101.0) == {"v1", None}
     assert versions.list_recent("other", 101.0) == set()
-    assert versions.list_recent("engines", 100.5 + VERSION_MEMORY_S) == {None}
+    assert versions.list_recent("engines", 100.5 + MIN_RETENTION_S) == {None}
 
 
 def test_only_servers_that_did_not_announce_their_end_may_return():
-    versions = VersionHistory()
+    versions = VersionHistory(StreamRetention())
     leaving = make_entry("s0", software_version="v1", state=BackendState.LEAVING)
     versions.record(leaving, 100.0)
     versions.record(make_entry("s1", software_version="v2"), 100.0)
@@ -41,8 +42,8 @@
     directory.put(make_entry("s9", software_version="v2"), 10.0)
     assert directory.versions.infer("engines", 10.0) is None
     directory.remove("s9", 11.0)
-    assert directory.versions.infer("engines", 11.0 + VERSION_MEMORY_S) is None
-    assert directory.versions.infer("engines", 11.1 + VERSION_MEMORY_S) == "v1"
+    assert directory.versions.infer("engines", 11.0 + MIN_RETENTION_S) is None
+    assert directory.versions.infer("engines", 11.1 + MIN_RETENTION_S) == "v1"
 
 
 def test_version_is_served_by_ready_servers_only():
@@ -74,14 +75,14 @@
     directory = build_directory()
     directory.versions.record_list_read(10.0)
     assert directory.versions.infer("engines", 10.0) is None
-    assert directory.versions.infer("engines", 10.0 + VERSION_MEMORY_S) == "v1"
+    assert directory.versions.infer("engines", 10.0 + MIN_RETENTION_S) == "v1"
     assert infer() == "v1"  # no instance has ever run
 
 
 def test_version_that_was_in_use_before_the_start_counts():
     assert infer(take_snapshot("v1")) == "v1"
     assert infer(take_snapshot("v1", "v2")) is None
-    assert infer(take_snapshot("v1", "v2"), after_s=VERSION_MEMORY_S + 0.1) == "v1"
+    assert infer(take_snapshot("v1", "v2"), after_s=MIN_RETENTION_S + 0.1) == "v1"
     gone = take_snapshot("v2", gone_s=20.0, age_s=5.0)
     assert infer(take_snapshot("v1"), gone) is None
     assert infer(take_snapshot("v1"), gone, after_s=5.1) == "v1"
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -10,7 +10,7 @@
     ServerInspector,
     StateSource,
     StateVersion,
-    StoredRecord,
+    StoredSegment,
     StreamRecordStore,
     VersionRecordStore,
 )
@@ -154,25 +154,50 @@
 
 
 class FakeRecordStore(StreamRecordStore):
-    """Keeps the records in memory; unavailable while ``is_down`` is set."""
+    """Keeps the segments in memory; unavailable while ``is_down`` is set.
+
+    Attributes
+    ----------
+    segments : dict of int to dict of str to StreamRecord
+        What is kept, by number.
+    writes : list of dict of str to StreamRecord
+        The records of each write.
+    """
 
     def __init__(self):
+        self.segments = {}
         self.writes = []
         self.read_count = 0
         self.age_s = 0.0
         self.is_down = False
+        self.restore_observers = []
+
+    def observe_restore(self, observer):
+        self.restore_observers.append(observer)
+
+    def restore(self, segments):
+        """Replace what is kept by an older copy."""
+        self.segments = dict(segments)
+        for observer in self.restore_observers:
+            observer()
 
-    async def write(self, records):
+    async def write(self, write):
         if self.is_down:
             raise RecordStoreError("test")
-        self.writes.append(dict(records))
+        contents = write.written.values()
+        self.writes.append({key: each[key] for each in contents for key in each})
+        self.segments |= write.written
+        for number in write.removed:
+            self.segments.pop(number, None)
 
     async def read(self):
         self.read_count += 1
         if self.is_down:
             raise RecordStoreError("test")
-        newest = self.writes[-1] if self.writes else {}
-        return {key: StoredRecord(each, self.age_s) for key, each in newest.items()}
+        return [
+            StoredSegment(number, dict(records), self.age_s)
+            for number, records in sorted(self.segments.items())
+        ]
 
 
 class FakeVersionStore(VersionRecordStore):
--- a/tests/forwarding/test_shared_stream_index.py
+++ b/tests/forwarding/test_shared_stream_index.py
@@ -4,6 +4,7 @@
 from ebonyhaven_decisions.forwarding import (
     RunCopyLocation,
     StreamRecord,
+    StreamRetention,
     choose_index_instances,
     encode_stream_record,
 )
@@ -34,14 +35,18 @@
 
 
 def build_index(clock):
-    return SharedStreamIndex(clock, clock.seconds, FakeRecordStore())
+    store = FakeRecordStore()
+    return SharedStreamIndex(clock, clock.seconds, store, StreamRetention())
 
 
 def build_indexes(*names):
     """Return connected indexes by instance name, their network and their clock."""
     clock, network = Clock(), FakeNetwork()
     store = FakeRecordStore()
-    indexes = {name: SharedStreamIndex(clock, clock.seconds, store) for name in names}
+    indexes = {
+        name: SharedStreamIndex(clock, clock.seconds, store, StreamRetention())
+        for name in names
+    }
     for name, index in indexes.items():
         network.join(index, name, [each for each in names if each != name])
     return indexes, network, clock
@@ -69,15 +74,16 @@
     assert results == [[without_copy]] * 6
 
 
-def test_entry_is_removed_without_messages():
+def test_copy_is_dropped_without_messages():
     clock = Clock()
     index, network = build_index(clock), FakeNetwork()
     membership = network.join(index, "n1", OTHERS)
     index.publish("abc", RECORD)
     count = len(membership.sent)
-    index.remove("abc")
+    index.drop_copy("abc")
+    index.drop_copy("other")
     assert len(membership.sent) == count
-    assert len(index._index) == 0
+    assert start_lookup(index, "abc") == [RECORD._replace(copy=None)]
 
 
 def test_publishing_stays_within_its_share_of_control_traffic():
--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ebonyhaven_decisions.forwarding import BackendEntry, BackendState
-from ebonyhaven_decisions.forwarding._version_history import VERSION_MEMORY_S
+from ebonyhaven_decisions.forwarding._stream_retention import MIN_RETENTION_S
 from ebonyhaven_node.forwarding._stream_records import WRITE_INTERVAL_S
 
 from tests.forwarding.harness import (
@@ -167,7 +167,7 @@
     for number in range(3, 13):
         server.receive(chunk(event(number)))
         lost.advance(WRITE_INTERVAL_S / 9)
-    successor.record_store.writes = lost.record_store.writes
+    successor.record_store.segments = lost.record_store.segments
     return successor, find_version(lost, server.address)
 
 
@@ -181,6 +181,30 @@
     assert find_version(successor, second.address) == version
 
 
+def test_long_stream_of_lost_instances_goes_on_at_its_version():
+    # Guards against refusing callers of streams that began more than 15 s before all
+    # instances were lost, while streams may last for 25 s.
+    lost, successor = make_connected_harness(), make_connected_harness()
+    lost.open_caller().request("/stream/x", **SIZE_HEADERS)
+    server, _ = open_stream(lost, 1, 2)
+    for number in range(3, 61):  # 18 s
+        server.receive(chunk(event(number)))
+        lost.advance(0.31)
+    headers = {**SIZE_HEADERS, "X_Prompt_Prefix": "aa:200,cc:7800"}
+    lost.open_caller().request("/stream/x", "r3", **headers)
+    other, _, _ = lost.take_request()
+    other.receive(stream_head("r3") + chunk(event(1)))
+    server.receive(chunk(event(61)))
+    lost.advance(0.5)
+    server.receive(chunk(event(62)))
+    lost.advance(0.6)
+    successor.record_store.segments = lost.record_store.segments
+    retry_stream(successor, "62")
+    holder, _, _ = successor.take_request()
+    version = find_version(lost, server.address)
+    assert find_version(successor, holder.address) == version
+
+
 def test_successor_keeps_the_streams_that_were_recorded_before_its_start():
     # A caller of a machine that lost its power comes back after many seconds. The
     # successor has written records of its own by then.
@@ -190,9 +214,10 @@
     server, _, _ = successor.take_request()
     server.receive(stream_head("r3") + chunk(event(1)))
     successor.advance(8.0)
-    assert len(successor.record_store.writes) > 1
-    last = successor.record_store.writes[-1]
-    assert {each.request_id for each in last.values()} == {"r1", "r3"}
+    assert successor.record_store.writes
+    kept = successor.record_store.segments.values()
+    requests = {each.request_id for records in kept for each in records.values()}
+    assert requests == {"r1", "r3"}
     retry_stream(successor, "12")
     waiting = [each for each in successor.connections if each.has_request()]
     requests = [each.read_request()[0] for each in waiting]
@@ -264,9 +289,9 @@
 def test_retry_of_an_unknown_stream_is_refused_soon_after_a_release():
     harness = ForwardingHarness(engines=6, versions=VERSIONS)
     withdraw_version(harness, "v1")
-    harness.advance(VERSION_MEMORY_S / 2)
+    harness.advance(MIN_RETENTION_S / 2)
     assert retry_stream(harness).read_answer()[0] == 503
-    harness.advance(VERSION_MEMORY_S)
+    harness.advance(MIN_RETENTION_S)
     retry_stream(harness)
     _, head, _ = harness.take_request()
     assert decode_headers(head)["last-event-id"] == "2"
--- a/tests/forwarding/test_stale_server_list.py
+++ b/tests/forwarding/test_stale_server_list.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhaven_decisions.forwarding._version_history import VERSION_MEMORY_S
+from ebonyhaven_decisions.forwarding._stream_retention import MIN_RETENTION_S
 
 from tests.forwarding.harness import ForwardingHarness, make_entry
 from tests.forwarding.streaming import SIZE_HEADERS
@@ -93,18 +93,18 @@
     harness = ForwardingHarness(engines=6)
     harness.state.record_missed_servers()
     assert retry_stream(harness).read_answer()[0] == 503
-    harness.advance(VERSION_MEMORY_S)
+    harness.advance(MIN_RETENTION_S)
     retry_stream(harness)
     assert harness.count_waiting() == 1
 
 
 def test_list_that_is_replaced_leaves_the_time_before_unknown():
     harness = ForwardingHarness(engines=6)
-    harness.advance(VERSION_MEMORY_S)
+    harness.advance(MIN_RETENTION_S)
     entries = {each.server_id: each.entry for each in harness.state.backends}
     harness.state.replace_backends(entries)
     assert retry_stream(harness).read_answer()[0] == 503
-    harness.advance(VERSION_MEMORY_S)
+    harness.advance(MIN_RETENTION_S)
     retry_stream(harness)
     assert harness.count_waiting() == 1
 
--- a/tests/forwarding/test_stream_records.py
+++ b/tests/forwarding/test_stream_records.py
@@ -1,9 +1,18 @@
 from __future__ import annotations
 
-from ebonyhaven_decisions.forwarding import RunCopyLocation, StreamIndex, StreamRecord
+from ebonyhaven_decisions.forwarding import (
+    RequestKind,
+    RunCopyLocation,
+    StreamIndex,
+    StreamRecord,
+    StreamRetention,
+)
+from ebonyhaven_decisions.forwarding._record_segments import SEGMENT_SPAN_S
+from ebonyhaven_decisions.forwarding._stream_retention import (
+    MIN_RETENTION_S,
+)
 from ebonyhaven_node.forwarding._stream_records import (
     READ_INTERVAL_S,
-    RECORD_TTL_S,
     WRITE_INTERVAL_S,
     StreamRecorder,
 )
@@ -12,9 +21,13 @@
 
 from tests.forwarding.fakes import FakeRecordStore
 from tests.forwarding.harness import (
+    STREAM_END,
     ForwardingHarness,
     chunk,
     event,
+    make_configuration,
+    make_route,
+    stream_head,
 )
 from tests.forwarding.losses import (
     STREAM_COUNT,
@@ -28,14 +41,37 @@
 RECORD = StreamRecord("v1", "r1", RunCopyLocation("e-1", "10.0.0.1:9001", "h-1"))
 
 
-def build_recorder():
-    clock, index, store = Clock(), StreamIndex(30.0), FakeRecordStore()
+INSTANCES = frozenset({"n1", "n2"})
+
+
+def make_stream_routes(timeout_s):
+    stream = make_route(
+        "stream", RequestKind.STREAM, is_resumable=True, timeout_s=timeout_s
+    )
+    return make_configuration(routes=[stream])
+
+
+def build_recorder(store=None, retention=None):
+    clock, store = Clock(), store or FakeRecordStore()
+    clock.advance(100.0)
+    retention = retention or StreamRetention()
+    index = StreamIndex(retention)
     recorder = StreamRecorder(
-        index=index, store=store, reactor=clock, clock=clock.seconds
+        index=index,
+        store=store,
+        retention=retention,
+        reactor=clock,
+        clock=clock.seconds,
     )
     return recorder, index, store, clock
 
 
+def record(recorder, index, key, clock, instances=INSTANCES):
+    """Record a stream, as the index of an instance does that writes its record."""
+    index.record(key, RECORD, clock.seconds())
+    recorder.add(key, RECORD, instances)
+
+
 def start_lookup(recorder, key):
     found = []
     ensureDeferred(recorder.find(key, COPY_MAX_AGE_S)).addCallback(found.append)
@@ -45,8 +81,7 @@
 def test_changes_are_written_in_batches_and_nothing_is_written_without_changes():
     recorder, index, store, clock = build_recorder()
     for number in range(20):
-        index.record(f"k{number}", RECORD, clock.seconds())
-        recorder.schedule_write()
+        record(recorder, index, f"k{number}", clock)
         clock.advance(0.02)
     clock.advance(WRITE_INTERVAL_S)
     assert [len(each) for each in store.writes] == [20]
@@ -56,7 +91,7 @@
 
 def test_one_read_serves_all_callers_that_return_together():
     recorder, _, store, clock = build_recorder()
-    store.writes.append({"a": RECORD})
+    store.segments[0] = {"a": RECORD}
     assert start_lookup(recorder, "a") == [RECORD]
     assert start_lookup(recorder, "b") == [None]
     assert store.read_count == 1
@@ -67,7 +102,7 @@
 
 def test_record_is_used_without_its_copy_once_that_has_expired():
     recorder, _, store, clock = build_recorder()
-    store.writes.append({"a": RECORD})
+    store.segments[0] = {"a": RECORD}
     store.age_s = COPY_MAX_AGE_S - 1.0
     assert start_lookup(recorder, "a") == [RECORD]
     clock.advance(1.5)
@@ -77,8 +112,8 @@
 
 def test_record_is_not_used_for_longer_than_a_stream_lasts():
     recorder, _, store, clock = build_recorder()
-    store.writes.append({"a": RECORD})
-    store.age_s = RECORD_TTL_S - 1.0
+    store.segments[0] = {"a": RECORD}
+    store.age_s = MIN_RETENTION_S - 1.0
     assert start_lookup(recorder, "a") == [RECORD._replace(copy=None)]
     clock.advance(1.5)
     assert start_lookup(recorder, "a") == [None]
@@ -88,14 +123,106 @@
     recorder, index, store, clock = build_recorder()
     store.is_down = True
     assert start_lookup(recorder, "a") == [None]
-    index.record("a", RECORD, clock.seconds())
-    recorder.schedule_write()
+    record(recorder, index, "a", clock)
     clock.advance(WRITE_INTERVAL_S)
     assert store.writes == []
-    store.is_down = False
-    recorder.schedule_write()
+
+
+def test_records_are_written_once_the_store_is_back():
+    recorder, index, store, clock = build_recorder()
+    record(recorder, index, "a", clock)
     clock.advance(WRITE_INTERVAL_S)
+    store.is_down = True
+    record(recorder, index, "b", clock)
+    clock.pump([WRITE_INTERVAL_S] * 4)
     assert store.writes == [{"a": RECORD}]
+    store.is_down = False
+    clock.advance(WRITE_INTERVAL_S)
+    assert store.writes[1:] == [{"a": RECORD, "b": RECORD}]
+
+
+def begin_streams(recorder, index, clock, duration_s):
+    """Record a stream a second, and return their keys."""
+    keys = [f"k{number}" for number in range(round(duration_s))]
+    for key in keys:
+        record(recorder, index, key, clock)
+        clock.advance(1.0)
+    clock.advance(WRITE_INTERVAL_S)
+    return keys
+
+
+def find_all(store, keys, retention=None):
+    """Return which of the streams an instance knows that has just started."""
+    recorder, *_ = build_recorder(store, retention)
+    return [key for key in keys if start_lookup(recorder, key) != [None]]
+
+
+def test_records_outlast_the_longest_stream_that_a_route_allows():
+    # Guards against callers being refused who come back to streams that began long
+    # ago: the store kept those of the last 15 s, of routes with any timeout.
+    for timeout_s in (5.0, 25.0, 120.0):
+        retention = StreamRetention()
+        retention.apply(make_stream_routes(timeout_s), 0.0)
+        recorder, index, store, clock = build_recorder(retention=retention)
+        keys = begin_streams(recorder, index, clock, timeout_s)
+        assert find_all(store, keys, retention) == keys
+
+
+def test_records_that_no_stream_can_need_any_more_are_removed():
+    recorder, index, store, clock = build_recorder()
+    begin_streams(recorder, index, clock, 5 * MIN_RETENTION_S)
+    kept_s = MIN_RETENTION_S + 2 * SEGMENT_SPAN_S + 2 * WRITE_INTERVAL_S
+    assert sum(map(len, store.segments.values())) <= kept_s
+
+
+def test_any_number_of_streams_is_recorded():
+    # Guards against the newest streams pushing out of the store those that are open
+    # for longer: it held 256 of an instance.
+    recorder, index, store, clock = build_recorder()
+    keys = [f"k{number}" for number in range(3000)]
+    for key in keys:
+        record(recorder, index, key, clock)
+    clock.advance(WRITE_INTERVAL_S)
+    assert find_all(store, keys) == keys
+
+
+def test_written_records_are_not_written_again():
+    recorder, index, store, clock = build_recorder()
+    begin_streams(recorder, index, clock, MIN_RETENTION_S)
+    for written in store.writes:
+        assert len(written) <= SEGMENT_SPAN_S + 2 * WRITE_INTERVAL_S
+
+
+def test_records_are_written_again_after_a_restore_of_the_store():
+    recorder, index, store, clock = build_recorder()
+    keys = begin_streams(recorder, index, clock, 8.0)
+    older = dict(store.segments)
+    later = begin_streams(recorder, index, clock, 20.0)
+    store.restore(older)
+    clock.advance(WRITE_INTERVAL_S)
+    assert find_all(store, {*keys, *later}) == list({*keys, *later})
+
+
+def test_records_of_an_instance_that_is_gone_are_written_by_its_successor():
+    # A stream whose recorder died before its write is known to the other replicas.
+    recorder, index, store, clock = build_recorder()
+    index.record("early", RECORD, clock.seconds())
+    record(recorder, index, "late", clock, frozenset({"n1"}))
+    clock.advance(WRITE_INTERVAL_S)
+    index.record("next", RECORD, clock.seconds())
+    record(recorder, index, "last", clock, frozenset({"n1", "n2"}))
+    clock.advance(WRITE_INTERVAL_S)
+    keys = ["early", "late", "next", "last"]
+    assert find_all(store, keys) == keys
+
+
+def test_a_restarted_instance_keeps_the_records_of_its_predecessor():
+    recorder, index, store, clock = build_recorder()
+    keys = begin_streams(recorder, index, clock, 8.0)
+    successor, its_index, _, its_clock = build_recorder(store)
+    new = begin_streams(successor, its_index, its_clock, 3.0)
+    assert find_all(store, [*keys, *new]) == [*keys, *new]
+    assert [key for key in keys if its_index.find(key, its_clock.seconds())] == keys
 
 
 def send_events(harness, last):
@@ -113,7 +240,7 @@
     FakeNetwork().join(successor.gateway._stream_index, "n1", [])
     references = open_streams(lost, STREAM_COUNT)
     send_events(lost, LAST_EVENT)
-    successor.record_store.writes = lost.record_store.writes
+    successor.record_store.segments = lost.record_store.segments
     return successor, references
 
 
@@ -123,3 +250,30 @@
     successor, references = lose_all_instances()
     bodies = resume_streams(successor, references, LAST_EVENT)
     assert bodies == [event(LAST_EVENT + 1)] * STREAM_COUNT
+
+
+def test_a_stream_that_its_server_has_ended_may_be_taken_up():
+    # Guards against refusing a caller that did not receive the end of its stream,
+    # beside two software versions: the instance forgot the stream when it had sent it.
+    harness = ForwardingHarness(engines=4, versions=("v1", "v2"))
+    harness.open_caller().request("/stream/a", "first")
+    server, _, _ = harness.take_request()
+    server.receive(stream_head("first") + chunk(event(1)) + chunk(event(2)))
+    server.receive(STREAM_END)
+    harness.advance(1.0)
+    caller = harness.open_caller()
+    caller.request("/stream/a", "second", Last_Event_Id="1", Resumes="first")
+    harness.advance(0.1)
+    engine, _, _ = harness.take_request()
+    version = harness.state.backends.find(engine_id(harness, server)).software_version
+    assert harness.state.backends.find(engine_id(harness, engine)).software_version == (
+        version
+    )
+
+
+def engine_id(harness, server):
+    return next(
+        each.server_id
+        for each in harness.state.backends
+        if each.entry.address == server.address
+    )
--- a/tests/forwarding/test_versions_before_start.py
+++ b/tests/forwarding/test_versions_before_start.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ebonyhaven_decisions.forwarding import VersionRecord, VersionSnapshot
-from ebonyhaven_decisions.forwarding._version_history import VERSION_MEMORY_S
+from ebonyhaven_decisions.forwarding._stream_retention import MIN_RETENTION_S
 from ebonyhaven_node.forwarding._shared_records import RETRY_INTERVAL_S
 
 from tests.forwarding.harness import ForwardingHarness
@@ -31,7 +31,7 @@
     harness.version_store.snapshots = [VersionSnapshot(records, True, age_s=300.0)]
     harness.advance(RETRY_INTERVAL_S)
     assert retry_stream(harness).read_answer()[0] == 503
-    harness.advance(VERSION_MEMORY_S)
+    harness.advance(MIN_RETENTION_S)
     retry_stream(harness)
     assert harness.count_waiting() == 1
 
@@ -48,7 +48,7 @@
 
 def test_past_is_known_to_an_instance_that_has_followed_the_list_long_enough():
     harness = ForwardingHarness(engines=6, knows_past=False)
-    harness.advance(VERSION_MEMORY_S)
+    harness.advance(MIN_RETENTION_S)
     retry_stream(harness)
     assert harness.count_waiting() == 1
 
--- a/tests/platform_adapter/test_change_feed.py
+++ b/tests/platform_adapter/test_change_feed.py
@@ -11,7 +11,7 @@
     MIN_FEED_TIMEOUT_S,
     STANDBY_READERS,
 )
-from ebonyhaven_decisions.forwarding._version_history import VERSION_MEMORY_S
+from ebonyhaven_decisions.forwarding._stream_retention import MIN_RETENTION_S
 
 from tests.platform_adapter.fed_instances import FakeGroup, start_fed
 from tests.platform_adapter.state_sources import (
@@ -272,7 +272,7 @@
 def test_removal_of_a_row_that_names_no_server_does_not_hide_software_versions():
     # Guards against refusing the retries of streams, as a server seems to be missed.
     harness = start_fed()
-    harness.advance(VERSION_MEMORY_S)
+    harness.advance(MIN_RETENTION_S)
     harness.change(14, s_3={**SERVER, "version": None})
     harness.change(15, s_3=None)
     harness.change(16, s_2=None)
--- a/tests/platform_adapter/test_stream_records.py
+++ b/tests/platform_adapter/test_stream_records.py
@@ -5,10 +5,11 @@
 from ebonyhaven_adapter.exceptions import StoreError
 from ebonyhaven_decisions.forwarding import (
     RunCopyLocation,
+    SegmentWrite,
     StreamRecord,
     encode_stream_record,
 )
-from ebonyhaven_node.forwarding.interfaces import RecordStoreError, StoredRecord
+from ebonyhaven_node.forwarding.interfaces import RecordStoreError, StoredSegment
 from twisted.internet.defer import ensureDeferred
 from twisted.python.failure import Failure
 
@@ -25,14 +26,24 @@
         self.version = 0
         self.now_s = 50.0
         self.is_down = False
+        self.era_observers = []
 
     def estimate_now_s(self):
         return self.now_s
 
-    async def write_row(self, table, key, content, *, timeout_s):
-        self._check(table)
+    def observe_era(self, observer):
+        self.era_observers.append(observer)
+
+    async def write_rows(self, contents, *, removed=(), expected, timeout_s):
+        assert not expected
+        for table, _ in (*contents, *removed):
+            self._check(table)
         self.version += 1
-        self.rows[key] = Row(key, content, self.version, False)
+        for (_, key), content in contents.items():
+            self.rows[key] = Row(key, content, self.version, False)
+        for _, key in removed:
+            del self.rows[key]
+        return self.version
 
     async def read_table(self, table, *, timeout_s):
         self._check(table)
@@ -55,17 +66,40 @@
 
 def test_records_of_all_instances_are_read_and_the_newest_row_wins():
     client = FakeStoreClient()
-    run(StoreStreamRecords(instance="n1", client=client).write({"a": RECORD}))
-    run(
-        StoreStreamRecords(instance="n0", client=client).write(
-            {"a": NEWER_RECORD, "b": RECORD}
-        )
-    )
+    first = SegmentWrite({0: {"a": RECORD}}, ())
+    second = SegmentWrite({0: {"a": NEWER_RECORD, "b": RECORD}}, ())
+    run(StoreStreamRecords(instance="n1", client=client).write(first))
+    run(StoreStreamRecords(instance="n0", client=client).write(second))
     client.now_s += 3.0
-    assert run(StoreStreamRecords(instance="n3", client=client).read()) == {
-        "a": StoredRecord(NEWER_RECORD, 3.0),
-        "b": StoredRecord(RECORD, 3.0),
-    }
+    assert run(StoreStreamRecords(instance="n3", client=client).read()) == [
+        StoredSegment(None, first.written[0], 3.0),
+        StoredSegment(None, second.written[0], 3.0),
+    ]
+
+
+def test_segments_of_one_instance_are_replaced_and_removed_by_number():
+    client = FakeStoreClient()
+    records = StoreStreamRecords(instance="n1", client=client)
+    run(records.write(SegmentWrite({9: {"a": RECORD}, 10: {"b": RECORD}}, ())))
+    run(records.write(SegmentWrite({10: {"c": RECORD}}, (9,))))
+    assert run(records.read()) == [StoredSegment(10, {"c": RECORD}, 0.0)]
+
+
+def test_segments_of_one_write_are_read_in_the_order_of_their_numbers():
+    client = FakeStoreClient()
+    records = StoreStreamRecords(instance="n1", client=client)
+    numbers = [8, 9, 10, 100]
+    run(records.write(SegmentWrite({each: {"a": RECORD} for each in numbers}, ())))
+    client.rows = dict(sorted(client.rows.items()))  # as the store returns them
+    assert [each.own_number for each in run(records.read())] == numbers
+
+
+def test_rows_of_the_release_before_are_read():
+    client = FakeStoreClient()
+    content = {"written_s": 49.0, "streams": {"a": encode_stream_record(RECORD)}}
+    client.rows["n1"] = Row("n1", content, 1, False)
+    segments = run(StoreStreamRecords(instance="n1", client=client).read())
+    assert segments == [StoredSegment(None, {"a": RECORD}, 1.0)]
 
 
 def test_rows_of_other_writers_are_ignored():
@@ -76,21 +110,23 @@
     contents += [{"written_s": 49.0, "streams": each} for each in streams]
     for number, content in enumerate(contents):
         client.rows[str(number)] = Row(str(number), content, number, False)
-    assert run(StoreStreamRecords(instance="n1", client=client).read()) == {}
+    segments = run(StoreStreamRecords(instance="n1", client=client).read())
+    assert [each.records for each in segments] == [{}] * len(streams)
     content = {
         "written_s": 49.0,
         "streams": {"b": encode_stream_record(RECORD), "c": 7},
     }
     client.rows["x"] = Row("x", content, 9, False)
-    records = run(StoreStreamRecords(instance="n1", client=client).read())
-    assert records == {"b": StoredRecord(RECORD, 1.0)}
+    segments = run(StoreStreamRecords(instance="n1", client=client).read())
+    assert StoredSegment(None, {"b": RECORD}, 1.0) in segments
+    assert sum(len(each.records) for each in segments) == 1
 
 
 def test_store_failure_is_reported():
     client = FakeStoreClient()
     client.is_down = True
     records = StoreStreamRecords(instance="n1", client=client)
-    for call in (records.write({"a": RECORD}), records.read()):
+    for call in (records.write(SegmentWrite({0: {"a": RECORD}}, ())), records.read()):
         try:
             run(call)
         except RecordStoreError as error:
