A part of prompts that crashes servers is told from those merely present

Cause: the place of a part in the prompt was taken for how specific it is, so that a part of all prompts that stands behind the deadly one excused it; and that servers ran a part was remembered only while losses counted against it, so that three losses in a row blamed a part that runs all the time.

Why this works: a loss is explained by a trait that the request lacks, that was at each loss in any request of the server, and that servers have not run for as long. What survives is remembered before a loss, and told with it. A deadly part never survives; the others do, before and between its crashes.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
@@ -1,10 +1,10 @@
 """Losses of servers, and what the requests that they were running have in common.
 
-A request is described by its *traits*, from the most general to the most specific one:
-the parts of its prompt that other requests may have, then its whole content. A trait
-that crashes servers comes again, at any instance, and each time it ends the other
-requests of its server as well. One loss says little, since all requests of the server
-are lost with it; the trait that crashes servers is lost each time.
+A request is described by its *traits*: the parts of its prompt that other requests may
+have, then its whole content. A trait that crashes servers comes again, at any instance,
+and each time it ends the other requests of its server as well. One loss says little,
+since all requests of the server are lost with it; the trait that crashes servers is
+lost each time.
 
 A data centre that fails loses many servers at about the same moment, whatever they run.
 If a server that ran nothing with a trait is lost beside others of its data centre that
@@ -13,14 +13,18 @@
 A trait that crashes servers does so each time. Losses before a server ran a request
 with it to an end, or far into its stream, are therefore not counted against it.
 
-A general trait is lost whenever a more specific one is. It is not blocked as long as
-one more specific trait explains all of its losses.
+What is merely present is lost as well: the other traits of the request, and of those
+beside it. A request is therefore not blocked for a trait if another one, which the
+request lacks, explains the losses: it was there each time, and is as suspect. Of two
+traits, the one that servers last ran to an end longer ago, or never, is more suspect.
+The order of the parts in a prompt says nothing.
 """
 
 from __future__ import annotations
 
 import itertools
 import math
+from collections import Counter
 from collections.abc import Iterable, Sequence
 
 from ebonyhaven_decisions.forwarding._losses import (
@@ -35,6 +39,7 @@
 SETTLE_S = 0.15  # instances find and report losses within tens of milliseconds
 TRIAL_DELAY_S = 10.0  # after the last loss; by then its servers are back
 TRIAL_MAX_SPREAD_S = 1.0  # of losses that one failure may have caused
+MAX_FAILED_TRIALS = 2  # of a trait that servers ran before
 MAX_LOSSES = 512
 MAX_REQUESTS_PER_LOSS = 64
 MAX_SURVIVALS = 1024
@@ -90,8 +95,7 @@
         self._evict(now)
         self._drop_premature(report, now)
         loss = self._find(report.process) or self._create(report, now)
-        added = [each for each in report.requests if each not in loss.requests]
-        added = added[: MAX_REQUESTS_PER_LOSS - len(loss.requests)]
+        added = loss.select_new(report.requests, limit=MAX_REQUESTS_PER_LOSS)
         if added:
             self._idle_losses.pop(report.process, None)
             self._losses[report.process] = loss
@@ -172,21 +176,22 @@
         Returns
         -------
         str or None
-            None if the request may be sent.
+            The most suspect of those that keep the request back, the most specific one
+            if several are; None if it may be sent.
         """
-        for trait in traits:
-            crashes = self._list_crashes(trait, now, now - SETTLE_S)
-            if len(crashes) >= self._max_crashes and not self._is_explained(
-                trait, crashes
-            ):
-                return trait
-        return None
+        own = frozenset(traits)
+        blocked = [
+            trait for trait in reversed(traits) if self._is_blocked(trait, own, now)
+        ]
+        return min(blocked, key=self._get_survival, default=None)
 
     def may_be_tried(self, trait: str, now: float) -> bool:
         """Return whether one request with a blocked trait may be sent.
 
         If all losses came at about the same moment, they may have another cause. A
-        trial that fails adds a later one, so that there is no second trial.
+        trial that fails adds a later one, so that there is no second trial. If servers
+        have run the trait before, the losses may be the work of one that is not known,
+        and there are up to `MAX_FAILED_TRIALS`.
 
         Parameters
         ----------
@@ -195,10 +200,16 @@
             Seconds.
         """
         crashes = self._list_crashes(trait, now, now)
-        lost_at = [self._losses[process].lost_at for process in crashes]
-        if not lost_at or now - max(lost_at) < TRIAL_DELAY_S:
+        lost_at = sorted(self._losses[process].lost_at for process in crashes)
+        if not lost_at or now - lost_at[-1] < TRIAL_DELAY_S:
             return False
-        return max(lost_at) - min(lost_at) <= TRIAL_MAX_SPREAD_S
+        if lost_at[-1] - lost_at[0] <= TRIAL_MAX_SPREAD_S:
+            return True
+        failed = sum(
+            later - earlier >= TRIAL_DELAY_S
+            for earlier, later in itertools.pairwise(lost_at)
+        )
+        return trait in self._survived_at and failed < MAX_FAILED_TRIALS
 
     def may_be_blocked_soon(
         self, trait: str, now: float, *, unconfirmed_losses: int
@@ -325,13 +336,65 @@
                 crashes[process] = loss
         return list(crashes)
 
-    def _is_explained(self, trait: str, processes: Sequence[str]) -> bool:
-        """Return whether one more specific trait was there at each of the losses."""
-        losses = [self._losses[process] for process in processes]
-        return bool(
-            set.intersection(*(each.list_more_specific(trait) for each in losses))
+    def _is_blocked(self, trait: str, own: frozenset[str], now: float) -> bool:
+        crashes = self._list_crashes(trait, now, now - SETTLE_S)
+        if len(crashes) < self._max_crashes:
+            return False
+        losses = [self._losses[process] for process in crashes]
+        return not self._is_explained(trait, losses, own)
+
+    def _is_explained(
+        self, trait: str, losses: Sequence[Loss], own: frozenset[str]
+    ) -> bool:
+        """Return whether a trait that a request lacks explains losses of one it has.
+
+        Parameters
+        ----------
+        trait : str
+        losses : sequence of Loss
+            Those that count against the trait.
+        own : frozenset of str
+            All traits of the request.
+        """
+        survived_at = self._get_survival(trait)
+        smallest = min(losses, key=lambda loss: len(loss.traits))
+        for other in smallest.traits - own:
+            if self._get_survival(other) <= survived_at and all(
+                other in loss.traits for loss in losses
+            ):
+                return True
+        return survived_at > -math.inf and self._is_mostly_explained(
+            survived_at, losses, own
+        )
+
+    def _is_mostly_explained(
+        self, survived_at: float, losses: Sequence[Loss], own: frozenset[str]
+    ) -> bool:
+        """Return whether too few losses are left without one more suspect trait.
+
+        Some of what a server ran may not be known of each loss.
+
+        Parameters
+        ----------
+        survived_at : float
+            When servers last ran the trait that the losses count against, seconds.
+        losses : sequence of Loss
+        own : frozenset of str
+            All traits of the request.
+        """
+        found: Counter[str] = Counter()
+        for loss in losses:
+            found.update(loss.traits - own)
+        min_explained = max(len(losses) - self._max_crashes + 1, self._max_crashes)
+        return any(
+            count >= min_explained and self._get_survival(other) < survived_at
+            for other, count in found.items()
         )
 
+    def _get_survival(self, trait: str) -> float:
+        """Return when a server last ran a trait, as far as is known; else -inf."""
+        return self._survived_at.get(trait, -math.inf)
+
     def _find(self, process: str) -> Loss | None:
         return self._losses.get(process) or self._idle_losses.get(process)
 
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_losses.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_losses.py
@@ -112,18 +112,33 @@
                 lacking[trait] += 1
         return found
 
-    def list_more_specific(self, trait: str) -> set[str]:
-        """Return the traits that are more specific in any request with the trait.
+    def select_new(self, requests: Iterable[Traits], *, limit: int) -> list[Traits]:
+        """Return the requests that are to be added.
 
         Parameters
         ----------
-        trait : str
+        requests : iterable of tuple of str
+            Traits of each.
+        limit : int
+            Number of requests beyond which only the parts that they share with others
+            are kept, without their contents.
+
+        Returns
+        -------
+        list of tuple of str
         """
-        found: set[str] = set()
-        for traits in self.requests:
-            if trait in traits:
-                found.update(traits[traits.index(trait) + 1 :])
-        return found
+        new: dict[Traits, None] = {}
+        known = set(self.traits)
+        for traits in requests:
+            if traits in self.requests:
+                continue
+            count = len(self.requests) + len(new)
+            kept = traits if count < limit else traits[:-1]
+            if count >= limit and (count >= 2 * limit or known.issuperset(kept)):
+                continue
+            new[kept] = None
+            known.update(kept)
+        return list(new)
 
     def make_report(self, requests: Iterable[Traits], now: float) -> LossReport:
         """Return what other instances should know of the loss.
--- a/packages/node/src/ebonyhaven_node/_crash_exchange.py
+++ b/packages/node/src/ebonyhaven_node/_crash_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable
 from typing import Any
 
@@ -86,9 +87,16 @@
         self._exchange.stop()
 
     def _export(self, keys: list[str] | None) -> list[Any]:
-        """Return losses by process and survivals by trait; no key is both."""
+        """Return losses by process and survivals by trait; no key is both.
+
+        With losses come the survivals of their traits, which tell those that were
+        merely present from the one that is to blame.
+        """
         now = self._clock()
         reports = self._history.export(now, keys)
+        if keys is not None:
+            requests = (each for report in reports for each in report.requests)
+            keys = [*keys, *dict.fromkeys(itertools.chain.from_iterable(requests))]
         survivals = self._history.export_survivals(now, keys)
         if not reports and not survivals:
             return []
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
@@ -110,7 +110,8 @@
 
     def record_completed(self) -> None:
         """Record that a server ran the request to an end."""
-        self._monitor.record_survival((*self._progress_traits, *self.traits))
+        traits = (*self._progress_traits, *self.traits)
+        self._monitor.record_survival(traits, self.traits[:-1])
 
     def record_progress(self, now: float) -> None:
         """Record that a server runs the request far into its stream.
@@ -124,7 +125,7 @@
         """
         if now - self._survived_at >= SURVIVAL_INTERVAL_S:
             self._survived_at = now
-            self._monitor.record_survival(self.traits)
+            self._monitor.record_survival(self.traits, self.traits[:-1])
 
 
 def _make_part_trait(part: str) -> str:
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
@@ -232,19 +232,25 @@
 
         self._contact.call_when_known(record)
 
-    def record_survival(self, traits: Traits) -> None:
+    def record_survival(self, traits: Traits, shared_traits: Traits) -> None:
         """Record that a server ran a request to an end, or far into its stream.
 
         Parameters
         ----------
         traits : tuple of str
+            Those that have not crashed the server.
+        shared_traits : tuple of str
+            Those of them that other requests have as well. It is remembered that they
+            survived although no server was lost yet.
         """
         now = self._clock()
+        shared = frozenset(shared_traits)
         crashes = {each: self._history.count_crashes(each, now) for each in traits}
         cleared = [
             trait
             for trait in traits
-            if crashes[trait] and self._history.add_survival(trait, now)
+            if (crashes[trait] or trait in shared)
+            and self._history.add_survival(trait, now)
         ]
         for trait in cleared:
             _log.info("crashes_cleared", trait=trait)
--- a/tests/decisions/test_crash_history.py
+++ b/tests/decisions/test_crash_history.py
@@ -317,3 +317,77 @@
     for server in ("s1", "s2"):
         history.add(make_report(server, "c", age_s=COMMON_CAUSE_WINDOW_S), 90.5)
     assert history.count_crashes("c", SETTLED_AT) == 2
+
+
+def test_trait_behind_the_culprit_explains_it_only_while_it_has_not_survived():
+    # Guards against a part that is excused by one that merely stands behind it.
+    crashes = [make_report(f"s{each}", ("part", "all", f"c{each}")) for each in "0123"]
+    history = make_history(*crashes)
+    assert is_blocked(history, "part", "all", "new")
+    assert not is_blocked(history, "part", "new")
+    assert not is_blocked(history, "all", "new")
+    history.add_survival("all", 100.1)
+    assert is_blocked(history, "part", "new")
+    assert not is_blocked(history, "all", "new")
+
+
+def test_traits_of_other_requests_of_the_lost_servers_explain_as_well():
+    crashes = [
+        make_report(f"s{each}", ("bad", "all", f"c{each}"), ("good", "all", f"d{each}"))
+        for each in "0123"
+    ]
+    history = make_history()
+    history.add_survival("good", 99.0)
+    history.add_survival("all", 99.0)
+    for each in crashes:
+        history.add(each, 100.0)
+    assert not is_blocked(history, "good", "all", "new")
+    assert history.find_blocked_trait(("bad", "all", "new"), SETTLED_AT) == "bad"
+
+
+def test_trait_that_became_deadly_is_blocked_although_it_has_survived():
+    history = make_history()
+    history.add_survival("part", 99.0)
+    for content in "01":
+        for server in "012":
+            report = make_report(f"{content}{server}", ("part", f"c{content}"))
+            history.add(report, 100.0)
+    assert is_blocked(history, "part", "new")
+
+
+def test_loss_of_which_the_culprit_is_not_known_blames_no_trait_that_survives():
+    # An instance that is cut off tells nobody what it sent to the lost server.
+    history = make_history()
+    history.add_survival("all", 99.0)
+    for each in "01234":
+        history.add(make_report(f"s{each}", ("bad", "all", f"c{each}")), 100.0)
+    for each in "56":
+        history.add(make_report(f"s{each}", ("all", f"d{each}")), 100.0)
+    assert not is_blocked(history, "all", "new")
+
+
+def test_trait_that_survived_before_is_tried_again_a_few_times():
+    # Guards against a block that nothing can lift, as no request with the trait runs.
+    history = make_history()
+    history.add_survival("part", 90.0)
+    for each in (0, 1, 2):
+        history.add(make_report(f"s{each}", "part"), 92.0 + 2.0 * each)
+    now = 97.0 + TRIAL_DELAY_S
+    for failed in (0, 1):
+        assert history.may_be_tried("part", now)
+        history.add(make_report(f"t{failed}", "part"), now)
+        assert not history.may_be_tried("part", now + 1.0)
+        now += TRIAL_DELAY_S
+    assert not history.may_be_tried("part", now)
+
+
+def test_parts_of_all_requests_of_a_loss_are_kept():
+    # Guards against a limit that leaves out the one request that is to blame.
+    history = CrashHistory()
+    for number in range(4):
+        contents = range(2 * MAX_REQUESTS_PER_LOSS)
+        sound = [("good", f"d{number}-{each}") for each in contents]
+        requests = (*sound, ("bad", f"c{number}"))
+        history.add(make_report(f"s{number}", *requests), 100.0)
+    history.add_survival("good", 100.05)
+    assert is_blocked(history, "bad", "new")
--- a/tests/node/test_crash_exchange.py
+++ b/tests/node/test_crash_exchange.py
@@ -248,3 +248,23 @@
     network.lose_server("n2", "s2", CONTENT)
     network.clock.advance(SEND_DELAY_S)
     assert network.count_crashes() == [1] * len(NAMES)
+
+
+def test_what_a_trait_survived_is_told_with_the_losses_that_it_was_present_at():
+    # Guards against blaming a part that all prompts have: an instance that gets few of
+    # them does not know that servers run it all the time.
+    network = build_network()
+    now = network.clock.seconds()
+    network.histories["n1"].add_survival("shared", now)
+    network.clock.advance(1.0)
+    for number in range(4):
+        report = LossReport(
+            f"s{number}", f"dc-{number}", 0.0, (("bad", "shared", f"c{number}"),)
+        )
+        network.histories["n1"].add(report, network.clock.seconds())
+        network.exchanges["n1"].publish_loss(report.process)
+    network.clock.advance(SEND_DELAY_S + SETTLE_S)
+    now = network.clock.seconds()
+    for history in network.histories.values():
+        assert history.find_blocked_trait(("shared", "other"), now) is None
+        assert history.find_blocked_trait(("bad", "shared", "new"), now) == "bad"
