Brittle engines get as many streams as they have slots, counted to their ends

Cause: the permit for a request was returned with the head of its answer, so that a full engine looked empty to the owner of its permits; the room of an engine was derived from the refusals that it survives, not from its slots; and two requests were sent at the end of each pause after a refusal, where one was reckoned with.

Why this works: a request counts until its attempt has ended, a cancelled one for 0.3 s more; slots bound the room. As a stream outlasts what a permit is kept for without news, instances repeat which ones they hold, and tell a new owner of what was sent before there were permits.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -54,7 +54,11 @@
 )
 from ebonyhaven_decisions.forwarding._losses import LossReport, Traits
 from ebonyhaven_decisions.forwarding._permit_limiters import PermitLimiter
-from ebonyhaven_decisions.forwarding._permits import Permit, PermitLedger
+from ebonyhaven_decisions.forwarding._permits import (
+    PERMIT_TTL_S,
+    Permit,
+    PermitLedger,
+)
 from ebonyhaven_decisions.forwarding._placement import (
     choose_copy_holder,
     choose_memory_share,
@@ -138,6 +142,7 @@
     "CAUTION_S",
     "CONFIRMATION_TTL_S",
     "DEFAULT_HEALTH_PATH",
+    "PERMIT_TTL_S",
     "SAMPLED_ENGINES",
     "SERVER_PROBE_INTERVAL_S",
     "SETTLE_S",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_backend_limits.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_backend_limits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from ebonyhaven_decisions.forwarding._backends import Backend
 from ebonyhaven_decisions.forwarding._limit_shares import (
@@ -23,12 +23,13 @@
         The listed servers, by id; followed as it changes.
     """
 
-    __slots__ = ("_brittle", "_engine_services", "_listed", "_shares")
+    __slots__ = ("_brittle", "_engine_slots", "_listed", "_observers", "_shares")
 
     def __init__(self, listed: Mapping[str, Backend]):
         self._listed = listed
         self._shares = LimitShares()
-        self._engine_services: frozenset[str] = frozenset()
+        self._engine_slots: Mapping[str, int] = {}
+        self._observers: list[Callable[[Backend], None]] = []
         self._brittle: dict[str, tuple[int, float]] = {}  # by service: limit, time
 
     def __iter__(self) -> Iterator[Backend]:
@@ -51,6 +52,9 @@
     def set_instances(self, own_name: str, names: Iterable[str], now: float) -> None:
         """See `LimitedServerDirectory.set_instances`."""
         self._shares.set_instances(own_name, names, self._listed.values(), now)
+        for backend in self._listed.values():
+            if backend.limiter.has_limits:
+                self._notify_observers(backend)
 
     def record_limits(self, backend: Backend, limits: ServerLimits, now: float) -> None:
         """Record the limits that an answer of a server names.
@@ -80,9 +84,27 @@
         return ServerLimits(refusals_per_s=refusals)
 
     def _set_limits(self, backend: Backend, limits: ServerLimits, now: float) -> None:
-        has_engine = backend.entry.service in self._engine_services
-        slots = 0 if has_engine else backend.entry.slots  # memory binds engines
+        slots = backend.entry.slots
+        engine_slots = self._engine_slots.get(backend.entry.service, 0)
+        if engine_slots:
+            slots = min(slots or engine_slots, engine_slots)
+        has_changed = limits != backend.limiter.limits
         self._shares.record(backend, limits, slots=slots, now=now)
+        if has_changed:
+            self._notify_observers(backend)
+
+    def observe(self, observer: Callable[[Backend], None]) -> None:
+        """Call ``observer`` with servers whose limits or whose owner may have changed.
+
+        Parameters
+        ----------
+        observer : callable
+        """
+        self._observers.append(observer)
+
+    def _notify_observers(self, backend: Backend) -> None:
+        for observer in self._observers:
+            observer(backend)
 
     def record_told_limits(
         self, process_id: str, limits: ServerLimits, now: float
@@ -99,14 +121,15 @@
         backend = self._listed.get(process_id.rpartition("/")[0])
         return backend if backend and backend.process_id == process_id else None
 
-    def set_engine_services(self, names: Iterable[str]) -> None:
-        """Set the services whose servers are model engines.
+    def set_engine_slots(self, slots: Mapping[str, int]) -> None:
+        """Set how many requests the model engines of services run at a time.
 
         Parameters
         ----------
-        names : iterable of str
+        slots : mapping of str to int
+            By service.
         """
-        self._engine_services = frozenset(names)
+        self._engine_slots = dict(slots)
 
     def find_limit_end(
         self,
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_limit_shares.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_limit_shares.py
@@ -83,7 +83,7 @@
     def acquire(self, now: float) -> bool:
         """Count a request or call that is about to be sent, unless it is forbidden.
 
-        Everything that an instance sends to a server passes here. `record_answered`
+        Everything that an instance sends to a server passes here. `record_ended`
         must follow once.
 
         Parameters
@@ -103,9 +103,9 @@
         self.refusals.record_sent(now)
         return True
 
-    def record_answered(self) -> None:
-        """Count the begin of an answer, or the end of a request without one."""
-        self.refusals.record_answered()
+    def record_ended(self) -> None:
+        """Count the end of a request or call, from which it occupies nothing."""
+        self.refusals.record_ended()
 
     def set_limits(self, limits: ServerLimits, *, slots: int, now: float) -> None:
         """Set the limits that the server names.
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_permit_limiters.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_permit_limiters.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-from ebonyhaven_decisions.forwarding._permits import Permit, PermitLedger
+from ebonyhaven_decisions.forwarding._permits import (
+    UNPERMITTED_PREFIX,
+    Permit,
+    PermitLedger,
+)
 from ebonyhaven_decisions.forwarding._refusal_limits import RefusalLimiter
 from ebonyhaven_decisions.forwarding._room_estimates import RoomEstimate
 
 
 class PermitLimiter(RefusalLimiter):
-    """Bounds the unanswered requests at a brittle server by permits of its owner.
+    """Bounds the requests at a brittle server by permits of its owner.
 
     Attributes
     ----------
@@ -23,6 +27,7 @@
     __slots__ = (
         "_direct",
         "_knows_owner",
+        "_reported_direct",
         "_returned",
         "_unused",
         "_used",
@@ -37,7 +42,9 @@
         self.is_owner = True
         self.ledger = PermitLedger(RoomEstimate())
         self._knows_owner = False
-        self._direct = 0  # unanswered requests that needed no permit
+        self._direct = 0  # requests at the server that needed no permit
+        # As the owner was told it; -1 before.
+        self._reported_direct = -1
         self._unused: list[str] = []  # permits, by request id
         self._used: list[str] = []
         self._returned: list[str] = []
@@ -48,6 +55,7 @@
         super().set_limit(limit, slots=slots)
         if is_new and limit is not None:
             self.ledger.room = self._estimate_anew()
+            self._reported_direct = -1
 
     def set_share(self, *, rank: int, instances: int, owner: str = "") -> None:
         """See `RefusalLimiter.set_share`; the first in the order is the owner."""
@@ -55,6 +63,8 @@
         was_owner, self.is_owner = self.is_owner, rank == 0
         if self.is_owner and not was_owner and self._knows_owner:
             self.ledger = PermitLedger(self._estimate_anew(), is_taken_over=True)
+        if owner != self.owner:
+            self._reported_direct = -1
         self.owner = owner
         self._knows_owner = True
 
@@ -80,8 +90,8 @@
             self.ledger.record_sent(now)
             self.ledger.room.record_used(self.ledger.count(self._direct), now)
 
-    def record_answered(self) -> None:
-        """See `RefusalLimiter.record_answered`."""
+    def record_ended(self) -> None:
+        """See `RefusalLimiter.record_ended`."""
         if self._used:
             self._returned.append(self._used.pop(0))
         else:
@@ -123,7 +133,7 @@
         -------
         bool
             Whether the owner is to be told; not if a request uses the permit, which
-            is returned with the answer.
+            is returned at its end.
         """
         if request_id in self._used or request_id in self._returned:
             return False
@@ -131,8 +141,41 @@
             self._unused.remove(request_id)
         return True
 
+    def list_held(self) -> list[str]:
+        """Return the ids of permits of all requests that are at the server.
+
+        A request that was sent without a permit, before one was needed, has an id that
+        no request has.
+        """
+        unpermitted = (f"{UNPERMITTED_PREFIX}{each}" for each in range(self._direct))
+        return [*self._used, *unpermitted]
+
+    def list_permits(self) -> list[str]:
+        """Return the ids of the permits that requests at the server use."""
+        return list(self._used)
+
+    def take_report(self, *, is_due: bool) -> list[str] | None:
+        """Return what the owner should know of the requests at the server.
+
+        Parameters
+        ----------
+        is_due : bool
+            Whether to repeat what it was told, so that it does not expire.
+
+        Returns
+        -------
+        list of str or None
+            See `list_held`; None if there is nothing to tell.
+        """
+        held = self.list_held()
+        is_known = self._direct == self._reported_direct
+        if is_known and not (is_due and held):
+            return None
+        self._reported_direct = self._direct
+        return held
+
     def take_returned(self) -> list[str]:
-        """Return the permits whose requests were answered since the last call."""
+        """Return the permits whose requests have ended since the last call."""
         returned, self._returned = self._returned, []
         return returned
 
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_permits.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_permits.py
@@ -3,7 +3,9 @@
 Designed for more instances than such a server has room for requests: with equal shares,
 most instances could send nothing while the shares of others stand idle. One instance,
 the owner, counts the requests of all at one process of the server. The others ask it
-for a permit for each request, in order of arrival, and return it with the answer.
+for a permit for each request, in order of arrival, and return it when the request has
+ended at the server. As a stream may last for long, they repeat which ones they hold.
+They also tell the owner of requests that were sent before permits were needed.
 """
 
 from __future__ import annotations
@@ -15,7 +17,8 @@
 
 from ebonyhaven_decisions.forwarding._room_estimates import RoomEstimate
 
-PERMIT_TTL_S = 5.0  # after which a return is taken for lost
+PERMIT_TTL_S = 5.0  # after which a permit that is not reported any more is taken back
+UNPERMITTED_PREFIX = "~"  # of the ids of requests that were sent without a permit
 WAIT_TTL_S = 5.0  # after which whoever asked is taken to have gone
 REFUSAL_DELAY_S = 0.02  # within which a refusal of a request arrives
 TAKEOVER_S = 0.5  # in which requests that a previous owner permitted are answered
@@ -55,7 +58,8 @@
 
     def __init__(self, room: RoomEstimate, *, is_taken_over: bool = False):
         self.room = room
-        self._granted: dict[Permit, float] = {}  # with the time of the grant
+        # With the time at which they were granted, or last reported.
+        self._granted: dict[Permit, float] = {}
         self._waiting: dict[Permit, float] = {}  # with the time of the request
         self._sent_at: deque[float] = deque()  # of requests that may be refused yet
         self._is_taken_over = is_taken_over
@@ -88,6 +92,25 @@
         self._waiting.pop(permit, None)
         self._granted.pop(permit, None)
 
+    def record_held(self, instance: str, held: Collection[str], now: float) -> None:
+        """Record which requests of an instance are at the server.
+
+        Permits that are not among them may still be on their way to the instance.
+
+        Parameters
+        ----------
+        instance : str
+        held : collection of str
+            Request ids of their permits.
+        now : float
+            Seconds.
+        """
+        for permit in [each for each in self._granted if each.instance == instance]:
+            is_unpermitted = permit.request_id.startswith(UNPERMITTED_PREFIX)
+            if permit.request_id in held or is_unpermitted:
+                del self._granted[permit]
+        self._granted |= {Permit(instance, each): now for each in held}
+
     def keep_instances(self, names: Collection[str]) -> None:
         """Drop the permits of all other instances.
 
@@ -141,7 +164,7 @@
         while self._sent_at and now - self._sent_at[0] >= REFUSAL_DELAY_S:
             self._sent_at.popleft()
         opening = max(self._opens_at, self.room.closed_until)
-        if len(self._sent_at) >= self.room.burst:
+        if len(self._sent_at) >= self.room.limit_burst(now):
             opening = max(opening, self._sent_at[0] + REFUSAL_DELAY_S)
         return opening
 
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_refusal_limits.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_refusal_limits.py
@@ -1,7 +1,8 @@
 """Limit on the requests that a brittle server has to refuse for lack of room.
 
 Designed for servers that end when they refuse many requests in a second. All instances
-together send no more at a time than such a server can take or may refuse.
+together send no more at a time than such a server can take or may refuse. A request
+occupies its place until its answer is complete, or the server has given it up.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 
 
 class RefusalLimiter:
-    """Bounds the unanswered requests of one instance at one process of a server.
+    """Bounds the requests of one instance at one process of a server.
 
     Attributes
     ----------
@@ -31,7 +32,7 @@
         "_rank",
         "_resting_until",
         "_slots",
-        "_unanswered",
+        "_at_server",
         "limit",
         "refused_at",
     )
@@ -43,7 +44,7 @@
         self._rank = 0
         self._resting_until = -math.inf
         self._slots = 0
-        self._unanswered = 0
+        self._at_server = 0
 
     def set_limit(self, limit: int | None, *, slots: int) -> None:
         """Set what the server says.
@@ -82,7 +83,7 @@
         """
         if self.limit is None:
             return True
-        return now >= self._resting_until and self._unanswered < self._count_share(now)
+        return now >= self._resting_until and self._at_server < self._count_share(now)
 
     def find_next(self, now: float) -> float:
         """Return when a request may be sent; now if that depends on answers to others.
@@ -111,11 +112,11 @@
         now : float
             Seconds.
         """
-        self._unanswered += 1
+        self._at_server += 1
 
-    def record_answered(self) -> None:
-        """Count the begin of the answer to a request, or its end without one."""
-        self._unanswered -= 1
+    def record_ended(self) -> None:
+        """Count the end of a request at the server."""
+        self._at_server -= 1
 
     def record_refused(self, now: float, jitter: float) -> None:
         """Record a refusal of a request of this instance.
@@ -142,7 +143,7 @@
         self.refused_at = max(self.refused_at, refused_at)
 
     def _count_share(self, now: float) -> int:
-        """Return how many requests of this instance may be unanswered."""
+        """Return how many requests of this instance may be at the server."""
         room = self._slots or self.limit
         if now - self.refused_at < CAUTION_S:
             room = min(room, self.limit)
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_room_estimates.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_room_estimates.py
@@ -37,8 +37,6 @@
     ----------
     room : int
         Current estimate, at most the slots.
-    burst : int
-        Requests that may be sent before a refusal of the first could have arrived.
     closed_until : float
         Time before which the server is left alone, seconds.
     """
@@ -48,12 +46,13 @@
         "_confirmed",
         "_failed_rises",
         "_fell_at",
+        "_burst",
         "_first_pause_s",
         "_pause_s",
+        "_refused_at",
         "_rise_interval_s",
         "_slots",
         "_was_filled",
-        "burst",
         "closed_until",
         "room",
     )
@@ -63,12 +62,13 @@
         self._rise_interval_s = (
             RISE_INTERVAL_S if tolerated else CAREFUL_RISE_INTERVAL_S
         )
-        # Pauses that double from it allow the tolerated refusals in the time. A server
-        # that survives none has ended after the first.
-        doublings = min(tolerated or 2, MAX_DOUBLINGS)
+        self._burst = max(1, tolerated // 2)
+        # All of the first burst may be refused; pauses that double allow the rest of
+        # the tolerated refusals in the time. A server that survives none has ended
+        # after the first.
+        doublings = min(tolerated - self._burst + 1 or 2, MAX_DOUBLINGS)
         self._first_pause_s = COUNTING_S / (2**doublings - 1)
         self._pause_s = self._first_pause_s
-        self.burst = max(1, tolerated // 2)
         self.closed_until = -math.inf
         self.room = self._slots
         self._confirmed = self._slots  # what was in use without a refusal
@@ -76,6 +76,17 @@
         self._was_filled = False
         self._changed_at = -math.inf
         self._fell_at = -math.inf
+        self._refused_at = -math.inf
+
+    def limit_burst(self, now: float) -> int:
+        """Return how many requests may be sent until a refusal of the first arrives.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        return 1 if now - self._refused_at < COUNTING_S else self._burst
 
     def record_used(self, used: int, now: float) -> None:
         """Record that requests are at the server, none of them refused so far.
@@ -106,6 +117,7 @@
             Seconds.
         """
         self._pause(now)
+        self._refused_at = now
         if now - self._fell_at < SETTLE_S:
             return
         self._fell_at = now
--- a/packages/node/src/ebonyhaven_node/_engines.py
+++ b/packages/node/src/ebonyhaven_node/_engines.py
@@ -221,7 +221,8 @@
             closed = _is_closed(exc)
             raise EngineLost(peer=server.name, step=step, closed=closed) from exc
         finally:
-            server.limiter.record_answered()
+            # Its stream is held to the engine's capacity by the scheduler.
+            server.limiter.record_ended()
         server.record_answer()
         server.record_limits(read_limits(response.headers))
         rest_s = read_rest_s(response.code, response.headers)
--- a/packages/node/src/ebonyhaven_node/_load_poller.py
+++ b/packages/node/src/ebonyhaven_node/_load_poller.py
@@ -101,7 +101,7 @@
 
 
 def _record_answered(result: Any, server: BackendServer) -> Any:
-    server.limiter.record_answered()
+    server.limiter.record_ended()
     return result
 
 
--- a/packages/node/src/ebonyhaven_node/_services.py
+++ b/packages/node/src/ebonyhaven_node/_services.py
@@ -198,7 +198,7 @@
                 OutcomeTag.UNKNOWN, "send", server, _describe(exception)
             )
         finally:
-            server.limiter.record_answered()
+            server.limiter.record_ended()
         server.record_answer()
         server.record_limits(read_limits(response.headers))
         rest_s = read_rest_s(response.code, response.headers)
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -26,6 +26,8 @@
     ResponseHead,
 )
 
+CANCELLATION_S = 0.3  # in which a server finds that a connection was closed
+
 
 class Attempt(ResponseHandler):
     """Sends a request to a backend server and reports the response to an inbox.
@@ -80,7 +82,7 @@
         self._context = context
         self._connection: HttpConnection | None = None
         self._pending: PendingConnection | None = None
-        self._is_unanswered = False
+        self._is_counted = False  # among the requests that its server has to run
         self._is_admitted = False
         self._patience_s = plan.patience_s
 
@@ -102,8 +104,8 @@
         if obstacle is not None:
             self._fail_unsent(obstacle)
             return
-        self._is_unanswered = self.backend.limiter.acquire(now)
-        if not self._is_unanswered:
+        self._is_counted = self.backend.limiter.acquire(now)
+        if not self._is_counted:
             self._fail_unsent(SendObstacle.LIMITED)
             return
         self._is_admitted = self._context.rollouts.acquire(
@@ -125,7 +127,7 @@
         """Cancel the attempt and close its connection."""
         if self.is_finished:
             return
-        self._finish()
+        self._finish(is_cancelled=True)
         if self._pending is not None:
             self._pending.cancel()
         if self._connection is not None:
@@ -150,7 +152,6 @@
         self._record_load(head, now)
         if head.request_id is not None and not head.is_other_process:
             self._context.report_limits(self.backend, head.limits)
-        self._record_answered()
         self.head = head
         self._inbox.put(ResponseStarted(self, head))
         return True
@@ -263,20 +264,23 @@
             self.backend.silence.record_begun(self._patience_s, gap_patience_s)
             self._patience_s = gap_patience_s
 
-    def _record_answered(self) -> None:
-        if self._is_unanswered:
-            self._is_unanswered = False
-            self.backend.limiter.record_answered()
-            self._context.permits.handle_answered(self.backend)
+    def _record_ended(self) -> None:
+        if self._is_counted:
+            self._is_counted = False
+            self.backend.limiter.record_ended()
+            self._context.permits.handle_ended(self.backend)
 
-    def _finish(self) -> None:
+    def _finish(self, *, is_cancelled: bool = False) -> None:
         self.is_finished = True
         if self.was_sent:
             now = self._context.clock()
             self.backend.silence.record_ended(now, self._patience_s)
         elif self._is_admitted:
             self._context.rollouts.refund(self.backend)
-        self._record_answered()
+        if is_cancelled and self.was_sent and self.backend.limiter.has_limits:
+            self._context.reactor.callLater(CANCELLATION_S, self._record_ended)
+        else:
+            self._record_ended()
         self.backend.in_flight -= 1
         self._context.capacity_notifier.notify()
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_engine_sampling.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_engine_sampling.py
@@ -79,8 +79,8 @@
                 backend.entry.address, timeout_s=SAMPLE_TIMEOUT_S
             )
         finally:
-            backend.limiter.record_answered()
-            self._context.permits.handle_answered(backend)
+            backend.limiter.record_ended()
+            self._context.permits.handle_ended(backend)
         if server is None or not _is_same_process(server, backend):
             return SampledEngine(backend, None)
         if server.is_leaving:
--- a/packages/node/src/ebonyhaven_node/forwarding/_permit_exchange.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_permit_exchange.py
@@ -11,6 +11,7 @@
 import structlog
 from ebonyhaven_decisions import MemberRecord, MemberState
 from ebonyhaven_decisions.forwarding import (
+    PERMIT_TTL_S,
     Backend,
     BackendLimits,
     Permit,
@@ -25,6 +26,7 @@
 ASK_AGAIN_S = 0.1  # after which the owner of another server is asked as well
 # A refusal is told with the return of its permit, so that no other is granted before.
 RETURN_DELAY_S = 0.002
+REPORT_INTERVAL_S = 0.4 * PERMIT_TTL_S
 
 _log = structlog.get_logger()
 
@@ -36,6 +38,7 @@
     GRANT = "g"
     RETURN = "r"
     REFUSED = "x"
+    HELD = "h"
 
 
 class PermitMessage(NamedTuple):
@@ -47,7 +50,8 @@
     process_id : str
         See `Backend.process_id`.
     request_ids : list of str
-        Requests that the permits were asked for.
+        Requests that the permits were asked for; for `PermitAction.HELD`, those of all
+        permits whose requests are at the server.
     """
 
     action: PermitAction
@@ -92,6 +96,7 @@
         self._refused: dict[str, None] = {}  # processes that refused a request
         self._logged_rooms: dict[str, int] = {}  # by process
         self._timer = None
+        self._report_timer: IDelayedCall | None = None
         self._pause_timers: dict[str, IDelayedCall] = {}  # by process
 
     def connect(self, membership: MembershipController, channels: Channels) -> None:
@@ -106,10 +111,12 @@
         self._own_name = membership.own.name
         channels.subscribe(FrameKind.SERVER_PERMITS, self._receive)
         membership.observe(self._handle_member)
+        self._backends.observe(self._handle_limits)
 
     def stop(self) -> None:
         """Cancel scheduled messages."""
-        for timer in (self._timer, *self._pause_timers.values()):
+        timers = (self._timer, self._report_timer, *self._pause_timers.values())
+        for timer in timers:
             if timer is not None and timer.active():
                 timer.cancel()
 
@@ -185,8 +192,8 @@
             if _get_limiter(backend).give_up(request_id):
                 self._return(backend, [request_id])
 
-    def handle_answered(self, backend: Backend) -> None:
-        """Return the permit of a request that a server has answered.
+    def handle_ended(self, backend: Backend) -> None:
+        """Return the permit of a request that has ended at its server.
 
         Parameters
         ----------
@@ -247,9 +254,11 @@
         self._pause_timers.pop(process_id, None)
 
     def _flush_process(self, backend: Backend, was_refused: bool, now: float) -> None:
-        """Return the permits of answered requests, and grant what is free."""
+        """Return the permits of requests that ended, and grant what is free."""
         limiter = _get_limiter(backend)
         returned = limiter.take_returned()
+        if not limiter.is_owner and limiter.limit is not None:
+            self._report(backend, is_due=False)
         if limiter.is_owner:
             for request_id in returned:
                 limiter.ledger.release(Permit(self._own_name, request_id))
@@ -259,6 +268,44 @@
         elif returned:
             self._send(limiter.owner, PermitAction.RETURN, backend, returned)
 
+    # -- reports -----------------------------------------------------------------
+
+    def _handle_limits(self, backend: Backend) -> None:
+        """Tell the owner of a server what it may not know, now and from then on."""
+        limiter = _get_limiter(backend)
+        if limiter.limit is None:
+            return
+        if not limiter.is_owner:
+            self._schedule_flush(backend)
+        if self._report_timer is None or not self._report_timer.active():
+            self._report_timer = self._reactor.callLater(
+                REPORT_INTERVAL_S, self._report_all
+            )
+
+    def _report_all(self) -> None:
+        """Repeat which permits are held; owners take the others back."""
+        brittle = [
+            each for each in self._backends if _get_limiter(each).limit is not None
+        ]
+        for backend in brittle:
+            self._report(backend, is_due=True)
+        if brittle:
+            self._report_timer = self._reactor.callLater(
+                REPORT_INTERVAL_S, self._report_all
+            )
+
+    def _report(self, backend: Backend, *, is_due: bool) -> None:
+        limiter = _get_limiter(backend)
+        if limiter.is_owner:
+            used = limiter.list_permits()
+            limiter.ledger.record_held(self._own_name, used, self._clock())
+            return
+        held = limiter.take_report(is_due=is_due)
+        if held is not None:
+            self._send(limiter.owner, PermitAction.HELD, backend, held)
+
+    # -- grants ------------------------------------------------------------------
+
     def _log_room(self, backend: Backend) -> None:
         room = _get_limiter(backend).ledger.room.room
         before = self._logged_rooms.get(backend.process_id, backend.entry.slots)
@@ -349,6 +396,9 @@
                 for request_id in message.request_ids:
                     limiter.ledger.ask(Permit(sender, request_id), now)
                 self._grant(backend, now)
+            case PermitAction.HELD:
+                limiter.ledger.record_held(sender, message.request_ids, now)
+                self._grant(backend, now)
             case PermitAction.RETURN | PermitAction.REFUSED:
                 if message.action is PermitAction.REFUSED:
                     limiter.ledger.room.record_refused(now)
--- a/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
@@ -188,8 +188,8 @@
             deletion.addErrback(self._log_deletion_failure)
 
     def _record_answered(self, result: object) -> object:
-        self._source.limiter.record_answered()
-        self._context.permits.handle_answered(self._source)
+        self._source.limiter.record_ended()
+        self._context.permits.handle_ended(self._source)
         return result
 
     def _locate(self) -> RunCopyLocation:
--- a/packages/node/src/ebonyhaven_node/forwarding/_silence_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_silence_monitor.py
@@ -176,8 +176,8 @@
     def _handle_result(self, server: InspectedServer | None, episode: _Episode) -> None:
         episode.check = None
         backend = episode.backend
-        backend.limiter.record_answered()
-        self._permits.handle_answered(backend)
+        backend.limiter.record_ended()
+        self._permits.handle_ended(backend)
         if server is not None and server.is_leaving:
             self._on_leave(backend)
         if server is not None and server.rest_s is not None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -133,8 +133,12 @@
             return
         self.configuration = configuration
         self.backends.retention.apply(configuration, self._clock())
-        self.backends.limits.set_engine_services(
-            name for name, each in configuration.services.items() if each.engine
+        self.backends.limits.set_engine_slots(
+            {
+                name: each.engine.slots
+                for name, each in configuration.services.items()
+                if each.engine
+            }
         )
         _log.info(
             "configuration_in_force",
--- a/tests/decisions/test_refusal_limits.py
+++ b/tests/decisions/test_refusal_limits.py
@@ -52,7 +52,7 @@
         for end, limiter in list(self.running):
             if now >= end:
                 self.running.remove((end, limiter))
-                limiter.record_answered()
+                limiter.record_ended()
                 self.served += 1
         while self.told and self.told[0][0] <= now:
             _, refused_at = self.told.popleft()
@@ -67,7 +67,7 @@
         if len(self.running) < SLOTS - held_slots:
             self.running.append((now + work_s, limiter))
             return
-        limiter.record_answered()
+        limiter.record_ended()
         limiter.record_refused(now, self.rng.random())
         self.refused_at.append(now)
         self.told.append((now + TELL_DELAY_S, now))
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -74,11 +74,13 @@
     )
 
 
-def stream_head(request_id, stamp=STAMP) -> bytes:
+def stream_head(request_id, stamp=STAMP, **headers) -> bytes:
+    more = [f"{name.replace('_', '-')}: {each}\r\n" for name, each in headers.items()]
     return (
         "HTTP/1.1 200 OK\r\n"
         f"X-Attempt-Id: {request_id}\r\n"
         f"X-Server-Stamp: {stamp}\r\n"
+        f"{''.join(more)}"
         "Content-Type: text/event-stream\r\n"
         "Transfer-Encoding: chunked\r\n\r\n"
     ).encode()
--- a/tests/forwarding/test_brittle_servers.py
+++ b/tests/forwarding/test_brittle_servers.py
@@ -2,7 +2,17 @@
 
 from __future__ import annotations
 
-from tests.forwarding.harness import ForwardingHarness, answer, refusal
+from ebonyhaven_node.forwarding._attempts import CANCELLATION_S
+
+from tests.forwarding.harness import (
+    STREAM_END,
+    ForwardingHarness,
+    answer,
+    chunk,
+    event,
+    refusal,
+    stream_head,
+)
 
 MAX_REFUSALS_PER_S = 4
 SLOTS = 6
@@ -95,3 +105,55 @@
     server.receive(answer("r1", Server_Brittle="4"))
     harness.advance(0.0)
     assert "server-brittle" not in caller.read_answer()[1]
+
+
+ENGINE_SLOTS = 6
+
+
+def open_streams(harness, count) -> list:
+    """Send streams, and return the engines that got them, which begin to answer."""
+    for number in range(count):
+        harness.open_caller().request(f"/stream/{number}", f"r{number}")
+        harness.advance(0.05)
+    servers = [each for each in harness.connections if each.has_request()]
+    for server in servers:
+        head, _ = server.read_request()
+        request_id = dict(head.headers)[b"x-attempt-id"].decode()
+        begin = stream_head(request_id, Server_Brittle="4") + chunk(event(1))
+        server.receive(begin)
+    harness.advance(0.05)
+    return servers
+
+
+def test_a_brittle_engine_whose_slots_are_taken_by_streams_gets_no_more():
+    # Guards against a permit that is returned with the head of an answer while the
+    # stream goes on, and against a room that is derived from memory alone.
+    harness = ForwardingHarness(plain=0, engines=1)
+    servers = []
+    for _ in range(3 * ENGINE_SLOTS):
+        servers += open_streams(harness, 1)
+        for server in servers:
+            server.receive(chunk(event(2)))
+    assert len(servers) == ENGINE_SLOTS
+    servers[0].receive(STREAM_END)
+    harness.advance(0.2)
+    assert harness.count_waiting() == 1
+
+
+def test_a_cancelled_stream_occupies_its_slot_until_the_engine_has_noticed():
+    harness = ForwardingHarness(plain=0, engines=1)
+    callers = []
+    for number in range(ENGINE_SLOTS + 1):
+        callers.append(harness.open_caller())
+        callers[-1].request(f"/stream/{number}", f"r{number}")
+        harness.advance(0.05)
+        for server in [each for each in harness.connections if each.has_request()]:
+            server.read_request()
+            head = stream_head(f"r{number}", Server_Brittle="4")
+            server.receive(head + chunk(event(1)))
+    assert harness.count_waiting() == 0
+    callers[0].disconnect()
+    harness.advance(0.5 * CANCELLATION_S)
+    assert harness.count_waiting() == 0
+    harness.advance(CANCELLATION_S)
+    assert harness.count_waiting() == 1
--- a/tests/forwarding/test_permit_exchange.py
+++ b/tests/forwarding/test_permit_exchange.py
@@ -14,6 +14,7 @@
 
 from ebonyhaven_decisions import MemberRecord, MemberState
 from ebonyhaven_decisions.forwarding import (
+    PERMIT_TTL_S,
     BackendDirectory,
     BackendEntry,
     BackendState,
@@ -95,14 +96,14 @@
         self.network.deliver(self.name, receiver, kind, payload)
 
     def join(self):
+        if not self.handlers:
+            self.exchange.connect(self, self)
         names = [each.name for each in self.members if each.state is MemberState.LIVE]
         now = self.clock.seconds()
         self.directory.limits.set_instances(self.name, names, now)
         for backend in self.directory:
             limits = ServerLimits(refusals_per_s=self.limit)
             self.directory.limits.record_limits(backend, limits, now)
-        if not self.handlers:
-            self.exchange.connect(self, self)
 
     # requests
 
@@ -134,8 +135,8 @@
 
     def receive(self, backend, was_refused):
         backend.in_flight -= 1
-        backend.limiter.record_answered()
-        self.exchange.handle_answered(backend)
+        backend.limiter.record_ended()
+        self.exchange.handle_ended(backend)
         if was_refused:
             backend.record_refused(self.clock.seconds(), self.rng.random())
             self.exchange.handle_refused(backend)
@@ -146,14 +147,14 @@
 class Server:
     """A server with some room and no queue."""
 
-    def __init__(self, number, clock, room, work_s):
+    def __init__(self, number, clock, room, work_s, slots):
         self.entry = BackendEntry(
             server_id=f"s-{number}",
             started_ms=1,
             service=SERVICE,
             address=f"10.0.0.{number}:80",
             data_centre="dc-a",
-            slots=room,
+            slots=slots,
             state=BackendState.READY,
         )
         self.clock = clock
@@ -187,14 +188,22 @@
 
 
 class Fleet:
-    """Instances before two brittle servers."""
+    """Instances before some servers, two unless said otherwise.
 
-    def __init__(self, count, *, room, limit, work_s=0.2, seed=1):
+    They are not brittle while ``limit`` is None.
+    """
+
+    def __init__(
+        self, count, *, room, limit, work_s=0.2, seed=1, servers=2, slots=None
+    ):
         self.clock = Clock()
         self.rng = random.Random(seed)
         self.asked_at = []
         self.network = Network(self.clock)
-        self.servers = [Server(each, self.clock, room, work_s) for each in (1, 2)]
+        self.servers = [
+            Server(each, self.clock, room, work_s, slots or room)
+            for each in range(1, servers + 1)
+        ]
         self.network.servers = {each.entry.server_id: each for each in self.servers}
         self.instances = [
             Instance(f"n{each}", self.network, self.servers, limit)
@@ -235,6 +244,12 @@
                 served += 1
         return served / (end_s - start_s)
 
+    def name_limit(self, limit):
+        """Have the servers say that they are brittle."""
+        for instance in self.instances:
+            instance.limit = limit
+            instance.join()
+
     def kill(self, instance):
         instance.is_alive = False
         for other in self.instances:
@@ -310,6 +325,70 @@
         assert server.count_worst_second() <= 3
 
 
+STREAM_S = 4.1
+STREAM_SLOTS = 12
+QUEUE = 6  # that ends when the servers are brittle
+SERVERS = 6
+END_OF_STREAMS_S = 36.0  # of those that are looked at
+MAX_REFUSALS = 4
+STREAM_RATE = 0.8 * SERVERS * STREAM_SLOTS / STREAM_S
+
+
+def run_streams(count, *, seed=1):
+    """Send streams to servers that become brittle at 8 s, and take fewer at 11 s."""
+    fleet = Fleet(
+        count,
+        room=STREAM_SLOTS + QUEUE,
+        limit=None,
+        work_s=STREAM_S,
+        seed=seed,
+        servers=SERVERS,
+        slots=STREAM_SLOTS,
+    )
+    fleet.run(STREAM_RATE, until_s=8.0)
+    fleet.name_limit(MAX_REFUSALS)
+    fleet.run(STREAM_RATE, until_s=11.0)
+    for server in fleet.servers:
+        server.room = STREAM_SLOTS
+    return fleet
+
+
+def check_streams(fleet, start_s):
+    """Check that nearly all streams are served from a time on, and few refused."""
+    begun = sum(start_s <= at < END_OF_STREAMS_S for at in fleet.asked_at)
+    served = fleet.count_served_per_s(start_s + STREAM_S, END_OF_STREAMS_S + STREAM_S)
+    assert served * (END_OF_STREAMS_S - start_s) >= 0.9 * begun
+    for server in fleet.servers:
+        assert server.count_worst_second() <= MAX_REFUSALS
+
+
+def test_streams_that_began_before_permits_were_needed_are_counted():
+    # Guards against an owner that takes a server for empty which is full of streams
+    # that other instances sent before it named a limit.
+    for count in (1, 3, 9, 60):
+        fleet = run_streams(count)
+        fleet.run(STREAM_RATE, until_s=END_OF_STREAMS_S + STREAM_S)
+        check_streams(fleet, 12.0)
+        assert not any(each.refused_at for each in fleet.servers), count
+
+
+def test_streams_are_counted_by_the_successor_of_a_lost_owner():
+    # Guards against a successor that waits for as long as short requests take only.
+    for seed in (1, 2, 3):
+        fleet = run_streams(9, seed=seed).run(STREAM_RATE, until_s=13.0)
+        owner_name = next(iter(fleet.instances[0].directory)).limiter.refusals.owner
+        fleet.kill(fleet.network.instances[owner_name])
+        fleet.run(STREAM_RATE, until_s=END_OF_STREAMS_S + STREAM_S)
+        check_streams(fleet, 20.0)
+
+
+def test_permits_of_streams_that_outlast_their_reports_are_kept():
+    fleet = Fleet(3, room=4, limit=4, work_s=4 * PERMIT_TTL_S)
+    fleet.run(2.0, until_s=3 * PERMIT_TTL_S)
+    assert all(each.running == 4 for each in fleet.servers)
+    assert not any(each.refused_at for each in fleet.servers)
+
+
 def test_messages_are_bounded_by_the_requests():
     fleet = Fleet(195, room=6, limit=3).run(40.0, until_s=10.0)
     assert fleet.network.sent <= 8 * 40.0 * 10.0
