An answer without a length that is reset is not taken for complete

Cause: the end of a connection was trusted if the reactor called it done. It does so for a hang-up without input too, with the reset still pending at the socket; and an end of input says nothing while the request is still written.

Why this works: as a half-closeable protocol the connection looks at the pending error while its socket is open, and completes a body without framing only once the server has received the whole request. An answer that began before that waits 0.05 s more for a reset; no other is delayed.

Status 000 and seven other odd ones never reached a caller as a success; the test of that guards.

--- a/packages/node/src/ebonyhaven_node/forwarding/_connection_pool.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_connection_pool.py
@@ -234,6 +234,7 @@
         PendingConnection
         """
         connection = _PooledConnection(
+            reactor=self._reactor,
             on_idle=lambda connection: self._add_idle(address, connection),
             on_lost=lambda connection: self._remove(address, connection),
             clock=self._clock,
--- a/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
@@ -12,15 +12,21 @@
 import socket
 import time
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 import h11
 from ebonyhaven_decisions import parse_count
-from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IDelayedCall, IHalfCloseableProtocol
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from ebonyhaven_node.exceptions import UnsendableRequest
+from ebonyhaven_node.forwarding._connection_ends import (
+    find_pending_error,
+    is_sending,
+)
 from ebonyhaven_node.forwarding._requests import MAX_RESPONSE_BYTES, Headers
 
 KEEPALIVE_INTERVAL_S = 1  # lowest value of TCP_KEEPIDLE and of TCP_KEEPINTVL
@@ -33,6 +39,9 @@
 # With a smaller margin, the server could close the connection while a request is in
 # transit.
 IDLE_TIMEOUT_MARGIN_S = 0.7
+SENDING_POLL_INTERVAL_S = 0.02
+# Within which a server that ended its side without reading all resets the connection.
+RESET_DELAY_S = 0.05
 # Servers without a Keep-Alive timeout close idle connections in less than a second.
 DEFAULT_IDLE_TIMEOUT_S = 0.3
 
@@ -109,11 +118,18 @@
     max_response_bytes: int = MAX_RESPONSE_BYTES
 
 
+@implementer(IHalfCloseableProtocol)
 class HttpConnection(Protocol):
     """Client connection with at most one request at a time.
 
+    A body without framing ends when the server ends its side of the connection. It is
+    complete only if the connection was not reset, which may become known later if the
+    server has not received the whole request by then.
+
     Parameters
     ----------
+    reactor : IReactorTime and IReactorFDSet
+        Of the transport.
     on_idle : callable
         Called with the connection when it is ready for another request.
     on_lost : callable
@@ -131,11 +147,13 @@
     def __init__(
         self,
         *,
+        reactor: Any,
         on_idle: Callable[[HttpConnection], None],
         on_lost: Callable[[HttpConnection], None],
         clock: Callable[[], float] = time.monotonic,
     ):
         self._clock = clock
+        self._reactor = reactor
         self._on_idle = on_idle
         self._on_lost = on_lost
         self._codec = _make_codec()
@@ -144,6 +162,8 @@
         self._is_skipping = False
         self._has_head = False
         self._received_bytes = 0
+        self._was_early = False  # whether the answer came before all was sent
+        self._end_check: IDelayedCall | None = None
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.is_closed = False
         self.idle_since = 0.0
@@ -181,7 +201,7 @@
             raise UnsendableRequest(str(error)) from error
         self._handler = handler
         self._request = request
-        self._is_skipping = self._has_head = False
+        self._is_skipping = self._has_head = self._was_early = False
         self._received_bytes = 0
         self.transport.write(encoded)
 
@@ -189,6 +209,7 @@
         """Close the connection at once without notifying the handler."""
         self._handler = None
         self.is_closed = True
+        self._cancel_end_check()
         if self.transport is not None:
             self.transport.abortConnection()
 
@@ -227,21 +248,56 @@
         if self._handler is not None and self._received_bytes > self._get_limit():
             self._fail("the response is too long", is_connection_lost=False)
 
-    def connectionLost(self, reason: Failure) -> None:  # noqa: N802 Twisted API
-        """Complete or fail the pending response and report the loss of the connection.
+    def readConnectionLost(self) -> None:  # noqa: N802 Twisted API
+        """Complete the pending response unless the connection was or may be reset."""
+        self.is_closed = True
+        if self._handler is None:
+            self.transport.loseConnection()
+        else:
+            self._check_end(is_settled=not self._was_early)
 
-        Only a clean close can complete it: it ends a body without framing.
-        """
+    def writeConnectionLost(self) -> None:  # noqa: N802 Twisted API
+        """Do nothing: the sending side is never closed alone."""
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802 Twisted API
+        """Fail the pending response and report the loss of the connection."""
         self.is_closed = True
-        is_clean = reason.check(ConnectionDone) is not None
-        if self._handler is not None and is_clean:
-            self._decode(b"")
+        self._cancel_end_check()
         if self._handler is not None:
             self._fail(
                 f"connection ended: {reason.getErrorMessage()}", is_connection_lost=True
             )
         self._on_lost(self)
 
+    def _check_end(self, *, is_settled: bool) -> None:
+        """Complete the response that has ended, once the server has the whole request.
+
+        Parameters
+        ----------
+        is_settled : bool
+            Whether a reset would be known if the server has received all.
+        """
+        error = find_pending_error(self.transport)
+        if error is not None:
+            self._fail(f"connection ended: {error}", is_connection_lost=True)
+        elif is_sending(self.transport, self._reactor):
+            self._schedule_end_check(SENDING_POLL_INTERVAL_S, is_settled=False)
+        elif not is_settled:
+            self._schedule_end_check(RESET_DELAY_S, is_settled=True)
+        else:
+            self._decode(b"")
+            if self._handler is not None:
+                self._fail("connection ended", is_connection_lost=True)
+
+    def _schedule_end_check(self, delay_s: float, *, is_settled: bool) -> None:
+        self._end_check = self._reactor.callLater(
+            delay_s, self._check_end, is_settled=is_settled
+        )
+
+    def _cancel_end_check(self) -> None:
+        if self._end_check is not None and self._end_check.active():
+            self._end_check.cancel()
+
     def _get_limit(self) -> int:
         if self._has_head:
             return self._request.max_response_bytes
@@ -287,6 +343,8 @@
     def _handle_head(self, event: h11.Response) -> None:
         headers = tuple((bytes(name), bytes(value)) for name, value in event.headers)
         self._idle_timeout_s = _parse_idle_timeout_s(headers)
+        if not _is_delimited(headers):
+            self._was_early = is_sending(self.transport, self._reactor)
         self._has_head = self._handler.accept_head(event.status_code, headers)
         self._is_skipping = not self._has_head
 
@@ -304,6 +362,8 @@
             self._codec.start_next_cycle()
             self.idle_since = self._clock()
             self._on_idle(self)
+        elif self.is_closed:
+            self.transport.loseConnection()
         else:
             self.abort()
         handler.complete(is_delimited=is_delimited)
@@ -332,6 +392,10 @@
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
 
 
+def _is_delimited(headers: Headers) -> bool:
+    return any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
+
+
 def _parse_idle_timeout_s(headers: Headers) -> float:
     """Return the seconds for which an idle connection may be reused."""
     for name, value in headers:
--- a/packages/standins/src/ebonyhaven_standins/memory_connections.py
+++ b/packages/standins/src/ebonyhaven_standins/memory_connections.py
@@ -5,6 +5,7 @@
 import h11
 from ebonyhaven_node.forwarding import GatewaySettings
 from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Protocol
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
@@ -44,6 +45,10 @@
     def setsockopt(self, *options: object) -> None:
         """Ignore the option."""
 
+    def getsockopt(self, *options: object) -> int:
+        """Return that no error is pending."""
+        return 0
+
 
 class MemoryTransport(StringTransport):
     """String transport that records whether the connection was aborted.
@@ -152,5 +157,7 @@
         self.protocol.connectionLost(Failure(ConnectionLost()))
 
     def close(self) -> None:
-        """Close the connection cleanly."""
+        """Close the connection cleanly, as the reactor reports it."""
+        if IHalfCloseableProtocol.providedBy(self.protocol):
+            self.protocol.readConnectionLost()
         self.protocol.connectionLost(Failure(ConnectionDone()))
--- a/tests/forwarding/test_endless_responses.py
+++ b/tests/forwarding/test_endless_responses.py
@@ -4,6 +4,7 @@
 
 from ebonyhaven_node.forwarding._http_client import HttpConnection, HttpRequest
 from ebonyhaven_standins.memory_connections import MemoryTransport
+from twisted.internet.testing import MemoryReactorClock
 
 from tests.forwarding.harness import ForwardingHarness, answer, chunk, stream_head
 
@@ -109,7 +110,9 @@
 
 
 def test_bytes_without_a_request_close_the_connection():
-    connection = HttpConnection(on_idle=lambda _: None, on_lost=lambda _: None)
+    connection = HttpConnection(
+        reactor=MemoryReactorClock(), on_idle=lambda _: None, on_lost=lambda _: None
+    )
     transport = MemoryTransport()
     connection.makeConnection(transport)
     connection.dataReceived(PIECE)
@@ -126,7 +129,9 @@
 
 def test_limit_counts_anew_with_each_request():
     lost = []
-    connection = HttpConnection(on_idle=lambda _: None, on_lost=lost.append)
+    connection = HttpConnection(
+        reactor=MemoryReactorClock(), on_idle=lambda _: None, on_lost=lost.append
+    )
     connection.makeConnection(MemoryTransport())
     request = HttpRequest(method=b"GET", target=b"/", headers=((b"host", b"x"),))
 
--- a/tests/forwarding/test_odd_heads.py
+++ b/tests/forwarding/test_odd_heads.py
@@ -111,3 +111,22 @@
                 harness.advance(LONGEST_TIMEOUT_S + 0.5)
         assert caller.received or caller.transport.is_closed
         assert not [line for line in lines if line["event"] == "request_crashed"]
+
+
+def test_an_answer_with_an_odd_status_is_no_success():
+    # Guards against a server in trouble whose answer with status 000 reaches a caller.
+    for status in ("000", "099", "0", "0200", "2000", "-20", "2x0", ""):
+        for path in ("/once/x", "/repeat/x", "/stream/x", "/fixed/x"):
+            harness = ForwardingHarness()
+            caller = harness.open_caller()
+            caller.request(path)
+            for _ in range(8):
+                for server in [
+                    each for each in harness.connections if each.has_request()
+                ]:
+                    server.read_request()
+                    head = f"HTTP/1.1 {status} X\r\nX-Attempt-Id: r1\r\n"
+                    head += "X-Server-Stamp: s\r\nContent-Length: 4\r\n\r\n"
+                    server.receive(head.encode() + b"part")
+                harness.advance(0.2)
+            assert not 200 <= caller.read_answer()[0] < 300, (status, path)
