A stream is taken up with another key of its workspace

Cause: the digest under which the record of a stream is kept held the API key. It holds the name of the workspace now; another workspace still finds nothing.

--- a/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
@@ -27,6 +27,8 @@
     route : Route
     service : str
         To which the configuration in force sends the request.
+    workspace : str or None
+        Name of the caller's workspace.
     engine : EngineTraits or None
         None for a service without engines, whose runs have no copies.
     version : StreamVersion
@@ -46,6 +48,7 @@
         request: ForwardRequest,
         route: Route,
         service: str,
+        workspace: str | None,
         engine: EngineTraits | None,
         version: StreamVersion,
         context: RelayContext,
@@ -54,6 +57,7 @@
         self._request = request
         self._route = route
         self._service = service
+        self._workspace = workspace
         self._version = version
         self._context = context
         self._location: RunCopyLocation | None = None
@@ -93,7 +97,7 @@
         """Return the record of the stream that the caller names, if it names one."""
         copy_ttl_s = self._engine.copy_ttl_s if self._engine is not None else 0.0
         record = await self._context.stream_index.find(
-            self._request.stream_key, copy_ttl_s=copy_ttl_s
+            self._request.compute_stream_key(self._workspace), copy_ttl_s=copy_ttl_s
         )
         named = self._request.original_request_id
         if record is None or named in (None, record.request_id):
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -168,18 +168,23 @@
         hasher.update(self.body)
         return hasher.hexdigest()[:DIGEST_HEX_DIGITS]
 
-    @property
-    def stream_key(self) -> str:
-        """Digest that identifies a stream when its caller retries it.
+    def compute_stream_key(self, workspace: str | None) -> str:
+        """Return the digest that identifies a stream when its caller retries it.
 
         A generation is identified by its prompt, so that callers need not name the
-        request that began it; another stream by that request.
+        request that began it; another stream by that request. The caller may retry it
+        with another key of its workspace.
+
+        Parameters
+        ----------
+        workspace : str or None
+            Name of the caller's workspace.
         """
         if self.prompt_id is None or self.size is None:
             stream_id = self.original_request_id or self.request_id
         else:
             stream_id = f"{self.prompt_id} {tuple(self.size)}"
-        identity = f"{self.content_digest} {self.api_key} {self.host} {stream_id}"
+        identity = f"{self.content_digest} {workspace} {self.host} {stream_id}"
         return hashlib.sha256(identity.encode()).hexdigest()[:DIGEST_HEX_DIGITS]
 
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
@@ -84,7 +84,7 @@
         Parameters
         ----------
         key : str
-            See `ForwardRequest.stream_key`.
+            See `ForwardRequest.compute_stream_key`.
         record : StreamRecord
         """
         self._record(key, record)
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -113,10 +113,12 @@
             context=context,
         )
         self._run_copy: RunCopy | None = None
+        self._stream_key = request.compute_stream_key(workspace)
         self._earlier_run = EarlierRun(
             request=request,
             route=route,
             service=service,
+            workspace=workspace,
             engine=engine,
             version=self._version,
             context=context,
@@ -269,7 +271,7 @@
         copy = RunCopy(
             request_id=self._request.request_id,
             first_request_id=self._earlier_run.first_request_id,
-            stream_key=self._request.stream_key if self._route.may_retry else None,
+            stream_key=self._stream_key if self._route.may_retry else None,
             source=backend,
             holder=holder,
             engine=self._engine if self._route.may_retry else None,
--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhaven_decisions.forwarding import BackendEntry, BackendState
+from ebonyhaven_decisions.forwarding import BackendEntry, BackendState, Workspace
 from ebonyhaven_decisions.forwarding._stream_retention import MIN_RETENTION_S
 from ebonyhaven_node.forwarding._stream_records import WRITE_INTERVAL_S
 
@@ -12,6 +12,7 @@
     chunk,
     decode_headers,
     event,
+    make_configuration,
     make_entry,
     refusal,
     stream_head,
@@ -205,6 +206,29 @@
     assert find_version(successor, holder.address) == version
 
 
+def test_stream_is_taken_up_with_another_key_of_its_workspace():
+    # Guards against refusing callers whose key was revoked while their stream ran.
+    harness, caller, server, _, version = start_mixed_stream()
+    caller.disconnect()
+    configuration = make_configuration(version=2)
+    workspaces = {"other-key": Workspace("studio-a", None)}
+    harness.state.apply_configuration(configuration._replace(workspaces=workspaces))
+    retry_stream(harness, Authorization="Bearer other-key")
+    holder, _, _ = harness.take_request()
+    assert find_version(harness, holder.address) == version
+
+
+def test_stream_is_not_taken_up_with_a_key_of_another_workspace():
+    harness, caller, *_ = start_mixed_stream()
+    caller.disconnect()
+    configuration = make_configuration(version=2)
+    workspaces = {"other-key": Workspace("studio-b", None)}
+    harness.state.apply_configuration(configuration._replace(workspaces=workspaces))
+    retry = retry_stream(harness, Authorization="Bearer other-key")
+    assert harness.count_waiting() == 0
+    assert retry.read_answer()[0] == 503
+
+
 def test_successor_keeps_the_streams_that_were_recorded_before_its_start():
     # A caller of a machine that lost its power comes back after many seconds. The
     # successor has written records of its own by then.
