Streams do not go on at the successor of a crashed engine that is not listed

Cause: that a process had ended was known, but the entry in the list was still taken for what is at its address once the suspicion had passed.

Why this works: until the list is known to be current five seconds later, or the entry changes, the version at that address counts as unknown: bound streams and new ones of a service with several versions are not sent there. As they wait without trying, a probe in 0.2 s still notices that no server is reached.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
@@ -142,6 +142,16 @@
         """
         return self._find(process) is not None
 
+    def get_lost_at(self, process: str) -> float | None:
+        """Return when a server was lost, seconds; None if its loss is not known.
+
+        Parameters
+        ----------
+        process : str
+        """
+        loss = self._find(process)
+        return None if loss is None else loss.lost_at
+
     def count_crashes(
         self, trait: str, now: float, *, include_recent: bool = True
     ) -> int:
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -164,6 +164,11 @@
             is_listed = True
         return is_listed
 
+    @property
+    def current_at(self) -> float:
+        """Time up to which all changes of the list are known, seconds."""
+        return self._current_at
+
     def record_current(self, at: float) -> None:
         """Record that all changes of the list up to a time are known.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -229,6 +229,8 @@
         """Return what keeps the request from the server, chosen some time ago."""
         if self._guard.find_blocked_trait() is not None:
             return SendObstacle.CRASHING
+        if self._is_bound and self._context.may_be_replaced(self.backend):
+            return SendObstacle.LEFT
         return self._context.state.backends.find_obstacle(
             self.backend, now, is_bound=self._is_bound
         )
--- a/packages/node/src/ebonyhaven_node/forwarding/_context.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_context.py
@@ -281,6 +281,19 @@
             self.permits.handle_refused(backend)
             self.on_limits(backend)
 
+    def may_be_replaced(self, backend: Backend) -> bool:
+        """Return whether another process may be at the address of a server.
+
+        Its software version is then not known. See `CrashMonitor.may_be_replaced`.
+
+        Parameters
+        ----------
+        backend : Backend
+        """
+        return self.crash_monitor.may_be_replaced(
+            backend, list_current_at=self.state.backends.current_at
+        )
+
     def report_limits(self, backend: Backend, limits: ServerLimits) -> None:
         """Record the limits that a server names in an answer.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
@@ -23,6 +23,8 @@
 from ebonyhaven_node.forwarding._metrics import ForwardingMetrics
 
 NOTIFY_INTERVAL_S = 0.01  # many losses are found at one moment
+REPLACED_PROBE_INTERVAL_S = 0.2
+ENTRY_EXPIRY_S = 5.0  # by then the list no longer has the entry of a process that ended
 
 _log = structlog.get_logger()
 
@@ -86,6 +88,7 @@
         self._is_chosen = is_chosen
         self._tried_at: dict[str, float] = {}
         self._settled_at = -math.inf
+        self._next_probe_at = -math.inf  # of a server that has ended
         self._is_notifying = False
         self._pending: Counter[str] = Counter()  # running checks by trait
 
@@ -207,6 +210,37 @@
         """
         return self._history.is_known(backend.process_id)
 
+    def may_be_replaced(self, backend: Backend, *, list_current_at: float) -> bool:
+        """Return whether another process may be at the address of a server.
+
+        Its process has ended, and the list does not show yet whether another one has
+        started there, perhaps under the same id and with another software version.
+
+        Parameters
+        ----------
+        backend : Backend
+        list_current_at : float
+            Time up to which all changes of the list are known, seconds.
+        """
+        lost_at = self._history.get_lost_at(backend.process_id)
+        return lost_at is not None and list_current_at < lost_at + ENTRY_EXPIRY_S
+
+    def probe_replaced(self, backend: Backend) -> None:
+        """Look whether a process is at the address of a server that has ended.
+
+        Streams wait for the list then, and nobody would notice that no server can be
+        reached any more.
+
+        Parameters
+        ----------
+        backend : Backend
+        """
+        now = self._clock()
+        if now < self._next_probe_at or self._probes.is_running(backend):
+            return
+        self._next_probe_at = now + REPLACED_PROBE_INTERVAL_S
+        self._probes.start(backend, lambda _: None)
+
     def is_checking(self, backend: Backend) -> bool:
         """Return whether a check of a server is under way.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_permit_exchange.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_permit_exchange.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import enum
 import math
 import random
 from collections.abc import Callable, Collection
-from typing import NamedTuple
 
 import structlog
 from ebonyhaven_decisions import MemberRecord, MemberState
@@ -22,6 +20,11 @@
 from ebonyhaven_node._channels import Channels
 from ebonyhaven_node._frames import Frame, FrameKind
 from ebonyhaven_node._membership import MembershipController
+from ebonyhaven_node.forwarding._permit_messages import (
+    PermitAction,
+    PermitMessage,
+    decode_permit_message,
+)
 
 ASK_AGAIN_S = 0.1  # after which the owner of another server is asked as well
 # A refusal is told with the return of its permit, so that no other is granted before.
@@ -31,34 +34,6 @@
 _log = structlog.get_logger()
 
 
-class PermitAction(enum.StrEnum):
-    """What a message about a permit says; the value is its code on the wire."""
-
-    ASK = "a"
-    GRANT = "g"
-    RETURN = "r"
-    REFUSED = "x"
-    HELD = "h"
-
-
-class PermitMessage(NamedTuple):
-    """Message about permits for one process of a server.
-
-    Parameters
-    ----------
-    action : PermitAction
-    process_id : str
-        See `Backend.process_id`.
-    request_ids : list of str
-        Requests that the permits were asked for; for `PermitAction.HELD`, those of all
-        permits whose requests are at the server.
-    """
-
-    action: PermitAction
-    process_id: str
-    request_ids: list[str]
-
-
 class PermitExchange:
     """Asks the owners of brittle servers for permits, and grants those of its own.
 
@@ -373,12 +348,7 @@
 
     def _receive(self, frame: Frame) -> None:
         try:
-            action, process_id, request_ids = frame.payload
-            message = PermitMessage(
-                PermitAction(action),
-                str(process_id),
-                [str(each) for each in request_ids],
-            )
+            message = decode_permit_message(frame.payload)
         except (TypeError, ValueError) as error:
             _log.warning("permits_malformed", peer=frame.sender, reason=str(error))
             return
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_servers.py
@@ -383,7 +383,15 @@
         excluded: Sequence[tuple[str, int]] = (),
     ) -> list[Backend]:
         directory = self._context.state.backends
-        return directory.list_usable(self._service, now, excluded, version)
+        usable = directory.list_usable(self._service, now, excluded, version)
+        known = [each for each in usable if not self._context.may_be_replaced(each)]
+        if len(known) == len(usable):
+            return usable
+        if version is None and directory.versions.infer(self._service, now) is not None:
+            return usable
+        if not known:
+            self._context.crash_monitor.probe_replaced(usable[0])
+        return known
 
     def _has_free_connection(self, backend: Backend) -> bool:
         configuration = self._context.state.configuration
