--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_record_segments.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_record_segments.py
@@ -154,7 +154,7 @@
                 segment.is_written = True
         self._close_written(now)
         for number in write.removed:
-            del self._ends[number]
+            self._ends.pop(number, None)
             self._sent.discard(number)
 
     def reject(self, write: SegmentWrite, now: float) -> None:
