--- a/review/common-3/kit.py
+++ b/review/common-3/kit.py
@@ -724,9 +724,7 @@
         self.instances: list[Instance] = []
         zones = ("dc-a", "dc-b", "dc-c")
         for number in range(instances):
-            seeds = tuple(
-                each.addresses["controlPlane"] for each in self.instances[:2]
-            )
+            seeds = tuple(each.addresses["controlPlane"] for each in self.instances[:2])
             zone = zones[number % len(zones)]
             instance = Instance(
                 f"n{number + 1}", self.store.address, seeds=seeds, zone=zone
