--- a/review/12/play.py
+++ b/review/12/play.py
@@ -1,8 +1,8 @@
-"""A server is killed while its streams, which have no length, are under way."""
+"""A part of long prompts crashes each server that begins to write an answer on it."""
 
 import asyncio
+import os
 import pathlib
-import signal
 import sys
 import time
 
@@ -11,113 +11,92 @@
 import kit  # noqa: E402
 
 ENGINES = 6
-EVENTS = 40  # of each stream, see `kit.Server`
-STREAMS = 18
-
-
-class EngineProcess:
-    """A process of ``engine.py``, with its entry in the store."""
-
-    def __init__(self, number: int, store: kit.Store, record: kit.Record):
-        self.server_id = f"e-{number}"
-        self.zone = f"dc-{'abc'[number % 3]}"
-        self.address = kit.find_free_address()
-        self.born = int(time.time() * 1000)
-        self._store = store
-        self._record = record
-        self.runs = 0
-        self.process = None
-        self._tasks = []
-
-    async def start(self) -> None:
-        """Start the process, and its heartbeats."""
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(FOLDER / "engine.py"),
-            self.server_id,
-            self.address,
-            self.zone,
-            stdout=asyncio.subprocess.PIPE,
-        )
-        await self.process.stdout.readline()  # it listens
-        self._tasks = [
-            asyncio.create_task(self._read_lines()),
-            asyncio.create_task(self._beat()),
-        ]
-
-    def kill(self) -> None:
-        """Kill the process; its connections are closed by the system."""
-        for task in self._tasks:
-            task.cancel()
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(signal.SIGKILL)
-
-    async def _read_lines(self) -> None:
-        while line := await self.process.stdout.readline():
-            self.runs += 1
-            self._record.add(line.decode().rstrip())
-
-    async def _beat(self) -> None:
-        sequence = 0
-        while True:
-            sequence += 1
-            entry = {
-                "service": "engines",
-                "address": self.address,
-                "zone": self.zone,
-                "version": "v1",
-                "slots": 16,
-                "state": "ready",
-                "coldRemainingMs": 0,
-                "sequence": sequence,
-                "born": self.born,
-            }
-            self._store.put_if_up("servers", self.server_id, entry)
-            await asyncio.sleep(kit.HEARTBEAT_S)
+SHARED_PARTS = int(os.environ.get("PARTS", "40"))  # of each prompt, before its own
+BAD_PART = "bad0bad0"
+REQUESTS = 120
+SOUND_EACH = 4  # one in so many requests has the bad part
+REQUEST_INTERVAL_S = 0.25
+BACK_AFTER_S = 2.0  # a server that crashed
+CONTACT_S = 3.0
+ALLOWED = 3
+
+
+class Engine(kit.Server):
+    """Engine that ends when it begins to answer a prompt with the bad part."""
+
+    arrivals: list[float] = []  # of requests with the bad part, at any engine
+    crashes: list[float] = []
+    engines: dict[str, kit.Server] = {}
+
+    async def answer(self, request, reader, writer):
+        if BAD_PART not in request.headers.get("x-prompt-prefix", ""):
+            await super().answer(request, reader, writer)
+            return
+        self.arrivals.append(time.monotonic())
+        self.add_run(request)
+        await asyncio.sleep(self.work_s)
+        self.crashes.append(time.monotonic())
+        asyncio.get_running_loop().create_task(self._crash_and_return())
+        await asyncio.Event().wait()
+
+    async def _crash_and_return(self):
+        if self.engines.get(self.address) is not self:
+            return
+        del self.engines[self.address]
+        await self.crash()
+        await asyncio.sleep(BACK_AFTER_S)
+        self.lapse()
+        process = self.restart()
+        process.server_id = f"{self.server_id}x"
+        self.engines[self.address] = await process.start()
 
 
 async def play(deployment: kit.Deployment) -> str:
     store, record = deployment.store, deployment.record
+    options = {"store": store, "record": record, "service": "engines"}
     await deployment.start()
-    engines = [EngineProcess(each + 1, store, record) for each in range(ENGINES)]
-    try:
-        for each in engines:
-            await each.start()
-        await asyncio.sleep(1.5)
-        return await play_streams(deployment, engines)
-    finally:
-        for each in engines:
-            each.kill()
-
-
-async def play_streams(deployment: kit.Deployment, engines) -> str:
-    record = deployment.record
+    for number in range(ENGINES):
+        zone = f"dc-{'abc'[number % 3]}"
+        engine = await Engine(f"e-{number + 1}", zone=zone, **options).start()
+        engine.events = 10
+        Engine.engines[engine.address] = engine
+    await asyncio.sleep(1.5)
 
     async def take_stream(number: int) -> kit.Answer:
+        parts = [f"{each:x}00:200" for each in range(1, SHARED_PARTS)]
+        if kit.DISTURBED and number % SOUND_EACH == 0:
+            parts.append(f"{BAD_PART}:200")
+        parts.append(f"f{number:x}f:200")
+        tokens = 200 * len(parts)
         headers = {
             "X_Model_Name": "m",
-            "X_Token_Count": "400,400",
-            "X_Prompt_Prefix": f"aa:200,{number:x}:200",
+            "X_Token_Count": f"{tokens},100",
+            "X_Prompt_Prefix": ",".join(parts),
         }
         connection = deployment.connect(number % len(deployment.instances))
-        return await connection.send(f"s-{number}", "/draft/1", **headers)
-
-    streams = [asyncio.create_task(take_stream(each)) for each in range(STREAMS)]
-    await asyncio.sleep(2.0)
-    if kit.DISTURBED:
-        busiest = max(engines, key=lambda each: each.runs)
-        record.add("SIGKILL to", busiest.server_id)
-        busiest.kill()
-    answers = await asyncio.gather(*streams)
-    cut = []
-    for each in answers:
-        numbers = [number for number, _ in each.events]
-        if numbers != list(range(1, len(numbers) + 1)):
-            return f"ORDER: {each.request_id} got {numbers}"
-        if each.status == 200 and each.is_whole and len(numbers) < EVENTS:
-            cut.append(f"{each.request_id}: {len(numbers)} of {EVENTS}")
-    if cut:
-        return f"ORDER: streams ended as complete before their last piece: {cut}"
+        body = f'{{"number": {number}}}'.encode()
+        return await connection.send(f"s-{number}", "/draft/1", body=body, **headers)
+
+    streams = []
+    for number in range(REQUESTS):
+        streams.append(asyncio.create_task(take_stream(number)))
+        await asyncio.sleep(REQUEST_INTERVAL_S)
+    for each in streams:
+        each.cancel()
+    await asyncio.gather(*streams, return_exceptions=True)
+    for engine in list(Engine.engines.values()):
+        await engine.end()
+    record.add(len(Engine.crashes), "crashes,", len(Engine.arrivals), "arrivals")
+    if len(Engine.crashes) < 5:
+        return ""
+    since = sorted(Engine.crashes)[4] + CONTACT_S
+    late = sum(at > since for at in Engine.arrivals)
+    record.add(late, "arrivals later than contactMs after the fifth crash")
+    if late > ALLOWED:
+        return (
+            f"BUDGET: {late} requests with the part reached servers later than "
+            f"contactMs after the fifth crash"
+        )
     return ""
 
 
