--- a/review/12/play.py
+++ b/review/12/play.py
@@ -1,101 +1,105 @@
-"""A part of long prompts crashes each server that begins to write an answer on it."""
+"""Streams of a split route are taken up after a change of weights and a loss."""
 
 import asyncio
-import os
 import pathlib
+import signal
 import sys
-import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-3"))
 import kit  # noqa: E402
 
-ENGINES = 6
-SHARED_PARTS = int(os.environ.get("PARTS", "40"))  # of each prompt, before its own
-BAD_PART = "bad0bad0"
-REQUESTS = 120
-SOUND_EACH = 4  # one in so many requests has the bad part
-REQUEST_INTERVAL_S = 0.25
-BACK_AFTER_S = 2.0  # a server that crashed
-CONTACT_S = 3.0
-ALLOWED = 3
+SERVICES = 2  # among which the route is split, each with two servers
+WEIGHTS = (90, 10)
+CHANGED_WEIGHTS = (10, 90)
+STREAMS = 36
+NEW_STREAMS = 16
 
 
-class Engine(kit.Server):
-    """Engine that ends when it begins to answer a prompt with the bad part."""
-
-    arrivals: list[float] = []  # of requests with the bad part, at any engine
-    crashes: list[float] = []
-    engines: dict[str, kit.Server] = {}
-
-    async def answer(self, request, reader, writer):
-        if BAD_PART not in request.headers.get("x-prompt-prefix", ""):
-            await super().answer(request, reader, writer)
-            return
-        self.arrivals.append(time.monotonic())
-        self.add_run(request)
-        await asyncio.sleep(self.work_s)
-        self.crashes.append(time.monotonic())
-        asyncio.get_running_loop().create_task(self._crash_and_return())
-        await asyncio.Event().wait()
-
-    async def _crash_and_return(self):
-        if self.engines.get(self.address) is not self:
-            return
-        del self.engines[self.address]
-        await self.crash()
-        await asyncio.sleep(BACK_AFTER_S)
-        self.lapse()
-        process = self.restart()
-        process.server_id = f"{self.server_id}x"
-        self.engines[self.address] = await process.start()
+def make_configuration(version: int, weights: tuple[int, ...]) -> dict:
+    """Return a configuration whose route of streams is split by weights."""
+    configuration = kit.make_configuration(version)
+    route = configuration["routes"][0]
+    del route["service"]
+    names = [f"engines-{each + 1}" for each in range(SERVICES)]
+    route["trafficSplit"] = [
+        {"service": name, "weight": weight}
+        for name, weight in zip(names, weights, strict=True)
+    ]
+    engine = configuration["services"][0]
+    configuration["services"][:1] = [{**engine, "name": each} for each in names]
+    return configuration
 
 
 async def play(deployment: kit.Deployment) -> str:
     store, record = deployment.store, deployment.record
-    options = {"store": store, "record": record, "service": "engines"}
-    await deployment.start()
-    for number in range(ENGINES):
-        zone = f"dc-{'abc'[number % 3]}"
-        engine = await Engine(f"e-{number + 1}", zone=zone, **options).start()
-        engine.events = 10
-        Engine.engines[engine.address] = engine
+    await deployment.start(make_configuration(1, WEIGHTS))
+    engines = []
+    for number in range(2 * SERVICES):
+        service = number // 2 + 1
+        engine = kit.Server(
+            f"e-{number + 1}",
+            store=store,
+            record=record,
+            service=f"engines-{service}",
+            zone=("dc-a", "dc-b")[number % 2],
+            version=f"v{service}",
+            slots=64,
+        )
+        engine.events = 100
+        engines.append(await engine.start())
     await asyncio.sleep(1.5)
 
-    async def take_stream(number: int) -> kit.Answer:
-        parts = [f"{each:x}00:200" for each in range(1, SHARED_PARTS)]
-        if kit.DISTURBED and number % SOUND_EACH == 0:
-            parts.append(f"{BAD_PART}:200")
-        parts.append(f"f{number:x}f:200")
-        tokens = 200 * len(parts)
-        headers = {
-            "X_Model_Name": "m",
-            "X_Token_Count": f"{tokens},100",
-            "X_Prompt_Prefix": ",".join(parts),
-        }
-        connection = deployment.connect(number % len(deployment.instances))
-        body = f'{{"number": {number}}}'.encode()
-        return await connection.send(f"s-{number}", "/draft/1", body=body, **headers)
+    async def ask(name: str, question: str, instance: int, **headers) -> kit.Answer:
+        return await deployment.connect(instance).send(
+            name,
+            "/draft/1",
+            body=f'{{"question": "{question}"}}'.encode(),
+            X_Model_Name="m",
+            X_Token_Count="400,400",
+            X_Prompt_Prefix=f"aa:200,{question}:200",
+            **headers,
+        )
+
+    async def ask_and_take_up(number: int) -> kit.Answer | None:
+        """Return the answer to the second try; None if the first was whole."""
+        answer = await ask(f"a-{number}", f"{number:x}", 0)
+        events = answer.events
+        if answer.is_whole or not events:
+            return None
+        await asyncio.sleep(0.3)
+        return await ask(
+            f"c-{number}",
+            f"{number:x}",
+            1 + number % 2,
+            Last_Event_Id=str(events[-1][0]),
+            Resumes=f"a-{number}",
+        )
 
-    streams = []
-    for number in range(REQUESTS):
-        streams.append(asyncio.create_task(take_stream(number)))
-        await asyncio.sleep(REQUEST_INTERVAL_S)
-    for each in streams:
-        each.cancel()
-    await asyncio.gather(*streams, return_exceptions=True)
-    for engine in list(Engine.engines.values()):
+    first = [asyncio.create_task(ask_and_take_up(each)) for each in range(STREAMS)]
+    await asyncio.sleep(1.0)
+    record.add("the operator changes the weights from", WEIGHTS, "to", CHANGED_WEIGHTS)
+    store.put("op", "config", make_configuration(2, CHANGED_WEIGHTS))
+    await asyncio.sleep(2.5)  # longer than `configApplyMs`
+    if kit.DISTURBED:
+        record.add("SIGKILL to", deployment.instances[0].name)
+        deployment.instances[0].send_signal(signal.SIGKILL)
+    await asyncio.sleep(0.5)
+    new = [
+        asyncio.create_task(ask(f"n-{each}", f"f{each:x}", 1 + each % 2))
+        for each in range(NEW_STREAMS)
+    ]
+    taken_up = [each for each in await asyncio.gather(*first) if each is not None]
+    begun = sum(bool(each.events) for each in await asyncio.gather(*new))
+    for engine in engines:
         await engine.end()
-    record.add(len(Engine.crashes), "crashes,", len(Engine.arrivals), "arrivals")
-    if len(Engine.crashes) < 5:
-        return ""
-    since = sorted(Engine.crashes)[4] + CONTACT_S
-    late = sum(at > since for at in Engine.arrivals)
-    record.add(late, "arrivals later than contactMs after the fifth crash")
-    if late > ALLOWED:
+    went_on = sum(bool(each.events) for each in taken_up)
+    record.add(f"{went_on} of {len(taken_up)} streams that were taken up went on")
+    record.add(f"{begun} of {NEW_STREAMS} new streams began")
+    if len(taken_up) >= 12 and went_on / len(taken_up) < 0.5 * begun / NEW_STREAMS:
         return (
-            f"BUDGET: {late} requests with the part reached servers later than "
-            f"contactMs after the fifth crash"
+            f"LOST: {went_on} of {len(taken_up)} streams that were taken up went on, "
+            f"{begun} of {NEW_STREAMS} new streams began"
         )
     return ""
 
