A stream is known by the request that began it, not by its content alone

Cause: records of streams were kept under a digest of the content. The record of the second stream replaced that of the first at all replicas and in the store; the caller names the first request, so that what was found was put aside, and with two versions nothing else tells its version.

Why this works: an entry is kept for each request that began a stream, at the same replicas as before. A caller that names no stream means any of its content: it goes on if all have one version and service, without a copy of another's run, and is refused if not.

Instances of the release before: they read the records of two and five fields and one stream of a content. Those are still sent, to each instance that has not sent a message of the new kinds under its incarnation, and still stand in the rows; what they have no place for stands beside.

Changed tests: keys are StreamKeys; a found record is not read again until a fake store's age is advanced with the clock.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -118,6 +118,8 @@
 )
 from ebonyhaven_decisions.forwarding._stream_records import (
     RunCopyLocation,
+    StreamKey,
+    StreamLookup,
     StreamRecord,
     decode_stream_record,
     encode_stream_record,
@@ -203,6 +205,8 @@
     "SilenceLimits",
     "StateWaitLimits",
     "StreamDurations",
+    "StreamKey",
+    "StreamLookup",
     "StreamRecord",
     "TokenDemand",
     "Traits",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_record_segments.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_record_segments.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from ebonyhaven_decisions.forwarding._stream_records import (
+    StreamKey,
     StreamRecord,
     encode_stream_record,
 )
@@ -29,13 +30,13 @@
 
     Parameters
     ----------
-    written : mapping of int to mapping of str to StreamRecord
+    written : mapping of int to mapping of StreamKey to StreamRecord
         New contents by number of the segment.
     removed : tuple of int
         Numbers of segments that are not needed any more.
     """
 
-    written: Mapping[int, Mapping[str, StreamRecord]]
+    written: Mapping[int, Mapping[StreamKey, StreamRecord]]
     removed: tuple[int, ...]
 
 
@@ -47,7 +48,7 @@
     def __init__(self, number: int, began_at: float):
         self.number = number
         self.began_at = began_at
-        self.records: dict[str, StreamRecord] = {}
+        self.records: dict[StreamKey, StreamRecord] = {}
         self.size_bytes = 0
         self.is_written = True
 
@@ -56,7 +57,8 @@
             return False
         return self.size_bytes + size_bytes <= MAX_SEGMENT_BYTES
 
-    def add(self, key: str, record: StreamRecord, size_bytes: int) -> None:
+    def add(self, key: StreamKey, record: StreamRecord, size_bytes: int) -> None:
+        self.records.pop(key, None)  # the newest is the last
         self.records[key] = record
         self.size_bytes += size_bytes
         self.is_written = False
@@ -85,14 +87,14 @@
         """Whether the store has all records."""
         return all(each.is_written for each in self._segments)
 
-    def add(self, key: str, record: StreamRecord, now: float) -> None:
+    def add(self, key: StreamKey, record: StreamRecord, now: float) -> None:
         """Add the record of a stream, or a newer one.
 
         A record that fits into no row of the store is left out.
 
         Parameters
         ----------
-        key : str
+        key : StreamKey
         record : StreamRecord
         now : float
             Seconds.
@@ -180,13 +182,13 @@
             each for each in self._segments if now - each.began_at <= kept_s
         ]
 
-    def restart(self, records: Mapping[str, StreamRecord], now: float) -> None:
+    def restart(self, records: Mapping[StreamKey, StreamRecord], now: float) -> None:
         """Replace all segments of this process by ones with the given records.
 
         Parameters
         ----------
-        records : mapping of str to StreamRecord
-            By key of the stream, the oldest first.
+        records : mapping of StreamKey to StreamRecord
+            The oldest first.
         now : float
             Seconds.
         """
@@ -219,7 +221,7 @@
         self._segments = [each for each in older if not each.is_written] + latest
 
 
-def _measure(key: str, record: StreamRecord) -> int:
+def _measure(key: StreamKey, record: StreamRecord) -> int:
     """Return the size of a record in JSON, bytes."""
-    content = json.dumps(encode_stream_record(record))
-    return _ENTRY_OVERHEAD_BYTES + len(key) + len(content)
+    values = json.dumps([key.content, encode_stream_record(record), record.service])
+    return _ENTRY_OVERHEAD_BYTES + len(values)
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_routes.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_routes.py
@@ -206,6 +206,17 @@
                 return route
         return None
 
+    def find_copy_ttl_s(self, route: Route) -> float:
+        """Return the longest time for which an engine of a route keeps a copy, seconds.
+
+        Parameters
+        ----------
+        route : Route
+        """
+        services = [self.services.get(each.service) for each in route.shares]
+        engines = [each.engine for each in services if each and each.engine]
+        return max((each.copy_ttl_s for each in engines), default=0.0)
+
 
 def group_routes(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
     """Return routes by host, sorted by descending prefix length.
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_service_versions.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_service_versions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from ebonyhaven_decisions.forwarding._backends import (
     Backend,
@@ -63,10 +63,28 @@
             None if servers of several versions, or of an unknown one, are listed or
             may have been since an open stream began.
         """
+        return self.infer_among((service,), now)
+
+    def infer_among(self, services: Iterable[str], now: float) -> str | None:
+        """Return the software version of several services if there is only one.
+
+        Parameters
+        ----------
+        services : iterable of str
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        str or None
+            See `infer`.
+        """
         if not self.is_past_known(now):
             return None
-        versions = {version for name, version in self.list_current() if name == service}
-        versions |= self._history.list_recent(service, now)
+        names = set(services)
+        versions = {version for name, version in self.list_current() if name in names}
+        for name in names:
+            versions |= self._history.list_recent(name, now)
         return versions.pop() if len(versions) == 1 else None
 
     def may_serve(self, service: str, version: str, now: float) -> bool:
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_index.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_index.py
@@ -10,6 +10,9 @@
 
 The entry of a stream that its servers have ended is kept as well: its caller may not
 have received all of it.
+
+Callers may ask for the same content more than once. Each such stream has an entry of
+its own, at the same instances, for callers that do not name their stream.
 """
 
 from __future__ import annotations
@@ -21,7 +24,7 @@
 from typing import NamedTuple
 
 from ebonyhaven_decisions._rendezvous import choose_instances, compute_weight
-from ebonyhaven_decisions.forwarding._stream_records import StreamRecord
+from ebonyhaven_decisions.forwarding._stream_records import StreamKey, StreamRecord
 from ebonyhaven_decisions.forwarding._stream_retention import StreamRetention
 
 INDEX_REPLICAS = 3  # instances per entry; each costs one message per run
@@ -55,36 +58,45 @@
         Time to live of an entry.
     """
 
-    __slots__ = ("_entries", "_retention")
+    __slots__ = ("_entries", "_request_ids", "_retention")
 
     def __init__(self, retention: StreamRetention):
         self._retention = retention
-        self._entries: OrderedDict[str, _Entry] = OrderedDict()
+        self._entries: OrderedDict[StreamKey, _Entry] = OrderedDict()
+        self._request_ids: dict[str, dict[str, None]] = {}  # by content, in order
 
     def __len__(self) -> int:
         return len(self._entries)
 
-    def record(self, key: str, record: StreamRecord, now: float) -> None:
+    def record(self, content: str, record: StreamRecord, now: float) -> StreamRecord:
         """Replace the entry of a stream.
 
         Parameters
         ----------
-        key : str
-            Identifies the stream, see `choose_index_instances`.
+        content : str
+            See `StreamKey`.
         record : StreamRecord
         now : float
             Seconds.
+
+        Returns
+        -------
+        StreamRecord
+            With the service that was known before, if the record has none.
         """
-        self._entries.pop(key, None)
-        self._entries[key] = _Entry(record, now)
+        key = record.make_key(content)
+        known = self._remove(key)
+        record = record.complete(known.record if known else None)
+        self._add(key, _Entry(record, now))
         self._evict(now)
+        return record
 
-    def drop_copy(self, key: str) -> None:
+    def drop_copy(self, key: StreamKey) -> None:
         """Record that the copy of a stream's run is gone.
 
         Parameters
         ----------
-        key : str
+        key : StreamKey
         """
         if key in self._entries:
             entry = self._entries[key]
@@ -92,14 +104,14 @@
             self._entries[key] = entry._replace(record=without_copy)
 
     def add_stored(
-        self, records: Mapping[str, tuple[float, StreamRecord]], now: float
+        self, records: Mapping[StreamKey, tuple[float, StreamRecord]], now: float
     ) -> None:
         """Add records of the store, unless the index has the stream already.
 
         Parameters
         ----------
-        records : mapping of str to tuple of (float, StreamRecord)
-            Ages, seconds, and records, by key of the stream.
+        records : mapping of StreamKey to tuple of (float, StreamRecord)
+            Ages, seconds, and records.
         now : float
             Seconds.
         """
@@ -109,28 +121,38 @@
             if key not in self._entries
         }
         entries = [*added.items(), *self._entries.items()]
-        self._entries = OrderedDict(sorted(entries, key=lambda entry: entry[1].set_at))
+        self._entries.clear()
+        self._request_ids.clear()
+        for key, entry in sorted(entries, key=lambda each: each[1].set_at):
+            self._add(key, entry)
         self._evict(now)
 
-    def find(self, key: str, now: float) -> StreamRecord | None:
-        """Return the record of a stream.
+    def find(
+        self, content: str, request_id: str | None, now: float
+    ) -> tuple[StreamRecord, ...]:
+        """Return the records of the streams that a caller may mean, the newest last.
 
         Parameters
         ----------
-        key : str
+        content : str
+            See `StreamKey`.
+        request_id : str or None
+            None if the caller names no stream; all of the content may be meant.
         now : float
             Seconds.
-
-        Returns
-        -------
-        StreamRecord or None
         """
-        entry = self._entries.get(key)
-        if entry is None or now - entry.set_at > self._retention.get_s(now):
-            return None
-        return entry.record
-
-    def list_unstored(self, now: float) -> dict[str, StreamRecord]:
+        names = [request_id]
+        if request_id is None:
+            names = list(self._request_ids.get(content, ()))
+        retention_s = self._retention.get_s(now)
+        entries = [self._entries.get(StreamKey(content, name)) for name in names]
+        return tuple(
+            entry.record
+            for entry in entries
+            if entry is not None and now - entry.set_at <= retention_s
+        )
+
+    def list_unstored(self, now: float) -> dict[StreamKey, StreamRecord]:
         """Return the entries that are not from the store, the oldest first.
 
         Parameters
@@ -140,8 +162,7 @@
 
         Returns
         -------
-        dict of str to StreamRecord
-            By key of the stream.
+        dict of StreamKey to StreamRecord
         """
         self._evict(now)
         return {
@@ -150,17 +171,30 @@
             if not entry.is_stored
         }
 
+    def _add(self, key: StreamKey, entry: _Entry) -> None:
+        self._entries[key] = entry
+        self._request_ids.setdefault(key.content, {})[key.request_id] = None
+
+    def _remove(self, key: StreamKey) -> _Entry | None:
+        entry = self._entries.pop(key, None)
+        if entry is not None:
+            request_ids = self._request_ids[key.content]
+            del request_ids[key.request_id]
+            if not request_ids:
+                del self._request_ids[key.content]
+        return entry
+
     def _evict(self, now: float) -> None:
         retention_s = self._retention.get_s(now)
         while self._entries:
-            oldest = next(iter(self._entries.values()))
+            key, oldest = next(iter(self._entries.items()))
             is_expired = now - oldest.set_at > retention_s
             if not is_expired and len(self._entries) <= MAX_INDEX_ENTRIES:
                 return
-            self._entries.popitem(last=False)
+            self._remove(key)
 
 
-def choose_recorder(key: str, instances: Iterable[str]) -> str | None:
+def choose_recorder(content: str, instances: Iterable[str]) -> str | None:
     """Return the instance that writes the entry of a stream to the store.
 
     Few instances write, each for many streams, because the store limits its callers in
@@ -168,8 +202,8 @@
 
     Parameters
     ----------
-    key : str
-        Identifies the stream, see `choose_index_instances`.
+    content : str
+        See `StreamKey`.
     instances : iterable of str
         Names of all instances.
 
@@ -182,17 +216,17 @@
     recorders = math.ceil(len(names) / INSTANCES_PER_RECORDER)
     if not recorders:
         return None
-    shard = zlib.crc32(key.encode()) % recorders
+    shard = zlib.crc32(content.encode()) % recorders
     return choose_instances(f"recorder-{shard}", names, 1)[0]
 
 
-def choose_index_instances(key: str, instances: Iterable[str]) -> list[str]:
+def choose_index_instances(content: str, instances: Iterable[str]) -> list[str]:
     """Return the instances that store the entry of a stream, the same on all instances.
 
     Parameters
     ----------
-    key : str
-        Identifies the stream, so that the caller's retry has the same key.
+    content : str
+        See `StreamKey`; the same for each try of the caller.
     instances : iterable of str
         Names of all instances.
 
@@ -202,10 +236,10 @@
         At most `INDEX_REPLICAS`: the recorder, then others by rendezvous hashing.
     """
     names = list(instances)
-    recorder = choose_recorder(key, names)
+    recorder = choose_recorder(content, names)
     ordered = sorted(
         names,
-        key=lambda name: (name == recorder, compute_weight(key, name)),
+        key=lambda name: (name == recorder, compute_weight(content, name)),
         reverse=True,
     )
     return ordered[:INDEX_REPLICAS]
--- a/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
@@ -6,11 +6,11 @@
 from ebonyhaven_decisions.forwarding import (
     Backend,
     EngineTraits,
-    Route,
     RunCopyLocation,
     StreamRecord,
 )
 
+from ebonyhaven_node.forwarding._begun_streams import BegunStream
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._requests import CopyReference, ForwardRequest
 from ebonyhaven_node.forwarding._stream_versions import StreamVersion
@@ -24,11 +24,10 @@
     Parameters
     ----------
     request : ForwardRequest
-    route : Route
+    begun : BegunStream or None
+        None if the caller takes up no stream.
     service : str
-        To which the configuration in force sends the request.
-    workspace : str or None
-        Name of the caller's workspace.
+        To which the request goes.
     engine : EngineTraits or None
         None for a service without engines, whose runs have no copies.
     version : StreamVersion
@@ -46,18 +45,16 @@
         self,
         *,
         request: ForwardRequest,
-        route: Route,
+        begun: BegunStream | None,
         service: str,
-        workspace: str | None,
         engine: EngineTraits | None,
         version: StreamVersion,
         context: RelayContext,
     ):
         self._engine = engine
         self._request = request
-        self._route = route
+        self._begun = begun
         self._service = service
-        self._workspace = workspace
         self._version = version
         self._context = context
         self._location: RunCopyLocation | None = None
@@ -68,42 +65,22 @@
         """Whether a copy is known and was not used yet."""
         return self._location is not None
 
-    async def find(self) -> None:
-        """Look up the stream if the caller already received events of it.
+    def bind(self) -> None:
+        """Go on with the stream if the caller already received events of it.
 
         Such a retry is counted and logged as a resume, with or without a copy.
         """
-        if self._request.last_event_id is None or not self._route.may_retry:
+        if self._begun is None:
             return
-        record = await self._find_record()
+        record = self._begun.record
         if record is not None:
             self.first_request_id = record.request_id
             self._location = record.copy if self._engine is not None else None
-        version = record.version if record else await self._infer_version()
-        self._version.bind_to_recorded(version)
+        self._version.bind_to_begun(self._begun)
         source = "caller_prompt" if self._location is None else "caller_copy"
         self._context.metrics.resumes.labels(source).inc()
         self._log_retry(record)
 
-    async def _infer_version(self) -> str | None:
-        """Return the only version that servers have had, if the list is current."""
-        if self._version.infer(self._context.clock()) is None:
-            return None
-        if not await self._context.list_confirmer.confirm():
-            return None
-        return self._version.infer(self._context.clock())
-
-    async def _find_record(self) -> StreamRecord | None:
-        """Return the record of the stream that the caller names, if it names one."""
-        copy_ttl_s = self._engine.copy_ttl_s if self._engine is not None else 0.0
-        record = await self._context.stream_index.find(
-            self._request.compute_stream_key(self._workspace), copy_ttl_s=copy_ttl_s
-        )
-        named = self._request.original_request_id
-        if record is None or named in (None, record.request_id):
-            return record
-        return None
-
     def take_copy(self, now: float) -> tuple[Backend, CopyReference] | None:
         """Return the holder and the copy if it is usable, and clear the known copy.
 
@@ -137,6 +114,8 @@
             original=self._request.original_request_id,
             position=self._request.last_event_id,
             is_recorded=record is not None,
+            began_at=record.service if record else None,
+            service=self._service,
             version=self._version.name,
             copy_at=location.holder_id if location else None,
             copy=location.handle if location else None,
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -18,6 +18,7 @@
 
 from ebonyhaven_node._failures import make_not_run_failure
 from ebonyhaven_node._filter_chain import Filter, Proceed
+from ebonyhaven_node.forwarding._begun_streams import BegunStream, BegunStreamFinder
 from ebonyhaven_node.forwarding._calls import CallRelay
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._crash_guards import CrashGuard
@@ -311,6 +312,7 @@
         self._dialect = dialect
         self._own_name = own_name
         self._rng = rng
+        self._finder = BegunStreamFinder(context)
 
     async def handle(
         self, work: RequestContext, proceed: Proceed[RequestContext]
@@ -325,13 +327,14 @@
     async def _relay(self, work: RequestContext) -> None:
         """Relay to servers, or to another instance if no server can be reached."""
         may_use_peers = work.request.relay_origin is None
+        begun = await self._find_begun(work)
         service = self._choose_service(work.route)
         if may_use_peers:  # others are counted where they came from
             self._context.budget.record_request(service, self._context.clock())
         is_left_to_peers = may_use_peers and self._context.is_left_to_peers()
         if is_left_to_peers and await self._relay_to_peer(work, runs=0):
             return
-        relay = self._build_relay(work, service)
+        relay = self._build_relay(work, service, begun)
         try:
             await relay.run()
         except RequestFailure as failure:
@@ -357,7 +360,7 @@
         return await relay.run()
 
     def _build_relay(
-        self, work: RequestContext, service: str
+        self, work: RequestContext, service: str, begun: BegunStream | None
     ) -> CallRelay | StreamRelay:
         route = work.route
         workspace = work.workspace
@@ -374,11 +377,24 @@
             return CallRelay(**shared)
         declared = work.configuration.services.get(service)
         return StreamRelay(
+            begun=begun,
             engine=declared.engine if declared else None,
             priority=_get_priority(route, workspace),
             **shared,
         )
 
+    async def _find_begun(self, work: RequestContext) -> BegunStream | None:
+        """Return what is known of the stream that the request takes up, if it does."""
+        if work.route.kind is not RequestKind.STREAM:
+            return None
+        workspace = work.workspace
+        return await self._finder.find(
+            work.request,
+            work.route,
+            workspace.name if workspace else None,
+            copy_ttl_s=work.configuration.find_copy_ttl_s(work.route),
+        )
+
     def _choose_service(self, route: Route) -> str:
         names = [share.service for share in route.shares]
         weights = [share.weight for share in route.shares]
--- a/packages/node/src/ebonyhaven_node/forwarding/_record_stores.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_record_stores.py
@@ -9,6 +9,7 @@
 from ebonyhaven_decisions.forwarding import (
     LossReport,
     SegmentWrite,
+    StreamKey,
     StreamRecord,
     VersionSnapshot,
 )
@@ -43,14 +44,13 @@
     ----------
     own_number : int or None
         Number of the segment if this instance or its predecessor wrote it.
-    records : mapping of str to StreamRecord
-        By key of the stream.
+    records : mapping of StreamKey to StreamRecord
     age_s : float
         Time since it was written last, seconds.
     """
 
     own_number: int | None
-    records: Mapping[str, StreamRecord]
+    records: Mapping[StreamKey, StreamRecord]
     age_s: float
 
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_requests.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_requests.py
@@ -168,12 +168,12 @@
         hasher.update(self.body)
         return hasher.hexdigest()[:DIGEST_HEX_DIGITS]
 
-    def compute_stream_key(self, workspace: str | None) -> str:
-        """Return the digest that identifies a stream when its caller retries it.
+    def compute_stream_content(self, workspace: str | None) -> str:
+        """Return the digest of what is generated, the same for all tries of a caller.
 
-        A generation is identified by its prompt, so that callers need not name the
-        request that began it; another stream by that request. The caller may retry it
-        with another key of its workspace.
+        Requests for the same prompt share it; `StreamKey` tells their streams apart.
+        Without a stated prompt, the id of the request that began the stream is part of
+        it. The caller may retry it with another key of its workspace.
 
         Parameters
         ----------
--- a/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_run_copies.py
@@ -14,6 +14,7 @@
     Backend,
     EngineTraits,
     RunCopyLocation,
+    StreamKey,
     StreamRecord,
 )
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
@@ -46,10 +47,8 @@
     Parameters
     ----------
     request_id : str
-    first_request_id : str
-        Id of the caller's request that brought the first event of the stream.
-    stream_key : str or None
-        See `ForwardRequest.stream_key`; None if the stream is not published.
+    stream_key : StreamKey or None
+        None if the stream is not published.
     source : Backend
         Engine of the run.
     holder : Backend or None
@@ -68,8 +67,7 @@
         self,
         *,
         request_id: str,
-        first_request_id: str,
-        stream_key: str | None,
+        stream_key: StreamKey | None,
         source: Backend,
         holder: Backend | None,
         engine: EngineTraits | None,
@@ -80,7 +78,6 @@
     ):
         self.holder = holder
         self._request_id = request_id
-        self._first_request_id = first_request_id
         self._stream_key = stream_key
         self._published_record: StreamRecord | None = None
         self._source = source
@@ -202,10 +199,12 @@
         version = self._source.software_version
         if self._stream_key is None or version is None:
             return
-        record = StreamRecord(version, self._first_request_id, location)
+        content, first_request_id = self._stream_key
+        service = self._source.entry.service
+        record = StreamRecord(version, first_request_id, location, service)
         if record != self._published_record:
             self._published_record = record
-            self._context.stream_index.publish(self._stream_key, record)
+            self._context.stream_index.publish(content, record)
 
     def _log_deletion_failure(self, failure) -> None:
         """Log that deleting a copy failed; it expires after its time to live."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_records.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_records.py
@@ -10,6 +10,8 @@
 from ebonyhaven_decisions.forwarding import (
     RecordSegments,
     StreamIndex,
+    StreamKey,
+    StreamLookup,
     StreamRecord,
     StreamRetention,
 )
@@ -78,18 +80,20 @@
         self._must_restart = False
         self._timer: Any = None
         self._is_writing = False
-        self._records: dict[str, _FoundRecord] = {}
-        self._read_at = -math.inf
+        self._records: dict[str, dict[str, _FoundRecord]] = {}
+        self._read_at = -math.inf  # when the read began that returned `_records`
         self._pending_read: Deferred | None = None
         self._readers: list[Deferred] = []
         store.observe_restore(self._handle_restore)
 
-    def add(self, key: str, record: StreamRecord, instances: frozenset[str]) -> None:
+    def add(
+        self, key: StreamKey, record: StreamRecord, instances: frozenset[str]
+    ) -> None:
         """Write the record of a stream within `WRITE_INTERVAL_S`.
 
         Parameters
         ----------
-        key : str
+        key : StreamKey
         record : StreamRecord
         instances : frozenset of str
             Names of all instances, which divide the streams among them.
@@ -106,38 +110,45 @@
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
-    async def find(self, key: str, copy_max_age_s: float) -> StreamRecord | None:
-        """Return the record of a stream.
+    async def find(
+        self, content: str, request_id: str | None, copy_max_age_s: float
+    ) -> StreamLookup:
+        """Return the records of the streams that a caller may mean.
 
         The records are read at most every `READ_INTERVAL_S`.
 
         Parameters
         ----------
-        key : str
+        content : str
+            See `StreamKey`.
+        request_id : str or None
+            None if the caller does not name the stream.
         copy_max_age_s : float
             Age from which a record counts without its copy, seconds.
-
-        Returns
-        -------
-        StreamRecord or None
         """
+        asked_at = self._clock()
+        while True:
+            found = self._find_read(content, request_id, copy_max_age_s)
+            age_s = asked_at - self._read_at
+            if age_s < READ_INTERVAL_S:
+                return StreamLookup(found, is_complete=True)
+            if not await self._read_anew():
+                return StreamLookup(found, is_complete=False)
+
+    def _find_read(
+        self, content: str, request_id: str | None, copy_max_age_s: float
+    ) -> tuple[StreamRecord, ...]:
+        records = self._records.get(content, {})
+        names = list(records) if request_id is None else [request_id]
         now = self._clock()
-        if now - self._read_at >= READ_INTERVAL_S:
-            self._read_at = now
-            self._start_read()
-        if self._pending_read is not None:
-            read: Deferred = Deferred()
-            self._readers.append(read)
-            await read
-        found = self._records.get(key)
-        if found is None:
-            return None
-        now = self._clock()
-        age_s = found.age_s + now - self._read_at
-        if age_s > self._retention.get_s(now):
-            return None
-        record = found.record
-        return record if age_s <= copy_max_age_s else record._replace(copy=None)
+        found = []
+        for each in (records[name] for name in names if name in records):
+            age_s = each.age_s + now - self._read_at
+            is_copy_kept = age_s <= copy_max_age_s
+            if age_s <= self._retention.get_s(now):
+                record = each.record
+                found.append(record if is_copy_kept else record._replace(copy=None))
+        return tuple(found)
 
     # -- writing -----------------------------------------------------------
 
@@ -206,26 +217,40 @@
 
     # -- reading -----------------------------------------------------------
 
-    def _start_read(self) -> None:
+    async def _read_anew(self) -> bool:
+        """Wait for the next read of all records; return whether it succeeded."""
+        read: Deferred = Deferred()
+        self._readers.append(read)
+        if self._pending_read is None:
+            self._read()
+        return await read
+
+    def _read(self) -> None:
+        began_at = self._clock()
         self._pending_read = ensureDeferred(self._store.read())
-        self._pending_read.addCallbacks(self._replace_records, self._log_read_failure)
+        self._pending_read.addCallback(self._replace_records, began_at)
+        self._pending_read.addErrback(self._handle_read_failure)
         self._pending_read.addBoth(self._release_readers)
 
-    def _replace_records(self, segments: list[StoredSegment]) -> None:
-        self._records = _merge(segments)
-        _log.info(
-            "stream_records_read", segments=len(segments), streams=len(self._records)
-        )
+    def _replace_records(self, segments: list[StoredSegment], began_at: float) -> bool:
+        self._read_at = began_at
+        self._records = {}
+        merged = _merge(segments)
+        for key, found in merged.items():
+            self._records.setdefault(key.content, {})[key.request_id] = found
+        _log.info("stream_records_read", segments=len(segments), streams=len(merged))
+        return True
 
-    def _log_read_failure(self, failure) -> None:
+    def _handle_read_failure(self, failure) -> bool:
         self._log_failure(failure, "read")
+        return False
 
-    def _release_readers(self, _) -> None:
+    def _release_readers(self, is_read: bool) -> None:
         self._pending_read = None
         readers, self._readers = self._readers, []
         for each in readers:
             if not each.called:
-                each.callback(None)
+                each.callback(is_read)
 
     def _log_failure(self, failure, step: str) -> None:
         """Log that the records are incomplete; some streams are then unknown."""
@@ -236,10 +261,12 @@
             _log.error("stream_records_crashed", error=failure.getTraceback())
 
 
-def _merge(segments: Iterable[StoredSegment]) -> dict[str, _FoundRecord]:
+def _merge(segments: Iterable[StoredSegment]) -> dict[StreamKey, _FoundRecord]:
     """Return the records of segments; a later segment replaces those before it."""
-    return {
-        key: _FoundRecord(record, segment.age_s)
-        for segment in segments
-        for key, record in segment.records.items()
-    }
+    merged: dict[StreamKey, _FoundRecord] = {}
+    for segment in segments:
+        for key, record in segment.records.items():
+            known = merged.pop(key, None)  # the newest is the last
+            complete = record.complete(known.record if known else None)
+            merged[key] = _FoundRecord(complete, segment.age_s)
+    return merged
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_versions.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_versions.py
@@ -4,6 +4,8 @@
 
 from ebonyhaven_decisions.forwarding import Backend, ServiceVersions
 
+from ebonyhaven_node.forwarding._begun_streams import BegunStream
+
 
 class StreamVersion:
     """Software version that a stream is bound to by its first event.
@@ -22,7 +24,13 @@
         Whether the caller has events of the stream.
     """
 
-    __slots__ = ("_first_server", "_service", "_version", "_versions", "is_bound")
+    __slots__ = (
+        "_first_server",
+        "_service",
+        "_version",
+        "_versions",
+        "is_bound",
+    )
 
     def __init__(self, service: str, versions: ServiceVersions):
         self._service = service
@@ -49,32 +57,15 @@
             self.is_bound = True
             self._first_server = backend
 
-    def bind_to_recorded(self, version: str | None) -> None:
-        """Bind a stream that began at another instance or in an earlier request.
+    def bind_to_begun(self, begun: BegunStream) -> None:
+        """Bind a stream that began in an earlier request.
 
         Parameters
         ----------
-        version : str or None
-            None if it is unknown.
+        begun : BegunStream
         """
         self.is_bound = True
-        self._version = version
-
-    def infer(self, now: float) -> str | None:
-        """Return the version that alone can have begun a stream without a record.
-
-        Parameters
-        ----------
-        now : float
-            Seconds.
-
-        Returns
-        -------
-        str or None
-            None unless the service has had only one version, as far as the server list
-            shows, for as long as a stream lasts.
-        """
-        return self._versions.infer(self._service, now)
+        self._version = begun.version
 
     def find_obstacle(self, now: float) -> str | None:
         """Return why no server can go on with the stream, or None if one may.
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -6,6 +6,7 @@
 from ebonyhaven_decisions.forwarding import (
     EngineTraits,
     Route,
+    StreamKey,
     TokenDemand,
     choose_engine_priority,
     compute_gap_patience_s,
@@ -18,6 +19,7 @@
 )
 from ebonyhaven_node.forwarding._attempt_monitors import AttemptMonitor
 from ebonyhaven_node.forwarding._attempts import Attempt
+from ebonyhaven_node.forwarding._begun_streams import BegunStream
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._earlier_runs import EarlierRun
@@ -58,6 +60,8 @@
     request : ForwardRequest
     route : Route
     service : str
+    begun : BegunStream or None
+        What is known of the stream that the caller takes up; None if it takes up none.
     engine : EngineTraits or None
     workspace : str or None
     priority : int
@@ -73,6 +77,7 @@
         request: ForwardRequest,
         route: Route,
         service: str,
+        begun: BegunStream | None,
         engine: EngineTraits | None,
         workspace: str | None,
         priority: int,
@@ -113,12 +118,10 @@
             context=context,
         )
         self._run_copy: RunCopy | None = None
-        self._stream_key = request.compute_stream_key(workspace)
         self._earlier_run = EarlierRun(
             request=request,
-            route=route,
+            begun=begun,
             service=service,
-            workspace=workspace,
             engine=engine,
             version=self._version,
             context=context,
@@ -175,7 +178,7 @@
             If no event was delivered and no further attempt is possible.
         """
         try:
-            await self._earlier_run.find()
+            self._earlier_run.bind()
             await self._try_targets()
         finally:
             self._context.permits.withdraw(self._request.request_id)
@@ -270,8 +273,7 @@
         )
         copy = RunCopy(
             request_id=self._request.request_id,
-            first_request_id=self._earlier_run.first_request_id,
-            stream_key=self._stream_key if self._route.may_retry else None,
+            stream_key=self._make_key() if self._route.may_retry else None,
             source=backend,
             holder=holder,
             engine=self._engine if self._route.may_retry else None,
@@ -293,6 +295,10 @@
         )
         return await self._run_attempt(attempt, reservation, copy, target)
 
+    def _make_key(self) -> StreamKey:
+        content = self._request.compute_stream_content(self._workspace)
+        return StreamKey(content, self._earlier_run.first_request_id)
+
     async def _run_attempt(
         self,
         attempt: Attempt,
--- a/tests/decisions/test_stream_index.py
+++ b/tests/decisions/test_stream_index.py
@@ -3,6 +3,7 @@
 from ebonyhaven_decisions.forwarding import (
     RunCopyLocation,
     StreamIndex,
+    StreamKey,
     StreamRecord,
     StreamRetention,
     choose_index_instances,
@@ -18,6 +19,21 @@
 INSTANCES = [f"n{number}" for number in range(12)]
 
 
+def make_key(content):
+    return StreamKey(content, RECORD.request_id)
+
+
+def find(index, content, now):
+    """Return the record of the only stream of a content; None if there is none."""
+    found = index.find(content, RECORD.request_id, now)
+    assert index.find(content, None, now) == found
+    return found[0] if found else None
+
+
+def list_unstored(index, now):
+    return [key.content for key in index.list_unstored(now)]
+
+
 def test_all_instances_choose_the_same_index_instances():
     chosen_instances = choose_index_instances("abc", INSTANCES)
     assert len(set(chosen_instances)) == INDEX_REPLICAS
@@ -58,45 +74,46 @@
 def test_record_is_found_without_its_copy_once_that_is_gone():
     index = StreamIndex(StreamRetention())
     index.record("abc", RECORD, 100.0)
-    assert index.find("abc", 101.0) == RECORD
-    assert index.find("other", 101.0) is None
-    index.drop_copy("abc")
-    assert index.find("abc", 102.0) == RECORD._replace(copy=None)
-    assert index.find("abc", 130.1) is None
+    assert find(index, "abc", 101.0) == RECORD
+    assert find(index, "other", 101.0) is None
+    index.drop_copy(make_key("abc"))
+    assert find(index, "abc", 102.0) == RECORD._replace(copy=None)
+    assert find(index, "abc", 130.1) is None
 
 
 def test_expired_and_excess_entries_are_evicted():
     index = StreamIndex(StreamRetention())
     index.record("old", RECORD, 100.0)
-    assert index.find("old", 130.1) is None
+    assert find(index, "old", 130.1) is None
     for number in range(MAX_INDEX_ENTRIES + 5):
         index.record(str(number), RECORD, 131.0)
     assert len(index) == MAX_INDEX_ENTRIES
-    assert index.find("0", 131.0) is None
-    assert index.find(str(MAX_INDEX_ENTRIES), 131.0) == RECORD
+    assert find(index, "0", 131.0) is None
+    assert find(index, str(MAX_INDEX_ENTRIES), 131.0) == RECORD
 
 
 def test_stored_records_are_added_in_order_and_replace_none():
     index = StreamIndex(StreamRetention())
     newer = RECORD._replace(version="v2")
     index.record("a", newer, 100.0)
-    stored = {"a": (9.0, RECORD), "b": (5.0, RECORD), "c": (40.0, RECORD)}
+    ages_s = {"a": 9.0, "b": 5.0, "c": 40.0}
+    stored = {make_key(key): (age_s, RECORD) for key, age_s in ages_s.items()}
     index.add_stored(stored, 101.0)
-    assert index.find("a", 101.0) == newer
-    assert index.find("b", 101.0) == RECORD
-    assert index.find("c", 101.0) is None
+    assert find(index, "a", 101.0) == newer
+    assert find(index, "b", 101.0) == RECORD
+    assert find(index, "c", 101.0) is None
     for number in range(MAX_INDEX_ENTRIES - 1):
         index.record(str(number), RECORD, 102.0)
-    assert index.find("a", 102.0) == newer  # the oldest is evicted first
-    assert index.find("b", 102.0) is None
+    assert find(index, "a", 102.0) == newer  # the oldest is evicted first
+    assert find(index, "b", 102.0) is None
 
 
 def test_unstored_entries_are_listed_until_they_expire():
     index = StreamIndex(StreamRetention())
     for number in range(3):
         index.record(str(number), RECORD, 100.0 + number)
-    index.add_stored({"s": (5.0, RECORD), "1": (5.0, RECORD)}, 103.0)
-    assert list(index.list_unstored(103.0)) == ["0", "1", "2"]
-    assert list(index.list_unstored(130.5)) == ["1", "2"]
+    index.add_stored({make_key(each): (5.0, RECORD) for each in "s1"}, 103.0)
+    assert list_unstored(index, 103.0) == ["0", "1", "2"]
+    assert list_unstored(index, 130.5) == ["1", "2"]
     index.record("s", RECORD, 131.0)
-    assert list(index.list_unstored(131.0)) == ["1", "2", "s"]
+    assert list_unstored(index, 131.0) == ["1", "2", "s"]
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -158,9 +158,9 @@
 
     Attributes
     ----------
-    segments : dict of int to dict of str to StreamRecord
+    segments : dict of int to dict of StreamKey to StreamRecord
         What is kept, by number.
-    writes : list of dict of str to StreamRecord
+    writes : list of dict of StreamKey to StreamRecord
         The records of each write.
     """
 
--- a/tests/forwarding/losses.py
+++ b/tests/forwarding/losses.py
@@ -88,5 +88,6 @@
     def send(self, name, kind, payload):
         super().send(name, kind, payload)
         channels = self.network.channels.get(name)
-        if channels is not None:
-            channels.handlers[kind](Frame(kind, self.own.name, 1, payload))
+        handler = channels.handlers.get(kind) if channels is not None else None
+        if handler is not None:  # a process drops messages of kinds that it lacks
+            handler(Frame(kind, self.own.name, self.own.incarnation, payload))
--- a/tests/forwarding/test_stream_records.py
+++ b/tests/forwarding/test_stream_records.py
@@ -4,6 +4,7 @@
     RequestKind,
     RunCopyLocation,
     StreamIndex,
+    StreamKey,
     StreamRecord,
     StreamRetention,
 )
@@ -69,12 +70,26 @@
 def record(recorder, index, key, clock, instances=INSTANCES):
     """Record a stream, as the index of an instance does that writes its record."""
     index.record(key, RECORD, clock.seconds())
-    recorder.add(key, RECORD, instances)
+    recorder.add(make_key(key), RECORD, instances)
 
 
-def start_lookup(recorder, key):
+def make_key(content):
+    return StreamKey(content, RECORD.request_id)
+
+
+def keep(*contents):
+    return {make_key(each): RECORD for each in contents}
+
+
+def start_lookup(recorder, content):
+    """Return what is found; None for nothing, an empty list while nothing is known."""
     found = []
-    ensureDeferred(recorder.find(key, COPY_MAX_AGE_S)).addCallback(found.append)
+
+    def record_found(lookup):
+        found.extend(lookup.records or [None])
+
+    looking = recorder.find(content, RECORD.request_id, COPY_MAX_AGE_S)
+    ensureDeferred(looking).addCallback(record_found)
     return found
 
 
@@ -91,7 +106,7 @@
 
 def test_one_read_serves_all_callers_that_return_together():
     recorder, _, store, clock = build_recorder()
-    store.segments[0] = {"a": RECORD}
+    store.segments[0] = keep("a")
     assert start_lookup(recorder, "a") == [RECORD]
     assert start_lookup(recorder, "b") == [None]
     assert store.read_count == 1
@@ -102,7 +117,7 @@
 
 def test_record_is_used_without_its_copy_once_that_has_expired():
     recorder, _, store, clock = build_recorder()
-    store.segments[0] = {"a": RECORD}
+    store.segments[0] = keep("a")
     store.age_s = COPY_MAX_AGE_S - 1.0
     assert start_lookup(recorder, "a") == [RECORD]
     clock.advance(1.5)
@@ -112,10 +127,11 @@
 
 def test_record_is_not_used_for_longer_than_a_stream_lasts():
     recorder, _, store, clock = build_recorder()
-    store.segments[0] = {"a": RECORD}
+    store.segments[0] = keep("a")
     store.age_s = MIN_RETENTION_S - 1.0
     assert start_lookup(recorder, "a") == [RECORD._replace(copy=None)]
     clock.advance(1.5)
+    store.age_s += 1.5
     assert start_lookup(recorder, "a") == [None]
 
 
@@ -135,10 +151,10 @@
     store.is_down = True
     record(recorder, index, "b", clock)
     clock.pump([WRITE_INTERVAL_S] * 4)
-    assert store.writes == [{"a": RECORD}]
+    assert store.writes == [keep("a")]
     store.is_down = False
     clock.advance(WRITE_INTERVAL_S)
-    assert store.writes[1:] == [{"a": RECORD, "b": RECORD}]
+    assert store.writes[1:] == [keep("a", "b")]
 
 
 def begin_streams(recorder, index, clock, duration_s):
@@ -222,7 +238,9 @@
     successor, its_index, _, its_clock = build_recorder(store)
     new = begin_streams(successor, its_index, its_clock, 3.0)
     assert find_all(store, [*keys, *new]) == [*keys, *new]
-    assert [key for key in keys if its_index.find(key, its_clock.seconds())] == keys
+    assert [
+        key for key in keys if its_index.find(key, None, its_clock.seconds())
+    ] == keys
 
 
 def send_events(harness, last):
--- a/tests/platform_adapter/test_stream_records.py
+++ b/tests/platform_adapter/test_stream_records.py
@@ -6,6 +6,7 @@
 from ebonyhaven_decisions.forwarding import (
     RunCopyLocation,
     SegmentWrite,
+    StreamKey,
     StreamRecord,
     encode_stream_record,
 )
@@ -17,6 +18,10 @@
 NEWER_RECORD = RECORD._replace(copy=RunCopyLocation("e-5", None, "r1"))
 
 
+def keep(**records):
+    return {StreamKey(key, each.request_id): each for key, each in records.items()}
+
+
 class FakeStoreClient:
     """Keeps the rows of one table; fails while ``is_down`` is set."""
 
@@ -66,8 +71,8 @@
 
 def test_records_of_all_instances_are_read_and_the_newest_row_wins():
     client = FakeStoreClient()
-    first = SegmentWrite({0: {"a": RECORD}}, ())
-    second = SegmentWrite({0: {"a": NEWER_RECORD, "b": RECORD}}, ())
+    first = SegmentWrite({0: keep(a=RECORD)}, ())
+    second = SegmentWrite({0: keep(a=NEWER_RECORD, b=RECORD)}, ())
     run(StoreStreamRecords(instance="n1", client=client).write(first))
     run(StoreStreamRecords(instance="n0", client=client).write(second))
     client.now_s += 3.0
@@ -80,16 +85,16 @@
 def test_segments_of_one_instance_are_replaced_and_removed_by_number():
     client = FakeStoreClient()
     records = StoreStreamRecords(instance="n1", client=client)
-    run(records.write(SegmentWrite({9: {"a": RECORD}, 10: {"b": RECORD}}, ())))
-    run(records.write(SegmentWrite({10: {"c": RECORD}}, (9,))))
-    assert run(records.read()) == [StoredSegment(10, {"c": RECORD}, 0.0)]
+    run(records.write(SegmentWrite({9: keep(a=RECORD), 10: keep(b=RECORD)}, ())))
+    run(records.write(SegmentWrite({10: keep(c=RECORD)}, (9,))))
+    assert run(records.read()) == [StoredSegment(10, keep(c=RECORD), 0.0)]
 
 
 def test_segments_of_one_write_are_read_in_the_order_of_their_numbers():
     client = FakeStoreClient()
     records = StoreStreamRecords(instance="n1", client=client)
     numbers = [8, 9, 10, 100]
-    run(records.write(SegmentWrite({each: {"a": RECORD} for each in numbers}, ())))
+    run(records.write(SegmentWrite({each: keep(a=RECORD) for each in numbers}, ())))
     client.rows = dict(sorted(client.rows.items()))  # as the store returns them
     assert [each.own_number for each in run(records.read())] == numbers
 
@@ -99,7 +104,59 @@
     content = {"written_s": 49.0, "streams": {"a": encode_stream_record(RECORD)}}
     client.rows["n1"] = Row("n1", content, 1, False)
     segments = run(StoreStreamRecords(instance="n1", client=client).read())
-    assert segments == [StoredSegment(None, {"a": RECORD}, 1.0)]
+    assert segments == [StoredSegment(None, keep(a=RECORD), 1.0)]
+
+
+def write_and_read(records):
+    """Return the content of the row with records, and what is read from it."""
+    client = FakeStoreClient()
+    store = StoreStreamRecords(instance="n1", client=client)
+    run(store.write(SegmentWrite({0: records}, ())))
+    (segment,) = run(store.read())
+    return client.rows["n1/000000000"].content, segment.records
+
+
+def test_services_of_streams_are_kept():
+    records = keep(
+        a=RECORD._replace(service="engines-1"),
+        b=RECORD._replace(service="engines-2"),
+        c=RECORD._replace(service="engines-1"),
+        d=RECORD,
+    )
+    content, found = write_and_read(records)
+    assert found == records
+    assert content["service"] == "engines-1"
+    assert len(content["others"]) == 2
+
+
+def test_streams_of_one_content_are_kept():
+    first = RECORD._replace(service="engines-1")
+    records = [first._replace(request_id=f"r{number}") for number in range(4)]
+    kept = {each.make_key("a"): each for each in records}
+    content, found = write_and_read(kept)
+    assert found == kept
+    assert content["streams"] == {"a": encode_stream_record(records[-1])}
+
+
+def test_the_release_before_reads_the_streams_of_a_row():
+    # It takes values of two or five elements, and one stream of a content.
+    records = keep(a=RECORD._replace(service="engines-1"), b=RECORD._replace(copy=None))
+    content, _ = write_and_read(records)
+    assert content["streams"] == {
+        "a": ["v1", "r1", "e-1", "10.0.0.1:9001", "h-1"],
+        "b": ["v1", "r1"],
+    }
+
+
+def test_odd_services_and_other_streams_are_left_out():
+    values = encode_stream_record(RECORD)
+    odd = [7, [], ["b"], ["b", values, 7], [["b"], "v", None], "abc"]
+    for others in (odd, *odd):
+        content = {"written_s": 49.0, "streams": {"a": values}, "others": others}
+        client = FakeStoreClient()
+        client.rows["x"] = Row("x", content, 1, False)
+        (segment,) = run(StoreStreamRecords(instance="n1", client=client).read())
+        assert segment.records in ({}, keep(a=RECORD))
 
 
 def test_rows_of_other_writers_are_ignored():
@@ -118,7 +175,7 @@
     }
     client.rows["x"] = Row("x", content, 9, False)
     segments = run(StoreStreamRecords(instance="n1", client=client).read())
-    assert StoredSegment(None, {"b": RECORD}, 1.0) in segments
+    assert StoredSegment(None, keep(b=RECORD), 1.0) in segments
     assert sum(len(each.records) for each in segments) == 1
 
 
@@ -126,7 +183,7 @@
     client = FakeStoreClient()
     client.is_down = True
     records = StoreStreamRecords(instance="n1", client=client)
-    for call in (records.write(SegmentWrite({0: {"a": RECORD}}, ())), records.read()):
+    for call in (records.write(SegmentWrite({0: keep(a=RECORD)}, ())), records.read()):
         try:
             run(call)
         except RecordStoreError as error:
