A stream is taken up at the service that began it, not at one drawn anew

Cause: the service was drawn by weight for each request, also for one that takes a stream up. The version of the record was then looked for at the service that was drawn.

Why this works: the record tells the service and is looked up first. The configuration in force goes before the record: a service that it sends nothing to runs nothing (CONFIG), and the stream goes on at another service with servers of its version, if there is one. So does a stream that an instance of the release before recorded, without its service.

Same cause, related path: the version of a stream without a record was inferred from the service that was drawn. It is inferred from all services that the route was sent to while the stream may have begun.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/__init__.py
@@ -85,6 +85,11 @@
 )
 from ebonyhaven_decisions.forwarding._restored_list import merge_restored_list
 from ebonyhaven_decisions.forwarding._room_estimates import RoomEstimate
+from ebonyhaven_decisions.forwarding._route_services import (
+    RouteServices,
+    choose_service,
+    list_stream_shares,
+)
 from ebonyhaven_decisions.forwarding._routes import (
     DEFAULT_HEALTH_PATH,
     EngineTraits,
@@ -141,6 +146,9 @@
 from ebonyhaven_decisions.forwarding.balancing import ServerLoad, ServiceTimes
 
 __all__ = [
+    "RouteServices",
+    "choose_service",
+    "list_stream_shares",
     "CAUTION_S",
     "CONFIRMATION_TTL_S",
     "DEFAULT_HEALTH_PATH",
--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_routes.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_routes.py
@@ -82,6 +82,10 @@
             return self.is_resumable
         return self.kind is RequestKind.IDEMPOTENT
 
+    def list_used_shares(self) -> list[ServiceShare]:
+        """Return the shares that requests go to; the first if all weigh nothing."""
+        return [each for each in self.shares if each.weight > 0] or [self.shares[0]]
+
 
 class EngineTraits(NamedTuple):
     """Capacity of the model engines of a service and how they copy runs.
--- a/packages/node/src/ebonyhaven_node/forwarding/_begun_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_begun_streams.py
@@ -82,7 +82,7 @@
     def _infer(self, route: Route) -> str | None:
         now = self._context.clock()
         state = self._context.state
-        services = [each.service for each in route.shares]
+        services = state.route_services.list_recent(route.name, now)
         return state.backends.versions.infer_among(services, now)
 
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -14,6 +14,8 @@
     Route,
     RoutingConfiguration,
     Workspace,
+    choose_service,
+    list_stream_shares,
 )
 
 from ebonyhaven_node._failures import make_not_run_failure
@@ -328,7 +330,7 @@
         """Relay to servers, or to another instance if no server can be reached."""
         may_use_peers = work.request.relay_origin is None
         begun = await self._find_begun(work)
-        service = self._choose_service(work.route)
+        service = self._choose_service(work.route, begun)
         if may_use_peers:  # others are counted where they came from
             self._context.budget.record_request(service, self._context.clock())
         is_left_to_peers = may_use_peers and self._context.is_left_to_peers()
@@ -395,12 +397,17 @@
             copy_ttl_s=work.configuration.find_copy_ttl_s(work.route),
         )
 
-    def _choose_service(self, route: Route) -> str:
-        names = [share.service for share in route.shares]
-        weights = [share.weight for share in route.shares]
-        if sum(weights) <= 0:
-            return names[0]
-        return self._rng.choices(names, weights)[0]
+    def _choose_service(self, route: Route, begun: BegunStream | None) -> str:
+        """Return the service that began the stream, or one drawn by weight."""
+        shares = route.list_used_shares()
+        if begun is not None and begun.record is not None:
+            versions, now = self._context.state.backends.versions, self._context.clock()
+            shares = list_stream_shares(
+                shares,
+                begun.record,
+                lambda service, version: versions.may_serve(service, version, now),
+            )
+        return choose_service(shares, self._rng)
 
 
 def _get_priority(route: Route, workspace: Workspace | None) -> int:
--- a/packages/node/src/ebonyhaven_node/forwarding/_state.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state.py
@@ -12,6 +12,7 @@
     BackendDirectory,
     BackendEntry,
     RequestLimits,
+    RouteServices,
     RoutingConfiguration,
     ServerListVersion,
     ServiceTimes,
@@ -77,6 +78,7 @@
 
     Attributes
     ----------
+    route_services : RouteServices
     rollouts : RolloutBook
         Orders to move services to other software versions, and their stages.
     """
@@ -85,6 +87,7 @@
         self._clock = clock
         self.configuration: RoutingConfiguration | None = None
         self.backends = BackendDirectory()
+        self.route_services = RouteServices(self.backends.retention)
         self.service_times: dict[str, ServiceTimes] = {}
         self.rollouts = RolloutBook()
         self.has_backend_list = False
@@ -132,7 +135,9 @@
         if known is not None and configuration.version < known.version:
             return
         self.configuration = configuration
-        self.backends.retention.apply(configuration, self._clock())
+        now = self._clock()
+        self.backends.retention.apply(configuration, now)
+        self.route_services.apply(configuration, now)
         self.backends.limits.set_engine_slots(
             {
                 name: each.engine.slots
