A stream is refused for good only if all that may know it have answered

What callers saw: beside two software versions, a stream was refused for good, without a Retry-After, if the instance that knows it was busy for more than 50 ms, if the store was away, or if the store had been read up to 2 s before, for another caller.

Cause: a replica without a record sent no answer, so that silence looked like an answer; a failed or an earlier read of the store counted as one without the record.

Why this works: a lookup tells whether all replicas and the store answered. It is repeated for a second until they did, or until a record is found; after it, the caller is told to come back. A record that the last read does not have begins another read, 0.1 s after the one before at the earliest. A single version that the list of servers could not confirm is no refusal for good either.

Changed tests: four tests of stale server lists wait for the second read of the store; one checks the Retry-After as well. A test of a new instance whose store is away waits for the end of the search.

--- a/packages/node/src/ebonyhaven_node/forwarding/_begun_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_begun_streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ebonyhaven_decisions.forwarding import (
@@ -13,6 +14,8 @@
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._requests import ForwardRequest
 
+SEARCH_TIMEOUT_S = 1.0  # leaves as much for the first event before a caller gives up
+
 
 class BegunStream(NamedTuple):
     """What is known of a stream that began in an earlier request.
@@ -23,10 +26,14 @@
         None if no instance and no store has one.
     version : str or None
         Software version that began the stream; None if it is unknown.
+    may_become_known : bool
+        Whether the version is unknown only because some of them did not answer, or the
+        list of servers could not be read.
     """
 
     record: StreamRecord | None
     version: str | None
+    may_become_known: bool = False
 
 
 class BegunStreamFinder:
@@ -47,9 +54,13 @@
         workspace: str | None,
         *,
         copy_ttl_s: float,
+        is_over: Callable[[], bool],
     ) -> BegunStream | None:
         """Return what is known of the stream; None if the request takes up none.
 
+        What others know is asked for again, for `SEARCH_TIMEOUT_S`, as long as some do
+        not answer.
+
         Parameters
         ----------
         request : ForwardRequest
@@ -58,26 +69,33 @@
             Name of the caller's workspace.
         copy_ttl_s : float
             Time for which an engine keeps the copy of a run that was cut off, seconds.
+        is_over : callable
+            Returns whether the request has ended.
         """
         if request.last_event_id is None or not route.may_retry:
             return None
         content = request.compute_stream_content(workspace)
         named = request.original_request_id
-        lookup = await self._context.stream_index.find(
-            content, named, copy_ttl_s=copy_ttl_s
-        )
-        record = _choose_record(lookup, request)
-        if record is not None:
-            return BegunStream(record, record.version)
-        return BegunStream(None, await self._infer_version(route))
-
-    async def _infer_version(self, route: Route) -> str | None:
+        search_end = self._context.clock() + SEARCH_TIMEOUT_S
+        while True:
+            lookup = await self._context.stream_index.find(
+                content, named, copy_ttl_s=copy_ttl_s
+            )
+            record = _choose_record(lookup, request)
+            if record is not None:
+                return BegunStream(record, record.version)
+            if self._infer(route) is not None:
+                return await self._confirm_version(route)
+            if lookup.is_complete or is_over():
+                return BegunStream(None, None)
+            if self._context.clock() >= search_end:
+                return BegunStream(None, None, may_become_known=True)
+
+    async def _confirm_version(self, route: Route) -> BegunStream:
         """Return the only version that servers have had, if the list is current."""
-        if self._infer(route) is None:
-            return None
         if not await self._context.list_confirmer.confirm():
-            return None
-        return self._infer(route)
+            return BegunStream(None, None, may_become_known=True)
+        return BegunStream(None, self._infer(route))
 
     def _infer(self, route: Route) -> str | None:
         now = self._context.clock()
--- a/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_earlier_runs.py
@@ -114,6 +114,7 @@
             original=self._request.original_request_id,
             position=self._request.last_event_id,
             is_recorded=record is not None,
+            may_become_known=self._begun.may_become_known,
             began_at=record.service if record else None,
             service=self._service,
             version=self._version.name,
--- a/packages/node/src/ebonyhaven_node/forwarding/_filters.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_filters.py
@@ -395,6 +395,7 @@
             work.route,
             workspace.name if workspace else None,
             copy_ttl_s=work.configuration.find_copy_ttl_s(work.route),
+            is_over=lambda: work.exchange.is_done,
         )
 
     def _choose_service(self, route: Route, begun: BegunStream | None) -> str:
--- a/packages/node/src/ebonyhaven_node/forwarding/_outcomes.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_outcomes.py
@@ -17,6 +17,7 @@
 REPLACEMENT_RETRY_AFTER_S = 1.5  # in which a new server starts and is listed
 ALL_LEAVING_REASON = "all servers are leaving"
 RESTING_REASON = "all servers want no requests for some time"
+SEARCH_RETRY_AFTER_S = 0.5  # in which a busy instance or the store answers
 SILENT_REASON = "servers answer nothing"
 UNREACHED_REASON = "this instance reaches no server"
 REACH_STEP = "reach"  # of a request for which no server could be reached
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -21,6 +21,7 @@
     REACH_STEP,
     REPLACEMENT_RETRY_AFTER_S,
     RESTING_REASON,
+    SEARCH_RETRY_AFTER_S,
     UNREACHED_REASON,
     make_crash_reason,
 )
@@ -233,7 +234,8 @@
         """
         reason = self._find_permanent_reason(now)
         if reason is not None:
-            return GiveUpReason(reason, retry_after_s=None)
+            may_change = self._version.may_become_known
+            return GiveUpReason(reason, SEARCH_RETRY_AFTER_S if may_change else None)
         if self.must_use_other_instance and not self._will_finish(now):
             return LEAVING_GIVE_UP
         if self._context.is_left_to_peers():
@@ -249,7 +251,7 @@
         return self._find_server_limit(now)
 
     def _find_permanent_reason(self, now: float) -> str | None:
-        """Return a reason that also holds for a retry of the caller."""
+        """Return a reason that ends the request whatever else is tried."""
         if now >= self.deadline:
             return None
         obstacle = self._find_obstacle(now)
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_records.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_records.py
@@ -26,6 +26,7 @@
 
 WRITE_INTERVAL_S = 1.0  # a run whose instance dies sooner has its prompt read again
 READ_INTERVAL_S = 2.0  # one read serves all callers that return together
+SEARCH_INTERVAL_S = 0.1  # between reads for records that the last one did not have
 
 _log = structlog.get_logger()
 
@@ -82,6 +83,8 @@
         self._is_writing = False
         self._records: dict[str, dict[str, _FoundRecord]] = {}
         self._read_at = -math.inf  # when the read began that returned `_records`
+        self._tried_at = -math.inf
+        self._read_timer: Any = None
         self._pending_read: Deferred | None = None
         self._readers: list[Deferred] = []
         store.observe_restore(self._handle_restore)
@@ -106,16 +109,18 @@
         self._schedule_write()
 
     def stop(self) -> None:
-        """Cancel scheduled writes."""
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        """Cancel scheduled writes and reads."""
+        for timer in (self._timer, self._read_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
 
     async def find(
         self, content: str, request_id: str | None, copy_max_age_s: float
     ) -> StreamLookup:
         """Return the records of the streams that a caller may mean.
 
-        The records are read at most every `READ_INTERVAL_S`.
+        What was read in the last `READ_INTERVAL_S` is used if it has one. Otherwise
+        the records are read anew, as one may have been written since.
 
         Parameters
         ----------
@@ -130,7 +135,7 @@
         while True:
             found = self._find_read(content, request_id, copy_max_age_s)
             age_s = asked_at - self._read_at
-            if age_s < READ_INTERVAL_S:
+            if age_s <= 0 or (found and age_s < READ_INTERVAL_S):
                 return StreamLookup(found, is_complete=True)
             if not await self._read_anew():
                 return StreamLookup(found, is_complete=False)
@@ -221,14 +226,21 @@
         """Wait for the next read of all records; return whether it succeeded."""
         read: Deferred = Deferred()
         self._readers.append(read)
-        if self._pending_read is None:
-            self._read()
+        if self._pending_read is None and not self._is_read_scheduled():
+            wait_s = self._tried_at + SEARCH_INTERVAL_S - self._clock()
+            if wait_s > 0:
+                self._read_timer = self._reactor.callLater(wait_s, self._read)
+            else:
+                self._read()
         return await read
 
+    def _is_read_scheduled(self) -> bool:
+        return self._read_timer is not None and self._read_timer.active()
+
     def _read(self) -> None:
-        began_at = self._clock()
+        self._tried_at = self._clock()
         self._pending_read = ensureDeferred(self._store.read())
-        self._pending_read.addCallback(self._replace_records, began_at)
+        self._pending_read.addCallback(self._replace_records, self._tried_at)
         self._pending_read.addErrback(self._handle_read_failure)
         self._pending_read.addBoth(self._release_readers)
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_versions.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_versions.py
@@ -22,6 +22,8 @@
     ----------
     is_bound : bool
         Whether the caller has events of the stream.
+    may_become_known : bool
+        Whether the version is unknown only because not all answered that could tell it.
     """
 
     __slots__ = (
@@ -30,6 +32,7 @@
         "_version",
         "_versions",
         "is_bound",
+        "may_become_known",
     )
 
     def __init__(self, service: str, versions: ServiceVersions):
@@ -38,6 +41,7 @@
         self._first_server: Backend | None = None
         self._version: str | None = None
         self.is_bound = False
+        self.may_become_known = False
 
     @property
     def name(self) -> str | None:
@@ -66,6 +70,7 @@
         """
         self.is_bound = True
         self._version = begun.version
+        self.may_become_known = begun.may_become_known
 
     def find_obstacle(self, now: float) -> str | None:
         """Return why no server can go on with the stream, or None if one may.
@@ -78,6 +83,8 @@
         if not self.is_bound:
             return None
         version = self.name
+        if version is None and self.may_become_known:
+            return "what began the stream could not be read yet"
         if version is None:
             return "the software version that began the stream is not known"
         if not self._versions.may_serve(self._service, version, now):
--- a/tests/forwarding/test_stale_server_list.py
+++ b/tests/forwarding/test_stale_server_list.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from ebonyhaven_decisions.forwarding._stream_retention import MIN_RETENTION_S
+from ebonyhaven_node.forwarding._outcomes import SEARCH_RETRY_AFTER_S
+from ebonyhaven_node.forwarding._stream_records import SEARCH_INTERVAL_S
 
 from tests.forwarding.harness import ForwardingHarness, make_entry
 from tests.forwarding.streaming import SIZE_HEADERS
@@ -38,10 +40,13 @@
     harness = ForwardingHarness(engines=6)
     list_new_version(harness)
     harness.source.unresponsive = True
-    assert retry_stream(harness).read_answer()[0] == 503
+    status, headers, _, _ = retry_stream(harness).read_answer()
+    assert status == 503
+    assert float(headers["retry-after"]) == SEARCH_RETRY_AFTER_S
     harness.source.unresponsive = False
     harness.source.unread.clear()
     retry_stream(harness)
+    harness.advance(SEARCH_INTERVAL_S)
     assert harness.count_waiting() == 1
 
 
@@ -51,6 +56,7 @@
     for number in range(CALLER_COUNT):
         prompt = f"aa:200,{number:02x}:7800"
         retry_stream(harness, X_Prompt_Prefix=prompt)
+    harness.advance(SEARCH_INTERVAL_S)
     assert harness.source.read_count == 1
     assert harness.count_waiting() == 0
     harness.source.finish_reads()
@@ -71,6 +77,7 @@
     harness.advance(0.01)
     list_new_version(harness)
     second = retry_stream(harness)
+    harness.advance(SEARCH_INTERVAL_S)
     harness.source.finish_reads()
     harness.source.finish_reads()
     harness.advance(0.01)
@@ -83,6 +90,7 @@
     harness.source.is_slow = True
     retry_stream(harness).disconnect()
     retry_stream(harness)
+    harness.advance(SEARCH_INTERVAL_S)
     harness.source.finish_reads()
     harness.source.finish_reads()
     harness.advance(0.01)
--- a/tests/forwarding/test_versions_before_start.py
+++ b/tests/forwarding/test_versions_before_start.py
@@ -4,7 +4,9 @@
 
 from ebonyhaven_decisions.forwarding import VersionRecord, VersionSnapshot
 from ebonyhaven_decisions.forwarding._stream_retention import MIN_RETENTION_S
+from ebonyhaven_node.forwarding._begun_streams import SEARCH_TIMEOUT_S
 from ebonyhaven_node.forwarding._shared_records import RETRY_INTERVAL_S
+from ebonyhaven_node.forwarding._stream_records import SEARCH_INTERVAL_S
 
 from tests.forwarding.harness import ForwardingHarness
 from tests.forwarding.test_software_versions import (
@@ -19,7 +21,9 @@
     # shows only the version that replaced that of the stream.
     harness = ForwardingHarness(engines=6, versions=("v2",), knows_past=False)
     harness.record_store.is_down = True
-    assert retry_stream(harness).read_answer()[0] == 503
+    retry = retry_stream(harness)
+    harness.advance(SEARCH_TIMEOUT_S + SEARCH_INTERVAL_S)
+    assert retry.read_answer()[0] == 503
     assert harness.count_waiting() == 0
 
 
