An instance that has just started does not take streams for unknown

Cause: the new instance had no member table yet, so that there was no replica to ask, and nobody whose answer was missing. The record was not in the store, as the instance that writes it had just been killed.

Why this works: a lookup counts as complete only if the instance had joined the others before it asked, or none are listed. Until then it is repeated, 0.05 s after the last one at the earliest.

--- a/packages/decisions/src/ebonyhaven_decisions/_discovery.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_discovery.py
@@ -64,6 +64,11 @@
             self._attempts = 0
         self._listed = listed
 
+    @property
+    def has_joined(self) -> bool:
+        """Whether this instance knows the others, or none are listed."""
+        return self.joined or not self._listed
+
     def is_listed(self, name: str) -> bool:
         """Return whether an instance is on the list.
 
--- a/packages/decisions/src/ebonyhaven_decisions/_membership.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_membership.py
@@ -73,6 +73,11 @@
         """Names of the instances that did not answer while this one was isolated."""
         return frozenset(self._isolation.unresponsive)
 
+    @property
+    def has_joined(self) -> bool:
+        """Whether the table shows the other instances; it does not after a start."""
+        return self.discovery.has_joined
+
     def is_isolated(self, now: float) -> bool:
         """Return whether no message arrived from any instance for the silence timeout.
 
--- a/packages/node/src/ebonyhaven_node/_membership.py
+++ b/packages/node/src/ebonyhaven_node/_membership.py
@@ -104,6 +104,11 @@
         """Records of all known instances, including this one."""
         return list(self._membership.table)
 
+    @property
+    def has_joined(self) -> bool:
+        """Whether `members` shows the other instances; it does not after a start."""
+        return self._membership.has_joined
+
     @property
     def neighbours(self) -> tuple[str, ...]:
         """Names of the instances that receive heartbeats from this one."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_begun_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_begun_streams.py
@@ -10,11 +10,13 @@
     StreamLookup,
     StreamRecord,
 )
+from twisted.internet.task import deferLater
 
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._requests import ForwardRequest
 
 SEARCH_TIMEOUT_S = 1.0  # leaves as much for the first event before a caller gives up
+SEARCH_PAUSE_S = 0.05  # between two tries
 
 
 class BegunStream(NamedTuple):
@@ -90,6 +92,7 @@
                 return BegunStream(None, None)
             if self._context.clock() >= search_end:
                 return BegunStream(None, None, may_become_known=True)
+            await deferLater(self._context.reactor, SEARCH_PAUSE_S)
 
     async def _confirm_version(self, route: Route) -> BegunStream:
         """Return the only version that servers have had, if the list is current."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
@@ -181,6 +181,7 @@
         found = self._find(question)
         if found:
             return StreamLookup(found, is_complete=True)
+        has_joined = self._membership is None or self._membership.has_joined
         with self._ask_replicas(question) as query:
             await query.result
             found = self._find(question)
@@ -190,7 +191,8 @@
                 content, request_id, copy_ttl_s + WRITE_INTERVAL_S
             )
             found = self._find(question)  # an answer may have come meanwhile
-            is_complete = stored.is_complete and not query.unanswered
+            is_answered = has_joined and not query.unanswered
+        is_complete = stored.is_complete and is_answered
         return StreamLookup(found or stored.records, is_complete)
 
     def _find(self, question: StreamQuestion) -> tuple[StreamRecord, ...]:
--- a/tests/forwarding/peers.py
+++ b/tests/forwarding/peers.py
@@ -33,6 +33,7 @@
         self.digests = []
         self.excluded_entries = frozenset()
         self.observers = []
+        self.has_joined = True
 
     def observe(self, observer):
         self.observers.append(observer)
--- a/tests/forwarding/test_unanswered_lookups.py
+++ b/tests/forwarding/test_unanswered_lookups.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from ebonyhaven_node.forwarding._begun_streams import SEARCH_TIMEOUT_S
+from ebonyhaven_node.forwarding._begun_streams import (
+    SEARCH_PAUSE_S,
+    SEARCH_TIMEOUT_S,
+)
 from ebonyhaven_node.forwarding._outcomes import SEARCH_RETRY_AFTER_S
 from ebonyhaven_node.forwarding._shared_stream_index import QUERY_TIMEOUT_S
 from ebonyhaven_node.forwarding._stream_records import (
@@ -13,6 +16,7 @@
 
 from tests.forwarding.harness import ForwardingHarness, chunk, event, stream_head
 from tests.forwarding.losses import FakeNetwork
+from tests.forwarding.peers import make_record
 from tests.forwarding.streaming import SIZE_HEADERS
 from tests.forwarding.test_software_versions import find_version, retry_stream
 
@@ -56,7 +60,7 @@
     harnesses["n2"].advance(SEARCH_TIMEOUT_S / 2)
     assert harnesses["n2"].count_waiting() == 0
     network.channels["n1"] = busy
-    harnesses["n2"].advance(QUERY_TIMEOUT_S + SEARCH_INTERVAL_S)
+    harnesses["n2"].advance(QUERY_TIMEOUT_S + SEARCH_INTERVAL_S + SEARCH_PAUSE_S)
     server, _, _ = harnesses["n2"].take_request()
     assert find_version(harnesses["n2"], server.address) == version
 
@@ -117,9 +121,29 @@
     assert find_version(successor, server.address) == version
 
 
+def test_a_stream_goes_on_once_a_new_instance_knows_the_others():
+    # Guards against refusing callers for good that come to an instance which has just
+    # started: it knew no other instance that it could have asked.
+    network = FakeNetwork()
+    known = ForwardingHarness(engines=6, versions=VERSIONS)
+    network.join(known.gateway._stream_index, "n1", [])
+    version = begin_stream(known)
+    new = ForwardingHarness(engines=6, versions=VERSIONS)
+    membership = network.join(new.gateway._stream_index, "n2", [])
+    membership.has_joined = False
+    retry_stream(new)
+    new.advance(SEARCH_TIMEOUT_S / 2)
+    assert new.count_waiting() == 0
+    membership.members = [membership.own, make_record("n1")]
+    membership.has_joined = True
+    new.advance(SEARCH_INTERVAL_S + SEARCH_PAUSE_S)
+    server, _, _ = new.take_request()
+    assert find_version(new, server.address) == version
+
+
 def test_a_caller_that_leaves_ends_the_search():
     harnesses, network = make_instances("n1", "n2")
     network.channels.pop("n1")
     retry_stream(harnesses["n2"]).disconnect()
-    harnesses["n2"].advance(SEARCH_INTERVAL_S + QUERY_TIMEOUT_S)
+    harnesses["n2"].advance(QUERY_TIMEOUT_S + SEARCH_INTERVAL_S + SEARCH_PAUSE_S)
     assert not harnesses["n2"].gateway._stream_index._queries
