--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -39,7 +39,6 @@
     CrashFilter,
     DecodeFilter,
     IdentifyFilter,
-    RelayFilter,
     ReportFilter,
     RouteFilter,
 )
@@ -57,6 +56,7 @@
 from ebonyhaven_node.forwarding._peer_group import PEER_USE_TTL_S, PeerGroup
 from ebonyhaven_node.forwarding._peer_reports import PeerReports
 from ebonyhaven_node.forwarding._permit_exchange import PermitExchange
+from ebonyhaven_node.forwarding._relay_filter import RelayFilter
 from ebonyhaven_node.forwarding._settings import GatewaySettings
 from ebonyhaven_node.forwarding._shared_stream_index import SharedStreamIndex
 from ebonyhaven_node.forwarding._shutdown import Shutdown
