Soak: streams of seconds that callers take up, split and asked for twice

Nothing in the tests or the soak took up streams of a split route, of a prompt that was asked for more than once, or of another build. The set streams kills instances under such streams, changes weights, and replaces instances if it begins with an earlier build; then the streams are of one service and of prompts of their own, as an earlier build may lose the others by itself. The check LOST counts those taken up at instances in touch beside new ones.

A caller that takes a stream up tries another instance if it reaches none, five times at most; before it gave up.

--- a/tests/platform_adapter/soak/_callers.py
+++ b/tests/platform_adapter/soak/_callers.py
@@ -18,8 +18,13 @@
 TIME_LIMIT_S = 1.5
 STREAM_TIME_LIMIT_S = 6.0
 LONG_TIME_LIMIT_S = 14.0
-STREAM_PATHS = ("/fixed", "/long", "/stream")
+RESUMABLE_PATHS = ("/stream", "/kept")
+STREAM_PATHS = ("/fixed", "/long", *RESUMABLE_PATHS)
+LONG_PATHS = ("/long", "/kept")
+PROMPT_PATH = "/kept"
 MAX_RESUMES = 2
+MAX_UNREACHED = 5  # instances that a caller who takes a stream up does not reach
+UNREACHED_PAUSE_S = 0.05
 THINK_S = (0.0, 0.08)
 EARLY_LEAVE_S = (0.05, 1.5)
 PROMISES = frozenset({408, 421, 429, 503})
@@ -76,7 +81,7 @@
 
 def get_time_limit_s(path: str) -> float:
     """Return how long callers wait for an answer."""
-    if path.startswith("/long"):
+    if path.startswith(LONG_PATHS):
         return LONG_TIME_LIMIT_S
     return STREAM_TIME_LIMIT_S if path.startswith(STREAM_PATHS) else TIME_LIMIT_S
 
@@ -207,7 +212,7 @@
                 continue
             if result.status in PROMISES:
                 await self.send(path, after=result)
-            elif path.startswith("/stream") and _is_broken_off(result):
+            elif path.startswith(RESUMABLE_PATHS) and _is_broken_off(result):
                 await self._resume(path, result)
         self.close()
 
@@ -221,11 +226,21 @@
         position = 0
         for _ in range(MAX_RESUMES):
             position += result.body.count(b"\n\n")
-            previous = result
-            result = await self.send(path, after=previous, position=position)
+            result = await self._send_somewhere(path, result, position)
             if result is None or self.is_stopped or not _is_broken_off(result):
                 return
 
+    async def _send_somewhere(
+        self, path: str, previous: Result, position: int
+    ) -> Result | None:
+        """Take a stream up at an instance that can be reached."""
+        for _ in range(MAX_UNREACHED):
+            result = await self.send(path, after=previous, position=position)
+            if result is not None or self.is_stopped:
+                return result
+            await deferLater(reactor, UNREACHED_PAUSE_S)
+        return None
+
     async def send(
         self, path: str, *, after: Result | None = None, position: int = 0
     ) -> Result | None:
@@ -306,6 +321,9 @@
         body = b"" if method == "GET" else b"{}"
         if path.startswith(STREAM_PATHS):
             headers.append(("X-Token-Count", "800,60"))
+        if path.startswith(PROMPT_PATH):
+            prompt = int(path.rpartition("/")[2])
+            headers.append(("X-Prompt-Prefix", f"aa:200,{prompt:x}:600"))
         if body:
             headers.append(("Content-Length", str(len(body))))
         encoded = connection.codec.send(
--- a/tests/platform_adapter/soak/_checks.py
+++ b/tests/platform_adapter/soak/_checks.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 
-from tests.platform_adapter.soak._callers import PROMISES, Result
+from tests.platform_adapter.soak._callers import PROMISES, RESUMABLE_PATHS, Result
 from tests.platform_adapter.soak._fault_log import NamedLimit
 from tests.platform_adapter.soak._server_log import Arrival, Fall
 from tests.platform_adapter.soak._servers import STREAM_EVENTS, encode_event
@@ -15,8 +15,11 @@
 LIMIT_SPAN_S = 4.0
 MAX_CRASH_REPEATS = 3
 NEW_VERSION, OLD_VERSION = "v2", "v1"
-NEW_VERSION_PLACE = "e6"
-REPEATABLE = ("/repeat", "/stream")  # paths of requests that may run more than once
+NEW_VERSION_PLACES = ("e6", "w")  # one of the engines, and all writers
+REPEATABLE = (
+    "/repeat",
+    *RESUMABLE_PATHS,
+)  # paths of requests that may run more than once
 TOLD_S = 0.5
 
 
@@ -83,7 +86,7 @@
                 encode_event(number, find_version(each.stamp))
                 for number in range(1, STREAM_EVENTS + 1)
             )
-        elif each.path.startswith("/stream"):
+        elif each.path.startswith(RESUMABLE_PATHS):
             continue  # see `check_streams`
         else:
             expected = f"answer to {each.request_id}".encode()
@@ -97,14 +100,14 @@
 
 def find_version(stamp: str | None) -> str:
     """Return the software version of the server with a proof of origin."""
-    return NEW_VERSION if (stamp or "").startswith(NEW_VERSION_PLACE) else OLD_VERSION
+    return NEW_VERSION if (stamp or "").startswith(NEW_VERSION_PLACES) else OLD_VERSION
 
 
 def check_streams(results: Iterable[Result]) -> list[str]:
     """Return streams whose events, over all tries, are not those of one version."""
     tries = defaultdict(list)
     for each in results:
-        if each.path.startswith("/stream") and each.status == 200:
+        if each.path.startswith(RESUMABLE_PATHS) and each.status == 200:
             tries[each.first_id].append(each)
     problems = []
     for first_id, found in tries.items():
--- a/tests/platform_adapter/soak/_configurations.py
+++ b/tests/platform_adapter/soak/_configurations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import random
 from typing import NamedTuple
 
@@ -16,6 +17,8 @@
 MOVED_PATHS = ("/moved-0/", "/moved-1/")
 ADDED_PATHS = ("/added-0/", "/added-1/", "/added-2/")
 TIMED_PATH = "/timed/"
+KEPT_PATH = "/kept/"  # streams of seconds that callers take up
+STREAM_SERVICES = ("engines", "writers")
 TIMEOUTS_S = (0.3, 0.6, 0.9)  # of the route whose requests last longer
 EXTRA_KEYS = ("k2", "k3")
 SERVICES = ("plain", "other")
@@ -38,6 +41,14 @@
 }
 
 
+class KeptStreams(enum.Enum):
+    """Streams of seconds that callers take up after the loss of their instance."""
+
+    NONE = "none"
+    PLAIN = "plain"  # of one service, each prompt asked for once
+    SPLIT = "split"  # split among services, prompts asked for more than once
+
+
 class PlayedVersion(NamedTuple):
     """A version of the configuration.
 
@@ -78,15 +89,24 @@
     store : StoreStandIn
     rng : random.Random
     has_long_streams : bool
+    kept_streams : KeptStreams
 
     Attributes
     ----------
     played : list of PlayedVersion
+    kept_streams : KeptStreams
     """
 
     def __init__(
-        self, store: StoreStandIn, rng: random.Random, *, has_long_streams: bool
+        self,
+        store: StoreStandIn,
+        rng: random.Random,
+        *,
+        has_long_streams: bool,
+        kept_streams: KeptStreams = KeptStreams.NONE,
     ):
+        self.kept_streams = kept_streams
+        self._kept_shares = {"engines": 1.0}
         self._store = store
         self._rng = rng
         self._has_long_streams = has_long_streams
@@ -110,6 +130,7 @@
         )
         for _ in range(self._rng.randint(1, MAX_CHANGES)):
             self._rng.choice(changes)()
+        self._split_streams()
         self._version += self._rng.randint(*VERSION_STEPS)
         self.write()
 
@@ -119,6 +140,7 @@
         services = {path: frozenset((name,)) for path, name in FIXED_SERVICES.items()}
         services |= {path: frozenset(shares) for path, shares in self._shares.items()}
         services[TIMED_PATH] = frozenset(("other",))
+        services[KEPT_PATH] = frozenset(self._kept_shares)
         self.played.append(
             PlayedVersion(
                 self._version,
@@ -153,6 +175,12 @@
         path = self._rng.choice(list(self._shares))
         self._shares[path] = {name: self._rng.uniform(0.1, 1.0) for name in SERVICES}
 
+    def _split_streams(self) -> None:
+        if self.kept_streams is KeptStreams.SPLIT:
+            self._kept_shares = {
+                name: self._rng.uniform(0.1, 1.0) for name in STREAM_SERVICES
+            }
+
     def _toggle_route(self) -> None:
         path = self._rng.choice(ADDED_PATHS)
         if self._shares.pop(path, None) is None:
@@ -174,19 +202,23 @@
                     for path, shares in self._shares.items()
                 ),
                 _make_route(TIMED_PATH, "idempotent", "other", 1, self._timeout_s),
+                *self._make_kept_routes(),
             ],
             "services": [
                 {"name": "plain", "maxConnections": 100},
                 {"name": "other", "maxConnections": 100},
-                {
-                    "name": "engines",
-                    "maxConnections": 100,
-                    "engine": {
-                        "slots": 8,
-                        "kvCapacityTokens": 88000,
-                        "backups": False,
-                    },
-                },
+                *(
+                    {
+                        "name": name,
+                        "maxConnections": 100,
+                        "engine": {
+                            "slots": 8,
+                            "kvCapacityTokens": 88000,
+                            "backups": False,
+                        },
+                    }
+                    for name in STREAM_SERVICES
+                ),
             ],
             "limits": {},
             "tenants": [
@@ -195,6 +227,14 @@
             ],
         }
 
+    def _make_kept_routes(self) -> list[dict]:
+        if self.kept_streams is KeptStreams.NONE:
+            return []
+        timeout_s = LONG_ROUTE_TIMEOUT_S
+        route = _make_route(KEPT_PATH, "streaming", "engines", 3, timeout_s)
+        route |= {"targetLatencyMs": 2500, "targetItlMs": 700, "streamResume": True}
+        return [_add_shares(route, self._kept_shares)]
+
 
 def _make_route(path, kind, service, attempts, timeout_s, **options) -> dict:
     return {
@@ -229,9 +269,13 @@
 
 
 def _make_split_route(path: str, shares: dict[str, float]) -> dict:
-    names = list(shares)
-    route = _make_route(path, "non_idempotent", names[0], 1, PLAIN_TIMEOUT_S)
-    if len(names) > 1:
+    route = _make_route(path, "non_idempotent", "plain", 1, PLAIN_TIMEOUT_S)
+    return _add_shares(route, shares)
+
+
+def _add_shares(route: dict, shares: dict[str, float]) -> dict:
+    route["service"] = next(iter(shares))
+    if len(shares) > 1:
         route["trafficSplit"] = [
             {"service": name, "weight": weight} for name, weight in shares.items()
         ]
--- a/tests/platform_adapter/soak/_deployment.py
+++ b/tests/platform_adapter/soak/_deployment.py
@@ -19,7 +19,10 @@
 
 from tests.platform_adapter.soak._behaviours import ServerFaults
 from tests.platform_adapter.soak._builds import export_build
-from tests.platform_adapter.soak._configurations import ConfigurationPlay
+from tests.platform_adapter.soak._configurations import (
+    ConfigurationPlay,
+    KeptStreams,
+)
 from tests.platform_adapter.soak._places import (
     DepartureLog,
     ListedServer,
@@ -38,6 +41,8 @@
 GRACE_S = 3
 LONG_GRACE_S = 8
 CRASHING_PATH = "/repeat/crash"
+MORE_ENGINES = 5  # for streams of seconds that callers take up
+WRITERS = 3
 PROGRAM = "tests.platform_adapter.soak.routed_instance"
 
 
@@ -289,6 +294,7 @@
     size : DeploymentSize
     has_long_streams : bool
         Whether there is a route of streams that last for seconds.
+    kept_streams : KeptStreams
     production : str or None
         Commit whose build the instances run first; None for the present one.
     exposure : ExposureBounds or None
@@ -303,6 +309,7 @@
         *,
         size: DeploymentSize = SMALL,
         has_long_streams: bool = False,
+        kept_streams: KeptStreams = KeptStreams.NONE,
         production: str | None = None,
         exposure: ExposureBounds | None = None,
     ):
@@ -318,6 +325,7 @@
             self.store,
             random.Random(rng.random()),
             has_long_streams=has_long_streams,
+            kept_streams=kept_streams,
         )
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="ebonyhaven-soak-"))
         data_centres = size.data_centres
@@ -338,6 +346,10 @@
                 each.earlier_build = build
         kinds = ["plain"] * size.plain + ["engines"] * size.engines
         kinds += ["other"] * size.others
+        if kept_streams is not KeptStreams.NONE:
+            kinds += ["engines"] * MORE_ENGINES
+        if kept_streams is KeptStreams.SPLIT:
+            kinds += ["writers"] * WRITERS
         names = [f"s{number}" for number in range(len(kinds) + size.spare_sites)]
         self._sites = SitePool(names, rng)
         self._is_started = False
--- a/tests/platform_adapter/soak/_faults.py
+++ b/tests/platform_adapter/soak/_faults.py
@@ -18,6 +18,9 @@
 
 PAUSE_S = (0.1, 0.9)
 LONG_PAUSE_S = (0.3, 2.0)  # between faults that last for many seconds
+STREAM_PAUSE_S = (1.5, 3.5)  # in which streams begin that the next loss breaks off
+KEPT_STREAMS = "streams"
+PAUSES_S = {"standard": PAUSE_S, KEPT_STREAMS: STREAM_PAUSE_S}
 ORDER_ROLLOUT = "order_rollout"
 _STANDARD = (
     "kill_instance",
@@ -116,6 +119,12 @@
         "crash_server",
         "pause_servers",
     ),
+    # Most instances are in touch, and no server is disturbed.
+    KEPT_STREAMS: (
+        *("kill_instance",) * 3,
+        *("change_configuration",) * 2,
+        "upgrade_instance",
+    ),
     "rests": (
         *("name_rests",) * 4,
         "pause_instance",
@@ -173,7 +182,7 @@
     def __init__(self, deployment: SoakDeployment, rng: random.Random, fault_set: str):
         self._rng = rng
         self._names = FAULT_SETS[fault_set]
-        self._pause_s = PAUSE_S if fault_set == "standard" else LONG_PAUSE_S
+        self._pause_s = PAUSES_S.get(fault_set, LONG_PAUSE_S)
         self.log = FaultLog()
         self._kinds = [
             kind(deployment, rng, self.log)
--- a/tests/platform_adapter/soak/_places.py
+++ b/tests/platform_adapter/soak/_places.py
@@ -15,7 +15,7 @@
 from tests.platform_adapter.soak._behaviours import VersionFault
 from tests.platform_adapter.soak._checks import (
     NEW_VERSION,
-    NEW_VERSION_PLACE,
+    NEW_VERSION_PLACES,
     OLD_VERSION,
 )
 from tests.platform_adapter.soak._servers import SLOTS, ServerProcess
@@ -226,7 +226,8 @@
     def start(self) -> None:
         self._starts += 1
         deployment = self._deployment
-        usual = NEW_VERSION if self.name == NEW_VERSION_PLACE else OLD_VERSION
+        is_new = self.name.startswith(NEW_VERSION_PLACES)
+        usual = NEW_VERSION if is_new else OLD_VERSION
         version = self._version or usual
         process = ServerProcess(
             f"{self.name}-{self._starts}",
--- a/tests/platform_adapter/soak/_run.py
+++ b/tests/platform_adapter/soak/_run.py
@@ -38,6 +38,7 @@
     is_denied,
     list_denials,
 )
+from tests.platform_adapter.soak._configurations import KeptStreams
 from tests.platform_adapter.soak._contact import ContactHistory
 from tests.platform_adapter.soak._deployment import (
     BUDGET_WINDOW_S,
@@ -51,6 +52,7 @@
 from tests.platform_adapter.soak._fault_log import TICK_S, FaultLog
 from tests.platform_adapter.soak._faults import (
     FAULT_SETS,
+    KEPT_STREAMS,
     ORDER_ROLLOUT,
     FaultInjector,
 )
@@ -63,6 +65,7 @@
 )
 from tests.platform_adapter.soak._loss_checks import (
     CutHistory,
+    TakenUpStreams,
     check_closed_channels,
     check_configuration_cuts,
     check_stops,
@@ -82,6 +85,8 @@
 
 CALLER_COUNT = 24
 LONG_CALLER_COUNT = 20
+KEPT_CALLER_COUNT = 20
+SHARED_PROMPTS = 8
 START_S = 3.0
 SETTLE_S = 1.0  # longer than a request that was refused could still reach a server
 CRASHING_SHARE = 0.01
@@ -143,6 +148,7 @@
         random.Random(rng.random()),
         size=size,
         has_long_streams=has_long_streams,
+        kept_streams=_choose_kept_streams(fault_set, production),
         production=production,
         exposure=EXPOSURE if ORDER_ROLLOUT in FAULT_SETS[fault_set] else None,
     )
@@ -158,11 +164,16 @@
         for number in range(PROBERS)
     ]
     injector = FaultInjector(deployment, random.Random(rng.random()), fault_set)
-    if has_long_streams:
+    if has_long_streams and fault_set != KEPT_STREAMS:
         callers += [
             _make_long_caller(number, deployment, results, random.Random(rng.random()))
             for number in range(LONG_CALLER_COUNT * size.instances // 3)
         ]
+    if fault_set == KEPT_STREAMS:
+        callers += [
+            _make_kept_caller(number, deployment, results, random.Random(rng.random()))
+            for number in range(KEPT_CALLER_COUNT)
+        ]
     started_at = reactor.seconds()
     watch = LoopingCall(injector.log.watch_stalls)
     watch.start(TICK_S)
@@ -216,6 +227,28 @@
     )
 
 
+def _choose_kept_streams(fault_set: str, production: str | None) -> KeptStreams:
+    """Return the streams that callers take up.
+
+    An earlier build may lose those of split routes and of repeated prompts.
+    """
+    if fault_set != KEPT_STREAMS:
+        return KeptStreams.NONE
+    return KeptStreams.SPLIT if production is None else KeptStreams.PLAIN
+
+
+def _make_kept_caller(number, deployment, results, rng: random.Random) -> SoakCaller:
+    is_shared = deployment.configurations.kept_streams is KeptStreams.SPLIT
+    prompts = SHARED_PROMPTS if is_shared else 1_000_000
+
+    def choose_path() -> str:
+        return f"/kept/{rng.randrange(prompts)}"
+
+    return _make_any_caller(
+        f"k{number}", choose_path, deployment, results, rng, early_leave_share=0.0
+    )
+
+
 def _make_any_caller(
     name,
     choose_path,
@@ -264,6 +297,7 @@
     configurations = ConfigurationHistory(
         everything, arrivals, deployment.configurations.played, services, contact
     )
+    taken_up = TakenUpStreams(results, contact)
     versions = map_versions(deployment.processes, ROLLOUT_SERVICE)
     rollouts = RolloutHistory(arrivals, versions, contact)
     plain_count = sum(each.service == "plain" for each in deployment.servers)
@@ -290,6 +324,7 @@
         *check_leaving(arrivals, departures, contact),
         *check_leaving_answers(arrivals, deployment.log.leaving_answers, contact),
         *check_closed_channels(cuts),
+        *taken_up.check(),
         *check_stops(cuts, faults.terminations),
         *check_configuration_cuts(
             cuts, faults.configurations, started_at + START_S, reactor.seconds()
@@ -311,6 +346,7 @@
         *list_steady_cuts(cuts),
         *list_denials(configurations),
         *list_rollouts(faults.rollouts),
+        f"taken up: {taken_up.describe()}",
     ]
     write_traces(
         deployment.directory, [*problems, *notes], deployment.log, departures, contact
--- a/tests/platform_adapter/soak/_servers.py
+++ b/tests/platform_adapter/soak/_servers.py
@@ -14,7 +14,11 @@
 from twisted.internet.protocol import Factory
 
 from tests.platform_adapter.soak._behaviours import VersionFault
-from tests.platform_adapter.soak._configurations import TIMED_PATH
+from tests.platform_adapter.soak._configurations import (
+    KEPT_PATH,
+    STREAM_SERVICES,
+    TIMED_PATH,
+)
 from tests.platform_adapter.soak._server_connections import ServerConnection
 from tests.platform_adapter.soak._server_log import (
     Arrival,
@@ -32,6 +36,7 @@
 EVENT_INTERVAL_S = 0.02
 LONG_EVENT_INTERVAL_S = 0.25
 LONG_PATH = "/long"
+SLOW_PATHS = (LONG_PATH, KEPT_PATH)  # of streams that last for seconds
 TIMED_WORK_S = 1.2  # longer than the timeout of the route
 STAMPED_REST_SHARE = 0.5
 OWN_ERROR_STATUSES = (500, 503, 429, 408)  # of requests that the server ran
@@ -91,7 +96,7 @@
         self.process_id = process_id
         self.version = version
         self._place = process_id.rpartition("-")[0]
-        self._is_plain = service != "engines"
+        self._is_plain = service not in STREAM_SERVICES
         self._may_be_brittle = service == "plain"
         self._log: ServerLog = log
         self._has_fallen = False
@@ -392,7 +397,7 @@
         if number <= STREAM_EVENTS:
             event = encode_event(number, self.version)
             connection.send(h11.Data(data=event))
-            is_long = pending.path.startswith(LONG_PATH)
+            is_long = pending.path.startswith(SLOW_PATHS)
             interval_s = LONG_EVENT_INTERVAL_S if is_long else EVENT_INTERVAL_S
             reactor.callLater(
                 interval_s, self.act, self._send_event, pending, number + 1
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -12,7 +12,11 @@
 REST_SEEDS = (3000,)
 UPGRADE_DURATION_S = 12.0
 UPGRADE_SEEDS = (3200,)
-PRODUCTION = "c594f59"  # commit of the release that is replaced
+PRODUCTION = "c2d1af4"  # commit of the release that is replaced
+STREAM_DURATION_S = 14.0
+# 2: streams went on at a service that had not begun them (ORDER).
+STREAM_SEEDS = (2,)
+STREAM_UPGRADE_SEEDS = (12,)
 ROLLOUT_DURATION_S = 14.0
 # 4002: a version that fails on one route got 101 requests of 68 allowed (EXPOSURE), and
 # was completed as callers sent nothing there while it was compared.
@@ -56,6 +60,31 @@
         assert any("state='reverted'" in each for each in report.notes), report.notes
 
 
+def test_streams_are_taken_up_after_losses_of_real_processes():
+    for seed in STREAM_SEEDS:
+        report = run_in_reactor(run_stream_soak, seed)
+        assert not report.problems, (seed, report.problems, report.directory)
+        assert report.statuses["200"] > 100, report.statuses
+
+
+def test_streams_are_taken_up_between_instances_of_two_builds():
+    # Guards against records that only instances of their own build can read.
+    for seed in STREAM_UPGRADE_SEEDS:
+        report = run_in_reactor(run_stream_upgrade_soak, seed)
+        assert not report.problems, (seed, report.problems, report.directory)
+        assert report.statuses["200"] > 100, report.statuses
+
+
+async def run_stream_soak(seed):
+    return await run_soak(seed, STREAM_DURATION_S, fault_set="streams")
+
+
+async def run_stream_upgrade_soak(seed):
+    return await run_soak(
+        seed, STREAM_DURATION_S, fault_set="streams", production=PRODUCTION
+    )
+
+
 async def run_rollout_soak(seed):
     return await run_soak(seed, ROLLOUT_DURATION_S, fault_set="rollouts")
 
--- a/tests/platform_adapter/test_soak_checks.py
+++ b/tests/platform_adapter/test_soak_checks.py
@@ -29,6 +29,7 @@
 )
 from tests.platform_adapter.soak._loss_checks import (
     CutHistory,
+    TakenUpStreams,
     check_closed_channels,
     check_configuration_cuts,
     check_stops,
@@ -353,3 +354,56 @@
     assert not check(0, 3)
     assert not check(1, 0, is_given_up=True)
     assert not check(1, 0, sent_at=92.0)  # it has used seven tenths of its time
+
+
+def make_streams(count, *, first, begun, is_taken_up=False, **options):
+    """Return tries of streams, some of which get events."""
+    return [
+        make_result(
+            first + number,
+            path="/kept/1",
+            status=200 if number < begun else 503,
+            body=make_events(1, 2) if number < begun else b"",
+            is_first=not is_taken_up,
+            **({"first_id": "r0"} if is_taken_up else {}),
+            **options,
+        )
+        for number in range(count)
+    ]
+
+
+def check_taken_up(*results, faults=None):
+    return TakenUpStreams(results, ContactHistory([], faults or FaultLog(), {})).check()
+
+
+def test_streams_that_do_not_go_on_where_new_ones_begin_are_found():
+    new = make_streams(20, first=100, begun=20)
+    lost = make_streams(12, first=1, begun=5, is_taken_up=True)
+    (problem,) = check_taken_up(*new, *lost)
+    assert "5 of 12 streams that were taken up went on, 20 of 20 began" in problem
+    assert "'r6'" in problem
+    assert "'r5'" not in problem
+
+
+def test_streams_go_on_as_often_as_half_of_the_new_ones():
+    taken_up = make_streams(12, first=1, begun=6, is_taken_up=True)
+    assert not check_taken_up(*make_streams(20, first=100, begun=20), *taken_up)
+    few = make_streams(12, first=1, begun=3, is_taken_up=True)
+    assert not check_taken_up(*make_streams(20, first=100, begun=10), *few)
+    assert check_taken_up(*make_streams(20, first=100, begun=11), *few)
+
+
+def test_few_streams_that_were_taken_up_prove_nothing():
+    new = make_streams(20, first=100, begun=20)
+    assert not check_taken_up(
+        *new, *make_streams(11, first=1, begun=0, is_taken_up=True)
+    )
+
+
+def test_streams_at_disturbed_instances_are_not_counted():
+    faults = FaultLog()
+    kill = Disturbance("n1", 0.0, 50.0, DisturbanceKind.KILL)
+    faults.processes.append(kill)
+    new = make_streams(20, first=100, begun=20)
+    lost = make_streams(12, first=1, begun=0, is_taken_up=True, instance="n1")
+    assert not check_taken_up(*new, *lost, faults=faults)
