A record of a stream that finds the queue to an instance full is sent again

Cause: a message that finds eight others in the queue of a connection is dropped; the record of a stream is sent once. The two messages for each instance that may be of the release before made it more frequent.

--- a/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
@@ -23,6 +23,7 @@
 from ebonyhaven_node._channels import Channels
 from ebonyhaven_node._frames import Frame, FrameKind
 from ebonyhaven_node._membership import MembershipController
+from ebonyhaven_node.forwarding._record_outbox import RecordOutbox
 from ebonyhaven_node.forwarding._stream_messages import (
     StreamAnswer,
     StreamQuestion,
@@ -106,6 +107,7 @@
             clock=clock,
         )
         self._membership: MembershipController | None = None
+        self._outbox: RecordOutbox | None = None
         self._queries: list[_Query] = []
         self._current_peers: dict[str, int] = {}  # incarnations, see `_is_current`
 
@@ -118,6 +120,7 @@
         channels : Channels
         """
         self._membership = membership
+        self._outbox = RecordOutbox(membership.send, self._reactor, self._clock)
         channels.subscribe(FrameKind.STREAM, self._handle_stream)
         channels.subscribe(FrameKind.STREAM_QUESTION, self._handle_question)
         channels.subscribe(FrameKind.STREAM_ANSWER, self._handle_answer)
@@ -138,10 +141,10 @@
         payload = encode_stream(StreamTold(content, record))
         old_payload = [content, encode_stream_record(record)]
         for replica in self._choose_replicas(content):
-            self._membership.send(replica.name, FrameKind.STREAM, payload)
+            self._outbox.send(replica.name, FrameKind.STREAM, payload)
             if not self._is_current(replica.name, replica.incarnation):
                 kind = FrameKind.STREAM_RECORD
-                self._membership.send(replica.name, kind, old_payload)
+                self._outbox.send(replica.name, kind, old_payload)
 
     def drop_copy(self, key: StreamKey) -> None:
         """Record that the copy of a stream's run is gone, on this instance only.
@@ -158,8 +161,10 @@
         self._index.drop_copy(key)
 
     def stop(self) -> None:
-        """Stop reading and writing the store."""
+        """Stop sending, and reading and writing the store."""
         self._recorder.stop()
+        if self._outbox is not None:
+            self._outbox.stop()
 
     async def find(
         self, content: str, request_id: str | None, *, copy_ttl_s: float
--- a/tests/forwarding/losses.py
+++ b/tests/forwarding/losses.py
@@ -91,3 +91,4 @@
         handler = channels.handlers.get(kind) if channels is not None else None
         if handler is not None:  # a process drops messages of kinds that it lacks
             handler(Frame(kind, self.own.name, self.own.incarnation, payload))
+        return True
