--- a/tests/platform_adapter/soak/_run.py
+++ b/tests/platform_adapter/soak/_run.py
@@ -65,7 +65,6 @@
 )
 from tests.platform_adapter.soak._loss_checks import (
     CutHistory,
-    TakenUpStreams,
     check_closed_channels,
     check_configuration_cuts,
     check_stops,
@@ -81,6 +80,7 @@
     map_versions,
 )
 from tests.platform_adapter.soak._rollouts import ROLLOUT_SERVICE
+from tests.platform_adapter.soak._stream_checks import TakenUpStreams
 from tests.platform_adapter.soak._traces import write_traces
 
 CALLER_COUNT = 24
--- a/tests/platform_adapter/test_soak_checks.py
+++ b/tests/platform_adapter/test_soak_checks.py
@@ -29,7 +29,6 @@
 )
 from tests.platform_adapter.soak._loss_checks import (
     CutHistory,
-    TakenUpStreams,
     check_closed_channels,
     check_configuration_cuts,
     check_stops,
@@ -37,6 +36,7 @@
 from tests.platform_adapter.soak._places import Departure
 from tests.platform_adapter.soak._server_log import Arrival, Fall, RunEnd, ServerLog
 from tests.platform_adapter.soak._servers import encode_event
+from tests.platform_adapter.soak._stream_checks import TakenUpStreams
 
 
 def make_result(number, *, instance="n0", status=200, **options):
