--- a/packages/node/src/ebonyhaven_node/forwarding/_begun_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_begun_streams.py
@@ -29,8 +29,8 @@
     version : str or None
         Software version that began the stream; None if it is unknown.
     may_become_known : bool
-        Whether the version is unknown only because some of them did not answer, or the
-        list of servers could not be read.
+        Whether the version is unknown only because an instance or the store did not
+        answer, or the list of servers could not be read.
     """
 
     record: StreamRecord | None
@@ -60,8 +60,8 @@
     ) -> BegunStream | None:
         """Return what is known of the stream; None if the request takes up none.
 
-        What others know is asked for again, for `SEARCH_TIMEOUT_S`, as long as some do
-        not answer.
+        Instances and the store are asked again, for `SEARCH_TIMEOUT_S`, as long as one
+        of them has not answered.
 
         Parameters
         ----------
