Crash history: survivals and explanations as modules of their own

When servers last survived a trait is TraitSurvivals, whether something else explains losses is a function of its arguments; both moved as they were. 71 tests of the crash history and of crashing requests and parts pass.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
@@ -23,16 +23,16 @@
 from __future__ import annotations
 
 import itertools
-import math
-from collections import Counter
 from collections.abc import Iterable, Sequence
 
+from ebonyhaven_decisions.forwarding._loss_explanations import is_explained
 from ebonyhaven_decisions.forwarding._losses import (
     COMMON_CAUSE_WINDOW_S,
     Loss,
     LossReport,
     Traits,
 )
+from ebonyhaven_decisions.forwarding._trait_survivals import TraitSurvivals
 
 MAX_CRASHES_PER_TRAIT = 3
 EVIDENCE_TTL_S = 600.0
@@ -42,7 +42,6 @@
 MAX_FAILED_TRIALS = 2  # of a trait that servers ran before
 MAX_LOSSES = 512
 MAX_REQUESTS_PER_LOSS = 64
-MAX_SURVIVALS = 1024
 # About 25 bytes each: a row of the store takes 64 KiB, a message to a peer 1 MiB.
 MAX_STORED_TRAITS = 512
 MAX_STORED_CRASHES = 4  # of one trait; one more than block it
@@ -65,7 +64,7 @@
         "_losses",
         "_max_crashes",
         "_processes_by_trait",
-        "_survived_at",
+        "_survivals",
     )
 
     def __init__(self, max_crashes: int = MAX_CRASHES_PER_TRAIT):
@@ -73,7 +72,7 @@
         self._losses: dict[str, Loss] = {}
         self._idle_losses: dict[str, Loss] = {}  # under no request that is known
         self._processes_by_trait: dict[str, dict[str, None]] = {}
-        self._survived_at: dict[str, float] = {}
+        self._survivals = TraitSurvivals()
 
     def __len__(self) -> int:
         return len(self._losses)
@@ -124,10 +123,7 @@
             Whether losses that counted against the trait no longer do.
         """
         before = self.count_crashes(trait, now)
-        survived_at = max(now - age_s, self._survived_at.pop(trait, -math.inf))
-        self._survived_at[trait] = survived_at
-        if len(self._survived_at) > MAX_SURVIVALS:
-            self._survived_at.pop(next(iter(self._survived_at)))
+        survived_at = self._survivals.record(trait, now - age_s)
         for process in list(self._processes_by_trait.get(trait, ())):
             if self._losses[process].lost_at <= survived_at:
                 self._forget(trait, process)
@@ -193,7 +189,7 @@
         blocked = [
             trait for trait in reversed(traits) if self._is_blocked(trait, own, now)
         ]
-        return min(blocked, key=self._get_survival, default=None)
+        return min(blocked, key=self._survivals.get, default=None)
 
     def may_be_tried(self, trait: str, now: float) -> bool:
         """Return whether one request with a blocked trait may be sent.
@@ -219,7 +215,7 @@
             later - earlier >= TRIAL_DELAY_S
             for earlier, later in itertools.pairwise(lost_at)
         )
-        return trait in self._survived_at and failed < MAX_FAILED_TRIALS
+        return trait in self._survivals and failed < MAX_FAILED_TRIALS
 
     def may_be_blocked_soon(
         self, trait: str, now: float, *, unconfirmed_losses: int
@@ -291,13 +287,7 @@
         dict of str to float
             Ages in seconds, by trait.
         """
-        if traits is None:
-            traits = self._survived_at
-        return {
-            trait: now - self._survived_at[trait]
-            for trait in traits
-            if trait in self._survived_at
-        }
+        return self._survivals.list_ages(now, traits)
 
     def export_repeated(self, now: float, min_crashes: int) -> list[LossReport]:
         """Return the losses that count against traits that several do.
@@ -335,7 +325,7 @@
 
     def _list_crashes(self, trait: str, now: float, latest: float) -> list[str]:
         """Return the processes whose loss until `latest` counts against a trait."""
-        earliest = max(now - EVIDENCE_TTL_S, self._survived_at.get(trait, -math.inf))
+        earliest = max(now - EVIDENCE_TTL_S, self._survivals.get(trait))
         crashes: dict[str, Loss] = {}
         for process in self._processes_by_trait.get(trait, ()):
             loss = self._losses[process]
@@ -351,60 +341,14 @@
         if len(crashes) < self._max_crashes:
             return False
         losses = [self._losses[process] for process in crashes]
-        return not self._is_explained(trait, losses, own)
-
-    def _is_explained(
-        self, trait: str, losses: Sequence[Loss], own: frozenset[str]
-    ) -> bool:
-        """Return whether a trait that a request lacks explains losses of one it has.
-
-        Parameters
-        ----------
-        trait : str
-        losses : sequence of Loss
-            Those that count against the trait.
-        own : frozenset of str
-            All traits of the request.
-        """
-        survived_at = self._get_survival(trait)
-        smallest = min(losses, key=lambda loss: len(loss.traits))
-        for other in smallest.traits - own:
-            if self._get_survival(other) <= survived_at and all(
-                other in loss.traits for loss in losses
-            ):
-                return True
-        return survived_at > -math.inf and self._is_mostly_explained(
-            survived_at, losses, own
-        )
-
-    def _is_mostly_explained(
-        self, survived_at: float, losses: Sequence[Loss], own: frozenset[str]
-    ) -> bool:
-        """Return whether too few losses are left without one more suspect trait.
-
-        Some of what a server ran may not be known of each loss.
-
-        Parameters
-        ----------
-        survived_at : float
-            When servers last ran the trait that the losses count against, seconds.
-        losses : sequence of Loss
-        own : frozenset of str
-            All traits of the request.
-        """
-        found: Counter[str] = Counter()
-        for loss in losses:
-            found.update(loss.traits - own)
-        min_explained = max(len(losses) - self._max_crashes + 1, self._max_crashes)
-        return any(
-            count >= min_explained and self._get_survival(other) < survived_at
-            for other, count in found.items()
+        return not is_explained(
+            losses,
+            own=own,
+            survived_at=self._survivals.get(trait),
+            survivals=self._survivals,
+            max_crashes=self._max_crashes,
         )
 
-    def _get_survival(self, trait: str) -> float:
-        """Return when a server last ran a trait, as far as is known; else -inf."""
-        return self._survived_at.get(trait, -math.inf)
-
     def _find(self, process: str) -> Loss | None:
         return self._losses.get(process) or self._idle_losses.get(process)
 
