Contact: a server that accepts a probe shows contact, however long others take

What callers saw: streams that had begun were ended in their middle, at instances that reached servers all the while.

Cause: servers are probed at once and a verdict is given when the last of them has accepted or failed, 0.25 s later if one answers nothing. A connection counted as proof for 0.2 s only. The silent server's own failure put contact in doubt again, so that one silent server among four made an instance take itself for cut off, unless it had opened another connection meanwhile. At a large site an instance opens few.

Fix: the verdict is about the connections since the check began.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_server_contact.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_server_contact.py
@@ -28,6 +28,7 @@
     """
 
     __slots__ = (
+        "_check_began_at",
         "_connected_at",
         "_failed",
         "_failed_at",
@@ -40,6 +41,7 @@
         self._failed: set[str] = set()  # addresses, since the last connection
         self._failed_at = -math.inf
         self._connected_at = -math.inf
+        self._check_began_at = -math.inf
         self._received_at: dict[str, float] = {}
 
     @property
@@ -99,9 +101,36 @@
             return False
         return len(self._failed) >= SUSPICIOUS_FAILURES or not self._has_received()
 
-    def record_check_failed(self) -> None:
-        """Record that no server that was probed accepted a connection."""
+    def begin_check(self, now: float) -> None:
+        """Record that servers are probed, see `is_check_due`.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        self._check_began_at = now
+
+    def end_check(self, now: float) -> bool:
+        """Decide whether contact is lost, after all probes of a check have ended.
+
+        It is not if a server has accepted a connection since the check began, however
+        long the last of the others took to fail.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        bool
+            Whether contact was found to be lost.
+        """
+        if self._connected_at >= self._check_began_at or not self.is_check_due(now):
+            return False
         self.is_lost = True
+        return True
 
     def _has_received(self) -> bool:
         """Return whether servers that did not fail have sent data since."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
@@ -123,15 +123,16 @@
             self._timer = self._reactor.callLater(CHECK_DELAY_S, self._check, address)
 
     def _check(self, failed_address: str) -> None:
-        if self._contact.is_check_due(self._clock()):
+        now = self._clock()
+        if self._contact.is_check_due(now):
+            self._contact.begin_check(now)
             self._probe(failed_address, self._conclude)
         else:
             self._release_waiting()
 
     def _conclude(self) -> None:
         """Take contact as lost unless a server has accepted a connection since."""
-        if self._contact.is_check_due(self._clock()):
-            self._contact.record_check_failed()
+        if self._contact.end_check(self._clock()):
             _log.warning(
                 "server_contact_lost", servers=sum(1 for _ in self._state.backends)
             )
--- a/tests/decisions/test_server_contact.py
+++ b/tests/decisions/test_server_contact.py
@@ -59,10 +59,32 @@
     assert contact.is_check_due(10.5)
 
 
+def test_server_that_accepts_shows_contact_though_another_one_answers_nothing():
+    # Guards against a check that ends later than an accepted connection counts.
+    contact = ServerContact()
+    contact.record_failed("a", 10.0)
+    contact.begin_check(10.03)
+    contact.record_connected(10.032)
+    contact.record_failed("b", 10.28)
+    assert not contact.end_check(10.28)
+    assert not contact.is_lost
+
+
+def test_server_that_accepted_before_a_check_does_not_hide_a_cut():
+    contact = ServerContact()
+    contact.record_connected(10.0)
+    contact.record_failed("a", 10.3)
+    contact.begin_check(10.33)
+    contact.record_failed("b", 10.58)
+    assert contact.end_check(10.58)
+    assert contact.is_lost
+
+
 def test_contact_is_lost_until_a_server_accepts_a_connection():
     contact = ServerContact()
     contact.record_failed("a", 10.0)
-    contact.record_check_failed()
+    contact.begin_check(10.03)
+    assert contact.end_check(10.28)
     assert contact.is_lost
     assert not contact.is_check_due(20.0)
     contact.record_connected(20.0)
--- a/tests/forwarding/test_cut_off.py
+++ b/tests/forwarding/test_cut_off.py
@@ -209,6 +209,44 @@
     assert caller.transport.aborted
 
 
+def test_begun_streams_are_not_cut_while_servers_of_other_data_centres_accept():
+    # Guards against a silent server that makes an instance take itself for cut off.
+    for seed in range(8):  # draws the servers that are asked whether they accept
+        harness = ForwardingHarness(engines=9)
+        harness.gateway._rng.seed(seed)
+        harness.gateway._context.relay_peers._list_peers = lambda: [PEER]
+        reported = []
+        harness.gateway._peer_reports.connect(_RecordingGroup(reported))
+        callers = [harness.open_caller() for _ in range(2)]
+        servers = [
+            begin_stream(harness, caller, f"s{number}")
+            for number, caller in enumerate(callers)
+        ]
+        harness.silent.update(
+            each.entry.address
+            for each in harness.state.backends
+            if each.entry.data_centre == "dc-b"
+        )
+        for server in servers:
+            harness.silent.add(server.address)
+            server.reset()
+            harness.advance(0.55)
+        harness.advance(1.0)
+        assert not [each for each in callers if each.transport.aborted], seed
+        assert harness.count_waiting() == len(callers)  # they go on elsewhere
+        assert "contact lost" not in reported, seed
+
+
+def begin_stream(harness, caller, request_id):
+    """Send a request for a stream; return its server, which has sent one event."""
+    caller.request("/stream/x", request_id=request_id, X_Token_Count="10,10")
+    harness.advance(0.01)
+    server, _, _ = harness.take_request()
+    server.receive(stream_head(request_id) + chunk(event(1)))
+    harness.advance(0.0)
+    return server
+
+
 def test_losses_found_while_no_server_is_reached_are_no_evidence():
     # Guards against contents blamed for a cut, and other instances that suspect
     # servers which they reach.
