Streams: silent servers that have ended do not count as failed attempts

What callers saw: a stream was ended in its middle, with "too many attempts", after data centre upon data centre had fallen silent, though a copy of it was at a server that would have gone on with it.

Cause: a server that breaks its connection off counts only while it is there, one that falls silent counted for good, also when its entry was gone and another process had its place.

Silent servers that accept connections count as before, with a test.

--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -174,9 +174,9 @@
             self.attempts -= 1
         if end not in (AttemptEnd.NOT_RUN, AttemptEnd.UNREACHABLE):
             self.may_have_run = True
-        if end in (AttemptEnd.SILENT, AttemptEnd.ERROR):
+        if end is AttemptEnd.ERROR:
             self._failed_attempts += 1
-        if end is AttemptEnd.LOST:
+        if end in (AttemptEnd.LOST, AttemptEnd.SILENT):
             self._lost_servers.append(backend)
 
     def name_last_end(self, now: float) -> str:
@@ -205,8 +205,12 @@
         return self._count_attempts_that_failed() < self._route.max_attempts
 
     def _count_attempts_that_failed(self) -> int:
-        alive = sum(map(self._context.crash_monitor.is_alive, self._lost_servers))
-        return self._failed_attempts + alive
+        return self._failed_attempts + sum(map(self._is_alive, self._lost_servers))
+
+    def _is_alive(self, backend: Backend) -> bool:
+        """Return whether the process of a server is still there, as far as is known."""
+        listed = self._context.state.backends.find(backend.server_id)
+        return listed is backend and self._context.crash_monitor.is_alive(backend)
 
     def may_replace_attempt(self, now: float) -> bool:
         """Return whether the running attempt could be followed by another one.
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -344,5 +344,15 @@
         """Return the number of connections with a request that no test has read."""
         return sum(each.has_request() for each in self.connections)
 
+    def unlist(self, address: str) -> None:
+        """Remove the server at an address from the list."""
+        self.state.replace_backends(
+            {
+                each.server_id: each.entry
+                for each in self.state.backends
+                if each.entry.address != address
+            }
+        )
+
     def find_address(self, server_id: str) -> str:
         return self.state.backends.find(server_id).entry.address
--- a/tests/forwarding/test_attempt_limits.py
+++ b/tests/forwarding/test_attempt_limits.py
@@ -34,6 +34,39 @@
     return count
 
 
+def silence_servers(harness, *, ends_server) -> int:
+    """Have each server of a stream fall silent in turn; return the number of runs."""
+    count = 0
+    while harness.count_waiting() and count < 2 * MAX_ATTEMPTS:
+        count += 1
+        server, _, _ = harness.take_request()
+        server.receive(stream_head("r1") + chunk(event(count)))
+        harness.advance(0.0)
+        if ends_server:
+            harness.silent.add(server.address)
+            harness.advance(0.6)
+            harness.unlist(server.address)
+        harness.advance(1.5)
+    return count
+
+
+def test_silent_servers_that_ended_do_not_count():
+    # Guards against a stream that is cut as data centres fall silent one by one.
+    harness = ForwardingHarness(engines=30)
+    harness.copier.handle = None
+    caller = harness.open_caller()
+    caller.request("/stream/x", **TOKEN_COUNT_HEADER)
+    assert silence_servers(harness, ends_server=True) > MAX_ATTEMPTS
+    assert not caller.transport.aborted
+
+
+def test_silent_servers_that_accept_connections_count():
+    harness = ForwardingHarness(engines=30)
+    harness.copier.handle = None
+    harness.open_caller().request("/stream/x", **TOKEN_COUNT_HEADER)
+    assert silence_servers(harness, ends_server=False) <= MAX_ATTEMPTS
+
+
 def test_stream_runs_on_no_more_servers_than_its_route_allows():
     # Guards against a stream whose connections are reset, by servers that go on, and
     # that runs on one server after the other.
