Contact: a cut that begins during a check is found at its end

A check after whose last connection three servers have failed is made again at once. test_cut_that_begins_while_servers_are_asked failed without that.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_server_contact.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_server_contact.py
@@ -49,6 +49,11 @@
         """Whether connections have failed since the last one was established."""
         return bool(self._failed)
 
+    @property
+    def has_many_failures(self) -> bool:
+        """Whether more servers than usual have failed since the last connection."""
+        return len(self._failed) >= SUSPICIOUS_FAILURES
+
     def record_connected(self, now: float) -> None:
         """Record that a server accepted a connection.
 
@@ -99,7 +104,7 @@
             return False
         if now - self._connected_at < CHECK_INTERVAL_S:
             return False
-        return len(self._failed) >= SUSPICIOUS_FAILURES or not self._has_received()
+        return self.has_many_failures or not self._has_received()
 
     def begin_check(self, now: float) -> None:
         """Record that servers are probed, see `is_check_due`.
--- a/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
@@ -123,13 +123,15 @@
             self._timer = self._reactor.callLater(CHECK_DELAY_S, self._check, address)
 
     def _check(self, failed_address: str) -> None:
-        now = self._clock()
-        if self._contact.is_check_due(now):
-            self._contact.begin_check(now)
-            self._probe(failed_address, self._conclude)
+        if self._contact.is_check_due(self._clock()):
+            self._begin_check(failed_address)
         else:
             self._release_waiting()
 
+    def _begin_check(self, excluded: str | None) -> None:
+        self._contact.begin_check(self._clock())
+        self._probe(excluded, self._conclude)
+
     def _conclude(self) -> None:
         """Take contact as lost unless a server has accepted a connection since."""
         if self._contact.end_check(self._clock()):
@@ -137,6 +139,9 @@
                 "server_contact_lost", servers=sum(1 for _ in self._state.backends)
             )
             self._on_change()
+        elif self._contact.has_many_failures:  # contact may be lost since one accepted
+            self._begin_check(None)
+            return
         self._retry()
 
     def _retry(self) -> None:
--- a/tests/forwarding/test_cut_off.py
+++ b/tests/forwarding/test_cut_off.py
@@ -237,6 +237,32 @@
         assert "contact lost" not in reported, seed
 
 
+def test_cut_that_begins_while_servers_are_asked_is_found_at_once():
+    # Guards against servers reported as lost by an instance that is cut off itself.
+    for seed in range(3):
+        harness = ForwardingHarness(engines=9)
+        harness.gateway._rng.seed(seed)
+        reported = []
+        harness.gateway._peer_reports.connect(_RecordingGroup(reported))
+        silent = {
+            each.entry.address
+            for each in harness.state.backends
+            if each.entry.data_centre == "dc-b"
+        }
+        harness.silent.update(silent)
+        harness.gateway.pool.probe_address(
+            min(silent), on_result=lambda _: None, timeout_s=0.1
+        )
+        harness.advance(0.2)  # a silent server keeps the check under way
+        harness.silent.clear()
+        harness.refused.update(each.entry.address for each in harness.state.backends)
+        for number in range(6):
+            harness.open_caller().request("/repeat/x", request_id=f"r{number}")
+        harness.advance(0.4)
+        assert harness.gateway._contact.is_lost, seed
+        assert reported == ["contact lost"], seed
+
+
 def begin_stream(harness, caller, request_id):
     """Send a request for a stream; return its server, which has sent one event."""
     caller.request("/stream/x", request_id=request_id, X_Token_Count="10,10")
