Streams: a begun stream is ended only once the loss of contact is confirmed

What can be taken back, a relay, still happens at once; the end of a response waits for one more round of probes.

test_begun_stream_goes_on_if_servers_are_reached_again_soon fails without the confirmation; the bound of the test that begun streams end soon in a real cut stays.

--- a/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
@@ -70,6 +70,11 @@
         """Whether no server can be reached."""
         return self._contact.is_lost
 
+    @property
+    def is_confirmed_lost(self) -> bool:
+        """Whether no server can be reached, see `ServerContact.is_confirmed_lost`."""
+        return self._contact.is_confirmed_lost(self._clock())
+
     def record_received(self, backend: Backend) -> None:
         """Record that a server sent data on an open connection.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_limits.py
@@ -242,7 +242,7 @@
             return GiveUpReason(reason, SEARCH_RETRY_AFTER_S if may_change else None)
         if self.must_use_other_instance and not self._will_finish(now):
             return LEAVING_GIVE_UP
-        if self._context.is_left_to_peers():
+        if self._is_left_to_peers():
             return GiveUpReason(
                 UNREACHED_REASON, NO_SERVER_RETRY_AFTER_S, step=REACH_STEP
             )
@@ -254,6 +254,17 @@
             return GiveUpReason(reason, retry_after_s=NO_SERVER_RETRY_AFTER_S)
         return self._find_server_limit(now)
 
+    def _is_left_to_peers(self) -> bool:
+        """Return whether the stream goes on at another instance.
+
+        A request is relayed there at once. A response that has begun has to be ended
+        for it, which waits until the loss of contact is confirmed.
+        """
+        is_left = self._context.is_left_to_peers()
+        if self._progress.delivered:
+            return is_left and self._context.contact.is_confirmed_lost
+        return is_left
+
     def _find_permanent_reason(self, now: float) -> str | None:
         """Return a reason that ends the request whatever else is tried."""
         if now >= self.deadline:
--- a/tests/decisions/test_server_contact.py
+++ b/tests/decisions/test_server_contact.py
@@ -113,3 +113,14 @@
     assert choose_checked_servers(backends, excluded="10.0.0.1:80", rng=rng) == backends
     leaving = [make_backend(1, "plain", "dc-0", BackendState.LEAVING)]
     assert not choose_checked_servers(leaving, excluded=None, rng=rng)
+
+
+def test_lost_contact_is_confirmed_by_time():
+    contact = ServerContact()
+    contact.record_failed("a", 10.0)
+    contact.begin_check(10.03)
+    assert contact.end_check(10.28)
+    assert not contact.is_confirmed_lost(10.6)
+    assert contact.is_confirmed_lost(10.7)
+    contact.record_connected(11.0)
+    assert not contact.is_confirmed_lost(11.0)
--- a/tests/forwarding/test_cut_off.py
+++ b/tests/forwarding/test_cut_off.py
@@ -263,6 +263,26 @@
         assert reported == ["contact lost"], seed
 
 
+def test_begun_stream_goes_on_if_servers_are_reached_again_soon():
+    # Guards against streams that are ended because servers accept a little late.
+    harness = ForwardingHarness()
+    harness.gateway._context.relay_peers._list_peers = lambda: [PEER]
+    caller = harness.open_caller()
+    server = begin_stream(harness, caller, "s1")
+    harness.silent.update(each.entry.address for each in harness.state.backends)
+    server.reset()
+    while not harness.gateway._contact.is_lost:
+        harness.advance(0.01)
+    harness.advance(0.1)
+    harness.silent.clear()
+    harness.advance(0.5)
+    other, head, _ = harness.take_request()
+    assert decode_headers(head)["last-event-id"] == "1"
+    other.receive(stream_head("s1") + chunk(event(2)) + STREAM_END)
+    harness.advance(0.0)
+    assert caller.read_answer()[2:] == (event(1) + event(2), True)
+
+
 def begin_stream(harness, caller, request_id):
     """Send a request for a stream; return its server, which has sent one event."""
     caller.request("/stream/x", request_id=request_id, X_Token_Count="10,10")
