Lost servers: an accepted probe is told at once

A server that had accepted a probe was called alive only after a check of all servers had ended, up to 0.28 s later; a loss of it found meanwhile joined that probe. A server that had ended by then counted as alive, and so as one of the attempts of the streams that it had run.

Only the ends of servers depend on whether others are reached, so only they wait. test_server_that_ends_after_it_accepted_is_not_taken_for_alive failed before.

--- a/packages/node/src/ebonyhaven_node/forwarding/_loss_probes.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_loss_probes.py
@@ -78,7 +78,11 @@
 
     def _probe(self, backend: Backend) -> None:
         def handle_result(failure: ConnectFailure | None) -> None:
-            self._contact.call_when_known(lambda: report(_classify(failure)))
+            fate = _classify(failure)
+            if fate is ServerFate.ALIVE:  # holds now, and whether others are reached
+                report(fate)
+            else:
+                self._contact.call_when_known(lambda: report(fate))
 
         def report(fate: ServerFate) -> None:
             if fate is ServerFate.ENDED and self._contact.is_lost:
