--- a/packages/node/src/ebonyhaven_node/forwarding/_engine_sampling.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_engine_sampling.py
@@ -10,7 +10,7 @@
     SampledEngine,
     choose_sampled_engine,
 )
-from twisted.internet.defer import DeferredList, ensureDeferred
+from twisted.internet.defer import DeferredList, FirstError, ensureDeferred
 
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._engine_use_exchange import (
@@ -55,12 +55,7 @@
         -------
         Backend
         """
-        results = await DeferredList(
-            [ensureDeferred(self._sample(each)) for each in candidates],
-            fireOnOneErrback=True,
-            consumeErrors=True,
-        )
-        sampled = [engine for _, engine in results]
+        sampled = await self._sample_all(candidates)
         now = self._context.clock()
         chosen = choose_sampled_engine(sampled, now=now, rng=self._context.rng)
         _log.info(
@@ -71,6 +66,17 @@
         )
         return chosen
 
+    async def _sample_all(self, candidates: Sequence[Backend]) -> list[SampledEngine]:
+        try:
+            results = await DeferredList(
+                [ensureDeferred(self._sample(each)) for each in candidates],
+                fireOnOneErrback=True,
+                consumeErrors=True,
+            )
+        except FirstError as error:  # as a rule, the caller has left
+            error.subFailure.raiseException()
+        return [engine for _, engine in results]
+
     async def _sample(self, backend: Backend) -> SampledEngine:
         if not backend.limiter.acquire(self._context.clock()):
             return SampledEngine(backend, None)
--- a/tests/forwarding/test_engine_sampling.py
+++ b/tests/forwarding/test_engine_sampling.py
@@ -4,6 +4,7 @@
 
 from ebonyhaven_decisions.forwarding import EngineLoad
 from ebonyhaven_node.forwarding.interfaces import InspectedServer, ServerInspector
+from structlog.testing import capture_logs
 from twisted.internet.defer import Deferred
 
 from tests.forwarding.harness import decode_headers
@@ -111,6 +112,18 @@
     assert harness.count_waiting() == 0
 
 
+def test_caller_that_leaves_while_engines_are_asked_is_no_error_of_the_instance():
+    harness, inspector = start()
+    inspector.silent.update(harness.find_address(f"e-{n}") for n in range(3))
+    caller = send(harness)
+    with capture_logs() as logs:
+        caller.disconnect()
+        harness.advance(0.1)
+    events = [each["event"] for each in logs]
+    assert "caller_left" in events
+    assert "request_crashed" not in events
+
+
 def test_few_instances_that_tell_each_other_everything_ask_no_engine():
     harness, inspector = start(instances=9)
     send(harness)
