Stream records: while an instance is suspected, the one after it gets them too

Records of streams were sent to three instances chosen among all that do not count as dead, and written to the store by one of them. A lost instance is suspected after one to two seconds and counts as dead five seconds later; until then its share of the records went to nobody. If the publisher was lost as well, callers were refused where several software versions were in use or the past was not known.

--- a/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from typing import Any, NamedTuple
 
 import structlog
 from ebonyhaven_decisions import MemberRecord, MemberState
@@ -41,6 +42,8 @@
 
 QUERY_TIMEOUT_S = 0.05  # live instances reply within milliseconds
 MAX_ANSWERED_RECORDS = 16  # to a caller that names no stream, all are alike
+RESEND_AGE_S = 5.0  # of a record; the loss of a replica is noticed in half of that
+RESEND_DELAY_S = 0.2  # many instances are lost, and return, at about the same moment
 
 _log = structlog.get_logger()
 
@@ -73,11 +76,37 @@
             self.result.callback(None)
 
 
+class _Receiver(NamedTuple):
+    """Instance that was sent a record, and whether it was to write it to the store."""
+
+    name: str
+    incarnation: int
+    is_recorder: bool
+
+
+class _Published(NamedTuple):
+    """When this instance published a record, and who was sent it.
+
+    Parameters
+    ----------
+    published_at : float
+        Seconds.
+    receivers : set of _Receiver
+    """
+
+    published_at: float
+    receivers: set[_Receiver]
+
+
 class SharedStreamIndex:
     """Records of streams, with each entry replicated to several instances.
 
     Until `connect` is called, only the entries of this instance are available.
 
+    An instance that is suspected of being lost stays a replica, as it may be alive; the
+    one that would take its place if it is not is a replica as well. What was published
+    before the suspicion is sent to the latter then.
+
     Parameters
     ----------
     reactor : IReactorTime
@@ -109,6 +138,8 @@
         self._membership: MembershipController | None = None
         self._outbox: RecordOutbox | None = None
         self._queries: list[_Query] = []
+        self._published: dict[StreamKey, _Published] = {}  # the newest is the last
+        self._resend_timer: Any = None
         self._current_peers: dict[str, int] = {}  # incarnations, see `_is_current`
 
     def connect(self, membership: MembershipController, channels: Channels) -> None:
@@ -121,6 +152,7 @@
         """
         self._membership = membership
         self._outbox = RecordOutbox(membership.send, self._reactor, self._clock)
+        membership.observe(lambda _: self._schedule_resend())
         channels.subscribe(FrameKind.STREAM, self._handle_stream)
         channels.subscribe(FrameKind.STREAM_QUESTION, self._handle_question)
         channels.subscribe(FrameKind.STREAM_ANSWER, self._handle_answer)
@@ -138,13 +170,12 @@
         record : StreamRecord
         """
         self._record(content, record)
-        payload = encode_stream(StreamTold(content, record))
-        old_payload = [content, encode_stream_record(record)]
-        for replica in self._choose_replicas(content):
-            self._outbox.send(replica.name, FrameKind.STREAM, payload)
-            if not self._is_current(replica.name, replica.incarnation):
-                kind = FrameKind.STREAM_RECORD
-                self._outbox.send(replica.name, kind, old_payload)
+        now = self._clock()
+        key = record.make_key(content)
+        self._published.pop(key, None)
+        published = self._published[key] = _Published(now, set())
+        self._send(content, record, published.receivers)
+        self._forget_published(now)
 
     def drop_copy(self, key: StreamKey) -> None:
         """Record that the copy of a stream's run is gone, on this instance only.
@@ -163,6 +194,8 @@
     def stop(self) -> None:
         """Stop sending, and reading and writing the store."""
         self._recorder.stop()
+        if self._resend_timer is not None and self._resend_timer.active():
+            self._resend_timer.cancel()
         if self._outbox is not None:
             self._outbox.stop()
 
@@ -206,16 +239,15 @@
     @contextmanager
     def _ask_replicas(self, question: StreamQuestion) -> Iterator[_Query]:
         replicas = self._choose_replicas(question.content)
-        query = _Query(question, [each.name for each in replicas])
+        query = _Query(question, list(replicas))
         if not replicas:
             query.end()
         self._queries.append(query)
         timer = self._reactor.callLater(QUERY_TIMEOUT_S, query.end)
-        for replica in replicas:
-            name = replica.name
+        for name, incarnation in replicas.items():
             payload = encode_question(question)
             self._membership.send(name, FrameKind.STREAM_QUESTION, payload)
-            if not self._is_current(name, replica.incarnation):
+            if not self._is_current(name, incarnation):
                 kind = FrameKind.STREAM_RECORD_REQUEST
                 self._membership.send(name, kind, question.content)
         try:
@@ -225,28 +257,89 @@
             if timer.active():
                 timer.cancel()
 
+    # -- publishing --------------------------------------------------------
+
+    def _send(
+        self, content: str, record: StreamRecord, receivers: set[_Receiver]
+    ) -> None:
+        """Send a record to those of its replicas that were not sent it."""
+        payload = encode_stream(StreamTold(content, record))
+        old_payload = [content, encode_stream_record(record)]
+        recorders = self._choose_recorders(content)
+        for name, incarnation in self._choose_replicas(content).items():
+            receiver = _Receiver(name, incarnation, name in recorders)
+            if receiver in receivers:
+                continue
+            receivers.add(receiver)
+            self._outbox.send(name, FrameKind.STREAM, payload)
+            if not self._is_current(name, incarnation):
+                self._outbox.send(name, FrameKind.STREAM_RECORD, old_payload)
+
+    def _schedule_resend(self) -> None:
+        """Send what was just published to replicas that the change has brought."""
+        if self._resend_timer is None or not self._resend_timer.active():
+            self._resend_timer = self._reactor.callLater(RESEND_DELAY_S, self._resend)
+
+    def _resend(self) -> None:
+        now = self._clock()
+        self._forget_published(now)
+        for key, published in self._published.items():
+            for record in self._index.find(*key, now):
+                self._store_if_recorder(key.content, record)
+                self._send(key.content, record, published.receivers)
+
+    def _forget_published(self, now: float) -> None:
+        while self._published:
+            key, oldest = next(iter(self._published.items()))
+            if now - oldest.published_at <= RESEND_AGE_S:
+                return
+            del self._published[key]
+
     def _is_current(self, name: str, incarnation: int) -> bool:
         """Return whether an instance has shown that it is not of the release before."""
         return self._current_peers.get(name, -1) >= incarnation
 
-    def _list_instances(self) -> list[MemberRecord]:
+    def _list_views(self) -> list[dict[str, MemberRecord]]:
+        """Return the instances by name, with and without those that are suspected.
+
+        One list if none is. An instance stays suspected for seconds before it counts
+        as dead; one that was lost would have the records of that time, unread.
+        """
         if self._membership is None:
             return []
-        return [
-            record
-            for record in self._membership.members
-            if record.state != MemberState.DEAD
-        ]
-
-    def _choose_replicas(self, content: str) -> list[MemberRecord]:
-        instances = {each.name: each for each in self._list_instances()}
-        chosen = choose_index_instances(content, instances)
-        return [instances[name] for name in chosen if name != self._membership.own.name]
+        known = {
+            each.name: each
+            for each in self._membership.members
+            if each.state != MemberState.DEAD
+        }
+        answering = {
+            name: each
+            for name, each in known.items()
+            if each.state != MemberState.SUSPECT
+        }
+        return [known] if len(answering) == len(known) else [known, answering]
+
+    def _choose_replicas(self, content: str) -> dict[str, int]:
+        """Return the other instances that have an entry; names and incarnations."""
+        return {
+            name: view[name].incarnation
+            for view in self._list_views()
+            for name in choose_index_instances(content, view)
+            if name != self._membership.own.name
+        }
+
+    def _choose_recorders(self, content: str) -> set[str | None]:
+        return {choose_recorder(content, view) for view in self._list_views()}
 
     def _record(self, content: str, record: StreamRecord) -> None:
         record = self._index.record(content, record, self._clock())
-        names = frozenset(each.name for each in self._list_instances())
-        if names and choose_recorder(content, names) == self._membership.own.name:
+        self._store_if_recorder(content, record)
+
+    def _store_if_recorder(self, content: str, record: StreamRecord) -> None:
+        if self._membership is None:
+            return
+        if self._membership.own.name in self._choose_recorders(content):
+            names = frozenset(self._list_views()[0])
             self._recorder.add(record.make_key(content), record, names)
 
     def _handle_stream(self, frame: Frame) -> None:
