Contact: the loss is confirmed by another round of probes, which waits longer

What callers saw: LOST.

Cause: a link in full use looks like a cut.

The end of a begun stream now waits for a second round of probes, of other servers, with 0.5 s each.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_server_contact.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_server_contact.py
@@ -15,7 +15,6 @@
 # Failures at fewer servers are usual; data from any other server then proves contact.
 SUSPICIOUS_FAILURES = 3
 CHECKED_SERVERS = 4  # probed at once, in different data centres and services
-CONFIRMATION_S = 0.4  # until one more round of probes would have succeeded
 CHECK_INTERVAL_S = 0.2  # in which failures after a proof of contact prove nothing
 
 
@@ -26,6 +25,10 @@
     ----------
     is_lost : bool
         Whether all servers that were probed together accepted no connection.
+    is_confirmed_lost : bool
+        Whether those that were probed next accepted none either. Servers that accept
+        later than a check waits look like those that never do: what cannot be taken
+        back, as the end of a response, waits for this.
     """
 
     __slots__ = (
@@ -33,18 +36,18 @@
         "_connected_at",
         "_failed",
         "_failed_at",
-        "_lost_at",
         "_received_at",
+        "is_confirmed_lost",
         "is_lost",
     )
 
     def __init__(self) -> None:
         self.is_lost = False
+        self.is_confirmed_lost = False
         self._failed: set[str] = set()  # addresses, since the last connection
         self._failed_at = -math.inf
         self._connected_at = -math.inf
         self._check_began_at = -math.inf
-        self._lost_at = -math.inf
         self._received_at: dict[str, float] = {}
 
     @property
@@ -68,7 +71,7 @@
         self._connected_at = now
         self._failed.clear()
         self._received_at.clear()
-        self.is_lost = False
+        self.is_lost = self.is_confirmed_lost = False
 
     def record_received(self, address: str, now: float) -> None:
         """Record data of a server on a connection that it accepted before.
@@ -138,21 +141,11 @@
         if self._connected_at >= self._check_began_at or not self.is_check_due(now):
             return False
         self.is_lost = True
-        self._lost_at = now
         return True
 
-    def is_confirmed_lost(self, now: float) -> bool:
-        """Return whether contact has been lost for so long that this is no doubt.
-
-        Servers that accept later than a check waits look like those that never do. What
-        cannot be taken back, as the end of a response, waits for further probes.
-
-        Parameters
-        ----------
-        now : float
-            Seconds.
-        """
-        return self.is_lost and now - self._lost_at >= CONFIRMATION_S
+    def record_retry_failed(self) -> None:
+        """Record that servers that were probed while contact is lost accept nothing."""
+        self.is_confirmed_lost = self.is_lost
 
     def _has_received(self) -> bool:
         """Return whether servers that did not fail have sent data since."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
@@ -21,6 +21,7 @@
 CHECK_DELAY_S = 0.03  # within which streams bring data of servers that are alive
 CHECK_TIMEOUT_S = 0.25  # a live server accepts within milliseconds
 RETRY_INTERVAL_S = 0.3  # between probes while no server is reached
+RETRY_TIMEOUT_S = 0.5  # the link of this instance may be in full use
 
 _log = structlog.get_logger()
 
@@ -73,7 +74,7 @@
     @property
     def is_confirmed_lost(self) -> bool:
         """Whether no server can be reached, see `ServerContact.is_confirmed_lost`."""
-        return self._contact.is_confirmed_lost(self._clock())
+        return self._contact.is_confirmed_lost
 
     def record_received(self, backend: Backend) -> None:
         """Record that a server sent data on an open connection.
@@ -135,7 +136,7 @@
 
     def _begin_check(self, excluded: str | None) -> None:
         self._contact.begin_check(self._clock())
-        self._probe(excluded, self._conclude)
+        self._probe(excluded, CHECK_TIMEOUT_S, self._conclude)
 
     def _conclude(self) -> None:
         """Take contact as lost unless a server has accepted a connection since."""
@@ -144,20 +145,30 @@
                 "server_contact_lost", servers=sum(1 for _ in self._state.backends)
             )
             self._on_change()
-        elif self._contact.has_many_failures:  # contact may be lost since one accepted
+        self._go_on()
+
+    def _go_on(self) -> None:
+        """Probe servers again if contact is lost, or may have been lost meanwhile."""
+        if not self.is_lost and self._contact.has_many_failures:
             self._begin_check(None)
-            return
-        self._retry()
+        else:
+            self._schedule_retry()
 
-    def _retry(self) -> None:
+    def _schedule_retry(self) -> None:
         """Probe servers until one is reached again."""
         self._release_waiting()
         if self.is_lost:
             self._timer = self._reactor.callLater(
-                RETRY_INTERVAL_S, self._probe, None, self._retry
+                RETRY_INTERVAL_S, self._probe, None, RETRY_TIMEOUT_S, self._end_retry
             )
 
-    def _probe(self, excluded: str | None, on_done: Callable[[], None]) -> None:
+    def _end_retry(self) -> None:
+        self._contact.record_retry_failed()
+        self._go_on()
+
+    def _probe(
+        self, excluded: str | None, timeout_s: float, on_done: Callable[[], None]
+    ) -> None:
         servers = choose_checked_servers(
             self._state.backends, excluded=excluded, rng=self._rng
         )
@@ -176,7 +187,7 @@
             self._pool.probe_address(
                 backend.entry.address,
                 on_result=functools.partial(handle_result, backend),
-                timeout_s=CHECK_TIMEOUT_S,
+                timeout_s=timeout_s,
             )
 
     def _release_waiting(self) -> None:
