--- a/tests/platform_adapter/test_shared_configuration.py
+++ b/tests/platform_adapter/test_shared_configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ebonyhaven_adapter._source import MAX_PUBLISHED_BYTES
+from ebonyhaven_adapter._store import Row, RowBatch
 from ebonyhaven_decisions.forwarding._change_feed import (
     MAX_FEED_TIMEOUT_S,
     STANDBY_DELAY_S,
@@ -54,6 +55,23 @@
     assert not group.feed.other.is_unresponsive()
 
 
+def test_configurations_that_are_read_together_are_passed_on_once():
+    # Guards against a reader that has the store back after some versions, and whose
+    # link to callers and servers the copies of each of them block for seconds.
+    group = LargeGroup()
+    group.keep_alive(1.0)
+    versions = [{**CONFIGURATION, "version": number} for number in (8, 9, 10, 11)]
+    rows = tuple(
+        Row("config", document, 12 + document["version"], False)
+        for document in versions
+    )
+    group.feed.store.push("op", RowBatch(rows, 23, False, 0))
+    assert group.feed.state.configuration.version == 11
+    (payload,) = group.feed.group.states
+    group.feed.other.merge(send_between_instances(payload))
+    assert group.feed.other_state.configuration.version == 11
+
+
 def test_overdue_configuration_is_read_although_a_reader_is_heard():
     group = LargeGroup()
     group.keep_alive(1.0)
