The head of a stream no longer announces the close of its connection

A request that was read behind such a head, sent before it had arrived, got no answer at the end of the stream.

--- a/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
@@ -97,6 +97,8 @@
 
     def write_response(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response and prepare for the next request."""
+        if self._is_last_response():
+            headers = (*headers, (b"connection", b"close"))
         self.write_head(status, headers)
         if body and self._head_allows_body():
             self.write_data(body)
@@ -104,13 +106,15 @@
 
     def write_head(self, status: int, headers: Headers) -> None:
         """Send the head of a response."""
-        if self._is_last_response():
-            headers = (*headers, (b"connection", b"close"))
         reason = _REASON_PHRASES.get(status, b"Status")
         self._write(h11.Response(status_code=status, headers=headers, reason=reason))
 
     def write_stream_head(self, status: int, headers: Headers) -> None:
-        """Send the head of a response whose body is streamed."""
+        """Send the head of a response whose body is streamed.
+
+        It never announces the close of the connection: requests that are received
+        while the body is sent could not be answered any more.
+        """
         self.write_head(status, headers)
         self._is_producing = True
         self.transport.registerProducer(self, True)
--- a/tests/forwarding/test_requests_sent_ahead.py
+++ b/tests/forwarding/test_requests_sent_ahead.py
@@ -122,3 +122,21 @@
     assert len(body) == 1000
     server.receive(answer("r1"))
     assert read_answers(caller.received) == [(200, True)]
+
+
+def test_request_that_crosses_the_head_of_a_stream_is_answered_by_a_leaving_instance():
+    # Guards against requests that are read while a stream is under way, and get no
+    # answer, as the head of the stream was sent after the SIGTERM and said "close".
+    harness = ForwardingHarness()
+    caller = send_ahead(harness, encode_request("/fixed/x", "r1", **SIZE_HEADERS))
+    streaming, _, _ = harness.take_request()
+    harness.leave()
+    streaming.receive(stream_head("r1") + chunk(event(1)))
+    harness.advance(0.001)
+    caller.send(encode_request("/once/x", "r2"))  # the head has not reached it yet
+    streaming.receive(STREAM_END)
+    harness.advance(0.01)
+    server, _, _ = harness.take_request()
+    server.receive(answer("r2"))
+    assert read_answers(caller.received) == [(200, False), (200, True)]
+    assert caller.transport.is_closed
