Contact: a check without servers to ask ends later, not within itself

Found by the review of: if all listed servers were leaving and several connections had just failed, a check that asked nobody was repeated without a pause, until the stack was full. It ends after the time of a probe now. test_instance_whose_servers_all_leave_goes_on failed before (RecursionError).

--- a/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
@@ -182,7 +182,7 @@
                 on_done()
 
         if not servers:
-            on_done()
+            self._timer = self._reactor.callLater(timeout_s, on_done)
         for backend in servers:
             self._pool.probe_address(
                 backend.entry.address,
--- a/tests/forwarding/test_cut_off.py
+++ b/tests/forwarding/test_cut_off.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhaven_decisions.forwarding import CrashHistory
+from ebonyhaven_decisions.forwarding import BackendState, CrashHistory
 
 from tests.forwarding.harness import (
     STREAM_END,
@@ -283,6 +283,30 @@
     assert caller.read_answer()[2:] == (event(1) + event(2), True)
 
 
+def test_instance_whose_servers_all_leave_goes_on():
+    # Guards against a check that asks nobody, and is repeated without a pause.
+    harness = ForwardingHarness()
+    addresses = [each.entry.address for each in harness.state.backends]
+    entries = {
+        each.server_id: each.entry._replace(state=BackendState.LEAVING)
+        for each in harness.state.backends
+    }
+    harness.state.replace_backends(entries)
+    harness.gateway.pool.probe_address(
+        addresses[0], on_result=lambda _: None, timeout_s=0.1
+    )
+    harness.advance(0.01)
+    harness.refused.update(addresses)
+    for address in addresses:
+        harness.gateway.pool.probe_address(
+            address, on_result=lambda _: None, timeout_s=0.1
+        )
+    harness.advance(0.0)
+    harness.gateway._contact._begin_check(None)
+    harness.advance(1.0)
+    assert harness.gateway._contact.is_lost
+
+
 def begin_stream(harness, caller, request_id):
     """Send a request for a stream; return its server, which has sent one event."""
     caller.request("/stream/x", request_id=request_id, X_Token_Count="10,10")
