--- a/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
@@ -140,6 +140,7 @@
         self._queries: list[_Query] = []
         self._published: dict[StreamKey, _Published] = {}  # the newest is the last
         self._resend_timer: Any = None
+        self._is_stopped = False
         self._current_peers: dict[str, int] = {}  # incarnations, see `_is_current`
 
     def connect(self, membership: MembershipController, channels: Channels) -> None:
@@ -193,6 +194,7 @@
 
     def stop(self) -> None:
         """Stop sending, and reading and writing the store."""
+        self._is_stopped = True
         self._recorder.stop()
         if self._resend_timer is not None and self._resend_timer.active():
             self._resend_timer.cancel()
@@ -277,7 +279,8 @@
 
     def _schedule_resend(self) -> None:
         """Send what was just published to replicas that the change has brought."""
-        if self._resend_timer is None or not self._resend_timer.active():
+        is_scheduled = self._resend_timer is not None and self._resend_timer.active()
+        if not is_scheduled and not self._is_stopped:
             self._resend_timer = self._reactor.callLater(RESEND_DELAY_S, self._resend)
 
     def _resend(self) -> None:
--- a/tests/forwarding/test_lost_replicas.py
+++ b/tests/forwarding/test_lost_replicas.py
@@ -179,3 +179,13 @@
     group.suspect(*REPLICAS)
     group.clock.advance(SETTLE_S)
     assert group.count_sent() == sent
+
+
+def test_an_index_that_was_stopped_sends_nothing_more():
+    group = Group()
+    group.indexes[PUBLISHER].publish(CONTENT, RECORD)
+    group.indexes[PUBLISHER].stop()
+    sent = group.count_sent()
+    group.suspect(*REPLICAS)
+    group.clock.advance(SETTLE_S)
+    assert group.count_sent() == sent
