--- a/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
@@ -145,9 +145,9 @@
                 "server_contact_lost", servers=sum(1 for _ in self._state.backends)
             )
             self._on_change()
-        self._go_on()
+        self._probe_again_if_due()
 
-    def _go_on(self) -> None:
+    def _probe_again_if_due(self) -> None:
         """Probe servers again if contact is lost, or may have been lost meanwhile."""
         if not self.is_lost and self._contact.has_many_failures:
             self._begin_check(None)
@@ -164,7 +164,7 @@
 
     def _end_retry(self) -> None:
         self._contact.record_retry_failed()
-        self._go_on()
+        self._probe_again_if_due()
 
     def _probe(
         self, excluded: str | None, timeout_s: float, on_done: Callable[[], None]
--- a/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from typing import Any, NamedTuple
+from typing import Any
 
 import structlog
 from ebonyhaven_decisions import MemberRecord, MemberState
@@ -18,13 +18,17 @@
     choose_recorder,
     encode_stream_record,
 )
-from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
 from ebonyhaven_node._channels import Channels
 from ebonyhaven_node._frames import Frame, FrameKind
 from ebonyhaven_node._membership import MembershipController
 from ebonyhaven_node.forwarding._record_outbox import RecordOutbox
+from ebonyhaven_node.forwarding._stream_exchanges import (
+    PublishedRecord,
+    RecordReceiver,
+    StreamQuery,
+)
 from ebonyhaven_node.forwarding._stream_messages import (
     StreamAnswer,
     StreamQuestion,
@@ -48,56 +52,6 @@
 _log = structlog.get_logger()
 
 
-class _Query:
-    """Question to the replicas of an entry.
-
-    Parameters
-    ----------
-    question : StreamQuestion
-    replicas : iterable of str
-        Names of the instances that are asked.
-
-    Attributes
-    ----------
-    unanswered : set of str
-        Names of the instances that have not answered.
-    result : Deferred
-        Fired when a record is found, when all have answered, or by a timer.
-    """
-
-    def __init__(self, question: StreamQuestion, replicas: list[str]):
-        self.question = question
-        self.unanswered = set(replicas)
-        self.result: Deferred = Deferred()
-
-    def end(self) -> None:
-        """Stop to wait for answers."""
-        if not self.result.called:
-            self.result.callback(None)
-
-
-class _Receiver(NamedTuple):
-    """Instance that was sent a record, and whether it was to write it to the store."""
-
-    name: str
-    incarnation: int
-    is_recorder: bool
-
-
-class _Published(NamedTuple):
-    """When this instance published a record, and who was sent it.
-
-    Parameters
-    ----------
-    published_at : float
-        Seconds.
-    receivers : set of _Receiver
-    """
-
-    published_at: float
-    receivers: set[_Receiver]
-
-
 class SharedStreamIndex:
     """Records of streams, with each entry replicated to several instances.
 
@@ -137,8 +91,8 @@
         )
         self._membership: MembershipController | None = None
         self._outbox: RecordOutbox | None = None
-        self._queries: list[_Query] = []
-        self._published: dict[StreamKey, _Published] = {}  # the newest is the last
+        self._queries: list[StreamQuery] = []
+        self._published: dict[StreamKey, PublishedRecord] = {}  # the newest is the last
         self._resend_timer: Any = None
         self._is_stopped = False
         self._current_peers: dict[str, int] = {}  # incarnations, see `_is_current`
@@ -174,7 +128,7 @@
         now = self._clock()
         key = record.make_key(content)
         self._published.pop(key, None)
-        published = self._published[key] = _Published(now, set())
+        published = self._published[key] = PublishedRecord(now, set())
         self._send(content, record, published.receivers)
         self._forget_published(now)
 
@@ -239,9 +193,9 @@
         return self._index.find(*question, self._clock())
 
     @contextmanager
-    def _ask_replicas(self, question: StreamQuestion) -> Iterator[_Query]:
+    def _ask_replicas(self, question: StreamQuestion) -> Iterator[StreamQuery]:
         replicas = self._choose_replicas(question.content)
-        query = _Query(question, list(replicas))
+        query = StreamQuery(question, list(replicas))
         if not replicas:
             query.end()
         self._queries.append(query)
@@ -262,14 +216,14 @@
     # -- publishing --------------------------------------------------------
 
     def _send(
-        self, content: str, record: StreamRecord, receivers: set[_Receiver]
+        self, content: str, record: StreamRecord, receivers: set[RecordReceiver]
     ) -> None:
         """Send a record to those of its replicas that were not sent it."""
         payload = encode_stream(StreamTold(content, record))
         old_payload = [content, encode_stream_record(record)]
         recorders = self._choose_recorders(content)
         for name, incarnation in self._choose_replicas(content).items():
-            receiver = _Receiver(name, incarnation, name in recorders)
+            receiver = RecordReceiver(name, incarnation, name in recorders)
             if receiver in receivers:
                 continue
             receivers.add(receiver)
