Keep asking the only engine for a request that was sent to it

Cause (in part): an engine that does not confirm a request within a quarter of the class's resume target counts as lost. With no other engine the request was cancelled, the engine left alone for a second, and the request refused at once, with an outcome that tells nothing, although its engine was alive.

The new test failed before (the caller had to connect a second time).

A log line says what was known of each engine when none could be used.

--- a/packages/decisions/src/ebonyhaven_decisions/_servers.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_servers.py
@@ -172,6 +172,22 @@
             return False
         return not self.is_recovering or self.local_in_flight == 0
 
+    def describe_obstacle(self, now: float) -> str:
+        """Return why no new work may be dispatched to the server, empty if it may.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        if self.is_leaving:
+            return "leaving"
+        if now < self.suspect_until:
+            return f"failed {now - self.failed_at:.2f} s ago"
+        if not self.is_usable(now):
+            return "recovering, with a request in progress"
+        return ""
+
     def is_suspect(self, now: float) -> bool:
         """Return whether new work is withheld after a recent failure.
 
--- a/packages/node/src/ebonyhaven_node/_policy_scheduling.py
+++ b/packages/node/src/ebonyhaven_node/_policy_scheduling.py
@@ -6,10 +6,12 @@
 from __future__ import annotations
 
 import itertools
+import math
 import time
 from collections.abc import Callable
 
 import attrs
+import structlog
 from ebonyhaven_decisions import (
     ClassTargets,
     Declaration,
@@ -18,6 +20,7 @@
     Pool,
     PoolKind,
     Refusal,
+    RefusalReason,
     RequestFailure,
     Scheduler,
     ServerEntry,
@@ -44,6 +47,7 @@
 OVERLOAD_CAPACITY_SHARE = 0.95
 OVERLOAD_RETRY_S = 0.5
 NO_SERVER_RETRY_S = 1.0
+NO_SERVER_LOG_INTERVAL_S = 1.0
 MODEL_MISSING = "model_not_loaded"
 _FAILURE_KINDS = {
     MODEL_MISSING: FailureKind.MODEL_MISSING,
@@ -52,6 +56,8 @@
     "leaving": FailureKind.LEAVING,
 }
 
+_log = structlog.get_logger()
+
 
 @attrs.define(slots=True, kw_only=True, eq=False)
 class PolicySlot(Slot):
@@ -137,6 +143,7 @@
         self._is_processing = False
         self._must_repeat = False
         self._recheck: IDelayedCall | None = None
+        self._no_server_logged_at = -math.inf
         servers.observe(self._update_servers)
         servers.listener = self
         configuration.observe(self._apply_declaration)
@@ -279,9 +286,26 @@
 
     def _refuse(self, refusal: Refusal) -> None:
         waiter = self._waiters.pop(refusal.item.item_id, None)
+        if refusal.reason is RefusalReason.NO_SERVER:
+            self._log_unusable_servers(refusal.item)
         if waiter is not None:
             waiter.granted.errback(_make_refusal_failure(refusal))
 
+    def _log_unusable_servers(self, item: WorkItem) -> None:
+        now = self._clock()
+        if now - self._no_server_logged_at < NO_SERVER_LOG_INTERVAL_S:
+            return
+        self._no_server_logged_at = now
+        servers = self.scheduler.dispatcher.table.list_for(item.model)
+        _log.warning(
+            "no_server_usable",
+            request=item.item_id,
+            model=item.model,
+            known_servers=len(list(self._servers)),
+            configuration=self._configuration.version,
+            unusable={each.name: each.describe_obstacle(now) for each in servers},
+        )
+
     def _cancel(self, item_id: str) -> None:
         self._waiters.pop(item_id, None)
         self._resumes.pop(item_id, None)
--- a/packages/node/src/ebonyhaven_node/_stream_opener.py
+++ b/packages/node/src/ebonyhaven_node/_stream_opener.py
@@ -147,7 +147,8 @@
         """Attach to an attempt whose start the engine did not confirm.
 
         If the engine still does not respond, the attempt is cancelled in the
-        background.
+        background, unless no other server could take the request: then the engine
+        is asked for up to `MAX_PROBE_DURATION_S`.
 
         Parameters
         ----------
@@ -158,18 +159,32 @@
         bool
             Whether the attempt could be attached to.
         """
-        try:
-            await self.probe(server, timeout_s=self.accept_timeout_s)
-        except EngineRefusal as refusal:
-            if refusal.reason == CONNECTION_REFUSED:
-                self._guard.record_crash(server, progress_tokens=0)
-            return False
-        except EngineLost as lost:
-            if lost.closed:
-                self._guard.record_crash(server, progress_tokens=0)
-            self.cancel_last_attempt(server)
-            return False
-        return True
+        deadline = time.monotonic() + MAX_PROBE_DURATION_S
+        while True:
+            try:
+                await self.probe(server, timeout_s=self.accept_timeout_s)
+            except EngineRefusal as refusal:
+                if refusal.reason == CONNECTION_REFUSED:
+                    self._guard.record_crash(server, progress_tokens=0)
+                return False
+            except EngineLost as lost:
+                if lost.closed:
+                    self._guard.record_crash(server, progress_tokens=0)
+                elif self._is_only_server(server) and time.monotonic() < deadline:
+                    await task.deferLater(
+                        self._dependencies.reactor, ATTACH_RETRY_DELAY_S
+                    )
+                    continue
+                self.cancel_last_attempt(server)
+                return False
+            return True
+
+    def _is_only_server(self, server: BackendServer) -> bool:
+        now = time.monotonic()
+        return not any(
+            other is not server and other.accepts_work(now)
+            for other in self._dependencies.servers.list_in_pools(self._targets.pools)
+        )
 
     async def _claim_start(self, slot: Slot, deadline: float) -> bool:
         """Claim the start of the run.
--- a/tests/integration/test_losses.py
+++ b/tests/integration/test_losses.py
@@ -4,9 +4,16 @@
 
 import time
 
-from tests.integration.trials import deploy, describe_outcome, make_prompt, wait_until
+from tests.integration.trials import (
+    LOW_LATENCY_CLASS,
+    deploy,
+    describe_outcome,
+    make_prompt,
+    wait_until,
+)
 
 PAUSE_S = 4.0
+STANDSTILL_S = 2.5  # longer than a low-latency request may wait for an engine
 
 
 def test_streams_resume_after_their_engine_is_killed():
@@ -41,6 +48,16 @@
         )
 
 
+def test_a_sent_request_does_not_fail_while_the_only_engine_stands_still():
+    with deploy(engines=1) as system:
+        system.cluster.pause("e1")
+        stream = system.send(at="n1", request_class=LOW_LATENCY_CLASS)
+        time.sleep(STANDSTILL_S)  # duration of the pause, not a wait for a condition
+        system.cluster.resume("e1")
+        system.wait_and_check_completed()
+        assert len(stream.result()["connections"]) == 1
+
+
 def test_a_silent_connection_is_replaced_without_computing_a_token_twice():
     with deploy(engines_behind_proxy=True) as system:
         stream = system.send(max_tokens=250)
