Hold up to 128 shared parts of a prompt responsible for crashes

Cause: only the first 32 shared parts of a prompt were watched. A later part could not be blocked, and what was blocked in its place hit sound requests.

Change: 128 parts. One loss then tells of 64 requests with 129 traits at most, some 200 KB of the 1 MiB that a message may have.

The new test failed before: a sound request with the first parts was refused.

--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_guards.py
@@ -18,7 +18,7 @@
     ForwardRequest,
 )
 
-MAX_SHARED_PARTS = 32  # of one prompt; further ones are not held responsible
+MAX_SHARED_PARTS = 128  # of one prompt; further ones are not held responsible
 PART_PREFIX = "part "
 SURVIVAL_INTERVAL_S = 1.0  # between two records for one stream
 
--- a/tests/forwarding/test_crashing_parts.py
+++ b/tests/forwarding/test_crashing_parts.py
@@ -15,6 +15,7 @@
 # crashes are found within `CHECK_S`.
 MAX_CRASHES = 5
 MANY_ENGINES = 30
+MANY_PARTS = 100
 
 
 def send_prompt(harness, number, *shared_parts, path="/stream/x"):
@@ -74,6 +75,20 @@
     assert "retry-after" not in headers
 
 
+def test_part_that_crashes_servers_is_found_behind_many_shared_parts():
+    harness = ForwardingHarness(engines=MANY_ENGINES)
+    before = [f"{number:x}00" for number in range(1, MANY_PARTS)]
+    crashes = 0
+    for number in range(8):
+        send_prompt(harness, number, *before, "dd")
+        crashes += crash_until_quiet(harness, "dd:")
+    assert crashes <= MAX_CRASHES
+    send_prompt(harness, 9, *before, "dd")
+    assert harness.count_waiting() == 0
+    send_prompt(harness, 10, *before)
+    assert harness.count_waiting() == 1
+
+
 def test_requests_of_several_callers_at_once_add_up():
     harness = ForwardingHarness(engines=MANY_ENGINES)
     for number in range(3):
