Check whether a server has ended with a stream that has no length

Cause: the kernel closes the connections of a killed process in good order, and an answer without a length or chunks ends with its connection. Between two events nothing told such an end from the end of the stream.

Change: before such a stream counts as complete its server is probed, as it already was for what its requests have in common. If its process has ended, and was not leaving, the attempt is lost: the stream goes on at another server, or is cut if it may not resume.

--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
@@ -191,6 +191,19 @@
 
         self._probes.start(backend, handle_fate)
 
+    def find_fate(
+        self, backend: Backend, on_result: Callable[[ServerFate], None]
+    ) -> None:
+        """Find out soon what became of a server, without holding anything responsible.
+
+        Parameters
+        ----------
+        backend : Backend
+        on_result : callable
+            Called with the `ServerFate`.
+        """
+        self._probes.start(backend, on_result)
+
     def is_alive(self, backend: Backend) -> bool:
         """Return whether a server that was lost is there, as far as is known.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -21,9 +21,11 @@
 from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._exchanges import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
+from ebonyhaven_node.forwarding._loss_probes import ServerFate
 from ebonyhaven_node.forwarding._messages import (
     BackendProbed,
     BackendSuspected,
+    StreamEndChecked,
     TraitsDecided,
 )
 from ebonyhaven_node.forwarding._outcomes import (
@@ -135,6 +137,7 @@
         self._context = context
         self._read_deadline = read_deadline
         self._can_go_on_elsewhere = can_go_on_elsewhere
+        self._is_end_in_doubt = False
 
     async def run(self) -> AttemptResult:
         """Handle messages until the attempt ends.
@@ -154,9 +157,39 @@
                 return AttemptResult(AttemptEnd.DONE, "the caller disconnected")
             self._run_copy.handle_message(message)
             result = self._handle_message(message, limits)
+            if result is None and self._is_end_in_doubt:
+                result = await self._confirm_end()
             if result is not None:
                 return result
 
+    async def _confirm_end(self) -> AttemptResult:
+        """Complete the stream unless the process of its server has ended as well.
+
+        A process that is killed closes its connections in good order.
+        """
+        process_id = self._backend.process_id
+
+        def report(fate: ServerFate) -> None:
+            has_ended = fate is ServerFate.ENDED and not self._backend.is_leaving
+            self._inbox.put(StreamEndChecked(process_id, has_ended))
+
+        self._context.crash_monitor.find_fate(self._backend, report)
+        while True:
+            remaining_s = self._read_deadline() - self._context.clock()
+            message = await self._inbox.get(max(0.0, remaining_s))
+            if self._exchange.is_done:
+                return AttemptResult(AttemptEnd.DONE, "the caller disconnected")
+            self._run_copy.handle_message(message)
+            match message:
+                case StreamEndChecked(checked, has_ended) if checked == process_id:
+                    if has_ended:
+                        return AttemptResult(
+                            AttemptEnd.LOST, "the server ended with its stream"
+                        )
+                    return self._complete()
+                case None:
+                    return self._complete()
+
     def _handle_message(
         self, message: object, limits: SilenceLimits
     ) -> AttemptResult | None:
@@ -311,7 +344,7 @@
             return AttemptResult(AttemptEnd.ERROR, "an error response is too long")
         return None
 
-    def _handle_completion(self, is_delimited: bool) -> AttemptResult:
+    def _handle_completion(self, is_delimited: bool) -> AttemptResult | None:
         head = self._monitor.head
         if head.not_run:
             return AttemptResult(
@@ -328,16 +361,20 @@
             return AttemptResult(AttemptEnd.LOST, reason)
         if is_delimited:
             self._guard.record_completed()
-        else:  # the server may have crashed
-            self._guard.check_loss(
-                self._backend, has_begun=True, events=self._monitor.events
-            )
+            return self._complete()
+        self._guard.check_loss(
+            self._backend, has_begun=True, events=self._monitor.events
+        )
+        self._is_end_in_doubt = True
+        return None
+
+    def _complete(self) -> AttemptResult:
         self._context.rollouts.record_stream_end(
             self._backend,
             self._monitor.route_name,
             longest_pause_s=self._monitor.longest_gap_s,
         )
-        self._progress.finish(head)
+        self._progress.finish(self._monitor.head)
         if self._attempt.plan.last_event_id is None:
             self._monitor.record_stream_completed()
         return AttemptResult(AttemptEnd.DONE, "complete")
