Ask an engine who it is before a begun stream is sent to it

Cause: a stream that is bound to a software version chose its next engine by the list alone. The end of a process that runs nothing is noticed by nobody.

If the report names another start than the list, the engine is suspected as replaced, and the stream looks for another one. An engine that does not answer in time is used as before.

The new test failed before.

Tests: the stand-in of the inspector said by default that each engine had started anew; it says nothing now, and the one test that needs another start sets it.

--- a/packages/node/src/ebonyhaven_node/forwarding/_engine_sampling.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_engine_sampling.py
@@ -66,6 +66,24 @@
         )
         return chosen
 
+    async def is_replaced(self, backend: Backend) -> bool:
+        """Return whether an engine says that it is not the process on the list.
+
+        It may have restarted under its id with other software, before the list says so.
+
+        Parameters
+        ----------
+        backend : Backend
+        """
+        server = await self._inspect(backend)
+        if server is None:
+            return False
+        if not _is_same_process(server, backend):
+            return True
+        if server.rest_s is None:
+            backend.limiter.rest.record_served(self._context.clock())
+        return False
+
     async def _sample_all(self, candidates: Sequence[Backend]) -> list[SampledEngine]:
         try:
             results = await DeferredList(
@@ -78,15 +96,7 @@
         return [engine for _, engine in results]
 
     async def _sample(self, backend: Backend) -> SampledEngine:
-        if not backend.limiter.acquire(self._context.clock()):
-            return SampledEngine(backend, None)
-        try:
-            server = await self._context.inspector.inspect(
-                backend.entry.address, timeout_s=SAMPLE_TIMEOUT_S
-            )
-        finally:
-            backend.limiter.record_ended()
-            self._context.permits.handle_ended(backend)
+        server = await self._inspect(backend)
         if server is None or not _is_same_process(server, backend):
             return SampledEngine(backend, None)
         if server.is_leaving:
@@ -98,6 +108,18 @@
         backend.record_data(self._context.clock())
         return SampledEngine(backend, server.load)
 
+    async def _inspect(self, backend: Backend) -> InspectedServer | None:
+        """Ask an engine for its report; None if it gives none in time."""
+        if not backend.limiter.acquire(self._context.clock()):
+            return None
+        try:
+            return await self._context.inspector.inspect(
+                backend.entry.address, timeout_s=SAMPLE_TIMEOUT_S
+            )
+        finally:
+            backend.limiter.record_ended()
+            self._context.permits.handle_ended(backend)
+
 
 def _is_same_process(server: InspectedServer, backend: Backend) -> bool:
     """Return whether the listed process answered, not one that took its address."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_targets.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_targets.py
@@ -129,10 +129,18 @@
         StreamTarget or GiveUpReason or None
             None if the request has ended.
         """
-        found = await self._wait_for_server(copy)
-        if not isinstance(found, StreamTarget):
-            return found
-        return await self._compare_engines(found)
+        while True:
+            found = await self._wait_for_server(copy)
+            if not isinstance(found, StreamTarget):
+                return found
+            target = await self._compare_engines(found)
+            if not await self._is_replaced(target):
+                return target
+            now = self._context.clock()
+            self._context.report_replaced(target.backend, None)
+            if self._limits.attempts:
+                self._context.budget.refund_retry(self._service, now)
+            copy = None
 
     def has_other(self, copy: RunCopy | None, backend: Backend) -> bool:
         """Return whether another server would take the stream if its attempt ended.
@@ -226,6 +234,17 @@
             has_begun=self._wait.has_begun,
         )
 
+    async def _is_replaced(self, target: StreamTarget) -> bool:
+        """Return whether another process, perhaps of another version, has the address.
+
+        A stream that is bound to a software version is not sent there. A copy can only
+        be used at the process that holds it.
+        """
+        must_check = (
+            self._version.is_bound and target.copy is None and self._engine is not None
+        )
+        return must_check and await self._sampler.is_replaced(target.backend)
+
     async def _compare_engines(self, target: StreamTarget) -> StreamTarget:
         """Return the target, or one whose engine says that it has less to do."""
         is_prefill = target.copy is None and self._engine is not None
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -96,6 +96,8 @@
 class FixedInspector(ServerInspector):
     """Returns the same result for each server; those that answer nothing time out.
 
+    By default, no server tells when it started, so that each is the listed process.
+
     Parameters
     ----------
     reactor : IReactorTime
@@ -108,6 +110,8 @@
         Addresses of servers that accept connections and answer nothing.
     checked : list of str
         Addresses of the servers that were asked for their health.
+    started_ms : dict of str to int
+        Starts that differ from those of the result, by address, Unix milliseconds.
     """
 
     def __init__(self, reactor, unreachable):
@@ -116,11 +120,16 @@
         self.inspected = []
         self.checked = []
         self.still = set()
-        self.result = InspectedServer(is_engine=True, started_ms=5)
+        self.started_ms = {}
+        self.result = InspectedServer(is_engine=True, started_ms=0)
 
     async def inspect(self, address, *, timeout_s=0.5):
         self.inspected.append(address)
-        return self.result if await self._is_answered(address, timeout_s) else None
+        if not await self._is_answered(address, timeout_s):
+            return None
+        if address in self.started_ms:
+            return self.result._replace(started_ms=self.started_ms[address])
+        return self.result
 
     async def check_health(self, address, *, path, timeout_s):
         self.checked.append(address)
--- a/tests/forwarding/test_adoption.py
+++ b/tests/forwarding/test_adoption.py
@@ -28,6 +28,7 @@
 
 def test_restarted_engine_is_adopted_while_the_list_cannot_be_read():
     harness = ForwardingHarness(engines=1)
+    harness.inspector.result = InspectedServer(is_engine=True, started_ms=5)
     harness.source.unresponsive = True
     server, expected_id = answer_from_other_process(harness)
     adopted = harness.state.backends.find("e-9")
--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -23,6 +23,7 @@
 STREAM_COUNT = 8
 RETRY_COUNT = 12
 VERSIONS = ("v1", "v2")
+RESTARTED_MS = 999_999
 
 
 def find_version(harness, address) -> str:
@@ -373,6 +374,30 @@
     assert lose_server(harness, server) == version
 
 
+def test_stream_does_not_go_on_at_an_engine_that_restarted_unnoticed():
+    # Guards against streams that held events of two software versions: the list still
+    # showed the processes before.
+    for kept in range(2):
+        harness, _ = start_stream(engines=4)
+        server, sent = open_stream(harness, 1, 2)
+        server.reset()
+        harness.advance(0.01)
+        holder, _, _ = harness.take_request()
+        others = [
+            each.entry.address
+            for each in harness.state.backends
+            if each.entry.service == "engines"
+            and each.entry.address not in (server.address, holder.address)
+        ]
+        restarted = [holder.address, others[1 - kept]]
+        harness.inspector.started_ms = dict.fromkeys(restarted, RESTARTED_MS)
+        holder.receive(refusal("r1"))
+        harness.advance(0.01)
+        third, _, _ = harness.take_request()
+        assert third.address == others[kept]
+        assert sent["x-kv-backup"] == holder.address
+
+
 def test_version_that_was_inferred_wrongly_is_corrected_by_the_list():
     harness = ForwardingHarness(engines=4, versions=("v1", "v1", "v2", "v2"))
     known = harness.state.backends.find("e-0").entry
