--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -83,6 +83,28 @@
     assert completed.stdout == ""
 
 
+def test_started_program_compiles_no_modules():
+    # Guards against starts that compile every module anew, at two to three times the
+    # processor time, because programs cannot write to the tree.
+    directory = copy_deployed_files()
+    deployment = run_build(directory)
+    deps = directory / "target" / "deps"
+    for source in deps.rglob("*.py"):
+        os.utime(source, (0, 0))  # as in a copy that doesn't keep modification times
+    compiled = {path: path.stat().st_mtime_ns for path in deps.rglob("*.pyc")}
+    (role,) = deployment["roles"].values()
+    interpreter, *_ = role["run"].split()
+    subprocess.run(
+        [interpreter, "-c", "import ebonyhaven_adapter._service"],
+        cwd=directory,
+        env={"PATH": os.environ["PATH"], "PYTHONPATH": str(deps)},
+        timeout=60,
+        check=True,
+    )
+    assert {path: path.stat().st_mtime_ns for path in deps.rglob("*.pyc")} == compiled
+    shutil.rmtree(directory)
+
+
 def test_role_serves_the_edge_and_the_registry():
     deployment = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
     (role,) = deployment["roles"].values()
