Tell how long messages to other instances wait for the link

Bytes queued to the link were unknown: that copies of a configuration fill the link of their reader was inferred from arrival times. An instance now reads what its link carries from its settings and estimates how long what it sent to others takes. The estimate is a metric, stands beside each loss of contact, and a long wait is logged with the bytes by kind.

--- a/packages/decisions/src/ebonyhaven_decisions/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/__init__.py
@@ -114,6 +114,7 @@
     ConcurrencyLimit,
     RetryBudget,
 )
+from ebonyhaven_decisions._link_load import LinkLoad
 from ebonyhaven_decisions._listing import Listing
 from ebonyhaven_decisions._listing_schedule import (
     READ_INTERVAL_S,
@@ -277,6 +278,7 @@
     "LeaseTiming",
     "LeaseView",
     "LeastConnectionsRouter",
+    "LinkLoad",
     "Listing",
     "ListingReadSchedule",
     "LoadAwareRouter",
--- a/packages/node/src/ebonyhaven_node/_channels.py
+++ b/packages/node/src/ebonyhaven_node/_channels.py
@@ -23,6 +23,7 @@
     decode_frame,
     encode_frame,
 )
+from ebonyhaven_node._link_monitor import LinkMonitor
 
 SEND_QUEUE_MESSAGES = 8
 RECEIVE_QUEUE_MESSAGES = 64
@@ -49,14 +50,18 @@
     registry : CollectorRegistry
     clock : callable
         Returns seconds.
+    link : LinkMonitor or None
+        Told of each message that is sent.
     """
 
     def __init__(
         self,
         registry: CollectorRegistry,
         clock: Callable[[], float] = time.monotonic,
+        link: LinkMonitor | None = None,
     ):
         self._clock = clock
+        self._link = link
         self.messages = Counter(
             "ebonyhaven_control_messages",
             "Messages between instances.",
@@ -115,6 +120,8 @@
         if direction == "sent":
             self._bound_sent_bytes[kind].inc(size)
             self._count_burst(size)
+            if self._link is not None:
+                self._link.record_sent(kind, size)
 
     def _count_burst(self, size: int) -> None:
         now = self._clock()
--- a/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
@@ -40,6 +40,8 @@
     rng : random.Random
     clock : callable
         Returns seconds.
+    measure_link_wait_s : callable
+        Returns how long messages to other instances wait for the link, seconds.
     on_change : callable
         Called when contact was lost or is back.
     """
@@ -52,6 +54,7 @@
         reactor: IReactorTime,
         rng: random.Random,
         clock: Callable[[], float],
+        measure_link_wait_s: Callable[[], float],
         on_change: Callable[[], None],
     ):
         self._state = state
@@ -59,6 +62,7 @@
         self._reactor = reactor
         self._rng = rng
         self._clock = clock
+        self._measure_link_wait_s = measure_link_wait_s
         self._on_change = on_change
         self._contact = ServerContact()
         self._timer: Any = None
@@ -142,7 +146,9 @@
         """Take contact as lost unless a server has accepted a connection since."""
         if self._contact.end_check(self._clock()):
             _log.warning(
-                "server_contact_lost", servers=sum(1 for _ in self._state.backends)
+                "server_contact_lost",
+                servers=sum(1 for _ in self._state.backends),
+                link_wait_s=round(self._measure_link_wait_s(), 2),
             )
             self._on_change()
         self._probe_again_if_due()
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -21,6 +21,7 @@
 
 from ebonyhaven_node._byte_budgets import ByteBudget
 from ebonyhaven_node._filter_chain import build_chain
+from ebonyhaven_node._link_monitor import LinkMonitor
 from ebonyhaven_node._log_writer import LogOutput
 from ebonyhaven_node._loops import start_loop
 from ebonyhaven_node.forwarding._active_requests import ActiveRequests
@@ -113,6 +114,9 @@
         self._rng = rng or random.Random()
         self._shutdown = Shutdown(settings.grace_s, clock)
         self._log_output: LogOutput | None = None
+        self._link = LinkMonitor(
+            bytes_per_s=settings.link_bytes_per_s, registry=self.registry, clock=clock
+        )
         self.pool = ConnectionPool(reactor, clock)
         self.source = builders.build_source(self.state, self.pool)
         self._inspector = builders.build_inspector(self.pool)
@@ -128,6 +132,7 @@
             reactor=reactor,
             rng=self._rng,
             clock=clock,
+            measure_link_wait_s=self._link.measure_wait_s,
             on_change=self._handle_contact_change,
         )
         self._peer_reports = PeerReports(self._contact)
@@ -362,6 +367,7 @@
             on_loss=lambda backend: self._report_unreachable(
                 backend, is_from_peer=True
             ),
+            link=self._link,
             sections=[
                 WaitingSection(self._waiting),
                 *self.rollouts.list_sections(),
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -19,6 +19,7 @@
 from ebonyhaven_node._channels import ChannelMetrics, Channels
 from ebonyhaven_node._crash_exchange import CrashExchange
 from ebonyhaven_node._limit_exchange import LimitExchange
+from ebonyhaven_node._link_monitor import LinkMonitor
 from ebonyhaven_node._membership import MembershipController
 from ebonyhaven_node._own_record import make_own_record
 from ebonyhaven_node._processor_load import ProcessorLoad
@@ -69,6 +70,8 @@
         Called after each report of losses of servers.
     on_loss : callable
         Called with each server that another instance found lost.
+    link : LinkMonitor
+        Told of each message to another instance.
     sections : sequence of PeerSection
         Of the reports to other instances.
 
@@ -95,13 +98,14 @@
         on_peer_use: Callable[[], None],
         on_peer_losses: Callable[[], None],
         on_loss: Callable[[Backend], None],
+        link: LinkMonitor,
         sections: Sequence[PeerSection] = (),
     ):
         self._stack = contextlib.ExitStack()
         channels = Channels(
             reactor=reactor,
             address=settings.control_address,
-            metrics=ChannelMetrics(registry),
+            metrics=ChannelMetrics(registry, link=link),
             rng=rng,
         )
         self._stack.callback(channels.close)
--- a/packages/node/src/ebonyhaven_node/forwarding/_settings.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_settings.py
@@ -23,6 +23,8 @@
         Time between the request to stop and the kill of the process, seconds.
     retry_budget_ratio, retry_budget_window_s, retry_budget_slack : float
         Limit on retries, see `ServiceRetryBudget`.
+    link_bytes_per_s : float or None
+        What the link of this instance carries; None if unknown.
     exposure : ExposureLimits or None
         Limits on requests for new software versions; None if the deployment names
         none. If so, there are no roll-outs.
@@ -38,4 +40,5 @@
     retry_budget_ratio: float
     retry_budget_window_s: float
     retry_budget_slack: float
+    link_bytes_per_s: float | None = None
     exposure: ExposureLimits | None = None
--- /dev/null
+++ b/tests/node/test_link_monitor.py
@@ -0,0 +1,54 @@
+"""Tests of how long messages to other instances are held to wait for the link."""
+
+from __future__ import annotations
+
+from ebonyhaven_node._channels import ChannelMetrics
+from ebonyhaven_node._frames import FrameKind
+from ebonyhaven_node._link_monitor import LONG_WAIT_S, LinkMonitor
+from prometheus_client import CollectorRegistry
+from structlog.testing import capture_logs
+from twisted.internet.task import Clock
+
+BYTES_PER_S = 1_250_000
+
+
+def start(bytes_per_s=BYTES_PER_S):
+    clock, registry = Clock(), CollectorRegistry()
+    link = LinkMonitor(bytes_per_s=bytes_per_s, registry=registry, clock=clock.seconds)
+    return clock, registry, link, ChannelMetrics(registry, clock.seconds, link)
+
+
+def test_messages_that_fill_the_link_are_told():
+    # Guards against whole states for many instances that hold back all other traffic
+    # unseen.
+    clock, registry, link, metrics = start()
+    with capture_logs() as logs:
+        for _ in range(24):
+            metrics.count_message("sent", FrameKind.STATE, 32_000)
+    (line,) = logs
+    assert line["event"] == "link_filled"
+    assert line["wait_s"] >= LONG_WAIT_S
+    name = "ebonyhaven_control_link_wait_seconds"
+    assert abs(registry.get_sample_value(name) - 24 * 32_000 / BYTES_PER_S) < 0.001
+    clock.advance(1.0)
+    assert link.measure_wait_s() == 0.0
+
+
+def test_messages_that_leave_room_on_the_link_are_not_told():
+    clock, _, link, metrics = start()
+    with capture_logs() as logs:
+        for _ in range(100):
+            metrics.count_message("sent", FrameKind.ENGINE_USE, 4_000)
+            metrics.count_message("received", FrameKind.STATE, 32_000)
+            clock.advance(0.01)
+    assert not logs
+    assert link.measure_wait_s() == 0.0
+
+
+def test_unknown_link_is_never_full():
+    _, _, link, metrics = start(bytes_per_s=None)
+    with capture_logs() as logs:
+        for _ in range(100):
+            metrics.count_message("sent", FrameKind.STATE, 32_000)
+    assert not logs
+    assert link.measure_wait_s() == 0.0
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -51,6 +51,15 @@
     assert settings.retry_budget_slack == 150
 
 
+def test_link_is_read_if_it_is_named():
+    assert read_settings(write_settings(SETTINGS)).link_bytes_per_s is None
+    for link, expected in ((10.0, 1_250_000), (0, None), ("wide", None)):
+        settings = read_settings(
+            write_settings({**SETTINGS, "limits": {"linkMbps": link}})
+        )
+        assert settings.link_bytes_per_s == expected
+
+
 def test_bounds_on_exposure_are_read_if_the_contract_names_them():
     assert read_settings(write_settings(SETTINGS)).exposure is None
     named = {"exposureShare": 0.1, "exposureSlack": 50, "rollbackMs": 5000}
