Pass on what changed of a configuration, within half of the link

Each version went whole, up to 32 KB, to each of some 24 instances: 0.6 s of a link of 10 Mbit/s, and up to 0.4 s apart, so that the link never drained.

A reader now sends edits from the configuration before, with a checksum of the result, to instances that have told it that they take them; the others, as of the release before, get all of it. Both go out one after the other within half of the link; a newer one replaces what waits. An instance whose configuration the edits do not fit reads the store, as for a message that was lost.

--- a/packages/decisions/src/ebonyhaven_decisions/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/__init__.py
@@ -71,6 +71,11 @@
     Dispatcher,
     FailureKind,
 )
+from ebonyhaven_decisions._document_edits import (
+    apply_edits,
+    compute_document_checksum,
+    list_edits,
+)
 from ebonyhaven_decisions._documents import (
     MAX_DOCUMENT_DEPTH,
     check_integer,
@@ -338,6 +343,7 @@
     "WorkQueue",
     "Workspace",
     "all_instances_read",
+    "apply_edits",
     "build_acceptance_transaction",
     "build_continuation_claim",
     "build_lease_row",
@@ -351,6 +357,7 @@
     "choose_entries",
     "choose_readers",
     "compute_cost",
+    "compute_document_checksum",
     "compute_quorum_size",
     "confirm_lease",
     "decide_lease_action",
@@ -365,6 +372,7 @@
     "is_field_value",
     "is_held",
     "is_order_applied",
+    "list_edits",
     "list_orders",
     "may_dispatch",
     "may_order",
--- a/packages/node/src/ebonyhaven_node/_frames.py
+++ b/packages/node/src/ebonyhaven_node/_frames.py
@@ -32,6 +32,8 @@
     ENGINE_USE = "g"
     STATE_REQUEST = "w"
     STATE = "x"
+    CONFIGURATION_CHANGE = "xc"
+    TAKES_CHANGES = "xk"
     SERVER_CHANGES = "y"
     STREAM_RECORD = "k"
     STREAM_RECORD_REQUEST = "m"
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -133,7 +133,14 @@
             clock=clock,
         )
         self._stack.callback(synchronizer.stop)
-        ServerChangeFeed(source=source, membership=membership, channels=channels)
+        feed = ServerChangeFeed(
+            source=source,
+            membership=membership,
+            channels=channels,
+            reactor=reactor,
+            link_bytes_per_s=settings.link_bytes_per_s,
+        )
+        self._stack.callback(feed.stop)
         self._use_exchange = EngineUseExchange(
             state=state,
             peers=peer_use,
--- a/packages/node/src/ebonyhaven_node/forwarding/_state_feed.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state_feed.py
@@ -5,15 +5,19 @@
 import structlog
 from ebonyhaven_decisions import MemberRecord, MemberState
 from ebonyhaven_decisions.forwarding import find_reader_rank
+from twisted.internet.interfaces import IReactorTime
 
 from ebonyhaven_node._channels import Channels
 from ebonyhaven_node._frames import Frame, FrameKind
 from ebonyhaven_node._membership import MembershipController
+from ebonyhaven_node.forwarding._configuration_feed import ConfigurationFeed
 from ebonyhaven_node.forwarding.interfaces import ReadGroup, StateSource
 
 # In a larger deployment each data centre has a reader of its own, which bounds the
 # messages that one instance sends and keeps them within the data centre.
 MAX_INSTANCES_OF_ONE_READER = 24
+# A reader that has not heard that this instance takes changes hears it again.
+TELL_INTERVAL_S = 5.0
 
 _log = structlog.get_logger()
 
@@ -26,6 +30,9 @@
     source : StateSource
     membership : MembershipController
     channels : Channels
+    reactor : IReactorTime
+    link_bytes_per_s : float or None
+        What the link of this instance carries; None if unknown.
     """
 
     def __init__(
@@ -34,15 +41,24 @@
         source: StateSource,
         membership: MembershipController,
         channels: Channels,
+        reactor: IReactorTime,
+        link_bytes_per_s: float | None = None,
     ):
         self._source = source
         self._membership = membership
+        self._reactor = reactor
+        self._configurations = ConfigurationFeed(
+            send=membership.send, reactor=reactor, link_bytes_per_s=link_bytes_per_s
+        )
+        self._told: dict[tuple[str, int], float] = {}  # readers, by incarnation
+        channels.subscribe(FrameKind.TAKES_CHANGES, self._receive_taking)
         channels.subscribe(FrameKind.SERVER_CHANGES, self._receive)
         source.connect_group(self)
 
     def find_rank(self) -> int:
         """See `ReadGroup.find_rank`."""
-        return find_reader_rank(self._membership.own.name, self._list_group())
+        names = [record.name for record in self._list_group()]
+        return find_reader_rank(self._membership.own.name, names)
 
     def count_instances(self) -> int:
         """See `ReadGroup.count_instances`."""
@@ -57,16 +73,19 @@
 
     def publish_changes(self, payload: object) -> None:
         """See `ReadGroup.publish_changes`."""
-        self._send_to_group(FrameKind.SERVER_CHANGES, payload)
+        for record in self._list_others():
+            self._membership.send(record.name, FrameKind.SERVER_CHANGES, payload)
 
-    def publish_state(self, payload: object) -> None:
-        """See `ReadGroup.publish_state`."""
-        self._send_to_group(FrameKind.STATE, payload)
+    def publish_configuration(
+        self, state: object | None, change: object | None
+    ) -> None:
+        """See `ReadGroup.publish_configuration`."""
+        group = {record.name: record.incarnation for record in self._list_others()}
+        self._configurations.publish(state, change, group)
 
-    def _send_to_group(self, kind: FrameKind, payload: object) -> None:
-        for name in self._list_group():
-            if name != self._membership.own.name:
-                self._membership.send(name, kind, payload)
+    def stop(self) -> None:
+        """Send nothing of what waits."""
+        self._configurations.stop()
 
     def _list_live(self) -> list[MemberRecord]:
         return [
@@ -75,13 +94,17 @@
             if record.state is MemberState.LIVE
         ]
 
-    def _list_group(self) -> list[str]:
+    def _list_others(self) -> list[MemberRecord]:
+        own = self._membership.own.name
+        return [record for record in self._list_group() if record.name != own]
+
+    def _list_group(self) -> list[MemberRecord]:
         """Return the live instances that share a reader, including this one."""
         live = self._list_live()
         own = self._membership.own
         if len(live) > MAX_INSTANCES_OF_ONE_READER:
             live = [each for each in live if each.data_centre == own.data_centre]
-        return [each.name for each in live]
+        return live
 
     def _receive(self, frame: Frame) -> None:
         try:
@@ -90,3 +113,22 @@
             _log.warning(
                 "server_changes_malformed", peer=frame.sender, reason=str(error)
             )
+        self._tell_reader(frame.sender, frame.incarnation)
+
+    def _tell_reader(self, name: str, incarnation: int) -> None:
+        """Tell a reader that this instance takes changes of configurations."""
+        if not self.shares_configuration():
+            return
+        now = self._reactor.seconds()
+        told = {
+            reader: at
+            for reader, at in self._told.items()
+            if now - at < TELL_INTERVAL_S
+        }
+        if (name, incarnation) not in told:
+            told[name, incarnation] = now
+            self._membership.send(name, FrameKind.TAKES_CHANGES, [])
+        self._told = told
+
+    def _receive_taking(self, frame: Frame) -> None:
+        self._configurations.record_taking(frame.sender, frame.incarnation)
--- a/packages/node/src/ebonyhaven_node/forwarding/_state_sources.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state_sources.py
@@ -62,13 +62,18 @@
         """
 
     @abc.abstractmethod
-    def publish_state(self, payload: object) -> None:
+    def publish_configuration(
+        self, state: object | None, change: object | None
+    ) -> None:
         """Pass a new configuration on to the group.
 
         Parameters
         ----------
-        payload : object
-            JSON value for `StateSource.merge`.
+        state : object or None
+            JSON value for `StateSource.merge`; None if it is too large.
+        change : object or None
+            JSON value for `StateSource.merge_change`, for instances that are sent each
+            configuration; None if it is too large.
         """
 
 
@@ -170,6 +175,27 @@
             JSON value.
         """
 
+    @abc.abstractmethod
+    def merge_change(self, payload: object) -> bool:
+        """Apply the change from one configuration to the next.
+
+        Parameters
+        ----------
+        payload : object
+            JSON value.
+
+        Returns
+        -------
+        bool
+            Whether this instance has the configuration after the change now, or a newer
+            one; if it has none of both, it has to read the source.
+
+        Raises
+        ------
+        TypeError, ValueError
+            If the payload is malformed.
+        """
+
     @abc.abstractmethod
     def merge(self, payload: object) -> None:
         """Apply what is newer in the export of a peer.
--- a/packages/node/src/ebonyhaven_node/forwarding/_state_synchronization.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state_synchronization.py
@@ -96,6 +96,7 @@
         membership.add_digest(StateVersionDigest(source, self._handle_versions))
         channels.subscribe(FrameKind.STATE_REQUEST, self._handle_state_request)
         channels.subscribe(FrameKind.STATE, self._handle_state)
+        channels.subscribe(FrameKind.CONFIGURATION_CHANGE, self._handle_change)
 
     def _handle_versions(self, sender: str, versions: StateVersion) -> None:
         own = self._source.read_version()
@@ -171,6 +172,19 @@
         self._answered_at = now
         self._membership.send(frame.sender, FrameKind.STATE, self._source.export(known))
 
+    def _handle_change(self, frame: Frame) -> None:
+        """Apply a change; one that follows another configuration is read soon."""
+        try:
+            is_known = self._source.merge_change(frame.payload)
+        except (TypeError, ValueError) as error:
+            _log.warning(
+                "configuration_change_malformed", peer=frame.sender, reason=str(error)
+            )
+            is_known = False
+        if not is_known:
+            missing = self._source.read_version().configuration + 1
+            self._schedule_refresh(frame.sender, missing)
+
     def _handle_state(self, frame: Frame) -> None:
         try:
             self._source.merge(frame.payload)
--- a/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
@@ -60,6 +60,10 @@
         """See `StateSource.export`."""
         return None
 
+    def merge_change(self, payload: object) -> bool:
+        """See `StateSource.merge_change`."""
+        return False
+
     def merge(self, payload: object) -> None:
         """See `StateSource.merge`."""
 
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -89,6 +89,9 @@
     def export(self, known=None) -> object:
         return None
 
+    def merge_change(self, payload: object) -> bool:
+        return False
+
     def merge(self, payload: object) -> None:
         pass
 
--- a/tests/platform_adapter/fed_instances.py
+++ b/tests/platform_adapter/fed_instances.py
@@ -20,6 +20,7 @@
         self.rank = rank
         self.instances = instances
         self.states = []
+        self.changes = []
         self._publish = publish
 
     def find_rank(self):
@@ -34,8 +35,11 @@
     def publish_changes(self, payload):
         self._publish(payload)
 
-    def publish_state(self, payload):
-        self.states.append(payload)
+    def publish_configuration(self, state, change):
+        if state is not None:
+            self.states.append(state)
+        if change is not None:
+            self.changes.append(change)
 
 
 class FeedHarness:
--- a/tests/platform_adapter/list_exploration/_instances.py
+++ b/tests/platform_adapter/list_exploration/_instances.py
@@ -148,7 +148,10 @@
         self.membership = SimulatedMembership(name, network, self.reactor)
         self._channels = SimulatedChannels()
         ServerChangeFeed(
-            source=self.source, membership=self.membership, channels=self._channels
+            source=self.source,
+            membership=self.membership,
+            channels=self._channels,
+            reactor=self.reactor,
         )
         StateSynchronizer(
             source=self.source,
--- a/tests/platform_adapter/state_sources.py
+++ b/tests/platform_adapter/state_sources.py
@@ -112,7 +112,8 @@
     def publish_changes(self, payload):
         raise AssertionError(payload)
 
-    publish_state = publish_changes
+    def publish_configuration(self, state, change):
+        raise AssertionError(state)
 
 
 def send_between_instances(payload):
--- a/tests/platform_adapter/test_shared_configuration.py
+++ b/tests/platform_adapter/test_shared_configuration.py
@@ -72,6 +72,42 @@
     assert group.feed.other_state.configuration.version == 11
 
 
+def test_change_is_passed_on_to_instances_that_have_the_configuration_before():
+    group = LargeGroup()
+    group.keep_alive(1.0)
+    changed = {**CONFIGURATION, "version": 8, "limits": {"idleTimeoutMs": 6000}}
+    group.feed.store.push("op", make_rows(20, config=changed))
+    group.feed.clock.advance(1.0)
+    last = {**changed, "version": 9, "tenants": []}
+    group.feed.store.push("op", make_rows(21, config=last))
+    first, second = map(send_between_instances, group.feed.group.changes)
+    assert not group.feed.other.merge_change(second)  # has not got the first
+    assert group.feed.other_state.configuration.version == 7
+    for change, version in ((first, 8), (second, 9), (first, 9), (second, 9)):
+        assert group.feed.other.merge_change(change)
+        assert group.feed.other_state.configuration.version == version
+    assert group.feed.other_state.limits.idle_timeout_s == 6.0
+    assert not group.feed.other_state.configuration.workspaces
+    assert group.feed.other.export()[1] == last
+
+
+def test_change_that_makes_another_document_is_refused():
+    # Guards against an instance whose configuration differs from that of its reader.
+    group = LargeGroup()
+    group.keep_alive(1.0)
+    changed = {**CONFIGURATION, "version": 8, "limits": {"idleTimeoutMs": 6000}}
+    group.feed.store.push("op", make_rows(20, config=changed))
+    known, version, _, checksum = send_between_instances(group.feed.group.changes[0])
+    for edits in ([], None, [["set", ["limits", "x", 0], 1]]):
+        try:
+            group.feed.other.merge_change([known, version, edits, checksum])
+        except (TypeError, ValueError):
+            pass
+        else:
+            raise AssertionError(edits)
+        assert group.feed.other_state.configuration.version == 7
+
+
 def test_overdue_configuration_is_read_although_a_reader_is_heard():
     group = LargeGroup()
     group.keep_alive(1.0)
@@ -104,6 +140,7 @@
     group.feed.store.push("op", make_rows(20, config=changed))
     assert group.feed.state.configuration.version == 8
     assert not group.feed.group.states
+    assert not group.feed.group.changes
 
 
 def test_small_group_polls_the_configuration_itself():
--- a/tests/platform_adapter/timed_stores.py
+++ b/tests/platform_adapter/timed_stores.py
@@ -174,9 +174,11 @@
         for each in self._group.list_others(self):
             each.source.apply_changes(send_between_instances(payload))
 
-    def publish_state(self, payload):
+    def publish_configuration(self, state, change):
+        if state is None:
+            return
         for each in self._group.list_others(self):
-            each.source.merge(send_between_instances(payload))
+            each.source.merge(send_between_instances(state))
 
 
 class TimedGroup:
