Let probes of servers wait as long as the link of their instance is busy

What callers saw: an instance whose own link was full of messages to other instances took itself for cut off from all servers, as no probe was answered within 0.25 s, and relayed or gave up what it had. A probe waits behind these messages. Its time now includes what the link needs for them by their sizes, 0.5 s at most, so that a real cut is found that much later at worst. test_servers_are_not_taken_for_lost_while_messages_fill_the_link failed before.

--- a/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
@@ -22,6 +22,9 @@
 CHECK_TIMEOUT_S = 0.25  # a live server accepts within milliseconds
 RETRY_INTERVAL_S = 0.3  # between probes while no server is reached
 RETRY_TIMEOUT_S = 0.5  # the link of this instance may be in full use
+# A probe waits behind what this instance sends to others. Its own estimate of that must
+# not hide a cut for long.
+MAX_LINK_WAIT_S = 0.5
 
 _log = structlog.get_logger()
 
@@ -179,6 +182,7 @@
             self._state.backends, excluded=excluded, rng=self._rng
         )
         pending = {each.key for each in servers}
+        timeout_s += min(MAX_LINK_WAIT_S, self._measure_link_wait_s())
         self._running_probes += len(pending)
 
         def handle_result(backend: Backend, _: ConnectFailure | None) -> None:
--- a/tests/forwarding/test_cut_off.py
+++ b/tests/forwarding/test_cut_off.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from ebonyhaven_decisions.forwarding import BackendState, CrashHistory
+from ebonyhaven_node import FrameKind
+from ebonyhaven_node._link_monitor import LinkMonitor
+from prometheus_client import CollectorRegistry
+from structlog.testing import capture_logs
 
 from tests.forwarding.harness import (
     STREAM_END,
@@ -18,6 +22,7 @@
 PEER = make_record("n2")._replace(caller_address="10.1.0.2:80")
 OTHER = make_record("n3")._replace(caller_address="10.1.0.3:80")
 DETECTION_S = 1.5
+LINK_BYTES_PER_S = 1_250_000
 
 
 class CutOffHarness(ForwardingHarness):
@@ -283,6 +288,43 @@
     assert caller.read_answer()[2:] == (event(1) + event(2), True)
 
 
+def fill_link(harness, seconds):
+    """Have the instance send messages that take its link some time."""
+    link = LinkMonitor(
+        bytes_per_s=LINK_BYTES_PER_S,
+        registry=CollectorRegistry(),
+        clock=harness.reactor.seconds,
+    )
+    link.record_sent(FrameKind.STATE, round(seconds * LINK_BYTES_PER_S))
+    harness.gateway._contact._measure_link_wait_s = link.measure_wait_s
+
+
+def test_servers_are_not_taken_for_lost_while_messages_fill_the_link():
+    # Guards against a verdict about servers that tells of the own link.
+    harness = ForwardingHarness()
+    addresses = {each.entry.address for each in harness.state.backends}
+    fill_link(harness, 0.6)
+    harness.silent.update(addresses)
+    harness.open_caller().request("/repeat/first", request_id="first")
+    with capture_logs() as logs:
+        harness.advance(0.65)
+        harness.silent.clear()
+        harness.advance(0.5)
+    events = [line["event"] for line in logs]
+    assert "attempt_failed" in events
+    assert "server_contact_lost" not in events
+    assert not harness.gateway._contact._is_checking()
+
+
+def test_cut_is_found_while_messages_fill_the_link():
+    harness = ForwardingHarness()
+    fill_link(harness, 60.0)
+    harness.silent.update(each.entry.address for each in harness.state.backends)
+    harness.open_caller().request("/repeat/first", request_id="first")
+    harness.advance(DETECTION_S)
+    assert harness.gateway._contact.is_lost
+
+
 def test_instance_whose_servers_all_leave_goes_on():
     # Guards against a check that asks nobody, and is repeated without a pause.
     harness = ForwardingHarness()
