Give up a begun stream whose server falls silent after contact was lost

What callers saw: the connection of a begun stream went on after its instance lost contact to all servers, and then fell silent. Nothing ended the stream until its caller lost patience, though other instances could go on with it: while contact is lost, no other server would take it here, and so its attempt was kept. It now ends after 2 s of silence, if contact is confirmed lost and a probe of its server has failed as well.

--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -35,6 +35,7 @@
 from ebonyhaven_node.forwarding._run_copies import RunCopy
 
 MAX_ERROR_BODY_BYTES = 64 * 1024
+CUT_OFF_SILENCE_S = 2.0  # in which brief losses of contact end, and pauses of servers
 
 _log = structlog.get_logger()
 
@@ -223,6 +224,8 @@
         self._report_unreachable(self._context.clock())
         if self._can_leave_server():
             return AttemptResult(AttemptEnd.SILENT, "the server accepts no connection")
+        if self._is_cut_off():
+            return AttemptResult(AttemptEnd.SILENT, "no server accepts a connection")
         self._context.crash_monitor.check_end(self._backend)
         return None
 
@@ -247,6 +250,16 @@
         self._probe()
         return None
 
+    def _is_cut_off(self) -> bool:
+        """Return whether other instances alone could go on with the stream.
+
+        Its server may pause; the connection to it may work though new ones do not.
+        """
+        silent_s = self._context.clock() - self._monitor.last_received_at
+        is_lost = self._context.is_left_to_peers()
+        is_confirmed = is_lost and self._context.contact.is_confirmed_lost
+        return is_confirmed and silent_s >= CUT_OFF_SILENCE_S
+
     def _can_leave_server(self) -> bool:
         """Return whether the stream loses nothing if the attempt ends."""
         return not self._attempt.was_sent or self._can_go_on_elsewhere()
--- a/tests/forwarding/test_cut_off.py
+++ b/tests/forwarding/test_cut_off.py
@@ -268,6 +268,46 @@
         assert reported == ["contact lost"], seed
 
 
+def begin_stream_before_cut(harness, caller):
+    """Return the server of a stream, which has sent 19 events, all but its end.
+
+    No server accepts connections any more; the open one has worked all the time.
+    """
+    harness.gateway._context.relay_peers._list_peers = lambda: [PEER]
+    server = begin_stream(harness, caller, "s1")
+    harness.silent.update(each.entry.address for each in harness.state.backends)
+    harness.open_caller().request("/repeat/first", request_id="first")
+    for number in range(2, 20):
+        harness.advance(0.1)
+        server.receive(chunk(event(number)))
+    assert harness.gateway._contact.is_confirmed_lost
+    return server
+
+
+def test_begun_stream_whose_server_falls_silent_after_a_cut_is_given_up():
+    # Guards against callers that wait for a stream that others would go on with.
+    harness = ForwardingHarness()
+    caller = harness.open_caller()
+    begin_stream_before_cut(harness, caller)
+    harness.advance(1.5)
+    assert not caller.transport.aborted
+    harness.advance(2.5)
+    assert caller.transport.aborted
+
+
+def test_begun_stream_whose_server_pauses_after_a_cut_goes_on():
+    harness = ForwardingHarness()
+    caller = harness.open_caller()
+    server = begin_stream_before_cut(harness, caller)
+    for number in range(20, 23):
+        harness.advance(1.6)
+        assert harness.gateway._contact.is_confirmed_lost
+        server.receive(chunk(event(number)))
+    server.receive(STREAM_END)
+    harness.advance(0.0)
+    assert caller.read_answer()[3]
+
+
 def test_begun_stream_goes_on_if_servers_are_reached_again_soon():
     # Guards against streams cut by an instance whose own link is busy for a moment.
     harness = ForwardingHarness()
