--- a/packages/node/src/ebonyhaven_node/_link_monitor.py
+++ b/packages/node/src/ebonyhaven_node/_link_monitor.py
@@ -42,6 +42,7 @@
         self._clock = clock
         self._sent: Counter[FrameKind] = Counter()
         self._counted_since = clock()
+        self._total: Counter[FrameKind] = Counter()
         self._logged_at = -math.inf
         gauge = Gauge(
             "ebonyhaven_control_link_wait_seconds",
@@ -59,6 +60,7 @@
         size : int
             Bytes.
         """
+        self._total[kind] += size
         if self._load is None:
             return
         now = self._clock()
@@ -73,9 +75,17 @@
             _log.warning(
                 "link_filled",
                 wait_s=round(wait_s, 2),
-                sent={kind.name.lower(): count for kind, count in self._sent.items()},
+                sent=_name_kinds(self._sent),
             )
 
+    def log_total(self) -> None:
+        """Log the bytes of all messages by kind."""
+        _log.info("messages_sent", sent=_name_kinds(self._total))
+
     def measure_wait_s(self) -> float:
         """Return the time until the link has carried all messages, seconds."""
         return self._load.measure_wait_s(self._clock()) if self._load else 0.0
+
+
+def _name_kinds(sent: Counter[FrameKind]) -> dict[str, int]:
+    return {kind.name.lower(): size for kind, size in sent.most_common()}
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -374,6 +374,7 @@
             ],
         )
         self._stack.callback(group.stop)
+        self._stack.callback(self._link.log_total)
         self.membership = group.membership
         self._peer_reports.connect(group)
         group.start()
--- a/tests/node/test_link_monitor.py
+++ b/tests/node/test_link_monitor.py
@@ -45,6 +45,16 @@
     assert link.measure_wait_s() == 0.0
 
 
+def test_bytes_of_all_messages_are_told_by_kind():
+    clock, _, link, metrics = start()
+    for kind, size in ((FrameKind.STATE, 32_000), (FrameKind.HEARTBEAT, 200)) * 2:
+        metrics.count_message("sent", kind, size)
+        clock.advance(10.0)
+    with capture_logs() as logs:
+        link.log_total()
+    assert [line["sent"] for line in logs] == [{"state": 64_000, "heartbeat": 400}]
+
+
 def test_unknown_link_is_never_full():
     _, _, link, metrics = start(bytes_per_s=None)
     with capture_logs() as logs:
