--- a/packages/node/src/ebonyhaven_node/forwarding/_state_feed.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state_feed.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import structlog
 from ebonyhaven_decisions import MemberRecord, MemberState
 from ebonyhaven_decisions.forwarding import find_reader_rank
@@ -50,7 +52,8 @@
         self._configurations = ConfigurationFeed(
             send=membership.send, reactor=reactor, link_bytes_per_s=link_bytes_per_s
         )
-        self._told: dict[tuple[str, int], float] = {}  # readers, by incarnation
+        self._told: dict[tuple[str, int], float] = {}  # times by name and incarnation
+        membership.observe(self._handle_member)
         channels.subscribe(FrameKind.TAKES_CHANGES, self._receive_taking)
         channels.subscribe(FrameKind.SERVER_CHANGES, self._receive)
         source.connect_group(self)
@@ -115,20 +118,23 @@
             )
         self._tell_reader(frame.sender, frame.incarnation)
 
+    def _handle_member(self, record: MemberRecord) -> None:
+        """Tell each instance of the group, as any of them may become the reader."""
+        is_live = record.state is MemberState.LIVE
+        if is_live and record.data_centre == self._membership.own.data_centre:
+            self._tell_reader(record.name, record.incarnation)
+
     def _tell_reader(self, name: str, incarnation: int) -> None:
-        """Tell a reader that this instance takes changes of configurations."""
-        if not self.shares_configuration():
-            return
+        """Tell an instance that this one takes changes of configurations."""
         now = self._reactor.seconds()
-        told = {
-            reader: at
-            for reader, at in self._told.items()
-            if now - at < TELL_INTERVAL_S
+        told_at = self._told.get((name, incarnation), -math.inf)
+        if now - told_at < TELL_INTERVAL_S or not self.shares_configuration():
+            return
+        self._told = {
+            each: at for each, at in self._told.items() if now - at < TELL_INTERVAL_S
         }
-        if (name, incarnation) not in told:
-            told[name, incarnation] = now
-            self._membership.send(name, FrameKind.TAKES_CHANGES, [])
-        self._told = told
+        self._told[name, incarnation] = now
+        self._membership.send(name, FrameKind.TAKES_CHANGES, [])
 
     def _receive_taking(self, frame: Frame) -> None:
         self._configurations.record_taking(frame.sender, frame.incarnation)
--- a/tests/platform_adapter/list_exploration/_instances.py
+++ b/tests/platform_adapter/list_exploration/_instances.py
@@ -68,6 +68,7 @@
         self._reactor = reactor
         self._heard: dict[str, tuple[float, MemberState]] = {}
         self._digests = []
+        self._observers = []
 
     @property
     def members(self) -> list[MemberRecord]:
@@ -87,6 +88,9 @@
     def add_digest(self, digest) -> None:
         self._digests.append(digest)
 
+    def observe(self, observer) -> None:
+        self._observers.append(observer)
+
     def set_excluded_entries(self, names, *, reason, may_exclude_all=True) -> None:
         pass
 
@@ -106,7 +110,10 @@
 
     def receive(self, sender: str, payload) -> None:
         state, digests = payload
+        is_changed = self._heard.get(sender, (0.0, None))[1] != MemberState(state)
         self._heard[sender] = (self._reactor.seconds(), MemberState(state))
+        for observer in self._observers if is_changed else ():
+            observer(make_record(sender, MemberState(state)))
         for digest, content in zip(self._digests, digests, strict=True):
             digest.merge(sender, content)
 
--- a/tests/platform_adapter/test_configuration_feed.py
+++ b/tests/platform_adapter/test_configuration_feed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 
 from ebonyhaven_adapter._source import MAX_PUBLISHED_BYTES, PlatformStateSource
 from ebonyhaven_decisions.forwarding import find_reader_rank
@@ -23,6 +24,7 @@
 
 LINK_BYTES_PER_S = 1_250_000
 NAMES = [f"n{number}" for number in range(25)]
+NEXT_READER = next(name for name in NAMES if find_reader_rank(name, NAMES) == 1)
 READER = next(name for name in NAMES if find_reader_rank(name, NAMES) == 0)
 CHANGE_INTERVAL_S = 0.4
 APPLY_S = 2.0  # in which a configuration has to be in force
@@ -65,6 +67,7 @@
     def __init__(self, group, name):
         self._group = group
         self.own = make_record(name)
+        self.observers = []
 
     @property
     def members(self):
@@ -73,6 +76,9 @@
     def add_digest(self, digest):
         pass
 
+    def observe(self, observer):
+        self.observers.append(observer)
+
     def send(self, name, kind, payload):
         frame = Frame(kind, self.own.name, self.own.incarnation, payload)
         self._group.send(name, frame)
@@ -92,7 +98,7 @@
             reactor=group.clock,
             clock=group.clock.seconds,
         )
-        membership = GroupMembership(group, name)
+        self.membership = membership = GroupMembership(group, name)
         ServerChangeFeed(
             source=self.source,
             membership=membership,
@@ -118,7 +124,7 @@
 class Group:
     """A reader with a narrow link and the instances that it supplies."""
 
-    def __init__(self, *, are_old=False):
+    def __init__(self, *, are_old=False, knows_members=False):
         self.clock = Clock()
         self.link = Link(self.clock)
         self.are_old = are_old
@@ -126,9 +132,12 @@
         self.version = 7
         self.changed_at = {7: 0.0}
         self.known_at = {}
+        self.sent_bytes = Counter()
         self.instances = {name: Instance(self, name) for name in NAMES}
         for each in self.instances.values():
             each.source.start()
+        if knows_members:
+            self.join()
         self.advance(2.0)
         self.bytes_before = self.link.bytes
 
@@ -136,10 +145,19 @@
     def others(self):
         return [each for name, each in self.instances.items() if name != READER]
 
+    def join(self):
+        """Have all instances learn of each other."""
+        for each in self.instances.values():
+            for observer in each.membership.observers:
+                for name in NAMES:
+                    if name != each.membership.own.name:
+                        observer(make_record(name))
+
     def send(self, name, frame):
         if self.are_old and len(frame.kind) > 1:
             return  # the release before neither sends nor understands it
         data = encode_frame(frame)
+        self.sent_bytes[frame.sender] += len(data)
 
         def deliver():
             payload = json.loads(data)[-1]
@@ -162,6 +180,11 @@
                 self.instances[READER].store.push("servers", rows)
             self.clock.advance(STEP_S)
 
+    def advance_silently(self, seconds):
+        """Let time pass in which the reader reads nothing."""
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+
     def change(self, make=make_configuration):
         self.version += 1
         self.rows += 1
@@ -255,6 +278,19 @@
     assert [len(each.store.calls) for each in group.others] == calls
 
 
+def test_new_reader_passes_on_changes_from_the_start():
+    # Guards against whole configurations for all instances after each restart of one.
+    group = Group(knows_members=True)
+    group.advance_silently(1.2)
+    before = group.sent_bytes[NEXT_READER]
+    rows = make_rows(group.rows + 1, config=make_configuration(8))
+    group.instances[NEXT_READER].store.push("op", rows)
+    group.advance_silently(0.5)
+    others = [each for name, each in group.instances.items() if name != NEXT_READER]
+    assert {each.version for each in others} == {8}
+    assert group.sent_bytes[NEXT_READER] - before < len(others) * 500
+
+
 def test_change_that_was_lost_is_read_from_the_store():
     group = Group()
     name, lagging = next(iter(group.instances.items()))
