--- a/tests/platform_adapter/state_sources.py
+++ b/tests/platform_adapter/state_sources.py
@@ -81,8 +81,10 @@
     return RowBatch(tuple(batch), version, False, era)
 
 
-def make_store_error(status=None):
-    return StoreError(step="read", peer="store", reason="test", status=status)
+def make_store_error(status=None, *, is_timeout=False):
+    return StoreError(
+        step="read", peer="store", reason="test", status=status, is_timeout=is_timeout
+    )
 
 
 def build_source():
--- a/tests/platform_adapter/test_shared_configuration.py
+++ b/tests/platform_adapter/test_shared_configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ebonyhaven_adapter._shared_reads import MAX_RETRY_INTERVAL_S
 from ebonyhaven_adapter._source import MAX_PUBLISHED_BYTES
 from ebonyhaven_adapter._store import Row, RowBatch
 from ebonyhaven_decisions.forwarding._change_feed import (
@@ -15,6 +16,7 @@
     CONFIGURATION,
     SERVER,
     make_rows,
+    make_store_error,
     send_between_instances,
 )
 
@@ -121,6 +123,35 @@
     assert group.count_other_polls() == polls + 1
 
 
+def test_instance_that_was_supplied_reads_no_version_that_it_missed():
+    # Guards against an answer with all configurations since the last read, which takes
+    # the link longer than the call may last, and is asked for again and again.
+    group = LargeGroup()
+    group.keep_alive(1.0)
+    for version in range(8, 48):
+        document = {**CONFIGURATION, "version": version}
+        group.feed.store.push("op", make_rows(12 + version, config=document))
+        group.feed.clock.advance(0.4)
+        change = send_between_instances(group.feed.group.changes[-1])
+        assert group.feed.other.merge_change(change)
+    group.feed.other.refresh_configuration()
+    assert group.feed.other_store.calls[-1] == ("table", "op", None)
+    last = {**CONFIGURATION, "version": 48}
+    group.feed.other_store.push("op", make_rows(60, config=last))
+    group.feed.other.refresh_configuration()
+    assert group.feed.other_store.calls[-1] == ("changes", "op", 60)
+
+
+def test_table_is_read_after_changes_that_did_not_arrive():
+    group = LargeGroup()
+    group.keep_alive(1.0)
+    group.feed.other.refresh_configuration()
+    assert group.feed.other_store.calls[-1] == ("changes", "op", 13)
+    group.feed.other_store.push("op", make_store_error(is_timeout=True))
+    group.feed.advance(MAX_RETRY_INTERVAL_S)
+    assert group.feed.other_store.calls[-1] == ("table", "op", None)
+
+
 def test_instance_polls_the_configuration_when_its_readers_fall_silent():
     group = LargeGroup()
     group.keep_alive(1.0)
