--- a/packages/decisions/src/ebonyhaven_decisions/__init__.py
+++ b/packages/decisions/src/ebonyhaven_decisions/__init__.py
@@ -72,6 +72,11 @@
             "Dispatcher",
             "FailureKind",
         ),
+        "_document_edits": (
+            "apply_edits",
+            "compute_document_checksum",
+            "list_edits",
+        ),
         "_documents": (
             "MAX_DOCUMENT_DEPTH",
             "check_integer",
@@ -115,6 +120,7 @@
             "ConcurrencyLimit",
             "RetryBudget",
         ),
+        "_link_load": ("LinkLoad",),
         "_listing": ("Listing",),
         "_listing_schedule": (
             "READ_INTERVAL_S",
--- a/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_contact_monitor.py
@@ -22,6 +22,9 @@
 CHECK_TIMEOUT_S = 0.25  # a live server accepts within milliseconds
 RETRY_INTERVAL_S = 0.3  # between probes while no server is reached
 RETRY_TIMEOUT_S = 0.5  # the link of this instance may be in full use
+# A probe waits behind what this instance sends to others. Its own estimate of that must
+# not hide a cut for long.
+MAX_LINK_WAIT_S = 0.5
 
 _log = structlog.get_logger()
 
@@ -40,6 +43,8 @@
     rng : random.Random
     clock : callable
         Returns seconds.
+    measure_link_wait_s : callable
+        Returns how long messages to other instances wait for the link, seconds.
     on_change : callable
         Called when contact was lost or is back.
     """
@@ -52,6 +57,7 @@
         reactor: IReactorTime,
         rng: random.Random,
         clock: Callable[[], float],
+        measure_link_wait_s: Callable[[], float],
         on_change: Callable[[], None],
     ):
         self._state = state
@@ -59,6 +65,7 @@
         self._reactor = reactor
         self._rng = rng
         self._clock = clock
+        self._measure_link_wait_s = measure_link_wait_s
         self._on_change = on_change
         self._contact = ServerContact()
         self._timer: Any = None
@@ -142,7 +149,9 @@
         """Take contact as lost unless a server has accepted a connection since."""
         if self._contact.end_check(self._clock()):
             _log.warning(
-                "server_contact_lost", servers=sum(1 for _ in self._state.backends)
+                "server_contact_lost",
+                servers=sum(1 for _ in self._state.backends),
+                link_wait_s=round(self._measure_link_wait_s(), 2),
             )
             self._on_change()
         self._probe_again_if_due()
@@ -173,6 +182,7 @@
             self._state.backends, excluded=excluded, rng=self._rng
         )
         pending = {each.key for each in servers}
+        timeout_s += min(MAX_LINK_WAIT_S, self._measure_link_wait_s())
         self._running_probes += len(pending)
 
         def handle_result(backend: Backend, _: ConnectFailure | None) -> None:
