--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -15,6 +15,7 @@
     ResponseStarted,
 )
 from ebonyhaven_node.forwarding._call_limits import CallLimits
+from ebonyhaven_node.forwarding._call_records import CallRecorder, is_own_response
 from ebonyhaven_node.forwarding._call_servers import CallServerSelector
 from ebonyhaven_node.forwarding._context import RelayContext
 from ebonyhaven_node.forwarding._crash_guards import CrashGuard
@@ -96,6 +97,7 @@
             workspace=workspace,
             context=context,
         )
+        self._recorder = CallRecorder(route=route, guard=guard, context=context)
         self._caller_deadline = self._servers.caller_deadline
 
     @property
@@ -284,9 +286,7 @@
                 self._buffer_data(attempt, data)
             case ResponseCompleted(attempt, is_delimited) if attempt in self._running:
                 self._running.remove(attempt)
-                self._context.metrics.record_response_end(
-                    self._route.kind.value, is_delimited=is_delimited, partial_bytes=0
-                )
+                self._recorder.record_end(is_delimited=is_delimited)
                 self._complete_attempt(attempt, is_delimited=is_delimited)
             case AttemptFailed(
                 attempt, was_sent, is_connection_lost, reason, unreached, is_final
@@ -296,15 +296,8 @@
                 self._limits.is_unsendable |= is_final
                 self._fail_attempt(attempt, was_sent, reason)
                 if was_sent:
-                    self._context.rollouts.record_broken(
-                        attempt.backend,
-                        self._route.name,
-                        request_id=attempt.request_id,
-                        is_connection_lost=is_connection_lost,
-                    )
-                if was_sent and is_connection_lost:
-                    self._guard.check_loss(
-                        attempt.backend, has_begun=attempt.head is not None
+                    self._recorder.record_broken(
+                        attempt, is_connection_lost=is_connection_lost
                     )
 
     def _buffer_data(self, attempt: Attempt, data: bytes) -> None:
@@ -320,60 +313,33 @@
         if head.not_run:
             self._record_refusal(attempt, head)
             return
-        is_own = head.has_origin_proof and head.request_id is not None
-        if not is_delimited:  # a server that crashes closes its connections as well
-            self._guard.check_loss(attempt.backend, has_begun=True)
-        elif is_own:
-            self._guard.record_completed()
-        is_promise = head.status in NOT_RUN_STATUSES  # although the server ran it
-        is_success = head.status < 500 and head.has_origin_proof and not is_promise
-        attempt.backend.record_result(succeeded=is_success, latency_s=latency_s)
-        self._context.rollouts.record_answer(
-            attempt.backend,
-            self._route.name,
-            request_id=attempt.request_id,
-            sent_at=attempt.sent_at,
-            is_failure=not is_success or not is_own,
+        is_success = self._recorder.record_response(
+            attempt, head, is_delimited=is_delimited, latency_s=latency_s
         )
-        if is_success and is_own:
+        if is_success:
             self._servers.record_answer(attempt.backend, latency_s)
-            self._count_attempt("answered")
-            self._record_overtaken(attempt)
+            self._recorder.count("answered")
+            self._recorder.record_overtaken(self._running, attempt)
             self._respond(head, body)
             return
         self._limits.possible_runs += 1
-        self._count_attempt("error")
+        self._recorder.count("error")
         self._servers.exclude(attempt.backend)
         self._record_last_failure(attempt, f"server answered with {head.status}")
-        if is_own:
+        if is_own_response(head):
             self._error_response = (head, body)
 
-    def _record_overtaken(self, answered: Attempt) -> None:
-        """Record the attempts that the answer of a hedge hides."""
-        for each in self._running:
-            if each.was_sent:
-                self._context.rollouts.record_overtaken(
-                    each.backend,
-                    self._route.name,
-                    sent_at=each.sent_at,
-                    answered_sent_at=answered.sent_at,
-                )
-
     def _record_refusal(self, attempt: Attempt, head: ResponseHead) -> None:
-        if head.is_other_process:
-            self._context.report_replaced(attempt.backend, head.other_server_id)
-        else:
-            self._context.report_refused(attempt.backend)
+        self._recorder.record_refusal(attempt, head)
         self._limits.refusals += 1
         self._servers.exclude(attempt.backend)
         self._record_last_failure(attempt, f"server refused with {head.status}")
-        self._count_attempt("refused")
 
     def _fail_attempt(self, attempt: Attempt, was_sent: bool, reason: str) -> None:
         self._responses.drop(attempt)
         self._servers.exclude(attempt.backend)
         self._record_last_failure(attempt, reason)
-        self._count_attempt("lost" if was_sent else "unreachable")
+        self._recorder.count("lost" if was_sent else "unreachable")
         if was_sent:
             self._limits.possible_runs += 1
             attempt.backend.record_result(succeeded=False, latency_s=None)
@@ -394,9 +360,6 @@
         self._last_reason = reason
         self._last_peer = attempt.backend.server_id
 
-    def _count_attempt(self, result: str) -> None:
-        self._context.metrics.attempts.labels(self._route.kind.value, result).inc()
-
     def _respond(self, head: ResponseHead, body: bytes) -> None:
         elapsed_s = self._context.clock() - self._request.arrived_at
         self._context.metrics.latency.labels(self._route.kind.value).observe(elapsed_s)
@@ -409,25 +372,7 @@
         )
         is_timeout = now >= self._caller_deadline
         if is_timeout:
-            self._record_timeouts()
+            self._recorder.record_timeouts(self._running)
         return make_late_call_failure(
             is_timeout=is_timeout, may_have_run=may_have_run, peer=self._last_peer
         )
-
-    def _record_timeouts(self) -> None:
-        """Record the attempts that had no answer in the time of the request."""
-        for attempt in self._running:
-            if not attempt.was_sent:
-                continue
-            backend = attempt.backend
-            backend.record_result(succeeded=False, latency_s=None)
-            self._context.rollouts.record_timeout(
-                backend,
-                self._route.name,
-                request_id=attempt.request_id,
-                sent_at=attempt.sent_at,
-                timeout_s=self._route.timeout_s,
-            )
-            has_sent_nothing = backend.last_received_at < attempt.sent_at
-            if attempt.head is None and has_sent_nothing:
-                self._context.report_unreachable(backend)
