--- a/tests/platform_adapter/node_processes.py
+++ b/tests/platform_adapter/node_processes.py
@@ -20,6 +20,8 @@
 class NodeProcess:
     """Process that runs the program with its settings file and log file."""
 
+    PROGRAM = ("-m", "ebonyhaven_adapter")
+
     def __init__(self, store_address, **changes):
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="ebonyhaven-"))
         self.addresses = {
@@ -54,7 +56,7 @@
 
     def _start(self) -> subprocess.Popen:
         return subprocess.Popen(
-            [sys.executable, "-m", "ebonyhaven_adapter"],
+            [sys.executable, *self.PROGRAM],
             env={**os.environ, "EBONYHAVEN_NODE_FILE": str(self.settings_path)},
             stdout=self._log,
             stderr=subprocess.STDOUT,
