--- a/packages/node/src/ebonyhaven_node/_link_monitor.py
+++ b/packages/node/src/ebonyhaven_node/_link_monitor.py
@@ -40,8 +40,7 @@
     ):
         self._load = LinkLoad(bytes_per_s) if bytes_per_s else None
         self._clock = clock
-        self._sent: Counter[FrameKind] = Counter()
-        self._counted_since = clock()
+        self._sent: Counter[FrameKind] = Counter()  # since the link was last idle
         self._total: Counter[FrameKind] = Counter()
         self._logged_at = -math.inf
         gauge = Gauge(
@@ -64,9 +63,8 @@
         if self._load is None:
             return
         now = self._clock()
-        if now - self._counted_since > LOG_INTERVAL_S:
+        if self._load.measure_wait_s(now) <= 0.0:
             self._sent.clear()
-            self._counted_since = now
         self._sent[kind] += size
         self._load.record(size, now)
         wait_s = self._load.measure_wait_s(now)
--- a/tests/node/test_link_monitor.py
+++ b/tests/node/test_link_monitor.py
@@ -4,7 +4,11 @@
 
 from ebonyhaven_node._channels import ChannelMetrics
 from ebonyhaven_node._frames import FrameKind
-from ebonyhaven_node._link_monitor import LONG_WAIT_S, LinkMonitor
+from ebonyhaven_node._link_monitor import (
+    LOG_INTERVAL_S,
+    LONG_WAIT_S,
+    LinkMonitor,
+)
 from prometheus_client import CollectorRegistry
 from structlog.testing import capture_logs
 from twisted.internet.task import Clock
@@ -28,10 +32,25 @@
     (line,) = logs
     assert line["event"] == "link_filled"
     assert line["wait_s"] >= LONG_WAIT_S
+    assert line["sent"] == {"state": 8 * 32_000}
     name = "ebonyhaven_control_link_wait_seconds"
     assert abs(registry.get_sample_value(name) - 24 * 32_000 / BYTES_PER_S) < 0.001
-    clock.advance(1.0)
-    assert link.measure_wait_s() == 0.0
+    for _ in range(4):
+        clock.advance(1.1 * LOG_INTERVAL_S)
+        assert link.measure_wait_s() == 0.0
+        with capture_logs() as logs:
+            metrics.count_message("sent", FrameKind.HEARTBEAT, 300)
+        assert not logs
+
+
+def test_long_wait_names_what_it_comes_of():
+    clock, _, _, metrics = start()
+    for _ in range(60):
+        metrics.count_message("sent", FrameKind.STATE, 32_000)
+    clock.advance(1.1 * LOG_INTERVAL_S)
+    with capture_logs() as logs:
+        metrics.count_message("sent", FrameKind.HEARTBEAT, 300)
+    assert [line["sent"] for line in logs] == [{"state": 1_920_000, "heartbeat": 300}]
 
 
 def test_messages_that_leave_room_on_the_link_are_not_told():
