--- a/packages/node/src/ebonyhaven_node/__init__.py
+++ b/packages/node/src/ebonyhaven_node/__init__.py
@@ -1,6 +1,7 @@
 """Node process that runs on every instance."""
 
-from ebonyhaven_node._channels import ChannelMetrics, ChannelOptions, Channels
+from ebonyhaven_node._channel_metrics import ChannelMetrics
+from ebonyhaven_node._channels import ChannelOptions, Channels
 from ebonyhaven_node._digests import Digest, DigestSet, TableDigest, fit_entries
 from ebonyhaven_node._frames import Frame, FrameError, FrameKind
 from ebonyhaven_node._log_writer import LogOutput, configure_logs
--- a/packages/node/src/ebonyhaven_node/_channels.py
+++ b/packages/node/src/ebonyhaven_node/_channels.py
@@ -2,19 +2,19 @@
 
 from __future__ import annotations
 
-import math
 import random
+import select
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 import attrs
 import pynng
 import structlog
 from ebonyhaven_decisions import quote
-from prometheus_client import CollectorRegistry, Counter, Histogram
 from twisted.internet.interfaces import IReactorFDSet, IReadDescriptor
 from zope.interface import implementer
 
+from ebonyhaven_node._channel_metrics import ChannelMetrics, Direction
 from ebonyhaven_node._frames import (
     NNG_HEADER_BYTES,
     Frame,
@@ -23,7 +23,6 @@
     decode_frame,
     encode_frame,
 )
-from ebonyhaven_node._link_monitor import LinkMonitor
 
 SEND_QUEUE_MESSAGES = 8
 RECEIVE_QUEUE_MESSAGES = 64
@@ -33,106 +32,12 @@
 MIN_REPLACED_AGE_S = 2.0  # of connections, which several probes at once replace once
 MAX_MESSAGE_BYTES = 1 << 20
 MAX_MESSAGES_PER_WAKEUP = 64
-DIRECTIONS = ("sent", "received")
-BURST_S = 0.1  # what is sent within it is held to leave together
-BURST_BUCKETS_BYTES = tuple(1024 * 2**step for step in range(11))
 
 _log = structlog.get_logger()
 
 FrameHandler = Callable[[Frame], None]
 
 
-class ChannelMetrics:
-    """Counters of the messages between instances.
-
-    Parameters
-    ----------
-    registry : CollectorRegistry
-    clock : callable
-        Returns seconds.
-    link : LinkMonitor or None
-        Told of each message that is sent.
-    """
-
-    def __init__(
-        self,
-        registry: CollectorRegistry,
-        clock: Callable[[], float] = time.monotonic,
-        link: LinkMonitor | None = None,
-    ):
-        self._clock = clock
-        self._link = link
-        self.messages = Counter(
-            "ebonyhaven_control_messages",
-            "Messages between instances.",
-            ["direction", "kind"],
-            registry=registry,
-        )
-        self.bytes = Counter(
-            "ebonyhaven_control_bytes",
-            "Bytes of messages between instances with their length header.",
-            ["direction"],
-            registry=registry,
-        )
-        self.dropped = Counter(
-            "ebonyhaven_control_dropped",
-            "Messages between instances that were not sent or not understood.",
-            ["reason"],
-            registry=registry,
-        )
-        self.sent_bytes = Counter(
-            "ebonyhaven_control_sent_bytes",
-            "Bytes of messages to other instances with their length header.",
-            ["kind"],
-            registry=registry,
-        )
-        self.burst = Histogram(
-            "ebonyhaven_control_burst_bytes",
-            "Bytes sent to other instances within a tenth of a second, if any were.",
-            buckets=BURST_BUCKETS_BYTES,
-            registry=registry,
-        )
-        self._burst_bytes = 0
-        self._burst_end = -math.inf
-        self._bound_sent_bytes = {
-            kind: self.sent_bytes.labels(kind.name.lower()) for kind in FrameKind
-        }
-        self._bound_messages = {
-            (direction, kind): self.messages.labels(direction, kind.name.lower())
-            for direction in DIRECTIONS
-            for kind in FrameKind
-        }
-        self._bound_bytes = {each: self.bytes.labels(each) for each in DIRECTIONS}
-
-    def count_message(self, direction: str, kind: FrameKind, size: int) -> None:
-        """Count one message.
-
-        Parameters
-        ----------
-        direction : str
-            ``"sent"`` or ``"received"``.
-        kind : FrameKind
-        size : int
-            Size in bytes, including the length header.
-        """
-        self._bound_messages[direction, kind].inc()
-        self._bound_bytes[direction].inc(size)
-        if direction == "sent":
-            self._bound_sent_bytes[kind].inc(size)
-            self._count_burst(size)
-            if self._link is not None:
-                self._link.record_sent(kind, size)
-
-    def _count_burst(self, size: int) -> None:
-        now = self._clock()
-        if now >= self._burst_end:
-            if self._burst_bytes:
-                self.burst.observe(self._burst_bytes)
-            self._burst_bytes = 0
-            self._burst_end = now + BURST_S
-        self._burst_bytes += size
-
-
 @attrs.define(slots=True)
 class _Connection:
     socket: pynng.Push0
@@ -223,6 +128,8 @@
             self._socket.close()
             raise
         self._descriptor = _ReceiveDescriptor(self._socket, self._receive_pending)
+        self._poll = select.poll()
+        self._poll.register(self._descriptor.fileno(), select.POLLIN)
         reactor.addReader(self._descriptor)
 
     def subscribe(self, kind: FrameKind, handler: FrameHandler) -> None:
@@ -252,10 +159,36 @@
         bool
             Whether the message was queued.
         """
+        return self._send_data(
+            address, frame.kind, encode_frame(frame), new_connection=new_connection
+        )
+
+    def send_to_all(self, addresses: Collection[str], frame: Frame) -> None:
+        """Queue a message, encoded once, for several receivers.
+
+        Parameters
+        ----------
+        addresses : collection of str
+            Control addresses of the receivers.
+        frame : Frame
+        """
+        if not addresses:
+            return
+        data = encode_frame(frame)
+        for address in addresses:
+            self._send_data(address, frame.kind, data)
+
+    def _send_data(
+        self,
+        address: str,
+        kind: FrameKind,
+        data: bytes,
+        *,
+        new_connection: bool = False,
+    ) -> bool:
         if self._options.loss and self._rng.random() < self._options.loss:
             self._metrics.dropped.labels("development_loss").inc()
             return False
-        data = encode_frame(frame)
         if new_connection:
             self._disconnect(address)
         try:
@@ -269,7 +202,7 @@
         except pynng.NNGException:
             self._metrics.dropped.labels("queue_full").inc()
             return False
-        self._metrics.count_message("sent", frame.kind, len(data) + NNG_HEADER_BYTES)
+        self._metrics.count_message(Direction.SENT, kind, len(data) + NNG_HEADER_BYTES)
         return True
 
     def close_idle(self) -> None:
@@ -328,6 +261,8 @@
             except pynng.TryAgain:
                 return
             self._deliver(message.bytes)
+            if not self._poll.poll(0):  # cheaper than a receive that finds nothing
+                return
 
     def _deliver(self, data: bytes) -> None:
         try:
@@ -336,7 +271,7 @@
             self._metrics.dropped.labels("malformed").inc()
             return
         size = len(data) + NNG_HEADER_BYTES
-        self._metrics.count_message("received", frame.kind, size)
+        self._metrics.count_message(Direction.RECEIVED, frame.kind, size)
         handler = self._handlers.get(frame.kind)
         if handler is None:
             self._metrics.dropped.labels("no_handler").inc()
--- a/packages/standins/src/ebonyhaven_standins/slopes/_processor.py
+++ b/packages/standins/src/ebonyhaven_standins/slopes/_processor.py
@@ -39,7 +39,8 @@
     points: list[Point] = []
 
     async def run(reactor: Any) -> None:
-        from ebonyhaven_node._channels import ChannelMetrics, Channels
+        from ebonyhaven_node._channel_metrics import ChannelMetrics
+        from ebonyhaven_node._channels import Channels
         from ebonyhaven_node._frames import Frame, FrameKind
 
         received: list[object] = []
--- a/tests/node/test_channels.py
+++ b/tests/node/test_channels.py
@@ -5,7 +5,7 @@
 
 import pynng
 from ebonyhaven_node import ChannelMetrics, ChannelOptions, Channels, Frame, FrameKind
-from ebonyhaven_node._channels import BURST_S
+from ebonyhaven_node._channel_metrics import BURST_S, Direction
 from ebonyhaven_standins.cluster import allocate_address
 from prometheus_client import CollectorRegistry
 from twisted.internet import reactor, task
@@ -73,12 +73,12 @@
     registry = CollectorRegistry()
     metrics = ChannelMetrics(registry, clock.seconds)
     for _ in range(66):
-        metrics.count_message("sent", FrameKind.SERVER_LOSSES, 2580)
+        metrics.count_message(Direction.SENT, FrameKind.SERVER_LOSSES, 2580)
     clock.advance(BURST_S)
-    metrics.count_message("received", FrameKind.SERVER_LOSSES, 2580)
-    metrics.count_message("sent", FrameKind.HEARTBEAT, 200)
+    metrics.count_message(Direction.RECEIVED, FrameKind.SERVER_LOSSES, 2580)
+    metrics.count_message(Direction.SENT, FrameKind.HEARTBEAT, 200)
     clock.advance(BURST_S)
-    metrics.count_message("sent", FrameKind.HEARTBEAT, 200)
+    metrics.count_message(Direction.SENT, FrameKind.HEARTBEAT, 200)
     name = "ebonyhaven_control_burst_bytes"
     assert registry.get_sample_value(f"{name}_sum") == 66 * 2580 + 200
     assert registry.get_sample_value(f"{name}_bucket", {"le": "131072.0"}) == 1
