Choices by rendezvous hashing: kept while the instances are the same

The reader of a group, the recorders and the places on the rings of heartbeats were computed by hashing the names of all instances: at each poll of the store, for each record of a stream, and four times per name after each change of the members.

--- a/packages/decisions/src/ebonyhaven_decisions/_rendezvous.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_rendezvous.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 from collections.abc import Iterable
 
 WEIGHT_BYTES = 8
+MAX_KEPT_CHOICES = 64  # few keys are asked for, each many times between changes
 
 
 def compute_weight(key: str, name: str) -> bytes:
@@ -34,7 +36,12 @@
     -------
     list of str
     """
+    return list(_choose(key, tuple(instances), count))
+
+
+@functools.lru_cache(maxsize=MAX_KEPT_CHOICES)
+def _choose(key: str, instances: tuple[str, ...], count: int) -> tuple[str, ...]:
     ordered = sorted(
         instances, key=lambda name: compute_weight(key, name), reverse=True
     )
-    return ordered[:count]
+    return tuple(ordered[:count])
--- a/packages/decisions/src/ebonyhaven_decisions/_rings.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_rings.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 from collections.abc import Iterable
 
 from ebonyhaven_decisions._members import MemberRecord, MemberState
 
 NEIGHBOUR_COUNT = 4
+MAX_KEPT_POSITIONS = 4096  # of all instances on all rings
 
 
+@functools.lru_cache(maxsize=MAX_KEPT_POSITIONS)
 def _hash_position(ring: int, name: str) -> bytes:
     return hashlib.blake2b(f"{ring} {name}".encode(), digest_size=8).digest()
 
