Exchanges: work once for all changed members, one encoding for all receivers

Each changed record of a member had each exchange go through all members: those that share limits and the retry budget were counted anew, versions were compared, and the names of all were hashed to find who tells a new instance what is known, also if there was nothing to tell. With 195 instances that start or are lost together that is work in proportion to their square, in each of them. Observers of the view are now called once for all changes of a message, and who tells a new instance is found only if there is something to tell. Reports, evidence and contact are encoded once for all receivers.

tests.forwarding.test_peer_sections asks for the groups of receivers with the same sections in place of each receiver's; test_limit_exchange names the instances that are cut off in place of asking for each.

--- a/packages/decisions/src/ebonyhaven_decisions/_member_view.py
+++ b/packages/decisions/src/ebonyhaven_decisions/_member_view.py
@@ -135,6 +135,8 @@
         """
         expired = []
         for record in list(self.table):
+            if record.state < MemberState.SUSPECT:
+                continue
             age_s = now - self.table.changed_at(record.name)
             if record.state == MemberState.SUSPECT and age_s >= SUSPICION_TIMEOUT_S:
                 self.counts.deaths += 1
--- a/packages/node/src/ebonyhaven_node/_composition.py
+++ b/packages/node/src/ebonyhaven_node/_composition.py
@@ -22,7 +22,8 @@
 from twisted.web.server import Site
 
 from ebonyhaven_node._active_configuration import ActiveConfiguration
-from ebonyhaven_node._channels import ChannelMetrics, ChannelOptions, Channels
+from ebonyhaven_node._channel_metrics import ChannelMetrics
+from ebonyhaven_node._channels import ChannelOptions, Channels
 from ebonyhaven_node._claims import ClaimStore
 from ebonyhaven_node._control_plane import ControlPlaneDependencies, start_control_plane
 from ebonyhaven_node._crash_reports import CrashReports
@@ -238,7 +239,7 @@
             channels=self._channels,
             reactor=self._reactor,
             clock=time.monotonic,
-            reaches_servers=lambda _: True,  # not known on this interface
+            list_cut_off=lambda: (),  # not known on this interface
         )
         self._stack.callback(limits.stop)
         self._servers.on_limits = limits.publish
--- a/packages/node/src/ebonyhaven_node/_evidence_exchange.py
+++ b/packages/node/src/ebonyhaven_node/_evidence_exchange.py
@@ -112,8 +112,7 @@
     def _send_to(self, names: Sequence[str], keys: list[str]) -> None:
         payload = self._export(keys)
         if payload:
-            for name in names:
-                self._membership.send(name, self._kind, payload)
+            self._membership.send_to_all(names, self._kind, payload)
 
     def _list_others(self) -> list[str]:
         return [
@@ -130,10 +129,11 @@
             return
         known = self._live_incarnations.get(record.name)
         self._live_incarnations[record.name] = record.incarnation
-        if known != record.incarnation and self._is_sender_for(record.name):
-            payload = self._export(None)
-            if payload:
-                self._membership.send(record.name, self._kind, payload)
+        if known == record.incarnation:
+            return
+        payload = self._export(None)
+        if payload and self._is_sender_for(record.name):
+            self._membership.send(record.name, self._kind, payload)
 
     def _is_sender_for(self, name: str) -> bool:
         own_name = self._membership.own.name
--- a/packages/node/src/ebonyhaven_node/_limit_exchange.py
+++ b/packages/node/src/ebonyhaven_node/_limit_exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any, NamedTuple
 
 import structlog
@@ -57,9 +57,9 @@
     reactor : IReactorTime
     clock : callable
         Returns seconds.
-    reaches_servers : callable
-        Returns whether the instance with a name reaches any server; others have no
-        share in limits.
+    list_cut_off : callable
+        Returns the names of the instances that reach no server, which have no share in
+        limits.
     """
 
     def __init__(
@@ -70,10 +70,10 @@
         channels: Channels,
         reactor: IReactorTime,
         clock: Callable[[], float],
-        reaches_servers: Callable[[str], bool],
+        list_cut_off: Callable[[], Collection[str]],
     ):
         self._servers = servers
-        self._reaches_servers = reaches_servers
+        self._list_cut_off = list_cut_off
         self._membership = membership
         self._clock = clock
         self._told: dict[str, _Told] = {}  # by process
@@ -85,7 +85,7 @@
             export=self._export,
             merge=self._merge,
         )
-        membership.observe(lambda _: self.update_instances())
+        membership.observe_view(self.update_instances)
 
     def publish(self, server: LimitedServer) -> None:
         """Tell all instances the limits of a server if they may not know them.
@@ -113,18 +113,19 @@
 
     def update_instances(self) -> None:
         """Divide the limits anew among the instances."""
+        cut_off = self._list_cut_off()
         names = [
             record.name
             for record in self._membership.members
-            if record.state is not MemberState.DEAD
-            and self._reaches_servers(record.name)
+            if record.state is not MemberState.DEAD and record.name not in cut_off
         ]
         own_name = self._membership.own.name
         self._servers.set_instances(own_name, names, self._clock())
 
     def _export(self, keys: list[str] | None) -> dict[str, list[Any]]:
         """Return by process its limits and the age of its last refusal, if recent."""
-        self._forget_unlisted()
+        if self._told:
+            self._forget_unlisted()
         if keys is None:
             chosen = [each for each in self._servers if each.limiter.has_limits]
         else:
--- a/packages/node/src/ebonyhaven_node/_membership.py
+++ b/packages/node/src/ebonyhaven_node/_membership.py
@@ -82,6 +82,7 @@
         self._metrics = MembershipMetrics(registry, self._membership)
         self._digests = DigestSet(on_fault=self._metrics.count_fault)
         self._observers: list[Callable[[MemberRecord], None]] = []
+        self._view_observers: list[Callable[[], None]] = []
         self._load_source: Callable[[], float] = lambda: 0.0
         self._entries = EntryLists(membership=self._membership, rng=rng, clock=clock)
         self._seeds: dict[str, str] = {}
@@ -203,6 +204,16 @@
         """
         self._observers.append(observer)
 
+    def observe_view(self, observer: Callable[[], None]) -> None:
+        """Call ``observer`` once after changed records, however many there are.
+
+        Parameters
+        ----------
+        observer : callable
+            Called after the observers of the records.
+        """
+        self._view_observers.append(observer)
+
     def set_load_source(self, source: Callable[[], float]) -> None:
         """Set the function that measures the load of this instance.
 
@@ -235,6 +246,22 @@
         frame = Frame(kind, self.own.name, self.own.incarnation, payload)
         return self._channels.send(record.control_address, frame)
 
+    def send_to_all(self, names: Iterable[str], kind: FrameKind, payload: Any) -> None:
+        """Send the same message of another controller to several instances.
+
+        Parameters
+        ----------
+        names : iterable of str
+            Names of the receiving instances; unknown ones are left out.
+        kind : FrameKind
+        payload : object
+            JSON value.
+        """
+        records = map(self._membership.table.get, names)
+        addresses = [each.control_address for each in records if each is not None]
+        frame = Frame(kind, self.own.name, self.own.incarnation, payload)
+        self._channels.send_to_all(addresses, frame)
+
     def schedule_heartbeats(self) -> None:
         """Schedule heartbeats to all neighbours to send a changed digest early."""
         self._schedule_flush(all_targets=True)
@@ -278,7 +305,8 @@
         return heartbeat
 
     def _handle_changes(self, now: float) -> None:
-        for record in self._membership.pop_changes():
+        changes = self._membership.pop_changes()
+        for record in changes:
             self._entries.record_change()
             _log.info(
                 "instance_changed",
@@ -288,6 +316,9 @@
             )
             for observer in self._observers:
                 observer(record)
+        if changes:
+            for notify in self._view_observers:
+                notify()
         if self._membership.superseded and not self._superseded:
             self._superseded = True
             _log.error("instance_superseded")
--- a/packages/node/src/ebonyhaven_node/forwarding/_contact_exchange.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_contact_exchange.py
@@ -100,12 +100,15 @@
         return max(REPEAT_INTERVAL_S, count / REPEATS_PER_S)
 
     def _send(self) -> None:
-        for record in self._membership.members:
-            is_other = record.name != self._membership.own.name
-            if is_other and record.state is not MemberState.DEAD:
-                self._membership.send(
-                    record.name, FrameKind.SERVER_CONTACT, [not self._is_lost]
-                )
+        own_name = self._membership.own.name
+        others = [
+            record.name
+            for record in self._membership.members
+            if record.state is not MemberState.DEAD and record.name != own_name
+        ]
+        self._membership.send_to_all(
+            others, FrameKind.SERVER_CONTACT, [not self._is_lost]
+        )
         if self._is_lost:
             self._repeat_timer = self._reactor.callLater(
                 self._compute_interval_s(), self._send
--- a/packages/node/src/ebonyhaven_node/forwarding/_engine_use_exchange.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_engine_use_exchange.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 import structlog
-from ebonyhaven_decisions import MemberRecord, MemberState, check_number
+from ebonyhaven_decisions import MemberState, check_number
 from ebonyhaven_decisions.forwarding import (
     Backend,
     BudgetUse,
@@ -84,7 +84,7 @@
         self._on_peer_use = on_peer_use
         self._timer: Any = None
         self._has_sent_use = False
-        membership.observe(self._count_instances)
+        membership.observe_view(self._count_instances)
         channels.subscribe(FrameKind.ENGINE_USE, self._receive)
 
     def schedule_report(self) -> None:
@@ -109,7 +109,7 @@
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
-    def _count_instances(self, _: MemberRecord) -> None:
+    def _count_instances(self) -> None:
         """Update the number of instances that share the retry budget."""
         self._budget.instances = sum(
             record.state is not MemberState.DEAD for record in self._membership.members
@@ -134,11 +134,11 @@
             is_settled = self._budget.is_settled(now)
             payload = [uses, lost, self._budget.read_uses(now), is_settled]
             has_use = uses or lost or self._has_sent_use
-            for name in self._choose_receivers(peers):
-                selected = self._sections.select(sections, name)
+            receivers = self._choose_receivers(peers)
+            for selected, names in self._sections.group(sections, receivers):
                 message = [*payload, selected] if selected else payload
                 if has_use or selected:
-                    self._membership.send(name, FrameKind.ENGINE_USE, message)
+                    self._membership.send_to_all(names, FrameKind.ENGINE_USE, message)
         self._has_sent_use = bool(uses)
         if uses or sections or self._sections.keep_reporting:
             self._timer = self._reactor.callLater(USE_REFRESH_INTERVAL_S, self._send)
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -285,7 +285,7 @@
         self._version_recorder.start(group.is_version_recorder)
         self._stack.callback(self._version_recorder.stop)
         self.state.observe(self._version_recorder.handle_change)
-        self.membership.observe(lambda _: self._version_recorder.handle_change())
+        self.membership.observe_view(self._version_recorder.handle_change)
         self._stack.callback(self.source.stop)
 
     def watch_servers(self) -> None:
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_group.py
@@ -16,7 +16,8 @@
 from prometheus_client import CollectorRegistry
 from twisted.internet.interfaces import IReactorCore
 
-from ebonyhaven_node._channels import ChannelMetrics, Channels
+from ebonyhaven_node._channel_metrics import ChannelMetrics
+from ebonyhaven_node._channels import Channels
 from ebonyhaven_node._crash_exchange import CrashExchange
 from ebonyhaven_node._limit_exchange import LimitExchange
 from ebonyhaven_node._link_monitor import LinkMonitor
@@ -121,6 +122,7 @@
             reactor=reactor,
             rng=rng,
             registry=registry,
+            clock=clock,
         )
         self._stack.callback(membership.stop)
         membership.set_load_source(ProcessorLoad().read)
@@ -176,9 +178,7 @@
             channels=channels,
             reactor=reactor,
             clock=clock,
-            reaches_servers=(
-                lambda name: name not in self._contact_exchange.lost_names
-            ),
+            list_cut_off=lambda: self._contact_exchange.lost_names,
         )
         self._stack.callback(self._limit_exchange.stop)
         self._contact_exchange.observe(self._limit_exchange.update_instances)
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_sections.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_sections.py
@@ -96,21 +96,35 @@
         """Whether a section has reports go on."""
         return any(each.keeps_reporting for each in self._by_code.values())
 
-    def select(self, payloads: Mapping[str, object], name: str) -> dict[str, object]:
-        """Return the payloads that an instance gets.
+    def group(
+        self, payloads: Mapping[str, object], names: Iterable[str]
+    ) -> list[tuple[dict[str, object], list[str]]]:
+        """Return the payloads that instances get, each with those that get the same.
 
         Parameters
         ----------
         payloads : mapping of str to object
             By code.
-        name : str
+        names : iterable of str
+            Names of the instances.
         """
-        return {
-            code: each
-            for code, each in payloads.items()
-            if not self._by_code[code].is_private
-            or name in self._by_code[code].list_receivers()
+        private = {
+            code: frozenset(self._by_code[code].list_receivers())
+            for code in payloads
+            if self._by_code[code].is_private
         }
+        names_by_codes: dict[tuple[str, ...], list[str]] = {}
+        for name in names:
+            codes = tuple(
+                code
+                for code in payloads
+                if code not in private or name in private[code]
+            )
+            names_by_codes.setdefault(codes, []).append(name)
+        return [
+            ({code: payloads[code] for code in codes}, group)
+            for codes, group in names_by_codes.items()
+        ]
 
     def merge(self, sender: str, payloads: Mapping[str, object], now: float) -> None:
         """Merge the sections of a report; a malformed one doesn't stop the others.
--- a/packages/node/src/ebonyhaven_node/forwarding/_permit_exchange.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_permit_exchange.py
@@ -66,6 +66,7 @@
         self._on_granted = on_granted
         self._own_name = ""
         self._membership: MembershipController | None = None
+        self._has_new_deaths = False
         self._asked: dict[str, dict[str, float]] = {}  # by request: time by process
         self._due: dict[str, None] = {}  # processes with permits to return or grant
         self._refused: dict[str, None] = {}  # processes that refused a request
@@ -85,7 +86,8 @@
         self._membership = membership
         self._own_name = membership.own.name
         channels.subscribe(FrameKind.SERVER_PERMITS, self._receive)
-        membership.observe(self._handle_member)
+        membership.observe(self._note_death)
+        membership.observe_view(self._take_back_permits)
         self._backends.observe(self._handle_limits)
 
     def stop(self) -> None:
@@ -376,10 +378,14 @@
                     limiter.ledger.release(Permit(sender, request_id))
                 self._grant(backend, now)
 
-    def _handle_member(self, record: MemberRecord) -> None:
-        """Take back the permits of an instance that is dead."""
-        if record.state is not MemberState.DEAD:
+    def _note_death(self, record: MemberRecord) -> None:
+        self._has_new_deaths |= record.state is MemberState.DEAD
+
+    def _take_back_permits(self) -> None:
+        """Take back the permits of instances that are dead."""
+        if not self._has_new_deaths:
             return
+        self._has_new_deaths = False
         alive = {
             each.name
             for each in self._membership.members
--- a/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
@@ -107,7 +107,7 @@
         """
         self._membership = membership
         self._outbox = RecordOutbox(membership.send, self._reactor, self._clock)
-        membership.observe(lambda _: self._schedule_resend())
+        membership.observe_view(self._schedule_resend)
         channels.subscribe(FrameKind.STREAM, self._handle_stream)
         channels.subscribe(FrameKind.STREAM_QUESTION, self._handle_question)
         channels.subscribe(FrameKind.STREAM_ANSWER, self._handle_answer)
--- a/tests/forwarding/peers.py
+++ b/tests/forwarding/peers.py
@@ -38,6 +38,13 @@
     def observe(self, observer):
         self.observers.append(observer)
 
+    def observe_view(self, observer):
+        self.observers.append(lambda _: observer())
+
+    def send_to_all(self, names, kind, payload):
+        for name in names:
+            self.send(name, kind, payload)
+
     def send(self, name, kind, payload):
         self.sent.append((name, kind, payload))
         return True
--- a/tests/forwarding/test_peer_sections.py
+++ b/tests/forwarding/test_peer_sections.py
@@ -52,5 +52,7 @@
     sections = PeerSections([section, _Section("b", 2)])
     payloads = sections.collect(0.0)
 
-    assert sections.select(payloads, "n2") == {"a": 1, "b": 2}
-    assert sections.select(payloads, "n3") == {"b": 2}
+    assert sections.group(payloads, ["n2", "n3", "n4"]) == [
+        ({"a": 1, "b": 2}, ["n2"]),
+        ({"b": 2}, ["n3", "n4"]),
+    ]
--- a/tests/forwarding/test_permit_exchange.py
+++ b/tests/forwarding/test_permit_exchange.py
@@ -89,6 +89,9 @@
     def observe(self, observer):
         self.observers.append(observer)
 
+    def observe_view(self, observer):
+        self.observers.append(lambda _: observer())
+
     def subscribe(self, kind, handler):
         self.handlers[kind] = handler
 
--- a/tests/node/test_limit_exchange.py
+++ b/tests/node/test_limit_exchange.py
@@ -28,7 +28,7 @@
             channels=self.channels,
             reactor=self.clock,
             clock=self.clock.seconds,
-            reaches_servers=lambda name: name not in self.cut_off,
+            list_cut_off=lambda: self.cut_off,
         )
         self.cut_off = set()
         self.backend = self.state.backends.find("p-0")
