Timers of streams and connections serve again in place of being cancelled

Each event of a stream, each wait of a request and each head on a connection set a timer and cancelled it. A cancelled timer stays with the reactor, which wakes for it when it is due and does nothing.

--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -124,6 +124,7 @@
             for attempt in self._attempts:
                 attempt.cancel()
             self._responses.close()
+            self._inbox.close()
 
     async def _run_attempts(self) -> None:
         self._advance()
--- a/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
@@ -50,7 +50,8 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._arrived_at = 0.0
-        self._timer = None
+        self._timer: IDelayedCall | None = None
+        self._is_timed = False  # whether the connection closes when it is due
         self._next_read: IDelayedCall | None = None
         self._is_reading_head = False
         self._share = server.request_bytes.open_share()
@@ -70,7 +71,8 @@
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802 Twisted API
         """Notify the current exchange that its caller disconnected."""
         self._server.connections.discard(self)
-        self._clear_timer()
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
         if self._is_read_scheduled:
             self._next_read.cancel()
         self._share.close()
@@ -277,7 +279,7 @@
         self._body.append(data)
 
     def _dispatch(self) -> None:
-        self._clear_timer()
+        self._is_timed = False
         body = b"".join(self._body)
         self._body = []
         self._exchange = Exchange(self, self._head, body, self._arrived_at)
@@ -285,7 +287,7 @@
 
     def _reject(self, error: h11.RemoteProtocolError) -> None:
         """Respond to a malformed request with an error and close the connection."""
-        self._clear_timer()
+        self._is_timed = False
         self._body = []
         self._share.close()
         self._is_rejected = True
@@ -319,16 +321,21 @@
         )
 
     def _set_timer(self, delay_s: float) -> None:
-        self._clear_timer()
-        self._timer = self._server.reactor.callLater(delay_s, self._close_on_timeout)
+        """Have the connection closed after a delay, with the timer that runs if any.
 
-    def _clear_timer(self) -> None:
+        A cancelled timer would still wake the reactor when it is due.
+        """
+        self._is_timed = True
         if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-        self._timer = None
+            self._timer.reset(delay_s)
+        else:
+            self._timer = self._server.reactor.callLater(
+                delay_s, self._close_on_timeout
+            )
 
     def _close_on_timeout(self) -> None:
-        self.transport.loseConnection()
+        if self._is_timed:
+            self.transport.loseConnection()
 
 
 _REASON_PHRASES = {
--- a/packages/node/src/ebonyhaven_node/forwarding/_inbox.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_inbox.py
@@ -12,18 +12,22 @@
 class Inbox:
     """Unbounded message queue with a single consumer.
 
+    The timer of one wait serves the next one: a cancelled timer would still wake the
+    reactor when it is due.
+
     Parameters
     ----------
     reactor : IReactorTime
     """
 
-    __slots__ = ("_messages", "_reactor", "_timer", "_waiting")
+    __slots__ = ("_expiry", "_messages", "_reactor", "_timer", "_waiting")
 
     def __init__(self, reactor: IReactorTime):
         self._reactor = reactor
         self._messages: deque[Any] = deque()
         self._waiting: Deferred | None = None
-        self._timer: IDelayedCall | None = None  # of the consumer that waits
+        self._timer: IDelayedCall | None = None
+        self._expiry: IDelayedCall | None = None  # of the consumer that waits
 
     def put(self, message: Any) -> None:
         """Add a message; a waiting consumer is resumed synchronously.
@@ -61,7 +65,7 @@
         if timeout_s <= 0.0:
             return None
         waiting = self._waiting = Deferred()
-        self._timer = self._reactor.callLater(timeout_s, self._read_before_expiry)
+        self._start_timer(timeout_s)
         try:
             return await waiting
         except CancelledError:
@@ -69,11 +73,23 @@
                 self._waiting = None
             raise
         finally:
-            if self._timer.active():
-                self._timer.cancel()
+            if self._expiry is not None and self._expiry.active():
+                self._expiry.cancel()
+
+    def close(self) -> None:
+        """Cancel the timer; nothing is got any more."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def _start_timer(self, timeout_s: float) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.reset(timeout_s)
+        else:
+            self._timer = self._reactor.callLater(timeout_s, self._read_before_expiry)
 
     def _read_before_expiry(self) -> None:
-        self._timer = self._reactor.callLater(0.0, self._expire)
+        if self._waiting is not None:
+            self._expiry = self._reactor.callLater(0.0, self._expire)
 
     def _expire(self) -> None:
         waiting, self._waiting = self._waiting, None
--- a/packages/node/src/ebonyhaven_node/forwarding/_peer_relay.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_peer_relay.py
@@ -181,6 +181,7 @@
             return await self._relay_response(peer, inbox)
         finally:
             opening.close()
+            inbox.close()
 
     def _encode(self) -> HttpRequest:
         head = self._exchange.head
--- a/packages/node/src/ebonyhaven_node/forwarding/_streams.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_streams.py
@@ -182,6 +182,7 @@
             await self._try_targets()
         finally:
             self._context.permits.withdraw(self._request.request_id)
+            self._inbox.close()
 
     async def _try_targets(self) -> None:
         while not self._exchange.is_done:
