Crash history: traits without losses cost one look-up; versions: one look at the recorder

Each message of a request that waits asked for the losses of each of its traits, mostly none, by building a list; a trait with fewer losses than block it was judged in full. Each change of a server or member had every instance collect the versions of all servers to see whether there is something to write, which one of them does.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_crash_history.py
@@ -325,9 +325,12 @@
 
     def _list_crashes(self, trait: str, now: float, latest: float) -> list[str]:
         """Return the processes whose loss until `latest` counts against a trait."""
+        processes = self._processes_by_trait.get(trait)
+        if not processes:
+            return []
         earliest = max(now - EVIDENCE_TTL_S, self._survivals.get(trait))
         crashes: dict[str, Loss] = {}
-        for process in self._processes_by_trait.get(trait, ()):
+        for process in processes:
             loss = self._losses[process]
             if not earliest < loss.lost_at <= latest:
                 continue
@@ -337,6 +340,8 @@
         return list(crashes)
 
     def _is_blocked(self, trait: str, own: frozenset[str], now: float) -> bool:
+        if len(self._processes_by_trait.get(trait, ())) < self._max_crashes:
+            return False
         crashes = self._list_crashes(trait, now, now - SETTLE_S)
         if len(crashes) < self._max_crashes:
             return False
--- a/packages/node/src/ebonyhaven_node/forwarding/_shared_records.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shared_records.py
@@ -92,7 +92,7 @@
             self._write_timer = self._reactor.callLater(delay_s, self._start_write)
 
     def _start_write(self) -> None:
-        if self.is_due() and self._is_recorder():
+        if self._is_recorder() and self.is_due():
             writing = ensureDeferred(self.write())
             writing.addErrback(self._handle_write_failure)
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_version_records.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_version_records.py
@@ -48,7 +48,7 @@
 
     def handle_change(self) -> None:
         """Write the versions soon if they have changed since the last write."""
-        if self.is_due():
+        if self.has_read:
             self.schedule_write()
 
     def is_due(self) -> bool:
