--- a/tests/forwarding/group_replay.py
+++ b/tests/forwarding/group_replay.py
@@ -17,6 +17,7 @@
     StreamRetention,
 )
 from ebonyhaven_node._frames import decode_frame, encode_frame
+from ebonyhaven_node._link_monitor import LinkMonitor
 from ebonyhaven_node.forwarding import _peer_group
 from ebonyhaven_node.forwarding._peer_group import PEER_USE_TTL_S, PeerGroup
 from ebonyhaven_node.forwarding._permit_exchange import PermitExchange
@@ -109,6 +110,7 @@
     def __init__(self, replay, number, seeds):
         self.name = f"n{number}"
         clock = replay.clock
+        registry = CollectorRegistry()
         self.state = ForwardingState(clock.seconds)
         self.history = CrashHistory()
         self.group = PeerGroup(
@@ -127,7 +129,8 @@
             reactor=clock,
             rng=random.Random(number),
             clock=clock.seconds,
-            registry=CollectorRegistry(),
+            registry=registry,
+            link=LinkMonitor(bytes_per_s=None, registry=registry, clock=clock.seconds),
             state=self.state,
             source=StaticStateSource(),
             peer_use=PeerEngineUse(PEER_USE_TTL_S),
