A stopped process ends at once, without the end of its interpreter

Cause: after its last connection is closed the process closes its channels and then ends the interpreter, which takes 0.12 to 0.16 s of processor time by itself (5 runs that only import the program).

The test runs the program with an interpreter whose end takes ten minutes; it failed before (no end within 60 s).

--- a/tests/platform_adapter/node_processes.py
+++ b/tests/platform_adapter/node_processes.py
@@ -14,7 +14,9 @@
 from ebonyhaven_standins.cluster import allocate_address
 from ebonyhaven_standins.log_lines import read_whole_lines
 
-from tests.waiting import wait_until
+from tests.waiting import TIMEOUT_S, wait_until
+
+LINGERING_S = 10 * TIMEOUT_S
 
 
 class NodeProcess:
@@ -86,6 +88,23 @@
         self._log.close()
 
 
+class LingeringNodeProcess(NodeProcess):
+    """Process whose interpreter takes longer to end than any test waits."""
+
+    def _start(self) -> subprocess.Popen:
+        script = (
+            "import atexit, runpy, time\n"
+            f"atexit.register(time.sleep, {LINGERING_S})\n"
+            "runpy.run_module('ebonyhaven_adapter', run_name='__main__')\n"
+        )
+        return subprocess.Popen(
+            [sys.executable, "-c", script],
+            env={**os.environ, "EBONYHAVEN_NODE_FILE": str(self.settings_path)},
+            stdout=self._log,
+            stderr=subprocess.STDOUT,
+        )
+
+
 class StartingNodeProcess(NodeProcess):
     """Process that reads its settings from a pipe, and waits for them."""
 
--- a/tests/platform_adapter/test_program.py
+++ b/tests/platform_adapter/test_program.py
@@ -7,7 +7,10 @@
 import signal
 import time
 
-from tests.platform_adapter.node_processes import StartingNodeProcess
+from tests.platform_adapter.node_processes import (
+    LingeringNodeProcess,
+    StartingNodeProcess,
+)
 from tests.platform_adapter.odd_documents import ODD_BYTES, list_odd_entries
 from tests.platform_adapter.program_harness import (
     TIMEOUT_S,
@@ -209,6 +212,20 @@
         assert harness.node.process.wait(TIMEOUT_S) == 0
 
 
+def test_process_ends_without_waiting_for_the_end_of_its_interpreter():
+    # Guards against processes that are killed at the end of the grace period, because
+    # the end of the interpreter takes a slow machine as long as is left of it.
+    with contextlib.ExitStack() as stack:
+        store = listen(StoreStandIn())
+        stack.callback(store.stop)
+        node = LingeringNodeProcess(store.address)
+        stack.callback(node.stop)
+        node.wait_for_line("instance_registered")
+        node.terminate()
+        assert node.process.wait(TIMEOUT_S) == 0
+        assert node.find_lines("instance_stopped")
+
+
 def test_settings_are_reloaded_on_change_and_on_sighup():
     with start_harness() as harness:
         node = harness.node
