--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_budget.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_budget.py
@@ -101,6 +101,9 @@
     started_at : float
         Start of this instance, seconds. Its share of the slack grows over the first
         window, because its predecessor may have used it.
+    rounding : float
+        Random, 0 to 1. A young instance has one retry more with the probability of the
+        fraction of its share, as the shares of many are below one retry each.
 
     Attributes
     ----------
@@ -113,6 +116,7 @@
         "_counts",
         "_peers",
         "_ratio",
+        "_rounding",
         "_slack",
         "_started_at",
         "_window_s",
@@ -126,11 +130,13 @@
         window_s: float,
         slack: float,
         started_at: float = -math.inf,
+        rounding: float = 0.0,
     ):
         self._ratio = ratio
         self._window_s = window_s
         self._slack = slack
         self._started_at = started_at
+        self._rounding = rounding
         self._counts: dict[str, deque[_Bucket]] = {}
         self._began_at: dict[str, float] = {}  # first request or retry, by service
         self._peers: dict[str, _PeerReport] = {}
@@ -241,7 +247,9 @@
         slack *= min(1.0, (now - self._started_at) / self._window_s)
         requests = min(use.requests, self._average_requests(service, now))
         allowed = self._ratio * requests + slack
-        return use.retries + 1 <= self._compute_usable_share(now) * allowed
+        share = self._compute_usable_share(now) * allowed
+        rounding = 0.0 if self.is_settled(now) else self._rounding
+        return use.retries + 1 <= share + rounding
 
     def _compute_usable_share(self, now: float) -> float:
         """Return the share of its allowance that this instance may use.
--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -217,6 +217,7 @@
             window_s=settings.retry_budget_window_s,
             slack=settings.retry_budget_slack,
             started_at=clock(),
+            rounding=random.Random(f"{settings.instance} {clock()}").random(),
         )
         self._stream_index = SharedStreamIndex(
             reactor,
--- a/tests/decisions/test_retry_budgets.py
+++ b/tests/decisions/test_retry_budgets.py
@@ -11,7 +11,11 @@
 import random
 
 from ebonyhaven_decisions.forwarding import ServiceRetryBudget
-from ebonyhaven_decisions.forwarding._budget import USABLE_ALLOWANCE_SHARE
+from ebonyhaven_decisions.forwarding._budget import (
+    RESTART_ALLOWANCE_SHARE,
+    USABLE_ALLOWANCE_SHARE,
+)
+from nose2.tools import params
 
 SERVICE = "engines"
 RATIO = 0.8
@@ -19,6 +23,7 @@
 WINDOW_S = 10.0
 INSTANCES = 195
 REQUESTS_PER_S = 47.0
+FEW_REQUESTS_PER_S = 10.0
 STREAM_S = 6.0
 STEP_S = 0.1
 REPORT_STEPS = 10
@@ -28,11 +33,15 @@
 class Fleet:
     """Instances that share a retry budget, and the streams that they relay."""
 
-    def __init__(self, count, *, seed, is_reporting=True):
+    def __init__(
+        self, count, *, seed, is_reporting=True, requests_per_s=REQUESTS_PER_S
+    ):
         self.rng = random.Random(seed)
+        self.rounding_rng = random.Random(seed)
+        self.requests_per_s = requests_per_s
         self.budgets = []
         for _ in range(count):
-            budget = ServiceRetryBudget(ratio=RATIO, window_s=WINDOW_S, slack=SLACK)
+            budget = self._build_budget()
             budget.instances = count
             self.budgets.append(budget)
         self.is_reporting = is_reporting
@@ -79,13 +88,20 @@
         """Replace the processes of instances; their callers send streams again."""
         for number in numbers:
             count = len(self.budgets)
-            self.budgets[number] = ServiceRetryBudget(
-                ratio=RATIO, window_s=WINDOW_S, slack=SLACK, started_at=now
-            )
+            self.budgets[number] = self._build_budget(started_at=now)
             self.budgets[number].instances = count
 
+    def _build_budget(self, **options):
+        return ServiceRetryBudget(
+            ratio=RATIO,
+            window_s=WINDOW_S,
+            slack=SLACK,
+            rounding=self.rounding_rng.random(),
+            **options,
+        )
+
     def _start(self, now):
-        count = int(REQUESTS_PER_S * STEP_S + self.rng.random())
+        count = int(self.requests_per_s * STEP_S + self.rng.random())
         for _ in range(count):
             instance = self.rng.randrange(len(self.budgets))
             self.budgets[instance].record_request(SERVICE, now)
@@ -190,6 +206,41 @@
         assert fleet.find_worst_use() < 1.0, restarts
 
 
+def use_of_first_window(count, requests_per_s):
+    """Return the share of the budget that instances use which all start together."""
+    fleet = Fleet(count, seed=1, requests_per_s=requests_per_s)
+    fleet.restart(range(count), 0.0)
+    fleet.run(11.0, lost_share=0.9, loss_interval_s=0.2, losing_at=1.0)
+    requests = sum(at < WINDOW_S for at in fleet.requests_at)
+    retries = sum(at < WINDOW_S for at in fleet.retries_at)
+    return retries / (RATIO * requests + SLACK)
+
+
+@params(
+    *((count, REQUESTS_PER_S) for count in (28, 91, INSTANCES)),
+    *((count, FEW_REQUESTS_PER_S) for count in (28, 91, INSTANCES)),
+)
+def test_streams_at_instances_that_were_restarted_together_do_not_all_wait(
+    count, requests_per_s
+):
+    # Guards against streams that are taken up and get no second attempt for a window,
+    # as the share of each of many young instances is less than one retry.
+    use = use_of_first_window(count, requests_per_s)
+    assert use > 0.6 * RESTART_ALLOWANCE_SHARE
+    assert use < 1.2 * RESTART_ALLOWANCE_SHARE
+
+
+@params(
+    *((count, FEW_REQUESTS_PER_S) for count in (9, 28, 91, INSTANCES)),
+    *((count, REQUESTS_PER_S) for count in (9, 28)),
+)
+def test_budget_of_all_holds_after_a_restart_of_all(count, requests_per_s):
+    fleet = Fleet(count, seed=1, requests_per_s=requests_per_s)
+    losses = {"lost_share": 0.9, "loss_interval_s": 2.0}
+    fleet.run(30.0, **losses, losing_at=5.0, restarts={15.0: range(count)})
+    assert fleet.find_worst_use() < 1.0
+
+
 def test_single_restart_leaves_an_instance_its_share_of_the_budget():
     fleet = Fleet(9, seed=1)
     fleet.run(20.0, lost_share=0.05, loss_interval_s=0.5, restarts={10.0: [3]})
