Records of streams that come once more or late replace no newer ones

What it costs: a stream that is taken up from an older place of its copy is refused there and needs a retry, for which many instances have none for seconds.

Two ways: after a change of the instances each publisher of the last five seconds sends its record again to replicas that became the writer of it, also if the stream went on elsewhere meanwhile; and an answer of a replica that comes after its time, as over a full link, replaced what the asking instance had published since.

A record that is sent once more now tells its age, behind all that the release before reads, and a replica keeps what is newer. Of a sender that speaks this release the same record in a message of the release before is left out, as it tells no age. Answers add what is not known only.

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_index.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_stream_index.py
@@ -68,8 +68,10 @@
     def __len__(self) -> int:
         return len(self._entries)
 
-    def record(self, content: str, record: StreamRecord, now: float) -> StreamRecord:
-        """Replace the entry of a stream.
+    def record(
+        self, content: str, record: StreamRecord, now: float, *, age_s: float = 0.0
+    ) -> StreamRecord:
+        """Replace the entry of a stream, unless it is newer than the record.
 
         Parameters
         ----------
@@ -78,16 +80,23 @@
         record : StreamRecord
         now : float
             Seconds.
+        age_s : float
+            Time since the record was published, seconds.
 
         Returns
         -------
         StreamRecord
-            With the service that was known before, if the record has none.
+            What the index has now, with the service that was known before if the record
+            has none.
         """
         key = record.make_key(content)
-        known = self._remove(key)
+        known = self._entries.get(key)
+        set_at = now - age_s
+        if known is not None and known.set_at > set_at:
+            return known.record
+        self._remove(key)
         record = record.complete(known.record if known else None)
-        self._add(key, _Entry(record, now))
+        self._add(key, _Entry(record, set_at))
         self._evict(now)
         return record
 
@@ -132,6 +141,22 @@
     ) -> tuple[StreamRecord, ...]:
         """Return the records of the streams that a caller may mean, the newest last.
 
+        Parameters
+        ----------
+        content : str
+            See `StreamKey`.
+        request_id : str or None
+            None if the caller names no stream; all of the content may be meant.
+        now : float
+            Seconds.
+        """
+        return tuple(record for record, _ in self.find_aged(content, request_id, now))
+
+    def find_aged(
+        self, content: str, request_id: str | None, now: float
+    ) -> list[tuple[StreamRecord, float]]:
+        """Return the same records as `find` with their ages, seconds.
+
         Parameters
         ----------
         content : str
@@ -146,11 +171,11 @@
             names = list(self._request_ids.get(content, ()))
         retention_s = self._retention.get_s(now)
         entries = [self._entries.get(StreamKey(content, name)) for name in names]
-        return tuple(
-            entry.record
+        return [
+            (entry.record, now - entry.set_at)
             for entry in entries
             if entry is not None and now - entry.set_at <= retention_s
-        )
+        ]
 
     def list_unstored(self, now: float) -> dict[StreamKey, StreamRecord]:
         """Return the entries that are not from the store, the oldest first.
--- a/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shared_stream_index.py
@@ -216,10 +216,15 @@
     # -- publishing --------------------------------------------------------
 
     def _send(
-        self, content: str, record: StreamRecord, receivers: set[RecordReceiver]
+        self,
+        content: str,
+        record: StreamRecord,
+        receivers: set[RecordReceiver],
+        *,
+        age_s: float = 0.0,
     ) -> None:
         """Send a record to those of its replicas that were not sent it."""
-        payload = encode_stream(StreamTold(content, record))
+        payload = encode_stream(StreamTold(content, record, age_s))
         old_payload = [content, encode_stream_record(record)]
         recorders = self._choose_recorders(content)
         for name, incarnation in self._choose_replicas(content).items():
@@ -241,9 +246,9 @@
         now = self._clock()
         self._forget_published(now)
         for key, published in self._published.items():
-            for record in self._index.find(*key, now):
+            for record, age_s in self._index.find_aged(*key, now):
                 self._store_if_recorder(key.content, record)
-                self._send(key.content, record, published.receivers)
+                self._send(key.content, record, published.receivers, age_s=age_s)
 
     def _forget_published(self, now: float) -> None:
         while self._published:
@@ -288,10 +293,18 @@
     def _choose_recorders(self, content: str) -> set[str | None]:
         return {choose_recorder(content, view) for view in self._list_views()}
 
-    def _record(self, content: str, record: StreamRecord) -> None:
-        record = self._index.record(content, record, self._clock())
+    def _record(self, content: str, record: StreamRecord, age_s: float = 0.0) -> None:
+        record = self._index.record(content, record, self._clock(), age_s=age_s)
         self._store_if_recorder(content, record)
 
+    def _record_answer(self, content: str, record: StreamRecord) -> None:
+        """Record what a replica has, unless the stream has become known meanwhile.
+
+        An answer may come late, when the stream goes on at this instance already.
+        """
+        if not self._index.find(*record.make_key(content), self._clock()):
+            self._record(content, record)
+
     def _store_if_recorder(self, content: str, record: StreamRecord) -> None:
         if self._membership is None:
             return
@@ -306,7 +319,7 @@
             self._log_malformed(frame, error)
             return
         self._current_peers[frame.sender] = frame.incarnation
-        self._record(told.content, told.record)
+        self._record(told.content, told.record, told.age_s)
         self._end_queries(told.content)
 
     def _handle_old_stream(self, frame: Frame) -> None:
@@ -316,7 +329,10 @@
         except (TypeError, ValueError) as error:
             self._log_malformed(frame, error)
             return
-        self._record(told.content, told.record)
+        if frame.kind is FrameKind.STREAM_RECORD_ANSWER:
+            self._record_answer(told.content, told.record)
+        elif not self._is_current(frame.sender, frame.incarnation):
+            self._record(told.content, told.record)  # others tell it with its age
         self._end_queries(told.content)
 
     def _handle_question(self, frame: Frame) -> None:
@@ -338,7 +354,7 @@
             return
         self._current_peers[frame.sender] = frame.incarnation
         for record in records:
-            self._record(question.content, record)
+            self._record_answer(question.content, record)
         for query in self._queries:
             if query.question == question:
                 query.unanswered.discard(frame.sender)
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_messages.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_messages.py
@@ -26,10 +26,13 @@
     content : str
         See `StreamKey`.
     record : StreamRecord
+    age_s : float
+        Time since the record was published, if it is sent once more, seconds.
     """
 
     content: str
     record: StreamRecord
+    age_s: float = 0.0
 
 
 class StreamQuestion(NamedTuple):
@@ -68,7 +71,11 @@
     ----------
     told : StreamTold
     """
-    return [told.content, *_encode_record(told.record)]
+    fields = _encode_record(told.record)
+    if told.age_s:
+        missing = [0] * (1 + RECORD_FIELDS - len(fields))
+        fields = [*fields, *missing, round(told.age_s, 3)]
+    return [told.content, *fields]
 
 
 def decode_stream(payload: Any) -> StreamTold:
@@ -84,7 +91,11 @@
         If the value is malformed.
     """
     content, *fields = _check_list(payload)
-    return StreamTold(str(content), _decode_record(fields))
+    ages = fields[1 + RECORD_FIELDS :]  # the release before sends none
+    age_s = float(ages[0]) if ages else 0.0
+    if not age_s >= 0.0:
+        raise ValueError("age must not be negative")
+    return StreamTold(str(content), _decode_record(fields), age_s)
 
 
 def decode_old_stream(payload: Any) -> StreamTold:
--- a/tests/forwarding/test_lost_replicas.py
+++ b/tests/forwarding/test_lost_replicas.py
@@ -11,6 +11,7 @@
     choose_index_instances,
     choose_recorder,
 )
+from ebonyhaven_node import FrameKind
 from ebonyhaven_node.forwarding._shared_stream_index import (
     QUERY_TIMEOUT_S,
     SharedStreamIndex,
@@ -137,6 +138,60 @@
     assert {StreamKey(CONTENT, "r1"): RECORD} in written
 
 
+LATER_RECORD = RECORD._replace(copy=RunCopyLocation("e-2", "10.0.0.2:9001", "h-2"))
+
+
+def test_record_that_is_sent_once_more_replaces_no_newer_place_of_the_copy():
+    # Guards against streams that are taken up from an older place of their copy, whose
+    # holder refuses them, after the instance has changed that writes their records.
+    group = Group()
+    later, *others, earlier = PUBLISHER, *REMAINING  # in the order in which they send
+    group.indexes[earlier].publish(CONTENT, RECORD)
+    group.clock.advance(NOTICE_S)
+    group.indexes[later].publish(CONTENT, LATER_RECORD)
+    recorder = choose_recorder(CONTENT, NAMES)
+    group.lose(recorder)
+    group.suspect(recorder)
+    group.clock.advance(SETTLE_S)
+    group.lose(earlier, later)
+    found = [group.look_up(each) for each in others]
+    assert found == [[LATER_RECORD]] * len(found)
+
+
+def test_record_that_is_sent_once_more_brings_the_newest_place_of_the_copy():
+    group = Group()
+    group.indexes[PUBLISHER].publish(CONTENT, RECORD)
+    group.clock.advance(NOTICE_S)
+    group.indexes[PUBLISHER].publish(CONTENT, LATER_RECORD)
+    group.clock.advance(SETTLE_S)
+    group.lose(*REPLICAS)
+    for name in REPLICAS:
+        group.start(name)
+    group.change(*REPLICAS, incarnation=2)
+    group.clock.advance(SETTLE_S)
+    group.lose(PUBLISHER)
+    found = [group.look_up(each) for each in REMAINING]
+    assert found == [[LATER_RECORD]] * len(found)
+
+
+def test_answer_that_comes_late_replaces_no_newer_place_of_the_copy():
+    group = Group()
+    taken_up_at, other = REMAINING[:2]
+    for name in REPLICAS:
+        group.indexes[name]._index.record(CONTENT, RECORD, group.clock.seconds())
+    late = []
+    channel = group.network.channels[taken_up_at]
+    handle_answer = channel.handlers[FrameKind.STREAM_ANSWER]
+    channel.handlers[FrameKind.STREAM_ANSWER] = late.append
+    group.look_up(taken_up_at)
+    group.indexes[taken_up_at].publish(CONTENT, LATER_RECORD)
+    for frame in late:
+        handle_answer(frame)
+    assert late
+    assert group.look_up(taken_up_at) == [LATER_RECORD]
+    assert group.look_up(other) == [LATER_RECORD]
+
+
 def test_a_replica_that_restarts_is_sent_what_was_just_published():
     group = Group()
     group.lose(*REPLICAS)
--- a/tests/forwarding/test_shared_stream_index.py
+++ b/tests/forwarding/test_shared_stream_index.py
@@ -15,7 +15,11 @@
     QUERY_TIMEOUT_S,
     SharedStreamIndex,
 )
-from ebonyhaven_node.forwarding._stream_messages import StreamTold, encode_stream
+from ebonyhaven_node.forwarding._stream_messages import (
+    StreamTold,
+    decode_stream,
+    encode_stream,
+)
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock
 
@@ -104,6 +108,16 @@
     assert 3.9 * INDEX_REPLICAS * len(encode_frame(frame)) <= 2000 * 2 / 3
 
 
+def test_record_that_is_sent_once_more_tells_its_age():
+    # Behind all that an instance of the release before reads.
+    for record in (RECORD, SERVED_RECORD, RECORD._replace(copy=None)):
+        for age_s in (0.0, 2.5):
+            told = StreamTold("abc", record, age_s)
+            encoded = encode_stream(told)
+            assert decode_stream(encoded) == told
+            assert decode_stream(encoded[:7])[:2] == told[:2]
+
+
 def test_unanswered_lookup_times_out():
     indexes, network, clock = build_indexes("n1", *OTHERS)
     network.channels.clear()
@@ -143,6 +157,7 @@
     indexes, network, _ = build_indexes("n1", "n2")
     handle_record = network.channels["n2"].handlers[FrameKind.STREAM_RECORD]
     odd = ("nonsense", ["abc"], ["abc", ["v1"]], ["abc", None], 7, [], ["abc", 0, 0, 0])
+    odd += tuple(["abc", 0, "v1", "r1", 0, 0, 0, age] for age in ("x", [], -1))
     for payload in odd:
         handle_record(Frame(FrameKind.STREAM_RECORD, "n1", 1, payload))
         for kind in (FrameKind.STREAM, FrameKind.STREAM_ANSWER):
