Idle connections stay open as long as the configuration in force allows

What callers saw: after a configuration with a longer idle time, connections that were idle already were closed by the time before, though callers may use them again within four fifths of the new one; a request that crosses the close gets no answer.

Cause: the limit was read when the wait began. It is now read again when it ends.

The test failed before (closed after 2 s, 10 allowed).

--- a/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
@@ -65,7 +65,7 @@
         self.transport.setTcpNoDelay(True)
         self.transport.setTcpKeepAlive(True)
         self._server.connections.add(self)
-        self._set_timer(self._server.limits().idle_timeout_s)
+        self._set_timer(self._read_idle_timeout_s)
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802 Twisted API
         """Notify the current exchange that its caller disconnected."""
@@ -90,7 +90,7 @@
         if self._exchange is None and not self._is_read_scheduled:
             if self._head is None and not self._is_reading_head:
                 self._is_reading_head = True
-                self._set_timer(self._server.limits().header_timeout_s)
+                self._set_timer(self._read_header_timeout_s)
             self._read_request()
         elif len(self._codec.trailing_data[0]) > MAX_PIPELINED_BYTES:
             self.transport.abortConnection()
@@ -158,7 +158,7 @@
             self.transport.loseConnection()
             return
         self._codec.start_next_cycle()
-        self._set_timer(self._server.limits().idle_timeout_s)
+        self._set_timer(self._read_idle_timeout_s)
         if self._has_request_ahead():
             self._next_read = self._server.reactor.callLater(0.0, self._read_request)
         elif self._is_closing:
@@ -259,7 +259,7 @@
         self._is_reading_head = False
         self._arrived_at = self._server.clock()
         self._body, self._body_bytes = [], 0
-        self._set_timer(self._server.limits().idle_timeout_s)
+        self._set_timer(self._read_idle_timeout_s)
         names = [name for name, _ in headers]
         if b"transfer-encoding" in names and b"content-length" in names:
             raise h11.RemoteProtocolError(
@@ -318,9 +318,28 @@
             REJECT_ABORT_DELAY_S, self.transport.abortConnection
         )
 
-    def _set_timer(self, delay_s: float) -> None:
+    def _read_idle_timeout_s(self) -> float:
+        return self._server.limits().idle_timeout_s
+
+    def _read_header_timeout_s(self) -> float:
+        return self._server.limits().header_timeout_s
+
+    def _set_timer(self, read_limit_s: Callable[[], float]) -> None:
+        """Close the connection once a limit has passed that may change meanwhile."""
         self._clear_timer()
-        self._timer = self._server.reactor.callLater(delay_s, self._close_on_timeout)
+        since = self._server.clock()
+        self._timer = self._server.reactor.callLater(
+            read_limit_s(), self._check_timeout, read_limit_s, since
+        )
+
+    def _check_timeout(self, read_limit_s: Callable[[], float], since: float) -> None:
+        remaining_s = since + read_limit_s() - self._server.clock()
+        if remaining_s > 0.0:
+            self._timer = self._server.reactor.callLater(
+                remaining_s, self._check_timeout, read_limit_s, since
+            )
+        else:
+            self._close_on_timeout()
 
     def _clear_timer(self) -> None:
         if self._timer is not None and self._timer.active():
--- a/tests/forwarding/test_caller_limits.py
+++ b/tests/forwarding/test_caller_limits.py
@@ -6,6 +6,7 @@
 
 from tests.forwarding.harness import (
     ForwardingHarness,
+    answer,
     encode_request,
     make_configuration,
 )
@@ -21,6 +22,12 @@
     harness.state.apply_configuration(configuration)
 
 
+def set_idle_timeout(harness, version, timeout_s):
+    limits = DEFAULT._replace(idle_timeout_s=timeout_s)
+    configuration = make_configuration(version)._replace(limits=limits)
+    harness.state.apply_configuration(configuration)
+
+
 def send_long_head(caller):
     """Send a head beyond the default limit, whose end comes by itself."""
     request = encode_request("/once/x", X_Long=LONG_VALUE)
@@ -55,3 +62,24 @@
     set_header_limit(harness, 3, DEFAULT.max_header_bytes)
     send_long_head(caller)
     assert caller.read_answer()[0] == 431
+
+
+def test_open_connection_stays_as_long_as_a_newer_configuration_allows():
+    # Guards against closing connections that callers use again, by a limit in force
+    # when they became idle.
+    harness = ForwardingHarness()
+    set_idle_timeout(harness, 2, 2.0)
+    caller = harness.open_caller()
+    harness.advance(1.0)
+    set_idle_timeout(harness, 3, 10.0)
+    harness.advance(7.0)  # callers use connections within four fifths of the limit
+    assert not caller.transport.disconnecting
+    caller.request("/once/x")
+    assert harness.count_waiting() == 1
+    server, _, _ = harness.take_request()
+    server.receive(answer("r1"))
+    harness.advance(9.5)
+    assert not caller.transport.disconnecting
+    set_idle_timeout(harness, 4, 1.0)
+    harness.advance(1.0)
+    assert caller.transport.disconnecting
