Read what came on an idle connection before it closes for its idle time

What callers saw: a request sent within the idle time to an instance that had no processor time just then was reset instead of answered: as the process went on, the timer ran before the socket was read. Found by reading; the same order was mended before for probes and for waits (test_standstill). No log shows such a request.

The connection now closes one turn of the reactor after its time, so that what has arrived is read first. Both new tests failed before (closed in the turn of the timer).

--- a/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
@@ -338,8 +338,8 @@
             self._timer = self._server.reactor.callLater(
                 remaining_s, self._check_timeout, read_limit_s, since
             )
-        else:
-            self._close_on_timeout()
+        else:  # the process may have stood still, with a request yet to be read
+            self._timer = self._server.reactor.callLater(0.0, self._close_on_timeout)
 
     def _clear_timer(self) -> None:
         if self._timer is not None and self._timer.active():
--- a/tests/forwarding/test_standstill.py
+++ b/tests/forwarding/test_standstill.py
@@ -4,13 +4,16 @@
 
 import time
 
-from ebonyhaven_node.forwarding import ConnectionPool
+from ebonyhaven_decisions.forwarding import RequestLimits
+from ebonyhaven_node.forwarding import CallerServer, ConnectionPool
 from ebonyhaven_node.forwarding._inbox import Inbox
 from ebonyhaven_standins.cluster import allocate_address
+from ebonyhaven_standins.memory_connections import MemoryTransport
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.protocol import Factory, Protocol
 
+from tests.forwarding.harness import encode_request
 from tests.forwarding.turns import TurnReactor
 from tests.reactor_thread import run_in_reactor
 
@@ -69,3 +72,30 @@
     turns.run_turn()
     assert getting.called
     assert getting.result is None
+
+
+def open_idle_connection(turns, exchanges):
+    server = CallerServer(reactor=turns, handle=exchanges.append, clock=turns.seconds)
+    connection = server.buildProtocol(None)
+    connection.makeConnection(MemoryTransport())
+    return connection
+
+
+def test_request_that_came_during_a_standstill_is_read_before_its_connection_closes():
+    # Guards against idle connections that are closed with a request in them.
+    turns, exchanges = TurnReactor(), []
+    connection = open_idle_connection(turns, exchanges)
+    turns.advance(RequestLimits().idle_timeout_s + STANDSTILL_S)
+    connection.dataReceived(encode_request("/once/x"))
+    turns.run_turn()
+    assert len(exchanges) == 1
+    assert not connection.transport.disconnecting
+
+
+def test_connection_that_stays_idle_closes_in_the_next_turn():
+    turns, exchanges = TurnReactor(), []
+    connection = open_idle_connection(turns, exchanges)
+    turns.advance(RequestLimits().idle_timeout_s)
+    assert not connection.transport.disconnecting
+    turns.run_turn()
+    assert connection.transport.disconnecting
