--- a/packages/operator/src/ebonyhaven_operator/commands.py
+++ b/packages/operator/src/ebonyhaven_operator/commands.py
@@ -33,6 +33,7 @@
     ConfigurationChange,
     apply_change,
 )
+from ebonyhaven_operator._incomplete_answers import group_incomplete_answers
 from ebonyhaven_operator._reading import (
     StatusReport,
     find_current_entry,
@@ -224,15 +225,7 @@
     logs: Annotated[list[pathlib.Path], typer.Argument(help="Log files of instances.")],
 ) -> None:
     """Print the log lines relevant to one request in time order."""
-    lines: list[LogLine] = []
-    for path in logs:
-        try:
-            with path.open(errors="replace") as file:
-                lines += parse_log_lines(path.stem, file)
-        except OSError as error:
-            print(f"{path}: {error.strerror}", file=sys.stderr)
-            raise typer.Exit(EXIT_INVALID) from error
-    timeline = build_request_timeline(request_id, lines)
+    timeline = build_request_timeline(request_id, _read_logs(logs))
     if not timeline:
         print(f"no log line of request {request_id} found", file=sys.stderr)
         raise typer.Exit(EXIT_DIFFERENT)
@@ -240,6 +233,25 @@
         print(line.describe())
 
 
+@app.command()
+def incomplete(
+    logs: Annotated[list[pathlib.Path], typer.Argument(help="Log files of instances.")],
+) -> None:
+    """Count the requests without a complete answer by cause, with ids of some."""
+    for group in group_incomplete_answers(_read_logs(logs)):
+        print(group.describe())
+
+
+def _read_logs(paths: list[pathlib.Path]) -> Iterator[LogLine]:
+    for path in paths:
+        try:
+            with path.open(errors="replace") as file:
+                yield from parse_log_lines(path.stem, file)
+        except OSError as error:
+            print(f"{path}: {error.strerror}", file=sys.stderr)
+            raise typer.Exit(EXIT_INVALID) from error
+
+
 def _describe_status(report: StatusReport) -> str:
     table_version = "unknown" if report.version is None else report.version
     lines = [f"version in the table: {table_version}"]
