--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_budget.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_budget.py
@@ -30,6 +30,9 @@
 # retries as this one since they reported.
 LIKE_PEER_SHARE = 0.25
 UNREPORTED_BUCKETS = 2  # for which most reports do not show the use yet
+# Of the window, over which instances that started together begin to exceed their
+# shares: longer than the reports of the first of them take.
+POOL_OPENING_SHARE = 0.2
 # Age after which the report of a peer is dropped. Peers report every second, unless
 # connections to them are silent; then all may need retries at once.
 USE_TTL_S = 1.2
@@ -101,6 +104,10 @@
     started_at : float
         Start of this instance, seconds. Its share of the slack grows over the first
         window, because its predecessor may have used it.
+    rounding : float
+        Random, 0 to 1. A young instance has one retry more with the probability of the
+        fraction of its share, as the shares of many are below one retry each. It
+        also spreads the moments from which instances exceed their shares.
 
     Attributes
     ----------
@@ -113,6 +120,7 @@
         "_counts",
         "_peers",
         "_ratio",
+        "_rounding",
         "_slack",
         "_started_at",
         "_window_s",
@@ -126,11 +134,13 @@
         window_s: float,
         slack: float,
         started_at: float = -math.inf,
+        rounding: float = 0.0,
     ):
         self._ratio = ratio
         self._window_s = window_s
         self._slack = slack
         self._started_at = started_at
+        self._rounding = rounding
         self._counts: dict[str, deque[_Bucket]] = {}
         self._began_at: dict[str, float] = {}  # first request or retry, by service
         self._peers: dict[str, _PeerReport] = {}
@@ -241,7 +251,9 @@
         slack *= min(1.0, (now - self._started_at) / self._window_s)
         requests = min(use.requests, self._average_requests(service, now))
         allowed = self._ratio * requests + slack
-        return use.retries + 1 <= self._compute_usable_share(now) * allowed
+        share = self._compute_usable_share(now) * allowed
+        rounding = 0.0 if self.is_settled(now) else self._rounding
+        return use.retries + 1 <= share + rounding
 
     def _compute_usable_share(self, now: float) -> float:
         """Return the share of its allowance that this instance may use.
@@ -266,9 +278,11 @@
         """Return whether all instances together use little of the budget.
 
         Unknown within a window of the start: if many start at the same time, what
-        their predecessors used is in no report.
+        their predecessors used is in no report. They do not begin at the same moment
+        to use more than their shares, as none would know of the others.
         """
-        if not self.is_settled(now):
+        opening_s = POOL_OPENING_SHARE * self._rounding * self._window_s
+        if not self.is_settled(now - opening_s):
             return False
         reports = self._list_reports(now)
         if len(reports) < MIN_REPORTING_PEERS:
--- a/tests/forwarding/test_wake_ups.py
+++ b/tests/forwarding/test_wake_ups.py
@@ -42,7 +42,7 @@
         closing = [
             call
             for call in set_timer.call_args_list
-            if getattr(call.args[1], "__func__", None) is protocol._close_on_timeout
+            if getattr(call.args[1], "__func__", None) is protocol._check_timeout
         ]
     assert caller.received.count(b"HTTP/1.1 200") == REQUESTS
     assert len(closing) <= 1
