End a stopped process at once, without the teardown of its interpreter

A process that had closed its connections in time could still be there at the end of its grace period and was killed: the teardown of the interpreter was not counted in the 0.4 s that are kept for the end.

test_process_is_not_killed_in_its_teardown_at_the_end_of_the_grace_period failed before.

--- a/tests/platform_adapter/node_processes.py
+++ b/tests/platform_adapter/node_processes.py
@@ -86,6 +86,26 @@
         self._log.close()
 
 
+TEARDOWN_NOTICE = "the interpreter was torn down"
+_NOTING_PROGRAM = f"""
+import atexit, runpy
+atexit.register(print, {TEARDOWN_NOTICE!r}, flush=True)
+runpy.run_module("ebonyhaven_adapter", run_name="__main__", alter_sys=True)
+"""
+
+
+class NotingNodeProcess(NodeProcess):
+    """Process that writes to its log when its interpreter is torn down."""
+
+    def _start(self) -> subprocess.Popen:
+        return subprocess.Popen(
+            [sys.executable, "-c", _NOTING_PROGRAM],
+            env={**os.environ, "EBONYHAVEN_NODE_FILE": str(self.settings_path)},
+            stdout=self._log,
+            stderr=subprocess.STDOUT,
+        )
+
+
 class StartingNodeProcess(NodeProcess):
     """Process that reads its settings from a pipe, and waits for them."""
 
--- a/tests/platform_adapter/soak/routed_instance.py
+++ b/tests/platform_adapter/soak/routed_instance.py
@@ -11,7 +11,7 @@
 import sys
 
 import pynng
-from ebonyhaven_adapter.__main__ import main
+from ebonyhaven_adapter.__main__ import run
 from twisted.internet import reactor
 
 
@@ -39,4 +39,4 @@
 
 if __name__ == "__main__":
     route_connections(json.loads(pathlib.Path(sys.argv[1]).read_text()))
-    sys.exit(main())
+    run()
--- a/tests/platform_adapter/test_program.py
+++ b/tests/platform_adapter/test_program.py
@@ -7,7 +7,11 @@
 import signal
 import time
 
-from tests.platform_adapter.node_processes import StartingNodeProcess
+from tests.platform_adapter.node_processes import (
+    TEARDOWN_NOTICE,
+    NotingNodeProcess,
+    StartingNodeProcess,
+)
 from tests.platform_adapter.odd_documents import ODD_BYTES, list_odd_entries
 from tests.platform_adapter.program_harness import (
     TIMEOUT_S,
@@ -209,6 +213,20 @@
         assert harness.node.process.wait(TIMEOUT_S) == 0
 
 
+def test_process_is_not_killed_in_its_teardown_at_the_end_of_the_grace_period():
+    # The teardown of the interpreter took 0.3 to 0.6 s, of 0.4 s that are left.
+    with contextlib.ExitStack() as stack:
+        store = listen(StoreStandIn())
+        stack.callback(store.stop)
+        node = NotingNodeProcess(store.address)
+        stack.callback(node.stop)
+        node.wait_for_line("instance_started")
+        node.terminate()
+        assert node.process.wait(TIMEOUT_S) == 0
+        assert node.find_lines("instance_stopped")
+        assert TEARDOWN_NOTICE not in node.log_path.read_text()
+
+
 def test_settings_are_reloaded_on_change_and_on_sighup():
     with start_harness() as harness:
         node = harness.node
