Soak: a set of dense planned changes, and requests without an answer by cause

The set 'changes' writes a configuration every 0.1 to 0.5 s, of all kinds (limits, connections and workspaces too), beside SIGHUPs, stops in turn and servers that are replaced, and disturbs nothing else. Each single request that is left without a complete answer is a finding there, as rules that compare rates see none when all of the time is beside a change.

--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -18,6 +18,7 @@
     size = LARGE if options.large else SMALL
     if options.instances is not None:
         size = size._replace(instances=options.instances)
+    size = size._replace(more_routes=options.more_routes)
     for seed in seeds:
         report = await run_soak(
             seed,
@@ -30,6 +31,7 @@
         print(f"seed {seed}: {report.statuses}, logs {report.directory}", flush=True)
         for problem in report.problems[:20]:
             print(f"  {problem}", flush=True)
+        print(f"  without a complete answer: {report.unanswered}", flush=True)
         print(f"  {len(report.notes)} notes, see traces.txt", flush=True)
     print(f"{len(seeds) - failed} passed, {failed} failed")
     return failed
@@ -46,6 +48,9 @@
         "--large", action="store_true", help="six instances in three data centres"
     )
     parser.add_argument("--instances", type=int, help="another number of instances")
+    parser.add_argument(
+        "--more-routes", type=int, default=0, help="routes that no caller uses"
+    )
     parser.add_argument(
         "--production", help="commit whose build runs until it is upgraded"
     )
--- a/tests/platform_adapter/soak/_configurations.py
+++ b/tests/platform_adapter/soak/_configurations.py
@@ -24,6 +24,9 @@
 SERVICES = ("plain", "other")
 VERSION_STEPS = (1, 40)
 MAX_CHANGES = 3  # in one version
+LIMITS_MS = {"headerTimeoutMs": (500, 5000), "idleTimeoutMs": (400, 1000, 10_000)}
+MAX_CONNECTIONS = (60, 100, 200)
+UNUSED_KEYS = ("u1", "u2", "u3", "u4")  # of workspaces that send nothing
 ROUTE_TIMEOUTS_S = {
     "once": PLAIN_TIMEOUT_S,
     "repeat": PLAIN_TIMEOUT_S,
@@ -90,6 +93,10 @@
     rng : random.Random
     has_long_streams : bool
     kept_streams : KeptStreams
+    changes_limits : bool
+        Whether limits, connections and workspaces change as well.
+    more_routes : int
+        Routes that no caller uses.
 
     Attributes
     ----------
@@ -104,8 +111,15 @@
         *,
         has_long_streams: bool,
         kept_streams: KeptStreams = KeptStreams.NONE,
+        changes_limits: bool = False,
+        more_routes: int = 0,
     ):
         self.kept_streams = kept_streams
+        self._changes_limits = changes_limits
+        self._more_routes = more_routes
+        self._limits: dict[str, int] = {}
+        self._max_connections = 100
+        self._unused_keys: set[str] = set()
         self._kept_shares = {"engines": 1.0}
         self._store = store
         self._rng = rng
@@ -120,14 +134,20 @@
 
     def change(self) -> None:
         """Write a version with one or more changes."""
-        changes = (
+        changes = [
             self._move_route,
             self._split_route,
             self._toggle_route,
             self._toggle_route,
             self._toggle_key,
             self._change_timeout,
-        )
+        ]
+        if self._changes_limits:
+            changes += [
+                self._change_limits,
+                self._change_connections,
+                self._toggle_workspace,
+            ]
         for _ in range(self._rng.randint(1, MAX_CHANGES)):
             self._rng.choice(changes)()
         self._split_streams()
@@ -192,6 +212,17 @@
     def _change_timeout(self) -> None:
         self._timeout_s = self._rng.choice(TIMEOUTS_S)
 
+    def _change_limits(self) -> None:
+        self._limits = {
+            name: self._rng.choice(values) for name, values in LIMITS_MS.items()
+        }
+
+    def _change_connections(self) -> None:
+        self._max_connections = self._rng.choice(MAX_CONNECTIONS)
+
+    def _toggle_workspace(self) -> None:
+        self._unused_keys ^= {self._rng.choice(UNUSED_KEYS)}
+
     def _make_document(self) -> dict:
         return {
             "version": self._version,
@@ -203,14 +234,18 @@
                 ),
                 _make_route(TIMED_PATH, "idempotent", "other", 1, self._timeout_s),
                 *self._make_kept_routes(),
+                *(
+                    _make_split_route(f"/unused-{number}/", {"other": 1.0})
+                    for number in range(self._more_routes)
+                ),
             ],
             "services": [
-                {"name": "plain", "maxConnections": 100},
-                {"name": "other", "maxConnections": 100},
+                {"name": "plain", "maxConnections": self._max_connections},
+                {"name": "other", "maxConnections": self._max_connections},
                 *(
                     {
                         "name": name,
-                        "maxConnections": 100,
+                        "maxConnections": self._max_connections,
                         "engine": {
                             "slots": 8,
                             "kvCapacityTokens": 88000,
@@ -220,10 +255,10 @@
                     for name in STREAM_SERVICES
                 ),
             ],
-            "limits": {},
+            "limits": self._limits,
             "tenants": [
                 {"name": f"studio-{key}", "apiKeys": [key]}
-                for key in sorted(self._keys)
+                for key in sorted(self._keys | self._unused_keys)
             ],
         }
 
--- a/tests/platform_adapter/soak/_deployment.py
+++ b/tests/platform_adapter/soak/_deployment.py
@@ -182,6 +182,15 @@
         }
         self._settings_path.write_text(json.dumps(settings))
 
+    def change_settings(self) -> None:
+        """Name the seed nodes in another order."""
+        settings = json.loads(self._settings_path.read_text())
+        seeds = settings["seedNodes"]
+        settings["seedNodes"] = seeds[1:] + seeds[:1]
+        changed = self._settings_path.with_suffix(".new")
+        changed.write_text(json.dumps(settings))
+        changed.replace(self._settings_path)
+
     def start(self) -> None:
         """Start the process, unless it runs."""
         if self.is_running():
@@ -265,7 +274,15 @@
 
 
 class DeploymentSize(NamedTuple):
-    """Numbers of processes, and whether they are spread over data centres."""
+    """Numbers of processes, and whether they are spread over data centres.
+
+    Parameters
+    ----------
+    instances, plain, engines, others, spare_sites : int
+    data_centres : tuple of str
+    more_routes : int
+        Routes that no caller uses, in each configuration.
+    """
 
     instances: int = 3
     plain: int = 4
@@ -273,6 +290,7 @@
     others: int = 2
     spare_sites: int = 4
     data_centres: tuple[str, ...] = ("dc-a",)
+    more_routes: int = 0
 
 
 SMALL = DeploymentSize()
@@ -299,6 +317,8 @@
         Commit whose build the instances run first; None for the present one.
     exposure : ExposureBounds or None
         See `SoakInstance`.
+    changes_limits : bool
+        Whether new configurations change limits and workspaces as well.
     """
 
     crashing_path = CRASHING_PATH
@@ -312,6 +332,7 @@
         kept_streams: KeptStreams = KeptStreams.NONE,
         production: str | None = None,
         exposure: ExposureBounds | None = None,
+        changes_limits: bool = False,
     ):
         self.rng = rng
         self.has_long_streams = has_long_streams
@@ -326,6 +347,8 @@
             random.Random(rng.random()),
             has_long_streams=has_long_streams,
             kept_streams=kept_streams,
+            changes_limits=changes_limits,
+            more_routes=size.more_routes,
         )
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="ebonyhaven-soak-"))
         data_centres = size.data_centres
--- a/tests/platform_adapter/soak/_fault_log.py
+++ b/tests/platform_adapter/soak/_fault_log.py
@@ -74,6 +74,20 @@
         return f"{text} and again {self.second_after_s:.3f} s later"
 
 
+class Reload(NamedTuple):
+    """A request to read the settings again.
+
+    Parameters
+    ----------
+    instance : str
+    at : float
+        Time of the signal; seconds of the reactor's clock.
+    """
+
+    instance: str
+    at: float
+
+
 class NamedLimit(NamedTuple):
     """Time in which a server named a limit.
 
@@ -144,6 +158,9 @@
         When one was written.
     rollouts : list of PlayedRollout
     named_limits : list of NamedLimit
+    reloads : list of Reload
+    overdue_stops : list of Termination
+        Of processes that were killed at the end of their time.
     cuts : list of (frozenset of str, float, float)
         Instances that reached no server.
     stalls : list of (float, float)
@@ -158,6 +175,8 @@
         self.store_times: list[tuple[float, float]] = []
         self.brittle_times: list[tuple[float, float]] = []
         self.terminations: list[Termination] = []
+        self.reloads: list[Reload] = []
+        self.overdue_stops: list[Termination] = []
         self.configurations: list[float] = []
         self.rollouts: list[PlayedRollout] = []
         self.named_limits: list[NamedLimit] = []
--- a/tests/platform_adapter/soak/_faults.py
+++ b/tests/platform_adapter/soak/_faults.py
@@ -19,8 +19,14 @@
 PAUSE_S = (0.1, 0.9)
 LONG_PAUSE_S = (0.3, 2.0)  # between faults that last for many seconds
 STREAM_PAUSE_S = (1.5, 3.5)  # in which streams begin that the next loss breaks off
+DENSE_PAUSE_S = (0.1, 0.5)
 KEPT_STREAMS = "streams"
-PAUSES_S = {"standard": PAUSE_S, KEPT_STREAMS: STREAM_PAUSE_S}
+CHANGES = "changes"  # planned work only
+PAUSES_S = {
+    "standard": PAUSE_S,
+    KEPT_STREAMS: STREAM_PAUSE_S,
+    CHANGES: DENSE_PAUSE_S,
+}
 ORDER_ROLLOUT = "order_rollout"
 _STANDARD = (
     "kill_instance",
@@ -111,6 +117,14 @@
         "cut_off_instances",
         "crash_server",
     ),
+    CHANGES: (
+        *("change_configuration",) * 20,
+        *("change_configuration_quickly",) * 4,
+        *("reload_instances",) * 2,
+        *("replace_server",) * 2,
+        "terminate_waiting_instance",
+        "stop_instances_in_turn",
+    ),
     "foreign-rows": (*_LEAVING, "write_foreign_row"),
     "upgrade": (
         *("upgrade_instance",) * 3,
--- a/tests/platform_adapter/soak/_instance_faults.py
+++ b/tests/platform_adapter/soak/_instance_faults.py
@@ -14,6 +14,7 @@
 from tests.platform_adapter.soak._fault_log import (
     DisturbanceKind,
     FaultLog,
+    Reload,
     Termination,
 )
 from tests.platform_adapter.soak._link_faults import DURATION_S, LinkDisturber
@@ -25,6 +26,7 @@
     (FaultKind.SILENCE_OPEN, FaultKind.IGNORE),
 )
 KILL_S = 0.1
+RELOAD_PAUSE_S = (0.0, 0.5)
 SECOND_SIGNAL_S = (0.1, 2.0)
 SECOND_SIGNAL_SHARE = 0.3
 
@@ -44,6 +46,7 @@
         self._rng = rng
         self._log = log
         self._links = LinkDisturber(rng)
+        self._is_stopping_in_turn = False
 
     async def kill_instance(self) -> None:
         instance = self._choose()
@@ -78,10 +81,36 @@
                 reactor.callLater(second_after_s, instance.signal, signal.SIGTERM)
             await deferLater(reactor, instance.grace_s)
             if instance.process is process:  # another one was not asked to stop
+                if instance.is_running():
+                    self._log.overdue_stops.append(stop)
                 instance.signal(signal.SIGKILL)
             await deferLater(reactor, KILL_S)
             instance.start()
 
+    async def stop_instances_in_turn(self) -> None:
+        """Stop and start each instance, one after the other, once at a time."""
+        if self._is_stopping_in_turn:
+            return
+        self._is_stopping_in_turn = True
+        instances = list(self._deployment.instances)
+        self._rng.shuffle(instances)
+        for instance in instances:
+            if not self._is_stopping(instance):
+                await self._terminate(instance, None)
+        self._is_stopping_in_turn = False
+
+    async def reload_instances(self) -> None:
+        """Have some instances read changed settings again, one after the other."""
+        instances = self._deployment.instances
+        count = self._rng.randint(1, len(instances))
+        for instance in self._rng.sample(instances, count):
+            if instance.is_running():
+                instance.change_settings()
+                reload = Reload(instance.name, reactor.seconds())
+                self._log.reloads.append(reload)
+                instance.signal(signal.SIGHUP)
+            await deferLater(reactor, self._rng.uniform(*RELOAD_PAUSE_S))
+
     def _is_stopping(self, instance: SoakInstance) -> bool:
         now = reactor.seconds()
         return any(
--- a/tests/platform_adapter/soak/_loss_checks.py
+++ b/tests/platform_adapter/soak/_loss_checks.py
@@ -57,10 +57,11 @@
     def _is_cut(self, result: Result) -> bool:
         if result.is_whole or result.is_given_up:
             return False
-        lasted_s = result.ended_at - result.sent_at
-        if lasted_s >= get_time_s(result.path) - TIMEOUT_SLACK_S:
-            return False
-        return not any(each.is_broken_off for each in self._ends[result.request_id])
+        return not is_time_over(result) and not self.is_broken_off(result)
+
+    def is_broken_off(self, result: Result) -> bool:
+        """Return whether a server ended the request without an answer."""
+        return any(each.is_broken_off for each in self._ends[result.request_id])
 
     def is_passed_on(self, result: Result) -> bool:
         return bool(self._arrivals[result.request_id])
@@ -104,6 +105,12 @@
         )
 
 
+def is_time_over(result: Result) -> bool:
+    """Return whether a request ended at the end of its time, or later."""
+    lasted_s = result.ended_at - result.sent_at
+    return lasted_s >= get_time_s(result.path) - TIMEOUT_SLACK_S
+
+
 def get_time_s(path: str) -> float:
     """Return the time that a request has by its route and its caller."""
     route = path.split("/")[1]
@@ -154,12 +161,13 @@
         if each.instance == stop.instance
         and stop.at <= each.ended_at <= stop.at + stop.grace_s + GRACE_END_S
         and history.is_read(each)
-        and not _is_at_work_late(history, each, stop)
+        and not is_at_work_late(history, each, stop)
         and not _is_excused(history, each, stop)
     ]
 
 
-def _is_at_work_late(history: CutHistory, result: Result, stop: Termination) -> bool:
+def is_at_work_late(history: CutHistory, result: Result, stop: Termination) -> bool:
+    """Return whether a server was at work late on a request sent early in a stop."""
     late_at = stop.at + GRACE_SHARE * stop.grace_s
     return (
         result.sent_at <= stop.at + LATE_SENT_S
--- a/tests/platform_adapter/soak/_run.py
+++ b/tests/platform_adapter/soak/_run.py
@@ -51,6 +51,7 @@
 )
 from tests.platform_adapter.soak._fault_log import TICK_S, FaultLog
 from tests.platform_adapter.soak._faults import (
+    CHANGES,
     FAULT_SETS,
     KEPT_STREAMS,
     ORDER_ROLLOUT,
@@ -82,6 +83,11 @@
 from tests.platform_adapter.soak._rollouts import ROLLOUT_SERVICE
 from tests.platform_adapter.soak._stream_checks import TakenUpStreams
 from tests.platform_adapter.soak._traces import write_traces
+from tests.platform_adapter.soak._unanswered import (
+    check_planned_work,
+    list_own_failures,
+    list_unanswered,
+)
 
 CALLER_COUNT = 24
 LONG_CALLER_COUNT = 20
@@ -108,6 +114,9 @@
         Logs of the instances.
     notes : list of str
         What breaks no promise by itself and helps to find causes.
+    unanswered : dict of str to int
+        Requests without a complete answer by cause, and answers that failed at their
+        instance by status.
     """
 
     seed: int
@@ -115,6 +124,7 @@
     statuses: dict[str, int]
     directory: str
     notes: list[str]
+    unanswered: dict[str, int]
 
 
 async def run_soak(
@@ -151,10 +161,17 @@
         kept_streams=_choose_kept_streams(fault_set, production),
         production=production,
         exposure=EXPOSURE if ORDER_ROLLOUT in FAULT_SETS[fault_set] else None,
+        changes_limits=fault_set == CHANGES,
     )
     results: list[Result] = []
     callers = [
-        _make_caller(number, deployment, results, random.Random(rng.random()))
+        _make_caller(
+            number,
+            deployment,
+            results,
+            random.Random(rng.random()),
+            crashing_share=0.0 if fault_set == CHANGES else CRASHING_SHARE,
+        )
         for number in range(CALLER_COUNT)
     ]
     probes: list[Result] = []
@@ -193,7 +210,7 @@
         watch.stop()
         await deployment.stop()
     record = _SoakRecord(deployment, results, probes, injector.log, started_at)
-    return _report(seed, record)
+    return _report(seed, record, is_all_planned=fault_set == CHANGES)
 
 
 async def _finish(injector: FaultInjector, faults) -> None:
@@ -202,9 +219,11 @@
     await injector.stop()
 
 
-def _make_caller(number, deployment, results, rng: random.Random) -> SoakCaller:
+def _make_caller(
+    number, deployment, results, rng: random.Random, *, crashing_share: float
+) -> SoakCaller:
     def choose_path() -> str:
-        if rng.random() < CRASHING_SHARE:
+        if rng.random() < crashing_share:
             return CRASHING_PATH
         kind = rng.choices(("once", "repeat", "fixed", "stream"), (6, 4, 1, 2))[0]
         return f"/{kind}/{rng.randrange(1_000_000)}"
@@ -282,7 +301,7 @@
     started_at: float
 
 
-def _report(seed: int, record: _SoakRecord) -> SoakReport:
+def _report(seed: int, record: _SoakRecord, *, is_all_planned: bool) -> SoakReport:
     deployment, results, probes, faults, started_at = record
     arrivals = deployment.log.arrivals
     departures = deployment.departures.list_all()
@@ -300,6 +319,8 @@
     taken_up = TakenUpStreams(results, contact)
     versions = map_versions(deployment.processes, ROLLOUT_SERVICE)
     rollouts = RolloutHistory(arrivals, versions, contact)
+    unanswered = list_unanswered(everything, cuts, faults)
+    failures = list_own_failures(everything, cuts)
     plain_count = sum(each.service == "plain" for each in deployment.servers)
     problems = [
         *check_runs(arrivals),
@@ -335,6 +356,7 @@
         *check_denials(configurations),
         *check_exposure(faults.rollouts, rollouts, deployment.log.ends, EXPOSURE),
         *check_rollout_cuts(faults.rollouts, deployment.log.ends, versions),
+        *(check_planned_work(unanswered, cuts) if is_all_planned else ()),
     ]
     notes = [
         *(
@@ -346,6 +368,9 @@
         *list_steady_cuts(cuts),
         *list_denials(configurations),
         *list_rollouts(faults.rollouts),
+        *(f"{cause.value}: {cuts.describe(each)}" for cause, each in unanswered),
+        *(f"failed at no server: {cuts.describe(each)}" for each in failures),
+        *(f"killed: {each.describe()}" for each in faults.overdue_stops),
         f"taken up: {taken_up.describe()}",
     ]
     write_traces(
@@ -355,7 +380,10 @@
         str(each.status) if each.is_whole else "broken" for each in results
     )
     directory = str(deployment.directory)
-    return SoakReport(seed, problems, dict(statuses), directory, notes)
+    counts = Counter(cause.value for cause, _ in unanswered)
+    counts.update(f"{each.status}, at no server" for each in failures)
+    counts["processes killed at the end of their time"] = len(faults.overdue_stops)
+    return SoakReport(seed, problems, dict(statuses), directory, notes, dict(counts))
 
 
 def _check_cuts(
