Read what has come before an idle connection is closed

Callers that reuse a connection in time got no answer if the instance was late: the timer of the idle connection (or of a head that is being read) ran before the bytes that waited were read, and the connection was closed with a request on it. Each stand-still of an instance that lasts until idleTimeoutMs does it; so does a late turn near its end.

The test stops the process by SIGSTOP for 1.2 s with a limit of 1 s and a request under way: closed without an answer before, answered now.

test_request_that_waits_unread_as_an_instance_stands_still_is_answered failed before.

--- a/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
@@ -328,7 +328,11 @@
         self._timer = None
 
     def _close_on_timeout(self) -> None:
-        self.transport.loseConnection()
+        """Close the connection, unless a request has come that is not read yet.
+
+        A timer that is late runs before what came meanwhile is read.
+        """
+        self._timer = self._server.reactor.callLater(0.0, self.transport.loseConnection)
 
 
 _REASON_PHRASES = {
--- a/tests/platform_adapter/program_harness.py
+++ b/tests/platform_adapter/program_harness.py
@@ -79,6 +79,11 @@
         connection = http.client.HTTPConnection(
             self.node.addresses["frontend"], timeout=TIMEOUT_S
         )
+        self.send_on(connection, path, request_id, **headers)
+        return connection
+
+    def send_on(self, connection, path, request_id, **headers):
+        """Send a request on an open connection."""
         fields = {
             "Host": HOST,
             "X-Attempt-Id": request_id,
@@ -89,7 +94,6 @@
             {name.replace("_", "-"): value for name, value in headers.items()}
         )
         connection.request("POST", path, body=b"{}", headers=fields)
-        return connection
 
     def find_streaming_engine(self):
         """Wait for an engine with an open stream and return it."""
--- a/tests/platform_adapter/test_program.py
+++ b/tests/platform_adapter/test_program.py
@@ -18,7 +18,12 @@
     PlatformHarness,
     start_harness,
 )
-from tests.platform_adapter.stand_ins import call_in_reactor, listen, make_entry
+from tests.platform_adapter.stand_ins import (
+    call_in_reactor,
+    listen,
+    make_configuration,
+    make_entry,
+)
 from tests.platform_adapter.store_stand_in import StoreStandIn
 from tests.waiting import wait_until
 
@@ -180,6 +185,23 @@
         assert not harness.node.find_lines("stream_attempt_ended")
 
 
+def test_request_that_waits_unread_as_an_instance_stands_still_is_answered():
+    # The idle timer was late and ran before the request that waited was read.
+    with start_harness() as harness:
+        document = make_configuration(2) | {"limits": {"idleTimeoutMs": 1000}}
+        harness.put("op", "config", document)
+        harness.node.wait_for_line("configuration_in_force", version=2)
+        connection = harness.send("/once/x", "r1")
+        assert connection.getresponse().read() == b"answer of p-1"
+        harness.node.process.send_signal(signal.SIGSTOP)
+        harness.send_on(connection, "/once/x", "r2")
+        until = time.monotonic() + 1.2
+        wait_until(lambda: time.monotonic() > until)
+        harness.node.process.send_signal(signal.SIGCONT)
+        response = connection.getresponse()
+        assert (response.status, response.read()) == (200, b"answer of p-1")
+
+
 def test_second_sigterm_cuts_no_stream():
     with start_harness() as harness:
         connection = harness.send("/stream/x", "r-last", X_Token_Count="800,70")
