Soak: callers are refused while an instance does not run

SIGHUPs during the imports of the soak's own program ended it. Idle limits are far above what callers and a soak that stands still take.

--- a/tests/platform_adapter/soak/_deployment.py
+++ b/tests/platform_adapter/soak/_deployment.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -15,6 +17,7 @@
 from ebonyhaven_standins.cluster import allocate_address
 from ebonyhaven_standins.fault_proxy import FaultKind, Link
 from twisted.internet import reactor
+from twisted.internet.task import deferLater
 from twisted.web import resource, server
 
 from tests.platform_adapter.soak._behaviours import ServerFaults
@@ -40,6 +43,7 @@
 BUDGET_WINDOW_S = 4.0
 GRACE_S = 3
 LONG_GRACE_S = 8
+POLL_S = 0.05
 CRASHING_PATH = "/repeat/crash"
 MORE_ENGINES = 5  # for streams of seconds that callers take up
 WRITERS = 3
@@ -206,6 +210,16 @@
                 stderr=subprocess.STDOUT,
             )
 
+    async def accept_callers(self) -> None:
+        """Let callers connect as soon as the process accepts connections."""
+        host, _, port = self.addresses["frontend"].rpartition(":")
+        while self.is_running():
+            with contextlib.suppress(OSError):
+                socket.create_connection((host, int(port)), 1.0).close()
+                break
+            await deferLater(reactor, POLL_S)
+        self.caller_link.start_listening()
+
     def is_running(self) -> bool:
         return self.process is not None and self.process.poll() is None
 
--- a/tests/platform_adapter/soak/_instance_faults.py
+++ b/tests/platform_adapter/soak/_instance_faults.py
@@ -26,6 +26,7 @@
     (FaultKind.SILENCE_OPEN, FaultKind.IGNORE),
 )
 KILL_S = 0.1
+POLL_S = 0.05
 RELOAD_PAUSE_S = (0.0, 0.5)
 SECOND_SIGNAL_S = (0.1, 2.0)
 SECOND_SIGNAL_SHARE = 0.3
@@ -79,13 +80,22 @@
             self._log.terminations.append(stop)
             if second_after_s is not None:
                 reactor.callLater(second_after_s, instance.signal, signal.SIGTERM)
-            await deferLater(reactor, instance.grace_s)
+            await self._wait_for_end(instance, process, now + instance.grace_s)
             if instance.process is process:  # another one was not asked to stop
                 if instance.is_running():
                     self._log.overdue_stops.append(stop)
                 instance.signal(signal.SIGKILL)
             await deferLater(reactor, KILL_S)
             instance.start()
+        await instance.accept_callers()
+
+    async def _wait_for_end(self, instance, process, until: float) -> None:
+        """Wait until a time; callers are refused once the process has ended."""
+        while reactor.seconds() < until and process.poll() is None:
+            await deferLater(reactor, POLL_S)
+        if instance.process is process:
+            await instance.caller_link.stop_listening()
+        await deferLater(reactor, max(until - reactor.seconds(), 0.0))
 
     async def stop_instances_in_turn(self) -> None:
         """Stop and start each instance, one after the other, once at a time."""
--- a/tests/platform_adapter/soak/routed_instance.py
+++ b/tests/platform_adapter/soak/routed_instance.py
@@ -10,9 +10,8 @@
 import pathlib
 import sys
 
-import pynng
 from ebonyhaven_adapter.__main__ import run
-from twisted.internet import reactor
+from ebonyhaven_adapter._hangups import EarlyHangups
 
 
 def route_connections(routes: dict[str, str]) -> None:
@@ -23,6 +22,9 @@
     routes : dict of str to str
         Addresses of links by address of a server, or control address of an instance.
     """
+    import pynng
+    from twisted.internet import reactor
+
     connect, dial = reactor.connectTCP, pynng.Push0.dial
 
     def connect_routed(host, port, *arguments, **options):
@@ -38,5 +40,6 @@
 
 
 if __name__ == "__main__":
+    EarlyHangups()  # before the slow imports
     route_connections(json.loads(pathlib.Path(sys.argv[1]).read_text()))
     run()
