--- a/tests/platform_adapter/soak/_deployment.py
+++ b/tests/platform_adapter/soak/_deployment.py
@@ -66,6 +66,8 @@
 
     Attributes
     ----------
+    started_at : float
+        Of the present process; seconds of the reactor's clock.
     earlier_build : str or None
         Import path of the build that the next process runs; None for the present one.
     """
@@ -91,6 +93,7 @@
         host, _, port = store_address.rpartition(":")
         self._store_port = reactor.listenTCP(int(port), site, interface=host)
         self.process: subprocess.Popen | None = None
+        self.started_at = 0.0
         self.earlier_build: str | None = None
         self.addresses = {
             kind: allocate_address()
@@ -199,6 +202,7 @@
         """Start the process, unless it runs."""
         if self.is_running():
             return
+        self.started_at = reactor.seconds()
         variables = {**os.environ, "EBONYHAVEN_NODE_FILE": str(self._settings_path)}
         if self.earlier_build is not None:
             variables["PYTHONPATH"] = self.earlier_build
