--- a/tests/platform_adapter/soak/_run.py
+++ b/tests/platform_adapter/soak/_run.py
@@ -197,6 +197,8 @@
     deployment.start()
     try:
         await deferLater(reactor, START_S)
+        for each in deployment.instances:
+            await each.accept_callers()
         running = [ensureDeferred(caller.run()) for caller in callers]
         faults = ensureDeferred(injector.run())
         await deferLater(reactor, duration_s)
