A server that sent something since it was taken for lost has not ended

What callers saw: begun streams that may not be resumed were cut (LOST, with stops and configurations beside), and streams without an event got 502, whenever their server paused, for as long as a loss is remembered.

Cause: an instance that is being cut off takes some servers for lost before it knows that it reaches none (links refuse one after the other, within 0.03 s), and tells all others. A silent stream is given up if its server's loss is known, though the process has answered many requests since. Only bytes of it that came over 1 s after the loss count, as an instance may read late what a process sent before its end.

test_pause_of_a_server_that_was_taken_for_lost_before_it_answered_ends_no_stream failed before.

--- a/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_crash_monitor.py
@@ -24,6 +24,7 @@
 
 NOTIFY_INTERVAL_S = 0.01  # many losses are found at one moment
 REPLACED_PROBE_INTERVAL_S = 0.2
+LATE_BYTES_S = 1.0  # in which what a process sent before its end may be read
 ENTRY_EXPIRY_S = 5.0  # by then the list no longer has the entry of a process that ended
 
 _log = structlog.get_logger()
@@ -217,11 +218,17 @@
     def has_ended(self, backend: Backend) -> bool:
         """Return whether the process of a server is known to have ended.
 
+        An instance that was being cut off may have taken it for lost; what it sent
+        since then shows that it was not.
+
         Parameters
         ----------
         backend : Backend
         """
-        return self._history.is_known(backend.process_id)
+        lost_at = self._history.get_lost_at(backend.process_id)
+        return lost_at is not None and (
+            backend.last_received_at <= lost_at + LATE_BYTES_S
+        )
 
     def may_be_replaced(self, backend: Backend, *, list_current_at: float) -> bool:
         """Return whether another process may be at the address of a server.
--- a/tests/forwarding/test_paused_streams.py
+++ b/tests/forwarding/test_paused_streams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from ebonyhaven_decisions.forwarding import LossReport
+
 from tests.forwarding.harness import STREAM_END, chunk, event, stream_head
 from tests.forwarding.streaming import open_stream, read_body, start_stream
 
@@ -67,6 +69,34 @@
     assert harness.count_waiting() == 1
 
 
+def record_loss(harness, sent, *, age_s):
+    """Record that another instance took the server of a stream for lost."""
+    server_id = sent["x-expect-instance"]
+    (backend,) = (
+        each for each in harness.state.backends if each.server_id == server_id
+    )
+    report = LossReport(backend.process_id, "dc-a", age_s, (("other",),))
+    harness.gateway._crash_history.add(report, harness.reactor.seconds())
+
+
+def test_pause_of_a_server_that_was_taken_for_lost_before_it_answered_ends_no_stream():
+    # Guards against streams that are cut at each pause of a server, for as long as a
+    # loss is remembered that an instance found while it was being cut off.
+    harness, caller = start_stream("/fixed/x")
+    server, sent = open_stream(harness, 1)
+    record_loss(harness, sent, age_s=2.0)
+    finish_after_pause(harness, caller, server)
+
+
+def test_silent_server_whose_end_another_instance_saw_does_not_keep_a_fixed_stream():
+    harness, caller = start_stream("/fixed/x")
+    _, sent = open_stream(harness, 1)
+    harness.advance(0.5)
+    record_loss(harness, sent, age_s=0.0)
+    harness.advance(PAUSE_S / 2)
+    assert caller.transport.aborted
+
+
 def test_silent_server_that_has_ended_does_not_keep_a_fixed_stream():
     harness, caller = start_stream("/fixed/x")
     server, _ = open_stream(harness, 1)
