--- a/tests/platform_adapter/soak/_unanswered.py
+++ b/tests/platform_adapter/soak/_unanswered.py
@@ -55,13 +55,13 @@
     is_stable = cuts.history.is_store_stable(result.sent_at, result.ended_at)
     found = (
         (has_left_early(result), Cause.CALLER_LEFT),
-        (result.is_given_up, Cause.CALLER_TIME),
         (cuts.is_broken_off(result), Cause.SERVER),
+        (cuts.is_link_harmed(result), Cause.SERVER_LINK),
+        (not is_planned or not is_stable, Cause.UNPLANNED),
+        (result.is_given_up, Cause.CALLER_TIME),
         (is_time_over(result), Cause.ROUTE_TIME),
         (not cuts.is_read(result) and disturbances, Cause.CROSSED),
         (not cuts.is_read(result), Cause.UNREAD),
-        (cuts.is_link_harmed(result), Cause.SERVER_LINK),
-        (not is_planned or not is_stable, Cause.UNPLANNED),
         (stop and is_at_work_late(cuts, result, stop), Cause.AT_WORK),
         (stop, Cause.STOP),
         (disturbances, Cause.STARTED),
