--- a/tests/platform_adapter/soak/_unanswered.py
+++ b/tests/platform_adapter/soak/_unanswered.py
@@ -56,6 +56,7 @@
     found = (
         (has_left_early(result), Cause.CALLER_LEFT),
         (cuts.is_broken_off(result), Cause.SERVER),
+        (not cuts.is_read(result) and stop, Cause.CROSSED),
         (cuts.is_link_harmed(result), Cause.SERVER_LINK),
         (not is_planned or not is_stable, Cause.UNPLANNED),
         (result.is_given_up, Cause.CALLER_TIME),
