--- a/tests/platform_adapter/soak/_deployment.py
+++ b/tests/platform_adapter/soak/_deployment.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -15,6 +17,7 @@
 from ebonyhaven_standins.cluster import allocate_address
 from ebonyhaven_standins.fault_proxy import FaultKind, Link
 from twisted.internet import reactor
+from twisted.internet.task import deferLater
 from twisted.web import resource, server
 
 from tests.platform_adapter.soak._behaviours import ServerFaults
@@ -40,6 +43,7 @@
 BUDGET_WINDOW_S = 4.0
 GRACE_S = 3
 LONG_GRACE_S = 8
+POLL_S = 0.05
 CRASHING_PATH = "/repeat/crash"
 MORE_ENGINES = 5  # for streams of seconds that callers take up
 WRITERS = 3
@@ -62,6 +66,8 @@
 
     Attributes
     ----------
+    started_at : float
+        Of the present process; seconds of the reactor's clock.
     earlier_build : str or None
         Import path of the build that the next process runs; None for the present one.
     """
@@ -87,6 +93,7 @@
         host, _, port = store_address.rpartition(":")
         self._store_port = reactor.listenTCP(int(port), site, interface=host)
         self.process: subprocess.Popen | None = None
+        self.started_at = 0.0
         self.earlier_build: str | None = None
         self.addresses = {
             kind: allocate_address()
@@ -182,10 +189,20 @@
         }
         self._settings_path.write_text(json.dumps(settings))
 
+    def change_settings(self) -> None:
+        """Name the seed nodes in another order."""
+        settings = json.loads(self._settings_path.read_text())
+        seeds = settings["seedNodes"]
+        settings["seedNodes"] = seeds[1:] + seeds[:1]
+        changed = self._settings_path.with_suffix(".new")
+        changed.write_text(json.dumps(settings))
+        changed.replace(self._settings_path)
+
     def start(self) -> None:
         """Start the process, unless it runs."""
         if self.is_running():
             return
+        self.started_at = reactor.seconds()
         variables = {**os.environ, "EBONYHAVEN_NODE_FILE": str(self._settings_path)}
         if self.earlier_build is not None:
             variables["PYTHONPATH"] = self.earlier_build
@@ -197,6 +214,16 @@
                 stderr=subprocess.STDOUT,
             )
 
+    async def accept_callers(self) -> None:
+        """Let callers connect as soon as the process accepts connections."""
+        host, _, port = self.addresses["frontend"].rpartition(":")
+        while self.is_running():
+            with contextlib.suppress(OSError):
+                socket.create_connection((host, int(port)), 1.0).close()
+                break
+            await deferLater(reactor, POLL_S)
+        self.caller_link.start_listening()
+
     def is_running(self) -> bool:
         return self.process is not None and self.process.poll() is None
 
@@ -265,7 +292,15 @@
 
 
 class DeploymentSize(NamedTuple):
-    """Numbers of processes, and whether they are spread over data centres."""
+    """Numbers of processes, and whether they are spread over data centres.
+
+    Parameters
+    ----------
+    instances, plain, engines, others, spare_sites : int
+    data_centres : tuple of str
+    more_routes : int
+        Routes that no caller uses, in each configuration.
+    """
 
     instances: int = 3
     plain: int = 4
@@ -273,6 +308,7 @@
     others: int = 2
     spare_sites: int = 4
     data_centres: tuple[str, ...] = ("dc-a",)
+    more_routes: int = 0
 
 
 SMALL = DeploymentSize()
@@ -299,6 +335,8 @@
         Commit whose build the instances run first; None for the present one.
     exposure : ExposureBounds or None
         See `SoakInstance`.
+    changes_limits : bool
+        Whether new configurations change limits and workspaces as well.
     """
 
     crashing_path = CRASHING_PATH
@@ -312,6 +350,7 @@
         kept_streams: KeptStreams = KeptStreams.NONE,
         production: str | None = None,
         exposure: ExposureBounds | None = None,
+        changes_limits: bool = False,
     ):
         self.rng = rng
         self.has_long_streams = has_long_streams
@@ -326,6 +365,8 @@
             random.Random(rng.random()),
             has_long_streams=has_long_streams,
             kept_streams=kept_streams,
+            changes_limits=changes_limits,
+            more_routes=size.more_routes,
         )
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="ebonyhaven-soak-"))
         data_centres = size.data_centres
--- a/tests/platform_adapter/soak/_instance_faults.py
+++ b/tests/platform_adapter/soak/_instance_faults.py
@@ -14,6 +14,7 @@
 from tests.platform_adapter.soak._fault_log import (
     DisturbanceKind,
     FaultLog,
+    Reload,
     Termination,
 )
 from tests.platform_adapter.soak._link_faults import DURATION_S, LinkDisturber
@@ -24,7 +25,10 @@
     (FaultKind.REFUSE,),
     (FaultKind.SILENCE_OPEN, FaultKind.IGNORE),
 )
+IMPORTS_S = 1.0  # of the soak's own program, which a SIGHUP would end
 KILL_S = 0.1
+POLL_S = 0.05
+RELOAD_PAUSE_S = (0.0, 0.5)
 SECOND_SIGNAL_S = (0.1, 2.0)
 SECOND_SIGNAL_SHARE = 0.3
 
@@ -44,6 +48,7 @@
         self._rng = rng
         self._log = log
         self._links = LinkDisturber(rng)
+        self._is_stopping_in_turn = False
 
     async def kill_instance(self) -> None:
         instance = self._choose()
@@ -76,11 +81,47 @@
             self._log.terminations.append(stop)
             if second_after_s is not None:
                 reactor.callLater(second_after_s, instance.signal, signal.SIGTERM)
-            await deferLater(reactor, instance.grace_s)
+            await self._wait_for_end(instance, process, now + instance.grace_s)
             if instance.process is process:  # another one was not asked to stop
+                if instance.is_running():
+                    self._log.overdue_stops.append(stop)
                 instance.signal(signal.SIGKILL)
             await deferLater(reactor, KILL_S)
             instance.start()
+        await instance.accept_callers()
+
+    async def _wait_for_end(self, instance, process, until: float) -> None:
+        """Wait until a time; callers are refused once the process has ended."""
+        while reactor.seconds() < until and process.poll() is None:
+            await deferLater(reactor, POLL_S)
+        if instance.process is process:
+            await instance.caller_link.stop_listening()
+        await deferLater(reactor, max(until - reactor.seconds(), 0.0))
+
+    async def stop_instances_in_turn(self) -> None:
+        """Stop and start each instance, one after the other, once at a time."""
+        if self._is_stopping_in_turn:
+            return
+        self._is_stopping_in_turn = True
+        instances = list(self._deployment.instances)
+        self._rng.shuffle(instances)
+        for instance in instances:
+            if not self._is_stopping(instance):
+                await self._terminate(instance, None)
+        self._is_stopping_in_turn = False
+
+    async def reload_instances(self) -> None:
+        """Have some instances read changed settings again, one after the other."""
+        instances = self._deployment.instances
+        count = self._rng.randint(1, len(instances))
+        for instance in self._rng.sample(instances, count):
+            runs_for_s = reactor.seconds() - instance.started_at
+            if instance.is_running() and runs_for_s > IMPORTS_S:
+                instance.change_settings()
+                reload = Reload(instance.name, reactor.seconds())
+                self._log.reloads.append(reload)
+                instance.signal(signal.SIGHUP)
+            await deferLater(reactor, self._rng.uniform(*RELOAD_PAUSE_S))
 
     def _is_stopping(self, instance: SoakInstance) -> bool:
         now = reactor.seconds()
