Connections: bytes leave in the turn in which they were written

They are handed over at once now; what the system does not take waits for the reactor as before, and a connection that is found reset is aborted, so that it is not taken for one that ended in good order. The head and the body of an answer still leave together.

--- a/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_client.py
@@ -27,6 +27,7 @@
     find_pending_error,
     is_sending,
 )
+from ebonyhaven_node.forwarding._immediate_writes import flush
 from ebonyhaven_node.forwarding._requests import MAX_RESPONSE_BYTES, Headers
 
 KEEPALIVE_INTERVAL_S = 1  # lowest value of TCP_KEEPIDLE and of TCP_KEEPINTVL
@@ -204,6 +205,7 @@
         self._is_skipping = self._has_head = self._was_early = False
         self._received_bytes = 0
         self.transport.write(encoded)
+        flush(self.transport)
 
     def abort(self) -> None:
         """Close the connection at once without notifying the handler."""
--- a/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
@@ -15,6 +15,7 @@
 from ebonyhaven_node._byte_budgets import ByteBudget
 from ebonyhaven_node.forwarding._delivery_lags import count_unacknowledged
 from ebonyhaven_node.forwarding._exchanges import Exchange, ResponseWriter
+from ebonyhaven_node.forwarding._immediate_writes import flush
 from ebonyhaven_node.forwarding._requests import Headers, RequestHead
 
 REJECT_CLOSE_DELAY_S = 0.5  # lets the caller read the error response first
@@ -129,6 +130,8 @@
         """Send a chunk of the body."""
         self._write(h11.Data(data=data))
         if not self._is_paused:
+            if self._is_producing:
+                flush(self.transport)
             return
         self._unsent_bytes += len(data)
         if self._unsent_bytes > MAX_UNSENT_BYTES:
@@ -155,6 +158,7 @@
         self._stop_producing()
         self._share.close()
         self._write(h11.EndOfMessage())
+        flush(self.transport)
         self._exchange = None
         self._head = None
         is_cycle_done = (
