Count the grace period from the signal

What it may cost: an instance that begins to stop later than it was told to closes its connections as much later, and may be killed before that with requests on them. The signal's function in the reactor runs after what is under way; how late it was could not be seen.

The test failed before (closed 0.5 s after its time).

--- a/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_gateway.py
@@ -312,8 +312,15 @@
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
 
-    async def leave(self) -> None:
-        """Shut down gracefully, see `StopSequence`; a further call does nothing."""
+    async def leave(self, asked_at: float | None = None) -> None:
+        """Shut down gracefully, see `StopSequence`; a further call does nothing.
+
+        Parameters
+        ----------
+        asked_at : float or None
+            When the process was told to stop, on the clock of this gateway, from which
+            its grace period counts; None for now.
+        """
         if self.is_leaving:
             return
         sequence = StopSequence(
@@ -326,7 +333,7 @@
             reactor=self._reactor,
             clock=self._clock,
         )
-        await sequence.run()
+        await sequence.run(asked_at)
         self._stack.close()
 
     def _count_suspects(self) -> int:
--- a/packages/node/src/ebonyhaven_node/forwarding/_shutdown.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_shutdown.py
@@ -47,9 +47,15 @@
         """Time at which open connections are closed, seconds."""
         return self._began_at + self._grace_s - SHUTDOWN_MARGIN_S
 
-    def begin(self) -> None:
-        """Begin the shutdown now."""
-        self._began_at = self._clock()
+    def begin(self, asked_at: float | None = None) -> None:
+        """Begin the shutdown now.
+
+        Parameters
+        ----------
+        asked_at : float or None
+            From which the grace period counts, seconds; None for now.
+        """
+        self._began_at = self._clock() if asked_at is None else asked_at
 
     def accepts(self, route: Route) -> bool:
         """Return whether a request that arrives now can finish before the end.
--- a/packages/node/src/ebonyhaven_node/forwarding/_stop_sequence.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stop_sequence.py
@@ -67,10 +67,17 @@
         self._reactor = reactor
         self._clock = clock
 
-    async def run(self) -> None:
-        """Shut down; returns once all connections are closed."""
-        self._shutdown.begin()
-        _log.info("instance_leaving", active=len(self._active))
+    async def run(self, asked_at: float | None = None) -> None:
+        """Shut down; returns once all connections are closed.
+
+        Parameters
+        ----------
+        asked_at : float or None
+            See `Shutdown.begin`.
+        """
+        self._shutdown.begin(asked_at)
+        late_s = 0.0 if asked_at is None else self._clock() - asked_at
+        _log.info("instance_leaving", active=len(self._active), late_s=round(late_s, 3))
         with _log_errors("membership"):
             self._membership.leave()
         with _log_errors("requests"):
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -303,10 +303,10 @@
         self.gateway._version_recorder.start(lambda: True)
         self.gateway.watch_servers()
 
-    def leave(self, membership=None) -> Deferred:
+    def leave(self, membership=None, asked_at=None) -> Deferred:
         """Begin the graceful shutdown of the instance."""
         self.gateway.membership = membership or FakeMembership()
-        return ensureDeferred(self.gateway.leave())
+        return ensureDeferred(self.gateway.leave(asked_at))
 
     def open_caller(self) -> Caller:
         return Caller(self, self.gateway.server.buildProtocol(None))
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -274,6 +274,23 @@
     assert harness.gateway.registry.get_sample_value(name, sample) == 1.0
 
 
+def test_grace_period_counts_from_the_signal():
+    # Guards against instances that are killed with open connections, as a busy process
+    # begins to stop later than it was told to.
+    late_s = 0.5
+    harness, caller = start_stream("/stream/x")
+    server, _ = open_stream(harness, 1)
+    with capture_logs() as lines:
+        stopped = harness.leave(asked_at=harness.reactor.seconds() - late_s)
+        harness.advance(GRACE_S - SHUTDOWN_MARGIN_S - late_s - EVENT_INTERVAL_S)
+        assert not server.is_closed
+        harness.advance(SHUTDOWN_MARGIN_S)
+    assert server.is_closed
+    assert stopped.called
+    assert not caller.read_answer()[3]
+    assert find_line(lines, "instance_leaving")["late_s"] == late_s
+
+
 def test_complete_answers_are_sent_before_their_connections_close():
     harness = ForwardingHarness()
     caller = harness.open_caller()
