Soak: start the program by its present entry point

The merge of the two ends of a process kept end_process and dropped run, which the soak's program imported: no instance started, and each soak ended with KeyError '200'. Found by a review.

--- a/tests/platform_adapter/soak/routed_instance.py
+++ b/tests/platform_adapter/soak/routed_instance.py
@@ -10,7 +10,7 @@
 import pathlib
 import sys
 
-from ebonyhaven_adapter.__main__ import run
+from ebonyhaven_adapter.__main__ import end_process, main
 from ebonyhaven_adapter._hangups import EarlyHangups
 
 
@@ -42,4 +42,4 @@
 if __name__ == "__main__":
     EarlyHangups()  # before the slow imports
     route_connections(json.loads(pathlib.Path(sys.argv[1]).read_text()))
-    run()
+    end_process(main())
