Ask for the newest configuration that is missing

A change of a configuration that arrived while an older one was being read was left out: the instance asked for the version after its own, and a version that was told while the timer ran was forgotten. Nothing but the next heartbeat brought it, 1 to 1.3 s later. Found by a review of the changes of configurations.

test_change_that_arrives_while_an_older_configuration_is_read_is_not_left_out failed before. test_change_that_was_lost_is_read_from_the_store took an instance that polls the store itself, and passed without the code that it is for; it takes one that is supplied.

--- a/packages/node/src/ebonyhaven_node/forwarding/_state_sources.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state_sources.py
@@ -176,7 +176,7 @@
         """
 
     @abc.abstractmethod
-    def merge_change(self, payload: object) -> bool:
+    def merge_change(self, payload: object) -> int | None:
         """Apply the change from one configuration to the next.
 
         Parameters
@@ -186,9 +186,9 @@
 
         Returns
         -------
-        bool
-            Whether this instance has the configuration after the change now, or a newer
-            one; if it has none of both, it has to read the source.
+        int or None
+            Version after the change if this instance has to read it from the source;
+            None if it has it now, or a newer one.
 
         Raises
         ------
--- a/packages/node/src/ebonyhaven_node/forwarding/_state_synchronization.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_state_synchronization.py
@@ -4,7 +4,7 @@
 
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import structlog
 from ebonyhaven_decisions import check_integer
@@ -25,6 +25,11 @@
 _log = structlog.get_logger()
 
 
+class _MissingConfiguration(NamedTuple):
+    peer: str
+    version: int
+
+
 class StateVersionDigest(Digest):
     """Adds the versions of this instance's state to each heartbeat.
 
@@ -89,6 +94,7 @@
         self._reactor = reactor
         self._clock = clock
         self._refresh_timer: Any = None
+        self._missing = _MissingConfiguration("", 0)  # the newest one
         self._requested_at = -STATE_REQUEST_INTERVAL_S
         self._answered_at = -STATE_ANSWER_INTERVAL_S
         self._refreshed_for = 0  # newest version for which the store was read again
@@ -119,12 +125,15 @@
 
     def _schedule_refresh(self, peer: str, version: int) -> None:
         """Get the configuration of a peer unless it arrives in the usual time."""
+        if version > self._missing.version:
+            self._missing = _MissingConfiguration(peer, version)
         if self._refresh_timer is None or not self._refresh_timer.active():
             self._refresh_timer = self._reactor.callLater(
-                CONFIGURATION_DELAY_S, self._refresh_if_older, peer, version
+                CONFIGURATION_DELAY_S, self._refresh_if_older
             )
 
-    def _refresh_if_older(self, peer: str, version: int) -> None:
+    def _refresh_if_older(self) -> None:
+        peer, version = self._missing
         own = self._source.read_version()
         if own.configuration >= version or self._source.is_unresponsive():
             return
@@ -175,14 +184,13 @@
     def _handle_change(self, frame: Frame) -> None:
         """Apply a change; one that follows another configuration is read soon."""
         try:
-            is_known = self._source.merge_change(frame.payload)
+            missing = self._source.merge_change(frame.payload)
         except (TypeError, ValueError) as error:
             _log.warning(
                 "configuration_change_malformed", peer=frame.sender, reason=str(error)
             )
-            is_known = False
-        if not is_known:
             missing = self._source.read_version().configuration + 1
+        if missing is not None:
             self._schedule_refresh(frame.sender, missing)
 
     def _handle_state(self, frame: Frame) -> None:
--- a/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
+++ b/packages/standins/src/ebonyhaven_standins/resuming/_stubs.py
@@ -60,9 +60,9 @@
         """See `StateSource.export`."""
         return None
 
-    def merge_change(self, payload: object) -> bool:
+    def merge_change(self, payload: object) -> int | None:
         """See `StateSource.merge_change`."""
-        return False
+        return None
 
     def merge(self, payload: object) -> None:
         """See `StateSource.merge`."""
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -89,8 +89,8 @@
     def export(self, known=None) -> object:
         return None
 
-    def merge_change(self, payload: object) -> bool:
-        return False
+    def merge_change(self, payload: object) -> int | None:
+        return None
 
     def merge(self, payload: object) -> None:
         pass
--- a/tests/platform_adapter/test_configuration_feed.py
+++ b/tests/platform_adapter/test_configuration_feed.py
@@ -26,6 +26,7 @@
 NAMES = [f"n{number}" for number in range(25)]
 NEXT_READER = next(name for name in NAMES if find_reader_rank(name, NAMES) == 1)
 READER = next(name for name in NAMES if find_reader_rank(name, NAMES) == 0)
+SUPPLIED = next(name for name in NAMES if find_reader_rank(name, NAMES) > 2)
 CHANGE_INTERVAL_S = 0.4
 APPLY_S = 2.0  # in which a configuration has to be in force
 STEP_S = 0.01
@@ -297,8 +298,7 @@
 
 def test_change_that_was_lost_is_read_from_the_store():
     group = Group()
-    name, lagging = next(iter(group.instances.items()))
-    assert name != READER
+    lagging = group.instances[SUPPLIED]
     handlers = lagging.channels.handlers
     (kind,) = [each for each in handlers if each == "xc"]
     receive, handlers[kind] = handlers[kind], lambda _: None
@@ -310,3 +310,25 @@
     lagging.store.push("op", make_rows(99, config=make_configuration(9)))
     group.advance(APPLY_S)
     assert lagging.version == 9
+
+
+def test_change_that_arrives_while_an_older_configuration_is_read_is_not_left_out():
+    # The read was answered before the change was written; nothing asks for it again.
+    group = Group()
+    lagging = group.instances[SUPPLIED]
+    assert lagging.source._compute_pause_s() > 0.0
+    handlers = lagging.channels.handlers
+    receive, handlers["xc"] = handlers["xc"], lambda _: None
+    group.change()  # 8, lost
+    group.advance(CHANGE_INTERVAL_S)
+    handlers["xc"] = receive
+    group.change()  # 9, which does not fit
+    group.advance(CHANGE_INTERVAL_S)  # the store is being read
+    group.change()  # 10, which does not fit either
+    group.advance(0.1)
+    lagging.store.push("op", make_rows(99, config=make_configuration(9)))
+    group.advance(0.1)
+    assert lagging.version == 9
+    lagging.store.push("op", make_rows(100, config=make_configuration(10)))
+    group.advance(APPLY_S)
+    assert lagging.version == 10
--- a/tests/platform_adapter/test_shared_configuration.py
+++ b/tests/platform_adapter/test_shared_configuration.py
@@ -83,10 +83,10 @@
     last = {**changed, "version": 9, "tenants": []}
     group.feed.store.push("op", make_rows(21, config=last))
     first, second = map(send_between_instances, group.feed.group.changes)
-    assert not group.feed.other.merge_change(second)  # has not got the first
+    assert group.feed.other.merge_change(second) == 9  # has not got the first
     assert group.feed.other_state.configuration.version == 7
     for change, version in ((first, 8), (second, 9), (first, 9), (second, 9)):
-        assert group.feed.other.merge_change(change)
+        assert group.feed.other.merge_change(change) is None
         assert group.feed.other_state.configuration.version == version
     assert group.feed.other_state.limits.idle_timeout_s == 6.0
     assert not group.feed.other_state.configuration.workspaces
@@ -133,7 +133,7 @@
         group.feed.store.push("op", make_rows(12 + version, config=document))
         group.feed.clock.advance(0.4)
         change = send_between_instances(group.feed.group.changes[-1])
-        assert group.feed.other.merge_change(change)
+        assert group.feed.other.merge_change(change) is None
     group.feed.other.refresh_configuration()
     assert group.feed.other_store.calls[-1] == ("table", "op", None)
     last = {**CONFIGURATION, "version": 48}
