A cut ends no begun stream that may not be resumed for a pause of its server

A stream that no other instance can go on with was given up as its server was silent for 2 s and contact to servers was lost, though its connection worked.

--- a/packages/node/src/ebonyhaven_node/forwarding/_attempt_monitors.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempt_monitors.py
@@ -102,6 +102,11 @@
         """Name of the route of the request."""
         return self._route.name
 
+    @property
+    def may_resume(self) -> bool:
+        """Whether the stream may go on at another server."""
+        return self._route.is_resumable
+
     def record_head(self, head: ResponseHead) -> None:
         """Record the head of the response.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -286,8 +286,11 @@
     def _is_cut_off(self) -> bool:
         """Return whether other instances alone could go on with the stream.
 
-        Its server may pause; the connection to it may work though new ones do not.
+        Its server may pause; the connection to it may work though new ones do not. A
+        stream that may not be resumed therefore stays.
         """
+        if not self._monitor.may_resume:
+            return False
         silent_s = self._context.clock() - self._monitor.last_received_at
         is_lost = self._context.is_left_to_peers()
         is_confirmed = is_lost and self._context.contact.is_confirmed_lost
--- a/tests/forwarding/test_cut_off.py
+++ b/tests/forwarding/test_cut_off.py
@@ -22,6 +22,7 @@
 PEER = make_record("n2")._replace(caller_address="10.1.0.2:80")
 OTHER = make_record("n3")._replace(caller_address="10.1.0.3:80")
 DETECTION_S = 1.5
+SERVER_PAUSE_S = 3.0
 LINK_BYTES_PER_S = 1_250_000
 
 
@@ -482,3 +483,26 @@
     peer.receive(answer("s1", b"", 503, X_Server_Stamp=None, Retry_After="0.50"))
     harness.advance(0.01)
     assert caller.read_answer()[0] == 502
+
+
+def test_fixed_stream_whose_server_pauses_after_a_cut_is_not_given_up():
+    # No instance can go on with a stream that may not be resumed.
+    harness = ForwardingHarness()
+    harness.gateway._context.relay_peers._list_peers = lambda: [PEER]
+    caller = harness.open_caller()
+    caller.request("/fixed/x", request_id="s1", X_Token_Count="10,10")
+    harness.advance(0.01)
+    server, _, _ = harness.take_request()
+    server.receive(stream_head("s1") + chunk(event(1)))
+    harness.advance(0.0)
+    harness.silent.update(each.entry.address for each in harness.state.backends)
+    harness.open_caller().request("/repeat/first", request_id="first")
+    for number in range(2, 20):
+        harness.advance(0.1)
+        server.receive(chunk(event(number)))
+    assert harness.gateway._contact.is_confirmed_lost
+    harness.advance(SERVER_PAUSE_S)
+    assert not caller.transport.aborted
+    server.receive(chunk(event(20)) + STREAM_END)
+    harness.advance(0.0)
+    assert caller.read_answer()[3]
