An engine that is asked before a begun stream may say that it leaves or rests

The report was read for the start of the process alone, so that the stream went to an engine that said in it that it leaves, or that it rests.

--- a/packages/node/src/ebonyhaven_node/forwarding/_engine_sampling.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_engine_sampling.py
@@ -66,10 +66,11 @@
         )
         return chosen
 
-    async def is_replaced(self, backend: Backend) -> bool:
-        """Return whether an engine says that it is not the process on the list.
+    async def may_continue(self, backend: Backend) -> bool:
+        """Return whether a begun stream may go to an engine, by its report if any.
 
         It may have restarted under its id with other software, before the list says so.
+        What keeps the stream from it is reported.
 
         Parameters
         ----------
@@ -77,12 +78,22 @@
         """
         server = await self._inspect(backend)
         if server is None:
-            return False
-        if not _is_same_process(server, backend):
             return True
-        if server.rest_s is None:
-            backend.limiter.rest.record_served(self._context.clock())
-        return False
+        if not _is_same_process(server, backend):
+            self._context.report_replaced(backend, None)
+            return False
+        if self._is_unavailable(server, backend):
+            return False
+        backend.limiter.rest.record_served(self._context.clock())
+        return True
+
+    def _is_unavailable(self, server: InspectedServer, backend: Backend) -> bool:
+        """Report what an engine says that keeps requests from it, if it says so."""
+        if server.is_leaving:
+            self._context.report_told_leave(backend)
+        elif server.rest_s is not None:
+            self._context.report_rest(backend, server.rest_s)
+        return server.is_leaving or server.rest_s is not None
 
     async def _sample_all(self, candidates: Sequence[Backend]) -> list[SampledEngine]:
         try:
@@ -99,11 +110,7 @@
         server = await self._inspect(backend)
         if server is None or not _is_same_process(server, backend):
             return SampledEngine(backend, None)
-        if server.is_leaving:
-            self._context.report_told_leave(backend)
-            return SampledEngine(backend, None)
-        if server.rest_s is not None:
-            self._context.report_rest(backend, server.rest_s)
+        if self._is_unavailable(server, backend):
             return SampledEngine(backend, None)
         backend.record_data(self._context.clock())
         return SampledEngine(backend, server.load)
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_targets.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_targets.py
@@ -134,12 +134,10 @@
             if not isinstance(found, StreamTarget):
                 return found
             target = await self._compare_engines(found)
-            if not await self._is_replaced(target):
+            if await self._may_continue(target):
                 return target
-            now = self._context.clock()
-            self._context.report_replaced(target.backend, None)
             if self._limits.attempts:
-                self._context.budget.refund_retry(self._service, now)
+                self._context.budget.refund_retry(self._service, self._context.clock())
             copy = None
 
     def has_other(self, copy: RunCopy | None, backend: Backend) -> bool:
@@ -234,16 +232,16 @@
             has_begun=self._wait.has_begun,
         )
 
-    async def _is_replaced(self, target: StreamTarget) -> bool:
-        """Return whether another process, perhaps of another version, has the address.
+    async def _may_continue(self, target: StreamTarget) -> bool:
+        """Return whether the engine is still the one that the list shows.
 
-        A stream that is bound to a software version is not sent there. A copy can only
-        be used at the process that holds it.
+        A stream that is bound to a software version is not sent to another process. A
+        copy can only be used at the process that holds it.
         """
         must_check = (
             self._version.is_bound and target.copy is None and self._engine is not None
         )
-        return must_check and await self._sampler.is_replaced(target.backend)
+        return not must_check or await self._sampler.may_continue(target.backend)
 
     async def _compare_engines(self, target: StreamTarget) -> StreamTarget:
         """Return the target, or one whose engine says that it has less to do."""
--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -430,3 +430,27 @@
     harness.advance(0.01)
     assert harness.count_waiting() == 0
     assert caller.transport.aborted
+
+
+def test_begun_stream_is_not_sent_to_an_engine_that_says_that_it_leaves():
+    # The engine was asked who it is, and its report says that it leaves.
+    harness, _ = start_stream(engines=4)
+    server, _ = open_stream(harness, 1, 2)
+    server.reset()
+    harness.advance(0.01)
+    holder, _, _ = harness.take_request()
+    inspect = harness.inspector.inspect
+    leaving = []
+
+    async def inspect_leaving(address, *, timeout_s=0.5):
+        answer = await inspect(address, timeout_s=timeout_s)
+        if not leaving:
+            leaving.append(address)
+        return answer and answer._replace(is_leaving=address in leaving)
+
+    harness.inspector.inspect = inspect_leaving
+    holder.receive(refusal("r1"))
+    harness.advance(0.01)
+    third, _, _ = harness.take_request()
+    assert leaving
+    assert third.address not in leaving
