--- a/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
@@ -364,7 +364,12 @@
             self._last_look = self._server.reactor.callLater(0.0, self._close_if_due)
 
     def _close_if_due(self) -> None:
-        if self._read_limit_s is not None and self._measure_remaining_s() <= 0.0:
+        if self._read_limit_s is None:
+            return
+        remaining_s = self._measure_remaining_s()
+        if remaining_s > 0.0:
+            self._start_timer(remaining_s)
+        else:
             self.transport.loseConnection()
 
     def _measure_remaining_s(self) -> float:
