Check whether a server has ended with a short answer that has no length

Streams and calls share the check. Refusals are not held.

Two tests of ordinary ends wait 0.1 s for the check in place of 0.01 s, and demand the same.

--- a/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_attempts.py
@@ -19,6 +19,7 @@
     ResponseHandler,
 )
 from ebonyhaven_node.forwarding._inbox import Inbox
+from ebonyhaven_node.forwarding._loss_probes import ServerFate
 from ebonyhaven_node.forwarding._requests import (
     AttemptPlan,
     ForwardRequest,
@@ -133,6 +134,20 @@
         if self._connection is not None:
             self._connection.abort()
 
+    def check_end(self) -> None:
+        """Find out whether the server has ended with its response.
+
+        A response without framing ends with its connection, and a process that is
+        killed closes its connections in good order. The inbox receives
+        `ResponseEndChecked`.
+        """
+
+        def report(fate: ServerFate) -> None:
+            has_ended = fate is ServerFate.ENDED and not self.backend.is_leaving
+            self._inbox.put(ResponseEndChecked(self, has_ended))
+
+        self._context.crash_monitor.find_fate(self.backend, report)
+
     def accept_head(self, status: int, headers: Headers) -> bool:
         """See `ResponseHandler.accept_head`."""
         head = self._context.dialect.read_head(status, headers)
@@ -315,6 +330,20 @@
     is_delimited: bool
 
 
+class ResponseEndChecked(NamedTuple):
+    """What became of the server of a response that ended with its connection.
+
+    Parameters
+    ----------
+    attempt : Attempt
+    has_ended : bool
+        Whether the process of the server has ended.
+    """
+
+    attempt: Attempt
+    has_ended: bool
+
+
 class AttemptFailed(NamedTuple):
     """An attempt ended without a complete response.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_calls.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_calls.py
@@ -12,6 +12,7 @@
     AttemptFailed,
     ResponseCompleted,
     ResponseData,
+    ResponseEndChecked,
     ResponseStarted,
 )
 from ebonyhaven_node.forwarding._call_limits import CallLimits
@@ -286,9 +287,16 @@
             case ResponseData(attempt, data):
                 self._buffer_data(attempt, data)
             case ResponseCompleted(attempt, is_delimited) if attempt in self._running:
-                self._running.remove(attempt)
                 self._recorder.record_end(is_delimited=is_delimited)
-                self._complete_attempt(attempt, is_delimited=is_delimited)
+                if is_delimited or attempt.head.not_run:
+                    self._complete_attempt(attempt, is_delimited=is_delimited)
+                else:
+                    attempt.check_end()
+            case ResponseEndChecked(attempt, has_ended) if attempt in self._running:
+                if has_ended:
+                    self._lose_ended_attempt(attempt)
+                else:
+                    self._complete_attempt(attempt, is_delimited=False)
             case AttemptFailed(
                 attempt, was_sent, is_connection_lost, reason, unreached, is_final
             ):
@@ -308,7 +316,14 @@
         self._running.remove(attempt)
         self._fail_attempt(attempt, True, "too much of other responses is kept")
 
+    def _lose_ended_attempt(self, attempt: Attempt) -> None:
+        """Treat a response whose server has ended with it as broken off."""
+        self._running.remove(attempt)
+        self._fail_attempt(attempt, True, "the server ended with its response")
+        self._recorder.record_broken(attempt, is_connection_lost=True)
+
     def _complete_attempt(self, attempt: Attempt, *, is_delimited: bool) -> None:
+        self._running.remove(attempt)
         head, body = self._responses.take(attempt)
         latency_s = self._context.clock() - attempt.sent_at
         if head.not_run:
--- a/packages/node/src/ebonyhaven_node/forwarding/_messages.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_messages.py
@@ -42,20 +42,6 @@
     is_alive: bool
 
 
-class StreamEndChecked(NamedTuple):
-    """What became of a server whose connection ended with its stream is known.
-
-    Parameters
-    ----------
-    process_id : str
-    has_ended : bool
-        Whether the process of the server has ended.
-    """
-
-    process_id: str
-    has_ended: bool
-
-
 class CopyRequestCompleted(NamedTuple):
     """A request to an engine to copy a run has finished.
 
--- a/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_stream_attempts.py
@@ -15,17 +15,16 @@
     AttemptFailed,
     ResponseCompleted,
     ResponseData,
+    ResponseEndChecked,
     ResponseStarted,
 )
 from ebonyhaven_node.forwarding._context import SERVER_SILENCE_LIMIT_S, RelayContext
 from ebonyhaven_node.forwarding._crash_guards import CrashGuard
 from ebonyhaven_node.forwarding._exchanges import Exchange
 from ebonyhaven_node.forwarding._inbox import Inbox
-from ebonyhaven_node.forwarding._loss_probes import ServerFate
 from ebonyhaven_node.forwarding._messages import (
     BackendProbed,
     BackendSuspected,
-    StreamEndChecked,
     TraitsDecided,
 )
 from ebonyhaven_node.forwarding._outcomes import (
@@ -164,17 +163,8 @@
                 return result
 
     async def _confirm_end(self) -> AttemptResult:
-        """Complete the stream unless the process of its server has ended as well.
-
-        A process that is killed closes its connections in good order.
-        """
-        process_id = self._backend.process_id
-
-        def report(fate: ServerFate) -> None:
-            has_ended = fate is ServerFate.ENDED and not self._backend.is_leaving
-            self._inbox.put(StreamEndChecked(process_id, has_ended))
-
-        self._context.crash_monitor.find_fate(self._backend, report)
+        """Complete the stream unless the process of its server has ended as well."""
+        self._attempt.check_end()
         while True:
             remaining_s = self._read_deadline() - self._context.clock()
             message = await self._inbox.get(max(0.0, remaining_s))
@@ -182,7 +172,7 @@
                 return AttemptResult(AttemptEnd.DONE, "the caller disconnected")
             self._run_copy.handle_message(message)
             match message:
-                case StreamEndChecked(checked, has_ended) if checked == process_id:
+                case ResponseEndChecked(sender, has_ended) if sender is self._attempt:
                     if has_ended:
                         return AttemptResult(
                             AttemptEnd.LOST, "the server ended with its stream"
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -45,6 +45,7 @@
 
 HOST = "work.example"
 KEY = "secret-key"
+END_CHECK_S = 0.1  # until it is known whether a server has ended with its response
 STAMP = "stamp-1"
 STEP_S = 0.005
 
--- a/tests/forwarding/test_calls.py
+++ b/tests/forwarding/test_calls.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from tests.forwarding.harness import (
+    END_CHECK_S,
     STAMP,
     ForwardingHarness,
     answer,
@@ -199,7 +200,7 @@
             server.close()
         else:
             server.reset()
-        harness.advance(0.01)
+        harness.advance(END_CHECK_S)
         assert caller.read_answer()[0] == status
 
 
