Silent servers: no call for servers without requests

Five times a second each instance asked each server whether it has been silent for too long: 160 calls a look on a large site, of which few servers had a request. Calls of a look at 160 servers, one of them with a request: over 160 before, under 10 now (test_look_for_silent_servers_costs_nothing_for_idle_ones, which failed before).

--- a/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
+++ b/packages/decisions/src/ebonyhaven_decisions/forwarding/_directory.py
@@ -369,7 +369,9 @@
         return [
             each
             for each in self._by_id.values()
-            if each.silence.is_unresponsive(now) and not each.is_leaving
+            if each.silence.since is not None  # of few, and asked often
+            and each.silence.is_unresponsive(now)
+            and not each.is_leaving
         ]
 
     def has_only_silent(self, service: str, now: float) -> bool:
--- a/tests/forwarding/test_control_work.py
+++ b/tests/forwarding/test_control_work.py
@@ -6,10 +6,17 @@
 
 from __future__ import annotations
 
+import cProfile
+
 from ebonyhaven_decisions import _rendezvous
-from ebonyhaven_decisions.forwarding import LossReport, find_reader_rank
+from ebonyhaven_decisions.forwarding import (
+    BackendDirectory,
+    LossReport,
+    find_reader_rank,
+)
 
 from tests.forwarding.group_replay import GroupReplay
+from tests.forwarding.harness import make_entry
 
 SIZES = (9, 91, 195)
 JOIN_S = 6.0
@@ -65,6 +72,21 @@
     assert counts["encoded server_losses"] <= MAX_ENCODINGS_OF_EVIDENCE, (size, counts)
 
 
+def test_look_for_silent_servers_costs_nothing_for_idle_ones():
+    # Guards against 160 calls, five times a second, at each instance at rest.
+    directory = BackendDirectory()
+    for number in range(160):
+        directory.put(make_entry(f"p-{number}"), 0.0)
+    busy = directory.find("p-7")
+    busy.silence.record_sent(0.0, 0.2)
+    profile = cProfile.Profile(builtins=False)
+    profile.enable()
+    silent = directory.list_unresponsive(10.0)
+    profile.disable()
+    assert silent == [busy]
+    assert sum(each.callcount for each in profile.getstats()) < 10
+
+
 def test_reader_of_a_group_is_chosen_once_for_the_same_instances():
     # Guards against the names of all instances hashed at each poll of the store.
     names = [f"n{number}" for number in range(195)]
