--- a/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
+++ b/packages/node/src/ebonyhaven_node/forwarding/_http_server.py
@@ -13,6 +13,7 @@
 from twisted.python.failure import Failure
 
 from ebonyhaven_node._byte_budgets import ByteBudget
+from ebonyhaven_node.forwarding._connection_timeouts import ConnectionTimeout
 from ebonyhaven_node.forwarding._delivery_lags import count_unacknowledged
 from ebonyhaven_node.forwarding._exchanges import Exchange, ResponseWriter
 from ebonyhaven_node.forwarding._immediate_writes import flush
@@ -51,11 +52,11 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._arrived_at = 0.0
-        self._timer: IDelayedCall | None = None
-        self._last_look: IDelayedCall | None = None
-        # What bounds the wait for the caller; None while it waits for its answer.
-        self._read_limit_s: Callable[[], float] | None = None
-        self._timed_since = 0.0
+        self._timeout = ConnectionTimeout(
+            reactor=server.reactor,
+            clock=server.clock,
+            on_timeout=self._close_on_timeout,
+        )
         self._next_read: IDelayedCall | None = None
         self._is_reading_head = False
         self._share = server.request_bytes.open_share()
@@ -70,14 +71,12 @@
         self.transport.setTcpNoDelay(True)
         self.transport.setTcpKeepAlive(True)
         self._server.connections.add(self)
-        self._set_timer(self._read_idle_timeout_s)
+        self._timeout.start(self._read_idle_timeout_s)
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802 Twisted API
         """Notify the current exchange that its caller disconnected."""
         self._server.connections.discard(self)
-        for timer in (self._timer, self._last_look):
-            if timer is not None and timer.active():
-                timer.cancel()
+        self._timeout.close()
         if self._is_read_scheduled:
             self._next_read.cancel()
         self._share.close()
@@ -97,7 +96,7 @@
         if self._exchange is None and not self._is_read_scheduled:
             if self._head is None and not self._is_reading_head:
                 self._is_reading_head = True
-                self._set_timer(self._read_header_timeout_s)
+                self._timeout.start(self._read_header_timeout_s)
             self._read_request()
         elif len(self._codec.trailing_data[0]) > MAX_PIPELINED_BYTES:
             self.transport.abortConnection()
@@ -168,7 +167,7 @@
             self.transport.loseConnection()
             return
         self._codec.start_next_cycle()
-        self._set_timer(self._read_idle_timeout_s)
+        self._timeout.start(self._read_idle_timeout_s)
         if self._has_request_ahead():
             self._next_read = self._server.reactor.callLater(0.0, self._read_request)
         elif self._is_closing:
@@ -269,7 +268,7 @@
         self._is_reading_head = False
         self._arrived_at = self._server.clock()
         self._body, self._body_bytes = [], 0
-        self._set_timer(self._read_idle_timeout_s)
+        self._timeout.start(self._read_idle_timeout_s)
         names = [name for name, _ in headers]
         if b"transfer-encoding" in names and b"content-length" in names:
             raise h11.RemoteProtocolError(
@@ -287,7 +286,7 @@
         self._body.append(data)
 
     def _dispatch(self) -> None:
-        self._read_limit_s = None
+        self._timeout.clear()
         body = b"".join(self._body)
         self._body = []
         self._exchange = Exchange(self, self._head, body, self._arrived_at)
@@ -295,7 +294,7 @@
 
     def _reject(self, error: h11.RemoteProtocolError) -> None:
         """Respond to a malformed request with an error and close the connection."""
-        self._read_limit_s = None
+        self._timeout.clear()
         self._body = []
         self._share.close()
         self._is_rejected = True
@@ -328,53 +327,15 @@
             REJECT_ABORT_DELAY_S, self.transport.abortConnection
         )
 
+    def _close_on_timeout(self) -> None:
+        self.transport.loseConnection()
+
     def _read_idle_timeout_s(self) -> float:
         return self._server.limits().idle_timeout_s
 
     def _read_header_timeout_s(self) -> float:
         return self._server.limits().header_timeout_s
 
-    def _set_timer(self, read_limit_s: Callable[[], float]) -> None:
-        """Close the connection once a limit has passed that may change meanwhile.
-
-        A timer that runs serves again: a cancelled one would still wake the reactor
-        when it is due.
-        """
-        self._read_limit_s = read_limit_s
-        self._timed_since = self._server.clock()
-        self._start_timer(read_limit_s())
-
-    def _start_timer(self, delay_s: float) -> None:
-        if self._timer is not None and self._timer.active():
-            self._timer.reset(delay_s)
-        else:
-            self._timer = self._server.reactor.callLater(delay_s, self._check_timeout)
-
-    def _check_timeout(self) -> None:
-        """Close the connection one turn later, unless its limit has grown.
-
-        The process may have stood still, with a request yet to be read.
-        """
-        if self._read_limit_s is None:
-            return
-        remaining_s = self._measure_remaining_s()
-        if remaining_s > 0.0:
-            self._start_timer(remaining_s)
-        else:
-            self._last_look = self._server.reactor.callLater(0.0, self._close_if_due)
-
-    def _close_if_due(self) -> None:
-        if self._read_limit_s is None:
-            return
-        remaining_s = self._measure_remaining_s()
-        if remaining_s > 0.0:
-            self._start_timer(remaining_s)
-        else:
-            self.transport.loseConnection()
-
-    def _measure_remaining_s(self) -> float:
-        return self._timed_since + self._read_limit_s() - self._server.clock()
-
 
 _REASON_PHRASES = {
     200: b"OK",
--- a/tests/forwarding/test_wake_ups.py
+++ b/tests/forwarding/test_wake_ups.py
@@ -7,6 +7,8 @@
 
 from unittest import mock
 
+from ebonyhaven_node.forwarding._connection_timeouts import ConnectionTimeout
+
 from tests.forwarding.harness import ForwardingHarness, answer, chunk, event
 from tests.forwarding.streaming import open_stream, start_stream
 
@@ -32,7 +34,6 @@
     # Guards against a timer for each head, and one for each pause between requests.
     harness = ForwardingHarness()
     caller = harness.open_caller()
-    protocol = type(caller.protocol)
     with count_timers(harness) as set_timer:
         for number in range(REQUESTS):
             caller.request("/once/x", f"r{number}")
@@ -42,7 +43,7 @@
         closing = [
             call
             for call in set_timer.call_args_list
-            if getattr(call.args[1], "__func__", None) is protocol._check_timeout
+            if getattr(call.args[1], "__func__", None) is ConnectionTimeout._check
         ]
     assert caller.received.count(b"HTTP/1.1 200") == REQUESTS
     assert len(closing) <= 1
